Name the contracts between packages: fleet, platform, config, requests, timeline, metrics

Cause: several packages are about to be built at once and need one set of types. Change: records and changes of the fleet with one function apply, protocols of the platform, the configuration log, and the path of a request.

--- /dev/null
+++ b/src/shallotworks/fleet/_state.py
@@ -0,0 +1,62 @@
+"""The fleet's state at one revision."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from ._records import DataCentre, Instance, PlanRecord, Pool, Service, Team
+
+__all__ = ["FleetState"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetState:
+    """All records at one revision; never changed in place.
+
+    Args:
+        revision: Number of changes that led here.
+        data_centres: By name.
+        pools: By name.
+        services: By name.
+        teams: By name.
+        instances: By name.
+        plans: Confirmed plans by digest: all open ones, and the last ones that ended.
+    """
+
+    revision: int = 0
+    data_centres: dict[str, DataCentre] = field(default_factory=dict)
+    pools: dict[str, Pool] = field(default_factory=dict)
+    services: dict[str, Service] = field(default_factory=dict)
+    teams: dict[str, Team] = field(default_factory=dict)
+    instances: dict[str, Instance] = field(default_factory=dict)
+    plans: dict[str, PlanRecord] = field(default_factory=dict)
+
+    def instances_of(self, pool: str) -> Iterator[Instance]:
+        """Return the instances of one pool."""
+        return (entry for entry in self.instances.values() if entry.pool == pool)
+
+    def services_of(self, pool: str) -> Iterator[Service]:
+        """Return the services that one pool serves."""
+        return (entry for entry in self.services.values() if entry.pool == pool)
+
+    def unavailable_in(self, pool: str) -> int:
+        """Return how many instances of a pool are cordoned or failed."""
+        return sum(1 for entry in self.instances_of(pool) if not entry.available)
+
+    def budget_of(self, pool: str) -> int:
+        """Return how many instances of a pool may be unavailable at once.
+
+        The least of its services' budgets; with no service there is nothing to protect and every
+        instance may be.
+        """
+        budgets = [entry.max_unavailable for entry in self.services_of(pool)]
+        return min(budgets, default=sum(1 for _ in self.instances_of(pool)))
+
+    def open_plan_holding(self, names: tuple[str, ...]) -> PlanRecord | None:
+        """Return an open plan that holds one of these instances, if there is one."""
+        wanted = frozenset(names)
+        for plan in self.plans.values():
+            if plan.state.is_open and not wanted.isdisjoint(plan.instances):
+                return plan
+        return None
--- /dev/null
+++ b/src/shallotworks/requests/__init__.py
@@ -0,0 +1,30 @@
+"""The path of a request: dispatch to a target, attempts, retries, at most once, the whole answer.
+
+Every decision is taken on the event loop by a `Dispatcher`, a `RetryPolicy` and a `OnceGuard`; the
+exchange of bytes with a target is straight-line code in the thread that serves the caller. Nothing
+here reads the platform or peers except through the protocols it is given.
+"""
+
+from ._messages import (
+    AttemptOutcome,
+    Claim,
+    Grant,
+    Request,
+    RequestClass,
+    Response,
+    Target,
+)
+from ._protocols import Dispatcher, OnceGuard, RetryPolicy
+
+__all__ = [
+    "AttemptOutcome",
+    "Claim",
+    "Dispatcher",
+    "Grant",
+    "OnceGuard",
+    "Request",
+    "RequestClass",
+    "Response",
+    "RetryPolicy",
+    "Target",
+]
