--- /dev/null
+++ b/src/shallotworks/standins/_memory_store.py
@@ -0,0 +1,366 @@
+"""The platform's key-value service in memory, with faults that can be switched on."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter, deque
+from dataclasses import dataclass
+from typing import TypeVar
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.platform import Lease, Versioned, WatchResult
+
+__all__ = ["MAX_VALUE_BYTES", "MemoryStore", "StoreFaults"]
+
+MAX_VALUE_BYTES = 1_000_000
+UNDO_LIMIT = 10_000
+"""Writes that `MemoryStore.come_back_at` can take back."""
+TOMBSTONE_LIMIT = 10_000
+"""Deleted keys that a watch can still tell of."""
+
+_Value = TypeVar("_Value")
+
+
+@dataclass(slots=True, kw_only=True)
+class StoreFaults:
+    """Which faults are on; changed in place while the store runs.
+
+    Args:
+        down: Every call fails before it acts, and waiting watches end.
+        delay_s: Every call takes this long, half before it acts and half after, so that a caller
+            who gives up can't know whether a write took effect.
+        stale: Reads and watches show the store as it was when this was switched on.
+        lost_answers: That many writes to come take effect and then fail as ``OUTCOME_UNKNOWN``.
+    """
+
+    down: bool = False
+    delay_s: float = 0.0
+    stale: bool = False
+    lost_answers: int = 0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Record:
+    item: Versioned
+    lease_id: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Undo:
+    version: int
+    key: str
+    before: _Record | None
+
+
+@dataclass(slots=True, kw_only=True)
+class _HeldLease:
+    ttl_s: float
+    expires_at_s: float
+    keys: set[str]
+
+
+class MemoryStore:
+    """Implements `shallotworks.platform.KeyValueStore` on the event loop's clock.
+
+    Attributes:
+        faults: The faults that are on.
+        calls: Number of calls so far by their name; a waiting watch is one.
+    """
+
+    __slots__ = (
+        "_faults",
+        "_frozen",
+        "_leases",
+        "_next_lease",
+        "_records",
+        "_tombstones",
+        "_undo",
+        "_version",
+        "_wakeups",
+        "calls",
+    )
+
+    def __init__(self) -> None:
+        self.calls: Counter[str] = Counter()
+        self._faults = StoreFaults()
+        self._version = 0
+        self._next_lease = 1
+        self._records: dict[str, _Record] = {}
+        self._frozen: tuple[int, dict[str, _Record]] | None = None
+        self._tombstones: dict[str, int] = {}
+        self._undo: deque[_Undo] = deque(maxlen=UNDO_LIMIT)
+        self._leases: dict[str, _HeldLease] = {}
+        self._wakeups: set[asyncio.Event] = set()
+
+    @property
+    def faults(self) -> StoreFaults:
+        """The faults that are on."""
+        return self._faults
+
+    @property
+    def version(self) -> int:
+        """The counter of writes."""
+        return self._version
+
+    def set_faults(self, faults: StoreFaults) -> None:
+        """Replace the faults that are on, and wake the watches that they end."""
+        if not faults.stale:
+            self._frozen = None
+        elif self._frozen is None:
+            self._frozen = (self._version, dict(self._records))
+        self._faults = faults
+        self._wake()
+
+    def come_back_empty(self) -> None:
+        """Lose every key and lease, as a store that was set up anew."""
+        self._version = 0
+        self._records.clear()
+        self._tombstones.clear()
+        self._undo.clear()
+        self._leases.clear()
+        self._wake()
+
+    def come_back_at(self, version: int) -> None:
+        """Take back every write after a version, as a store restored from an older copy."""
+        while self._undo and self._undo[-1].version > version:
+            undo = self._undo.pop()
+            if undo.before is None:
+                self._records.pop(undo.key, None)
+            else:
+                self._records[undo.key] = undo.before
+        self._version = min(self._version, version)
+        self._tombstones = {k: at for k, at in self._tombstones.items() if at <= version}
+        self._wake()
+
+    async def get(self, key: str) -> Result[Versioned | None, Failure]:
+        """Read one key; ``None`` where it does not exist."""
+        self.calls["get"] += 1
+        if not await self._arrive():
+            return _down()
+        record = self._shown()[1].get(key)
+        await self._answer_slowly()
+        return Success(record.item if record is not None else None)
+
+    async def list(
+        self, prefix: str, *, after_key: str = "", limit: int = 1000
+    ) -> Result[tuple[Versioned, ...], Failure]:
+        """Read the keys under a prefix, in key order, from the one after ``after_key``."""
+        self.calls["list"] += 1
+        if not await self._arrive():
+            return _down()
+        records = self._shown()[1]
+        keys = sorted(key for key in records if key.startswith(prefix) and key > after_key)
+        items = tuple(records[key].item for key in keys[:limit])
+        await self._answer_slowly()
+        return Success(items)
+
+    async def create(self, key: str, value: bytes, *, lease_id: str = "") -> Result[int, Failure]:
+        """Create a key; ``CONFLICT`` where it exists. Returns its version."""
+        self.calls["create"] += 1
+        if not await self._arrive():
+            return _down()
+        return await self._finish_write(self._create(key, value, lease_id))
+
+    async def swap(self, key: str, value: bytes, *, version: int) -> Result[int, Failure]:
+        """Write a key that still has this version; else ``CONFLICT``. Returns the new version."""
+        self.calls["swap"] += 1
+        if not await self._arrive():
+            return _down()
+        return await self._finish_write(self._swap(key, value, version))
+
+    async def delete(self, key: str, *, version: int) -> Result[None, Failure]:
+        """Delete a key that still has this version; else ``CONFLICT``."""
+        self.calls["delete"] += 1
+        if not await self._arrive():
+            return _down()
+        record = self._records.get(key)
+        if record is None or record.item.version != version:
+            return await self._finish_write(_conflict(key))
+        self._remove(key)
+        return await self._finish_write(Success(None))
+
+    async def watch(
+        self, prefix: str, *, after_version: int, wait_s: float
+    ) -> Result[WatchResult, Failure]:
+        """Wait until something under a prefix is written after a version, or the wait ends.
+
+        A counter that is below ``after_version`` is answered at once: the store came back older.
+        """
+        self.calls["watch"] += 1
+        if not await self._arrive():
+            return _down()
+        ends_at_s = asyncio.get_running_loop().time() + wait_s
+        while True:
+            if self._faults.down:
+                return _down()
+            self._expire_leases()
+            result = self._written_after(prefix, after_version)
+            if result.items or result.deleted or result.version < after_version:
+                return Success(result)
+            if not await self._wait_for_write(ends_at_s):
+                return Success(result)
+
+    async def grant_lease(self, *, ttl_s: float) -> Result[Lease, Failure]:
+        """Grant a new lease."""
+        self.calls["grant_lease"] += 1
+        if not await self._arrive():
+            return _down()
+        self._version += 1
+        lease = Lease(
+            lease_id=f"lease-{self._next_lease}", ttl_s=ttl_s, fencing_token=self._version
+        )
+        self._next_lease += 1
+        held = _HeldLease(ttl_s=ttl_s, expires_at_s=0.0, keys=set())
+        self._leases[lease.lease_id] = held
+        self._prolong(held)
+        return await self._finish_write(Success(lease))
+
+    async def renew_lease(self, lease_id: str) -> Result[None, Failure]:
+        """Renew a lease; ``LEASE_LOST`` where it has lapsed."""
+        self.calls["renew_lease"] += 1
+        if not await self._arrive():
+            return _down()
+        held = self._leases.get(lease_id)
+        if held is None:
+            return await self._finish_write(_lapsed(lease_id))
+        self._prolong(held)
+        return await self._finish_write(Success(None))
+
+    async def revoke_lease(self, lease_id: str) -> Result[None, Failure]:
+        """End a lease and delete its keys."""
+        self.calls["revoke_lease"] += 1
+        if not await self._arrive():
+            return _down()
+        self._end_lease(lease_id)
+        return await self._finish_write(Success(None))
+
+    async def _arrive(self) -> bool:
+        # Other tasks get their turn before each call acts, as they would on a network.
+        await asyncio.sleep(self._faults.delay_s / 2)
+        self._expire_leases()
+        return not self._faults.down
+
+    async def _answer_slowly(self) -> None:
+        if self._faults.delay_s:
+            await asyncio.sleep(self._faults.delay_s / 2)
+
+    async def _finish_write(self, outcome: Result[_Value, Failure]) -> Result[_Value, Failure]:
+        lost = self._faults.lost_answers > 0
+        if lost:
+            self._faults.lost_answers -= 1
+        await self._answer_slowly()
+        if lost:
+            return Err(Failure(kind=ErrorKind.OUTCOME_UNKNOWN, reason="the answer was lost"))
+        return outcome
+
+    def _shown(self) -> tuple[int, dict[str, _Record]]:
+        return self._frozen if self._frozen is not None else (self._version, self._records)
+
+    def _create(self, key: str, value: bytes, lease_id: str) -> Result[int, Failure]:
+        if len(value) > MAX_VALUE_BYTES:
+            return _too_large(key)
+        if key in self._records:
+            return _conflict(key)
+        if lease_id and lease_id not in self._leases:
+            return _lapsed(lease_id)
+        return Success(self._write(key, value, lease_id))
+
+    def _swap(self, key: str, value: bytes, version: int) -> Result[int, Failure]:
+        if len(value) > MAX_VALUE_BYTES:
+            return _too_large(key)
+        record = self._records.get(key)
+        if record is None or record.item.version != version:
+            return _conflict(key)
+        return Success(self._write(key, value, record.lease_id))
+
+    def _write(self, key: str, value: bytes, lease_id: str) -> int:
+        self._version += 1
+        self._undo.append(_Undo(version=self._version, key=key, before=self._records.get(key)))
+        item = Versioned(key=key, value=value, version=self._version)
+        self._records[key] = _Record(item=item, lease_id=lease_id)
+        self._tombstones.pop(key, None)
+        if lease_id:
+            self._leases[lease_id].keys.add(key)
+        self._wake()
+        return self._version
+
+    def _remove(self, key: str) -> None:
+        self._version += 1
+        record = self._records.pop(key)
+        self._undo.append(_Undo(version=self._version, key=key, before=record))
+        self._tombstones[key] = self._version
+        while len(self._tombstones) > TOMBSTONE_LIMIT:
+            del self._tombstones[next(iter(self._tombstones))]
+        if record.lease_id in self._leases:
+            self._leases[record.lease_id].keys.discard(key)
+        self._wake()
+
+    def _written_after(self, prefix: str, after_version: int) -> WatchResult:
+        version, records = self._shown()
+        items = [
+            record.item
+            for key, record in records.items()
+            if record.item.version > after_version and key.startswith(prefix)
+        ]
+        items.sort(key=lambda item: item.version)
+        deleted = tuple(
+            key
+            for key, at in self._tombstones.items()
+            if after_version < at <= version and key.startswith(prefix)
+        )
+        return WatchResult(version=version, items=tuple(items), deleted=deleted)
+
+    async def _wait_for_write(self, ends_at_s: float) -> bool:
+        wakeup = asyncio.Event()
+        self._wakeups.add(wakeup)
+        try:
+            async with asyncio.timeout_at(ends_at_s):
+                await wakeup.wait()
+        except TimeoutError:
+            return False
+        finally:
+            self._wakeups.discard(wakeup)
+        return True
+
+    def _wake(self) -> None:
+        for wakeup in self._wakeups:
+            wakeup.set()
+
+    def _prolong(self, held: _HeldLease) -> None:
+        loop = asyncio.get_running_loop()
+        held.expires_at_s = loop.time() + held.ttl_s
+        # Watches must hear of a lease that lapses while nobody calls.
+        loop.call_at(held.expires_at_s, self._expire_leases)
+
+    def _expire_leases(self) -> None:
+        now_s = asyncio.get_running_loop().time()
+        due = [name for name, held in self._leases.items() if held.expires_at_s <= now_s]
+        for lease_id in due:
+            self._end_lease(lease_id)
+
+    def _end_lease(self, lease_id: str) -> None:
+        held = self._leases.pop(lease_id, None)
+        if held is None:
+            return
+        for key in sorted(held.keys):
+            if key in self._records:
+                self._remove(key)
+
+
+def _down() -> Result[_Value, Failure]:
+    return Err(Failure(kind=ErrorKind.STORE_UNAVAILABLE, reason="the store is down"))
+
+
+def _conflict(key: str) -> Result[_Value, Failure]:
+    return Err(Failure(kind=ErrorKind.CONFLICT, reason=f"{key} is not as expected"))
+
+
+def _too_large(key: str) -> Result[_Value, Failure]:
+    return Err(Failure(kind=ErrorKind.TOO_LARGE, reason=f"{key}: a value is at most 1 MB"))
+
+
+def _lapsed(lease_id: str) -> Result[_Value, Failure]:
+    return Err(Failure(kind=ErrorKind.LEASE_LOST, reason=f"{lease_id} has lapsed"))
