Serve the platform stand-in over HTTP

Cause: the client's real connections, and the demo, need a platform that answers over HTTP and fails on the wire: a lost answer, a silent connection, 503. Change: PlatformStandIn on cheroot over the in-memory stand-ins, with an admin path; wire types and the protocol page.

--- a/src/shallotworks/platform/_protocols.py
+++ b/src/shallotworks/platform/_protocols.py
@@ -7,8 +7,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Protocol
+from typing import ClassVar, Protocol
 
+from pydantic import ConfigDict
 from returns.result import Result
 
 from shallotworks.errors import Failure
@@ -22,6 +23,9 @@
     "WatchResult",
 ]
 
+BASE64_BYTES = ConfigDict(ser_json_bytes="base64", val_json_bytes="base64")
+"""Values are base64 with the URL-safe alphabet where they travel as JSON."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Versioned:
@@ -34,6 +38,8 @@
             also orders writes to different keys.
     """
 
+    __pydantic_config__: ClassVar[ConfigDict] = BASE64_BYTES
+
     key: str
     value: bytes
     version: int
@@ -115,7 +121,11 @@
     async def watch(
         self, prefix: str, *, after_version: int, wait_s: float
     ) -> Result[WatchResult, Failure]:
-        """Wait until something under a prefix is written after a version, or the wait ends."""
+        """Wait until something under a prefix is written after a version, or the wait ends.
+
+        Answers at once, with a lower version, where the service's counter is below
+        ``after_version``: the service has come back with an older state.
+        """
         ...
 
     async def grant_lease(self, *, ttl_s: float) -> Result[Lease, Failure]:
--- a/src/shallotworks/standins/__init__.py
+++ b/src/shallotworks/standins/__init__.py
@@ -6,5 +6,12 @@
 
 from ._memory_instances import MemoryInstanceList
 from ._memory_store import MemoryStore, StoreFaults
+from ._platform import PlatformStandIn, serve_platform
 
-__all__ = ["MemoryInstanceList", "MemoryStore", "StoreFaults"]
+__all__ = [
+    "MemoryInstanceList",
+    "MemoryStore",
+    "PlatformStandIn",
+    "StoreFaults",
+    "serve_platform",
+]
--- /dev/null
+++ b/src/shallotworks/standins/_platform.py
@@ -0,0 +1,237 @@
+"""The platform stand-in as an HTTP server: the key-value service and the list of instances."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import threading
+from collections.abc import Callable
+from concurrent.futures import CancelledError, Future
+from http import HTTPStatus
+from typing import Any, TypeVar
+from weakref import WeakSet
+
+from cheroot.server import Gateway, HTTPServer
+
+from shallotworks.platform import ListedInstance, wire
+
+from ._memory_instances import MemoryInstanceList
+from ._memory_store import MemoryStore, StoreFaults
+from ._platform_routes import HttpAnswer, HttpCall, PlatformRoutes
+
+__all__ = ["PlatformStandIn", "serve_platform"]
+
+DEFAULT_THREADS = 48
+DEFAULT_WATCH_THREADS = 32
+"""Threads that waiting watches may hold at once; the others are left to calls that answer now."""
+SILENT_THREADS = 8
+"""Threads that silent connections may hold; a call on one above that is dropped instead."""
+KEPT_CONNECTIONS = 1_000
+LISTEN_BACKLOG = 512
+"""Cheroot's own defaults of 10 and 5 close and drop connections under more than ten callers."""
+CONNECTION_TIMEOUT_S = 120
+SHUTDOWN_TIMEOUT_S = 1
+
+_Value = TypeVar("_Value")
+
+
+class PlatformStandIn:
+    """One HTTP server over a `MemoryStore` and a `MemoryInstanceList`.
+
+    The two live on an event loop of their own, in a thread of this process; every method here may
+    be called from any thread but that one.
+
+    Args:
+        host: IP number to listen on.
+        port: Port; 0 for any free one.
+        lag_s: Lag of the list of instances.
+        threads: Threads that serve connections.
+        watch_threads: How many of them waiting watches may hold; a watch above that is refused
+            with 503.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        lag_s: float = 0.0,
+        threads: int = DEFAULT_THREADS,
+        watch_threads: int = DEFAULT_WATCH_THREADS,
+    ) -> None:
+        self._bind_address = (host, port)
+        self._thread_count = threads
+        self._loop = asyncio.new_event_loop()
+        self._store = MemoryStore()
+        self._instances = MemoryInstanceList(lag_s=lag_s)
+        self._routes = PlatformRoutes(store=self._store, instances=self._instances)
+        self._watch_slots = threading.BoundedSemaphore(watch_threads)
+        self._silence_slots = threading.BoundedSemaphore(SILENT_THREADS)
+        self._open: WeakSet[Any] = WeakSet()
+        self._silent: WeakSet[Any] = WeakSet()
+        self._stopping = threading.Event()
+        self._threads: list[threading.Thread] = []
+        self._server: HTTPServer | None = None
+
+    @property
+    def address(self) -> str:
+        """``ip:port``, once started."""
+        host, port = self._bind_address
+        return f"{host}:{port}"
+
+    def start(self) -> None:
+        """Listen and serve on threads of this process; returns once connections are taken."""
+        server = HTTPServer(
+            self._bind_address,
+            _gateway_of(self),
+            minthreads=self._thread_count,
+            maxthreads=self._thread_count,
+        )
+        server.keep_alive_conn_limit = KEPT_CONNECTIONS
+        server.request_queue_size = LISTEN_BACKLOG
+        server.timeout = CONNECTION_TIMEOUT_S
+        server.shutdown_timeout = SHUTDOWN_TIMEOUT_S
+        server.prepare()
+        self._bind_address = (server.bind_addr[0], server.bind_addr[1])
+        self._server = server
+        for name, target in (("loop", self._loop.run_forever), ("server", server.serve)):
+            thread = threading.Thread(target=target, name=f"platform-{name}", daemon=True)
+            thread.start()
+            self._threads.append(thread)
+
+    def stop(self) -> None:
+        """Stop serving, end waiting watches, and give the port back."""
+        self._stopping.set()
+        self._call(self._end_tasks)
+        if self._server is not None:
+            self._server.stop()
+        # A call that slipped in before the server stopped must not keep its thread waiting.
+        self._call(self._end_tasks)
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        for thread in self._threads:
+            thread.join()
+        self._loop.close()
+
+    def set_faults(self, faults: StoreFaults) -> None:
+        """Replace the faults that are on; the list of instances is down with the store."""
+        self._call(lambda: self._store.set_faults(faults))
+        self._instances.down = faults.down
+
+    def come_back_empty(self) -> None:
+        """Lose every key and lease."""
+        self._call(self._store.come_back_empty)
+
+    def come_back_at(self, version: int) -> None:
+        """Take back every write after a version."""
+        self._call(lambda: self._store.come_back_at(version))
+
+    def set_instances(self, instances: tuple[ListedInstance, ...]) -> None:
+        """Change the list of instances; reads show it once the lag has passed."""
+        self._call(lambda: self._instances.replace_all(instances))
+
+    def silence_connections(self) -> None:
+        """Let every connection that is open now go silent for good; new ones work."""
+        self._silent |= self._open
+
+    def calls(self) -> dict[str, int]:
+        """Return the number of calls so far by name."""
+        return self._call(lambda: dict(self._store.calls))
+
+    def serve_call(self, connection: Any, call: HttpCall) -> HttpAnswer:
+        """Answer one call of one connection; called on the server's threads."""
+        self._open.add(connection)
+        if connection in self._silent:
+            return self._stay_silent()
+        if call.path != wire.WATCH_PATH:
+            return self._run(call)
+        # Each waiting watch holds a thread. Without this bound enough of them would hold all, and
+        # writes would wait behind watches that wait for writes.
+        if not self._watch_slots.acquire(blocking=False):
+            return HttpAnswer(status=503, body=b'{"reason": "too many watches"}')
+        try:
+            return self._run(call)
+        finally:
+            self._watch_slots.release()
+
+    def _run(self, call: HttpCall) -> HttpAnswer:
+        if self._stopping.is_set():
+            return HttpAnswer(drop=True)
+        future = asyncio.run_coroutine_threadsafe(self._routes.answer(call), self._loop)
+        try:
+            return future.result()
+        except CancelledError:
+            return HttpAnswer(drop=True)
+
+    def _stay_silent(self) -> HttpAnswer:
+        if self._silence_slots.acquire(blocking=False):
+            self._stopping.wait(CONNECTION_TIMEOUT_S)
+            self._silence_slots.release()
+        return HttpAnswer(drop=True)
+
+    def _end_tasks(self) -> None:
+        for task in asyncio.all_tasks(self._loop):
+            task.cancel()
+
+    def _call(self, function: Callable[[], _Value]) -> _Value:
+        done: Future[_Value] = Future()
+
+        def run() -> None:
+            try:
+                done.set_result(function())
+            except Exception as error:
+                done.set_exception(error)
+
+        self._loop.call_soon_threadsafe(run)
+        return done.result()
+
+
+def serve_platform(*, host: str, port: int, lag_s: float = 0.0) -> PlatformStandIn:
+    """Start a platform stand-in; the caller stops it.
+
+    Args:
+        host: IP number to listen on.
+        port: Port; 0 for any free one.
+        lag_s: Lag of the list of instances.
+    """
+    standin = PlatformStandIn(host=host, port=port, lag_s=lag_s)
+    standin.start()
+    return standin
+
+
+def _gateway_of(standin: PlatformStandIn) -> type[Gateway]:
+    class BoundGateway(_Gateway):
+        owner = standin
+
+    return BoundGateway
+
+
+class _Gateway(Gateway):
+    """Reads one request, asks the stand-in and writes its answer."""
+
+    owner: PlatformStandIn
+
+    def respond(self) -> None:
+        request = self.req
+        length = int(request.inheaders.get(b"Content-Length", b"0"))
+        call = HttpCall(
+            method=request.method.decode("latin-1"),
+            path=request.path.decode("latin-1"),
+            query=request.qs.decode("latin-1"),
+            body=request.rfile.read(length) if length else b"",
+        )
+        answer = self.owner.serve_call(request.conn, call)
+        if answer.drop:
+            self._drop()
+            return
+        phrase = HTTPStatus(answer.status).phrase
+        request.status = f"{answer.status} {phrase}".encode()
+        request.outheaders.append((b"Content-Type", b"application/json"))
+        request.outheaders.append((b"Content-Length", str(len(answer.body)).encode()))
+        request.ensure_headers_sent()
+        request.write(answer.body)
+
+    def _drop(self) -> None:
+        # With its headers marked as sent cheroot writes nothing more to this connection.
+        self.req.sent_headers = True
+        self.req.close_connection = True
+        self.req.conn.socket.shutdown(socket.SHUT_RDWR)
--- /dev/null
+++ b/src/shallotworks/standins/_platform_routes.py
@@ -0,0 +1,210 @@
+"""What the platform stand-in answers to each call of its HTTP protocol."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict, dataclass, field
+from typing import Any, TypeVar
+from urllib.parse import parse_qs
+
+from pydantic import TypeAdapter, ValidationError
+from returns.result import Result, Success
+
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.platform import wire
+
+from ._memory_instances import MemoryInstanceList
+from ._memory_store import MemoryStore, StoreFaults
+
+__all__ = ["HttpAnswer", "HttpCall", "PlatformRoutes"]
+
+FAULTS_PATH = "/admin/v1/faults"
+COME_BACK_PATH = "/admin/v1/come-back"
+ADMIN_INSTANCES_PATH = "/admin/v1/instances"
+CALLS_PATH = "/admin/v1/calls"
+
+STATUS_BY_KIND = {kind: status for status, kind in wire.KIND_BY_STATUS.items()}
+
+_FAULTS = TypeAdapter(StoreFaults)
+_Value = TypeVar("_Value")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpCall:
+    """One HTTP request.
+
+    Args:
+        method: HTTP method.
+        path: Path without its query.
+        query: Raw query.
+        body: The whole body.
+    """
+
+    method: str
+    path: str
+    query: str = ""
+    body: bytes = b""
+
+    def parameter(self, name: str, default: str = "") -> str:
+        """Return one query parameter."""
+        return parse_qs(self.query, keep_blank_values=True).get(name, [default])[0]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpAnswer:
+    """What to answer.
+
+    Args:
+        status: HTTP status.
+        body: JSON.
+        drop: Whether to close the connection without an answer instead.
+    """
+
+    status: int = 200
+    body: bytes = b"{}"
+    drop: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _ComeBack:
+    version: int
+
+
+_COME_BACK = TypeAdapter(_ComeBack)
+_CREATE = TypeAdapter(wire.CreateCall)
+_SWAP = TypeAdapter(wire.SwapCall)
+_DELETE = TypeAdapter(wire.DeleteCall)
+_GRANT = TypeAdapter(wire.GrantCall)
+_LEASE_CALL = TypeAdapter(wire.LeaseCall)
+
+_Handler = Callable[[HttpCall], Awaitable[HttpAnswer]]
+
+
+@dataclass(slots=True, kw_only=True)
+class PlatformRoutes:
+    """Finds and runs the handler of a call, on the stand-in's event loop.
+
+    Args:
+        store: The store behind it.
+        instances: The list behind it.
+    """
+
+    store: MemoryStore
+    instances: MemoryInstanceList
+    _handlers: dict[tuple[str, str], _Handler] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._handlers = {
+            ("GET", wire.GET_PATH): self._get,
+            ("GET", wire.LIST_PATH): self._list,
+            ("GET", wire.WATCH_PATH): self._watch,
+            ("POST", wire.CREATE_PATH): self._create,
+            ("POST", wire.SWAP_PATH): self._swap,
+            ("POST", wire.DELETE_PATH): self._delete,
+            ("POST", wire.GRANT_PATH): self._grant,
+            ("POST", wire.RENEW_PATH): self._renew,
+            ("POST", wire.REVOKE_PATH): self._revoke,
+            ("GET", wire.INSTANCES_PATH): self._read_instances,
+            ("PUT", FAULTS_PATH): self._set_faults,
+            ("POST", COME_BACK_PATH): self._come_back,
+            ("PUT", ADMIN_INSTANCES_PATH): self._set_instances,
+            ("GET", CALLS_PATH): self._calls,
+        }
+
+    async def answer(self, call: HttpCall) -> HttpAnswer:
+        """Answer one call."""
+        handler = self._handlers.get((call.method, call.path))
+        if handler is None:
+            return HttpAnswer(status=404, body=_reason(f"no {call.method} {call.path}"))
+        try:
+            return await handler(call)
+        except (ValidationError, ValueError) as error:
+            return HttpAnswer(status=400, body=_reason(str(error)))
+
+    async def _get(self, call: HttpCall) -> HttpAnswer:
+        return _encode(await self.store.get(call.parameter("key")), wire.ITEM)
+
+    async def _list(self, call: HttpCall) -> HttpAnswer:
+        outcome = await self.store.list(
+            call.parameter("prefix"),
+            after_key=call.parameter("after_key"),
+            limit=int(call.parameter("limit", "1000")),
+        )
+        return _encode(outcome, wire.ITEMS)
+
+    async def _watch(self, call: HttpCall) -> HttpAnswer:
+        outcome = await self.store.watch(
+            call.parameter("prefix"),
+            after_version=int(call.parameter("after_version", "0")),
+            wait_s=float(call.parameter("wait_s", "0")),
+        )
+        return _encode(outcome, wire.WATCH_RESULT)
+
+    async def _create(self, call: HttpCall) -> HttpAnswer:
+        body = _CREATE.validate_json(call.body)
+        return _written(await self.store.create(body.key, body.value, lease_id=body.lease_id))
+
+    async def _swap(self, call: HttpCall) -> HttpAnswer:
+        body = _SWAP.validate_json(call.body)
+        return _written(await self.store.swap(body.key, body.value, version=body.version))
+
+    async def _delete(self, call: HttpCall) -> HttpAnswer:
+        body = _DELETE.validate_json(call.body)
+        outcome = await self.store.delete(body.key, version=body.version)
+        return _written(outcome.map(lambda _: 0))
+
+    async def _grant(self, call: HttpCall) -> HttpAnswer:
+        body = _GRANT.validate_json(call.body)
+        return _encode(await self.store.grant_lease(ttl_s=body.ttl_s), wire.LEASE)
+
+    async def _renew(self, call: HttpCall) -> HttpAnswer:
+        body = _LEASE_CALL.validate_json(call.body)
+        return _written((await self.store.renew_lease(body.lease_id)).map(lambda _: 0))
+
+    async def _revoke(self, call: HttpCall) -> HttpAnswer:
+        body = _LEASE_CALL.validate_json(call.body)
+        return _written((await self.store.revoke_lease(body.lease_id)).map(lambda _: 0))
+
+    async def _read_instances(self, _call: HttpCall) -> HttpAnswer:
+        return _encode(await self.instances.read(), wire.INSTANCES)
+
+    async def _set_faults(self, call: HttpCall) -> HttpAnswer:
+        faults = _FAULTS.validate_json(call.body)
+        self.store.set_faults(faults)
+        self.instances.down = faults.down
+        return HttpAnswer()
+
+    async def _come_back(self, call: HttpCall) -> HttpAnswer:
+        version = _COME_BACK.validate_json(call.body).version
+        if version == 0:
+            self.store.come_back_empty()
+        else:
+            self.store.come_back_at(version)
+        return HttpAnswer()
+
+    async def _set_instances(self, call: HttpCall) -> HttpAnswer:
+        self.instances.replace_all(wire.INSTANCES.validate_json(call.body))
+        return HttpAnswer()
+
+    async def _calls(self, _call: HttpCall) -> HttpAnswer:
+        shown = {"calls": dict(self.store.calls), "list_reads": self.instances.reads}
+        shown["faults"] = asdict(self.store.faults)
+        return HttpAnswer(body=json.dumps(shown).encode())
+
+
+def _written(outcome: Result[int, Failure]) -> HttpAnswer:
+    return _encode(outcome.map(lambda version: wire.Written(version=version)), wire.WRITTEN)
+
+
+def _encode(outcome: Result[_Value, Failure], adapter: TypeAdapter[Any]) -> HttpAnswer:
+    if isinstance(outcome, Success):
+        return HttpAnswer(body=adapter.dump_json(outcome.unwrap()))
+    failure = outcome.failure()
+    if failure.kind is ErrorKind.OUTCOME_UNKNOWN:
+        return HttpAnswer(drop=True)
+    return HttpAnswer(status=STATUS_BY_KIND[failure.kind], body=_reason(failure.reason))
+
+
+def _reason(reason: str) -> bytes:
+    return json.dumps({"reason": reason}).encode()
