--- a/src/shallotworks/standins/__init__.py
+++ b/src/shallotworks/standins/__init__.py
@@ -1,13 +1,22 @@
-"""Small stand-ins for the platform and the workers, for development and tests.
+"""Small stand-ins for what the product runs beside, for development and tests.
 
-The product never imports this package.
+The platform's key-value service and its list of instances, and worker instances, each with faults
+that can be switched on. The product never imports this package; only the command line and the demo
+start it.
 """
 
-from ._worker import WorkerCounts, WorkerStandIn, WorkerStatus
+from ._memory_instances import MemoryInstanceList
+from ._memory_store import MemoryStore, StoreFaults
+from ._platform import PlatformStandIn, serve_platform
+from ._worker import WorkerCounts, WorkerStandIn, WorkerStatus, serve_worker
 from ._worker_faults import WorkerFault, WorkerFaults
 from ._worker_tasks import Task, TaskOrder, TaskState, TaskTable
 
 __all__ = [
+    "MemoryInstanceList",
+    "MemoryStore",
+    "PlatformStandIn",
+    "StoreFaults",
     "Task",
     "TaskOrder",
     "TaskState",
@@ -17,4 +26,6 @@
     "WorkerFaults",
     "WorkerStandIn",
     "WorkerStatus",
+    "serve_platform",
+    "serve_worker",
 ]
--- a/src/shallotworks/standins/_worker.py
+++ b/src/shallotworks/standins/_worker.py
@@ -17,7 +17,7 @@
 from ._worker_faults import WorkerFault, WorkerFaults
 from ._worker_tasks import Task, TaskOrder, TaskTable
 
-__all__ = ["WorkerCounts", "WorkerStandIn", "WorkerStatus"]
+__all__ = ["WorkerCounts", "WorkerStandIn", "WorkerStatus", "serve_worker"]
 
 CONTROL_PREFIX = "/.worker/"
 CONTROL_THREADS = 16
@@ -335,3 +335,17 @@
 def _cut(part: bytes) -> Iterator[bytes]:
     yield part
     raise ConnectionResetError("the answer is cut off here")
+
+
+def serve_worker(*, name: str, host: str, port: int, slots: int = 8) -> WorkerStandIn:
+    """Start a worker stand-in; the caller stops it.
+
+    Args:
+        name: The instance's name.
+        host: IP number to listen on.
+        port: Port; 0 for any free one.
+        slots: Requests it runs at once.
+    """
+    worker = WorkerStandIn(name=name, host=host, port=port, slots=slots)
+    worker.start()
+    return worker
