Read and check the settings of an instance

Cause: an instance must refuse wrong settings at once and as a whole, before anything starts, and tell every fault with its section, key and value.

--- /dev/null
+++ b/src/shallotworks/settings/__init__.py
@@ -0,0 +1,40 @@
+"""The settings of one instance: an INI file, checked as a whole before anything starts.
+
+`load_settings` returns either `Settings`, in which every value is within its range and every file
+it names can be read, or `SettingsFaults`, which name every fault at once. Nothing here starts,
+binds or writes anything, and no secret is ever kept in `Settings`: it holds the paths only.
+"""
+
+from ._faults import SettingFault, SettingsFaults
+from ._load import load_settings, parse_settings
+from ._secrets import read_secret
+from ._sections import (
+    CallersSettings,
+    InstanceSettings,
+    LogSettings,
+    OperatorsSettings,
+    PeersSettings,
+    PlansSettings,
+    PlatformSettings,
+    RequestsSettings,
+    Settings,
+    TimelineSettings,
+)
+
+__all__ = [
+    "CallersSettings",
+    "InstanceSettings",
+    "LogSettings",
+    "OperatorsSettings",
+    "PeersSettings",
+    "PlansSettings",
+    "PlatformSettings",
+    "RequestsSettings",
+    "SettingFault",
+    "Settings",
+    "SettingsFaults",
+    "TimelineSettings",
+    "load_settings",
+    "parse_settings",
+    "read_secret",
+]
--- /dev/null
+++ b/src/shallotworks/settings/_faults.py
@@ -0,0 +1,63 @@
+"""What is wrong with a settings file."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from shallotworks.errors import ErrorKind, Failure
+
+__all__ = ["SettingFault", "SettingsFaults"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SettingFault:
+    """One fault.
+
+    Args:
+        section: Section of the file; empty where the fault is in the file itself.
+        key: Key within the section; empty where the fault is in the section itself.
+        value: The value as written; ``None`` where there is none.
+        problem: What is wrong, in one phrase.
+        allowed: What is allowed instead.
+    """
+
+    section: str
+    key: str
+    value: str | None
+    problem: str
+    allowed: str
+
+    def __str__(self) -> str:
+        parts = []
+        if self.section:
+            parts.append(f"[{self.section}]")
+        if self.key:
+            parts.append(self.key)
+        if self.value is not None:
+            parts.append(f"= {self.value!r}")
+        place = " ".join(parts)
+        told = f"{self.problem}; allowed: {self.allowed}"
+        return f"{place}: {told}" if place else told
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SettingsFaults:
+    """All faults of one file, of the kind ``INVALID_SETTINGS``.
+
+    Args:
+        path: The file.
+        faults: At least one, in the order of the table of keys.
+    """
+
+    path: str
+    faults: tuple[SettingFault, ...]
+
+    @property
+    def kind(self) -> ErrorKind:
+        """The error kind, always the same."""
+        return ErrorKind.INVALID_SETTINGS
+
+    def failure(self) -> Failure:
+        """Return the faults as one failure, for the log and the exit code."""
+        told = " | ".join(str(fault) for fault in self.faults)
+        return Failure(kind=self.kind, reason=f"{self.path}: {told}")
--- /dev/null
+++ b/src/shallotworks/settings/_load.py
@@ -0,0 +1,164 @@
+"""From an INI file to checked settings, or to every fault in it."""
+
+from __future__ import annotations
+
+import configparser
+from collections.abc import Iterator
+from dataclasses import MISSING, replace
+from pathlib import Path
+from typing import Any
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ._faults import SettingFault, SettingsFaults
+from ._keys import RULES, SECTIONS, default_of
+from ._relations import broken_relations
+from ._sections import Settings
+
+__all__ = ["load_settings", "parse_settings"]
+
+LARGEST_FILE_BYTES = 1_048_576
+LONGEST_VALUE_TOLD = 200
+
+_Values = dict[str, dict[str, Any]]
+
+
+class _Parser(configparser.ConfigParser):
+    """The INI dialect: no interpolation, no section of defaults, keys as written."""
+
+    def __init__(self) -> None:
+        super().__init__(interpolation=None, default_section="")
+
+    def optionxform(self, optionstr: str) -> str:
+        return optionstr
+
+
+def load_settings(path: str) -> Result[Settings, SettingsFaults]:
+    """Read and check a settings file.
+
+    Args:
+        path: Path of the INI file; relative paths in it start from its folder.
+
+    Returns:
+        The settings, or all faults at once.
+    """
+    try:
+        with open(path, "rb") as file:
+            data = file.read(LARGEST_FILE_BYTES + 1)
+        text = data.decode("utf-8")
+    except OSError as error:
+        return _refuse_file(path, f"the file can't be read ({error.strerror})")
+    except UnicodeDecodeError:
+        return _refuse_file(path, "the file is not UTF-8 text")
+    except ValueError:
+        return _refuse_file(path, "this is not a path")
+    if len(data) > LARGEST_FILE_BYTES:
+        return _refuse_file(path, f"the file holds more than {LARGEST_FILE_BYTES} bytes")
+    return parse_settings(text, path=path)
+
+
+def parse_settings(text: str, *, path: str) -> Result[Settings, SettingsFaults]:
+    """Check settings that were read already.
+
+    Args:
+        text: The INI text.
+        path: Where it came from, for messages and relative paths.
+
+    Returns:
+        The settings, or all faults at once.
+    """
+    parser = _Parser()
+    try:
+        parser.read_string(text, source=path)
+    except configparser.Error as error:
+        return _refuse_file(path, " ".join(str(error).split()))
+    faults = list(_unknown(parser))
+    values: _Values = {}
+    folder = Path(path).parent
+    for section in SECTIONS:
+        values[section] = {}
+        for key in RULES[section]:
+            outcome = _read_key(parser, section, key, folder)
+            if isinstance(outcome, SettingFault):
+                faults.append(outcome)
+            else:
+                values[section][key] = outcome.unwrap()
+    if not faults:
+        settings = _build(values)
+        faults.extend(broken_relations(settings))
+    if faults:
+        return Err(SettingsFaults(path=path, faults=tuple(faults)))
+    return Success(settings)
+
+
+def _refuse_file(path: str, problem: str) -> Result[Settings, SettingsFaults]:
+    fault = SettingFault(
+        section="",
+        key="",
+        value=None,
+        problem=problem,
+        allowed="an INI file with the sections " + ", ".join(f"[{name}]" for name in SECTIONS),
+    )
+    return Err(SettingsFaults(path=path, faults=(fault,)))
+
+
+def _unknown(parser: _Parser) -> Iterator[SettingFault]:
+    for section in parser.sections():
+        if section not in SECTIONS:
+            yield SettingFault(
+                section=section,
+                key="",
+                value=None,
+                problem="unknown section",
+                allowed=", ".join(f"[{name}]" for name in SECTIONS),
+            )
+            continue
+        for key, value in parser.items(section):
+            if key not in RULES[section]:
+                yield SettingFault(
+                    section=section,
+                    key=key,
+                    value=_told(value),
+                    problem="unknown key",
+                    allowed=", ".join(RULES[section]),
+                )
+
+
+def _read_key(
+    parser: _Parser, section: str, key: str, folder: Path
+) -> Result[Any, str] | SettingFault:
+    rule = RULES[section][key]
+    text = parser.get(section, key, fallback=None)
+    if text is None:
+        default = default_of(section, key)
+        if default is not MISSING:
+            return Success(default)
+        problem = "missing"
+    else:
+        parsed = rule.parse(text, folder=folder)
+        if isinstance(parsed, Success):
+            return parsed
+        problem = parsed.failure()
+    return SettingFault(
+        section=section,
+        key=key,
+        value=None if text is None else _told(text),
+        problem=problem,
+        allowed=rule.allowed,
+    )
+
+
+def _told(value: str) -> str:
+    if len(value) <= LONGEST_VALUE_TOLD:
+        return value
+    return value[:LONGEST_VALUE_TOLD] + "..."
+
+
+def _build(values: _Values) -> Settings:
+    sections = {name: kind(**values[name]) for name, kind in SECTIONS.items()}
+    settings = Settings(**sections)
+    platform = settings.platform
+    if not platform.instance_list_address:
+        platform = replace(platform, instance_list_address=platform.address)
+    return replace(settings, platform=platform)
--- /dev/null
+++ b/src/shallotworks/settings/_rules.py
@@ -0,0 +1,235 @@
+"""Rules for the value of a key: what is allowed, and how the text becomes a value."""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Protocol
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from ._secrets import read_secret
+
+__all__ = [
+    "AddressListRule",
+    "AddressRule",
+    "DecimalRule",
+    "HostRule",
+    "NameRule",
+    "Rule",
+    "SecretFileRule",
+    "WholeRule",
+]
+
+LARGEST_PORT = 65_535
+
+# ASCII digits only, few enough for an exact int and for a finite float.
+_WHOLE = re.compile(r"[+-]?[0-9]{1,15}", re.ASCII)
+_DECIMAL = re.compile(r"[+-]?[0-9]{1,15}(\.[0-9]{1,15})?", re.ASCII)
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}", re.ASCII)
+_VISIBLE = re.compile(rb"[\x21-\x7e]+")
+
+
+class Rule(Protocol):
+    """What one key may hold."""
+
+    @property
+    def allowed(self) -> str:
+        """What is allowed, in words for a person."""
+        ...
+
+    def parse(self, text: str, *, folder: Path) -> Result[Any, str]:
+        """Return the value, or what is wrong with the text.
+
+        Args:
+            text: The value as written.
+            folder: Folder of the settings file, which relative paths start from.
+        """
+        ...
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WholeRule:
+    """A whole number within a range."""
+
+    least: int
+    most: int
+
+    @property
+    def allowed(self) -> str:
+        """The range in words."""
+        return f"a whole number from {self.least} to {self.most}"
+
+    def parse(self, text: str, *, folder: Path) -> Result[int, str]:
+        """Return the number."""
+        if not _WHOLE.fullmatch(text):
+            return Err("not a whole number")
+        number = int(text)
+        if not self.least <= number <= self.most:
+            return Err("out of range")
+        return Success(number)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DecimalRule:
+    """A decimal number within a range."""
+
+    least: float
+    most: float
+
+    @property
+    def allowed(self) -> str:
+        """The range in words."""
+        return f"a number from {self.least:g} to {self.most:g}"
+
+    def parse(self, text: str, *, folder: Path) -> Result[float, str]:
+        """Return the number."""
+        if not _DECIMAL.fullmatch(text):
+            return Err("not a number")
+        number = float(text)
+        if not self.least <= number <= self.most:
+            return Err("out of range")
+        return Success(number)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NameRule:
+    """The name of a thing in the fleet."""
+
+    @property
+    def allowed(self) -> str:
+        """The pattern in words."""
+        return "1 to 63 letters, digits, dots, hyphens and underscores, a letter or digit first"
+
+    def parse(self, text: str, *, folder: Path) -> Result[str, str]:
+        """Return the name."""
+        if not _NAME.fullmatch(text):
+            return Err("not a name")
+        return Success(text)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HostRule:
+    """An IP number to listen on.
+
+    Args:
+        reachable: Whether others are told this number, so that it can't stand for "any".
+    """
+
+    reachable: bool = False
+
+    @property
+    def allowed(self) -> str:
+        """The kind of number in words."""
+        return "an IP number that others reach" if self.reachable else "an IP number"
+
+    def parse(self, text: str, *, folder: Path) -> Result[str, str]:
+        """Return the number in its usual form."""
+        number = _ip_number(text)
+        if number is None:
+            return Err("not an IP number")
+        if self.reachable and number.is_unspecified:
+            return Err("stands for any address, which others can't dial")
+        return Success(str(number))
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AddressRule:
+    """An ``ip:port`` to dial; empty where it may be left out."""
+
+    optional: bool = False
+
+    @property
+    def allowed(self) -> str:
+        """The form in words."""
+        form = f"ip:port (IPv6 as [ip]:port), the port from 1 to {LARGEST_PORT}"
+        return f"{form}, or nothing" if self.optional else form
+
+    def parse(self, text: str, *, folder: Path) -> Result[str, str]:
+        """Return the address in its usual form."""
+        if self.optional and not text:
+            return Success("")
+        return _parse_address(text)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AddressListRule:
+    """A list of ``ip:port``, separated by commas; may be empty."""
+
+    @property
+    def allowed(self) -> str:
+        """The form in words."""
+        return f"a list of {AddressRule().allowed}, separated by commas; may be empty"
+
+    def parse(self, text: str, *, folder: Path) -> Result[tuple[str, ...], str]:
+        """Return the addresses in the order written."""
+        addresses: list[str] = []
+        for part in text.split(",") if text.strip() else ():
+            parsed = _parse_address(part.strip())
+            if isinstance(parsed, Err):
+                return Err(f"{part.strip()!r} is {parsed.failure()}")
+            addresses.append(parsed.unwrap())
+        if len(set(addresses)) < len(addresses):
+            return Err("an address stands twice")
+        return Success(tuple(addresses))
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SecretFileRule:
+    """The path of a file that holds a token or a key.
+
+    Args:
+        least_bytes: Shortest secret allowed.
+        sent_in_header: Whether the secret is sent as an HTTP header, hence visible ASCII.
+    """
+
+    least_bytes: int
+    sent_in_header: bool = False
+
+    @property
+    def allowed(self) -> str:
+        """The kind of file in words."""
+        holds = f"at least {self.least_bytes} bytes" if self.least_bytes > 1 else "a secret"
+        form = " of visible ASCII characters" if self.sent_in_header else ""
+        return f"the path of a readable file that holds {holds}{form}"
+
+    def parse(self, text: str, *, folder: Path) -> Result[str, str]:
+        """Return the path, from the root."""
+        if not text:
+            return Err("empty")
+        path = str((folder / text).absolute())
+        read = read_secret(path)
+        if isinstance(read, Err):
+            return Err(f"the file {read.failure().reason}")
+        secret = read.unwrap()
+        if len(secret) < self.least_bytes:
+            return Err(f"the file holds {len(secret)} bytes")
+        if self.sent_in_header and not _VISIBLE.fullmatch(secret):
+            return Err("the file holds white space, control or non-ASCII characters")
+        return Success(path)
+
+
+def _ip_number(text: str) -> ipaddress.IPv4Address | ipaddress.IPv6Address | None:
+    # A zone ("%eth0") may hold any character and means something on one machine only.
+    if "%" in text:
+        return None
+    try:
+        return ipaddress.ip_address(text)
+    except ValueError:
+        return None
+
+
+def _parse_address(text: str) -> Result[str, str]:
+    host, colon, port = text.rpartition(":")
+    bracketed = host.startswith("[") and host.endswith("]")
+    number = _ip_number(host[1:-1] if bracketed else host)
+    if number is None:
+        return Err("not ip:port")
+    if not colon or (number.version == 6) is not bracketed:
+        return Err("not ip:port")
+    if not _WHOLE.fullmatch(port) or not 1 <= int(port) <= LARGEST_PORT:
+        return Err("an address with a wrong port")
+    return Success(f"[{number}]:{int(port)}" if bracketed else f"{number}:{int(port)}")
--- /dev/null
+++ b/src/shallotworks/settings/_secrets.py
@@ -0,0 +1,43 @@
+"""Files that hold a token or a key."""
+
+from __future__ import annotations
+
+import stat
+from pathlib import Path
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.errors import ErrorKind, Failure
+
+__all__ = ["LONGEST_SECRET_BYTES", "read_secret"]
+
+LONGEST_SECRET_BYTES = 4_096
+
+
+def read_secret(path: str) -> Result[bytes, Failure]:
+    """Read a token or key, without the white space around it.
+
+    Args:
+        path: Path of a plain file of at most `LONGEST_SECRET_BYTES`.
+
+    Returns:
+        What it holds, or ``INVALID_SETTINGS`` with the reason.
+    """
+    try:
+        # A named pipe would block the start for good, a device would never end.
+        if not stat.S_ISREG(Path(path).stat().st_mode):
+            return _refuse("is not a plain file")
+        with open(path, "rb") as file:
+            secret = file.read(LONGEST_SECRET_BYTES + 1)
+    except OSError as error:
+        return _refuse(f"can't be read ({error.strerror})")
+    except ValueError:
+        return _refuse("is not a path")
+    if len(secret) > LONGEST_SECRET_BYTES:
+        return _refuse(f"holds more than {LONGEST_SECRET_BYTES} bytes")
+    return Success(secret.strip())
+
+
+def _refuse(reason: str) -> Result[bytes, Failure]:
+    return Err(Failure(kind=ErrorKind.INVALID_SETTINGS, reason=reason))
--- /dev/null
+++ b/src/shallotworks/settings/_sections.py
@@ -0,0 +1,200 @@
+"""The settings as the program reads them: one class for each section of the file."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+__all__ = [
+    "CallersSettings",
+    "InstanceSettings",
+    "LogSettings",
+    "OperatorsSettings",
+    "PeersSettings",
+    "PlansSettings",
+    "PlatformSettings",
+    "RequestsSettings",
+    "Settings",
+    "TimelineSettings",
+]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class InstanceSettings:
+    """Which instance this is.
+
+    Args:
+        name: Unique over the fleet.
+        data_centre: Where it stands.
+        region: The region of that data centre.
+    """
+
+    name: str
+    data_centre: str
+    region: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallersSettings:
+    """The callers' port.
+
+    Args:
+        host: IP number to listen on.
+        port: TCP port; 0 for any free one.
+        threads: Threads that serve callers, one request each.
+        body_limit_bytes: Largest body taken.
+        header_timeout_s: Time in which a caller must have sent its request.
+    """
+
+    host: str = "127.0.0.1"
+    port: int = 8080
+    threads: int = 64
+    body_limit_bytes: int = 1_048_576
+    header_timeout_s: float = 10.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OperatorsSettings:
+    """The operators' port.
+
+    Args:
+        host: IP number to listen on.
+        port: TCP port; 0 for any free one.
+        threads: Threads that serve operators.
+        token_file: Path of the file that holds the bearer token.
+    """
+
+    host: str = "127.0.0.1"
+    port: int = 8081
+    threads: int = 8
+    token_file: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeersSettings:
+    """The port between instances, and when a silent peer is given up.
+
+    Args:
+        host: IP number to listen on, and at which peers reach this instance.
+        port: TCP port; 0 for any free one.
+        key_file: Path of the file that holds the key which all instances share.
+        seeds: ``ip:port`` of the instances to greet first.
+        heartbeat_interval_s: Time between two heartbeats to one peer.
+        suspect_after_s: Silence after which a peer is suspect.
+        remove_after_s: Silence after which a peer is removed.
+    """
+
+    host: str = "127.0.0.1"
+    port: int = 8082
+    key_file: str
+    seeds: tuple[str, ...] = ()
+    heartbeat_interval_s: float = 1.0
+    suspect_after_s: float = 3.0
+    remove_after_s: float = 60.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlatformSettings:
+    """The platform's services.
+
+    Args:
+        address: ``ip:port`` of the key-value service.
+        instance_list_address: ``ip:port`` of the instance list; the same address by default.
+        timeout_s: Time after which a call is given up.
+        calls_per_s: Calls that this instance makes at the most.
+    """
+
+    address: str
+    instance_list_address: str = ""
+    timeout_s: float = 2.0
+    calls_per_s: float = 20.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestsSettings:
+    """The path of a request.
+
+    Args:
+        connect_timeout_s: Time in which a target must accept a connection.
+        attempt_timeout_s: Time in which one attempt must be answered.
+        default_deadline_s: Time that a request has where the caller names none.
+        max_deadline_s: Longest time that a caller may name.
+        queue_limit: Requests that wait for a slot at the most.
+        retry_part: Retries as a part of first attempts, 0 to 1.
+        eject_part_max: Part of a service's targets that may be ejected at once, 0 to 1.
+        interactive_reserve_part: Part of the slots kept free of long-running work, 0 to 1.
+        long_running_min_part: Part of the slots that long-running work always gets, 0 to 1.
+        idle_connection_age_s: Idle time after which a connection to a target is not used again.
+        once_window_s: Time for which an idempotency key is remembered.
+    """
+
+    connect_timeout_s: float = 1.0
+    attempt_timeout_s: float = 10.0
+    default_deadline_s: float = 30.0
+    max_deadline_s: float = 3600.0
+    queue_limit: int = 1_000
+    retry_part: float = 0.1
+    eject_part_max: float = 0.3
+    interactive_reserve_part: float = 0.1
+    long_running_min_part: float = 0.1
+    idle_connection_age_s: float = 30.0
+    once_window_s: float = 3600.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlansSettings:
+    """How plans are chosen and carried out.
+
+    Args:
+        weight_buffer: Weight of the spare capacity held back.
+        weight_rollout: Weight of the time that a plan takes.
+        weight_moves: Weight of relocated jobs and instances.
+        lease_ttl_s: Time after which a silent conductor is replaced.
+        drain_timeout_s: Time in which an instance must have no request in flight.
+        reboot_timeout_s: Time in which a rebooted instance must answer again.
+    """
+
+    weight_buffer: float = 1.0
+    weight_rollout: float = 1.0
+    weight_moves: float = 1.0
+    lease_ttl_s: float = 10.0
+    drain_timeout_s: float = 300.0
+    reboot_timeout_s: float = 600.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TimelineSettings:
+    """The time line.
+
+    Args:
+        capacity: Events kept; the oldest are dropped.
+    """
+
+    capacity: int = 20_000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LogSettings:
+    """The log, and the end of the process.
+
+    Args:
+        verbosity: Verbosity of absl: -3 (fatal only) to 1 (debug).
+        stop_timeout_s: Time that requests in flight have after a signal to stop.
+    """
+
+    verbosity: int = 0
+    stop_timeout_s: float = 30.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Settings:
+    """All settings of one instance, one attribute for each section of the file."""
+
+    instance: InstanceSettings
+    callers: CallersSettings = field(default_factory=CallersSettings)
+    operators: OperatorsSettings
+    peers: PeersSettings
+    platform: PlatformSettings
+    requests: RequestsSettings = field(default_factory=RequestsSettings)
+    plans: PlansSettings = field(default_factory=PlansSettings)
+    timeline: TimelineSettings = field(default_factory=TimelineSettings)
+    log: LogSettings = field(default_factory=LogSettings)
