--- /dev/null
+++ b/bench/_load.py
@@ -0,0 +1,121 @@
+"""A bounded closed-loop load: threads that each send one request after the other."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import socket
+import threading
+import time
+from dataclasses import asdict, dataclass
+
+__all__ = ["LoadResult", "drive"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LoadResult:
+    """What one run of the load has seen.
+
+    Args:
+        requests: Answers received.
+        errors: Requests without a 200.
+        per_s: Answers a second.
+        p50_ms: Median time of an answer.
+        p99_ms: 99th percentile.
+        longest_ms: The longest.
+    """
+
+    requests: int
+    errors: int
+    per_s: float
+    p50_ms: float
+    p99_ms: float
+    longest_ms: float
+
+
+def drive(*, port: int, callers: int, seconds: float) -> LoadResult:
+    """Send requests from so many threads for so long; raw sockets, to cost little themselves."""
+    request = (
+        b"GET /empty HTTP/1.1\r\nHost: bench\r\nShallot-Service: bench\r\n"
+        b"Shallot-Request-Id: x\r\nShallot-Attempt: 1\r\n\r\n"
+    )
+    stop_at_s = time.monotonic() + seconds
+    durations: list[list[float]] = [[] for _ in range(callers)]
+    errors = [0] * callers
+
+    def call(number: int) -> None:
+        connection: socket.socket | None = None
+        while time.monotonic() < stop_at_s:
+            started_s = time.monotonic()
+            try:
+                if connection is None:
+                    connection = socket.create_connection(("127.0.0.1", port), timeout=10)
+                    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                connection.sendall(request)
+                whole, keep = _read_answer(connection)
+            except OSError:
+                whole, keep = False, False
+            if not whole:
+                errors[number] += 1
+            else:
+                durations[number].append(time.monotonic() - started_s)
+            if not keep and connection is not None:
+                connection.close()
+                connection = None
+        if connection is not None:
+            connection.close()
+
+    threads = [threading.Thread(target=call, args=(number,)) for number in range(callers)]
+    began_s = time.monotonic()
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    took_s = time.monotonic() - began_s
+    times = sorted(duration for each in durations for duration in each)
+    return LoadResult(
+        requests=len(times),
+        errors=sum(errors),
+        per_s=len(times) / took_s,
+        p50_ms=_quantile_ms(times, 0.5),
+        p99_ms=_quantile_ms(times, 0.99),
+        longest_ms=_quantile_ms(times, 1.0),
+    )
+
+
+def _read_answer(connection: socket.socket) -> tuple[bool, bool]:
+    """Read one answer; returns whether it was a whole 200 and whether the connection stays."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        part = connection.recv(65536)
+        if not part:
+            return False, False
+        data += part
+    head, _, body = data.partition(b"\r\n\r\n")
+    lower = head.lower()
+    length = 0
+    for line in lower.split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            length = int(line.split(b":")[1])
+    while len(body) < length:
+        part = connection.recv(65536)
+        if not part:
+            return False, False
+        body += part
+    return head.startswith(b"HTTP/1.1 200"), b"connection: close" not in lower
+
+
+def _quantile_ms(times: list[float], quantile: float) -> float:
+    if not times:
+        return 0.0
+    return times[min(len(times) - 1, int(quantile * len(times)))] * 1000
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser()
+    parser.add_argument("port", type=int)
+    parser.add_argument("callers", type=int)
+    parser.add_argument("seconds", type=float)
+    given = parser.parse_args()
+    outcome = drive(port=given.port, callers=given.callers, seconds=given.seconds)
+    print(json.dumps(asdict(outcome)))
--- /dev/null
+++ b/bench/listener.py
@@ -0,0 +1,80 @@
+"""Where the tail of one second comes from: cheroot's backlog, its keep-alive limit, or both.
+
+Each variant serves the same load; beside the times stand the kernel's own counts of connections
+that were dropped because the backlog was full, and of SYNs sent again.
+"""
+
+from __future__ import annotations
+
+import argparse
+import itertools
+import statistics
+import sys
+import threading
+from pathlib import Path
+
+from cheroot import wsgi
+
+from bench._bare import THREADS, target
+from bench._load import LoadResult
+from bench._processes import load, serving
+
+CALLERS = 24
+SECONDS = 4.0
+ROUNDS = 3
+NETSTAT = Path("/proc/net/netstat")
+BACKLOGS = (5, 512)
+KEEP_ALIVE_LIMITS = (10, 1_000)
+
+
+def main() -> None:
+    """Print one row for each variant: medians over the rounds."""
+    print("backlog  kept alive   per s   p50 ms   p99 ms  longest ms  drops  SYNs again")
+    for backlog, kept in itertools.product(BACKLOGS, KEEP_ALIVE_LIMITS):
+        rounds = [_round(backlog, kept) for _ in range(ROUNDS)]
+        results = [result for result, _, _ in rounds]
+        print(
+            f"{backlog:7d}  {kept:10d}  {_median(results, 'per_s'):6.0f}"
+            f"  {_median(results, 'p50_ms'):7.1f}  {_median(results, 'p99_ms'):7.1f}"
+            f"  {_median(results, 'longest_ms'):10.0f}"
+            f"  {statistics.median(drops for _, drops, _ in rounds):5.0f}"
+            f"  {statistics.median(again for _, _, again in rounds):10.0f}",
+            flush=True,
+        )
+
+
+def _round(backlog: int, kept: int) -> tuple[LoadResult, int, int]:
+    with serving("bench.listener", "--backlog", str(backlog), "--kept", str(kept)) as port:
+        before = _kernel_counts()
+        result = load(port=port, callers=CALLERS, seconds=SECONDS)
+        after = _kernel_counts()
+    return result, after[0] - before[0], after[1] - before[1]
+
+
+def _kernel_counts() -> tuple[int, int]:
+    """Return the kernel's counts of listen drops and of SYNs sent again."""
+    lines = [line.split() for line in NETSTAT.read_text().splitlines()]
+    names = dict(zip(lines[0], lines[1], strict=True))
+    return int(names["ListenDrops"]), int(names["TCPSynRetrans"])
+
+
+def _median(results: list[LoadResult], name: str) -> float:
+    return statistics.median(getattr(result, name) for result in results)
+
+
+def _serve(backlog: int, kept: int) -> None:
+    server = wsgi.Server(("127.0.0.1", 0), target, numthreads=THREADS, request_queue_size=backlog)
+    server.keep_alive_conn_limit = kept
+    server.prepare()
+    print(server.bind_addr[1], flush=True)
+    threading.Thread(target=server.serve, daemon=True).start()
+    sys.stdin.read()
+    server.stop()
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--backlog", type=int, required=True)
+    parser.add_argument("--kept", type=int, required=True)
+    given = parser.parse_args()
+    _serve(given.backlog, given.kept)
