Call the platform over HTTP with deadlines, a circuit breaker and a budget

Cause: the store can be down, slow, silent or lose answers; every caller needs the same clear split between a write that surely did nothing and one whose outcome is unknown. Change: HttpKeyValueStore and HttpInstanceList over a bounded thread pool; watches on threads of their own; reads retried with full jitter, writes never; idle connections dropped together at the first time-out.

--- a/src/shallotworks/platform/__init__.py
+++ b/src/shallotworks/platform/__init__.py
@@ -4,6 +4,8 @@
 protocols named here; the HTTP client behind them is built once, by the daemon.
 """
 
+from ._calls import PlatformLimits
+from ._http_store import HttpInstanceList, HttpKeyValueStore
 from ._protocols import (
     InstanceList,
     KeyValueStore,
@@ -14,10 +16,13 @@
 )
 
 __all__ = [
+    "HttpInstanceList",
+    "HttpKeyValueStore",
     "InstanceList",
     "KeyValueStore",
     "Lease",
     "ListedInstance",
+    "PlatformLimits",
     "Versioned",
     "WatchResult",
 ]
--- /dev/null
+++ b/src/shallotworks/platform/_budget.py
@@ -0,0 +1,51 @@
+"""The budget of calls that one instance may make to the platform."""
+
+from __future__ import annotations
+
+import asyncio
+
+__all__ = ["CallBudget"]
+
+
+class CallBudget:
+    """Spaces calls out to a rate, with a burst, in the order they came.
+
+    Args:
+        rate_per_s: Calls per second in the long run.
+        burst: Calls that may be made at once after a quiet time.
+    """
+
+    __slots__ = ("_burst_s", "_earliest_s", "_interval_s")
+
+    def __init__(self, *, rate_per_s: float, burst: int) -> None:
+        self._interval_s = 1 / rate_per_s
+        self._burst_s = burst / rate_per_s
+        self._earliest_s = 0.0
+
+    def reserve(self, *, patience_s: float) -> float | None:
+        """Reserve one call.
+
+        Args:
+            patience_s: The longest wait that is of use.
+
+        Returns:
+            How long to wait before the call; ``None``, and nothing is reserved, if that is longer
+            than the patience.
+        """
+        now_s = asyncio.get_running_loop().time()
+        after_s = max(self._earliest_s, now_s) + self._interval_s
+        wait_s = max(0.0, after_s - self._burst_s - now_s)
+        if wait_s > patience_s:
+            return None
+        self._earliest_s = after_s
+        return wait_s
+
+    def reserve_urgent(self) -> None:
+        """Reserve one call that must not wait; later ones wait for longer instead."""
+        now_s = asyncio.get_running_loop().time()
+        self._earliest_s = max(self._earliest_s, now_s) + self._interval_s
+
+    def empty(self) -> None:
+        """Spend the burst, so that after an outage calls begin at the steady rate."""
+        now_s = asyncio.get_running_loop().time()
+        self._earliest_s = max(self._earliest_s, now_s + self._burst_s - self._interval_s)
--- /dev/null
+++ b/src/shallotworks/platform/_calls.py
@@ -0,0 +1,268 @@
+"""One call to the platform with its budget, circuit breaker, deadline, retries and counters."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass
+
+from absl import logging
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.metrics import Metrics
+from shallotworks.timeline import EventKind, Subject, Timeline
+
+from ._breaker import CircuitBreaker
+from ._budget import CallBudget
+from ._transport import Ending, Exchange, HttpRequest, HttpTransport
+from .wire import KIND_BY_STATUS
+
+__all__ = ["Call", "CallKind", "PlatformCalls", "PlatformLimits"]
+
+FIRST_BACKOFF_S = 0.05
+HIGHEST_BACKOFF_S = 1.0
+HTTP_OK = 200
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlatformLimits:
+    """Limits of the calls that one instance makes to one of the platform's services.
+
+    Args:
+        deadline_s: Time in which a call ends, retries included.
+        attempt_timeout_s: Time for one attempt; the service answers in milliseconds, so that a
+            longer silence means a connection that has gone silent.
+        watch_grace_s: Time beyond its own wait after which a watch counts as silent.
+        attempts: Attempts of one read; a write has one.
+        threads: Calls in flight at once, besides watches.
+        watch_threads: Watches at once.
+        rate_per_s: Calls per second in the long run.
+        burst: Calls that may be made at once after a quiet time.
+    """
+
+    deadline_s: float = 3.0
+    attempt_timeout_s: float = 1.0
+    watch_grace_s: float = 1.0
+    attempts: int = 3
+    threads: int = 8
+    watch_threads: int = 2
+    rate_per_s: float = 20.0
+    burst: int = 40
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class CallKind:
+    """What sort of call it is.
+
+    Args:
+        name: For its counters.
+        writes: Whether it may change something.
+        urgent: Whether it may overdraw the budget, as a lease's renewal must.
+        waits: Whether it is a watch.
+    """
+
+    name: str
+    writes: bool = False
+    urgent: bool = False
+    waits: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Call:
+    """One call.
+
+    Args:
+        kind: What sort of call it is.
+        method: HTTP method.
+        path: Path and query.
+        body: JSON.
+        wait_s: How long a watch waits at the service.
+    """
+
+    kind: CallKind
+    method: str
+    path: str
+    body: bytes = b""
+    wait_s: float = 0.0
+
+
+class PlatformCalls:
+    """Makes the calls to one service of the platform; lives on the event loop.
+
+    Args:
+        service: The service's name, which begins its counters.
+        address: ``ip:port``.
+        limits: The limits.
+        metrics: Where calls are counted.
+        timeline: Where the service's ups and downs are recorded.
+        rng: Source of jitter.
+    """
+
+    __slots__ = (
+        "_breaker",
+        "_budget",
+        "_limits",
+        "_metrics",
+        "_rng",
+        "_service",
+        "_timeline",
+        "_transport",
+        "_watch_transport",
+    )
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        address: str,
+        limits: PlatformLimits,
+        metrics: Metrics,
+        timeline: Timeline,
+        rng: random.Random,
+    ) -> None:
+        self._service = service
+        self._limits = limits
+        self._metrics = metrics
+        self._timeline = timeline
+        self._rng = rng
+        self._breaker = CircuitBreaker(rng=rng, on_change=self._note_change)
+        self._budget = CallBudget(rate_per_s=limits.rate_per_s, burst=limits.burst)
+        self._transport = HttpTransport(address=address, threads=limits.threads, name=service)
+        self._watch_transport = HttpTransport(
+            address=address, threads=limits.watch_threads, name=f"{service}-watch"
+        )
+
+    async def make(self, call: Call) -> Result[bytes, Failure]:
+        """Make one call; a read is retried, a write is not.
+
+        Returns:
+            The answer's body; ``STORE_UNAVAILABLE`` where the call surely took no effect (each
+            read that failed, too); ``OUTCOME_UNKNOWN`` where a write was sent and its answer lost;
+            what the service answered otherwise (see `shallotworks.platform.wire`).
+        """
+        if call.kind.writes or call.kind.waits:
+            return await self._attempt(call, patience_s=self._limits.deadline_s)
+        ends_at_s = asyncio.get_running_loop().time() + self._limits.deadline_s
+        attempt = 1
+        while True:
+            left_s = ends_at_s - asyncio.get_running_loop().time()
+            outcome = await self._attempt(call, patience_s=left_s)
+            if not self._is_worth_retrying(outcome, attempt):
+                return outcome
+            delay_s = self._backoff_s(attempt)
+            left_s = ends_at_s - asyncio.get_running_loop().time()
+            if delay_s + self._limits.attempt_timeout_s > left_s:
+                return outcome
+            await asyncio.sleep(delay_s)
+            self._count("retries")
+            attempt += 1
+
+    def close(self) -> None:
+        """Cut all connections and end the threads."""
+        self._transport.close()
+        self._watch_transport.close()
+
+    async def _attempt(self, call: Call, *, patience_s: float) -> Result[bytes, Failure]:
+        refused = await self._pass_budget(call, patience_s)
+        if refused is not None:
+            return Err(refused)
+        if not self._breaker.admit():
+            self._count("refused.circuit-open")
+            return Err(self._unavailable("is down", self._breaker.retry_after_s()))
+        settled = False
+        try:
+            exchange = await self._exchange(call)
+            settled = True
+        finally:
+            if not settled:
+                self._breaker.abandoned()
+        return self._judge(call, exchange)
+
+    async def _pass_budget(self, call: Call, patience_s: float) -> Failure | None:
+        if call.kind.urgent:
+            self._budget.reserve_urgent()
+            return None
+        wait_s = self._budget.reserve(patience_s=patience_s)
+        if wait_s is None:
+            self._count("refused.budget")
+            return self._unavailable("was not called: this instance's budget is spent", patience_s)
+        if wait_s > 0:
+            self._count("delayed.budget")
+            await asyncio.sleep(wait_s)
+        return None
+
+    async def _exchange(self, call: Call) -> Exchange:
+        self._count(f"calls.{call.kind.name}")
+        transport = self._watch_transport if call.kind.waits else self._transport
+        timeout_s = self._limits.attempt_timeout_s
+        if call.kind.waits:
+            timeout_s = call.wait_s + self._limits.watch_grace_s
+        request = HttpRequest(
+            method=call.method, path=call.path, body=call.body, timeout_s=timeout_s
+        )
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        dropped_before = transport.connections_dropped
+        exchange = await transport.exchange(request)
+        if transport.connections_dropped != dropped_before:
+            self._count("connections-dropped")
+        if not call.kind.waits:
+            name = f"latency.{self._service}.{call.kind.name}"
+            self._metrics.observe_s(name, loop.time() - started_s)
+        return exchange
+
+    def _judge(self, call: Call, exchange: Exchange) -> Result[bytes, Failure]:
+        answered = exchange.ending is Ending.ANSWERED
+        if answered and exchange.status == HTTP_OK:
+            self._breaker.succeeded()
+            return Success(exchange.body)
+        kind = KIND_BY_STATUS.get(exchange.status) if answered else None
+        if kind is not None and kind is not ErrorKind.STORE_UNAVAILABLE:
+            self._breaker.succeeded()
+            return Err(Failure(kind=kind, reason=_said(exchange)))
+        self._breaker.failed()
+        surely_no_effect = exchange.ending is Ending.NOT_SENT or kind is not None
+        if call.kind.writes and not surely_no_effect:
+            self._count("failed.outcome-unknown")
+            reason = f"the answer of {self._service} was lost: {_said(exchange)}"
+            return Err(Failure(kind=ErrorKind.OUTCOME_UNKNOWN, reason=reason))
+        self._count("failed.unavailable")
+        return Err(self._unavailable(f"did not answer: {_said(exchange)}", 1.0))
+
+    def _is_worth_retrying(self, outcome: Result[bytes, Failure], attempt: int) -> bool:
+        if isinstance(outcome, Success) or attempt >= self._limits.attempts:
+            return False
+        down = self._breaker.is_open
+        return outcome.failure().kind is ErrorKind.STORE_UNAVAILABLE and not down
+
+    def _backoff_s(self, attempt: int) -> float:
+        highest_s = min(HIGHEST_BACKOFF_S, FIRST_BACKOFF_S * 2**attempt)
+        return self._rng.uniform(0, highest_s)
+
+    def _unavailable(self, what: str, retry_after_s: float) -> Failure:
+        return Failure(
+            kind=ErrorKind.STORE_UNAVAILABLE,
+            reason=f"{self._service} {what}",
+            retry_after_s=retry_after_s,
+        )
+
+    def _count(self, name: str) -> None:
+        self._metrics.count(f"{self._service}.{name}")
+
+    def _note_change(self, up: bool) -> None:
+        kind = EventKind.STORE_UP if up else EventKind.STORE_DOWN
+        self._timeline.record(kind, subject=Subject(), detail=self._service)
+        if up:
+            self._budget.empty()
+            logging.info("%s answers again", self._service)
+        else:
+            self._count("outages")
+            logging.warning("%s does not answer", self._service)
+
+
+def _said(exchange: Exchange) -> str:
+    if exchange.ending is Ending.ANSWERED:
+        return f"status {exchange.status} {exchange.body[:200].decode(errors='replace')}"
+    return f"{exchange.ending.value} {exchange.detail}"
--- /dev/null
+++ b/src/shallotworks/platform/_transport.py
@@ -0,0 +1,199 @@
+"""Blocking HTTP exchanges with one address, on a bounded number of threads."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from enum import Enum, unique
+from typing import Any, ClassVar
+from weakref import WeakSet
+
+import urllib3
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError, ReadTimeoutError
+
+__all__ = ["Ending", "Exchange", "HttpRequest", "HttpTransport"]
+
+CONNECTION_AGE_S = 60.0
+"""Connections are replaced at this age, so that few of them can have gone silent unnoticed."""
+BACKSTOP_FACTOR = 2.0
+"""The library times each read of a socket; an answer that drips in is ended at this multiple."""
+
+
+@unique
+class Ending(Enum):
+    """How an exchange ended."""
+
+    ANSWERED = "answered"
+    NOT_SENT = "not-sent"
+    """No byte of the request left this process."""
+    BROKEN = "broken"
+    """Sent, and the connection ended without a whole answer."""
+    TIMED_OUT = "timed-out"
+    """Sent, and nothing came in time."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpRequest:
+    """One request.
+
+    Args:
+        method: HTTP method.
+        path: Path and query.
+        body: The whole body.
+        timeout_s: Time for connecting, sending and the answer.
+    """
+
+    method: str
+    path: str
+    timeout_s: float
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Exchange:
+    """What came of a request.
+
+    Args:
+        ending: How it ended.
+        status: HTTP status, where it was answered.
+        body: The whole body, where it was answered.
+        detail: What the library said, where it was not.
+    """
+
+    ending: Ending
+    status: int = 0
+    body: bytes = b""
+    detail: str = ""
+
+
+class _TrackedConnection(HTTPConnection):
+    """A connection that can be found again, to be cut when the transport closes."""
+
+    alive: ClassVar[WeakSet[HTTPConnection]]
+
+    def connect(self) -> None:
+        super().connect()
+        self.alive.add(self)
+
+
+class HttpTransport:
+    """Sends requests to one address from threads of its own.
+
+    Args:
+        address: ``ip:port``.
+        threads: Requests in flight at once; later ones wait on the event loop.
+        name: Prefix of the threads' names.
+    """
+
+    __slots__ = (
+        "_address",
+        "_alive",
+        "_connection_class",
+        "_executor",
+        "_pool",
+        "_pool_made_at_s",
+        "_slots",
+        "_threads",
+        "connections_dropped",
+    )
+
+    def __init__(self, *, address: str, threads: int, name: str) -> None:
+        self._address = address
+        self._threads = threads
+        self._alive: WeakSet[HTTPConnection] = WeakSet()
+        self._connection_class = type("Tracked", (_TrackedConnection,), {"alive": self._alive})
+        self._executor = ThreadPoolExecutor(max_workers=threads, thread_name_prefix=name)
+        self._slots = asyncio.Semaphore(threads)
+        self._pool = self._new_pool()
+        self._pool_made_at_s = 0.0
+        self.connections_dropped = 0
+
+    async def exchange(self, request: HttpRequest) -> Exchange:
+        """Send one request and wait for its answer, on one of the threads.
+
+        Waiting for a thread counts against the request's time; a request that finds none in that
+        time was not sent.
+        """
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        try:
+            async with asyncio.timeout(request.timeout_s):
+                await self._slots.acquire()
+        except TimeoutError:
+            return Exchange(ending=Ending.NOT_SENT, detail="no thread was free in time")
+        self._replace_aged_pool(loop.time())
+        pool = self._pool
+        running = loop.run_in_executor(self._executor, _send, pool, request)
+        # The slot is given back when the thread is free, also where the caller has given up.
+        running.add_done_callback(lambda _: self._slots.release())
+        ends_at_s = started_s + request.timeout_s * BACKSTOP_FACTOR
+        try:
+            async with asyncio.timeout_at(ends_at_s):
+                exchange = await asyncio.shield(running)
+        except TimeoutError:
+            exchange = Exchange(ending=Ending.TIMED_OUT, detail="the answer was not whole in time")
+        if exchange.ending in (Ending.TIMED_OUT, Ending.BROKEN):
+            self._drop_connections(pool)
+        return exchange
+
+    def close(self) -> None:
+        """Cut every connection, those that wait for an answer too, and end the threads."""
+        self._pool.close()
+        for connection in list(self._alive):
+            if connection.sock is not None:
+                with contextlib.suppress(OSError):
+                    connection.sock.shutdown(socket.SHUT_RDWR)
+        self._executor.shutdown(wait=False, cancel_futures=True)
+
+    def _drop_connections(self, suspect: urllib3.HTTPConnectionPool) -> None:
+        """Start over with fresh connections after one of the old ones failed.
+
+        The failure: something between the two ends loses track of open connections, which go
+        silent for good while new ones work; it shows as one time-out after another. All idle ones
+        of this path are dropped at the first, so that it costs one time-out and not one for each.
+        """
+        if suspect is not self._pool:
+            return
+        self.connections_dropped += 1
+        self._pool = self._new_pool()
+        self._pool_made_at_s = asyncio.get_running_loop().time()
+        suspect.close()
+
+    def _replace_aged_pool(self, now_s: float) -> None:
+        if now_s - self._pool_made_at_s < CONNECTION_AGE_S:
+            return
+        aged = self._pool
+        self._pool = self._new_pool()
+        self._pool_made_at_s = now_s
+        aged.close()
+
+    def _new_pool(self) -> urllib3.HTTPConnectionPool:
+        pool = urllib3.connection_from_url(f"http://{self._address}", maxsize=self._threads)
+        pool.ConnectionCls = self._connection_class
+        return pool
+
+
+def _send(pool: urllib3.HTTPConnectionPool, request: HttpRequest) -> Exchange:
+    timeout = urllib3.Timeout(total=request.timeout_s)
+    headers = {"Content-Type": "application/json"} if request.body else {}
+    try:
+        answer: Any = pool.request(
+            request.method,
+            request.path,
+            body=request.body or None,
+            headers=headers,
+            timeout=timeout,
+            retries=False,
+            redirect=False,
+        )
+    except (NewConnectionError, ConnectTimeoutError) as error:
+        return Exchange(ending=Ending.NOT_SENT, detail=str(error))
+    except ReadTimeoutError as error:
+        return Exchange(ending=Ending.TIMED_OUT, detail=str(error))
+    except (HTTPError, OSError) as error:
+        return Exchange(ending=Ending.BROKEN, detail=str(error))
+    return Exchange(ending=Ending.ANSWERED, status=answer.status, body=answer.data)
--- /dev/null
+++ b/tests/test_http_store.py
@@ -0,0 +1,252 @@
+"""Tests of `shallotworks.platform`'s HTTP client against the stand-in."""
+
+import asyncio
+import random
+import time
+import unittest
+from collections.abc import Awaitable, Callable
+
+from parameterized import parameterized
+from returns.result import Failure as Err
+from returns.result import Result
+
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.metrics import Metrics
+from shallotworks.platform import (
+    HttpInstanceList,
+    HttpKeyValueStore,
+    KeyValueStore,
+    ListedInstance,
+    PlatformLimits,
+)
+from shallotworks.standins import MemoryStore, PlatformStandIn, StoreFaults
+from shallotworks.timeline import EventKind, Timeline
+
+FAST = PlatformLimits(attempt_timeout_s=0.3, deadline_s=2.0, watch_grace_s=0.3, rate_per_s=500)
+NOWHERE = "127.0.0.1:9"
+
+Main = Callable[[KeyValueStore], Awaitable[None]]
+
+
+async def session(store: KeyValueStore) -> list[object]:
+    """Make one call of each kind, and each refusal that a caller relies on."""
+    said: list[object] = [await store.get("a")]
+    said.append(await store.create("a/1", b"\x00\xff"))
+    said.append(await store.create("a/1", b"again"))
+    said.append(await store.swap("a/1", b"two", version=1))
+    said.append(await store.swap("a/1", b"three", version=1))
+    said.append(await store.create("a/2", b""))
+    said.append(await store.list("a/", after_key="a/1", limit=5))
+    said.append(await store.watch("a/", after_version=2, wait_s=1))
+    said.append(await store.watch("b/", after_version=3, wait_s=0.01))
+    said.append(await store.delete("a/2", version=9))
+    said.append(await store.delete("a/2", version=3))
+    said.append(await store.watch("a/", after_version=3, wait_s=1))
+    said.append(await store.watch("a/", after_version=99, wait_s=1))
+    said.append(await store.create("big", b"x" * 1_000_001))
+    lease = (await store.grant_lease(ttl_s=60)).unwrap()
+    said.append(lease)
+    said.append(await store.create("duty", b"me", lease_id=lease.lease_id))
+    said.append(await store.renew_lease(lease.lease_id))
+    said.append(await store.revoke_lease(lease.lease_id))
+    said.append(await store.renew_lease(lease.lease_id))
+    said.append(await store.create("duty", b"me", lease_id=lease.lease_id))
+    said.append(await store.get("duty"))
+    return [_comparable(entry) for entry in said]
+
+
+def _comparable(entry: object) -> object:
+    # The reason is for people, and differs.
+    return entry.failure().kind if isinstance(entry, Err) else entry
+
+
+def kind_of(outcome: Result[object, Failure]) -> ErrorKind:
+    return outcome.failure().kind
+
+
+class SameBehaviourTests(unittest.TestCase):
+    def test_http_and_memory_answer_alike(self) -> None:
+        """The same session is answered alike over HTTP and in memory."""
+        standin = PlatformStandIn(threads=4, watch_threads=2)
+        standin.start()
+        self.addCleanup(standin.stop)
+
+        async def over_http() -> list[object]:
+            timeline = Timeline(process="t", wall_clock_s=time.time)
+            store = HttpKeyValueStore(
+                address=standin.address, metrics=Metrics(), timeline=timeline, limits=FAST
+            )
+            try:
+                return await session(store)
+            finally:
+                store.close()
+
+        expected = asyncio.run(session(MemoryStore()))
+        self.assertEqual(asyncio.run(over_http()), expected)
+        self.assertIn(ErrorKind.LEASE_LOST, expected)
+        self.assertIn(ErrorKind.TOO_LARGE, expected)
+
+
+class ClientTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.metrics = Metrics()
+        self.timeline = Timeline(process="t", wall_clock_s=time.time)
+        self.standin = PlatformStandIn(threads=8, watch_threads=2)
+        self.standin.start()
+        self.addCleanup(self.standin.stop)
+
+    def with_store(self, main: Main, *, limits: PlatformLimits = FAST, address: str = "") -> None:
+        async def run() -> None:
+            store = HttpKeyValueStore(
+                address=address or self.standin.address,
+                metrics=self.metrics,
+                timeline=self.timeline,
+                limits=limits,
+                rng=random.Random(1),
+            )
+            try:
+                await main(store)
+            finally:
+                store.close()
+
+        asyncio.run(run())
+
+    def count(self, name: str) -> int:
+        return self.metrics.counters().get(f"store.{name}", 0)
+
+    def test_lost_answer_is_unknown_and_not_retried(self) -> None:
+        """A write whose answer is lost is unknown, and is sent once.
+
+        Story: an operator's change reaches the store and takes effect; the connection ends before
+        the answer. Sent again blindly it would be told that it conflicts with itself.
+        """
+
+        async def main(store: KeyValueStore) -> None:
+            self.standin.set_faults(StoreFaults(lost_answers=1))
+            self.assertEqual(kind_of(await store.create("a", b"v")), ErrorKind.OUTCOME_UNKNOWN)
+            self.assertEqual((await store.get("a")).unwrap().value, b"v")
+
+        self.with_store(main)
+        self.assertEqual(self.standin.calls()["create"], 1)
+
+    @parameterized.expand([("refused", NOWHERE), ("503", "")])
+    def test_a_write_that_surely_did_nothing_says_so(self, _name: str, address: str) -> None:
+        """A connection refused, and a 503, mean that the write took no effect."""
+
+        async def main(store: KeyValueStore) -> None:
+            self.standin.set_faults(StoreFaults(down=True))
+            outcome = await store.create("a", b"v")
+            self.assertEqual(kind_of(outcome), ErrorKind.STORE_UNAVAILABLE)
+
+        self.with_store(main, address=address)
+
+    def test_slow_store_is_told_within_the_deadline(self) -> None:
+        """A read from a store that hangs ends by its deadline."""
+
+        async def main(store: KeyValueStore) -> None:
+            self.standin.set_faults(StoreFaults(delay_s=3))
+            started_s = asyncio.get_running_loop().time()
+            self.assertEqual(kind_of(await store.get("a")), ErrorKind.STORE_UNAVAILABLE)
+            took_s = asyncio.get_running_loop().time() - started_s
+            self.assertLess(took_s, FAST.deadline_s)
+
+        self.with_store(main)
+
+    def test_silent_connections_cost_one_time_out(self) -> None:
+        """All connections go silent: one read times out, its retry and all later calls work.
+
+        Story: a firewall between the instance and the store forgets every open connection. Each
+        one then swallows what is sent into it, while a new one works at once. Without dropping
+        them together each idle connection would cost another time-out.
+        """
+
+        async def main(store: KeyValueStore) -> None:
+            await asyncio.gather(*(store.get(f"k{n}") for n in range(6)))
+            self.standin.silence_connections()
+            self.assertEqual((await store.get("a")).unwrap(), None)
+            for number in range(6):
+                self.assertEqual((await store.get(f"k{number}")).unwrap(), None)
+
+        self.with_store(main)
+        self.assertEqual(self.count("retries"), 1)
+        self.assertEqual(self.count("connections-dropped"), 1)
+        self.assertEqual(self.count("outages"), 0)
+
+    def test_a_silent_watch_is_found(self) -> None:
+        """A watch on a connection that went silent ends a moment after its own wait."""
+
+        async def main(store: KeyValueStore) -> None:
+            first = await store.watch("a", after_version=0, wait_s=0.01)
+            self.assertEqual(first.unwrap().items, ())
+            self.standin.silence_connections()
+            silent = await store.watch("a", after_version=0, wait_s=0.1)
+            self.assertEqual(kind_of(silent), ErrorKind.STORE_UNAVAILABLE)
+            again = await store.watch("a", after_version=0, wait_s=0.1)
+            self.assertEqual(again.unwrap().items, ())
+
+        self.with_store(main)
+
+    def test_a_store_that_is_down_is_called_seldom(self) -> None:
+        """Callers that keep asking cost a store that is down a few calls, and see it return.
+
+        Story: the store refuses everything for a while and every task of the instance keeps
+        retrying. The circuit breaker lets three calls fail, then one after each pause; the first
+        one that succeeds closes it, and the time line shows both ends of the outage.
+        """
+
+        async def main(store: KeyValueStore) -> None:
+            self.standin.set_faults(StoreFaults(down=True))
+            for _ in range(200):
+                outcome = await store.create("a", b"v")
+                self.assertEqual(kind_of(outcome), ErrorKind.STORE_UNAVAILABLE)
+            self.assertLessEqual(self.standin.calls()["create"], 4)
+            self.standin.set_faults(StoreFaults())
+            while True:
+                outcome = await store.create("a", b"v")
+                if not isinstance(outcome, Err):
+                    break
+                await asyncio.sleep(outcome.failure().retry_after_s or 0.01)
+
+        self.with_store(main)
+        kinds = [event.kind for event in self.timeline.events()]
+        self.assertEqual(kinds, [EventKind.STORE_DOWN, EventKind.STORE_UP])
+        self.assertEqual(self.count("outages"), 1)
+
+    def test_calls_keep_to_the_budget(self) -> None:
+        """Past the burst calls wait their turn; a renewal of a lease does not."""
+        limits = PlatformLimits(rate_per_s=20, burst=2)
+
+        async def main(store: KeyValueStore) -> None:
+            loop = asyncio.get_running_loop()
+            lease = (await store.grant_lease(ttl_s=60)).unwrap()
+            started_s = loop.time()
+            reads = [asyncio.create_task(store.get("a")) for _ in range(6)]
+            await asyncio.sleep(0)
+            (await store.renew_lease(lease.lease_id)).unwrap()
+            self.assertFalse(all(task.done() for task in reads))
+            await asyncio.gather(*reads)
+            self.assertGreater(loop.time() - started_s, 4 / 20)
+
+        self.with_store(main, limits=limits)
+        self.assertGreaterEqual(self.count("delayed.budget"), 4)
+
+    def test_list_of_instances(self) -> None:
+        """The list is read as the platform has it; down, it says so."""
+        entry = ListedInstance(name="e1", address="127.0.0.1:1", leaving=True, incarnation="2")
+        self.standin.set_instances((entry,))
+
+        async def main() -> None:
+            listed = HttpInstanceList(
+                address=self.standin.address,
+                metrics=self.metrics,
+                timeline=self.timeline,
+                limits=FAST,
+            )
+            try:
+                self.assertEqual((await listed.read()).unwrap(), (entry,))
+                self.standin.set_faults(StoreFaults(down=True))
+                self.assertEqual(kind_of(await listed.read()), ErrorKind.STORE_UNAVAILABLE)
+            finally:
+                listed.close()
+
+        asyncio.run(main())
