--- a/src/shallotworks/requests/__init__.py
+++ b/src/shallotworks/requests/__init__.py
@@ -5,6 +5,9 @@
 here reads the platform or peers except through the protocols it is given.
 """
 
+from ._choice import Choice, TwoChoices
+from ._dispatcher import PoolDispatcher
+from ._limits import DispatchLimits, RetryLimits
 from ._messages import (
     AttemptOutcome,
     Claim,
@@ -14,17 +17,27 @@
     Response,
     Target,
 )
+from ._once import OnceLimits, StoreOnceGuard
 from ._protocols import Dispatcher, OnceGuard, RetryPolicy
+from ._retry import BudgetedRetryPolicy
 
 __all__ = [
     "AttemptOutcome",
+    "BudgetedRetryPolicy",
+    "Choice",
     "Claim",
+    "DispatchLimits",
     "Dispatcher",
     "Grant",
     "OnceGuard",
+    "OnceLimits",
+    "PoolDispatcher",
     "Request",
     "RequestClass",
     "Response",
+    "RetryLimits",
     "RetryPolicy",
+    "StoreOnceGuard",
     "Target",
+    "TwoChoices",
 ]
--- /dev/null
+++ b/src/shallotworks/requests/_choice.py
@@ -0,0 +1,74 @@
+"""How one of several targets with a free slot is chosen."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from typing import Protocol
+
+from ._targets import TargetState
+
+__all__ = ["Choice", "TwoChoices"]
+
+SAMPLES = 2
+TRIES = 4
+
+
+class Choice(Protocol):
+    """Chooses among targets with a free slot."""
+
+    def choose(
+        self, free_targets: Sequence[TargetState], *, tried: frozenset[str]
+    ) -> TargetState | None:
+        """Return a target that was not tried; ``None`` where all were."""
+        ...
+
+
+class TwoChoices:
+    """Takes the less filled of two targets drawn at random.
+
+    The failure it is for: several processes that each see only their own load all pick the same
+    emptiest target. Drawing two at random keeps them apart, at constant cost.
+
+    Args:
+        rng: Source of the draw.
+    """
+
+    __slots__ = ("_rng",)
+
+    def __init__(self, *, rng: random.Random) -> None:
+        self._rng = rng
+
+    def choose(
+        self, free_targets: Sequence[TargetState], *, tried: frozenset[str]
+    ) -> TargetState | None:
+        """Return a target that was not tried; ``None`` where all were."""
+        first = self._draw(free_targets, tried)
+        if first is None:
+            return None
+        second = self._draw(free_targets, tried)
+        if second is None or filling(first) <= filling(second):
+            return first
+        return second
+
+    def _draw(
+        self, free_targets: Sequence[TargetState], tried: frozenset[str]
+    ) -> TargetState | None:
+        count = len(free_targets)
+        if not count:
+            return None
+        for _ in range(TRIES):
+            target = free_targets[int(self._rng.random() * count)]
+            if target.instance.name not in tried:
+                return target
+        return untried(free_targets, tried)
+
+
+def filling(target: TargetState) -> float:
+    """Return which part of its limit a target holds."""
+    return target.in_flight / target.limit
+
+
+def untried(free_targets: Sequence[TargetState], tried: frozenset[str]) -> TargetState | None:
+    """Return the first target that was not tried."""
+    return next((entry for entry in free_targets if entry.instance.name not in tried), None)
--- /dev/null
+++ b/src/shallotworks/requests/_dispatcher.py
@@ -0,0 +1,483 @@
+"""Admission, queues and choice of target for the requests that one process takes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.config import ConfigView
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.metrics import Metrics
+from shallotworks.timeline import EventKind, Subject, Timeline
+
+from ._admission import expected_wait_s, load_to_shed, longest_wait_s, waiting_limit
+from ._choice import Choice, TwoChoices
+from ._fleet_index import FleetIndex
+from ._limits import DispatchLimits
+from ._loads import ClassLoad, TeamLoad
+from ._messages import AttemptOutcome, Grant, Request, RequestClass
+from ._pool import PoolState
+from ._queue import Waiter
+from ._targets import TargetState
+
+__all__ = ["PoolDispatcher"]
+
+MAX_SET_ASIDE = 8
+"""Waiting retries that one round may pass over because the free targets are ones they tried."""
+RETRY_AFTER_MIN_S = 0.1
+RETRY_AFTER_NO_TARGET_S = 1.0
+RETRY_AFTER_STOPPING_S = 0.5
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Held:
+    """What a grant holds until it is released."""
+
+    target: TargetState
+    pool: PoolState
+    load: ClassLoad
+    team: TeamLoad | None
+    probe: bool
+
+
+class PoolDispatcher:
+    """Implements `Dispatcher` over the pools of the configuration in force.
+
+    All of it runs on the event loop. Work per call does not grow with the fleet: targets are
+    indexed by pool, and the index is brought up to date when the revision changes.
+
+    Args:
+        config: The configuration as this process holds it.
+        data_centre: Where this process stands.
+        live_entries: How many entry instances serve this data centre, this one included; each
+            target's slots are divided among them.
+        limits: What this process allows itself.
+        metrics: Where decisions are counted.
+        timeline: Where they are recorded.
+        rng: Source of every random draw.
+        choice: How one of several free targets is chosen; two random choices by default.
+    """
+
+    __slots__ = (
+        "_choice",
+        "_held",
+        "_index",
+        "_limits",
+        "_metrics",
+        "_next_grant",
+        "_next_waiter",
+        "_rng",
+        "_stopping",
+        "_timeline",
+        "_waiters",
+    )
+
+    def __init__(
+        self,
+        *,
+        config: ConfigView,
+        data_centre: str,
+        live_entries: Callable[[], int],
+        limits: DispatchLimits,
+        metrics: Metrics,
+        timeline: Timeline,
+        rng: random.Random,
+        choice: Choice | None = None,
+    ) -> None:
+        self._limits = limits
+        self._metrics = metrics
+        self._timeline = timeline
+        self._rng = rng
+        self._index = FleetIndex(
+            config=config,
+            data_centre=data_centre,
+            live_entries=live_entries,
+            limits=limits,
+            new_pool=self._new_pool,
+        )
+        self._choice = choice or TwoChoices(rng=rng)
+        self._held: dict[int, _Held] = {}
+        self._waiters: dict[str, Waiter] = {}
+        self._next_grant = 1
+        self._next_waiter = 1
+        self._stopping = False
+
+    async def acquire(self, request: Request, *, tried: frozenset[str]) -> Result[Grant, Failure]:
+        """Wait for a slot at a target that may take this request; see `Dispatcher.acquire`."""
+        now_s = self._refresh()
+        service = self._index.services.get(request.service)
+        if service is None:
+            return self._refused(request, ErrorKind.NOT_FOUND, f"no service {request.service}")
+        team = self._index.teams.get(request.team)
+        if team is None and request.team:
+            return self._refused(request, ErrorKind.NOT_FOUND, f"no team {request.team}")
+        pool = self._index.pools[service.pool]
+        interactive = request.request_class is RequestClass.INTERACTIVE
+        load = service.interactive if interactive else service.long_running
+        refusal = self._refusal_at_arrival(request, pool, team, tried, now_s)
+        if refusal is not None:
+            return refusal
+        if not self._anyone_before(pool, load) and (team is None or team.has_room):
+            held = self._place(request, pool, load, team, tried, now_s)
+            if held is not None:
+                return Success(self._grant(request, held))
+        return await self._wait(request, pool, load, team, tried, now_s)
+
+    def release(self, grant: Grant, outcome: AttemptOutcome, *, duration_s: float) -> None:
+        """Give the slot back and learn from the outcome; a second release is only counted."""
+        held = self._held.pop(grant.grant_id, None)
+        if held is None:
+            self._metrics.count("grants.released-twice")
+            return
+        now_s = self._refresh()
+        self._count_back(held)
+        if outcome is AttemptOutcome.ANSWERED:
+            held.load.estimate.observe(duration_s)
+            hold = held.pool.interactive_hold
+            if not held.load.interactive:
+                hold = held.pool.long_running_hold
+            hold.observe(duration_s)
+        if held.target.usable:
+            held.pool.health.judge(held.target, outcome, now_s=now_s)
+        if held.probe:
+            held.target.probing = False
+        if held.team is not None:
+            self._unpark(held.team, now_s)
+        self._serve(held.pool, now_s)
+
+    def cancel(self, request_id: str) -> bool:
+        """Take a waiting request out of the queue; says whether it was waiting."""
+        waiter = self._waiters.get(request_id)
+        if waiter is None:
+            return False
+        self._end_wait(waiter, ErrorKind.CANCELLED, "cancelled by the caller")
+        return True
+
+    def set_leaving(self, names: frozenset[str]) -> None:
+        """Stop giving new work to instances that the platform is about to take away."""
+        self._index.set_leaving(names)
+        self._refresh()
+
+    def stop_admitting(self) -> None:
+        """Refuse new requests from now on; waiting ones and further attempts go on."""
+        self._stopping = True
+
+    def refuse_waiting(self) -> None:
+        """Refuse every request that still waits, as not run."""
+        for waiter in list(self._waiters.values()):
+            self._end_wait(waiter, ErrorKind.STOPPING, "this instance is stopping")
+
+    @property
+    def waiting(self) -> int:
+        """How many requests wait."""
+        return len(self._waiters)
+
+    @property
+    def in_flight(self) -> int:
+        """How many grants are held."""
+        return len(self._held)
+
+    def _new_pool(self, name: str) -> PoolState:
+        return PoolState(
+            name=name,
+            limits=self._limits,
+            choice=self._choice,
+            metrics=self._metrics,
+            timeline=self._timeline,
+            rng=self._rng,
+        )
+
+    def _refusal_at_arrival(
+        self,
+        request: Request,
+        pool: PoolState,
+        team: TeamLoad | None,
+        tried: frozenset[str],
+        now_s: float,
+    ) -> Result[Grant, Failure] | None:
+        if self._stopping and not tried:
+            return self._refused(request, ErrorKind.STOPPING, "this instance is stopping")
+        if request.deadline_s <= now_s:
+            return self._refused(request, ErrorKind.DEADLINE_EXCEEDED, "the deadline has passed")
+        if request.request_id in self._waiters:
+            return self._refused(request, ErrorKind.CONFLICT, "a request with this id waits")
+        if not pool.has_targets:
+            return self._refused(request, ErrorKind.NO_TARGET, f"no target for {request.service}")
+        if team is not None and team.is_full(self._limits.team_waiting_per_slot):
+            return self._refused(request, ErrorKind.OVER_QUOTA, f"team {team.name} is full")
+        return None
+
+    def _anyone_before(self, pool: PoolState, load: ClassLoad) -> bool:
+        if load.interactive:
+            return pool.interactive_queued > 0
+        return pool.interactive_queued + pool.long_running_queued > 0
+
+    def _place(
+        self,
+        request: Request,
+        pool: PoolState,
+        load: ClassLoad,
+        team: TeamLoad | None,
+        tried: frozenset[str],
+        now_s: float,
+    ) -> _Held | None:
+        pool.advance(now_s)
+        if not pool.may_start(load):
+            return None
+        target = pool.place(request, load, tried=tried, now_s=now_s)
+        if target is None:
+            return None
+        probe = target.ejected
+        if probe:
+            target.probing = True
+            self._metrics.count("targets.probed")
+        return _Held(target=target, pool=pool, load=load, team=team, probe=probe)
+
+    def _grant(self, request: Request, held: _Held) -> Grant:
+        grant = Grant(
+            grant_id=self._next_grant, request_id=request.request_id, target=held.target.target
+        )
+        self._next_grant += 1
+        self._held[grant.grant_id] = held
+        held.target.group.take(held.target)
+        held.load.in_flight += 1
+        if held.load.interactive:
+            held.pool.interactive_in_flight += 1
+        else:
+            held.pool.long_running_in_flight += 1
+        if held.team is not None:
+            held.team.held += 1
+        self._metrics.count(f"requests.admitted.{request.request_class.value}")
+        self._record(EventKind.ADMITTED, request, held.target.instance.name)
+        return grant
+
+    def _count_back(self, held: _Held) -> None:
+        held.target.group.give_back(held.target)
+        held.load.in_flight -= 1
+        if held.load.interactive:
+            held.pool.interactive_in_flight -= 1
+        else:
+            held.pool.long_running_in_flight -= 1
+        if held.team is not None:
+            held.team.held -= 1
+
+    async def _wait(
+        self,
+        request: Request,
+        pool: PoolState,
+        load: ClassLoad,
+        team: TeamLoad | None,
+        tried: frozenset[str],
+        now_s: float,
+    ) -> Result[Grant, Failure]:
+        left_s = request.deadline_s - now_s
+        longest_s = longest_wait_s(load, left_s=left_s, limits=self._limits)
+        expected_s = expected_wait_s(pool, load)
+        if expected_s > longest_s:
+            self._metrics.count(f"requests.hopeless.{request.request_class.value}")
+            reason = "too many wait to answer this in time"
+            after_s = expected_s - longest_s
+            return self._refused(request, ErrorKind.OVERLOADED, reason, after_s)
+        if pool.waiting >= waiting_limit(pool, self._limits):
+            victim = load_to_shed(pool, load)
+            self._metrics.count(f"requests.shed.{victim.service.name}")
+            last = victim.queue.last()
+            if victim is load or last is None:
+                reason = "too many wait"
+                return self._refused(request, ErrorKind.OVERLOADED, reason, expected_s)
+            self._end_wait(last, ErrorKind.OVERLOADED, "shed for more urgent work", expected_s)
+        waiter = self._enqueue(request, pool, load, team, tried, now_s + longest_s)
+        self._serve(pool, now_s)
+        return await self._answer_of(waiter)
+
+    def _enqueue(
+        self,
+        request: Request,
+        pool: PoolState,
+        load: ClassLoad,
+        team: TeamLoad | None,
+        tried: frozenset[str],
+        latest_s: float,
+    ) -> Waiter:
+        loop = asyncio.get_running_loop()
+        waiter = Waiter(
+            request=request,
+            tried=tried,
+            sequence=self._next_waiter,
+            pool=pool,
+            load=load,
+            team=team,
+            answer=loop.create_future(),
+        )
+        self._next_waiter += 1
+        self._waiters[request.request_id] = waiter
+        waiter.timer = loop.call_at(latest_s, self._expire, waiter)
+        pool.waiting += 1
+        load.waiting += 1
+        if team is not None:
+            team.waiting += 1
+        if team is not None and not team.has_room:
+            team.parked.add(waiter)
+        else:
+            self._queue(waiter)
+        self._arm(pool)
+        return waiter
+
+    async def _answer_of(self, waiter: Waiter) -> Result[Grant, Failure]:
+        try:
+            return await waiter.answer
+        except asyncio.CancelledError:
+            # The failure: the task is cancelled after its grant was decided and before it woke;
+            # nobody would release that grant and the slot would be lost for good.
+            if waiter.answer.done() and not waiter.answer.cancelled():
+                waiter.answer.result().map(
+                    lambda grant: self.release(grant, AttemptOutcome.ABANDONED, duration_s=0.0)
+                )
+            else:
+                self._leave(waiter)
+            raise
+
+    def _queue(self, waiter: Waiter) -> None:
+        waiter.load.queue.add(waiter)
+        if waiter.load.interactive:
+            waiter.pool.interactive_queued += 1
+        else:
+            waiter.pool.long_running_queued += 1
+
+    def _unqueue(self, waiter: Waiter) -> None:
+        """Take a waiter out of the queue or the parked ones, whichever it stands in."""
+        queue = waiter.queue
+        if queue is None:
+            return
+        queue.remove(waiter)
+        if queue is not waiter.load.queue:
+            return
+        if waiter.load.interactive:
+            waiter.pool.interactive_queued -= 1
+        else:
+            waiter.pool.long_running_queued -= 1
+
+    def _leave(self, waiter: Waiter) -> None:
+        if self._waiters.get(waiter.request.request_id) is not waiter:
+            return
+        self._unqueue(waiter)
+        del self._waiters[waiter.request.request_id]
+        waiter.pool.waiting -= 1
+        waiter.load.waiting -= 1
+        if waiter.team is not None:
+            waiter.team.waiting -= 1
+        if waiter.timer is not None:
+            waiter.timer.cancel()
+
+    def _end_wait(
+        self, waiter: Waiter, kind: ErrorKind, reason: str, after_s: float = RETRY_AFTER_MIN_S
+    ) -> None:
+        self._leave(waiter)
+        refused = self._refused(waiter.request, kind, reason, after_s)
+        if not waiter.answer.done():
+            waiter.answer.set_result(refused)
+
+    def _expire(self, waiter: Waiter) -> None:
+        reason = "no slot came free in time to answer by the deadline"
+        self._end_wait(waiter, ErrorKind.DEADLINE_EXCEEDED, reason)
+
+    def _serve(self, pool: PoolState, now_s: float) -> None:
+        """Start waiting requests while the rules and the free slots allow it."""
+        set_aside: list[Waiter] = []
+        while len(set_aside) < MAX_SET_ASIDE:
+            pool.advance(now_s)
+            load = pool.next_load()
+            waiter = load.queue.first() if load is not None else None
+            if waiter is None:
+                break
+            if waiter.answer.done():
+                # Its task was cancelled and has not run since.
+                self._leave(waiter)
+                continue
+            if waiter.team is not None and not waiter.team.has_room:
+                self._unqueue(waiter)
+                waiter.team.parked.add(waiter)
+                continue
+            if not self._start(waiter, now_s):
+                if not waiter.tried:
+                    break
+                # Its free targets are ones it tried: others must not wait behind it.
+                self._unqueue(waiter)
+                set_aside.append(waiter)
+        for waiter in set_aside:
+            self._queue(waiter)
+
+    def _start(self, waiter: Waiter, now_s: float) -> bool:
+        held = self._place(
+            waiter.request, waiter.pool, waiter.load, waiter.team, waiter.tried, now_s
+        )
+        if held is None:
+            return False
+        self._leave(waiter)
+        waiter.answer.set_result(Success(self._grant(waiter.request, held)))
+        return True
+
+    def _unpark(self, team: TeamLoad, now_s: float) -> None:
+        """Let a team's requests stand in line again, as many as it has room for."""
+        for _ in range(team.quota - team.held):
+            waiter = team.parked.first()
+            if waiter is None:
+                return
+            self._unqueue(waiter)
+            self._queue(waiter)
+            self._serve(waiter.pool, now_s)
+
+    def _refresh(self) -> float:
+        """Bring the index up to date with the configuration; returns the time."""
+        now_s = asyncio.get_running_loop().time()
+        if self._index.refresh(now_s):
+            for team in self._index.teams.values():
+                self._unpark(team, now_s)
+            for waiter in list(self._waiters.values()):
+                self._recheck(waiter)
+            for pool in self._index.pools.values():
+                if pool.waiting:
+                    self._serve(pool, now_s)
+        return now_s
+
+    def _recheck(self, waiter: Waiter) -> None:
+        """Refuse a waiting request whose service or targets are gone."""
+        service = self._index.services.get(waiter.request.service)
+        if service is None:
+            self._end_wait(waiter, ErrorKind.NOT_FOUND, "the service was removed")
+        elif service is not waiter.load.service or not waiter.pool.has_targets:
+            reason = f"no target for {waiter.request.service} any more"
+            self._end_wait(waiter, ErrorKind.NO_TARGET, reason, RETRY_AFTER_NO_TARGET_S)
+
+    def _arm(self, pool: PoolState) -> None:
+        """Look again soon: pauses, slow starts and probes free slots without any call."""
+        if not pool.has_timer:
+            pool.has_timer = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(self._limits.tick_s, self._tick, pool)
+
+    def _tick(self, pool: PoolState) -> None:
+        pool.has_timer = False
+        now_s = self._refresh()
+        if pool.waiting:
+            self._serve(pool, now_s)
+        if pool.waiting:
+            self._arm(pool)
+
+    def _refused(
+        self, request: Request, kind: ErrorKind, reason: str, after_s: float = RETRY_AFTER_MIN_S
+    ) -> Result[Grant, Failure]:
+        # Jitter keeps those refused together from coming back together.
+        wait_s = max(after_s, RETRY_AFTER_MIN_S) * self._rng.uniform(0.5, 1.5)
+        self._metrics.count(f"requests.refused.{kind.value}")
+        self._record(EventKind.REFUSED, request, kind.value)
+        return Err(Failure(kind=kind, reason=reason, retry_after_s=round(wait_s, 3)))
+
+    def _record(self, kind: EventKind, request: Request, detail: str) -> None:
+        subject = Subject(request=request.request_id, service=request.service)
+        self._timeline.record(kind, subject=subject, detail=detail)
--- /dev/null
+++ b/src/shallotworks/requests/_fleet_index.py
@@ -0,0 +1,168 @@
+"""The configuration in force, indexed for dispatch."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from shallotworks.config import ConfigView
+from shallotworks.fleet import FleetState, Instance, Service
+
+from ._limits import DispatchLimits
+from ._loads import ServiceLoad, TeamLoad
+from ._pool import PoolState
+
+__all__ = ["FleetIndex"]
+
+REVISION_BEFORE_FIRST = -1
+
+
+class FleetIndex:
+    """Pools, services and teams by name, brought up to date when something changed.
+
+    Args:
+        config: The configuration as this process holds it.
+        data_centre: Where this process stands.
+        live_entries: How many entry instances serve this data centre, this one included.
+        limits: Holds the time of a slow start.
+        new_pool: Makes the state of a pool.
+
+    Attributes:
+        pools: By name; each pool that holds an instance or serves a service.
+        services: By name.
+        teams: By name.
+    """
+
+    __slots__ = (
+        "_config",
+        "_data_centre",
+        "_entries",
+        "_known",
+        "_leaving",
+        "_limits",
+        "_live_entries",
+        "_new_pool",
+        "_revision",
+        "_stale",
+        "pools",
+        "services",
+        "teams",
+    )
+
+    def __init__(
+        self,
+        *,
+        config: ConfigView,
+        data_centre: str,
+        live_entries: Callable[[], int],
+        limits: DispatchLimits,
+        new_pool: Callable[[str], PoolState],
+    ) -> None:
+        self._config = config
+        self._data_centre = data_centre
+        self._live_entries = live_entries
+        self._limits = limits
+        self._new_pool = new_pool
+        self._entries = 0
+        self._revision = REVISION_BEFORE_FIRST
+        self._stale = False
+        self._leaving: frozenset[str] = frozenset()
+        self._known: dict[str, Instance] = {}
+        self.pools: dict[str, PoolState] = {}
+        self.services: dict[str, ServiceLoad] = {}
+        self.teams: dict[str, TeamLoad] = {}
+
+    def set_leaving(self, names: frozenset[str]) -> None:
+        """Take the names of instances that are about to leave."""
+        self._stale = self._stale or names != self._leaving
+        self._leaving = names
+
+    def refresh(self, now_s: float) -> bool:
+        """Follow the configuration; says whether anything may have changed."""
+        state = self._config.state()
+        entries = max(1, self._live_entries())
+        if state.revision == self._revision and entries == self._entries and not self._stale:
+            return False
+        # Targets known from the start are taken to be warm; later ones start slowly.
+        first = self._revision == REVISION_BEFORE_FIRST
+        ramp_from_s = now_s - self._limits.slow_start_s if first else now_s
+        everything = self._stale or entries != self._entries
+        self._revision = state.revision
+        self._entries = entries
+        self._stale = False
+        self._follow_services(state)
+        self._follow_instances(state, ramp_from_s, everything)
+        self._follow_teams(state)
+        self._drop_empty_pools()
+        return True
+
+    def _follow_services(self, state: FleetState) -> None:
+        for name in [name for name in self.services if name not in state.services]:
+            self._forget_service(name)
+        for name, service in state.services.items():
+            load = self.services.get(name)
+            if load is not None and load.pool != service.pool:
+                self._forget_service(name)
+                load = None
+            if load is None:
+                self._add_service(service)
+            else:
+                load.set_share(service.share)
+
+    def _add_service(self, service: Service) -> None:
+        load = ServiceLoad(name=service.name, pool=service.pool, share=service.share)
+        self.services[service.name] = load
+        self._pool(service.pool).services[service.name] = load
+
+    def _forget_service(self, name: str) -> None:
+        load = self.services.pop(name)
+        del self.pools[load.pool].services[name]
+
+    def _follow_instances(self, state: FleetState, ramp_from_s: float, everything: bool) -> None:
+        for name in [name for name in self._known if name not in state.instances]:
+            self.pools[self._known.pop(name).pool].drop(name)
+        for name, record in state.instances.items():
+            known = self._known.get(name)
+            if known is record and not everything:
+                continue
+            if known is not None and _moved(known, record):
+                self.pools[known.pool].drop(name)
+            self._known[name] = record
+            self._put(state, record, ramp_from_s)
+
+    def _put(self, state: FleetState, record: Instance, ramp_from_s: float) -> None:
+        self._pool(record.pool).put(
+            record,
+            local=record.data_centre == self._data_centre,
+            usable=record.available and record.name not in self._leaving,
+            part=max(1, record.slots // self._entries),
+            ramp_from_s=ramp_from_s,
+        )
+
+    def _follow_teams(self, state: FleetState) -> None:
+        sharers = self._entries * max(1, len(state.data_centres))
+        for name in [name for name in self.teams if name not in state.teams]:
+            del self.teams[name]
+        for name, team in state.teams.items():
+            quota = max(min(1, team.quota_slots), team.quota_slots // sharers)
+            load = self.teams.get(name)
+            if load is None:
+                self.teams[name] = TeamLoad(name=name, quota=quota)
+            else:
+                load.quota = quota
+
+    def _pool(self, name: str) -> PoolState:
+        pool = self.pools.get(name)
+        if pool is None:
+            pool = self._new_pool(name)
+            self.pools[name] = pool
+        return pool
+
+    def _drop_empty_pools(self) -> None:
+        empty = [name for name, pool in self.pools.items() if not pool.targets]
+        for name in empty:
+            if not self.pools[name].services:
+                del self.pools[name]
+
+
+def _moved(known: Instance, record: Instance) -> bool:
+    return known.pool != record.pool or known.data_centre != record.data_centre
--- /dev/null
+++ b/src/shallotworks/requests/_health.py
@@ -0,0 +1,236 @@
+"""Ejection of targets by the outcomes of their attempts, and probing them back."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Collection
+
+from shallotworks.metrics import Metrics
+from shallotworks.timeline import EventKind, Subject, Timeline
+
+from ._limits import DispatchLimits
+from ._messages import AttemptOutcome
+from ._targets import TargetState
+
+__all__ = ["PoolHealth"]
+
+PROBE_ANY_AFTER_S = 30.0
+"""How long a probe waits for an idempotent request before any request may be it."""
+SELF_CLEARED_PART = 0.5
+MAX_PAUSE_DOUBLINGS = 6
+MAX_PROBE_DOUBLINGS = 6
+
+_SPEAKS_AGAINST = frozenset(
+    {
+        AttemptOutcome.TARGET_ERROR,
+        AttemptOutcome.NOT_SENT,
+        AttemptOutcome.BROKEN,
+        AttemptOutcome.TIMED_OUT,
+    }
+)
+
+
+class PoolHealth:
+    """Judges the targets of one pool.
+
+    The failure: a target fails all it is given at once, so it always has free slots and draws
+    most of the pool's requests; it shows as a pool that fails most requests while one of many
+    targets is broken. Load can't tell it from an idle one, outcomes can.
+
+    Args:
+        pool: Name of the pool, for the time line.
+        limits: How many outcomes, how long, how much of the pool.
+        metrics: Where ejections are counted.
+        timeline: Where they are recorded.
+        rng: Source of jitter.
+        on_change: Called with each target whose ejection or pause has changed.
+
+    Attributes:
+        ejected: Targets that take nothing but probes, by name.
+        suspects_self: Whether nearly all targets look bad, so that none is ejected.
+    """
+
+    __slots__ = (
+        "_limits",
+        "_metrics",
+        "_on_change",
+        "_pool",
+        "_rng",
+        "_tallies",
+        "_timeline",
+        "ejected",
+        "suspects_self",
+    )
+
+    def __init__(
+        self,
+        *,
+        pool: str,
+        limits: DispatchLimits,
+        metrics: Metrics,
+        timeline: Timeline,
+        rng: random.Random,
+        on_change: Callable[[TargetState], None],
+    ) -> None:
+        self._pool = pool
+        self._limits = limits
+        self._metrics = metrics
+        self._timeline = timeline
+        self._rng = rng
+        self._on_change = on_change
+        self._tallies: dict[str, _Tally] = {}
+        self.ejected: dict[str, TargetState] = {}
+        self.suspects_self = False
+
+    def judge(self, target: TargetState, outcome: AttemptOutcome, *, now_s: float) -> None:
+        """Learn from one attempt's outcome."""
+        if outcome is AttemptOutcome.ANSWERED:
+            self._good(target, now_s)
+        elif outcome in _SPEAKS_AGAINST:
+            self._failed(target, now_s)
+        elif outcome is AttemptOutcome.REFUSED:
+            self._refused(target, now_s)
+
+    def probe_due(self, *, idempotent: bool, now_s: float) -> TargetState | None:
+        """Return an ejected target that a request of this kind may probe now."""
+        for target in self.ejected.values():
+            due_s = target.probe_at_s if idempotent else target.probe_at_s + PROBE_ANY_AFTER_S
+            if due_s <= now_s and not target.probing and target.in_flight < target.part:
+                return target
+        return None
+
+    def add(self, target: TargetState) -> None:
+        """Count a target that became usable."""
+        self._tallies.setdefault(target.instance.data_centre, _Tally()).size += 1
+
+    def remove(self, target: TargetState) -> None:
+        """Drop all that is known of a target that is no longer usable."""
+        self._set_bad(target, False)
+        self._tally(target).size -= 1
+        self.ejected.pop(target.instance.name, None)
+        target.forget()
+
+    def _good(self, target: TargetState, now_s: float) -> None:
+        target.failures = 0
+        target.refusals = 0
+        if target.bad:
+            self._set_bad(target, False)
+            self._reconsider_self(now_s)
+        if target.ejected and target.probing:
+            self._restore(target, now_s, "probe answered")
+
+    def _failed(self, target: TargetState, now_s: float) -> None:
+        target.failures += 1
+        if target.ejected:
+            self._schedule_probe(target, now_s, failed=target.probing)
+        elif target.failures >= self._limits.failures_to_eject:
+            self._turned_bad(target, now_s)
+
+    def _refused(self, target: TargetState, now_s: float) -> None:
+        # Refusing is how a full target keeps its slots: it is given a short rest, and only one
+        # that refuses time after time without an answer in between counts as broken.
+        target.refusals += 1
+        doublings = min(target.refusals - 1, MAX_PAUSE_DOUBLINGS)
+        longest_s = self._limits.refusal_pause_s * 2**doublings
+        target.paused_until_s = now_s + self._rng.uniform(longest_s / 2, longest_s)
+        self._on_change(target)
+        if target.ejected:
+            self._schedule_probe(target, now_s, failed=target.probing)
+        elif target.refusals >= self._limits.refusals_to_eject:
+            self._turned_bad(target, now_s)
+
+    def _turned_bad(self, target: TargetState, now_s: float) -> None:
+        self._set_bad(target, True)
+        self._reconsider_self(now_s)
+        if not self.suspects_self and self._may_eject():
+            self._eject(target, now_s)
+
+    def _eject(self, target: TargetState, now_s: float) -> None:
+        target.ejected = True
+        target.probes_failed = 0
+        self.ejected[target.instance.name] = target
+        self._schedule_probe(target, now_s, failed=False)
+        self._on_change(target)
+        self._metrics.count("targets.ejected")
+        self._record(EventKind.TARGET_EJECTED, target.instance.name, "failed in a row")
+
+    def _restore(self, target: TargetState, ramp_from_s: float, why: str) -> None:
+        target.ejected = False
+        target.failures = 0
+        target.refusals = 0
+        target.ramp_from_s = ramp_from_s
+        del self.ejected[target.instance.name]
+        self._on_change(target)
+        self._metrics.count("targets.restored")
+        self._record(EventKind.TARGET_RESTORED, target.instance.name, why)
+
+    def _schedule_probe(self, target: TargetState, now_s: float, *, failed: bool) -> None:
+        if failed:
+            target.probes_failed += 1
+        doublings = min(target.probes_failed, MAX_PROBE_DOUBLINGS)
+        wait_s = min(self._limits.probe_after_s * 2**doublings, self._limits.probe_after_max_s)
+        target.probe_at_s = now_s + self._rng.uniform(wait_s / 2, wait_s)
+
+    def _set_bad(self, target: TargetState, bad: bool) -> None:
+        self._tally(target).bad += int(bad) - int(target.bad)
+        target.bad = bad
+
+    def _tally(self, target: TargetState) -> _Tally:
+        return self._tallies[target.instance.data_centre]
+
+    def _may_eject(self) -> bool:
+        counted = self._counted()
+        size = sum(self._tallies[name].size for name in counted)
+        ejected = sum(
+            1 for target in self.ejected.values() if target.instance.data_centre in counted
+        )
+        allowed = max(1, int(size * self._limits.max_ejected_part)) if size > 1 else 0
+        return ejected < allowed
+
+    def _counted(self) -> Collection[str]:
+        """Return the data centres whose targets stand for the pool.
+
+        One in which every target looks bad is cut off from here rather than broken. It neither
+        uses up the part that may be ejected nor makes this process suspect itself, as long as
+        targets elsewhere look good.
+        """
+        seen = [name for name, tally in self._tallies.items() if tally.bad < tally.size]
+        return seen or self._tallies.keys()
+
+    def _reconsider_self(self, now_s: float) -> None:
+        """Suspect this process when nearly all targets look bad, until enough answer again.
+
+        The failure: this process's own link or memory is at fault and every target seems broken.
+        Ejecting them would refuse what could be served and hide the cause, so all are kept.
+        """
+        counted = self._counted()
+        size = sum(self._tallies[name].size for name in counted)
+        bad = sum(self._tallies[name].bad for name in counted)
+        if not self.suspects_self:
+            if size > 1 and bad >= self._limits.suspect_self_part * size:
+                self._suspect_self(now_s)
+        elif bad < SELF_CLEARED_PART * size:
+            self.suspects_self = False
+            self._metrics.count("targets.self-cleared")
+            self._record(EventKind.TARGET_RESTORED, "", "no longer suspects this process")
+
+    def _suspect_self(self, now_s: float) -> None:
+        self.suspects_self = True
+        self._metrics.count("targets.self-suspected")
+        self._record(EventKind.TARGET_EJECTED, "", "nearly all look bad: suspects this process")
+        for target in list(self.ejected.values()):
+            self._restore(target, now_s - self._limits.slow_start_s, "suspects this process")
+
+    def _record(self, kind: EventKind, instance: str, detail: str) -> None:
+        detail = f"pool {self._pool}: {detail}"
+        self._timeline.record(kind, subject=Subject(instance=instance), detail=detail)
+
+
+class _Tally:
+    """Usable targets in one data centre, and how many of them look bad."""
+
+    __slots__ = ("bad", "size")
+
+    def __init__(self) -> None:
+        self.size = 0
+        self.bad = 0
--- /dev/null
+++ b/src/shallotworks/requests/_once.py
@@ -0,0 +1,307 @@
+"""Keeps a request with an idempotency key from running twice, by a record in the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from pydantic import ValidationError
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.metrics import Metrics
+from shallotworks.platform import KeyValueStore, Versioned
+
+from ._messages import Claim, Request, Response
+from ._once_ledger import ClaimLedger, HeldClaim
+from ._once_record import KeptAnswer, OnceRecord, OnceState, digest_of, key_of
+
+__all__ = ["OnceLimits", "StoreOnceGuard"]
+
+CLAIM_TRIES = 3
+"""Rounds of creating and reading before a claim is given up as not made."""
+RETRY_AFTER_S = 1.0
+END_UNKNOWN = "the key's first run was sent and its end is not known"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OnceLimits:
+    """How much is kept, and for how long.
+
+    Args:
+        window_s: How long a key is kept after its claim, at least.
+        lease_every_s: How long one lease is used for new records; a record may outlive the
+            window by this.
+        answer_max_bytes: Largest body that is kept with its record; of a larger one only the
+            digest is.
+        endings_max: Writes kept for later while the store is down.
+        repeat_every_s: How often those are tried again.
+        overdue_s: How long after its deadline a claim that nobody ended is marked unknown.
+    """
+
+    window_s: float = 86_400.0
+    lease_every_s: float = 3_600.0
+    answer_max_bytes: int = 65_536
+    endings_max: int = 10_000
+    repeat_every_s: float = 2.0
+    overdue_s: float = 30.0
+
+
+class StoreOnceGuard:
+    """Implements `OnceGuard` with one record per key, created before the first byte is sent.
+
+    Creating a key succeeds once, whoever asks and wherever, so that at most one claim exists
+    within the window; only its holder sends. Two calls to the store per request: create, and swap
+    once it is answered. A record is bound to a lease as long as the window, never to the life of
+    its owner: if it vanished with the owner, the next process would run the request again.
+
+    Args:
+        store: The platform's service.
+        process: Name of this process, different after each start.
+        is_live: Whether a process of that name is known to be running.
+        new_id: Draws a unique id.
+        limits: How much is kept.
+        metrics: Where claims are counted.
+    """
+
+    __slots__ = (
+        "_highest_version",
+        "_is_live",
+        "_lease_id",
+        "_lease_lock",
+        "_lease_until_s",
+        "_ledger",
+        "_limits",
+        "_metrics",
+        "_new_id",
+        "_process",
+        "_regressed_at_s",
+        "_store",
+    )
+
+    def __init__(
+        self,
+        *,
+        store: KeyValueStore,
+        process: str,
+        is_live: Callable[[str], bool],
+        new_id: Callable[[], str],
+        limits: OnceLimits,
+        metrics: Metrics,
+    ) -> None:
+        self._store = store
+        self._process = process
+        self._is_live = is_live
+        self._new_id = new_id
+        self._limits = limits
+        self._metrics = metrics
+        self._ledger = ClaimLedger(store=store, metrics=metrics, endings_max=limits.endings_max)
+        self._highest_version = 0
+        self._regressed_at_s: float | None = None
+        self._lease_lock = asyncio.Lock()
+        self._lease_id = ""
+        self._lease_until_s = 0.0
+
+    async def claim(self, request: Request) -> Result[Claim, Failure]:
+        """Claim the key before the first byte is sent; see `OnceGuard.claim`.
+
+        Returns:
+            Besides what the protocol names, ``CONFLICT`` where the key was used for a different
+            request, and ``STORE_REGRESSED`` where the store has gone back and may have forgotten
+            that the key ran.
+        """
+        record = OnceRecord(
+            state=OnceState.CLAIMED,
+            request_digest=digest_of(request),
+            claim_id=self._new_id(),
+            owner=self._process,
+        )
+        outcome = await self._create_or_read(request, record)
+        self._metrics.count(f"once.{_name_of(outcome)}")
+        return outcome
+
+    async def settle(self, claim: Claim, response: Response) -> None:
+        """Store the answer of the run; kept for later where the store can't be reached."""
+        held = self._held(claim)
+        if held is None:
+            return
+        fits = len(response.body) <= self._limits.answer_max_bytes
+        done = replace(
+            held.record,
+            state=OnceState.DONE,
+            answer=KeptAnswer.of(response) if fits else None,
+            answer_digest=hashlib.sha256(response.body).hexdigest(),
+        )
+        await self._ledger.end(claim.key, done)
+
+    async def mark_unknown(self, claim: Claim) -> None:
+        """Note that the request was sent under this claim and nobody knows how it ended."""
+        held = self._held(claim)
+        if held is not None:
+            await self._ledger.end(claim.key, replace(held.record, state=OnceState.UNKNOWN))
+
+    async def abandon(self, claim: Claim) -> None:
+        """Free the key: nothing ran under this claim, for certain."""
+        if self._held(claim) is not None:
+            await self._ledger.end(claim.key, None)
+
+    async def run(self) -> None:
+        """Repeat writes that failed and end claims that nobody ended, until cancelled."""
+        while True:
+            await asyncio.sleep(self._limits.repeat_every_s)
+            await self.tidy()
+
+    async def tidy(self) -> None:
+        """Do one round of what `run` does."""
+        await self._ledger.repeat()
+        latest_s = asyncio.get_running_loop().time() - self._limits.overdue_s
+        for key in self._ledger.overdue(latest_s):
+            held = self._ledger.held(key)
+            if held is not None:
+                self._metrics.count("once.overdue")
+                await self._ledger.end(key, replace(held.record, state=OnceState.UNKNOWN))
+
+    def _held(self, claim: Claim) -> HeldClaim | None:
+        held = self._ledger.held(claim.key)
+        return held if held is not None and held.version == claim.version else None
+
+    async def _create_or_read(self, request: Request, record: OnceRecord) -> Result[Claim, Failure]:
+        key = key_of(request)
+        floor = self._highest_version
+        for _ in range(CLAIM_TRIES):
+            lease = await self._lease()
+            if not isinstance(lease, Success):
+                return _not_claimed(lease.failure())
+            created = await self._store.create(key, record.encode(), lease_id=lease.unwrap())
+            if isinstance(created, Success):
+                return self._claimed(request, record, created.unwrap(), floor)
+            kind = created.failure().kind
+            if kind is ErrorKind.LEASE_LOST:
+                self._lease_until_s = 0.0
+                continue
+            if kind not in (ErrorKind.CONFLICT, ErrorKind.OUTCOME_UNKNOWN):
+                return _not_claimed(created.failure())
+            read = await self._store.get(key)
+            if not isinstance(read, Success):
+                self._ledger.end_unheld(key, record.claim_id)
+                return _not_claimed(read.failure())
+            present = read.unwrap()
+            if present is not None:
+                return self._judge(request, record, present, floor)
+        self._ledger.end_unheld(key, record.claim_id)
+        reason = "the store contradicts itself about this key"
+        return _not_claimed(Failure(kind=ErrorKind.STORE_UNAVAILABLE, reason=reason))
+
+    def _judge(
+        self, request: Request, mine: OnceRecord, present: Versioned, floor: int
+    ) -> Result[Claim, Failure]:
+        """Say what a record that stands there means for a request that wants its key."""
+        try:
+            record = OnceRecord.decode(present.value)
+        except ValidationError:
+            return _refuse(ErrorKind.OUTCOME_UNKNOWN, "the record of this key can't be read")
+        if record.claim_id == mine.claim_id:
+            # The answer to our own create was lost after it had taken effect.
+            return self._claimed(request, mine, present.version, floor)
+        if record.request_digest != mine.request_digest:
+            reason = "another request was sent under this idempotency key"
+            return _refuse(ErrorKind.CONFLICT, reason)
+        if record.state is OnceState.DONE:
+            return _stored(present, record)
+        if record.state is OnceState.UNKNOWN:
+            return _refuse(ErrorKind.OUTCOME_UNKNOWN, END_UNKNOWN)
+        if record.owner == self._process:
+            return self._judge_own(request, present, record, floor)
+        if self._is_live(record.owner):
+            return _refuse(ErrorKind.IN_PROGRESS, f"{record.owner} is running it")
+        return _refuse(ErrorKind.OUTCOME_UNKNOWN, END_UNKNOWN)
+
+    def _judge_own(
+        self, request: Request, present: Versioned, record: OnceRecord, floor: int
+    ) -> Result[Claim, Failure]:
+        """Judge a claim of this very process, which knows more of it than the store does."""
+        held = self._ledger.held(present.key)
+        if held is not None and held.record.claim_id == record.claim_id:
+            return _refuse(ErrorKind.IN_PROGRESS, "this instance is running it")
+        ending = self._ledger.ending(present.key)
+        if ending is None or ending.claim_id != record.claim_id:
+            return _refuse(ErrorKind.OUTCOME_UNKNOWN, END_UNKNOWN)
+        if ending.record is None:
+            # Nothing ran under that claim and its record is only waiting to be deleted.
+            self._ledger.drop_ending(present.key)
+            return self._claimed(request, record, present.version, floor)
+        if ending.record.state is OnceState.DONE:
+            return _stored(present, ending.record)
+        return _refuse(ErrorKind.OUTCOME_UNKNOWN, END_UNKNOWN)
+
+    def _claimed(
+        self, request: Request, record: OnceRecord, version: int, floor: int
+    ) -> Result[Claim, Failure]:
+        key = key_of(request)
+        if version <= floor and not self._is_trusted_again(version):
+            self._ledger.end_unheld(key, record.claim_id)
+            reason = "the store has gone back; it may have forgotten that this key ran"
+            return _refuse(ErrorKind.STORE_REGRESSED, reason)
+        self._highest_version = max(self._highest_version, version)
+        held = HeldClaim(record=record, version=version, deadline_s=request.deadline_s)
+        self._ledger.hold(key, held)
+        return Success(Claim(key=key, version=version))
+
+    def _is_trusted_again(self, version: int) -> bool:
+        """Whether a store that has gone back has been back for a whole window.
+
+        The failure: the store returns empty or from an older copy and has forgotten which keys
+        ran, so that a claim no longer proves that nothing did. It shows as a counter lower than
+        one seen before. Every forgotten key is older than this moment, so that after one window
+        no promise is left that the store could break.
+        """
+        now_s = asyncio.get_running_loop().time()
+        if self._regressed_at_s is None:
+            self._regressed_at_s = now_s
+            self._metrics.count("once.store-regressed")
+        if now_s - self._regressed_at_s < self._limits.window_s:
+            return False
+        self._regressed_at_s = None
+        self._highest_version = version
+        return True
+
+    async def _lease(self) -> Result[str, Failure]:
+        """Return the lease that ends the records made now, one for many of them."""
+        # Requests that come at once wait for one grant rather than each asking for their own.
+        async with self._lease_lock:
+            now_s = asyncio.get_running_loop().time()
+            if now_s < self._lease_until_s:
+                return Success(self._lease_id)
+            ttl_s = self._limits.window_s + self._limits.lease_every_s
+            granted = await self._store.grant_lease(ttl_s=ttl_s)
+            if not isinstance(granted, Success):
+                return Err(granted.failure())
+            self._lease_id = granted.unwrap().lease_id
+            self._lease_until_s = now_s + self._limits.lease_every_s
+            return Success(self._lease_id)
+
+
+def _stored(present: Versioned, record: OnceRecord) -> Result[Claim, Failure]:
+    if record.answer is None:
+        reason = "it ran, and its answer was too large to keep"
+        return _refuse(ErrorKind.OUTCOME_UNKNOWN, reason)
+    response = record.answer.response()
+    return Success(Claim(key=present.key, version=present.version, stored=response))
+
+
+def _not_claimed(failure: Failure) -> Result[Claim, Failure]:
+    """Say that the key could not be claimed, whatever the store's own word was."""
+    return _refuse(ErrorKind.STORE_UNAVAILABLE, f"the key was not claimed: {failure.reason}")
+
+
+def _refuse(kind: ErrorKind, reason: str) -> Result[Claim, Failure]:
+    return Err(Failure(kind=kind, reason=reason, retry_after_s=RETRY_AFTER_S))
+
+
+def _name_of(outcome: Result[Claim, Failure]) -> str:
+    if not isinstance(outcome, Success):
+        return f"refused.{outcome.failure().kind.value}"
+    return "claimed" if outcome.unwrap().stored is None else "answered-again"
--- /dev/null
+++ b/src/shallotworks/requests/_once_ledger.py
@@ -0,0 +1,156 @@
+"""Claims that one process holds, and the writes that end them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from pydantic import ValidationError
+from returns.result import Result, Success
+
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.metrics import Metrics
+from shallotworks.platform import KeyValueStore, Versioned
+
+from ._once_record import OnceRecord
+
+__all__ = ["ClaimLedger", "Ending", "HeldClaim"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HeldClaim:
+    """A claim under which this process may be running a request.
+
+    Args:
+        record: The record as written.
+        version: Its version.
+        deadline_s: Event loop time after which the request can't be running here.
+    """
+
+    record: OnceRecord
+    version: int
+    deadline_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ending:
+    """A write that ends a claim and is not known to have taken effect.
+
+    Args:
+        claim_id: Id of the claim.
+        record: The record to write; ``None`` to delete it, since nothing ran.
+    """
+
+    claim_id: str
+    record: OnceRecord | None
+
+
+class ClaimLedger:
+    """Keeps what this process knows of its claims beyond what the store says.
+
+    Args:
+        store: The platform's service.
+        metrics: Where failed writes are counted.
+        endings_max: Endings kept while the store is down; further ones are dropped, which leaves
+            their keys claimed, and hence never run again.
+    """
+
+    __slots__ = ("_endings", "_endings_max", "_held", "_metrics", "_store")
+
+    def __init__(self, *, store: KeyValueStore, metrics: Metrics, endings_max: int) -> None:
+        self._store = store
+        self._metrics = metrics
+        self._endings_max = endings_max
+        self._held: dict[str, HeldClaim] = {}
+        self._endings: dict[str, Ending] = {}
+
+    def hold(self, key: str, claim: HeldClaim) -> None:
+        """Note a claim under which a request is about to run."""
+        self._held[key] = claim
+
+    def held(self, key: str) -> HeldClaim | None:
+        """Return the claim held under a key."""
+        return self._held.get(key)
+
+    def ending(self, key: str) -> Ending | None:
+        """Return the ending of a key that is still to be written."""
+        return self._endings.get(key)
+
+    def drop_ending(self, key: str) -> None:
+        """Forget an ending, since its claim is being taken over."""
+        del self._endings[key]
+
+    def overdue(self, now_s: float) -> list[str]:
+        """Return the keys of claims whose requests can't be running any more."""
+        return [key for key, held in self._held.items() if held.deadline_s <= now_s]
+
+    async def end(self, key: str, record: OnceRecord | None) -> None:
+        """End the claim held under a key: write its last record, or delete it."""
+        held = self._held.pop(key)
+        self._keep(key, Ending(claim_id=held.record.claim_id, record=record))
+        # No one else writes a claimed record, so that the version held is the one that stands.
+        await self._write(key, held.version)
+
+    def end_unheld(self, key: str, claim_id: str) -> None:
+        """Delete a record that this process may have created and never ran under."""
+        self._keep(key, Ending(claim_id=claim_id, record=None))
+
+    async def repeat(self) -> None:
+        """Try every ending once more; stops at the first that can't be written."""
+        for key in list(self._endings):
+            if not await self._repeat_one(key):
+                return
+
+    def _keep(self, key: str, ending: Ending) -> None:
+        if len(self._endings) >= self._endings_max:
+            self._metrics.count("once.endings-dropped")
+            return
+        self._endings[key] = ending
+
+    async def _repeat_one(self, key: str) -> bool:
+        """Write one ending on top of what is read; says whether the store answered."""
+        read = await self._store.get(key)
+        if not isinstance(read, Success):
+            return False
+        ending = self._endings.get(key)
+        present = read.unwrap()
+        if ending is None:
+            return True
+        if present is None or _claim_id(present) != ending.claim_id:
+            # The create never took effect, or an earlier try did.
+            self._forget(key, ending)
+            return True
+        if ending.record is not None and present.value == ending.record.encode():
+            self._forget(key, ending)
+            return True
+        return await self._write(key, present.version)
+
+    async def _write(self, key: str, version: int) -> bool:
+        """Write an ending over a version; says whether it need not be tried again now."""
+        ending = self._endings.get(key)
+        if ending is None:
+            return True
+        if ending.record is None:
+            kind = _kind_of(await self._store.delete(key, version=version))
+        else:
+            kind = _kind_of(await self._store.swap(key, ending.record.encode(), version=version))
+        if kind is None:
+            self._forget(key, ending)
+            return True
+        self._metrics.count("once.endings-failed")
+        return kind is ErrorKind.CONFLICT
+
+    def _forget(self, key: str, ending: Ending) -> None:
+        if self._endings.get(key) is ending:
+            del self._endings[key]
+
+
+def _claim_id(present: Versioned) -> str:
+    try:
+        return OnceRecord.decode(present.value).claim_id
+    except ValidationError:
+        return ""
+
+
+def _kind_of(outcome: Result[Any, Failure]) -> ErrorKind | None:
+    return None if isinstance(outcome, Success) else outcome.failure().kind
--- /dev/null
+++ b/src/shallotworks/requests/_pool.py
@@ -0,0 +1,239 @@
+"""One pool as a process uses it: its targets, the load on them, and who goes next."""
+
+from __future__ import annotations
+
+import math
+import random
+
+from shallotworks.fleet import Instance
+from shallotworks.metrics import Metrics
+from shallotworks.timeline import Timeline
+
+from ._choice import Choice
+from ._estimate import DurationEstimate
+from ._health import PoolHealth
+from ._limits import DispatchLimits
+from ._loads import ClassLoad, ServiceLoad
+from ._messages import Request
+from ._targets import TargetGroup, TargetState
+
+__all__ = ["PoolState"]
+
+_NOTHING_TRIED: frozenset[str] = frozenset()
+
+
+class PoolState:
+    """The targets of one pool and the services they serve.
+
+    Attributes:
+        name: The pool's name.
+        local: Targets in this process's data centre.
+        remote: Targets in other data centres.
+        targets: All targets by name, unusable ones too.
+        services: Load of its services by name.
+        health: Judges the targets.
+        interactive_hold: How long interactive requests hold a slot.
+        long_running_hold: How long long-running requests hold a slot.
+        interactive_in_flight: Interactive requests that hold a slot.
+        long_running_in_flight: Long-running requests that hold a slot.
+        interactive_queued: Interactive requests whose team has room.
+        long_running_queued: Long-running requests whose team has room.
+        waiting: All requests that wait.
+        has_timer: Whether a look for slots that time has freed is due.
+    """
+
+    __slots__ = (
+        "_choice",
+        "_limits",
+        "_moving",
+        "has_timer",
+        "health",
+        "interactive_hold",
+        "interactive_in_flight",
+        "interactive_queued",
+        "local",
+        "long_running_hold",
+        "long_running_in_flight",
+        "long_running_queued",
+        "name",
+        "remote",
+        "services",
+        "targets",
+        "waiting",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        limits: DispatchLimits,
+        choice: Choice,
+        metrics: Metrics,
+        timeline: Timeline,
+        rng: random.Random,
+    ) -> None:
+        self.name = name
+        self._limits = limits
+        self._choice = choice
+        self._moving: set[TargetState] = set()
+        self.local = TargetGroup()
+        self.remote = TargetGroup()
+        self.targets: dict[str, TargetState] = {}
+        self.services: dict[str, ServiceLoad] = {}
+        self.health = PoolHealth(
+            pool=name,
+            limits=limits,
+            metrics=metrics,
+            timeline=timeline,
+            rng=rng,
+            on_change=self._moving.add,
+        )
+        self.interactive_hold = DurationEstimate()
+        self.long_running_hold = DurationEstimate()
+        self.interactive_in_flight = 0
+        self.long_running_in_flight = 0
+        self.interactive_queued = 0
+        self.long_running_queued = 0
+        self.waiting = 0
+        self.has_timer = False
+
+    @property
+    def has_targets(self) -> bool:
+        """Whether any target may take new work, now or after a pause."""
+        return bool(self.local.targets or self.remote.targets)
+
+    @property
+    def serving(self) -> TargetGroup:
+        """The group that long-running work uses: the local one while it serves at all."""
+        if self.local.targets and not self.local.all_ejected():
+            return self.local
+        return self.remote
+
+    def put(
+        self, instance: Instance, *, local: bool, usable: bool, part: int, ramp_from_s: float
+    ) -> None:
+        """Add a target or take its new record.
+
+        Args:
+            instance: The record.
+            local: Whether it stands in this process's data centre.
+            usable: Whether it may take new work.
+            part: This process's part of its slots.
+            ramp_from_s: Since when its slots grow, if it becomes usable by this.
+        """
+        target = self.targets.get(instance.name)
+        if target is None:
+            group = self.local if local else self.remote
+            target = TargetState(instance=instance, group=group)
+            self.targets[instance.name] = target
+        if target.instance.address != instance.address:
+            # Another machine under an old name must not inherit a judgement.
+            self._set_usable(target, False, ramp_from_s)
+        self._set_usable(target, usable, ramp_from_s)
+        target.describe(instance)
+        target.part = part
+        self._moving.add(target)
+
+    def drop(self, name: str) -> None:
+        """Let a target go; grants at it can still be released."""
+        target = self.targets.pop(name)
+        self._set_usable(target, False, 0.0)
+
+    def advance(self, now_s: float) -> None:
+        """Bring the limits of targets that change with time, or have been judged, up to date."""
+        if not self._moving:
+            return
+        slow_start_s = self._limits.slow_start_s
+        for target in list(self._moving):
+            limit = target.limit_at(now_s, slow_start_s=slow_start_s)
+            target.group.set_limit(target, limit)
+            if target.is_settled(now_s, slow_start_s=slow_start_s):
+                self._moving.discard(target)
+
+    def may_start(self, load: ClassLoad) -> bool:
+        """Whether the rules between the classes let a request start now."""
+        if load.interactive:
+            return True
+        group = self.serving
+        if self.long_running_in_flight < self.long_running_min(group):
+            return group.free > 0
+        return group.free > self.reserve()
+
+    def reserve(self) -> int:
+        """Return the slots that long-running work leaves free for interactive arrivals.
+
+        Arrivals in a busy pool vary about as the square root of those in flight.
+        """
+        factor = self._limits.reserve_factor
+        return max(1, math.ceil(factor * math.sqrt(self.interactive_in_flight)))
+
+    def long_running_min(self, group: TargetGroup) -> int:
+        """Return the slots that long-running work may always hold."""
+        return max(1, int(self._limits.long_running_min_part * group.capacity))
+
+    def place(
+        self, request: Request, load: ClassLoad, *, tried: frozenset[str], now_s: float
+    ) -> TargetState | None:
+        """Return the target for a request that may start; ``None`` where none is free for it."""
+        if self.health.ejected and not tried:
+            probe = self.health.probe_due(idempotent=request.idempotent, now_s=now_s)
+            if probe is not None:
+                return probe
+        if tried and self._all_tried(tried):
+            tried = _NOTHING_TRIED
+        if not load.interactive:
+            return self._choice.choose(self.serving.free_targets, tried=tried)
+        target = None
+        if self.local.free_targets:
+            target = self._choice.choose(self.local.free_targets, tried=tried)
+        if target is None and self.remote.free_targets:
+            target = self._choice.choose(self.remote.free_targets, tried=tried)
+        return target
+
+    def next_load(self) -> ClassLoad | None:
+        """Return the service and class whose first waiting request goes next.
+
+        Long-running work goes first while it holds less than its minimum; then interactive work;
+        then long-running work within what it may use. Among services the one that holds least
+        against its share goes first, so that a share that was lent comes back as slots free.
+        """
+        if self.long_running_queued:
+            group = self.serving
+            below_min = self.long_running_in_flight < self.long_running_min(group)
+            if below_min and group.free:
+                return self._least_filled(interactive=False)
+        if self.interactive_queued:
+            return self._least_filled(interactive=True)
+        if self.long_running_queued and self.serving.free > self.reserve():
+            return self._least_filled(interactive=False)
+        return None
+
+    def _least_filled(self, *, interactive: bool) -> ClassLoad | None:
+        best: ClassLoad | None = None
+        for service in self.services.values():
+            load = service.interactive if interactive else service.long_running
+            if load.queue.count and (best is None or load.fill() < best.fill()):
+                best = load
+        return best
+
+    def _all_tried(self, tried: frozenset[str]) -> bool:
+        # Few are ever tried, so that this stops early in a large pool.
+        return all(name in tried for name in self.local.targets) and all(
+            name in tried for name in self.remote.targets
+        )
+
+    def _set_usable(self, target: TargetState, usable: bool, ramp_from_s: float) -> None:
+        if usable == target.usable:
+            return
+        target.usable = usable
+        name = target.instance.name
+        if usable:
+            target.ramp_from_s = ramp_from_s
+            target.group.targets[name] = target
+            self.health.add(target)
+            self._moving.add(target)
+        else:
+            del target.group.targets[name]
+            self.health.remove(target)
+            self._moving.discard(target)
+            target.group.set_limit(target, 0)
--- a/src/shallotworks/requests/_protocols.py
+++ b/src/shallotworks/requests/_protocols.py
@@ -70,6 +70,10 @@
         """Store the answer of the run."""
         ...
 
+    async def mark_unknown(self, claim: Claim) -> None:
+        """Note that the request was sent under this claim and nobody knows how it ended."""
+        ...
+
     async def abandon(self, claim: Claim) -> None:
         """Free the key: nothing ran under this claim, for certain."""
         ...
--- /dev/null
+++ b/src/shallotworks/requests/_queue.py
@@ -0,0 +1,132 @@
+"""Requests that wait for a slot."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+from typing import TYPE_CHECKING
+
+from returns.result import Result
+
+from shallotworks.errors import Failure
+
+from ._messages import Grant, Request
+
+if TYPE_CHECKING:
+    from ._loads import ClassLoad, TeamLoad
+    from ._pool import PoolState
+
+__all__ = ["WaitQueue", "Waiter"]
+
+COMPACT_SLACK = 64
+
+_Entry = tuple[float, int, int, "Waiter"]
+"""Deadline and number (both negated in the heap of the last), ticket, waiter; compared in C."""
+
+
+class Waiter:
+    """One request that waits, in one queue at a time.
+
+    Attributes:
+        request: The request.
+        tried: Names of instances that it has tried.
+        sequence: Number in order of arrival.
+        pool: The pool it waits at.
+        load: Its service and class.
+        team: Its team, if it has one.
+        answer: Resolved with the grant or the refusal.
+        timer: Fires at the last moment at which it may be started.
+        queue: The queue it stands in.
+        ticket: Its number there; changes when it leaves, so that a queue knows what is left over.
+    """
+
+    __slots__ = (
+        "answer",
+        "load",
+        "pool",
+        "queue",
+        "request",
+        "sequence",
+        "team",
+        "ticket",
+        "timer",
+        "tried",
+    )
+
+    def __init__(
+        self,
+        *,
+        request: Request,
+        tried: frozenset[str],
+        sequence: int,
+        pool: PoolState,
+        load: ClassLoad,
+        team: TeamLoad | None,
+        answer: asyncio.Future[Result[Grant, Failure]],
+    ) -> None:
+        self.request = request
+        self.tried = tried
+        self.sequence = sequence
+        self.pool = pool
+        self.load = load
+        self.team = team
+        self.answer = answer
+        self.timer: asyncio.TimerHandle | None = None
+        self.queue: WaitQueue | None = None
+        self.ticket = 0
+
+
+class WaitQueue:
+    """Waiting requests of one kind, earliest deadline first.
+
+    Adding and taking cost O(log n). What a waiter leaves behind stays in the heaps until it comes
+    up or too much has gathered, so that each of thousands of cancellations costs O(1).
+
+    Attributes:
+        count: How many wait here.
+    """
+
+    __slots__ = ("_first", "_last", "count")
+
+    def __init__(self) -> None:
+        self._first: list[_Entry] = []
+        self._last: list[_Entry] = []
+        self.count = 0
+
+    def add(self, waiter: Waiter) -> None:
+        """Add a waiter that stands in no queue."""
+        deadline_s = waiter.request.deadline_s
+        heapq.heappush(self._first, (deadline_s, waiter.sequence, waiter.ticket, waiter))
+        heapq.heappush(self._last, (-deadline_s, -waiter.sequence, waiter.ticket, waiter))
+        waiter.queue = self
+        self.count += 1
+
+    def first(self) -> Waiter | None:
+        """Return the waiter with the earliest deadline."""
+        return _head(self._first)
+
+    def last(self) -> Waiter | None:
+        """Return the waiter with the latest deadline."""
+        return _head(self._last)
+
+    def remove(self, waiter: Waiter) -> None:
+        """Let a waiter that stands here leave."""
+        waiter.ticket += 1
+        waiter.queue = None
+        self.count -= 1
+        if len(self._first) > 2 * self.count + COMPACT_SLACK:
+            self._first = _compacted(self._first)
+        if len(self._last) > 2 * self.count + COMPACT_SLACK:
+            self._last = _compacted(self._last)
+
+
+def _head(heap: list[_Entry]) -> Waiter | None:
+    while heap and heap[0][2] != heap[0][3].ticket:
+        heapq.heappop(heap)
+    return heap[0][3] if heap else None
+
+
+def _compacted(heap: list[_Entry]) -> list[_Entry]:
+    kept = [entry for entry in heap if entry[2] == entry[3].ticket]
+    heapq.heapify(kept)
+    return kept
--- /dev/null
+++ b/tests/test_once.py
@@ -0,0 +1,265 @@
+"""Tests of `shallotworks.requests.StoreOnceGuard`: one run per key, whatever fails."""
+
+import asyncio
+import itertools
+import unittest
+from dataclasses import dataclass, field
+
+from parameterized import parameterized
+from returns.result import Result, Success
+
+from shallotworks.errors import ErrorKind, Failure, Ran, answer_for
+from shallotworks.metrics import Metrics
+from shallotworks.requests import Claim, OnceLimits, Request, Response, StoreOnceGuard
+from shallotworks.standins import MemoryStore, StoreFaults
+from tests.dispatch_fakes import make_request, run_on_stopped_clock
+
+DAY_S = 86_400.0
+ORDERED = Response(status=201, headers=(("x", "1"),), body=b"two tubes")
+
+
+@dataclass(slots=True, kw_only=True)
+class Site:
+    """A store and the processes that use it."""
+
+    store: MemoryStore = field(default_factory=MemoryStore)
+    live: set[str] = field(default_factory=set)
+    ids: itertools.count = field(default_factory=lambda: itertools.count(1))
+
+    def process(self, name: str) -> StoreOnceGuard:
+        self.live.add(name)
+        return StoreOnceGuard(
+            store=self.store,
+            process=name,
+            is_live=self.live.__contains__,
+            new_id=lambda: f"id-{next(self.ids)}",
+            limits=OnceLimits(answer_max_bytes=100),
+            metrics=Metrics(),
+        )
+
+
+def order(body: bytes = b"order") -> Request:
+    return make_request("r", "parts", idempotent=False, key="k1", team="crew", body=body)
+
+
+def is_claim_to_run(outcome: Result[Claim, Failure]) -> bool:
+    return isinstance(outcome, Success) and outcome.unwrap().stored is None
+
+
+def kind_of(outcome: Result[Claim, Failure]) -> ErrorKind:
+    return outcome.failure().kind
+
+
+class OnceTests(unittest.TestCase):
+    def test_answered_key_gives_the_first_answer_anywhere(self) -> None:
+        """The key of an answered request gives that answer, through whichever instance.
+
+        A receptionist's phone loses the answer to a booking and sends it again; the balancer picks
+        another instance. Two calls to the store for the first, two for the repeat.
+        """
+
+        async def story() -> None:
+            site = Site()
+            first, second = site.process("e1"), site.process("e2")
+            claim = (await first.claim(order())).unwrap()
+            await first.settle(claim, ORDERED)
+            self.assertEqual(
+                site.store.calls, {"grant_lease": 1, "create": 1, "swap": 1}, "calls of one run"
+            )
+            again = (await second.claim(order())).unwrap()
+            self.assertEqual(again.stored, ORDERED)
+
+        run_on_stopped_clock(story)
+
+    def test_same_key_at_once_runs_once(self) -> None:
+        """Of many claims at the same moment through two instances, one may run."""
+
+        async def story() -> None:
+            site = Site()
+            guards = [site.process("e1"), site.process("e2")]
+            outcomes = await asyncio.gather(*(guards[n % 2].claim(order()) for n in range(20)))
+            self.assertEqual(sum(map(is_claim_to_run, outcomes)), 1)
+            others = {kind_of(o) for o in outcomes if not isinstance(o, Success)}
+            self.assertEqual(others, {ErrorKind.IN_PROGRESS})
+
+        run_on_stopped_clock(story)
+
+    def test_different_request_under_the_key_is_refused(self) -> None:
+        """A key that comes with another body is a conflict, and nothing runs."""
+
+        async def story() -> None:
+            site = Site()
+            guard = site.process("e1")
+            await guard.claim(order())
+            self.assertIs(kind_of(await guard.claim(order(b"other"))), ErrorKind.CONFLICT)
+
+        run_on_stopped_clock(story)
+
+    def test_lost_answer_to_the_claim(self) -> None:
+        """The claim holds: the process finds its own id in the record.
+
+        The store takes the write and its answer is lost. Taking that for a failure would refuse
+        a request that may run; taking it for success without looking could let two run.
+        """
+
+        async def story() -> None:
+            site = Site()
+            site.store.set_faults(StoreFaults(lost_answers=0))
+            guard = site.process("e1")
+            await guard.claim(make_request("r0", "parts", key="warm", idempotent=False))
+            site.store.set_faults(StoreFaults(lost_answers=1))
+            claim = await guard.claim(order())
+            self.assertTrue(is_claim_to_run(claim))
+            await guard.settle(claim.unwrap(), ORDERED)
+            self.assertEqual((await guard.claim(order())).unwrap().stored, ORDERED)
+
+        run_on_stopped_clock(story)
+
+    @parameterized.expand([("running", None), ("marked", "mark_unknown")])
+    def test_owner_died(self, _name: str, last_act: str | None) -> None:
+        """The key answers "outcome unknown" for ever after, and never runs again.
+
+        An instance sends a parts order and is replaced before the answer. The crew sends it again
+        through another instance, which can't know whether the tubes are ordered.
+        """
+
+        async def story() -> None:
+            site = Site()
+            first, second = site.process("e1"), site.process("e2")
+            claim = (await first.claim(order())).unwrap()
+            self.assertIs(kind_of(await second.claim(order())), ErrorKind.IN_PROGRESS)
+            if last_act:
+                await getattr(first, last_act)(claim)
+            site.live.discard("e1")
+            for _ in range(3):
+                kind = kind_of(await second.claim(order()))
+                self.assertIs(kind, ErrorKind.OUTCOME_UNKNOWN)
+                await asyncio.sleep(DAY_S / 4)
+
+        run_on_stopped_clock(story)
+
+    def test_store_is_down(self) -> None:
+        """A claim is refused as not run, and once the store is back the key may run."""
+
+        async def story() -> None:
+            site = Site()
+            guard = site.process("e1")
+            site.store.set_faults(StoreFaults(down=True))
+            kind = kind_of(await guard.claim(order()))
+            self.assertIs(kind, ErrorKind.STORE_UNAVAILABLE)
+            self.assertIs(answer_for(kind).ran, Ran.NO)
+            site.store.set_faults(StoreFaults())
+            self.assertTrue(is_claim_to_run(await guard.claim(order())))
+
+        run_on_stopped_clock(story)
+
+    def test_store_goes_down_with_the_answer_to_the_claim(self) -> None:
+        """The request is refused as not run, and that stays true: the key may run later, once.
+
+        The write takes effect, its answer is lost, and the store is down before it can be read. The
+        record left behind belongs to nobody and must not block the key.
+        """
+
+        async def story() -> None:
+            site = Site()
+            first, second = site.process("e1"), site.process("e2")
+            await first.claim(make_request("r0", "parts", key="warm", idempotent=False))
+            site.store.set_faults(StoreFaults(delay_s=1.0, lost_answers=1))
+            claiming = asyncio.create_task(first.claim(order()))
+            await asyncio.sleep(0.75)
+            site.store.set_faults(StoreFaults(down=True))
+            self.assertIs(kind_of(await claiming), ErrorKind.STORE_UNAVAILABLE)
+            site.store.set_faults(StoreFaults())
+            await first.tidy()
+            outcomes = await asyncio.gather(first.claim(order()), second.claim(order()))
+            self.assertEqual(sum(map(is_claim_to_run, outcomes)), 1)
+
+        run_on_stopped_clock(story)
+
+    def test_store_is_down_when_the_run_ends(self) -> None:
+        """The caller's repeat gets the answer from the process that has it, later from any.
+
+        The order ran; storing its answer fails. Until the store is back only this process knows.
+        """
+
+        async def story() -> None:
+            site = Site()
+            first, second = site.process("e1"), site.process("e2")
+            claim = (await first.claim(order())).unwrap()
+            site.store.set_faults(StoreFaults(down=True))
+            await first.settle(claim, ORDERED)
+            site.store.set_faults(StoreFaults())
+            self.assertEqual((await first.claim(order())).unwrap().stored, ORDERED)
+            self.assertIs(kind_of(await second.claim(order())), ErrorKind.IN_PROGRESS)
+            await first.tidy()
+            self.assertEqual((await second.claim(order())).unwrap().stored, ORDERED)
+
+        run_on_stopped_clock(story)
+
+    def test_abandoned_key_is_free(self) -> None:
+        """A claim under which surely nothing ran leaves the key to the next, whoever that is."""
+
+        async def story() -> None:
+            site = Site()
+            first, second = site.process("e1"), site.process("e2")
+            await first.abandon((await first.claim(order())).unwrap())
+            self.assertTrue(is_claim_to_run(await second.claim(order())))
+
+        run_on_stopped_clock(story)
+
+    def test_large_answer_is_not_kept(self) -> None:
+        """A repeat of a request with an answer over the bound says so and does not run."""
+
+        async def story() -> None:
+            site = Site()
+            guard = site.process("e1")
+            claim = (await guard.claim(order())).unwrap()
+            await guard.settle(claim, Response(status=200, headers=(), body=b"x" * 101))
+            self.assertIs(kind_of(await guard.claim(order())), ErrorKind.OUTCOME_UNKNOWN)
+
+        run_on_stopped_clock(story)
+
+    def test_records_end_with_the_window(self) -> None:
+        """A key is kept for the whole window and gone soon after, without a sweep."""
+
+        async def story() -> None:
+            site = Site()
+            guard = site.process("e1")
+            await guard.settle((await guard.claim(order())).unwrap(), ORDERED)
+            await asyncio.sleep(DAY_S)
+            self.assertEqual((await guard.claim(order())).unwrap().stored, ORDERED)
+            await asyncio.sleep(3_700)
+            self.assertTrue(is_claim_to_run(await guard.claim(order())))
+
+        run_on_stopped_clock(story)
+
+    def test_store_that_went_back_is_not_trusted(self) -> None:
+        """Claims are refused as not run until a window has passed.
+
+        The store is restored from a copy made before the order; its record is gone, and the crew
+        sends the order again. A claim would succeed and order two more tubes.
+        """
+
+        async def story() -> None:
+            site = Site()
+            guard = site.process("e1")
+            await guard.settle((await guard.claim(order())).unwrap(), ORDERED)
+            site.store.come_back_empty()
+            self.assertIs(kind_of(await guard.claim(order())), ErrorKind.STORE_REGRESSED)
+            await asyncio.sleep(DAY_S + 1)
+            self.assertTrue(is_claim_to_run(await guard.claim(order())))
+
+        run_on_stopped_clock(story)
+
+    def test_claim_that_nobody_ends(self) -> None:
+        """A claim whose request ended without a word is marked unknown after its deadline."""
+
+        async def story() -> None:
+            site = Site()
+            first, second = site.process("e1"), site.process("e2")
+            await first.claim(order())
+            await asyncio.sleep(60)
+            await first.tidy()
+            self.assertIs(kind_of(await second.claim(order())), ErrorKind.OUTCOME_UNKNOWN)
+
+        run_on_stopped_clock(story)
