--- a/src/shallotworks/requests/__init__.py
+++ b/src/shallotworks/requests/__init__.py
@@ -6,6 +6,9 @@
 """
 
 from ._exchange import AttemptResult, Exchange, ExchangeLimits, HttpExchange
+from ._choice import Choice, TwoChoices
+from ._dispatcher import PoolDispatcher
+from ._limits import DispatchLimits, RetryLimits
 from ._messages import (
     AttemptOutcome,
     Claim,
@@ -15,13 +18,21 @@
     Response,
     Target,
 )
+from ._once import OnceLimits, StoreOnceGuard
 from ._protocols import Dispatcher, OnceGuard, RetryPolicy
 from ._relay import Relay
 
 __all__ = [
     "AttemptOutcome",
     "AttemptResult",
+from ._retry import BudgetedRetryPolicy
+
+__all__ = [
+    "AttemptOutcome",
+    "BudgetedRetryPolicy",
+    "Choice",
     "Claim",
+    "DispatchLimits",
     "Dispatcher",
     "Exchange",
     "ExchangeLimits",
@@ -29,9 +40,14 @@
     "HttpExchange",
     "OnceGuard",
     "Relay",
+    "OnceLimits",
+    "PoolDispatcher",
     "Request",
     "RequestClass",
     "Response",
+    "RetryLimits",
     "RetryPolicy",
+    "StoreOnceGuard",
     "Target",
+    "TwoChoices",
 ]
