Add the inner protocol: schema, codec, frames, handshake

Cause: the processes of one fleet need typed messages that cost little and a way to prove they belong. Change: pycapnp schema read from package data, length-prefixed frames bounded before allocation, challenge-response by HMAC both ways, a tag on each frame after it, version negotiation.

--- /dev/null
+++ b/src/shallotworks/protocol/_handshake.py
@@ -0,0 +1,161 @@
+"""The handshake: who is there, which version to speak, and proof of the fleet's key both ways.
+
+The dialler sends its hello; the listener answers with its own and its proof; the dialler proves
+itself last. Each proof covers both hellos, which hold a fresh nonce each, so none can be replayed,
+and names its sender's role, so none can be reflected.
+"""
+
+from __future__ import annotations
+
+import hmac
+import secrets
+from dataclasses import dataclass
+from typing import NoReturn, TypeVar
+
+from shallotworks.errors import ErrorKind, Failure, ShallotworksError
+
+from ._codec import decode, encode
+from ._frames import GREETING_LIMIT_BYTES, ByteStream, FrameReader, FrameWriter
+from ._keys import FleetKeys
+from ._messages import Hello, MemberRecord, Message, Proof
+
+__all__ = ["SPOKEN", "Session", "VersionRange", "accept", "dial", "negotiate"]
+
+NONCE_BYTES = 16
+DIALLER = b"dialler"
+LISTENER = b"listener"
+
+_Kind = TypeVar("_Kind", bound=Message)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class VersionRange:
+    """Versions of the protocol that one release speaks, both ends included."""
+
+    lowest: int
+    highest: int
+
+
+SPOKEN = VersionRange(lowest=1, highest=1)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Session:
+    """A connection after the handshake.
+
+    Args:
+        member: Who is at the other end.
+        version: The version both speak.
+        reader: Reads its messages.
+        writer: Writes ours.
+    """
+
+    member: MemberRecord
+    version: int
+    reader: FrameReader
+    writer: FrameWriter
+
+
+def negotiate(ours: VersionRange, theirs: VersionRange) -> int:
+    """Return the newest version that both speak.
+
+    Raises:
+        ShallotworksError: ``PROTOCOL`` where there is none: the releases are not neighbours.
+    """
+    version = min(ours.highest, theirs.highest)
+    if version < max(ours.lowest, theirs.lowest):
+        _refuse(
+            ErrorKind.PROTOCOL,
+            f"speaks versions {theirs.lowest} to {theirs.highest}, not {ours.lowest} to"
+            f" {ours.highest}",
+        )
+    return version
+
+
+async def dial(
+    *, stream: ByteStream, member: MemberRecord, keys: FleetKeys, spoken: VersionRange = SPOKEN
+) -> Session:
+    """Greet as the end that opened the connection.
+
+    Raises:
+        ShallotworksError: ``UNAUTHORISED``, ``PROTOCOL`` or ``TOO_LARGE``.
+        EOFError: The other end closed the connection.
+        OSError: The connection broke.
+    """
+    reader, writer = FrameReader(stream=stream), FrameWriter(stream=stream)
+    sent = encode(_hello(member, spoken))
+    await writer.write_encoded(sent)
+    received = await reader.read_encoded(limit_bytes=GREETING_LIMIT_BYTES)
+    hello = _expect(received, Hello)
+    version = negotiate(spoken, _range(hello))
+    transcript = sent + received
+    key = await _check_proof(reader, keys, LISTENER, transcript)
+    await writer.write(Proof(digest=keys.prove(key=key, role=DIALLER, transcript=transcript)))
+    _seal(reader, writer, key, transcript, ours=DIALLER, theirs=LISTENER)
+    return Session(member=hello.member, version=version, reader=reader, writer=writer)
+
+
+async def accept(
+    *, stream: ByteStream, member: MemberRecord, keys: FleetKeys, spoken: VersionRange = SPOKEN
+) -> Session:
+    """Greet as the end that was dialled; raises as `dial` does."""
+    reader, writer = FrameReader(stream=stream), FrameWriter(stream=stream)
+    received = await reader.read_encoded(limit_bytes=GREETING_LIMIT_BYTES)
+    hello = _expect(received, Hello)
+    sent = encode(_hello(member, spoken))
+    await writer.write_encoded(sent)
+    version = negotiate(spoken, _range(hello))
+    transcript = received + sent
+    offered = keys.prove(key=keys.keys[0], role=LISTENER, transcript=transcript)
+    await writer.write(Proof(digest=offered))
+    key = await _check_proof(reader, keys, DIALLER, transcript)
+    _seal(reader, writer, key, transcript, ours=LISTENER, theirs=DIALLER)
+    return Session(member=hello.member, version=version, reader=reader, writer=writer)
+
+
+def _hello(member: MemberRecord, spoken: VersionRange) -> Hello:
+    return Hello(
+        lowest_version=spoken.lowest,
+        highest_version=spoken.highest,
+        member=member,
+        nonce=secrets.token_bytes(NONCE_BYTES),
+    )
+
+
+def _range(hello: Hello) -> VersionRange:
+    return VersionRange(lowest=hello.lowest_version, highest=hello.highest_version)
+
+
+def _expect(data: bytes, kind: type[_Kind]) -> _Kind:
+    message = decode(data, limit_bytes=GREETING_LIMIT_BYTES).value_or(None)
+    if not isinstance(message, kind):
+        _refuse(ErrorKind.PROTOCOL, f"expected {kind.__name__}")
+    return message
+
+
+async def _check_proof(
+    reader: FrameReader, keys: FleetKeys, role: bytes, transcript: bytes
+) -> bytes:
+    data = await reader.read_encoded(limit_bytes=GREETING_LIMIT_BYTES)
+    proof = _expect(data, Proof)
+    key = keys.find(role=role, transcript=transcript, digest=proof.digest)
+    if key is None:
+        _refuse(ErrorKind.UNAUTHORISED, "does not hold the fleet's key")
+    return key
+
+
+def _seal(
+    reader: FrameReader,
+    writer: FrameWriter,
+    key: bytes,
+    transcript: bytes,
+    *,
+    ours: bytes,
+    theirs: bytes,
+) -> None:
+    writer.seal(hmac.digest(key, b"frames of " + ours + transcript, "sha256"))
+    reader.seal(hmac.digest(key, b"frames of " + theirs + transcript, "sha256"))
+
+
+def _refuse(kind: ErrorKind, reason: str) -> NoReturn:
+    raise ShallotworksError(Failure(kind=kind, reason=reason))
