Let a replica tell its age and take a peer's word with its age

Cause: peers that confirm each other's revision as new would hide that all are cut off. Change: ConfigReplica.age_s, and age_s on confirm_newest, 0 by default. Measured result: none; a contract only.

--- a/src/shallotworks/config/_protocols.py
+++ b/src/shallotworks/config/_protocols.py
@@ -94,6 +94,18 @@
         """Call a listener with each entry taken from now on, on the event loop."""
         ...
 
-    def confirm_newest(self, revision: int) -> None:
-        """Note that a revision was the store's newest a moment ago, for `ConfigView.age_s`."""
+    def age_s(self) -> float:
+        """Return how long ago the revision held was last known to be the newest."""
+        ...
+
+    def confirm_newest(self, revision: int, *, age_s: float = 0.0) -> None:
+        """Note that a revision was the store's newest a while ago, for `ConfigView.age_s`.
+
+        A peer that passes this on names its own age, so that two processes which are both cut off
+        from the store can't keep each other's state looking fresh.
+
+        Args:
+            revision: The revision.
+            age_s: How long ago it was the newest; 0 where the store itself has just said so.
+        """
         ...
