--- /dev/null
+++ b/src/shallotworks/peers/_dialler.py
@@ -0,0 +1,246 @@
+"""Whom this process dials: known members it has no connection to, and addresses to explore."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from functools import partial
+from random import Random
+
+from shallotworks.protocol import NO_RELAY_SLOT, MemberRecord
+
+from ._links import Links
+from ._members import MemberTable
+from ._settings import PeerTiming
+
+__all__ = ["Dialler"]
+
+EXPLORED_AT_ONCE = 4
+EXPLORE_BACKOFF_CAP_S = 8.0
+YIELD_S = 0.3
+"""Head start of the member whose name sorts first, so that two seldom dial each other at once."""
+LASTING_LINK_S = 5.0
+"""A connection that lasted this long resets the backoff."""
+MOST_DOUBLINGS = 8
+GUIDE_WAIT_S = 1.0
+GUIDE_WAIT_CAP_S = 60.0
+"""Waits between two questions to a data centre for its relays; the first doubles up to the cap."""
+
+
+@dataclass(slots=True, kw_only=True)
+class _Guide:
+    ask_at_s: float = 0.0
+    wait_s: float = GUIDE_WAIT_S
+
+
+class Dialler:
+    """Keeps one task for each member that should be connected and is not, with backoff.
+
+    Args:
+        table: The members known.
+        links: The connections open now.
+        dial: Dials an address; returns the task that serves the connection, or nothing where it
+            could not be opened.
+        seeds: Addresses from the settings.
+        timing: Waits.
+        random: Draws the waits and what to explore.
+    """
+
+    __slots__ = (
+        "_candidates",
+        "_dial",
+        "_explore_at_s",
+        "_explored_until_s",
+        "_exploring",
+        "_failures",
+        "_guides",
+        "_links",
+        "_random",
+        "_seeds",
+        "_table",
+        "_tasks",
+        "_timing",
+    )
+
+    def __init__(
+        self,
+        *,
+        table: MemberTable,
+        links: Links,
+        dial: Callable[[str], Awaitable[asyncio.Task[None] | None]],
+        seeds: tuple[str, ...],
+        timing: PeerTiming,
+        random: Random,
+    ) -> None:
+        self._table = table
+        self._links = links
+        self._dial = dial
+        self._seeds = seeds
+        self._timing = timing
+        self._random = random
+        self._candidates: tuple[str, ...] = ()
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._exploring: dict[str, asyncio.Task[None]] = {}
+        self._explored_until_s: dict[str, float] = {}
+        self._failures: dict[str, int] = {}
+        self._guides: dict[str, _Guide] = {}
+        self._explore_at_s = float("-inf")
+
+    def set_candidates(self, addresses: tuple[str, ...]) -> None:
+        """Replace the addresses from the platform's list of instances."""
+        self._candidates = addresses
+        known = {*addresses, *self._seeds}
+        for kept in (self._explored_until_s, self._failures):
+            for address in set(kept) - known:
+                del kept[address]
+
+    def is_wanted(self, record: MemberRecord) -> bool:
+        """Say whether a connection to a peer is of use.
+
+        Within a data centre everyone links with everyone; between two, only relays of one slot do.
+        """
+        own = self._table.own
+        if record.data_centre == own.data_centre:
+            return True
+        return own.relay_slot != NO_RELAY_SLOT and own.relay_slot == record.relay_slot
+
+    def has_tried_all(self) -> bool:
+        """Say whether each address to explore has been dialled at least once."""
+        return all(address in self._explored_until_s for address in self._unknown_addresses())
+
+    def step(self) -> None:
+        """Start and end tasks so that they match what is known now."""
+        wanted = {record.name for record in self._table.records() if self._lacks_link(record)}
+        for name in [name for name in self._tasks if name not in wanted]:
+            if self._links.get(name) is None:
+                self._tasks.pop(name).cancel()
+        for name in wanted - set(self._tasks):
+            task = asyncio.create_task(self._keep_dialling(name))
+            self._tasks[name] = task
+            task.add_done_callback(partial(self._end_task, name))
+        self._ask_guides()
+        self._explore()
+
+    async def stop(self) -> None:
+        """End all tasks."""
+        tasks = [*self._tasks.values(), *self._exploring.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _lacks_link(self, record: MemberRecord) -> bool:
+        if not self.is_wanted(record) or self._links.get(record.name) is not None:
+            return False
+        near = record.data_centre == self._table.own.data_centre
+        return near or record.data_centre not in self._linked_data_centres()
+
+    def _linked_data_centres(self) -> set[str]:
+        """Return the data centres whose relay of this process's slot it is connected to."""
+        slot = self._table.own.relay_slot
+        return {link.peer.data_centre for link in self._links if link.peer.relay_slot == slot}
+
+    async def _keep_dialling(self, name: str) -> None:
+        failures = 0
+        if name < self._table.own.name:
+            await asyncio.sleep(YIELD_S)
+        while True:
+            record = self._table.get(name)
+            if record is None or not self._lacks_link(record):
+                return
+            started_s = _now_s()
+            serving = await self._dial(record.address)
+            if serving is not None:
+                await serving
+            failures = 0 if _now_s() - started_s >= LASTING_LINK_S else failures + 1
+            wait_s = self._backoff_s(failures, cap_s=self._timing.backoff_cap_s)
+            await asyncio.sleep(wait_s)
+
+    def _backoff_s(self, failures: int, *, cap_s: float) -> float:
+        """Return a wait with full jitter, so that those who lost a peer together spread out."""
+        doubled_s = self._timing.backoff_base_s * 2.0 ** min(failures, MOST_DOUBLINGS)
+        return self._random.uniform(0.0, min(doubled_s, cap_s))
+
+    def _ask_guides(self) -> None:
+        """Ask any member of a data centre that is not linked who its relays are.
+
+        The failure: the relays known there were replaced while it was cut off, or none was chosen
+        yet when its members were met. Any member knows the relays and says so in its first
+        heartbeat; the connection is then dismissed, and the relay is dialled.
+        """
+        own = self._table.own
+        if own.relay_slot == NO_RELAY_SLOT:
+            return
+        lacking = {record.data_centre for record in self._table.records()}
+        lacking -= {own.data_centre, *self._linked_data_centres()}
+        for data_centre in set(self._guides) - lacking:
+            del self._guides[data_centre]
+        for data_centre in sorted(lacking):
+            guide = self._guides.setdefault(data_centre, _Guide())
+            if guide.ask_at_s <= _now_s():
+                guide.ask_at_s = _now_s() + self._random.uniform(0.5, 1.0) * guide.wait_s
+                guide.wait_s = min(2 * guide.wait_s, GUIDE_WAIT_CAP_S)
+                self._explore_member(data_centre)
+
+    def _explore_member(self, data_centre: str) -> None:
+        addresses = sorted(
+            record.address
+            for record in self._table.records()
+            if record.data_centre == data_centre and self._links.get(record.name) is None
+        )
+        if addresses:
+            self._start_exploring(self._random.choice(addresses))
+
+    def _start_exploring(self, address: str) -> None:
+        if address in self._exploring:
+            return
+        task = asyncio.create_task(self._explore_one(address))
+        self._exploring[address] = task
+        task.add_done_callback(partial(self._end_exploring, address))
+
+    def _end_task(self, name: str, task: asyncio.Task[None]) -> None:
+        if self._tasks.get(name) is task:
+            del self._tasks[name]
+
+    def _end_exploring(self, address: str, _task: asyncio.Task[None]) -> None:
+        self._exploring.pop(address, None)
+
+    def _explore(self) -> None:
+        """Dial addresses that no known member has.
+
+        Alone in its data centre, a process tries several at once; else one now and then, which
+        finds a part of the data centre that has never heard of this one.
+        """
+        now_s = _now_s()
+        alone = not any(link.near for link in self._links)
+        room = EXPLORED_AT_ONCE - len(self._exploring) if alone else 1 - len(self._exploring)
+        if room <= 0 or (not alone and now_s < self._explore_at_s):
+            return
+        due = [
+            address
+            for address in self._unknown_addresses()
+            if self._explored_until_s.get(address, now_s) <= now_s
+            and address not in self._exploring
+        ]
+        for address in self._random.sample(due, min(room, len(due))):
+            self._explore_at_s = now_s + self._timing.explore_interval_s
+            self._start_exploring(address)
+
+    async def _explore_one(self, address: str) -> None:
+        if await self._dial(address) is not None:
+            self._failures.pop(address, None)
+            self._explored_until_s[address] = _now_s() + self._timing.explored_for_s
+            return
+        failures = self._failures.get(address, 0) + 1
+        self._failures[address] = failures
+        wait_s = self._backoff_s(failures, cap_s=EXPLORE_BACKOFF_CAP_S)
+        self._explored_until_s[address] = _now_s() + wait_s
+
+    def _unknown_addresses(self) -> list[str]:
+        known = {record.address for record in self._table.records()}
+        known.add(self._table.own.address)
+        return sorted({*self._seeds, *self._candidates} - known)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/shallotworks/peers/_link.py
@@ -0,0 +1,293 @@
+"""One connection to one peer after the handshake: a task that reads, and one that writes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from enum import Enum, unique
+from random import Random
+from typing import Protocol
+
+from shallotworks.errors import ShallotworksError
+from shallotworks.protocol import (
+    ByteStream,
+    Goodbye,
+    Heartbeat,
+    MemberRecord,
+    Message,
+    Session,
+    encode,
+)
+
+from ._settings import PeerTiming
+
+__all__ = ["UNKNOWN_REVISION", "Link", "LinkEnd", "LinkOwner"]
+
+UNKNOWN_REVISION = -1
+LEAST_PHASE = 0.5
+"""The first interval is shortened at random to this part at the least, so that heartbeats to
+different peers don't leave in one burst."""
+FINISH_WITHIN_S = 0.5
+SLACK_S = 0.001
+"""What is due this soon is done now: a timer may wake its task a moment before the time it was set
+for, and waiting for the rest again would spin until the clock has moved."""
+
+
+@unique
+class LinkEnd(Enum):
+    """Why a connection has ended."""
+
+    CLOSED = "closed"
+    SILENT = "silent"
+    REFUSED = "refused"
+    """The peer sent what is no message, or one that does not belong here."""
+    DISMISSED = "dismissed"
+    """One of the two has no more use for it."""
+    LEFT = "left"
+    """The peer has left the fleet."""
+
+
+class LinkOwner(Protocol):
+    """What a connection needs of the process it belongs to."""
+
+    def heartbeat_for(self, link: Link) -> Heartbeat:
+        """Return the heartbeat to send now."""
+        ...
+
+    def has_news_for(self, link: Link) -> bool:
+        """Return whether this process holds a newer revision than that peer is known to hold."""
+        ...
+
+    def on_message(self, link: Link, message: Message) -> None:
+        """Take one message; raises ``ShallotworksError`` where it does not belong here."""
+        ...
+
+
+class Link:
+    """One connection to one peer.
+
+    Args:
+        session: The connection after the handshake.
+        stream: What it runs over.
+        dialled: Whether this process opened it.
+        near: Whether the peer stands in the same data centre.
+        timing: Intervals and bounds.
+        owner: Gives heartbeats and takes messages.
+        random: Shifts the heartbeats.
+    """
+
+    __slots__ = (
+        "_announce_at_s",
+        "_deadline_s",
+        "_dropped",
+        "_interval_s",
+        "_next_beat_s",
+        "_owner",
+        "_patience",
+        "_queue",
+        "_queued_bytes",
+        "_random",
+        "_reply_due",
+        "_session",
+        "_silent_after_s",
+        "_stream",
+        "_timing",
+        "_wake",
+        "ask_after_s",
+        "dialled",
+        "end",
+        "load_cursor",
+        "near",
+        "opened_at_s",
+        "peer",
+        "pushed",
+        "revision",
+        "told",
+    )
+
+    def __init__(
+        self,
+        *,
+        session: Session,
+        stream: ByteStream,
+        dialled: bool,
+        near: bool,
+        timing: PeerTiming,
+        owner: LinkOwner,
+        random: Random,
+    ) -> None:
+        self._session = session
+        self._stream = stream
+        self._timing = timing
+        self._owner = owner
+        self._random = random
+        self._interval_s = timing.mesh_interval_s if near else timing.relay_interval_s
+        self._silent_after_s = self._interval_s * timing.silent_intervals
+        self._queue: deque[bytes] = deque()
+        self._queued_bytes = 0
+        self._dropped = 0
+        self._wake = asyncio.Event()
+        self._patience: asyncio.Timeout | None = None
+        self._reply_due = False
+        self._announce_at_s = float("inf")
+        self.opened_at_s = _now_s()
+        self._next_beat_s = self.opened_at_s
+        self._deadline_s = self.opened_at_s + self._silent_after_s
+        self.dialled = dialled
+        self.near = near
+        self.peer: MemberRecord = session.member
+        self.revision = UNKNOWN_REVISION
+        self.pushed = UNKNOWN_REVISION
+        self.ask_after_s = self.opened_at_s
+        self.told = 0
+        self.load_cursor = 0
+        self.end: LinkEnd | None = None
+
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes sent so far, handshake included."""
+        return self._session.writer.sent_bytes
+
+    @property
+    def received_bytes(self) -> int:
+        """Bytes received so far, handshake included."""
+        return self._session.reader.received_bytes
+
+    @property
+    def dropped(self) -> int:
+        """Messages dropped because the queue was full."""
+        return self._dropped
+
+    async def run(self) -> LinkEnd:
+        """Serve the connection until it ends; says why it did."""
+        writing = asyncio.create_task(self._write())
+        try:
+            end = await self._read()
+        finally:
+            writing.cancel()
+            self._stream.close()
+            await asyncio.gather(writing, return_exceptions=True)
+        self.end = self.end or end
+        return self.end
+
+    def send(self, data: bytes) -> bool:
+        """Queue an encoded message; drops it where the queue is full.
+
+        The failure: a peer that reads slowly would make this process keep all that it is owed, or
+        wait for it. A dropped message is no loss: heartbeats are not queued, they carry the
+        revision, and the peer asks for what it lacks.
+        """
+        if self._queued_bytes + len(data) > self._timing.queue_bytes:
+            self._dropped += 1
+            return False
+        self._queue.append(data)
+        self._queued_bytes += len(data)
+        self._wake.set()
+        return True
+
+    def expect_reply(self) -> None:
+        """Take the connection for silent unless some message comes soon.
+
+        The failure: something between the two ends has lost track of the connection; writes still
+        succeed and nothing ever arrives. Without this it would be noticed only after several
+        heartbeats, which between data centres takes longer than a change may.
+        """
+        if self._reply_due:
+            return
+        self._reply_due = True
+        self._deadline_s = min(self._deadline_s, _now_s() + self._timing.reply_within_s)
+        if self._patience is not None and not self._patience.expired():
+            self._patience.reschedule(self._deadline_s)
+
+    def beat_soon(self) -> None:
+        """Send a heartbeat now."""
+        self._next_beat_s = _now_s()
+        self._wake.set()
+
+    def announce_soon(self, *, delay_s: float) -> None:
+        """Send a heartbeat after a while, unless the peer is known to be as far by then."""
+        at_s = _now_s() + delay_s
+        if at_s < self._announce_at_s:
+            self._announce_at_s = at_s
+            self._wake.set()
+
+    def close(self, end: LinkEnd) -> None:
+        """Close the connection at once."""
+        self.end = self.end or end
+        self._stream.close()
+
+    async def finish(self, *, leaving: bool) -> None:
+        """Say goodbye and close the connection."""
+        self.end = self.end or LinkEnd.DISMISSED
+        try:
+            async with asyncio.timeout(FINISH_WITHIN_S):
+                if leaving:
+                    await self._session.writer.write(self._owner.heartbeat_for(self))
+                await self._session.writer.write(Goodbye(leaving=leaving))
+        except (OSError, TimeoutError):
+            pass
+        finally:
+            self._stream.close()
+
+    async def _read(self) -> LinkEnd:
+        try:
+            return await self._read_messages()
+        except TimeoutError:
+            return LinkEnd.SILENT
+        except ShallotworksError:
+            return LinkEnd.REFUSED
+        except (EOFError, OSError):
+            return LinkEnd.CLOSED
+
+    async def _read_messages(self) -> LinkEnd:
+        while True:
+            async with asyncio.timeout_at(self._deadline_s) as self._patience:
+                message = await self._session.reader.read()
+            self._patience = None
+            self._reply_due = False
+            self._deadline_s = _now_s() + self._silent_after_s
+            if isinstance(message, Goodbye):
+                return LinkEnd.LEFT if message.leaving else LinkEnd.DISMISSED
+            self._owner.on_message(self, message)
+
+    async def _write(self) -> None:
+        try:
+            while True:
+                await self._write_next()
+        except (OSError, TimeoutError):
+            # A peer that stops reading fills the connection's buffer; the reader ends with this.
+            self._stream.close()
+
+    async def _write_next(self) -> None:
+        now_s = _now_s() + SLACK_S
+        if now_s >= self._announce_at_s:
+            self._announce_at_s = float("inf")
+            if self._owner.has_news_for(self):
+                self._next_beat_s = now_s
+        if now_s >= self._next_beat_s:
+            first = self.told == 0
+            part = self._random.uniform(LEAST_PHASE, 1.0) if first else 1.0
+            self._next_beat_s = now_s + self._interval_s * part
+            await self._write_one(encode(self._owner.heartbeat_for(self)))
+        elif self._queue:
+            data = self._queue.popleft()
+            self._queued_bytes -= len(data)
+            await self._write_one(data)
+        else:
+            await self._wait_until(min(self._next_beat_s, self._announce_at_s))
+
+    async def _write_one(self, data: bytes) -> None:
+        async with asyncio.timeout(self._silent_after_s):
+            await self._session.writer.write_encoded(data)
+
+    async def _wait_until(self, at_s: float) -> None:
+        self._wake.clear()
+        try:
+            async with asyncio.timeout_at(at_s):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/shallotworks/peers/_links.py
@@ -0,0 +1,64 @@
+"""The connections open now, one to each peer."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from ._link import Link, LinkEnd
+
+__all__ = ["Links"]
+
+CROSSED_WITHIN_S = 1.0
+"""Two connections opened within this time have crossed; a later one replaces the earlier."""
+
+
+class Links:
+    """The connections open now, by the peer's name.
+
+    Args:
+        own_name: Name of this process.
+    """
+
+    __slots__ = ("_by_name", "_own_name")
+
+    def __init__(self, *, own_name: str) -> None:
+        self._own_name = own_name
+        self._by_name: dict[str, Link] = {}
+
+    def __iter__(self) -> Iterator[Link]:
+        return iter(tuple(self._by_name.values()))
+
+    def __len__(self) -> int:
+        return len(self._by_name)
+
+    def get(self, name: str) -> Link | None:
+        """Return the connection to a peer."""
+        return self._by_name.get(name)
+
+    def take(self, link: Link) -> bool:
+        """Keep a new connection in place of an older one to the same peer; says whether it is kept.
+
+        The failure: two processes dial each other at once, each keeps its own connection and
+        closes the other's, and none is left. Both keep the one whose dialler's name sorts first.
+        Any later connection wins: its peer would not dial if it still had the earlier one.
+        """
+        present = self._by_name.get(link.peer.name)
+        if present is not None:
+            if self._have_crossed(present, link) and not self._is_preferred(link):
+                return False
+            present.close(LinkEnd.DISMISSED)
+        self._by_name[link.peer.name] = link
+        return True
+
+    def drop(self, link: Link) -> None:
+        """Forget a connection that has ended."""
+        if self._by_name.get(link.peer.name) is link:
+            del self._by_name[link.peer.name]
+
+    def _have_crossed(self, present: Link, link: Link) -> bool:
+        same = present.peer.incarnation == link.peer.incarnation
+        soon = link.opened_at_s - present.opened_at_s < CROSSED_WITHIN_S
+        return same and soon and present.end is None and present.dialled != link.dialled
+
+    def _is_preferred(self, link: Link) -> bool:
+        return link.dialled == (self._own_name < link.peer.name)
--- /dev/null
+++ b/src/shallotworks/peers/_members.py
@@ -0,0 +1,330 @@
+"""The members that this process knows, and which of them it believes to be alive.
+
+A member is heard when a message of its own arrives. It is vouched for when a peer that is heard
+says that it hears the member itself, so that one broken link between two members makes neither
+count as dead. Nobody vouches from hearsay, hence vouching can't go round in circles.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, replace
+from enum import Enum, unique
+from zlib import crc32
+
+from shallotworks.protocol import NO_RELAY_SLOT, MemberRecord
+
+from ._settings import PeerTiming
+
+__all__ = ["Member", "MemberState", "MemberTable", "News", "mark"]
+
+MEMBERS_LIMIT = 4_000
+"""Records kept; the target is 220 entry instances, and a peer's list must not fill the memory."""
+NEWS_LIMIT = 200
+"""Records in one heartbeat."""
+FAR_RECORDS_KEPT = 3
+"""Silent relays kept of each slot of another data centre."""
+HEARD_INTERVALS = 2
+"""Heartbeat intervals for which one message lets its reader vouch for the sender."""
+
+
+@unique
+class MemberState(Enum):
+    """What this process believes of a member."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    """No sign of life for a while: takes no duty, still counts as live."""
+    GONE = "gone"
+    """Counts no more, but is still dialled."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Member:
+    """One member as this process sees it.
+
+    Args:
+        record: What it says of itself.
+        state: What this process believes of it.
+        silent_for_s: Time since the last sign of life.
+    """
+
+    record: MemberRecord
+    state: MemberState
+    silent_for_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class News:
+    """Records to pass on to one peer.
+
+    Args:
+        records: The records.
+        told: Pass this as ``since`` of the next call for that peer.
+    """
+
+    records: tuple[MemberRecord, ...]
+    told: int
+
+
+@dataclass(slots=True, kw_only=True)
+class _Known:
+    record: MemberRecord
+    heard_at_s: float
+    evidence_at_s: float
+    state: MemberState
+    changed: int
+
+
+class MemberTable:
+    """All members known, this process included; changed by `peers` on the event loop only.
+
+    Args:
+        own: This process's record.
+        timing: When a member is suspect, gone and forgotten.
+        on_change: Called with a member whose state has changed.
+    """
+
+    __slots__ = ("_changes", "_departed", "_known", "_on_change", "_own", "_own_changed", "_timing")
+
+    def __init__(
+        self,
+        *,
+        own: MemberRecord,
+        timing: PeerTiming,
+        on_change: Callable[[MemberRecord, MemberState], None],
+    ) -> None:
+        self._own = own
+        self._timing = timing
+        self._on_change = on_change
+        self._known: dict[str, _Known] = {}
+        self._departed: dict[str, MemberRecord] = {}
+        self._changes = 1
+        self._own_changed = 1
+
+    @property
+    def own(self) -> MemberRecord:
+        """Record of this process."""
+        return self._own
+
+    @property
+    def changes(self) -> int:
+        """Number of changes of records so far."""
+        return self._changes
+
+    def change_own(self, *, relay_slot: int, left: bool = False) -> None:
+        """Change this process's record, which peers then pass on."""
+        if (relay_slot, left) == (self._own.relay_slot, self._own.left):
+            return
+        version = self._own.version + 1
+        self._own = replace(self._own, relay_slot=relay_slot, left=left, version=version)
+        self._own_changed = self._next_change()
+
+    def get(self, name: str) -> MemberRecord | None:
+        """Return a member's record."""
+        known = self._known.get(name)
+        return None if known is None else known.record
+
+    def state_of(self, name: str) -> MemberState:
+        """Return what this process believes of a member."""
+        known = self._known.get(name)
+        return MemberState.GONE if known is None else known.state
+
+    def records(self) -> Iterator[MemberRecord]:
+        """Return the records of all other members, whatever their state."""
+        return (known.record for known in self._known.values())
+
+    def alive_near(self) -> tuple[str, ...]:
+        """Return the names believed alive in this data centre, this process included."""
+        return (self._own.name, *self._near(MemberState.ALIVE))
+
+    def live_near(self, *, now_s: float) -> tuple[Member, ...]:
+        """Return the live entry instances of this data centre, this process first."""
+        own = Member(record=self._own, state=MemberState.ALIVE, silent_for_s=0.0)
+        names = self._near(MemberState.ALIVE, MemberState.SUSPECT)
+        return (own, *(self._view(self._known[name], now_s) for name in names))
+
+    def members(self, *, now_s: float) -> tuple[Member, ...]:
+        """Return all other members."""
+        return tuple(self._view(known, now_s) for known in self._known.values())
+
+    def learn(self, record: MemberRecord, *, now_s: float) -> bool:
+        """Take a record from hearsay; says whether it was news.
+
+        A record alone is no sign of life: its member stays suspect until it is heard or vouched
+        for, so that a list passed on late can't bring back one that has died.
+        """
+        if record.name == self._own.name or not self._is_news(record):
+            return False
+        if record.left:
+            self._depart(record)
+            return True
+        known = self._known.get(record.name)
+        if known is not None and known.record.incarnation == record.incarnation:
+            known.record = record
+            known.changed = self._next_change()
+            return True
+        if known is None and len(self._known) >= MEMBERS_LIMIT:
+            return False
+        self._known[record.name] = _Known(
+            record=record,
+            heard_at_s=float("-inf"),
+            evidence_at_s=now_s - self._timing.suspect_after_s,
+            state=MemberState.SUSPECT,
+            changed=self._next_change(),
+        )
+        return True
+
+    def greet(self, record: MemberRecord, *, now_s: float) -> bool:
+        """Take a record from the member itself, just proved; says whether it may be linked.
+
+        The failure: an instance is replaced under its name and the old process, cut off or paused,
+        dials again. The lower incarnation is refused while the newer one is alive. Where the newer
+        one is silent the caller is the only one there is, its clock may just run behind, and it is
+        taken.
+        """
+        known = self._known.get(record.name)
+        if record.name == self._own.name:
+            return False
+        if known is not None and known.record.incarnation > record.incarnation:
+            if known.state is MemberState.ALIVE:
+                return False
+            del self._known[record.name]
+        self._departed.pop(record.name, None)
+        self.learn(record, now_s=now_s)
+        self.hear(record.name, now_s=now_s)
+        return True
+
+    def hear(self, name: str, *, now_s: float) -> None:
+        """Note a message of a member's own."""
+        known = self._known.get(name)
+        if known is None:
+            return
+        known.heard_at_s = now_s
+        known.evidence_at_s = now_s
+        self._move(known, MemberState.ALIVE)
+
+    def heard_near(self, *, now_s: float) -> tuple[int, ...]:
+        """Return the marks of the members of this data centre that this process hears itself."""
+        since_s = now_s - HEARD_INTERVALS * self._timing.mesh_interval_s
+        return tuple(
+            mark(known.record)
+            for known in self._known.values()
+            if known.heard_at_s >= since_s and self._is_near(known.record)
+        )
+
+    def vouch(self, marks: Iterable[int], *, now_s: float) -> None:
+        """Take a peer's word for the members that it hears itself.
+
+        Worth less than hearing: the member may have died just after the peer heard it, and the
+        time to suspicion counts from then.
+        """
+        lag_s = HEARD_INTERVALS * self._timing.mesh_interval_s
+        evidence_at_s = now_s - max(0.0, self._timing.suspect_after_s - lag_s)
+        vouched = frozenset(marks)
+        for known in self._known.values():
+            if known.evidence_at_s < evidence_at_s and mark(known.record) in vouched:
+                known.evidence_at_s = evidence_at_s
+                self._move(known, MemberState.ALIVE)
+
+    def sweep(self, *, now_s: float) -> None:
+        """Suspect, remove and forget members by the time since their last sign of life."""
+        for known in list(self._known.values()):
+            silent_for_s = now_s - known.evidence_at_s
+            if silent_for_s >= self._timing.forget_after_s and self._is_forgettable(known.record):
+                del self._known[known.record.name]
+            elif silent_for_s >= self._timing.remove_after_s:
+                self._move(known, MemberState.GONE)
+            elif silent_for_s >= self._timing.suspect_after_s:
+                self._move(known, MemberState.SUSPECT)
+
+    def news_for(self, peer: MemberRecord, *, since: int) -> News:
+        """Return the records changed since then that concern a peer.
+
+        Its own data centre's members and the relays of all others; a record that has been a
+        relay's stays of concern, so that a peer elsewhere hears that it is one no more.
+        """
+        same = peer.data_centre == self._own.data_centre
+        news = [
+            (known.changed, known.record)
+            for known in self._known.values()
+            if known.changed > since
+            and known.record.name != peer.name
+            and (_has_been_relay(known.record) or (same and self._is_near(known.record)))
+        ]
+        if self._own_changed > since:
+            news.append((self._own_changed, self._own))
+        news.sort(key=lambda entry: entry[0])
+        told = self._changes if len(news) <= NEWS_LIMIT else news[NEWS_LIMIT - 1][0]
+        return News(records=tuple(record for _, record in news[:NEWS_LIMIT]), told=told)
+
+    def _is_forgettable(self, record: MemberRecord) -> bool:
+        """Say whether a silent member's record is of no more use.
+
+        A data centre that has been cut off for long must be found again at once, hence the last
+        relays known of another data centre are kept, however long they are silent.
+        """
+        if self._is_near(record) or record.relay_slot == NO_RELAY_SLOT:
+            return True
+        same_slot = [
+            known
+            for known in self._known.values()
+            if known.record.data_centre == record.data_centre
+            and known.record.relay_slot == record.relay_slot
+        ]
+        same_slot.sort(key=lambda known: known.changed, reverse=True)
+        return record.name not in [known.record.name for known in same_slot[:FAR_RECORDS_KEPT]]
+
+    def _near(self, *states: MemberState) -> list[str]:
+        return [
+            name
+            for name, known in self._known.items()
+            if known.state in states and self._is_near(known.record)
+        ]
+
+    def _is_near(self, record: MemberRecord) -> bool:
+        return record.data_centre == self._own.data_centre
+
+    def _is_news(self, record: MemberRecord) -> bool:
+        departed = self._departed.get(record.name)
+        if departed is not None and not record.supersedes(departed):
+            return False
+        known = self._known.get(record.name)
+        return known is None or record.supersedes(known.record)
+
+    def _depart(self, record: MemberRecord) -> None:
+        """Remove a member that said goodbye, and keep its last record against late hearsay."""
+        if len(self._departed) >= MEMBERS_LIMIT:
+            del self._departed[next(iter(self._departed))]
+        self._departed[record.name] = record
+        known = self._known.pop(record.name, None)
+        if known is not None:
+            self._on_change(record, MemberState.GONE)
+
+    def _move(self, known: _Known, state: MemberState) -> None:
+        if known.state is state:
+            return
+        known.state = state
+        self._on_change(known.record, state)
+
+    def _next_change(self) -> int:
+        self._changes += 1
+        return self._changes
+
+    def _view(self, known: _Known, now_s: float) -> Member:
+        silent_for_s = max(0.0, now_s - known.evidence_at_s)
+        return Member(record=known.record, state=known.state, silent_for_s=silent_for_s)
+
+
+def mark(record: MemberRecord) -> int:
+    """Return the short mark of one incarnation of a member, as heartbeats carry it.
+
+    Two of a data centre's members share one once in 4 billion; one could then hide the other's
+    death from those who don't hear it, until either is replaced.
+    """
+    return crc32(f"{record.name}/{record.incarnation}".encode())
+
+
+def _has_been_relay(record: MemberRecord) -> bool:
+    """Say whether a record was ever a relay's: it starts as none, and only slots change it."""
+    return record.version > 0
--- /dev/null
+++ b/src/shallotworks/peers/_network.py
@@ -0,0 +1,417 @@
+"""The facade of the package: this process among its peers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from random import Random
+
+from shallotworks.config import ConfigReplica
+from shallotworks.errors import ErrorKind, Failure, ShallotworksError
+from shallotworks.metrics import Metrics
+from shallotworks.protocol import (
+    NO_RELAY_SLOT,
+    ByteStream,
+    Entries,
+    EntriesRequest,
+    Heartbeat,
+    MemberRecord,
+    Message,
+    ServiceLoad,
+    Session,
+    SnapshotPart,
+    SnapshotRequest,
+    accept,
+    dial,
+)
+from shallotworks.timeline import EventKind, Subject, Timeline
+
+from ._dialler import Dialler
+from ._distribution import Distribution
+from ._duties import relays_among, watchers_among
+from ._link import Link, LinkEnd
+from ._links import Links
+from ._loads import Loads
+from ._members import Member, MemberState, MemberTable
+from ._settings import PeerSettings
+from ._transport import Listener, TcpTransport, Transport
+
+__all__ = ["PeerNetwork", "PeerStatus"]
+
+UNWANTED_FOR_S = 2.0
+"""Time that a connection of no use stays open, in which both ends exchange records."""
+MS_PER_S = 1000
+EVENTS = {
+    MemberState.ALIVE: EventKind.PEER_UP,
+    MemberState.SUSPECT: EventKind.PEER_SUSPECT,
+    MemberState.GONE: EventKind.PEER_DOWN,
+}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerStatus:
+    """How this process stands among its peers, for operators.
+
+    Args:
+        relay_slot: Which relay of its data centre it is; -1 for none.
+        watches: Whether it should watch the platform's store.
+        links: Connections open.
+        data_centres_linked: Other data centres that it has a connection to.
+        data_centres_known: Other data centres that it knows a member of.
+        revision: Newest revision held here.
+        newest_revision: Newest revision that any process was heard to hold.
+        config_age_s: How long ago the revision held was known to be the newest.
+        sent_bytes: Bytes sent to peers so far.
+        received_bytes: Bytes received from peers so far.
+    """
+
+    relay_slot: int
+    watches: bool
+    links: int
+    data_centres_linked: tuple[str, ...]
+    data_centres_known: tuple[str, ...]
+    revision: int
+    newest_revision: int
+    config_age_s: float
+    sent_bytes: int
+    received_bytes: int
+
+
+class PeerNetwork:
+    """One process among its peers: membership, and the configuration passed on.
+
+    Args:
+        settings: Who this process is and whom it asks first.
+        replica: The configuration held here.
+        metrics: Counts connections, members and what is passed on.
+        timeline: Records members coming and going.
+        random: Spreads heartbeats and redials; secrets are not drawn from it.
+        wall_clock_s: Returns the Unix time, from which the incarnation is taken.
+        transport: Opens connections.
+        loads: Returns how busy this process is, for its data centre's members.
+    """
+
+    __slots__ = (
+        "_accepted",
+        "_closed_received_bytes",
+        "_closed_sent_bytes",
+        "_dialler",
+        "_distribution",
+        "_links",
+        "_listener",
+        "_loads",
+        "_metrics",
+        "_random",
+        "_replica",
+        "_serving",
+        "_settings",
+        "_started_s",
+        "_table",
+        "_ticking",
+        "_timeline",
+        "_transport",
+    )
+
+    def __init__(
+        self,
+        *,
+        settings: PeerSettings,
+        replica: ConfigReplica,
+        metrics: Metrics,
+        timeline: Timeline,
+        random: Random,
+        wall_clock_s: Callable[[], float],
+        transport: Transport | None = None,
+        loads: Callable[[], tuple[ServiceLoad, ...]] = tuple,
+    ) -> None:
+        self._settings = settings
+        self._replica = replica
+        self._metrics = metrics
+        self._timeline = timeline
+        self._random = random
+        self._transport = transport or TcpTransport()
+        self._loads = Loads(own=loads)
+        self._table = MemberTable(
+            own=_own_record(settings, wall_clock_s),
+            timing=settings.timing,
+            on_change=self._on_change,
+        )
+        self._links = Links(own_name=settings.name)
+        self._dialler = Dialler(
+            table=self._table,
+            links=self._links,
+            dial=self._dial,
+            seeds=settings.seeds,
+            timing=settings.timing,
+            random=random,
+        )
+        self._distribution = Distribution(
+            replica=replica,
+            links=lambda: self._links,
+            metrics=metrics,
+            timing=settings.timing,
+            random=random,
+        )
+        self._listener: Listener | None = None
+        self._ticking: asyncio.Task[None] | None = None
+        self._serving: set[asyncio.Task[None]] = set()
+        self._started_s = 0.0
+        self._accepted = 0
+        self._closed_sent_bytes = 0
+        self._closed_received_bytes = 0
+
+    async def start(self) -> None:
+        """Listen, and look for peers; raises ``OSError`` where the address can't be bound."""
+        self._started_s = _now_s()
+        self._distribution.start()
+        self._listener = await self._transport.listen(self._settings.address, self._accept)
+        self._ticking = asyncio.create_task(self._tick())
+
+    async def stop(self) -> None:
+        """Say goodbye to all peers, who then count this process no more, and close."""
+        if self._ticking is not None:
+            self._ticking.cancel()
+            await asyncio.gather(self._ticking, return_exceptions=True)
+        if self._listener is not None:
+            await self._listener.close()
+        self._table.change_own(relay_slot=NO_RELAY_SLOT, left=True)
+        await asyncio.gather(*(link.finish(leaving=True) for link in self._links))
+        await self._dialler.stop()
+        for task in tuple(self._serving):
+            task.cancel()
+        await asyncio.gather(*self._serving, return_exceptions=True)
+
+    def set_candidates(self, addresses: tuple[str, ...]) -> None:
+        """Take the addresses of entry instances from the platform's list, which lags."""
+        self._dialler.set_candidates(addresses)
+
+    def live_entries(self) -> tuple[Member, ...]:
+        """Return the live entry instances of this data centre, this process first."""
+        return self._table.live_near(now_s=_now_s())
+
+    def members(self) -> tuple[Member, ...]:
+        """Return all other members known, whatever their state and data centre."""
+        return self._table.members(now_s=_now_s())
+
+    def should_watch(self) -> bool:
+        """Say whether this process watches the platform's store for its data centre.
+
+        Right after its start it does not, unless there is nobody to ask: all instances of a data
+        centre that start together would all watch. If its peers stay silent it watches itself.
+        """
+        return self._is_settled() and self._own_name in watchers_among(self._table.alive_near())
+
+    def peer_loads(self) -> dict[str, tuple[ServiceLoad, ...]]:
+        """Return how busy each live member of this data centre has said it is, by its name."""
+        return self._loads.by_peer()
+
+    def status(self) -> PeerStatus:
+        """Return how this process stands among its peers."""
+        own = self._table.own
+        known = {record.data_centre for record in self._table.records()}
+        linked = {link.peer.data_centre for link in self._links}
+        sent = sum(link.sent_bytes for link in self._links)
+        received = sum(link.received_bytes for link in self._links)
+        return PeerStatus(
+            relay_slot=own.relay_slot,
+            watches=self.should_watch(),
+            links=len(self._links),
+            data_centres_linked=tuple(sorted(linked - {own.data_centre})),
+            data_centres_known=tuple(sorted(known - {own.data_centre})),
+            revision=self._replica.revision(),
+            newest_revision=self._distribution.newest(),
+            config_age_s=self._replica.age_s(),
+            sent_bytes=self._closed_sent_bytes + sent,
+            received_bytes=self._closed_received_bytes + received,
+        )
+
+    def heartbeat_for(self, link: Link) -> Heartbeat:
+        """Return the heartbeat to send on a connection now."""
+        news = self._table.news_for(link.peer, since=link.told)
+        link.told = news.told
+        return Heartbeat(
+            revision=self._replica.revision(),
+            newest_revision=self._distribution.newest(),
+            newest_age_ms=self._distribution.age_ms(),
+            heard=self._table.heard_near(now_s=_now_s()) if link.near else (),
+            records=news.records,
+            loads=self._loads.next_for(link) if link.near else (),
+        )
+
+    def has_news_for(self, link: Link) -> bool:
+        """Return whether this process holds a newer revision than a peer is known to hold."""
+        return link.revision < self._replica.revision()
+
+    def on_message(self, link: Link, message: Message) -> None:
+        """Take one message; raises ``ShallotworksError`` where it does not belong here."""
+        self._table.hear(link.peer.name, now_s=_now_s())
+        match message:
+            case Heartbeat():
+                self._on_heartbeat(link, message)
+            case Entries():
+                self._distribution.on_entries(link, message)
+            case EntriesRequest():
+                self._distribution.on_entries_request(link, message)
+            case SnapshotRequest():
+                self._distribution.on_snapshot_request(link, message)
+            case SnapshotPart():
+                self._distribution.on_snapshot_part(link, message)
+            case _:
+                failure = Failure(kind=ErrorKind.PROTOCOL, reason="a greeting after the handshake")
+                raise ShallotworksError(failure)
+
+    @property
+    def _own_name(self) -> str:
+        return self._settings.name
+
+    def _on_heartbeat(self, link: Link, message: Heartbeat) -> None:
+        now_s = _now_s()
+        for record in message.records:
+            self._table.learn(record, now_s=now_s)
+        link.peer = self._table.get(link.peer.name) or link.peer
+        if link.near:
+            self._table.vouch(message.heard, now_s=now_s)
+            self._loads.keep(link, message.loads)
+        self._distribution.on_heartbeat(link, message)
+
+    async def _tick(self) -> None:
+        while True:
+            self._table.sweep(now_s=_now_s())
+            self._take_duties()
+            self._dismiss_unwanted()
+            self._dialler.step()
+            await asyncio.sleep(self._settings.timing.tick_s)
+
+    def _is_settled(self) -> bool:
+        if _now_s() - self._started_s >= self._settings.timing.settle_s:
+            return True
+        return not self._links and self._dialler.has_tried_all()
+
+    def _take_duties(self) -> None:
+        if not self._is_settled():
+            return
+        relays = relays_among(self._table.alive_near())
+        slot = relays.index(self._own_name) if self._own_name in relays else NO_RELAY_SLOT
+        self._table.change_own(relay_slot=slot)
+
+    def _dismiss_unwanted(self) -> None:
+        before_s = _now_s() - UNWANTED_FOR_S
+        for link in self._links:
+            if link.opened_at_s < before_s and not self._dialler.is_wanted(link.peer):
+                self._links.drop(link)
+                self._spawn(link.finish(leaving=False))
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+        return task
+
+    async def _accept(self, stream: ByteStream) -> None:
+        """Serve one connection that a peer has opened, in its own task."""
+        task = asyncio.current_task()
+        if task is not None:
+            self._serving.add(task)
+            task.add_done_callback(self._serving.discard)
+        # Strangers that connect and say nothing must not use up the process's descriptors.
+        if self._accepted >= self._settings.timing.connections:
+            self._metrics.count("peers.links.over-limit")
+            stream.close()
+            return
+        self._accepted += 1
+        try:
+            session = await self._greet(stream, dialled=False)
+            if session is not None:
+                await self._serve(session, stream, dialled=False)
+        finally:
+            self._accepted -= 1
+            stream.close()
+
+    async def _dial(self, address: str) -> asyncio.Task[None] | None:
+        """Dial an address; returns the task that serves the connection, or nothing."""
+        try:
+            async with asyncio.timeout(self._settings.timing.connect_within_s):
+                stream = await self._transport.connect(address)
+        except (OSError, ValueError, TimeoutError):
+            self._metrics.count("peers.dials.failed")
+            return None
+        session = None
+        try:
+            session = await self._greet(stream, dialled=True)
+        finally:
+            if session is None:
+                stream.close()
+        return self._spawn(self._serve(session, stream, dialled=True)) if session else None
+
+    async def _greet(self, stream: ByteStream, *, dialled: bool) -> Session | None:
+        greet = dial if dialled else accept
+        try:
+            async with asyncio.timeout(self._settings.timing.connect_within_s):
+                return await greet(
+                    stream=stream,
+                    member=self._table.own,
+                    keys=self._settings.keys,
+                    spoken=self._settings.spoken,
+                )
+        except ShallotworksError as error:
+            self._metrics.count(f"peers.handshakes.refused.{error.failure.kind.value}")
+        except (EOFError, OSError, TimeoutError):
+            self._metrics.count("peers.handshakes.broken")
+        return None
+
+    async def _serve(self, session: Session, stream: ByteStream, *, dialled: bool) -> None:
+        try:
+            await self._serve_link(session, stream, dialled=dialled)
+        finally:
+            stream.close()
+
+    async def _serve_link(self, session: Session, stream: ByteStream, *, dialled: bool) -> None:
+        if not self._table.greet(session.member, now_s=_now_s()):
+            self._metrics.count("peers.links.unwelcome")
+            return
+        link = Link(
+            session=session,
+            stream=stream,
+            dialled=dialled,
+            near=session.member.data_centre == self._settings.data_centre,
+            timing=self._settings.timing,
+            owner=self,
+            random=self._random,
+        )
+        if not self._links.take(link):
+            self._metrics.count("peers.links.crossed")
+            return
+        self._metrics.count("peers.links.opened")
+        try:
+            self._after(await link.run())
+        finally:
+            self._links.drop(link)
+            self._distribution.forget(link)
+            self._closed_sent_bytes += link.sent_bytes
+            self._closed_received_bytes += link.received_bytes
+
+    def _after(self, end: LinkEnd) -> None:
+        self._metrics.count(f"peers.links.ended.{end.value}")
+
+    def _on_change(self, record: MemberRecord, state: MemberState) -> None:
+        self._metrics.count(f"peers.members.{state.value}")
+        self._timeline.record(
+            EVENTS[state], subject=Subject(instance=record.name), detail=record.data_centre
+        )
+        if state is MemberState.GONE:
+            self._loads.forget(record.name)
+
+
+def _own_record(settings: PeerSettings, wall_clock_s: Callable[[], float]) -> MemberRecord:
+    return MemberRecord(
+        name=settings.name,
+        address=settings.address,
+        data_centre=settings.data_centre,
+        region=settings.region,
+        incarnation=int(wall_clock_s() * MS_PER_S),
+    )
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/tests/peer_fakes.py
@@ -0,0 +1,340 @@
+"""A network in memory, a held configuration and a small fleet of peers, for tests and `bench`."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable, Coroutine
+from random import Random
+from typing import Any, TypeVar
+
+import looptime
+from returns.pipeline import is_successful
+
+from shallotworks.config import Entry, Snapshot
+from shallotworks.fleet import FleetState, PutTeam, Team, apply
+from shallotworks.metrics import Metrics
+from shallotworks.peers import PeerNetwork, PeerSettings, PeerTiming
+from shallotworks.protocol import ByteStream, FleetKeys
+from shallotworks.timeline import Timeline
+
+KEYS = FleetKeys(keys=(b"the key of this fleet, for tests",))
+DELAY_S = 0.002
+UNIX_START_S = 1_700_000_000.0
+_Value = TypeVar("_Value")
+
+
+def run_on_stopped_clock(main: Coroutine[Any, Any, _Value]) -> _Value:
+    """Run a coroutine on a loop whose clock jumps to the next timer."""
+    with asyncio.Runner(loop_factory=lambda: looptime.new_event_loop(start=0)) as runner:
+        return runner.run(main)
+
+
+def put_team(name: str, slots: int = 1) -> PutTeam:
+    """Return a small change."""
+    return PutTeam(team=Team(name=name, quota_slots=slots))
+
+
+class HeldReplica:
+    """A `ConfigReplica` that keeps the last entries, as a process does, and its own history."""
+
+    def __init__(self, *, kept: int = 1_000) -> None:
+        self._state = FleetState()
+        self._last_change_id = ""
+        self._entries: deque[Entry] = deque(maxlen=kept)
+        self._listeners: list[Callable[[Entry], None]] = []
+        self._newest_at_s: float | None = None
+        self.history: list[int] = []
+
+    def revision(self) -> int:
+        return self._state.revision
+
+    def state(self) -> FleetState:
+        return self._state
+
+    def entries_after(self, revision: int, *, limit: int) -> tuple[Entry, ...] | None:
+        if revision >= self.revision():
+            return ()
+        kept = [entry for entry in self._entries if entry.revision > revision]
+        if not kept or kept[0].revision != revision + 1:
+            return None
+        return tuple(kept[:limit])
+
+    def snapshot(self) -> Snapshot:
+        return Snapshot(state=self._state, last_change_id=self._last_change_id)
+
+    def offer(self, entries: tuple[Entry, ...]) -> int:
+        for entry in entries:
+            after = apply(self._state, entry.change)
+            if entry.revision != self.revision() + 1 or not is_successful(after):
+                continue
+            self._state = after.unwrap()
+            self._last_change_id = entry.change_id
+            self._entries.append(entry)
+            self.history.append(entry.revision)
+            for listener in self._listeners:
+                listener(entry)
+        return self.revision()
+
+    def adopt(self, snapshot: Snapshot) -> int:
+        if snapshot.state.revision > self.revision():
+            self._state = snapshot.state
+            self._last_change_id = snapshot.last_change_id
+            self._entries.clear()
+            self.history.append(snapshot.state.revision)
+        return self.revision()
+
+    def subscribe(self, listener: Callable[[Entry], None]) -> None:
+        self._listeners.append(listener)
+
+    def age_s(self) -> float:
+        if self._newest_at_s is None:
+            return 1e6
+        return asyncio.get_running_loop().time() - self._newest_at_s
+
+    def confirm_newest(self, revision: int, *, age_s: float = 0.0) -> None:
+        at_s = asyncio.get_running_loop().time() - age_s
+        if revision == self.revision() and (self._newest_at_s or float("-inf")) < at_s:
+            self._newest_at_s = at_s
+
+
+class AcceptedLog:
+    """Stands for the platform's store: what it has accepted, in order."""
+
+    def __init__(self) -> None:
+        self.entries: list[Entry] = []
+
+    def accept(self, *, slots: int = 1) -> Entry:
+        """Accept one more change and return its entry."""
+        revision = len(self.entries) + 1
+        entry = Entry(
+            revision=revision,
+            change_id=f"c{revision}",
+            author="kari",
+            at_s=0.0,
+            change=put_team(f"team-{revision % 20}", slots),
+        )
+        self.entries.append(entry)
+        return entry
+
+
+class MemoryNetwork:
+    """Connections in memory that can be cut, after which those open stay silent for good."""
+
+    def __init__(self) -> None:
+        self._listening: dict[str, Callable[[ByteStream], Awaitable[None]]] = {}
+        self._serving: set[asyncio.Future[None]] = set()
+        self._streams: list[MemoryStream] = []
+        self.is_cut: Callable[[str, str], bool] = lambda _source, _target: False
+        self.refuses_dial: Callable[[str, str], bool] = lambda _source, _target: False
+
+    def at(self, address: str) -> MemoryTransport:
+        """Return the network as one process sees it."""
+        return MemoryTransport(network=self, address=address)
+
+    def listen(self, address: str, on_stream: Callable[[ByteStream], Awaitable[None]]) -> None:
+        self._listening[address] = on_stream
+
+    def unlisten(self, address: str) -> None:
+        self._listening.pop(address, None)
+
+    def silence(self, address: str) -> None:
+        """Let the connections open at one address go silent for good."""
+        for stream in self._streams:
+            if address in (stream.source, stream.target):
+                stream.lost = True
+
+    async def connect(self, source: str, target: str) -> MemoryStream:
+        await asyncio.sleep(DELAY_S)
+        if self.is_cut(source, target) or self.refuses_dial(source, target):
+            await asyncio.Event().wait()
+        if target not in self._listening:
+            raise ConnectionRefusedError(target)
+        ours = MemoryStream(network=self, source=source, target=target)
+        theirs = MemoryStream(network=self, source=target, target=source)
+        ours.other, theirs.other = theirs, ours
+        self._streams += [ours, theirs]
+        serving = asyncio.ensure_future(self._listening[target](theirs))
+        self._serving.add(serving)
+        serving.add_done_callback(self._serving.discard)
+        return ours
+
+    def forget(self, stream: MemoryStream) -> None:
+        if stream in self._streams:
+            self._streams.remove(stream)
+
+
+class MemoryTransport:
+    """The `Transport` of one process."""
+
+    def __init__(self, *, network: MemoryNetwork, address: str) -> None:
+        self._network = network
+        self._address = address
+
+    async def connect(self, address: str) -> MemoryStream:
+        return await self._network.connect(self._address, address)
+
+    async def listen(
+        self, address: str, on_stream: Callable[[ByteStream], Awaitable[None]]
+    ) -> MemoryTransport:
+        self._network.listen(address, on_stream)
+        return self
+
+    async def close(self) -> None:
+        self._network.unlisten(self._address)
+
+
+class MemoryStream:
+    """One end of a connection in memory."""
+
+    def __init__(self, *, network: MemoryNetwork, source: str, target: str) -> None:
+        self._network = network
+        self._reader = asyncio.StreamReader()
+        self._arriving: deque[bytes] = deque()
+        self._closed = False
+        self.source = source
+        self.target = target
+        self.other: MemoryStream | None = None
+        self.lost = False
+
+    async def read_exactly(self, size_bytes: int) -> bytes:
+        return await self._reader.readexactly(size_bytes)
+
+    def write(self, data: bytes) -> None:
+        if self._closed:
+            raise ConnectionResetError
+        self._carry(data)
+
+    async def drain(self) -> None:
+        await asyncio.sleep(0)
+
+    def close(self) -> None:
+        if not self._closed:
+            self._closed = True
+            self._network.forget(self)
+            self._carry(b"")
+            self._reader.feed_eof()
+
+    def _carry(self, data: bytes) -> None:
+        if self._network.is_cut(self.source, self.target):
+            self.lost = True
+        if self.lost or self.other is None or self.other.lost:
+            return
+        self.other._arriving.append(data)
+        asyncio.get_running_loop().call_later(DELAY_S, self.other._arrive)
+
+    def _arrive(self) -> None:
+        data = self._arriving.popleft()
+        if self._closed or self.lost:
+            return
+        if data:
+            self._reader.feed_data(data)
+        else:
+            self._reader.feed_eof()
+
+
+class Node:
+    """One process: a replica and its network of peers."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        data_centre: str,
+        network: MemoryNetwork,
+        seeds: tuple[str, ...],
+        keys: FleetKeys = KEYS,
+        started: float = 0.0,
+        timing: PeerTiming | None = None,
+        replica: HeldReplica | None = None,
+    ) -> None:
+        self.name = name
+        self.address = f"{name}:1"
+        self.data_centre = data_centre
+        self.metrics = Metrics()
+        self.replica = replica or HeldReplica()
+        wall_clock_s = lambda: UNIX_START_S + started  # noqa: E731
+        self.timeline = Timeline(process=name, wall_clock_s=wall_clock_s)
+        self.peers = PeerNetwork(
+            settings=PeerSettings(
+                name=name,
+                address=self.address,
+                data_centre=data_centre,
+                region="north",
+                keys=keys,
+                seeds=seeds,
+                timing=timing or PeerTiming(),
+            ),
+            replica=self.replica,
+            metrics=self.metrics,
+            timeline=self.timeline,
+            random=Random(f"{name} {started}"),
+            wall_clock_s=wall_clock_s,
+            transport=network.at(self.address),
+        )
+
+    def live(self) -> list[str]:
+        """Return the names of the live entries as this process sees them."""
+        return sorted(member.record.name for member in self.peers.live_entries())
+
+
+class Fleet:
+    """Some data centres of nodes over one network in memory."""
+
+    def __init__(self, *, sizes: dict[str, int]) -> None:
+        self.network = MemoryNetwork()
+        self.log = AcceptedLog()
+        names = [f"{centre}{index}" for centre, size in sizes.items() for index in range(size)]
+        self.seeds = tuple(f"{name}:1" for name in names)
+        self.nodes = {name: self.make(name) for name in names}
+        self._ending: list[asyncio.Future[None]] = []
+
+    def make(self, name: str, *, started: float = 0.0, **options: Any) -> Node:
+        """Return a new process under a name, not yet started."""
+        options.setdefault("seeds", self.seeds)
+        return Node(
+            name=name,
+            data_centre=name.rstrip("0123456789"),
+            network=self.network,
+            started=started,
+            **options,
+        )
+
+    async def start(self, *, settle_s: float = 6.0) -> None:
+        """Start all nodes and let them find each other."""
+        for node in self.nodes.values():
+            await node.peers.start()
+        await asyncio.sleep(settle_s)
+
+    async def stop(self) -> None:
+        """Stop all nodes."""
+        self.network.is_cut = lambda _source, _target: False
+        await asyncio.gather(*(node.peers.stop() for node in self.nodes.values()), *self._ending)
+
+    def kill(self, name: str) -> Node:
+        """Let a process vanish without a word: its connections stay silent, its port is closed."""
+        node = self.nodes.pop(name)
+        self.network.silence(node.address)
+        self._ending.append(asyncio.ensure_future(node.peers.stop()))
+        return node
+
+    def accept_at(self, name: str) -> Entry:
+        """Accept a change, which one process has from the store."""
+        node = self.nodes[name]
+        self.log.accept()
+        node.replica.offer(tuple(self.log.entries[node.replica.revision() :]))
+        node.replica.confirm_newest(node.replica.revision())
+        return self.log.entries[-1]
+
+    def revisions(self) -> set[int]:
+        """Return the revisions held by all nodes."""
+        return {node.replica.revision() for node in self.nodes.values()}
+
+    async def time_until(self, reached: Callable[[], bool], *, within_s: float) -> float:
+        """Return how long something takes; raises ``TimeoutError``."""
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        async with asyncio.timeout(within_s):
+            while not reached():
+                await asyncio.sleep(0.01)
+        return loop.time() - started_s
