--- a/src/shallotworks/requests/__init__.py
+++ b/src/shallotworks/requests/__init__.py
@@ -5,30 +5,19 @@
 here reads the platform or peers except through the protocols it is given.
 """
 
-from ._exchange import AttemptResult, Exchange, ExchangeLimits, HttpExchange
 from ._choice import Choice, TwoChoices
 from ._dispatcher import PoolDispatcher
+from ._exchange import AttemptResult, Exchange, ExchangeLimits, HttpExchange
 from ._limits import DispatchLimits, RetryLimits
-from ._messages import (
-    AttemptOutcome,
-    Claim,
-    Grant,
-    Request,
-    RequestClass,
-    Response,
-    Target,
-)
+from ._messages import AttemptOutcome, Claim, Grant, Request, RequestClass, Response, Target
 from ._once import OnceLimits, StoreOnceGuard
 from ._protocols import Dispatcher, OnceGuard, RetryPolicy
 from ._relay import Relay
-
-__all__ = [
-    "AttemptOutcome",
-    "AttemptResult",
 from ._retry import BudgetedRetryPolicy
 
 __all__ = [
     "AttemptOutcome",
+    "AttemptResult",
     "BudgetedRetryPolicy",
     "Choice",
     "Claim",
@@ -39,9 +28,9 @@
     "Grant",
     "HttpExchange",
     "OnceGuard",
-    "Relay",
     "OnceLimits",
     "PoolDispatcher",
+    "Relay",
     "Request",
     "RequestClass",
     "Response",
