--- a/src/shallotworks/listener/_listener.py
+++ b/src/shallotworks/listener/_listener.py
@@ -14,6 +14,8 @@
 
 from shallotworks.errors import ErrorKind, Failure, ShallotworksError
 
+from ._slow_senders import BoundedConnection
+
 __all__ = ["Listener", "WsgiApplication"]
 
 KEPT_ALIVE_CONNECTIONS = 1_000
@@ -23,6 +25,7 @@
 HEADER_LIMIT_BYTES = 32 * 1024
 DEFAULT_BODY_LIMIT_BYTES = 1024 * 1024
 DEFAULT_READ_TIMEOUT_S = 10.0
+DEFAULT_RECEIVE_TIMEOUT_S = 30.0
 DEFAULT_STOP_TIMEOUT_S = 10.0
 WAKE_TIMEOUT_S = 1.0
 
@@ -40,6 +43,7 @@
         body_limit_bytes: Longest request body; a longer one is answered with 413 unread.
         read_timeout_s: Longest wait for the next bytes of a request, and longest idle time of a
             kept-alive connection.
+        receive_timeout_s: Longest time for a whole request to arrive.
         stop_timeout_s: How long `stop` waits for requests in flight.
     """
 
@@ -54,6 +58,7 @@
         threads: int,
         body_limit_bytes: int = DEFAULT_BODY_LIMIT_BYTES,
         read_timeout_s: float = DEFAULT_READ_TIMEOUT_S,
+        receive_timeout_s: float = DEFAULT_RECEIVE_TIMEOUT_S,
         stop_timeout_s: float = DEFAULT_STOP_TIMEOUT_S,
     ) -> None:
         self._server = _QuietServer(
@@ -65,6 +70,7 @@
             server_name="shallotworks",
         )
         self._server.timeout = read_timeout_s
+        self._server.receive_timeout_s = receive_timeout_s
         self._server.shutdown_timeout = stop_timeout_s
         self._server.keep_alive_conn_limit = KEPT_ALIVE_CONNECTIONS
         self._server.max_request_header_size = HEADER_LIMIT_BYTES
@@ -114,7 +120,10 @@
 
 
 class _QuietServer(wsgi.Server):
-    """Keeps cheroot's own messages out of standard error, but for its faults."""
+    """Keeps cheroot's own messages out of standard error, and bounds slow senders."""
+
+    ConnectionClass = BoundedConnection
+    receive_timeout_s = DEFAULT_RECEIVE_TIMEOUT_S
 
     def error_log(
         self, msg: str = "", level: int = std_logging.INFO, traceback: bool = False
--- a/src/shallotworks/metrics/__init__.py
+++ b/src/shallotworks/metrics/__init__.py
@@ -5,11 +5,12 @@
 `summarise` works out the quantiles in the reader's thread. Nothing here is sent to anyone unasked.
 """
 
-from ._exposition import to_exposition
+from ._exposition import EXPOSITION_CONTENT_TYPE, to_exposition
 from ._metrics import FrozenLatency, FrozenMetrics, Metrics
 from ._snapshot import LatencySummary, MetricsSnapshot, summarise
 
 __all__ = [
+    "EXPOSITION_CONTENT_TYPE",
     "FrozenLatency",
     "FrozenMetrics",
     "LatencySummary",
--- /dev/null
+++ b/src/shallotworks/operators/_application.py
@@ -0,0 +1,221 @@
+"""The WSGI application of the operators' port: token, route, parameters, body, answer."""
+
+from __future__ import annotations
+
+import asyncio
+import hmac
+import re
+from collections.abc import Callable, Iterable, Mapping
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qsl
+
+from absl import logging
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.errors import ErrorKind, Failure, ShallotworksError, answer_for
+from shallotworks.metrics import Metrics
+from shallotworks.timeline import EventKind, Subject, Timeline
+
+from ._calls import JSON_CONTENT_TYPE, Answered, Call, Refused, error_body
+from ._routes import Match, Route, find_route
+
+__all__ = ["BODY_LIMIT_BYTES", "OperatorsApplication"]
+
+BODY_LIMIT_BYTES = 4 * 1024 * 1024
+"""Enough for a list of 5,000 changes."""
+BEARER = "Bearer "
+OPERATOR_HEADER = "Operator"
+QUERY_PARTS_MOST = 20
+
+_OPERATOR = re.compile(r"[A-Za-z0-9][A-Za-z0-9._@-]{0,62}", re.ASCII)
+_PHRASES = {entry.value: entry.phrase for entry in HTTPStatus}
+
+
+class OperatorsApplication:
+    """Answers operators.
+
+    Args:
+        loop: The event loop, which alone writes metrics.
+        routes: The table of routes.
+        token: The bearer token that every call must carry.
+        timeline: Where is kept who did what.
+        metrics: Counts answers by status.
+    """
+
+    __slots__ = ("_loop", "_metrics", "_routes", "_timeline", "_token")
+
+    def __init__(
+        self,
+        *,
+        loop: asyncio.AbstractEventLoop,
+        routes: tuple[Route, ...],
+        token: bytes,
+        timeline: Timeline,
+        metrics: Metrics,
+    ) -> None:
+        self._loop = loop
+        self._routes = routes
+        self._token = token
+        self._timeline = timeline
+        self._metrics = metrics
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Serve one call, as WSGI has it."""
+        outcome = self._answer(environ)
+        status = _status(outcome)
+        self._count(status)
+        if isinstance(outcome, Success):
+            return _write_answer(start_response, outcome.unwrap())
+        return _write_refusal(start_response, outcome.failure())
+
+    def _answer(self, environ: dict[str, Any]) -> Result[Answered, Refused]:
+        try:
+            # The token goes first: without it nobody learns which paths there are.
+            self._check_token(environ)
+            match = self._find(environ)
+            call = _read_call(environ, match)
+        except ShallotworksError as error:
+            return Err(Refused(failure=error.failure))
+        outcome = _handle(match.route, call)
+        if match.route.method != "GET":
+            self._record(match.route, call, outcome)
+        return outcome
+
+    def _check_token(self, environ: dict[str, Any]) -> None:
+        sent: str = environ.get("HTTP_AUTHORIZATION", "")
+        given = sent.removeprefix(BEARER).encode("latin-1", "replace")
+        # Compared in constant time: else its first wrong character shows in how long this takes.
+        if not hmac.compare_digest(given, self._token) or not sent.startswith(BEARER):
+            raise _error(ErrorKind.UNAUTHORISED, "the bearer token is missing or wrong")
+
+    def _find(self, environ: dict[str, Any]) -> Match:
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        found = find_route(self._routes, method=method, path=path)
+        if isinstance(found, Match):
+            return found
+        if found:
+            reason = f"{path} takes {' and '.join(found)}, not {method}"
+            raise _error(ErrorKind.INVALID_REQUEST, reason)
+        raise _error(ErrorKind.NOT_FOUND, f"there is no {path}")
+
+    def _record(self, route: Route, call: Call, outcome: Result[Answered, Refused]) -> None:
+        plan = call.arguments.get("digest", "")
+        if isinstance(outcome, Success):
+            told = "accepted"
+            plan = plan or outcome.unwrap().about_plan
+        else:
+            told = str(outcome.failure().failure)
+        self._timeline.record(
+            EventKind.OPERATOR,
+            subject=Subject(plan=plan),
+            detail=f"{call.operator}: {route.method} {route.path}: {told}",
+        )
+
+    def _count(self, status: int) -> None:
+        name = f"operators.answered.{status}"
+        try:
+            self._loop.call_soon_threadsafe(self._metrics.count, name)
+        except RuntimeError:
+            # The loop is closed while the last answers of a stop are still written.
+            logging.debug("not counted, the loop is closed: %s", name)
+
+
+def _handle(route: Route, call: Call) -> Result[Answered, Refused]:
+    try:
+        return route.handler(call)
+    except ShallotworksError as error:
+        return Err(Refused(failure=error.failure))
+    except Exception:
+        logging.exception("operators: %s %s failed", route.method, route.path)
+        reason = "the instance failed at this; its log says why"
+        return Err(Refused(failure=Failure(kind=ErrorKind.INTERNAL, reason=reason)))
+
+
+def _read_call(environ: dict[str, Any], match: Match) -> Call:
+    query = _read_query(environ.get("QUERY_STRING", ""), allowed=match.route.query)
+    operator: str = environ.get("HTTP_OPERATOR", "")
+    if (operator or match.route.method != "GET") and not _OPERATOR.fullmatch(operator):
+        reason = (
+            f"the header {OPERATOR_HEADER} names who calls: 1 to 63 letters, digits and . _ @ -"
+        )
+        raise _error(ErrorKind.INVALID_REQUEST, reason)
+    return Call(
+        operator=operator,
+        arguments=match.arguments,
+        query=query,
+        body=_read_body(environ),
+    )
+
+
+def _read_query(text: str, *, allowed: Mapping[str, str]) -> Mapping[str, str]:
+    try:
+        pairs = parse_qsl(
+            text, keep_blank_values=True, strict_parsing=bool(text), max_num_fields=QUERY_PARTS_MOST
+        )
+    except ValueError:
+        raise _error(ErrorKind.INVALID_REQUEST, "the query is malformed") from None
+    for name, _ in pairs:
+        if name not in allowed:
+            told = ", ".join(allowed) or "none"
+            raise _error(ErrorKind.INVALID_REQUEST, f"no parameter {name!r}; allowed: {told}")
+    if len(dict(pairs)) < len(pairs):
+        raise _error(ErrorKind.INVALID_REQUEST, "a parameter stands twice")
+    return dict(pairs)
+
+
+def _read_body(environ: dict[str, Any]) -> bytes:
+    if environ.get("HTTP_TRANSFER_ENCODING"):
+        raise _error(ErrorKind.INVALID_REQUEST, "send a Content-Length, not a chunked body")
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    if length > BODY_LIMIT_BYTES:
+        reason = f"the body has {length} bytes, at most {BODY_LIMIT_BYTES} are taken"
+        raise _error(ErrorKind.TOO_LARGE, reason)
+    body: bytes = environ["wsgi.input"].read(length) if length > 0 else b""
+    if len(body) < length:
+        raise _error(ErrorKind.INVALID_REQUEST, f"the body ended after {len(body)} bytes")
+    return body
+
+
+def _error(kind: ErrorKind, reason: str) -> ShallotworksError:
+    return ShallotworksError(Failure(kind=kind, reason=reason))
+
+
+def _status(outcome: Result[Answered, Refused]) -> int:
+    if isinstance(outcome, Success):
+        return HTTPStatus.OK.value
+    return answer_for(outcome.failure().failure.kind).status
+
+
+def _write_answer(start_response: Callable[..., Any], answered: Answered) -> Iterable[bytes]:
+    return _write(start_response, HTTPStatus.OK.value, answered.content_type, answered.body, [])
+
+
+def _write_refusal(start_response: Callable[..., Any], refused: Refused) -> Iterable[bytes]:
+    headers = []
+    failure = refused.failure
+    if failure.retry_after_s is not None:
+        headers.append(("Retry-After", str(max(1, round(failure.retry_after_s)))))
+    if failure.kind is ErrorKind.UNAUTHORISED:
+        headers.append(("WWW-Authenticate", "Bearer"))
+    status = answer_for(failure.kind).status
+    return _write(start_response, status, JSON_CONTENT_TYPE, error_body(refused), headers)
+
+
+def _write(
+    start_response: Callable[..., Any],
+    status: int,
+    content_type: str,
+    body: bytes,
+    headers: list[tuple[str, str]],
+) -> Iterable[bytes]:
+    every = [
+        ("Content-Type", content_type),
+        ("Content-Length", str(len(body))),
+        ("Cache-Control", "no-store"),
+    ]
+    start_response(f"{status} {_PHRASES[status]}", every + headers)
+    return [body]
--- /dev/null
+++ b/src/shallotworks/operators/_fleet_handlers.py
@@ -0,0 +1,179 @@
+"""Handlers that show and change the fleet."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from pydantic import Field, TypeAdapter, ValidationError
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.config import Accepted
+from shallotworks.errors import ErrorKind, Failure, ShallotworksError
+from shallotworks.fleet import (
+    AdvancePlan,
+    Change,
+    ConfirmPlan,
+    FinishPlan,
+    MoveInstance,
+    SetCondition,
+)
+
+from ._calls import Answered, Call, Refused, answer_json
+from ._hop import LoopHop
+from ._parameters import whole_number
+from ._protocols import OperatorBackend
+from ._views import (
+    ChangesView,
+    DataCentresView,
+    HistoryView,
+    InstancesView,
+    PoolsView,
+    ServicesView,
+    TeamsView,
+    pool_view,
+    service_view,
+)
+
+__all__ = ["FleetHandlers"]
+
+CHANGES_LIMIT = 5_000
+HISTORY_LIMIT = 1_000
+HISTORY_DEFAULT = 100
+ERRORS_TOLD = 3
+
+Outcome = Result[Answered, Refused]
+
+
+class FleetHandlers:
+    """Shows the fleet in force, and hands changes to the configuration log.
+
+    Args:
+        backend: The instance.
+        hop: The way into its event loop.
+    """
+
+    __slots__ = ("_backend", "_hop")
+
+    def __init__(self, *, backend: OperatorBackend, hop: LoopHop) -> None:
+        self._backend = backend
+        self._hop = hop
+
+    def instances(self, call: Call) -> Outcome:
+        """Answer the instances, of one pool or data centre where that is asked."""
+        state = self._hop.read(self._backend.fleet())
+        wanted = call.query
+        chosen = [
+            entry
+            for _, entry in sorted(state.instances.items())
+            if wanted.get("pool", entry.pool) == entry.pool
+            and wanted.get("data_centre", entry.data_centre) == entry.data_centre
+        ]
+        view = InstancesView(revision=state.revision, instances=tuple(chosen))
+        return Success(answer_json(view))
+
+    def pools(self, call: Call) -> Outcome:
+        """Answer the pools with their budgets."""
+        state = self._hop.read(self._backend.fleet())
+        views = tuple(pool_view(state, entry) for _, entry in sorted(state.pools.items()))
+        return Success(answer_json(PoolsView(revision=state.revision, pools=views)))
+
+    def services(self, call: Call) -> Outcome:
+        """Answer the services."""
+        state = self._hop.read(self._backend.fleet())
+        views = tuple(service_view(state, entry) for _, entry in sorted(state.services.items()))
+        view = ServicesView(revision=state.revision, services=views)
+        return Success(answer_json(view))
+
+    def teams(self, call: Call) -> Outcome:
+        """Answer the teams."""
+        state = self._hop.read(self._backend.fleet())
+        teams = tuple(entry for _, entry in sorted(state.teams.items()))
+        return Success(answer_json(TeamsView(revision=state.revision, teams=teams)))
+
+    def data_centres(self, call: Call) -> Outcome:
+        """Answer the data centres."""
+        state = self._hop.read(self._backend.fleet())
+        centres = tuple(entry for _, entry in sorted(state.data_centres.items()))
+        view = DataCentresView(revision=state.revision, data_centres=centres)
+        return Success(answer_json(view))
+
+    def history(self, call: Call) -> Outcome:
+        """Answer accepted changes."""
+        after = whole_number(call, "after", default=0, most=2**53)
+        limit = whole_number(call, "limit", default=HISTORY_DEFAULT, most=HISTORY_LIMIT)
+        entries = self._hop.read(self._backend.changes_after(after, limit=limit))
+        return entries.map(lambda found: answer_json(HistoryView(entries=found))).alt(
+            lambda failure: Refused(failure=failure)
+        )
+
+    def change(self, call: Call) -> Outcome:
+        """Propose one change or a list, in order, up to the first that is refused."""
+        changes = _read_changes(call.body)
+        if isinstance(changes, Err):
+            return Err(Refused(failure=changes.failure()))
+        accepted: list[Accepted] = []
+        for change in changes.unwrap():
+            outcome = self._propose(change, call.operator)
+            if isinstance(outcome, Err):
+                failure = _told_with_place(outcome.failure(), len(accepted), change)
+                return Err(Refused(failure=failure, accepted=tuple(accepted)))
+            accepted.append(outcome.unwrap())
+        return Success(answer_json(ChangesView(accepted=tuple(accepted))))
+
+    def _propose(self, change: Change, operator: str) -> Result[Accepted, Failure]:
+        try:
+            return self._hop.write(self._backend.propose_change(change, operator=operator))
+        except ShallotworksError as error:
+            # A list may be half accepted by now: its caller must learn which part.
+            return Err(error.failure)
+
+
+def _read_changes(body: bytes) -> Result[list[Change], Failure]:
+    try:
+        read = _ONE_OR_MORE.validate_json(body)
+    except ValidationError as error:
+        return Err(Failure(kind=ErrorKind.INVALID_REQUEST, reason=_told(error)))
+    changes = read if isinstance(read, list) else [read]
+    for place, change in enumerate(changes):
+        if _is_a_plans_own(change):
+            reason = f"change {place} ({change.kind}) is made by a plan only; use /v1/plans"
+            return Err(Failure(kind=ErrorKind.INVALID_REQUEST, reason=reason))
+    return Success(changes)
+
+
+def _is_a_plans_own(change: Change) -> bool:
+    """Say whether a change is one that only a plan may make.
+
+    An operator who could write these would confirm past the check for staleness, or raise a plan's
+    fencing token and so shut out its conductor.
+    """
+    if isinstance(change, ConfirmPlan | AdvancePlan | FinishPlan):
+        return True
+    if isinstance(change, MoveInstance | SetCondition):
+        return bool(change.plan or change.fencing_token)
+    return False
+
+
+def _told_with_place(failure: Failure, place: int, change: Change) -> Failure:
+    return Failure(
+        kind=failure.kind,
+        reason=f"change {place} ({change.kind}): {failure.reason}",
+        retry_after_s=failure.retry_after_s,
+    )
+
+
+def _told(error: ValidationError) -> str:
+    found = error.errors(include_url=False, include_input=False, include_context=False)
+    told = [
+        f"{'.'.join(str(part) for part in entry['loc']) or 'body'}: {entry['msg']}"
+        for entry in found[:ERRORS_TOLD]
+    ]
+    if len(found) > ERRORS_TOLD:
+        told.append(f"and {len(found) - ERRORS_TOLD} more")
+    return "; ".join(told)
+
+
+_ONE_OR_MORE: TypeAdapter[Change | list[Change]] = TypeAdapter(
+    Change | Annotated[list[Change], Field(max_length=CHANGES_LIMIT)]
+)
--- /dev/null
+++ b/src/shallotworks/operators/_openapi.py
@@ -0,0 +1,115 @@
+"""The description of the operators' API, made from the table of routes."""
+
+from __future__ import annotations
+
+import json
+import re
+from collections.abc import Iterable
+from typing import Any, Literal
+
+from pydantic import TypeAdapter
+
+from shallotworks import __version__
+from shallotworks.errors import ErrorKind, answer_for
+
+from ._calls import ErrorBody
+from ._routes import PREFIX, Route
+
+__all__ = ["describe_api"]
+
+OPENAPI_VERSION = "3.1.0"
+EVERY_ROUTE_ERRORS = (
+    ErrorKind.INVALID_REQUEST,
+    ErrorKind.UNAUTHORISED,
+    ErrorKind.TOO_LARGE,
+    ErrorKind.STOPPING,
+    ErrorKind.DEADLINE_EXCEEDED,
+    ErrorKind.INTERNAL,
+)
+_REF_TEMPLATE = "#/components/schemas/{model}"
+_SchemaInput = tuple[str, Literal["validation"], TypeAdapter[Any]]
+_ARGUMENT = re.compile(r"{(\w+)}")
+
+
+def describe_api(routes: Iterable[Route]) -> bytes:
+    """Return the OpenAPI document as JSON, the same on every call."""
+    routes = tuple(routes)
+    schemas = _Schemas(routes)
+    paths: dict[str, Any] = {}
+    for route in routes:
+        operation = _operation(route, schemas)
+        paths.setdefault(PREFIX + route.path, {})[route.method.lower()] = operation
+    document = {
+        "openapi": OPENAPI_VERSION,
+        "info": {"title": "shallotworks operators' API", "version": __version__},
+        "security": [{"token": []}],
+        "paths": paths,
+        "components": {
+            "securitySchemes": {"token": {"type": "http", "scheme": "bearer"}},
+            "schemas": schemas.definitions,
+        },
+    }
+    return (json.dumps(document, indent=2) + "\n").encode()
+
+
+class _Schemas:
+    """JSON schemas of all types that the routes take and answer."""
+
+    __slots__ = ("_schemas", "definitions")
+
+    def __init__(self, routes: Iterable[Route]) -> None:
+        kinds: list[Any] = [ErrorBody]
+        for route in routes:
+            kinds.extend(kind for kind in (route.answer, route.body) if kind is not None)
+        inputs: list[_SchemaInput] = [
+            (repr(kind), "validation", TypeAdapter(kind)) for kind in kinds
+        ]
+        self._schemas, shared = TypeAdapter.json_schemas(inputs, ref_template=_REF_TEMPLATE)
+        self.definitions = dict(sorted(shared.get("$defs", {}).items()))
+
+    def of(self, kind: Any) -> Any:
+        """Return the schema of one type."""
+        return self._schemas[(repr(kind), "validation")]
+
+
+def _operation(route: Route, schemas: _Schemas) -> dict[str, Any]:
+    operation: dict[str, Any] = {
+        "summary": route.summary,
+        "parameters": list(_parameters(route)),
+        "responses": _responses(route, schemas),
+    }
+    if route.body is not None:
+        operation["requestBody"] = {
+            "required": True,
+            "content": {"application/json": {"schema": schemas.of(route.body)}},
+        }
+    return operation
+
+
+def _parameters(route: Route) -> Iterable[dict[str, Any]]:
+    text = {"type": "string"}
+    for name in _ARGUMENT.findall(route.path):
+        yield {"name": name, "in": "path", "required": True, "schema": text}
+    for name, meaning in route.query.items():
+        yield {"name": name, "in": "query", "description": meaning, "schema": text}
+    yield {
+        "name": "Operator",
+        "in": "header",
+        "description": "Who calls; kept in the time line.",
+        "required": route.method != "GET",
+        "schema": text,
+    }
+
+
+def _responses(route: Route, schemas: _Schemas) -> dict[str, Any]:
+    answer = {} if route.answer is None else schemas.of(route.answer)
+    responses: dict[str, Any] = {
+        "200": {"description": "Done.", "content": {"application/json": {"schema": answer}}}
+    }
+    for kind in (*EVERY_ROUTE_ERRORS, *route.errors):
+        status = str(answer_for(kind).status)
+        told = responses.get(status)
+        description = f"{told['description']}, {kind.value}" if told else kind.value
+        content = {"application/json": {"schema": schemas.of(ErrorBody)}}
+        responses[status] = {"description": description, "content": content}
+    return dict(sorted(responses.items()))
--- /dev/null
+++ b/src/shallotworks/operators/_plan_handlers.py
@@ -0,0 +1,68 @@
+"""Handlers that propose, show, confirm and cancel plans."""
+
+from __future__ import annotations
+
+from returns.result import Result
+
+from shallotworks.errors import Failure
+
+from ._calls import Answered, Call, Refused, answer_json
+from ._hop import LoopHop
+from ._protocols import OperatorBackend
+from ._views import PlanRefusal, PlansView, PlanView
+
+__all__ = ["PlanHandlers"]
+
+Outcome = Result[Answered, Refused]
+
+
+class PlanHandlers:
+    """Hands what operators want of plans to the instance.
+
+    Args:
+        backend: The instance.
+        hop: The way into its event loop.
+    """
+
+    __slots__ = ("_backend", "_hop")
+
+    def __init__(self, *, backend: OperatorBackend, hop: LoopHop) -> None:
+        self._backend = backend
+        self._hop = hop
+
+    def propose(self, call: Call) -> Outcome:
+        """Answer a proposal for an intent."""
+        work = self._backend.propose_plan(call.body, operator=call.operator)
+        return self._hop.write(work).map(_answer).alt(_refuse)
+
+    def list_all(self, call: Call) -> Outcome:
+        """Answer all plans, the newest first."""
+        plans = self._hop.read(self._backend.plans())
+        return plans.map(lambda found: answer_json(PlansView(plans=found))).alt(_refuse)
+
+    def show(self, call: Call) -> Outcome:
+        """Answer one plan."""
+        work = self._backend.plan(call.arguments["digest"])
+        return self._hop.read(work).map(_answer).alt(_refuse)
+
+    def confirm(self, call: Call) -> Outcome:
+        """Confirm a proposal; a stale one is answered with its replacement."""
+        work = self._backend.confirm_plan(call.arguments["digest"], operator=call.operator)
+        return self._hop.write(work).map(_answer).alt(_refuse_confirm)
+
+    def cancel(self, call: Call) -> Outcome:
+        """Cancel a confirmed plan."""
+        work = self._backend.cancel_plan(call.arguments["digest"], operator=call.operator)
+        return self._hop.write(work).map(_answer).alt(_refuse)
+
+
+def _answer(plan: PlanView) -> Answered:
+    return answer_json(plan, about_plan=plan.digest)
+
+
+def _refuse(failure: Failure) -> Refused:
+    return Refused(failure=failure)
+
+
+def _refuse_confirm(refusal: PlanRefusal) -> Refused:
+    return Refused(failure=refusal.failure, replacement=refusal.replacement)
--- /dev/null
+++ b/src/shallotworks/operators/_process_handlers.py
@@ -0,0 +1,97 @@
+"""Handlers that show the process itself: status, time line, metrics, this API."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.metrics import EXPOSITION_CONTENT_TYPE, summarise, to_exposition
+from shallotworks.timeline import EventFilter, EventKind, Timeline
+
+from ._calls import Answered, Call, Refused, answer_json
+from ._hop import LoopHop
+from ._parameters import whole_number
+from ._protocols import OperatorBackend
+
+__all__ = ["ProcessHandlers"]
+
+EVENTS_LIMIT = 1_000_000
+
+Outcome = Result[Answered, Refused]
+
+
+class ProcessHandlers:
+    """Shows how this one process is doing.
+
+    Args:
+        backend: The instance.
+        hop: The way into its event loop.
+        timeline: Its events, which any thread may read.
+        process: Its name.
+        api_description: Returns the description of this API as JSON.
+    """
+
+    __slots__ = ("_api_description", "_backend", "_hop", "_process", "_timeline")
+
+    def __init__(
+        self,
+        *,
+        backend: OperatorBackend,
+        hop: LoopHop,
+        timeline: Timeline,
+        process: str,
+        api_description: Callable[[], bytes],
+    ) -> None:
+        self._backend = backend
+        self._hop = hop
+        self._timeline = timeline
+        self._process = process
+        self._api_description = api_description
+
+    def status(self, call: Call) -> Outcome:
+        """Answer how the instance is doing."""
+        return Success(answer_json(self._hop.read(self._backend.status())))
+
+    def timeline(self, call: Call) -> Outcome:
+        """Answer the events asked for, read from the ring in this thread."""
+        kinds = _read_kinds(call.query.get("kind", ""))
+        if isinstance(kinds, Err):
+            return Err(Refused(failure=kinds.failure()))
+        wanted = EventFilter(
+            request=call.query.get("request", ""),
+            plan=call.query.get("plan", ""),
+            instance=call.query.get("instance", ""),
+            kinds=kinds.unwrap(),
+        )
+        limit = whole_number(call, "limit", default=EVENTS_LIMIT, most=EVENTS_LIMIT)
+        return Success(Answered(body=self._timeline.page(wanted, limit=limit).encode()))
+
+    def metrics(self, call: Call) -> Outcome:
+        """Answer all metrics; their quantiles are worked out in this thread."""
+        form = call.query.get("format", "json")
+        if form not in ("json", "text"):
+            reason = f"format = {form!r}; allowed: json, text"
+            return Err(Refused(failure=Failure(kind=ErrorKind.INVALID_REQUEST, reason=reason)))
+        frozen = self._hop.read(self._backend.metrics())
+        snapshot = summarise(frozen, process=self._process)
+        if form == "json":
+            return Success(Answered(body=snapshot.encode()))
+        body = to_exposition(snapshot).encode()
+        return Success(Answered(body=body, content_type=EXPOSITION_CONTENT_TYPE))
+
+    def describe(self, call: Call) -> Outcome:
+        """Answer the description of this API."""
+        return Success(Answered(body=self._api_description()))
+
+
+def _read_kinds(text: str) -> Result[frozenset[EventKind], Failure]:
+    names = [name for name in text.split(",") if name]
+    known = {kind.value: kind for kind in EventKind}
+    unknown = [name for name in names if name not in known]
+    if unknown:
+        reason = f"kind = {unknown[0]!r}; allowed: {', '.join(known)}"
+        return Err(Failure(kind=ErrorKind.INVALID_REQUEST, reason=reason))
+    return Success(frozenset(known[name] for name in names))
--- /dev/null
+++ b/src/shallotworks/operators/_protocols.py
@@ -0,0 +1,83 @@
+"""What the operators' API asks of the instance behind it."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from returns.result import Result
+
+from shallotworks.config import Accepted, Entry
+from shallotworks.errors import Failure
+from shallotworks.fleet import Change, FleetState
+from shallotworks.metrics import FrozenMetrics
+
+from ._views import PlanRefusal, PlanView, StatusView
+
+__all__ = ["OperatorBackend"]
+
+
+class OperatorBackend(Protocol):
+    """One instance, as its operators' port sees it; every method runs on the event loop.
+
+    Each call is given a bounded time by the server and cancelled after it.
+    """
+
+    async def status(self) -> StatusView:
+        """Return how the instance is doing."""
+        ...
+
+    async def fleet(self) -> FleetState:
+        """Return the state in force here."""
+        ...
+
+    async def propose_change(self, change: Change, *, operator: str) -> Result[Accepted, Failure]:
+        """Append one change to the configuration log; see `ConfigLog.propose`."""
+        ...
+
+    async def changes_after(
+        self, revision: int, *, limit: int
+    ) -> Result[tuple[Entry, ...], Failure]:
+        """Return accepted changes that follow a revision, oldest first.
+
+        Returns:
+            The entries; ``NOT_FOUND`` where they are not kept any more.
+        """
+        ...
+
+    async def propose_plan(self, intent: bytes, *, operator: str) -> Result[PlanView, Failure]:
+        """Work out a plan for an intent and store it; nothing acts on it.
+
+        Args:
+            intent: The intent as JSON.
+            operator: Who wants it.
+
+        Returns:
+            The proposal; ``INVALID_REQUEST``, ``NOT_FOUND``, ``UNSATISFIABLE`` or
+            ``STORE_UNAVAILABLE``.
+        """
+        ...
+
+    async def plans(self) -> Result[tuple[PlanView, ...], Failure]:
+        """Return proposals and confirmed plans, the newest first."""
+        ...
+
+    async def plan(self, digest: str) -> Result[PlanView, Failure]:
+        """Return one plan; ``NOT_FOUND`` where there is none of this digest."""
+        ...
+
+    async def confirm_plan(self, digest: str, *, operator: str) -> Result[PlanView, PlanRefusal]:
+        """Confirm a proposal.
+
+        Returns:
+            The running plan; ``STALE_PLAN`` with a new proposal where what it rests on has
+            changed; ``CONFLICT`` with who and why; ``STORE_UNAVAILABLE`` or ``OUTCOME_UNKNOWN``.
+        """
+        ...
+
+    async def cancel_plan(self, digest: str, *, operator: str) -> Result[PlanView, Failure]:
+        """Cancel a confirmed plan: it starts nothing more and brings back what it cordoned."""
+        ...
+
+    async def metrics(self) -> FrozenMetrics:
+        """Return a copy of all metrics."""
+        ...
--- /dev/null
+++ b/src/shallotworks/operators/_routes.py
@@ -0,0 +1,276 @@
+"""The table of routes: what the API offers, in one place for the server and its description."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from returns.result import Result
+
+from shallotworks.errors import ErrorKind
+from shallotworks.fleet import Change
+from shallotworks.metrics import MetricsSnapshot
+from shallotworks.timeline import TimelinePage
+
+from ._calls import Answered, Call, Refused
+from ._fleet_handlers import FleetHandlers
+from ._plan_handlers import PlanHandlers
+from ._process_handlers import ProcessHandlers
+from ._views import (
+    ChangesView,
+    DataCentresView,
+    HistoryView,
+    InstancesView,
+    PlansView,
+    PlanView,
+    PoolsView,
+    ServicesView,
+    StatusView,
+    TeamsView,
+)
+
+__all__ = ["Handler", "Handlers", "Match", "Route", "build_routes", "find_route"]
+
+Handler = Callable[[Call], Result[Answered, Refused]]
+
+PREFIX = "/v1"
+_STORE_ERRORS = (ErrorKind.STORE_UNAVAILABLE, ErrorKind.OUTCOME_UNKNOWN)
+_DIGEST = re.compile(r"[A-Za-z0-9]{1,128}", re.ASCII)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Handlers:
+    """All handlers of one server."""
+
+    fleet: FleetHandlers
+    plans: PlanHandlers
+    process: ProcessHandlers
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Route:
+    """One thing that the API offers.
+
+    Args:
+        method: HTTP method; a ``POST`` may change something and names its operator.
+        path: Path below `PREFIX`, with ``{digest}`` for a plan's digest.
+        summary: What it does, in one sentence.
+        handler: What answers.
+        answer: Type of the JSON answer; ``None`` for one that has no type here.
+        body: Type of the JSON body taken; ``None`` for none.
+        query: Parameters and what they mean.
+        errors: Kinds of error besides those that every route may answer.
+    """
+
+    method: str
+    path: str
+    summary: str
+    handler: Handler
+    answer: Any = None
+    body: Any = None
+    query: Mapping[str, str] = field(default_factory=dict)
+    errors: tuple[ErrorKind, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Match:
+    """The route of a path, and the parts of that path."""
+
+    route: Route
+    arguments: Mapping[str, str]
+
+
+def build_routes(handlers: Handlers) -> tuple[Route, ...]:
+    """Return the table."""
+    return (
+        *_process_routes(handlers.process),
+        *_fleet_routes(handlers.fleet),
+        *_plan_routes(handlers.plans),
+    )
+
+
+def find_route(routes: tuple[Route, ...], *, method: str, path: str) -> Match | tuple[str, ...]:
+    """Return the route of a call; or the methods that its path takes, none for no such path."""
+    methods = []
+    for route in routes:
+        arguments = _match(route.path, path)
+        if arguments is None:
+            continue
+        if route.method == method:
+            return Match(route=route, arguments=arguments)
+        methods.append(route.method)
+    return tuple(methods)
+
+
+def _match(pattern: str, path: str) -> Mapping[str, str] | None:
+    expected = (PREFIX + pattern).split("/")
+    parts = path.split("/")
+    if len(expected) != len(parts):
+        return None
+    arguments = {}
+    for name, part in zip(expected, parts, strict=True):
+        if name.startswith("{"):
+            if not _DIGEST.fullmatch(part):
+                return None
+            arguments[name[1:-1]] = part
+        elif name != part:
+            return None
+    return arguments
+
+
+def _process_routes(handlers: ProcessHandlers) -> tuple[Route, ...]:
+    return (
+        Route(
+            method="GET",
+            path="/status",
+            summary="How this instance is doing.",
+            handler=handlers.status,
+            answer=StatusView,
+        ),
+        Route(
+            method="GET",
+            path="/timeline",
+            summary="Events of this process, oldest first.",
+            handler=handlers.timeline,
+            answer=TimelinePage,
+            query={
+                "request": "Only events of this request id.",
+                "plan": "Only events of the plan whose digest begins so.",
+                "instance": "Only events of this instance.",
+                "kind": "Only events of these kinds, separated by commas.",
+                "limit": "Only the newest so many.",
+            },
+        ),
+        Route(
+            method="GET",
+            path="/metrics",
+            summary="Counters and latencies of this process.",
+            handler=handlers.metrics,
+            answer=MetricsSnapshot,
+            query={"format": "`json`, or `text` for the text exposition format."},
+        ),
+        Route(
+            method="GET",
+            path="/openapi.json",
+            summary="This description.",
+            handler=handlers.describe,
+        ),
+    )
+
+
+def _fleet_routes(handlers: FleetHandlers) -> tuple[Route, ...]:
+    return (
+        Route(
+            method="GET",
+            path="/instances",
+            summary="Worker instances, by name.",
+            handler=handlers.instances,
+            answer=InstancesView,
+            query={
+                "pool": "Only those of this pool.",
+                "data_centre": "Only those of this data centre.",
+            },
+        ),
+        Route(
+            method="GET",
+            path="/pools",
+            summary="Pools with their availability budgets, by name.",
+            handler=handlers.pools,
+            answer=PoolsView,
+        ),
+        Route(
+            method="GET",
+            path="/services",
+            summary="Services, by name.",
+            handler=handlers.services,
+            answer=ServicesView,
+        ),
+        Route(
+            method="GET",
+            path="/teams",
+            summary="Teams with their quotas, by name.",
+            handler=handlers.teams,
+            answer=TeamsView,
+        ),
+        Route(
+            method="GET",
+            path="/data-centres",
+            summary="Data centres, by name.",
+            handler=handlers.data_centres,
+            answer=DataCentresView,
+        ),
+        Route(
+            method="GET",
+            path="/changes",
+            summary="Accepted changes with author and time, oldest first.",
+            handler=handlers.history,
+            answer=HistoryView,
+            query={
+                "after": "Only those after this revision.",
+                "limit": "At most so many.",
+            },
+            errors=(ErrorKind.NOT_FOUND,),
+        ),
+        Route(
+            method="POST",
+            path="/changes",
+            summary="Propose one change or a list; stops at the first that is refused.",
+            handler=handlers.change,
+            answer=ChangesView,
+            body=Change | list[Change],
+            errors=(
+                ErrorKind.NOT_FOUND,
+                ErrorKind.CONFLICT,
+                ErrorKind.BUDGET_SPENT,
+                *_STORE_ERRORS,
+            ),
+        ),
+    )
+
+
+def _plan_routes(handlers: PlanHandlers) -> tuple[Route, ...]:
+    return (
+        Route(
+            method="GET",
+            path="/plans",
+            summary="Proposals and confirmed plans, the newest first.",
+            handler=handlers.list_all,
+            answer=PlansView,
+            errors=(ErrorKind.STORE_UNAVAILABLE,),
+        ),
+        Route(
+            method="POST",
+            path="/plans",
+            summary="Propose a plan for an intent; nothing acts on it before it is confirmed.",
+            handler=handlers.propose,
+            answer=PlanView,
+            body=dict[str, Any],
+            errors=(ErrorKind.NOT_FOUND, ErrorKind.UNSATISFIABLE, *_STORE_ERRORS),
+        ),
+        Route(
+            method="GET",
+            path="/plans/{digest}",
+            summary="One plan.",
+            handler=handlers.show,
+            answer=PlanView,
+            errors=(ErrorKind.NOT_FOUND, ErrorKind.STORE_UNAVAILABLE),
+        ),
+        Route(
+            method="POST",
+            path="/plans/{digest}/confirm",
+            summary="Confirm a proposal; a stale one is refused with its replacement.",
+            handler=handlers.confirm,
+            answer=PlanView,
+            errors=(ErrorKind.NOT_FOUND, ErrorKind.STALE_PLAN, ErrorKind.CONFLICT, *_STORE_ERRORS),
+        ),
+        Route(
+            method="POST",
+            path="/plans/{digest}/cancel",
+            summary="Cancel a confirmed plan; what it cordoned comes back.",
+            handler=handlers.cancel,
+            answer=PlanView,
+            errors=(ErrorKind.NOT_FOUND, ErrorKind.CONFLICT, *_STORE_ERRORS),
+        ),
+    )
--- /dev/null
+++ b/src/shallotworks/operators/_views.py
@@ -0,0 +1,315 @@
+"""What operators are shown; the JSON bodies of the operators' API."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from shallotworks.config import Accepted, Entry
+from shallotworks.errors import Failure
+from shallotworks.fleet import DataCentre, FleetState, Instance, Pool, Service, Team
+
+__all__ = [
+    "ChangesView",
+    "DataCentresView",
+    "HistoryView",
+    "InstancesView",
+    "PeerState",
+    "PeerView",
+    "PlanAlternativeView",
+    "PlanMeasuresView",
+    "PlanRefusal",
+    "PlanStage",
+    "PlanView",
+    "PlansView",
+    "PoolView",
+    "PoolsView",
+    "ServiceView",
+    "ServicesView",
+    "StatusView",
+    "TeamsView",
+    "pool_view",
+    "service_view",
+]
+
+
+@unique
+class PeerState(Enum):
+    """How an instance sees one of its peers."""
+
+    UP = "up"
+    SUSPECT = "suspect"
+    DOWN = "down"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerView:
+    """One peer of an instance.
+
+    Args:
+        name: The peer's name.
+        address: ``ip:port`` of its peers' port.
+        data_centre: Where it stands.
+        state: How it is seen.
+        revision: The configuration revision that it holds.
+        silent_s: Time since it was last heard.
+    """
+
+    name: str
+    address: str
+    data_centre: str
+    state: PeerState
+    revision: int
+    silent_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StatusView:
+    """How one instance is doing.
+
+    Args:
+        process: Name of the instance.
+        version: Version of the program.
+        data_centre: Where it stands.
+        region: The region of that data centre.
+        uptime_s: Time since it started.
+        stopping: Whether it takes no new work any more.
+        revision: The configuration revision in force here.
+        config_age_s: Time since that was last known to be the newest.
+        store_up: Whether the platform's key-value service answered the last call.
+        requests_queued: Requests waiting for a slot.
+        requests_in_flight: Requests at a target.
+        duties: Names of the duties that this instance holds by lease.
+        peers: Its peers, by name.
+    """
+
+    process: str
+    version: str
+    data_centre: str
+    region: str
+    uptime_s: float
+    stopping: bool
+    revision: int
+    config_age_s: float
+    store_up: bool
+    requests_queued: int
+    requests_in_flight: int
+    duties: tuple[str, ...] = ()
+    peers: tuple[PeerView, ...] = ()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class InstancesView:
+    """Worker instances at one revision, by name."""
+
+    revision: int
+    instances: tuple[Instance, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PoolView:
+    """One pool and what stands in it.
+
+    Args:
+        name: The pool.
+        services: Names of the services it serves.
+        instances: How many instances it has.
+        available: How many of them count as serving.
+        slots: Slots of the available ones.
+        budget: How many may be unavailable at once.
+    """
+
+    name: str
+    services: tuple[str, ...]
+    instances: int
+    available: int
+    slots: int
+    budget: int
+
+    @property
+    def budget_left(self) -> int:
+        """How many more instances may become unavailable; negative where it is overspent."""
+        return self.budget - (self.instances - self.available)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PoolsView:
+    """All pools at one revision, by name."""
+
+    revision: int
+    pools: tuple[PoolView, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceView:
+    """One service and how its pool stands.
+
+    Args:
+        service: As configured.
+        available: Instances of its pool that count as serving.
+        unavailable: Instances of its pool that don't.
+    """
+
+    service: Service
+    available: int
+    unavailable: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServicesView:
+    """All services at one revision, by name."""
+
+    revision: int
+    services: tuple[ServiceView, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TeamsView:
+    """All teams at one revision, by name."""
+
+    revision: int
+    teams: tuple[Team, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DataCentresView:
+    """All data centres at one revision, by name."""
+
+    revision: int
+    data_centres: tuple[DataCentre, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ChangesView:
+    """Changes that were accepted, in the order given."""
+
+    accepted: tuple[Accepted, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HistoryView:
+    """Accepted changes with author and time, oldest first."""
+
+    entries: tuple[Entry, ...]
+
+
+@unique
+class PlanStage(Enum):
+    """Where a plan stands, from proposal to end."""
+
+    PROPOSED = "proposed"
+    RUNNING = "running"
+    CANCELLING = "cancelling"
+    DONE = "done"
+    CANCELLED = "cancelled"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlanMeasuresView:
+    """What a plan costs.
+
+    Args:
+        buffer_slots: Spare capacity held back, in slots.
+        rollout_s: Time that it takes.
+        moves: Jobs and instances relocated.
+    """
+
+    buffer_slots: float
+    rollout_s: float
+    moves: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlanAlternativeView:
+    """A way that was weighed and not chosen.
+
+    Args:
+        name: Which way.
+        measures: What it would have cost.
+        score: Weighted sum of the measures; the least is chosen.
+    """
+
+    name: str
+    measures: PlanMeasuresView
+    score: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlanView:
+    """One plan.
+
+    Args:
+        digest: Names it.
+        intent: The operator's intent, in one line.
+        stage: Where it stands.
+        text: The plan for people, some lines.
+        measures: What it costs.
+        score: Weighted sum of the measures.
+        alternatives: What it was chosen over.
+        base_revision: The revision it was computed from.
+        instances: Names of the instances that it will cordon or move.
+        steps_total: Number of its steps.
+        steps_done: Steps finished.
+        confirmed_by: Who confirmed it; empty for a proposal.
+        confirmed_at_s: Unix time of that; 0 for a proposal.
+        ended_at_s: Unix time of its end; 0 while it is open.
+        outcome: How it ended, or why it waits, in one sentence.
+    """
+
+    digest: str
+    intent: str
+    stage: PlanStage
+    text: str
+    measures: PlanMeasuresView
+    score: float = 0.0
+    alternatives: tuple[PlanAlternativeView, ...] = ()
+    base_revision: int
+    instances: tuple[str, ...]
+    steps_total: int = 0
+    steps_done: int = 0
+    confirmed_by: str = ""
+    confirmed_at_s: float = 0.0
+    ended_at_s: float = 0.0
+    outcome: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlansView:
+    """Plans, the newest first."""
+
+    plans: tuple[PlanView, ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlanRefusal:
+    """Why a plan is not confirmed.
+
+    Args:
+        failure: The reason.
+        replacement: A new proposal for the same intent, where the plan was stale.
+    """
+
+    failure: Failure
+    replacement: PlanView | None = None
+
+
+def pool_view(state: FleetState, pool: Pool) -> PoolView:
+    """Return one pool as it stands in this state."""
+    members = tuple(state.instances_of(pool.name))
+    available = [entry for entry in members if entry.available]
+    return PoolView(
+        name=pool.name,
+        services=tuple(sorted(entry.name for entry in state.services_of(pool.name))),
+        instances=len(members),
+        available=len(available),
+        slots=sum(entry.slots for entry in available),
+        budget=state.budget_of(pool.name),
+    )
+
+
+def service_view(state: FleetState, service: Service) -> ServiceView:
+    """Return one service as it stands in this state."""
+    members = tuple(state.instances_of(service.pool))
+    available = sum(1 for entry in members if entry.available)
+    return ServiceView(service=service, available=available, unavailable=len(members) - available)
--- /dev/null
+++ b/tests/test_listener.py
@@ -0,0 +1,86 @@
+"""Tests of `shallotworks.listener`: a sender that is slow or gone costs a bounded time."""
+
+import socket
+import time
+import unittest
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from parameterized import parameterized
+
+from shallotworks.listener import Listener
+
+RECEIVE_TIMEOUT_S = 0.2
+REQUEST = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"
+
+
+def _echo(environ: dict[str, Any], start_response: Callable[..., Any]) -> Iterable[bytes]:
+    body = environ["wsgi.input"].read(int(environ["CONTENT_LENGTH"]))
+    start_response("200 OK", [("Content-Length", str(len(body)))])
+    return [body]
+
+
+class SlowSenderTests(unittest.TestCase):
+    def setUp(self) -> None:
+        listener = Listener(
+            host="127.0.0.1",
+            port=0,
+            application=_echo,
+            threads=1,
+            receive_timeout_s=RECEIVE_TIMEOUT_S,
+        )
+        listener.start()
+        self.addCleanup(listener.stop)
+        self.port = listener.port
+
+    def connect(self) -> socket.socket:
+        connection = socket.create_connection(("127.0.0.1", self.port), timeout=5)
+        self.addCleanup(connection.close)
+        return connection
+
+    @parameterized.expand(
+        [("at_once", b""), ("in_the_header", REQUEST[:20]), ("in_the_body", REQUEST[:-2])]
+    )
+    def test_sender_that_falls_silent(self, _name: str, sent: bytes) -> None:
+        """
+        The port answers nobody while its process is idle.
+
+        A sender falls silent; the one thread waits for it as long as the socket's timeout of 10 s.
+        Each request has one deadline for all its reads, so the next caller is served after that.
+        """
+        self.connect().sendall(sent)
+        self.assert_served_soon()
+
+    def test_sender_that_trickles(self) -> None:
+        """
+        The port answers nobody while its process is idle.
+
+        A sender sends one byte every 50 ms, so each wait stays below the socket's timeout and the
+        thread is held for the length of the request. The deadline counts from its first byte.
+        """
+        slow = self.connect()
+        began_s = time.monotonic()
+        try:
+            for place in range(len(REQUEST)):
+                slow.sendall(REQUEST[place : place + 1])
+                time.sleep(0.05)
+                if time.monotonic() - began_s > 2 * RECEIVE_TIMEOUT_S:
+                    break
+        except ConnectionError:
+            pass
+        self.assert_served_soon()
+
+    def test_two_requests_on_one_connection_have_a_deadline_each(self) -> None:
+        """A kept-alive connection older than the deadline still serves."""
+        connection = self.connect()
+        for _ in range(2):
+            connection.sendall(REQUEST)
+            self.assertIn(b"body", connection.recv(4_096))
+            time.sleep(RECEIVE_TIMEOUT_S)
+
+    def assert_served_soon(self) -> None:
+        """Check that another caller is answered within a few deadlines."""
+        connection = self.connect()
+        connection.settimeout(5 * RECEIVE_TIMEOUT_S)
+        connection.sendall(REQUEST)
+        self.assertIn(b"200 OK", connection.recv(4_096))
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,255 @@
+"""Tests of `shallotworks.operators` over HTTP, in front of a fake backend."""
+
+import json
+import unittest
+from pathlib import Path
+from typing import Any
+
+import urllib3
+from hypothesis import given
+from hypothesis import strategies as st
+from parameterized import parameterized
+
+from shallotworks.errors import ErrorKind, answer_for
+from shallotworks.operators._application import BODY_LIMIT_BYTES
+from shallotworks.timeline import EventKind
+from tests.fake_backend import TOKEN, ServedBackend
+from tests.golden_files import assert_golden
+
+DOCUMENT = Path(__file__).parent.parent / "docs" / "openapi.json"
+POOL = b'{"kind": "put-pool", "pool": {"name": "traces"}}'
+WRITER = {"Authorization": f"Bearer {TOKEN}", "Operator": "kari"}
+
+
+class ServerCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.served = ServedBackend(self)
+        self.http = urllib3.PoolManager(retries=False, timeout=10)
+        self.addCleanup(self.http.clear)
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes | None = None,
+        headers: dict[str, str] = WRITER,
+    ) -> tuple[int, Any, Any]:
+        """Return status, body and headers of one call."""
+        url = f"http://{self.served.address}{path}"
+        answer = self.http.request(method, url, body=body, headers=headers)
+        return answer.status, json.loads(answer.data), answer.headers
+
+    def assert_refused(self, told: tuple[int, Any, Any], kind: ErrorKind) -> None:
+        """Check that a call was refused, in the one form and by the one table."""
+        status, body, _ = told
+        answer = answer_for(kind)
+        self.assertEqual((body["kind"], status), (kind.value, answer.status), body["reason"])
+        self.assertEqual((body["ran"], body["advice"]), (answer.ran.value, answer.advice.value))
+
+
+class TokenTests(ServerCase):
+    @parameterized.expand(
+        [
+            ("none", {}),
+            ("empty", {"Authorization": "Bearer "}),
+            ("wrong", {"Authorization": "Bearer let-me-on"}),
+            ("prefix", {"Authorization": "Bearer let-me-i"}),
+            ("longer", {"Authorization": "Bearer let-me-in2"}),
+            ("other_scheme", {"Authorization": "Basic let-me-in"}),
+            ("bare", {"Authorization": "let-me-in"}),
+            ("not_ascii", {"Authorization": "Bearer l\xe9t"}),
+        ]
+    )
+    def test_call_without_the_token_is_refused(self, _name: str, headers: dict[str, str]) -> None:
+        """Without the exact token even an unknown path is answered with 401 and nothing done."""
+        for method, path in (("GET", "/v1/status"), ("GET", "/other"), ("POST", "/v1/changes")):
+            body = POOL if method == "POST" else None
+            told = self.call(method, path, body=body, headers={**headers, "Operator": "kari"})
+            self.assert_refused(told, ErrorKind.UNAUTHORISED)
+            self.assertEqual(told[2]["WWW-Authenticate"], "Bearer")
+        self.assertEqual(self.served.backend.state.revision, 0)
+        self.assertEqual(self.served.timeline.events(), ())
+
+
+class CallTests(ServerCase):
+    @parameterized.expand(
+        [
+            ("unknown_path", "GET", "/v1/jobs", None, ErrorKind.NOT_FOUND),
+            ("below_a_path", "GET", "/v1/status/x", None, ErrorKind.NOT_FOUND),
+            ("odd_digest", "GET", "/v1/plans/..%2f", None, ErrorKind.NOT_FOUND),
+            ("unknown_digest", "GET", "/v1/plans/abc", None, ErrorKind.NOT_FOUND),
+            ("wrong_method", "DELETE", "/v1/status", None, ErrorKind.INVALID_REQUEST),
+            ("unknown_parameter", "GET", "/v1/instances?rack=r1", None, ErrorKind.INVALID_REQUEST),
+            (
+                "parameter_twice",
+                "GET",
+                "/v1/instances?pool=a&pool=b",
+                None,
+                ErrorKind.INVALID_REQUEST,
+            ),
+            ("not_a_number", "GET", "/v1/changes?limit=-1", None, ErrorKind.INVALID_REQUEST),
+            ("unknown_kind", "GET", "/v1/timeline?kind=sent,x", None, ErrorKind.INVALID_REQUEST),
+            ("unknown_format", "GET", "/v1/metrics?format=xml", None, ErrorKind.INVALID_REQUEST),
+            ("not_json", "POST", "/v1/changes", b"{", ErrorKind.INVALID_REQUEST),
+            ("no_body", "POST", "/v1/changes", b"", ErrorKind.INVALID_REQUEST),
+            (
+                "unknown_change",
+                "POST",
+                "/v1/changes",
+                b'{"kind": "put-all"}',
+                ErrorKind.INVALID_REQUEST,
+            ),
+            (
+                "plans_own_change",
+                "POST",
+                "/v1/changes",
+                b'{"kind": "advance-plan", "digest": "a", "fencing_token": 9, "steps_done": 1}',
+                ErrorKind.INVALID_REQUEST,
+            ),
+            (
+                "fenced_change",
+                "POST",
+                "/v1/changes",
+                b'[{"kind": "set-condition", "names": [], "condition": "active", "plan": "a"}]',
+                ErrorKind.INVALID_REQUEST,
+            ),
+            (
+                "refused_change",
+                "POST",
+                "/v1/changes",
+                b'{"kind": "remove-pool", "name": "x"}',
+                ErrorKind.NOT_FOUND,
+            ),
+            (
+                "too_large",
+                "POST",
+                "/v1/changes",
+                b" " * (BODY_LIMIT_BYTES + 1),
+                ErrorKind.TOO_LARGE,
+            ),
+        ]
+    )
+    def test_refused(
+        self, _name: str, method: str, path: str, body: bytes | None, kind: ErrorKind
+    ) -> None:
+        """A call that can't be served is refused by the table, and the next one is served."""
+        self.assert_refused(self.call(method, path, body=body), kind)
+        self.assertEqual(self.call("GET", "/v1/status")[0], 200)
+        self.assertEqual(self.served.backend.state.revision, 0)
+
+    def test_writer_must_name_itself(self) -> None:
+        """A change without the name of its operator, or with an odd one, is refused."""
+        for name in ("", "kari\x07", "x" * 64):
+            headers = {"Authorization": f"Bearer {TOKEN}", "Operator": name}
+            told = self.call("POST", "/v1/changes", body=POOL, headers=headers)
+            self.assert_refused(told, ErrorKind.INVALID_REQUEST)
+
+    def test_half_accepted_list_tells_which_half(self) -> None:
+        """
+        An operator sends a file of changes again and each is refused as done before.
+
+        The third change of a list is refused after two came into force. An answer with the error
+        alone hides those two; so it names the changes accepted and the place of the refused one.
+        """
+        changes = [json.loads(POOL), json.loads(POOL), {"kind": "remove-pool", "name": "x"}]
+        told = self.call("POST", "/v1/changes", body=json.dumps(changes).encode())
+        self.assert_refused(told, ErrorKind.NOT_FOUND)
+        self.assertEqual([entry["revision"] for entry in told[1]["accepted"]], [1, 2])
+        self.assertIn("change 2 (remove-pool)", told[1]["reason"])
+
+    def test_store_down_says_when_to_come_back(self) -> None:
+        """With the store down a change is refused as not run, with a time to retry after."""
+        self.served.backend.store_down = True
+        told = self.call("POST", "/v1/changes", body=POOL)
+        self.assert_refused(told, ErrorKind.STORE_UNAVAILABLE)
+        self.assertEqual((told[2]["Retry-After"], told[1]["retry_after_s"]), ("2", 2.0))
+
+    def test_stale_plan_comes_with_its_replacement(self) -> None:
+        """Confirming a stale plan is refused and answers the new proposal."""
+        plan = self.call("POST", "/v1/plans", body=b"{}")[1]
+        self.served.backend.stale = True
+        told = self.call("POST", f"/v1/plans/{plan['digest']}/confirm")
+        self.assert_refused(told, ErrorKind.STALE_PLAN)
+        self.assertEqual(told[1]["replacement"]["digest"], "f" * 64)
+
+    def test_fault_of_the_backend_is_one_error(self) -> None:
+        """A fault inside is answered as an internal error that tells nothing of the inside."""
+        self.served.backend.fault = KeyError("secret")
+        told = self.call("GET", "/v1/status")
+        self.assert_refused(told, ErrorKind.INTERNAL)
+        self.assertNotIn("secret", told[1]["reason"])
+
+    def test_who_did_what_is_in_the_time_line(self) -> None:
+        """Each call that may change something is kept with its operator, outcome and plan."""
+        plan = self.call("POST", "/v1/plans", body=b"{}")[1]
+        self.call("POST", f"/v1/plans/{plan['digest']}/confirm")
+        self.call("POST", "/v1/changes", body=b"{")
+        self.call("GET", "/v1/plans")
+        page = self.call("GET", "/v1/timeline?kind=operator")[1]
+        details = [event["detail"] for event in page["events"]]
+        self.assertEqual(
+            details[:2],
+            ["kari: POST /plans: accepted", "kari: POST /plans/{digest}/confirm: accepted"],
+        )
+        self.assertIn("invalid-request", details[2])
+        self.assertEqual(len(details), 3)
+        self.assertEqual(page["events"][0]["subject"]["plan"], plan["digest"])
+        self.assertEqual(page["events"][0]["kind"], EventKind.OPERATOR.value)
+
+
+class BodyFuzzTests(ServerCase):
+    def test_any_body_is_answered_in_form(self) -> None:
+        """Whatever the body, the answer is a refusal of the table, never an internal error."""
+
+        @given(
+            st.one_of(st.binary(max_size=50), _JSON.map(lambda value: json.dumps(value).encode()))
+        )
+        def check(body: bytes) -> None:
+            status, told, _ = self.call("POST", "/v1/changes", body=body)
+            self.assertLess(status, 500, told)
+
+        check()
+
+
+_JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3)
+    | st.dictionaries(st.sampled_from(["kind", "pool", "name", "instance"]), inner, max_size=3),
+    max_leaves=8,
+)
+
+
+class DescriptionTests(ServerCase):
+    def test_page_is_what_is_served(self) -> None:
+        """The page in `docs` is equal to what an instance answers, which its routes make."""
+        url = f"http://{self.served.address}/v1/openapi.json"
+        served = self.http.request("GET", url, headers=WRITER).data.decode()
+        assert_golden(self, DOCUMENT.name, served, folder=DOCUMENT.parent)
+
+    def test_every_route_answers_as_described(self) -> None:
+        """Each path of the page is served; each property of an answer is in its schema."""
+        document = json.loads(DOCUMENT.read_text())
+        schemas = document["components"]["schemas"]
+        plan = self.call("POST", "/v1/plans", body=b"{}")[1]["digest"]
+        for path, operations in document["paths"].items():
+            for method, operation in operations.items():
+                body = (POOL if "changes" in path else b"{}") if method == "post" else None
+                url = path.replace("{digest}", plan)
+                status, answer, _ = self.call(method.upper(), url, body=body)
+                self.assertEqual(status, 200, (method, path, answer))
+                described = operation["responses"]["200"]["content"]["application/json"]["schema"]
+                if described:
+                    name = described["$ref"].rsplit("/", 1)[1]
+                    self.assertEqual(set(answer), set(schemas[name]["properties"]), path)
+
+
+class ExpositionTests(ServerCase):
+    def test_metrics_as_text(self) -> None:
+        """The text exposition is served as text, and counts the calls answered."""
+        self.call("GET", "/v1/status")
+        self.call("GET", "/v1/jobs")
+        url = f"http://{self.served.address}/v1/metrics?format=text"
+        answer = self.http.request("GET", url, headers=WRITER)
+        self.assertTrue(answer.headers["Content-Type"].startswith("text/plain; version=0.0.4"))
+        assert_golden(self, "metrics.txt", answer.data.decode())
