--- a/src/shallotworks/fleet/__init__.py
+++ b/src/shallotworks/fleet/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from ._apply import apply
+from ._basis import basis_of
 from ._changes import (
     AdvancePlan,
     Change,
@@ -63,4 +64,5 @@
     "SetHealth",
     "Team",
     "apply",
+    "basis_of",
 ]
--- a/src/shallotworks/fleet/_apply.py
+++ b/src/shallotworks/fleet/_apply.py
@@ -11,6 +11,7 @@
 
 from shallotworks.errors import ErrorKind, Failure
 
+from ._basis import basis_of
 from ._changes import (
     AdvancePlan,
     Change,
@@ -35,6 +36,7 @@
 __all__ = ["apply"]
 
 ENDED_PLANS_KEPT = 200
+SHORT_DIGEST_LENGTH = 12
 SHARE_TOLERANCE = 1e-9
 
 _Outcome = Result[FleetState, Failure]
@@ -179,7 +181,7 @@
     if change.condition is Condition.CORDONED and change.plan:
         plan = state.plans[change.plan]
         if plan.state is not PlanState.RUNNING:
-            return _refuse(ErrorKind.CONFLICT, f"plan {plan.digest} is {plan.state.value}")
+            return _refuse(ErrorKind.CONFLICT, f"plan {_short(plan.digest)} is {plan.state.value}")
     changed = []
     for name in change.names:
         entry = state.instances[name]
@@ -223,7 +225,7 @@
 
 def _confirm_plan(state: FleetState, change: ConfirmPlan) -> _Outcome:
     if change.digest in state.plans:
-        return _refuse(ErrorKind.CONFLICT, f"plan {change.digest} is confirmed already")
+        return _refuse(ErrorKind.CONFLICT, f"plan {_short(change.digest)} is confirmed already")
     unknown = [name for name in change.instances if name not in state.instances]
     if unknown:
         return _refuse(ErrorKind.STALE_PLAN, f"instance {unknown[0]} is gone")
@@ -231,6 +233,8 @@
     if holder is not None:
         both = sorted(set(holder.instances) & set(change.instances))
         return _refuse(ErrorKind.CONFLICT, _held(both[0], holder))
+    if change.basis and change.basis != basis_of(state, change.instances):
+        return _refuse(ErrorKind.STALE_PLAN, f"what plan {_short(change.digest)} rests on changed")
     record = PlanRecord(
         digest=change.digest,
         intent=change.intent,
@@ -256,9 +260,17 @@
 def _finish_plan(state: FleetState, change: FinishPlan) -> _Outcome:
     plan = state.plans.get(change.digest)
     if plan is None:
-        return _refuse(ErrorKind.NOT_FOUND, f"no confirmed plan {change.digest}")
+        return _refuse(ErrorKind.NOT_FOUND, f"no confirmed plan {_short(change.digest)}")
     if not plan.state.is_open:
-        return _refuse(ErrorKind.CONFLICT, f"plan {plan.digest} is {plan.state.value} already")
+        return _refuse(
+            ErrorKind.CONFLICT, f"plan {_short(plan.digest)} is {plan.state.value} already"
+        )
+    if change.state is PlanState.RUNNING:
+        return _refuse(ErrorKind.INVALID_REQUEST, "an open plan can't be set back to running")
+    if plan.state is PlanState.CANCELLING and change.state is PlanState.DONE:
+        # The failure: an operator's cancel and the conductor's last step cross; accepting "done"
+        # would drop a cancel that was accepted. Refused, the conductor rolls back instead.
+        return _refuse(ErrorKind.CONFLICT, f"plan {_short(plan.digest)} is being cancelled")
     if change.state is PlanState.CANCELLING:
         return Success(_end(state, plan, change))
     fenced = _fence(state, change.digest, change.fencing_token, ())
@@ -266,8 +278,9 @@
 
 
 def _end(state: FleetState, plan: PlanRecord, change: FinishPlan) -> FleetState:
-    ended_at_s = 0.0 if change.state.is_open else change.at_s
-    plan = replace(plan, state=change.state, outcome=change.outcome, ended_at_s=ended_at_s)
+    plan = replace(plan, state=change.state, outcome=change.outcome)
+    if not change.state.is_open:
+        plan = replace(plan, ended_at_s=change.at_s, instances=())
     plans = _with(state.plans, plan.digest, plan)
     ended = sorted(
         (entry for entry in plans.values() if not entry.state.is_open),
@@ -292,12 +305,15 @@
         return Success(state)
     plan = state.plans.get(digest)
     if plan is None or not plan.state.is_open:
-        return _refuse(ErrorKind.CONFLICT, f"plan {digest} is not open")
+        return _refuse(ErrorKind.CONFLICT, f"plan {_short(digest)} is not open")
     if not set(names) <= set(plan.instances):
-        return _refuse(ErrorKind.CONFLICT, f"plan {digest} does not hold all of these instances")
+        return _refuse(
+            ErrorKind.CONFLICT, f"plan {_short(digest)} does not hold all of these instances"
+        )
     if token < plan.fencing_token:
         return _refuse(
-            ErrorKind.LEASE_LOST, f"token {token} of plan {digest} is older than the one in force"
+            ErrorKind.LEASE_LOST,
+            f"token {token} of plan {_short(digest)} is older than the one in force",
         )
     plan = replace(plan, fencing_token=token)
     return Success(replace(state, plans=_with(state.plans, digest, plan)))
@@ -309,11 +325,15 @@
 
 def _held(name: str, plan: PlanRecord) -> str:
     return (
-        f"{name} is held by plan {plan.digest} ({plan.intent}),"
+        f"{name} is held by plan {_short(plan.digest)} ({plan.intent}),"
         f" confirmed by {plan.confirmed_by} at {plan.confirmed_at_s:.0f}"
     )
 
 
+def _short(digest: str) -> str:
+    return digest[:SHORT_DIGEST_LENGTH]
+
+
 _HANDLERS: dict[type, Callable[[FleetState, Any], _Outcome]] = {
     PutDataCentre: _put_data_centre,
     PutPool: _put_pool,
--- /dev/null
+++ b/src/shallotworks/fleet/_basis.py
@@ -0,0 +1,49 @@
+"""The facts that a plan rests on, as one digest."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+
+from ._records import Instance
+from ._state import FleetState
+
+__all__ = ["basis_of"]
+
+
+def basis_of(state: FleetState, instances: Iterable[str]) -> str:
+    """Return a digest of the facts that a plan over these instances rests on.
+
+    It covers the instances themselves, and of each pool that they are in: its budget, its members
+    and which of those are unavailable. A change to anything else leaves it as it is.
+
+    Args:
+        state: The state.
+        instances: Names of the plan's instances; names that do not exist count as gone.
+    """
+    names = frozenset(instances)
+    pools = {state.instances[name].pool for name in names if name in state.instances}
+    members = (entry for entry in state.instances.values() if entry.pool in pools)
+    digest = hashlib.sha256()
+    for line in sorted(_fact(entry) for entry in members):
+        digest.update(line.encode())
+    for line in sorted(f"missing {name}\n" for name in names if name not in state.instances):
+        digest.update(line.encode())
+    for line in _budgets(state, pools):
+        digest.update(line.encode())
+    return digest.hexdigest()
+
+
+def _fact(entry: Instance) -> str:
+    return (
+        f"{entry.name}|{entry.pool}|{entry.data_centre}|{entry.rack}|{entry.slots}"
+        f"|{entry.condition.value}|{entry.healthy}\n"
+    )
+
+
+def _budgets(state: FleetState, pools: set[str]) -> list[str]:
+    return sorted(
+        f"{entry.pool}|{entry.name}|{entry.max_unavailable}\n"
+        for entry in state.services.values()
+        if entry.pool in pools
+    )
--- a/src/shallotworks/fleet/_changes.py
+++ b/src/shallotworks/fleet/_changes.py
@@ -176,6 +176,8 @@
         confirmed_at_s: Unix time.
         base_revision: The revision that the plan was computed from.
         instances: Names of all instances it will cordon or move.
+        basis: Digest of the facts it rests on, see `basis_of`; refused with ``STALE_PLAN`` where
+            they are others by now. Empty for no check.
     """
 
     digest: str
@@ -184,6 +186,7 @@
     confirmed_at_s: float
     base_revision: int
     instances: tuple[str, ...]
+    basis: str = ""
     kind: Literal["confirm-plan"] = "confirm-plan"
 
 
--- a/src/shallotworks/fleet/_records.py
+++ b/src/shallotworks/fleet/_records.py
@@ -85,6 +85,8 @@
         healthy: Whether it was last reported as working; changed by `SetHealth` only.
         held_by: Digest of the plan that cordoned it; empty for an operator's own cordon or none.
         maintained_at_s: Unix time at which its last maintenance ended; 0 for never.
+        incarnation: Which machine stands behind the name, as the platform's list says; empty where
+            it is not known, and then not checked.
     """
 
     name: str
@@ -100,6 +102,7 @@
     healthy: bool = True
     held_by: str = ""
     maintained_at_s: float = 0.0
+    incarnation: str = ""
 
     @property
     def available(self) -> bool:
@@ -150,7 +153,8 @@
         confirmed_by: The operator who confirmed it.
         confirmed_at_s: Unix time of the confirmation.
         base_revision: The revision that the plan was computed from.
-        instances: Names of all instances that the plan will cordon or move.
+        instances: Names of all instances that the plan will cordon or move; emptied when it ends,
+            so that the plans kept do not make a snapshot grow with the fleet.
         state: Where it stands.
         fencing_token: Highest token of a conductor seen; changes with a lower one are refused.
         steps_done: Steps finished so far.
--- /dev/null
+++ b/src/shallotworks/plans/__init__.py
@@ -0,0 +1,89 @@
+"""Intents, plans, proposals and the conductor that carries confirmed plans out.
+
+An operator's `Intent` becomes a `Plan` by the `Planner`, is kept by `Proposals` and, once it is
+confirmed, carried out by a `Conductor`. Nothing here acts on a plan that is not confirmed, changes
+the fleet other than through the configuration log, or reboots a target with work in flight.
+"""
+
+from ._conductor import Conductor
+from ._instance_run import ConductorRules, StepEnd
+from ._intents import (
+    Drain,
+    InDataCentre,
+    InPool,
+    InRack,
+    Intent,
+    Maintain,
+    Move,
+    Named,
+    NotMaintainedSince,
+    Return,
+    Selection,
+    decode_intent,
+    describe_intent,
+    encode_intent,
+    not_maintained_for,
+)
+from ._measures import DisruptionModel, PlannerWeights
+from ._plan_run import Surroundings
+from ._planner import Planner
+from ._progress import Progress, progress_of
+from ._proposals import PLANS_PREFIX, ListedPlan, Proposals
+from ._protocols import Acknowledgements, Duty, Offload, ProbeReport, TargetControl
+from ._records import (
+    Action,
+    Alternative,
+    BudgetUse,
+    DataCentreCapacity,
+    Measures,
+    Plan,
+    Skipped,
+    Step,
+    Strategy,
+    Wave,
+)
+
+__all__ = [
+    "PLANS_PREFIX",
+    "Acknowledgements",
+    "Action",
+    "Alternative",
+    "BudgetUse",
+    "Conductor",
+    "ConductorRules",
+    "DataCentreCapacity",
+    "DisruptionModel",
+    "Drain",
+    "Duty",
+    "InDataCentre",
+    "InPool",
+    "InRack",
+    "Intent",
+    "ListedPlan",
+    "Maintain",
+    "Measures",
+    "Move",
+    "Named",
+    "NotMaintainedSince",
+    "Offload",
+    "Plan",
+    "Planner",
+    "PlannerWeights",
+    "ProbeReport",
+    "Progress",
+    "Proposals",
+    "Return",
+    "Selection",
+    "Skipped",
+    "Step",
+    "StepEnd",
+    "Strategy",
+    "Surroundings",
+    "TargetControl",
+    "Wave",
+    "decode_intent",
+    "describe_intent",
+    "encode_intent",
+    "not_maintained_for",
+    "progress_of",
+]
--- /dev/null
+++ b/src/shallotworks/plans/_conductor.py
@@ -0,0 +1,145 @@
+"""The conductor: one task for each open plan, which acts while it holds the plan's duty."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from absl import logging
+from pydantic import ValidationError
+from returns.result import Success
+
+from shallotworks.config import ConfigLog
+from shallotworks.errors import ErrorKind, ShallotworksError
+from shallotworks.platform import KeyValueStore
+from shallotworks.timeline import EventKind, Subject
+
+from ._plan_run import PlanRun, Surroundings
+from ._proposals import plan_key
+from ._protocols import Duty
+from ._records import Plan
+from ._writer import PlanWriter
+
+__all__ = ["Conductor"]
+
+RETRY_PAUSE_S = 1.0
+
+
+class Conductor:
+    """Carries out confirmed plans; every entry instance runs one, and one of them acts.
+
+    Args:
+        name: Name of this process, for the history.
+        duties: Returns the duty of a plan by its digest.
+        log: Where changes are proposed.
+        store: Where plans are stored.
+        around: What to work with.
+    """
+
+    __slots__ = ("_around", "_duties", "_log", "_name", "_store", "_tasks")
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        duties: Callable[[str], Duty],
+        log: ConfigLog,
+        store: KeyValueStore,
+        around: Surroundings,
+    ) -> None:
+        self._name = name
+        self._duties = duties
+        self._log = log
+        self._store = store
+        self._around = around
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+
+    async def run(self) -> None:
+        """Conduct every open plan until cancelled."""
+        try:
+            while True:
+                revision = self._around.view.state().revision
+                self._start_new()
+                await self._around.view.wait_for(revision + 1)
+        finally:
+            for task in self._tasks.values():
+                task.cancel()
+            await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+
+    def _start_new(self) -> None:
+        self._tasks = {digest: task for digest, task in self._tasks.items() if not task.done()}
+        for digest, record in self._around.view.state().plans.items():
+            if record.state.is_open and digest not in self._tasks:
+                self._tasks[digest] = asyncio.ensure_future(self._conduct(digest))
+
+    async def _conduct(self, digest: str) -> None:
+        """Conduct one plan until it has ended, here or elsewhere."""
+        ended = asyncio.ensure_future(self._until_ended(digest))
+        try:
+            while not ended.done():
+                turn = asyncio.ensure_future(self._take_turn(digest))
+                await asyncio.wait((turn, ended), return_when=asyncio.FIRST_COMPLETED)
+                turn.cancel()
+                await asyncio.wait((turn,))
+                if not turn.cancelled() and turn.exception() is not None:
+                    # One plan's fault must not end the others; it shows in this counter, and the
+                    # plan is taken up again from the state.
+                    self._around.metrics.count("plans.conductor_faults")
+                    logging.error("plan %s: conductor failed: %r", digest, turn.exception())
+                if not ended.done():
+                    await asyncio.sleep(RETRY_PAUSE_S)
+        finally:
+            ended.cancel()
+
+    async def _until_ended(self, digest: str) -> None:
+        view = self._around.view
+        while True:
+            state = view.state()
+            record = state.plans.get(digest)
+            if record is None or not record.state.is_open:
+                return
+            await view.wait_for(state.revision + 1)
+
+    async def _take_turn(self, digest: str) -> None:
+        """Wait for the duty, then conduct until the plan ends or the duty is lost."""
+        duty = self._duties(digest)
+        try:
+            token = await duty.acquire()
+            self._record(EventKind.LEASE_TAKEN, digest, f"token {token}")
+            plan = await self._load(digest)
+            await self._plan_run(plan, duty=duty, token=token).run()
+        except ShallotworksError as error:
+            if error.failure.kind is not ErrorKind.LEASE_LOST:
+                raise
+            self._around.metrics.count("plans.duties_lost")
+            self._record(EventKind.LEASE_LOST, digest, error.failure.reason)
+        finally:
+            await duty.release()
+
+    def _plan_run(self, plan: Plan, *, duty: Duty, token: int) -> PlanRun:
+        writer = PlanWriter(
+            digest=plan.digest,
+            token=token,
+            duty=duty,
+            log=self._log,
+            view=self._around.view,
+            author=self._name,
+            metrics=self._around.metrics,
+        )
+        return PlanRun(plan=plan, writer=writer, around=self._around)
+
+    async def _load(self, digest: str) -> Plan:
+        """Read the plan, waiting out a store that is down."""
+        while True:
+            result = await self._store.get(plan_key(digest))
+            found = result.unwrap() if isinstance(result, Success) else None
+            if found is not None:
+                try:
+                    return Plan.decode(found.value)
+                except ValidationError:
+                    logging.error("plan %s: the stored plan can't be read", digest)
+            self._around.metrics.count("plans.loads_repeated")
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+    def _record(self, kind: EventKind, digest: str, detail: str) -> None:
+        self._around.timeline.record(kind, subject=Subject(plan=digest), detail=detail)
--- /dev/null
+++ b/src/shallotworks/plans/_instance_run.py
@@ -0,0 +1,256 @@
+"""One instance's way through its step: seen, drained, rebooted or moved, probed, returned."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from returns.result import Result, Success
+
+from shallotworks.config import ConfigView
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.fleet import Instance
+from shallotworks.metrics import Metrics
+from shallotworks.timeline import EventKind, Subject, Timeline
+
+from ._protocols import ProbeReport, TargetControl
+from ._records import Action, Step
+from ._writer import PlanWriter
+
+__all__ = ["ConductorRules", "InstanceRun", "StepEnd"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConductorRules:
+    """When the conductor goes on, waits or gives up.
+
+    Args:
+        seen_limit_s: Longest wait for entry instances to see a cordon; one that is cut off can't
+            be asked, and its requests are waited for at the target.
+        drain_limit_s: Longest wait for a target to empty; after it the instance is given back.
+        return_limit_s: Longest wait for a rebooted target; after it the instance stays cordoned.
+        last_chance_s: Wait for those at the end of the plan.
+        failed_limit: Instances that did not come back at which the plan stands still.
+        poll_s: Pause between two questions to a target.
+    """
+
+    seen_limit_s: float = 3.0
+    drain_limit_s: float = 900.0
+    return_limit_s: float = 900.0
+    last_chance_s: float = 30.0
+    failed_limit: int = 2
+    poll_s: float = 0.5
+
+
+@unique
+class StepEnd(Enum):
+    """How one instance's step ended."""
+
+    DONE = "done"
+    NEVER_EMPTIED = "never emptied, given back"
+    NEVER_CAME_BACK = "did not come back, stays cordoned"
+    REPLACED = "another machine came back under its name, stays cordoned"
+    REFUSED = "refused by the configuration"
+
+
+class InstanceRun:
+    """Carries out the actions of a step on one cordoned instance.
+
+    Each action first looks whether it is done, so that another conductor can start over at any
+    point.
+
+    Args:
+        digest: Digest of the plan, which is also the id of its reboots.
+        step: The step.
+        name: The instance.
+        view: The state.
+        control: The target.
+        writer: The plan's writer.
+        rules: When to give up.
+        wall_clock_s: Returns the Unix time.
+        timeline: Where events go.
+        metrics: Counters.
+    """
+
+    __slots__ = (
+        "_control",
+        "_digest",
+        "_metrics",
+        "_name",
+        "_rules",
+        "_step",
+        "_timeline",
+        "_view",
+        "_wall_clock_s",
+        "_writer",
+    )
+
+    def __init__(
+        self,
+        *,
+        digest: str,
+        step: Step,
+        name: str,
+        view: ConfigView,
+        control: TargetControl,
+        writer: PlanWriter,
+        rules: ConductorRules,
+        wall_clock_s: Callable[[], float],
+        timeline: Timeline,
+        metrics: Metrics,
+    ) -> None:
+        self._digest = digest
+        self._step = step
+        self._name = name
+        self._view = view
+        self._control = control
+        self._writer = writer
+        self._rules = rules
+        self._wall_clock_s = wall_clock_s
+        self._timeline = timeline
+        self._metrics = metrics
+
+    async def run(self, *, return_limit_s: float) -> StepEnd:
+        """Carry out every action after the cordon.
+
+        Args:
+            return_limit_s: Longest wait for the target to answer its probe.
+
+        Raises:
+            ShallotworksError: ``LEASE_LOST``; nothing was done after it.
+        """
+        end = StepEnd.DONE
+        for action in self._step.actions:
+            end = await self._act(action, return_limit_s=return_limit_s)
+            if end is not StepEnd.DONE:
+                break
+        self._metrics.count(f"plans.steps.{end.name.lower()}")
+        self._record(EventKind.PLAN_STEP, end.value)
+        return end
+
+    async def probe_and_return(self, *, return_limit_s: float) -> StepEnd:
+        """Return the instance as it is, for a plan that is rolled back."""
+        end = await self._probe(reboot_id="", limit_s=return_limit_s)
+        return await self._return(maintained=False) if end is StepEnd.DONE else end
+
+    async def _act(self, action: Action, *, return_limit_s: float) -> StepEnd:
+        match action:
+            case Action.CORDON:
+                return StepEnd.DONE
+            case Action.DRAIN:
+                return await self._drain()
+            case Action.REBOOT:
+                return await self._reboot(limit_s=return_limit_s)
+            case Action.MOVE:
+                return await self._move()
+            case Action.PROBE:
+                rebooted = Action.REBOOT in self._step.actions
+                reboot_id = self._digest if rebooted else ""
+                return await self._probe(reboot_id=reboot_id, limit_s=return_limit_s)
+            case Action.RETURN:
+                return await self._return(maintained=Action.REBOOT in self._step.actions)
+
+    async def _drain(self) -> StepEnd:
+        """Wait until nothing is in flight; a target is never rebooted before."""
+        if await self._has_rebooted():
+            return StepEnd.DONE
+        await self._control.checkpoint_jobs(self._instance())
+        waited_since_s = _now_s()
+        told = False
+        while not await self._is_empty():
+            waited_s = _now_s() - waited_since_s
+            if waited_s >= self._rules.drain_limit_s and not told:
+                told = True
+                self._record(EventKind.PLAN_PAUSED, f"not empty after {waited_s:.0f} s")
+                if Action.RETURN in self._step.actions:
+                    return await self._give_back()
+            await asyncio.sleep(self._rules.poll_s)
+        return StepEnd.DONE
+
+    async def _is_empty(self) -> bool:
+        in_flight = await self._control.in_flight(self._instance())
+        if isinstance(in_flight, Success):
+            return bool(in_flight.unwrap() == 0)
+        # A target that was reported as failed and does not answer has nothing left to cut off.
+        return not self._instance().healthy and in_flight.failure().kind is ErrorKind.UNREACHABLE
+
+    async def _give_back(self) -> StepEnd:
+        """Return a target that never emptied: its work goes on, its permit is free again."""
+        result = await self._writer.activate((self._name,))
+        return StepEnd.NEVER_EMPTIED if isinstance(result, Success) else StepEnd.REFUSED
+
+    async def _reboot(self, *, limit_s: float) -> StepEnd:
+        until_s = _now_s() + limit_s
+        while not await self._has_rebooted():
+            self._writer.check_held()
+            result = await self._control.reboot(
+                self._instance(), reboot_id=self._digest, fencing_token=self._writer.token
+            )
+            if isinstance(result, Success):
+                return StepEnd.DONE
+            if result.failure().kind is ErrorKind.CONFLICT:
+                # An entry instance that is cut off sent it work after it was seen empty.
+                end = await self._drain()
+                if end is not StepEnd.DONE:
+                    return end
+            elif _now_s() >= until_s:
+                return await self._stays_cordoned(StepEnd.NEVER_CAME_BACK)
+            await asyncio.sleep(self._rules.poll_s)
+        return StepEnd.DONE
+
+    async def _has_rebooted(self) -> bool:
+        if Action.REBOOT not in self._step.actions:
+            return False
+        report = await self._control.probe(self._instance())
+        return isinstance(report, Success) and report.unwrap().reboot_id == self._digest
+
+    async def _move(self) -> StepEnd:
+        result = await self._writer.move(
+            self._name, from_pool=self._step.pool, to_pool=self._step.to_pool
+        )
+        return StepEnd.DONE if isinstance(result, Success) else StepEnd.REFUSED
+
+    async def _probe(self, *, reboot_id: str, limit_s: float) -> StepEnd:
+        until_s = _now_s() + limit_s
+        while True:
+            report = await self._control.probe(self._instance())
+            if self._is_back(report, reboot_id=reboot_id):
+                break
+            if _now_s() >= until_s:
+                return await self._stays_cordoned(StepEnd.NEVER_CAME_BACK)
+            await asyncio.sleep(self._rules.poll_s)
+        known = self._instance().incarnation
+        if known and report.unwrap().incarnation != known:
+            # The failure: the platform replaced the machine under the same name while it was out;
+            # its size and contents are not the ones planned with, so it takes no work unseen.
+            return await self._stays_cordoned(StepEnd.REPLACED)
+        return StepEnd.DONE
+
+    def _is_back(self, report: Result[ProbeReport, Failure], *, reboot_id: str) -> bool:
+        """Tell an answer after the reboot from one that was given before it."""
+        if not isinstance(report, Success):
+            return False
+        return not reboot_id or report.unwrap().reboot_id == reboot_id
+
+    async def _stays_cordoned(self, end: StepEnd) -> StepEnd:
+        if self._instance().healthy:
+            await self._writer.report_failed(self._name)
+        return end
+
+    async def _return(self, *, maintained: bool) -> StepEnd:
+        maintained_at_s = self._wall_clock_s() if maintained else 0.0
+        result = await self._writer.activate((self._name,), maintained_at_s=maintained_at_s)
+        return StepEnd.DONE if isinstance(result, Success) else StepEnd.REFUSED
+
+    def _instance(self) -> Instance:
+        return self._view.state().instances[self._name]
+
+    def _record(self, kind: EventKind, detail: str) -> None:
+        subject = Subject(plan=self._digest, instance=self._name)
+        self._timeline.record(kind, subject=subject, detail=detail)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/shallotworks/plans/_intents.py
@@ -0,0 +1,171 @@
+"""Intents: what an operator wants to be true of the fleet, as typed values with JSON."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Annotated, Literal
+
+from pydantic import Field, TypeAdapter
+
+__all__ = [
+    "SECONDS_PER_WEEK",
+    "Drain",
+    "InDataCentre",
+    "InPool",
+    "InRack",
+    "Intent",
+    "Maintain",
+    "Move",
+    "Named",
+    "NotMaintainedSince",
+    "Return",
+    "Selection",
+    "decode_intent",
+    "describe_intent",
+    "encode_intent",
+    "not_maintained_for",
+]
+
+SECONDS_PER_WEEK = 7 * 24 * 3600
+NAMES_SHOWN = 4
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Named:
+    """Instances by name."""
+
+    names: tuple[str, ...]
+    kind: Literal["named"] = "named"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class InRack:
+    """The instances of one rack of a data centre."""
+
+    data_centre: str
+    rack: str
+    kind: Literal["rack"] = "rack"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class InPool:
+    """The instances of one pool."""
+
+    pool: str
+    kind: Literal["pool"] = "pool"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class InDataCentre:
+    """The instances of one data centre."""
+
+    data_centre: str
+    kind: Literal["data-centre"] = "data-centre"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class NotMaintainedSince:
+    """The instances whose last maintenance ended before a moment.
+
+    Args:
+        before_s: Unix time; a moment and not an age, so that planning needs no clock.
+    """
+
+    before_s: float
+    kind: Literal["not-maintained-since"] = "not-maintained-since"
+
+
+Selection = Annotated[
+    Named | InRack | InPool | InDataCentre | NotMaintainedSince, Field(discriminator="kind")
+]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Drain:
+    """Cordon instances, wait until nothing is in flight there, and leave them cordoned."""
+
+    selection: Selection
+    kind: Literal["drain"] = "drain"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Return:
+    """Probe cordoned instances and make them active again."""
+
+    selection: Selection
+    kind: Literal["return"] = "return"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Maintain:
+    """Drain, reboot, probe and return instances, in waves."""
+
+    selection: Selection
+    kind: Literal["maintain"] = "maintain"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Move:
+    """Move instances from one pool to another.
+
+    Args:
+        from_pool: The pool they are in.
+        to_pool: The pool they go to.
+        count: How many; 0 where they are named.
+        names: Which ones; empty for any ``count`` of them.
+    """
+
+    from_pool: str
+    to_pool: str
+    count: int = 0
+    names: tuple[str, ...] = ()
+    kind: Literal["move"] = "move"
+
+
+Intent = Annotated[Drain | Return | Maintain | Move, Field(discriminator="kind")]
+
+
+def not_maintained_for(weeks: float, *, now_s: float) -> NotMaintainedSince:
+    """Select what has not been maintained for some weeks, counted back from a Unix time."""
+    return NotMaintainedSince(before_s=now_s - weeks * SECONDS_PER_WEEK)
+
+
+def encode_intent(intent: Intent) -> bytes:
+    """Return an intent as JSON."""
+    return _INTENT.dump_json(intent)
+
+
+def decode_intent(data: bytes) -> Intent:
+    """Read an intent; raises ``pydantic.ValidationError`` where it is not one."""
+    return _INTENT.validate_json(data)
+
+
+def describe_intent(intent: Intent) -> str:
+    """Return an intent in one line for people."""
+    if isinstance(intent, Move):
+        what = _names(intent.names) if intent.names else f"{intent.count} instances"
+        return f"move {what} from pool {intent.from_pool} to pool {intent.to_pool}"
+    return f"{intent.kind} {_describe_selection(intent.selection)}"
+
+
+def _describe_selection(selection: Selection) -> str:
+    match selection:
+        case Named():
+            return _names(selection.names)
+        case InRack():
+            return f"rack {selection.rack} in {selection.data_centre}"
+        case InPool():
+            return f"pool {selection.pool}"
+        case InDataCentre():
+            return f"data centre {selection.data_centre}"
+        case NotMaintainedSince():
+            return f"everything not maintained since {selection.before_s:.0f}"
+
+
+def _names(names: tuple[str, ...]) -> str:
+    shown = ", ".join(names[:NAMES_SHOWN])
+    more = len(names) - NAMES_SHOWN
+    return f"{shown} and {more} more" if more > 0 else shown
+
+
+_INTENT: TypeAdapter[Intent] = TypeAdapter(Intent)
--- /dev/null
+++ b/src/shallotworks/plans/_measures.py
@@ -0,0 +1,197 @@
+"""What a way of filling waves costs: buffer, roll-out time, moves, and what is left meanwhile."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ._records import Action, DataCentreCapacity, Measures
+from ._strategies import Waves
+from ._supply import RackKey, Supply
+
+__all__ = ["DisruptionModel", "PlannerWeights", "capacity_left", "measure", "weighted_cost"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DisruptionModel:
+    """What a step is expected to take; the conductor waits for the facts, whatever they are.
+
+    Args:
+        seen_s: Until every entry instance has seen a cordon.
+        drain_s: Until nothing is in flight.
+        reboot_s: Until a rebooted instance answers.
+        move_s: To put an instance into another pool.
+        probe_s: To probe an instance.
+        return_s: Until a returned instance carries its full load again.
+        jobs_per_instance: Long-running jobs on an instance, each relocated when it is drained.
+    """
+
+    seen_s: float = 3.0
+    drain_s: float = 60.0
+    reboot_s: float = 300.0
+    move_s: float = 1.0
+    probe_s: float = 5.0
+    return_s: float = 30.0
+    jobs_per_instance: float = 2.0
+
+    def duration_s(self, actions: Iterable[Action]) -> float:
+        """Return how long one step is expected to take."""
+        durations_s = {
+            Action.CORDON: self.seen_s,
+            Action.DRAIN: self.drain_s,
+            Action.REBOOT: self.reboot_s,
+            Action.MOVE: self.move_s,
+            Action.PROBE: self.probe_s,
+            Action.RETURN: self.return_s,
+        }
+        return sum(durations_s[action] for action in actions)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlannerWeights:
+    """What a user weighs most, from the settings.
+
+    Args:
+        buffer: Weight of the buffer cost.
+        roll_out: Weight of the roll-out time.
+        moves: Weight of the moves.
+        window_s: Time within which a plan has to be through; 0 for no limit.
+    """
+
+    buffer: float = 1.0
+    roll_out: float = 1.0
+    moves: float = 1.0
+    window_s: float = 0.0
+
+
+def measure(
+    waves: Waves, *, actions: tuple[Action, ...], supply: Supply, model: DisruptionModel
+) -> Measures:
+    """Return the three measures of some waves.
+
+    Args:
+        waves: The waves.
+        actions: What is done to each instance.
+        supply: The pools as they are before.
+        model: What a step is expected to take.
+    """
+    wave_slots = [sum(entry.slots for entry in wave if entry.available) for wave in waves]
+    stays_out = Action.CORDON in actions and Action.RETURN not in actions
+    if Action.CORDON not in actions:
+        buffer_slots = 0
+    elif stays_out:
+        buffer_slots = sum(wave_slots)
+    else:
+        buffer_slots = max(wave_slots, default=0)
+    moved = sum(len(wave) for wave in waves) if Action.MOVE in actions else 0
+    jobs = 0.0
+    if Action.DRAIN in actions:
+        jobs = _jobs_relocated(waves, supply=supply, model=model, stays_out=stays_out)
+    return Measures(
+        buffer_slots=buffer_slots,
+        roll_out_s=len(waves) * model.duration_s(actions),
+        moves=round(moved + jobs, 1),
+        waves=len(waves),
+    )
+
+
+def weighted_cost(measures: Measures, *, best: Measures, weights: PlannerWeights) -> float:
+    """Return the weighted sum, each measure relative to the best that any way reaches."""
+    return (
+        weights.buffer * _relative(measures.buffer_slots, best.buffer_slots)
+        + weights.roll_out * _relative(measures.roll_out_s, best.roll_out_s)
+        + weights.moves * _relative(measures.moves, best.moves)
+    )
+
+
+def capacity_left(
+    waves: Waves, *, supply: Supply, stays_out: bool
+) -> tuple[DataCentreCapacity, ...]:
+    """Return what is left of each data centre that the waves touch, at its worst moment.
+
+    Args:
+        waves: The waves.
+        supply: The fleet as it is before.
+        stays_out: Whether instances stay out after their wave.
+    """
+    racks: dict[str, dict[RackKey, int]] = {}
+    for key, slots in supply.rack_slots.items():
+        racks.setdefault(key[0], {})[key] = slots
+    worst: dict[str, DataCentreCapacity] = {}
+    out: Counter[RackKey] = Counter()
+    for number, wave in enumerate(waves, start=1):
+        if not stays_out:
+            out.clear()
+        for entry in wave:
+            out[(entry.data_centre, entry.rack)] += entry.slots if entry.available else 0
+        for centre in {entry.data_centre for entry in wave}:
+            left = _left(centre, racks[centre], out=out, number=number)
+            known = worst.get(centre)
+            if known is None or left.slots_left_if_rack_fails < known.slots_left_if_rack_fails:
+                worst[centre] = left
+    return tuple(worst[centre] for centre in sorted(worst))
+
+
+def _left(
+    centre: str, racks: dict[RackKey, int], *, out: Counter[RackKey], number: int
+) -> DataCentreCapacity:
+    remaining = [slots - out[key] for key, slots in racks.items()]
+    return DataCentreCapacity(
+        data_centre=centre,
+        slots=sum(racks.values()),
+        slots_left=sum(remaining),
+        slots_left_if_rack_fails=sum(remaining) - max(remaining),
+        wave=number,
+    )
+
+
+def _jobs_relocated(
+    waves: Waves, *, supply: Supply, model: DisruptionModel, stays_out: bool
+) -> float:
+    """Return the expected number of relocations of long-running jobs.
+
+    A job that is moved may land on an instance whose turn is yet to come and move again; jobs are
+    taken to spread evenly over what is available in their pool.
+    """
+    relocated = 0.0
+    for pool, parts in _waves_by_pool(waves).items():
+        load = {
+            entry.name: model.jobs_per_instance
+            for entry in supply.pools[pool].members
+            if entry.available
+        }
+        gone: set[str] = set()
+        for names in parts:
+            if not stays_out:
+                gone = set()
+            gone |= names & load.keys()
+            displaced = sum(load[name] for name in names & load.keys())
+            relocated += displaced
+            _spread(displaced, load=load, emptied=names & load.keys(), gone=gone)
+    return relocated
+
+
+def _spread(displaced: float, *, load: dict[str, float], emptied: set[str], gone: set[str]) -> None:
+    for name in emptied:
+        load[name] = 0.0
+    takers = [name for name in load if name not in gone]
+    for name in takers:
+        load[name] += displaced / len(takers)
+
+
+def _waves_by_pool(waves: Waves) -> dict[str, list[set[str]]]:
+    parts: dict[str, list[set[str]]] = {}
+    for wave in waves:
+        by_pool: dict[str, set[str]] = {}
+        for entry in wave:
+            by_pool.setdefault(entry.pool, set()).add(entry.name)
+        for pool, names in by_pool.items():
+            parts.setdefault(pool, []).append(names)
+    return parts
+
+
+def _relative(value: float, best: float) -> float:
+    if best <= 0:
+        return 1.0 + value
+    return value / best
--- /dev/null
+++ b/src/shallotworks/plans/_plan_run.py
@@ -0,0 +1,350 @@
+"""One conductor's run of one plan, from where the state says it stands to its end."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterable
+from dataclasses import dataclass
+
+from returns.result import Success
+
+from shallotworks.config import ConfigView
+from shallotworks.errors import ErrorKind, Failure, ShallotworksError
+from shallotworks.fleet import Condition, FleetState, Instance, PlanRecord, PlanState
+from shallotworks.metrics import Metrics
+from shallotworks.timeline import EventKind, Subject, Timeline
+
+from ._instance_run import ConductorRules, InstanceRun, StepEnd
+from ._progress import is_done
+from ._protocols import Acknowledgements, TargetControl
+from ._records import Action, Plan, Step, Wave
+from ._writer import PlanWriter
+
+__all__ = ["PlanRun", "Surroundings"]
+
+LOOK_AGAIN_S = 5.0
+NAMES_SHOWN = 5
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Surroundings:
+    """What a conductor works with.
+
+    Args:
+        view: The state.
+        control: The targets.
+        acknowledgements: What entry instances have seen.
+        rules: When to go on, wait or give up.
+        wall_clock_s: Returns the Unix time.
+        timeline: Where events go.
+        metrics: Counters.
+    """
+
+    view: ConfigView
+    control: TargetControl
+    acknowledgements: Acknowledgements
+    rules: ConductorRules
+    wall_clock_s: Callable[[], float]
+    timeline: Timeline
+    metrics: Metrics
+
+
+class PlanRun:
+    """Carries out a plan wave by wave, or rolls it back once it is cancelled.
+
+    Args:
+        plan: The plan.
+        writer: Its writer, under this conductor's token.
+        around: What to work with.
+    """
+
+    __slots__ = ("_around", "_ends", "_paused", "_plan", "_writer")
+
+    def __init__(self, *, plan: Plan, writer: PlanWriter, around: Surroundings) -> None:
+        self._plan = plan
+        self._writer = writer
+        self._around = around
+        self._ends: dict[str, StepEnd] = {}
+        self._paused = False
+
+    async def run(self) -> None:
+        """Run until the plan has ended.
+
+        Raises:
+            ShallotworksError: ``LEASE_LOST``; another conductor goes on.
+        """
+        await self._writer.advance(0)
+        try:
+            await self._unless_cancelled(self._waves())
+        except ShallotworksError as error:
+            if error.failure.kind is not ErrorKind.CANCELLED:
+                raise
+            await self._roll_back()
+
+    async def _waves(self) -> None:
+        for number, wave in enumerate(self._plan.waves, start=1):
+            await self._stand_still_while_failing()
+            await self._run_wave(wave)
+            steps_done = sum(len(done.steps) for done in self._plan.waves[:number])
+            if steps_done > self._record().steps_done:
+                await self._writer.advance(steps_done)
+        await self._try_leftovers()
+        await self._finish()
+
+    async def _unless_cancelled(self, work: Coroutine[None, None, None]) -> None:
+        """Run work, and stop it with ``CANCELLED`` or ``LEASE_LOST`` as soon as either is so."""
+        task = asyncio.ensure_future(work)
+        guard = asyncio.ensure_future(self._guard())
+        try:
+            await asyncio.wait((task, guard), return_when=asyncio.FIRST_COMPLETED)
+            if task.done():
+                task.result()
+            else:
+                guard.result()
+        finally:
+            await _stop(task)
+            await _stop(guard)
+
+    async def _guard(self) -> None:
+        """Raise once the plan is cancelled or the duty is lost."""
+        while True:
+            self._writer.check_held()
+            if self._record().state is not PlanState.RUNNING:
+                raise ShallotworksError(
+                    Failure(kind=ErrorKind.CANCELLED, reason="the plan is cancelled")
+                )
+            await self._next_state()
+
+    async def _run_wave(self, wave: Wave) -> None:
+        """Run the steps of a wave side by side, each as soon as its budget has room."""
+        waiting = {
+            name: step
+            for step in wave.steps
+            for name in step.instances
+            if name not in self._ends and not self._is_through(step, name)
+        }
+        running: list[asyncio.Task[None]] = []
+        try:
+            while waiting:
+                granted = await self._cordon(waiting)
+                if granted:
+                    steps = {name: waiting.pop(name) for name in granted}
+                    running.append(asyncio.ensure_future(self._run_steps(steps)))
+                else:
+                    self._pause("no availability budget left")
+                    await self._next_state()
+                for task in running:
+                    if task.done():
+                        task.result()
+            self._resume()
+            await asyncio.gather(*running)
+        finally:
+            for task in running:
+                await _stop(task)
+
+    async def _cordon(self, waiting: dict[str, Step]) -> tuple[str, ...]:
+        """Take permits for what the budgets have room for; returns who may go on."""
+        state = self._around.view.state()
+        ready = tuple(name for name, step in waiting.items() if self._needs_no_permit(step, name))
+        if ready:
+            return ready
+        fitting = _fitting(state, waiting)
+        if not fitting:
+            return ()
+        result = await self._writer.cordon(fitting)
+        if isinstance(result, Success):
+            return fitting
+        self._around.metrics.count(f"plans.cordons_refused.{result.failure().kind.value}")
+        await self._next_state()
+        return ()
+
+    def _needs_no_permit(self, step: Step, name: str) -> bool:
+        return Action.CORDON not in step.actions or self._holds(name)
+
+    async def _run_steps(self, steps: dict[str, Step]) -> None:
+        """Run one instance's step each, once the cordons are seen."""
+        await self._until_seen(self._around.view.state().revision)
+        limit_s = self._around.rules.return_limit_s
+        await _all(self._run_instance(steps[name], name, limit_s) for name in steps)
+
+    async def _run_instance(self, step: Step, name: str, return_limit_s: float) -> None:
+        self._ends[name] = await self._instance_run(step, name).run(return_limit_s=return_limit_s)
+
+    async def _until_seen(self, revision: int) -> None:
+        """Wait until the entry instances have seen a revision, or the bound for one cut off."""
+        rules = self._around.rules
+        until_s = _now_s() + rules.seen_limit_s
+        while self._around.acknowledgements.held_by_all() < revision and _now_s() < until_s:
+            await asyncio.sleep(min(rules.poll_s, rules.seen_limit_s))
+
+    async def _stand_still_while_failing(self) -> None:
+        """Start no further wave while too many instances have not come back."""
+        while len(self._failed()) >= self._around.rules.failed_limit:
+            self._pause(f"{len(self._failed())} instances did not come back")
+            await self._next_state()
+            await self._try_leftovers()
+        self._resume()
+
+    async def _try_leftovers(self) -> None:
+        """Give instances that did not come back in time another chance."""
+        limit_s = self._around.rules.last_chance_s
+        steps = self._steps()
+        failed = self._failed()
+        await _all(self._run_instance(steps[name], name, limit_s) for name in failed)
+
+    async def _finish(self) -> None:
+        steps = self._steps()
+        undone = {name: self._end_of(name) for name in steps if not self._is_done(name)}
+        state = PlanState.FAILED if undone else PlanState.DONE
+        outcome = f"{len(steps) - len(undone)} of {len(steps)} instances done"
+        if undone:
+            told = [f"{name} {end.value}" for name, end in sorted(undone.items())]
+            outcome += ": " + "; ".join(told[:NAMES_SHOWN])
+        await self._end(state, outcome)
+
+    async def _roll_back(self) -> None:
+        """Return what the plan cordoned, to the pool it came from, and end the plan.
+
+        A target that is on its way through a reboot is waited for; one that does not come back
+        stays cordoned.
+        """
+        limit_s = self._around.rules.return_limit_s
+        held = [name for name in self._steps() if self._holds(name)]
+        await _all(self._roll_back_instance(name, limit_s) for name in held)
+        left = sorted(name for name in self._steps() if self._holds(name))
+        outcome = f"cancelled; {len(held) - len(left)} of {len(held)} cordons rolled back"
+        if left:
+            outcome += f"; still cordoned: {', '.join(left[:NAMES_SHOWN])}"
+        await self._end(PlanState.CANCELLED, outcome)
+
+    async def _roll_back_instance(self, name: str, limit_s: float) -> None:
+        step = self._steps()[name]
+        if step.to_pool:
+            await self._writer.move(name, from_pool=step.to_pool, to_pool=step.pool)
+        run = self._instance_run(step, name)
+        await run.probe_and_return(return_limit_s=limit_s)
+
+    async def _end(self, state: PlanState, outcome: str) -> None:
+        result = await self._writer.finish(state, outcome=outcome, at_s=self._around.wall_clock_s())
+        if isinstance(result, Success):
+            self._record_event(EventKind.PLAN_ENDED, f"{state.value}: {outcome}")
+            return
+        if self._record().state is PlanState.CANCELLING:
+            raise ShallotworksError(
+                Failure(kind=ErrorKind.CANCELLED, reason="cancelled at its last step")
+            )
+
+    async def _next_state(self) -> None:
+        """Wait for the next revision, and look at the duty now and then."""
+        revision = self._around.view.state().revision
+        try:
+            async with asyncio.timeout(LOOK_AGAIN_S):
+                await self._around.view.wait_for(revision + 1)
+        except TimeoutError:
+            return
+
+    def _steps(self) -> dict[str, Step]:
+        return {
+            name: step
+            for wave in self._plan.waves
+            for step in wave.steps
+            for name in step.instances
+            if name in self._around.view.state().instances
+        }
+
+    def _is_through(self, step: Step, name: str) -> bool:
+        """Whether nothing is left to do; a drain always asks its target again."""
+        if Action.RETURN not in step.actions:
+            return name not in self._around.view.state().instances
+        return is_done(step, name, self._record(), self._around.view.state())
+
+    def _is_done(self, name: str) -> bool:
+        return is_done(self._steps()[name], name, self._record(), self._around.view.state())
+
+    def _end_of(self, name: str) -> StepEnd:
+        return self._ends.get(name, StepEnd.NEVER_CAME_BACK)
+
+    def _failed(self) -> list[str]:
+        """Instances that the plan holds and that were reported as failed after their turn."""
+        return [
+            name
+            for name, end in self._ends.items()
+            if end in (StepEnd.NEVER_CAME_BACK, StepEnd.REPLACED) and self._holds(name)
+        ]
+
+    def _holds(self, name: str) -> bool:
+        entry = self._around.view.state().instances.get(name)
+        return (
+            entry is not None
+            and entry.condition is Condition.CORDONED
+            and entry.held_by == self._plan.digest
+        )
+
+    def _record(self) -> PlanRecord:
+        return self._around.view.state().plans[self._plan.digest]
+
+    def _instance_run(self, step: Step, name: str) -> InstanceRun:
+        return InstanceRun(
+            digest=self._plan.digest,
+            step=step,
+            name=name,
+            view=self._around.view,
+            control=self._around.control,
+            writer=self._writer,
+            rules=self._around.rules,
+            wall_clock_s=self._around.wall_clock_s,
+            timeline=self._around.timeline,
+            metrics=self._around.metrics,
+        )
+
+    def _pause(self, why: str) -> None:
+        if not self._paused:
+            self._paused = True
+            self._around.metrics.count("plans.pauses")
+            self._record_event(EventKind.PLAN_PAUSED, why)
+
+    def _resume(self) -> None:
+        if self._paused:
+            self._paused = False
+            self._record_event(EventKind.PLAN_STEP, "goes on")
+
+    def _record_event(self, kind: EventKind, detail: str) -> None:
+        subject = Subject(plan=self._plan.digest)
+        self._around.timeline.record(kind, subject=subject, detail=detail)
+
+
+def _fitting(state: FleetState, names: dict[str, Step]) -> tuple[str, ...]:
+    """Return those instances whose cordon the budgets have room for."""
+    room: dict[str, int] = {}
+    fitting = []
+    for name in names:
+        entry: Instance = state.instances[name]
+        if entry.pool not in room:
+            room[entry.pool] = state.budget_of(entry.pool) - state.unavailable_in(entry.pool)
+        if entry.available and room[entry.pool] < 1:
+            continue
+        room[entry.pool] -= entry.available
+        fitting.append(name)
+    return tuple(fitting)
+
+
+async def _all(works: Iterable[Coroutine[None, None, None]]) -> None:
+    """Run works side by side; the first failure stops the others."""
+    tasks = [asyncio.ensure_future(work) for work in works]
+    try:
+        await asyncio.gather(*tasks)
+    finally:
+        for task in tasks:
+            await _stop(task)
+
+
+async def _stop(task: asyncio.Task[None]) -> None:
+    """Cancel a task and wait until it has let go."""
+    task.cancel()
+    await asyncio.wait((task,))
+    if not task.cancelled():
+        task.exception()
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/shallotworks/plans/_planner.py
@@ -0,0 +1,373 @@
+"""The planner: from a state and an intent to the plan that costs least, or why there is none."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.fleet import FleetState, Instance, basis_of
+
+from ._intents import Drain, Intent, Maintain, Move, Named, Return
+from ._measures import DisruptionModel, PlannerWeights, capacity_left, measure, weighted_cost
+from ._records import (
+    Action,
+    Alternative,
+    BudgetUse,
+    Measures,
+    Plan,
+    Step,
+    Strategy,
+    Wave,
+    seal,
+)
+from ._strategies import Limits, Waves, fill_waves, limits_of, widths_for
+from ._supply import PoolSupply, Supply, index_supply
+from ._targets import Targets, actions_of, resolve
+
+__all__ = ["Planner"]
+
+NAMES_SHOWN = 4
+ROUNDING_DIGITS = 3
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Way:
+    """One way to fill the waves, measured."""
+
+    strategy: Strategy
+    width: int
+    waves: Waves
+    measures: Measures
+
+
+class Planner:
+    """Computes plans; a pure function of what it is given, safe on any thread.
+
+    Args:
+        weights: What the user weighs most.
+        model: What a step is expected to take.
+    """
+
+    __slots__ = ("_model", "_weights")
+
+    def __init__(self, *, weights: PlannerWeights, model: DisruptionModel) -> None:
+        self._weights = weights
+        self._model = model
+
+    def plan(self, state: FleetState, intent: Intent, *, author: str) -> Result[Plan, Failure]:
+        """Return the plan that carries out an intent at the least weighted cost.
+
+        Args:
+            state: The state to start from.
+            intent: What the operator wants.
+            author: Who wants it.
+
+        Returns:
+            The plan; ``NOT_FOUND``, ``INVALID_REQUEST`` or ``CONFLICT`` where the intent does not
+            fit the fleet; ``UNSATISFIABLE`` where no plan can ever carry it out;
+            ``BUDGET_SPENT`` where present failures alone stand in the way.
+        """
+        supply = index_supply(state)
+        targets = resolve(state, intent)
+        feasible = targets.bind(lambda found: _check(found, intent, supply=supply))
+        return feasible.bind(
+            lambda found: self._choose(state, intent, found, supply=supply, author=author)
+        )
+
+    def nearest(self, state: FleetState, intent: Intent, *, author: str) -> Plan | None:
+        """Return the plan for the largest part of an intent that can be satisfied, if any.
+
+        Args:
+            state: The state to start from.
+            intent: An intent that `plan` refused as ``UNSATISFIABLE`` or ``BUDGET_SPENT``.
+            author: Who wants it.
+        """
+        part = self._satisfiable_part(state, intent)
+        if part is None:
+            return None
+        return self.plan(state, part, author=author).value_or(None)
+
+    def _satisfiable_part(self, state: FleetState, intent: Intent) -> Intent | None:
+        if isinstance(intent, Move):
+            return _smaller_move(state, intent)
+        if isinstance(intent, Return):
+            return None
+        targets = resolve(state, intent).value_or(None)
+        if targets is None:
+            return None
+        supply = index_supply(state)
+        kept = _fitting(targets.instances, intent, supply=supply)
+        if isinstance(intent, Maintain):
+            kept = self._within_window(kept, supply=supply)
+        if not kept:
+            return None
+        names = tuple(sorted(entry.name for entry in kept))
+        if isinstance(intent, Drain):
+            return Drain(selection=Named(names=names))
+        return Maintain(selection=Named(names=names))
+
+    def _within_window(self, kept: list[Instance], *, supply: Supply) -> list[Instance]:
+        """Keep as many waves as fit into the window, longest without maintenance first."""
+        if not self._weights.window_s or not kept:
+            return kept
+        actions = (Action.CORDON, Action.DRAIN, Action.REBOOT, Action.PROBE, Action.RETURN)
+        fitting = int(self._weights.window_s // self._model.duration_s(actions))
+        limits = limits_of(kept, supply=supply, comes_back=True)
+        waves = fill_waves(Strategy.BUDGET_BOUND, kept, limits=limits, width=len(kept))
+        return [entry for wave in waves[:fitting] for entry in wave]
+
+    def _choose(
+        self, state: FleetState, intent: Intent, targets: Targets, *, supply: Supply, author: str
+    ) -> Result[Plan, Failure]:
+        actions = actions_of(intent)
+        ways = self._ways(targets, actions, supply=supply)
+        best = _best_of(ways)
+        ranked = sorted(ways, key=lambda way: self._rank(way, best))
+        chosen = ranked[0]
+        if not self._fits(chosen):
+            return _refuse(ErrorKind.UNSATISFIABLE, self._too_long(chosen))
+        waves = self._waves(chosen.waves, intent, supply=supply)
+        plan = Plan(
+            digest="",
+            intent=intent,
+            author=author,
+            base_revision=state.revision,
+            basis=basis_of(state, (entry.name for entry in targets.instances)),
+            waves=waves,
+            capacity=(
+                capacity_left(chosen.waves, supply=supply, stays_out=Action.RETURN not in actions)
+                if Action.CORDON in actions
+                else ()
+            ),
+            measures=chosen.measures,
+            alternatives=self._weighed(ranked, best),
+            skipped=targets.skipped,
+            notes=_notes(targets, supply=supply, actions=actions),
+        )
+        return Success(seal(plan))
+
+    def _ways(self, targets: Targets, actions: tuple[Action, ...], *, supply: Supply) -> list[_Way]:
+        limits = limits_of(targets.instances, supply=supply, comes_back=Action.RETURN in actions)
+        if Action.CORDON not in actions:
+            limits = Limits(
+                permits=dict.fromkeys(limits.permits, len(targets.instances)), present={}
+            )
+        count = len(targets.instances)
+        candidates = [
+            (Strategy.ONE_AT_A_TIME, 1),
+            (Strategy.RACK_BY_RACK, count),
+            (Strategy.BUDGET_BOUND, count),
+            *((Strategy.PACKED, width) for width in widths_for(count)),
+        ]
+        ways = []
+        for strategy, width in candidates:
+            waves = fill_waves(strategy, targets.instances, limits=limits, width=width)
+            measures = measure(waves, actions=actions, supply=supply, model=self._model)
+            widest = max((len(wave) for wave in waves), default=0)
+            ways.append(_Way(strategy=strategy, width=widest, waves=waves, measures=measures))
+        return ways
+
+    def _rank(self, way: _Way, best: Measures) -> tuple[bool, float, int]:
+        cost = weighted_cost(way.measures, best=best, weights=self._weights)
+        return (not self._fits(way), cost, _PREFERENCE[way.strategy])
+
+    def _fits(self, way: _Way) -> bool:
+        return not self._weights.window_s or way.measures.roll_out_s <= self._weights.window_s
+
+    def _too_long(self, way: _Way) -> str:
+        return (
+            f"the shortest way takes {way.measures.roll_out_s:.0f} s,"
+            f" the window is {self._weights.window_s:.0f} s"
+        )
+
+    def _weighed(self, ranked: list[_Way], best: Measures) -> tuple[Alternative, ...]:
+        """Tell each strategy once, with its best width, the chosen one first."""
+        told: dict[Strategy, Alternative] = {}
+        chosen = ranked[0]
+        for way in ranked:
+            if way.strategy in told:
+                continue
+            cost = weighted_cost(way.measures, best=best, weights=self._weights)
+            told[way.strategy] = Alternative(
+                strategy=way.strategy,
+                width=way.width,
+                measures=way.measures,
+                cost=round(cost, ROUNDING_DIGITS),
+                verdict="chosen" if way is chosen else self._why_lost(way, chosen),
+            )
+        return tuple(told.values())
+
+    def _why_lost(self, way: _Way, chosen: _Way) -> str:
+        if not self._fits(way):
+            return "does not fit into the window"
+        reasons = [
+            f"{word} {_times(theirs, ours)}"
+            for word, theirs, ours in (
+                ("buffer", way.measures.buffer_slots, chosen.measures.buffer_slots),
+                ("roll-out", way.measures.roll_out_s, chosen.measures.roll_out_s),
+                ("moves", way.measures.moves, chosen.measures.moves),
+            )
+            if theirs > ours
+        ]
+        return ", ".join(reasons) or "no better in any measure"
+
+    def _waves(self, waves: Waves, intent: Intent, *, supply: Supply) -> tuple[Wave, ...]:
+        actions = actions_of(intent)
+        duration_s = self._model.duration_s(actions)
+        to_pool = intent.to_pool if isinstance(intent, Move) else ""
+        stays_out = Action.RETURN not in actions
+        out: dict[str, int] = {name: pool.unavailable for name, pool in supply.pools.items()}
+        built = []
+        for number, wave in enumerate(waves):
+            spends = _spends(wave, out=out, supply=supply) if Action.CORDON in actions else ()
+            if stays_out:
+                for entry in wave:
+                    out[entry.pool] += entry.available
+            built.append(
+                Wave(
+                    starts_s=number * duration_s,
+                    duration_s=duration_s,
+                    steps=_steps(wave, actions=actions, to_pool=to_pool),
+                    spends=spends,
+                )
+            )
+        return tuple(built)
+
+
+_PREFERENCE = {
+    Strategy.PACKED: 0,
+    Strategy.BUDGET_BOUND: 1,
+    Strategy.RACK_BY_RACK: 2,
+    Strategy.ONE_AT_A_TIME: 3,
+}
+"""Which of two ways of equal cost is taken: packing keeps more in each data centre."""
+
+
+def _check(targets: Targets, intent: Intent, *, supply: Supply) -> Result[Targets, Failure]:
+    if isinstance(intent, Return):
+        return Success(targets)
+    counts: dict[str, int] = {}
+    for entry in targets.instances:
+        if entry.available:
+            counts[entry.pool] = counts.get(entry.pool, 0) + 1
+    for name in sorted(counts):
+        failure = _check_pool(supply.pools[name], counts[name], intent)
+        if failure is not None:
+            return Err(failure)
+    return Success(targets)
+
+
+def _check_pool(pool: PoolSupply, wanted: int, intent: Intent) -> Failure | None:
+    """Return why a pool can't spare what an intent takes, if it can't."""
+    if pool.budget < 1:
+        return Failure(
+            kind=ErrorKind.UNSATISFIABLE,
+            reason=f"service {pool.tightest} allows no instance of pool {pool.name} to be"
+            " unavailable; raise its budget to 1 or more",
+        )
+    if isinstance(intent, Move) and pool.services and wanted >= len(pool.members):
+        return Failure(
+            kind=ErrorKind.UNSATISFIABLE,
+            reason=f"pool {pool.name} would be left empty, and it serves {pool.tightest}",
+        )
+    if not isinstance(intent, Drain) or wanted <= pool.free:
+        return None
+    wants = f"a drain of {wanted} instances of pool {pool.name} at once"
+    if wanted > pool.budget:
+        return Failure(
+            kind=ErrorKind.UNSATISFIABLE,
+            reason=f"{wants} can't be: service {pool.tightest} allows {pool.budget} unavailable",
+        )
+    return Failure(
+        kind=ErrorKind.BUDGET_SPENT,
+        reason=f"{wants} must wait: {pool.unavailable} of {pool.budget} are unavailable now",
+    )
+
+
+def _fitting(targets: Iterable[Instance], intent: Intent, *, supply: Supply) -> list[Instance]:
+    """Return the targets that the budgets let an intent have, the most urgent first."""
+    used: dict[str, int] = {}
+    kept = []
+    for entry in targets:
+        pool = supply.pools[entry.pool]
+        limit = pool.free if isinstance(intent, Drain) else len(pool.members) * (pool.budget > 0)
+        if entry.available and used.get(entry.pool, 0) >= limit:
+            continue
+        if entry.available:
+            used[entry.pool] = used.get(entry.pool, 0) + 1
+        kept.append(entry)
+    return kept
+
+
+def _smaller_move(state: FleetState, intent: Move) -> Move | None:
+    members = [entry for entry in state.instances_of(intent.from_pool) if entry.available]
+    spare = len(members) - 1 if any(state.services_of(intent.from_pool)) else len(members)
+    wanted = len(intent.names) or intent.count
+    if intent.to_pool not in state.pools or not 0 < spare < wanted:
+        return None
+    return Move(
+        from_pool=intent.from_pool,
+        to_pool=intent.to_pool,
+        count=0 if intent.names else spare,
+        names=intent.names[:spare],
+    )
+
+
+def _best_of(ways: list[_Way]) -> Measures:
+    return Measures(
+        buffer_slots=min(way.measures.buffer_slots for way in ways),
+        roll_out_s=min(way.measures.roll_out_s for way in ways),
+        moves=min(way.measures.moves for way in ways),
+        waves=min(way.measures.waves for way in ways),
+    )
+
+
+def _steps(wave: list[Instance], *, actions: tuple[Action, ...], to_pool: str) -> tuple[Step, ...]:
+    by_pool: dict[str, list[str]] = {}
+    for entry in wave:
+        by_pool.setdefault(entry.pool, []).append(entry.name)
+    return tuple(
+        Step(pool=pool, instances=tuple(sorted(by_pool[pool])), actions=actions, to_pool=to_pool)
+        for pool in sorted(by_pool)
+    )
+
+
+def _spends(wave: list[Instance], *, out: dict[str, int], supply: Supply) -> tuple[BudgetUse, ...]:
+    taken: dict[str, int] = {}
+    for entry in wave:
+        if entry.available:
+            taken[entry.pool] = taken.get(entry.pool, 0) + 1
+    return tuple(
+        BudgetUse(
+            service=service.name,
+            instances=taken[name],
+            unavailable=out[name],
+            budget=service.max_unavailable,
+        )
+        for name in sorted(taken)
+        for service in supply.pools[name].services
+    )
+
+
+def _notes(targets: Targets, *, supply: Supply, actions: tuple[Action, ...]) -> tuple[str, ...]:
+    if Action.CORDON not in actions:
+        return ()
+    touched = sorted({entry.pool for entry in targets.instances if entry.available})
+    spent = [supply.pools[name] for name in touched if supply.pools[name].free == 0]
+    return tuple(
+        f"pool {pool.name} has {pool.unavailable} of {pool.budget} unavailable now;"
+        " its waves wait until that is less"
+        for pool in spent
+    )
+
+
+def _times(theirs: float, ours: float) -> str:
+    return f"{theirs / ours:.1f} times" if ours else f"{theirs:g} instead of 0"
+
+
+def _refuse(kind: ErrorKind, reason: str) -> Result[Plan, Failure]:
+    return Err(Failure(kind=kind, reason=reason))
--- /dev/null
+++ b/src/shallotworks/plans/_proposals.py
@@ -0,0 +1,283 @@
+"""Proposals: plans computed and stored, confirmed by exactly their digest, or cancelled."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from pydantic import ValidationError
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.config import ConfigLog, ConfigView
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.fleet import ConfirmPlan, FinishPlan, FleetState, PlanRecord, PlanState
+from shallotworks.metrics import Metrics
+from shallotworks.platform import KeyValueStore
+from shallotworks.timeline import EventKind, Subject, Timeline
+
+from ._intents import Intent, describe_intent
+from ._planner import Planner
+from ._protocols import Offload
+from ._records import SHORT_DIGEST_LENGTH, Plan
+from ._targets import resolve
+
+__all__ = ["PLANS_PREFIX", "ListedPlan", "Proposals", "plan_key"]
+
+PLANS_PREFIX = "plans/"
+SHORTEST_PREFIX = 4
+LIST_PAGE = 100
+_REFUSED = (ErrorKind.UNSATISFIABLE, ErrorKind.BUDGET_SPENT)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ListedPlan:
+    """One line of the list of plans.
+
+    Args:
+        plan: The plan.
+        record: What was confirmed; ``None`` for a proposal.
+    """
+
+    plan: Plan
+    record: PlanRecord | None
+
+
+class Proposals:
+    """Where operators propose, confirm and cancel; proposing never acts.
+
+    Args:
+        view: The state.
+        log: Where a confirmation is proposed.
+        store: Where plans are stored.
+        planner: The planner.
+        wall_clock_s: Returns the Unix time.
+        timeline: Where events go.
+        metrics: Counters.
+        offload: Runs the planner, which may take seconds, off the event loop.
+    """
+
+    __slots__ = (
+        "_log",
+        "_metrics",
+        "_offload",
+        "_planner",
+        "_store",
+        "_timeline",
+        "_view",
+        "_wall_clock_s",
+    )
+
+    def __init__(
+        self,
+        *,
+        view: ConfigView,
+        log: ConfigLog,
+        store: KeyValueStore,
+        planner: Planner,
+        wall_clock_s: Callable[[], float],
+        timeline: Timeline,
+        metrics: Metrics,
+        offload: Offload = asyncio.to_thread,
+    ) -> None:
+        self._view = view
+        self._log = log
+        self._store = store
+        self._planner = planner
+        self._wall_clock_s = wall_clock_s
+        self._timeline = timeline
+        self._metrics = metrics
+        self._offload = offload
+
+    async def propose(self, intent: Intent, *, author: str) -> Result[Plan, Failure]:
+        """Compute a plan from the newest state held and store it under its digest.
+
+        Args:
+            intent: What the operator wants.
+            author: The operator.
+
+        Returns:
+            The plan; or as `Planner.plan` refuses, with the digest of the nearest plan that could
+            be; or ``STORE_UNAVAILABLE``.
+        """
+        state = self._view.state()
+        planned = await self._offload(lambda: self._planner.plan(state, intent, author=author))
+        if isinstance(planned, Success):
+            return await self._keep(planned.unwrap())
+        failure = planned.failure()
+        self._metrics.count(f"plans.refused.{failure.kind.value}")
+        if failure.kind not in _REFUSED:
+            return planned
+        return Err(await self._with_nearest(state, intent, failure, author=author))
+
+    async def confirm(self, digest: str, *, operator: str) -> Result[PlanRecord, Failure]:
+        """Confirm exactly the plan of this digest; the conductor acts from then on.
+
+        Confirming again what one has confirmed, after a lost answer, does no harm.
+
+        Args:
+            digest: The digest, or its unambiguous beginning.
+            operator: Who confirms.
+
+        Returns:
+            The confirmed plan's record; ``STALE_PLAN`` with the digest of a fresh proposal where
+            what it rests on has changed; ``CONFLICT`` with the plan, its operator and its time
+            where another plan holds one of its instances; ``OUTCOME_UNKNOWN`` where it may yet
+            come into force.
+        """
+        found = await self.show(digest)
+        if not isinstance(found, Success):
+            return Err(found.failure())
+        plan = found.unwrap()
+        state = self._view.state()
+        known = state.plans.get(plan.digest)
+        if known is not None:
+            return _confirmed_before(known, operator)
+        if not _means_the_same(plan, state):
+            return await self._stale(plan, operator=operator)
+        result = await self._log.propose(self._confirmation(plan, operator), author=operator)
+        if isinstance(result, Success):
+            state = await self._view.wait_for(result.unwrap().revision)
+            self._note(EventKind.PLAN_CONFIRMED, plan.digest, f"by {operator}")
+            return Success(state.plans[plan.digest])
+        failure = result.failure()
+        self._metrics.count(f"plans.confirms_refused.{failure.kind.value}")
+        if failure.kind is ErrorKind.STALE_PLAN:
+            return await self._stale(plan, operator=operator)
+        return Err(failure)
+
+    async def cancel(self, digest: str, *, operator: str) -> Result[PlanRecord, Failure]:
+        """Cancel an open plan; its conductor then rolls back what is half done."""
+        record = self._find_record(digest)
+        if record is None:
+            return _refuse(ErrorKind.NOT_FOUND, f"no confirmed plan {digest}")
+        if record.state is PlanState.CANCELLING:
+            return Success(record)
+        change = FinishPlan(
+            digest=record.digest,
+            state=PlanState.CANCELLING,
+            outcome=f"cancelled by {operator}",
+            at_s=self._wall_clock_s(),
+        )
+        result = await self._log.propose(change, author=operator)
+        if not isinstance(result, Success):
+            return Err(result.failure())
+        state = await self._view.wait_for(result.unwrap().revision)
+        return Success(state.plans[record.digest])
+
+    async def show(self, digest: str) -> Result[Plan, Failure]:
+        """Return a plan by its digest or the unambiguous beginning of it."""
+        if len(digest) < SHORTEST_PREFIX or "/" in digest:
+            return Err(Failure(kind=ErrorKind.INVALID_REQUEST, reason=f"no digest: {digest}"))
+        listed = await self._store.list(plan_key(digest), limit=2)
+        if not isinstance(listed, Success):
+            return Err(listed.failure())
+        found = listed.unwrap()
+        if len(found) != 1:
+            reason = f"more than one plan {digest}..." if found else f"no plan {digest}"
+            return Err(Failure(kind=ErrorKind.NOT_FOUND, reason=reason))
+        try:
+            return Success(Plan.decode(found[0].value))
+        except ValidationError:
+            return Err(Failure(kind=ErrorKind.INTERNAL, reason=f"plan {digest} can't be read"))
+
+    async def list(self) -> Result[tuple[ListedPlan, ...], Failure]:
+        """Return all stored plans, proposals and confirmed ones, by base revision."""
+        plans: list[Plan] = []
+        after_key = ""
+        while True:
+            page = await self._store.list(PLANS_PREFIX, after_key=after_key, limit=LIST_PAGE)
+            if not isinstance(page, Success):
+                return Err(page.failure())
+            plans.extend(Plan.decode(item.value) for item in page.unwrap())
+            if len(page.unwrap()) < LIST_PAGE:
+                break
+            after_key = page.unwrap()[-1].key
+        records = self._view.state().plans
+        plans.sort(key=lambda plan: (plan.base_revision, plan.digest))
+        return Success(
+            tuple(ListedPlan(plan=plan, record=records.get(plan.digest)) for plan in plans)
+        )
+
+    async def _keep(self, plan: Plan) -> Result[Plan, Failure]:
+        """Store a plan; the digest is the key, so storing it twice stores the same."""
+        created = await self._store.create(plan_key(plan.digest), plan.encode())
+        if not isinstance(created, Success):
+            failure = created.failure()
+            if failure.kind is ErrorKind.OUTCOME_UNKNOWN:
+                reason = "the plan may not be stored; repeat"
+                return Err(Failure(kind=ErrorKind.STORE_UNAVAILABLE, reason=reason))
+            if failure.kind is not ErrorKind.CONFLICT:
+                return Err(failure)
+        self._note(EventKind.PLAN_PROPOSED, plan.digest, describe_intent(plan.intent))
+        return Success(plan)
+
+    async def _with_nearest(
+        self, state: FleetState, intent: Intent, failure: Failure, *, author: str
+    ) -> Failure:
+        nearest = await self._offload(lambda: self._planner.nearest(state, intent, author=author))
+        if nearest is None:
+            return failure
+        kept = await self._keep(nearest)
+        if not isinstance(kept, Success):
+            return failure
+        told = f"nearest: plan {nearest.short_digest}, {describe_intent(nearest.intent)}"
+        return replace(failure, reason=f"{failure.reason}; {told}")
+
+    async def _stale(self, plan: Plan, *, operator: str) -> Result[PlanRecord, Failure]:
+        fresh = await self.propose(plan.intent, author=operator)
+        reason = f"what plan {plan.short_digest} rests on has changed"
+        if isinstance(fresh, Success):
+            reason += f"; fresh proposal: plan {fresh.unwrap().short_digest}"
+        else:
+            reason += f"; no fresh proposal: {fresh.failure().reason}"
+        return _refuse(ErrorKind.STALE_PLAN, reason)
+
+    def _confirmation(self, plan: Plan, operator: str) -> ConfirmPlan:
+        return ConfirmPlan(
+            digest=plan.digest,
+            intent=describe_intent(plan.intent),
+            confirmed_by=operator,
+            confirmed_at_s=self._wall_clock_s(),
+            base_revision=plan.base_revision,
+            instances=plan.instances,
+            basis=plan.basis,
+        )
+
+    def _find_record(self, digest: str) -> PlanRecord | None:
+        records = self._view.state().plans
+        found = [record for key, record in records.items() if key.startswith(digest)]
+        return found[0] if len(found) == 1 and len(digest) >= SHORTEST_PREFIX else None
+
+    def _note(self, kind: EventKind, digest: str, detail: str) -> None:
+        self._metrics.count(f"plans.{kind.value}")
+        self._timeline.record(kind, subject=Subject(plan=digest), detail=detail)
+
+
+def plan_key(digest: str) -> str:
+    """Return the key under which a plan is stored."""
+    return f"{PLANS_PREFIX}{digest}"
+
+
+def _means_the_same(plan: Plan, state: FleetState) -> bool:
+    """Whether the intent still means the instances that the plan was computed for."""
+    targets = resolve(state, plan.intent).value_or(None)
+    if targets is None:
+        return False
+    return tuple(sorted(entry.name for entry in targets.instances)) == plan.instances
+
+
+def _confirmed_before(record: PlanRecord, operator: str) -> Result[PlanRecord, Failure]:
+    if record.state is PlanState.RUNNING and record.confirmed_by == operator:
+        return Success(record)
+    short = record.digest[:SHORT_DIGEST_LENGTH]
+    return _refuse(
+        ErrorKind.CONFLICT,
+        f"plan {short} was confirmed by {record.confirmed_by} at {record.confirmed_at_s:.0f}"
+        f" and is {record.state.value}",
+    )
+
+
+def _refuse(kind: ErrorKind, reason: str) -> Result[PlanRecord, Failure]:
+    return Err(Failure(kind=kind, reason=reason))
--- /dev/null
+++ b/src/shallotworks/plans/_targets.py
@@ -0,0 +1,176 @@
+"""Which instances an intent means at one state, and which of them are left alone."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.fleet import Condition, FleetState, Instance
+
+from ._intents import (
+    Drain,
+    InDataCentre,
+    InPool,
+    InRack,
+    Intent,
+    Maintain,
+    Move,
+    Named,
+    NotMaintainedSince,
+    Return,
+    Selection,
+)
+from ._records import Action, Skipped
+
+__all__ = ["Targets", "actions_of", "resolve"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Targets:
+    """The instances that a plan is to touch.
+
+    Args:
+        instances: Those to act on, the one that waited longest for maintenance first.
+        skipped: Those that were asked for and are left alone.
+    """
+
+    instances: tuple[Instance, ...]
+    skipped: tuple[Skipped, ...]
+
+
+def resolve(state: FleetState, intent: Intent) -> Result[Targets, Failure]:
+    """Return what an intent means at a state.
+
+    Args:
+        state: The state.
+        intent: The intent.
+
+    Returns:
+        The targets; ``NOT_FOUND`` where it names something unknown; ``UNSATISFIABLE`` where a move
+        asks for more instances than there are.
+    """
+    if isinstance(intent, Move):
+        return _resolve_move(state, intent)
+    wanted = Condition.CORDONED if isinstance(intent, Return) else Condition.ACTIVE
+    return _select(state, intent.selection).map(lambda found: _split(found, wanted))
+
+
+def actions_of(intent: Intent) -> tuple[Action, ...]:
+    """Return what is done to each instance, in order."""
+    match intent:
+        case Drain():
+            return (Action.CORDON, Action.DRAIN)
+        case Return():
+            return (Action.PROBE, Action.RETURN)
+        case Maintain():
+            return (Action.CORDON, Action.DRAIN, Action.REBOOT, Action.PROBE, Action.RETURN)
+        case Move():
+            return (Action.CORDON, Action.DRAIN, Action.MOVE, Action.PROBE, Action.RETURN)
+
+
+def _select(state: FleetState, selection: Selection) -> Result[list[Instance], Failure]:
+    every = state.instances.values()
+    match selection:
+        case Named():
+            return _named(state, selection.names)
+        case InRack():
+            found = [
+                entry
+                for entry in every
+                if (entry.data_centre, entry.rack) == (selection.data_centre, selection.rack)
+            ]
+            missing = f"no rack {selection.rack} in data centre {selection.data_centre}"
+            return Success(found) if found else _not_found(missing)
+        case InPool():
+            if selection.pool not in state.pools:
+                return _not_found(f"no pool {selection.pool}")
+            return Success(list(state.instances_of(selection.pool)))
+        case InDataCentre():
+            if selection.data_centre not in state.data_centres:
+                return _not_found(f"no data centre {selection.data_centre}")
+            return Success([e for e in every if e.data_centre == selection.data_centre])
+        case NotMaintainedSince():
+            return Success([e for e in every if e.maintained_at_s < selection.before_s])
+
+
+def _named(state: FleetState, names: tuple[str, ...]) -> Result[list[Instance], Failure]:
+    unknown = [name for name in names if name not in state.instances]
+    if unknown:
+        return _not_found(f"no instance {unknown[0]}")
+    return Success([state.instances[name] for name in sorted(set(names))])
+
+
+def _split(found: list[Instance], wanted: Condition) -> Targets:
+    """Leave alone what is in the other condition already.
+
+    A cordon that an operator set on purpose outlives a maintenance: the plan would end it.
+    """
+    return Targets(
+        instances=_in_order([entry for entry in found if entry.condition is wanted]),
+        skipped=tuple(
+            Skipped(instance=entry.name, reason=f"is {entry.condition.value} already")
+            for entry in sorted(found, key=lambda entry: entry.name)
+            if entry.condition is not wanted
+        ),
+    )
+
+
+def _in_order(found: list[Instance]) -> tuple[Instance, ...]:
+    return tuple(sorted(found, key=lambda entry: (entry.maintained_at_s, entry.name)))
+
+
+def _resolve_move(state: FleetState, intent: Move) -> Result[Targets, Failure]:
+    for pool in (intent.from_pool, intent.to_pool):
+        if pool not in state.pools:
+            return _refuse(ErrorKind.NOT_FOUND, f"no pool {pool}")
+    if intent.from_pool == intent.to_pool:
+        return _refuse(ErrorKind.INVALID_REQUEST, "a move needs two different pools")
+    if intent.names:
+        return _named(state, intent.names).bind(lambda found: _named_move(found, intent))
+    candidates = [
+        entry
+        for entry in state.instances_of(intent.from_pool)
+        if entry.condition is Condition.ACTIVE and entry.healthy
+    ]
+    if intent.count < 1:
+        return _refuse(ErrorKind.INVALID_REQUEST, "a move needs names or a count of 1 or more")
+    if intent.count > len(candidates):
+        return _refuse(
+            ErrorKind.UNSATISFIABLE,
+            f"pool {intent.from_pool} has {len(candidates)} instances that can be moved,"
+            f" not {intent.count}",
+        )
+    return Success(Targets(instances=_spread(candidates, intent.count), skipped=()))
+
+
+def _named_move(found: list[Instance], intent: Move) -> Result[Targets, Failure]:
+    stray = [entry for entry in found if entry.pool != intent.from_pool]
+    if stray:
+        return _refuse(
+            ErrorKind.CONFLICT,
+            f"{stray[0].name} is in pool {stray[0].pool}, not {intent.from_pool}",
+        )
+    return Success(_split(found, Condition.ACTIVE))
+
+
+def _spread(candidates: list[Instance], count: int) -> tuple[Instance, ...]:
+    """Take from the racks that hold most of the pool, so that what stays is spread."""
+    by_rack: dict[tuple[str, str], list[Instance]] = {}
+    for entry in sorted(candidates, key=lambda entry: entry.name):
+        by_rack.setdefault((entry.data_centre, entry.rack), []).append(entry)
+    taken: list[Instance] = []
+    while len(taken) < count:
+        fullest = max(sorted(by_rack), key=lambda rack: len(by_rack[rack]))
+        taken.append(by_rack[fullest].pop(0))
+    return tuple(taken)
+
+
+def _not_found(reason: str) -> Result[list[Instance], Failure]:
+    return Err(Failure(kind=ErrorKind.NOT_FOUND, reason=reason))
+
+
+def _refuse(kind: ErrorKind, reason: str) -> Result[Targets, Failure]:
+    return Err(Failure(kind=kind, reason=reason))
--- /dev/null
+++ b/src/shallotworks/plans/_writer.py
@@ -0,0 +1,173 @@
+"""The changes that a conductor writes for its plan, each under its fencing token."""
+
+from __future__ import annotations
+
+import asyncio
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.config import ConfigLog, ConfigView
+from shallotworks.errors import ErrorKind, Failure, ShallotworksError
+from shallotworks.fleet import (
+    AdvancePlan,
+    Change,
+    Condition,
+    FinishPlan,
+    FleetState,
+    MoveInstance,
+    PlanState,
+    SetCondition,
+    SetHealth,
+)
+from shallotworks.metrics import Metrics
+
+from ._protocols import Duty
+
+__all__ = ["PlanWriter"]
+
+RETRY_PAUSE_S = 1.0
+_TRY_AGAIN = (ErrorKind.STORE_UNAVAILABLE, ErrorKind.OUTCOME_UNKNOWN, ErrorKind.STORE_REGRESSED)
+
+
+class PlanWriter:
+    """Writes one plan's changes while its duty is held; nothing is written after.
+
+    Every change is idempotent: one whose answer was lost is written again, and leads to the same
+    state if it had taken effect.
+
+    Args:
+        digest: Digest of the plan.
+        token: Fencing token of the duty.
+        duty: The duty.
+        log: Where changes are proposed.
+        view: The state.
+        author: Name of this process, for the history.
+        metrics: Counters.
+    """
+
+    __slots__ = ("_author", "_digest", "_duty", "_log", "_metrics", "_token", "_view")
+
+    def __init__(
+        self,
+        *,
+        digest: str,
+        token: int,
+        duty: Duty,
+        log: ConfigLog,
+        view: ConfigView,
+        author: str,
+        metrics: Metrics,
+    ) -> None:
+        self._digest = digest
+        self._token = token
+        self._duty = duty
+        self._log = log
+        self._view = view
+        self._author = author
+        self._metrics = metrics
+
+    @property
+    def token(self) -> int:
+        """The fencing token."""
+        return self._token
+
+    def check_held(self) -> None:
+        """Raise ``LEASE_LOST`` where the duty is not held any more.
+
+        The failure: this process was paused past its lease, another conducts the plan by now; it
+        shows as two conductors acting. Asked before each act outside the log; acts inside the log
+        are refused by their token as well.
+        """
+        if not self._duty.still_held():
+            raise ShallotworksError(
+                Failure(kind=ErrorKind.LEASE_LOST, reason=f"the duty of plan {self._digest} lapsed")
+            )
+
+    async def cordon(self, names: tuple[str, ...]) -> Result[FleetState, Failure]:
+        """Cordon instances; ``BUDGET_SPENT`` where a budget has no room for them."""
+        return await self.write(
+            SetCondition(
+                names=names,
+                condition=Condition.CORDONED,
+                plan=self._digest,
+                fencing_token=self._token,
+            )
+        )
+
+    async def activate(
+        self, names: tuple[str, ...], *, maintained_at_s: float = 0.0
+    ) -> Result[FleetState, Failure]:
+        """Return instances that were probed; whoever was reported as failed works again."""
+        failed = tuple(n for n in names if not self._view.state().instances[n].healthy)
+        if failed:
+            await self.write(SetHealth(names=failed, healthy=True))
+        return await self.write(
+            SetCondition(
+                names=names,
+                condition=Condition.ACTIVE,
+                plan=self._digest,
+                fencing_token=self._token,
+                maintained_at_s=maintained_at_s,
+            )
+        )
+
+    async def move(self, name: str, *, from_pool: str, to_pool: str) -> Result[FleetState, Failure]:
+        """Move a cordoned instance; nothing is written where it is there already."""
+        if self._view.state().instances[name].pool == to_pool:
+            return Success(self._view.state())
+        return await self.write(
+            MoveInstance(
+                name=name,
+                from_pool=from_pool,
+                to_pool=to_pool,
+                plan=self._digest,
+                fencing_token=self._token,
+            )
+        )
+
+    async def report_failed(self, name: str) -> Result[FleetState, Failure]:
+        """Report an instance that did not come back."""
+        return await self.write(SetHealth(names=(name,), healthy=False))
+
+    async def advance(self, steps_done: int) -> Result[FleetState, Failure]:
+        """Record progress; the first one makes this token the one in force."""
+        return await self.write(
+            AdvancePlan(digest=self._digest, fencing_token=self._token, steps_done=steps_done)
+        )
+
+    async def finish(
+        self, state: PlanState, *, outcome: str, at_s: float
+    ) -> Result[FleetState, Failure]:
+        """End the plan."""
+        return await self.write(
+            FinishPlan(
+                digest=self._digest,
+                state=state,
+                outcome=outcome,
+                at_s=at_s,
+                fencing_token=self._token,
+            )
+        )
+
+    async def write(self, change: Change) -> Result[FleetState, Failure]:
+        """Write one change, waiting out a store that is down.
+
+        Returns:
+            The state in which it is in force, or why it is refused.
+
+        Raises:
+            ShallotworksError: ``LEASE_LOST``, by the local clock or by the log.
+        """
+        while True:
+            self.check_held()
+            result = await self._log.propose(change, author=self._author)
+            if isinstance(result, Success):
+                return Success(await self._view.wait_for(result.unwrap().revision))
+            failure = result.failure()
+            if failure.kind is ErrorKind.LEASE_LOST:
+                raise ShallotworksError(failure)
+            if failure.kind not in _TRY_AGAIN:
+                return Err(failure)
+            self._metrics.count(f"plans.writes_repeated.{failure.kind.value}")
+            await asyncio.sleep(RETRY_PAUSE_S)
