Hold named duties by leases with fencing tokens

Cause: a conductor or relay that is paused past its lease must find out before it acts, and several candidates must not crowd the store. Change: LeaseHolder takes, renews at a third of the time to live, counts itself expired a fifth early on its own clock, and gives the duty back on stop; candidates poll with jitter.

--- a/src/shallotworks/platform/__init__.py
+++ b/src/shallotworks/platform/__init__.py
@@ -6,6 +6,7 @@
 
 from ._calls import PlatformLimits
 from ._http_store import HttpInstanceList, HttpKeyValueStore
+from ._lease_holder import Holding, LeaseHolder
 from ._protocols import (
     InstanceList,
     KeyValueStore,
@@ -16,11 +17,13 @@
 )
 
 __all__ = [
+    "Holding",
     "HttpInstanceList",
     "HttpKeyValueStore",
     "InstanceList",
     "KeyValueStore",
     "Lease",
+    "LeaseHolder",
     "ListedInstance",
     "PlatformLimits",
     "Versioned",
--- /dev/null
+++ b/src/shallotworks/platform/_lease_holder.py
@@ -0,0 +1,231 @@
+"""Holding a named duty by a lease in the platform's service."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from absl import logging
+from pydantic import TypeAdapter
+from returns.result import Success
+
+from shallotworks.errors import ErrorKind
+from shallotworks.metrics import Metrics
+from shallotworks.timeline import EventKind, Subject, Timeline
+
+from ._protocols import KeyValueStore, Lease
+
+__all__ = ["Holding", "LeaseHolder"]
+
+DEFAULT_TTL_S = 12.0
+MARGIN_PART = 0.2
+"""Part of the time to live by which a holder counts itself expired early, for clocks that drift."""
+RENEWALS_PER_TTL = 3
+RETRIES_PER_TTL = 12
+FIRST_TRY_SPREAD_S = 0.5
+GIVE_BACK_S = 1.0
+"""Time that a stop spends on giving the lease back; else it lapses by itself."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Holding:
+    """A duty that is held; also the value of its key.
+
+    Args:
+        duty: The duty's name.
+        holder: Name of the process that holds it.
+        fencing_token: Grows with each holder; goes along with every act of the duty.
+    """
+
+    duty: str
+    holder: str
+    fencing_token: int
+
+
+@dataclass(slots=True, kw_only=True)
+class _Held:
+    holding: Holding
+    lease: Lease
+    expires_at_s: float
+    renew_at_s: float
+
+
+_HOLDING = TypeAdapter(Holding)
+
+
+class LeaseHolder:
+    """One candidate for one duty; lives on the event loop.
+
+    Whoever acts for the duty asks `still_held` before each act, and sends the fencing token along,
+    so that an act that was under way when the lease lapsed is refused where it arrives.
+
+    A candidate that waits costs one read per half to whole time to live, so let only a few
+    processes stand for one duty.
+
+    Args:
+        store: The platform's key-value service.
+        duty: Name of the duty; its key is ``lease/<duty>``.
+        holder: Name of this process.
+        metrics: Where events are counted, under ``lease``.
+        timeline: Where taking and losing the duty is recorded.
+        rng: Source of jitter.
+        ttl_s: Time to live of the lease.
+    """
+
+    __slots__ = (
+        "_duty",
+        "_held",
+        "_holder",
+        "_key",
+        "_metrics",
+        "_rng",
+        "_store",
+        "_taken",
+        "_timeline",
+        "_ttl_s",
+    )
+
+    def __init__(
+        self,
+        *,
+        store: KeyValueStore,
+        duty: str,
+        holder: str,
+        metrics: Metrics,
+        timeline: Timeline,
+        rng: random.Random,
+        ttl_s: float = DEFAULT_TTL_S,
+    ) -> None:
+        self._store = store
+        self._duty = duty
+        self._key = f"lease/{duty}"
+        self._holder = holder
+        self._metrics = metrics
+        self._timeline = timeline
+        self._rng = rng
+        self._ttl_s = ttl_s
+        self._held: _Held | None = None
+        self._taken = asyncio.Event()
+
+    def holding(self) -> Holding | None:
+        """Return the duty with its token while it is held, by this process's own clock."""
+        return self._held.holding if self._held is not None and self.still_held() else None
+
+    def still_held(self) -> bool:
+        """Say whether the duty may be acted for now.
+
+        The failure: this process is paused past its lease and another one takes the duty over; on
+        waking it would go on as if nothing had happened. The expiry is counted from before the
+        last renewal was sent, on a clock that runs on through the pause, and so lies before the
+        service's own. A machine that stops its clock too is caught by the fencing token.
+        """
+        held = self._held
+        return held is not None and asyncio.get_running_loop().time() < held.expires_at_s
+
+    async def wait_until_held(self) -> Holding:
+        """Wait until the duty is held."""
+        while True:
+            holding = self.holding()
+            if holding is not None:
+                return holding
+            self._taken.clear()
+            await self._taken.wait()
+
+    async def run(self, *, should_stand: Callable[[], bool] = lambda: True) -> None:
+        """Stand for the duty, keep it, and stand again when it is lost, until cancelled.
+
+        Args:
+            should_stand: Asked before each attempt and renewal; when it says no, a duty that is
+                held is given back.
+        """
+        await asyncio.sleep(self._rng.uniform(0, FIRST_TRY_SPREAD_S))
+        try:
+            while True:
+                if should_stand() and await self._take():
+                    await self._keep(should_stand)
+                # Candidates spread their tries, so that a lapse is not met by all at once.
+                await asyncio.sleep(self._rng.uniform(self._ttl_s / 2, self._ttl_s))
+        finally:
+            await self._give_back()
+
+    async def _take(self) -> bool:
+        present = await self._store.get(self._key)
+        if not isinstance(present, Success) or present.unwrap() is not None:
+            return False
+        asked_at_s = asyncio.get_running_loop().time()
+        granted = await self._store.grant_lease(ttl_s=self._ttl_s)
+        if not isinstance(granted, Success):
+            return False
+        lease = granted.unwrap()
+        holding = Holding(duty=self._duty, holder=self._holder, fencing_token=lease.fencing_token)
+        if not await self._create_key(lease, holding):
+            await self._store.revoke_lease(lease.lease_id)
+            return False
+        self._held = _Held(holding=holding, lease=lease, expires_at_s=0.0, renew_at_s=0.0)
+        self._prolong(self._held, asked_at_s)
+        self._note(EventKind.LEASE_TAKEN, "taken")
+        self._taken.set()
+        return True
+
+    async def _create_key(self, lease: Lease, holding: Holding) -> bool:
+        value = _HOLDING.dump_json(holding)
+        outcome = await self._store.create(self._key, value, lease_id=lease.lease_id)
+        if isinstance(outcome, Success):
+            return True
+        if outcome.failure().kind is not ErrorKind.OUTCOME_UNKNOWN:
+            return False
+        # The answer was lost. The token in the value says whose key it is.
+        present = (await self._store.get(self._key)).value_or(None)
+        return present is not None and present.value == value
+
+    async def _keep(self, should_stand: Callable[[], bool]) -> None:
+        held = self._held
+        assert held is not None
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(max(0.0, held.renew_at_s - loop.time()))
+            if not should_stand():
+                await self._give_back()
+                return
+            if not self.still_held():
+                self._lose("it was not renewed in time")
+                return
+            asked_at_s = loop.time()
+            outcome = await self._store.renew_lease(held.lease.lease_id)
+            if isinstance(outcome, Success):
+                self._prolong(held, asked_at_s)
+            elif outcome.failure().kind is ErrorKind.LEASE_LOST:
+                self._lose("the service says that it lapsed")
+                return
+            else:
+                self._metrics.count("lease.renewals-failed")
+                held.renew_at_s = loop.time() + self._ttl_s / RETRIES_PER_TTL
+
+    def _prolong(self, held: _Held, asked_at_s: float) -> None:
+        held.expires_at_s = asked_at_s + self._ttl_s * (1 - MARGIN_PART)
+        held.renew_at_s = asked_at_s + self._ttl_s / RENEWALS_PER_TTL
+
+    def _lose(self, why: str) -> None:
+        self._note(EventKind.LEASE_LOST, f"lost: {why}")
+        logging.warning("duty %s is lost: %s", self._duty, why)
+        self._held = None
+
+    async def _give_back(self) -> None:
+        held = self._held
+        if held is None:
+            return
+        self._note(EventKind.LEASE_LOST, "given back")
+        self._held = None
+        try:
+            async with asyncio.timeout(GIVE_BACK_S):
+                await self._store.revoke_lease(held.lease.lease_id)
+        except TimeoutError:
+            self._metrics.count("lease.not-given-back")
+
+    def _note(self, kind: EventKind, what: str) -> None:
+        assert self._held is not None
+        token = self._held.holding.fencing_token
+        self._timeline.record(kind, subject=Subject(), detail=f"{self._duty} #{token} {what}")
+        self._metrics.count("lease.taken" if kind is EventKind.LEASE_TAKEN else "lease.lost")
--- a/src/shallotworks/standins/_platform.py
+++ b/src/shallotworks/standins/_platform.py
@@ -31,6 +31,8 @@
 """Cheroot's own defaults of 10 and 5 close and drop connections under more than ten callers."""
 CONNECTION_TIMEOUT_S = 120
 SHUTDOWN_TIMEOUT_S = 1
+EXPIRATION_CHECK_S = 0.1
+"""How often idle connections are looked over; a stop waits for one such look."""
 
 _Value = TypeVar("_Value")
 
@@ -91,6 +93,7 @@
         server.request_queue_size = LISTEN_BACKLOG
         server.timeout = CONNECTION_TIMEOUT_S
         server.shutdown_timeout = SHUTDOWN_TIMEOUT_S
+        server.expiration_interval = EXPIRATION_CHECK_S
         server.prepare()
         self._bind_address = (server.bind_addr[0], server.bind_addr[1])
         self._server = server
--- /dev/null
+++ b/tests/test_lease_holder.py
@@ -0,0 +1,162 @@
+"""Tests of `shallotworks.platform.LeaseHolder`."""
+
+import asyncio
+import random
+import unittest
+from collections.abc import Awaitable, Callable
+
+import looptime
+
+from shallotworks.metrics import Metrics
+from shallotworks.platform import KeyValueStore, LeaseHolder
+from shallotworks.standins import MemoryStore, StoreFaults
+from shallotworks.timeline import EventKind, Timeline
+
+TTL_S = 12.0
+
+
+def run(main: Callable[[], Awaitable[None]]) -> None:
+    loop = looptime.new_event_loop()
+    try:
+        loop.run_until_complete(main())
+    finally:
+        loop.close()
+
+
+class LeaseHolderTests(unittest.TestCase):
+    def candidate(self, store: KeyValueStore, name: str) -> LeaseHolder:
+        self.timeline = Timeline(process=name, wall_clock_s=lambda: 0.0)
+        return LeaseHolder(
+            store=store,
+            duty="plan/1",
+            holder=name,
+            metrics=Metrics(),
+            timeline=self.timeline,
+            rng=random.Random(name),
+            ttl_s=TTL_S,
+        )
+
+    def test_one_of_many_holds_and_keeps_it(self) -> None:
+        """Of five candidates one holds the duty, at any time, and keeps it by renewing."""
+
+        async def main() -> None:
+            store = MemoryStore()
+            candidates = [self.candidate(store, f"e{n}") for n in range(5)]
+            tasks = [asyncio.create_task(each.run()) for each in candidates]
+            await asyncio.sleep(1)
+            holder = [each for each in candidates if each.still_held()]
+            for _ in range(100):
+                await asyncio.sleep(1)
+                self.assertEqual([each for each in candidates if each.still_held()], holder)
+            # At most one read per half time to live from each that waits, and the renewals.
+            self.assertLessEqual(store.calls["get"], 5 + 5 * 100 / (TTL_S / 2))
+            await stop(tasks)
+
+        run(main)
+
+    def test_a_stop_gives_the_duty_back(self) -> None:
+        """A holder that stops ends its lease, so that the next one need not wait for the lapse."""
+
+        async def main() -> None:
+            store = MemoryStore()
+            first, second = self.candidate(store, "e1"), self.candidate(store, "e2")
+            task = asyncio.create_task(first.run())
+            held = await first.wait_until_held()
+            await stop([task])
+            self.assertFalse(first.still_held())
+            task = asyncio.create_task(second.run())
+            taken = await second.wait_until_held()
+            self.assertGreater(taken.fencing_token, held.fencing_token)
+            await stop([task])
+
+        run(main)
+
+    def test_a_holder_paused_past_its_lease_finds_out_before_acting(self) -> None:
+        """After the pause the first question "still held?" is answered no.
+
+        Story: a conductor's process is stopped by its host for longer than its lease. Meanwhile
+        another one takes the plan over. The first wakes in the midst of its step and would go on
+        to reboot an instance; its clock has moved on, so it sees that its lease is over.
+        """
+
+        async def main() -> None:
+            store = MemoryStore()
+            seen_by_first = PausableStore(store)
+            first, second = self.candidate(seen_by_first, "e1"), self.candidate(store, "e2")
+            tasks = [asyncio.create_task(first.run())]
+            old = await first.wait_until_held()
+            seen_by_first.paused = True
+            await asyncio.sleep(TTL_S * 0.79)
+            tasks.append(asyncio.create_task(second.run()))
+            new = await second.wait_until_held()
+            self.assertFalse(first.still_held())
+            self.assertIsNone(first.holding())
+            self.assertGreater(new.fencing_token, old.fencing_token)
+            await stop(tasks)
+
+        run(main)
+
+    def test_store_down_for_longer_than_the_lease(self) -> None:
+        """A holder that can't renew stops acting before the lease lapses, and takes it up later.
+
+        Story: the store is down for a minute. The conductor can't renew; the service will let the
+        lease lapse, and whoever comes first takes the duty when the store is back.
+        """
+
+        async def main() -> None:
+            store = MemoryStore()
+            holder = self.candidate(store, "e1")
+            task = asyncio.create_task(holder.run())
+            old = await holder.wait_until_held()
+            store.set_faults(StoreFaults(down=True))
+            await asyncio.sleep(TTL_S * 0.81)
+            self.assertFalse(holder.still_held())
+            await asyncio.sleep(60)
+            store.set_faults(StoreFaults())
+            new = await holder.wait_until_held()
+            self.assertGreater(new.fencing_token, old.fencing_token)
+            await stop([task])
+            kinds = [event.kind for event in self.timeline.events()]
+            taken, lost = EventKind.LEASE_TAKEN, EventKind.LEASE_LOST
+            self.assertEqual(kinds, [taken, lost, taken, lost])
+
+        run(main)
+
+    def test_lost_answer_of_the_take(self) -> None:
+        """The key is made but its answer is lost: the candidate knows its own key again."""
+
+        async def main() -> None:
+            store = MemoryStore()
+            holder = self.candidate(store, "e1")
+            task = asyncio.create_task(holder.run())
+            while not store.calls["grant_lease"]:
+                await asyncio.sleep(0.01)
+            store.set_faults(StoreFaults(lost_answers=1))
+            held = await holder.wait_until_held()
+            self.assertEqual(held.holder, "e1")
+            self.assertEqual(store.calls["create"], 1)
+            await stop([task])
+
+        run(main)
+
+
+class PausableStore:
+    """A store as seen by a process that can be paused: its renewals then never leave it."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self.paused = False
+        self._store = store
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._store, name)
+
+    async def renew_lease(self, lease_id: str) -> object:
+        if self.paused:
+            await asyncio.Event().wait()
+        return await self._store.renew_lease(lease_id)
+
+
+async def stop(tasks: list[asyncio.Task[None]]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
