Control worker instances over HTTP: status, checkpoints, a reboot once for its id

Cause: the conductor asks for a reboot that never cuts off work and is done once; the stand-in rebooted at once, whatever was in flight. Change: the stand-in refuses a reboot with work in flight or an old fencing token, repeats none, and reports which machine it is; HttpTargetControl speaks that protocol.

--- a/src/shallotworks/standins/_worker.py
+++ b/src/shallotworks/standins/_worker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import secrets
 import threading
 import time
 from collections import Counter, deque
@@ -15,9 +16,9 @@
 from shallotworks.listener import Listener
 
 from ._worker_faults import WorkerFault, WorkerFaults
-from ._worker_tasks import Task, TaskOrder, TaskTable
+from ._worker_tasks import Task, TaskOrder, TaskState, TaskTable
 
-__all__ = ["WorkerCounts", "WorkerStandIn", "WorkerStatus", "serve_worker"]
+__all__ = ["RebootOrder", "WorkerCounts", "WorkerStandIn", "WorkerStatus", "serve_worker"]
 
 CONTROL_PREFIX = "/.worker/"
 CONTROL_THREADS = 16
@@ -52,7 +53,8 @@
 
     Args:
         name: The instance.
-        incarnation: Grows with every reboot.
+        incarnation: Which machine it is; the same after a reboot.
+        reboot_id: Id of the reboot that it last came back from; empty for none.
         slots: Requests it runs at once.
         in_flight: Requests running now.
         usage_in_flight: Requests running ``usage_lag_s`` ago.
@@ -61,7 +63,8 @@
     """
 
     name: str
-    incarnation: int
+    incarnation: str
+    reboot_id: str
     slots: int
     in_flight: int
     usage_in_flight: int
@@ -69,6 +72,19 @@
     counts: WorkerCounts
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RebootOrder:
+    """Asks a worker to reboot.
+
+    Args:
+        reboot_id: Names this reboot; asking again for the same one does nothing more.
+        fencing_token: Token of whoever asks; one lower than the highest seen is refused.
+    """
+
+    reboot_id: str
+    fencing_token: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _TaskCall:
     epoch: int
@@ -80,6 +96,7 @@
 _ORDER = TypeAdapter(TaskOrder)
 _TASKS: TypeAdapter[tuple[Task, ...]] = TypeAdapter(tuple[Task, ...])
 _TASK_CALL = TypeAdapter(_TaskCall)
+_REBOOT = TypeAdapter(RebootOrder)
 
 
 class WorkerStandIn:
@@ -122,7 +139,9 @@
         self._silence_ended = threading.Event()
         self._seen_ports: set[str] = set()
         self._silent_ports: frozenset[str] = frozenset()
-        self._incarnation = 1
+        self._incarnation = secrets.token_hex(4)
+        self._reboot_id = ""
+        self._fencing_token = 0
         self._down_until_s = 0.0
         self._in_flight: set[str] = set()
         self._usage: deque[tuple[float, int]] = deque(maxlen=4096)
@@ -156,13 +175,35 @@
             self._silence_ended.set()
         self.tasks.fail_all = faults.fault is WorkerFault.FAIL_ALL
 
-    def reboot(self) -> None:
-        """Go down for the reboot time and come back with a new incarnation and no tasks."""
+    def reboot(self, order: RebootOrder) -> bool:
+        """Go down for the reboot time and come back without tasks.
+
+        Returns:
+            Whether it is done or under way; not where work is in flight, or the order is from a
+            former conductor.
+        """
+        running = any(task.state is TaskState.RUNNING for task in self.tasks.all())
+        with self._lock:
+            if order.fencing_token < self._fencing_token:
+                return False
+            self._fencing_token = order.fencing_token
+            if order.reboot_id == self._reboot_id:
+                return True
+            if self._in_flight or running:
+                return False
+            self._reboot_id = order.reboot_id
+            self._go_down()
+        return True
+
+    def crash(self) -> None:
+        """Go down at once, cutting off what is in flight, and come back without tasks."""
         with self._lock:
-            self._counts["cut-off"] += len(self._in_flight)
-            self._in_flight.clear()
-            self._incarnation += 1
-            self._down_until_s = time.monotonic() + self._reboot_s
+            self._go_down()
+
+    def _go_down(self) -> None:
+        self._counts["cut-off"] += len(self._in_flight)
+        self._in_flight.clear()
+        self._down_until_s = time.monotonic() + self._reboot_s
         self.tasks.clear()
 
     def status(self) -> WorkerStatus:
@@ -171,6 +212,7 @@
             return WorkerStatus(
                 name=self.name,
                 incarnation=self._incarnation,
+                reboot_id=self._reboot_id,
                 slots=self._slots,
                 in_flight=len(self._in_flight),
                 usage_in_flight=self._usage_then(time.monotonic() - self._usage_lag_s),
@@ -296,8 +338,7 @@
                 self.set_faults(_FAULTS.validate_json(body))
                 return _answer(start_response, "204 No Content", b"", [])
             case ("POST", ["reboot"]):
-                self.reboot()
-                return _answer(start_response, "202 Accepted", b"", [])
+                return _done(start_response, self.reboot(_REBOOT.validate_json(body)))
             case ("GET", ["tasks"]):
                 return _answer(start_response, "200 OK", _TASKS.dump_json(self.tasks.all()), [])
             case ("POST", ["tasks"]):
--- /dev/null
+++ b/src/shallotworks/workers/_http_control.py
@@ -0,0 +1,161 @@
+"""Control of worker instances over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import Any, Final, TypeVar
+
+import urllib3
+from pydantic import TypeAdapter, ValidationError
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.fleet import Instance
+from shallotworks.plans import ProbeReport
+
+__all__ = ["HttpTargetControl"]
+
+CALL_TIMEOUT_S = 2.0
+THREADS = 4
+RUNNING: Final = "running"
+HTTP_CONFLICT = 409
+HTTP_ERROR = 400
+
+_Value = TypeVar("_Value")
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Status:
+    incarnation: str
+    in_flight: int
+    reboot_id: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _TaskOrder:
+    task_id: str
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Task:
+    order: _TaskOrder
+    state: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _TaskCall:
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _RebootOrder:
+    reboot_id: str
+    fencing_token: int
+
+
+_STATUS = TypeAdapter(_Status)
+_TASKS: TypeAdapter[tuple[_Task, ...]] = TypeAdapter(tuple[_Task, ...])
+_TASK_CALL = TypeAdapter(_TaskCall)
+_REBOOT = TypeAdapter(_RebootOrder)
+
+
+class HttpTargetControl:
+    """Implements `shallotworks.plans.TargetControl` with the workers' HTTP protocol."""
+
+    __slots__ = ("_pool", "_threads")
+
+    def __init__(self) -> None:
+        self._pool = urllib3.PoolManager(
+            num_pools=THREADS, maxsize=1, retries=False, timeout=CALL_TIMEOUT_S
+        )
+        self._threads = ThreadPoolExecutor(THREADS, thread_name_prefix="worker-control")
+
+    def close(self) -> None:
+        """End the threads and close the connections."""
+        self._threads.shutdown(wait=True, cancel_futures=True)
+        self._pool.clear()
+
+    async def in_flight(self, instance: Instance) -> Result[int, Failure]:
+        """Return the requests and tasks that it runs."""
+        status = await self._status(instance)
+        tasks = await self._running_tasks(instance)
+        return status.bind(
+            lambda report: tasks.map(lambda running: report.in_flight + len(running))
+        )
+
+    async def checkpoint_jobs(self, instance: Instance) -> Result[int, Failure]:
+        """Have its tasks checkpointed and stopped; returns how many."""
+        tasks = await self._running_tasks(instance)
+        if not isinstance(tasks, Success):
+            return Err(tasks.failure())
+        stopped = 0
+        for task in tasks.unwrap():
+            body = _TASK_CALL.dump_json(_TaskCall(epoch=task.order.epoch))
+            for verb in ("checkpoint", "stop"):
+                path = f"/.worker/tasks/{task.order.task_id}/{verb}"
+                called = await self._call(instance, "POST", path, body)
+                if not isinstance(called, Success):
+                    return Err(called.failure())
+            stopped += 1
+        return Success(stopped)
+
+    async def reboot(
+        self, instance: Instance, *, reboot_id: str, fencing_token: int
+    ) -> Result[None, Failure]:
+        """Reboot it once for a reboot id; ``CONFLICT`` where work is in flight."""
+        order = _RebootOrder(reboot_id=reboot_id, fencing_token=fencing_token)
+        called = await self._call(instance, "POST", "/.worker/reboot", _REBOOT.dump_json(order))
+        return called.map(lambda _: None)
+
+    async def probe(self, instance: Instance) -> Result[ProbeReport, Failure]:
+        """Have it prove that it works."""
+        status = await self._status(instance)
+        return status.map(
+            lambda report: ProbeReport(incarnation=report.incarnation, reboot_id=report.reboot_id)
+        )
+
+    async def _status(self, instance: Instance) -> Result[_Status, Failure]:
+        called = await self._call(instance, "GET", "/.worker/status")
+        return called.bind(lambda data: _read(_STATUS, data, instance))
+
+    async def _running_tasks(self, instance: Instance) -> Result[tuple[_Task, ...], Failure]:
+        called = await self._call(instance, "GET", "/.worker/tasks")
+        tasks = called.bind(lambda data: _read(_TASKS, data, instance))
+        return tasks.map(lambda all_: tuple(task for task in all_ if task.state == RUNNING))
+
+    async def _call(
+        self, instance: Instance, method: str, path: str, body: bytes | None = None
+    ) -> Result[bytes, Failure]:
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(
+            self._threads, self._exchange, instance, method, path, body
+        )
+
+    def _exchange(
+        self, instance: Instance, method: str, path: str, body: bytes | None
+    ) -> Result[bytes, Failure]:
+        url = f"http://{instance.address}{path}"
+        try:
+            answer = self._pool.request(method, url, body=body)
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            return _refuse(ErrorKind.UNREACHABLE, f"{instance.name}: {type(error).__name__}")
+        if answer.status == HTTP_CONFLICT:
+            return _refuse(ErrorKind.CONFLICT, f"{instance.name} refuses {method} {path}")
+        if answer.status >= HTTP_ERROR:
+            return _refuse(ErrorKind.TARGET_FAILED, f"{instance.name}: HTTP {answer.status}")
+        return Success(answer.data)
+
+
+def _read(adapter: TypeAdapter[_Value], data: bytes, instance: Instance) -> Result[_Value, Failure]:
+    try:
+        return Success(adapter.validate_json(data))
+    except ValidationError:
+        return _refuse(ErrorKind.TARGET_FAILED, f"{instance.name}: not the expected JSON")
+
+
+def _refuse(kind: ErrorKind, reason: str) -> Result[Any, Failure]:
+    return Err(Failure(kind=kind, reason=reason))
