Test the inner protocol and the network of peers by stories and by drawn faults

Cause: what peers do when links, peers and data centres fail must be shown by runs. Change: a network in memory that loses connections for good, stories, hypothesis over faults, fuzzed frames.

--- a/tests/peer_fakes.py
+++ b/tests/peer_fakes.py
@@ -15,7 +15,7 @@
 from shallotworks.fleet import FleetState, PutTeam, Team, apply
 from shallotworks.metrics import Metrics
 from shallotworks.peers import PeerNetwork, PeerSettings, PeerTiming
-from shallotworks.protocol import ByteStream, FleetKeys
+from shallotworks.protocol import ByteStream, FleetKeys, ServiceLoad
 from shallotworks.timeline import Timeline
 
 KEYS = FleetKeys(keys=(b"the key of this fleet, for tests",))
@@ -197,6 +197,10 @@
         self.other: MemoryStream | None = None
         self.lost = False
 
+    def feed(self, data: bytes) -> None:
+        """Let bytes arrive that the other end has not written."""
+        self._reader.feed_data(data)
+
     async def read_exactly(self, size_bytes: int) -> bytes:
         return await self._reader.readexactly(size_bytes)
 
@@ -247,6 +251,7 @@
         started: float = 0.0,
         timing: PeerTiming | None = None,
         replica: HeldReplica | None = None,
+        loads: Callable[[], tuple[ServiceLoad, ...]] = tuple,
     ) -> None:
         self.name = name
         self.address = f"{name}:1"
@@ -271,6 +276,7 @@
             random=Random(f"{name} {started}"),
             wall_clock_s=wall_clock_s,
             transport=network.at(self.address),
+            loads=loads,
         )
 
     def live(self) -> list[str]:
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,362 @@
+"""Tests of `shallotworks.peers`: what processes do when peers, links and data centres fail."""
+
+import asyncio
+import unittest
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+from parameterized import parameterized
+
+from shallotworks.config import Entry
+from shallotworks.protocol import FleetKeys, ServiceLoad
+from shallotworks.timeline import EventKind
+
+from .peer_fakes import Fleet, HeldReplica, run_on_stopped_clock
+
+IN_FORCE_S = 8.0
+
+
+def on_fleet(
+    **sizes: int,
+) -> Callable[[Callable[..., Coroutine[Any, Any, None]]], Callable[..., None]]:
+    """Run a test on a fleet that has found itself, and stop the fleet after it."""
+
+    def wrap(test: Callable[..., Coroutine[Any, Any, None]]) -> Callable[..., None]:
+        async def main(case: unittest.TestCase, *given_values: Any) -> None:
+            fleet = Fleet(sizes=sizes)
+            await fleet.start()
+            await test(case, fleet, *given_values)
+            await fleet.stop()
+
+        def run(case: unittest.TestCase, *given_values: Any) -> None:
+            run_on_stopped_clock(main(case, *given_values))
+
+        run.__name__, run.__doc__ = test.__name__, test.__doc__
+        return run
+
+    return wrap
+
+
+def cut_between(fleet: Fleet, *centres: str) -> None:
+    """Cut data centres off from all others."""
+
+    def is_cut(source: str, target: str) -> bool:
+        inside = [
+            address.split(":")[0].rstrip("0123456789") in centres for address in (source, target)
+        ]
+        return inside[0] != inside[1]
+
+    fleet.network.is_cut = is_cut
+
+
+def heal(fleet: Fleet) -> None:
+    fleet.network.is_cut = lambda _source, _target: False
+
+
+def relay(fleet: Fleet, centre: str, slot: int) -> str:
+    """Return the name of one relay."""
+    return next(
+        name
+        for name, node in fleet.nodes.items()
+        if node.data_centre == centre and node.peers.status().relay_slot == slot
+    )
+
+
+class MembershipTests(unittest.TestCase):
+    @on_fleet(a=4, b=1)
+    async def test_members_of_a_data_centre_find_each_other(self, fleet: Fleet) -> None:
+        """Each lists all of its own data centre and none of another; two relay and two watch."""
+        nodes = [node for node in fleet.nodes.values() if node.data_centre == "a"]
+        for node in nodes:
+            self.assertEqual(node.live(), ["a0", "a1", "a2", "a3"])
+        self.assertEqual(sorted(node.peers.status().relay_slot for node in nodes), [-1, -1, 0, 1])
+        self.assertEqual(sum(node.peers.should_watch() for node in nodes), 2)
+
+    @on_fleet(a=3)
+    async def test_a_leaving_member_is_gone_at_once(self, fleet: Fleet) -> None:
+        """A graceful stop removes a member everywhere within a heartbeat, without suspicion."""
+        await fleet.nodes.pop("a0").peers.stop()
+        await asyncio.sleep(0.1)
+        for node in fleet.nodes.values():
+            self.assertEqual(node.live(), ["a1", "a2"])
+
+    @on_fleet(a=3)
+    async def test_a_silent_member_is_suspected_before_it_is_removed(self, fleet: Fleet) -> None:
+        """Silence first takes a member's duties away, and only later the member.
+
+        Story: a machine loses power. Its connections stay open and silent. It must not take
+        part in duties for long, but a pause of a few seconds must not remove it either.
+        """
+        fleet.kill("a0")
+        await asyncio.sleep(6.5)
+        suspects = [event.kind for event in fleet.nodes["a1"].timeline.events()]
+        self.assertIs(suspects[-1], EventKind.PEER_SUSPECT)
+        self.assertIn("a0", fleet.nodes["a1"].live())
+        self.assertTrue(all(fleet.nodes[name].peers.should_watch() for name in ("a1", "a2")))
+        await asyncio.sleep(4)
+        self.assertEqual(fleet.nodes["a1"].live(), ["a1", "a2"])
+
+    @on_fleet(a=3)
+    async def test_two_that_lose_only_each_other_stay_members(self, fleet: Fleet) -> None:
+        """A member that another member hears is not suspected.
+
+        Story: a switch loses the path between two instances; both serve callers, and a third
+        reaches both. If each removed the other they would choose watchers and relays differently.
+        """
+        pair = {"a0:1", "a1:1"}
+        fleet.network.is_cut = lambda source, target: {source, target} == pair
+        await asyncio.sleep(30)
+        for node in fleet.nodes.values():
+            self.assertEqual(node.live(), ["a0", "a1", "a2"])
+        self.assertNotIn("peers.members.suspect", fleet.nodes["a2"].metrics.counters())
+
+    @on_fleet(a=2)
+    async def test_one_way_dialling_is_enough(self, fleet: Fleet) -> None:
+        """Either end may open the connection that both use.
+
+        Story: a filter lets one instance dial another, never back. When the connection goes
+        silent for good, the one that may dial opens a fresh one, which serves both ways.
+        """
+        fleet.network.refuses_dial = lambda source, _target: source == "a0:1"
+        fleet.network.silence("a0:1")
+        await asyncio.sleep(6.5)
+        links = [node.peers.status().links for node in fleet.nodes.values()]
+        self.assertEqual(links, [1, 1])
+
+    @on_fleet(a=3)
+    async def test_a_new_incarnation_replaces_the_old(self, fleet: Fleet) -> None:
+        """The newest start under a name is the one that counts.
+
+        Story: an instance is replaced under its name while the old one still runs, cut off
+        for a moment. The newer start wins; the old one is refused while the newer lives.
+        """
+        old = fleet.kill("a0")
+        fleet.nodes["a0"] = fleet.make("a0", started=100.0)
+        await fleet.nodes["a0"].peers.start()
+        await asyncio.sleep(2)
+        members = {member.record.name: member for member in fleet.nodes["a1"].peers.live_entries()}
+        own = old.peers.live_entries()[0].record
+        self.assertEqual(members["a0"].record.incarnation - own.incarnation, 100_000)
+        revived = fleet.make("a0", started=50.0)
+        await revived.peers.start()
+        await asyncio.sleep(2)
+        self.assertGreater(fleet.nodes["a1"].metrics.counters()["peers.links.unwelcome"], 0)
+        await revived.peers.stop()
+
+    @on_fleet(a=2)
+    async def test_a_stranger_costs_its_connection_only(self, fleet: Fleet) -> None:
+        """Foreign bytes and foreign keys are refused and counted.
+
+        Story: a scanner, and a process with another fleet's key, dial the peers' port. Each
+        loses its connection and is counted; the members notice nothing.
+        """
+        stream = await fleet.network.connect("x:1", "a0:1")
+        stream.write(b"GET / HTTP/1.1\r\n\r\n")
+        wrong = FleetKeys(keys=(b"some other fleet's key",))
+        stranger = fleet.make("a7", keys=wrong)
+        await stranger.peers.start()
+        await asyncio.sleep(3)
+        counters = fleet.nodes["a0"].metrics.counters()
+        self.assertEqual(counters["peers.handshakes.refused.too-large"], 1)
+        self.assertGreater(stranger.metrics.counters()["peers.handshakes.refused.unauthorised"], 0)
+        self.assertEqual(fleet.nodes["a0"].live(), ["a0", "a1"])
+        self.assertTrue(stranger.peers.should_watch())
+        await stranger.peers.stop()
+
+    @on_fleet(a=2)
+    async def test_candidates_from_the_platforms_list_are_found(self, fleet: Fleet) -> None:
+        """An instance that no seed names is met through the list, and is then known to all."""
+        late = fleet.nodes["a9"] = fleet.make("a9", seeds=())
+        await late.peers.start()
+        await asyncio.sleep(4)
+        self.assertEqual(late.live(), ["a9"])
+        late.peers.set_candidates(("a0:1",))
+        await asyncio.sleep(4)
+        self.assertEqual(fleet.nodes["a1"].live(), ["a0", "a1", "a9"])
+
+    @on_fleet(a=2)
+    async def test_loads_of_peers_arrive(self, fleet: Fleet) -> None:
+        """Each peer learns all loads of another over a few heartbeats, four in each."""
+        loads = tuple(ServiceLoad(service=f"s{n}", in_flight=n, waiting=0) for n in range(6))
+        busy = fleet.nodes["a8"] = fleet.make("a8", loads=lambda: loads)
+        await busy.peers.start()
+        await asyncio.sleep(8)
+        self.assertEqual(set(fleet.nodes["a0"].peers.peer_loads()["a8"]), set(loads))
+
+
+class DistributionTests(unittest.TestCase):
+    @on_fleet(a=4, b=3, c=1)
+    async def test_a_change_reaches_all_at_once(self, fleet: Fleet) -> None:
+        """A change is held by all within a second, whoever has it from the store.
+
+        Story: whichever process watches the store, relay or not, its data centre and all others
+        wait for what it has seen.
+        """
+        for name in fleet.nodes:
+            entry = fleet.accept_at(name)
+            reached = lambda at=entry.revision: fleet.revisions() == {at}  # noqa: E731
+            self.assertLess(await fleet.time_until(reached, within_s=IN_FORCE_S), 1.0)
+
+    @on_fleet(a=3, b=3)
+    async def test_a_lost_push_is_made_good(self, fleet: Fleet) -> None:
+        """A push into silent connections is noticed and repeated over fresh ones.
+
+        Story: all connections of an instance go silent for good just before a change; writes
+        into them still succeed. The missing reply closes them and fresh ones carry the change.
+        """
+        fleet.network.silence("a0:1")
+        fleet.accept_at("a0")
+        reached = lambda: fleet.revisions() == {1}  # noqa: E731
+        self.assertLess(await fleet.time_until(reached, within_s=IN_FORCE_S), 4.0)
+
+    @parameterized.expand([("entries", 50), ("a snapshot", 900)])
+    def test_a_gap_is_filled(self, _name: str, changes: int) -> None:
+        """A newcomer takes what it lacks from its peers.
+
+        Story: the store is down and a new instance starts. It takes its state from its peers,
+        a small gap as entries and a large one as a snapshot.
+        """
+
+        @on_fleet(a=3)
+        async def main(_case: unittest.TestCase, fleet: Fleet) -> None:
+            for _ in range(changes):
+                fleet.accept_at("a1")
+            await asyncio.sleep(5)
+            replica = HeldReplica()
+            replica.offer(tuple(fleet.log.entries[:10]))
+            late = fleet.nodes["a7"] = fleet.make("a7", replica=replica)
+            await late.peers.start()
+            reached = lambda: replica.state() == fleet.nodes["a1"].replica.state()  # noqa: E731
+            self.assertLess(await fleet.time_until(reached, within_s=IN_FORCE_S), 3.0)
+            snapshots = late.metrics.counters().get("peers.snapshots.adopted", 0)
+            self.assertEqual(snapshots, int(changes > 512))
+
+        main(self)
+
+    @on_fleet(a=3, b=3, c=2)
+    async def test_a_cut_off_data_centre_catches_up(self, fleet: Fleet) -> None:
+        """A data centre cut off says so, serves on, and catches up when healed.
+
+        Story: a data centre loses all others and the platform for two minutes. It serves on,
+        says how old its configuration is, and holds the newest within seconds of the healing.
+        """
+        fleet.accept_at("a0")
+        await asyncio.sleep(4)
+        cut_between(fleet, "b")
+        for _ in range(40):
+            fleet.accept_at("a0")
+            await asyncio.sleep(3)
+        status = fleet.nodes["b0"].peers.status()
+        self.assertGreater(status.config_age_s, 115)
+        self.assertEqual(status.data_centres_linked, ())
+        self.assertEqual(fleet.nodes["b0"].live(), ["b0", "b1", "b2"])
+        heal(fleet)
+        reached = lambda: fleet.revisions() == {41}  # noqa: E731
+        self.assertLess(await fleet.time_until(reached, within_s=IN_FORCE_S), 4.5)
+        await asyncio.sleep(4)
+        self.assertLess(fleet.nodes["b0"].peers.status().config_age_s, 8)
+
+    @on_fleet(a=3, b=3)
+    async def test_a_relay_that_dies_is_replaced(self, fleet: Fleet) -> None:
+        """Losing both relays of a data centre cuts it off for some seconds only.
+
+        Story: both relays of a data centre lose power together. The others notice, choose the
+        next two the same way, and changes pass between the data centres again.
+        """
+        for slot in (0, 1):
+            fleet.kill(relay(fleet, "a", slot))
+        await asyncio.sleep(9)
+        fleet.accept_at(relay(fleet, "a", 0))
+        reached = lambda: fleet.revisions() == {1}  # noqa: E731
+        self.assertLess(await fleet.time_until(reached, within_s=IN_FORCE_S), 1.0)
+
+    @on_fleet(a=2)
+    async def test_ages_do_not_refresh_each_other(self, fleet: Fleet) -> None:
+        """A configuration that nobody confirms ages at every process.
+
+        Story: the store is down for all. If peers took each other's word without its age, each
+        would keep the other's configuration looking fresh for ever.
+        """
+        fleet.accept_at("a0")
+        await asyncio.sleep(60)
+        for node in fleet.nodes.values():
+            self.assertGreater(node.peers.status().config_age_s, 55)
+
+    @on_fleet(a=2)
+    async def test_an_unknown_kind_of_change_cuts_nobody_off(self, fleet: Fleet) -> None:
+        """An entry that can't be read stops the replica, not the connection.
+
+        Story: during a roll-out a newer release's change reaches an older process, which can't
+        read it. It stays at the revision before and keeps its connections.
+        """
+        fleet.accept_at("a0")
+        await asyncio.sleep(1)
+        entry = fleet.log.accept()
+        newer = NewerEntry(**{name: getattr(entry, name) for name in Entry.__slots__})
+        fleet.nodes["a0"].replica.offer((newer,))
+        await asyncio.sleep(60)
+        older = fleet.nodes["a1"]
+        self.assertEqual(older.replica.revision(), 1)
+        self.assertEqual(older.peers.status().newest_revision, 2)
+        self.assertEqual(older.live(), ["a0", "a1"])
+        self.assertLess(older.metrics.counters()["peers.entries.undecodable"], 6)
+
+
+class NewerEntry(Entry):
+    """An entry whose kind of change only a newer release knows."""
+
+    def encode(self) -> bytes:
+        return super().encode().replace(b"put-team", b"put-thing")
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["accept", "cut", "heal", "restart", "silence"]),
+        st.integers(0, 99),
+        st.floats(0.0, 6.0),
+    ),
+    min_size=4,
+    max_size=12,
+)
+
+
+class FaultSequenceTests(unittest.TestCase):
+    @given(STEPS)
+    def test_all_hold_the_newest_soon_after_the_last_fault(
+        self, steps: list[tuple[str, int, float]]
+    ) -> None:
+        """After any faults all hold the newest revision, and none ever went back.
+
+        Story: data centres are cut off and healed, instances replaced without a word and
+        connections lost in any order while changes go on. Revisions only ever grow at each
+        process, and 8 s after the last fault's end all hold the newest.
+        """
+        run_on_stopped_clock(self.play(steps))
+
+    async def play(self, steps: list[tuple[str, int, float]]) -> None:
+        fleet = Fleet(sizes={"a": 3, "b": 2, "c": 1})
+        await fleet.start()
+        for number, (step, choice, wait_s) in enumerate(steps):
+            name = sorted(fleet.nodes)[choice % len(fleet.nodes)]
+            if step == "accept":
+                fleet.accept_at(name)
+            elif step == "cut":
+                cut_between(fleet, "abc"[choice % 3])
+            elif step == "heal":
+                heal(fleet)
+            elif step == "silence":
+                fleet.network.silence(f"{name}:1")
+            else:
+                fleet.kill(name)
+                fleet.nodes[name] = fleet.make(name, started=float(number + 1))
+                await fleet.nodes[name].peers.start()
+            await asyncio.sleep(wait_s)
+        heal(fleet)
+        fleet.accept_at(sorted(fleet.nodes)[0])
+        newest = len(fleet.log.entries)
+        await fleet.time_until(lambda: fleet.revisions() == {newest}, within_s=IN_FORCE_S)
+        for node in fleet.nodes.values():
+            self.assertEqual(node.replica.history, sorted(set(node.replica.history)))
+        await fleet.stop()
--- /dev/null
+++ b/tests/test_protocol.py
@@ -0,0 +1,255 @@
+"""Tests of `shallotworks.protocol`: what goes over the wire, and what is refused there."""
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+from parameterized import parameterized
+from returns.pipeline import is_successful
+
+from shallotworks.errors import ErrorKind, ShallotworksError
+from shallotworks.protocol import (
+    GREETING_LIMIT_BYTES,
+    MESSAGE_LIMIT_BYTES,
+    Entries,
+    EntriesRequest,
+    FleetKeys,
+    FrameReader,
+    Goodbye,
+    Heartbeat,
+    Hello,
+    MemberRecord,
+    Message,
+    Proof,
+    ServiceLoad,
+    Session,
+    SnapshotPart,
+    SnapshotRequest,
+    VersionRange,
+    accept,
+    decode,
+    dial,
+    encode,
+    load_keys,
+    negotiate,
+)
+
+from .peer_fakes import KEYS, MemoryNetwork, MemoryStream, run_on_stopped_clock
+
+MEMBER = MemberRecord(
+    name="bergen1",
+    address="10.0.0.1:8082",
+    data_centre="bergen",
+    region="vest",
+    incarnation=1_764_700_000_123,
+    version=2,
+    relay_slot=1,
+    left=True,
+)
+MESSAGES: list[tuple[str, Message]] = [
+    ("hello", Hello(lowest_version=1, highest_version=2, member=MEMBER, nonce=b"n" * 16)),
+    ("proof", Proof(digest=b"p" * 32)),
+    (
+        "heartbeat",
+        Heartbeat(
+            revision=7,
+            newest_revision=8,
+            newest_age_ms=9,
+            heard=(1, 2**32 - 1),
+            records=(MEMBER,),
+            loads=(ServiceLoad(service="trace", in_flight=3, waiting=4),),
+        ),
+    ),
+    ("entries", Entries(entries=(b"a", b"", b"bc"))),
+    ("entries request", EntriesRequest(after=2**40)),
+    ("snapshot request", SnapshotRequest()),
+    ("snapshot part", SnapshotPart(revision=5, index=1, count=3, data=b"\x00\xff")),
+    ("goodbye", Goodbye(leaving=True)),
+]
+
+
+class CodecTests(unittest.TestCase):
+    @parameterized.expand(MESSAGES)
+    def test_message_survives_encoding(self, _name: str, message: Message) -> None:
+        """A message read back equals the one written."""
+        self.assertEqual(decode(encode(message), limit_bytes=4096).unwrap(), message)
+
+    @given(st.binary(max_size=300))
+    def test_any_bytes_are_a_message_or_a_failure(self, data: bytes) -> None:
+        """Random bytes never raise: they read as some message, or are refused as no message."""
+        self._read(data)
+
+    @given(st.sampled_from(MESSAGES), st.integers(0, 300), st.integers(0, 255))
+    def test_damaged_messages_are_a_message_or_a_failure(
+        self, case: tuple[str, Message], at: int, value: int
+    ) -> None:
+        """A message with one byte changed, or cut short, never raises."""
+        data = bytearray(encode(case[1]))
+        data[at % len(data)] = value
+        self._read(bytes(data))
+        self._read(bytes(data[: at % len(data)]))
+
+    def test_a_small_message_can_not_unpack_to_a_large_one(self) -> None:
+        """What a message unpacks to is bounded before it is unpacked.
+
+        Story: a peer sends 600 bytes that unpack to 10 MB of zeros; each such message would
+        cost that memory. The sizes in its header are checked against the frame's bound first.
+        """
+        packed = encode(Entries(entries=(bytes(10 * 1024 * 1024),)))
+        self.assertLess(len(packed), 64 * 1024)
+        outcome = decode(packed, limit_bytes=64 * 1024)
+        self.assertIs(outcome.failure().kind, ErrorKind.PROTOCOL)
+
+    def _read(self, data: bytes) -> None:
+        outcome = decode(data, limit_bytes=GREETING_LIMIT_BYTES)
+        if not is_successful(outcome):
+            self.assertIs(outcome.failure().kind, ErrorKind.PROTOCOL)
+
+
+class VersionTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("same", (1, 1), (1, 1), 1),
+            ("newer neighbour", (1, 2), (2, 3), 2),
+            ("older neighbour", (3, 4), (2, 3), 3),
+            ("a release apart", (1, 1), (2, 2), None),
+        ]
+    )
+    def test_newest_common_version_is_spoken(
+        self, _name: str, ours: tuple[int, int], theirs: tuple[int, int], spoken: int | None
+    ) -> None:
+        """Neighbouring releases meet at the newest version both speak; others are refused."""
+        ranges = [VersionRange(lowest=low, highest=high) for low, high in (ours, theirs)]
+        if spoken is not None:
+            self.assertEqual(negotiate(*ranges), spoken)
+            return
+        with self.assertRaises(ShallotworksError) as caught:
+            negotiate(*ranges)
+        self.assertIs(caught.exception.failure.kind, ErrorKind.PROTOCOL)
+
+
+class KeyFileTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("one key", "a key of 24 characters..\n", 1),
+            (
+                "a second while keys are replaced",
+                "the new key, 24 characters\n\nthe old key 1234\n",
+                2,
+            ),
+            ("none", "\n", 0),
+            ("too short", "short\n", 0),
+            ("three", "a key of 24 characters..\n" * 3, 0),
+        ]
+    )
+    def test_key_file(self, _name: str, text: str, keys: int) -> None:
+        """A key file holds one key, or two while they are replaced, of 16 bytes at the least."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "key"
+            path.write_text(text, encoding="utf-8")
+            outcome = load_keys(path)
+        self.assertEqual(len(outcome.unwrap().keys) if is_successful(outcome) else 0, keys)
+
+
+async def _pair() -> tuple[MemoryStream, MemoryStream]:
+    network = MemoryNetwork()
+    accepted: asyncio.Queue[Any] = asyncio.Queue()
+    network.listen("there:1", accepted.put)
+    ours = await network.connect("here:1", "there:1")
+    return ours, await accepted.get()
+
+
+class HandshakeTests(unittest.TestCase):
+    def greet(self, ours: FleetKeys, theirs: FleetKeys) -> list[Session | BaseException]:
+        async def main() -> list[Session | BaseException]:
+            here, there = await _pair()
+
+            async def close_after(greeting: Any, stream: MemoryStream) -> Session:
+                try:
+                    session: Session = await greeting
+                except BaseException:
+                    stream.close()
+                    raise
+                return session
+
+            return await asyncio.gather(
+                close_after(dial(stream=here, member=MEMBER, keys=ours), here),
+                close_after(accept(stream=there, member=MEMBER, keys=theirs), there),
+                return_exceptions=True,
+            )
+
+        return run_on_stopped_clock(main())
+
+    def test_both_ends_learn_who_is_there(self) -> None:
+        """With the same key each end knows the other's record."""
+        for session in self.greet(KEYS, KEYS):
+            assert isinstance(session, Session)
+            self.assertEqual(session.member, MEMBER)
+
+    def test_wrong_key_is_refused_by_both(self) -> None:
+        """A wrong key is noticed before either end has proved anything to it.
+
+        Story: a process of another fleet dials. The dialler sees that the listener's proof is
+        wrong before it gives any of its own, and the listener gets no proof at all.
+        """
+        dialler, listener = self.greet(KEYS, FleetKeys(keys=(b"another fleet's key",)))
+        assert isinstance(dialler, ShallotworksError)
+        self.assertIs(dialler.failure.kind, ErrorKind.UNAUTHORISED)
+        self.assertIsInstance(listener, EOFError)
+
+    def test_keys_are_replaced_without_a_gap(self) -> None:
+        """Processes that hold the old and the new key, in whichever order, accept each other."""
+        new, old = b"the new key 0123456", b"the old key 0123456"
+        ends = self.greet(FleetKeys(keys=(new, old)), FleetKeys(keys=(old,)))
+        self.assertTrue(all(isinstance(end, Session) for end in ends))
+
+    def test_a_frame_is_no_good_twice(self) -> None:
+        """A repeated frame is refused.
+
+        Story: something between the ends repeats a frame; without a number under the tag an old
+        heartbeat, or old entries, would be taken as new.
+        """
+
+        async def main() -> ErrorKind:
+            here, there = await _pair()
+            greetings = [
+                dial(stream=here, member=MEMBER, keys=KEYS),
+                accept(stream=there, member=MEMBER, keys=KEYS),
+            ]
+            dialler, listener = await asyncio.gather(*greetings)
+            written: list[bytes] = []
+            here.write = written.append  # type: ignore[method-assign]
+            await dialler.writer.write(Goodbye(leaving=False))
+            there.feed(written[0] + written[0])
+            await listener.reader.read()
+            with self.assertRaises(ShallotworksError) as caught:
+                await listener.reader.read()
+            return caught.exception.failure.kind
+
+        self.assertIs(run_on_stopped_clock(main()), ErrorKind.UNAUTHORISED)
+
+
+class FrameTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("oversized", (MESSAGE_LIMIT_BYTES + 1).to_bytes(4, "big"), ErrorKind.TOO_LARGE),
+            ("foreign", b"GET / HTTP/1.1\r\n\r\n", ErrorKind.TOO_LARGE),
+            ("malformed", b"\x00\x00\x00\x03abc", ErrorKind.PROTOCOL),
+            ("empty", b"\x00\x00\x00\x00", ErrorKind.PROTOCOL),
+        ]
+    )
+    def test_refused_frames(self, _name: str, data: bytes, kind: ErrorKind) -> None:
+        """What is no frame of ours is refused, an oversized one before its body is read."""
+
+        async def main() -> ErrorKind:
+            _, there = await _pair()
+            there.feed(data)
+            with self.assertRaises(ShallotworksError) as caught:
+                await FrameReader(stream=there).read()
+            return caught.exception.failure.kind
+
+        self.assertIs(run_on_stopped_clock(main()), kind)
