Keep the configuration in a log with one creatable key per revision

Cause: an accepted change must be in force everywhere within seconds and never revert, through lost answers, races, outages, and a store that comes back empty, older or stale. Change: ConfigStore proposes, follows and bounds the log; a lost answer is resolved by creating the same entry again and reading it back; only the next revision is ever taken; a store that regressed is reported, refused and can be restored by an operator from the newest process.

--- /dev/null
+++ b/src/shallotworks/config/_compactor.py
@@ -0,0 +1,103 @@
+"""Keeping the log in the platform's service bounded: snapshots, and deleting what they cover."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.metrics import Metrics
+from shallotworks.platform import KeyValueStore, Versioned
+
+from ._entries import Snapshot
+from ._snapshots import (
+    LOG_PREFIX,
+    delete_older_snapshots,
+    log_revision,
+    read_pointer,
+    write_snapshot,
+)
+
+__all__ = ["Compactor"]
+
+SNAPSHOT_EVERY_REVISIONS = 500
+LOG_KEPT_REVISIONS = 2_000
+"""Entries kept behind the newest snapshot: eight hours at 6,000 changes a day, so that a process
+that was cut off for that long catches up entry by entry."""
+MOST_DELETED_AT_ONCE = 1_000
+
+
+class Compactor:
+    """Writes a snapshot at each Nth revision, then deletes the entries far behind it.
+
+    Whoever appends the Nth revision does it. Where that process dies half-way, the next Nth
+    revision's does what was left; until then the log is only longer.
+
+    Args:
+        store: The platform's key-value service.
+        metrics: Where it is counted, under ``config``.
+        every_revisions: The N.
+        kept_revisions: Entries kept behind the newest snapshot.
+    """
+
+    __slots__ = ("_every", "_kept", "_metrics", "_store")
+
+    def __init__(
+        self,
+        *,
+        store: KeyValueStore,
+        metrics: Metrics,
+        every_revisions: int = SNAPSHOT_EVERY_REVISIONS,
+        kept_revisions: int = LOG_KEPT_REVISIONS,
+    ) -> None:
+        self._store = store
+        self._metrics = metrics
+        self._every = every_revisions
+        self._kept = kept_revisions
+
+    def is_due(self, revision: int) -> bool:
+        """Say whether whoever appended this revision writes a snapshot."""
+        return revision % self._every == 0
+
+    async def compact(self, snapshot: Snapshot) -> Result[int, Failure]:
+        """Write a snapshot, read it back, and delete what it makes superfluous.
+
+        Returns:
+            The number of entries deleted; a failure after which nothing needed is missing.
+        """
+        before = await read_pointer(self._store)
+        if not isinstance(before, Success):
+            return Err(before.failure())
+        previous = before.unwrap()
+        written = await write_snapshot(self._store, snapshot)
+        if not isinstance(written, Success):
+            self._metrics.count("config.snapshots-failed")
+            return Err(written.failure())
+        self._metrics.count("config.snapshots-written")
+        if previous is not None:
+            # The previous one stays, for readers that have just read its pointer.
+            await delete_older_snapshots(self._store, below=previous.pointer.revision)
+        return await self._delete_entries(written.unwrap().revision - self._kept)
+
+    async def _delete_entries(self, up_to: int) -> Result[int, Failure]:
+        outcome = await self._store.list(LOG_PREFIX, limit=MOST_DELETED_AT_ONCE)
+        if not isinstance(outcome, Success):
+            return Err(outcome.failure())
+        old = [item for item in outcome.unwrap() if log_revision(item.key) <= up_to]
+        return Success(await self._delete_each(old))
+
+    async def _delete_each(self, items: Iterable[Versioned]) -> int:
+        deleted = 0
+        # Oldest first, so that what remains is always without a gap.
+        for item in items:
+            outcome = await self._store.delete(item.key, version=item.version)
+            if not isinstance(outcome, Success) and outcome.failure().kind is not _GONE:
+                break
+            deleted += 1
+        self._metrics.count("config.entries-deleted", deleted)
+        return deleted
+
+
+_GONE = ErrorKind.CONFLICT
--- /dev/null
+++ b/src/shallotworks/config/_log_reader.py
@@ -0,0 +1,213 @@
+"""Reading and following the log in the platform's service, into the replica."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import Enum, unique
+
+from pydantic import ValidationError
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.metrics import Metrics
+from shallotworks.platform import KeyValueStore, Versioned
+
+from ._entries import Entry
+from ._replica import Replica, Taking
+from ._snapshots import LOG_PREFIX, Pointer, log_key, log_revision, read_pointer, read_snapshot
+
+__all__ = ["WATCH_WAIT_S", "LogReader"]
+
+PAGE_ENTRIES = 1_000
+MOST_ROUNDS = 20
+"""Pages and snapshots read before a read gives up catching up with a log that runs ahead of it."""
+WATCH_WAIT_S = 4.0
+"""Half of the 8 s in which a change must be in force: a watch that went silent ends by then."""
+WATCHED_BLOCK_DIGITS = 3
+"""A watch covers the thousand revisions around the next one only. Old entries are deleted far
+behind it, and a watch over the whole log would wake every watcher for each of these."""
+
+
+@unique
+class _Start(Enum):
+    AGREES = "agrees"
+    """The store's log goes on from what is held."""
+    MOVED = "moved"
+    """A snapshot was taken, or has to be looked for again."""
+    REGRESSED = "regressed"
+    """The store has come back empty or older."""
+
+
+class LogReader:
+    """Brings a replica to the store's newest revision, and checks that the two agree.
+
+    Args:
+        store: The platform's key-value service.
+        replica: The replica.
+        metrics: Where events are counted, under ``config``.
+    """
+
+    __slots__ = ("_metrics", "_replica", "_store", "_version")
+
+    def __init__(self, *, store: KeyValueStore, replica: Replica, metrics: Metrics) -> None:
+        self._store = store
+        self._replica = replica
+        self._metrics = metrics
+        self._version = 0
+
+    async def read(self) -> Result[int, Failure]:
+        """Read what follows the revision held; one call where nothing is amiss.
+
+        The entry of the revision held is read along. If the store shows another there, or none and
+        no snapshot to explain it, or ends before a revision that it is known to have had, it has
+        come back empty, older or contradicting: that is reported as the replica's fault, and
+        nothing is taken. The fault is cleared by the first read that agrees.
+
+        Returns:
+            The revision held; or why the store can't be read.
+        """
+        known_before = self._replica.newest_heard()
+        for _ in range(MOST_ROUNDS):
+            page = await self._read_page(known_before)
+            if not isinstance(page, Success):
+                return Err(page.failure())
+            if page.unwrap():
+                return Success(self._replica.revision())
+        reason = "the log runs ahead of this process"
+        return Err(Failure(kind=ErrorKind.STORE_UNAVAILABLE, reason=reason, retry_after_s=1.0))
+
+    async def follow(self) -> Result[int, Failure]:
+        """Wait for the next entries by one watch, and take them; returns the revision held."""
+        prefix = self._watched_prefix()
+        outcome = await self._store.watch(prefix, after_version=self._version, wait_s=WATCH_WAIT_S)
+        if not isinstance(outcome, Success):
+            return Err(outcome.failure())
+        result = outcome.unwrap()
+        if result.version < self._version or not self._take_directly(result.items):
+            return await self.read()
+        if result.items:
+            self._version = result.items[-1].version
+        elif prefix == self._watched_prefix():
+            # Beyond a block's end there may be entries that this watch didn't cover.
+            self._version = result.version
+        if prefix == self._watched_prefix():
+            self._replica.confirm_newest(self._replica.revision())
+        return Success(self._replica.revision())
+
+    async def _read_page(self, known_before: int) -> Result[bool, Failure]:
+        """Read and take one page of the log; says whether that was all there is to do."""
+        held = self._replica.revision()
+        held_id = self._replica.change_id_at(held)
+        after_key = log_key(held - 1) if held > 0 else ""
+        outcome = await self._store.list(LOG_PREFIX, after_key=after_key, limit=PAGE_ENTRIES)
+        if not isinstance(outcome, Success):
+            return Err(outcome.failure())
+        items = outcome.unwrap()
+        checked = await self._check_start(held, held_id, items)
+        if not isinstance(checked, Success):
+            return Err(checked.failure())
+        if checked.unwrap() is not _Start.AGREES:
+            return Success(checked.unwrap() is _Start.REGRESSED)
+        return await self._take_page(items, held, known_before)
+
+    async def _take_page(
+        self, items: tuple[Versioned, ...], held: int, known_before: int
+    ) -> Result[bool, Failure]:
+        taking = self._take_all(items)
+        ended = len(items) < PAGE_ENTRIES
+        newest = log_revision(items[-1].key) if items else held
+        if taking is Taking.GAP or (ended and newest < known_before):
+            skipped = await self._skip_ahead(newest, known_before)
+            return skipped.map(lambda moved: not moved)
+        if taking not in (Taking.TAKEN, Taking.KNOWN):
+            return Success(True)
+        if items:
+            self._version = items[-1].version
+        if ended:
+            self._replica.clear_fault()
+            self._replica.confirm_newest(newest)
+        return Success(ended)
+
+    def _watched_prefix(self) -> str:
+        return log_key(self._replica.revision() + 1)[:-WATCHED_BLOCK_DIGITS]
+
+    async def _check_start(
+        self, held: int, held_id: str | None, items: tuple[Versioned, ...]
+    ) -> Result[_Start, Failure]:
+        first = log_revision(items[0].key) if items else 0
+        if held == 0 and first == 1:
+            return Success(_Start.AGREES)
+        if held > 0 and first == held:
+            return Success(_Start.AGREES)
+        outcome = await read_pointer(self._store)
+        if not isinstance(outcome, Success):
+            return Err(outcome.failure())
+        stored = outcome.unwrap()
+        if stored is None:
+            return Success(self._without_pointer(held, items))
+        if stored.pointer.revision > held:
+            return await self._load(stored.pointer)
+        if stored.pointer.revision == held and stored.pointer.last_change_id == held_id:
+            self._version = stored.version
+            return Success(_Start.AGREES)
+        self._report(f"has snapshot {stored.pointer.revision} and no entry of revision {held}")
+        return Success(_Start.REGRESSED)
+
+    def _without_pointer(self, held: int, items: tuple[Versioned, ...]) -> _Start:
+        if held == 0 and not items:
+            return _Start.AGREES
+        self._report(f"has neither a snapshot nor the entry of revision {max(held, 1)}")
+        return _Start.REGRESSED
+
+    async def _load(self, pointer: Pointer) -> Result[_Start, Failure]:
+        outcome = await read_snapshot(self._store, pointer)
+        if isinstance(outcome, Success):
+            self._replica.adopt(outcome.unwrap())
+            return Success(_Start.MOVED)
+        if outcome.failure().kind is ErrorKind.CONFLICT:
+            # A newer snapshot took its place while it was read.
+            return Success(_Start.MOVED)
+        return Err(outcome.failure())
+
+    async def _skip_ahead(self, newest: int, known_before: int) -> Result[bool, Failure]:
+        """Look for a snapshot beyond the log's end or gap, as a restored store has it."""
+        held = self._replica.revision()
+        outcome = await read_pointer(self._store)
+        if not isinstance(outcome, Success):
+            return Err(outcome.failure())
+        stored = outcome.unwrap()
+        if stored is not None and stored.pointer.revision > held:
+            return (await self._load(stored.pointer)).map(lambda _: True)
+        self._report(f"goes from revision {held} to {newest}; it had {known_before}")
+        return Success(False)
+
+    def _take_all(self, items: Iterable[Versioned]) -> Taking:
+        taking = Taking.KNOWN
+        for item in items:
+            taking = self._take(item)
+            if taking is Taking.CONTRADICTS:
+                self._report(f"shows another change under {item.key}")
+            if taking not in (Taking.TAKEN, Taking.KNOWN):
+                break
+        return taking
+
+    def _take_directly(self, items: Iterable[Versioned]) -> bool:
+        return all(self._take(item) in (Taking.TAKEN, Taking.KNOWN) for item in items)
+
+    def _take(self, item: Versioned) -> Taking:
+        try:
+            entry = Entry.decode(item.value)
+        except ValidationError as error:
+            reason = f"{item.key} can't be read by this release: {error}"
+            self._replica.report(Failure(kind=ErrorKind.INTERNAL, reason=reason))
+            return Taking.UNUSABLE
+        if log_key(entry.revision) != item.key:
+            reason = f"{item.key} holds an entry of revision {entry.revision}"
+            self._replica.report(Failure(kind=ErrorKind.INTERNAL, reason=reason))
+            return Taking.UNUSABLE
+        return self._replica.take(entry)
+
+    def _report(self, what: str) -> None:
+        reason = f"the store {what}; it came back empty, older or with another history"
+        self._replica.report(Failure(kind=ErrorKind.STORE_REGRESSED, reason=reason))
--- /dev/null
+++ b/src/shallotworks/config/_store.py
@@ -0,0 +1,327 @@
+"""The configuration log: proposing changes, following it, and keeping it bounded."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.fleet import Change, apply
+from shallotworks.metrics import Metrics
+from shallotworks.platform import KeyValueStore
+from shallotworks.timeline import EventKind, Subject, Timeline
+
+from ._compactor import Compactor
+from ._entries import Entry
+from ._log_reader import LogReader
+from ._protocols import Accepted
+from ._replica import Replica
+from ._snapshots import log_key, write_snapshot
+
+__all__ = ["ConfigStore"]
+
+PROPOSE_DEADLINE_S = 8.0
+FIRST_BACKOFF_S = 0.02
+HIGHEST_BACKOFF_S = 1.0
+IDLE_CHECK_S = 0.5
+"""How often a process that need not watch looks whether it must."""
+RECHECK_S = 3.0
+"""How often a watcher looks whether a store that came back empty or older agrees again."""
+FASTEST_ROUND_S = 0.05
+"""Least time of a round of the watch that brought nothing, so that no fault makes it spin."""
+CHANGE_ID_BITS = 96
+
+
+class ConfigStore(Replica):
+    """Implements `ConfigView`, `ConfigLog` and `ConfigReplica` over the platform's service.
+
+    A change costs two calls where nothing is amiss: the entry is created, and read back together
+    with the one before it. Each lost race costs two more.
+
+    Args:
+        store: The platform's key-value service.
+        metrics: Where events are counted, under ``config``.
+        timeline: Where accepted changes and faults are recorded.
+        wall_clock_s: Returns the Unix time, for the entries.
+        rng: Source of jitter and of change ids; never shared by two processes.
+        compactor: Keeps the log bounded; the default where not given.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: KeyValueStore,
+        metrics: Metrics,
+        timeline: Timeline,
+        wall_clock_s: Callable[[], float],
+        rng: random.Random,
+        compactor: Compactor | None = None,
+    ) -> None:
+        super().__init__(metrics=metrics, timeline=timeline)
+        self._store = store
+        self._wall_clock_s = wall_clock_s
+        self._rng = rng
+        self._compactor = compactor or Compactor(store=store, metrics=metrics)
+        self._reader = LogReader(store=store, replica=self, metrics=metrics)
+        self._turn = asyncio.Lock()
+        self._compacting: asyncio.Task[None] | None = None
+
+    async def load(self) -> Result[int, Failure]:
+        """Bring the state to the store's newest revision.
+
+        At a start call `adopt` with what peers hold first: a store that has come back older is only
+        recognised by a process that knows of a newer revision.
+
+        Returns:
+            The revision held; why the store can't be read; ``STORE_REGRESSED``.
+        """
+        outcome = await self._reader.read()
+        fault = self.fault()
+        if isinstance(outcome, Success) and fault is not None:
+            return Err(fault)
+        return outcome
+
+    async def run_watch(self, *, should_watch: Callable[[], bool]) -> None:
+        """Follow the log while told to, until cancelled.
+
+        Args:
+            should_watch: Asked before each watch; only few processes of a data centre need to.
+        """
+        loop = asyncio.get_running_loop()
+        failures = 0
+        while True:
+            if not should_watch():
+                await asyncio.sleep(IDLE_CHECK_S)
+                continue
+            started_s = loop.time()
+            held = self.revision()
+            followed = await self._follow()
+            if isinstance(followed, Success):
+                failures = 0
+                if self.revision() == held and loop.time() - started_s < FASTEST_ROUND_S:
+                    await asyncio.sleep(FASTEST_ROUND_S)
+                continue
+            failures += 1
+            await asyncio.sleep(self._retry_delay_s(followed.failure(), failures))
+
+    async def propose(self, change: Change, *, author: str) -> Result[Accepted, Failure]:
+        """Append one change; see `ConfigLog.propose`.
+
+        Besides what that names, ``STORE_REGRESSED`` where the store has come back empty, older or
+        with another history.
+        """
+        started_s = asyncio.get_running_loop().time()
+        ends_at_s = started_s + PROPOSE_DEADLINE_S
+        try:
+            async with asyncio.timeout_at(ends_at_s):
+                await self._turn.acquire()
+        except TimeoutError:
+            return Err(_unavailable("earlier changes of this process took all the time"))
+        try:
+            outcome = await self._propose(change, author, ends_at_s)
+        finally:
+            self._turn.release()
+        self._account(outcome, author, asyncio.get_running_loop().time() - started_s)
+        return outcome
+
+    async def restore_store(self) -> Result[int, Failure]:
+        """Write the state held as a snapshot into a store that came back empty or older.
+
+        Only ever at an operator's word, and at the process with the highest revision. The log then
+        goes on from there.
+
+        Returns:
+            The revision; ``CONFLICT`` where the store agrees, has another history, or a newer
+            revision than the one held here is known.
+        """
+        read = await self._reader.read()
+        if not isinstance(read, Success):
+            return read
+        if self.fault() is None:
+            return Err(Failure(kind=ErrorKind.CONFLICT, reason="the store agrees; nothing to do"))
+        if self.newest_heard() > self.revision():
+            reason = f"another process holds revision {self.newest_heard()}; restore from there"
+            return Err(Failure(kind=ErrorKind.CONFLICT, reason=reason))
+        written = await write_snapshot(self._store, self.snapshot())
+        if not isinstance(written, Success):
+            return Err(written.failure())
+        self._metrics.count("config.store-restored")
+        return await self.load()
+
+    async def close(self) -> None:
+        """End what runs in the background."""
+        if self._compacting is not None:
+            self._compacting.cancel()
+            await asyncio.gather(self._compacting, return_exceptions=True)
+
+    async def _follow(self) -> Result[int, Failure]:
+        if self.fault() is None:
+            return await self._reader.follow()
+        outcome = await self._reader.read()
+        fault = self.fault()
+        return Err(fault) if isinstance(outcome, Success) and fault is not None else outcome
+
+    def _retry_delay_s(self, failure: Failure, failures: int) -> float:
+        if failure.kind is not ErrorKind.STORE_UNAVAILABLE:
+            return self._rng.uniform(RECHECK_S / 2, RECHECK_S)
+        least_s = failure.retry_after_s or 0.0
+        return max(least_s, self._backoff_s(failures))
+
+    def _backoff_s(self, failures: int) -> float:
+        highest_s = min(HIGHEST_BACKOFF_S, FIRST_BACKOFF_S * 2.0 ** min(failures, 10))
+        return self._rng.uniform(0, highest_s)
+
+    async def _propose(
+        self, change: Change, author: str, ends_at_s: float
+    ) -> Result[Accepted, Failure]:
+        """Create the entry of the next revision until it is there, another's is, or time is over.
+
+        The failure: an answer is lost, and the entry may or may not have been written, or may yet
+        be. The same entry is created again under the same key: whichever attempt takes effect, it
+        is the same change at the same revision. Only when another's entry is seen under that key is
+        it sure that this one can't take effect there any more, and the next revision is tried.
+        """
+        proposal = _Proposal(change_id=f"{self._rng.getrandbits(CHANGE_ID_BITS):024x}")
+        while True:
+            refused = await self._refuse(proposal, change)
+            if refused is not None:
+                return Err(refused)
+            written = await self._create(proposal, change, author)
+            if not isinstance(written, Success) and not proposal.is_open:
+                return Err(written.failure())
+            await self._reader.read()
+            if await self._settle(proposal):
+                revision = proposal.open_revision
+                return Success(Accepted(revision=revision, change_id=proposal.change_id))
+            stopped = self._give_up(proposal, ends_at_s)
+            if stopped is not None:
+                return Err(stopped)
+            proposal.rounds += 1
+            await asyncio.sleep(self._backoff_s(proposal.rounds))
+
+    async def _refuse(self, proposal: _Proposal, change: Change) -> Failure | None:
+        """Check the change against the newest revision; one that may be written is past that."""
+        if proposal.is_open:
+            return None
+        if self.fault() is not None or self.revision() < self.newest_heard():
+            # A store that came back at just the revision held here looks right to this process;
+            # only what it has heard of newer ones keeps it from beginning a second history.
+            await self._reader.read()
+        checked = apply(self.state(), change)
+        if not isinstance(checked, Success):
+            # Only the newest state may refuse it; what is held may be a moment old.
+            read = await self._reader.read()
+            if not isinstance(read, Success):
+                return read.failure()
+            checked = apply(self.state(), change)
+        if self.fault() is not None:
+            return self.fault()
+        return None if isinstance(checked, Success) else checked.failure()
+
+    async def _create(
+        self, proposal: _Proposal, change: Change, author: str
+    ) -> Result[None, Failure]:
+        """Create the entry; fails only where this attempt surely wrote nothing."""
+        if proposal.is_open and proposal.open_revision <= self.revision():
+            # Its revision is past, and whose entry it was can't be read just now.
+            return Success(None)
+        entry = Entry(
+            revision=self.revision() + 1,
+            change_id=proposal.change_id,
+            author=author,
+            at_s=self._wall_clock_s(),
+            change=change,
+        )
+        outcome = await self._store.create(log_key(entry.revision), entry.encode())
+        if isinstance(outcome, Success):
+            proposal.open_revision = entry.revision
+            return Success(None)
+        failure = outcome.failure()
+        if failure.kind is ErrorKind.OUTCOME_UNKNOWN:
+            self._metrics.count("config.answers-lost")
+            proposal.open_revision = entry.revision
+            return Success(None)
+        if failure.kind is ErrorKind.CONFLICT:
+            if not proposal.is_open:
+                self._metrics.count("config.lost-races")
+            return Success(None)
+        return Err(failure)
+
+    async def _settle(self, proposal: _Proposal) -> bool:
+        """Say whether the entry that may have been written is in the log."""
+        revision = proposal.open_revision
+        if revision == 0 or revision > self.revision():
+            return False
+        # A snapshot may have carried this process past the revision without its entry.
+        change_id = self.change_id_at(revision) or await self._read_change_id(revision)
+        if change_id == proposal.change_id:
+            return True
+        if change_id is not None:
+            proposal.open_revision = 0
+        return False
+
+    async def _read_change_id(self, revision: int) -> str | None:
+        item = (await self._store.get(log_key(revision))).value_or(None)
+        return Entry.decode(item.value).change_id if item is not None else None
+
+    def _give_up(self, proposal: _Proposal, ends_at_s: float) -> Failure | None:
+        fault = self.fault()
+        over = asyncio.get_running_loop().time() >= ends_at_s
+        if not over and fault is None:
+            return None
+        if proposal.is_open:
+            reason = f"the entry of revision {proposal.open_revision} can't be read back"
+            return Failure(kind=ErrorKind.OUTCOME_UNKNOWN, reason=reason)
+        return fault or _unavailable("no revision could be won in time")
+
+    def _account(self, outcome: Result[Accepted, Failure], author: str, duration_s: float) -> None:
+        self._metrics.observe_s("latency.config.propose", duration_s)
+        if not isinstance(outcome, Success):
+            self._metrics.count(f"config.refused.{outcome.failure().kind.value}")
+            return
+        accepted = outcome.unwrap()
+        self._metrics.count("config.accepted")
+        self._timeline.record(
+            EventKind.CHANGE_ACCEPTED,
+            subject=Subject(),
+            detail=f"revision {accepted.revision} by {author}",
+            duration_s=duration_s,
+        )
+        self._compact_if_due(accepted.revision)
+
+    def _compact_if_due(self, revision: int) -> None:
+        busy = self._compacting is not None and not self._compacting.done()
+        if self._compactor.is_due(revision) and not busy:
+            self._compacting = asyncio.create_task(self._compact())
+
+    async def _compact(self) -> None:
+        await self._compactor.compact(self.snapshot())
+
+
+class _Proposal:
+    """Where one change stands.
+
+    Args:
+        change_id: Its id.
+    """
+
+    __slots__ = ("change_id", "open_revision", "rounds")
+
+    def __init__(self, *, change_id: str) -> None:
+        self.change_id = change_id
+        self.open_revision = 0
+        """The revision under which it may have been written; 0 for none."""
+        self.rounds = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the entry may have been written, or may yet be, and is not found so far."""
+        return self.open_revision > 0
+
+
+def _unavailable(why: str) -> Failure:
+    return Failure(kind=ErrorKind.STORE_UNAVAILABLE, reason=why, retry_after_s=1.0)
--- /dev/null
+++ b/tests/test_config_store.py
@@ -0,0 +1,340 @@
+"""Tests of `shallotworks.config.ConfigStore`: one log for all, through the store's faults."""
+
+import asyncio
+import random
+import unittest
+from collections.abc import Awaitable, Callable
+
+import looptime
+from returns.result import Result, Success
+
+from shallotworks.config import Compactor, ConfigStore
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.fleet import Pool, PutPool, RemovePool
+from shallotworks.metrics import Metrics
+from shallotworks.standins import MemoryStore, StoreFaults
+from shallotworks.timeline import EventKind, Timeline
+
+
+def run(main: Callable[[], Awaitable[None]]) -> None:
+    loop = looptime.new_event_loop()
+    try:
+        loop.run_until_complete(main())
+    finally:
+        loop.close()
+
+
+def process(store: MemoryStore, name: str, *, every: int = 500, kept: int = 2000) -> ConfigStore:
+    metrics = Metrics()
+    return ConfigStore(
+        store=store,
+        metrics=metrics,
+        timeline=Timeline(process=name, wall_clock_s=lambda: 0.0),
+        wall_clock_s=lambda: 0.0,
+        rng=random.Random(name),
+        compactor=Compactor(
+            store=store, metrics=metrics, every_revisions=every, kept_revisions=kept
+        ),
+    )
+
+
+def put(name: str) -> PutPool:
+    return PutPool(pool=Pool(name=name))
+
+
+async def put_all(config: ConfigStore, *names: str) -> None:
+    for name in names:
+        (await config.propose(put(name), author="kari")).unwrap()
+
+
+def kind_of(outcome: Result[object, Failure]) -> ErrorKind:
+    return outcome.failure().kind
+
+
+async def always(config: ConfigStore) -> None:
+    await config.run_watch(should_watch=lambda: True)
+
+
+class ProposeTests(unittest.TestCase):
+    def test_a_change_costs_two_calls(self) -> None:
+        """An accepted change is in force here, in the history, and took a write and a read."""
+
+        async def main() -> None:
+            store = MemoryStore()
+            config = process(store, "e1")
+            await put_all(config, "a", "b")
+            self.assertEqual(config.revision(), 2)
+            self.assertEqual(set(config.state().pools), {"a", "b"})
+            self.assertEqual([entry.author for entry in config.history(limit=9)], ["kari"] * 2)
+            self.assertEqual(store.calls.total(), 4)
+
+        run(main)
+
+    def test_a_refused_change_is_not_written(self) -> None:
+        """A change that breaks a rule is refused, after a look for news, with nothing written."""
+
+        async def main() -> None:
+            store = MemoryStore()
+            first, second = process(store, "e1"), process(store, "e2")
+            await put_all(first, "a")
+            refused = await second.propose(RemovePool(name="b"), author="ola")
+            self.assertEqual(kind_of(refused), ErrorKind.NOT_FOUND)
+            # The other process's pool was not known here; the look for news found it.
+            (await second.propose(RemovePool(name="a"), author="ola")).unwrap()
+            self.assertEqual(store.calls["create"], 2)
+
+        run(main)
+
+    def test_a_race_has_one_winner_per_revision(self) -> None:
+        """Of operators who act at once each gets a revision of their own; conflicts are told.
+
+        Story: six operators remove the same pool at six instances at the same moment. All pass
+        the check against what their instance holds; one entry is written, the others lose the
+        race, catch up, check again, and are told that the pool is gone.
+        """
+
+        async def main() -> None:
+            store = MemoryStore()
+            processes = [process(store, f"e{n}") for n in range(6)]
+            await put_all(processes[0], "a")
+            for config in processes:
+                await config.load()
+            outcomes = await asyncio.gather(
+                *(config.propose(RemovePool(name="a"), author="x") for config in processes)
+            )
+            won = [outcome for outcome in outcomes if isinstance(outcome, Success)]
+            lost = {kind_of(outcome) for outcome in outcomes if outcome not in won}
+            self.assertEqual((len(won), lost), (1, {ErrorKind.NOT_FOUND}))
+            self.assertEqual((await processes[5].load()).unwrap(), 2)
+
+        run(main)
+
+    def test_a_lost_answer_is_resolved(self) -> None:
+        """A write whose answer is lost is found by its id, and counts once.
+
+        Story: the entry is written, the answer is lost. Proposed anew it would take a second
+        revision; told as refused it would come into force behind the operator's back.
+        """
+
+        async def main() -> None:
+            store = MemoryStore()
+            config = process(store, "e1")
+            store.set_faults(StoreFaults(lost_answers=1))
+            accepted = (await config.propose(put("a"), author="kari")).unwrap()
+            self.assertEqual((accepted.revision, config.revision()), (1, 1))
+            self.assertEqual(store.calls["create"], 1)
+
+        run(main)
+
+    def test_store_down_before_and_after_the_write(self) -> None:
+        """Down before the write: surely not accepted. Down after it: unknown, and it may appear."""
+
+        async def main() -> None:
+            store = MemoryStore()
+            config, other = process(store, "e1"), process(store, "e2")
+            store.set_faults(StoreFaults(down=True))
+            refused = await config.propose(put("a"), author="kari")
+            self.assertEqual(kind_of(refused), ErrorKind.STORE_UNAVAILABLE)
+            store.set_faults(StoreFaults())
+            proposing = asyncio.create_task(config.propose(put("b"), author="kari"))
+            while not store.version:
+                await asyncio.sleep(0)
+            store.set_faults(StoreFaults(down=True))
+            self.assertEqual(kind_of(await proposing), ErrorKind.OUTCOME_UNKNOWN)
+            store.set_faults(StoreFaults())
+            await other.load()
+            self.assertEqual(set(other.state().pools), {"b"})
+
+        run(main)
+
+    def test_unknown_change_overtaken_by_a_snapshot(self) -> None:
+        """A change that was written is not written again after a snapshot went past it.
+
+        Story: an answer is lost and the store goes down before it can be read back. Meanwhile a
+        peer hands over a snapshot that is three revisions further. The change is in it, but its
+        entry is not in this process; only the log can tell, so the log is asked.
+        """
+
+        async def main() -> None:
+            store = MemoryStore()
+            config, other = process(store, "e1"), process(store, "e2")
+            proposing = asyncio.create_task(config.propose(put("a"), author="kari"))
+            while not store.version:
+                await asyncio.sleep(0)
+            await other.load()
+            await put_all(other, "b", "c")
+            store.set_faults(StoreFaults(down=True))
+            await asyncio.sleep(1)
+            config.adopt(other.snapshot())
+            store.set_faults(StoreFaults())
+            self.assertEqual((await proposing).unwrap().revision, 1)
+            self.assertEqual((await other.load()).unwrap(), 3)
+
+        run(main)
+
+
+class FollowTests(unittest.TestCase):
+    def test_a_watcher_sees_changes_and_costs_little(self) -> None:
+        """A change is in force at a watcher at once; a quiet watch costs a call each 4 s."""
+
+        async def main() -> None:
+            store = MemoryStore()
+            author, watcher = process(store, "e1"), process(store, "e2")
+            task = asyncio.create_task(always(watcher))
+            await asyncio.sleep(100)
+            self.assertLessEqual(store.calls["watch"], 27)
+            await put_all(author, *(f"p{n}" for n in range(30)))
+            async with asyncio.timeout(1):
+                state = await watcher.wait_for(30)
+            self.assertEqual(state, author.state())
+            self.assertLess(watcher.age_s(), 1)
+            task.cancel()
+
+        run(main)
+
+    def test_entries_past_the_watched_block_are_seen(self) -> None:
+        """A watcher goes on past the thousandth revision, with deletions far behind it."""
+
+        async def main() -> None:
+            store = MemoryStore()
+            author = process(store, "e1", every=100, kept=50)
+            watcher = process(store, "e2")
+            task = asyncio.create_task(always(watcher))
+            for number in range(1_030):
+                await put_all(author, f"p{number % 7}")
+                if number % 50 == 0:
+                    await asyncio.sleep(1)
+            async with asyncio.timeout(5):
+                await watcher.wait_for(1_030)
+            # Deleted entries do not wake it: about one watch per change, not two.
+            self.assertLess(store.calls["watch"], 1_100)
+            task.cancel()
+
+        run(main)
+
+    def test_a_newcomer_loads_snapshot_and_log(self) -> None:
+        """The log stays bounded, and a newcomer arrives at the same state with few calls."""
+
+        async def main() -> None:
+            store = MemoryStore()
+            author = process(store, "e1", every=20, kept=30)
+            await put_all(author, *(f"p{number}" for number in range(150)))
+            await asyncio.sleep(1)
+            logged = (await store.list("config/log/")).unwrap()
+            self.assertLessEqual(len(logged), 30 + 20)
+            store.calls.clear()
+            newcomer = process(store, "e2")
+            self.assertEqual((await newcomer.load()).unwrap(), 150)
+            self.assertEqual(newcomer.state(), author.state())
+            self.assertLessEqual(store.calls.total(), 4)
+
+        run(main)
+
+    def test_peers_pass_entries_and_snapshots(self) -> None:
+        """Entries are taken in order only; a gap too large is filled by a snapshot."""
+
+        async def main() -> None:
+            store = MemoryStore()
+            author, peer = process(store, "e1"), process(store, "e2")
+            await put_all(author, "a", "b", "c")
+            entries = author.entries_after(0, limit=9)
+            self.assertEqual(peer.offer(entries[1:]), 0)
+            self.assertEqual(peer.offer(entries[:2]), 2)
+            self.assertEqual(peer.adopt(author.snapshot()), 3)
+            self.assertIsNone(peer.entries_after(1, limit=9))
+            self.assertEqual(peer.adopt(process(store, "e3").snapshot()), 3)
+
+        run(main)
+
+
+class RegressionTests(unittest.TestCase):
+    """The store comes back from an outage without what it had accepted."""
+
+    def test_back_older_or_empty(self) -> None:
+        """A store that came back empty or older is reported, not adopted, and not written to.
+
+        Story: the platform's people restore the store from a copy of yesterday, or set it up anew.
+        Every instance still holds today's configuration. If one took the store's word, cordons and
+        moves would be undone; if one wrote on, two histories would begin.
+        """
+
+        async def main() -> None:
+            for version in (0, 2):
+                store = MemoryStore()
+                config = process(store, "e1")
+                await put_all(config, "a", "b", "c")
+                task = asyncio.create_task(always(config))
+                await asyncio.sleep(1)
+                if version:
+                    store.come_back_at(version)
+                else:
+                    store.come_back_empty()
+                await asyncio.sleep(10)
+                refused = await config.propose(put("d"), author="kari")
+                self.assertEqual(kind_of(refused), ErrorKind.STORE_REGRESSED)
+                self.assertEqual(config.revision(), 3)
+                self.assertGreater(config.age_s(), 5)
+                kinds = [event.kind for event in config._timeline.events()]
+                self.assertEqual(kinds.count(EventKind.STORE_REGRESSED), 1)
+                self.assertEqual(store.calls["create"], 3)
+                # An operator restores it from this process, and a newcomer finds all.
+                self.assertEqual((await config.restore_store()).unwrap(), 3)
+                await put_all(config, "e")
+                newcomer = process(store, "e2")
+                self.assertEqual((await newcomer.load()).unwrap(), 4)
+                self.assertEqual(newcomer.state(), config.state())
+                task.cancel()
+
+        run(main)
+
+    def test_a_laggard_is_warned_by_its_peers(self) -> None:
+        """A process that lags does not write on a store that came back at just its revision.
+
+        Story: an instance held revision 1 when the store came back at revision 1; to it the store
+        looks right. Its peers' heartbeats have told it of revision 2, so it knows better.
+        """
+
+        async def main() -> None:
+            store = MemoryStore()
+            author, laggard = process(store, "e1"), process(store, "e2")
+            await put_all(author, "a")
+            await laggard.load()
+            await put_all(author, "b")
+            laggard.confirm_newest(2)
+            store.come_back_at(1)
+            await laggard.load()
+            refused = await laggard.propose(put("c"), author="kari")
+            self.assertEqual(kind_of(refused), ErrorKind.STORE_REGRESSED)
+
+        run(main)
+
+    def test_stale_reads_pass(self) -> None:
+        """Stale answers after a failover are taken for a fault, which ends with them."""
+
+        async def main() -> None:
+            store = MemoryStore()
+            config = process(store, "e1")
+            await put_all(config, "a")
+            store.set_faults(StoreFaults(stale=True))
+            outcome = await config.propose(put("b"), author="kari")
+            self.assertEqual(kind_of(outcome), ErrorKind.OUTCOME_UNKNOWN)
+            store.set_faults(StoreFaults())
+            await put_all(config, "c")
+            self.assertEqual(set(config.state().pools), {"a", "b", "c"})
+            self.assertIsNone(config.fault())
+
+        run(main)
+
+    def test_another_history_is_refused(self) -> None:
+        """An entry with another id at a revision held is reported and changes nothing."""
+
+        async def main() -> None:
+            config = process(MemoryStore(), "e1")
+            other = process(MemoryStore(), "e2")
+            await put_all(config, "a", "b")
+            await put_all(other, "x", "y", "z")
+            self.assertEqual(config.offer(other.entries_after(0, limit=9)), 2)
+            self.assertEqual(set(config.state().pools), {"a", "b"})
+            self.assertEqual(config._metrics.counters()["config.contradictions"], 1)
+
+        run(main)
