--- a/src/shallotworks/plans/__init__.py
+++ b/src/shallotworks/plans/__init__.py
@@ -24,6 +24,7 @@
     encode_intent,
     not_maintained_for,
 )
+from ._lease_duty import DUTY_TTL_S, LeaseDuty
 from ._measures import DisruptionModel, PlannerWeights
 from ._plan_run import Surroundings
 from ._planner import Planner
@@ -46,6 +47,7 @@
 __all__ = [
     "PLANS_PREFIX",
     "Acknowledgements",
+    "DUTY_TTL_S",
     "Action",
     "Alternative",
     "BudgetUse",
@@ -59,6 +61,7 @@
     "InPool",
     "InRack",
     "Intent",
+    "LeaseDuty",
     "ListedPlan",
     "Maintain",
     "Measures",
--- /dev/null
+++ b/tests/fakes_plans.py
@@ -0,0 +1,329 @@
+"""Small fakes for the tests of plans: a configuration log in memory, targets, a duty."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+from typing import TypeVar
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.config import Accepted
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.fleet import (
+    Change,
+    DataCentre,
+    FleetState,
+    Instance,
+    Pool,
+    Service,
+    apply,
+)
+from shallotworks.metrics import Metrics
+from shallotworks.plans import (
+    Conductor,
+    ConductorRules,
+    DisruptionModel,
+    Planner,
+    PlannerWeights,
+    ProbeReport,
+    Proposals,
+    Surroundings,
+)
+from shallotworks.standins import MemoryStore
+from shallotworks.timeline import Timeline
+
+_Value = TypeVar("_Value")
+START_S = 1_800_000_000.0
+
+
+async def in_place(work: Callable[[], _Value]) -> _Value:
+    """Run planning on the event loop, whose clock stands still meanwhile."""
+    return work()
+
+
+class FakeConfig:
+    """`ConfigLog` and `ConfigView` in one, over `fleet.apply`, with faults."""
+
+    def __init__(self, state: FleetState) -> None:
+        self._state = state
+        self._changed = asyncio.Event()
+        self.down = False
+        self.lost_answers = 0
+        self.history: list[tuple[Change, str]] = []
+        self.checks: list[Callable[[FleetState, Change, FleetState], None]] = []
+
+    def state(self) -> FleetState:
+        return self._state
+
+    def age_s(self) -> float:
+        return 0.0
+
+    async def wait_for(self, revision: int) -> FleetState:
+        while self._state.revision < revision:
+            await self._changed.wait()
+        return self._state
+
+    async def propose(self, change: Change, *, author: str) -> Result[Accepted, Failure]:
+        await asyncio.sleep(0.005)
+        if self.down:
+            return Err(Failure(kind=ErrorKind.STORE_UNAVAILABLE, reason="down"))
+        result = apply(self._state, change)
+        if not isinstance(result, Success):
+            return Err(result.failure())
+        before, self._state = self._state, result.unwrap()
+        self.history.append((change, author))
+        for check in self.checks:
+            check(before, change, self._state)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        if self.lost_answers:
+            self.lost_answers -= 1
+            return Err(Failure(kind=ErrorKind.OUTCOME_UNKNOWN, reason="the answer was lost"))
+        return Success(Accepted(revision=self._state.revision, change_id=str(len(self.history))))
+
+
+class FakeTargets:
+    """`TargetControl` over targets that hold a number of requests and reboot in a fixed time."""
+
+    def __init__(self, *, reboot_s: float = 20.0) -> None:
+        self.reboot_s = reboot_s
+        self.work: dict[str, int] = {}
+        self.dead: set[str] = set()
+        self.incarnations: dict[str, str] = {}
+        self.reboots: list[str] = []
+        self._rebooted: dict[str, str] = {}
+        self._back_at_s: dict[str, float] = {}
+
+    def _answers(self, name: str) -> bool:
+        now_s = asyncio.get_running_loop().time()
+        return name not in self.dead and now_s >= self._back_at_s.get(name, 0.0)
+
+    async def in_flight(self, instance: Instance) -> Result[int, Failure]:
+        if not self._answers(instance.name):
+            return _unreachable(instance.name)
+        return Success(self.work.get(instance.name, 0))
+
+    async def checkpoint_jobs(self, instance: Instance) -> Result[int, Failure]:
+        return Success(0)
+
+    async def reboot(
+        self, instance: Instance, *, reboot_id: str, fencing_token: int
+    ) -> Result[None, Failure]:
+        if instance.name in self.dead:
+            return _unreachable(instance.name)
+        if self._rebooted.get(instance.name) == reboot_id:
+            return Success(None)
+        if self.work.get(instance.name, 0):
+            return Err(Failure(kind=ErrorKind.CONFLICT, reason="work in flight"))
+        self.reboots.append(instance.name)
+        self._rebooted[instance.name] = reboot_id
+        self._back_at_s[instance.name] = asyncio.get_running_loop().time() + self.reboot_s
+        return Success(None)
+
+    async def probe(self, instance: Instance) -> Result[ProbeReport, Failure]:
+        if not self._answers(instance.name):
+            return _unreachable(instance.name)
+        return Success(
+            ProbeReport(
+                incarnation=self.incarnations.get(instance.name, "first"),
+                reboot_id=self._rebooted.get(instance.name, ""),
+            )
+        )
+
+
+class FakeLease:
+    """One lease that duties of several conductors compete for."""
+
+    def __init__(self, *, ttl_s: float = 4.0) -> None:
+        self.ttl_s = ttl_s
+        self.token = 0
+        self.holder: FakeDuty | None = None
+        self.lapses_at_s = 0.0
+
+
+class FakeDuty:
+    """`Duty` on a `FakeLease`, renewed for ever unless its process is paused or dead."""
+
+    def __init__(self, lease: FakeLease) -> None:
+        self._lease = lease
+        self.paused = False
+        self.believes = False
+        """Whether it thinks that it holds the lease, as one that was paused does."""
+
+    async def acquire(self) -> int:
+        while self._lease.holder is not None and not self._lapsed():
+            await asyncio.sleep(0.25)
+        self._lease.holder = self
+        self._lease.token += 1
+        self.believes = True
+        return self._lease.token
+
+    def still_held(self) -> bool:
+        return self.believes or self._lease.holder is self
+
+    async def release(self) -> None:
+        self.believes = False
+        if self._lease.holder is self and not self.paused:
+            self._lease.holder = None
+
+    def pause(self) -> None:
+        """Stop renewing, as a process that is paused or dies does."""
+        self.paused = True
+        self._lease.lapses_at_s = asyncio.get_running_loop().time() + self._lease.ttl_s
+
+    def _lapsed(self) -> bool:
+        holder = self._lease.holder
+        now_s = asyncio.get_running_loop().time()
+        return holder is not None and holder.paused and now_s >= self._lease.lapses_at_s
+
+
+class World:
+    """A fleet, its log, its targets and as many conductors as a test starts."""
+
+    def __init__(
+        self,
+        state: FleetState,
+        *,
+        weights: PlannerWeights | None = None,
+        rules: ConductorRules | None = None,
+        reboot_s: float = 20.0,
+    ) -> None:
+        self.config = FakeConfig(state)
+        self.targets = FakeTargets(reboot_s=reboot_s)
+        self.store = MemoryStore()
+        self.lease = FakeLease()
+        self.metrics = Metrics()
+        self.timeline = Timeline(process="test", wall_clock_s=self.wall_clock_s)
+        self.rules = rules or ConductorRules(drain_limit_s=120.0, return_limit_s=120.0)
+        self.duties: list[FakeDuty] = []
+        self.tasks: list[asyncio.Task[None]] = []
+        self.proposals = Proposals(
+            view=self.config,
+            log=self.config,
+            store=self.store,
+            planner=Planner(weights=weights or PlannerWeights(), model=DisruptionModel()),
+            wall_clock_s=self.wall_clock_s,
+            timeline=self.timeline,
+            metrics=self.metrics,
+            offload=in_place,
+        )
+
+    def wall_clock_s(self) -> float:
+        return START_S + asyncio.get_running_loop().time()
+
+    def held_by_all(self) -> int:
+        return self.config.state().revision
+
+    def start_conductor(self) -> asyncio.Task[None]:
+        """Start one more conductor, as one more entry instance would."""
+        conductor = Conductor(
+            name=f"entry-{len(self.tasks)}",
+            duties=self._new_duty,
+            log=self.config,
+            store=self.store,
+            around=Surroundings(
+                view=self.config,
+                control=self.targets,
+                acknowledgements=self,
+                rules=self.rules,
+                wall_clock_s=self.wall_clock_s,
+                timeline=self.timeline,
+                metrics=self.metrics,
+            ),
+        )
+        task = asyncio.ensure_future(conductor.run())
+        self.tasks.append(task)
+        return task
+
+    def _new_duty(self, digest: str) -> FakeDuty:
+        duty = FakeDuty(self.lease)
+        self.duties.append(duty)
+        return duty
+
+    async def kill(self, task: asyncio.Task[None]) -> None:
+        """End a conductor as a crash does: its lease is not given back."""
+        holder = self.lease.holder
+        if holder is not None:
+            holder.pause()
+        task.cancel()
+        await asyncio.wait((task,))
+
+    async def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def until_ended(self, digest: str, *, limit_s: float = 36_000.0) -> FleetState:
+        async with asyncio.timeout(limit_s):
+            while self.config.state().plans[digest].state.is_open:
+                await self.config.wait_for(self.config.state().revision + 1)
+        return self.config.state()
+
+    def change_instance(self, name: str, **fields: object) -> None:
+        """Put a fact into the state directly, for the start of a test."""
+        state = self.config.state()
+        entry = replace(state.instances[name], **fields)  # type: ignore[arg-type]
+        self.config._state = replace(state, instances={**state.instances, name: entry})
+
+
+def fleet(
+    *,
+    centres: tuple[str, ...],
+    pools: dict[str, int],
+    budget: int = 1,
+    region: str = "vest",
+    per_rack: int = 4,
+) -> FleetState:
+    """Return a fleet whose pools are spread over the data centres, four instances to a rack."""
+    instances: dict[str, Instance] = {}
+    in_centre = dict.fromkeys(centres, 0)
+    number = 0
+    for pool, size in pools.items():
+        for index in range(size):
+            centre = centres[number % len(centres)]
+            name = f"{pool}-{index}"
+            instances[name] = Instance(
+                name=name,
+                data_centre=centre,
+                rack=f"r{in_centre[centre] // per_rack}",
+                pool=pool,
+                address=f"127.0.0.1:{20_000 + number}",
+                slots=8,
+            )
+            in_centre[centre] += 1
+            number += 1
+    return FleetState(
+        revision=100,
+        data_centres={name: DataCentre(name=name, region=region) for name in centres},
+        pools={name: Pool(name=name) for name in pools},
+        services={
+            name: Service(name=name, pool=name, share=1.0, max_unavailable=budget) for name in pools
+        },
+        instances=instances,
+    )
+
+
+def fjellsending() -> FleetState:
+    """Return Fjellsending's fleet of today: four data centres, five pools of eight."""
+    services = ("fault-trace", "antenna-sweep", "spare-parts", "archive", "coverage")
+    return fleet(
+        centres=("bergen", "forde", "odda", "voss"), pools=dict.fromkeys(services, 8), budget=2
+    )
+
+
+def tijera() -> FleetState:
+    """Return Tijera de Plata's fleet of today: three data centres, five pools of six."""
+    services = ("booking", "walk-in", "day-sheet", "commissions", "supplies")
+    return fleet(
+        centres=("leon", "puebla", "queretaro"),
+        pools=dict.fromkeys(services, 6),
+        budget=2,
+        region="centro",
+    )
+
+
+def _unreachable(name: str) -> Result[_Value, Failure]:
+    return Err(Failure(kind=ErrorKind.UNREACHABLE, reason=f"{name} does not answer"))
