Carry the plans package's own types over the operators' API

Cause: plans have types of their own now; a second set of views would have to be kept equal to them. Change: PlanView is the plan, its record and its progress; intents are checked by their own types at the port; a body that is none is refused with its first faults.

--- a/src/shallotworks/operators/__init__.py
+++ b/src/shallotworks/operators/__init__.py
@@ -15,10 +15,6 @@
     InstancesView,
     PeerState,
     PeerView,
-    PlanAlternativeView,
-    PlanMeasuresView,
-    PlanRefusal,
-    PlanStage,
     PlansView,
     PlanView,
     PoolsView,
@@ -27,6 +23,7 @@
     ServiceView,
     StatusView,
     TeamsView,
+    plan_view,
 )
 
 __all__ = [
@@ -39,10 +36,6 @@
     "OperatorsServer",
     "PeerState",
     "PeerView",
-    "PlanAlternativeView",
-    "PlanMeasuresView",
-    "PlanRefusal",
-    "PlanStage",
     "PlanView",
     "PlansView",
     "PoolView",
@@ -52,4 +45,5 @@
     "StatusView",
     "TeamsView",
     "describe_api",
+    "plan_view",
 ]
--- a/src/shallotworks/operators/_application.py
+++ b/src/shallotworks/operators/_application.py
@@ -106,7 +106,7 @@
         plan = call.arguments.get("digest", "")
         if isinstance(outcome, Success):
             told = "accepted"
-            plan = plan or outcome.unwrap().about_plan
+            plan = outcome.unwrap().about_plan or plan
         else:
             told = str(outcome.failure().failure)
         self._timeline.record(
--- a/src/shallotworks/operators/_calls.py
+++ b/src/shallotworks/operators/_calls.py
@@ -11,8 +11,6 @@
 from shallotworks.config import Accepted
 from shallotworks.errors import Failure, FailureBody, failure_body
 
-from ._views import PlanView
-
 __all__ = ["Answered", "Call", "ErrorBody", "Refused", "answer_json", "error_body"]
 
 JSON_CONTENT_TYPE = "application/json"
@@ -57,12 +55,10 @@
     Args:
         failure: The reason.
         accepted: Changes of the same call that were accepted before the one that was refused.
-        replacement: A new proposal in place of a stale one.
     """
 
     failure: Failure
     accepted: tuple[Accepted, ...] = ()
-    replacement: PlanView | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -71,11 +67,9 @@
 
     Args:
         accepted: See `Refused`.
-        replacement: See `Refused`.
     """
 
     accepted: tuple[Accepted, ...] = ()
-    replacement: PlanView | None = None
 
 
 def answer_json(view: object, *, about_plan: str = "") -> Answered:
@@ -86,7 +80,7 @@
 def error_body(refused: Refused) -> bytes:
     """Return a refusal as JSON."""
     told = failure_body(refused.failure)
-    body = ErrorBody(**asdict(told), accepted=refused.accepted, replacement=refused.replacement)
+    body = ErrorBody(**asdict(told), accepted=refused.accepted)
     return _adapter(ErrorBody).dump_json(body)
 
 
--- a/src/shallotworks/operators/_fleet_handlers.py
+++ b/src/shallotworks/operators/_fleet_handlers.py
@@ -21,6 +21,7 @@
 
 from ._calls import Answered, Call, Refused, answer_json
 from ._hop import LoopHop
+from ._invalid import invalid_body
 from ._parameters import whole_number
 from ._protocols import OperatorBackend
 from ._views import (
@@ -40,7 +41,6 @@
 CHANGES_LIMIT = 5_000
 HISTORY_LIMIT = 1_000
 HISTORY_DEFAULT = 100
-ERRORS_TOLD = 3
 
 Outcome = Result[Answered, Refused]
 
@@ -133,7 +133,7 @@
     try:
         read = _ONE_OR_MORE.validate_json(body)
     except ValidationError as error:
-        return Err(Failure(kind=ErrorKind.INVALID_REQUEST, reason=_told(error)))
+        return Err(invalid_body(error))
     changes = read if isinstance(read, list) else [read]
     for place, change in enumerate(changes):
         if _is_a_plans_own(change):
@@ -163,17 +163,6 @@
     )
 
 
-def _told(error: ValidationError) -> str:
-    found = error.errors(include_url=False, include_input=False, include_context=False)
-    told = [
-        f"{'.'.join(str(part) for part in entry['loc']) or 'body'}: {entry['msg']}"
-        for entry in found[:ERRORS_TOLD]
-    ]
-    if len(found) > ERRORS_TOLD:
-        told.append(f"and {len(found) - ERRORS_TOLD} more")
-    return "; ".join(told)
-
-
 _ONE_OR_MORE: TypeAdapter[Change | list[Change]] = TypeAdapter(
     Change | Annotated[list[Change], Field(max_length=CHANGES_LIMIT)]
 )
--- a/src/shallotworks/operators/_plan_handlers.py
+++ b/src/shallotworks/operators/_plan_handlers.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+from pydantic import ValidationError
+from returns.result import Failure as Err
 from returns.result import Result
 
 from shallotworks.errors import Failure
+from shallotworks.plans import decode_intent
 
 from ._calls import Answered, Call, Refused, answer_json
 from ._hop import LoopHop
+from ._invalid import invalid_body
 from ._protocols import OperatorBackend
-from ._views import PlanRefusal, PlansView, PlanView
+from ._views import PlansView, PlanView
 
 __all__ = ["PlanHandlers"]
 
@@ -32,11 +36,15 @@
 
     def propose(self, call: Call) -> Outcome:
         """Answer a proposal for an intent."""
-        work = self._backend.propose_plan(call.body, operator=call.operator)
+        try:
+            intent = decode_intent(call.body)
+        except ValidationError as error:
+            return Err(Refused(failure=invalid_body(error)))
+        work = self._backend.propose_plan(intent, operator=call.operator)
         return self._hop.write(work).map(_answer).alt(_refuse)
 
     def list_all(self, call: Call) -> Outcome:
-        """Answer all plans, the newest first."""
+        """Answer all plans."""
         plans = self._hop.read(self._backend.plans())
         return plans.map(lambda found: answer_json(PlansView(plans=found))).alt(_refuse)
 
@@ -46,9 +54,9 @@
         return self._hop.read(work).map(_answer).alt(_refuse)
 
     def confirm(self, call: Call) -> Outcome:
-        """Confirm a proposal; a stale one is answered with its replacement."""
+        """Confirm a proposal; where it is stale, the reason names a new one."""
         work = self._backend.confirm_plan(call.arguments["digest"], operator=call.operator)
-        return self._hop.write(work).map(_answer).alt(_refuse_confirm)
+        return self._hop.write(work).map(_answer).alt(_refuse)
 
     def cancel(self, call: Call) -> Outcome:
         """Cancel a confirmed plan."""
@@ -57,12 +65,8 @@
 
 
 def _answer(plan: PlanView) -> Answered:
-    return answer_json(plan, about_plan=plan.digest)
+    return answer_json(plan, about_plan=plan.plan.digest)
 
 
 def _refuse(failure: Failure) -> Refused:
     return Refused(failure=failure)
-
-
-def _refuse_confirm(refusal: PlanRefusal) -> Refused:
-    return Refused(failure=refusal.failure, replacement=refusal.replacement)
--- a/src/shallotworks/operators/_protocols.py
+++ b/src/shallotworks/operators/_protocols.py
@@ -10,8 +10,9 @@
 from shallotworks.errors import Failure
 from shallotworks.fleet import Change, FleetState
 from shallotworks.metrics import FrozenMetrics
+from shallotworks.plans import Intent
 
-from ._views import PlanRefusal, PlanView, StatusView
+from ._views import PlanView, StatusView
 
 __all__ = ["OperatorBackend"]
 
@@ -44,33 +45,30 @@
         """
         ...
 
-    async def propose_plan(self, intent: bytes, *, operator: str) -> Result[PlanView, Failure]:
+    async def propose_plan(self, intent: Intent, *, operator: str) -> Result[PlanView, Failure]:
         """Work out a plan for an intent and store it; nothing acts on it.
 
-        Args:
-            intent: The intent as JSON.
-            operator: Who wants it.
-
         Returns:
-            The proposal; ``INVALID_REQUEST``, ``NOT_FOUND``, ``UNSATISFIABLE`` or
+            The proposal; ``NOT_FOUND``, ``UNSATISFIABLE``, ``BUDGET_SPENT`` or
             ``STORE_UNAVAILABLE``.
         """
         ...
 
     async def plans(self) -> Result[tuple[PlanView, ...], Failure]:
-        """Return proposals and confirmed plans, the newest first."""
+        """Return proposals and confirmed plans, by base revision."""
         ...
 
     async def plan(self, digest: str) -> Result[PlanView, Failure]:
-        """Return one plan; ``NOT_FOUND`` where there is none of this digest."""
+        """Return one plan by its digest or the unambiguous beginning of it; else ``NOT_FOUND``."""
         ...
 
-    async def confirm_plan(self, digest: str, *, operator: str) -> Result[PlanView, PlanRefusal]:
+    async def confirm_plan(self, digest: str, *, operator: str) -> Result[PlanView, Failure]:
         """Confirm a proposal.
 
         Returns:
-            The running plan; ``STALE_PLAN`` with a new proposal where what it rests on has
-            changed; ``CONFLICT`` with who and why; ``STORE_UNAVAILABLE`` or ``OUTCOME_UNKNOWN``.
+            The running plan; ``STALE_PLAN`` with the digest of a new proposal where what it rests
+            on has changed; ``CONFLICT`` with who and why; ``STORE_UNAVAILABLE`` or
+            ``OUTCOME_UNKNOWN``.
         """
         ...
 
--- a/src/shallotworks/operators/_routes.py
+++ b/src/shallotworks/operators/_routes.py
@@ -12,6 +12,7 @@
 from shallotworks.errors import ErrorKind
 from shallotworks.fleet import Change
 from shallotworks.metrics import MetricsSnapshot
+from shallotworks.plans import Intent
 from shallotworks.timeline import TimelinePage
 
 from ._calls import Answered, Call, Refused
@@ -235,7 +236,7 @@
         Route(
             method="GET",
             path="/plans",
-            summary="Proposals and confirmed plans, the newest first.",
+            summary="Proposals and confirmed plans, by base revision.",
             handler=handlers.list_all,
             answer=PlansView,
             errors=(ErrorKind.STORE_UNAVAILABLE,),
@@ -246,8 +247,13 @@
             summary="Propose a plan for an intent; nothing acts on it before it is confirmed.",
             handler=handlers.propose,
             answer=PlanView,
-            body=dict[str, Any],
-            errors=(ErrorKind.NOT_FOUND, ErrorKind.UNSATISFIABLE, *_STORE_ERRORS),
+            body=Intent,
+            errors=(
+                ErrorKind.NOT_FOUND,
+                ErrorKind.UNSATISFIABLE,
+                ErrorKind.BUDGET_SPENT,
+                *_STORE_ERRORS,
+            ),
         ),
         Route(
             method="GET",
@@ -260,7 +266,7 @@
         Route(
             method="POST",
             path="/plans/{digest}/confirm",
-            summary="Confirm a proposal; a stale one is refused with its replacement.",
+            summary="Confirm a proposal; where it is stale, the reason names a new one.",
             handler=handlers.confirm,
             answer=PlanView,
             errors=(ErrorKind.NOT_FOUND, ErrorKind.STALE_PLAN, ErrorKind.CONFLICT, *_STORE_ERRORS),
--- a/src/shallotworks/operators/_views.py
+++ b/src/shallotworks/operators/_views.py
@@ -6,8 +6,16 @@
 from enum import Enum, unique
 
 from shallotworks.config import Accepted, Entry
-from shallotworks.errors import Failure
-from shallotworks.fleet import DataCentre, FleetState, Instance, Pool, Service, Team
+from shallotworks.fleet import (
+    DataCentre,
+    FleetState,
+    Instance,
+    PlanRecord,
+    Pool,
+    Service,
+    Team,
+)
+from shallotworks.plans import Plan, Progress, progress_of
 
 __all__ = [
     "ChangesView",
@@ -16,10 +24,6 @@
     "InstancesView",
     "PeerState",
     "PeerView",
-    "PlanAlternativeView",
-    "PlanMeasuresView",
-    "PlanRefusal",
-    "PlanStage",
     "PlanView",
     "PlansView",
     "PoolView",
@@ -28,6 +32,7 @@
     "ServicesView",
     "StatusView",
     "TeamsView",
+    "plan_view",
     "pool_view",
     "service_view",
 ]
@@ -53,6 +58,7 @@
         state: How it is seen.
         revision: The configuration revision that it holds.
         silent_s: Time since it was last heard.
+        operators_address: ``ip:port`` of its operators' port; empty where it is not known.
     """
 
     name: str
@@ -61,6 +67,7 @@
     state: PeerState
     revision: int
     silent_s: float
+    operators_address: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -193,105 +200,37 @@
     entries: tuple[Entry, ...]
 
 
-@unique
-class PlanStage(Enum):
-    """Where a plan stands, from proposal to end."""
-
-    PROPOSED = "proposed"
-    RUNNING = "running"
-    CANCELLING = "cancelling"
-    DONE = "done"
-    CANCELLED = "cancelled"
-    FAILED = "failed"
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PlanMeasuresView:
-    """What a plan costs.
-
-    Args:
-        buffer_slots: Spare capacity held back, in slots.
-        rollout_s: Time that it takes.
-        moves: Jobs and instances relocated.
-    """
-
-    buffer_slots: float
-    rollout_s: float
-    moves: int
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PlanAlternativeView:
-    """A way that was weighed and not chosen.
-
-    Args:
-        name: Which way.
-        measures: What it would have cost.
-        score: Weighted sum of the measures; the least is chosen.
-    """
-
-    name: str
-    measures: PlanMeasuresView
-    score: float
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlanView:
-    """One plan.
+    """One plan, and how far it has come.
 
     Args:
-        digest: Names it.
-        intent: The operator's intent, in one line.
-        stage: Where it stands.
-        text: The plan for people, some lines.
-        measures: What it costs.
-        score: Weighted sum of the measures.
-        alternatives: What it was chosen over.
-        base_revision: The revision it was computed from.
-        instances: Names of the instances that it will cordon or move.
-        steps_total: Number of its steps.
-        steps_done: Steps finished.
-        confirmed_by: Who confirmed it; empty for a proposal.
-        confirmed_at_s: Unix time of that; 0 for a proposal.
-        ended_at_s: Unix time of its end; 0 while it is open.
-        outcome: How it ended, or why it waits, in one sentence.
+        plan: The plan.
+        record: What was confirmed; ``None`` for a proposal.
+        progress: How far it has come; ``None`` for a proposal.
     """
 
-    digest: str
-    intent: str
-    stage: PlanStage
-    text: str
-    measures: PlanMeasuresView
-    score: float = 0.0
-    alternatives: tuple[PlanAlternativeView, ...] = ()
-    base_revision: int
-    instances: tuple[str, ...]
-    steps_total: int = 0
-    steps_done: int = 0
-    confirmed_by: str = ""
-    confirmed_at_s: float = 0.0
-    ended_at_s: float = 0.0
-    outcome: str = ""
+    plan: Plan
+    record: PlanRecord | None = None
+    progress: Progress | None = None
+
+    @property
+    def stage(self) -> str:
+        """Where it stands: ``proposed``, or the state of its record."""
+        return self.record.state.value if self.record is not None else "proposed"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlansView:
-    """Plans, the newest first."""
+    """Proposals and confirmed plans."""
 
     plans: tuple[PlanView, ...]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PlanRefusal:
-    """Why a plan is not confirmed.
-
-    Args:
-        failure: The reason.
-        replacement: A new proposal for the same intent, where the plan was stale.
-    """
-
-    failure: Failure
-    replacement: PlanView | None = None
+def plan_view(plan: Plan, record: PlanRecord | None, state: FleetState) -> PlanView:
+    """Return one plan as it stands in this state."""
+    progress = progress_of(plan, record, state) if record is not None else None
+    return PlanView(plan=plan, record=record, progress=progress)
 
 
 def pool_view(state: FleetState, pool: Pool) -> PoolView:
