Keep a confirmed plan safe through failures, with a story each

Cause: conductors die or wake too late, stores fail, targets never empty or come back. Change: takeover from the state, fenced writes, shared writes for returns, stand-still and window rules, roll back, conflict and stale answers, text rendering and diff of plans.

--- a/src/shallotworks/fleet/_apply.py
+++ b/src/shallotworks/fleet/_apply.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import replace
+from datetime import UTC, datetime
 from typing import Any, TypeVar
 
 from returns.result import Failure as Err
@@ -326,10 +327,14 @@
 def _held(name: str, plan: PlanRecord) -> str:
     return (
         f"{name} is held by plan {_short(plan.digest)} ({plan.intent}),"
-        f" confirmed by {plan.confirmed_by} at {plan.confirmed_at_s:.0f}"
+        f" confirmed by {plan.confirmed_by} at {_time(plan.confirmed_at_s)}"
     )
 
 
+def _time(unix_s: float) -> str:
+    return datetime.fromtimestamp(unix_s, tz=UTC).strftime("%Y-%m-%d %H:%M UTC")
+
+
 def _short(digest: str) -> str:
     return digest[:SHORT_DIGEST_LENGTH]
 
--- a/src/shallotworks/plans/__init__.py
+++ b/src/shallotworks/plans/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from ._conductor import Conductor
+from ._diff import PlanDiff, diff_plans
 from ._instance_run import ConductorRules, StepEnd
 from ._intents import (
     Drain,
@@ -43,6 +44,8 @@
     Strategy,
     Wave,
 )
+from ._render import render_diff, render_duration, render_plan, render_progress
+from ._window import MaintenanceWindow
 
 __all__ = [
     "PLANS_PREFIX",
@@ -64,12 +67,14 @@
     "LeaseDuty",
     "ListedPlan",
     "Maintain",
+    "MaintenanceWindow",
     "Measures",
     "Move",
     "Named",
     "NotMaintainedSince",
     "Offload",
     "Plan",
+    "PlanDiff",
     "Planner",
     "PlannerWeights",
     "ProbeReport",
@@ -86,7 +91,12 @@
     "Wave",
     "decode_intent",
     "describe_intent",
+    "diff_plans",
     "encode_intent",
     "not_maintained_for",
     "progress_of",
+    "render_diff",
+    "render_duration",
+    "render_plan",
+    "render_progress",
 ]
--- a/src/shallotworks/plans/_conductor.py
+++ b/src/shallotworks/plans/_conductor.py
@@ -18,6 +18,7 @@
 from ._proposals import plan_key
 from ._protocols import Duty
 from ._records import Plan
+from ._tasks import stop_all
 from ._writer import PlanWriter
 
 __all__ = ["Conductor"]
@@ -77,19 +78,24 @@
         ended = asyncio.ensure_future(self._until_ended(digest))
         try:
             while not ended.done():
-                turn = asyncio.ensure_future(self._take_turn(digest))
-                await asyncio.wait((turn, ended), return_when=asyncio.FIRST_COMPLETED)
-                turn.cancel()
-                await asyncio.wait((turn,))
-                if not turn.cancelled() and turn.exception() is not None:
-                    # One plan's fault must not end the others; it shows in this counter, and the
-                    # plan is taken up again from the state.
-                    self._around.metrics.count("plans.conductor_faults")
-                    logging.error("plan %s: conductor failed: %r", digest, turn.exception())
-                if not ended.done():
-                    await asyncio.sleep(RETRY_PAUSE_S)
+                await self._turn_unless(ended, digest)
         finally:
-            ended.cancel()
+            await stop_all((ended,))
+
+    async def _turn_unless(self, ended: asyncio.Task[None], digest: str) -> None:
+        """Take one turn, cut short when the plan has ended elsewhere."""
+        turn = asyncio.ensure_future(self._take_turn(digest))
+        try:
+            await asyncio.wait((turn, ended), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            await stop_all((turn,))
+        if not turn.cancelled() and turn.exception() is not None:
+            # One plan's fault must not end the others; it shows in this counter, and the plan is
+            # taken up again from the state.
+            self._around.metrics.count("plans.conductor_faults")
+            logging.error("plan %s: conductor failed: %r", digest, turn.exception())
+        if not ended.done():
+            await asyncio.sleep(RETRY_PAUSE_S)
 
     async def _until_ended(self, digest: str) -> None:
         view = self._around.view
--- a/src/shallotworks/plans/_instance_run.py
+++ b/src/shallotworks/plans/_instance_run.py
@@ -17,6 +17,7 @@
 
 from ._protocols import ProbeReport, TargetControl
 from ._records import Action, Step
+from ._window import MaintenanceWindow
 from ._writer import PlanWriter
 
 __all__ = ["ConductorRules", "InstanceRun", "StepEnd"]
@@ -33,7 +34,9 @@
         return_limit_s: Longest wait for a rebooted target; after it the instance stays cordoned.
         last_chance_s: Wait for those at the end of the plan.
         failed_limit: Instances that did not come back at which the plan stands still.
+        settle_s: Time that a returned instance gets to take up its load before the next wave.
         poll_s: Pause between two questions to a target.
+        window: Daily time outside of which no wave starts that cordons; ``None`` for any time.
     """
 
     seen_limit_s: float = 3.0
@@ -41,7 +44,9 @@
     return_limit_s: float = 900.0
     last_chance_s: float = 30.0
     failed_limit: int = 2
+    settle_s: float = 30.0
     poll_s: float = 0.5
+    window: MaintenanceWindow | None = None
 
 
 @unique
@@ -178,7 +183,7 @@
 
     async def _give_back(self) -> StepEnd:
         """Return a target that never emptied: its work goes on, its permit is free again."""
-        result = await self._writer.activate((self._name,))
+        result = await self._writer.activate(self._name)
         return StepEnd.NEVER_EMPTIED if isinstance(result, Success) else StepEnd.REFUSED
 
     async def _reboot(self, *, limit_s: float) -> StepEnd:
@@ -241,8 +246,12 @@
 
     async def _return(self, *, maintained: bool) -> StepEnd:
         maintained_at_s = self._wall_clock_s() if maintained else 0.0
-        result = await self._writer.activate((self._name,), maintained_at_s=maintained_at_s)
-        return StepEnd.DONE if isinstance(result, Success) else StepEnd.REFUSED
+        result = await self._writer.activate(self._name, maintained_at_s=maintained_at_s)
+        if not isinstance(result, Success):
+            return StepEnd.REFUSED
+        if maintained:
+            await asyncio.sleep(self._rules.settle_s)
+        return StepEnd.DONE
 
     def _instance(self) -> Instance:
         return self._view.state().instances[self._name]
--- a/src/shallotworks/plans/_plan_run.py
+++ b/src/shallotworks/plans/_plan_run.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 
 from returns.result import Success
@@ -18,6 +18,7 @@
 from ._progress import is_done
 from ._protocols import Acknowledgements, TargetControl
 from ._records import Action, Plan, Step, Wave
+from ._tasks import run_all, stop_all
 from ._writer import PlanWriter
 
 __all__ = ["PlanRun", "Surroundings"]
@@ -58,13 +59,14 @@
         around: What to work with.
     """
 
-    __slots__ = ("_around", "_ends", "_paused", "_plan", "_writer")
+    __slots__ = ("_around", "_ends", "_inherited", "_paused", "_plan", "_writer")
 
     def __init__(self, *, plan: Plan, writer: PlanWriter, around: Surroundings) -> None:
         self._plan = plan
         self._writer = writer
         self._around = around
         self._ends: dict[str, StepEnd] = {}
+        self._inherited: set[str] = set()
         self._paused = False
 
     async def run(self) -> None:
@@ -74,16 +76,29 @@
             ShallotworksError: ``LEASE_LOST``; another conductor goes on.
         """
         await self._writer.advance(0)
+        self._inherit_failed()
         try:
             await self._unless_cancelled(self._waves())
         except ShallotworksError as error:
             if error.failure.kind is not ErrorKind.CANCELLED:
                 raise
             await self._roll_back()
+        finally:
+            await self._writer.close()
+
+    def _inherit_failed(self) -> None:
+        """Take over what an earlier conductor gave up, so that waves do not wait for it again."""
+        state = self._around.view.state()
+        for name, step in self._steps().items():
+            failed = self._holds(name) and not state.instances[name].healthy
+            if failed and Action.RETURN in step.actions:
+                self._ends[name] = StepEnd.NEVER_CAME_BACK
+                self._inherited.add(name)
 
     async def _waves(self) -> None:
         for number, wave in enumerate(self._plan.waves, start=1):
             await self._stand_still_while_failing()
+            await self._until_window(wave)
             await self._run_wave(wave)
             steps_done = sum(len(done.steps) for done in self._plan.waves[:number])
             if steps_done > self._record().steps_done:
@@ -93,27 +108,25 @@
 
     async def _unless_cancelled(self, work: Coroutine[None, None, None]) -> None:
         """Run work, and stop it with ``CANCELLED`` or ``LEASE_LOST`` as soon as either is so."""
-        task = asyncio.ensure_future(work)
         guard = asyncio.ensure_future(self._guard())
+        task = asyncio.ensure_future(work)
         try:
             await asyncio.wait((task, guard), return_when=asyncio.FIRST_COMPLETED)
-            if task.done():
-                task.result()
-            else:
+            if not task.done():
                 guard.result()
+            await task
         finally:
-            await _stop(task)
-            await _stop(guard)
+            await stop_all((task, guard))
 
     async def _guard(self) -> None:
-        """Raise once the plan is cancelled or the duty is lost."""
-        while True:
+        """Raise once the plan is cancelled or the duty is lost; return once the plan has ended."""
+        while self._record().state is PlanState.RUNNING:
             self._writer.check_held()
-            if self._record().state is not PlanState.RUNNING:
-                raise ShallotworksError(
-                    Failure(kind=ErrorKind.CANCELLED, reason="the plan is cancelled")
-                )
             await self._next_state()
+        if self._record().state is PlanState.CANCELLING:
+            raise ShallotworksError(
+                Failure(kind=ErrorKind.CANCELLED, reason="the plan is cancelled")
+            )
 
     async def _run_wave(self, wave: Wave) -> None:
         """Run the steps of a wave side by side, each as soon as its budget has room."""
@@ -139,8 +152,7 @@
             self._resume()
             await asyncio.gather(*running)
         finally:
-            for task in running:
-                await _stop(task)
+            await stop_all(running)
 
     async def _cordon(self, waiting: dict[str, Step]) -> tuple[str, ...]:
         """Take permits for what the budgets have room for; returns who may go on."""
@@ -165,7 +177,7 @@
         """Run one instance's step each, once the cordons are seen."""
         await self._until_seen(self._around.view.state().revision)
         limit_s = self._around.rules.return_limit_s
-        await _all(self._run_instance(steps[name], name, limit_s) for name in steps)
+        await run_all(self._run_instance(steps[name], name, limit_s) for name in steps)
 
     async def _run_instance(self, step: Step, name: str, return_limit_s: float) -> None:
         self._ends[name] = await self._instance_run(step, name).run(return_limit_s=return_limit_s)
@@ -185,12 +197,26 @@
             await self._try_leftovers()
         self._resume()
 
+    async def _until_window(self, wave: Wave) -> None:
+        """Wait until the rest of the maintenance window is long enough for a wave."""
+        window = self._around.rules.window
+        if window is None or not wave.spends:
+            return
+        while window.left_s(self._around.wall_clock_s()) < wave.duration_s:
+            self._pause("outside the maintenance window")
+            await self._next_state()
+        self._resume()
+
     async def _try_leftovers(self) -> None:
         """Give instances that did not come back in time another chance."""
-        limit_s = self._around.rules.last_chance_s
+        rules = self._around.rules
         steps = self._steps()
-        failed = self._failed()
-        await _all(self._run_instance(steps[name], name, limit_s) for name in failed)
+        works = []
+        for name in self._failed():
+            limit_s = rules.return_limit_s if name in self._inherited else rules.last_chance_s
+            self._inherited.discard(name)
+            works.append(self._run_instance(steps[name], name, limit_s))
+        await run_all(works)
 
     async def _finish(self) -> None:
         steps = self._steps()
@@ -210,7 +236,7 @@
         """
         limit_s = self._around.rules.return_limit_s
         held = [name for name in self._steps() if self._holds(name)]
-        await _all(self._roll_back_instance(name, limit_s) for name in held)
+        await run_all(self._roll_back_instance(name, limit_s) for name in held)
         left = sorted(name for name in self._steps() if self._holds(name))
         outcome = f"cancelled; {len(held) - len(left)} of {len(held)} cordons rolled back"
         if left:
@@ -328,23 +354,5 @@
     return tuple(fitting)
 
 
-async def _all(works: Iterable[Coroutine[None, None, None]]) -> None:
-    """Run works side by side; the first failure stops the others."""
-    tasks = [asyncio.ensure_future(work) for work in works]
-    try:
-        await asyncio.gather(*tasks)
-    finally:
-        for task in tasks:
-            await _stop(task)
-
-
-async def _stop(task: asyncio.Task[None]) -> None:
-    """Cancel a task and wait until it has let go."""
-    task.cancel()
-    await asyncio.wait((task,))
-    if not task.cancelled():
-        task.exception()
-
-
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
--- a/src/shallotworks/plans/_planner.py
+++ b/src/shallotworks/plans/_planner.py
@@ -14,6 +14,7 @@
 from ._intents import Drain, Intent, Maintain, Move, Named, Return
 from ._measures import DisruptionModel, PlannerWeights, capacity_left, measure, weighted_cost
 from ._records import (
+    SHORT_DIGEST_LENGTH,
     Action,
     Alternative,
     BudgetUse,
@@ -146,7 +147,7 @@
             measures=chosen.measures,
             alternatives=self._weighed(ranked, best),
             skipped=targets.skipped,
-            notes=_notes(targets, supply=supply, actions=actions),
+            notes=_notes(state, targets, supply=supply, actions=actions),
         )
         return Success(seal(plan))
 
@@ -353,7 +354,25 @@
     )
 
 
-def _notes(targets: Targets, *, supply: Supply, actions: tuple[Action, ...]) -> tuple[str, ...]:
+def _notes(
+    state: FleetState, targets: Targets, *, supply: Supply, actions: tuple[Action, ...]
+) -> tuple[str, ...]:
+    return (*_held_notes(state, targets), *_budget_notes(targets, supply, actions))
+
+
+def _held_notes(state: FleetState, targets: Targets) -> tuple[str, ...]:
+    names = tuple(entry.name for entry in targets.instances)
+    holder = state.open_plan_holding(names)
+    if holder is None:
+        return ()
+    held = len(set(names) & set(holder.instances))
+    return (
+        f"{held} of the instances are held by plan {holder.digest[:SHORT_DIGEST_LENGTH]}"
+        f" ({holder.intent}) of {holder.confirmed_by}; confirming is refused until it ends",
+    )
+
+
+def _budget_notes(targets: Targets, supply: Supply, actions: tuple[Action, ...]) -> tuple[str, ...]:
     if Action.CORDON not in actions:
         return ()
     touched = sorted({entry.pool for entry in targets.instances if entry.available})
--- a/src/shallotworks/plans/_proposals.py
+++ b/src/shallotworks/plans/_proposals.py
@@ -17,10 +17,13 @@
 from shallotworks.platform import KeyValueStore
 from shallotworks.timeline import EventKind, Subject, Timeline
 
+from ._diff import PlanDiff, diff_plans
 from ._intents import Intent, describe_intent
 from ._planner import Planner
+from ._progress import progress_of
 from ._protocols import Offload
 from ._records import SHORT_DIGEST_LENGTH, Plan
+from ._render import render_duration
 from ._targets import resolve
 
 __all__ = ["PLANS_PREFIX", "ListedPlan", "Proposals", "plan_key"]
@@ -28,6 +31,8 @@
 PLANS_PREFIX = "plans/"
 SHORTEST_PREFIX = 4
 LIST_PAGE = 100
+KEPT_REVISIONS = 20_000
+"""Revisions for which an unconfirmed proposal is kept, three days at the size aimed for."""
 _REFUSED = (ErrorKind.UNSATISFIABLE, ErrorKind.BUDGET_SPENT)
 
 
@@ -134,7 +139,9 @@
         known = state.plans.get(plan.digest)
         if known is not None:
             return _confirmed_before(known, operator)
-        if not _means_the_same(plan, state):
+        # Half of the time for which proposals are kept: none is deleted while it is confirmed.
+        too_old = plan.base_revision < state.revision - KEPT_REVISIONS // 2
+        if too_old or not _means_the_same(plan, state):
             return await self._stale(plan, operator=operator)
         result = await self._log.propose(self._confirmation(plan, operator), author=operator)
         if isinstance(result, Success):
@@ -145,6 +152,8 @@
         self._metrics.count(f"plans.confirms_refused.{failure.kind.value}")
         if failure.kind is ErrorKind.STALE_PLAN:
             return await self._stale(plan, operator=operator)
+        if failure.kind is ErrorKind.CONFLICT:
+            return Err(await self._tell_end(plan, failure))
         return Err(failure)
 
     async def cancel(self, digest: str, *, operator: str) -> Result[PlanRecord, Failure]:
@@ -200,6 +209,43 @@
             tuple(ListedPlan(plan=plan, record=records.get(plan.digest)) for plan in plans)
         )
 
+    async def diff(self, first: str, second: str) -> Result[PlanDiff, Failure]:
+        """Return how a second plan differs from a first, each by its digest."""
+        one = await self.show(first)
+        two = await self.show(second)
+        return one.bind(lambda before: two.map(lambda after: diff_plans(before, after)))
+
+    async def prune(self, *, kept_revisions: int = KEPT_REVISIONS) -> Result[int, Failure]:
+        """Delete proposals that were never confirmed and are old; returns how many."""
+        listed = await self.list()
+        if not isinstance(listed, Success):
+            return Err(listed.failure())
+        oldest = self._view.state().revision - kept_revisions
+        deleted = 0
+        for entry in listed.unwrap():
+            if entry.record is None and entry.plan.base_revision < oldest:
+                deleted += await self._delete(entry.plan.digest)
+        return Success(deleted)
+
+    async def _delete(self, digest: str) -> bool:
+        found = (await self._store.get(plan_key(digest))).value_or(None)
+        if found is None:
+            return False
+        return isinstance(await self._store.delete(found.key, version=found.version), Success)
+
+    async def _tell_end(self, plan: Plan, failure: Failure) -> Failure:
+        """Add to a conflict when the plan in the way is expected to end."""
+        state = self._view.state()
+        holder = state.open_plan_holding(plan.instances)
+        if holder is None:
+            return failure
+        shown = await self.show(holder.digest)
+        if not isinstance(shown, Success):
+            return failure
+        left_s = progress_of(shown.unwrap(), holder, state).left_s
+        told = f"expected to end in {render_duration(left_s)}"
+        return replace(failure, reason=f"{failure.reason}, {told}")
+
     async def _keep(self, plan: Plan) -> Result[Plan, Failure]:
         """Store a plan; the digest is the key, so storing it twice stores the same."""
         created = await self._store.create(plan_key(plan.digest), plan.encode())
--- /dev/null
+++ b/src/shallotworks/plans/_render.py
@@ -0,0 +1,141 @@
+"""Plans as plain text for a terminal."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from ._diff import PlanDiff
+from ._intents import describe_intent
+from ._progress import Progress
+from ._records import Alternative, BudgetUse, DataCentreCapacity, Measures, Plan, Wave
+
+__all__ = ["render_diff", "render_duration", "render_plan", "render_progress"]
+
+BAR_COLUMNS = 40
+NAMES_SHOWN = 4
+ROWS_SHOWN = 24
+SECONDS_PER_MINUTE = 60
+SECONDS_PER_HOUR = 3600
+
+
+def render_plan(plan: Plan) -> str:
+    """Return a plan as text: its waves, what they spend and leave, and the ways weighed."""
+    lines = [
+        f"plan {plan.short_digest}: {describe_intent(plan.intent)}",
+        f"  proposed by {plan.author} at revision {plan.base_revision};"
+        f" {len(plan.instances)} instances in {len(plan.waves)} waves",
+        f"  {_measures(plan.measures)}",
+        *_section("notes", plan.notes),
+        *_section("waves over time", _waves(plan)),
+        *_section("left in each data centre at its worst moment", _capacity(plan.capacity)),
+        *_section("ways weighed", _alternatives(plan.alternatives)),
+        *_section("left alone", [f"{s.instance} {s.reason}" for s in plan.skipped]),
+    ]
+    return "\n".join(lines) + "\n"
+
+
+def render_progress(plan: Plan, progress: Progress) -> str:
+    """Return how far a plan has come, in one line."""
+    if not progress.wave:
+        return f"plan {plan.short_digest}: all {progress.instances} instances done\n"
+    return (
+        f"plan {plan.short_digest}: wave {progress.wave} of {progress.waves},"
+        f" {progress.instances_done} of {progress.instances} instances done,"
+        f" about {render_duration(progress.left_s)} left\n"
+    )
+
+
+def render_diff(diff: PlanDiff) -> str:
+    """Return what differs between two plans as text."""
+    lines = [
+        f"from plan {diff.first} to plan {diff.second}",
+        f"  - {_measures(diff.first_measures)}",
+        f"  + {_measures(diff.second_measures)}",
+        *_section("no longer touched", diff.removed),
+        *_section("newly touched", diff.added),
+        *_section("in another wave", diff.moved),
+    ]
+    return "\n".join(lines) + "\n"
+
+
+def render_duration(duration_s: float) -> str:
+    """Return a duration in the two largest units that it fills."""
+    whole_s = round(duration_s)
+    hours, rest_s = divmod(whole_s, SECONDS_PER_HOUR)
+    minutes, seconds = divmod(rest_s, SECONDS_PER_MINUTE)
+    if hours:
+        return f"{hours} h {minutes:02d} min"
+    if minutes:
+        return f"{minutes} min {seconds:02d} s"
+    return f"{seconds} s"
+
+
+def _measures(measures: Measures) -> str:
+    return (
+        f"buffer cost {measures.buffer_slots} slots,"
+        f" roll-out time {render_duration(measures.roll_out_s)},"
+        f" moves {measures.moves:g}"
+    )
+
+
+def _section(title: str, rows: Iterable[str]) -> list[str]:
+    shown = list(rows)
+    if not shown:
+        return []
+    more = len(shown) - ROWS_SHOWN
+    if more > 0:
+        shown = [*shown[:-more], f"... and {more} more"]
+    return ["", f"{title}:", *(f"  {row}" for row in shown)]
+
+
+def _waves(plan: Plan) -> list[str]:
+    """One row per wave, its bar placed where the wave lies in the plan's time."""
+    total_s = plan.measures.roll_out_s
+    return [
+        f"{number:>4} {_bar(wave, total_s)} {render_duration(wave.starts_s):>11}"
+        f"  {_names(wave.instances)}{_spends(wave.spends)}"
+        for number, wave in enumerate(plan.waves, 1)
+    ]
+
+
+def _bar(wave: Wave, total_s: float) -> str:
+    scale = BAR_COLUMNS / total_s if total_s else 0.0
+    start = min(BAR_COLUMNS - 1, int(wave.starts_s * scale))
+    end = min(BAR_COLUMNS, max(start + 1, int((wave.starts_s + wave.duration_s) * scale)))
+    return "|" + " " * start + "#" * (end - start) + " " * (BAR_COLUMNS - end) + "|"
+
+
+def _names(names: tuple[str, ...]) -> str:
+    shown = ", ".join(names[:NAMES_SHOWN])
+    more = len(names) - NAMES_SHOWN
+    return f"{shown} and {more} more" if more > 0 else shown
+
+
+def _spends(spends: tuple[BudgetUse, ...]) -> str:
+    if not spends:
+        return ""
+    parts = [
+        f"{use.service} {use.unavailable + use.instances}/{use.budget}"
+        for use in spends[:NAMES_SHOWN]
+    ]
+    more = len(spends) - NAMES_SHOWN
+    text = ", ".join(parts) + (f" and {more} more" if more > 0 else "")
+    return f" (budget: {text})"
+
+
+def _capacity(capacity: tuple[DataCentreCapacity, ...]) -> list[str]:
+    width = max((len(row.data_centre) for row in capacity), default=0)
+    return [
+        f"{row.data_centre:<{width}}  {row.slots_left} of {row.slots} slots in wave {row.wave},"
+        f" {row.slots_left_if_rack_fails} if one more rack fails"
+        for row in capacity
+    ]
+
+
+def _alternatives(alternatives: tuple[Alternative, ...]) -> list[str]:
+    width = max((len(row.strategy.value) for row in alternatives), default=0)
+    return [
+        f"{row.strategy.value:<{width}}  cost {row.cost:<8g} {_measures(row.measures)},"
+        f" up to {row.width} at once: {row.verdict}"
+        for row in alternatives
+    ]
--- a/src/shallotworks/plans/_strategies.py
+++ b/src/shallotworks/plans/_strategies.py
@@ -83,13 +83,13 @@
 
 
 def widths_for(count: int) -> tuple[int, ...]:
-    """Return the wave widths to weigh: powers of two and the whole."""
-    widths = []
-    width = 1
+    """Return the wave widths to weigh: 1, 2, 3, 4, 6, 8, 12 and so on, and the whole."""
+    widths = {1, max(1, count)}
+    width = 2
     while width < count:
-        widths.append(width)
+        widths.update((width, min(count, width + width // 2)))
         width *= 2
-    return (*widths, max(1, count))
+    return tuple(sorted(widths))
 
 
 def _first_fit(targets: Iterable[Instance], permits: Mapping[str, int]) -> Waves:
--- a/src/shallotworks/plans/_writer.py
+++ b/src/shallotworks/plans/_writer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 
 from returns.result import Failure as Err
 from returns.result import Result, Success
@@ -27,9 +28,20 @@
 __all__ = ["PlanWriter"]
 
 RETRY_PAUSE_S = 1.0
+BATCH_S = 0.3
+"""Time for which a return waits for others to share its write."""
 _TRY_AGAIN = (ErrorKind.STORE_UNAVAILABLE, ErrorKind.OUTCOME_UNKNOWN, ErrorKind.STORE_REGRESSED)
 
 
+@dataclass(slots=True, kw_only=True)
+class _Batch:
+    """Returns that go into one write."""
+
+    names: list[str]
+    maintained_at_s: float
+    task: asyncio.Task[Result[FleetState, Failure]] | None = None
+
+
 class PlanWriter:
     """Writes one plan's changes while its duty is held; nothing is written after.
 
@@ -46,7 +58,7 @@
         metrics: Counters.
     """
 
-    __slots__ = ("_author", "_digest", "_duty", "_log", "_metrics", "_token", "_view")
+    __slots__ = ("_author", "_batches", "_digest", "_duty", "_log", "_metrics", "_token", "_view")
 
     def __init__(
         self,
@@ -66,6 +78,7 @@
         self._view = view
         self._author = author
         self._metrics = metrics
+        self._batches: dict[bool, _Batch] = {}
 
     @property
     def token(self) -> int:
@@ -96,9 +109,39 @@
         )
 
     async def activate(
-        self, names: tuple[str, ...], *, maintained_at_s: float = 0.0
+        self, name: str, *, maintained_at_s: float = 0.0
+    ) -> Result[FleetState, Failure]:
+        """Return an instance that was probed; one that was reported as failed works again.
+
+        Returns that come close to each other share one write, since each counts against the
+        platform's rates.
+        """
+        key = maintained_at_s > 0
+        batch = self._batches.get(key)
+        if batch is None:
+            batch = _Batch(names=[], maintained_at_s=0.0)
+            batch.task = asyncio.ensure_future(self._write_batch(key, batch))
+            self._batches[key] = batch
+        batch.names.append(name)
+        batch.maintained_at_s = max(batch.maintained_at_s, maintained_at_s)
+        assert batch.task is not None
+        return await asyncio.shield(batch.task)
+
+    async def close(self) -> None:
+        """Drop returns that are not written yet; the next conductor derives them again."""
+        for batch in tuple(self._batches.values()):
+            if batch.task is not None:
+                batch.task.cancel()
+                await asyncio.wait((batch.task,))
+
+    async def _write_batch(self, key: bool, batch: _Batch) -> Result[FleetState, Failure]:
+        await asyncio.sleep(BATCH_S)
+        self._batches.pop(key, None)
+        return await self._activate_all(tuple(batch.names), maintained_at_s=batch.maintained_at_s)
+
+    async def _activate_all(
+        self, names: tuple[str, ...], *, maintained_at_s: float
     ) -> Result[FleetState, Failure]:
-        """Return instances that were probed; whoever was reported as failed works again."""
         failed = tuple(n for n in names if not self._view.state().instances[n].healthy)
         if failed:
             await self.write(SetHealth(names=failed, healthy=True))
--- a/tests/fakes_plans.py
+++ b/tests/fakes_plans.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from typing import TypeVar
 
+import looptime
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
@@ -26,6 +27,7 @@
     Conductor,
     ConductorRules,
     DisruptionModel,
+    Intent,
     Planner,
     PlannerWeights,
     ProbeReport,
@@ -269,6 +271,22 @@
         self.config._state = replace(state, instances={**state.instances, name: entry})
 
 
+def run(scenario: Callable[[], Awaitable[None]]) -> None:
+    """Run one scenario on a loop whose clock jumps to the next timer."""
+    loop = looptime.new_event_loop()
+    try:
+        loop.run_until_complete(scenario())
+    finally:
+        loop.close()
+
+
+async def confirmed(world: World, intent: Intent, operator: str = "kari") -> str:
+    """Propose and confirm one intent; returns the plan's digest."""
+    plan = (await world.proposals.propose(intent, author=operator)).unwrap()
+    (await world.proposals.confirm(plan.digest, operator=operator)).unwrap()
+    return plan.digest
+
+
 def fleet(
     *,
     centres: tuple[str, ...],
--- a/tests/test_conductor.py
+++ b/tests/test_conductor.py
@@ -2,29 +2,10 @@
 
 import asyncio
 import unittest
-from collections.abc import Awaitable, Callable
-
-import looptime
 
 from shallotworks.fleet import Condition, PlanState
-from shallotworks.plans import Drain, InPool, InRack, Intent, Maintain
-from tests.fakes_plans import World, fjellsending
-
-
-def run(scenario: Callable[[], Awaitable[None]]) -> None:
-    """Run one scenario on a loop whose clock jumps to the next timer."""
-    loop = looptime.new_event_loop()
-    try:
-        loop.run_until_complete(scenario())
-    finally:
-        loop.close()
-
-
-async def confirmed(world: World, intent: Intent, operator: str = "kari") -> str:
-    """Propose and confirm one intent; returns the plan's digest."""
-    plan = (await world.proposals.propose(intent, author=operator)).unwrap()
-    (await world.proposals.confirm(plan.digest, operator=operator)).unwrap()
-    return plan.digest
+from shallotworks.plans import Drain, InPool, InRack, Maintain
+from tests.fakes_plans import World, confirmed, fjellsending, run
 
 
 class EndToEndTests(unittest.TestCase):
--- /dev/null
+++ b/tests/test_conductor_failures.py
@@ -0,0 +1,441 @@
+"""Tests of `shallotworks.plans`: what a confirmed plan does while things fail."""
+
+import asyncio
+import unittest
+from dataclasses import replace
+
+from parameterized import parameterized
+from returns.result import Success
+
+from shallotworks.errors import ErrorKind
+from shallotworks.fleet import Condition, FleetState, PlanState, PutService, SetCondition, SetHealth
+from shallotworks.plans import (
+    ConductorRules,
+    Drain,
+    InPool,
+    InRack,
+    Maintain,
+    MaintenanceWindow,
+    Move,
+    Named,
+)
+from tests.fakes_plans import World, confirmed, fjellsending, run, tijera
+
+ARCHIVE = Maintain(selection=InPool(pool="archive"))
+ARCHIVE_NAMES = [f"archive-{number}" for number in range(8)]
+
+
+class DyingConductorTests(unittest.TestCase):
+    @parameterized.expand([(f"{at_s}s", at_s) for at_s in (0.1, 1.0, 3.2, 4.0, 15.0, 24.0, 70.0)])
+    def test_another_conductor_goes_on(self, _name: str, at_s: float) -> None:
+        """Story: the entry instance that conducts a wave is replaced at any moment.
+
+        Operators would see the wave stand still or its instances rebooted twice. Another instance
+        takes the duty when the lease has lapsed, reads from the state what is done, and goes on
+        within 10 s; each target reboots once.
+        """
+
+        async def scenario() -> None:
+            world = World(fjellsending())
+            first = world.start_conductor()
+            world.start_conductor()
+            digest = await confirmed(world, ARCHIVE)
+            await asyncio.sleep(at_s)
+            await world.kill(first)
+            token = world.lease.token
+            await asyncio.sleep(10)
+            self.assertGreater(world.lease.token, token)
+            state = await world.until_ended(digest)
+            self.assertIs(state.plans[digest].state, PlanState.DONE)
+            self.assertEqual(sorted(world.targets.reboots), ARCHIVE_NAMES)
+            await world.stop()
+
+        run(scenario)
+
+    def test_a_paused_conductor_does_not_act_when_it_wakes(self) -> None:
+        """Story: a conductor is stopped for minutes by its machine, clock and all.
+
+        Its lease lapses and another takes over. The first wakes, still believes in its lease and
+        writes; operators would see two conductors pulling at one plan. Its lower token is refused
+        by the log, so nothing of it takes effect.
+        """
+
+        async def scenario() -> None:
+            world = World(fjellsending())
+            first = world.start_conductor()
+            digest = await confirmed(world, ARCHIVE)
+            await asyncio.sleep(10)
+            paused = world.lease.holder
+            assert paused is not None
+            paused.pause()
+            await asyncio.sleep(world.lease.ttl_s)
+            world.start_conductor()
+            await asyncio.sleep(3)
+            since = len(world.config.history)
+            state = await world.until_ended(digest)
+            self.assertIs(state.plans[digest].state, PlanState.DONE)
+            authors = {author for _, author in world.config.history[since:]}
+            self.assertEqual(authors, {"entry-1"})
+            self.assertEqual(sorted(world.targets.reboots), ARCHIVE_NAMES)
+            self.assertGreater(world.metrics.counters()["plans.duties_lost"], 0)
+            self.assertFalse(first.done())
+            await world.stop()
+
+        run(scenario)
+
+
+class StoreFaultTests(unittest.TestCase):
+    def test_nothing_is_cordoned_while_the_store_is_down(self) -> None:
+        """Story: the platform's store goes down in the middle of a wave, for ten minutes.
+
+        No permit can be taken, so no further instance leaves; what is out finishes its reboot and
+        waits to be returned. When the store is back the plan goes on to its end.
+        """
+
+        async def scenario() -> None:
+            world = World(fjellsending())
+            world.start_conductor()
+            digest = await confirmed(world, ARCHIVE)
+            await asyncio.sleep(10)
+            world.config.down = True
+            revision = world.config.state().revision
+            reboots = len(world.targets.reboots)
+            await asyncio.sleep(600)
+            self.assertEqual(world.config.state().revision, revision)
+            self.assertLessEqual(len(world.targets.reboots), reboots + 2)
+            world.config.down = False
+            state = await world.until_ended(digest)
+            self.assertIs(state.plans[digest].state, PlanState.DONE)
+            await world.stop()
+
+        run(scenario)
+
+    def test_lost_answers_do_no_harm(self) -> None:
+        """Story: the store takes each write and loses its answer.
+
+        The conductor can't know whether its cordon took effect. It writes the same again, which
+        leads to the same state, and no target is rebooted twice.
+        """
+
+        async def scenario() -> None:
+            world = World(fjellsending())
+            world.start_conductor()
+            digest = await confirmed(world, ARCHIVE)
+            world.config.lost_answers = 12
+            state = await world.until_ended(digest)
+            self.assertIs(state.plans[digest].state, PlanState.DONE)
+            self.assertEqual(sorted(world.targets.reboots), ARCHIVE_NAMES)
+            await world.stop()
+
+        run(scenario)
+
+
+class BudgetTests(unittest.TestCase):
+    def test_unplanned_failures_spend_the_budget_first(self) -> None:
+        """Story: two instances of the pool fail while its maintenance is about to start.
+
+        A wave that went on would leave the service short of three or four instances where it
+        allows two. The wave waits, and goes on when one of them works again.
+        """
+
+        async def scenario() -> None:
+            world = World(fjellsending())
+            world.start_conductor()
+            digest = await confirmed(world, ARCHIVE)
+            down = SetHealth(names=("archive-6", "archive-7"), healthy=False)
+            await world.config.propose(down, author="peer")
+            await asyncio.sleep(1200)
+            self.assertLessEqual(len(world.targets.reboots), 2)
+            up = SetHealth(names=("archive-6", "archive-7"), healthy=True)
+            await world.config.propose(up, author="peer")
+            state = await world.until_ended(digest)
+            self.assertIs(state.plans[digest].state, PlanState.DONE)
+            await world.stop()
+
+        run(scenario)
+
+    def test_two_plans_never_overspend_together(self) -> None:
+        """Story: two operators maintain different halves of one pool at the same time.
+
+        Each plan alone fits the budget. Both take their permits from the one log, so together
+        they never have more instances out than the service allows.
+        """
+
+        async def scenario() -> None:
+            world = World(fjellsending())
+            world.config.checks.append(lambda before, change, after: self._within(after))
+            world.start_conductor()
+            halves = [Named(names=tuple(ARCHIVE_NAMES[start::2])) for start in (0, 1)]
+            digests = [
+                await confirmed(world, Maintain(selection=half), operator)
+                for half, operator in zip(halves, ("kari", "ola"), strict=True)
+            ]
+            for digest in digests:
+                state = await world.until_ended(digest)
+                self.assertIs(state.plans[digest].state, PlanState.DONE)
+            await world.stop()
+
+        run(scenario)
+
+    def _within(self, state: FleetState) -> None:
+        self.assertLessEqual(state.unavailable_in("archive"), state.budget_of("archive"))
+
+
+class TargetFaultTests(unittest.TestCase):
+    def test_a_target_that_never_empties_is_given_back(self) -> None:
+        """Story: one target holds a request that never ends.
+
+        Rebooting it would cut the request off, waiting for ever would hold up the night. After
+        the limit it is returned unrebooted, the others go on, and the outcome names it.
+        """
+
+        async def scenario() -> None:
+            world = World(fjellsending())
+            world.targets.work["archive-3"] = 1
+            world.start_conductor()
+            digest = await confirmed(world, ARCHIVE)
+            state = await world.until_ended(digest)
+            record = state.plans[digest]
+            self.assertIs(record.state, PlanState.FAILED)
+            self.assertIn("7 of 8 instances done: archive-3 never emptied", record.outcome)
+            self.assertNotIn("archive-3", world.targets.reboots)
+            self.assertTrue(state.instances["archive-3"].available)
+            await world.stop()
+
+        run(scenario)
+
+    def test_work_that_arrives_after_the_drain_is_not_cut_off(self) -> None:
+        """Story: an entry instance cut off from the platform still sends to a cordoned target.
+
+        The target was seen empty, then takes one more request; a reboot would cut it off. The
+        target refuses to reboot with work in flight, and the drain starts over.
+        """
+
+        async def scenario() -> None:
+            world = World(fjellsending())
+            world.start_conductor()
+            refused = []
+            real_reboot = world.targets.reboot
+
+            async def late_work(instance, *, reboot_id, fencing_token):  # type: ignore
+                if not refused:
+                    refused.append(instance.name)
+                    world.targets.work[instance.name] = 1
+                    asyncio.get_running_loop().call_later(9, world.targets.work.clear)
+                return await real_reboot(instance, reboot_id=reboot_id, fencing_token=fencing_token)
+
+            world.targets.reboot = late_work  # type: ignore[method-assign]
+            digest = await confirmed(world, ARCHIVE)
+            state = await world.until_ended(digest)
+            self.assertIs(state.plans[digest].state, PlanState.DONE)
+            self.assertEqual(sorted(world.targets.reboots), ARCHIVE_NAMES)
+            await world.stop()
+
+        run(scenario)
+
+    @parameterized.expand([("dead", "did not come back"), ("replaced", "another machine")])
+    def test_a_target_that_does_not_come_back_stays_cordoned(self, fault: str, told: str) -> None:
+        """Story: a target goes down for its reboot and never answers, or another machine does.
+
+        Returned blindly it would fail requests or take work it is not sized for. It stays
+        cordoned and counts against the budget; the plan goes on with the rest and names it.
+        """
+
+        async def scenario() -> None:
+            world = World(fjellsending())
+            world.change_instance("archive-0", incarnation="first")
+            world.start_conductor()
+            digest = await confirmed(world, ARCHIVE)
+            while "archive-0" not in world.targets.reboots:
+                await asyncio.sleep(0.1)
+            if fault == "dead":
+                world.targets.dead.add("archive-0")
+            else:
+                world.targets.incarnations["archive-0"] = "second"
+            state = await world.until_ended(digest)
+            record = state.plans[digest]
+            self.assertIs(record.state, PlanState.FAILED)
+            self.assertIn(told, record.outcome)
+            self.assertIn("7 of 8 instances done", record.outcome)
+            self.assertIs(state.instances["archive-0"].condition, Condition.CORDONED)
+            self.assertFalse(state.instances["archive-0"].healthy)
+            await world.stop()
+
+        run(scenario)
+
+    def test_the_plan_stands_still_when_too_many_do_not_come_back(self) -> None:
+        """Story: a bad image keeps every rebooted target from coming back.
+
+        Going on would take one instance after the other. After two the plan stands still without
+        touching another, and goes on by itself when they answer again.
+        """
+
+        async def scenario() -> None:
+            world = World(fjellsending())
+            world.start_conductor()
+            digest = await confirmed(world, ARCHIVE)
+            while len(world.targets.reboots) < 2:
+                await asyncio.sleep(0.1)
+            world.targets.dead.update(world.targets.reboots)
+            await asyncio.sleep(3600)
+            self.assertEqual(len(world.targets.reboots), 2)
+            self.assertTrue(world.config.state().plans[digest].state.is_open)
+            world.targets.dead.clear()
+            state = await world.until_ended(digest)
+            self.assertIs(state.plans[digest].state, PlanState.DONE)
+            await world.stop()
+
+        run(scenario)
+
+
+class CancelTests(unittest.TestCase):
+    @parameterized.expand([("at once", 0.0), ("draining", 4.0), ("rebooting", 15.0)])
+    def test_a_cancelled_maintenance_is_rolled_back(self, _name: str, at_s: float) -> None:
+        """Story: the operator cancels in the middle of a wave.
+
+        Whatever is out comes back, after its reboot where one is under way; no cordon is left
+        behind and no further instance is touched.
+        """
+
+        async def scenario() -> None:
+            world = World(fjellsending())
+            world.start_conductor()
+            world.targets.work["archive-1"] = 1
+            digest = await confirmed(world, ARCHIVE)
+            await asyncio.sleep(at_s)
+            (await world.proposals.cancel(digest[:8], operator="ola")).unwrap()
+            state = await world.until_ended(digest)
+            self.assertIs(state.plans[digest].state, PlanState.CANCELLED)
+            self.assertTrue(all(entry.available for entry in state.instances.values()))
+            self.assertLessEqual(len(world.targets.reboots), 2)
+            await world.stop()
+
+        run(scenario)
+
+    def test_a_cancelled_move_goes_back_to_its_pool(self) -> None:
+        """Story: a move is cancelled when an instance sits in the new pool, still cordoned.
+
+        Left there, it would belong to a pool that nobody decided on. It goes back and is returned.
+        """
+
+        async def scenario() -> None:
+            world = World(fjellsending())
+            world.start_conductor()
+            names = ("archive-0", "archive-1")
+            intent = Move(from_pool="archive", to_pool="coverage", names=names)
+            digest = await confirmed(world, intent)
+            while world.config.state().instances["archive-0"].pool != "coverage":
+                world.targets.dead.update(names if world.targets.work else ())
+                await asyncio.sleep(0.01)
+            (await world.proposals.cancel(digest, operator="kari")).unwrap()
+            state = await world.until_ended(digest)
+            self.assertEqual({state.instances[name].pool for name in names}, {"archive"})
+            self.assertTrue(all(state.instances[name].available for name in names))
+            await world.stop()
+
+        run(scenario)
+
+
+class MoveAndWindowTests(unittest.TestCase):
+    def test_moved_instances_end_active_in_the_new_pool(self) -> None:
+        """Three instances change pools, never more than the budget at once, and take up work."""
+
+        async def scenario() -> None:
+            world = World(tijera())
+            world.start_conductor()
+            intent = Move(from_pool="supplies", to_pool="booking", count=3)
+            digest = await confirmed(world, intent)
+            state = await world.until_ended(digest)
+            self.assertIs(state.plans[digest].state, PlanState.DONE)
+            self.assertEqual(len(list(state.instances_of("booking"))), 9)
+            self.assertTrue(all(entry.available for entry in state.instances_of("booking")))
+            await world.stop()
+
+        run(scenario)
+
+    def test_no_wave_starts_that_does_not_fit_into_the_window(self) -> None:
+        """Story: a plan is confirmed at noon, salons are open until 20:00.
+
+        A wave at noon would take chairs from clients. The plan waits for closing time and is
+        through before opening.
+        """
+
+        async def scenario() -> None:
+            window = MaintenanceWindow(opens_s=20 * 3600, closes_s=6 * 3600)
+            world = World(tijera(), rules=ConductorRules(window=window))
+            world.start_conductor()
+            digest = await confirmed(world, Drain(selection=Named(names=("booking-0",))))
+            cordon = world.config.checks
+            at: list[float] = []
+            cordon.append(
+                lambda before, change, after: (
+                    at.append(window.left_s(world.wall_clock_s()))
+                    if isinstance(change, SetCondition)
+                    else None
+                )
+            )
+            await world.until_ended(digest, limit_s=86_400)
+            self.assertEqual(len(at), 1)
+            self.assertGreater(at[0], 0)
+            await world.stop()
+
+        run(scenario)
+
+
+class OperatorTests(unittest.TestCase):
+    def test_the_second_of_two_operators_is_told_who_was_first(self) -> None:
+        """Story: two operators take the same rack, one to drain it, one to reboot it.
+
+        Both hold proposals; the first confirmed wins. The other is told which plan, by whom,
+        since when and how long it will take, instead of fighting over the rack.
+        """
+
+        async def scenario() -> None:
+            world = World(fjellsending())
+            rack = InRack(data_centre="bergen", rack="r0")
+            drain = (await world.proposals.propose(Drain(selection=rack), author="kari")).unwrap()
+            boot = (await world.proposals.propose(Maintain(selection=rack), author="ola")).unwrap()
+            (await world.proposals.confirm(drain.digest, operator="kari")).unwrap()
+            refused = (await world.proposals.confirm(boot.digest, operator="ola")).failure()
+            self.assertIs(refused.kind, ErrorKind.CONFLICT)
+            for part in (drain.short_digest, "confirmed by kari at 2027-01-15", "to end in 1 min"):
+                self.assertIn(part, refused.reason)
+
+        run(scenario)
+
+    def test_a_plan_whose_ground_has_shifted_is_refused_with_a_fresh_one(self) -> None:
+        """Story: between proposal and confirmation a budget of the pool is cut.
+
+        Waves of two would now break the promise. The confirmation is refused and names a fresh
+        proposal; a change to another pool would not have mattered.
+        """
+
+        async def scenario() -> None:
+            world = World(fjellsending())
+            plan = (await world.proposals.propose(ARCHIVE, author="kari")).unwrap()
+            unrelated = SetHealth(names=("coverage-0",), healthy=False)
+            await world.config.propose(unrelated, author="peer")
+            service = world.config.state().services["archive"]
+            cut = PutService(service=replace(service, max_unavailable=1))
+            await world.config.propose(cut, author="ola")
+            refused = (await world.proposals.confirm(plan.digest, operator="kari")).failure()
+            self.assertIs(refused.kind, ErrorKind.STALE_PLAN)
+            fresh = refused.reason.rsplit("plan ", 1)[1]
+            self.assertIsInstance(await world.proposals.confirm(fresh, operator="kari"), Success)
+
+        run(scenario)
+
+    def test_an_unrelated_change_leaves_a_proposal_fresh(self) -> None:
+        """A change outside of the plan's pools does not stand in the way of its confirmation."""
+
+        async def scenario() -> None:
+            world = World(fjellsending())
+            plan = (await world.proposals.propose(ARCHIVE, author="kari")).unwrap()
+            unrelated = SetHealth(names=("coverage-0",), healthy=False)
+            await world.config.propose(unrelated, author="peer")
+            confirmed_plan = await world.proposals.confirm(plan.digest, operator="kari")
+            self.assertIsInstance(confirmed_plan, Success)
+            again = await world.proposals.confirm(plan.digest, operator="kari")
+            self.assertEqual(again, confirmed_plan)
+
+        run(scenario)
