Put one entry instance together, and a demo fleet around four of them

Cause: the parts had no daemon. Change: node wires platform, peers, requests, plans and the operators' port; the word of the platform's list becomes a change of health, read by the watchers only; the demo drains a rack.

--- a/src/shallotworks/config/_replica.py
+++ b/src/shallotworks/config/_replica.py
@@ -117,14 +117,15 @@
             self._metrics.count("config.snapshots-adopted")
         return self.revision()
 
-    def confirm_newest(self, revision: int) -> None:
-        """Note that a revision was the store's newest a moment ago.
+    def confirm_newest(self, revision: int, *, age_s: float = 0.0) -> None:
+        """Note that a revision was the store's newest a while ago.
 
         A store that later shows an older one has come back with an older state.
         """
         self._newest_heard = max(self._newest_heard, revision)
         if revision == self.revision():
-            self._newest_at_s = asyncio.get_running_loop().time()
+            seen_at_s = asyncio.get_running_loop().time() - age_s
+            self._newest_at_s = max(self._newest_at_s, seen_at_s)
 
     def newest_heard(self) -> int:
         """Return the newest revision that the store is known to have had."""
--- /dev/null
+++ b/src/shallotworks/demo/__init__.py
@@ -0,0 +1,8 @@
+"""A whole fleet in one process: stand-ins, entry instances, callers and an operator.
+
+For newcomers and for checking an installation; the product never imports it.
+"""
+
+from ._run import run_demo
+
+__all__ = ["run_demo"]
--- /dev/null
+++ b/src/shallotworks/demo/_callers.py
@@ -0,0 +1,165 @@
+"""The callers of the demo: a stream of requests, and a ledger of what became of each."""
+
+from __future__ import annotations
+
+import hashlib
+import itertools
+import random
+import secrets
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum, unique
+
+import urllib3
+
+from shallotworks.requests import RequestClass
+
+__all__ = ["Callers", "Ledger"]
+
+TIMEOUT_S = 15.0
+PAUSE_S = 0.01
+REPEAT_PART = 0.2
+"""Part of the orders that their caller sends a second time, under the same key."""
+
+
+@unique
+class _Kind(Enum):
+    """What a caller asks for."""
+
+    TRACE = "trace"
+    ORDER = "order"
+    MODEL = "model"
+
+
+_WORK_MS = {_Kind.TRACE: "5", _Kind.ORDER: "5", _Kind.MODEL: "150"}
+_THREADS = {_Kind.TRACE: 8, _Kind.ORDER: 4, _Kind.MODEL: 8}
+
+
+@dataclass(slots=True, kw_only=True)
+class Ledger:
+    """What the callers have seen.
+
+    Args:
+        sent: Requests sent, repeats included, by class.
+        answered: Whole answers to the caller's own request, by class.
+        refused: Refusals that said "not run", by kind.
+        unknown: Requests whose outcome was told as unknown, or that had no answer at all.
+        foreign: Answers that were not to the caller's own request.
+        answered_runs: Ids of the runs that the answers name: a key for orders, else a request id.
+        latencies_s: Times of interactive answers.
+    """
+
+    sent: Counter[str] = field(default_factory=Counter)
+    answered: Counter[str] = field(default_factory=Counter)
+    refused: Counter[str] = field(default_factory=Counter)
+    unknown: int = 0
+    foreign: int = 0
+    answered_runs: set[str] = field(default_factory=set)
+    latencies_s: list[float] = field(default_factory=list)
+
+
+class Callers:
+    """Threads that ask the entry instances in turn, as a balancer would spread them.
+
+    Args:
+        ports: Callers' ports of the entry instances.
+        seed: Seed of what they ask.
+    """
+
+    def __init__(self, *, ports: list[int], seed: int) -> None:
+        self.ledger = Ledger()
+        self._ports = ports
+        self._lock = threading.Lock()
+        self._stop = threading.Event()
+        self._numbers = itertools.count(1)
+        self._http = urllib3.PoolManager(maxsize=64, retries=False, timeout=TIMEOUT_S)
+        self._threads = [
+            threading.Thread(target=self._call_on, args=(kind, random.Random(f"{seed}{kind}{n}")))
+            for kind, count in _THREADS.items()
+            for n in range(count)
+        ]
+
+    def start(self) -> None:
+        """Begin to send."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Send no more and wait for what is under way."""
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+        self._http.clear()
+
+    def _call_on(self, kind: _Kind, rng: random.Random) -> None:
+        while not self._stop.is_set():
+            key = secrets.token_hex(8) if kind is _Kind.ORDER else ""
+            body = f"{kind.value} {next(self._numbers)}".encode()
+            self._ask(kind, body, key, rng.choice(self._ports))
+            if key and rng.random() < REPEAT_PART:
+                # The answer may have been lost on the caller's side: it asks elsewhere.
+                self._ask(kind, body, key, rng.choice(self._ports))
+            self._stop.wait(PAUSE_S)
+
+    def _ask(self, kind: _Kind, body: bytes, key: str, port: int) -> None:
+        request_class = RequestClass.INTERACTIVE
+        if kind is _Kind.MODEL:
+            request_class = RequestClass.LONG_RUNNING
+        headers = {
+            "Shallot-Service": "orders" if kind is _Kind.ORDER else "traces",
+            "Shallot-Team": "crews",
+            "Shallot-Class": request_class.value,
+            "Shallot-Idempotent": "no" if key else "yes",
+            "Work-Ms": _WORK_MS[kind],
+        }
+        if key:
+            headers["Idempotency-Key"] = key
+        started_s = time.monotonic()
+        try:
+            answer = self._http.request(
+                "POST", f"http://127.0.0.1:{port}/{kind.value}", body=body, headers=headers
+            )
+        except urllib3.exceptions.HTTPError:
+            self._note(lambda ledger: _note_unknown(ledger, request_class))
+            return
+        duration_s = time.monotonic() - started_s
+        self._note(
+            lambda ledger: _note_answer(ledger, request_class, answer, body, key, duration_s)
+        )
+
+    def _note(self, change: Callable[[Ledger], None]) -> None:
+        with self._lock:
+            change(self.ledger)
+
+
+def _note_unknown(ledger: Ledger, request_class: RequestClass) -> None:
+    ledger.sent[request_class.value] += 1
+    ledger.unknown += 1
+
+
+def _note_answer(
+    ledger: Ledger,
+    request_class: RequestClass,
+    answer: urllib3.BaseHTTPResponse,
+    body: bytes,
+    key: str,
+    duration_s: float,
+) -> None:
+    ledger.sent[request_class.value] += 1
+    if "Shallot-Error-Kind" in answer.headers:
+        if answer.headers.get("Shallot-Ran") == "no":
+            ledger.refused[answer.headers["Shallot-Error-Kind"]] += 1
+        else:
+            ledger.unknown += 1
+        return
+    words = answer.data.decode().split()
+    if answer.status != 200 or words[-1:] != [hashlib.sha256(body).hexdigest()]:
+        ledger.foreign += 1
+        return
+    ledger.answered[request_class.value] += 1
+    ledger.answered_runs.add(key or words[1])
+    if request_class is RequestClass.INTERACTIVE:
+        ledger.latencies_s.append(duration_s)
--- /dev/null
+++ b/src/shallotworks/demo/_operator.py
@@ -0,0 +1,79 @@
+"""The operator of the demo, at the operators' API of one entry instance."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import urllib3
+from pydantic import TypeAdapter
+
+from shallotworks.fleet import Change
+from shallotworks.operators import InstancesView, PlanView, StatusView
+from shallotworks.plans import Intent, encode_intent
+
+__all__ = ["DemoOperator"]
+
+OPERATOR = "kari"
+TIMEOUT_S = 35.0
+HTTP_ERROR = 400
+
+_CHANGES: TypeAdapter[list[Change]] = TypeAdapter(list[Change])
+_PLAN = TypeAdapter(PlanView)
+_INSTANCES = TypeAdapter(InstancesView)
+_STATUS = TypeAdapter(StatusView)
+
+
+class DemoOperator:
+    """Asks and tells one entry instance, as the command line does.
+
+    Args:
+        port: Operators' port.
+        token: The token.
+    """
+
+    def __init__(self, *, port: int, token: str) -> None:
+        self._base = f"http://127.0.0.1:{port}/v1"
+        self._headers = {
+            "Authorization": f"Bearer {token}",
+            "Operator": OPERATOR,
+            "Content-Type": "application/json",
+        }
+        self._http = urllib3.PoolManager(retries=False, timeout=TIMEOUT_S)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._http.clear()
+
+    def apply(self, changes: Sequence[Change]) -> None:
+        """Append changes."""
+        self._call("POST", "/changes", _CHANGES.dump_json(list(changes)))
+
+    def status(self) -> StatusView:
+        """Return how the instance is doing."""
+        return _STATUS.validate_json(self._call("GET", "/status"))
+
+    def instances(self) -> InstancesView:
+        """Return all worker instances."""
+        return _INSTANCES.validate_json(self._call("GET", "/instances"))
+
+    def propose(self, intent: Intent) -> PlanView:
+        """Ask for a plan."""
+        return _PLAN.validate_json(self._call("POST", "/plans", encode_intent(intent)))
+
+    def confirm(self, digest: str) -> PlanView:
+        """Confirm a plan."""
+        return _PLAN.validate_json(self._call("POST", f"/plans/{digest}/confirm"))
+
+    def plan(self, digest: str) -> PlanView:
+        """Return a plan as it stands."""
+        return _PLAN.validate_json(self._call("GET", f"/plans/{digest}"))
+
+    def timeline(self) -> bytes:
+        """Return the instance's events as JSON."""
+        return self._call("GET", "/timeline")
+
+    def _call(self, method: str, path: str, body: bytes | None = None) -> bytes:
+        answer = self._http.request(method, self._base + path, body=body, headers=self._headers)
+        if answer.status >= HTTP_ERROR:
+            raise RuntimeError(f"{method} {path}: {answer.status} {answer.data.decode()}")
+        return answer.data
--- /dev/null
+++ b/src/shallotworks/demo/_run.py
@@ -0,0 +1,154 @@
+"""The demo: requests go on while an operator drains a rack."""
+
+from __future__ import annotations
+
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from rich.console import Console
+
+from shallotworks.fleet import Condition, PlanState
+from shallotworks.operators import PlanView
+from shallotworks.plans import Drain, InRack, render_plan
+from shallotworks.standins import WorkerStandIn
+from shallotworks.timeline import merge, to_chrome_trace
+
+from ._callers import Callers
+from ._fleet import DATA_CENTRES, DRAINED_RACK, DemoFleet
+from ._operator import DemoOperator
+from ._report import Report, make_report, print_report
+
+__all__ = ["run_demo"]
+
+SEED = 7
+WARM_UP_S = 3.0
+UNCONFIRMED_S = 2.0
+AFTER_S = 3.0
+IN_FORCE_TIMEOUT_S = 8.0
+PLAN_TIMEOUT_S = 30.0
+POLL_S = 0.1
+TIMELINE_NAME = "shallotworks-demo-timeline.json"
+EXIT_KEPT = 0
+EXIT_BROKEN = 1
+
+
+def run_demo() -> int:
+    """Run the demo and print what happens.
+
+    Returns:
+        0; 1 where a promise broke.
+    """
+    console = Console(width=110, soft_wrap=True)
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = DemoFleet(folder=Path(folder))
+        fleet.start()
+        try:
+            report = _play(fleet, console)
+        finally:
+            fleet.stop()
+    timeline_path = _write_timeline(fleet)
+    print_report(report, console=console, timeline_path=timeline_path)
+    console.print("All promises kept." if report.promises_kept else "A PROMISE BROKE.")
+    return EXIT_KEPT if report.promises_kept else EXIT_BROKEN
+
+
+def _play(fleet: DemoFleet, console: Console) -> Report:
+    operator = DemoOperator(port=fleet.nodes[0].operators_port, token=fleet.token)
+    changes = fleet.changes()
+    operator.apply(changes)
+    _wait_for(lambda: _all_hold(fleet, len(changes)), IN_FORCE_TIMEOUT_S)
+    console.print(
+        f"{len(fleet.nodes)} entry instances in {len(DATA_CENTRES)} data centres hold revision"
+        f" {len(changes)}; {len(fleet.workers)} workers serve."
+    )
+    callers = Callers(ports=[node.callers_port for node in fleet.nodes], seed=SEED)
+    callers.start()
+    try:
+        time.sleep(WARM_UP_S)
+        view, took_s, drained_runs = _drain(fleet, operator, console)
+        time.sleep(AFTER_S)
+    finally:
+        callers.stop()
+        operator.close()
+    drained = _drained(fleet)
+    late_work = sum(worker.status().counts.runs for worker in drained) - drained_runs
+    return make_report(
+        ledger=callers.ledger,
+        workers=fleet.workers,
+        late_work=late_work,
+        measures=view.plan.measures,
+        took_s=took_s,
+    )
+
+
+def _drain(
+    fleet: DemoFleet, operator: DemoOperator, console: Console
+) -> tuple[PlanView, float, int]:
+    """Propose, wait, confirm, wait for the end.
+
+    Returns:
+        The plan, how long it took, and what the drained workers had run at its end.
+    """
+    rack = InRack(data_centre=DATA_CENTRES[0], rack=DRAINED_RACK)
+    proposed = operator.propose(Drain(selection=rack))
+    console.print("\nThe operator states an intent and is shown a plan:\n")
+    console.print(render_plan(proposed.plan), highlight=False, markup=False)
+    time.sleep(UNCONFIRMED_S)
+    cordoned = _cordoned(operator)
+    console.print(
+        f"{UNCONFIRMED_S:g} s later, not confirmed: {len(cordoned)} instances cordoned,"
+        f" revision {operator.status().revision} as before."
+    )
+    if cordoned:
+        raise RuntimeError("a plan acted before it was confirmed")
+    operator.confirm(proposed.plan.digest)
+    started_s = time.monotonic()
+    console.print("Confirmed. Requests go on while the rack is drained ...")
+    _wait_for(
+        lambda: _state_of(operator.plan(proposed.plan.digest)) is not PlanState.RUNNING,
+        PLAN_TIMEOUT_S,
+    )
+    took_s = time.monotonic() - started_s
+    view = operator.plan(proposed.plan.digest)
+    drained_runs = sum(worker.status().counts.runs for worker in _drained(fleet))
+    console.print(
+        f"The plan is {view.stage} after {took_s:.1f} s;"
+        f" cordoned: {', '.join(_cordoned(operator))}.\n"
+    )
+    return view, took_s, drained_runs
+
+
+def _state_of(view: PlanView) -> PlanState | None:
+    return view.record.state if view.record is not None else None
+
+
+def _all_hold(fleet: DemoFleet, revision: int) -> bool:
+    return all(node.config.revision() >= revision for node in fleet.nodes)
+
+
+def _cordoned(operator: DemoOperator) -> list[str]:
+    instances = operator.instances().instances
+    return [entry.name for entry in instances if entry.condition is Condition.CORDONED]
+
+
+def _drained(fleet: DemoFleet) -> list[WorkerStandIn]:
+    prefix = f"{DATA_CENTRES[0]}-{DRAINED_RACK}-"
+    return [worker for worker in fleet.workers if worker.name.startswith(prefix)]
+
+
+def _wait_for(condition: Callable[[], bool], timeout_s: float) -> None:
+    ends_at_s = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > ends_at_s:
+            raise TimeoutError(f"not reached within {timeout_s:g} s")
+        time.sleep(POLL_S)
+
+
+def _write_timeline(fleet: DemoFleet) -> str:
+    """Write the merged events of all entry instances, to be opened in a trace viewer."""
+    events = [event for node in fleet.nodes for event in node.timeline.events()]
+    path = Path(tempfile.gettempdir()) / TIMELINE_NAME
+    path.write_bytes(to_chrome_trace(merge(events)))
+    return str(path)
--- /dev/null
+++ b/src/shallotworks/node/_backend.py
@@ -0,0 +1,149 @@
+"""What the operators' port asks of this instance."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks import __version__
+from shallotworks.config import Accepted, ConfigStore, Entry
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.fleet import Change, FleetState, PlanRecord
+from shallotworks.metrics import FrozenMetrics, Metrics
+from shallotworks.operators import PeerState, PeerView, PlanView, StatusView
+from shallotworks.peers import Member, MemberState, PeerNetwork
+from shallotworks.plans import Intent, Plan, Proposals, progress_of
+from shallotworks.requests import PoolDispatcher
+from shallotworks.settings import Settings
+
+__all__ = ["NodeBackend", "Parts"]
+
+_STATES = {
+    MemberState.ALIVE: PeerState.UP,
+    MemberState.SUSPECT: PeerState.SUSPECT,
+    MemberState.GONE: PeerState.DOWN,
+}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Parts:
+    """The parts that operators look into."""
+
+    settings: Settings
+    config: ConfigStore
+    peers: PeerNetwork
+    proposals: Proposals
+    dispatcher: PoolDispatcher
+    metrics: Metrics
+    is_store_up: Callable[[], bool]
+    is_stopping: Callable[[], bool]
+    duties: Callable[[], tuple[str, ...]]
+    started_at_s: float
+
+
+class NodeBackend:
+    """Implements `shallotworks.operators.OperatorBackend` over the parts of one node.
+
+    Args:
+        parts: The parts.
+    """
+
+    __slots__ = ("_parts",)
+
+    def __init__(self, *, parts: Parts) -> None:
+        self._parts = parts
+
+    async def status(self) -> StatusView:
+        """Return how the instance is doing."""
+        parts = self._parts
+        own = parts.settings.instance
+        revisions = parts.peers.linked_revisions()
+        return StatusView(
+            process=own.name,
+            version=__version__,
+            data_centre=own.data_centre,
+            region=own.region,
+            uptime_s=asyncio.get_running_loop().time() - parts.started_at_s,
+            stopping=parts.is_stopping(),
+            revision=parts.config.revision(),
+            config_age_s=parts.config.age_s(),
+            store_up=parts.is_store_up(),
+            requests_queued=parts.dispatcher.waiting,
+            requests_in_flight=parts.dispatcher.in_flight,
+            duties=parts.duties(),
+            peers=tuple(_peer_view(member, revisions) for member in parts.peers.members()),
+        )
+
+    async def fleet(self) -> FleetState:
+        """Return the state in force here."""
+        return self._parts.config.state()
+
+    async def propose_change(self, change: Change, *, operator: str) -> Result[Accepted, Failure]:
+        """Append one change to the configuration log."""
+        return await self._parts.config.propose(change, author=operator)
+
+    async def changes_after(
+        self, revision: int, *, limit: int
+    ) -> Result[tuple[Entry, ...], Failure]:
+        """Return accepted changes that follow a revision, oldest first."""
+        entries = self._parts.config.entries_after(revision, limit=limit)
+        if entries is None:
+            reason = f"changes that follow revision {revision} are not kept any more"
+            return Err(Failure(kind=ErrorKind.NOT_FOUND, reason=reason))
+        return Success(entries)
+
+    async def propose_plan(self, intent: Intent, *, operator: str) -> Result[PlanView, Failure]:
+        """Work out a plan for an intent and store it; nothing acts on it."""
+        planned = await self._parts.proposals.propose(intent, author=operator)
+        return planned.map(self._view)
+
+    async def plans(self) -> Result[tuple[PlanView, ...], Failure]:
+        """Return proposals and confirmed plans, by base revision."""
+        listed = await self._parts.proposals.list()
+        return listed.map(lambda plans: tuple(self._view(entry.plan) for entry in plans))
+
+    async def plan(self, digest: str) -> Result[PlanView, Failure]:
+        """Return one plan by its digest or the unambiguous beginning of it."""
+        found = await self._parts.proposals.show(digest)
+        return found.map(self._view)
+
+    async def confirm_plan(self, digest: str, *, operator: str) -> Result[PlanView, Failure]:
+        """Confirm a proposal."""
+        confirmed = await self._parts.proposals.confirm(digest, operator=operator)
+        return await self._view_of(confirmed)
+
+    async def cancel_plan(self, digest: str, *, operator: str) -> Result[PlanView, Failure]:
+        """Cancel a confirmed plan."""
+        cancelled = await self._parts.proposals.cancel(digest, operator=operator)
+        return await self._view_of(cancelled)
+
+    async def metrics(self) -> FrozenMetrics:
+        """Return a copy of all metrics."""
+        return self._parts.metrics.freeze()
+
+    async def _view_of(self, record: Result[PlanRecord, Failure]) -> Result[PlanView, Failure]:
+        if not isinstance(record, Success):
+            return Err(record.failure())
+        return await self.plan(record.unwrap().digest)
+
+    def _view(self, plan: Plan) -> PlanView:
+        state = self._parts.config.state()
+        record = state.plans.get(plan.digest)
+        progress = progress_of(plan, record, state) if record is not None else None
+        return PlanView(plan=plan, record=record, progress=progress)
+
+
+def _peer_view(member: Member, revisions: dict[str, int]) -> PeerView:
+    record = member.record
+    return PeerView(
+        name=record.name,
+        address=record.address,
+        data_centre=record.data_centre,
+        state=_STATES[member.state],
+        revision=revisions.get(record.name, 0),
+        silent_s=member.silent_for_s,
+    )
--- /dev/null
+++ b/src/shallotworks/node/_limits.py
@@ -0,0 +1,98 @@
+"""From the settings to the limits of each part."""
+
+from __future__ import annotations
+
+from shallotworks.callers import ReadingLimits
+from shallotworks.peers import PeerTiming
+from shallotworks.plans import ConductorRules, PlannerWeights
+from shallotworks.platform import PlatformLimits
+from shallotworks.requests import DispatchLimits, ExchangeLimits, OnceLimits, RetryLimits
+from shallotworks.settings import Settings
+
+__all__ = [
+    "conductor_rules",
+    "dispatch_limits",
+    "exchange_limits",
+    "once_limits",
+    "peer_timing",
+    "planner_weights",
+    "platform_limits",
+    "reading_limits",
+    "retry_limits",
+]
+
+
+def reading_limits(settings: Settings) -> ReadingLimits:
+    """Return the bounds on what a caller may ask."""
+    return ReadingLimits(
+        body_limit_bytes=settings.callers.body_limit_bytes,
+        default_deadline_s=settings.requests.default_deadline_s,
+        max_deadline_s=settings.requests.max_deadline_s,
+    )
+
+
+def exchange_limits(settings: Settings) -> ExchangeLimits:
+    """Return the bounds on one attempt."""
+    return ExchangeLimits(
+        connect_timeout_s=settings.requests.connect_timeout_s,
+        attempt_timeout_s=settings.requests.attempt_timeout_s,
+        idle_connection_age_s=settings.requests.idle_connection_age_s,
+    )
+
+
+def dispatch_limits(settings: Settings) -> DispatchLimits:
+    """Return the limits of dispatch."""
+    return DispatchLimits(
+        long_running_min_part=settings.requests.long_running_min_part,
+        max_ejected_part=settings.requests.eject_part_max,
+    )
+
+
+def retry_limits(settings: Settings) -> RetryLimits:
+    """Return what retries may add."""
+    return RetryLimits(budget_part=settings.requests.retry_part)
+
+
+def once_limits(settings: Settings) -> OnceLimits:
+    """Return how long idempotency keys are kept."""
+    window_s = settings.requests.once_window_s
+    return OnceLimits(window_s=window_s, lease_every_s=min(3_600.0, window_s))
+
+
+def platform_limits(settings: Settings) -> PlatformLimits:
+    """Return the limits of this instance's calls to the platform."""
+    return PlatformLimits(
+        attempt_timeout_s=settings.platform.timeout_s,
+        deadline_s=3 * settings.platform.timeout_s,
+        rate_per_s=settings.platform.calls_per_s,
+        burst=max(1, round(2 * settings.platform.calls_per_s)),
+    )
+
+
+def peer_timing(settings: Settings) -> PeerTiming:
+    """Return the intervals among peers."""
+    peers = settings.peers
+    return PeerTiming(
+        mesh_interval_s=peers.heartbeat_interval_s,
+        relay_interval_s=2 * peers.heartbeat_interval_s,
+        suspect_after_s=peers.suspect_after_s,
+        remove_after_s=peers.remove_after_s,
+        settle_s=min(PeerTiming().settle_s, peers.suspect_after_s),
+    )
+
+
+def planner_weights(settings: Settings) -> PlannerWeights:
+    """Return what this user weighs most."""
+    return PlannerWeights(
+        buffer=settings.plans.weight_buffer,
+        roll_out=settings.plans.weight_rollout,
+        moves=settings.plans.weight_moves,
+    )
+
+
+def conductor_rules(settings: Settings) -> ConductorRules:
+    """Return when a conductor goes on, waits or gives up."""
+    return ConductorRules(
+        drain_limit_s=settings.plans.drain_timeout_s,
+        return_limit_s=settings.plans.reboot_timeout_s,
+    )
--- /dev/null
+++ b/src/shallotworks/node/_node.py
@@ -0,0 +1,337 @@
+"""One entry instance: its parts, its ports, its start and its stop."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+import time
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+
+from absl import logging
+from returns.result import Success
+
+from shallotworks.callers import CallersApplication
+from shallotworks.config import ConfigStore
+from shallotworks.errors import ErrorKind, Failure, ShallotworksError
+from shallotworks.listener import Listener
+from shallotworks.metrics import Metrics
+from shallotworks.operators import OperatorsServer
+from shallotworks.peers import PeerNetwork, PeerSettings
+from shallotworks.plans import Conductor, DisruptionModel, Planner, Proposals, Surroundings
+from shallotworks.platform import HttpInstanceList, HttpKeyValueStore, LeaseHolder
+from shallotworks.protocol import load_keys
+from shallotworks.requests import (
+    BudgetedRetryPolicy,
+    HttpExchange,
+    PoolDispatcher,
+    Relay,
+    StoreOnceGuard,
+)
+from shallotworks.settings import Settings
+from shallotworks.timeline import EventKind, Subject, Timeline
+from shallotworks.workers import HttpTargetControl
+
+from . import _limits
+from ._acknowledgements import PeerAcknowledgements
+from ._backend import NodeBackend, Parts
+from ._duty import LeaseDuty
+from ._leaving import LeavingWatch
+
+__all__ = ["Node"]
+
+LOAD_RETRY_S = 0.5
+PEERS_FIRST_S = 1.0
+"""Time that peers have at a start to hand over what they hold, before the store is read."""
+STALE_CONFIG_S = 15.0
+"""Age of the configuration from which this process reads the list of instances for itself."""
+IN_FLIGHT_POLL_S = 0.05
+
+
+class Node:
+    """One entry instance; made, started and stopped on the event loop that it runs on.
+
+    Args:
+        settings: Checked settings.
+
+    Raises:
+        ShallotworksError: ``INVALID_SETTINGS`` where a key or token can't be read.
+    """
+
+    def __init__(self, *, settings: Settings) -> None:
+        self._settings = settings
+        self._loop = asyncio.get_running_loop()
+        self._rng = random.Random(secrets.randbits(128))
+        own = settings.instance
+        self._process = f"{own.name}#{secrets.token_hex(4)}"
+        self.metrics = Metrics()
+        self.timeline = Timeline(
+            process=own.name, wall_clock_s=time.time, capacity=settings.timeline.capacity
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+        self._stopping = False
+        self._duties: set[str] = set()
+        self._build_platform()
+        self._build_peers()
+        self._build_requests()
+        self._build_plans()
+        self._build_operators()
+
+    @property
+    def callers_port(self) -> int:
+        """The callers' port."""
+        return self._callers.port
+
+    @property
+    def operators_port(self) -> int:
+        """The operators' port."""
+        return self._operators.port
+
+    async def start(self) -> None:
+        """Open the ports; the callers' port only once a configuration is held.
+
+        Without one every request would be answered with "no such service", which is final and
+        would be false.
+
+        Raises:
+            ShallotworksError: ``INVALID_SETTINGS`` where a port can't be bound.
+        """
+        await asyncio.to_thread(self._operators.start)
+        await self._start_peers()
+        await self._load_configuration()
+        self._spawn(self.config.run_watch(should_watch=self.peers.should_watch))
+        self._spawn(self._once_guard.run())
+        self._spawn(self._conductor.run())
+        self._spawn(self._leaving.run())
+        await asyncio.to_thread(self._callers.start)
+        self._record(EventKind.STARTED, f"callers at port {self.callers_port}")
+        logging.info("%s serves callers at port %d", self._process, self.callers_port)
+
+    async def stop(self) -> None:
+        """Stop gracefully: no new work, what is in flight is answered, leases are given back."""
+        self._stopping = True
+        self._record(EventKind.STOPPING, "")
+        self.relay.refuse_new()
+        self._dispatcher.stop_admitting()
+        self._dispatcher.refuse_waiting()
+        await self._wait_until_idle()
+        await asyncio.to_thread(self._callers.stop)
+        await asyncio.to_thread(self._operators.stop)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.peers.stop()
+        await self.config.close()
+        self._exchange.close()
+        await asyncio.to_thread(self._control.close)
+        self._store.close()
+        self._instances.close()
+        logging.info("%s has stopped", self._process)
+
+    def _build_platform(self) -> None:
+        limits = _limits.platform_limits(self._settings)
+        self._store = HttpKeyValueStore(
+            address=self._settings.platform.address,
+            metrics=self.metrics,
+            timeline=self.timeline,
+            limits=limits,
+            rng=self._rng,
+        )
+        self._instances = HttpInstanceList(
+            address=self._settings.platform.instance_list_address,
+            metrics=self.metrics,
+            timeline=self.timeline,
+            limits=limits,
+            rng=self._rng,
+        )
+        self.config = ConfigStore(
+            store=self._store,
+            metrics=self.metrics,
+            timeline=self.timeline,
+            wall_clock_s=time.time,
+            rng=random.Random(secrets.randbits(128)),
+        )
+
+    def _build_peers(self) -> None:
+        own, peers = self._settings.instance, self._settings.peers
+        keys = load_keys(Path(peers.key_file))
+        if not isinstance(keys, Success):
+            raise ShallotworksError(keys.failure())
+        self.peers = PeerNetwork(
+            settings=PeerSettings(
+                name=own.name,
+                address=f"{peers.host}:{peers.port}",
+                data_centre=own.data_centre,
+                region=own.region,
+                keys=keys.unwrap(),
+                seeds=peers.seeds,
+                timing=_limits.peer_timing(self._settings),
+            ),
+            replica=self.config,
+            metrics=self.metrics,
+            timeline=self.timeline,
+            random=self._rng,
+            wall_clock_s=time.time,
+        )
+
+    def _build_requests(self) -> None:
+        self._dispatcher = PoolDispatcher(
+            config=self.config,
+            data_centre=self._settings.instance.data_centre,
+            live_entries=lambda: max(1, len(self.peers.live_entries())),
+            limits=_limits.dispatch_limits(self._settings),
+            metrics=self.metrics,
+            timeline=self.timeline,
+            rng=self._rng,
+        )
+        self._once_guard = StoreOnceGuard(
+            store=self._store,
+            process=self._process,
+            is_live=self._is_live,
+            new_id=lambda: secrets.token_hex(12),
+            limits=_limits.once_limits(self._settings),
+            metrics=self.metrics,
+        )
+        self._exchange = HttpExchange(limits=_limits.exchange_limits(self._settings))
+        self.relay = Relay(
+            loop=self._loop,
+            dispatcher=self._dispatcher,
+            retry_policy=BudgetedRetryPolicy(
+                limits=_limits.retry_limits(self._settings),
+                metrics=self.metrics,
+                rng=self._rng,
+            ),
+            once_guard=self._once_guard,
+            exchange=self._exchange,
+            metrics=self.metrics,
+            timeline=self.timeline,
+        )
+        reading = _limits.reading_limits(self._settings)
+        callers = self._settings.callers
+        self._callers = Listener(
+            host=callers.host,
+            port=callers.port,
+            application=CallersApplication(loop=self._loop, relay=self.relay, limits=reading),
+            threads=callers.threads,
+            body_limit_bytes=2 * callers.body_limit_bytes,
+            receive_timeout_s=callers.header_timeout_s,
+            stop_timeout_s=self._settings.log.stop_timeout_s,
+        )
+        self._leaving = LeavingWatch(
+            data_centre=self._settings.instance.data_centre,
+            instances=self._instances,
+            view=self.config,
+            log=self.config,
+            dispatcher=self._dispatcher,
+            reads=lambda: self.peers.should_watch() or self.config.age_s() > STALE_CONFIG_S,
+            metrics=self.metrics,
+            author=self._process,
+        )
+
+    def _build_plans(self) -> None:
+        self._control = HttpTargetControl()
+        self._proposals = Proposals(
+            view=self.config,
+            log=self.config,
+            store=self._store,
+            planner=Planner(
+                weights=_limits.planner_weights(self._settings), model=DisruptionModel()
+            ),
+            wall_clock_s=time.time,
+            timeline=self.timeline,
+            metrics=self.metrics,
+        )
+        self._conductor = Conductor(
+            name=self._process,
+            duties=self._duty,
+            log=self.config,
+            store=self._store,
+            around=Surroundings(
+                view=self.config,
+                control=self._control,
+                acknowledgements=PeerAcknowledgements(replica=self.config, peers=self.peers),
+                rules=_limits.conductor_rules(self._settings),
+                wall_clock_s=time.time,
+                timeline=self.timeline,
+                metrics=self.metrics,
+            ),
+        )
+
+    def _build_operators(self) -> None:
+        parts = Parts(
+            settings=self._settings,
+            config=self.config,
+            peers=self.peers,
+            proposals=self._proposals,
+            dispatcher=self._dispatcher,
+            metrics=self.metrics,
+            is_store_up=lambda: self._store.is_up,
+            is_stopping=lambda: self._stopping,
+            duties=lambda: tuple(sorted(self._duties)),
+            started_at_s=self._loop.time(),
+        )
+        self._operators = OperatorsServer(
+            settings=self._settings.operators,
+            process=self._settings.instance.name,
+            loop=self._loop,
+            backend=NodeBackend(parts=parts),
+            timeline=self.timeline,
+            metrics=self.metrics,
+        )
+
+    async def _start_peers(self) -> None:
+        try:
+            await self.peers.start()
+        except OSError as error:
+            raise _cannot_listen(self._settings, error) from error
+
+    async def _load_configuration(self) -> None:
+        """Take the configuration from peers or from the store, whichever has it."""
+        if self._settings.peers.seeds:
+            await asyncio.sleep(PEERS_FIRST_S)
+        while True:
+            loaded = await self.config.load()
+            if isinstance(loaded, Success) or self.config.revision() > 0:
+                return
+            await asyncio.sleep(LOAD_RETRY_S)
+
+    async def _wait_until_idle(self) -> None:
+        ends_at_s = self._loop.time() + self._settings.log.stop_timeout_s
+        while self._dispatcher.in_flight and self._loop.time() < ends_at_s:
+            await asyncio.sleep(IN_FLIGHT_POLL_S)
+
+    def _duty(self, digest: str) -> LeaseDuty:
+        holder = LeaseHolder(
+            store=self._store,
+            duty=f"plan/{digest}",
+            holder=self._process,
+            metrics=self.metrics,
+            timeline=self.timeline,
+            rng=self._rng,
+            ttl_s=self._settings.plans.lease_ttl_s,
+        )
+        return LeaseDuty(holder=holder, should_stand=self.peers.should_watch)
+
+    def _is_live(self, process: str) -> bool:
+        return process == self._process
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        task.add_done_callback(_report_end)
+        self._tasks.append(task)
+
+    def _record(self, kind: EventKind, detail: str) -> None:
+        self.timeline.record(kind, subject=Subject(), detail=detail)
+
+
+def _cannot_listen(settings: Settings, error: OSError) -> ShallotworksError:
+    address = f"{settings.peers.host}:{settings.peers.port}"
+    failure = Failure(kind=ErrorKind.INVALID_SETTINGS, reason=f"can't listen at {address}: {error}")
+    return ShallotworksError(failure)
+
+
+def _report_end(task: asyncio.Task[None]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        logging.error("a part of the instance has ended: %r", task.exception())
--- /dev/null
+++ b/src/shallotworks/node/_serve.py
@@ -0,0 +1,52 @@
+"""The daemon: one node on one event loop, until a signal to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+from absl import logging
+
+from shallotworks.errors import ShallotworksError, answer_for
+from shallotworks.settings import Settings
+
+from ._node import Node
+
+__all__ = ["serve"]
+
+
+def serve(settings: Settings) -> int:
+    """Run one entry instance until SIGTERM or SIGINT.
+
+    Args:
+        settings: Checked settings.
+
+    Returns:
+        The exit code: 0 after a graceful stop, else that of the error kind.
+    """
+    logging.use_absl_handler()
+    logging.set_verbosity(settings.log.verbosity)
+    try:
+        asyncio.run(_run(settings))
+    except ShallotworksError as error:
+        logging.error("%s", error.failure)
+        return answer_for(error.failure.kind).exit_code
+    return 0
+
+
+async def _run(settings: Settings) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    node = Node(settings=settings)
+    starting = asyncio.create_task(node.start())
+    stopped = asyncio.create_task(stop.wait())
+    try:
+        await asyncio.wait((starting, stopped), return_when=asyncio.FIRST_COMPLETED)
+        if starting.done():
+            starting.result()
+            await stopped
+    finally:
+        starting.cancel()
+        await node.stop()
--- a/src/shallotworks/peers/_network.py
+++ b/src/shallotworks/peers/_network.py
@@ -206,6 +206,10 @@
         """Return how busy each live member of this data centre has said it is, by its name."""
         return self._loads.by_peer()
 
+    def linked_revisions(self) -> dict[str, int]:
+        """Return the newest revision that each linked peer has said to hold, by its name."""
+        return {link.peer.name: link.revision for link in self._links}
+
     def status(self) -> PeerStatus:
         """Return how this process stands among its peers."""
         own = self._table.own
--- a/src/shallotworks/platform/_calls.py
+++ b/src/shallotworks/platform/_calls.py
@@ -159,6 +159,11 @@
             self._count("retries")
             attempt += 1
 
+    @property
+    def is_up(self) -> bool:
+        """Whether the service answered when it was last asked."""
+        return not self._breaker.is_open
+
     def close(self) -> None:
         """Cut all connections and end the threads."""
         self._transport.close()
--- a/src/shallotworks/platform/_http_store.py
+++ b/src/shallotworks/platform/_http_store.py
@@ -65,6 +65,11 @@
             rng=rng or random.Random(),
         )
 
+    @property
+    def is_up(self) -> bool:
+        """Whether the service answered when it was last asked."""
+        return self._calls.is_up
+
     def close(self) -> None:
         """Cut all connections and end the threads."""
         self._calls.close()
