End cancelled peer connections quietly

Cause: asyncio's stream protocol of Python 3.11 asks a cancelled task for its exception and logs a trace for each open connection when the network stops; the demo printed six. Change: the cancel ends in the connection's own task.

--- a/src/shallotworks/demo/_fleet.py
+++ b/src/shallotworks/demo/_fleet.py
@@ -144,7 +144,8 @@
         parsed = parse_settings(text, path=str(self._folder / f"{name}.ini"))
         if not isinstance(parsed, Success):
             raise ValueError(str(parsed.failure().failure()))
-        return parsed.unwrap()
+        settings: Settings = parsed.unwrap()
+        return settings
 
     async def _start_nodes(self) -> None:
         places = [name for name in DATA_CENTRES for _ in range(ENTRIES_PER_DATA_CENTRE)]
--- a/src/shallotworks/peers/_transport.py
+++ b/src/shallotworks/peers/_transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -53,7 +54,10 @@
         """Accept connections and serve each in a task of its own; raises ``OSError``."""
 
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await on_stream(_TcpStream(reader=reader, writer=writer))
+            # asyncio's own callback on this task fails on one that was cancelled, and writes a
+            # trace for each connection when the network stops; the cancel ends here instead.
+            with contextlib.suppress(asyncio.CancelledError):
+                await on_stream(_TcpStream(reader=reader, writer=writer))
 
         host, port = _split(address)
         server = await asyncio.start_server(
