Measure one entry instance against the bare relay and the target alone

Cause: the cost of admission, choice and checks had no figure of this code. Change: bench relay, each part a process of its own.

--- a/bench/_processes.py
+++ b/bench/_processes.py
@@ -10,27 +10,34 @@
 
 from bench._load import LoadResult
 
-__all__ = ["load", "serving"]
+__all__ = ["load", "process", "serving"]
 
 END_TIMEOUT_S = 20
 
 
 @contextlib.contextmanager
-def serving(*arguments: str) -> Iterator[int]:
-    """Run ``python -m ARGUMENTS`` and give the port that it prints first."""
+def process(*arguments: str) -> Iterator[tuple[int, int]]:
+    """Run ``python -m ARGUMENTS`` and give its process id and the port that it prints first."""
     with subprocess.Popen(
         [sys.executable, "-m", *arguments],
         stdin=subprocess.PIPE,
         stdout=subprocess.PIPE,
         text=True,
-    ) as process:
-        assert process.stdin is not None
-        assert process.stdout is not None
+    ) as started:
+        assert started.stdin is not None
+        assert started.stdout is not None
         try:
-            yield int(process.stdout.readline())
+            yield started.pid, int(started.stdout.readline())
         finally:
-            process.stdin.close()
-            process.wait(timeout=END_TIMEOUT_S)
+            started.stdin.close()
+            started.wait(timeout=END_TIMEOUT_S)
+
+
+@contextlib.contextmanager
+def serving(*arguments: str) -> Iterator[int]:
+    """Run ``python -m ARGUMENTS`` and give the port that it prints first."""
+    with process(*arguments) as (_, port):
+        yield port
 
 
 def load(*, port: int, callers: int, seconds: float) -> LoadResult:
