Mend an age that was never confirmed, and a cancel that was swallowed

Cause: a replica that nobody has confirmed has an infinite age, on which building a heartbeat failed, and the connection's writer ended without a word; a cancel arriving while a connection closed was swallowed, and its dialler went on for ever. Change: such an age is sent as never; a fault in the writer shows; the writer is awaited so that a cancel passes.

--- a/src/shallotworks/peers/_distribution.py
+++ b/src/shallotworks/peers/_distribution.py
@@ -45,7 +45,8 @@
 """Wait before a peer that was not pushed to is told of a new revision; most have it by then."""
 STUCK_WAIT_S = 30.0
 MS_PER_S = 1000
-AGE_LIMIT_MS = 0xFFFFFFFF
+NEVER_CONFIRMED_MS = 0xFFFFFFFF
+"""Age of a revision that nobody is known to have seen in the store."""
 
 
 class Distribution:
@@ -104,7 +105,7 @@
 
     def age_ms(self) -> int:
         """Return how long ago the revision held was known to be the newest, as peers are told."""
-        return min(AGE_LIMIT_MS, int(self._replica.age_s() * MS_PER_S))
+        return int(min(NEVER_CONFIRMED_MS, self._replica.age_s() * MS_PER_S))
 
     def forget(self, link: Link) -> None:
         """Drop what is kept for a connection that has ended."""
@@ -115,12 +116,10 @@
         link.revision = message.revision
         self._newest = max(self._newest, message.newest_revision, message.revision)
         held = self._replica.revision()
-        if message.revision >= held:
-            age_s = message.newest_age_ms / MS_PER_S
-            if message.revision == held:
-                self._replica.confirm_newest(held, age_s=age_s)
-            else:
-                self._ask(link)
+        if message.revision > held:
+            self._ask(link)
+        elif message.revision == held and message.newest_age_ms < NEVER_CONFIRMED_MS:
+            self._replica.confirm_newest(held, age_s=message.newest_age_ms / MS_PER_S)
 
     def on_entries(self, link: Link, message: Entries) -> None:
         """Take entries; ask on where they leave a gap or the peer has more."""
--- a/src/shallotworks/peers/_link.py
+++ b/src/shallotworks/peers/_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections import deque
 from enum import Enum, unique
 from random import Random
@@ -166,7 +167,10 @@
         finally:
             writing.cancel()
             self._stream.close()
-            await asyncio.gather(writing, return_exceptions=True)
+            await asyncio.wait({writing})
+        if not writing.cancelled():
+            # A fault of the program must show; otherwise the peer would just look silent.
+            writing.result()
         self.end = self.end or end
         return self.end
 
@@ -219,15 +223,12 @@
     async def finish(self, *, leaving: bool) -> None:
         """Say goodbye and close the connection."""
         self.end = self.end or LinkEnd.DISMISSED
-        try:
+        with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(FINISH_WITHIN_S):
                 if leaving:
                     await self._session.writer.write(self._owner.heartbeat_for(self))
                 await self._session.writer.write(Goodbye(leaving=leaving))
-        except (OSError, TimeoutError):
-            pass
-        finally:
-            self._stream.close()
+        self._stream.close()
 
     async def _read(self) -> LinkEnd:
         try:
@@ -255,7 +256,10 @@
             while True:
                 await self._write_next()
         except (OSError, TimeoutError):
-            # A peer that stops reading fills the connection's buffer; the reader ends with this.
+            # A peer that stops reading fills the connection's buffer until a write has waited for
+            # as long as a silent peer is given.
+            return
+        finally:
             self._stream.close()
 
     async def _write_next(self) -> None:
