Measure what a process costs by its peers, and a fleet's state by its size

Cause: docs/CAPACITY.md needs slopes from runs. Change: bench/capacity over real TCP, one process measured alone among many, and whole fleets.

--- /dev/null
+++ b/bench/_capacity_state.py
@@ -0,0 +1,242 @@
+"""What the configuration costs in memory and time by the size of the fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from shallotworks.config import Entry, Snapshot
+from shallotworks.config._window import EntryWindow
+from shallotworks.fleet import (
+    Condition,
+    DataCentre,
+    FleetState,
+    Instance,
+    Pool,
+    Service,
+    SetCondition,
+    Team,
+    apply,
+)
+from shallotworks.metrics import Metrics
+from shallotworks.plans import DisruptionModel, InDataCentre, Maintain, Planner, PlannerWeights
+from shallotworks.requests import (
+    AttemptOutcome,
+    DispatchLimits,
+    PoolDispatcher,
+    Request,
+    RequestClass,
+)
+from shallotworks.timeline import Timeline
+
+__all__ = ["StateCost", "WindowCost", "fleet_of", "state_cost", "window_cost"]
+
+INSTANCES_PER_POOL = 1_100 / 305
+INSTANCES_PER_TEAM = 1_100 / 78
+INSTANCES_PER_DATA_CENTRE = 50
+INSTANCES_PER_RACK = 4
+ROUNDS = 30
+REQUESTS = 2_000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StateCost:
+    """What a fleet of one size costs.
+
+    Args:
+        instances: Worker instances.
+        pools: Pools, each with one service.
+        memory_bytes: Memory of its state, read from a snapshot.
+        snapshot_bytes: Size of its snapshot.
+        encode_s: To encode a snapshot.
+        decode_s: To read one.
+        apply_s: To apply one cordon.
+        entry_s: To encode and read one entry.
+        plan_s: To plan the maintenance of one data centre.
+        dispatch_s: To admit one request, choose its target and take its outcome.
+    """
+
+    instances: int
+    pools: int
+    memory_bytes: int
+    snapshot_bytes: int
+    encode_s: float
+    decode_s: float
+    apply_s: float
+    entry_s: float
+    plan_s: float
+    dispatch_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WindowCost:
+    """What the window of the last entries costs.
+
+    Args:
+        entries: Entries kept.
+        memory_bytes: Memory of them all.
+        entry_bytes: Size of one, encoded.
+    """
+
+    entries: int
+    memory_bytes: int
+    entry_bytes: float
+
+
+def fleet_of(instances: int) -> FleetState:
+    """Return a fleet in the proportions of the target."""
+    pools = [f"pool-{number}" for number in range(round(instances / INSTANCES_PER_POOL))]
+    places = [f"dc{number}" for number in range(-(-instances // INSTANCES_PER_DATA_CENTRE))]
+    teams = [f"team-{number}" for number in range(round(instances / INSTANCES_PER_TEAM))]
+    members = {}
+    for number in range(instances):
+        name = f"worker-{instances}-{number:05}"
+        members[name] = Instance(
+            name=name,
+            data_centre=places[number // INSTANCES_PER_DATA_CENTRE],
+            rack=f"rack-{number // INSTANCES_PER_RACK}",
+            pool=pools[number % len(pools)],
+            address=f"10.{number // 250}.0.{number % 250}:8080",
+            slots=8,
+            processors=64,
+            memory_bytes=256 << 30,
+        )
+    return FleetState(
+        revision=1,
+        data_centres={name: DataCentre(name=name, region="r") for name in places},
+        pools={name: Pool(name=name) for name in pools},
+        services={
+            f"service-{name}": Service(
+                name=f"service-{name}", pool=name, share=1, max_unavailable=1
+            )
+            for name in pools
+        },
+        teams={name: Team(name=name, quota_slots=100) for name in teams},
+        instances=members,
+    )
+
+
+def state_cost(instances: int) -> StateCost:
+    """Measure a fleet of one size."""
+    state = fleet_of(instances)
+    Snapshot.decode(Snapshot(state=FleetState(), last_change_id="c").encode())
+    encoded = Snapshot(state=state, last_change_id="c").encode()
+    first = next(iter(state.instances))
+    cordon = SetCondition(names=(first,), condition=Condition.CORDONED)
+    entry = _entry(2, cordon)
+    planner = Planner(weights=PlannerWeights(), model=DisruptionModel())
+    intent = Maintain(selection=InDataCentre(data_centre="dc0"))
+    return StateCost(
+        instances=instances,
+        pools=len(state.pools),
+        memory_bytes=_memory_of(lambda: Snapshot.decode(encoded)),
+        snapshot_bytes=len(encoded),
+        encode_s=_time_of(lambda: Snapshot(state=state, last_change_id="c").encode()),
+        decode_s=_time_of(lambda: Snapshot.decode(encoded)),
+        apply_s=_time_of(lambda: apply(state, cordon).unwrap()),
+        entry_s=_time_of(lambda: Entry.decode(entry.encode())),
+        plan_s=_time_of(lambda: planner.plan(state, intent, author="bench").unwrap(), rounds=3),
+        dispatch_s=asyncio.run(_dispatch_s(state)),
+    )
+
+
+def window_cost(entries: int) -> WindowCost:
+    """Measure a window of so many entries, as they were read from peers."""
+    encoded = [
+        _entry(
+            number + 1,
+            SetCondition(names=(f"worker-{entries}-{number:05}",), condition=Condition.CORDONED),
+        ).encode()
+        for number in range(entries)
+    ]
+
+    def build() -> EntryWindow:
+        window = EntryWindow()
+        for data in encoded:
+            window.append(Entry.decode(data))
+        return window
+
+    return WindowCost(
+        entries=entries,
+        memory_bytes=_memory_of(build),
+        entry_bytes=sum(map(len, encoded)) / entries,
+    )
+
+
+def _entry(revision: int, change: Any) -> Entry:
+    change_id = f"{revision:024x}"
+    return Entry(revision=revision, change_id=change_id, author="kari", at_s=1.5, change=change)
+
+
+def _memory_of(build: Callable[[], object]) -> int:
+    """Return the memory of what is built, the first time that its strings are read.
+
+    The reader keeps short strings for the next time, which would hide their share.
+    """
+    tracemalloc.start()
+    kept = build()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return size
+
+
+def _time_of(work: Callable[[], object], *, rounds: int = ROUNDS) -> float:
+    """Return the least time of some rounds, the one that other processes disturbed least."""
+    best_s = float("inf")
+    for _ in range(rounds):
+        started_s = time.perf_counter()
+        work()
+        best_s = min(best_s, time.perf_counter() - started_s)
+    return best_s
+
+
+class _HeldConfig:
+    def __init__(self, state: FleetState) -> None:
+        self._state = state
+
+    def state(self) -> FleetState:
+        return self._state
+
+    def age_s(self) -> float:
+        return 0.0
+
+    async def wait_for(self, revision: int) -> FleetState:
+        raise NotImplementedError(revision)
+
+
+async def _dispatch_s(state: FleetState) -> float:
+    dispatcher = PoolDispatcher(
+        config=_HeldConfig(state),
+        data_centre="dc0",
+        live_entries=lambda: 1,
+        limits=DispatchLimits(),
+        metrics=Metrics(),
+        timeline=Timeline(process="bench", wall_clock_s=time.time),
+        rng=Random(1),
+    )
+    services = sorted(state.services)
+    deadline_s = asyncio.get_running_loop().time() + 600
+    started_s = time.perf_counter()
+    for number in range(REQUESTS):
+        request = Request(
+            request_id=f"r{number}",
+            service=services[number % min(len(services), 20)],
+            team="",
+            request_class=RequestClass.INTERACTIVE,
+            deadline_s=deadline_s,
+            idempotent=True,
+            idempotency_key="",
+            method="GET",
+            path="/",
+            headers=(),
+            body=b"",
+        )
+        grant = (await dispatcher.acquire(request, tried=frozenset())).unwrap()
+        dispatcher.release(grant, AttemptOutcome.ANSWERED, duration_s=0.01)
+    return (time.perf_counter() - started_s) / REQUESTS
--- /dev/null
+++ b/bench/_fit.py
@@ -0,0 +1,40 @@
+"""Straight lines through measured points."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+__all__ = ["Line", "fit"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Line:
+    """A line through points by least squares.
+
+    Args:
+        intercept: Value at 0.
+        slope: Growth per unit.
+        residual: Largest distance of a point from the line, as a part of the largest value.
+    """
+
+    intercept: float
+    slope: float
+    residual: float
+
+    def at(self, x: float) -> float:
+        """Return the line's value."""
+        return self.intercept + self.slope * x
+
+
+def fit(points: Sequence[tuple[float, float]]) -> Line:
+    """Return the line of least squares through at least two points."""
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    intercept = mean_y - slope * mean_x
+    largest = max(abs(y) for _, y in points) or 1.0
+    residual = max(abs(y - intercept - slope * x) for x, y in points) / largest
+    return Line(intercept=intercept, slope=slope, residual=residual)
--- /dev/null
+++ b/bench/_peer_nodes.py
@@ -0,0 +1,208 @@
+"""Processes of the peers' network over real TCP, with what their connections carry counted.
+
+``python -m bench._peer_nodes JSON`` runs one of them alone and prints what it has cost.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import struct
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from random import Random
+
+from shallotworks.config import ConfigStore
+from shallotworks.metrics import Metrics
+from shallotworks.peers import Listener, PeerNetwork, PeerSettings, PeerTiming, TcpTransport
+from shallotworks.protocol import ByteStream, FleetKeys
+from shallotworks.standins import MemoryStore
+from shallotworks.timeline import Timeline
+
+__all__ = ["Cost", "Node", "ProbeOrder", "free_address", "linked", "measure"]
+
+KEYS = FleetKeys(keys=(b"the key of the measured fleet",))
+SEGMENT_HEADER_BYTES = 52
+"""IPv4 header of 20 bytes and TCP header of 32 with time stamps."""
+TCP_INFO_BYTES = 192
+SEGMENTS_AT = 136
+"""Offset of the segments sent and received in Linux's ``struct tcp_info``."""
+LINK_TIMEOUT_S = 60.0
+
+
+class CountingTransport(TcpTransport):
+    """TCP that remembers its sockets, so that their segments can be counted."""
+
+    __slots__ = ("_streams",)
+
+    def __init__(self) -> None:
+        self._streams: list[ByteStream] = []
+
+    async def connect(self, address: str) -> ByteStream:
+        stream = await super().connect(address)
+        self._streams.append(stream)
+        return stream
+
+    async def listen(
+        self, address: str, on_stream: Callable[[ByteStream], Awaitable[None]]
+    ) -> Listener:
+        async def counted(stream: ByteStream) -> None:
+            self._streams.append(stream)
+            await on_stream(stream)
+
+        return await super().listen(address, counted)
+
+    def segments(self) -> int:
+        """Return the segments sent and received on the connections open now."""
+        return sum(_segments(stream) for stream in self._streams)
+
+
+def _segments(stream: ByteStream) -> int:
+    held = stream._writer.get_extra_info("socket")  # type: ignore[attr-defined]
+    if held is None or held.fileno() < 0:
+        return 0
+    info = held.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    sent, received = struct.unpack_from("II", info, SEGMENTS_AT)
+    return int(sent) + int(received)
+
+
+class Node:
+    """One process of the fleet: a replica over a store, and its network of peers."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        address: str,
+        data_centre: str,
+        seeds: tuple[str, ...],
+        timing: PeerTiming | None = None,
+        store: MemoryStore | None = None,
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.data_centre = data_centre
+        metrics = Metrics()
+        timeline = Timeline(process=name, wall_clock_s=time.time, capacity=100)
+        self.config = ConfigStore(
+            store=store or MemoryStore(),
+            metrics=metrics,
+            timeline=timeline,
+            wall_clock_s=time.time,
+            rng=Random(name),
+        )
+        self.transport = CountingTransport()
+        self.peers = PeerNetwork(
+            settings=PeerSettings(
+                name=name,
+                address=address,
+                data_centre=data_centre,
+                region="r",
+                keys=KEYS,
+                seeds=seeds,
+                timing=timing or PeerTiming(connect_within_s=10.0),
+            ),
+            replica=self.config,
+            metrics=metrics,
+            timeline=timeline,
+            random=Random(name),
+            wall_clock_s=time.time,
+            transport=self.transport,
+        )
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ProbeOrder:
+    """What one measured process does.
+
+    Args:
+        data_centre: Where it stands.
+        seeds: Whom it dials.
+        links: Connections to wait for.
+        window_s: Time to measure.
+    """
+
+    data_centre: str
+    seeds: tuple[str, ...]
+    links: int
+    window_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Cost:
+    """What one process has cost while it was measured.
+
+    Args:
+        core_part: Processor time by elapsed time.
+        payload_bytes_per_s: Sent and received, frames only.
+        wire_bytes_per_s: The same with the headers of all segments, pure acknowledgements too.
+        memory_bytes: Resident memory at the end.
+        links: Connections at the end.
+    """
+
+    core_part: float
+    payload_bytes_per_s: float
+    wire_bytes_per_s: float
+    memory_bytes: int
+    links: int
+
+
+def free_address() -> str:
+    """Return an address on this machine that nobody listens at."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+async def linked(nodes: list[Node], links: Callable[[Node], int]) -> float:
+    """Wait until each node has its connections; returns how long that took."""
+    started_s = time.monotonic()
+    async with asyncio.timeout(LINK_TIMEOUT_S):
+        while any(node.peers.status().links < links(node) for node in nodes):
+            await asyncio.sleep(0.1)
+    return time.monotonic() - started_s
+
+
+async def measure(node: Node, *, window_s: float) -> Cost:
+    """Measure this process, which runs only this node."""
+    before, segments = node.peers.status(), node.transport.segments()
+    started_s, used_s = time.monotonic(), time.process_time()
+    await asyncio.sleep(window_s)
+    used_s = time.process_time() - used_s
+    elapsed_s = time.monotonic() - started_s
+    after = node.peers.status()
+    payload = after.sent_bytes + after.received_bytes - before.sent_bytes - before.received_bytes
+    headers = (node.transport.segments() - segments) * SEGMENT_HEADER_BYTES
+    return Cost(
+        core_part=used_s / elapsed_s,
+        payload_bytes_per_s=payload / elapsed_s,
+        wire_bytes_per_s=(payload + headers) / elapsed_s,
+        memory_bytes=_resident_bytes(),
+        links=after.links,
+    )
+
+
+def _resident_bytes() -> int:
+    status = Path("/proc/self/status").read_text(encoding="ascii")
+    line = next(line for line in status.splitlines() if line.startswith("VmRSS"))
+    return int(line.split()[1]) * 1024
+
+
+async def _probe(order: ProbeOrder) -> Cost:
+    node = Node(
+        name="probe", address=free_address(), data_centre=order.data_centre, seeds=order.seeds
+    )
+    await node.peers.start()
+    await linked([node], lambda _: order.links)
+    await asyncio.sleep(2.5)
+    cost = await measure(node, window_s=order.window_s)
+    await node.peers.stop()
+    return cost
+
+
+if __name__ == "__main__":
+    print(json.dumps(asdict(asyncio.run(_probe(ProbeOrder(**json.loads(sys.argv[1])))))))
--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,83 @@
+"""Slopes for docs/CAPACITY.md: cost by peers, by data centres and by the size of the fleet.
+
+Writes every figure to ``bench/results/capacity.json``. Takes about five minutes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Sequence
+from dataclasses import asdict
+from pathlib import Path
+from typing import Any
+
+from bench._capacity_peers import cost_by_data_centres, cost_by_mesh_peers, spread
+from bench._capacity_state import state_cost, window_cost
+from bench._fit import fit
+
+__all__ = ["main"]
+
+RESULTS = Path(__file__).parent / "results" / "capacity.json"
+MESH_PEERS = (2, 4, 9, 18, 36)
+DATA_CENTRES = (3, 6, 12, 21, 42)
+FLEETS = ((4, 2), (8, 3), (11, 5), (22, 5), (22, 10))
+INSTANCES = (100, 275, 550, 1_100, 2_200)
+WINDOWS = (125, 250, 500, 1_000)
+
+PEER_FIELDS = ("core_part", "payload_bytes_per_s", "wire_bytes_per_s", "memory_bytes")
+STATE_FIELDS = (
+    "memory_bytes",
+    "snapshot_bytes",
+    "encode_s",
+    "decode_s",
+    "apply_s",
+    "entry_s",
+    "plan_s",
+    "dispatch_s",
+)
+SPREAD_FIELDS = ("store_calls_per_s", "idle_bytes_per_s", "bytes_per_change", "last_p50_s")
+
+_Row = dict[str, Any]
+
+
+def main() -> None:
+    """Measure everything, print rows and lines, and keep them."""
+    results: dict[str, Any] = {}
+    _keep(results, "state", "instances", [asdict(state_cost(size)) for size in INSTANCES])
+    _keep(results, "window", "entries", [asdict(window_cost(size)) for size in WINDOWS])
+    mesh = [_measured(size, asyncio.run(cost_by_mesh_peers(size))) for size in MESH_PEERS]
+    _keep(results, "mesh", "peers", mesh)
+    far = [_measured(size, asyncio.run(cost_by_data_centres(size))) for size in DATA_CENTRES]
+    _keep(results, "data centres", "peers", far)
+    fleets = [
+        asdict(asyncio.run(spread(data_centres=centres, per_data_centre=each)))
+        for centres, each in FLEETS
+    ]
+    _keep(results, "fleet", "nodes", fleets)
+    RESULTS.write_text(json.dumps(results, indent=1) + "\n", encoding="utf-8")
+
+
+def _measured(size: int, cost: Any) -> _Row:
+    return {"peers": size, **asdict(cost)}
+
+
+def _keep(results: dict[str, Any], name: str, by: str, rows: Sequence[_Row]) -> None:
+    fields = [field for field in (*PEER_FIELDS, *STATE_FIELDS, *SPREAD_FIELDS) if field in rows[0]]
+    lines = {}
+    for field in dict.fromkeys(fields):
+        lines[field] = asdict(fit([(row[by], row[field]) for row in rows]))
+    results[name] = {"by": by, "rows": list(rows), "lines": lines}
+    print(f"-- {name} by {by}")
+    for row in rows:
+        print("  ", "  ".join(f"{key}={value:.6g}" for key, value in row.items()))
+    for field, line in lines.items():
+        print(
+            f"   {field}: {line['intercept']:.6g} + {line['slope']:.6g} * {by},"
+            f" residual {100 * line['residual']:.1f}%",
+            flush=True,
+        )
+
+
+if __name__ == "__main__":
+    main()
