--- /dev/null
+++ b/src/shallotworks/cli/_client.py
@@ -0,0 +1,151 @@
+"""Calls of the operators' API, with one typed answer or one error each."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, TypeVar
+from urllib.parse import urlencode
+
+import urllib3
+from pydantic import TypeAdapter, ValidationError
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.errors import ErrorKind
+from shallotworks.operators import ErrorBody
+
+from ._failures import own_error
+
+__all__ = ["OperatorsClient", "RawAnswer"]
+
+CONNECT_TIMEOUT_S = 3.0
+ANSWER_TIMEOUT_S = 60.0
+"""Longer than the server's own limits, so that it is the server who says what became of a call."""
+ANSWER_LIMIT_BYTES = 256 * 1024 * 1024
+OK = 200
+
+_Answer = TypeVar("_Answer")
+_ERROR = TypeAdapter(ErrorBody)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RawAnswer:
+    """An answer that is not read yet."""
+
+    body: bytes
+
+
+class OperatorsClient:
+    """Calls one instance.
+
+    Args:
+        address: ``ip:port`` of its operators' port.
+        token: The bearer token.
+        operator: Who calls.
+        answer_timeout_s: Longest wait for the next bytes of an answer.
+    """
+
+    __slots__ = ("_headers", "_http", "address")
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        token: str,
+        operator: str,
+        answer_timeout_s: float = ANSWER_TIMEOUT_S,
+    ) -> None:
+        self.address = address
+        self._headers = {"Authorization": f"Bearer {token}", "Operator": operator}
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=answer_timeout_s)
+        # A call is never sent twice: of a change it must be known how often it was proposed.
+        self._http = urllib3.PoolManager(retries=False, timeout=timeout)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._http.clear()
+
+    def get(
+        self, path: str, kind: type[_Answer], query: Mapping[str, str] | None = None
+    ) -> Result[_Answer, ErrorBody]:
+        """Read something."""
+        return self.get_raw(path, query).bind(lambda answer: self._read(answer, kind))
+
+    def get_raw(
+        self, path: str, query: Mapping[str, str] | None = None
+    ) -> Result[RawAnswer, ErrorBody]:
+        """Read something as it comes."""
+        wanted = {name: value for name, value in (query or {}).items() if value}
+        return self._call("GET", f"{path}?{urlencode(wanted)}" if wanted else path, b"")
+
+    def post(self, path: str, kind: type[_Answer], body: bytes) -> Result[_Answer, ErrorBody]:
+        """Change something."""
+        return self._call("POST", path, body).bind(lambda answer: self._read(answer, kind))
+
+    def _call(self, method: str, path: str, body: bytes) -> Result[RawAnswer, ErrorBody]:
+        try:
+            answer = self._http.request(
+                method, f"http://{self.address}/v1{path}", body=body or None, headers=self._headers
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            return Err(self._unreachable(_why(error)))
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            return Err(self._lost(method, _why(error)))
+        if answer.status == OK:
+            return Success(RawAnswer(body=answer.data))
+        return Err(self._refusal(answer))
+
+    def _unreachable(self, why: str) -> ErrorBody:
+        return own_error(ErrorKind.UNREACHABLE, f"no instance answers at {self.address}: {why}")
+
+    def _lost(self, method: str, why: str) -> ErrorBody:
+        """Return what an answer that never came means.
+
+        A read changed nothing, so it may be repeated. Of a change that was sent nobody here can
+        tell whether it came into force, and saying that it did not could be wrong.
+        """
+        if method == "GET":
+            return self._unreachable(why)
+        reason = f"{self.address} took the call but its answer was lost: {why}"
+        return own_error(ErrorKind.OUTCOME_UNKNOWN, f"{reason}; look before you repeat it")
+
+    def _refusal(self, answer: urllib3.BaseHTTPResponse) -> ErrorBody:
+        try:
+            return _ERROR.validate_json(answer.data)
+        except ValidationError:
+            kind = _PLAIN_STATUSES.get(answer.status, ErrorKind.PROTOCOL)
+            return own_error(
+                kind,
+                f"{self.address} answered {answer.status} in a form that no operators' port has",
+            )
+
+    def _read(self, answer: RawAnswer, kind: type[_Answer]) -> Result[_Answer, ErrorBody]:
+        adapter: TypeAdapter[Any] = TypeAdapter(kind)
+        try:
+            return Success(adapter.validate_json(answer.body))
+        except ValidationError:
+            reason = f"{self.address} answered in a form that this version can't read"
+            return Err(own_error(ErrorKind.PROTOCOL, reason))
+
+
+_PLAIN_STATUSES = {
+    408: ErrorKind.DEADLINE_EXCEEDED,
+    413: ErrorKind.TOO_LARGE,
+    414: ErrorKind.TOO_LARGE,
+}
+"""What the listener answers by itself, before a call has arrived whole."""
+
+
+def _why(error: BaseException) -> str:
+    cause: BaseException | None = error
+    while cause is not None:
+        if isinstance(cause, OSError) and cause.strerror:
+            return cause.strerror.lower()
+        cause = cause.__cause__ or cause.__context__
+    if isinstance(error, urllib3.exceptions.TimeoutError):
+        return "timed out"
+    return "the connection broke"
--- /dev/null
+++ b/src/shallotworks/cli/_failures.py
@@ -0,0 +1,24 @@
+"""Errors that the command line finds by itself, in the same form as those of the API."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+
+from shallotworks.errors import ErrorKind, Failure, answer_for, failure_body
+from shallotworks.operators import ErrorBody
+
+__all__ = ["exit_code_of", "own_error"]
+
+
+def own_error(kind: ErrorKind, reason: str) -> ErrorBody:
+    """Return an error found here."""
+    return ErrorBody(**asdict(failure_body(Failure(kind=kind, reason=reason))))
+
+
+def exit_code_of(error: ErrorBody) -> int:
+    """Return the exit code of an error; an instance of a later version may know further kinds."""
+    try:
+        kind = ErrorKind(error.kind)
+    except ValueError:
+        kind = ErrorKind.INTERNAL
+    return answer_for(kind).exit_code
--- /dev/null
+++ b/src/shallotworks/cli/_fleet_commands.py
@@ -0,0 +1,251 @@
+"""Commands that show and change the fleet."""
+
+from __future__ import annotations
+
+import sys
+from typing import Annotated
+
+import typer
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.errors import ErrorKind
+from shallotworks.operators import (
+    ChangesView,
+    ErrorBody,
+    HistoryView,
+    InstancesView,
+    PoolsView,
+    ServicesView,
+    StatusView,
+)
+
+from ._columns import time_told
+from ._failures import own_error
+from ._options import (
+    DEFAULT_ADDRESS,
+    AddressOption,
+    JsonOption,
+    OperatorOption,
+    TokenFileOption,
+    open_client,
+)
+from ._output import finish, print_table, print_text
+
+__all__ = ["add_fleet_commands"]
+
+STANDARD_INPUT = "-"
+
+
+def add_fleet_commands(app: typer.Typer) -> None:
+    """Add the commands to the application."""
+    app.command("status")(_status)
+    app.command("instances")(_instances)
+    app.command("pools")(_pools)
+    app.command("services")(_services)
+    app.command("apply")(_apply)
+    app.command("changes")(_changes)
+
+
+def _status(
+    address: AddressOption = DEFAULT_ADDRESS,
+    token_file: TokenFileOption = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Show how one instance is doing, and how it sees its peers."""
+    client = open_client(address=address, token_file=token_file)
+    answer = client.bind(lambda opened: opened.get("/status", StatusView))
+    finish(answer, as_json=as_json, show=_show_status)
+
+
+def _show_status(status: StatusView) -> None:
+    lines = (
+        ("instance", status.process),
+        ("version", status.version),
+        ("data centre", f"{status.data_centre}, region {status.region}"),
+        ("state", "stopping" if status.stopping else "serving"),
+        ("up for", f"{status.uptime_s:.0f} s"),
+        ("revision", f"{status.revision}, known to be the newest {status.config_age_s:.1f} s ago"),
+        ("store", "up" if status.store_up else "down"),
+        ("requests", f"{status.requests_in_flight} in flight, {status.requests_queued} queued"),
+        ("duties", ", ".join(status.duties) or "none"),
+    )
+    for name, value in lines:
+        print_text(f"{name:<12} {value}\n")
+    print_text("\n")
+    print_table(
+        ("peer", "address", "data centre", "state", "revision", "silent s"),
+        (
+            (
+                peer.name,
+                peer.address,
+                peer.data_centre,
+                peer.state.value,
+                peer.revision,
+                round(peer.silent_s, 1),
+            )
+            for peer in status.peers
+        ),
+    )
+
+
+def _instances(
+    pool: Annotated[str, typer.Option(help="Only those of this pool.")] = "",
+    data_centre: Annotated[str, typer.Option(help="Only those of this data centre.")] = "",
+    address: AddressOption = DEFAULT_ADDRESS,
+    token_file: TokenFileOption = "",
+    as_json: JsonOption = False,
+) -> None:
+    """List worker instances."""
+    query = {"pool": pool, "data_centre": data_centre}
+    client = open_client(address=address, token_file=token_file)
+    answer = client.bind(lambda opened: opened.get("/instances", InstancesView, query))
+    finish(answer, as_json=as_json, show=_show_instances)
+
+
+def _show_instances(view: InstancesView) -> None:
+    print_table(
+        (
+            "instance",
+            "pool",
+            "data centre",
+            "rack",
+            "address",
+            "slots",
+            "wanted",
+            "working",
+            "plan",
+        ),
+        (
+            (
+                entry.name,
+                entry.pool,
+                entry.data_centre,
+                entry.rack,
+                entry.address,
+                entry.slots,
+                entry.condition.value,
+                entry.healthy,
+                entry.held_by[:12],
+            )
+            for entry in view.instances
+        ),
+    )
+
+
+def _pools(
+    address: AddressOption = DEFAULT_ADDRESS,
+    token_file: TokenFileOption = "",
+    as_json: JsonOption = False,
+) -> None:
+    """List pools with their availability budgets."""
+    client = open_client(address=address, token_file=token_file)
+    answer = client.bind(lambda opened: opened.get("/pools", PoolsView))
+    finish(answer, as_json=as_json, show=_show_pools)
+
+
+def _show_pools(view: PoolsView) -> None:
+    print_table(
+        ("pool", "services", "instances", "available", "slots", "budget", "budget left"),
+        (
+            (
+                entry.name,
+                ", ".join(entry.services),
+                entry.instances,
+                entry.available,
+                entry.slots,
+                entry.budget,
+                entry.budget_left,
+            )
+            for entry in view.pools
+        ),
+    )
+
+
+def _services(
+    address: AddressOption = DEFAULT_ADDRESS,
+    token_file: TokenFileOption = "",
+    as_json: JsonOption = False,
+) -> None:
+    """List services with their shares and budgets."""
+    client = open_client(address=address, token_file=token_file)
+    answer = client.bind(lambda opened: opened.get("/services", ServicesView))
+    finish(answer, as_json=as_json, show=_show_services)
+
+
+def _show_services(view: ServicesView) -> None:
+    print_table(
+        ("service", "pool", "share", "budget", "available", "unavailable"),
+        (
+            (
+                entry.service.name,
+                entry.service.pool,
+                entry.service.share,
+                entry.service.max_unavailable,
+                entry.available,
+                entry.unavailable,
+            )
+            for entry in view.services
+        ),
+    )
+
+
+def _apply(
+    file: Annotated[str, typer.Argument(help="JSON file of one change or a list; - for stdin.")],
+    address: AddressOption = DEFAULT_ADDRESS,
+    token_file: TokenFileOption = "",
+    operator: OperatorOption = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Put changes in force, in order, up to the first that is refused."""
+    client = open_client(address=address, token_file=token_file, operator=operator)
+    answer = client.bind(
+        lambda opened: _read_file(file).bind(
+            lambda body: opened.post("/changes", ChangesView, body)
+        )
+    )
+    finish(answer, as_json=as_json, show=_show_accepted)
+
+
+def _read_file(file: str) -> Result[bytes, ErrorBody]:
+    try:
+        if file == STANDARD_INPUT:
+            return Success(sys.stdin.buffer.read())
+        with open(file, "rb") as opened:
+            return Success(opened.read())
+    except OSError as error:
+        reason = f"the file {file} can't be read ({error.strerror})"
+        return Err(own_error(ErrorKind.INVALID_REQUEST, reason))
+
+
+def _show_accepted(view: ChangesView) -> None:
+    count = len(view.accepted)
+    if not count:
+        print_text("nothing to change\n")
+        return
+    revision = view.accepted[-1].revision
+    print_text(f"{count} change{'s' if count > 1 else ''} accepted, up to revision {revision}\n")
+
+
+def _changes(
+    after: Annotated[int, typer.Option(help="Only those after this revision.", min=0)] = 0,
+    limit: Annotated[int, typer.Option(help="At most so many.", min=1, max=1000)] = 100,
+    address: AddressOption = DEFAULT_ADDRESS,
+    token_file: TokenFileOption = "",
+    as_json: JsonOption = False,
+) -> None:
+    """List accepted changes: who changed what, and when."""
+    query = {"after": str(after), "limit": str(limit)}
+    client = open_client(address=address, token_file=token_file)
+    answer = client.bind(lambda opened: opened.get("/changes", HistoryView, query))
+    finish(answer, as_json=as_json, show=_show_history)
+
+
+def _show_history(view: HistoryView) -> None:
+    print_table(
+        ("revision", "by", "change", "time (UTC)"),
+        (
+            (entry.revision, entry.author, entry.change.kind, time_told(entry.at_s))
+            for entry in view.entries
+        ),
+    )
--- /dev/null
+++ b/src/shallotworks/cli/_main.py
@@ -0,0 +1,92 @@
+"""The console script: one application of commands, one exit code."""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import Sequence
+from typing import Annotated
+
+import typer
+from absl import logging
+
+from shallotworks import __version__
+from shallotworks.errors import ErrorKind, Failure, ShallotworksError, answer_for
+
+from ._columns import one_line
+from ._fleet_commands import add_fleet_commands
+from ._observe_commands import add_observe_commands
+from ._output import print_text
+from ._plan_commands import plan_app
+from ._process_commands import add_process_commands
+
+__all__ = ["main", "run"]
+
+EXIT_INTERRUPTED = 130
+EXIT_BROKEN_PIPE = 141
+
+
+def main() -> None:
+    """Run the command line of this process and end it with the exit code."""
+    sys.exit(run(sys.argv[1:]))
+
+
+def run(arguments: Sequence[str]) -> int:
+    """Run one command and return its exit code; no fault of it ends in a traceback."""
+    try:
+        _app(args=list(arguments), prog_name="shallotworks")
+    except SystemExit as ending:
+        return _code_of(ending)
+    except ShallotworksError as error:
+        return _say(error.failure)
+    except KeyboardInterrupt:
+        return EXIT_INTERRUPTED
+    except BrokenPipeError:
+        # The reader of a pipe has gone; what is left in the buffer must not be written at exit.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return EXIT_BROKEN_PIPE
+    except Exception as error:
+        logging.debug("a command failed", exc_info=True)
+        reason = f"{type(error).__name__}: {error}"
+        return _say(Failure(kind=ErrorKind.INTERNAL, reason=reason))
+    return 0
+
+
+def _code_of(ending: SystemExit) -> int:
+    if ending.code is None:
+        return 0
+    return ending.code if isinstance(ending.code, int) else 1
+
+
+def _say(failure: Failure) -> int:
+    print(one_line(str(failure)), file=sys.stderr)
+    return answer_for(failure.kind).exit_code
+
+
+def _print_version(wanted: bool) -> None:
+    if wanted:
+        print_text(f"shallotworks {__version__}\n")
+        raise typer.Exit
+
+
+def _options(
+    _version: Annotated[
+        bool,
+        typer.Option(
+            "--version", callback=_print_version, is_eager=True, help="Print the version."
+        ),
+    ] = False,
+) -> None:
+    """Fleet capacity and maintenance for many small edge sites."""
+
+
+_app = typer.Typer(
+    no_args_is_help=True,
+    pretty_exceptions_enable=False,
+    rich_markup_mode=None,
+    callback=_options,
+)
+add_process_commands(_app)
+add_fleet_commands(_app)
+_app.add_typer(plan_app, name="plan")
+add_observe_commands(_app)
--- /dev/null
+++ b/src/shallotworks/cli/_observe_commands.py
@@ -0,0 +1,196 @@
+"""Commands that show what processes did and how fast: time line and metrics."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from enum import Enum
+from typing import Annotated
+
+import typer
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.errors import ErrorKind
+from shallotworks.metrics import MetricsSnapshot, to_exposition
+from shallotworks.operators import ErrorBody, StatusView
+from shallotworks.timeline import (
+    Event,
+    EventKind,
+    TimelinePage,
+    encode_events,
+    estimate_clock_offset_s,
+    merge,
+    to_chrome_trace,
+    to_text,
+)
+
+from ._failures import exit_code_of, own_error
+from ._options import (
+    DEFAULT_ADDRESS,
+    AddressesOption,
+    AddressOption,
+    JsonOption,
+    TokenFileOption,
+    open_client,
+)
+from ._output import fail, finish, print_table, print_text, say_error
+
+__all__ = ["add_observe_commands"]
+
+GATHERED_AT_ONCE = 16
+
+_wall_clock_s: Callable[[], float] = time.time
+
+
+class TimelineFormat(Enum):
+    """How the time line is printed."""
+
+    TEXT = "text"
+    JSON = "json"
+    CHROME = "chrome"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Gathered:
+    """One process's page, and what its clock is off by."""
+
+    page: TimelinePage
+    clock_offset_s: float
+
+
+def add_observe_commands(app: typer.Typer) -> None:
+    """Add the commands to the application."""
+    app.command("timeline")(_timeline)
+    app.command("metrics")(_metrics)
+
+
+def _timeline(
+    address: AddressesOption = [DEFAULT_ADDRESS],  # noqa: B006 (typer reads it, nobody writes it)
+    every: Annotated[
+        bool, typer.Option("--all", help="Ask the peers of the first address as well.")
+    ] = False,
+    request: Annotated[str, typer.Option(help="Only events of this request id.")] = "",
+    plan: Annotated[str, typer.Option(help="Only events of the plan that begins so.")] = "",
+    instance: Annotated[str, typer.Option(help="Only events of this instance.")] = "",
+    kind: Annotated[
+        list[EventKind] | None, typer.Option(help="Only events of this kind; may stand often.")
+    ] = None,
+    limit: Annotated[int, typer.Option(help="Only the newest so many of each.", min=1)] = 10_000,
+    output: Annotated[
+        TimelineFormat, typer.Option("--format", help="Text, JSON, or a trace for a viewer.")
+    ] = TimelineFormat.TEXT,
+    token_file: TokenFileOption = "",
+) -> None:
+    """Show what instances did, merged into one time line."""
+    query = {
+        "request": request,
+        "plan": plan,
+        "instance": instance,
+        "kind": ",".join(entry.value for entry in kind or ()),
+        "limit": str(limit),
+    }
+    asked = _with_peers(address, token_file) if every else tuple(address)
+    with ThreadPoolExecutor(max_workers=GATHERED_AT_ONCE) as threads:
+        outcomes = list(threads.map(lambda one: _gather(one, token_file, query), asked))
+    pages = [outcome.unwrap() for outcome in outcomes if isinstance(outcome, Success)]
+    errors = [outcome.failure() for outcome in outcomes if isinstance(outcome, Err)]
+    for error in errors:
+        say_error(error)
+    if pages:
+        _print_events(pages, output)
+    if errors:
+        # What was gathered is printed, but a program must see that a part is missing.
+        raise typer.Exit(exit_code_of(errors[0]))
+
+
+def _with_peers(addresses: list[str], token_file: str) -> tuple[str, ...]:
+    client = open_client(address=addresses[0], token_file=token_file)
+    status = client.bind(lambda opened: opened.get("/status", StatusView))
+    if isinstance(status, Err):
+        fail(status.failure(), as_json=False)
+    known = [peer.operators_address for peer in status.unwrap().peers if peer.operators_address]
+    return tuple(dict.fromkeys([*addresses, *known]))
+
+
+def _gather(address: str, token_file: str, query: dict[str, str]) -> Result[_Gathered, ErrorBody]:
+    client = open_client(address=address, token_file=token_file)
+    if isinstance(client, Err):
+        return client
+    asked_at_s = _wall_clock_s()
+    page = client.unwrap().get("/timeline", TimelinePage, query)
+    answered_at_s = _wall_clock_s()
+    client.unwrap().close()
+    return page.map(
+        lambda found: _Gathered(
+            page=found,
+            clock_offset_s=estimate_clock_offset_s(
+                asked_at_s=asked_at_s, answered_at_s=answered_at_s, remote_now_s=found.now_s
+            ),
+        )
+    )
+
+
+def _print_events(gathered: list[_Gathered], output: TimelineFormat) -> None:
+    every: list[Event] = [event for one in gathered for event in one.page.events]
+    offsets_s = {one.page.process: one.clock_offset_s for one in gathered}
+    events = merge(every, clock_offsets_s=offsets_s)
+    if output is TimelineFormat.JSON:
+        print_text(encode_events(events).decode() + "\n")
+    elif output is TimelineFormat.CHROME:
+        print_text(to_chrome_trace(events).decode() + "\n")
+    else:
+        print_text(to_text(events))
+        _say_dropped(gathered)
+
+
+def _say_dropped(gathered: list[_Gathered]) -> None:
+    for one in gathered:
+        if one.page.dropped:
+            told = f"{one.page.process} keeps no more of its first {one.page.dropped} events"
+            print_text(told + "\n")
+
+
+def _metrics(
+    address: AddressOption = DEFAULT_ADDRESS,
+    token_file: TokenFileOption = "",
+    as_json: JsonOption = False,
+    text: Annotated[bool, typer.Option("--text", help="Print the text exposition format.")] = False,
+) -> None:
+    """Show counters and latencies of one instance."""
+    if as_json and text:
+        reason = "--json and --text exclude each other"
+        fail(own_error(ErrorKind.INVALID_REQUEST, reason), as_json=True)
+    client = open_client(address=address, token_file=token_file)
+    answer = client.bind(lambda opened: opened.get("/metrics", MetricsSnapshot))
+    finish(answer, as_json=as_json, show=_show_exposition if text else _show_metrics)
+
+
+def _show_exposition(snapshot: MetricsSnapshot) -> None:
+    print_text(to_exposition(snapshot))
+
+
+def _show_metrics(snapshot: MetricsSnapshot) -> None:
+    print_table(("counter", "count"), snapshot.counters.items())
+    print_text("\n")
+    print_table(
+        ("latency", "count", "mean ms", "p50 ms", "p90 ms", "p99 ms", "max ms"),
+        (
+            (
+                name,
+                latency.count,
+                _ms(latency.mean_s),
+                _ms(latency.p50_s),
+                _ms(latency.p90_s),
+                _ms(latency.p99_s),
+                _ms(latency.max_s),
+            )
+            for name, latency in snapshot.latencies.items()
+        ),
+    )
+
+
+def _ms(duration_s: float) -> float:
+    return round(duration_s * 1_000, 2)
--- /dev/null
+++ b/src/shallotworks/cli/_output.py
@@ -0,0 +1,105 @@
+"""What a command prints: tables for people, one JSON document for programs."""
+
+from __future__ import annotations
+
+import io
+import sys
+from collections.abc import Callable, Iterable
+from typing import Any, NoReturn, TypeVar
+
+import typer
+from pydantic import TypeAdapter
+from returns.result import Result, Success
+from rich.console import Console
+from rich.table import Table
+from rich.text import Text
+
+from shallotworks.errors import Advice
+from shallotworks.operators import ErrorBody
+
+from ._columns import one_line
+from ._failures import exit_code_of
+
+__all__ = ["fail", "finish", "print_json", "print_table", "print_text", "say_error"]
+
+PIPE_WIDTH = 250
+"""Columns where there is no terminal, so that a table in a pipe is never cut."""
+
+_Answer = TypeVar("_Answer")
+
+
+def finish(
+    outcome: Result[_Answer, ErrorBody], *, as_json: bool, show: Callable[[_Answer], None]
+) -> None:
+    """Print an answer, or say the error and end with its exit code."""
+    if not isinstance(outcome, Success):
+        fail(outcome.failure(), as_json=as_json)
+    answer = outcome.unwrap()
+    if as_json:
+        print_json(answer)
+    else:
+        show(answer)
+
+
+def fail(error: ErrorBody, *, as_json: bool) -> NoReturn:
+    """Say an error and end with its exit code; with ``--json`` it is the one document."""
+    if as_json:
+        print_json(error)
+    else:
+        say_error(error)
+    raise typer.Exit(exit_code_of(error))
+
+
+def say_error(error: ErrorBody) -> None:
+    """Say an error in one line, on standard error."""
+    told = f"{error.kind}: {error.reason}"
+    if error.retry_after_s is not None:
+        told += f" (try again in {error.retry_after_s:g} s)"
+    elif error.advice == Advice.LATER.value:
+        told += " (try again later)"
+    if error.accepted:
+        count, last = len(error.accepted), error.accepted[-1].revision
+        told += f" (accepted before it: {count}, up to revision {last})"
+    print(one_line(told), file=sys.stderr)
+
+
+def print_json(value: object) -> None:
+    """Print one JSON document."""
+    adapter: TypeAdapter[Any] = TypeAdapter(type(value))
+    print_text(adapter.dump_json(value, indent=2).decode() + "\n")
+
+
+def print_text(text: str) -> None:
+    """Print text as it is."""
+    sys.stdout.write(text)
+
+
+def print_table(headings: tuple[str, ...], rows: Iterable[tuple[object, ...]]) -> None:
+    """Print a table; numbers stand to the right."""
+    rows = tuple(rows)
+    table = Table(box=None, pad_edge=False, header_style="bold")
+    for column, heading in enumerate(headings):
+        numbers = bool(rows) and all(isinstance(row[column], int | float) for row in rows)
+        table.add_column(heading, justify="right" if numbers else "left", no_wrap=True)
+    for row in rows:
+        table.add_row(*(Text(one_line(_told(cell))) for cell in row))
+    _print_rich(table)
+
+
+def _print_rich(table: Table) -> None:
+    if sys.stdout.isatty():
+        Console(file=sys.stdout, highlight=False).print(table)
+        return
+    console = Console(file=io.StringIO(), width=PIPE_WIDTH, highlight=False)
+    with console.capture() as captured:
+        console.print(table)
+    for line in captured.get().splitlines():
+        print_text(line.rstrip() + "\n")
+
+
+def _told(cell: object) -> str:
+    if isinstance(cell, bool):
+        return "yes" if cell else "no"
+    if isinstance(cell, float):
+        return f"{cell:g}"
+    return str(cell)
--- /dev/null
+++ b/src/shallotworks/cli/_plan_commands.py
@@ -0,0 +1,115 @@
+"""Commands that propose, show, confirm and cancel plans."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import typer
+
+from shallotworks.operators import PlansView, PlanView
+from shallotworks.plans import describe_intent
+
+from ._options import (
+    DEFAULT_ADDRESS,
+    AddressOption,
+    JsonOption,
+    OperatorOption,
+    TokenFileOption,
+    open_client,
+)
+from ._output import finish, print_table, print_text
+from ._plan_text import SHORT_DIGEST_LENGTH, plan_text
+from ._propose_commands import propose_app
+
+__all__ = ["plan_app"]
+
+DigestArgument = Annotated[
+    str, typer.Argument(help="The plan's digest, or the unambiguous beginning of it.")
+]
+
+plan_app = typer.Typer(help="Propose, show, confirm and cancel plans.", no_args_is_help=True)
+plan_app.add_typer(propose_app, name="propose")
+
+
+@plan_app.command("list")
+def _list(
+    address: AddressOption = DEFAULT_ADDRESS,
+    token_file: TokenFileOption = "",
+    as_json: JsonOption = False,
+) -> None:
+    """List proposals and confirmed plans."""
+    client = open_client(address=address, token_file=token_file)
+    answer = client.bind(lambda opened: opened.get("/plans", PlansView))
+    finish(answer, as_json=as_json, show=_show_plans)
+
+
+def _show_plans(view: PlansView) -> None:
+    print_table(
+        ("plan", "state", "done", "of", "by", "intent"),
+        (
+            (
+                entry.plan.digest[:SHORT_DIGEST_LENGTH],
+                entry.stage,
+                entry.progress.instances_done if entry.progress else 0,
+                len(entry.plan.instances),
+                entry.record.confirmed_by if entry.record else entry.plan.author,
+                describe_intent(entry.plan.intent),
+            )
+            for entry in view.plans
+        ),
+    )
+
+
+@plan_app.command("show")
+def _show(
+    digest: DigestArgument,
+    address: AddressOption = DEFAULT_ADDRESS,
+    token_file: TokenFileOption = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Show one plan: its waves, its measures and what it was chosen over."""
+    client = open_client(address=address, token_file=token_file)
+    answer = client.bind(lambda opened: opened.get(_path(digest), PlanView))
+    finish(answer, as_json=as_json, show=_show_plan)
+
+
+@plan_app.command("confirm")
+def _confirm(
+    digest: DigestArgument,
+    address: AddressOption = DEFAULT_ADDRESS,
+    token_file: TokenFileOption = "",
+    operator: OperatorOption = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Confirm a proposal: from now on it is carried out."""
+    client = open_client(address=address, token_file=token_file, operator=operator)
+    answer = client.bind(lambda opened: opened.post(_path(digest, "/confirm"), PlanView, b""))
+    finish(answer, as_json=as_json, show=_show_stage)
+
+
+@plan_app.command("cancel")
+def _cancel(
+    digest: DigestArgument,
+    address: AddressOption = DEFAULT_ADDRESS,
+    token_file: TokenFileOption = "",
+    operator: OperatorOption = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Cancel a confirmed plan: it starts nothing more and brings back what it cordoned."""
+    client = open_client(address=address, token_file=token_file, operator=operator)
+    answer = client.bind(lambda opened: opened.post(_path(digest, "/cancel"), PlanView, b""))
+    finish(answer, as_json=as_json, show=_show_stage)
+
+
+def _path(digest: str, action: str = "") -> str:
+    # What is no digest finds no route; what would change the path must not get into it.
+    return f"/plans/{digest if digest.isalnum() else '-'}{action}"
+
+
+def _show_plan(view: PlanView) -> None:
+    print_text(plan_text(view))
+
+
+def _show_stage(view: PlanView) -> None:
+    digest = view.plan.digest[:SHORT_DIGEST_LENGTH]
+    print_text(f"plan {digest} is {view.stage}: {describe_intent(view.plan.intent)}\n")
--- /dev/null
+++ b/src/shallotworks/cli/_process_commands.py
@@ -0,0 +1,122 @@
+"""Commands that start something: an instance, a stand-in, the demo; and the check before it."""
+
+from __future__ import annotations
+
+import importlib
+import signal
+import sys
+from collections.abc import Callable
+from typing import Annotated, Any
+
+import typer
+from absl import logging
+from returns.result import Failure as Err
+
+from shallotworks.errors import answer_for
+from shallotworks.settings import Settings, SettingsFaults, load_settings
+
+from ._columns import one_line
+from ._output import print_text
+
+__all__ = ["add_process_commands"]
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+HostOption = Annotated[str, typer.Option(help="IP number to listen on.")]
+PortOption = Annotated[int, typer.Option(help="Port; 0 for any free one.", min=0, max=65535)]
+
+_standin_app = typer.Typer(
+    help="Start a stand-in, for development and tests only.", no_args_is_help=True
+)
+
+
+def add_process_commands(app: typer.Typer) -> None:
+    """Add the commands to the application."""
+    app.command("serve")(_serve)
+    app.command("check-settings")(_check_settings)
+    app.command("demo")(_demo)
+    app.add_typer(_standin_app, name="standin")
+
+
+def _serve(
+    settings: Annotated[str, typer.Option("--settings", help="The settings file.")],
+) -> None:
+    """Run one instance until it is told to stop."""
+    loaded = _load(settings)
+    logging.use_absl_handler()
+    logging.set_verbosity(loaded.log.verbosity)
+    # Imported here alone: an operator's tool must not load all of an instance for `status`.
+    node = _import("shallotworks.node")
+    raise typer.Exit(node.serve(loaded))
+
+
+def _check_settings(
+    file: Annotated[str, typer.Argument(help="The settings file.")],
+) -> None:
+    """Check a settings file as a whole, and name every fault in it."""
+    loaded = _load(file)
+    print_text(f"{file}: settings of {loaded.instance.name} are right\n")
+
+
+def _load(file: str) -> Settings:
+    loaded = load_settings(file)
+    if isinstance(loaded, Err):
+        _say_faults(loaded.failure())
+        raise typer.Exit(answer_for(loaded.failure().kind).exit_code)
+    return loaded.unwrap()
+
+
+def _say_faults(faults: SettingsFaults) -> None:
+    count = len(faults.faults)
+    head = f"{faults.kind.value}: {faults.path} has {count} fault{'s' if count > 1 else ''}"
+    print(one_line(head), file=sys.stderr)
+    for fault in faults.faults:
+        print(f"  {one_line(str(fault))}", file=sys.stderr)
+
+
+def _demo() -> None:
+    """Run a small fleet in this process, drain a rack of it, and count what became of requests."""
+    raise typer.Exit(_import("shallotworks.demo").run_demo())
+
+
+@_standin_app.command("platform")
+def _platform(
+    host: HostOption = "127.0.0.1",
+    port: PortOption = 7000,
+    lag_s: Annotated[float, typer.Option(help="Lag of the instance list.", min=0)] = 0.0,
+) -> None:
+    """Stand in for the platform's key-value service and instance list."""
+    standins = _import("shallotworks.standins")
+    _run_until_stopped(
+        "platform", lambda: standins.serve_platform(host=host, port=port, lag_s=lag_s)
+    )
+
+
+@_standin_app.command("worker")
+def _worker(
+    name: Annotated[str, typer.Option(help="The instance's name.")] = "worker",
+    host: HostOption = "127.0.0.1",
+    port: PortOption = 9000,
+    slots: Annotated[int, typer.Option(help="Requests it runs at once.", min=1)] = 8,
+) -> None:
+    """Stand in for a worker instance."""
+    standins = _import("shallotworks.standins")
+    _run_until_stopped(
+        f"worker {name}",
+        lambda: standins.serve_worker(name=name, host=host, port=port, slots=slots),
+    )
+
+
+def _run_until_stopped(told: str, start: Callable[[], Any]) -> None:
+    # Blocked before any thread starts, since threads inherit it: a signal that reached a thread
+    # without the block would end the process at once.
+    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
+    standin = start()
+    print_text(f"{told} listens at {standin.address}\n")
+    sys.stdout.flush()
+    signal.sigwait(STOP_SIGNALS)
+    standin.stop()
+
+
+def _import(name: str) -> Any:
+    return importlib.import_module(name)
--- a/src/shallotworks/operators/_server.py
+++ b/src/shallotworks/operators/_server.py
@@ -9,7 +9,7 @@
 from shallotworks.errors import ShallotworksError
 from shallotworks.listener import Listener
 from shallotworks.metrics import Metrics
-from shallotworks.settings import OperatorsSettings, read_secret
+from shallotworks.settings import OperatorsSettings, read_token
 from shallotworks.timeline import Timeline
 
 from ._application import BODY_LIMIT_BYTES, OperatorsApplication
@@ -57,7 +57,7 @@
         timeline: Timeline,
         metrics: Metrics,
     ) -> None:
-        token = read_secret(settings.token_file)
+        token = read_token(settings.token_file)
         if isinstance(token, Err):
             raise ShallotworksError(token.failure())
         hop = LoopHop(loop=loop)
--- a/src/shallotworks/settings/__init__.py
+++ b/src/shallotworks/settings/__init__.py
@@ -7,7 +7,8 @@
 
 from ._faults import SettingFault, SettingsFaults
 from ._load import load_settings, parse_settings
-from ._secrets import read_secret
+from ._rules import parse_address
+from ._secrets import read_secret, read_token
 from ._sections import (
     CallersSettings,
     InstanceSettings,
@@ -35,6 +36,8 @@
     "SettingsFaults",
     "TimelineSettings",
     "load_settings",
+    "parse_address",
     "parse_settings",
     "read_secret",
+    "read_token",
 ]
--- a/src/shallotworks/settings/_rules.py
+++ b/src/shallotworks/settings/_rules.py
@@ -11,7 +11,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from ._secrets import read_secret
+from ._secrets import read_secret, read_token
 
 __all__ = [
     "AddressListRule",
@@ -22,6 +22,7 @@
     "Rule",
     "SecretFileRule",
     "WholeRule",
+    "parse_address",
 ]
 
 LARGEST_PORT = 65_535
@@ -30,7 +31,6 @@
 _WHOLE = re.compile(r"[+-]?[0-9]{1,15}", re.ASCII)
 _DECIMAL = re.compile(r"[+-]?[0-9]{1,15}(\.[0-9]{1,15})?", re.ASCII)
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}", re.ASCII)
-_VISIBLE = re.compile(rb"[\x21-\x7e]+")
 
 
 class Rule(Protocol):
@@ -152,7 +152,7 @@
         """Return the address in its usual form."""
         if self.optional and not text:
             return Success("")
-        return _parse_address(text)
+        return parse_address(text)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -168,7 +168,7 @@
         """Return the addresses in the order written."""
         addresses: list[str] = []
         for part in text.split(",") if text.strip() else ():
-            parsed = _parse_address(part.strip())
+            parsed = parse_address(part.strip())
             if isinstance(parsed, Err):
                 return Err(f"{part.strip()!r} is {parsed.failure()}")
             addresses.append(parsed.unwrap())
@@ -201,14 +201,12 @@
         if not text:
             return Err("empty")
         path = str((folder / text).absolute())
-        read = read_secret(path)
+        read = read_token(path) if self.sent_in_header else read_secret(path)
         if isinstance(read, Err):
             return Err(f"the file {read.failure().reason}")
         secret = read.unwrap()
         if len(secret) < self.least_bytes:
             return Err(f"the file holds {len(secret)} bytes")
-        if self.sent_in_header and not _VISIBLE.fullmatch(secret):
-            return Err("the file holds white space, control or non-ASCII characters")
         return Success(path)
 
 
@@ -222,7 +220,8 @@
         return None
 
 
-def _parse_address(text: str) -> Result[str, str]:
+def parse_address(text: str) -> Result[str, str]:
+    """Return an ``ip:port`` in its usual form, or what is wrong with it."""
     host, colon, port = text.rpartition(":")
     bracketed = host.startswith("[") and host.endswith("]")
     number = _ip_number(host[1:-1] if bracketed else host)
--- a/src/shallotworks/settings/_secrets.py
+++ b/src/shallotworks/settings/_secrets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import stat
 from pathlib import Path
 
@@ -10,10 +11,12 @@
 
 from shallotworks.errors import ErrorKind, Failure
 
-__all__ = ["LONGEST_SECRET_BYTES", "read_secret"]
+__all__ = ["LONGEST_SECRET_BYTES", "read_secret", "read_token"]
 
 LONGEST_SECRET_BYTES = 4_096
 
+_VISIBLE = re.compile(rb"[\x21-\x7e]+")
+
 
 def read_secret(path: str) -> Result[bytes, Failure]:
     """Read a token or key, without the white space around it.
@@ -39,5 +42,25 @@
     return Success(secret.strip())
 
 
+def read_token(path: str) -> Result[bytes, Failure]:
+    """Read a token that is sent in a header, hence at least one visible ASCII character.
+
+    Args:
+        path: Path of a plain file of at most `LONGEST_SECRET_BYTES`.
+
+    Returns:
+        The token, or ``INVALID_SETTINGS`` with the reason.
+    """
+    return read_secret(path).bind(_check_token)
+
+
+def _check_token(token: bytes) -> Result[bytes, Failure]:
+    if not token:
+        return _refuse("holds 0 bytes")
+    if not _VISIBLE.fullmatch(token):
+        return _refuse("holds white space, control or non-ASCII characters")
+    return Success(token)
+
+
 def _refuse(reason: str) -> Result[bytes, Failure]:
     return Err(Failure(kind=ErrorKind.INVALID_SETTINGS, reason=reason))
--- /dev/null
+++ b/tests/cli_sessions.py
@@ -0,0 +1,63 @@
+"""Runs command lines in this process and writes down what a person at a terminal would see."""
+
+from __future__ import annotations
+
+import io
+import os
+import shlex
+from collections.abc import Mapping, Sequence
+from contextlib import redirect_stderr, redirect_stdout
+from dataclasses import dataclass
+from unittest import mock
+
+from shallotworks.cli import run
+
+COLUMNS = "100"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Ending:
+    """How one command ended."""
+
+    output: str
+    errors: str
+    exit_code: int
+
+
+def run_command(command: str | Sequence[str], environment: Mapping[str, str]) -> Ending:
+    """Run one command with these variables and no other of ours."""
+    arguments = shlex.split(command) if isinstance(command, str) else command
+    output = io.TextIOWrapper(io.BytesIO(), encoding="utf-8", write_through=True)
+    errors = io.StringIO()
+    kept = {name: value for name, value in os.environ.items() if "SHALLOTWORKS" not in name}
+    variables = {**kept, "COLUMNS": COLUMNS, **environment}
+    with (
+        mock.patch.dict(os.environ, variables, clear=True),
+        redirect_stdout(output),
+        redirect_stderr(errors),
+    ):
+        exit_code = run(arguments)
+    written = output.buffer.getvalue().decode()  # type: ignore[attr-defined]
+    return Ending(output=written, errors=errors.getvalue(), exit_code=exit_code)
+
+
+def transcript(
+    commands: Sequence[str], environment: Mapping[str, str], *, hidden: Mapping[str, str]
+) -> str:
+    """Return a whole session as text.
+
+    Args:
+        commands: What is typed.
+        environment: Variables.
+        hidden: What differs from run to run, and the word that stands for it.
+    """
+    lines = []
+    for command in commands:
+        ending = run_command(command, environment)
+        lines.append(f"$ shallotworks {command}\n{ending.output}")
+        lines.extend(f"! {line}\n" for line in ending.errors.splitlines())
+        lines.append(f"[exit {ending.exit_code}]\n\n")
+    text = "".join(lines)
+    for value, word in hidden.items():
+        text = text.replace(value, word)
+    return text
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,394 @@
+"""Tests of `shallotworks.cli`: whole sessions against the real API in front of a fake backend."""
+
+import json
+import shutil
+import signal
+import socket
+import sys
+import tempfile
+import threading
+import types
+import unittest
+from collections.abc import Callable
+from pathlib import Path
+from unittest import mock
+
+from parameterized import parameterized
+from returns.result import Failure as Err
+
+from shallotworks.cli import _observe_commands, _propose_commands
+from shallotworks.cli._client import OperatorsClient
+from shallotworks.cli._failures import own_error
+from shallotworks.errors import ErrorKind, answer_for
+from shallotworks.operators import ChangesView
+from shallotworks.plans import (
+    Drain,
+    InDataCentre,
+    InPool,
+    InRack,
+    Intent,
+    Maintain,
+    Move,
+    Named,
+    NotMaintainedSince,
+    Return,
+)
+from shallotworks.settings import Settings
+from shallotworks.timeline import EventKind, Subject
+from tests.cli_sessions import Ending, run_command, transcript
+from tests.fake_backend import NOW_S, ServedBackend
+from tests.golden_files import assert_golden
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+FLEET = EXAMPLES / "fjellsending" / "fleet.json"
+PLAN = "000000000001"
+WEEK_S = 7 * 24 * 3600
+
+
+def unused_port() -> int:
+    """Return a port at which nobody listens."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        return int(server.getsockname()[1])
+
+
+class SessionCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.served = ServedBackend(self)
+        self.environment = {
+            "SHALLOTWORKS_ADDRESS": self.served.address,
+            "SHALLOTWORKS_TOKEN_FILE": self.served.token_file,
+            "SHALLOTWORKS_OPERATOR": "kari",
+        }
+        for module in (_observe_commands, _propose_commands):
+            clock = mock.patch.object(module, "_wall_clock_s", lambda: NOW_S)
+            clock.start()
+            self.addCleanup(clock.stop)
+
+    def run_one(self, command: str | list[str]) -> Ending:
+        """Run one command against the served backend."""
+        return run_command(command, self.environment)
+
+    def session(self, name: str, commands: list[str], hidden: dict[str, str] | None = None) -> None:
+        """Run a session and compare it with its golden file."""
+        every = {
+            self.served.address: "ADDRESS",
+            str(FLEET): "fleet.json",
+            str(Path(self.served.token_file).parent): "FOLDER",
+            **(hidden or {}),
+        }
+        assert_golden(self, name, transcript(commands, self.environment, hidden=every))
+
+
+class GoldenSessionTests(SessionCase):
+    def test_a_rack_is_drained(self) -> None:
+        """An operator fills a fleet, proposes, looks, confirms, changes her mind and cancels."""
+        self.session(
+            "session-drain.txt",
+            [
+                f"apply {FLEET}",
+                "status",
+                "pools",
+                "services",
+                "instances --pool fault-traces",
+                "plan propose drain rack bergen-r1 --data-centre bergen",
+                "plan list",
+                f"plan confirm {PLAN}",
+                f"plan show {PLAN}",
+                f"plan cancel {PLAN}",
+                "plan list",
+                "changes --after 56",
+                "timeline",
+                "metrics",
+            ],
+        )
+
+    def test_what_goes_wrong_is_said_in_one_line(self) -> None:
+        """Each failure is one clear line with its kind, and its own exit code."""
+        folder = Path(self.served.token_file).parent
+        (folder / "wrong").write_text("let-me-on")
+        (folder / "half.json").write_text(
+            '[{"kind": "put-pool", "pool": {"name": "a"}}, {"kind": "remove-pool", "name": "b"}]'
+        )
+        (folder / "not.json").write_text("{")
+        dead = f"127.0.0.1:{unused_port()}"
+        self.served.backend.stale = True
+        self.session(
+            "session-errors.txt",
+            [
+                f"status --address {dead}",
+                f"status --json --address {dead}",
+                "status --address here:80",
+                f"status --token-file {folder}/none",
+                f"status --token-file {folder}/wrong",
+                f"apply {folder}/none.json",
+                f"apply {folder}/not.json",
+                f"apply {folder}/half.json",
+                f"apply --json {folder}/half.json",
+                "plan show 0000",
+                "plan show ../../status",
+                "plan propose drain pool fault-traces --operator 'k d'",
+                "plan propose drain pool fault-traces --operator kåri",
+                "plan propose drain pool fault-traces",
+                f"plan confirm {PLAN}",
+                "plan propose move a b",
+                "plan propose drain rack r1",
+                "metrics --json --text",
+                "timeline --kind sung",
+                "reboot everything",
+            ],
+            hidden={dead: "DEAD"},
+        )
+
+    def test_wrong_settings(self) -> None:
+        """A file with faults in many places is told fault by fault, each in one line."""
+        path = Path(self.served.token_file).parent / "wrong.ini"
+        path.write_text(
+            "[instance]\nname = a b\nregion = vestland\n[callers]\nport = 99999\nprot = 1\n"
+            "[operators]\ntoken_file = none\n[peers]\nkey_file = operators.token\n"
+            "seeds = 10.1.1.1:8082, bergen:8082\n[platform]\naddress = 10.1.0.10\n[job]\na = 1\n"
+        )
+        self.session("session-settings.txt", [f"check-settings {path}", f"serve --settings {path}"])
+
+
+class JsonTests(SessionCase):
+    @parameterized.expand(
+        [
+            ("status", "status --json"),
+            ("instances", "instances --json"),
+            ("pools", "pools --json"),
+            ("services", "services --json"),
+            ("apply", f"apply --json {FLEET}"),
+            ("changes", "changes --json"),
+            ("propose", "plan propose maintain pool archive --json"),
+            ("plans", "plan list --json"),
+            ("metrics", "metrics --json"),
+            ("timeline", "timeline --format json"),
+            ("trace", "timeline --format chrome"),
+        ]
+    )
+    def test_one_document(self, _name: str, command: str) -> None:
+        """With --json the output is one JSON document and nothing else."""
+        ending = self.run_one(command)
+        self.assertEqual((ending.exit_code, ending.errors), (0, ""))
+        json.loads(ending.output)
+
+
+class IntentTests(SessionCase):
+    @parameterized.expand(
+        [
+            ("drain instance a b", Drain(selection=Named(names=("a", "b")))),
+            ("drain rack r --data-centre d", Drain(selection=InRack(data_centre="d", rack="r"))),
+            ("drain pool p", Drain(selection=InPool(pool="p"))),
+            ("drain data-centre d", Drain(selection=InDataCentre(data_centre="d"))),
+            ("return instance a", Return(selection=Named(names=("a",)))),
+            ("return rack r --data-centre d", Return(selection=InRack(data_centre="d", rack="r"))),
+            ("maintain pool p", Maintain(selection=InPool(pool="p"))),
+            (
+                "maintain older-than 5",
+                Maintain(selection=NotMaintainedSince(before_s=NOW_S - 5 * WEEK_S)),
+            ),
+            ("move p q --count 3", Move(from_pool="p", to_pool="q", count=3)),
+            (
+                "move p q --instance a --instance b",
+                Move(from_pool="p", to_pool="q", names=("a", "b")),
+            ),
+        ]
+    )
+    def test_command_becomes_intent(self, command: str, intent: Intent) -> None:
+        """Each way to say what is wanted reaches the backend as its typed intent."""
+        ending = self.run_one(f"plan propose {command}")
+        self.assertEqual(ending.exit_code, 0, ending.errors)
+        (plan,) = self.served.backend.stored.values()
+        self.assertEqual((plan.intent, plan.author), (intent, "kari"))
+
+
+class TimelineTests(SessionCase):
+    def test_gathers_what_can_be_reached(self) -> None:
+        """
+        A data centre is cut off, and an operator wants the time line of the rest.
+
+        Two processes answer and one does not. What was gathered is printed in one order; the one
+        missing is said, and the exit code tells a program that a part is missing.
+        """
+        other = ServedBackend(self)
+        other.token_file = self.served.token_file
+        self.served.timeline.record(EventKind.STARTED, subject=Subject(), detail="here")
+        other.timeline.record(EventKind.STORE_DOWN, subject=Subject(), detail="there")
+        dead = f"127.0.0.1:{unused_port()}"
+        addresses = " ".join(
+            f"--address {address}" for address in (self.served.address, dead, other.address)
+        )
+        ending = self.run_one(f"timeline {addresses}")
+        self.assertEqual(ending.exit_code, answer_for(ErrorKind.UNREACHABLE).exit_code)
+        self.assertIn(f"unreachable: no instance answers at {dead}", ending.errors)
+        self.assertEqual(len(ending.errors.splitlines()), 1)
+        self.assertIn("here", ending.output)
+        self.assertIn("there", ending.output)
+
+    def test_asks_peers_of_the_first(self) -> None:
+        """With --all the peers whose operators' port is known are asked as well."""
+        asked: list[str] = []
+
+        def gather(address: str, token_file: str, query: dict[str, str]) -> object:
+            asked.append(address)
+            return Err(own_error(ErrorKind.UNREACHABLE, "not asked in a test"))
+
+        with mock.patch.object(_observe_commands, "_gather", gather):
+            self.run_one("timeline --all")
+        self.assertEqual(set(asked), {self.served.address, "10.1.1.12:8081"})
+
+    def test_filters_go_to_the_instance(self) -> None:
+        """Only events that meet the filters are shown."""
+        for request in ("r1", "r2"):
+            self.served.timeline.record(EventKind.SENT, subject=Subject(request=request))
+        self.served.timeline.record(EventKind.ANSWERED, subject=Subject(request="r1"))
+        ending = self.run_one("timeline --request r1 --kind answered --format json")
+        (event,) = json.loads(ending.output)
+        self.assertEqual((event["kind"], event["subject"]["request"]), ("answered", "r1"))
+
+
+class LostAnswerTests(unittest.TestCase):
+    """
+    An operator is told that a change was not made, makes it again, and has made it twice.
+
+    The instance takes the call and dies, or its answer is cut short or garbled, after the change
+    may have been accepted. Only a call of which no byte was taken is told as unreachable.
+    """
+
+    def client(self, serve: Callable[[socket.socket], object]) -> OperatorsClient:
+        server = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(server.close)
+
+        def serve_one() -> None:
+            connection, _ = server.accept()
+            with connection:
+                # Read to its end, since closing with bytes unread would reset the connection.
+                call = b""
+                while not call.endswith(b"[]" if call.startswith(b"POST") else b"\r\n\r\n"):
+                    call += connection.recv(65_536)
+                serve(connection)
+
+        thread = threading.Thread(target=serve_one, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join)
+        address = f"127.0.0.1:{server.getsockname()[1]}"
+        client = OperatorsClient(address=address, token="t", operator="o", answer_timeout_s=0.2)
+        self.addCleanup(client.close)
+        return client
+
+    @parameterized.expand(
+        [
+            ("closed", b"", ErrorKind.OUTCOME_UNKNOWN),
+            ("cut", b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{", ErrorKind.OUTCOME_UNKNOWN),
+            ("no_http", b"220 mail\r\n", ErrorKind.OUTCOME_UNKNOWN),
+            ("not_json", b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", ErrorKind.PROTOCOL),
+            ("odd_error", b"HTTP/1.1 502 X\r\nContent-Length: 2\r\n\r\nhi", ErrorKind.PROTOCOL),
+            (
+                "cut_off",
+                b"HTTP/1.1 408 X\r\nContent-Length: 0\r\n\r\n",
+                ErrorKind.DEADLINE_EXCEEDED,
+            ),
+        ]
+    )
+    def test_change(self, _name: str, answer: bytes, kind: ErrorKind) -> None:
+        """Of a change that was sent, only the instance itself may say that it was not made."""
+        client = self.client(lambda connection: connection.sendall(answer))
+        error = client.post("/changes", ChangesView, b"[]").failure()
+        self.assertEqual((error.kind, error.ran), (kind.value, answer_for(kind).ran.value))
+
+    def test_silent(self) -> None:
+        """An instance that takes a change and falls silent leaves its outcome unknown."""
+        client = self.client(lambda connection: connection.recv(1))
+        error = client.post("/changes", ChangesView, b"[]").failure()
+        self.assertEqual(error.kind, ErrorKind.OUTCOME_UNKNOWN.value)
+        self.assertIn("timed out", error.reason)
+        client.close()
+
+    def test_read(self) -> None:
+        """A read that is lost changed nothing, and may simply be repeated."""
+        error = self.client(lambda connection: None).get("/changes", ChangesView).failure()
+        self.assertEqual(error.kind, ErrorKind.UNREACHABLE.value)
+
+
+class ProcessCommandTests(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.settings = Path(folder.name) / "bergen.ini"
+        shutil.copy(EXAMPLES / "fjellsending" / "bergen.ini", self.settings)
+        (Path(folder.name) / "secrets").mkdir()
+        (Path(folder.name) / "secrets" / "operators.token").write_text("t")
+        (Path(folder.name) / "secrets" / "peers.key").write_text("k" * 32)
+
+    def with_module(self, name: str, **functions: Callable[..., object]) -> None:
+        """Put a fake in place of a module that the command imports."""
+        module = types.ModuleType(name)
+        for function, body in functions.items():
+            setattr(module, function, body)
+        patch = mock.patch.dict(sys.modules, {name: module})
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def test_check_settings(self) -> None:
+        """Right settings are said to be right."""
+        ending = run_command(["check-settings", str(self.settings)], {})
+        self.assertEqual((ending.exit_code, ending.errors), (0, ""))
+        self.assertIn("bergen-entry-1 are right", ending.output)
+
+    def test_serve(self) -> None:
+        """The instance gets the checked settings, and its code is the command's."""
+        served: list[Settings] = []
+
+        def serve(settings: Settings) -> int:
+            served.append(settings)
+            return 13
+
+        self.with_module("shallotworks.node", serve=serve)
+        with mock.patch("absl.logging.use_absl_handler"), mock.patch("absl.logging.set_verbosity"):
+            ending = run_command(["serve", "--settings", str(self.settings)], {})
+        self.assertEqual(ending.exit_code, 13)
+        self.assertEqual(served[0].instance.name, "bergen-entry-1")
+
+    def test_fault_of_an_instance_is_one_line(self) -> None:
+        """A fault that nothing caught ends in one line and a code of its own."""
+
+        def run_demo() -> int:
+            raise RuntimeError("broken\nin two")
+
+        self.with_module("shallotworks.demo", run_demo=run_demo)
+        ending = run_command("demo", {})
+        self.assertEqual(ending.exit_code, answer_for(ErrorKind.INTERNAL).exit_code)
+        self.assertEqual(ending.errors, "internal: RuntimeError: broken?in two\n")
+
+    def test_demo(self) -> None:
+        """The demo's code is the command's."""
+        self.with_module("shallotworks.demo", run_demo=lambda: 1)
+        self.assertEqual(run_command("demo", {}).exit_code, 1)
+
+    @parameterized.expand(
+        [
+            ("platform", "standin platform --port 0 --lag-s 2", "platform listens at 127.0.0.1:1"),
+            ("worker", "standin worker --name w --slots 2", "worker w listens at 127.0.0.1:1"),
+        ]
+    )
+    def test_standin(self, _name: str, command: str, told: str) -> None:
+        """A stand-in says where it listens, runs until a signal, and is stopped."""
+        standin = mock.Mock(address="127.0.0.1:1")
+        start = mock.Mock(return_value=standin)
+        self.with_module("shallotworks.standins", serve_platform=start, serve_worker=start)
+        with (
+            mock.patch.object(signal, "sigwait") as wait,
+            mock.patch.object(signal, "pthread_sigmask"),
+        ):
+            ending = run_command(command, {})
+        self.assertEqual((ending.exit_code, ending.output), (0, f"{told}\n"))
+        wait.assert_called_once()
+        standin.stop.assert_called_once_with()
+
+    @parameterized.expand([("bash",), ("zsh",), ("fish",)])
+    def test_completion(self, shell: str) -> None:
+        """The script for a shell's completion is printed on demand."""
+        environment = {"_SHALLOTWORKS_COMPLETE": f"source_{shell}"}
+        ending = run_command([], environment)
+        self.assertEqual(ending.exit_code, 0)
+        self.assertIn("shallotworks", ending.output)
