--- a/src/shallotworks/plans/__init__.py
+++ b/src/shallotworks/plans/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from ._conductor import Conductor
+from ._diff import PlanDiff, diff_plans
 from ._instance_run import ConductorRules, StepEnd
 from ._intents import (
     Drain,
@@ -24,6 +25,7 @@
     encode_intent,
     not_maintained_for,
 )
+from ._lease_duty import DUTY_TTL_S, LeaseDuty
 from ._measures import DisruptionModel, PlannerWeights
 from ._plan_run import Surroundings
 from ._planner import Planner
@@ -42,10 +44,13 @@
     Strategy,
     Wave,
 )
+from ._render import render_diff, render_duration, render_plan, render_progress
+from ._window import MaintenanceWindow
 
 __all__ = [
     "PLANS_PREFIX",
     "Acknowledgements",
+    "DUTY_TTL_S",
     "Action",
     "Alternative",
     "BudgetUse",
@@ -59,14 +64,17 @@
     "InPool",
     "InRack",
     "Intent",
+    "LeaseDuty",
     "ListedPlan",
     "Maintain",
+    "MaintenanceWindow",
     "Measures",
     "Move",
     "Named",
     "NotMaintainedSince",
     "Offload",
     "Plan",
+    "PlanDiff",
     "Planner",
     "PlannerWeights",
     "ProbeReport",
@@ -83,7 +91,12 @@
     "Wave",
     "decode_intent",
     "describe_intent",
+    "diff_plans",
     "encode_intent",
     "not_maintained_for",
     "progress_of",
+    "render_diff",
+    "render_duration",
+    "render_plan",
+    "render_progress",
 ]
