--- a/src/shallotworks/cli/_fleet_commands.py
+++ b/src/shallotworks/cli/_fleet_commands.py
@@ -20,7 +20,7 @@
     StatusView,
 )
 
-from ._columns import time_told
+from ._client import OperatorsClient
 from ._failures import own_error
 from ._options import (
     DEFAULT_ADDRESS,
@@ -31,6 +31,7 @@
     open_client,
 )
 from ._output import finish, print_table, print_text
+from ._printable import time_told
 
 __all__ = ["add_fleet_commands"]
 
@@ -228,19 +229,32 @@
 
 
 def _changes(
-    after: Annotated[int, typer.Option(help="Only those after this revision.", min=0)] = 0,
+    after: Annotated[
+        int | None,
+        typer.Option(help="Only those after this revision; the newest by default.", min=0),
+    ] = None,
     limit: Annotated[int, typer.Option(help="At most so many.", min=1, max=1000)] = 100,
     address: AddressOption = DEFAULT_ADDRESS,
     token_file: TokenFileOption = "",
     as_json: JsonOption = False,
 ) -> None:
     """List accepted changes: who changed what, and when."""
-    query = {"after": str(after), "limit": str(limit)}
     client = open_client(address=address, token_file=token_file)
-    answer = client.bind(lambda opened: opened.get("/changes", HistoryView, query))
+    answer = client.bind(lambda opened: _read_changes(opened, after, limit))
     finish(answer, as_json=as_json, show=_show_history)
 
 
+def _read_changes(
+    client: OperatorsClient, after: int | None, limit: int
+) -> Result[HistoryView, ErrorBody]:
+    if after is None:
+        status = client.get("/status", StatusView)
+        if isinstance(status, Err):
+            return status
+        after = max(0, status.unwrap().revision - limit)
+    return client.get("/changes", HistoryView, {"after": str(after), "limit": str(limit)})
+
+
 def _show_history(view: HistoryView) -> None:
     print_table(
         ("revision", "by", "change", "time (UTC)"),
--- a/src/shallotworks/cli/_main.py
+++ b/src/shallotworks/cli/_main.py
@@ -13,11 +13,11 @@
 from shallotworks import __version__
 from shallotworks.errors import ErrorKind, Failure, ShallotworksError, answer_for
 
-from ._columns import one_line
 from ._fleet_commands import add_fleet_commands
 from ._observe_commands import add_observe_commands
 from ._output import print_text
 from ._plan_commands import plan_app
+from ._printable import one_line
 from ._process_commands import add_process_commands
 
 __all__ = ["main", "run"]
--- a/src/shallotworks/cli/_observe_commands.py
+++ b/src/shallotworks/cli/_observe_commands.py
@@ -15,7 +15,7 @@
 
 from shallotworks.errors import ErrorKind
 from shallotworks.metrics import MetricsSnapshot, to_exposition
-from shallotworks.operators import ErrorBody, StatusView
+from shallotworks.operators import ErrorBody, PeerView, StatusView
 from shallotworks.timeline import (
     Event,
     EventKind,
@@ -111,8 +111,17 @@
     status = client.bind(lambda opened: opened.get("/status", StatusView))
     if isinstance(status, Err):
         fail(status.failure(), as_json=False)
-    known = [peer.operators_address for peer in status.unwrap().peers if peer.operators_address]
-    return tuple(dict.fromkeys([*addresses, *known]))
+    port = addresses[0].rpartition(":")[2]
+    peers = [_operators_address(peer, port) for peer in status.unwrap().peers]
+    return tuple(dict.fromkeys([*addresses, *peers]))
+
+
+def _operators_address(peer: PeerView, usual_port: str) -> str:
+    """Return where a peer's operators' port is: as it says, else the same port at its host."""
+    if peer.operators_address:
+        return peer.operators_address
+    host = peer.address.rpartition(":")[0]
+    return f"{host}:{usual_port}"
 
 
 def _gather(address: str, token_file: str, query: dict[str, str]) -> Result[_Gathered, ErrorBody]:
--- a/src/shallotworks/cli/_output.py
+++ b/src/shallotworks/cli/_output.py
@@ -17,8 +17,8 @@
 from shallotworks.errors import Advice
 from shallotworks.operators import ErrorBody
 
-from ._columns import one_line
 from ._failures import exit_code_of
+from ._printable import one_line
 
 __all__ = ["fail", "finish", "print_json", "print_table", "print_text", "say_error"]
 
--- a/src/shallotworks/cli/_plan_commands.py
+++ b/src/shallotworks/cli/_plan_commands.py
@@ -18,7 +18,7 @@
     open_client,
 )
 from ._output import finish, print_table, print_text
-from ._plan_text import SHORT_DIGEST_LENGTH, plan_text
+from ._plan_text import diff_text, plan_text, stage_text
 from ._propose_commands import propose_app
 
 __all__ = ["plan_app"]
@@ -48,7 +48,7 @@
         ("plan", "state", "done", "of", "by", "intent"),
         (
             (
-                entry.plan.digest[:SHORT_DIGEST_LENGTH],
+                entry.plan.short_digest,
                 entry.stage,
                 entry.progress.instances_done if entry.progress else 0,
                 len(entry.plan.instances),
@@ -111,5 +111,25 @@
 
 
 def _show_stage(view: PlanView) -> None:
-    digest = view.plan.digest[:SHORT_DIGEST_LENGTH]
-    print_text(f"plan {digest} is {view.stage}: {describe_intent(view.plan.intent)}\n")
+    print_text(stage_text(view))
+
+
+@plan_app.command("diff")
+def _diff(
+    first: DigestArgument,
+    second: DigestArgument,
+    address: AddressOption = DEFAULT_ADDRESS,
+    token_file: TokenFileOption = "",
+) -> None:
+    """Show what differs between two plans, such as a stale one and its replacement."""
+    client = open_client(address=address, token_file=token_file)
+    both = client.bind(
+        lambda opened: opened.get(_path(first), PlanView).bind(
+            lambda one: opened.get(_path(second), PlanView).map(lambda other: (one, other))
+        )
+    )
+    finish(both, as_json=False, show=_show_diff)
+
+
+def _show_diff(both: tuple[PlanView, PlanView]) -> None:
+    print_text(diff_text(both[0].plan, both[1].plan))
--- a/src/shallotworks/cli/_process_commands.py
+++ b/src/shallotworks/cli/_process_commands.py
@@ -9,14 +9,14 @@
 from typing import Annotated, Any
 
 import typer
-from absl import logging
+from absl import flags, logging
 from returns.result import Failure as Err
 
 from shallotworks.errors import answer_for
 from shallotworks.settings import Settings, SettingsFaults, load_settings
 
-from ._columns import one_line
 from ._output import print_text
+from ._printable import one_line
 
 __all__ = ["add_process_commands"]
 
@@ -43,13 +43,19 @@
 ) -> None:
     """Run one instance until it is told to stop."""
     loaded = _load(settings)
-    logging.use_absl_handler()
-    logging.set_verbosity(loaded.log.verbosity)
+    _start_log(loaded.log.verbosity)
     # Imported here alone: an operator's tool must not load all of an instance for `status`.
     node = _import("shallotworks.node")
     raise typer.Exit(node.serve(loaded))
 
 
+def _start_log(verbosity: int) -> None:
+    # The settings stand for absl's own flags, whose absence it would complain of on every start.
+    flags.FLAGS.mark_as_parsed()
+    logging.use_absl_handler()
+    logging.set_verbosity(verbosity)
+
+
 def _check_settings(
     file: Annotated[str, typer.Argument(help="The settings file.")],
 ) -> None:
@@ -76,6 +82,7 @@
 
 def _demo() -> None:
     """Run a small fleet in this process, drain a rack of it, and count what became of requests."""
+    _start_log(logging.WARNING)
     raise typer.Exit(_import("shallotworks.demo").run_demo())
 
 
--- a/src/shallotworks/cli/_propose_commands.py
+++ b/src/shallotworks/cli/_propose_commands.py
@@ -33,7 +33,7 @@
     open_client,
 )
 from ._output import finish, print_text
-from ._plan_text import SHORT_DIGEST_LENGTH, plan_text
+from ._plan_text import plan_text
 
 __all__ = ["propose_app"]
 
@@ -148,7 +148,7 @@
 def _show_proposal(view: PlanView) -> None:
     print_text(plan_text(view))
     print_text("\nNothing is done yet. To carry it out:\n")
-    print_text(f"  shallotworks plan confirm {view.plan.digest[:SHORT_DIGEST_LENGTH]}\n")
+    print_text(f"  shallotworks plan confirm {view.plan.short_digest}\n")
 
 
 def _add_verb(name: str, help_text: str, to_intent: Callable[[Selection], Intent]) -> typer.Typer:
--- a/src/shallotworks/fleet/_state.py
+++ b/src/shallotworks/fleet/_state.py
@@ -51,7 +51,9 @@
         instance may be.
         """
         budgets = [entry.max_unavailable for entry in self.services_of(pool)]
-        return min(budgets, default=sum(1 for _ in self.instances_of(pool)))
+        if budgets:
+            return min(budgets)
+        return sum(1 for _ in self.instances_of(pool))
 
     def open_plan_holding(self, names: tuple[str, ...]) -> PlanRecord | None:
         """Return an open plan that holds one of these instances, if there is one."""
--- a/src/shallotworks/operators/_fleet_handlers.py
+++ b/src/shallotworks/operators/_fleet_handlers.py
@@ -32,8 +32,8 @@
     PoolsView,
     ServicesView,
     TeamsView,
-    pool_view,
-    service_view,
+    pool_views,
+    service_views,
 )
 
 __all__ = ["FleetHandlers"]
@@ -75,14 +75,13 @@
     def pools(self, call: Call) -> Outcome:
         """Answer the pools with their budgets."""
         state = self._hop.read(self._backend.fleet())
-        views = tuple(pool_view(state, entry) for _, entry in sorted(state.pools.items()))
-        return Success(answer_json(PoolsView(revision=state.revision, pools=views)))
+        view = PoolsView(revision=state.revision, pools=pool_views(state))
+        return Success(answer_json(view))
 
     def services(self, call: Call) -> Outcome:
         """Answer the services."""
         state = self._hop.read(self._backend.fleet())
-        views = tuple(service_view(state, entry) for _, entry in sorted(state.services.items()))
-        view = ServicesView(revision=state.revision, services=views)
+        view = ServicesView(revision=state.revision, services=service_views(state))
         return Success(answer_json(view))
 
     def teams(self, call: Call) -> Outcome:
--- a/src/shallotworks/operators/_views.py
+++ b/src/shallotworks/operators/_views.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum, unique
 
@@ -11,7 +13,6 @@
     FleetState,
     Instance,
     PlanRecord,
-    Pool,
     Service,
     Team,
 )
@@ -33,8 +34,8 @@
     "StatusView",
     "TeamsView",
     "plan_view",
-    "pool_view",
-    "service_view",
+    "pool_views",
+    "service_views",
 ]
 
 
@@ -233,22 +234,39 @@
     return PlanView(plan=plan, record=record, progress=progress)
 
 
-def pool_view(state: FleetState, pool: Pool) -> PoolView:
-    """Return one pool as it stands in this state."""
-    members = tuple(state.instances_of(pool.name))
-    available = [entry for entry in members if entry.available]
-    return PoolView(
-        name=pool.name,
-        services=tuple(sorted(entry.name for entry in state.services_of(pool.name))),
-        instances=len(members),
-        available=len(available),
-        slots=sum(entry.slots for entry in available),
-        budget=state.budget_of(pool.name),
+def pool_views(state: FleetState) -> tuple[PoolView, ...]:
+    """Return all pools as they stand in this state, by name."""
+    members = _members(state)
+    services: dict[str, list[str]] = defaultdict(list)
+    for service in state.services.values():
+        services[service.pool].append(service.name)
+    return tuple(
+        PoolView(
+            name=name,
+            services=tuple(sorted(services[name])),
+            instances=len(members[name]),
+            available=sum(1 for entry in members[name] if entry.available),
+            slots=sum(entry.slots for entry in members[name] if entry.available),
+            budget=state.budget_of(name),
+        )
+        for name in sorted(state.pools)
     )
 
 
-def service_view(state: FleetState, service: Service) -> ServiceView:
-    """Return one service as it stands in this state."""
-    members = tuple(state.instances_of(service.pool))
-    available = sum(1 for entry in members if entry.available)
-    return ServiceView(service=service, available=available, unavailable=len(members) - available)
+def service_views(state: FleetState) -> tuple[ServiceView, ...]:
+    """Return all services as they stand in this state, by name."""
+    members = _members(state)
+    views = []
+    for _, service in sorted(state.services.items()):
+        available = sum(1 for entry in members[service.pool] if entry.available)
+        unavailable = len(members[service.pool]) - available
+        views.append(ServiceView(service=service, available=available, unavailable=unavailable))
+    return tuple(views)
+
+
+def _members(state: FleetState) -> Mapping[str, list[Instance]]:
+    """Return the instances of each pool, from one walk over all of them."""
+    members: dict[str, list[Instance]] = defaultdict(list)
+    for entry in state.instances.values():
+        members[entry.pool].append(entry)
+    return members
