Test what a port's thread says when the event loop is slow or gone

Cause: the rule that work which has begun is never told as not done had no test at the hop into the loop.

--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -1,7 +1,9 @@
 """Tests of `shallotworks.operators` over HTTP, in front of a fake backend."""
 
+import asyncio
 import json
 import unittest
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -10,9 +12,11 @@
 from hypothesis import strategies as st
 from parameterized import parameterized
 
-from shallotworks.errors import ErrorKind, answer_for
+from shallotworks.errors import ErrorKind, ShallotworksError, answer_for
 from shallotworks.operators._application import BODY_LIMIT_BYTES
+from shallotworks.operators._hop import LoopHop
 from tests.fake_backend import TOKEN, ServedBackend
+from tests.fakes import LoopThread
 from tests.golden_files import assert_golden
 
 DOCUMENT = Path(__file__).parent.parent / "docs" / "openapi.json"
@@ -217,6 +221,51 @@
         self.assertEqual(plans, {"", "000000000001" + "0" * 52})
 
 
+class HopTests(unittest.TestCase):
+    """
+    An operator is told that a change was not made, and it comes into force a moment later.
+
+    The instance is slow or stopping, and the port's thread gives up waiting. Work that has begun
+    may have had its effect, so only a read, or work that never began, is told as not done.
+    """
+
+    def setUp(self) -> None:
+        self.thread = LoopThread()
+        self.addCleanup(self.stop)
+        self.hop = LoopHop(loop=self.thread.loop, read_timeout_s=0.05, write_timeout_s=0.05)
+
+    def stop(self) -> None:
+        """End the loop, where a test has not done so."""
+        if not self.thread.loop.is_closed():
+            self.thread.stop()
+
+    def kind_of(self, call: Callable[[Coroutine[Any, Any, None]], None]) -> ErrorKind:
+        """Return the kind of error that a call of work without end raises."""
+        with self.assertRaises(ShallotworksError) as raised:
+            call(asyncio.sleep(3600))
+        return raised.exception.failure.kind
+
+    def test_slow_work(self) -> None:
+        """A read that takes too long may be repeated; a change that does is of unknown outcome."""
+        self.assertIs(self.kind_of(self.hop.read), ErrorKind.DEADLINE_EXCEEDED)
+        self.assertIs(self.kind_of(self.hop.write), ErrorKind.OUTCOME_UNKNOWN)
+
+    def test_given_up_work_is_cancelled(self) -> None:
+        """Work that nobody waits for any more ends soon, so that it can't have its effect late."""
+        self.kind_of(self.hop.write)
+
+        async def others() -> int:
+            await asyncio.sleep(0)
+            return len(asyncio.all_tasks()) - 1
+
+        self.assertEqual(self.thread.run(others()), 0)
+
+    def test_closed_loop(self) -> None:
+        """Work that was never begun is told as not done."""
+        self.thread.stop()
+        self.assertIs(self.kind_of(self.hop.write), ErrorKind.STOPPING)
+
+
 class BodyFuzzTests(ServerCase):
     def test_any_body_is_answered_in_form(self) -> None:
         """Whatever the body, the answer is a refusal of the table, never an internal error."""
