Count broken promises at the workers in one place, and name each request to its caller

Cause: the demo's checks were its own, and a refusal's truth could not be checked, since the caller was not told the request's id. Change: stand-in callers and find_breaches for demo and tests; every answer carries Shallot-Request-Id; the health page answers 503 while stopping.

--- a/src/shallotworks/callers/_application.py
+++ b/src/shallotworks/callers/_application.py
@@ -8,11 +8,10 @@
 from typing import Any
 
 from pydantic import TypeAdapter
-from returns.result import Success
 
 from shallotworks.errors import ErrorKind, Failure, FailureBody, failure_body
 from shallotworks.requests import Relay, Response
-from shallotworks.requests._headers import ERROR_KIND, RAN
+from shallotworks.requests._headers import ERROR_KIND, RAN, REQUEST_ID
 
 from ._reading import ReadingLimits, read_request
 
@@ -47,12 +46,18 @@
     ) -> Iterable[bytes]:
         """Serve one request, as WSGI has it."""
         if environ.get("PATH_INFO") == HEALTH_PATH:
-            return _write(start_response, Response(status=200, headers=(), body=b"ok\n"))
+            return _write(start_response, self._health())
         request = read_request(environ, limits=self._limits, now_s=self._loop.time())
         answer = request.bind(self._relay.handle)
-        if isinstance(answer, Success):
-            return _write(start_response, answer.unwrap())
-        return _write(start_response, _error_response(answer.failure()))
+        response = answer.value_or(None) or _error_response(answer.failure())
+        # By this id an operator finds the request in the time line.
+        request_id = request.map(lambda read: read.request_id).value_or("")
+        return _write(start_response, response, request_id=request_id)
+
+    def _health(self) -> Response:
+        if self._relay.is_stopping:
+            return Response(status=503, headers=(), body=b"stopping\n")
+        return Response(status=200, headers=(), body=b"ok\n")
 
 
 def _error_response(failure: Failure) -> Response:
@@ -70,8 +75,12 @@
     return Response(status=body.status, headers=tuple(headers), body=_BODY.dump_json(body))
 
 
-def _write(start_response: Callable[..., Any], response: Response) -> Iterable[bytes]:
+def _write(
+    start_response: Callable[..., Any], response: Response, *, request_id: str = ""
+) -> Iterable[bytes]:
     phrase = _PHRASES.get(response.status, "Unknown")
     headers = [*response.headers, ("Content-Length", str(len(response.body)))]
+    if request_id:
+        headers.append((REQUEST_ID, request_id))
     start_response(f"{response.status} {phrase}", headers)
     return [response.body]
--- a/src/shallotworks/demo/_run.py
+++ b/src/shallotworks/demo/_run.py
@@ -12,10 +12,9 @@
 from shallotworks.fleet import Condition, PlanState
 from shallotworks.operators import PlanView
 from shallotworks.plans import Drain, InRack, render_plan
-from shallotworks.standins import WorkerStandIn
+from shallotworks.standins import Callers, WorkerStandIn
 from shallotworks.timeline import merge, to_chrome_trace
 
-from ._callers import Callers
 from ._fleet import DATA_CENTRES, DRAINED_RACK, DemoFleet
 from ._operator import DemoOperator
 from ._report import Report, make_report, print_report
--- a/src/shallotworks/requests/_relay.py
+++ b/src/shallotworks/requests/_relay.py
@@ -126,6 +126,11 @@
         """Take a waiting request out of its queue; says whether it was waiting."""
         return self._dispatcher.cancel(request_id)
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether new requests are refused."""
+        return self._stopping
+
     def refuse_new(self) -> None:
         """Refuse every request from now on, as not run; those under way go on."""
         self._stopping = True
--- a/src/shallotworks/standins/__init__.py
+++ b/src/shallotworks/standins/__init__.py
@@ -5,6 +5,8 @@
 start it.
 """
 
+from ._breaches import Breaches, find_breaches
+from ._callers import Callers, Ledger
 from ._memory_instances import MemoryInstanceList
 from ._memory_store import MemoryStore, StoreFaults
 from ._platform import PlatformStandIn, serve_platform
@@ -13,6 +15,9 @@
 from ._worker_tasks import Task, TaskOrder, TaskState, TaskTable
 
 __all__ = [
+    "Breaches",
+    "Callers",
+    "Ledger",
     "MemoryInstanceList",
     "MemoryStore",
     "PlatformStandIn",
@@ -26,6 +31,7 @@
     "WorkerFaults",
     "WorkerStandIn",
     "WorkerStatus",
+    "find_breaches",
     "serve_platform",
     "serve_worker",
 ]
--- a/src/shallotworks/demo/_callers.py
+++ b/src/shallotworks/standins/_callers.py
@@ -1,4 +1,4 @@
-"""The callers of the demo: a stream of requests, and a ledger of what became of each."""
+"""Callers for the demo and tests: a stream of requests, and a ledger of what became of each."""
 
 from __future__ import annotations
 
@@ -46,8 +46,10 @@
         sent: Requests sent, repeats included, by class.
         answered: Whole answers to the caller's own request, by class.
         refused: Refusals that said "not run", by kind.
+        refused_runs: Ids of the runs that were told as not run.
         unknown: Requests whose outcome was told as unknown, or that had no answer at all.
         foreign: Answers that were not to the caller's own request.
+        keys: All keys of orders.
         answered_runs: Ids of the runs that the answers name: a key for orders, else a request id.
         latencies_s: Times of interactive answers.
     """
@@ -55,8 +57,10 @@
     sent: Counter[str] = field(default_factory=Counter)
     answered: Counter[str] = field(default_factory=Counter)
     refused: Counter[str] = field(default_factory=Counter)
+    refused_runs: set[str] = field(default_factory=set)
     unknown: int = 0
     foreign: int = 0
+    keys: set[str] = field(default_factory=set)
     answered_runs: set[str] = field(default_factory=set)
     latencies_s: list[float] = field(default_factory=list)
 
@@ -67,11 +71,13 @@
     Args:
         ports: Callers' ports of the entry instances.
         seed: Seed of what they ask.
+        repeat_unknown: Whether an order whose outcome is not known is sent again, under its key.
     """
 
-    def __init__(self, *, ports: list[int], seed: int) -> None:
+    def __init__(self, *, ports: list[int], seed: int, repeat_unknown: bool = False) -> None:
         self.ledger = Ledger()
         self._ports = ports
+        self._repeat_unknown = repeat_unknown
         self._lock = threading.Lock()
         self._stop = threading.Event()
         self._numbers = itertools.count(1)
@@ -98,13 +104,14 @@
         while not self._stop.is_set():
             key = secrets.token_hex(8) if kind is _Kind.ORDER else ""
             body = f"{kind.value} {next(self._numbers)}".encode()
-            self._ask(kind, body, key, rng.choice(self._ports))
-            if key and rng.random() < REPEAT_PART:
-                # The answer may have been lost on the caller's side: it asks elsewhere.
+            known = self._ask(kind, body, key, rng.choice(self._ports))
+            lost_on_the_way = rng.random() < REPEAT_PART
+            if key and (lost_on_the_way or (self._repeat_unknown and not known)):
                 self._ask(kind, body, key, rng.choice(self._ports))
             self._stop.wait(PAUSE_S)
 
-    def _ask(self, kind: _Kind, body: bytes, key: str, port: int) -> None:
+    def _ask(self, kind: _Kind, body: bytes, key: str, port: int) -> bool:
+        """Send one request; returns whether its outcome is known."""
         request_class = RequestClass.INTERACTIVE
         if kind is _Kind.MODEL:
             request_class = RequestClass.LONG_RUNNING
@@ -117,6 +124,7 @@
         }
         if key:
             headers["Idempotency-Key"] = key
+            self._note(lambda ledger: ledger.keys.add(key))
         started_s = time.monotonic()
         try:
             answer = self._http.request(
@@ -124,11 +132,12 @@
             )
         except urllib3.exceptions.HTTPError:
             self._note(lambda ledger: _note_unknown(ledger, request_class))
-            return
+            return False
         duration_s = time.monotonic() - started_s
         self._note(
             lambda ledger: _note_answer(ledger, request_class, answer, body, key, duration_s)
         )
+        return answer.headers.get("Shallot-Ran") != "unknown"
 
     def _note(self, change: Callable[[Ledger], None]) -> None:
         with self._lock:
@@ -152,6 +161,9 @@
     if "Shallot-Error-Kind" in answer.headers:
         if answer.headers.get("Shallot-Ran") == "no":
             ledger.refused[answer.headers["Shallot-Error-Kind"]] += 1
+            if not key:
+                # Of a key, an earlier request may have run; of an id, there is one request only.
+                ledger.refused_runs.add(answer.headers.get("Shallot-Request-Id", ""))
         else:
             ledger.unknown += 1
         return
