Refuse keys that mean nothing, and fuzz the command line

Cause: a mistyped key of a record that has a default, say accelerator for accelerators, was accepted without it and nobody was told. What was left in the output buffer of a command whose reader had gone was written at exit. Change: bodies are compared with what was understood of them; output is flushed where a broken pipe is still handled.

--- a/src/shallotworks/cli/_main.py
+++ b/src/shallotworks/cli/_main.py
@@ -33,6 +33,17 @@
 
 def run(arguments: Sequence[str]) -> int:
     """Run one command and return its exit code; no fault of it ends in a traceback."""
+    try:
+        code = _run_command(arguments)
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # The reader of a pipe has gone; what is left in the buffer must not be written at exit.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return EXIT_BROKEN_PIPE
+    return code
+
+
+def _run_command(arguments: Sequence[str]) -> int:
     try:
         _app(args=list(arguments), prog_name="shallotworks")
     except SystemExit as ending:
@@ -42,9 +53,7 @@
     except KeyboardInterrupt:
         return EXIT_INTERRUPTED
     except BrokenPipeError:
-        # The reader of a pipe has gone; what is left in the buffer must not be written at exit.
-        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
-        return EXIT_BROKEN_PIPE
+        raise
     except Exception as error:
         logging.debug("a command failed", exc_info=True)
         reason = f"{type(error).__name__}: {error}"
--- a/src/shallotworks/operators/_fleet_handlers.py
+++ b/src/shallotworks/operators/_fleet_handlers.py
@@ -4,7 +4,7 @@
 
 from typing import Annotated
 
-from pydantic import Field, TypeAdapter, ValidationError
+from pydantic import Field, TypeAdapter
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
@@ -21,7 +21,7 @@
 
 from ._calls import Answered, Call, Refused, answer_json
 from ._hop import LoopHop
-from ._invalid import invalid_body
+from ._invalid import read_body
 from ._parameters import whole_number
 from ._protocols import OperatorBackend
 from ._views import (
@@ -129,11 +129,11 @@
 
 
 def _read_changes(body: bytes) -> Result[list[Change], Failure]:
-    try:
-        read = _ONE_OR_MORE.validate_json(body)
-    except ValidationError as error:
-        return Err(invalid_body(error))
-    changes = read if isinstance(read, list) else [read]
+    read = read_body(_ONE_OR_MORE, body)
+    if isinstance(read, Err):
+        return read
+    one_or_more = read.unwrap()
+    changes = one_or_more if isinstance(one_or_more, list) else [one_or_more]
     for place, change in enumerate(changes):
         if _is_a_plans_own(change):
             reason = f"change {place} ({change.kind}) is made by a plan only; use /v1/plans"
--- a/src/shallotworks/operators/_plan_handlers.py
+++ b/src/shallotworks/operators/_plan_handlers.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-from pydantic import ValidationError
+from pydantic import TypeAdapter
 from returns.result import Failure as Err
 from returns.result import Result
 
 from shallotworks.errors import Failure
-from shallotworks.plans import decode_intent
+from shallotworks.plans import Intent
 
 from ._calls import Answered, Call, Refused, answer_json
 from ._hop import LoopHop
-from ._invalid import invalid_body
+from ._invalid import read_body
 from ._protocols import OperatorBackend
 from ._views import PlansView, PlanView
 
@@ -36,11 +36,10 @@
 
     def propose(self, call: Call) -> Outcome:
         """Answer a proposal for an intent."""
-        try:
-            intent = decode_intent(call.body)
-        except ValidationError as error:
-            return Err(Refused(failure=invalid_body(error)))
-        work = self._backend.propose_plan(intent, operator=call.operator)
+        intent = read_body(_INTENT, call.body)
+        if isinstance(intent, Err):
+            return Err(Refused(failure=intent.failure()))
+        work = self._backend.propose_plan(intent.unwrap(), operator=call.operator)
         return self._hop.write(work).map(_answer).alt(_refuse)
 
     def list_all(self, call: Call) -> Outcome:
@@ -70,3 +69,6 @@
 
 def _refuse(failure: Failure) -> Refused:
     return Refused(failure=failure)
+
+
+_INTENT: TypeAdapter[Intent] = TypeAdapter(Intent)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -14,6 +14,8 @@
 from pathlib import Path
 from unittest import mock
 
+from hypothesis import given
+from hypothesis import strategies as st
 from parameterized import parameterized
 from returns.result import Failure as Err
 
@@ -45,6 +47,14 @@
 EXAMPLES = Path(__file__).parent.parent / "examples"
 FLEET = EXAMPLES / "fjellsending" / "fleet.json"
 PLAN = "000000000001"
+CLOSED_PORT = 1
+WORDS = (
+    *("status", "instances", "pools", "services", "apply", "changes", "plan", "timeline"),
+    *("metrics", "check-settings", "propose", "list", "show", "confirm", "cancel", "diff"),
+    *("drain", "return", "maintain", "move", "rack", "pool", "older-than", "instance"),
+    *("--json", "--address", "--data-centre", "--count", "--limit", "--token-file", "--help"),
+    *("0", "-1", "nan", "1e999", "/dev/null", "127.0.0.1:1", "000000000001"),
+)
 WEEK_S = 7 * 24 * 3600
 
 
@@ -402,6 +412,26 @@
         self.assertEqual(ending.exit_code, 0)
         self.assertIn("shallotworks", ending.output)
 
+    def test_completes_a_word(self) -> None:
+        """The begun word of a command is completed, without asking any instance."""
+        environment = {
+            "_SHALLOTWORKS_COMPLETE": "complete_bash",
+            "COMP_WORDS": "shallotworks plan propose dr",
+            "COMP_CWORD": "3",
+        }
+        self.assertEqual(run_command([], environment).output, "drain\n")
+
+
+class AnyLineTests(unittest.TestCase):
+    @given(st.lists(st.one_of(st.sampled_from(WORDS), st.text(max_size=5)), max_size=7))
+    def test_any_line_ends_with_a_known_code(self, words: list[str]) -> None:
+        """Whatever is typed, the command ends with a code of the table and no traceback."""
+        environment = {"SHALLOTWORKS_ADDRESS": f"127.0.0.1:{CLOSED_PORT}"}
+        ending = run_command(words, environment)
+        known = {answer_for(kind).exit_code for kind in ErrorKind}
+        self.assertIn(ending.exit_code, {0, 1, *known} - {answer_for(ErrorKind.INTERNAL).exit_code})
+        self.assertNotIn("Traceback", ending.errors)
+
 
 class PageTests(unittest.TestCase):
     """The operators' page is what the program does."""
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -109,6 +109,20 @@
                 b'{"kind": "put-all"}',
                 ErrorKind.INVALID_REQUEST,
             ),
+            (
+                "mistyped_key",
+                "POST",
+                "/v1/changes",
+                b'[{"kind": "put-pool", "pool": {"name": "a", "nmae": "b"}}]',
+                ErrorKind.INVALID_REQUEST,
+            ),
+            (
+                "key_of_another_intent",
+                "POST",
+                "/v1/plans",
+                b'{"kind": "drain", "selection": {"kind": "pool", "pool": "a"}, "count": 2}',
+                ErrorKind.INVALID_REQUEST,
+            ),
             (
                 "plans_own_change",
                 "POST",
