Show held duties, warn callers before an instance stops, describe stand-in fleets in one place

Cause: status showed no duties; a stopping instance closed kept-alive connections under requests. Change: a stopping instance answers 503, not run, with Connection: close for a second, then closes.

--- a/src/shallotworks/callers/_application.py
+++ b/src/shallotworks/callers/_application.py
@@ -19,6 +19,9 @@
 
 HEALTH_PATH = "/.shallotworks/health"
 
+# The rest of a request that is not read may still be on its way, and must not be taken for the
+# next one; an instance that stops sends its callers elsewhere.
+_CLOSING_KINDS = (ErrorKind.TOO_LARGE, ErrorKind.INVALID_REQUEST, ErrorKind.STOPPING)
 _BODY = TypeAdapter(FailureBody)
 _PHRASES = {entry.value: entry.phrase for entry in HTTPStatus}
 
@@ -69,8 +72,7 @@
     ]
     if failure.retry_after_s is not None:
         headers.append(("Retry-After", str(max(1, round(failure.retry_after_s)))))
-    if failure.kind in (ErrorKind.TOO_LARGE, ErrorKind.INVALID_REQUEST):
-        # The rest of such a request may still be on its way; it must not be read as the next one.
+    if failure.kind in _CLOSING_KINDS:
         headers.append(("Connection", "close"))
     return Response(status=body.status, headers=tuple(headers), body=_BODY.dump_json(body))
 
--- a/src/shallotworks/demo/_fleet.py
+++ b/src/shallotworks/demo/_fleet.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import secrets
-import socket
 import threading
 from collections.abc import Coroutine
 from pathlib import Path
@@ -12,22 +11,10 @@
 
 from returns.result import Success
 
-from shallotworks.fleet import (
-    Change,
-    DataCentre,
-    Instance,
-    Pool,
-    PutDataCentre,
-    PutInstance,
-    PutPool,
-    PutService,
-    PutTeam,
-    Service,
-    Team,
-)
+from shallotworks.fleet import Change
 from shallotworks.node import Node
 from shallotworks.settings import Settings, parse_settings
-from shallotworks.standins import PlatformStandIn, WorkerStandIn
+from shallotworks.standins import PlatformStandIn, WorkerStandIn, describe_fleet, free_ports
 
 __all__ = ["DATA_CENTRES", "DRAINED_RACK", "SERVICES", "DemoFleet"]
 
@@ -35,7 +22,6 @@
 REGION = "vestland"
 RACKS = ("r1", "r2")
 SERVICES = ("traces", "orders")
-TEAM = "crews"
 DRAINED_RACK = RACKS[0]
 ENTRIES_PER_DATA_CENTRE = 2
 SLOTS = 8
@@ -119,16 +105,7 @@
 
     def changes(self) -> tuple[Change, ...]:
         """Return the changes by which an operator describes this fleet."""
-        places = [
-            PutDataCentre(data_centre=DataCentre(name=name, region=REGION)) for name in DATA_CENTRES
-        ]
-        pools = [PutPool(pool=Pool(name=name)) for name in SERVICES]
-        services = [
-            PutService(service=Service(name=name, pool=name, share=1.0, max_unavailable=1))
-            for name in SERVICES
-        ]
-        team = PutTeam(team=Team(name=TEAM, quota_slots=len(self.workers) * SLOTS))
-        return (*places, *pools, *services, team, *map(_put_worker, self.workers))
+        return describe_fleet(self.workers)
 
     def _settings(self, name: str, data_centre: str, port: int, seeds: list[int]) -> Settings:
         text = _SETTINGS.format(
@@ -149,7 +126,7 @@
 
     async def _start_nodes(self) -> None:
         places = [name for name in DATA_CENTRES for _ in range(ENTRIES_PER_DATA_CENTRE)]
-        ports = _free_ports(len(places))
+        ports = free_ports(len(places))
         for number, (data_centre, port) in enumerate(zip(places, ports, strict=True)):
             name = f"{data_centre}-entry-{number % ENTRIES_PER_DATA_CENTRE + 1}"
             self.nodes.append(Node(settings=self._settings(name, data_centre, port, ports)))
@@ -160,26 +137,3 @@
 
     def _run(self, work: Coroutine[Any, Any, _Value], timeout_s: float) -> _Value:
         return asyncio.run_coroutine_threadsafe(work, self._loop).result(timeout=timeout_s)
-
-
-def _put_worker(worker: WorkerStandIn) -> PutInstance:
-    data_centre, rack, service = worker.name.split("-")
-    return PutInstance(
-        instance=Instance(
-            name=worker.name,
-            data_centre=data_centre,
-            rack=rack,
-            pool=service,
-            address=worker.address,
-            slots=SLOTS,
-        )
-    )
-
-
-def _free_ports(count: int) -> list[int]:
-    """Return ports that are free now; peers need to know each other's before they listen."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [entry.getsockname()[1] for entry in sockets]
-    for entry in sockets:
-        entry.close()
-    return ports
--- a/src/shallotworks/node/_duty.py
+++ b/src/shallotworks/node/_duty.py
@@ -17,13 +17,17 @@
     Args:
         holder: The candidate for the duty.
         should_stand: Whether this process is among the few that stand for duties.
+        held: Names of the duties held by this process, for operators.
     """
 
-    __slots__ = ("_holder", "_should_stand", "_standing")
+    __slots__ = ("_held", "_holder", "_should_stand", "_standing")
 
-    def __init__(self, *, holder: LeaseHolder, should_stand: Callable[[], bool]) -> None:
+    def __init__(
+        self, *, holder: LeaseHolder, should_stand: Callable[[], bool], held: set[str]
+    ) -> None:
         self._holder = holder
         self._should_stand = should_stand
+        self._held = held
         self._standing: asyncio.Task[None] | None = None
 
     async def acquire(self) -> int:
@@ -32,6 +36,7 @@
             work = self._holder.run(should_stand=self._should_stand)
             self._standing = asyncio.create_task(work)
         holding = await self._holder.wait_until_held()
+        self._held.add(self._holder.duty)
         return holding.fencing_token
 
     def still_held(self) -> bool:
@@ -40,6 +45,7 @@
 
     async def release(self) -> None:
         """Give it up, where it is held."""
+        self._held.discard(self._holder.duty)
         if self._standing is None:
             return
         self._standing.cancel()
--- a/src/shallotworks/node/_node.py
+++ b/src/shallotworks/node/_node.py
@@ -48,6 +48,8 @@
 STALE_CONFIG_S = 15.0
 """Age of the configuration from which this process reads the list of instances for itself."""
 IN_FLIGHT_POLL_S = 0.05
+STOP_NOTICE_S = 1.0
+"""Time in which a stopping instance still answers: 503, not run, and closes the connection."""
 
 
 class Node:
@@ -116,6 +118,9 @@
         self.relay.refuse_new()
         self._dispatcher.stop_admitting()
         self._dispatcher.refuse_waiting()
+        # Callers on kept-alive connections and the balancer need to see that this instance stops;
+        # a connection closed under a request just sent would leave its outcome unknown.
+        await asyncio.sleep(STOP_NOTICE_S)
         await self._wait_until_idle()
         await asyncio.to_thread(self._callers.stop)
         await asyncio.to_thread(self._operators.stop)
@@ -312,7 +317,7 @@
             rng=self._rng,
             ttl_s=self._settings.plans.lease_ttl_s,
         )
-        return LeaseDuty(holder=holder, should_stand=self.peers.should_watch)
+        return LeaseDuty(holder=holder, should_stand=self.peers.should_watch, held=self._duties)
 
     def _is_live(self, process: str) -> bool:
         return process == self._process
--- a/src/shallotworks/platform/_lease_holder.py
+++ b/src/shallotworks/platform/_lease_holder.py
@@ -109,6 +109,11 @@
         self._held: _Held | None = None
         self._taken = asyncio.Event()
 
+    @property
+    def duty(self) -> str:
+        """Name of the duty."""
+        return self._duty
+
     def holding(self) -> Holding | None:
         """Return the duty with its token while it is held, by this process's own clock."""
         return self._held.holding if self._held is not None and self.still_held() else None
--- a/src/shallotworks/standins/__init__.py
+++ b/src/shallotworks/standins/__init__.py
@@ -7,6 +7,7 @@
 
 from ._breaches import Breaches, find_breaches
 from ._callers import Callers, Ledger
+from ._description import TEAM, describe_fleet, free_ports
 from ._memory_instances import MemoryInstanceList
 from ._memory_store import MemoryStore, StoreFaults
 from ._platform import PlatformStandIn, serve_platform
@@ -22,6 +23,7 @@
     "MemoryStore",
     "PlatformStandIn",
     "StoreFaults",
+    "TEAM",
     "Task",
     "TaskOrder",
     "TaskState",
@@ -31,7 +33,9 @@
     "WorkerFaults",
     "WorkerStandIn",
     "WorkerStatus",
+    "describe_fleet",
     "find_breaches",
+    "free_ports",
     "serve_platform",
     "serve_worker",
 ]
--- a/src/shallotworks/standins/_callers.py
+++ b/src/shallotworks/standins/_callers.py
@@ -17,6 +17,8 @@
 
 from shallotworks.requests import RequestClass
 
+from ._description import TEAM
+
 __all__ = ["Callers", "Ledger"]
 
 TIMEOUT_S = 15.0
@@ -117,7 +119,7 @@
             request_class = RequestClass.LONG_RUNNING
         headers = {
             "Shallot-Service": "orders" if kind is _Kind.ORDER else "traces",
-            "Shallot-Team": "crews",
+            "Shallot-Team": TEAM,
             "Shallot-Class": request_class.value,
             "Shallot-Idempotent": "no" if key else "yes",
             "Work-Ms": _WORK_MS[kind],
@@ -130,6 +132,9 @@
             answer = self._http.request(
                 "POST", f"http://127.0.0.1:{port}/{kind.value}", body=body, headers=headers
             )
+        except urllib3.exceptions.NewConnectionError:
+            # Not a byte was sent; a balancer would have tried the next instance.
+            return True
         except urllib3.exceptions.HTTPError:
             self._note(lambda ledger: _note_unknown(ledger, request_class))
             return False
--- /dev/null
+++ b/src/shallotworks/standins/_description.py
@@ -0,0 +1,76 @@
+"""The configuration of a fleet of stand-ins, for the demo and tests."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Sequence
+
+from shallotworks.fleet import (
+    Change,
+    DataCentre,
+    Instance,
+    Pool,
+    PutDataCentre,
+    PutInstance,
+    PutPool,
+    PutService,
+    PutTeam,
+    Service,
+    Team,
+)
+
+from ._worker import WorkerStandIn
+
+__all__ = ["TEAM", "describe_fleet", "free_ports"]
+
+REGION = "vestland"
+TEAM = "crews"
+
+
+def describe_fleet(workers: Sequence[WorkerStandIn]) -> tuple[Change, ...]:
+    """Return the changes by which an operator describes these workers.
+
+    Args:
+        workers: Named ``DATA_CENTRE-RACK-SERVICE``; each service has a pool of its own name, whose
+            budget is one instance.
+    """
+    names = [worker.name.split("-") for worker in workers]
+    places = [
+        PutDataCentre(data_centre=DataCentre(name=place, region=REGION))
+        for place in sorted({name[0] for name in names})
+    ]
+    services = sorted({name[2] for name in names})
+    slots = sum(worker.slots for worker in workers)
+    return (
+        *places,
+        *(PutPool(pool=Pool(name=service)) for service in services),
+        *(
+            PutService(service=Service(name=service, pool=service, share=1.0, max_unavailable=1))
+            for service in services
+        ),
+        PutTeam(team=Team(name=TEAM, quota_slots=slots)),
+        *map(_put_worker, workers),
+    )
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free now; peers need to know each other's before they listen."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [entry.getsockname()[1] for entry in sockets]
+    for entry in sockets:
+        entry.close()
+    return ports
+
+
+def _put_worker(worker: WorkerStandIn) -> PutInstance:
+    data_centre, rack, service = worker.name.split("-")
+    return PutInstance(
+        instance=Instance(
+            name=worker.name,
+            data_centre=data_centre,
+            rack=rack,
+            pool=service,
+            address=worker.address,
+            slots=worker.slots,
+        )
+    )
--- a/src/shallotworks/standins/_worker.py
+++ b/src/shallotworks/standins/_worker.py
@@ -124,8 +124,8 @@
         usage_lag_s: float = 1.0,
     ) -> None:
         self.name = name
+        self.slots = slots
         self.tasks = TaskTable(clock_s=time.monotonic)
-        self._slots = slots
         self._service_time_s = service_time_s
         self._reboot_s = reboot_s
         self._usage_lag_s = usage_lag_s
@@ -213,7 +213,7 @@
                 name=self.name,
                 incarnation=self._incarnation,
                 reboot_id=self._reboot_id,
-                slots=self._slots,
+                slots=self.slots,
                 in_flight=len(self._in_flight),
                 usage_in_flight=self._usage_then(time.monotonic() - self._usage_lag_s),
                 usage_lag_s=self._usage_lag_s,
@@ -268,7 +268,7 @@
     def _begin(self, run_id: str, environ: _Environ) -> bool:
         with self._lock:
             refuse = self._faults.fault is WorkerFault.REFUSE
-            if refuse or len(self._in_flight) >= self._slots:
+            if refuse or len(self._in_flight) >= self.slots:
                 self._counts["refused"] += 1
                 return False
             self._in_flight.add(run_id)
--- /dev/null
+++ b/tests/system.py
@@ -0,0 +1,230 @@
+"""A fleet of real processes on loopback, for tests of whole-system failures.
+
+The platform and the workers are stand-ins in the test's own process, where their faults and counts
+are at hand; each entry instance is a process of ``shallotworks serve``.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import secrets
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Iterator, Sequence
+from pathlib import Path
+
+import urllib3
+
+from shallotworks.demo import DemoOperator
+from shallotworks.standins import PlatformStandIn, WorkerStandIn, describe_fleet, free_ports
+
+DATA_CENTRES = ("bergen", "forde")
+RACKS = ("r1", "r2")
+SERVICES = ("traces", "orders")
+SLOTS = 8
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 30.0
+POLL_S = 0.05
+
+SETTINGS = """
+[instance]
+name = {name}
+data_centre = {data_centre}
+region = vestland
+[callers]
+port = {callers_port}
+threads = 48
+[operators]
+port = {operators_port}
+token_file = operators.token
+[peers]
+port = {peers_port}
+key_file = peers.key
+seeds = {seeds}
+heartbeat_interval_s = 0.5
+suspect_after_s = 1.5
+remove_after_s = 5
+[platform]
+address = {platform}
+timeout_s = 1
+calls_per_s = 200
+[requests]
+attempt_timeout_s = 3
+default_deadline_s = 8
+[plans]
+lease_ttl_s = 2
+drain_timeout_s = 20
+reboot_timeout_s = 20
+[log]
+stop_timeout_s = 10
+"""
+
+
+class Entry:
+    """One entry instance, run as a process.
+
+    Args:
+        name: Its name.
+        data_centre: Where it stands.
+        ports: Ports for callers, operators and peers.
+    """
+
+    def __init__(self, *, name: str, data_centre: str, ports: Sequence[int]) -> None:
+        self.name = name
+        self.data_centre = data_centre
+        self.callers_port, self.operators_port, self.peers_port = ports
+        self._process: subprocess.Popen[bytes] | None = None
+        self._settings = Path()
+
+    def write_settings(self, folder: Path, *, seeds: str, platform: str) -> None:
+        """Write its settings file."""
+        self._settings = folder / f"{self.name}.ini"
+        self._settings.write_text(
+            SETTINGS.format(
+                name=self.name,
+                data_centre=self.data_centre,
+                callers_port=self.callers_port,
+                operators_port=self.operators_port,
+                peers_port=self.peers_port,
+                seeds=seeds,
+                platform=platform,
+            )
+        )
+
+    def start(self) -> None:
+        """Start the process; see `wait_serving`."""
+        command = [sys.executable, "-m", "shallotworks", "serve", "--settings"]
+        self._process = subprocess.Popen(
+            [*command, str(self._settings)], stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL
+        )
+
+    def wait_serving(self) -> None:
+        """Wait until it takes requests."""
+        url = f"http://127.0.0.1:{self.callers_port}/.shallotworks/health"
+
+        def healthy() -> bool:
+            with contextlib.suppress(urllib3.exceptions.HTTPError):
+                answer = urllib3.request("GET", url, retries=False, timeout=1.0)
+                return answer.status == 200
+            return False
+
+        wait_for(healthy, START_TIMEOUT_S)
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process that this entry started."""
+        assert self._process is not None
+        os.kill(self._process.pid, number)
+
+    def stop(self) -> int:
+        """Stop it gracefully; returns its exit code."""
+        if self._process is None:
+            return 0
+        if self._process.poll() is None:
+            self.signal(signal.SIGCONT)
+            self.signal(signal.SIGTERM)
+        code = self._process.wait(timeout=STOP_TIMEOUT_S)
+        self._process = None
+        return code
+
+    def kill(self) -> None:
+        """End it at once, as a machine that fails does."""
+        self.signal(signal.SIGKILL)
+        assert self._process is not None
+        self._process.wait(timeout=STOP_TIMEOUT_S)
+        self._process = None
+
+
+class System:
+    """Two data centres with two entry instances and four workers each.
+
+    Args:
+        folder: Folder for settings, token and key.
+    """
+
+    def __init__(self, *, folder: Path) -> None:
+        self.token = secrets.token_hex(24)
+        (folder / "operators.token").write_text(self.token)
+        (folder / "peers.key").write_text(secrets.token_hex(48))
+        self.platform = PlatformStandIn(threads=96, watch_threads=48)
+        self.platform.start()
+        self.workers = [
+            WorkerStandIn(name=f"{place}-{rack}-{service}", slots=SLOTS, reboot_s=0.5)
+            for place in DATA_CENTRES
+            for rack in RACKS
+            for service in SERVICES
+        ]
+        for worker in self.workers:
+            worker.start()
+        ports = free_ports(12)
+        self.entries = [
+            Entry(
+                name=f"{place}-entry-{number}",
+                data_centre=place,
+                ports=[ports.pop() for _ in range(3)],
+            )
+            for place in DATA_CENTRES
+            for number in (1, 2)
+        ]
+        for entry in self.entries:
+            others = [each for each in self.entries if each is not entry]
+            seeds = ", ".join(f"127.0.0.1:{each.peers_port}" for each in others)
+            entry.write_settings(folder, seeds=seeds, platform=self.platform.address)
+
+    def start(self) -> None:
+        """Start the entry instances and put the fleet's configuration in force everywhere."""
+        for entry in self.entries:
+            entry.start()
+        for entry in self.entries:
+            entry.wait_serving()
+        changes = describe_fleet(self.workers)
+        with self.operator(self.entries[0]) as operator:
+            operator.apply(changes)
+        for entry in self.entries:
+            self.wait_revision(entry, len(changes))
+
+    def stop(self) -> None:
+        """Stop everything; the workers first let go of what a test has left silent."""
+        for entry in self.entries:
+            entry.stop()
+        for worker in self.workers:
+            worker.stop()
+        self.platform.stop()
+
+    @contextlib.contextmanager
+    def operator(self, entry: Entry) -> Iterator[DemoOperator]:
+        """Give an operator at one entry instance."""
+        operator = DemoOperator(port=entry.operators_port, token=self.token)
+        try:
+            yield operator
+        finally:
+            operator.close()
+
+    def wait_revision(self, entry: Entry, revision: int, timeout_s: float = 8.0) -> None:
+        """Wait until an entry instance holds a revision."""
+        with self.operator(entry) as operator:
+            wait_for(lambda: operator.status().revision >= revision, timeout_s)
+
+
+@contextlib.contextmanager
+def running_system() -> Iterator[System]:
+    """Give a system that serves."""
+    with tempfile.TemporaryDirectory() as folder:
+        system = System(folder=Path(folder))
+        try:
+            system.start()
+            yield system
+        finally:
+            system.stop()
+
+
+def wait_for(condition: Callable[[], bool], timeout_s: float) -> None:
+    """Wait until a condition holds; raises ``TimeoutError``."""
+    ends_at_s = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > ends_at_s:
+            raise TimeoutError(f"not reached within {timeout_s:g} s")
+        time.sleep(POLL_S)
