--- a/src/shallotworks/operators/_fleet_handlers.py
+++ b/src/shallotworks/operators/_fleet_handlers.py
@@ -4,7 +4,7 @@
 
 from typing import Annotated
 
-from pydantic import Field, TypeAdapter, ValidationError
+from pydantic import Field, TypeAdapter
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
@@ -21,7 +21,7 @@
 
 from ._calls import Answered, Call, Refused, answer_json
 from ._hop import LoopHop
-from ._invalid import invalid_body
+from ._invalid import read_body
 from ._parameters import whole_number
 from ._protocols import OperatorBackend
 from ._views import (
@@ -32,8 +32,8 @@
     PoolsView,
     ServicesView,
     TeamsView,
-    pool_view,
-    service_view,
+    pool_views,
+    service_views,
 )
 
 __all__ = ["FleetHandlers"]
@@ -75,14 +75,13 @@
     def pools(self, call: Call) -> Outcome:
         """Answer the pools with their budgets."""
         state = self._hop.read(self._backend.fleet())
-        views = tuple(pool_view(state, entry) for _, entry in sorted(state.pools.items()))
-        return Success(answer_json(PoolsView(revision=state.revision, pools=views)))
+        view = PoolsView(revision=state.revision, pools=pool_views(state))
+        return Success(answer_json(view))
 
     def services(self, call: Call) -> Outcome:
         """Answer the services."""
         state = self._hop.read(self._backend.fleet())
-        views = tuple(service_view(state, entry) for _, entry in sorted(state.services.items()))
-        view = ServicesView(revision=state.revision, services=views)
+        view = ServicesView(revision=state.revision, services=service_views(state))
         return Success(answer_json(view))
 
     def teams(self, call: Call) -> Outcome:
@@ -130,11 +129,11 @@
 
 
 def _read_changes(body: bytes) -> Result[list[Change], Failure]:
-    try:
-        read = _ONE_OR_MORE.validate_json(body)
-    except ValidationError as error:
-        return Err(invalid_body(error))
-    changes = read if isinstance(read, list) else [read]
+    read = read_body(_ONE_OR_MORE, body)
+    if isinstance(read, Err):
+        return read
+    one_or_more = read.unwrap()
+    changes = one_or_more if isinstance(one_or_more, list) else [one_or_more]
     for place, change in enumerate(changes):
         if _is_a_plans_own(change):
             reason = f"change {place} ({change.kind}) is made by a plan only; use /v1/plans"
