--- a/tests/peer_fakes.py
+++ b/tests/peer_fakes.py
@@ -97,6 +97,12 @@
             if address in (stream.source, stream.target):
                 stream.lost = True
 
+    def block(self, address: str) -> None:
+        """Let the connections open at one address take no more bytes from it."""
+        for stream in self._streams:
+            if address == stream.source:
+                stream.blocked = True
+
     async def connect(self, source: str, target: str) -> MemoryStream:
         await asyncio.sleep(DELAY_S)
         if self.is_cut(source, target) or self.refuses_dial(source, target):
@@ -150,6 +156,7 @@
         self.target = target
         self.other: MemoryStream | None = None
         self.lost = False
+        self.blocked = False
 
     def feed(self, data: bytes) -> None:
         """Let bytes arrive that the other end has not written."""
@@ -161,10 +168,11 @@
     def write(self, data: bytes) -> None:
         if self._closed:
             raise ConnectionResetError
-        self._carry(data)
+        if not self.blocked:
+            self._carry(data)
 
     async def drain(self) -> None:
-        await asyncio.sleep(0)
+        await (asyncio.Event().wait() if self.blocked else asyncio.sleep(0))
 
     def close(self) -> None:
         if not self._closed:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,7 +11,7 @@
 from parameterized import parameterized
 
 from shallotworks.config import Entry
-from shallotworks.peers import TcpTransport
+from shallotworks.peers import PeerTiming, TcpTransport
 from shallotworks.protocol import FleetKeys, ServiceLoad
 from shallotworks.timeline import EventKind
 
@@ -240,6 +240,22 @@
         reached = lambda: fleet.revisions() == {1}  # noqa: E731
         self.assertLess(await fleet.time_until(reached, within_s=IN_FORCE_S), 4.0)
 
+    @on_fleet(a=2)
+    async def test_a_peer_that_stops_reading_costs_a_bounded_queue(self, fleet: Fleet) -> None:
+        """What a peer does not take is dropped past a bound, and made good over a new connection.
+
+        Story: a peer's process is stopped for a while. Writes to it block; without a bound all
+        that it is owed would pile up here, and waiting for it would hold up everyone else.
+        """
+        link = fleet.nodes["a0"].peers._links.get("a1")
+        assert link is not None
+        fleet.network.block("a0:1")
+        part = bytes(PeerTiming().queue_bytes // 4)
+        self.assertEqual([link.send(part) for _ in range(6)], [True] * 4 + [False] * 2)
+        fleet.accept_at("a0")
+        reached = lambda: fleet.revisions() == {1}  # noqa: E731
+        self.assertLess(await fleet.time_until(reached, within_s=IN_FORCE_S), 5.0)
+
     @parameterized.expand([("entries", 50), ("a snapshot", 900)])
     def test_a_gap_is_filled(self, _name: str, changes: int) -> None:
         """A newcomer takes what it lacks from its peers.
