--- a/tests/fakes_plans.py
+++ b/tests/fakes_plans.py
@@ -149,15 +149,16 @@
 class FakeDuty:
     """`Duty` on a `FakeLease`, renewed for ever unless its process is paused or dead."""
 
-    def __init__(self, lease: FakeLease) -> None:
+    def __init__(self, lease: FakeLease, owner: str) -> None:
         self._lease = lease
+        self.owner = owner
         self.paused = False
         self.believes = False
         """Whether it thinks that it holds the lease, as one that was paused does."""
 
     async def acquire(self) -> int:
         while self._lease.holder is not None and not self._lapsed():
-            await asyncio.sleep(0.25)
+            await asyncio.sleep(1.0)
         self._lease.holder = self
         self._lease.token += 1
         self.believes = True
@@ -196,11 +197,10 @@
         self.config = FakeConfig(state)
         self.targets = FakeTargets(reboot_s=reboot_s)
         self.store = MemoryStore()
-        self.lease = FakeLease()
+        self.leases: dict[str, FakeLease] = {}
         self.metrics = Metrics()
         self.timeline = Timeline(process="test", wall_clock_s=self.wall_clock_s)
         self.rules = rules or ConductorRules(drain_limit_s=120.0, return_limit_s=120.0)
-        self.duties: list[FakeDuty] = []
         self.tasks: list[asyncio.Task[None]] = []
         self.proposals = Proposals(
             view=self.config,
@@ -221,9 +221,10 @@
 
     def start_conductor(self) -> asyncio.Task[None]:
         """Start one more conductor, as one more entry instance would."""
+        name = f"entry-{len(self.tasks)}"
         conductor = Conductor(
-            name=f"entry-{len(self.tasks)}",
-            duties=self._new_duty,
+            name=name,
+            duties=lambda digest: FakeDuty(self.leases.setdefault(digest, FakeLease()), name),
             log=self.config,
             store=self.store,
             around=Surroundings(
@@ -240,16 +241,22 @@
         self.tasks.append(task)
         return task
 
-    def _new_duty(self, digest: str) -> FakeDuty:
-        duty = FakeDuty(self.lease)
-        self.duties.append(duty)
-        return duty
+    @property
+    def lease(self) -> FakeLease:
+        """The lease of the one plan that is open."""
+        (lease,) = self.leases.values()
+        return lease
+
+    def pause(self, task: asyncio.Task[None]) -> None:
+        """Let a conductor's leases lapse while it goes on believing in them."""
+        name = f"entry-{self.tasks.index(task)}"
+        for lease in self.leases.values():
+            if lease.holder is not None and lease.holder.owner == name:
+                lease.holder.pause()
 
     async def kill(self, task: asyncio.Task[None]) -> None:
-        """End a conductor as a crash does: its lease is not given back."""
-        holder = self.lease.holder
-        if holder is not None:
-            holder.pause()
+        """End a conductor as a crash does: its leases are not given back."""
+        self.pause(task)
         task.cancel()
         await asyncio.wait((task,))
 
--- a/tests/test_conductor_failures.py
+++ b/tests/test_conductor_failures.py
@@ -65,9 +65,7 @@
             first = world.start_conductor()
             digest = await confirmed(world, ARCHIVE)
             await asyncio.sleep(10)
-            paused = world.lease.holder
-            assert paused is not None
-            paused.pause()
+            world.pause(first)
             await asyncio.sleep(world.lease.ttl_s)
             world.start_conductor()
             await asyncio.sleep(3)
--- /dev/null
+++ b/tests/test_plans_machine.py
@@ -0,0 +1,282 @@
+"""Random histories of operators, conductors, failures and store faults over the plans."""
+
+import asyncio
+from collections.abc import Awaitable
+from typing import Any
+
+import looptime
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from returns.result import Success
+
+from shallotworks.fleet import (
+    AdvancePlan,
+    Change,
+    Condition,
+    ConfirmPlan,
+    FleetState,
+    Instance,
+    MoveInstance,
+    PlanState,
+    SetCondition,
+    SetHealth,
+)
+from shallotworks.plans import (
+    ConductorRules,
+    Drain,
+    InPool,
+    InRack,
+    Intent,
+    Maintain,
+    Move,
+    Named,
+    Return,
+)
+from shallotworks.standins import StoreFaults
+from tests.fakes_plans import World, fleet
+
+POOLS = ("a", "b", "c")
+NAMES = tuple(f"{pool}-{number}" for pool in POOLS for number in range(4))
+SELECTIONS = st.one_of(
+    st.builds(Named, names=st.lists(st.sampled_from(NAMES), min_size=1, max_size=3).map(tuple)),
+    st.builds(InPool, pool=st.sampled_from(POOLS)),
+    st.builds(InRack, data_centre=st.just("x"), rack=st.sampled_from(("r0", "r1"))),
+)
+INTENTS: st.SearchStrategy[Intent] = st.one_of(
+    st.builds(Drain, selection=SELECTIONS),
+    st.builds(Return, selection=SELECTIONS),
+    st.builds(Maintain, selection=SELECTIONS),
+    st.builds(
+        Move,
+        from_pool=st.sampled_from(POOLS),
+        to_pool=st.sampled_from(POOLS),
+        count=st.integers(1, 2),
+    ),
+)
+OPERATORS = st.sampled_from(("kari", "ola"))
+LIMIT_S = 600.0
+LAPSE_S = 5.5
+"""Time in which a paused conductor's lease lapses and is taken by another."""
+RULES = ConductorRules(
+    drain_limit_s=30.0, return_limit_s=30.0, last_chance_s=5.0, settle_s=2.0, poll_s=0.5
+)
+
+
+class PlansMachine(RuleBasedStateMachine):
+    """Two operators, up to three conductors and everything that fails, in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = looptime.new_event_loop()
+        self.world = World(
+            fleet(centres=("x", "y"), pools=dict.fromkeys(POOLS, 4), budget=2),
+            rules=RULES,
+            reboot_s=8.0,
+        )
+        self.proposed: list[str] = []
+        self.confirmed: set[str] = set()
+        self.tokens: dict[str, int] = {}
+        self.ended: dict[str, PlanState] = {}
+        self.violations: list[str] = []
+        self.world.config.checks.append(self.check_change)
+        self.watch_reboots()
+
+    def wait(self, work: Awaitable[Any]) -> Any:
+        return self.loop.run_until_complete(work)
+
+    def state(self) -> FleetState:
+        return self.world.config.state()
+
+    @initialize()
+    def start(self) -> None:
+        self.start_conductor()
+
+    @rule(intent=INTENTS, operator=OPERATORS)
+    def propose(self, intent: Intent, operator: str) -> None:
+        result = self.wait(self.world.proposals.propose(intent, author=operator))
+        if isinstance(result, Success):
+            self.proposed.append(result.unwrap().digest)
+
+    @rule(pick=st.integers(0, 9), operator=OPERATORS)
+    def confirm(self, pick: int, operator: str) -> None:
+        if self.proposed:
+            digest = self.proposed[-1 - pick % len(self.proposed)]
+            self.wait(self.world.proposals.confirm(digest, operator=operator))
+
+    @rule(pick=st.integers(0, 9), operator=OPERATORS)
+    def cancel(self, pick: int, operator: str) -> None:
+        if self.proposed:
+            digest = self.proposed[-1 - pick % len(self.proposed)]
+            self.wait(self.world.proposals.cancel(digest, operator=operator))
+
+    @rule(intent=INTENTS, operator=OPERATORS)
+    def propose_and_confirm(self, intent: Intent, operator: str) -> None:
+        self.propose(intent, operator)
+        self.confirm(0, operator)
+
+    @rule(what=st.sampled_from(("start", "kill", "pause")), pick=st.integers(0, 2))
+    def change_conductors(self, what: str, pick: int) -> None:
+        alive = [task for task in self.world.tasks if not task.done()]
+        if what == "start" and len(alive) < 3:
+            self.start_conductor()
+        elif what == "kill" and len(alive) > 1:
+            self.wait(self.world.kill(alive[pick % len(alive)]))
+        elif what == "pause":
+            self.loop.call_soon(self.world.pause, alive[pick % len(alive)])
+            self.start_conductor()
+            self.wait(asyncio.sleep(LAPSE_S))
+
+    def start_conductor(self) -> None:
+        self.loop.call_soon(self.world.start_conductor)
+        self.wait(asyncio.sleep(0.1))
+
+    @rule(
+        name=st.sampled_from(NAMES),
+        what=st.sampled_from(("failed", "works", "dead", "alive", "busy", "idle")),
+    )
+    def change_instance(self, name: str, what: str) -> None:
+        targets = self.world.targets
+        match what:
+            case "failed" | "works":
+                change = SetHealth(names=(name,), healthy=what == "works")
+                self.wait(self.world.config.propose(change, author="peer"))
+            case "dead":
+                targets.dead.add(name)
+            case "alive":
+                targets.dead.discard(name)
+            case "busy" | "idle":
+                targets.work[name] = int(what == "busy")
+
+    @rule(down=st.sampled_from((False, False, True)), lost=st.integers(0, 3))
+    def change_store(self, down: bool, lost: int) -> None:
+        self.world.config.down = down
+        self.world.config.lost_answers = lost
+        self.world.store.set_faults(StoreFaults(down=down))
+
+    @rule(duration_s=st.sampled_from((0.5, 3.0, 12.0, 90.0)))
+    def let_time_pass(self, duration_s: float) -> None:
+        self.wait(asyncio.sleep(duration_s))
+
+    @rule(duration_s=st.sampled_from((5.0, 20.0, 60.0)))
+    def let_a_wave_pass(self, duration_s: float) -> None:
+        self.wait(asyncio.sleep(duration_s))
+
+    @invariant()
+    def every_rule_held(self) -> None:
+        assert not self.violations, self.violations
+        state = self.state()
+        assert sorted(state.instances) == sorted(NAMES)
+        assert sum(len(list(state.instances_of(pool))) for pool in POOLS) == len(NAMES)
+        for digest, ended in self.ended.items():
+            assert state.plans[digest].state is ended, "a plan that ended came back"
+        assert self.confirmed <= state.plans.keys(), "a confirmed plan is gone"
+
+    def teardown(self) -> None:
+        """Once every fault is mended, each confirmed plan comes to its end."""
+        try:
+            self.mend()
+            for digest in sorted(self.confirmed):
+                self.come_to_an_end(digest)
+                self.check_end(digest)
+                self.return_what_ended_plans_left()
+            self.every_rule_held()
+        finally:
+            self.wait(self.world.stop())
+            self.loop.close()
+
+    def mend(self) -> None:
+        self.change_store(down=False, lost=0)
+        self.world.targets.dead.clear()
+        self.world.targets.work.clear()
+        failed = tuple(name for name in NAMES if not self.state().instances[name].healthy)
+        change = SetHealth(names=failed, healthy=True)
+        self.wait(self.world.config.propose(change, author="peer"))
+        self.return_what_ended_plans_left()
+        self.start_conductor()
+
+    def return_what_ended_plans_left(self) -> None:
+        """Free the budgets that ended drains hold, else a wave rightly waits for them for ever."""
+        state = self.state()
+        left = tuple(
+            name
+            for name, entry in state.instances.items()
+            if entry.condition is Condition.CORDONED and not state.open_plan_holding((name,))
+        )
+        change = SetCondition(names=left, condition=Condition.ACTIVE)
+        self.wait(self.world.config.propose(change, author="mend"))
+
+    def come_to_an_end(self, digest: str) -> None:
+        """Wait for a plan; two drains may hold each other up, then one of them is cancelled."""
+        try:
+            self.wait(self.world.until_ended(digest, limit_s=LIMIT_S))
+        except TimeoutError:
+            state = self.state()
+            pools = {state.instances[name].pool for name in state.plans[digest].instances}
+            full = [p for p in pools if state.unavailable_in(p) >= state.budget_of(p)]
+            assert full, f"plan {digest} stands still with budget left"
+            self.wait(self.world.proposals.cancel(digest, operator="kari"))
+            self.wait(self.world.until_ended(digest, limit_s=LIMIT_S))
+
+    def check_end(self, digest: str) -> None:
+        state = self.state()
+        if state.plans[digest].state is PlanState.CANCELLED:
+            left = [e.name for e in state.instances.values() if e.held_by == digest]
+            outcome = state.plans[digest].outcome
+            assert all(name in outcome for name in left), (left, outcome)
+
+    def check_change(self, before: FleetState, change: Change, after: FleetState) -> None:
+        """Check one accepted change; a violation is told by the next invariant."""
+        match change:
+            case ConfirmPlan():
+                self.confirmed.add(change.digest)
+            case SetCondition() | MoveInstance() | AdvancePlan():
+                digest = change.digest if isinstance(change, AdvancePlan) else change.plan
+                if not digest:
+                    author = self.world.config.history[-1][1]
+                    self.expect(author == "mend", f"acts without a plan: {change}")
+                    return
+                self.expect(digest in self.confirmed, f"acts unconfirmed: {change}")
+                self.expect(
+                    change.fencing_token >= self.tokens.get(digest, 0), f"old token: {change}"
+                )
+                self.tokens[digest] = change.fencing_token
+        if isinstance(change, SetCondition) and change.condition is Condition.CORDONED:
+            for pool in {after.instances[name].pool for name in change.names}:
+                out = after.unavailable_in(pool)
+                more = out > before.unavailable_in(pool)
+                self.expect(not more or out <= after.budget_of(pool), f"overspent: {change}")
+        for record in after.plans.values():
+            if not record.state.is_open:
+                self.ended.setdefault(record.digest, record.state)
+        for name, entry in after.instances.items():
+            moved = entry.pool != before.instances[name].pool
+            self.expect(not moved or isinstance(change, MoveInstance), f"moved: {change}")
+            grew = entry.maintained_at_s >= before.instances[name].maintained_at_s
+            self.expect(grew, f"maintenance forgotten: {name}")
+
+    def watch_reboots(self) -> None:
+        """Check each reboot: confirmed, cordoned by that plan, and with nothing in flight."""
+        targets = self.world.targets
+        real_reboot = targets.reboot
+
+        async def checked(instance: Instance, *, reboot_id: str, fencing_token: int) -> Any:
+            before = len(targets.reboots)
+            busy = targets.work.get(instance.name, 0)
+            result = await real_reboot(instance, reboot_id=reboot_id, fencing_token=fencing_token)
+            if len(targets.reboots) > before:
+                held_by = self.state().instances[instance.name].held_by
+                self.expect(reboot_id in self.confirmed, "rebooted unconfirmed")
+                self.expect(held_by == reboot_id, f"rebooted {instance.name} uncordoned")
+                self.expect(busy == 0, f"rebooted {instance.name} with work in flight")
+            return result
+
+        targets.reboot = checked  # type: ignore[method-assign]
+
+    def expect(self, holds: bool, told: str) -> None:
+        if not holds:
+            self.violations.append(told)
+
+
+PlansTests = PlansMachine.TestCase
+PlansTests.settings = settings(max_examples=60, stateful_step_count=50, deadline=None)
