Spread each wave over pools; planner, log and golden session tests

Cause: a packed wave took a pool's whole budget and left nothing for a failure during it. Change: the packing takes one instance per pool first, as long as that costs no further wave; an unreachable target is told as such; session goldens for both users; tables of refusals.

--- a/src/shallotworks/plans/_instance_run.py
+++ b/src/shallotworks/plans/_instance_run.py
@@ -55,6 +55,7 @@
 
     DONE = "done"
     NEVER_EMPTIED = "never emptied, given back"
+    NEVER_ANSWERED = "did not answer while it was drained, given back"
     NEVER_CAME_BACK = "did not come back, stays cordoned"
     REPLACED = "another machine came back under its name, stays cordoned"
     REFUSED = "refused by the configuration"
@@ -182,9 +183,15 @@
         return not self._instance().healthy and in_flight.failure().kind is ErrorKind.UNREACHABLE
 
     async def _give_back(self) -> StepEnd:
-        """Return a target that never emptied: its work goes on, its permit is free again."""
-        result = await self._writer.activate(self._name)
-        return StepEnd.NEVER_EMPTIED if isinstance(result, Success) else StepEnd.REFUSED
+        """Return a target that never emptied: its work goes on, its permit is free again.
+
+        One that does not answer may be cut off from this process alone, hence is given back too.
+        """
+        in_flight = await self._control.in_flight(self._instance())
+        result = await self._writer.activate(self._name, probed=False)
+        if not isinstance(result, Success):
+            return StepEnd.REFUSED
+        return StepEnd.NEVER_EMPTIED if isinstance(in_flight, Success) else StepEnd.NEVER_ANSWERED
 
     async def _reboot(self, *, limit_s: float) -> StepEnd:
         until_s = _now_s() + limit_s
--- a/src/shallotworks/plans/_intents.py
+++ b/src/shallotworks/plans/_intents.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from datetime import UTC, datetime
 from typing import Annotated, Literal
 
 from pydantic import Field, TypeAdapter
@@ -159,7 +160,11 @@
         case InDataCentre():
             return f"data centre {selection.data_centre}"
         case NotMaintainedSince():
-            return f"everything not maintained since {selection.before_s:.0f}"
+            return f"everything not maintained since {_date(selection.before_s)}"
+
+
+def _date(unix_s: float) -> str:
+    return datetime.fromtimestamp(unix_s, tz=UTC).strftime("%Y-%m-%d")
 
 
 def _names(names: tuple[str, ...]) -> str:
--- a/src/shallotworks/plans/_plan_run.py
+++ b/src/shallotworks/plans/_plan_run.py
@@ -238,7 +238,7 @@
         held = [name for name in self._steps() if self._holds(name)]
         await run_all(self._roll_back_instance(name, limit_s) for name in held)
         left = sorted(name for name in self._steps() if self._holds(name))
-        outcome = f"cancelled; {len(held) - len(left)} of {len(held)} cordons rolled back"
+        outcome = f"{len(held) - len(left)} of {len(held)} cordons rolled back"
         if left:
             outcome += f"; still cordoned: {', '.join(left[:NAMES_SHOWN])}"
         await self._end(PlanState.CANCELLED, outcome)
--- a/src/shallotworks/plans/_planner.py
+++ b/src/shallotworks/plans/_planner.py
@@ -33,6 +33,8 @@
 
 NAMES_SHOWN = 4
 ROUNDING_DIGITS = 3
+NOTICEABLE = 1.05
+"""From this part on a larger figure is told as a reason."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -212,9 +214,9 @@
                 ("roll-out", way.measures.roll_out_s, chosen.measures.roll_out_s),
                 ("moves", way.measures.moves, chosen.measures.moves),
             )
-            if theirs > ours
+            if theirs > ours * NOTICEABLE
         ]
-        return ", ".join(reasons) or "no better in any measure"
+        return ", ".join(reasons) or "no better"
 
     def _waves(self, waves: Waves, intent: Intent, *, supply: Supply) -> tuple[Wave, ...]:
         actions = actions_of(intent)
--- a/src/shallotworks/plans/_render.py
+++ b/src/shallotworks/plans/_render.py
@@ -11,8 +11,8 @@
 
 __all__ = ["render_diff", "render_duration", "render_plan", "render_progress"]
 
-BAR_COLUMNS = 40
-NAMES_SHOWN = 4
+BAR_COLUMNS = 24
+NAMES_SHOWN = 3
 ROWS_SHOWN = 24
 SECONDS_PER_MINUTE = 60
 SECONDS_PER_HOUR = 3600
@@ -23,10 +23,10 @@
     lines = [
         f"plan {plan.short_digest}: {describe_intent(plan.intent)}",
         f"  proposed by {plan.author} at revision {plan.base_revision};"
-        f" {len(plan.instances)} instances in {len(plan.waves)} waves",
+        f" {_count(len(plan.instances), 'instance')} in {_count(len(plan.waves), 'wave')}",
         f"  {_measures(plan.measures)}",
         *_section("notes", plan.notes),
-        *_section("waves over time", _waves(plan)),
+        *_section("waves over time, with the budgets they use", _waves(plan)),
         *_section("left in each data centre at its worst moment", _capacity(plan.capacity)),
         *_section("ways weighed", _alternatives(plan.alternatives)),
         *_section("left alone", [f"{s.instance} {s.reason}" for s in plan.skipped]),
@@ -120,7 +120,7 @@
     ]
     more = len(spends) - NAMES_SHOWN
     text = ", ".join(parts) + (f" and {more} more" if more > 0 else "")
-    return f" (budget: {text})"
+    return f"  [{text}]"
 
 
 def _capacity(capacity: tuple[DataCentreCapacity, ...]) -> list[str]:
@@ -133,9 +133,18 @@
 
 
 def _alternatives(alternatives: tuple[Alternative, ...]) -> list[str]:
-    width = max((len(row.strategy.value) for row in alternatives), default=0)
-    return [
-        f"{row.strategy.value:<{width}}  cost {row.cost:<8g} {_measures(row.measures)},"
-        f" up to {row.width} at once: {row.verdict}"
+    if not alternatives:
+        return []
+    width = max(len(row.strategy.value) for row in alternatives)
+    head = f"{'':<{width}}  {'cost':>7} {'slots':>6} {'roll-out':>12} {'moves':>7} {'at once':>7}"
+    rows = [
+        f"{row.strategy.value:<{width}}  {row.cost:>7.2f} {row.measures.buffer_slots:>6}"
+        f" {render_duration(row.measures.roll_out_s):>12} {row.measures.moves:>7g}"
+        f" {row.width:>7}  {row.verdict}"
         for row in alternatives
     ]
+    return [head, *rows]
+
+
+def _count(number: int, noun: str) -> str:
+    return f"{number} {noun}" if number == 1 else f"{number} {noun}s"
--- a/src/shallotworks/plans/_strategies.py
+++ b/src/shallotworks/plans/_strategies.py
@@ -116,77 +116,85 @@
 
 
 def _packed(targets: Iterable[Instance], limits: Limits, *, width: int) -> Waves:
-    """Pack waves of a width: pools that need most further waves first, few racks per wave."""
+    """Pack waves of a width, taking from the pool that needs most further waves, one by one.
+
+    One by one, so that a wave takes one instance from each of many pools before it takes a second
+    from any: what it leaves of each budget is there for a failure during the wave.
+    """
     waiting: dict[str, list[Instance]] = {}
     for entry in targets:
         waiting.setdefault(entry.pool, []).append(entry)
-    heap = [(-_waves_needed(waiting[pool], limits), pool) for pool in waiting]
-    heapq.heapify(heap)
     waves: Waves = []
-    while heap:
-        waves.append(_next_wave(heap, waiting, limits, width=width))
+    while waiting:
+        waves.append(_next_wave(waiting, limits, width=width))
+        waiting = {pool: entries for pool, entries in waiting.items() if entries}
     return waves
 
 
-def _next_wave(
-    heap: list[tuple[int, str]],
-    waiting: dict[str, list[Instance]],
-    limits: Limits,
-    *,
-    width: int,
-) -> list[Instance]:
+def _next_wave(waiting: dict[str, list[Instance]], limits: Limits, *, width: int) -> list[Instance]:
     wave: list[Instance] = []
     racks: set[RackKey] = set()
-    visited: list[str] = []
+    used: dict[str, Counter[str]] = {pool: Counter() for pool in waiting}
+    due = _due(waiting, limits, width=width)
+
+    def urgency(pool: str) -> tuple[bool, int, float, str]:
+        """Order pools: those that would need a wave more, least used, most still to do."""
+        taken = used[pool].total()
+        to_do = len(waiting[pool]) / limits.permits[pool]
+        return (taken >= due[pool], taken, -to_do, pool)
+
+    heap = [urgency(pool) for pool in waiting]
+    heapq.heapify(heap)
     while heap and len(wave) < width:
-        _, pool = heapq.heappop(heap)
-        taken = _take(waiting[pool], limits, room=width - len(wave), racks=racks)
-        wave.extend(taken)
-        racks.update(_rack(entry) for entry in taken)
-        visited.append(pool)
-    for pool in visited:
+        pool = heapq.heappop(heap)[-1]
+        entry = _take_one(waiting[pool], limits, used=used[pool], racks=racks)
+        if entry is None:
+            continue
+        wave.append(entry)
+        racks.add(_rack(entry))
         if waiting[pool]:
-            heapq.heappush(heap, (-_waves_needed(waiting[pool], limits), pool))
+            heapq.heappush(heap, urgency(pool))
     return wave
 
 
-def _take(
-    entries: list[Instance], limits: Limits, *, room: int, racks: set[RackKey]
-) -> list[Instance]:
-    """Take from one pool for one wave: failed ones, then racks in use, then whole racks.
+def _due(waiting: Mapping[str, list[Instance]], limits: Limits, *, width: int) -> dict[str, int]:
+    """Return how many of each pool this wave has to take for the fewest waves in all."""
+    total = sum(len(entries) for entries in waiting.values())
+    needed = max(-(-len(waiting[pool]) // limits.permits[pool]) for pool in waiting)
+    waves = max(needed, -(-total // width))
+    return {
+        pool: len(entries) - (waves - 1) * limits.permits[pool] for pool, entries in waiting.items()
+    }
 
-    Why whole racks: one rack that fails during the wave then takes instances that are out anyway.
+
+def _take_one(
+    entries: list[Instance], limits: Limits, *, used: Counter[str], racks: set[RackKey]
+) -> Instance | None:
+    """Take a failed one, else one from a rack that the wave uses already, else the fullest rack.
+
+    Few racks per wave, since one that fails meanwhile then takes instances that are out anyway.
     """
     fullness = Counter(_rack(entry) for entry in entries)
-    order = sorted(
-        entries,
+    fitting = [entry for entry in entries if _has_room(entry, used, limits)]
+    if not fitting:
+        return None
+    taken = min(
+        fitting,
         key=lambda e: (e.available, _rack(e) not in racks, -fullness[_rack(e)], _rack(e), e.name),
     )
-    taken: list[Instance] = []
-    used: Counter[str] = Counter()
-    for entry in order:
-        if len(taken) == room:
-            break
-        if entry.available and not _has_room(entry, used, limits):
-            continue
-        if entry.available:
-            used[entry.data_centre] += 1
-        taken.append(entry)
-    gone = {entry.name for entry in taken}
-    entries[:] = [entry for entry in entries if entry.name not in gone]
+    if taken.available:
+        used[taken.data_centre] += 1
+    entries.remove(taken)
     return taken
 
 
 def _has_room(entry: Instance, used: Counter[str], limits: Limits) -> bool:
+    if not entry.available:
+        return True
     present = limits.present.get((entry.pool, entry.data_centre), 0)
     keeps_one = present <= 1 or used[entry.data_centre] + 1 < present
     return keeps_one and used.total() < limits.permits[entry.pool]
 
 
-def _waves_needed(entries: list[Instance], limits: Limits) -> int:
-    permits = limits.permits[entries[0].pool]
-    return -(-sum(1 for entry in entries if entry.available) // permits) or 1
-
-
 def _rack(entry: Instance) -> RackKey:
     return (entry.data_centre, entry.rack)
--- a/src/shallotworks/plans/_writer.py
+++ b/src/shallotworks/plans/_writer.py
@@ -33,6 +33,10 @@
 _TRY_AGAIN = (ErrorKind.STORE_UNAVAILABLE, ErrorKind.OUTCOME_UNKNOWN, ErrorKind.STORE_REGRESSED)
 
 
+_BatchKey = tuple[bool, bool]
+"""Whether its instances were maintained, and whether they were probed."""
+
+
 @dataclass(slots=True, kw_only=True)
 class _Batch:
     """Returns that go into one write."""
@@ -78,7 +82,7 @@
         self._view = view
         self._author = author
         self._metrics = metrics
-        self._batches: dict[bool, _Batch] = {}
+        self._batches: dict[_BatchKey, _Batch] = {}
 
     @property
     def token(self) -> int:
@@ -109,14 +113,14 @@
         )
 
     async def activate(
-        self, name: str, *, maintained_at_s: float = 0.0
+        self, name: str, *, maintained_at_s: float = 0.0, probed: bool = True
     ) -> Result[FleetState, Failure]:
-        """Return an instance that was probed; one that was reported as failed works again.
+        """Return an instance; one that was probed counts as working again.
 
         Returns that come close to each other share one write, since each counts against the
         platform's rates.
         """
-        key = maintained_at_s > 0
+        key = (maintained_at_s > 0, probed)
         batch = self._batches.get(key)
         if batch is None:
             batch = _Batch(names=[], maintained_at_s=0.0)
@@ -134,16 +138,18 @@
                 batch.task.cancel()
                 await asyncio.wait((batch.task,))
 
-    async def _write_batch(self, key: bool, batch: _Batch) -> Result[FleetState, Failure]:
+    async def _write_batch(self, key: _BatchKey, batch: _Batch) -> Result[FleetState, Failure]:
         await asyncio.sleep(BATCH_S)
         self._batches.pop(key, None)
-        return await self._activate_all(tuple(batch.names), maintained_at_s=batch.maintained_at_s)
+        return await self._activate_all(
+            tuple(batch.names), maintained_at_s=batch.maintained_at_s, probed=key[1]
+        )
 
     async def _activate_all(
-        self, names: tuple[str, ...], *, maintained_at_s: float
+        self, names: tuple[str, ...], *, maintained_at_s: float, probed: bool
     ) -> Result[FleetState, Failure]:
         failed = tuple(n for n in names if not self._view.state().instances[n].healthy)
-        if failed:
+        if failed and probed:
             await self.write(SetHealth(names=failed, healthy=True))
         return await self.write(
             SetCondition(
--- a/tests/fakes_plans.py
+++ b/tests/fakes_plans.py
@@ -331,11 +331,11 @@
     )
 
 
-def fjellsending() -> FleetState:
+def fjellsending(*, budget: int = 2) -> FleetState:
     """Return Fjellsending's fleet of today: four data centres, five pools of eight."""
     services = ("fault-trace", "antenna-sweep", "spare-parts", "archive", "coverage")
     return fleet(
-        centres=("bergen", "forde", "odda", "voss"), pools=dict.fromkeys(services, 8), budget=2
+        centres=("bergen", "forde", "odda", "voss"), pools=dict.fromkeys(services, 8), budget=budget
     )
 
 
--- /dev/null
+++ b/tests/test_plan_sessions.py
@@ -0,0 +1,125 @@
+"""Golden files of whole operator sessions, for both users.
+
+A difference shows what operators would see otherwise. Where it is meant, the files are written
+anew with ``SHALLOTWORKS_WRITE_GOLDEN=1``.
+"""
+
+import asyncio
+import os
+import unittest
+from pathlib import Path
+
+from returns.result import Success
+
+from shallotworks.fleet import SetHealth
+from shallotworks.plans import (
+    Drain,
+    InRack,
+    Intent,
+    Maintain,
+    NotMaintainedSince,
+    PlannerWeights,
+    progress_of,
+    render_diff,
+    render_plan,
+    render_progress,
+)
+from tests.fakes_plans import World, fjellsending, run, tijera
+
+GOLDEN = Path(__file__).parent / "golden"
+EVERYTHING = Maintain(selection=NotMaintainedSince(before_s=1_797_000_000.0))
+
+
+class Session:
+    """Runs operators' commands on a world and keeps what they would read."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.text = ""
+
+    async def propose(self, intent: Intent, operator: str) -> str:
+        result = await self.world.proposals.propose(intent, author=operator)
+        shown = render_plan(result.unwrap()) if isinstance(result, Success) else ""
+        self.tell(f"{operator}: plan propose", shown or f"{result.failure()}\n")
+        return result.unwrap().digest if shown else ""
+
+    async def confirm(self, digest: str, operator: str) -> None:
+        result = await self.world.proposals.confirm(digest, operator=operator)
+        told = f"confirmed: {result.unwrap().intent}" if isinstance(result, Success) else ""
+        self.tell(f"{operator}: plan confirm {digest[:12]}", f"{told or result.failure()}\n")
+
+    async def cancel(self, digest: str, operator: str) -> None:
+        record = (await self.world.proposals.cancel(digest, operator=operator)).unwrap()
+        self.tell(f"{operator}: plan cancel {digest[:12]}", f"{record.state.value}\n")
+
+    async def diff(self, first: str, second: str) -> None:
+        result = await self.world.proposals.diff(first, second)
+        self.tell(f"plan diff {first[:12]} {second[:12]}", render_diff(result.unwrap()))
+
+    async def progress(self, digest: str, after_s: float) -> None:
+        await asyncio.sleep(after_s)
+        state = self.world.config.state()
+        plan = (await self.world.proposals.show(digest)).unwrap()
+        progress = progress_of(plan, state.plans[digest], state)
+        self.tell(f"plan status, {after_s:.0f} s later", render_progress(plan, progress))
+
+    async def end(self, digest: str) -> None:
+        record = (await self.world.until_ended(digest)).plans[digest]
+        self.tell("at the end", f"{record.state.value}: {record.outcome}\n")
+
+    def tell(self, command: str, answer: str) -> None:
+        self.text += f"$ {command}\n{answer}\n"
+
+
+class GoldenSessionTests(unittest.TestCase):
+    def test_a_maintenance_night_at_fjellsending(self) -> None:
+        """Narrow waves for a thin budget; a rack asked for too late; one target stays away."""
+
+        async def scenario() -> None:
+            weights = PlannerWeights(buffer=0.7, roll_out=0.2, moves=0.1)
+            world = World(fjellsending(), weights=weights, reboot_s=120.0)
+            world.start_conductor()
+            session = Session(world)
+            digest = await session.propose(EVERYTHING, "kari")
+            drain = Drain(selection=InRack(data_centre="bergen", rack="r0"))
+            rack = await session.propose(drain, "ola")
+            await session.confirm(digest, "kari")
+            await session.confirm(rack, "ola")
+            await session.progress(digest, 900.0)
+            world.targets.dead.add("coverage-7")
+            await session.end(digest)
+            await world.stop()
+            self.compare("fjellsending-night.txt", session.text)
+
+        run(scenario)
+
+    def test_an_evening_at_tijera_de_plata(self) -> None:
+        """Wide waves between closing and opening; a stale plan, its successor, and a cancel."""
+
+        async def scenario() -> None:
+            weights = PlannerWeights(buffer=0.1, roll_out=0.8, moves=0.1, window_s=8 * 3600)
+            world = World(tijera(), weights=weights, reboot_s=120.0)
+            world.start_conductor()
+            session = Session(world)
+            first = await session.propose(EVERYTHING, "lupe")
+            failed = SetHealth(names=("booking-3",), healthy=False)
+            await world.config.propose(failed, author="peer")
+            await session.confirm(first, "lupe")
+            fresh = (await world.proposals.list()).unwrap()[-1].plan.digest
+            await session.diff(first, fresh)
+            await session.confirm(fresh, "lupe")
+            await session.progress(fresh, 240.0)
+            await session.cancel(fresh, "memo")
+            await session.end(fresh)
+            impossible = Drain(selection=InRack(data_centre="leon", rack="r9"))
+            await session.propose(impossible, "memo")
+            await world.stop()
+            self.compare("tijera-evening.txt", session.text)
+
+        run(scenario)
+
+    def compare(self, name: str, text: str) -> None:
+        path = GOLDEN / name
+        if os.environ.get("SHALLOTWORKS_WRITE_GOLDEN"):
+            path.write_text(text, encoding="utf-8")
+        self.assertEqual(path.read_text(encoding="utf-8"), text)
