--- a/src/shallotworks/plans/_strategies.py
+++ b/src/shallotworks/plans/_strategies.py
@@ -83,8 +83,8 @@
 
 
 def widths_for(count: int) -> tuple[int, ...]:
-    """Return the wave widths to weigh: 1, 2, 3, 4, 6, 8, 12 and so on, and the whole."""
-    widths = {1, max(1, count)}
+    """Return the wave widths to weigh: 2, 3, 4, 6, 8, 12 and so on, and the whole."""
+    widths = {max(1, count)}
     width = 2
     while width < count:
         widths.update((width, min(count, width + width // 2)))
