--- a/src/shallotworks/plans/__init__.py
+++ b/src/shallotworks/plans/__init__.py
@@ -25,7 +25,6 @@
     encode_intent,
     not_maintained_for,
 )
-from ._lease_duty import DUTY_TTL_S, LeaseDuty
 from ._measures import DisruptionModel, PlannerWeights
 from ._plan_run import Surroundings
 from ._planner import Planner
@@ -50,7 +49,6 @@
 __all__ = [
     "PLANS_PREFIX",
     "Acknowledgements",
-    "DUTY_TTL_S",
     "Action",
     "Alternative",
     "BudgetUse",
@@ -64,7 +62,6 @@
     "InPool",
     "InRack",
     "Intent",
-    "LeaseDuty",
     "ListedPlan",
     "Maintain",
     "MaintenanceWindow",
--- a/tests/test_plan_sessions.py
+++ b/tests/test_plan_sessions.py
@@ -1,13 +1,7 @@
-"""Golden files of whole operator sessions, for both users.
-
-A difference shows what operators would see otherwise. Where it is meant, the files are written
-anew with ``SHALLOTWORKS_WRITE_GOLDEN=1``.
-"""
+"""Golden files of whole operator sessions, for both users."""
 
 import asyncio
-import os
 import unittest
-from pathlib import Path
 
 from returns.result import Success
 
@@ -25,8 +19,8 @@
     render_progress,
 )
 from tests.fakes_plans import World, fjellsending, run, tijera
+from tests.golden_files import assert_golden
 
-GOLDEN = Path(__file__).parent / "golden"
 EVERYTHING = Maintain(selection=NotMaintainedSince(before_s=1_797_000_000.0))
 
 
@@ -89,7 +83,7 @@
             world.targets.dead.add("coverage-7")
             await session.end(digest)
             await world.stop()
-            self.compare("fjellsending-night.txt", session.text)
+            assert_golden(self, "fjellsending-night.txt", session.text)
 
         run(scenario)
 
@@ -114,12 +108,6 @@
             impossible = Drain(selection=InRack(data_centre="leon", rack="r9"))
             await session.propose(impossible, "memo")
             await world.stop()
-            self.compare("tijera-evening.txt", session.text)
+            assert_golden(self, "tijera-evening.txt", session.text)
 
         run(scenario)
-
-    def compare(self, name: str, text: str) -> None:
-        path = GOLDEN / name
-        if os.environ.get("SHALLOTWORKS_WRITE_GOLDEN"):
-            path.write_text(text, encoding="utf-8")
-        self.assertEqual(path.read_text(encoding="utf-8"), text)
