--- a/src/shallotworks/config/_log_reader.py
+++ b/src/shallotworks/config/_log_reader.py
@@ -91,10 +91,29 @@
         elif prefix == self._watched_prefix():
             # Beyond a block's end there may be entries that this watch didn't cover.
             self._version = result.version
+        if not result.items and self._replica.revision() < self._replica.newest_heard():
+            # Others have newer revisions that the watch will never show: a store that came back
+            # older and was restored by a snapshot, with its counter past the version watched from.
+            return await self.read()
         if prefix == self._watched_prefix():
             self._replica.confirm_newest(self._replica.revision())
         return Success(self._replica.revision())
 
+    async def change_id_in_log(self, revision: int) -> str | None:
+        """Return the id of the change under a revision's key, where the log surely goes on from it.
+
+        The failure: an entry is written so late that its revision had been written before by
+        another, and deleted behind a snapshot. Its key then exists, but the next one is missing or
+        was written before it.
+        """
+        outcome = await self._store.list(LOG_PREFIX, after_key=log_key(revision - 1), limit=2)
+        items = outcome.value_or(())
+        if [item.key for item in items] != [log_key(revision), log_key(revision + 1)]:
+            return None
+        if items[0].version > items[1].version:
+            return None
+        return Entry.decode(items[0].value).change_id
+
     async def _read_page(self, known_before: int) -> Result[bool, Failure]:
         """Read and take one page of the log; says whether that was all there is to do."""
         held = self._replica.revision()
@@ -136,8 +155,6 @@
         self, held: int, held_id: str | None, items: tuple[Versioned, ...]
     ) -> Result[_Start, Failure]:
         first = log_revision(items[0].key) if items else 0
-        if held == 0 and first == 1:
-            return Success(_Start.AGREES)
         if held > 0 and first == held:
             return Success(_Start.AGREES)
         outcome = await read_pointer(self._store)
@@ -145,7 +162,7 @@
             return Err(outcome.failure())
         stored = outcome.unwrap()
         if stored is None:
-            return Success(self._without_pointer(held, items))
+            return Success(self._without_pointer(held, first))
         if stored.pointer.revision > held:
             return await self._load(stored.pointer)
         if stored.pointer.revision == held and stored.pointer.last_change_id == held_id:
@@ -154,8 +171,8 @@
         self._report(f"has snapshot {stored.pointer.revision} and no entry of revision {held}")
         return Success(_Start.REGRESSED)
 
-    def _without_pointer(self, held: int, items: tuple[Versioned, ...]) -> _Start:
-        if held == 0 and not items:
+    def _without_pointer(self, held: int, first: int) -> _Start:
+        if held == 0 and first <= 1:
             return _Start.AGREES
         self._report(f"has neither a snapshot nor the entry of revision {max(held, 1)}")
         return _Start.REGRESSED
--- a/src/shallotworks/config/_store.py
+++ b/src/shallotworks/config/_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
@@ -20,7 +21,8 @@
 from ._log_reader import LogReader
 from ._protocols import Accepted
 from ._replica import Replica
-from ._snapshots import log_key, write_snapshot
+from ._restore import restore
+from ._snapshots import log_key
 
 __all__ = ["ConfigStore"]
 
@@ -31,8 +33,12 @@
 """How often a process that need not watch looks whether it must."""
 RECHECK_S = 3.0
 """How often a watcher looks whether a store that came back empty or older agrees again."""
+CHECK_EVERY_S = 60.0
+"""How often a watcher reads the end of the log, to see whether the store still agrees."""
 FASTEST_ROUND_S = 0.05
 """Least time of a round of the watch that brought nothing, so that no fault makes it spin."""
+FRESH_S = 300.0
+"""A state known as the newest so recently can't lie behind the entries that are deleted."""
 CHANGE_ID_BITS = 96
 
 
@@ -40,7 +46,8 @@
     """Implements `ConfigView`, `ConfigLog` and `ConfigReplica` over the platform's service.
 
     A change costs two calls where nothing is amiss: the entry is created, and read back together
-    with the one before it. Each lost race costs two more.
+    with the one before it. Each lost race costs two more, and a process that has not heard for
+    some minutes what the newest revision is reads first.
 
     Args:
         store: The platform's key-value service.
@@ -93,13 +100,24 @@
         """
         loop = asyncio.get_running_loop()
         failures = 0
+        # After a start, an outage or a time without a watch the store may have come back older. A
+        # watch alone would not show that once its counter has grown again, so the first look is a
+        # read, and one now and then.
+        checked_at_s = -math.inf
         while True:
             if not should_watch():
+                checked_at_s = -math.inf
                 await asyncio.sleep(IDLE_CHECK_S)
                 continue
             started_s = loop.time()
             held = self.revision()
-            followed = await self._follow()
+            if started_s - checked_at_s > CHECK_EVERY_S:
+                followed = await self.load()
+                checked_at_s = started_s
+            else:
+                followed = await self._reader.follow()
+            if not isinstance(followed, Success) or self.fault() is not None:
+                checked_at_s = -math.inf
             if isinstance(followed, Success):
                 failures = 0
                 if self.revision() == held and loop.time() - started_s < FASTEST_ROUND_S:
@@ -129,26 +147,24 @@
         return outcome
 
     async def restore_store(self) -> Result[int, Failure]:
-        """Write the state held as a snapshot into a store that came back empty or older.
+        """Bring a store that came back empty or older to the revision held here.
 
         Only ever at an operator's word, and at the process with the highest revision. The log then
         goes on from there.
 
         Returns:
-            The revision; ``CONFLICT`` where the store agrees, has another history, or a newer
-            revision than the one held here is known.
+            The revision; ``CONFLICT`` where the store lacks nothing, or a newer revision than the
+            one held here is known; ``STORE_REGRESSED`` where the store has another history.
         """
         read = await self._reader.read()
         if not isinstance(read, Success):
             return read
-        if self.fault() is None:
-            return Err(Failure(kind=ErrorKind.CONFLICT, reason="the store agrees; nothing to do"))
         if self.newest_heard() > self.revision():
             reason = f"another process holds revision {self.newest_heard()}; restore from there"
             return Err(Failure(kind=ErrorKind.CONFLICT, reason=reason))
-        written = await write_snapshot(self._store, self.snapshot())
-        if not isinstance(written, Success):
-            return Err(written.failure())
+        restored = await restore(self._store, self)
+        if not isinstance(restored, Success):
+            return restored
         self._metrics.count("config.store-restored")
         return await self.load()
 
@@ -158,13 +174,6 @@
             self._compacting.cancel()
             await asyncio.gather(self._compacting, return_exceptions=True)
 
-    async def _follow(self) -> Result[int, Failure]:
-        if self.fault() is None:
-            return await self._reader.follow()
-        outcome = await self._reader.read()
-        fault = self.fault()
-        return Err(fault) if isinstance(outcome, Success) and fault is not None else outcome
-
     def _retry_delay_s(self, failure: Failure, failures: int) -> float:
         if failure.kind is not ErrorKind.STORE_UNAVAILABLE:
             return self._rng.uniform(RECHECK_S / 2, RECHECK_S)
@@ -207,10 +216,10 @@
         """Check the change against the newest revision; one that may be written is past that."""
         if proposal.is_open:
             return None
-        if self.fault() is not None or self.revision() < self.newest_heard():
-            # A store that came back at just the revision held here looks right to this process;
-            # only what it has heard of newer ones keeps it from beginning a second history.
-            await self._reader.read()
+        if self._must_read_first():
+            read = await self._reader.read()
+            if not isinstance(read, Success):
+                return read.failure()
         checked = apply(self.state(), change)
         if not isinstance(checked, Success):
             # Only the newest state may refuse it; what is held may be a moment old.
@@ -222,6 +231,16 @@
             return self.fault()
         return None if isinstance(checked, Success) else checked.failure()
 
+    def _must_read_first(self) -> bool:
+        """Say whether an entry written after what is held could begin a second history.
+
+        A store that came back at just the revision held here looks right to this process, unless
+        it has heard of a newer one. And where this process was cut off for so long that the next
+        entry has been written, and deleted behind a snapshot, its key could be created again.
+        """
+        behind = self.revision() < self.newest_heard()
+        return behind or self.fault() is not None or self.age_s() > FRESH_S
+
     async def _create(
         self, proposal: _Proposal, change: Change, author: str
     ) -> Result[None, Failure]:
@@ -257,17 +276,13 @@
         if revision == 0 or revision > self.revision():
             return False
         # A snapshot may have carried this process past the revision without its entry.
-        change_id = self.change_id_at(revision) or await self._read_change_id(revision)
+        change_id = self.change_id_at(revision) or await self._reader.change_id_in_log(revision)
         if change_id == proposal.change_id:
             return True
         if change_id is not None:
             proposal.open_revision = 0
         return False
 
-    async def _read_change_id(self, revision: int) -> str | None:
-        item = (await self._store.get(log_key(revision))).value_or(None)
-        return Entry.decode(item.value).change_id if item is not None else None
-
     def _give_up(self, proposal: _Proposal, ends_at_s: float) -> Failure | None:
         fault = self.fault()
         over = asyncio.get_running_loop().time() >= ends_at_s
