--- a/src/shallotworks/requests/_protocols.py
+++ b/src/shallotworks/requests/_protocols.py
@@ -34,6 +34,11 @@
         """Give the slot back and learn from the outcome."""
         ...
 
+    @property
+    def waiting(self) -> int:
+        """How many requests wait for a slot; may be read from any thread."""
+        ...
+
     def cancel(self, request_id: str) -> bool:
         """Take a waiting request out of the queue; says whether it was waiting."""
         ...
@@ -70,6 +75,10 @@
         """Store the answer of the run."""
         ...
 
+    async def mark_unknown(self, claim: Claim) -> None:
+        """Note that the request was sent under this claim and nobody knows how it ended."""
+        ...
+
     async def abandon(self, claim: Claim) -> None:
         """Free the key: nothing ran under this claim, for certain."""
         ...
