--- a/src/shallotworks/config/_store.py
+++ b/src/shallotworks/config/_store.py
@@ -6,6 +6,7 @@
 import math
 import random
 from collections.abc import Callable
+from enum import Enum, unique
 
 from returns.result import Failure as Err
 from returns.result import Result, Success
@@ -29,6 +30,8 @@
 PROPOSE_DEADLINE_S = 8.0
 FIRST_BACKOFF_S = 0.02
 HIGHEST_BACKOFF_S = 1.0
+RACE_SPREAD_S = 0.02
+"""A few proposals' time, over which those who lost a race spread their next tries."""
 IDLE_CHECK_S = 0.5
 """How often a process that need not watch looks whether it must."""
 RECHECK_S = 3.0
@@ -202,6 +205,11 @@
             written = await self._create(proposal, change, author)
             if not isinstance(written, Success) and not proposal.is_open:
                 return Err(written.failure())
+            if written.value_or(_Write.SENT) is _Write.TAKEN:
+                # Losers spread out before they read, not after: what is read is out of date
+                # within the time of one proposal, and a winner that goes on would win each time.
+                await asyncio.sleep(self._rng.uniform(0, RACE_SPREAD_S))
+            held = self.revision()
             await self._reader.read()
             if await self._settle(proposal):
                 revision = proposal.open_revision
@@ -209,8 +217,10 @@
             stopped = self._give_up(proposal, ends_at_s)
             if stopped is not None:
                 return Err(stopped)
-            proposal.rounds += 1
-            await asyncio.sleep(self._backoff_s(proposal.rounds))
+            if self.revision() > held:
+                continue
+            proposal.failures += 1
+            await asyncio.sleep(self._backoff_s(proposal.failures))
 
     async def _refuse(self, proposal: _Proposal, change: Change) -> Failure | None:
         """Check the change against the newest revision; one that may be written is past that."""
@@ -243,11 +253,11 @@
 
     async def _create(
         self, proposal: _Proposal, change: Change, author: str
-    ) -> Result[None, Failure]:
+    ) -> Result[_Write, Failure]:
         """Create the entry; fails only where this attempt surely wrote nothing."""
         if proposal.is_open and proposal.open_revision <= self.revision():
             # Its revision is past, and whose entry it was can't be read just now.
-            return Success(None)
+            return Success(_Write.SENT)
         entry = Entry(
             revision=self.revision() + 1,
             change_id=proposal.change_id,
@@ -258,16 +268,16 @@
         outcome = await self._store.create(log_key(entry.revision), entry.encode())
         if isinstance(outcome, Success):
             proposal.open_revision = entry.revision
-            return Success(None)
+            return Success(_Write.SENT)
         failure = outcome.failure()
         if failure.kind is ErrorKind.OUTCOME_UNKNOWN:
             self._metrics.count("config.answers-lost")
             proposal.open_revision = entry.revision
-            return Success(None)
+            return Success(_Write.SENT)
         if failure.kind is ErrorKind.CONFLICT:
             if not proposal.is_open:
                 self._metrics.count("config.lost-races")
-            return Success(None)
+            return Success(_Write.TAKEN)
         return Err(failure)
 
     async def _settle(self, proposal: _Proposal) -> bool:
@@ -317,6 +327,14 @@
         await self._compactor.compact(self.snapshot())
 
 
+@unique
+class _Write(Enum):
+    SENT = "sent"
+    """The entry was written, or may have been."""
+    TAKEN = "taken"
+    """There is an entry under that key."""
+
+
 class _Proposal:
     """Where one change stands.
 
@@ -324,13 +342,13 @@
         change_id: Its id.
     """
 
-    __slots__ = ("change_id", "open_revision", "rounds")
+    __slots__ = ("change_id", "failures", "open_revision")
 
     def __init__(self, *, change_id: str) -> None:
         self.change_id = change_id
         self.open_revision = 0
         """The revision under which it may have been written; 0 for none."""
-        self.rounds = 0
+        self.failures = 0
 
     @property
     def is_open(self) -> bool:
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -112,6 +112,32 @@
 
         run(main)
 
+    def test_a_loser_is_not_starved(self) -> None:
+        """Of processes that propose without pause none waits long for its turn.
+
+        Story: one conductor drains a rack and writes change after change; an operator elsewhere
+        makes one. Each time the operator's process has caught up, and waits a little longer before
+        it tries again, the conductor has written the next entry; the change takes over a second.
+        """
+
+        async def main() -> None:
+            store = MemoryStore()
+            store.set_faults(StoreFaults(delay_s=0.002))
+            processes = [process(store, f"e{number}") for number in range(4)]
+
+            async def propose_on(config: ConfigStore) -> float:
+                longest_s = 0.0
+                for number in range(75):
+                    started_s = asyncio.get_running_loop().time()
+                    await put_all(config, f"p{number}")
+                    longest_s = max(longest_s, asyncio.get_running_loop().time() - started_s)
+                return longest_s
+
+            longest_s = await asyncio.gather(*(propose_on(config) for config in processes))
+            self.assertLess(max(longest_s), 0.5)
+
+        run(main)
+
     def test_a_lost_answer_is_resolved(self) -> None:
         """A write whose answer is lost is found by its id, and counts once.
 
