--- a/src/shallotworks/standins/__init__.py
+++ b/src/shallotworks/standins/__init__.py
@@ -5,6 +5,9 @@
 start it.
 """
 
+from ._breaches import Breaches, find_breaches
+from ._callers import Callers, Ledger
+from ._description import TEAM, describe_fleet, free_ports
 from ._memory_instances import MemoryInstanceList
 from ._memory_store import MemoryStore, StoreFaults
 from ._platform import PlatformStandIn, serve_platform
@@ -13,10 +16,14 @@
 from ._worker_tasks import Task, TaskOrder, TaskState, TaskTable
 
 __all__ = [
+    "Breaches",
+    "Callers",
+    "Ledger",
     "MemoryInstanceList",
     "MemoryStore",
     "PlatformStandIn",
     "StoreFaults",
+    "TEAM",
     "Task",
     "TaskOrder",
     "TaskState",
@@ -26,6 +33,9 @@
     "WorkerFaults",
     "WorkerStandIn",
     "WorkerStatus",
+    "describe_fleet",
+    "find_breaches",
+    "free_ports",
     "serve_platform",
     "serve_worker",
 ]
