Wait longer for a store that is slow than for a connection that is silent

Cause: with a fixed time of 1 s for an attempt a store that takes 1.5 s for each call answers nothing at all: no change can be made, no watch ends, and the circuit breaker takes it for down. Change: each time-out doubles the time of the next attempt, up to four times; a quick answer ends that. Time spent waiting for a thread counts against the attempt, and an answer that drips in ends with its time.

--- a/src/shallotworks/platform/_calls.py
+++ b/src/shallotworks/platform/_calls.py
@@ -23,6 +23,12 @@
 
 FIRST_BACKOFF_S = 0.05
 HIGHEST_BACKOFF_S = 1.0
+DEADLINE_MARGIN_S = 0.05
+"""Kept from the last attempt's time for the way back from its thread."""
+MOST_PATIENCE = 4.0
+"""The multiple of the attempt's time that a slow service is given at the most."""
+QUICK_PART = 0.5
+"""An answer within this part of the attempt's time ends the patience."""
 HTTP_OK = 200
 
 
@@ -33,7 +39,8 @@
     Args:
         deadline_s: Time in which a call ends, retries included.
         attempt_timeout_s: Time for one attempt; the service answers in milliseconds, so that a
-            longer silence means a connection that has gone silent.
+            longer silence means a connection that has gone silent. Up to four times as long while
+            the service is slow on fresh connections too.
         watch_grace_s: Time beyond its own wait after which a watch counts as silent.
         attempts: Attempts of one read; a write has one.
         threads: Calls in flight at once, besides watches.
@@ -105,6 +112,7 @@
         "_budget",
         "_limits",
         "_metrics",
+        "_patience",
         "_rng",
         "_service",
         "_timeline",
@@ -127,6 +135,7 @@
         self._metrics = metrics
         self._timeline = timeline
         self._rng = rng
+        self._patience = 1.0
         self._breaker = CircuitBreaker(rng=rng, on_change=self._note_change)
         self._budget = CallBudget(rate_per_s=limits.rate_per_s, burst=limits.burst)
         self._transport = HttpTransport(address=address, threads=limits.threads, name=service)
@@ -147,7 +156,7 @@
         ends_at_s = asyncio.get_running_loop().time() + self._limits.deadline_s
         attempt = 1
         while True:
-            left_s = ends_at_s - asyncio.get_running_loop().time()
+            left_s = ends_at_s - DEADLINE_MARGIN_S - asyncio.get_running_loop().time()
             outcome = await self._attempt(call, patience_s=left_s)
             if not self._is_worth_retrying(outcome, attempt):
                 return outcome
@@ -178,7 +187,7 @@
             return Err(self._unavailable("is down", self._breaker.retry_after_s()))
         settled = False
         try:
-            exchange = await self._exchange(call)
+            exchange = await self._exchange(call, longest_s=patience_s)
             settled = True
         finally:
             if not settled:
@@ -198,12 +207,12 @@
             await asyncio.sleep(wait_s)
         return None
 
-    async def _exchange(self, call: Call) -> Exchange:
+    async def _exchange(self, call: Call, *, longest_s: float) -> Exchange:
         self._count(f"calls.{call.kind.name}")
         transport = self._watch_transport if call.kind.waits else self._transport
-        timeout_s = self._limits.attempt_timeout_s
+        timeout_s = min(longest_s, self._limits.attempt_timeout_s * self._patience)
         if call.kind.waits:
-            timeout_s = call.wait_s + self._limits.watch_grace_s
+            timeout_s = call.wait_s + self._limits.watch_grace_s * self._patience
         request = HttpRequest(
             method=call.method, path=call.path, body=call.body, timeout_s=timeout_s
         )
@@ -214,10 +223,25 @@
         if transport.connections_dropped != dropped_before:
             self._count("connections-dropped")
         if not call.kind.waits:
-            name = f"latency.{self._service}.{call.kind.name}"
-            self._metrics.observe_s(name, loop.time() - started_s)
+            duration_s = loop.time() - started_s
+            self._metrics.observe_s(f"latency.{self._service}.{call.kind.name}", duration_s)
+            self._learn_patience(exchange, duration_s)
         return exchange
 
+    def _learn_patience(self, exchange: Exchange, duration_s: float) -> None:
+        """Wait longer for a service that is slow, and not for a connection that is silent.
+
+        The failure: a store that takes 1.5 s for each call answers everything, and with a fixed
+        time-out of 1 s nothing would ever be answered. After a silent connection the next call
+        finds a fresh one and a quick answer, which ends the patience at once.
+        """
+        if exchange.ending is Ending.TIMED_OUT:
+            self._patience = min(MOST_PATIENCE, self._patience * 2)
+            return
+        quick_s = self._limits.attempt_timeout_s * QUICK_PART
+        if exchange.ending is Ending.ANSWERED and duration_s < quick_s:
+            self._patience = 1.0
+
     def _judge(self, call: Call, exchange: Exchange) -> Result[bytes, Failure]:
         answered = exchange.ending is Ending.ANSWERED
         if answered and exchange.status == HTTP_OK:
--- a/src/shallotworks/platform/_transport.py
+++ b/src/shallotworks/platform/_transport.py
@@ -19,8 +19,10 @@
 
 CONNECTION_AGE_S = 60.0
 """Connections are replaced at this age, so that few of them can have gone silent unnoticed."""
-BACKSTOP_FACTOR = 2.0
-"""The library times each read of a socket; an answer that drips in is ended at this multiple."""
+LEAST_TIMEOUT_S = 0.001
+BACKSTOP_S = 0.02
+"""The library times each read of a socket; an answer that drips in is ended this long after the
+request's time."""
 
 
 @unique
@@ -127,10 +129,11 @@
             return Exchange(ending=Ending.NOT_SENT, detail="no thread was free in time")
         self._replace_aged_pool(loop.time())
         pool = self._pool
-        running = loop.run_in_executor(self._executor, _send, pool, request)
+        left_s = max(LEAST_TIMEOUT_S, started_s + request.timeout_s - loop.time())
+        running = loop.run_in_executor(self._executor, _send, pool, request, left_s)
         # The slot is given back when the thread is free, also where the caller has given up.
         running.add_done_callback(lambda _: self._slots.release())
-        ends_at_s = started_s + request.timeout_s * BACKSTOP_FACTOR
+        ends_at_s = loop.time() + left_s + BACKSTOP_S
         try:
             async with asyncio.timeout_at(ends_at_s):
                 exchange = await asyncio.shield(running)
@@ -177,8 +180,8 @@
         return pool
 
 
-def _send(pool: urllib3.HTTPConnectionPool, request: HttpRequest) -> Exchange:
-    timeout = urllib3.Timeout(total=request.timeout_s)
+def _send(pool: urllib3.HTTPConnectionPool, request: HttpRequest, timeout_s: float) -> Exchange:
+    timeout = urllib3.Timeout(total=timeout_s)
     headers = {"Content-Type": "application/json"} if request.body else {}
     try:
         answer: Any = pool.request(
--- a/tests/test_http_store.py
+++ b/tests/test_http_store.py
@@ -22,7 +22,7 @@
 from shallotworks.standins import MemoryStore, PlatformStandIn, StoreFaults
 from shallotworks.timeline import EventKind, Timeline
 
-FAST = PlatformLimits(attempt_timeout_s=0.3, deadline_s=2.0, watch_grace_s=0.3, rate_per_s=500)
+FAST = PlatformLimits(attempt_timeout_s=0.3, deadline_s=1.2, watch_grace_s=0.3, rate_per_s=500)
 NOWHERE = "127.0.0.1:9"
 
 Main = Callable[[KeyValueStore], Awaitable[None]]
@@ -152,6 +152,24 @@
 
         self.with_store(main)
 
+    def test_a_slow_store_that_answers_is_used(self) -> None:
+        """A store slower than one attempt's time is waited for longer, and then answers all.
+
+        Story: the platform's store has a bad hour and takes longer than the time-out for each
+        call. It answers everything, but with a fixed time-out no change could be made and no watch
+        would end; the instances would take it for down.
+        """
+
+        async def main(store: KeyValueStore) -> None:
+            self.standin.set_faults(StoreFaults(delay_s=0.4))
+            await store.get("a")
+            version = (await store.create("a", b"v")).unwrap()
+            watched = await store.watch("a", after_version=0, wait_s=0.1)
+            self.assertEqual(watched.unwrap().version, version)
+
+        self.with_store(main)
+        self.assertEqual(self.count("outages"), 0)
+
     def test_silent_connections_cost_one_time_out(self) -> None:
         """All connections go silent: one read times out, its retry and all later calls work.
 
