Keep long-running work off the slots that interactive work needs on average

Change: the bound follows the mean of interactive work over 5 s and its spread; slots that do not divide evenly go to entries by rank.

--- /dev/null
+++ b/bench/dispatch.py
@@ -0,0 +1,335 @@
+"""Measures dispatch beside the plain ways of doing it: ``python -m bench dispatch``.
+
+Times are those of the loop's clock, which jumps, except the cost per call at the end.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
+
+from tests.dispatch_fakes import fleet, instances, make_bench, make_request, run_on_stopped_clock
+
+from bench._baselines import EveryRetry, FirstCome, LeastInFlight, RandomChoice
+from bench._load import Entry, FakeTarget, Load, Tally, offer
+from shallotworks.fleet import FleetState, Service
+from shallotworks.metrics import Metrics
+from shallotworks.requests import (
+    AttemptOutcome,
+    BudgetedRetryPolicy,
+    Choice,
+    DispatchLimits,
+    RequestClass,
+    RetryLimits,
+)
+
+SEEDS = (1, 2, 3, 4, 5)
+WORKERS = 8
+SLOTS = 8
+ENTRIES = 2
+CAPACITY = WORKERS * SLOTS
+INTERACTIVE_S = 0.05
+INTERACTIVE_WITHIN_S = 1.0
+LONG_RUNNING_S = 1.0
+LONG_RUNNING_WITHIN_S = 600.0
+INTERACTIVE_PART = 0.3
+WARM_S = 10.0
+END_S = 40.0
+GOODPUT_WARM_S = 3.0
+GOODPUT_END_S = 9.0
+NEVER = 1_000_000_000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Setup:
+    """One way to dispatch."""
+
+    name: str
+    first_come: bool = False
+    choice: Callable[[random.Random], Choice] | None = None
+    limits: DispatchLimits = DispatchLimits()  # noqa: RUF009
+    budget: bool = True
+    entries: int = ENTRIES
+    divided_by: int = 0
+
+
+OURS = Setup(name="shallotworks")
+FIRST_COME = Setup(name="first come first served", first_come=True)
+RANDOM = Setup(name="random choice", choice=RandomChoice)
+LEAST = Setup(name="least in flight", choice=lambda _rng: LeastInFlight())
+NO_EJECTION_LIMITS = DispatchLimits(failures_to_eject=NEVER, refusals_to_eject=NEVER)
+NO_EJECTION = Setup(name="no ejection", limits=NO_EJECTION_LIMITS)
+NO_BUDGET = Setup(name="no retry budget", budget=False)
+NEITHER = Setup(name="no ejection, no retry budget", limits=NO_EJECTION_LIMITS, budget=False)
+
+
+class World:
+    """The targets of one pool and the entry instances in front of them, for one seed."""
+
+    def __init__(self, setup: Setup, seed: int, *, slots: int = SLOTS) -> None:
+        self.rng = random.Random(seed)
+        members = instances(WORKERS, slots=slots)
+        self.targets = {name: FakeTarget(instance=entry) for name, entry in members.items()}
+        self.entries = [self._entry(setup, seed, rank) for rank in range(setup.entries)]
+
+    def _entry(self, setup: Setup, seed: int, rank: int) -> Entry:
+        rng = random.Random(f"{setup.name}{seed}-{rank}")
+        members = {name: entry.instance for name, entry in self.targets.items()}
+        retry = EveryRetry()
+        if setup.budget:
+            retry = BudgetedRetryPolicy(limits=RetryLimits(), metrics=Metrics(), rng=rng)
+        if setup.first_come:
+            dispatcher = FirstCome(members=members, live_entries=lambda: setup.entries, rng=rng)
+            return Entry(dispatcher=dispatcher, retry=retry)
+        made = make_bench(
+            fleet(members),
+            limits=setup.limits,
+            seed=seed * 100 + rank,
+            choice=setup.choice(rng) if setup.choice else None,
+            entries=setup.divided_by or setup.entries,
+            rank=rank,
+        )
+        return Entry(dispatcher=made.dispatcher, retry=retry)
+
+    async def offer(
+        self, *loads: Load, from_s: float = WARM_S, until_s: float = END_S
+    ) -> list[Tally]:
+        return await asyncio.gather(
+            *(
+                offer(
+                    load,
+                    self.entries,
+                    self.targets,
+                    rng=random.Random(self.rng.random()),
+                    from_s=from_s,
+                    until_s=until_s,
+                )
+                for load in loads
+            )
+        )
+
+
+def interactive(part: float) -> Load:
+    """Return interactive load that would fill a part of all slots."""
+    return Load(
+        request_class=RequestClass.INTERACTIVE,
+        per_s=part * CAPACITY / INTERACTIVE_S,
+        mean_work_s=INTERACTIVE_S,
+        within_s=INTERACTIVE_WITHIN_S,
+    )
+
+
+def long_running(part: float) -> Load:
+    """Return long-running load that would fill a part of all slots."""
+    return Load(
+        request_class=RequestClass.LONG_RUNNING,
+        per_s=part * CAPACITY / LONG_RUNNING_S,
+        mean_work_s=LONG_RUNNING_S,
+        within_s=LONG_RUNNING_WITHIN_S,
+    )
+
+
+def medians(measure: Callable[[int], Awaitable[list[float]]]) -> list[float]:
+    """Return the median of each figure over the seeds."""
+    rows = [run_on_stopped_clock(lambda seed=seed: measure(seed)) for seed in SEEDS]
+    return [sorted(column)[len(column) // 2] for column in zip(*rows, strict=True)]
+
+
+def classes() -> None:
+    """Interactive latency and long-running throughput, long-running offered 3 times over."""
+    print(f"\nclasses: interactive fills {INTERACTIVE_PART} of the slots, long-running offers 3.0")
+    print(f"{'':30}{'p50 ms':>9}{'p99 ms':>9}{'refused':>9}{'long part of rest':>19}")
+    for setup in (OURS, FIRST_COME):
+        for offered in (0.0, 3.0):
+
+            async def measure(seed: int, setup: Setup = setup, offered: float = offered) -> list:
+                world = World(setup, seed)
+                loads = [interactive(INTERACTIVE_PART)]
+                if offered:
+                    loads.append(long_running(offered))
+                tallies = await world.offer(*loads)
+                first = tallies[0]
+                rest = CAPACITY * (END_S - WARM_S) - first.work_s
+                used = tallies[1].work_s / rest if offered else 0.0
+                refused = (first.refused + first.late + first.failed) / first.offered
+                return [first.quantile_ms(0.5), first.quantile_ms(0.99), refused, used]
+
+            row = medians(measure)
+            name = f"{setup.name}, {'loaded' if offered else 'unloaded'}"
+            print(f"{name:34}{row[0]:5.1f}{row[1]:9.1f}{row[2]:9.4f}{row[3]:19.3f}")
+
+
+def goodput() -> None:
+    """Answers in time per second at 1 to 5 times the capacity."""
+    print("\ngoodput: interactive only, answers within the deadline, part of the capacity")
+    parts = (0.8, 1.0, 2.0, 5.0)
+    print(f"{'':30}" + "".join(f"{part:>9}" for part in parts) + f"{'p99 at 5':>12}")
+    for setup in (OURS, FIRST_COME):
+        figures, p99 = [], 0.0
+        for part in parts:
+
+            async def measure(seed: int, setup: Setup = setup, part: float = part) -> list:
+                world = World(setup, seed)
+                (tally,) = await world.offer(
+                    interactive(part), from_s=GOODPUT_WARM_S, until_s=GOODPUT_END_S
+                )
+                per_s = len(tally.latencies_s) / (GOODPUT_END_S - GOODPUT_WARM_S)
+                return [per_s * INTERACTIVE_S / CAPACITY, tally.quantile_ms(0.99)]
+
+            row = medians(measure)
+            figures.append(row[0])
+            p99 = row[1]
+        print(f"{setup.name:30}" + "".join(f"{f:9.3f}" for f in figures) + f"{p99:10.0f}ms")
+
+
+def retries() -> None:
+    """Attempts per request and failed requests while a third of the targets fail at once."""
+    print("\nretries: a third of the targets fail at once, load 0.5, after 10 s")
+    print(f"{'':34}{'attempts/request':>17}{'failed':>9}{'p99 ms':>9}")
+    for setup in (OURS, NO_EJECTION, NO_BUDGET, NEITHER):
+
+        async def measure(seed: int, setup: Setup = setup) -> list:
+            world = World(setup, seed)
+            failing = list(world.targets.values())[: round(WORKERS / 3)]
+
+            def fail() -> None:
+                for target in failing:
+                    target.fails = True
+
+            asyncio.get_running_loop().call_at(WARM_S, fail)
+            (tally,) = await world.offer(interactive(0.5))
+            failed = (tally.failed + tally.refused + tally.late) / tally.offered
+            return [tally.attempts / tally.offered, failed, tally.quantile_ms(0.99)]
+
+        row = medians(measure)
+        print(f"{setup.name:34}{row[0]:17.3f}{row[1]:9.4f}{row[2]:9.1f}")
+
+
+def ejection() -> None:
+    """Time from a target's fault to its last attempt that was no probe, and what it cost."""
+    print("\nejection: one target of 8 turns bad after 10 s, load 0.5")
+    print(f"{'':34}{'last attempt in first 4 s':>26}{'attempts, 30 s':>15}{'failed':>9}")
+    for fault in ("fails", "silent"):
+        for setup in (OURS, NO_EJECTION):
+
+            async def measure(seed: int, setup: Setup = setup, fault: str = fault) -> list:
+                world = World(setup, seed)
+                bad = world.targets["w0"]
+                asyncio.get_running_loop().call_at(WARM_S, setattr, bad, fault, True)
+                seen = {}
+
+                def look() -> None:
+                    seen["last"] = bad.last_attempt_s - WARM_S
+
+                asyncio.get_running_loop().call_at(WARM_S + 4.0, look)
+                (tally,) = await world.offer(interactive(0.5))
+                failed = (tally.failed + tally.refused + tally.late) / tally.offered
+                return [seen["last"], bad.attempts_while_bad, failed]
+
+            row = medians(measure)
+            name = f"{setup.name}, {fault}"
+            print(f"{name:34}{row[0]:25.3f}s{row[1]:15.0f}{row[2]:9.4f}")
+
+
+def herding() -> None:
+    """How unevenly processes that see only their own load fill the targets."""
+    print("\nchoice: load 0.7, slots not divided among the entries, so that targets must refuse")
+    print(f"{'':34}{'entries':>8}{'refused attempts':>18}{'p99 ms':>9}")
+    for entries in (2, 6):
+        for setup in (OURS, LEAST, RANDOM):
+            wide = replace(setup, entries=entries, divided_by=1)
+
+            async def measure(seed: int, setup: Setup = wide) -> list:
+                world = World(setup, seed)
+                (tally,) = await world.offer(interactive(0.7))
+                refusals = sum(target.refusals for target in world.targets.values())
+                return [refusals / tally.attempts, tally.quantile_ms(0.99)]
+
+            row = medians(measure)
+            print(f"{setup.name:34}{entries:8}{row[0]:18.4f}{row[1]:9.1f}")
+
+
+def division() -> None:
+    """Slots divided among the entries beforehand, or left to the targets to refuse."""
+    print("\ndivision: interactive load, evenly over 2 entries or all at one")
+    print(
+        f"{'':34}{'load':>6}{'at':>6}{'answered in time':>18}{'refused attempts':>18}{'p99 ms':>9}"
+    )
+    for name, divided_by in (("divided", ENTRIES), ("limits at the target", 1)):
+        for part, entry in ((0.6, None), (0.6, 0), (2.0, None)):
+            setup = replace(OURS, divided_by=divided_by)
+
+            async def measure(
+                seed: int, setup: Setup = setup, part: float = part, entry: int | None = entry
+            ) -> list:
+                world = World(setup, seed)
+                load = replace(interactive(part), entry=entry)
+                (tally,) = await world.offer(load, from_s=GOODPUT_WARM_S, until_s=GOODPUT_END_S)
+                refusals = sum(target.refusals for target in world.targets.values())
+                good = len(tally.latencies_s) / tally.offered
+                return [good, refusals / max(1, tally.attempts), tally.quantile_ms(0.99)]
+
+            row = medians(measure)
+            where = "one" if entry is not None else "both"
+            print(f"{name:34}{part:6}{where:>6}{row[0]:18.3f}{row[1]:18.4f}{row[2]:9.1f}")
+
+
+def cost() -> None:
+    """Real time of one acquire and release, at today's size and at the target's."""
+    print("\ncost: real time per acquire and release, one process")
+    for name, state in (("today, 40 workers", today()), ("1,100 workers, 305 pools", target())):
+        row = [asyncio.run(_cost(state, seed)) for seed in SEEDS]
+        print(f"{name:34}{sorted(row)[len(row) // 2] * 1e6:9.1f} us")
+
+
+async def _cost(state: FleetState, seed: int) -> float:
+    made = make_bench(state, seed=seed)
+    rng = random.Random(seed)
+    services = list(state.services)
+    deadline_s = asyncio.get_running_loop().time() + 1000
+    requests = [
+        make_request(f"r{number}", rng.choice(services), deadline_s=deadline_s)
+        for number in range(20_000)
+    ]
+    await made.dispatcher.acquire(requests[0], tried=frozenset())
+    started_s = time.perf_counter()
+    for request in requests[1:]:
+        grant = (await made.dispatcher.acquire(request, tried=frozenset())).unwrap()
+        made.dispatcher.release(grant, AttemptOutcome.ANSWERED, duration_s=0.01)
+    return (time.perf_counter() - started_s) / (len(requests) - 1)
+
+
+def today() -> FleetState:
+    """Return five services on eight workers each."""
+    return _many(pools=5, workers=40)
+
+
+def target() -> FleetState:
+    """Return the fleet at the target's size."""
+    return _many(pools=305, workers=1100)
+
+
+def _many(*, pools: int, workers: int) -> FleetState:
+    members = {}
+    for number in range(workers):
+        members.update(instances(1, pool=f"p{number % pools}", prefix=f"w{number}-"))
+    state = fleet(members)
+    services = {
+        f"s{number}": Service(name=f"s{number}", pool=f"p{number}", share=1.0, max_unavailable=1)
+        for number in range(pools)
+    }
+    return replace(state, services=services)
+
+
+def main() -> None:
+    """Print every table."""
+    print(f"dispatch: medians over seeds {SEEDS}; {WORKERS} workers of {SLOTS} slots")
+    for part in (classes, goodput, retries, ejection, herding, division, cost):
+        started_s = time.perf_counter()
+        part()
+        print(f"  ({time.perf_counter() - started_s:.0f} s)")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/shallotworks/requests/_admission.py
+++ b/src/shallotworks/requests/_admission.py
@@ -37,7 +37,7 @@
     """
     rate = pool.long_running_hold.per_second(pool.long_running_in_flight)
     if load.interactive:
-        rate += pool.interactive_hold.per_second(pool.interactive_in_flight)
+        rate += pool.interactive_hold.per_second(pool.interactive.count)
     if not rate:
         return 0.0
     shares = load.service.share
--- a/src/shallotworks/requests/_dispatcher.py
+++ b/src/shallotworks/requests/_dispatcher.py
@@ -17,7 +17,7 @@
 
 from ._admission import expected_wait_s, load_to_shed, longest_wait_s, waiting_limit
 from ._choice import Choice, TwoChoices
-from ._fleet_index import FleetIndex
+from ._fleet_index import UNRANKED, FleetIndex
 from ._limits import DispatchLimits
 from ._loads import ClassLoad, TeamLoad
 from ._messages import AttemptOutcome, Grant, Request, RequestClass
@@ -56,6 +56,7 @@
         data_centre: Where this process stands.
         live_entries: How many entry instances serve this data centre, this one included; each
             target's slots are divided among them.
+        entry_rank: This one's place among them, from 0, which all of them agree on.
         limits: What this process allows itself.
         metrics: Where decisions are counted.
         timeline: Where they are recorded.
@@ -83,6 +84,7 @@
         config: ConfigView,
         data_centre: str,
         live_entries: Callable[[], int],
+        entry_rank: Callable[[], int] = lambda: UNRANKED,
         limits: DispatchLimits,
         metrics: Metrics,
         timeline: Timeline,
@@ -97,6 +99,7 @@
             config=config,
             data_centre=data_centre,
             live_entries=live_entries,
+            entry_rank=entry_rank,
             limits=limits,
             new_pool=self._new_pool,
         )
@@ -125,7 +128,7 @@
         if not self._anyone_before(pool, load) and (team is None or team.has_room):
             held = self._place(request, pool, load, team, tried, now_s)
             if held is not None:
-                return Success(self._grant(request, held))
+                return Success(self._grant(request, held, now_s))
         return await self._wait(request, pool, load, team, tried, now_s)
 
     def release(self, grant: Grant, outcome: AttemptOutcome, *, duration_s: float) -> None:
@@ -135,7 +138,7 @@
             self._metrics.count("grants.released-twice")
             return
         now_s = self._refresh()
-        self._count_back(held)
+        self._count_back(held, now_s)
         if outcome is AttemptOutcome.ANSWERED:
             held.load.estimate.observe(duration_s)
             hold = held.pool.interactive_hold
@@ -227,7 +230,7 @@
         now_s: float,
     ) -> _Held | None:
         pool.advance(now_s)
-        if not pool.may_start(load):
+        if not pool.may_start(load, now_s):
             return None
         target = pool.place(request, load, tried=tried, now_s=now_s)
         if target is None:
@@ -238,7 +241,7 @@
             self._metrics.count("targets.probed")
         return _Held(target=target, pool=pool, load=load, team=team, probe=probe)
 
-    def _grant(self, request: Request, held: _Held) -> Grant:
+    def _grant(self, request: Request, held: _Held, now_s: float) -> Grant:
         grant = Grant(
             grant_id=self._next_grant, request_id=request.request_id, target=held.target.target
         )
@@ -247,7 +250,7 @@
         held.target.group.take(held.target)
         held.load.in_flight += 1
         if held.load.interactive:
-            held.pool.interactive_in_flight += 1
+            held.pool.interactive.add(1, now_s)
         else:
             held.pool.long_running_in_flight += 1
         if held.team is not None:
@@ -256,11 +259,11 @@
         self._record(EventKind.ADMITTED, request, held.target.instance.name)
         return grant
 
-    def _count_back(self, held: _Held) -> None:
+    def _count_back(self, held: _Held, now_s: float) -> None:
         held.target.group.give_back(held.target)
         held.load.in_flight -= 1
         if held.load.interactive:
-            held.pool.interactive_in_flight -= 1
+            held.pool.interactive.add(-1, now_s)
         else:
             held.pool.long_running_in_flight -= 1
         if held.team is not None:
@@ -391,7 +394,7 @@
         set_aside: list[Waiter] = []
         while len(set_aside) < MAX_SET_ASIDE:
             pool.advance(now_s)
-            load = pool.next_load()
+            load = pool.next_load(now_s)
             waiter = load.queue.first() if load is not None else None
             if waiter is None:
                 break
@@ -419,7 +422,7 @@
         if held is None:
             return False
         self._leave(waiter)
-        waiter.answer.set_result(Success(self._grant(waiter.request, held)))
+        waiter.answer.set_result(Success(self._grant(waiter.request, held, now_s)))
         return True
 
     def _unpark(self, team: TeamLoad, now_s: float) -> None:
--- a/src/shallotworks/requests/_estimate.py
+++ b/src/shallotworks/requests/_estimate.py
@@ -1,8 +1,10 @@
-"""How long requests take, as observed."""
+"""How long requests take and how many run, as observed."""
 
 from __future__ import annotations
 
-__all__ = ["DurationEstimate"]
+import math
+
+__all__ = ["DurationEstimate", "MovingLevel"]
 
 MEAN_WEIGHT = 1 / 16
 SPREAD_WEIGHT = 1 / 16
@@ -40,3 +42,33 @@
     def per_second(self, in_flight: int) -> float:
         """Return how many of so many in flight end in a second; 0 where that is not known."""
         return in_flight / self.mean_s if self.mean_s else 0.0
+
+
+class MovingLevel:
+    """Mean over time of a count that changes, the recent past weighing most.
+
+    Attributes:
+        count: The count now.
+
+    Args:
+        over_s: Time over which the past is forgotten.
+    """
+
+    __slots__ = ("_at_s", "_mean", "_over_s", "count")
+
+    def __init__(self, *, over_s: float) -> None:
+        self._over_s = over_s
+        self._mean = 0.0
+        self._at_s = 0.0
+        self.count = 0
+
+    def add(self, amount: int, now_s: float) -> None:
+        """Change the count."""
+        self._mean = self.mean(now_s)
+        self._at_s = now_s
+        self.count += amount
+
+    def mean(self, now_s: float) -> float:
+        """Return the mean at a time."""
+        forgotten = 1.0 - math.exp((self._at_s - now_s) / self._over_s)
+        return self._mean + (self.count - self._mean) * forgotten
--- a/src/shallotworks/requests/_fleet_index.py
+++ b/src/shallotworks/requests/_fleet_index.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from shallotworks.config import ConfigView
 from shallotworks.fleet import FleetState, Instance, Service
@@ -11,9 +13,31 @@
 from ._loads import ServiceLoad, TeamLoad
 from ._pool import PoolState
 
-__all__ = ["FleetIndex"]
+__all__ = ["UNRANKED", "FleetIndex"]
 
 REVISION_BEFORE_FIRST = -1
+UNRANKED = -1
+"""Rank of an entry instance that does not know it: it leaves what is left over to nobody."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Division:
+    """How the slots of a target are divided among the entry instances of a data centre.
+
+    Each has its even part, and what is left over goes to some of them by rank, to others at each
+    target. Nothing needs to be told between them, so that it holds while they are cut off; while
+    they differ in their view of who is there, the target refuses what is above its slots.
+    """
+
+    entries: int
+    rank: int
+
+    def part_of(self, instance: Instance) -> int:
+        even, left_over = divmod(instance.slots, self.entries)
+        if self.rank == UNRANKED:
+            return max(1, even)
+        turn = (self.rank + zlib.crc32(instance.name.encode())) % self.entries
+        return max(1, even + int(turn < left_over))
 
 
 class FleetIndex:
@@ -23,6 +47,7 @@
         config: The configuration as this process holds it.
         data_centre: Where this process stands.
         live_entries: How many entry instances serve this data centre, this one included.
+        entry_rank: This one's place among them, from 0, which all of them agree on.
         limits: Holds the time of a slow start.
         new_pool: Makes the state of a pool.
 
@@ -35,7 +60,8 @@
     __slots__ = (
         "_config",
         "_data_centre",
-        "_entries",
+        "_division",
+        "_entry_rank",
         "_known",
         "_leaving",
         "_limits",
@@ -54,15 +80,17 @@
         config: ConfigView,
         data_centre: str,
         live_entries: Callable[[], int],
+        entry_rank: Callable[[], int],
         limits: DispatchLimits,
         new_pool: Callable[[str], PoolState],
     ) -> None:
         self._config = config
         self._data_centre = data_centre
         self._live_entries = live_entries
+        self._entry_rank = entry_rank
         self._limits = limits
         self._new_pool = new_pool
-        self._entries = 0
+        self._division = _Division(entries=0, rank=0)
         self._revision = REVISION_BEFORE_FIRST
         self._stale = False
         self._leaving: frozenset[str] = frozenset()
@@ -79,15 +107,16 @@
     def refresh(self, now_s: float) -> bool:
         """Follow the configuration; says whether anything may have changed."""
         state = self._config.state()
-        entries = max(1, self._live_entries())
-        if state.revision == self._revision and entries == self._entries and not self._stale:
+        division = _Division(entries=max(1, self._live_entries()), rank=self._entry_rank())
+        redivided = division != self._division
+        if state.revision == self._revision and not redivided and not self._stale:
             return False
         # Targets known from the start are taken to be warm; later ones start slowly.
         first = self._revision == REVISION_BEFORE_FIRST
         ramp_from_s = now_s - self._limits.slow_start_s if first else now_s
-        everything = self._stale or entries != self._entries
+        everything = self._stale or redivided
         self._revision = state.revision
-        self._entries = entries
+        self._division = division
         self._stale = False
         self._follow_services(state)
         self._follow_instances(state, ramp_from_s, everything)
@@ -134,12 +163,12 @@
             record,
             local=record.data_centre == self._data_centre,
             usable=record.available and record.name not in self._leaving,
-            part=max(1, record.slots // self._entries),
+            part=self._division.part_of(record),
             ramp_from_s=ramp_from_s,
         )
 
     def _follow_teams(self, state: FleetState) -> None:
-        sharers = self._entries * max(1, len(state.data_centres))
+        sharers = self._division.entries * max(1, len(state.data_centres))
         for name in [name for name in self.teams if name not in state.teams]:
             del self.teams[name]
         for name, team in state.teams.items():
--- a/src/shallotworks/requests/_limits.py
+++ b/src/shallotworks/requests/_limits.py
@@ -14,8 +14,9 @@
     Args:
         long_running_min_part: Part of the usable slots that long-running work may always hold,
             at least one slot, however much interactive work waits.
-        reserve_factor: Slots that long-running work leaves free for interactive arrivals, as a
-            multiple of the square root of the interactive requests in flight; at least one.
+        reserve_factor: Slots that long-running work leaves to interactive work beyond those that
+            this holds on average, as a multiple of the square root of the average; at least one.
+        level_over_s: Time over which that average is taken.
         waiting_per_slot: Requests that may wait per usable slot of a pool.
         waiting_min: Requests that may wait at a pool, however few slots it has.
         team_waiting_per_slot: Requests of a team that may wait per slot of its quota.
@@ -32,7 +33,8 @@
     """
 
     long_running_min_part: float = 0.05
-    reserve_factor: float = 0.5
+    reserve_factor: float = 0.35
+    level_over_s: float = 5.0
     waiting_per_slot: int = 16
     waiting_min: int = 64
     team_waiting_per_slot: int = 4
--- a/src/shallotworks/requests/_pool.py
+++ b/src/shallotworks/requests/_pool.py
@@ -10,7 +10,7 @@
 from shallotworks.timeline import Timeline
 
 from ._choice import Choice
-from ._estimate import DurationEstimate
+from ._estimate import DurationEstimate, MovingLevel
 from ._health import PoolHealth
 from ._limits import DispatchLimits
 from ._loads import ClassLoad, ServiceLoad
@@ -34,7 +34,7 @@
         health: Judges the targets.
         interactive_hold: How long interactive requests hold a slot.
         long_running_hold: How long long-running requests hold a slot.
-        interactive_in_flight: Interactive requests that hold a slot.
+        interactive: Interactive requests that hold a slot.
         long_running_in_flight: Long-running requests that hold a slot.
         interactive_queued: Interactive requests whose team has room.
         long_running_queued: Long-running requests whose team has room.
@@ -48,8 +48,8 @@
         "_moving",
         "has_timer",
         "health",
+        "interactive",
         "interactive_hold",
-        "interactive_in_flight",
         "interactive_queued",
         "local",
         "long_running_hold",
@@ -90,7 +90,7 @@
         )
         self.interactive_hold = DurationEstimate()
         self.long_running_hold = DurationEstimate()
-        self.interactive_in_flight = 0
+        self.interactive = MovingLevel(over_s=limits.level_over_s)
         self.long_running_in_flight = 0
         self.interactive_queued = 0
         self.long_running_queued = 0
@@ -150,22 +150,21 @@
             if target.is_settled(now_s, slow_start_s=slow_start_s):
                 self._moving.discard(target)
 
-    def may_start(self, load: ClassLoad) -> bool:
+    def may_start(self, load: ClassLoad, now_s: float) -> bool:
         """Whether the rules between the classes let a request start now."""
-        if load.interactive:
-            return True
-        group = self.serving
-        if self.long_running_in_flight < self.long_running_min(group):
-            return group.free > 0
-        return group.free > self.reserve()
+        return load.interactive or self._long_running_may_start(now_s)
 
-    def reserve(self) -> int:
-        """Return the slots that long-running work leaves free for interactive arrivals.
+    def long_running_max(self, group: TargetGroup, now_s: float) -> int:
+        """Return the slots that long-running work may hold where interactive work wants them.
 
-        Arrivals in a busy pool vary about as the square root of those in flight.
+        The failure: long-running work takes each slot that interactive work leaves for an instant
+        and keeps it for long, so that the next arrivals wait although the pool was never short. It
+        shows as interactive waits that grow with the length of long-running requests. What counts
+        is therefore the mean of interactive work, and its spread, which is about the square root.
         """
-        factor = self._limits.reserve_factor
-        return max(1, math.ceil(factor * math.sqrt(self.interactive_in_flight)))
+        mean = self.interactive.mean(now_s)
+        left = max(1.0, mean + self._limits.reserve_factor * math.sqrt(mean))
+        return max(self.long_running_min(group), group.capacity - math.ceil(left))
 
     def long_running_min(self, group: TargetGroup) -> int:
         """Return the slots that long-running work may always hold."""
@@ -190,7 +189,7 @@
             target = self._choice.choose(self.remote.free_targets, tried=tried)
         return target
 
-    def next_load(self) -> ClassLoad | None:
+    def next_load(self, now_s: float) -> ClassLoad | None:
         """Return the service and class whose first waiting request goes next.
 
         Long-running work goes first while it holds less than its minimum; then interactive work;
@@ -204,10 +203,14 @@
                 return self._least_filled(interactive=False)
         if self.interactive_queued:
             return self._least_filled(interactive=True)
-        if self.long_running_queued and self.serving.free > self.reserve():
+        if self.long_running_queued and self._long_running_may_start(now_s):
             return self._least_filled(interactive=False)
         return None
 
+    def _long_running_may_start(self, now_s: float) -> bool:
+        group = self.serving
+        return group.free > 0 and self.long_running_in_flight < self.long_running_max(group, now_s)
+
     def _least_filled(self, *, interactive: bool) -> ClassLoad | None:
         best: ClassLoad | None = None
         for service in self.services.values():
--- a/tests/dispatch_fakes.py
+++ b/tests/dispatch_fakes.py
@@ -30,7 +30,8 @@
 
 def run_on_stopped_clock(main: Callable[[], Awaitable[_Value]]) -> _Value:
     """Run a coroutine on a loop whose clock jumps to the next timer."""
-    with asyncio.Runner(loop_factory=lambda: looptime.new_event_loop(start=0)) as runner:
+    # Nothing but timers moves here, so that no empty rounds are needed before each jump.
+    with asyncio.Runner(loop_factory=lambda: looptime.new_event_loop(noop_cycles=0)) as runner:
         return runner.run(_awaited(main))
 
 
@@ -197,6 +198,7 @@
     seed: int = 1,
     choice: Choice | None = None,
     entries: int = 1,
+    rank: int = 0,
 ) -> Bench:
     """Return a dispatcher over a fleet."""
     config = HeldConfig(state)
@@ -207,6 +209,7 @@
         config=config,
         data_centre="here",
         live_entries=lambda: live[0],
+        entry_rank=lambda: rank,
         limits=limits or DispatchLimits(),
         metrics=metrics,
         timeline=timeline,
