--- a/bench/dispatch.py
+++ b/bench/dispatch.py
@@ -95,6 +95,7 @@
     async def offer(
         self, *loads: Load, from_s: float = WARM_S, until_s: float = END_S
     ) -> list[Tally]:
+        """Offer several streams at once; returns what became of each."""
         return await asyncio.gather(
             *(
                 offer(
