Test dispatch, ejection and retries by the stories of their failures

Cause: the decisions were tested for two cases only. Change: 42 tests, each with the story of its failure; the dispatcher's waiting requests and grants move to modules of their own.

--- a/src/shallotworks/requests/_dispatcher.py
+++ b/src/shallotworks/requests/_dispatcher.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from returns.result import Failure as Err
 from returns.result import Result, Success
@@ -18,12 +17,13 @@
 from ._admission import expected_wait_s, load_to_shed, longest_wait_s, waiting_limit
 from ._choice import Choice, TwoChoices
 from ._fleet_index import UNRANKED, FleetIndex
+from ._grants import GrantLedger, Held
 from ._limits import DispatchLimits
 from ._loads import ClassLoad, TeamLoad
 from ._messages import AttemptOutcome, Grant, Request, RequestClass
 from ._pool import PoolState
 from ._queue import Waiter
-from ._targets import TargetState
+from ._waiting import WaitingRoom
 
 __all__ = ["PoolDispatcher"]
 
@@ -34,17 +34,6 @@
 RETRY_AFTER_STOPPING_S = 0.5
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Held:
-    """What a grant holds until it is released."""
-
-    target: TargetState
-    pool: PoolState
-    load: ClassLoad
-    team: TeamLoad | None
-    probe: bool
-
-
 class PoolDispatcher:
     """Implements `Dispatcher` over the pools of the configuration in force.
 
@@ -66,16 +55,14 @@
 
     __slots__ = (
         "_choice",
-        "_held",
+        "_grants",
         "_index",
         "_limits",
         "_metrics",
-        "_next_grant",
-        "_next_waiter",
         "_rng",
+        "_room",
         "_stopping",
         "_timeline",
-        "_waiters",
     )
 
     def __init__(
@@ -104,10 +91,8 @@
             new_pool=self._new_pool,
         )
         self._choice = choice or TwoChoices(rng=rng)
-        self._held: dict[int, _Held] = {}
-        self._waiters: dict[str, Waiter] = {}
-        self._next_grant = 1
-        self._next_waiter = 1
+        self._grants = GrantLedger()
+        self._room = WaitingRoom(expire=self._expire)
         self._stopping = False
 
     async def acquire(self, request: Request, *, tried: frozenset[str]) -> Result[Grant, Failure]:
@@ -133,12 +118,11 @@
 
     def release(self, grant: Grant, outcome: AttemptOutcome, *, duration_s: float) -> None:
         """Give the slot back and learn from the outcome; a second release is only counted."""
-        held = self._held.pop(grant.grant_id, None)
+        now_s = self._refresh()
+        held = self._grants.take_back(grant, now_s=now_s)
         if held is None:
             self._metrics.count("grants.released-twice")
             return
-        now_s = self._refresh()
-        self._count_back(held, now_s)
         if outcome is AttemptOutcome.ANSWERED:
             held.load.estimate.observe(duration_s)
             hold = held.pool.interactive_hold
@@ -155,7 +139,7 @@
 
     def cancel(self, request_id: str) -> bool:
         """Take a waiting request out of the queue; says whether it was waiting."""
-        waiter = self._waiters.get(request_id)
+        waiter = self._room.find(request_id)
         if waiter is None:
             return False
         self._end_wait(waiter, ErrorKind.CANCELLED, "cancelled by the caller")
@@ -172,18 +156,18 @@
 
     def refuse_waiting(self) -> None:
         """Refuse every request that still waits, as not run."""
-        for waiter in list(self._waiters.values()):
+        for waiter in self._room.all():
             self._end_wait(waiter, ErrorKind.STOPPING, "this instance is stopping")
 
     @property
     def waiting(self) -> int:
         """How many requests wait."""
-        return len(self._waiters)
+        return len(self._room)
 
     @property
     def in_flight(self) -> int:
         """How many grants are held."""
-        return len(self._held)
+        return len(self._grants)
 
     def _new_pool(self, name: str) -> PoolState:
         return PoolState(
@@ -207,7 +191,7 @@
             return self._refused(request, ErrorKind.STOPPING, "this instance is stopping")
         if request.deadline_s <= now_s:
             return self._refused(request, ErrorKind.DEADLINE_EXCEEDED, "the deadline has passed")
-        if request.request_id in self._waiters:
+        if self._room.find(request.request_id) is not None:
             return self._refused(request, ErrorKind.CONFLICT, "a request with this id waits")
         if not pool.has_targets:
             return self._refused(request, ErrorKind.NO_TARGET, f"no target for {request.service}")
@@ -228,7 +212,7 @@
         team: TeamLoad | None,
         tried: frozenset[str],
         now_s: float,
-    ) -> _Held | None:
+    ) -> Held | None:
         pool.advance(now_s)
         if not pool.may_start(load, now_s):
             return None
@@ -239,36 +223,14 @@
         if probe:
             target.probing = True
             self._metrics.count("targets.probed")
-        return _Held(target=target, pool=pool, load=load, team=team, probe=probe)
+        return Held(target=target, pool=pool, load=load, team=team, probe=probe)
 
-    def _grant(self, request: Request, held: _Held, now_s: float) -> Grant:
-        grant = Grant(
-            grant_id=self._next_grant, request_id=request.request_id, target=held.target.target
-        )
-        self._next_grant += 1
-        self._held[grant.grant_id] = held
-        held.target.group.take(held.target)
-        held.load.in_flight += 1
-        if held.load.interactive:
-            held.pool.interactive.add(1, now_s)
-        else:
-            held.pool.long_running_in_flight += 1
-        if held.team is not None:
-            held.team.held += 1
+    def _grant(self, request: Request, held: Held, now_s: float) -> Grant:
+        grant = self._grants.issue(request.request_id, held, now_s=now_s)
         self._metrics.count(f"requests.admitted.{request.request_class.value}")
         self._record(EventKind.ADMITTED, request, held.target.instance.name)
         return grant
 
-    def _count_back(self, held: _Held, now_s: float) -> None:
-        held.target.group.give_back(held.target)
-        held.load.in_flight -= 1
-        if held.load.interactive:
-            held.pool.interactive.add(-1, now_s)
-        else:
-            held.pool.long_running_in_flight -= 1
-        if held.team is not None:
-            held.team.held -= 1
-
     async def _wait(
         self,
         request: Request,
@@ -294,42 +256,12 @@
                 reason = "too many wait"
                 return self._refused(request, ErrorKind.OVERLOADED, reason, expected_s)
             self._end_wait(last, ErrorKind.OVERLOADED, "shed for more urgent work", expected_s)
-        waiter = self._enqueue(request, pool, load, team, tried, now_s + longest_s)
-        self._serve(pool, now_s)
-        return await self._answer_of(waiter)
-
-    def _enqueue(
-        self,
-        request: Request,
-        pool: PoolState,
-        load: ClassLoad,
-        team: TeamLoad | None,
-        tried: frozenset[str],
-        latest_s: float,
-    ) -> Waiter:
-        loop = asyncio.get_running_loop()
-        waiter = Waiter(
-            request=request,
-            tried=tried,
-            sequence=self._next_waiter,
-            pool=pool,
-            load=load,
-            team=team,
-            answer=loop.create_future(),
+        waiter = self._room.enter(
+            request, pool=pool, load=load, team=team, tried=tried, latest_s=now_s + longest_s
         )
-        self._next_waiter += 1
-        self._waiters[request.request_id] = waiter
-        waiter.timer = loop.call_at(latest_s, self._expire, waiter)
-        pool.waiting += 1
-        load.waiting += 1
-        if team is not None:
-            team.waiting += 1
-        if team is not None and not team.has_room:
-            team.parked.add(waiter)
-        else:
-            self._queue(waiter)
         self._arm(pool)
-        return waiter
+        self._serve(pool, now_s)
+        return await self._answer_of(waiter)
 
     async def _answer_of(self, waiter: Waiter) -> Result[Grant, Failure]:
         try:
@@ -342,45 +274,13 @@
                     lambda grant: self.release(grant, AttemptOutcome.ABANDONED, duration_s=0.0)
                 )
             else:
-                self._leave(waiter)
+                self._room.leave(waiter)
             raise
 
-    def _queue(self, waiter: Waiter) -> None:
-        waiter.load.queue.add(waiter)
-        if waiter.load.interactive:
-            waiter.pool.interactive_queued += 1
-        else:
-            waiter.pool.long_running_queued += 1
-
-    def _unqueue(self, waiter: Waiter) -> None:
-        """Take a waiter out of the queue or the parked ones, whichever it stands in."""
-        queue = waiter.queue
-        if queue is None:
-            return
-        queue.remove(waiter)
-        if queue is not waiter.load.queue:
-            return
-        if waiter.load.interactive:
-            waiter.pool.interactive_queued -= 1
-        else:
-            waiter.pool.long_running_queued -= 1
-
-    def _leave(self, waiter: Waiter) -> None:
-        if self._waiters.get(waiter.request.request_id) is not waiter:
-            return
-        self._unqueue(waiter)
-        del self._waiters[waiter.request.request_id]
-        waiter.pool.waiting -= 1
-        waiter.load.waiting -= 1
-        if waiter.team is not None:
-            waiter.team.waiting -= 1
-        if waiter.timer is not None:
-            waiter.timer.cancel()
-
     def _end_wait(
         self, waiter: Waiter, kind: ErrorKind, reason: str, after_s: float = RETRY_AFTER_MIN_S
     ) -> None:
-        self._leave(waiter)
+        self._room.leave(waiter)
         refused = self._refused(waiter.request, kind, reason, after_s)
         if not waiter.answer.done():
             waiter.answer.set_result(refused)
@@ -400,20 +300,19 @@
                 break
             if waiter.answer.done():
                 # Its task was cancelled and has not run since.
-                self._leave(waiter)
+                self._room.leave(waiter)
                 continue
             if waiter.team is not None and not waiter.team.has_room:
-                self._unqueue(waiter)
-                waiter.team.parked.add(waiter)
+                self._room.park(waiter, waiter.team)
                 continue
             if not self._start(waiter, now_s):
                 if not waiter.tried:
                     break
                 # Its free targets are ones it tried: others must not wait behind it.
-                self._unqueue(waiter)
+                self._room.unqueue(waiter)
                 set_aside.append(waiter)
         for waiter in set_aside:
-            self._queue(waiter)
+            self._room.queue(waiter)
 
     def _start(self, waiter: Waiter, now_s: float) -> bool:
         held = self._place(
@@ -421,7 +320,7 @@
         )
         if held is None:
             return False
-        self._leave(waiter)
+        self._room.leave(waiter)
         waiter.answer.set_result(Success(self._grant(waiter.request, held, now_s)))
         return True
 
@@ -431,8 +330,8 @@
             waiter = team.parked.first()
             if waiter is None:
                 return
-            self._unqueue(waiter)
-            self._queue(waiter)
+            self._room.unqueue(waiter)
+            self._room.queue(waiter)
             self._serve(waiter.pool, now_s)
 
     def _refresh(self) -> float:
@@ -441,7 +340,7 @@
         if self._index.refresh(now_s):
             for team in self._index.teams.values():
                 self._unpark(team, now_s)
-            for waiter in list(self._waiters.values()):
+            for waiter in self._room.all():
                 self._recheck(waiter)
             for pool in self._index.pools.values():
                 if pool.waiting:
--- a/src/shallotworks/requests/_pool.py
+++ b/src/shallotworks/requests/_pool.py
@@ -150,6 +150,13 @@
             if target.is_settled(now_s, slow_start_s=slow_start_s):
                 self._moving.discard(target)
 
+    def count_queued(self, load: ClassLoad, amount: int) -> None:
+        """Count requests that entered or left the queue of a service."""
+        if load.interactive:
+            self.interactive_queued += amount
+        else:
+            self.long_running_queued += amount
+
     def may_start(self, load: ClassLoad, now_s: float) -> bool:
         """Whether the rules between the classes let a request start now."""
         return load.interactive or self._long_running_may_start(now_s)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import unittest
+from collections import Counter
 
 from shallotworks.errors import ErrorKind
+from shallotworks.requests import DispatchLimits
 from tests.dispatch_fakes import (
+    LONG_RUNNING,
     fleet,
     granted,
     instances,
@@ -22,12 +25,30 @@
         async def story() -> None:
             bench = make_bench(fleet(instances(2, slots=2)))
             grants = [await bench.grant() for _ in range(4)]
+            self.assertEqual(Counter(g.target.instance for g in grants), {"w0": 2, "w1": 2})
             fifth = bench.start()
             await settle()
             self.assertFalse(fifth.done())
             bench.done(grants[0])
+            bench.done(grants[0])
             await settle()
             self.assertTrue(granted(fifth))
+            self.assertEqual(bench.dispatcher.in_flight, 4)
+            self.assertEqual(bench.metrics.counters()["grants.released-twice"], 1)
+
+        run_on_stopped_clock(story)
+
+    def test_entries_divide_the_slots_exactly(self) -> None:
+        """Entry instances that agree on their ranks hold all slots together, and none twice."""
+
+        async def story() -> None:
+            held: Counter[str] = Counter()
+            for rank in range(3):
+                bench = make_bench(fleet(instances(5)), entries=3, rank=rank)
+                tasks = [bench.start() for _ in range(40)]
+                await settle()
+                held.update(t.result().unwrap().target.instance for t in tasks if granted(t))
+            self.assertEqual(held, {f"w{number}": 8 for number in range(5)})
 
         run_on_stopped_clock(story)
 
@@ -36,13 +57,327 @@
 
         async def story() -> None:
             bench = make_bench(fleet({}))
-            self.assertIs(kind_of(await _ended(bench.start("none"))), ErrorKind.NOT_FOUND)
-            self.assertIs(kind_of(await _ended(bench.start(team="x"))), ErrorKind.NOT_FOUND)
+            tasks = [bench.start("none"), bench.start(team="x"), bench.start()]
+            await asyncio.wait(tasks)
+            kinds = [kind_of(task) for task in tasks]
+            wanted = [ErrorKind.NOT_FOUND, ErrorKind.NOT_FOUND, ErrorKind.NO_TARGET]
+            self.assertEqual(kinds, wanted)
+
+        run_on_stopped_clock(story)
+
+    def test_stopping(self) -> None:
+        """After the stop nothing new is admitted; waiting requests and retries are."""
+
+        async def story() -> None:
+            bench = make_bench(fleet(instances(1, slots=1)))
+            first = await bench.grant()
+            waiting = bench.start()
+            await settle()
+            bench.dispatcher.stop_admitting()
+            late = bench.start()
+            retry = bench.ask(bench.request(), tried=frozenset({"w9"}))
+            await settle()
+            self.assertIs(kind_of(late), ErrorKind.STOPPING)
+            bench.done(first)
+            await settle()
+            self.assertTrue(granted(waiting))
+            bench.dispatcher.refuse_waiting()
+            await settle()
+            self.assertIs(kind_of(retry), ErrorKind.STOPPING)
+
+        run_on_stopped_clock(story)
+
+
+class ClassTests(unittest.TestCase):
+    def test_interactive_goes_ahead(self) -> None:
+        """A slot that comes free goes to interactive work, however long others have waited."""
+
+        async def story() -> None:
+            bench = make_bench(fleet(instances(1, slots=4)))
+            grants = [await bench.grant(request_class=LONG_RUNNING) for _ in range(3)]
+            grants.append(await bench.grant())
+            slow = bench.start(request_class=LONG_RUNNING)
+            quick = bench.start()
+            await settle()
+            bench.done(grants[0])
+            await settle()
+            self.assertTrue(granted(quick))
+            self.assertFalse(slow.done())
+
+        run_on_stopped_clock(story)
+
+    def test_long_running_leaves_room(self) -> None:
+        """Long-running work alone fills all slots but one, which an interactive arrival finds."""
+
+        async def story() -> None:
+            bench = make_bench(fleet(instances(2)))
+            tasks = [bench.start(request_class=LONG_RUNNING) for _ in range(30)]
+            await settle()
+            self.assertEqual(sum(map(granted, tasks)), 15)
+            self.assertTrue(granted(await _ended(bench.start())))
+
+        run_on_stopped_clock(story)
+
+    def test_long_running_progresses(self) -> None:
+        """A stated minimum of slots goes to long-running work while interactive work floods.
+
+        A salon's clients fill every slot all evening. Without a minimum the nightly reconciliation
+        would not start until they sleep, and would miss the opening.
+        """
+
+        async def story() -> None:
+            limits = DispatchLimits(long_running_min_part=0.25, waiting_min=10_000)
+            bench = make_bench(fleet(instances(1)), limits=limits)
+            flood = [bench.start(within_s=1000) for _ in range(200)]
+            nightly = [bench.start(request_class=LONG_RUNNING, within_s=1000) for _ in range(20)]
+            answered = 0
+            for _ in range(30):
+                await settle()
+                running = [t for t in flood + nightly if granted(t)]
+                self.assertLessEqual(sum(t in nightly for t in running), 2)
+                for task in running:
+                    bench.done(task.result().unwrap())
+                    answered += task in nightly
+                    (nightly if task in nightly else flood).remove(task)
+            self.assertEqual(answered, 20)
+
+        run_on_stopped_clock(story)
+
+
+class ShareTests(unittest.TestCase):
+    def test_unused_share_is_lent_and_taken_back(self) -> None:
+        """A service uses what others leave; when they want it, it comes back as slots free."""
+
+        async def story() -> None:
+            bench = make_bench(fleet(instances(1), shares={"trace": 0.5, "parts": 0.25}))
+            lent = [await bench.grant("parts") for _ in range(8)]
+            tasks = [bench.start(name) for name in ("parts", "trace") for _ in range(8)]
+            for grant in lent:
+                bench.done(grant)
+                await settle()
+            names = Counter("parts" if task in tasks[:8] else "trace" for task in _running(tasks))
+            self.assertEqual(names["trace"] + names["parts"], 8)
+            self.assertGreaterEqual(names["trace"], 4)
+            self.assertGreaterEqual(names["parts"], 2)
+
+        run_on_stopped_clock(story)
+
+    def test_team_quota(self) -> None:
+        """A team holds its quota at the most, waits a little above it, and is then refused."""
+
+        async def story() -> None:
+            limits = DispatchLimits(team_waiting_per_slot=2)
+            bench = make_bench(fleet(instances(1), quotas={"crew": 2, "none": 0}), limits=limits)
+            tasks = [bench.start(team="crew") for _ in range(7)]
+            other = bench.start()
+            await settle()
+            self.assertEqual([granted(task) for task in tasks[:3]], [True, True, False])
+            self.assertIs(kind_of(tasks[6]), ErrorKind.OVER_QUOTA)
+            self.assertTrue(granted(other))
+            bench.done(tasks[0].result().unwrap())
+            await settle()
+            self.assertEqual([granted(task) for task in tasks[2:4]], [True, False])
+            self.assertIs(kind_of(await _ended(bench.start(team="none"))), ErrorKind.OVER_QUOTA)
+
+        run_on_stopped_clock(story)
+
+
+class OverloadTests(unittest.TestCase):
+    def test_order_of_shedding(self) -> None:
+        """Long-running requests are shed first, then those of the service most over its share.
+
+        A pool is flooded. Refusing whoever comes last would refuse a technician's fault trace
+        while a thousand archive jobs stand in line.
+        """
+
+        async def story() -> None:
+            limits = DispatchLimits(waiting_min=4, waiting_per_slot=0)
+            state = fleet(instances(1, slots=2), shares={"trace": 0.5, "parts": 0.5})
+            bench = make_bench(state, limits=limits)
+            for _ in range(2):
+                await bench.grant("parts")
+            archive = [bench.start("trace", request_class=LONG_RUNNING) for _ in range(2)]
+            greedy = [bench.start("parts") for _ in range(4)]
+            await settle()
+            self.assertEqual([kind_of(task) for task in archive], [ErrorKind.OVERLOADED] * 2)
+            self.assertFalse(any(task.done() for task in greedy))
+            modest = bench.start("trace")
+            await settle()
+            self.assertIs(kind_of(greedy[3]), ErrorKind.OVERLOADED)
+            self.assertFalse(modest.done())
+            more = bench.start("parts")
+            await settle()
+            self.assertIs(kind_of(more), ErrorKind.OVERLOADED)
+            self.assertGreater(more.result().failure().retry_after_s, 0)
+
+        run_on_stopped_clock(story)
+
+    def test_hopeless_requests_are_refused_at_once(self) -> None:
+        """What can't be answered by its deadline is told so on arrival, not at the deadline."""
+
+        async def story() -> None:
+            bench = make_bench(fleet(instances(1, slots=1)))
+            for _ in range(20):
+                bench.done(await bench.grant(), duration_s=1.0)
+            held = await bench.grant()
+            tasks = [bench.start(within_s=3.0) for _ in range(5)]
+            await settle()
+            refused = [task for task in tasks if task.done()]
+            self.assertEqual(len(refused), 4)
+            self.assertIs(kind_of(refused[0]), ErrorKind.OVERLOADED)
+            await asyncio.sleep(2.9)
+            self.assertIs(kind_of(tasks[0]), ErrorKind.DEADLINE_EXCEEDED)
+            bench.done(held)
+
+        run_on_stopped_clock(story)
+
+    def test_estimates_far_off_are_corrected(self) -> None:
+        """Estimates that say "never in time" don't refuse for ever: free slots are always used."""
+
+        async def story() -> None:
+            bench = make_bench(fleet(instances(1, slots=1)))
+            bench.done(await bench.grant(), duration_s=1000.0)
+            for _ in range(200):
+                bench.done(await bench.grant(within_s=1.0), duration_s=0.01)
+            held = await bench.grant()
+            waiting = bench.start(within_s=1.0)
+            await settle()
+            bench.done(held)
+            await settle()
+            self.assertTrue(granted(waiting))
+
+        run_on_stopped_clock(story)
+
+
+class CancelTests(unittest.TestCase):
+    def test_wave_of_cancellations(self) -> None:
+        """Thousands of cancellations free the queue at once and hold nobody up.
+
+        An operator cancels a night's jobs: every request that waits is cancelled in one burst, and
+        the next interactive request must not pay for what they leave behind.
+        """
+
+        async def story() -> None:
+            limits = DispatchLimits(waiting_min=10_000)
+            bench = make_bench(fleet(instances(1, slots=2)), limits=limits)
+            held = [await bench.grant(), await bench.grant()]
+            requests = [bench.request(request_class=LONG_RUNNING) for _ in range(5_000)]
+            tasks = [bench.ask(request) for request in requests]
+            await settle()
+            last = bench.start()
+            await settle()
+            cancelled = [bench.dispatcher.cancel(request.request_id) for request in requests]
+            self.assertTrue(all(cancelled))
+            self.assertFalse(bench.dispatcher.cancel(requests[0].request_id))
+            await settle()
+            self.assertEqual({kind_of(task) for task in tasks}, {ErrorKind.CANCELLED})
+            self.assertEqual(bench.dispatcher.waiting, 1)
+            bench.done(held[0])
+            await settle()
+            self.assertTrue(granted(last))
+
+        run_on_stopped_clock(story)
+
+    def test_task_cancelled_with_its_grant_decided(self) -> None:
+        """A slot given to a task that is cancelled before it wakes comes back.
+
+        A caller hangs up in the instant in which its turn comes. The grant is decided, nobody
+        receives it, and without care one slot is lost for good with every such instant.
+        """
+
+        async def story() -> None:
+            bench = make_bench(fleet(instances(1, slots=1)))
+            first = await bench.grant()
+            unlucky, queued, next_one = bench.start(), bench.start(), bench.start()
+            await settle()
+            queued.cancel()
+            bench.done(first)
+            unlucky.cancel()
+            await settle()
+            self.assertTrue(unlucky.cancelled() and queued.cancelled())
+            self.assertTrue(granted(next_one))
+            self.assertEqual((bench.dispatcher.in_flight, bench.dispatcher.waiting), (1, 0))
+
+        run_on_stopped_clock(story)
+
+
+class LeavingTests(unittest.TestCase):
+    def test_cordoned_and_leaving_targets_get_nothing_new(self) -> None:
+        """From the moment the state or the list says so, only the other target is used."""
+
+        async def story() -> None:
+            bench = make_bench(fleet(instances(3)))
+            running = [await bench.grant() for _ in range(6)]
+            bench.config.cordon("w0")
+            bench.dispatcher.set_leaving(frozenset({"w1"}))
+            names = {(await bench.grant()).target.instance for _ in range(6)}
+            self.assertEqual(names, {"w2"})
+            for grant in running:
+                bench.done(grant)
+            more = [await bench.grant() for _ in range(2)]
+            self.assertEqual({grant.target.instance for grant in more}, {"w2"})
+
+        run_on_stopped_clock(story)
+
+    def test_last_target_leaves_while_requests_wait(self) -> None:
+        """Waiting requests are told at once that there is no target, not at their deadline."""
+
+        async def story() -> None:
+            bench = make_bench(fleet(instances(1, slots=1)))
+            await bench.grant()
+            waiting = bench.start(within_s=1000)
+            await settle()
+            bench.config.cordon("w0")
+            await asyncio.sleep(0.2)
+            self.assertIs(kind_of(waiting), ErrorKind.NO_TARGET)
+
+        run_on_stopped_clock(story)
+
+    def test_returning_target_starts_slowly(self) -> None:
+        """A target that comes back is given its slots one by one over the slow start."""
+
+        async def story() -> None:
+            limits = DispatchLimits(slow_start_s=8.0)
+            bench = make_bench(fleet(instances(1)), limits=limits)
+            bench.config.set_instances(["w0"], healthy=False)
             self.assertIs(kind_of(await _ended(bench.start())), ErrorKind.NO_TARGET)
+            bench.config.set_instances(["w0"], healthy=True)
+            tasks = [bench.start(within_s=100) for _ in range(9)]
+            await settle()
+            self.assertEqual(sum(map(granted, tasks)), 1)
+            await asyncio.sleep(4.0)
+            self.assertEqual(sum(map(granted, tasks)), 4)
+            await asyncio.sleep(5.0)
+            self.assertEqual(sum(map(granted, tasks)), 8)
+
+        run_on_stopped_clock(story)
+
+    def test_other_data_centres_help_when_the_local_part_is_full(self) -> None:
+        """Interactive work spills over when no local slot is free; long-running work does not."""
+
+        async def story() -> None:
+            members = instances(1, slots=2)
+            members |= instances(1, slots=2, data_centre="there", prefix="far")
+            bench = make_bench(fleet(members))
+            grants = [await bench.grant() for _ in range(4)]
+            names = [grant.target.instance for grant in grants]
+            self.assertEqual(names, ["w0", "w0", "far0", "far0"])
+            slow = bench.start(request_class=LONG_RUNNING)
+            bench.done(grants[3])
+            await settle()
+            self.assertFalse(slow.done())
+            bench.config.cordon("w0")
+            bench.done(grants[2])
+            await settle()
+            self.assertEqual(slow.result().unwrap().target.instance, "far0")
 
         run_on_stopped_clock(story)
 
 
-async def _ended(task: "asyncio.Task") -> "asyncio.Task":
+async def _ended(task: asyncio.Task) -> asyncio.Task:
     await asyncio.wait([task])
     return task
+
+
+def _running(tasks: list[asyncio.Task]) -> list[asyncio.Task]:
+    return [task for task in tasks if granted(task)]
--- /dev/null
+++ b/tests/test_ejection.py
@@ -0,0 +1,259 @@
+"""Tests of ejection, probing and the choice of target, through `PoolDispatcher`."""
+
+import asyncio
+import unittest
+from collections import Counter
+
+from parameterized import parameterized
+
+from shallotworks.requests import AttemptOutcome, DispatchLimits
+from shallotworks.timeline import EventKind
+from tests.dispatch_fakes import (
+    Bench,
+    fleet,
+    granted,
+    instances,
+    make_bench,
+    run_on_stopped_clock,
+    settle,
+)
+
+OK = AttemptOutcome.ANSWERED
+ERROR = AttemptOutcome.TARGET_ERROR
+
+
+async def attempts(bench: Bench, count: int, bad: set[str], outcome: AttemptOutcome) -> Counter:
+    """Make attempts one after another, which fail at some targets; count where they went."""
+    seen: Counter[str] = Counter()
+    for _ in range(count):
+        grant = await bench.grant(within_s=1000)
+        name = grant.target.instance
+        seen[name] += 1
+        bench.dispatcher.release(grant, outcome if name in bad else OK, duration_s=0.01)
+    return seen
+
+
+class EjectionTests(unittest.TestCase):
+    @parameterized.expand([("error", ERROR), ("broken", AttemptOutcome.BROKEN)])
+    def test_target_that_fails_at_once_looks_idle(self, _name: str, outcome: object) -> None:
+        """A target that fails everything gets three requests, however idle it looks.
+
+        One worker of eight lost its disk and answers each request with an error within a
+        millisecond. It always has free slots, so every rule that looks at load sends it more.
+        """
+
+        async def story() -> None:
+            bench = make_bench(fleet(instances(8)))
+            busy = [await bench.grant() for _ in range(40)]
+            seen = await attempts(bench, 200, {"w3"}, outcome)  # type: ignore[arg-type]
+            self.assertEqual(seen["w3"], 3)
+            self.assertEqual(bench.metrics.counters()["targets.ejected"], 1)
+            for grant in busy:
+                bench.done(grant)
+
+        run_on_stopped_clock(story)
+
+    def test_probes_bring_it_back(self) -> None:
+        """One request at a time probes an ejected target, ever more rarely, until one succeeds."""
+
+        async def story() -> None:
+            limits = DispatchLimits(probe_after_s=4.0, slow_start_s=8.0)
+            bench = make_bench(fleet(instances(2)), limits=limits)
+            await attempts(bench, 20, {"w0"}, ERROR)
+            probes = []
+            for second in range(60):
+                await asyncio.sleep(1.0)
+                seen = await attempts(bench, 5, {"w0"}, ERROR)
+                probes += [second] * seen["w0"]
+            self.assertGreaterEqual(len(probes), 3)
+            self.assertLessEqual(len(probes), 6)
+            await asyncio.sleep(120.0)
+            await attempts(bench, 1, set(), OK)
+            held = [await bench.grant() for _ in range(9)]
+            self.assertEqual(Counter(g.target.instance for g in held)["w0"], 1)
+            await asyncio.sleep(8.0)
+            held += [await bench.grant() for _ in range(7)]
+            self.assertEqual(Counter(g.target.instance for g in held)["w0"], 8)
+
+        run_on_stopped_clock(story)
+
+    def test_non_idempotent_requests_do_not_probe(self) -> None:
+        """A booking is not spent on a probe while an idempotent request may come instead."""
+
+        async def story() -> None:
+            bench = make_bench(fleet(instances(2)))
+            await attempts(bench, 20, {"w0"}, ERROR)
+            await asyncio.sleep(10.0)
+            booking = await bench.grant(idempotent=False)
+            self.assertEqual(booking.target.instance, "w1")
+            self.assertEqual((await bench.grant()).target.instance, "w0")
+
+        run_on_stopped_clock(story)
+
+    def test_no_more_than_the_set_part(self) -> None:
+        """Of eight targets of which five fail, four are ejected and the fifth stays in service."""
+
+        async def story() -> None:
+            bench = make_bench(fleet(instances(8)))
+            bad = {f"w{number}" for number in range(5)}
+            await attempts(bench, 200, bad, ERROR)
+            self.assertEqual(bench.metrics.counters()["targets.ejected"], 4)
+            held = [await bench.grant() for _ in range(32)]
+            self.assertEqual(len({grant.target.instance for grant in held}), 4)
+
+        run_on_stopped_clock(story)
+
+    def test_all_look_bad(self) -> None:
+        """When nearly all look bad, none is ejected, and it is said; it ends when they answer.
+
+        This instance's own network card drops every second packet. To it every target looks
+        broken, and ejecting them one by one would end with nothing left to send to.
+        """
+
+        async def story() -> None:
+            bench = make_bench(fleet(instances(8)))
+            everyone = set(instances(8))
+            await attempts(bench, 200, everyone, AttemptOutcome.TIMED_OUT)
+            held = [await bench.grant() for _ in range(64)]
+            counters = bench.metrics.counters()
+            self.assertEqual(counters["targets.self-suspected"], 1)
+            self.assertEqual(counters["targets.ejected"], counters["targets.restored"])
+            details = [event.detail for event in bench.timeline.events()]
+            self.assertIn("pool pool: nearly all look bad: suspects this process", details)
+            for grant in held:
+                bench.done(grant)
+            self.assertEqual(bench.metrics.counters()["targets.self-cleared"], 1)
+            seen = await attempts(bench, 100, {"w3"}, ERROR)
+            self.assertEqual(seen["w3"], 3)
+
+        run_on_stopped_clock(story)
+
+    def test_other_data_centres_are_cut_off(self) -> None:
+        """Targets of a data centre that is cut off are all ejected, and count against nothing.
+
+        The link to the other data centre is cut: its six targets all time out. The two local ones
+        work, so this process is not at fault, and a local one that breaks must still be ejected.
+        """
+
+        async def story() -> None:
+            members = instances(2, slots=2)
+            far = instances(6, slots=2, data_centre="there", prefix="far")
+            bench = make_bench(fleet(members | far))
+            for _ in range(40):
+                local = [await bench.grant() for _ in range(4)]
+                remote = bench.start()
+                await settle()
+                if granted(remote):
+                    grant = remote.result().unwrap()
+                    bench.dispatcher.release(grant, AttemptOutcome.TIMED_OUT, duration_s=2.0)
+                else:
+                    remote.cancel()
+                for held in local:
+                    bench.done(held)
+            await settle()
+            self.assertEqual(bench.metrics.counters()["targets.ejected"], 6)
+            seen = await attempts(bench, 50, {"w0"}, ERROR)
+            self.assertEqual(seen["w0"], 3)
+
+        run_on_stopped_clock(story)
+
+    def test_refusals_rest_a_target_briefly(self) -> None:
+        """A full target is left alone for an instant and is no outlier; one that only refuses is.
+
+        Another data centre's entries filled its slots: it refuses, truthfully. Treating that like a
+        failure would eject healthy targets exactly when all slots are needed.
+        """
+
+        async def story() -> None:
+            bench = make_bench(fleet(instances(2)))
+            refused = AttemptOutcome.REFUSED
+            seen = await attempts(bench, 50, {"w0"}, refused)
+            self.assertEqual(seen["w0"], 1)
+            await asyncio.sleep(0.05)
+            await attempts(bench, 50, set(), OK)
+            self.assertNotIn("targets.ejected", bench.metrics.counters())
+            for _ in range(40):
+                await asyncio.sleep(2.0)
+                await attempts(bench, 5, {"w0"}, refused)
+            self.assertEqual(bench.metrics.counters()["targets.ejected"], 1)
+
+        run_on_stopped_clock(story)
+
+    def test_replaced_under_its_old_name(self) -> None:
+        """Another machine under an ejected name starts without that judgement."""
+
+        async def story() -> None:
+            bench = make_bench(fleet(instances(2)))
+            await attempts(bench, 20, {"w0"}, ERROR)
+            bench.config.set_instances(["w0"], address="127.0.0.1:1")
+            seen = await attempts(bench, 40, set(), OK)
+            self.assertGreater(seen["w0"], 5)
+
+        run_on_stopped_clock(story)
+
+
+class ChoiceTests(unittest.TestCase):
+    def test_retry_goes_elsewhere(self) -> None:
+        """A retry waits for a target it has not tried rather than take the free one it has.
+
+        The broken target is the one with free slots. A retry that takes it fails again and spends
+        the budget; others must meanwhile not wait behind the retry.
+        """
+
+        async def story() -> None:
+            bench = make_bench(fleet(instances(2, slots=1)))
+            held = {(g := await bench.grant()).target.instance: g for _ in range(2)}
+            retry = bench.ask(bench.request(within_s=5.0), tried=frozenset({"w0"}))
+            other = bench.start()
+            await settle()
+            bench.done(held["w0"])
+            await settle()
+            self.assertFalse(retry.done())
+            self.assertEqual(other.result().unwrap().target.instance, "w0")
+            bench.done(held["w1"])
+            await settle()
+            self.assertEqual(retry.result().unwrap().target.instance, "w1")
+
+        run_on_stopped_clock(story)
+
+    def test_all_tried(self) -> None:
+        """Where every target was tried, any will do."""
+
+        async def story() -> None:
+            bench = make_bench(fleet(instances(2)))
+            task = bench.ask(bench.request(), tried=frozenset({"w0", "w1"}))
+            await settle()
+            self.assertTrue(granted(task))
+
+        run_on_stopped_clock(story)
+
+    def test_processes_do_not_herd(self) -> None:
+        """Six processes that don't see each other's load fill idle targets about evenly.
+
+        Each takes the emptiest target it knows; with ties broken alike they would all take the
+        same one, which then has 6 requests while its neighbours idle.
+        """
+
+        async def story() -> None:
+            seen: Counter[str] = Counter()
+            for seed in range(60):
+                bench = make_bench(fleet(instances(8)), seed=seed)
+                seen[(await bench.grant()).target.instance] += 1
+            self.assertLessEqual(max(seen.values()), 16)
+
+        run_on_stopped_clock(story)
+
+    def test_events_name_the_instance(self) -> None:
+        """Ejections are on the time line with the instance, for operators."""
+
+        async def story() -> None:
+            bench = make_bench(fleet(instances(3)))
+            await attempts(bench, 30, {"w1"}, ERROR)
+            kinds = [
+                (event.kind, event.subject.instance)
+                for event in bench.timeline.events()
+                if event.kind is EventKind.TARGET_EJECTED
+            ]
+            self.assertEqual(kinds, [(EventKind.TARGET_EJECTED, "w1")])
+
+        run_on_stopped_clock(story)
--- /dev/null
+++ b/tests/test_retry.py
@@ -0,0 +1,107 @@
+"""Tests of `shallotworks.requests.BudgetedRetryPolicy`."""
+
+import asyncio
+import random
+import unittest
+
+from parameterized import parameterized
+
+from shallotworks.metrics import Metrics
+from shallotworks.requests import AttemptOutcome, BudgetedRetryPolicy, RetryLimits
+from tests.dispatch_fakes import make_request, run_on_stopped_clock
+
+LIMITS = RetryLimits(max_attempts=3, budget_part=0.1, floor_per_s=0.5, burst=4.0)
+
+
+def policy() -> BudgetedRetryPolicy:
+    return BudgetedRetryPolicy(limits=LIMITS, metrics=Metrics(), rng=random.Random(1))
+
+
+class RetryTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("answered", AttemptOutcome.ANSWERED, True, False),
+            ("abandoned", AttemptOutcome.ABANDONED, True, False),
+            ("idempotent, broken", AttemptOutcome.BROKEN, True, True),
+            ("idempotent, timed out", AttemptOutcome.TIMED_OUT, True, True),
+            ("idempotent, target error", AttemptOutcome.TARGET_ERROR, True, True),
+            ("booking, not sent", AttemptOutcome.NOT_SENT, False, True),
+            ("booking, refused", AttemptOutcome.REFUSED, False, True),
+            ("booking, broken", AttemptOutcome.BROKEN, False, False),
+            ("booking, timed out", AttemptOutcome.TIMED_OUT, False, False),
+            ("booking, target error", AttemptOutcome.TARGET_ERROR, False, False),
+        ]
+    )
+    def test_what_is_retried(
+        self, _name: str, outcome: AttemptOutcome, idempotent: bool, retried: bool
+    ) -> None:
+        """A request is sent again only where that can't run it twice."""
+
+        async def story() -> None:
+            request = make_request("r", "trace", idempotent=idempotent)
+            delay_s = policy().next_delay_s(request, attempts=1, outcome=outcome)
+            self.assertEqual(delay_s is not None, retried)
+
+        run_on_stopped_clock(story)
+
+    def test_storm(self) -> None:
+        """Retries stay a tenth of first attempts though every attempt fails.
+
+        A third of the targets fail. Each failed request is tried again, fails again at the next,
+        and soon the retries alone fill the targets that still work.
+        """
+
+        async def story() -> None:
+            retries = policy()
+            allowed = 0
+            for number in range(1_000):
+                request = make_request(f"r{number}", "trace", deadline_s=1e9)
+                retries.first_attempt(request)
+                for attempts in (1, 2):
+                    delay_s = retries.next_delay_s(
+                        request, attempts=attempts, outcome=AttemptOutcome.TARGET_ERROR
+                    )
+                    allowed += delay_s is not None
+            self.assertLessEqual(allowed, 1_000 * LIMITS.budget_part + LIMITS.burst)
+            self.assertGreaterEqual(allowed, 1_000 * LIMITS.budget_part)
+
+        run_on_stopped_clock(story)
+
+    def test_floor_deadline_and_attempts(self) -> None:
+        """A quiet service may still retry; never past the deadline or the number of attempts."""
+
+        async def story() -> None:
+            retries = policy()
+            request = make_request("r", "trace", deadline_s=1e9)
+            broken = AttemptOutcome.BROKEN
+
+            def ask(attempts: int = 1) -> float | None:
+                return retries.next_delay_s(request, attempts=attempts, outcome=broken)
+
+            self.assertEqual(sum(ask() is not None for _ in range(9)), LIMITS.burst)
+            await asyncio.sleep(2.0 / LIMITS.floor_per_s)
+            self.assertEqual(sum(ask() is not None for _ in range(9)), 2)
+            await asyncio.sleep(100.0)
+            self.assertIsNone(ask(LIMITS.max_attempts))
+            late = make_request("late", "trace", deadline_s=asyncio.get_running_loop().time())
+            self.assertIsNone(retries.next_delay_s(late, attempts=1, outcome=broken))
+
+        run_on_stopped_clock(story)
+
+    def test_jitter(self) -> None:
+        """Delays are spread over the whole backoff, so that failed requests don't return at once."""
+
+        async def story() -> None:
+            retries = BudgetedRetryPolicy(
+                limits=RetryLimits(burst=1e6), metrics=Metrics(), rng=random.Random(1)
+            )
+            request = make_request("r", "trace", deadline_s=1e9)
+            delays = [
+                retries.next_delay_s(request, attempts=3, outcome=AttemptOutcome.BROKEN) or 0.0
+                for _ in range(200)
+            ]
+            self.assertLess(min(delays), 0.005)
+            self.assertGreater(max(delays), 0.09)
+            self.assertLessEqual(max(delays), 0.1)
+
+        run_on_stopped_clock(story)
