Close the gaps that mutated code showed in the tests of dispatch

Cause: of 24 deliberate faults, five survived the tests: quota at a burst of free slots, order against late arrivals, weights of shares, short deadlines, and tidying up another's claim. The checker of histories took a target that had just come back for barred. Change: a test for each; the checker looks at the state of the moment.

--- a/bench/_load.py
+++ b/bench/_load.py
@@ -73,6 +73,7 @@
     refused: int = 0
     late: int = 0
     failed: int = 0
+    answered: int = 0
     latencies_s: list[float] = field(default_factory=list)
     work_s: float = 0.0
 
@@ -92,9 +93,14 @@
     until_s: float
 
     def add_work(self, started_s: float, ended_s: float) -> None:
+        """Count the part of one attempt's time that lies inside."""
         inside_s = min(ended_s, self.until_s) - max(started_s, self.from_s)
         self.tally.work_s += max(0.0, inside_s)
 
+    def add_answer(self, at_s: float) -> None:
+        """Count an answer in time by when it came, so that a queue at either end does not count."""
+        self.tally.answered += int(self.from_s <= at_s <= self.until_s)
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Entry:
@@ -179,6 +185,7 @@
                 tally.late += 1
             else:
                 tally.latencies_s.append(loop.time() - started_s)
+                window.add_answer(loop.time())
             return
         delay_s = entry.retry.next_delay_s(request, attempts=attempts, outcome=outcome)
         if delay_s is None:
--- a/bench/dispatch.py
+++ b/bench/dispatch.py
@@ -36,6 +36,7 @@
 INTERACTIVE_PART = 0.3
 WARM_S = 10.0
 END_S = 40.0
+BEFORE_PROBES_S = 2.4
 GOODPUT_WARM_S = 3.0
 GOODPUT_END_S = 9.0
 NEVER = 1_000_000_000
@@ -175,7 +176,7 @@
                 (tally,) = await world.offer(
                     interactive(part), from_s=GOODPUT_WARM_S, until_s=GOODPUT_END_S
                 )
-                per_s = len(tally.latencies_s) / (GOODPUT_END_S - GOODPUT_WARM_S)
+                per_s = tally.answered / (GOODPUT_END_S - GOODPUT_WARM_S)
                 return [per_s * INTERACTIVE_S / CAPACITY, tally.quantile_ms(0.99)]
 
             row = medians(measure)
@@ -210,7 +211,7 @@
 def ejection() -> None:
     """Time from a target's fault to its last attempt that was no probe, and what it cost."""
     print("\nejection: one target of 8 turns bad after 10 s, load 0.5")
-    print(f"{'':34}{'last attempt in first 4 s':>26}{'attempts, 30 s':>15}{'failed':>9}")
+    print(f"{'':34}{'last attempt before probes':>26}{'attempts, 30 s':>15}{'failed':>9}")
     for fault in ("fails", "silent"):
         for setup in (OURS, NO_EJECTION):
 
@@ -223,7 +224,7 @@
                 def look() -> None:
                     seen["last"] = bad.last_attempt_s - WARM_S
 
-                asyncio.get_running_loop().call_at(WARM_S + 4.0, look)
+                asyncio.get_running_loop().call_at(WARM_S + BEFORE_PROBES_S, look)
                 (tally,) = await world.offer(interactive(0.5))
                 failed = (tally.failed + tally.refused + tally.late) / tally.offered
                 return [seen["last"], bad.attempts_while_bad, failed]
@@ -268,7 +269,8 @@
                 load = replace(interactive(part), entry=entry)
                 (tally,) = await world.offer(load, from_s=GOODPUT_WARM_S, until_s=GOODPUT_END_S)
                 refusals = sum(target.refusals for target in world.targets.values())
-                good = len(tally.latencies_s) / tally.offered
+                offered_s = part * CAPACITY / INTERACTIVE_S * (GOODPUT_END_S - GOODPUT_WARM_S)
+                good = tally.answered / offered_s
                 return [good, refusals / max(1, tally.attempts), tally.quantile_ms(0.99)]
 
             row = medians(measure)
--- a/tests/test_dispatch_history.py
+++ b/tests/test_dispatch_history.py
@@ -36,7 +36,7 @@
         st.tuples(st.just("hang_up"), st.integers(0, 20)),
         st.tuples(st.just("wait"), st.sampled_from([0.01, 0.5, 20.0])),
         st.tuples(
-            st.just("set"),
+            st.just("change"),
             st.sampled_from([f"w{number}" for number in range(WORKERS)]),
             st.sampled_from(["cordoned", "active", "leaving", "moved", "back"]),
         ),
@@ -65,7 +65,6 @@
         self.sent: Counter[str] = Counter()
         self.answers: Counter[str] = Counter()
         self.leaving: set[str] = set()
-        self.barred: set[str] = set()
 
     async def run(self, steps: list[tuple]) -> None:
         for step in steps:
@@ -110,7 +109,7 @@
         if waiting:
             self.tasks[waiting[number % len(waiting)]].cancel()
 
-    def set(self, name: str, what: str) -> None:
+    def change(self, name: str, what: str) -> None:
         facts = {
             "cordoned": {"condition": Condition.CORDONED},
             "active": {"condition": Condition.ACTIVE},
@@ -145,9 +144,13 @@
 
     def receive(self, grant: Grant) -> None:
         self.case.assertNotIn(grant.grant_id, self.held)
-        self.case.assertNotIn(grant.target.instance, self.barred, "new work at a barred target")
+        self.case.assertNotIn(grant.target.instance, self.barred(), "new work at a barred target")
         self.held[grant.grant_id] = grant
 
+    def barred(self) -> set[str]:
+        known = self.bench.config.state().instances.values()
+        return self.leaving | {e.name for e in known if not e.available or e.pool != "pool"}
+
     def check(self) -> None:
         at = Counter(grant.target.instance for grant in self.held.values())
         self.case.assertLessEqual(max(at.values(), default=0), SLOTS, "over the slots")
@@ -156,9 +159,6 @@
         self.case.assertLessEqual(max(self.answers.values(), default=0), 1, "answered twice")
         self.case.assertEqual(self.bench.dispatcher.in_flight, len(self.held), "a slot is lost")
         self.case.assertEqual(self.bench.dispatcher.waiting, len(self.tasks), "lost in the queue")
-        known = self.bench.config.state().instances.values()
-        unusable = {e.name for e in known if not e.available or e.pool != "pool"}
-        self.barred = unusable | self.leaving
 
     async def finish(self) -> None:
         """Let all targets work: every request gets its answer and every slot comes back."""
@@ -167,6 +167,7 @@
                 grant = self.held.pop(number)
                 self.bench.dispatcher.release(grant, AttemptOutcome.ANSWERED, duration_s=0.01)
             await asyncio.sleep(1.0)
+            await settle()
             self.collect()
             self.check()
         self.case.assertEqual(set(self.answers.values()) | {1}, {1})
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -149,16 +149,14 @@
         """A service uses what others leave; when they want it, it comes back as slots free."""
 
         async def story() -> None:
-            bench = make_bench(fleet(instances(1), shares={"trace": 0.5, "parts": 0.25}))
+            bench = make_bench(fleet(instances(1), shares={"trace": 0.75, "parts": 0.25}))
             lent = [await bench.grant("parts") for _ in range(8)]
             tasks = [bench.start(name) for name in ("parts", "trace") for _ in range(8)]
             for grant in lent:
                 bench.done(grant)
                 await settle()
             names = Counter("parts" if task in tasks[:8] else "trace" for task in _running(tasks))
-            self.assertEqual(names["trace"] + names["parts"], 8)
-            self.assertGreaterEqual(names["trace"], 4)
-            self.assertGreaterEqual(names["parts"], 2)
+            self.assertEqual(names, {"trace": 6, "parts": 2})
 
         run_on_stopped_clock(story)
 
@@ -181,6 +179,24 @@
 
         run_on_stopped_clock(story)
 
+    def test_team_quota_when_slots_free_at_once(self) -> None:
+        """Requests that queued while their team had room still start within its quota only."""
+
+        async def story() -> None:
+            bench = make_bench(fleet(instances(1, slots=4), quotas={"crew": 1}))
+            held = [await bench.grant() for _ in range(4)]
+            tasks = [bench.start(team="crew", within_s=30) for _ in range(3)]
+            await settle()
+            for grant in held:
+                bench.done(grant)
+            await settle()
+            self.assertEqual(sum(map(granted, tasks)), 1)
+            bench.done(tasks[0].result().unwrap())
+            await settle()
+            self.assertEqual(sum(map(granted, tasks)), 2)
+
+        run_on_stopped_clock(story)
+
 
 class OverloadTests(unittest.TestCase):
     def test_order_of_shedding(self) -> None:
@@ -231,6 +247,24 @@
 
         run_on_stopped_clock(story)
 
+    def test_short_deadline_may_wait_a_part_of_it(self) -> None:
+        """A deadline below the usual duration is no reason to refuse: this one may be quick."""
+
+        async def story() -> None:
+            bench = make_bench(fleet(instances(8)))
+            for _ in range(20):
+                bench.done(await bench.grant(), duration_s=1.0)
+            held = [await bench.grant() for _ in range(64)]
+            waiting = bench.start(within_s=0.9)
+            await asyncio.sleep(0.1)
+            bench.done(held[0])
+            await settle()
+            self.assertTrue(granted(waiting))
+            await asyncio.sleep(10.0)
+            self.assertNotIn("requests.refused.deadline-exceeded", bench.metrics.counters())
+
+        run_on_stopped_clock(story)
+
     def test_estimates_far_off_are_corrected(self) -> None:
         """Estimates that say "never in time" don't refuse for ever: free slots are always used."""
 
@@ -345,7 +379,11 @@
             tasks = [bench.start(within_s=100) for _ in range(9)]
             await settle()
             self.assertEqual(sum(map(granted, tasks)), 1)
-            await asyncio.sleep(4.0)
+            await asyncio.sleep(1.05)
+            late = bench.start(within_s=200)
+            await settle()
+            self.assertEqual((granted(late), sum(map(granted, tasks))), (False, 2))
+            await asyncio.sleep(2.95)
             self.assertEqual(sum(map(granted, tasks)), 4)
             await asyncio.sleep(5.0)
             self.assertEqual(sum(map(granted, tasks)), 8)
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -176,6 +176,32 @@
 
         run_on_stopped_clock(story)
 
+    def test_late_tidying_spares_the_next_claim(self) -> None:
+        """A claim that never took effect is not tidied away from under the next one.
+
+        The first process's create is lost without effect, which it can't tell. By the time it
+        tidies up, a second process holds the key and is running; deleting that record would let a
+        third run it again.
+        """
+
+        async def story() -> None:
+            site = Site()
+            first, second, third = (site.process(name) for name in ("e1", "e2", "e3"))
+            await first.claim(make_request("r0", "parts", key="warm", idempotent=False))
+            before = site.store.version
+            site.store.set_faults(StoreFaults(delay_s=1.0, lost_answers=1))
+            claiming = asyncio.create_task(first.claim(order()))
+            await asyncio.sleep(0.75)
+            site.store.set_faults(StoreFaults(down=True))
+            self.assertIs(kind_of(await claiming), ErrorKind.STORE_UNAVAILABLE)
+            site.store.set_faults(StoreFaults())
+            site.store.come_back_at(before)
+            self.assertTrue(is_claim_to_run(await second.claim(order())))
+            await first.tidy()
+            self.assertIs(kind_of(await third.claim(order())), ErrorKind.IN_PROGRESS)
+
+        run_on_stopped_clock(story)
+
     def test_store_is_down_when_the_run_ends(self) -> None:
         """The caller's repeat gets the answer from the process that has it, later from any.
 
