Use the slots that other entry instances leave idle, until a target refuses

A burst of refusals at once also rested a target for over a second. Change: interactive work takes one slot more at a full target while requests wait, and gives all of them back when the target refuses or nobody waits. Refusals of one moment count once.

--- a/bench/dispatch.py
+++ b/bench/dispatch.py
@@ -244,7 +244,7 @@
 
             async def measure(seed: int, setup: Setup = wide) -> list:
                 world = World(setup, seed)
-                (tally,) = await world.offer(interactive(0.7))
+                (tally,) = await world.offer(interactive(0.7), until_s=20.0)
                 refusals = sum(target.refusals for target in world.targets.values())
                 return [refusals / tally.attempts, tally.quantile_ms(0.99)]
 
@@ -284,6 +284,10 @@
     for name, state in (("today, 40 workers", today()), ("1,100 workers, 305 pools", target())):
         row = [asyncio.run(_cost(state, seed)) for seed in SEEDS]
         print(f"{name:34}{sorted(row)[len(row) // 2] * 1e6:9.1f} us")
+    for waiting in (1_000, 10_000):
+        rows = [asyncio.run(_cost_of_waiting(waiting)) for _ in SEEDS]
+        enter, cancel = (sorted(column)[len(rows) // 2] * 1e6 for column in zip(*rows, strict=True))
+        print(f"{waiting:6} waiting: {enter:.1f} us to enter the queue, {cancel:.1f} us to cancel")
 
 
 async def _cost(state: FleetState, seed: int) -> float:
@@ -303,6 +307,22 @@
     return (time.perf_counter() - started_s) / (len(requests) - 1)
 
 
+async def _cost_of_waiting(waiting: int) -> tuple[float, float]:
+    made = make_bench(fleet(instances(1)), limits=DispatchLimits(waiting_min=NEVER))
+    for _ in range(8):
+        await made.grant(within_s=1000)
+    requests = [made.request(within_s=1000) for _ in range(waiting)]
+    started_s = time.perf_counter()
+    tasks = [made.ask(request) for request in requests]
+    await asyncio.sleep(0)
+    entered_s = time.perf_counter()
+    for request in requests:
+        made.dispatcher.cancel(request.request_id)
+    cancelled_s = time.perf_counter()
+    await asyncio.gather(*tasks)
+    return (entered_s - started_s) / waiting, (cancelled_s - entered_s) / waiting
+
+
 def today() -> FleetState:
     """Return five services on eight workers each."""
     return _many(pools=5, workers=40)
--- a/src/shallotworks/requests/_dispatcher.py
+++ b/src/shallotworks/requests/_dispatcher.py
@@ -131,6 +131,7 @@
             hold.observe(duration_s)
         if held.target.usable:
             held.pool.health.judge(held.target, outcome, now_s=now_s)
+            held.pool.lend(held.target, outcome, now_s=now_s)
         if held.probe:
             held.target.probing = False
         if held.team is not None:
--- a/src/shallotworks/requests/_health.py
+++ b/src/shallotworks/requests/_health.py
@@ -128,7 +128,10 @@
 
     def _refused(self, target: TargetState, now_s: float) -> None:
         # Refusing is how a full target keeps its slots: it is given a short rest, and only one
-        # that refuses time after time without an answer in between counts as broken.
+        # that refuses time after time without an answer in between counts as broken. Those sent
+        # before the rest are one refusal together.
+        if now_s < target.paused_until_s:
+            return
         target.refusals += 1
         doublings = min(target.refusals - 1, MAX_PAUSE_DOUBLINGS)
         longest_s = self._limits.refusal_pause_s * 2**doublings
--- a/src/shallotworks/requests/_limits.py
+++ b/src/shallotworks/requests/_limits.py
@@ -24,6 +24,8 @@
         slow_start_s: Time over which a returning target is given its full slots.
         failures_to_eject: Failures in a row after which a target is ejected.
         refusals_to_eject: Refusals in a row after which a target is ejected.
+        borrow_pause_s: How long no slot beyond this process's part is used at a target that has
+            refused one.
         refusal_pause_s: Longest first pause after a refusal; doubles with each further one.
         max_ejected_part: Part of a pool that may be ejected at once.
         suspect_self_part: Part of a pool that must look bad for this process to suspect itself.
@@ -42,6 +44,7 @@
     slow_start_s: float = 10.0
     failures_to_eject: int = 3
     refusals_to_eject: int = 10
+    borrow_pause_s: float = 1.0
     refusal_pause_s: float = 0.02
     max_ejected_part: float = 0.5
     suspect_self_part: float = 0.8
--- a/src/shallotworks/requests/_pool.py
+++ b/src/shallotworks/requests/_pool.py
@@ -14,7 +14,7 @@
 from ._health import PoolHealth
 from ._limits import DispatchLimits
 from ._loads import ClassLoad, ServiceLoad
-from ._messages import Request
+from ._messages import AttemptOutcome, Request
 from ._targets import TargetGroup, TargetState
 
 __all__ = ["PoolState"]
@@ -46,6 +46,7 @@
         "_choice",
         "_limits",
         "_moving",
+        "_rng",
         "has_timer",
         "health",
         "interactive",
@@ -75,6 +76,7 @@
         self.name = name
         self._limits = limits
         self._choice = choice
+        self._rng = rng
         self._moving: set[TargetState] = set()
         self.local = TargetGroup()
         self.remote = TargetGroup()
@@ -175,11 +177,33 @@
         """
         mean = self.interactive.mean(now_s)
         left = max(1.0, mean + self._limits.reserve_factor * math.sqrt(mean))
-        return max(self.long_running_min(group), group.capacity - math.ceil(left))
+        return max(self.long_running_min(group), group.own_capacity - math.ceil(left))
 
     def long_running_min(self, group: TargetGroup) -> int:
         """Return the slots that long-running work may always hold."""
-        return max(1, int(self._limits.long_running_min_part * group.capacity))
+        return max(1, int(self._limits.long_running_min_part * group.own_capacity))
+
+    def lend(self, target: TargetState, outcome: AttemptOutcome, *, now_s: float) -> None:
+        """Use slots that the other entry instances leave idle, until the target refuses one.
+
+        The failure: the callers happen to reach this process rather than the others, its parts of
+        the slots are full and requests are refused while the targets idle. No process knows what
+        the others need, but the target does: it refuses what is above its slots, as not run. So
+        one more slot is tried while interactive requests wait, and all of them are given back
+        when nobody waits or the target refuses.
+        """
+        if outcome is AttemptOutcome.REFUSED:
+            target.borrow_from_s = now_s + self._limits.borrow_pause_s * self._rng.uniform(0.5, 1.5)
+            borrowed = 0
+        elif not self.interactive_queued:
+            borrowed = max(0, target.borrowed - 1)
+        elif now_s >= target.borrow_from_s and target.in_flight >= target.limit - 1:
+            borrowed = min(target.borrowed + 1, max(0, target.instance.slots - target.part))
+        else:
+            return
+        if borrowed != target.borrowed:
+            target.group.set_borrowed(target, borrowed)
+            self._moving.add(target)
 
     def place(
         self, request: Request, load: ClassLoad, *, tried: frozenset[str], now_s: float
@@ -248,6 +272,7 @@
             self._moving.add(target)
         else:
             del target.group.targets[name]
+            target.group.set_borrowed(target, 0)
             self.health.remove(target)
             self._moving.discard(target)
             target.group.set_limit(target, 0)
--- a/src/shallotworks/requests/_targets.py
+++ b/src/shallotworks/requests/_targets.py
@@ -21,6 +21,8 @@
         target: The same as a grant carries it.
         group: The group it is counted in.
         part: This process's part of the target's slots.
+        borrowed: Slots beyond its part that it uses until the target refuses one.
+        borrow_from_s: From when it may borrow again.
         in_flight: Grants held at it.
         usable: Whether the configuration and the platform's list let it take new work.
         ramp_from_s: Since when its slots grow to their full number.
@@ -39,6 +41,8 @@
 
     __slots__ = (
         "bad",
+        "borrow_from_s",
+        "borrowed",
         "ejected",
         "failures",
         "free",
@@ -81,6 +85,8 @@
     def forget(self) -> None:
         """Forget all outcomes, as of a target never met."""
         self.ramp_from_s = NEVER_S
+        self.borrowed = 0
+        self.borrow_from_s = NEVER_S
         self.paused_until_s = NEVER_S
         self.ejected = False
         self.bad = False
@@ -100,7 +106,7 @@
             return 0
         age_s = now_s - self.ramp_from_s
         if age_s >= slow_start_s:
-            return self.part
+            return self.part + self.borrowed
         return max(1, math.ceil(self.part * age_s / slow_start_s))
 
 
@@ -112,15 +118,27 @@
         free_targets: Those with a free slot, in no order.
         capacity: Sum of their limits.
         free: Sum of their free slots.
+        borrowed: Sum of the slots they lend beyond this process's part.
     """
 
-    __slots__ = ("capacity", "free", "free_targets", "targets")
+    __slots__ = ("borrowed", "capacity", "free", "free_targets", "targets")
 
     def __init__(self) -> None:
         self.targets: dict[str, TargetState] = {}
         self.free_targets: list[TargetState] = []
         self.capacity = 0
         self.free = 0
+        self.borrowed = 0
+
+    @property
+    def own_capacity(self) -> int:
+        """Sum of this process's parts of their slots."""
+        return self.capacity - self.borrowed
+
+    def set_borrowed(self, target: TargetState, borrowed: int) -> None:
+        """Change how many slots a target lends; its limit is to be set anew."""
+        self.borrowed += borrowed - target.borrowed
+        target.borrowed = borrowed
 
     def set_limit(self, target: TargetState, limit: int) -> None:
         """Change how many grants a target may hold."""
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -5,7 +5,7 @@
 from collections import Counter
 
 from shallotworks.errors import ErrorKind
-from shallotworks.requests import DispatchLimits
+from shallotworks.requests import AttemptOutcome, DispatchLimits
 from tests.dispatch_fakes import (
     LONG_RUNNING,
     fleet,
@@ -52,6 +52,30 @@
 
         run_on_stopped_clock(story)
 
+    def test_idle_part_of_other_entries_is_used(self) -> None:
+        """Interactive work goes beyond its part while the targets allow, and back when they don't.
+
+        The balancer's connections all end at one of two entry instances. Its half of the slots is
+        full and requests are refused, while the other half idles and nobody says so.
+        """
+
+        async def story() -> None:
+            bench = make_bench(fleet(instances(1)), entries=2, rank=0)
+            tasks = [bench.start(within_s=1000) for _ in range(64)]
+            await settle()
+            seen = []
+            for outcome in [AttemptOutcome.ANSWERED] * 4 + [AttemptOutcome.REFUSED]:
+                seen.append(len(_running(tasks)))
+                for task in _running(tasks):
+                    tasks.remove(task)
+                    bench.dispatcher.release(task.result().unwrap(), outcome, duration_s=0.0)
+                await settle()
+            await asyncio.sleep(0.3)
+            seen.append(len(_running(tasks)))
+            self.assertEqual((seen[0], max(seen), seen[-1]), (4, 8, 4))
+
+        run_on_stopped_clock(story)
+
     def test_unknown_names_are_refused(self) -> None:
         """A service or team that does not exist is NOT_FOUND; an empty pool is NO_TARGET."""
 
