--- a/bench/dispatch.py
+++ b/bench/dispatch.py
@@ -11,8 +11,8 @@
 
 from tests.dispatch_fakes import fleet, instances, make_bench, make_request, run_on_stopped_clock
 
-from bench._baselines import EveryRetry, FirstCome, LeastInFlight, RandomChoice
-from bench._load import Entry, FakeTarget, Load, Tally, offer
+from bench._dispatch_baselines import EveryRetry, FirstCome, LeastInFlight, RandomChoice
+from bench._dispatch_load import Entry, FakeTarget, Load, Tally, offer
 from shallotworks.fleet import FleetState, Service
 from shallotworks.metrics import Metrics
 from shallotworks.requests import (
--- a/src/shallotworks/platform/__init__.py
+++ b/src/shallotworks/platform/__init__.py
@@ -4,6 +4,9 @@
 protocols named here; the HTTP client behind them is built once, by the daemon.
 """
 
+from ._calls import PlatformLimits
+from ._http_store import HttpInstanceList, HttpKeyValueStore
+from ._lease_holder import Holding, LeaseHolder
 from ._protocols import (
     InstanceList,
     KeyValueStore,
@@ -14,10 +17,15 @@
 )
 
 __all__ = [
+    "Holding",
+    "HttpInstanceList",
+    "HttpKeyValueStore",
     "InstanceList",
     "KeyValueStore",
     "Lease",
+    "LeaseHolder",
     "ListedInstance",
+    "PlatformLimits",
     "Versioned",
     "WatchResult",
 ]
--- a/src/shallotworks/standins/__init__.py
+++ b/src/shallotworks/standins/__init__.py
@@ -1,10 +1,41 @@
 """Small stand-ins for what the product runs beside, for development and tests.
 
-The platform's key-value service and its list of instances, each with faults that can be switched
-on. The product never imports this package; only the command line starts it.
+The platform's key-value service and its list of instances, and worker instances, each with faults
+that can be switched on. The product never imports this package; only the command line and the demo
+start it.
 """
 
+from ._breaches import Breaches, find_breaches
+from ._callers import Callers, Ledger
+from ._description import TEAM, describe_fleet, free_ports
 from ._memory_instances import MemoryInstanceList
 from ._memory_store import MemoryStore, StoreFaults
+from ._platform import PlatformStandIn, serve_platform
+from ._worker import WorkerCounts, WorkerStandIn, WorkerStatus, serve_worker
+from ._worker_faults import WorkerFault, WorkerFaults
+from ._worker_tasks import Task, TaskOrder, TaskState, TaskTable
 
-__all__ = ["MemoryInstanceList", "MemoryStore", "StoreFaults"]
+__all__ = [
+    "Breaches",
+    "Callers",
+    "Ledger",
+    "MemoryInstanceList",
+    "MemoryStore",
+    "PlatformStandIn",
+    "StoreFaults",
+    "TEAM",
+    "Task",
+    "TaskOrder",
+    "TaskState",
+    "TaskTable",
+    "WorkerCounts",
+    "WorkerFault",
+    "WorkerFaults",
+    "WorkerStandIn",
+    "WorkerStatus",
+    "describe_fleet",
+    "find_breaches",
+    "free_ports",
+    "serve_platform",
+    "serve_worker",
+]
