End claims that time out, and tell refusals of dispatch from answers

Cause: a claim under way when the caller hung up or its deadline passed could take effect later and leave a key in progress for as long as the process lived, though nothing had run. Refusals were counted and recorded twice, by dispatch and by the relay. The number of entry instances was asked for twice per request, which scans the members. Change: a claim ends at the deadline and its record is deleted once it can be; dispatch counts under dispatch.* and leaves the REFUSED event to the relay; entry instances are counted every 0.25 s.

--- a/src/shallotworks/requests/_dispatcher.py
+++ b/src/shallotworks/requests/_dispatcher.py
@@ -121,7 +121,7 @@
         now_s = self._refresh()
         held = self._grants.take_back(grant, now_s=now_s)
         if held is None:
-            self._metrics.count("grants.released-twice")
+            self._metrics.count("dispatch.released-twice")
             return
         if outcome is AttemptOutcome.ANSWERED:
             held.load.estimate.observe(duration_s)
@@ -228,8 +228,13 @@
 
     def _grant(self, request: Request, held: Held, now_s: float) -> Grant:
         grant = self._grants.issue(request.request_id, held, now_s=now_s)
-        self._metrics.count(f"requests.admitted.{request.request_class.value}")
-        self._record(EventKind.ADMITTED, request, held.target.instance.name)
+        self._metrics.count(f"dispatch.admitted.{request.request_class.value}")
+        subject = Subject(
+            request=request.request_id,
+            service=request.service,
+            instance=held.target.instance.name,
+        )
+        self._timeline.record(EventKind.ADMITTED, subject=subject)
         return grant
 
     async def _wait(
@@ -245,13 +250,13 @@
         longest_s = longest_wait_s(load, left_s=left_s, limits=self._limits)
         expected_s = expected_wait_s(pool, load)
         if expected_s > longest_s:
-            self._metrics.count(f"requests.hopeless.{request.request_class.value}")
+            self._metrics.count(f"dispatch.hopeless.{request.request_class.value}")
             reason = "too many wait to answer this in time"
             after_s = expected_s - longest_s
             return self._refused(request, ErrorKind.OVERLOADED, reason, after_s)
         if pool.waiting >= waiting_limit(pool, self._limits):
             victim = load_to_shed(pool, load)
-            self._metrics.count(f"requests.shed.{victim.service.name}")
+            self._metrics.count(f"dispatch.shed.{victim.service.name}")
             last = victim.queue.last()
             if victim is load or last is None:
                 reason = "too many wait"
@@ -377,10 +382,6 @@
     ) -> Result[Grant, Failure]:
         # Jitter keeps those refused together from coming back together.
         wait_s = max(after_s, RETRY_AFTER_MIN_S) * self._rng.uniform(0.5, 1.5)
-        self._metrics.count(f"requests.refused.{kind.value}")
-        self._record(EventKind.REFUSED, request, kind.value)
+        # Whoever answers the caller records the refusal; this may be of a further attempt only.
+        self._metrics.count(f"dispatch.refused.{kind.value}")
         return Err(Failure(kind=kind, reason=reason, retry_after_s=round(wait_s, 3)))
-
-    def _record(self, kind: EventKind, request: Request, detail: str) -> None:
-        subject = Subject(request=request.request_id, service=request.service)
-        self._timeline.record(kind, subject=subject, detail=detail)
--- a/src/shallotworks/requests/_fleet_index.py
+++ b/src/shallotworks/requests/_fleet_index.py
@@ -16,6 +16,7 @@
 __all__ = ["UNRANKED", "FleetIndex"]
 
 REVISION_BEFORE_FIRST = -1
+ASK_ENTRIES_EVERY_S = 0.25
 UNRANKED = -1
 """Rank of an entry instance that does not know it: it leaves what is left over to nobody."""
 
@@ -58,6 +59,7 @@
     """
 
     __slots__ = (
+        "_ask_entries_at_s",
         "_config",
         "_data_centre",
         "_division",
@@ -91,6 +93,7 @@
         self._limits = limits
         self._new_pool = new_pool
         self._division = _Division(entries=0, rank=0)
+        self._ask_entries_at_s = 0.0
         self._revision = REVISION_BEFORE_FIRST
         self._stale = False
         self._leaving: frozenset[str] = frozenset()
@@ -107,7 +110,7 @@
     def refresh(self, now_s: float) -> bool:
         """Follow the configuration; says whether anything may have changed."""
         state = self._config.state()
-        division = _Division(entries=max(1, self._live_entries()), rank=self._entry_rank())
+        division = self._division_now(now_s)
         redivided = division != self._division
         if state.revision == self._revision and not redivided and not self._stale:
             return False
@@ -124,6 +127,13 @@
         self._drop_empty_pools()
         return True
 
+    def _division_now(self, now_s: float) -> _Division:
+        """Return the division; who is there is asked now and then, not for every request."""
+        if now_s < self._ask_entries_at_s:
+            return self._division
+        self._ask_entries_at_s = now_s + ASK_ENTRIES_EVERY_S
+        return _Division(entries=max(1, self._live_entries()), rank=self._entry_rank())
+
     def _follow_services(self, state: FleetState) -> None:
         for name in [name for name in self.services if name not in state.services]:
             self._forget_service(name)
--- a/src/shallotworks/requests/_once.py
+++ b/src/shallotworks/requests/_once.py
@@ -119,7 +119,7 @@
             claim_id=self._new_id(),
             owner=self._process,
         )
-        outcome = await self._create_or_read(request, record)
+        outcome = await self._claim_in_time(request, record)
         self._metrics.count(f"once.{_name_of(outcome)}")
         return outcome
 
@@ -168,6 +168,24 @@
         held = self._ledger.held(claim.key)
         return held if held is not None and held.version == claim.version else None
 
+    async def _claim_in_time(self, request: Request, record: OnceRecord) -> Result[Claim, Failure]:
+        """Claim by the request's deadline.
+
+        The failure: the store is slow, or the caller hangs up, while the create is under way; it
+        may take effect later and leave a record under which nothing ever ran. It shows as a key
+        that is in progress for ever. Its deletion is noted here and repeated until it is done.
+        """
+        try:
+            async with asyncio.timeout_at(request.deadline_s):
+                return await self._create_or_read(request, record)
+        except TimeoutError:
+            self._ledger.end_unheld(key_of(request), record.claim_id)
+            reason = "the store did not answer by the deadline"
+            return _not_claimed(Failure(kind=ErrorKind.STORE_UNAVAILABLE, reason=reason))
+        except asyncio.CancelledError:
+            self._ledger.end_unheld(key_of(request), record.claim_id)
+            raise
+
     async def _create_or_read(self, request: Request, record: OnceRecord) -> Result[Claim, Failure]:
         key = key_of(request)
         floor = self._highest_version
