--- a/src/shallotworks/requests/_limits.py
+++ b/src/shallotworks/requests/_limits.py
@@ -14,8 +14,9 @@
     Args:
         long_running_min_part: Part of the usable slots that long-running work may always hold,
             at least one slot, however much interactive work waits.
-        reserve_factor: Slots that long-running work leaves free for interactive arrivals, as a
-            multiple of the square root of the interactive requests in flight; at least one.
+        reserve_factor: Slots that long-running work leaves to interactive work beyond those that
+            this holds on average, as a multiple of the square root of the average; at least one.
+        level_over_s: Time over which that average is taken.
         waiting_per_slot: Requests that may wait per usable slot of a pool.
         waiting_min: Requests that may wait at a pool, however few slots it has.
         team_waiting_per_slot: Requests of a team that may wait per slot of its quota.
@@ -23,6 +24,8 @@
         slow_start_s: Time over which a returning target is given its full slots.
         failures_to_eject: Failures in a row after which a target is ejected.
         refusals_to_eject: Refusals in a row after which a target is ejected.
+        borrow_pause_s: How long no slot beyond this process's part is used at a target that has
+            refused one.
         refusal_pause_s: Longest first pause after a refusal; doubles with each further one.
         max_ejected_part: Part of a pool that may be ejected at once.
         suspect_self_part: Part of a pool that must look bad for this process to suspect itself.
@@ -32,7 +35,8 @@
     """
 
     long_running_min_part: float = 0.05
-    reserve_factor: float = 0.5
+    reserve_factor: float = 0.35
+    level_over_s: float = 5.0
     waiting_per_slot: int = 16
     waiting_min: int = 64
     team_waiting_per_slot: int = 4
@@ -40,6 +44,7 @@
     slow_start_s: float = 10.0
     failures_to_eject: int = 3
     refusals_to_eject: int = 10
+    borrow_pause_s: float = 1.0
     refusal_pause_s: float = 0.02
     max_ejected_part: float = 0.5
     suspect_self_part: float = 0.8
