Measure an idle instance whole, and let records settle before a relay is measured

Cause: a relay's bytes were measured while the records of new relays still went round. Change: the probe waits for four relay intervals; the whole process's idle cost is measured too.

--- /dev/null
+++ b/bench/_capacity_instance.py
@@ -0,0 +1,62 @@
+"""What one whole entry instance costs before it has a peer or a request."""
+
+from __future__ import annotations
+
+import os
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from bench._processes import process
+
+__all__ = ["InstanceCost", "instance_cost"]
+
+WARM_UP_S = 5.0
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+USER_TICKS_AT = 11
+"""Index of the user's ticks in ``/proc/PID/stat`` after the command's name; the system's follow."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class InstanceCost:
+    """What one idle entry instance costs, its process whole.
+
+    Args:
+        window_s: Time measured.
+        core_part: Processor time by elapsed time.
+        memory_bytes: Resident memory at the end.
+        threads: Threads at the end.
+    """
+
+    window_s: float
+    core_part: float
+    memory_bytes: int
+    threads: int
+
+
+def instance_cost(window_s: float) -> InstanceCost:
+    """Start one entry instance beside the platform's stand-in and watch it do nothing."""
+    with (
+        process("bench._entry", "platform") as (_, platform_port),
+        process("bench._entry", "serve", f"--platform-port={platform_port}") as (pid, _),
+    ):
+        time.sleep(WARM_UP_S)
+        started_s, used = time.monotonic(), _ticks(pid)
+        time.sleep(window_s)
+        elapsed_s = time.monotonic() - started_s
+        return InstanceCost(
+            window_s=window_s,
+            core_part=(_ticks(pid) - used) / TICKS_PER_S / elapsed_s,
+            memory_bytes=_status(pid, "VmRSS") * 1024,
+            threads=_status(pid, "Threads"),
+        )
+
+
+def _ticks(pid: int) -> int:
+    after_name = Path(f"/proc/{pid}/stat").read_text(encoding="utf-8").rpartition(")")[2].split()
+    return int(after_name[USER_TICKS_AT]) + int(after_name[USER_TICKS_AT + 1])
+
+
+def _status(pid: int, name: str) -> int:
+    lines = Path(f"/proc/{pid}/status").read_text(encoding="utf-8").splitlines()
+    return int(next(line for line in lines if line.startswith(name + ":")).split()[1])
--- a/bench/_peer_nodes.py
+++ b/bench/_peer_nodes.py
@@ -32,6 +32,8 @@
 SEGMENTS_AT = 136
 """Offset of the segments sent and received in Linux's ``struct tcp_info``."""
 LINK_TIMEOUT_S = 60.0
+RECORDS_SETTLE_S = 13.0
+"""Four heartbeat intervals between data centres, in which the records of a new relay go round."""
 
 
 class CountingTransport(TcpTransport):
@@ -198,7 +200,7 @@
     )
     await node.peers.start()
     await linked([node], lambda _: order.links)
-    await asyncio.sleep(2.5)
+    await asyncio.sleep(RECORDS_SETTLE_S)
     cost = await measure(node, window_s=order.window_s)
     await node.peers.stop()
     return cost
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -12,9 +12,11 @@
 from pathlib import Path
 from typing import Any
 
+from bench._capacity_instance import instance_cost
 from bench._capacity_peers import cost_by_data_centres, cost_by_mesh_peers, spread
 from bench._capacity_state import state_cost, window_cost
 from bench._fit import fit
+from bench._peer_nodes import Cost
 
 __all__ = ["main"]
 
@@ -23,9 +25,16 @@
 DATA_CENTRES = (3, 6, 12, 21, 42)
 FLEETS = ((4, 2), (8, 3), (11, 5), (22, 5), (22, 10))
 INSTANCES = (100, 275, 550, 1_100, 2_200)
+INSTANCE_WINDOW_S = 20.0
 WINDOWS = (125, 250, 500, 1_000)
 
-PEER_FIELDS = ("core_part", "payload_bytes_per_s", "wire_bytes_per_s", "memory_bytes")
+PEER_FIELDS = (
+    "core_part",
+    "payload_bytes_per_s",
+    "wire_bytes_per_s",
+    "wire_bytes_per_s_and_peer",
+    "memory_bytes",
+)
 STATE_FIELDS = (
     "memory_bytes",
     "snapshot_bytes",
@@ -46,6 +55,9 @@
     results: dict[str, Any] = {}
     _keep(results, "state", "instances", [asdict(state_cost(size)) for size in INSTANCES])
     _keep(results, "window", "entries", [asdict(window_cost(size)) for size in WINDOWS])
+    instance = asdict(instance_cost(INSTANCE_WINDOW_S))
+    results["instance"] = instance
+    print("-- one idle entry instance, whole\n  ", _line(instance))
     mesh = [_measured(size, asyncio.run(cost_by_mesh_peers(size))) for size in MESH_PEERS]
     _keep(results, "mesh", "peers", mesh)
     far = [_measured(size, asyncio.run(cost_by_data_centres(size))) for size in DATA_CENTRES]
@@ -58,8 +70,14 @@
     RESULTS.write_text(json.dumps(results, indent=1) + "\n", encoding="utf-8")
 
 
-def _measured(size: int, cost: Any) -> _Row:
-    return {"peers": size, **asdict(cost)}
+def _measured(size: int, cost: Cost) -> _Row:
+    """Return one row; bytes by peer too, since a heartbeat grows with the members it marks."""
+    each = cost.wire_bytes_per_s / size
+    return {"peers": size, **asdict(cost), "wire_bytes_per_s_and_peer": each}
+
+
+def _line(row: _Row) -> str:
+    return "  ".join(f"{key}={value:.6g}" for key, value in row.items())
 
 
 def _keep(results: dict[str, Any], name: str, by: str, rows: Sequence[_Row]) -> None:
@@ -70,7 +88,7 @@
     results[name] = {"by": by, "rows": list(rows), "lines": lines}
     print(f"-- {name} by {by}")
     for row in rows:
-        print("  ", "  ".join(f"{key}={value:.6g}" for key, value in row.items()))
+        print("  ", _line(row))
     for field, line in lines.items():
         print(
             f"   {field}: {line['intercept']:.6g} + {line['slope']:.6g} * {by},"
