--- a/bench/_capacity_state.py
+++ b/bench/_capacity_state.py
@@ -24,7 +24,14 @@
     apply,
 )
 from shallotworks.metrics import Metrics
-from shallotworks.plans import DisruptionModel, InDataCentre, Maintain, Planner, PlannerWeights
+from shallotworks.plans import (
+    DisruptionModel,
+    InDataCentre,
+    Maintain,
+    NotMaintainedSince,
+    Planner,
+    PlannerWeights,
+)
 from shallotworks.requests import (
     AttemptOutcome,
     DispatchLimits,
@@ -32,9 +39,9 @@
     Request,
     RequestClass,
 )
-from shallotworks.timeline import Timeline
+from shallotworks.timeline import EventKind, Subject, Timeline
 
-__all__ = ["StateCost", "WindowCost", "fleet_of", "state_cost", "window_cost"]
+__all__ = ["StateCost", "WindowCost", "fleet_of", "state_cost", "timeline_bytes", "window_cost"]
 
 INSTANCES_PER_POOL = 1_100 / 305
 INSTANCES_PER_TEAM = 1_100 / 78
@@ -58,6 +65,7 @@
         apply_s: To apply one cordon.
         entry_s: To encode and read one entry.
         plan_s: To plan the maintenance of one data centre.
+        plan_all_s: To plan the maintenance of all instances.
         dispatch_s: To admit one request, choose its target and take its outcome.
     """
 
@@ -70,6 +78,7 @@
     apply_s: float
     entry_s: float
     plan_s: float
+    plan_all_s: float
     dispatch_s: float
 
 
@@ -88,6 +97,19 @@
     entry_bytes: float
 
 
+def timeline_bytes(events: int) -> int:
+    """Return the memory of a time line that is full."""
+
+    def build() -> Timeline:
+        timeline = Timeline(process="bench", wall_clock_s=time.time, capacity=events)
+        for number in range(events):
+            subject = Subject(request=f"{number:024x}", instance="worker", service="service")
+            timeline.record(EventKind.ANSWERED, subject=subject, detail="ok", duration_s=0.01)
+        return timeline
+
+    return _memory_of(build)
+
+
 def fleet_of(instances: int) -> FleetState:
     """Return a fleet in the proportions of the target."""
     pools = [f"pool-{number}" for number in range(round(instances / INSTANCES_PER_POOL))]
@@ -130,7 +152,8 @@
     cordon = SetCondition(names=(first,), condition=Condition.CORDONED)
     entry = _entry(2, cordon)
     planner = Planner(weights=PlannerWeights(), model=DisruptionModel())
-    intent = Maintain(selection=InDataCentre(data_centre="dc0"))
+    one = Maintain(selection=InDataCentre(data_centre="dc0"))
+    every = Maintain(selection=NotMaintainedSince(before_s=1.0))
     return StateCost(
         instances=instances,
         pools=len(state.pools),
@@ -140,8 +163,9 @@
         decode_s=_time_of(lambda: Snapshot.decode(encoded)),
         apply_s=_time_of(lambda: apply(state, cordon).unwrap()),
         entry_s=_time_of(lambda: Entry.decode(entry.encode())),
-        plan_s=_time_of(lambda: planner.plan(state, intent, author="bench").unwrap(), rounds=3),
-        dispatch_s=asyncio.run(_dispatch_s(state)),
+        plan_s=_time_of(lambda: planner.plan(state, one, author="bench").unwrap(), rounds=5),
+        plan_all_s=_time_of(lambda: planner.plan(state, every, author="bench").unwrap(), rounds=2),
+        dispatch_s=min(asyncio.run(_dispatch_s(state)) for _ in range(5)),
     )
 
 
--- a/bench/_peer_nodes.py
+++ b/bench/_peer_nodes.py
@@ -6,7 +6,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
+import os
 import socket
 import struct
 import sys
@@ -36,6 +38,9 @@
 """Four heartbeat intervals between data centres, in which the records of a new relay go round."""
 
 
+_PORTS = iter(range(10_000 + os.getpid() % 40 * 500, 32_000))
+
+
 class CountingTransport(TcpTransport):
     """TCP that remembers its sockets, so that their segments can be counted."""
 
@@ -154,10 +159,16 @@
 
 
 def free_address() -> str:
-    """Return an address on this machine that nobody listens at."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return an address on this machine that nobody listens at.
+
+    Below the ports that the system gives to outgoing connections, since nodes that have started
+    already would else take the ports of those that have not.
+    """
+    for port in _PORTS:
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return f"127.0.0.1:{port}"
+    raise OSError("no free port")
 
 
 async def linked(nodes: list[Node], links: Callable[[Node], int]) -> float:
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -14,7 +14,7 @@
 
 from bench._capacity_instance import instance_cost
 from bench._capacity_peers import cost_by_data_centres, cost_by_mesh_peers, spread
-from bench._capacity_state import state_cost, window_cost
+from bench._capacity_state import state_cost, timeline_bytes, window_cost
 from bench._fit import fit
 from bench._peer_nodes import Cost
 
@@ -23,8 +23,9 @@
 RESULTS = Path(__file__).parent / "results" / "capacity.json"
 MESH_PEERS = (2, 4, 9, 18, 36)
 DATA_CENTRES = (3, 6, 12, 21, 42)
-FLEETS = ((4, 2), (8, 3), (11, 5), (22, 5), (22, 10))
+FLEETS = ((5, 2), (8, 4), (11, 5), (22, 5), (22, 10))
 INSTANCES = (100, 275, 550, 1_100, 2_200)
+EVENTS = (2_500, 5_000, 10_000, 20_000)
 INSTANCE_WINDOW_S = 20.0
 WINDOWS = (125, 250, 500, 1_000)
 
@@ -43,6 +44,7 @@
     "apply_s",
     "entry_s",
     "plan_s",
+    "plan_all_s",
     "dispatch_s",
 )
 SPREAD_FIELDS = ("store_calls_per_s", "idle_bytes_per_s", "bytes_per_change", "last_p50_s")
@@ -53,8 +55,21 @@
 def main() -> None:
     """Measure everything, print rows and lines, and keep them."""
     results: dict[str, Any] = {}
+    measure_state(results)
+    measure_peers(results)
+    write(results)
+
+
+def measure_state(results: dict[str, Any]) -> None:
+    """Measure what the fleet's size costs a process."""
     _keep(results, "state", "instances", [asdict(state_cost(size)) for size in INSTANCES])
     _keep(results, "window", "entries", [asdict(window_cost(size)) for size in WINDOWS])
+    lines = [{"events": size, "memory_bytes": timeline_bytes(size)} for size in EVENTS]
+    _keep(results, "time line", "events", lines)
+
+
+def measure_peers(results: dict[str, Any]) -> None:
+    """Measure what a process and its peers cost."""
     instance = asdict(instance_cost(INSTANCE_WINDOW_S))
     results["instance"] = instance
     print("-- one idle entry instance, whole\n  ", _line(instance))
@@ -67,6 +82,10 @@
         for centres, each in FLEETS
     ]
     _keep(results, "fleet", "nodes", fleets)
+
+
+def write(results: dict[str, Any]) -> None:
+    """Keep all figures."""
     RESULTS.write_text(json.dumps(results, indent=1) + "\n", encoding="utf-8")
 
 
--- a/src/shallotworks/peers/_distribution.py
+++ b/src/shallotworks/peers/_distribution.py
@@ -174,7 +174,8 @@
     def _ask(self, link: Link) -> None:
         """Ask for what is missing, from one peer at a time, a near one if it has as much."""
         now_s = asyncio.get_running_loop().time()
-        if now_s < max(self._asked_until_s, link.ask_after_s):
+        # While a snapshot arrives each new entry leaves a gap; asking would start it over.
+        if self._parts or now_s < max(self._asked_until_s, link.ask_after_s):
             return
         self._asked_until_s = now_s + self._timing.reply_within_s
         link = self._nearest(link)
@@ -295,11 +296,8 @@
         revision = self._replica.revision()
         if self._snapshot[0] != revision:
             self._snapshot = (revision, _parts(revision, self._replica.snapshot().encode()))
-        for data in self._snapshot[1]:
-            if not link.send(data):
-                self._metrics.count("peers.queue.dropped")
-                return
-        self._metrics.count("peers.snapshots.sent")
+        if link.send_bulk(self._snapshot[1]):
+            self._metrics.count("peers.snapshots.sent")
 
 
 def _batches(entries: tuple[Entry, ...]) -> tuple[bytes, ...]:
--- a/src/shallotworks/peers/_link.py
+++ b/src/shallotworks/peers/_link.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 from collections import deque
+from collections.abc import Iterable, Iterator
 from enum import Enum, unique
 from random import Random
 from typing import Protocol
@@ -79,6 +80,7 @@
 
     __slots__ = (
         "_announce_at_s",
+        "_bulk",
         "_deadline_s",
         "_dropped",
         "_interval_s",
@@ -126,6 +128,7 @@
         self._silent_after_s = self._interval_s * timing.silent_intervals
         self._queue: deque[bytes] = deque()
         self._queued_bytes = 0
+        self._bulk: Iterator[bytes] | None = None
         self._dropped = 0
         self._wake = asyncio.Event()
         self._patience: asyncio.Timeout | None = None
@@ -189,6 +192,18 @@
         self._wake.set()
         return True
 
+    def send_bulk(self, messages: Iterable[bytes]) -> bool:
+        """Send many encoded messages one by one as the peer takes them; one such run at a time.
+
+        They count for nothing in the queue, so that a snapshot larger than its bound still arrives;
+        what is queued goes ahead.
+        """
+        if self._bulk is not None:
+            return False
+        self._bulk = iter(messages)
+        self._wake.set()
+        return True
+
     def expect_reply(self) -> None:
         """Take the connection for silent unless some message comes soon.
 
@@ -277,9 +292,18 @@
             data = self._queue.popleft()
             self._queued_bytes -= len(data)
             await self._write_one(data)
+        elif self._bulk is not None:
+            await self._write_bulk(self._bulk)
         else:
             await self._wait_until(min(self._next_beat_s, self._announce_at_s))
 
+    async def _write_bulk(self, messages: Iterator[bytes]) -> None:
+        data = next(messages, None)
+        if data is None:
+            self._bulk = None
+        else:
+            await self._write_one(data)
+
     async def _write_one(self, data: bytes) -> None:
         async with asyncio.timeout(self._silent_after_s):
             await self._session.writer.write_encoded(data)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -10,7 +10,8 @@
 from hypothesis import strategies as st
 from parameterized import parameterized
 
-from shallotworks.config import Entry
+from shallotworks.config import Entry, Snapshot
+from shallotworks.fleet import FleetState, PlanRecord
 from shallotworks.peers import PeerTiming, TcpTransport
 from shallotworks.protocol import FleetKeys, ServiceLoad
 from shallotworks.timeline import EventKind
@@ -256,6 +257,25 @@
         reached = lambda: fleet.revisions() == {1}  # noqa: E731
         self.assertLess(await fleet.time_until(reached, within_s=IN_FORCE_S), 5.0)
 
+    @on_fleet(a=1)
+    async def test_a_snapshot_larger_than_the_queue_arrives(self, fleet: Fleet) -> None:
+        """The bound on what waits for a peer does not keep a newcomer from a large state."""
+        names = tuple(f"{number:0500}" for number in range(2 * PeerTiming().queue_bytes // 500))
+        plan = PlanRecord(
+            digest="d",
+            intent="",
+            confirmed_by="",
+            confirmed_at_s=0,
+            base_revision=0,
+            instances=names,
+        )
+        state = FleetState(revision=7, plans={"d": plan})
+        fleet.nodes["a0"].replica.adopt(Snapshot(state=state, last_change_id="c7"))
+        fleet.nodes["a5"] = fleet.make("a5")
+        await fleet.nodes["a5"].peers.start()
+        await fleet.time_until(lambda: fleet.revisions() == {7}, within_s=IN_FORCE_S)
+        self.assertEqual(fleet.nodes["a5"].replica.state(), state)
+
     @parameterized.expand([("entries", 50), ("a snapshot", 900)])
     def test_a_gap_is_filled(self, _name: str, changes: int) -> None:
         """A newcomer takes what it lacks from its peers.
