Keep threads free for interactive requests; settings for waiting, reserve, settling and the window

Cause: each request holds a thread while it waits, so long-running ones could hold them all; four settings did nothing; the maintenance window and the time to settle could not be set. Change: at most a part of the threads holds long-running requests, refused above it as not run; settings name what dispatch and conductor use; the peers' port can't be 0, since it is told to peers.

--- a/src/shallotworks/node/_limits.py
+++ b/src/shallotworks/node/_limits.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
+
 from shallotworks.callers import ReadingLimits
 from shallotworks.peers import PeerTiming
-from shallotworks.plans import ConductorRules, PlannerWeights
+from shallotworks.plans import ConductorRules, DisruptionModel, MaintenanceWindow, PlannerWeights
 from shallotworks.platform import PlatformLimits
 from shallotworks.requests import DispatchLimits, ExchangeLimits, OnceLimits, RetryLimits
 from shallotworks.settings import Settings
@@ -12,7 +14,9 @@
 __all__ = [
     "conductor_rules",
     "dispatch_limits",
+    "disruption_model",
     "exchange_limits",
+    "long_running_limit",
     "once_limits",
     "peer_timing",
     "planner_weights",
@@ -31,6 +35,11 @@
     )
 
 
+def long_running_limit(settings: Settings) -> int:
+    """Return how many long-running requests may be here at once."""
+    return max(1, int(settings.callers.threads * settings.callers.long_running_part))
+
+
 def exchange_limits(settings: Settings) -> ExchangeLimits:
     """Return the bounds on one attempt."""
     return ExchangeLimits(
@@ -44,6 +53,8 @@
     """Return the limits of dispatch."""
     return DispatchLimits(
         long_running_min_part=settings.requests.long_running_min_part,
+        reserve_factor=settings.requests.interactive_reserve_factor,
+        waiting_per_slot=settings.requests.waiting_per_slot,
         max_ejected_part=settings.requests.eject_part_max,
     )
 
@@ -83,16 +94,40 @@
 
 def planner_weights(settings: Settings) -> PlannerWeights:
     """Return what this user weighs most."""
+    window = _window(settings)
     return PlannerWeights(
         buffer=settings.plans.weight_buffer,
         roll_out=settings.plans.weight_rollout,
         moves=settings.plans.weight_moves,
+        window_s=window.length_s if window is not None else 0.0,
     )
 
 
+def disruption_model(settings: Settings) -> DisruptionModel:
+    """Return what a step is expected to take."""
+    return DisruptionModel(return_s=settings.plans.settle_s)
+
+
 def conductor_rules(settings: Settings) -> ConductorRules:
     """Return when a conductor goes on, waits or gives up."""
     return ConductorRules(
         drain_limit_s=settings.plans.drain_timeout_s,
         return_limit_s=settings.plans.reboot_timeout_s,
+        settle_s=settings.plans.settle_s,
+        window=_window(settings),
     )
+
+
+def _window(settings: Settings) -> MaintenanceWindow | None:
+    plans = settings.plans
+    if plans.window_opens == plans.window_closes:
+        return None
+    return MaintenanceWindow(
+        opens_s=_seconds_after_midnight(plans.window_opens),
+        closes_s=_seconds_after_midnight(plans.window_closes),
+    )
+
+
+def _seconds_after_midnight(time_of_day: str) -> float:
+    hours, minutes = (int(part) for part in time_of_day.split(":"))
+    return timedelta(hours=hours, minutes=minutes).total_seconds()
--- a/src/shallotworks/node/_node.py
+++ b/src/shallotworks/node/_node.py
@@ -20,7 +20,7 @@
 from shallotworks.metrics import Metrics
 from shallotworks.operators import OperatorsServer
 from shallotworks.peers import PeerNetwork, PeerSettings
-from shallotworks.plans import Conductor, DisruptionModel, Planner, Proposals, Surroundings
+from shallotworks.plans import Conductor, Planner, Proposals, Surroundings
 from shallotworks.platform import HttpInstanceList, HttpKeyValueStore, LeaseHolder
 from shallotworks.protocol import load_keys
 from shallotworks.requests import (
@@ -212,6 +212,7 @@
             exchange=self._exchange,
             metrics=self.metrics,
             timeline=self.timeline,
+            long_running_limit=_limits.long_running_limit(self._settings),
         )
         reading = _limits.reading_limits(self._settings)
         callers = self._settings.callers
@@ -242,7 +243,8 @@
             log=self.config,
             store=self._store,
             planner=Planner(
-                weights=_limits.planner_weights(self._settings), model=DisruptionModel()
+                weights=_limits.planner_weights(self._settings),
+                model=_limits.disruption_model(self._settings),
             ),
             wall_clock_s=time.time,
             timeline=self.timeline,
--- a/src/shallotworks/requests/_relay.py
+++ b/src/shallotworks/requests/_relay.py
@@ -18,11 +18,12 @@
 
 from ._exchange import AttemptResult, Exchange
 from ._hop import HopTimeoutError, LoopHop
-from ._messages import AttemptOutcome, Claim, Grant, Request, Response
+from ._messages import AttemptOutcome, Claim, Grant, Request, RequestClass, Response
 from ._protocols import Dispatcher, OnceGuard, RetryPolicy
 
 __all__ = ["Relay"]
 
+RETRY_AFTER_S = 1.0
 HOP_GRACE_S = 2.0
 """How long past its deadline a caller's thread waits for the loop's own final answer."""
 
@@ -63,6 +64,7 @@
         exchange: Sends one attempt.
         metrics: Counts and latencies.
         timeline: Events.
+        long_running_limit: Long-running requests that may be here at once, waiting ones included.
     """
 
     __slots__ = (
@@ -70,6 +72,8 @@
         "_exchange",
         "_hops",
         "_in_flight",
+        "_long_running",
+        "_long_running_limit",
         "_loop",
         "_metrics",
         "_once_guard",
@@ -88,7 +92,10 @@
         exchange: Exchange,
         metrics: Metrics,
         timeline: Timeline,
+        long_running_limit: int,
     ) -> None:
+        self._long_running_limit = long_running_limit
+        self._long_running: set[str] = set()
         self._loop = loop
         self._hops = LoopHop(loop=loop, expects_more=lambda: bool(self._in_flight))
         self._dispatcher = dispatcher
@@ -111,8 +118,8 @@
         answer, last = self._answer(request)
         duration_s = time.monotonic() - started_s
         finish = partial(self._finish, request, answer, duration_s, last)
-        # Nobody waits for the slot, so the next request's hop brings this along.
-        if self._dispatcher.waiting == 0:
+        # Where nobody waits for the slot, the next request's hop brings this along.
+        if last is not None and self._dispatcher.waiting == 0:
             self._hops.leave(finish)
         else:
             self._hops.post(finish)
@@ -182,6 +189,17 @@
     async def _begin(self, request: Request) -> _Next:
         if self._stopping:
             return _fail(ErrorKind.STOPPING, "this instance is stopping", retry_after_s=0.1)
+        if request.request_class is RequestClass.LONG_RUNNING:
+            # Each request holds a thread from its arrival to its answer. Long-running ones that
+            # wait would in time hold all of them, and an interactive one would find no thread to
+            # be admitted by, though slots are free for it.
+            if len(self._long_running) >= self._long_running_limit:
+                reason = "too many long-running requests are here already"
+                return _fail(ErrorKind.OVERLOADED, reason, retry_after_s=RETRY_AFTER_S)
+            self._long_running.add(request.request_id)
+        return await self._claim_and_acquire(request)
+
+    async def _claim_and_acquire(self, request: Request) -> _Next:
         claim: Claim | None = None
         if request.idempotency_key and not request.idempotent:
             claimed = await self._once_guard.claim(request)
@@ -256,6 +274,7 @@
     ) -> None:
         if last is not None:
             self._release(last)
+        self._long_running.discard(request.request_id)
         self._account(request, answer, duration_s)
 
     def _release(self, ended: _Ended) -> None:
--- a/src/shallotworks/settings/_keys.py
+++ b/src/shallotworks/settings/_keys.py
@@ -14,6 +14,7 @@
     NameRule,
     Rule,
     SecretFileRule,
+    TimeOfDayRule,
     WholeRule,
 )
 from ._sections import (
@@ -62,6 +63,7 @@
         "host": HostRule(),
         "port": _PORT,
         "threads": _THREADS,
+        "long_running_part": _PART,
         "body_limit_bytes": WholeRule(least=1, most=64 * 1024 * 1024),
         "header_timeout_s": _SHORT_S,
     },
@@ -73,7 +75,7 @@
     },
     "peers": {
         "host": HostRule(reachable=True),
-        "port": _PORT,
+        "port": WholeRule(least=1, most=LARGEST_PORT),
         "key_file": SecretFileRule(least_bytes=KEY_BYTES_LEAST),
         "seeds": AddressListRule(),
         "heartbeat_interval_s": _SHORT_S,
@@ -91,10 +93,10 @@
         "attempt_timeout_s": _LONG_S,
         "default_deadline_s": _LONG_S,
         "max_deadline_s": _LONG_S,
-        "queue_limit": WholeRule(least=0, most=1_000_000),
+        "waiting_per_slot": WholeRule(least=0, most=1_000),
         "retry_part": _PART,
         "eject_part_max": _PART,
-        "interactive_reserve_part": _PART,
+        "interactive_reserve_factor": DecimalRule(least=0, most=10),
         "long_running_min_part": _PART,
         "idle_connection_age_s": _LONG_S,
         "once_window_s": DecimalRule(least=1, most=7 * DAY_S),
@@ -106,6 +108,9 @@
         "lease_ttl_s": DecimalRule(least=0.5, most=600),
         "drain_timeout_s": _LONG_S,
         "reboot_timeout_s": _LONG_S,
+        "settle_s": DecimalRule(least=0, most=3_600),
+        "window_opens": TimeOfDayRule(),
+        "window_closes": TimeOfDayRule(),
     },
     "timeline": {
         "capacity": WholeRule(least=1, most=1_000_000),
--- a/src/shallotworks/settings/_relations.py
+++ b/src/shallotworks/settings/_relations.py
@@ -50,15 +50,7 @@
 
 
 def _broken_parts(settings: Settings) -> Iterator[SettingFault]:
-    requests, plans = settings.requests, settings.plans
-    if requests.interactive_reserve_part + requests.long_running_min_part > 1:
-        yield _fault(
-            "requests",
-            "long_running_min_part",
-            requests.long_running_min_part,
-            "with interactive_reserve_part"
-            f" ({requests.interactive_reserve_part:g}) at most 1 together",
-        )
+    plans = settings.plans
     if plans.weight_buffer + plans.weight_rollout + plans.weight_moves <= 0:
         yield _fault(
             "plans", "weight_buffer", plans.weight_buffer, "one of the three weights is over 0"
--- a/src/shallotworks/settings/_rules.py
+++ b/src/shallotworks/settings/_rules.py
@@ -21,6 +21,7 @@
     "NameRule",
     "Rule",
     "SecretFileRule",
+    "TimeOfDayRule",
     "WholeRule",
     "parse_address",
 ]
@@ -30,6 +31,7 @@
 # ASCII digits only, few enough for an exact int and for a finite float.
 _WHOLE = re.compile(r"[+-]?[0-9]{1,15}", re.ASCII)
 _DECIMAL = re.compile(r"[+-]?[0-9]{1,15}(\.[0-9]{1,15})?", re.ASCII)
+_TIME_OF_DAY = re.compile(r"([01][0-9]|2[0-3]):[0-5][0-9]", re.ASCII)
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}", re.ASCII)
 
 
@@ -95,6 +97,20 @@
         return Success(number)
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TimeOfDayRule:
+    """A time of day in UTC, as ``HH:MM``."""
+
+    @property
+    def allowed(self) -> str:
+        """The form in words."""
+        return "a time of day from 00:00 to 23:59, in UTC"
+
+    def parse(self, text: str, *, folder: Path) -> Result[str, str]:
+        """Return the time as written."""
+        return Success(text) if _TIME_OF_DAY.fullmatch(text) else Err("not a time of day")
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class NameRule:
     """The name of a thing in the fleet."""
--- a/src/shallotworks/settings/_sections.py
+++ b/src/shallotworks/settings/_sections.py
@@ -41,6 +41,8 @@
         host: IP number to listen on.
         port: TCP port; 0 for any free one.
         threads: Threads that serve callers, one request each.
+        long_running_part: Part of the threads that long-running requests may hold, waiting ones
+            included; above it they are refused, so that interactive ones find a thread.
         body_limit_bytes: Largest body taken.
         header_timeout_s: Time in which a caller must have sent its request.
     """
@@ -48,6 +50,7 @@
     host: str = "127.0.0.1"
     port: int = 8080
     threads: int = 64
+    long_running_part: float = 0.5
     body_limit_bytes: int = 1_048_576
     header_timeout_s: float = 10.0
 
@@ -118,10 +121,11 @@
         attempt_timeout_s: Time in which one attempt must be answered.
         default_deadline_s: Time that a request has where the caller names none.
         max_deadline_s: Longest time that a caller may name.
-        queue_limit: Requests that wait for a slot at the most.
+        waiting_per_slot: Requests that may wait per usable slot of a pool.
         retry_part: Retries as a part of first attempts, 0 to 1.
         eject_part_max: Part of a service's targets that may be ejected at once, 0 to 1.
-        interactive_reserve_part: Part of the slots kept free of long-running work, 0 to 1.
+        interactive_reserve_factor: Slots that long-running work leaves to interactive work beyond
+            those that it holds on average, as a multiple of the square root of that average.
         long_running_min_part: Part of the slots that long-running work always gets, 0 to 1.
         idle_connection_age_s: Idle time after which a connection to a target is not used again.
         once_window_s: Time for which an idempotency key is remembered.
@@ -131,10 +135,10 @@
     attempt_timeout_s: float = 10.0
     default_deadline_s: float = 30.0
     max_deadline_s: float = 3600.0
-    queue_limit: int = 1_000
+    waiting_per_slot: int = 16
     retry_part: float = 0.1
     eject_part_max: float = 0.3
-    interactive_reserve_part: float = 0.1
+    interactive_reserve_factor: float = 0.35
     long_running_min_part: float = 0.1
     idle_connection_age_s: float = 30.0
     once_window_s: float = 3600.0
@@ -151,6 +155,10 @@
         lease_ttl_s: Time after which a silent conductor is replaced.
         drain_timeout_s: Time in which an instance must have no request in flight.
         reboot_timeout_s: Time in which a rebooted instance must answer again.
+        settle_s: Time that a returned instance gets to take up its load before the next wave.
+        window_opens: Start of the daily maintenance window, ``HH:MM`` in UTC; the same as its end
+            for any time.
+        window_closes: End of that window, which may lie after midnight.
     """
 
     weight_buffer: float = 1.0
@@ -159,6 +167,9 @@
     lease_ttl_s: float = 10.0
     drain_timeout_s: float = 300.0
     reboot_timeout_s: float = 600.0
+    settle_s: float = 30.0
+    window_opens: str = "00:00"
+    window_closes: str = "00:00"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/system.py
+++ b/tests/system.py
@@ -59,6 +59,7 @@
 lease_ttl_s = 2
 drain_timeout_s = 20
 reboot_timeout_s = 20
+settle_s = 0.5
 [log]
 stop_timeout_s = 10
 """
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -19,6 +19,7 @@
 from tests.fakes import FixedRetryPolicy, LoopThread, MemoryOnceGuard, RoundRobinDispatcher
 
 BODY_LIMIT_BYTES = 64 * 1024
+THREADS = 16
 
 
 class RelayCase(unittest.TestCase):
@@ -47,6 +48,7 @@
             exchange=self.exchange,
             metrics=Metrics(),
             timeline=Timeline(process="entry-1", wall_clock_s=lambda: 0.0),
+            long_running_limit=THREADS // 2,
         )
         limits = ReadingLimits(
             body_limit_bytes=BODY_LIMIT_BYTES, default_deadline_s=5.0, max_deadline_s=60.0
@@ -58,7 +60,7 @@
             host="127.0.0.1",
             port=0,
             application=application,
-            threads=16,
+            threads=THREADS,
             body_limit_bytes=4 * BODY_LIMIT_BYTES,
         )
         self.listener.start()
@@ -126,6 +128,31 @@
         self.assertEqual(self.runs(), 0)
 
 
+class ClassTests(RelayCase):
+    def test_long_running_requests_leave_threads(self) -> None:
+        """Interactive requests are answered while long-running ones want every thread.
+
+        Story: the coverage models of a night are sent all at once, more than the instance has
+        threads. Each holds a thread while it runs or waits; a crew's fault trace, for which a slot
+        is free, would wait for a thread behind all of them.
+        """
+
+        def model(_number: int) -> int:
+            return self.send(Shallot_Class="long-running", Work_Ms="300").status
+
+        with ThreadPoolExecutor(max_workers=3 * THREADS) as callers:
+            models = [callers.submit(model, number) for number in range(3 * THREADS)]
+            time.sleep(0.2)
+            started_s = time.monotonic()
+            answer = self.send()
+            took_s = time.monotonic() - started_s
+            statuses = [each.result() for each in models]
+        self.assertEqual(answer.status, 200)
+        self.assertLess(took_s, 0.5)
+        self.assertIn(200, statuses)
+        self.assertEqual(set(statuses), {200, 503})
+
+
 class BrokenTargetTests(RelayCase):
     """Workers that answer wrongly.
 
