--- a/src/shallotworks/config/__init__.py
+++ b/src/shallotworks/config/__init__.py
@@ -9,6 +9,7 @@
 from ._entries import Entry, Snapshot
 from ._protocols import Accepted, ConfigLog, ConfigReplica, ConfigView
 from ._store import ConfigStore
+from ._undo import Difference, RecordKind, diff, undo
 
 __all__ = [
     "Accepted",
@@ -17,6 +18,10 @@
     "ConfigReplica",
     "ConfigStore",
     "ConfigView",
+    "Difference",
     "Entry",
+    "RecordKind",
     "Snapshot",
+    "diff",
+    "undo",
 ]
--- a/src/shallotworks/config/_replica.py
+++ b/src/shallotworks/config/_replica.py
@@ -47,6 +47,19 @@
         timeline: Where revisions and faults of the store are recorded.
     """
 
+    __slots__ = (
+        "_advanced",
+        "_fault",
+        "_last_change_id",
+        "_listeners",
+        "_metrics",
+        "_newest_at_s",
+        "_newest_heard",
+        "_state",
+        "_timeline",
+        "_window",
+    )
+
     def __init__(self, *, metrics: Metrics, timeline: Timeline) -> None:
         self._metrics = metrics
         self._timeline = timeline
--- a/src/shallotworks/config/_snapshots.py
+++ b/src/shallotworks/config/_snapshots.py
@@ -21,6 +21,8 @@
 
 __all__ = [
     "LOG_PREFIX",
+    "MOST_PARTS",
+    "PARTS_PREFIX",
     "Pointer",
     "delete_older_snapshots",
     "log_key",
--- a/src/shallotworks/config/_store.py
+++ b/src/shallotworks/config/_store.py
@@ -12,18 +12,20 @@
 from returns.result import Result, Success
 
 from shallotworks.errors import ErrorKind, Failure
-from shallotworks.fleet import Change, apply
+from shallotworks.fleet import Change, FleetState, apply
 from shallotworks.metrics import Metrics
 from shallotworks.platform import KeyValueStore
 from shallotworks.timeline import EventKind, Subject, Timeline
 
 from ._compactor import Compactor
 from ._entries import Entry
+from ._history import read_entries, state_at
 from ._log_reader import LogReader
 from ._protocols import Accepted
 from ._replica import Replica
 from ._restore import restore
 from ._snapshots import log_key
+from ._undo import undo
 
 __all__ = ["ConfigStore"]
 
@@ -61,6 +63,16 @@
         compactor: Keeps the log bounded; the default where not given.
     """
 
+    __slots__ = (
+        "_compacting",
+        "_compactor",
+        "_reader",
+        "_rng",
+        "_store",
+        "_turn",
+        "_wall_clock_s",
+    )
+
     def __init__(
         self,
         *,
@@ -149,6 +161,35 @@
         self._account(outcome, author, asyncio.get_running_loop().time() - started_s)
         return outcome
 
+    async def state_at(self, revision: int) -> Result[FleetState, Failure]:
+        """Return the state at a revision; ``NOT_FOUND`` where it is not kept any more."""
+        if revision == self.revision():
+            return Success(self.state())
+        return await state_at(self._store, revision)
+
+    async def change_back(self, revision: int, *, author: str) -> Result[Accepted, Failure]:
+        """Take the change of a revision back, as a new revision.
+
+        Returns:
+            As `propose`; ``NOT_FOUND`` where the revision is not kept any more; as
+            `shallotworks.config.undo` where it can't be taken back.
+        """
+        listed = await read_entries(self._store, after=revision - 1, limit=1)
+        before = await state_at(self._store, revision - 1)
+        if not isinstance(listed, Success) or not isinstance(before, Success):
+            return Err((before if isinstance(listed, Success) else listed).failure())
+        entry = next(iter(listed.unwrap()), None)
+        if entry is None or entry.revision != revision:
+            reason = f"the change of revision {revision} is not kept any more"
+            return Err(Failure(kind=ErrorKind.NOT_FOUND, reason=reason))
+        after = apply(before.unwrap(), entry.change)
+        if not isinstance(after, Success):
+            return Err(after.failure())
+        change = undo(entry.change, before=before.unwrap(), after=after.unwrap(), now=self.state())
+        if not isinstance(change, Success):
+            return Err(change.failure())
+        return await self.propose(change.unwrap(), author=author)
+
     async def restore_store(self) -> Result[int, Failure]:
         """Bring a store that came back empty or older to the revision held here.
 
--- a/src/shallotworks/standins/_platform.py
+++ b/src/shallotworks/standins/_platform.py
@@ -52,6 +52,22 @@
             with 503.
     """
 
+    __slots__ = (
+        "_bind_address",
+        "_instances",
+        "_loop",
+        "_open",
+        "_routes",
+        "_server",
+        "_silence_slots",
+        "_silent",
+        "_stopping",
+        "_store",
+        "_thread_count",
+        "_threads",
+        "_watch_slots",
+    )
+
     def __init__(
         self,
         *,
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -19,9 +19,20 @@
 
 
 def run(main: Callable[[], Awaitable[None]]) -> None:
+    """Run on a loop whose clock jumps to the next timer, and end what is left running."""
+
+    async def run_and_end() -> None:
+        try:
+            await main()
+        finally:
+            left = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in left:
+                task.cancel()
+            await asyncio.gather(*left, return_exceptions=True)
+
     loop = looptime.new_event_loop()
     try:
-        loop.run_until_complete(main())
+        loop.run_until_complete(run_and_end())
     finally:
         loop.close()
 
