--- a/src/shallotworks/requests/_pool.py
+++ b/src/shallotworks/requests/_pool.py
@@ -10,11 +10,11 @@
 from shallotworks.timeline import Timeline
 
 from ._choice import Choice
-from ._estimate import DurationEstimate
+from ._estimate import DurationEstimate, MovingLevel
 from ._health import PoolHealth
 from ._limits import DispatchLimits
 from ._loads import ClassLoad, ServiceLoad
-from ._messages import Request
+from ._messages import AttemptOutcome, Request
 from ._targets import TargetGroup, TargetState
 
 __all__ = ["PoolState"]
@@ -34,7 +34,7 @@
         health: Judges the targets.
         interactive_hold: How long interactive requests hold a slot.
         long_running_hold: How long long-running requests hold a slot.
-        interactive_in_flight: Interactive requests that hold a slot.
+        interactive: Interactive requests that hold a slot.
         long_running_in_flight: Long-running requests that hold a slot.
         interactive_queued: Interactive requests whose team has room.
         long_running_queued: Long-running requests whose team has room.
@@ -46,10 +46,11 @@
         "_choice",
         "_limits",
         "_moving",
+        "_rng",
         "has_timer",
         "health",
+        "interactive",
         "interactive_hold",
-        "interactive_in_flight",
         "interactive_queued",
         "local",
         "long_running_hold",
@@ -75,6 +76,7 @@
         self.name = name
         self._limits = limits
         self._choice = choice
+        self._rng = rng
         self._moving: set[TargetState] = set()
         self.local = TargetGroup()
         self.remote = TargetGroup()
@@ -90,7 +92,7 @@
         )
         self.interactive_hold = DurationEstimate()
         self.long_running_hold = DurationEstimate()
-        self.interactive_in_flight = 0
+        self.interactive = MovingLevel(over_s=limits.level_over_s)
         self.long_running_in_flight = 0
         self.interactive_queued = 0
         self.long_running_queued = 0
@@ -135,7 +137,11 @@
         self._moving.add(target)
 
     def drop(self, name: str) -> None:
-        """Let a target go; grants at it can still be released."""
+        """Let a target go; grants at it can still be released.
+
+        What is in flight does not follow it into another pool: a move comes after its drain, and
+        the target itself refuses what is above its slots.
+        """
         target = self.targets.pop(name)
         self._set_usable(target, False, 0.0)
 
@@ -150,26 +156,54 @@
             if target.is_settled(now_s, slow_start_s=slow_start_s):
                 self._moving.discard(target)
 
-    def may_start(self, load: ClassLoad) -> bool:
-        """Whether the rules between the classes let a request start now."""
+    def count_queued(self, load: ClassLoad, amount: int) -> None:
+        """Count requests that entered or left the queue of a service."""
         if load.interactive:
-            return True
-        group = self.serving
-        if self.long_running_in_flight < self.long_running_min(group):
-            return group.free > 0
-        return group.free > self.reserve()
+            self.interactive_queued += amount
+        else:
+            self.long_running_queued += amount
+
+    def may_start(self, load: ClassLoad, now_s: float) -> bool:
+        """Whether the rules between the classes let a request start now."""
+        return load.interactive or self._long_running_may_start(now_s)
 
-    def reserve(self) -> int:
-        """Return the slots that long-running work leaves free for interactive arrivals.
+    def long_running_max(self, group: TargetGroup, now_s: float) -> int:
+        """Return the slots that long-running work may hold where interactive work wants them.
 
-        Arrivals in a busy pool vary about as the square root of those in flight.
+        The failure: long-running work takes each slot that interactive work leaves for an instant
+        and keeps it for long, so that the next arrivals wait although the pool was never short. It
+        shows as interactive waits that grow with the length of long-running requests. What counts
+        is therefore the mean of interactive work, and its spread, which is about the square root.
         """
-        factor = self._limits.reserve_factor
-        return max(1, math.ceil(factor * math.sqrt(self.interactive_in_flight)))
+        mean = self.interactive.mean(now_s)
+        left = max(1.0, mean + self._limits.reserve_factor * math.sqrt(mean))
+        return max(self.long_running_min(group), group.own_capacity - math.ceil(left))
 
     def long_running_min(self, group: TargetGroup) -> int:
         """Return the slots that long-running work may always hold."""
-        return max(1, int(self._limits.long_running_min_part * group.capacity))
+        return max(1, int(self._limits.long_running_min_part * group.own_capacity))
+
+    def lend(self, target: TargetState, outcome: AttemptOutcome, *, now_s: float) -> None:
+        """Use slots that the other entry instances leave idle, until the target refuses one.
+
+        The failure: the callers happen to reach this process rather than the others, its parts of
+        the slots are full and requests are refused while the targets idle. No process knows what
+        the others need, but the target does: it refuses what is above its slots, as not run. So
+        one more slot is tried while interactive requests wait, and all of them are given back
+        when nobody waits or the target refuses.
+        """
+        if outcome is AttemptOutcome.REFUSED:
+            target.borrow_from_s = now_s + self._limits.borrow_pause_s * self._rng.uniform(0.5, 1.5)
+            borrowed = 0
+        elif not self.interactive_queued:
+            borrowed = max(0, target.borrowed - 1)
+        elif now_s >= target.borrow_from_s and target.in_flight >= target.limit - 1:
+            borrowed = min(target.borrowed + 1, max(0, target.instance.slots - target.part))
+        else:
+            return
+        if borrowed != target.borrowed:
+            target.group.set_borrowed(target, borrowed)
+            self._moving.add(target)
 
     def place(
         self, request: Request, load: ClassLoad, *, tried: frozenset[str], now_s: float
@@ -190,7 +224,7 @@
             target = self._choice.choose(self.remote.free_targets, tried=tried)
         return target
 
-    def next_load(self) -> ClassLoad | None:
+    def next_load(self, now_s: float) -> ClassLoad | None:
         """Return the service and class whose first waiting request goes next.
 
         Long-running work goes first while it holds less than its minimum; then interactive work;
@@ -204,10 +238,14 @@
                 return self._least_filled(interactive=False)
         if self.interactive_queued:
             return self._least_filled(interactive=True)
-        if self.long_running_queued and self.serving.free > self.reserve():
+        if self.long_running_queued and self._long_running_may_start(now_s):
             return self._least_filled(interactive=False)
         return None
 
+    def _long_running_may_start(self, now_s: float) -> bool:
+        group = self.serving
+        return group.free > 0 and self.long_running_in_flight < self.long_running_max(group, now_s)
+
     def _least_filled(self, *, interactive: bool) -> ClassLoad | None:
         best: ClassLoad | None = None
         for service in self.services.values():
@@ -234,6 +272,7 @@
             self._moving.add(target)
         else:
             del target.group.targets[name]
+            target.group.set_borrowed(target, 0)
             self.health.remove(target)
             self._moving.discard(target)
             target.group.set_limit(target, 0)
