Mend a second run by taking over a record that only a stale read showed

Cause: a drawn history found it: a process frees its key and the answer to the deletion is lost, another claims and runs, and to the first a stale read still shows its own old record, which it took over without a write. Its take-over could also be refused as a store gone back, since the record is older than later writes. Change: a take-over is a swap over the version that was read. A repeat of a run whose answer is not yet stored is answered by its own process without the store.

--- a/src/shallotworks/requests/_once.py
+++ b/src/shallotworks/requests/_once.py
@@ -24,6 +24,7 @@
 CLAIM_TRIES = 3
 """Rounds of creating and reading before a claim is given up as not made."""
 RETRY_AFTER_S = 1.0
+OTHER_REQUEST = "another request was sent under this idempotency key"
 END_UNKNOWN = "the key's first run was sent and its end is not known"
 
 
@@ -119,7 +120,9 @@
             claim_id=self._new_id(),
             owner=self._process,
         )
-        outcome = await self._claim_in_time(request, record)
+        outcome = self._answer_not_yet_stored(request, record)
+        if outcome is None:
+            outcome = await self._claim_in_time(request, record)
         self._metrics.count(f"once.{_name_of(outcome)}")
         return outcome
 
@@ -168,6 +171,17 @@
         held = self._ledger.held(claim.key)
         return held if held is not None and held.version == claim.version else None
 
+    def _answer_not_yet_stored(
+        self, request: Request, mine: OnceRecord
+    ) -> Result[Claim, Failure] | None:
+        """Return the first run's answer, where it ran here and the store does not have it yet."""
+        ending = self._ledger.ending(key_of(request))
+        if ending is None or ending.record is None or ending.record.state is not OnceState.DONE:
+            return None
+        if ending.record.request_digest != mine.request_digest:
+            return _refuse(ErrorKind.CONFLICT, OTHER_REQUEST)
+        return _stored(key_of(request), 0, ending.record)
+
     async def _claim_in_time(self, request: Request, record: OnceRecord) -> Result[Claim, Failure]:
         """Claim by the request's deadline.
 
@@ -208,12 +222,12 @@
                 return _not_claimed(read.failure())
             present = read.unwrap()
             if present is not None:
-                return self._judge(request, record, present, floor)
+                return await self._judge(request, record, present, floor)
         self._ledger.end_unheld(key, record.claim_id)
         reason = "the store contradicts itself about this key"
         return _not_claimed(Failure(kind=ErrorKind.STORE_UNAVAILABLE, reason=reason))
 
-    def _judge(
+    async def _judge(
         self, request: Request, mine: OnceRecord, present: Versioned, floor: int
     ) -> Result[Claim, Failure]:
         """Say what a record that stands there means for a request that wants its key."""
@@ -225,36 +239,54 @@
             # The answer to our own create was lost after it had taken effect.
             return self._claimed(request, mine, present.version, floor)
         if record.request_digest != mine.request_digest:
-            reason = "another request was sent under this idempotency key"
-            return _refuse(ErrorKind.CONFLICT, reason)
+            return _refuse(ErrorKind.CONFLICT, OTHER_REQUEST)
         if record.state is OnceState.DONE:
-            return _stored(present, record)
+            return _stored(present.key, present.version, record)
         if record.state is OnceState.UNKNOWN:
             return _refuse(ErrorKind.OUTCOME_UNKNOWN, END_UNKNOWN)
         if record.owner == self._process:
-            return self._judge_own(request, present, record, floor)
+            return await self._judge_own(request, mine, present, record, floor)
         if self._is_live(record.owner):
             return _refuse(ErrorKind.IN_PROGRESS, f"{record.owner} is running it")
         return _refuse(ErrorKind.OUTCOME_UNKNOWN, END_UNKNOWN)
 
-    def _judge_own(
-        self, request: Request, present: Versioned, record: OnceRecord, floor: int
+    async def _judge_own(
+        self,
+        request: Request,
+        mine: OnceRecord,
+        present: Versioned,
+        record: OnceRecord,
+        floor: int,
     ) -> Result[Claim, Failure]:
         """Judge a claim of this very process, which knows more of it than the store does."""
         held = self._ledger.held(present.key)
         if held is not None and held.record.claim_id == record.claim_id:
             return _refuse(ErrorKind.IN_PROGRESS, "this instance is running it")
         ending = self._ledger.ending(present.key)
-        if ending is None or ending.claim_id != record.claim_id:
+        if ending is None or record.claim_id not in ending.claim_ids:
             return _refuse(ErrorKind.OUTCOME_UNKNOWN, END_UNKNOWN)
         if ending.record is None:
-            # Nothing ran under that claim and its record is only waiting to be deleted.
-            self._ledger.drop_ending(present.key)
-            return self._claimed(request, record, present.version, floor)
-        if ending.record.state is OnceState.DONE:
-            return _stored(present, ending.record)
+            return await self._take_over(request, mine, present, floor)
         return _refuse(ErrorKind.OUTCOME_UNKNOWN, END_UNKNOWN)
 
+    async def _take_over(
+        self, request: Request, mine: OnceRecord, present: Versioned, floor: int
+    ) -> Result[Claim, Failure]:
+        """Claim a key whose record is only waiting to be deleted, since nothing ran under it.
+
+        The failure: the read was stale, the record has long been deleted, and another process
+        holds the key. It shows as two runs. Only a write over the very version that was read
+        proves that the record still stands.
+        """
+        swapped = await self._store.swap(present.key, mine.encode(), version=present.version)
+        if isinstance(swapped, Success):
+            self._ledger.drop_ending(present.key)
+            return self._claimed(request, mine, swapped.unwrap(), floor)
+        if swapped.failure().kind is ErrorKind.CONFLICT:
+            return _refuse(ErrorKind.IN_PROGRESS, "another request holds the key")
+        self._ledger.end_unheld(present.key, mine.claim_id)
+        return _not_claimed(swapped.failure())
+
     def _claimed(
         self, request: Request, record: OnceRecord, version: int, floor: int
     ) -> Result[Claim, Failure]:
@@ -302,12 +334,12 @@
             return Success(self._lease_id)
 
 
-def _stored(present: Versioned, record: OnceRecord) -> Result[Claim, Failure]:
+def _stored(key: str, version: int, record: OnceRecord) -> Result[Claim, Failure]:
     if record.answer is None:
         reason = "it ran, and its answer was too large to keep"
         return _refuse(ErrorKind.OUTCOME_UNKNOWN, reason)
     response = record.answer.response()
-    return Success(Claim(key=present.key, version=present.version, stored=response))
+    return Success(Claim(key=key, version=version, stored=response))
 
 
 def _not_claimed(failure: Failure) -> Result[Claim, Failure]:
--- a/src/shallotworks/requests/_once_ledger.py
+++ b/src/shallotworks/requests/_once_ledger.py
@@ -37,11 +37,11 @@
     """A write that ends a claim and is not known to have taken effect.
 
     Args:
-        claim_id: Id of the claim.
+        claim_ids: Ids of the claims; several where none of them ran.
         record: The record to write; ``None`` to delete it, since nothing ran.
     """
 
-    claim_id: str
+    claim_ids: frozenset[str]
     record: OnceRecord | None
 
 
@@ -77,8 +77,8 @@
         return self._endings.get(key)
 
     def drop_ending(self, key: str) -> None:
-        """Forget an ending, since its claim is being taken over."""
-        del self._endings[key]
+        """Forget an ending, since its claim was taken over."""
+        self._endings.pop(key, None)
 
     def overdue(self, now_s: float) -> list[str]:
         """Return the keys of claims whose requests can't be running any more."""
@@ -87,13 +87,20 @@
     async def end(self, key: str, record: OnceRecord | None) -> None:
         """End the claim held under a key: write its last record, or delete it."""
         held = self._held.pop(key)
-        self._keep(key, Ending(claim_id=held.record.claim_id, record=record))
+        self._keep(key, Ending(claim_ids=frozenset({held.record.claim_id}), record=record))
         # No one else writes a claimed record, so that the version held is the one that stands.
         await self._write(key, held.version)
 
     def end_unheld(self, key: str, claim_id: str) -> None:
         """Delete a record that this process may have created and never ran under."""
-        self._keep(key, Ending(claim_id=claim_id, record=None))
+        before = self._endings.get(key)
+        claim_ids = frozenset({claim_id})
+        if before is not None and before.record is not None:
+            # The record of that run stands, so that no later create can have taken effect.
+            return
+        if before is not None:
+            claim_ids |= before.claim_ids
+        self._keep(key, Ending(claim_ids=claim_ids, record=None))
 
     async def repeat(self) -> None:
         """Try every ending once more; stops at the first that can't be written."""
@@ -116,7 +123,7 @@
         present = read.unwrap()
         if ending is None:
             return True
-        if present is None or _claim_id(present) != ending.claim_id:
+        if present is None or _claim_id(present) not in ending.claim_ids:
             # The create never took effect, or an earlier try did.
             self._forget(key, ending)
             return True
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -184,6 +184,48 @@
 
         run_on_stopped_clock(story)
 
+    def test_leftover_that_only_a_stale_read_shows(self) -> None:
+        """A key that another process holds by now is not taken over.
+
+        A process frees its key, the answer to the deletion is lost, and another process claims it
+        and runs. After a failover reads are old: to the first its own record seems to stand.
+        """
+
+        async def story() -> None:
+            site = Site()
+            first, second = site.process("e1"), site.process("e2")
+            claim = (await first.claim(order())).unwrap()
+            await second.claim(make_request("r0", "parts", key="warm", idempotent=False))
+            site.store.set_faults(StoreFaults(stale=True, lost_answers=1))
+            await first.abandon(claim)
+            self.assertTrue(is_claim_to_run(await second.claim(order())))
+            self.assertIs(kind_of(await first.claim(order())), ErrorKind.IN_PROGRESS)
+
+        run_on_stopped_clock(story)
+
+    def test_own_leftover_is_taken_over(self) -> None:
+        """A process that left a record behind may run its key itself, before it has tidied up.
+
+        The answer to the claim was lost and the store went down. Other keys were claimed since, so
+        the record left behind is older than the newest write this process has seen.
+        """
+
+        async def story() -> None:
+            site = Site()
+            guard = site.process("e1")
+            await guard.claim(make_request("r0", "parts", key="warm", idempotent=False))
+            site.store.set_faults(StoreFaults(delay_s=1.0, lost_answers=1))
+            claiming = asyncio.create_task(guard.claim(order()))
+            await asyncio.sleep(0.75)
+            site.store.set_faults(StoreFaults(down=True))
+            self.assertIs(kind_of(await claiming), ErrorKind.STORE_UNAVAILABLE)
+            site.store.set_faults(StoreFaults())
+            await guard.claim(make_request("r1", "parts", key="other", idempotent=False))
+            self.assertTrue(is_claim_to_run(await guard.claim(order())))
+            self.assertIs(kind_of(await guard.claim(order())), ErrorKind.IN_PROGRESS)
+
+        run_on_stopped_clock(story)
+
     @parameterized.expand(
         [
             (f"{how}, {what}", how, delay_s)
@@ -257,6 +299,8 @@
             claim = (await first.claim(order())).unwrap()
             site.store.set_faults(StoreFaults(down=True))
             await first.settle(claim, ORDERED)
+            self.assertEqual((await first.claim(order())).unwrap().stored, ORDERED)
+            self.assertIs(kind_of(await first.claim(order(b"other"))), ErrorKind.CONFLICT)
             site.store.set_faults(StoreFaults())
             self.assertEqual((await first.claim(order())).unwrap().stored, ORDERED)
             self.assertIs(kind_of(await second.claim(order())), ErrorKind.IN_PROGRESS)
@@ -265,6 +309,26 @@
 
         run_on_stopped_clock(story)
 
+    def test_store_is_down_when_the_end_gets_lost(self) -> None:
+        """A key whose run has no known end stays so, also while only this process knows of it.
+
+        The target went silent with the order and the store is down, so that the record still says
+        "claimed". Nothing may take that for a claim under which nothing ran.
+        """
+
+        async def story() -> None:
+            site = Site()
+            guard = site.process("e1")
+            claim = (await guard.claim(order())).unwrap()
+            site.store.set_faults(StoreFaults(down=True))
+            await guard.mark_unknown(claim)
+            site.store.set_faults(StoreFaults())
+            self.assertIs(kind_of(await guard.claim(order())), ErrorKind.OUTCOME_UNKNOWN)
+            await guard.tidy()
+            self.assertIs(kind_of(await guard.claim(order())), ErrorKind.OUTCOME_UNKNOWN)
+
+        run_on_stopped_clock(story)
+
     def test_abandoned_key_is_free(self) -> None:
         """A claim under which surely nothing ran leaves the key to the next, whoever that is."""
 
