Measure plans; take from the fullest data centre first

Cause: no figures yet; the last instance of a data centre cost small fleets a wave at the end. Change: bench/plans.py; within a pool the data centre with most to do gives first.

--- /dev/null
+++ b/bench/plans.py
@@ -0,0 +1,307 @@
+"""What plans cost and what planning, conducting and taking over cost, for both users and at target.
+
+Planning time and memory are this machine's; everything that a wave does runs on a clock that jumps
+to the next timer, over fakes of the targets and of the configuration log, with the store stand-in
+in memory and the real leases.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import gc
+import itertools
+import random
+import statistics
+import time
+import tracemalloc
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from returns.result import Failure as Err
+from returns.result import Result
+from tests.fakes_plans import World, fjellsending, fleet, run, tijera
+
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.fleet import AdvancePlan, FleetState, Instance, SetCondition
+from shallotworks.node._duty import LeaseDuty
+from shallotworks.plans import (
+    Alternative,
+    ConductorRules,
+    DisruptionModel,
+    InPool,
+    Intent,
+    Maintain,
+    Measures,
+    NotMaintainedSince,
+    Plan,
+    Planner,
+    PlannerWeights,
+)
+from shallotworks.plans._measures import measure, weighted_cost
+from shallotworks.plans._supply import index_supply
+from shallotworks.plans._targets import actions_of
+from shallotworks.platform import LeaseHolder
+from shallotworks.standins import MemoryStore
+
+ROUNDS = 5
+SEED = 7
+TARGET_INSTANCES = 1_100
+TARGET_POOLS = 305
+TARGET_CENTRES = 22
+EVERYTHING = Maintain(selection=NotMaintainedSince(before_s=1.0))
+FJELLSENDING = PlannerWeights(buffer=0.7, roll_out=0.2, moves=0.1)
+TIJERA = PlannerWeights(buffer=0.1, roll_out=0.8, moves=0.1, window_s=8 * 3600)
+SMALL_CASES = 20
+SMALL_INSTANCES = 6
+KILLS = 40
+EQUAL = 1e-9
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Case:
+    """One fleet planned for with one user's weights."""
+
+    name: str
+    state: FleetState
+    weights: PlannerWeights
+
+
+class ProcessStore:
+    """The store as one process reaches it, until that process is killed."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self._store = store
+        self.killed = False
+
+    def __getattr__(self, name: str) -> Any:
+        return self._unreachable if self.killed else getattr(self._store, name)
+
+    async def _unreachable(self, *_: Any, **__: Any) -> Result[Any, Failure]:
+        return Err(Failure(kind=ErrorKind.STORE_UNAVAILABLE, reason="killed"))
+
+
+class LeasedWorld(World):
+    """A world whose duties are the product's own leases in the store stand-in."""
+
+    def __init__(self, state: FleetState, *, ttl_s: float = 4.0, seed: int = SEED, **rest: Any):
+        super().__init__(state, **rest)
+        self.stores: dict[str, ProcessStore] = {}
+        self.holders: dict[str, LeaseHolder] = {}
+        self._ttl_s = ttl_s
+        self._rng = random.Random(seed)
+
+    def duty_of(self, digest: str, name: str) -> LeaseDuty:
+        """Return one process's duty of a plan, over its own way to the store."""
+        self.stores[name] = ProcessStore(self.store)
+        self.holders[name] = LeaseHolder(
+            store=self.stores[name],
+            duty=f"plan/{digest}",
+            holder=name,
+            metrics=self.metrics,
+            timeline=self.timeline,
+            rng=self._rng,
+            ttl_s=self._ttl_s,
+        )
+        return LeaseDuty(holder=self.holders[name], should_stand=lambda: True, held=set())
+
+    async def crash(self, task: asyncio.Task[None], name: str) -> None:
+        """End a conductor whose last words no longer reach the store."""
+        self.stores[name].killed = True
+        task.cancel()
+        await asyncio.wait((task,))
+
+
+def main() -> None:
+    """Print one block for each matter."""
+    for case in _cases():
+        _print_planning(case)
+    _print_distance()
+    _print_store_calls()
+    _print_takeover()
+
+
+def _cases() -> Iterator[Case]:
+    yield Case(name="Fjellsending today", state=fjellsending(), weights=FJELLSENDING)
+    yield Case(name="Tijera de Plata today", state=tijera(), weights=TIJERA)
+    target = _target_fleet()
+    yield Case(name="target, buffer first", state=target, weights=FJELLSENDING)
+    yield Case(name="target, roll-out first", state=target, weights=TIJERA)
+
+
+def _target_fleet() -> FleetState:
+    """Return 1,100 instances in 305 pools of one to ten over 22 data centres, budgets of one."""
+    rng = random.Random(SEED)
+    sizes = [1] * TARGET_POOLS
+    while sum(sizes) < TARGET_INSTANCES:
+        pool = rng.randrange(TARGET_POOLS)
+        sizes[pool] += sizes[pool] < 10
+    return fleet(
+        centres=tuple(f"dc{number:02d}" for number in range(TARGET_CENTRES)),
+        pools={f"pool{number:03d}": size for number, size in enumerate(sizes)},
+    )
+
+
+def _print_planning(case: Case) -> None:
+    planner = Planner(weights=case.weights, model=DisruptionModel())
+    times_s = []
+    for _ in range(ROUNDS):
+        gc.collect()
+        started_s = time.perf_counter()
+        plan = planner.plan(case.state, EVERYTHING, author="bench").unwrap()
+        times_s.append(time.perf_counter() - started_s)
+    tracemalloc.start()
+    planner.plan(case.state, EVERYTHING, author="bench").unwrap()
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    print(
+        f"{case.name}: {len(case.state.instances)} instances, {len(case.state.pools)} pools;"
+        f" planning s {statistics.median(times_s):.3f} ({min(times_s):.3f} to {max(times_s):.3f}),"
+        f" peak MB {peak_bytes / 1e6:.1f}, stored KB {len(plan.encode()) / 1e3:.0f}"
+    )
+    for way in plan.alternatives:
+        _print_way(way)
+
+
+def _print_way(way: Alternative) -> None:
+    print(
+        f"  {way.strategy.value:<30} cost {way.cost:8.2f}  slots {way.measures.buffer_slots:5d}"
+        f"  roll-out s {way.measures.roll_out_s:8.0f}  moves {way.measures.moves:7.1f}"
+        f"  waves {way.measures.waves:5d}  {way.verdict}"
+    )
+
+
+def _print_distance() -> None:
+    """Compare with exhaustive search over all ordered partitions of small cases into waves."""
+    rng = random.Random(SEED)
+    for name, weights in (("buffer first", FJELLSENDING), ("roll-out first", TIJERA)):
+        for keeps_one, rule in ((False, "budgets alone"), (True, "and one left per data centre")):
+            gaps = [_gap(rng, weights, keeps_one=keeps_one) for _ in range(SMALL_CASES)]
+            exact = sum(gap < EQUAL for gap in gaps)
+            print(
+                f"distance from optimum, {name}, {rule}: {SMALL_CASES} fleets of"
+                f" {SMALL_INSTANCES} instances, exhaustive search: {exact} at the optimum,"
+                f" mean {statistics.mean(gaps):.2%}, worst {max(gaps):.2%}"
+            )
+
+
+def _gap(rng: random.Random, weights: PlannerWeights, *, keeps_one: bool) -> float:
+    sizes = [1, 1, 1]
+    while sum(sizes) < SMALL_INSTANCES:
+        sizes[rng.randrange(3)] += 1
+    pools = {f"p{number}": size for number, size in enumerate(sizes)}
+    state = fleet(centres=("x", "y"), pools=pools, budget=rng.randint(1, 2), per_rack=2)
+    plan = Planner(weights=weights, model=DisruptionModel()).plan(state, EVERYTHING, author="bench")
+    chosen = plan.unwrap().measures
+    every = list(_all_measures(state, keeps_one=keeps_one))
+    best = Measures(
+        buffer_slots=min(found.buffer_slots for found in every),
+        roll_out_s=min(found.roll_out_s for found in every),
+        moves=min(found.moves for found in every),
+        waves=min(found.waves for found in every),
+    )
+    least = min(weighted_cost(found, best=best, weights=weights) for found in every)
+    return weighted_cost(chosen, best=best, weights=weights) / least - 1
+
+
+def _all_measures(state: FleetState, *, keeps_one: bool) -> Iterator[Measures]:
+    supply = index_supply(state)
+    actions = actions_of(EVERYTHING)
+    for waves in _ordered_partitions(list(state.instances.values())):
+        if all(_within(wave, state, keeps_one=keeps_one) for wave in waves):
+            yield measure(waves, actions=actions, supply=supply, model=DisruptionModel())
+
+
+def _ordered_partitions(entries: list[Instance]) -> Iterator[list[list[Instance]]]:
+    if not entries:
+        yield []
+        return
+    for size in range(1, len(entries) + 1):
+        for first in itertools.combinations(entries, size):
+            rest = [entry for entry in entries if entry not in first]
+            for others in _ordered_partitions(rest):
+                yield [list(first), *others]
+
+
+def _within(wave: list[Instance], state: FleetState, *, keeps_one: bool) -> bool:
+    pools = Counter(entry.pool for entry in wave)
+    if any(taken > state.budget_of(pool) for pool, taken in pools.items()):
+        return False
+    if not keeps_one:
+        return True
+    present = Counter((entry.pool, entry.data_centre) for entry in state.instances.values())
+    places = Counter((entry.pool, entry.data_centre) for entry in wave)
+    return all(present[place] == 1 or taken < present[place] for place, taken in places.items())
+
+
+def _print_store_calls() -> None:
+    for name, state, weights in (
+        ("Fjellsending", fjellsending(), FJELLSENDING),
+        ("Tijera de Plata", tijera(), TIJERA),
+    ):
+        run(functools.partial(_store_calls, name, state, weights))
+
+
+async def _store_calls(name: str, state: FleetState, weights: PlannerWeights) -> None:
+    world = LeasedWorld(state, weights=weights, rules=ConductorRules(), reboot_s=300.0)
+    world.start_conductor()
+    plan = await _confirmed(world, EVERYTHING)
+    calls_before = sum(world.store.calls.values())
+    writes_before = len(world.config.history)
+    started_s = asyncio.get_running_loop().time()
+    await world.until_ended(plan.digest)
+    took_s = asyncio.get_running_loop().time() - started_s
+    writes = len(world.config.history) - writes_before
+    made = [change for change, _ in world.config.history[writes_before:]]
+    conditions = sum(isinstance(change, SetCondition) for change in made)
+    progress = sum(isinstance(change, AdvancePlan) for change in made)
+    lease_calls = sum(world.store.calls.values()) - calls_before
+    waves = len(plan.waves)
+    print(
+        f"{name}: {waves} waves in {took_s:.0f} s (planned {plan.measures.roll_out_s:.0f});"
+        f" changes per wave {writes / waves:.1f} ({conditions / waves:.1f} conditions,"
+        f" {progress / waves:.1f} progress), lease and plan calls per wave"
+        f" {lease_calls / waves:.1f}, per minute {lease_calls / took_s * 60:.1f}"
+    )
+    await world.stop()
+
+
+def _print_takeover() -> None:
+    for ttl_s in (3.0, 4.0, 10.0):
+        pauses_s: list[float] = []
+        for kill in range(KILLS):
+            run(functools.partial(_takeover, kill, ttl_s, pauses_s))
+        print(
+            f"pause of a wave when its conductor is killed, lease of {ttl_s:.0f} s, {KILLS} kills,"
+            f" 3 candidates: median s {statistics.median(pauses_s):.1f},"
+            f" longest {max(pauses_s):.1f}"
+        )
+
+
+async def _takeover(kill: int, ttl_s: float, pauses_s: list[float]) -> None:
+    world = LeasedWorld(fjellsending(), rules=ConductorRules(), ttl_s=ttl_s, seed=kill)
+    tasks = [world.start_conductor() for _ in range(3)]
+    plan = await _confirmed(world, Maintain(selection=InPool(pool="archive")))
+    await asyncio.sleep(20.0 + kill * 1.7)
+    holder = next(name for name, held in world.holders.items() if held.still_held())
+    token = max(_tokens(world))
+    await world.crash(tasks[int(holder.rsplit("-", 1)[1])], holder)
+    killed_s = asyncio.get_running_loop().time()
+    while max(_tokens(world)) == token:
+        await asyncio.sleep(0.05)
+    pauses_s.append(asyncio.get_running_loop().time() - killed_s)
+    await world.until_ended(plan.digest)
+    await world.stop()
+
+
+def _tokens(world: World) -> set[int]:
+    changes = (change for change, _ in world.config.history)
+    return {change.fencing_token for change in changes if isinstance(change, AdvancePlan)}
+
+
+async def _confirmed(world: World, intent: Intent) -> Plan:
+    plan = (await world.proposals.propose(intent, author="bench")).unwrap()
+    (await world.proposals.confirm(plan.digest, operator="bench")).unwrap()
+    return plan
--- a/src/shallotworks/plans/_strategies.py
+++ b/src/shallotworks/plans/_strategies.py
@@ -170,18 +170,23 @@
 def _take_one(
     entries: list[Instance], limits: Limits, *, used: Counter[str], racks: set[RackKey]
 ) -> Instance | None:
-    """Take a failed one, else one from a rack that the wave uses already, else the fullest rack.
+    """Take a failed one first, then from the data centre with most to do, then from few racks.
 
-    Few racks per wave, since one that fails meanwhile then takes instances that are out anyway.
+    The data centre, since the one that must stay there would else cost a wave at the end; the
+    racks, since one that fails meanwhile then takes instances that are out anyway.
     """
-    fullness = Counter(_rack(entry) for entry in entries)
     fitting = [entry for entry in entries if _has_room(entry, used, limits)]
     if not fitting:
         return None
-    taken = min(
-        fitting,
-        key=lambda e: (e.available, _rack(e) not in racks, -fullness[_rack(e)], _rack(e), e.name),
-    )
+    to_do = Counter(entry.data_centre for entry in entries)
+    fullness = Counter(_rack(entry) for entry in entries)
+
+    def order(entry: Instance) -> tuple[bool, int, bool, int, RackKey, str]:
+        rack = _rack(entry)
+        centre = -to_do[entry.data_centre]
+        return (entry.available, centre, rack not in racks, -fullness[rack], rack, entry.name)
+
+    taken = min(fitting, key=order)
     if taken.available:
         used[taken.data_centre] += 1
     entries.remove(taken)
--- a/tests/fakes_plans.py
+++ b/tests/fakes_plans.py
@@ -27,6 +27,7 @@
     Conductor,
     ConductorRules,
     DisruptionModel,
+    Duty,
     Intent,
     Planner,
     PlannerWeights,
@@ -224,7 +225,7 @@
         name = f"entry-{len(self.tasks)}"
         conductor = Conductor(
             name=name,
-            duties=lambda digest: FakeDuty(self.leases.setdefault(digest, FakeLease()), name),
+            duties=lambda digest: self.duty_of(digest, name),
             log=self.config,
             store=self.store,
             around=Surroundings(
@@ -241,6 +242,10 @@
         self.tasks.append(task)
         return task
 
+    def duty_of(self, digest: str, name: str) -> Duty:
+        """Return one process's duty of a plan."""
+        return FakeDuty(self.leases.setdefault(digest, FakeLease()), name)
+
     @property
     def lease(self) -> FakeLease:
         """The lease of the one plan that is open."""
