--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -12,20 +12,30 @@
 from pathlib import Path
 from typing import Any
 
+from bench._capacity_instance import instance_cost
 from bench._capacity_peers import cost_by_data_centres, cost_by_mesh_peers, spread
-from bench._capacity_state import state_cost, window_cost
+from bench._capacity_state import state_cost, timeline_bytes, window_cost
 from bench._fit import fit
+from bench._peer_nodes import Cost
 
 __all__ = ["main"]
 
 RESULTS = Path(__file__).parent / "results" / "capacity.json"
 MESH_PEERS = (2, 4, 9, 18, 36)
 DATA_CENTRES = (3, 6, 12, 21, 42)
-FLEETS = ((4, 2), (8, 3), (11, 5), (22, 5), (22, 10))
+FLEETS = ((5, 2), (8, 4), (11, 5), (22, 5), (22, 10))
 INSTANCES = (100, 275, 550, 1_100, 2_200)
+EVENTS = (2_500, 5_000, 10_000, 20_000)
+INSTANCE_WINDOW_S = 20.0
 WINDOWS = (125, 250, 500, 1_000)
 
-PEER_FIELDS = ("core_part", "payload_bytes_per_s", "wire_bytes_per_s", "memory_bytes")
+PEER_FIELDS = (
+    "core_part",
+    "payload_bytes_per_s",
+    "wire_bytes_per_s",
+    "wire_bytes_per_s_and_peer",
+    "memory_bytes",
+)
 STATE_FIELDS = (
     "memory_bytes",
     "snapshot_bytes",
@@ -34,6 +44,7 @@
     "apply_s",
     "entry_s",
     "plan_s",
+    "plan_all_s",
     "dispatch_s",
 )
 SPREAD_FIELDS = ("store_calls_per_s", "idle_bytes_per_s", "bytes_per_change", "last_p50_s")
@@ -44,8 +55,24 @@
 def main() -> None:
     """Measure everything, print rows and lines, and keep them."""
     results: dict[str, Any] = {}
+    measure_state(results)
+    measure_peers(results)
+    write(results)
+
+
+def measure_state(results: dict[str, Any]) -> None:
+    """Measure what the fleet's size costs a process."""
     _keep(results, "state", "instances", [asdict(state_cost(size)) for size in INSTANCES])
     _keep(results, "window", "entries", [asdict(window_cost(size)) for size in WINDOWS])
+    lines = [{"events": size, "memory_bytes": timeline_bytes(size)} for size in EVENTS]
+    _keep(results, "time line", "events", lines)
+
+
+def measure_peers(results: dict[str, Any]) -> None:
+    """Measure what a process and its peers cost."""
+    instance = asdict(instance_cost(INSTANCE_WINDOW_S))
+    results["instance"] = instance
+    print("-- one idle entry instance, whole\n  ", _line(instance))
     mesh = [_measured(size, asyncio.run(cost_by_mesh_peers(size))) for size in MESH_PEERS]
     _keep(results, "mesh", "peers", mesh)
     far = [_measured(size, asyncio.run(cost_by_data_centres(size))) for size in DATA_CENTRES]
@@ -55,11 +82,21 @@
         for centres, each in FLEETS
     ]
     _keep(results, "fleet", "nodes", fleets)
+
+
+def write(results: dict[str, Any]) -> None:
+    """Keep all figures."""
     RESULTS.write_text(json.dumps(results, indent=1) + "\n", encoding="utf-8")
 
 
-def _measured(size: int, cost: Any) -> _Row:
-    return {"peers": size, **asdict(cost)}
+def _measured(size: int, cost: Cost) -> _Row:
+    """Return one row; bytes by peer too, since a heartbeat grows with the members it marks."""
+    each = cost.wire_bytes_per_s / size
+    return {"peers": size, **asdict(cost), "wire_bytes_per_s_and_peer": each}
+
+
+def _line(row: _Row) -> str:
+    return "  ".join(f"{key}={value:.6g}" for key, value in row.items())
 
 
 def _keep(results: dict[str, Any], name: str, by: str, rows: Sequence[_Row]) -> None:
@@ -70,7 +107,7 @@
     results[name] = {"by": by, "rows": list(rows), "lines": lines}
     print(f"-- {name} by {by}")
     for row in rows:
-        print("  ", "  ".join(f"{key}={value:.6g}" for key, value in row.items()))
+        print("  ", _line(row))
     for field, line in lines.items():
         print(
             f"   {field}: {line['intercept']:.6g} + {line['slope']:.6g} * {by},"
