Show the processor time of each request beside the relay's times

Cause: on a shared machine times differ from run to run by half; processor time hardly does. Change: bench relay reads it from the kernel for each process and round.

--- a/bench/_processes.py
+++ b/bench/_processes.py
@@ -4,20 +4,49 @@
 
 import contextlib
 import json
+import os
 import subprocess
 import sys
 from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
 
 from bench._load import LoadResult
 
-__all__ = ["load", "process", "serving"]
+__all__ = ["Process", "load", "process", "serving"]
 
 END_TIMEOUT_S = 20
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Process:
+    """A process that a measurement has started.
+
+    Args:
+        pid: Its process id.
+        port: The port that it serves.
+    """
+
+    pid: int
+    port: int
+
+    def processor_s(self) -> float:
+        """Return the processor time that it has used so far, of all its threads."""
+        fields = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
+        ticks = int(fields[11]) + int(fields[12])
+        return ticks / os.sysconf("SC_CLK_TCK")
+
+    def resident_bytes(self) -> int:
+        """Return what the kernel says is resident of it."""
+        for line in Path(f"/proc/{self.pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) * 1024
+        return 0
+
+
 @contextlib.contextmanager
-def process(*arguments: str) -> Iterator[tuple[int, int]]:
-    """Run ``python -m ARGUMENTS`` and give its process id and the port that it prints first."""
+def process(*arguments: str) -> Iterator[Process]:
+    """Run ``python -m ARGUMENTS``, which prints its port first, until the block ends."""
     with subprocess.Popen(
         [sys.executable, "-m", *arguments],
         stdin=subprocess.PIPE,
@@ -27,7 +56,7 @@
         assert started.stdin is not None
         assert started.stdout is not None
         try:
-            yield started.pid, int(started.stdout.readline())
+            yield Process(pid=started.pid, port=int(started.stdout.readline()))
         finally:
             started.stdin.close()
             started.wait(timeout=END_TIMEOUT_S)
@@ -36,8 +65,8 @@
 @contextlib.contextmanager
 def serving(*arguments: str) -> Iterator[int]:
     """Run ``python -m ARGUMENTS`` and give the port that it prints first."""
-    with process(*arguments) as (_, port):
-        yield port
+    with process(*arguments) as started:
+        yield started.port
 
 
 def load(*, port: int, callers: int, seconds: float) -> LoadResult:
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -4,10 +4,10 @@
 
 import statistics
 import time
-from pathlib import Path
+from dataclasses import dataclass
 
 from bench._load import LoadResult
-from bench._processes import load, process, serving
+from bench._processes import Process, load, process, serving
 
 CALLERS = 24
 SECONDS = 5.0
@@ -17,46 +17,63 @@
 IDLE_S = 3.0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Round:
+    """One round of load on one process.
+
+    Args:
+        load: What the callers saw.
+        processor_ms: Processor time of the process for each request, which says more than times do
+            where the machine is shared.
+    """
+
+    load: LoadResult
+    processor_ms: float
+
+
 def main() -> None:
     """Print medians over the rounds, ratios, the time to serving and the memory when idle."""
-    with serving("bench._bare", "target") as target, serving("bench._entry", "platform") as store:
-        bare_of = ("bench._bare", "relay", "--target-port", str(target))
+    with process("bench._bare", "target") as target, serving("bench._entry", "platform") as store:
+        bare_of = ("bench._bare", "relay", "--target-port", str(target.port))
         ours_of = (
             "bench._entry",
             "serve",
             "--platform-port",
             str(store),
             "--target-port",
-            str(target),
+            str(target.port),
         )
-        with serving(*bare_of) as bare, serving(*ours_of) as ours:
-            ports = {"target alone": target, "bare relay": bare, "entry instance": ours}
-            results = _rounds(ports)
+        with process(*bare_of) as bare, process(*ours_of) as ours:
+            results = _rounds({"target alone": target, "bare relay": bare, "entry instance": ours})
         started_s = time.monotonic()
-        with process(*ours_of) as (pid, _):
+        with process(*ours_of) as idle:
             to_serving_s = time.monotonic() - started_s
             time.sleep(IDLE_S)
-            idle_bytes = _resident_bytes(pid)
+            idle_bytes = idle.resident_bytes()
     _print(results)
     print(f"start to serving {to_serving_s:.2f} s; idle {idle_bytes / 1024**2:.0f} MB resident")
 
 
-def _rounds(ports: dict[str, int]) -> dict[str, list[LoadResult]]:
-    results: dict[str, list[LoadResult]] = {name: [] for name in ports}
+def _rounds(processes: dict[str, Process]) -> dict[str, list[Round]]:
+    rounds: dict[str, list[Round]] = {name: [] for name in processes}
     for _ in range(ROUNDS):
-        for name, port in ports.items():
-            results[name].append(load(port=port, callers=CALLERS, seconds=SECONDS))
-    return results
+        for name, measured in processes.items():
+            before_s = measured.processor_s()
+            result = load(port=measured.port, callers=CALLERS, seconds=SECONDS)
+            used_s = measured.processor_s() - before_s
+            rounds[name].append(Round(load=result, processor_ms=used_s / result.requests * 1000))
+    return rounds
 
 
-def _print(results: dict[str, list[LoadResult]]) -> None:
+def _print(results: dict[str, list[Round]]) -> None:
     print(f"{CALLERS} callers, medians of {ROUNDS} rounds of {SECONDS:g} s")
-    print("what              per s   p50 ms   p99 ms  longest ms  errors")
+    print("what              per s   p50 ms   p99 ms  longest ms  errors  processor ms each")
     for name, rounds in results.items():
         print(
             f"{name:15s}  {_median(rounds, 'per_s'):6.0f}  {_median(rounds, 'p50_ms'):7.1f}"
             f"  {_median(rounds, 'p99_ms'):7.1f}  {_median(rounds, 'longest_ms'):10.0f}"
-            f"  {sum(entry.errors for entry in rounds):6d}"
+            f"  {sum(entry.load.errors for entry in rounds):6d}"
+            f"  {statistics.median(entry.processor_ms for entry in rounds):17.2f}"
         )
     ours, bare = results["entry instance"], results["bare relay"]
     throughput = _median(ours, "per_s") / _median(bare, "per_s")
@@ -67,13 +84,5 @@
     )
 
 
-def _median(rounds: list[LoadResult], name: str) -> float:
-    return statistics.median(getattr(entry, name) for entry in rounds)
-
-
-def _resident_bytes(pid: int) -> int:
-    """Return what the kernel says is resident of one process."""
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) * 1024
-    return 0
+def _median(rounds: list[Round], name: str) -> float:
+    return statistics.median(getattr(entry.load, name) for entry in rounds)
