--- a/src/shallotworks/requests/_dispatcher.py
+++ b/src/shallotworks/requests/_dispatcher.py
@@ -254,7 +254,8 @@
             reason = "too many wait to answer this in time"
             after_s = expected_s - longest_s
             return self._refused(request, ErrorKind.OVERLOADED, reason, after_s)
-        if pool.waiting >= waiting_limit(pool, self._limits):
+        full = len(self._room) >= self._limits.waiting_max
+        if full or pool.waiting >= waiting_limit(pool, self._limits):
             victim = load_to_shed(pool, load)
             self._metrics.count(f"dispatch.shed.{victim.service.name}")
             last = victim.queue.last()
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -142,6 +142,17 @@
 
         run_on_stopped_clock(story)
 
+    def test_part_that_long_running_work_never_holds(self) -> None:
+        """A stated part of the slots stays free of it, though no interactive work was seen."""
+
+        async def story() -> None:
+            bench = make_bench(fleet(instances(2)), limits=DispatchLimits(reserve_min_part=0.25))
+            tasks = [bench.start(request_class=LONG_RUNNING) for _ in range(30)]
+            await settle()
+            self.assertEqual(sum(map(granted, tasks)), 12)
+
+        run_on_stopped_clock(story)
+
     def test_long_running_progresses(self) -> None:
         """A stated minimum of slots goes to long-running work while interactive work floods.
 
@@ -252,6 +263,18 @@
 
         run_on_stopped_clock(story)
 
+    def test_bound_over_all_pools(self) -> None:
+        """No more requests wait in one process than stated, whatever its pools would allow."""
+
+        async def story() -> None:
+            bench = make_bench(fleet(instances(1, slots=1)), limits=DispatchLimits(waiting_max=5))
+            tasks = [bench.start() for _ in range(10)]
+            await settle()
+            self.assertEqual(bench.dispatcher.waiting, 5)
+            self.assertIs(kind_of(tasks[9]), ErrorKind.OVERLOADED)
+
+        run_on_stopped_clock(story)
+
     def test_hopeless_requests_are_refused_at_once(self) -> None:
         """What can't be answered by its deadline is told so on arrival, not at the deadline."""
 
