Decide in one turn of the loop where nothing has to wait

Cause: each hop made a task, which costs two more turns of the loop and a switch of threads in each. Change: LoopHop tries a decision that can't wait first; the dispatcher offers acquire_now and wait.

--- a/src/shallotworks/requests/_dispatcher.py
+++ b/src/shallotworks/requests/_dispatcher.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from returns.result import Failure as Err
 from returns.result import Result, Success
@@ -34,6 +35,15 @@
 RETRY_AFTER_STOPPING_S = 0.5
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Demand:
+    """What a request counts against."""
+
+    pool: PoolState
+    load: ClassLoad
+    team: TeamLoad | None
+
+
 class PoolDispatcher:
     """Implements `Dispatcher` over the pools of the configuration in force.
 
@@ -97,16 +107,21 @@
 
     async def acquire(self, request: Request, *, tried: frozenset[str]) -> Result[Grant, Failure]:
         """Wait for a slot at a target that may take this request; see `Dispatcher.acquire`."""
+        at_once = self.acquire_now(request, tried=tried)
+        if at_once is not None:
+            return at_once
+        return await self.wait(request, tried=tried)
+
+    def acquire_now(
+        self, request: Request, *, tried: frozenset[str]
+    ) -> Result[Grant, Failure] | None:
+        """Return what `acquire` would without waiting; ``None`` where it would have to wait."""
         now_s = self._refresh()
-        service = self._index.services.get(request.service)
-        if service is None:
-            return self._refused(request, ErrorKind.NOT_FOUND, f"no service {request.service}")
-        team = self._index.teams.get(request.team)
-        if team is None and request.team:
-            return self._refused(request, ErrorKind.NOT_FOUND, f"no team {request.team}")
-        pool = self._index.pools[service.pool]
-        interactive = request.request_class is RequestClass.INTERACTIVE
-        load = service.interactive if interactive else service.long_running
+        found = self._find(request)
+        if not isinstance(found, Success):
+            return Err(found.failure())
+        demand = found.unwrap()
+        pool, load, team = demand.pool, demand.load, demand.team
         refusal = self._refusal_at_arrival(request, pool, team, tried, now_s)
         if refusal is not None:
             return refusal
@@ -114,7 +129,29 @@
             held = self._place(request, pool, load, team, tried, now_s)
             if held is not None:
                 return Success(self._grant(request, held, now_s))
-        return await self._wait(request, pool, load, team, tried, now_s)
+        return None
+
+    async def wait(self, request: Request, *, tried: frozenset[str]) -> Result[Grant, Failure]:
+        """Wait for a slot, after `acquire_now` has returned ``None``."""
+        now_s = self._refresh()
+        found = self._find(request)
+        if not isinstance(found, Success):
+            return Err(found.failure())
+        demand = found.unwrap()
+        return await self._wait(request, demand.pool, demand.load, demand.team, tried, now_s)
+
+    def _find(self, request: Request) -> Result[_Demand, Failure]:
+        service = self._index.services.get(request.service)
+        if service is None:
+            reason = f"no service {request.service}"
+            return Err(self._refused(request, ErrorKind.NOT_FOUND, reason).failure())
+        team = self._index.teams.get(request.team)
+        if team is None and request.team:
+            reason = f"no team {request.team}"
+            return Err(self._refused(request, ErrorKind.NOT_FOUND, reason).failure())
+        interactive = request.request_class is RequestClass.INTERACTIVE
+        load = service.interactive if interactive else service.long_running
+        return Success(_Demand(pool=self._index.pools[service.pool], load=load, team=team))
 
     def release(self, grant: Grant, outcome: AttemptOutcome, *, duration_s: float) -> None:
         """Give the slot back and learn from the outcome; a second release is only counted."""
--- a/src/shallotworks/requests/_hop.py
+++ b/src/shallotworks/requests/_hop.py
@@ -15,6 +15,10 @@
 _Value = TypeVar("_Value")
 
 
+def _nothing() -> None:
+    """Leave all to the work."""
+
+
 class HopTimeoutError(Exception):
     """Raised where the loop has not answered in time; what it answers later is not lost."""
 
@@ -65,6 +69,7 @@
         *,
         timeout_s: float,
         on_unclaimed: Callable[[_Value], None],
+        at_once: Callable[[], _Value | None] = _nothing,
     ) -> _Value:
         """Run work on the loop and wait for its result.
 
@@ -73,11 +78,13 @@
             timeout_s: Longest wait.
             on_unclaimed: Called on the loop with a result that came after the wait had ended, so
                 that what it holds can be given back.
+            at_once: Called on the loop first; where it returns a value, that is the result and the
+                work is not run, which saves a task and two turns of the loop.
 
         Raises:
             HopTimeoutError: The wait has ended; the work is cancelled.
         """
-        call = _Call(loop=self._loop, work=work, on_unclaimed=on_unclaimed)
+        call = _Call(loop=self._loop, work=work, on_unclaimed=on_unclaimed, at_once=at_once)
         self.post(call.start)
         try:
             outcome = call.replies.get(timeout=timeout_s)
@@ -107,7 +114,16 @@
 class _Call(Generic[_Value]):
     """One piece of work; all but `replies` is touched on the loop only."""
 
-    __slots__ = ("_given_up", "_loop", "_on_unclaimed", "_task", "_work", "replies")
+    __slots__ = (
+        "_at_once",
+        "_given_up",
+        "_loop",
+        "_on_unclaimed",
+        "_sent",
+        "_task",
+        "_work",
+        "replies",
+    )
 
     def __init__(
         self,
@@ -115,7 +131,10 @@
         loop: asyncio.AbstractEventLoop,
         work: Callable[[], Coroutine[Any, Any, _Value]],
         on_unclaimed: Callable[[_Value], None],
+        at_once: Callable[[], _Value | None],
     ) -> None:
+        self._at_once = at_once
+        self._sent: _Value | None = None
         self.replies: queue.SimpleQueue[_Value | BaseException] = queue.SimpleQueue()
         self._loop = loop
         self._work = work
@@ -125,6 +144,14 @@
 
     def start(self) -> None:
         """Begin the work."""
+        try:
+            self._sent = self._at_once()
+        except Exception as error:
+            self.replies.put(error)
+            return
+        if self._sent is not None:
+            self.replies.put(self._sent)
+            return
         self._task = self._loop.create_task(self._work())
         self._task.add_done_callback(self._reply)
 
@@ -136,8 +163,10 @@
         handed to `on_unclaimed`.
         """
         self._given_up = True
-        assert self._task is not None
-        if self._task.done():
+        if self._task is None:
+            if self._sent is not None:
+                self._on_unclaimed(self._sent)
+        elif self._task.done():
             self._reply_unclaimed(self._task)
         else:
             self._task.cancel()
--- a/src/shallotworks/requests/_protocols.py
+++ b/src/shallotworks/requests/_protocols.py
@@ -30,6 +30,19 @@
         """
         ...
 
+    def acquire_now(
+        self, request: Request, *, tried: frozenset[str]
+    ) -> Result[Grant, Failure] | None:
+        """Return what `acquire` would without waiting; ``None`` where it would have to wait.
+
+        After ``None`` the request goes on with `wait`, not with `acquire`.
+        """
+        ...
+
+    async def wait(self, request: Request, *, tried: frozenset[str]) -> Result[Grant, Failure]:
+        """Wait for a slot, after `acquire_now` has returned ``None``; returns as `acquire`."""
+        ...
+
     def release(self, grant: Grant, outcome: AttemptOutcome, *, duration_s: float) -> None:
         """Give the slot back and learn from the outcome."""
         ...
--- a/src/shallotworks/requests/_relay.py
+++ b/src/shallotworks/requests/_relay.py
@@ -144,7 +144,9 @@
 
     def _answer(self, request: Request) -> tuple[Result[Response, Failure], _Ended | None]:
         """Return the final answer, and the last attempt where its slot is still to be released."""
-        step = self._hop(lambda: self._begin(request), request)
+        step = self._hop(
+            partial(self._begin_later, request), request, at_once=partial(self._begin_now, request)
+        )
         while isinstance(step, Success):
             reached = step.unwrap()
             if isinstance(reached, Response):
@@ -165,7 +167,13 @@
         )
         return _Ended(attempt=attempt, result=result, duration_s=time.monotonic() - started_s)
 
-    def _hop(self, decision: Callable[[], Coroutine[Any, Any, _Next]], request: Request) -> _Next:
+    def _hop(
+        self,
+        decision: Callable[[], Coroutine[Any, Any, _Next]],
+        request: Request,
+        *,
+        at_once: Callable[[], _Next | None] = lambda: None,
+    ) -> _Next:
         """Take one decision on the loop and wait for it.
 
         The decision ends by itself at the request's deadline. Should the loop be stuck past that,
@@ -174,7 +182,10 @@
         left_s = max(0.0, request.deadline_s - self._loop.time())
         try:
             return self._hops.call(
-                decision, timeout_s=left_s + HOP_GRACE_S, on_unclaimed=self._give_back
+                decision,
+                timeout_s=left_s + HOP_GRACE_S,
+                on_unclaimed=self._give_back,
+                at_once=at_once,
             )
         except HopTimeoutError:
             return _fail(ErrorKind.OUTCOME_UNKNOWN, "no decision was taken within the deadline")
@@ -186,31 +197,47 @@
             result = AttemptResult(outcome=AttemptOutcome.ABANDONED)
             self._release(_Ended(attempt=reached, result=result, duration_s=0.0))
 
-    async def _begin(self, request: Request) -> _Next:
-        if self._stopping:
-            return _fail(ErrorKind.STOPPING, "this instance is stopping", retry_after_s=0.1)
-        if request.request_class is RequestClass.LONG_RUNNING:
-            # Each request holds a thread from its arrival to its answer. Long-running ones that
-            # wait would in time hold all of them, and an interactive one would find no thread to
-            # be admitted by, though slots are free for it.
-            if len(self._long_running) >= self._long_running_limit:
-                reason = "too many long-running requests are here already"
-                return _fail(ErrorKind.OVERLOADED, reason, retry_after_s=RETRY_AFTER_S)
-            self._long_running.add(request.request_id)
-        return await self._claim_and_acquire(request)
-
-    async def _claim_and_acquire(self, request: Request) -> _Next:
-        claim: Claim | None = None
-        if request.idempotency_key and not request.idempotent:
-            claimed = await self._once_guard.claim(request)
-            if not isinstance(claimed, Success):
-                return Err(claimed.failure())
-            claim = claimed.unwrap()
-            if claim.stored is not None:
-                return Success(claim.stored)
+    def _begin_now(self, request: Request) -> _Next | None:
+        """Decide without waiting; ``None`` where `_begin_later` has to go on."""
+        refusal = self._refusal(request)
+        if refusal is not None:
+            return refusal
+        if _needs_claim(request):
+            return None
+        self._retry_policy.first_attempt(request)
+        granted = self._dispatcher.acquire_now(request, tried=frozenset())
+        if granted is None:
+            return None
+        return granted.map(partial(self._next_attempt, request, tried=frozenset(), number=1))
+
+    async def _begin_later(self, request: Request) -> _Next:
+        """Go on where `_begin_now` has returned ``None``."""
+        if not _needs_claim(request):
+            granted = await self._dispatcher.wait(request, tried=frozenset())
+            return granted.map(partial(self._next_attempt, request, tried=frozenset(), number=1))
+        claimed = await self._once_guard.claim(request)
+        if not isinstance(claimed, Success):
+            return Err(claimed.failure())
+        claim = claimed.unwrap()
+        if claim.stored is not None:
+            return Success(claim.stored)
         self._retry_policy.first_attempt(request)
         return await self._acquire(request, tried=frozenset(), number=1, claim=claim)
 
+    def _refusal(self, request: Request) -> _Next | None:
+        if self._stopping:
+            return _fail(ErrorKind.STOPPING, "this instance is stopping", retry_after_s=0.1)
+        if request.request_class is not RequestClass.LONG_RUNNING:
+            return None
+        # Each request holds a thread from its arrival to its answer. Long-running ones that wait
+        # would in time hold all of them, and an interactive one would find no thread to be admitted
+        # by, though slots are free for it.
+        if len(self._long_running) >= self._long_running_limit:
+            reason = "too many long-running requests are here already"
+            return _fail(ErrorKind.OVERLOADED, reason, retry_after_s=RETRY_AFTER_S)
+        self._long_running.add(request.request_id)
+        return None
+
     async def _acquire(
         self, request: Request, *, tried: frozenset[str], number: int, claim: Claim | None
     ) -> _Next:
@@ -220,11 +247,23 @@
             if claim is not None:
                 await self._once_guard.abandon(claim)
             return Err(failure)
-        grant = granted.unwrap()
+        return Success(
+            self._next_attempt(request, granted.unwrap(), tried=tried, number=number, claim=claim)
+        )
+
+    def _next_attempt(
+        self,
+        request: Request,
+        grant: Grant,
+        *,
+        tried: frozenset[str],
+        number: int,
+        claim: Claim | None = None,
+    ) -> _Attempt:
         instance = grant.target.instance
         self._in_flight[instance] = self._in_flight.get(instance, 0) + 1
         self._record(EventKind.SENT, request, instance=instance, detail=f"attempt {number}")
-        return Success(_Attempt(grant=grant, number=number, tried=tried, claim=claim))
+        return _Attempt(grant=grant, number=number, tried=tried, claim=claim)
 
     async def _after(self, ended: _Ended, request: Request) -> _Next:
         attempt, result = ended.attempt, ended.result
@@ -318,6 +357,10 @@
     return Err(Failure(kind=kind, reason=reason, retry_after_s=retry_after_s))
 
 
+def _needs_claim(request: Request) -> bool:
+    return bool(request.idempotency_key) and not request.idempotent
+
+
 def _unknown(failure: Failure) -> _Next:
     """Answer for a request whose earlier attempt may have run and whose next was not admitted.
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -46,6 +46,14 @@
         self._ids = itertools.count(1)
 
     async def acquire(self, request: Request, *, tried: frozenset[str]) -> Result[Grant, Failure]:
+        """Return a grant."""
+        return self.acquire_now(request, tried=tried)
+
+    async def wait(self, request: Request, *, tried: frozenset[str]) -> Result[Grant, Failure]:
+        """Nothing ever waits here."""
+        raise AssertionError
+
+    def acquire_now(self, request: Request, *, tried: frozenset[str]) -> Result[Grant, Failure]:
         """Return a grant."""
         number = next(self._ids)
         fresh = [target for target in self.targets if target.instance not in tried]
