--- /dev/null
+++ b/src/shallotworks/config/_backoff.py
@@ -0,0 +1,17 @@
+"""How long to wait after some failures in a row."""
+
+from __future__ import annotations
+
+import random
+
+__all__ = ["backoff_s"]
+
+FIRST_BACKOFF_S = 0.02
+HIGHEST_BACKOFF_S = 1.0
+MOST_DOUBLINGS = 10
+
+
+def backoff_s(rng: random.Random, failures: int) -> float:
+    """Return a wait with full jitter, its bound doubled by each failure."""
+    highest_s = min(HIGHEST_BACKOFF_S, FIRST_BACKOFF_S * 2.0 ** min(failures, MOST_DOUBLINGS))
+    return rng.uniform(0, highest_s)
--- a/src/shallotworks/config/_store.py
+++ b/src/shallotworks/config/_store.py
@@ -6,7 +6,6 @@
 import math
 import random
 from collections.abc import Callable
-from enum import Enum, unique
 
 from returns.result import Failure as Err
 from returns.result import Result, Success
@@ -17,23 +16,19 @@
 from shallotworks.platform import KeyValueStore
 from shallotworks.timeline import EventKind, Subject, Timeline
 
+from ._backoff import backoff_s
 from ._compactor import Compactor
-from ._entries import Entry
 from ._history import read_entries, state_at
 from ._log_reader import LogReader
+from ._proposer import Proposer
 from ._protocols import Accepted
 from ._replica import Replica
 from ._restore import restore
-from ._snapshots import log_key
 from ._undo import undo
 
 __all__ = ["ConfigStore"]
 
 PROPOSE_DEADLINE_S = 8.0
-FIRST_BACKOFF_S = 0.02
-HIGHEST_BACKOFF_S = 1.0
-RACE_SPREAD_S = 0.02
-"""A few proposals' time, over which those who lost a race spread their next tries."""
 IDLE_CHECK_S = 0.5
 """How often a process that need not watch looks whether it must."""
 RECHECK_S = 3.0
@@ -42,9 +37,6 @@
 """How often a watcher reads the end of the log, to see whether the store still agrees."""
 FASTEST_ROUND_S = 0.05
 """Least time of a round of the watch that brought nothing, so that no fault makes it spin."""
-FRESH_S = 300.0
-"""A state known as the newest so recently can't lie behind the entries that are deleted."""
-CHANGE_ID_BITS = 96
 
 
 class ConfigStore(Replica):
@@ -66,11 +58,11 @@
     __slots__ = (
         "_compacting",
         "_compactor",
+        "_proposer",
         "_reader",
         "_rng",
         "_store",
         "_turn",
-        "_wall_clock_s",
     )
 
     def __init__(
@@ -85,10 +77,17 @@
     ) -> None:
         super().__init__(metrics=metrics, timeline=timeline)
         self._store = store
-        self._wall_clock_s = wall_clock_s
         self._rng = rng
         self._compactor = compactor or Compactor(store=store, metrics=metrics)
         self._reader = LogReader(store=store, replica=self, metrics=metrics)
+        self._proposer = Proposer(
+            store=store,
+            replica=self,
+            reader=self._reader,
+            metrics=metrics,
+            wall_clock_s=wall_clock_s,
+            rng=rng,
+        )
         self._turn = asyncio.Lock()
         self._compacting: asyncio.Task[None] | None = None
 
@@ -155,7 +154,7 @@
         except TimeoutError:
             return Err(_unavailable("earlier changes of this process took all the time"))
         try:
-            outcome = await self._propose(change, author, ends_at_s)
+            outcome = await self._proposer.propose(change, author=author, ends_at_s=ends_at_s)
         finally:
             self._turn.release()
         self._account(outcome, author, asyncio.get_running_loop().time() - started_s)
@@ -222,127 +221,7 @@
         if failure.kind is not ErrorKind.STORE_UNAVAILABLE:
             return self._rng.uniform(RECHECK_S / 2, RECHECK_S)
         least_s = failure.retry_after_s or 0.0
-        return max(least_s, self._backoff_s(failures))
-
-    def _backoff_s(self, failures: int) -> float:
-        highest_s = min(HIGHEST_BACKOFF_S, FIRST_BACKOFF_S * 2.0 ** min(failures, 10))
-        return self._rng.uniform(0, highest_s)
-
-    async def _propose(
-        self, change: Change, author: str, ends_at_s: float
-    ) -> Result[Accepted, Failure]:
-        """Create the entry of the next revision until it is there, another's is, or time is over.
-
-        The failure: an answer is lost, and the entry may or may not have been written, or may yet
-        be. The same entry is created again under the same key: whichever attempt takes effect, it
-        is the same change at the same revision. Only when another's entry is seen under that key is
-        it sure that this one can't take effect there any more, and the next revision is tried.
-        """
-        proposal = _Proposal(change_id=f"{self._rng.getrandbits(CHANGE_ID_BITS):024x}")
-        while True:
-            refused = await self._refuse(proposal, change)
-            if refused is not None:
-                return Err(refused)
-            written = await self._create(proposal, change, author)
-            if not isinstance(written, Success) and not proposal.is_open:
-                return Err(written.failure())
-            if written.value_or(_Write.SENT) is _Write.TAKEN:
-                # Losers spread out before they read, not after: what is read is out of date
-                # within the time of one proposal, and a winner that goes on would win each time.
-                await asyncio.sleep(self._rng.uniform(0, RACE_SPREAD_S))
-            held = self.revision()
-            await self._reader.read()
-            if await self._settle(proposal):
-                revision = proposal.open_revision
-                return Success(Accepted(revision=revision, change_id=proposal.change_id))
-            stopped = self._give_up(proposal, ends_at_s)
-            if stopped is not None:
-                return Err(stopped)
-            if self.revision() > held:
-                continue
-            proposal.failures += 1
-            await asyncio.sleep(self._backoff_s(proposal.failures))
-
-    async def _refuse(self, proposal: _Proposal, change: Change) -> Failure | None:
-        """Check the change against the newest revision; one that may be written is past that."""
-        if proposal.is_open:
-            return None
-        if self._must_read_first():
-            read = await self._reader.read()
-            if not isinstance(read, Success):
-                return read.failure()
-        checked = apply(self.state(), change)
-        if not isinstance(checked, Success):
-            # Only the newest state may refuse it; what is held may be a moment old.
-            read = await self._reader.read()
-            if not isinstance(read, Success):
-                return read.failure()
-            checked = apply(self.state(), change)
-        if self.fault() is not None:
-            return self.fault()
-        return None if isinstance(checked, Success) else checked.failure()
-
-    def _must_read_first(self) -> bool:
-        """Say whether an entry written after what is held could begin a second history.
-
-        A store that came back at just the revision held here looks right to this process, unless
-        it has heard of a newer one. And where this process was cut off for so long that the next
-        entry has been written, and deleted behind a snapshot, its key could be created again.
-        """
-        behind = self.revision() < self.newest_heard()
-        return behind or self.fault() is not None or self.age_s() > FRESH_S
-
-    async def _create(
-        self, proposal: _Proposal, change: Change, author: str
-    ) -> Result[_Write, Failure]:
-        """Create the entry; fails only where this attempt surely wrote nothing."""
-        if proposal.is_open and proposal.open_revision <= self.revision():
-            # Its revision is past, and whose entry it was can't be read just now.
-            return Success(_Write.SENT)
-        entry = Entry(
-            revision=self.revision() + 1,
-            change_id=proposal.change_id,
-            author=author,
-            at_s=self._wall_clock_s(),
-            change=change,
-        )
-        outcome = await self._store.create(log_key(entry.revision), entry.encode())
-        if isinstance(outcome, Success):
-            proposal.open_revision = entry.revision
-            return Success(_Write.SENT)
-        failure = outcome.failure()
-        if failure.kind is ErrorKind.OUTCOME_UNKNOWN:
-            self._metrics.count("config.answers-lost")
-            proposal.open_revision = entry.revision
-            return Success(_Write.SENT)
-        if failure.kind is ErrorKind.CONFLICT:
-            if not proposal.is_open:
-                self._metrics.count("config.lost-races")
-            return Success(_Write.TAKEN)
-        return Err(failure)
-
-    async def _settle(self, proposal: _Proposal) -> bool:
-        """Say whether the entry that may have been written is in the log."""
-        revision = proposal.open_revision
-        if revision == 0 or revision > self.revision():
-            return False
-        # A snapshot may have carried this process past the revision without its entry.
-        change_id = self.change_id_at(revision) or await self._reader.change_id_in_log(revision)
-        if change_id == proposal.change_id:
-            return True
-        if change_id is not None:
-            proposal.open_revision = 0
-        return False
-
-    def _give_up(self, proposal: _Proposal, ends_at_s: float) -> Failure | None:
-        fault = self.fault()
-        over = asyncio.get_running_loop().time() >= ends_at_s
-        if not over and fault is None:
-            return None
-        if proposal.is_open:
-            reason = f"the entry of revision {proposal.open_revision} can't be read back"
-            return Failure(kind=ErrorKind.OUTCOME_UNKNOWN, reason=reason)
-        return fault or _unavailable("no revision could be won in time")
+        return max(least_s, backoff_s(self._rng, failures))
 
     def _account(self, outcome: Result[Accepted, Failure], author: str, duration_s: float) -> None:
         self._metrics.observe_s("latency.config.propose", duration_s)
@@ -368,34 +247,5 @@
         await self._compactor.compact(self.snapshot())
 
 
-@unique
-class _Write(Enum):
-    SENT = "sent"
-    """The entry was written, or may have been."""
-    TAKEN = "taken"
-    """There is an entry under that key."""
-
-
-class _Proposal:
-    """Where one change stands.
-
-    Args:
-        change_id: Its id.
-    """
-
-    __slots__ = ("change_id", "failures", "open_revision")
-
-    def __init__(self, *, change_id: str) -> None:
-        self.change_id = change_id
-        self.open_revision = 0
-        """The revision under which it may have been written; 0 for none."""
-        self.failures = 0
-
-    @property
-    def is_open(self) -> bool:
-        """Whether the entry may have been written, or may yet be, and is not found so far."""
-        return self.open_revision > 0
-
-
 def _unavailable(why: str) -> Failure:
     return Failure(kind=ErrorKind.STORE_UNAVAILABLE, reason=why, retry_after_s=1.0)
