--- a/src/shallotworks/requests/_pool.py
+++ b/src/shallotworks/requests/_pool.py
@@ -77,7 +77,8 @@
         self._limits = limits
         self._choice = choice
         self._rng = rng
-        self._moving: set[TargetState] = set()
+        # Kept in order, so that the same events lead to the same choices on every run.
+        self._moving: dict[TargetState, None] = {}
         self.local = TargetGroup()
         self.remote = TargetGroup()
         self.targets: dict[str, TargetState] = {}
@@ -88,7 +89,7 @@
             metrics=metrics,
             timeline=timeline,
             rng=rng,
-            on_change=self._moving.add,
+            on_change=self._follow,
         )
         self.interactive_hold = DurationEstimate()
         self.long_running_hold = DurationEstimate()
@@ -134,7 +135,7 @@
         self._set_usable(target, usable, ramp_from_s)
         target.describe(instance)
         target.part = part
-        self._moving.add(target)
+        self._follow(target)
 
     def drop(self, name: str) -> None:
         """Let a target go; grants at it can still be released.
@@ -154,7 +155,7 @@
             limit = target.limit_at(now_s, slow_start_s=slow_start_s)
             target.group.set_limit(target, limit)
             if target.is_settled(now_s, slow_start_s=slow_start_s):
-                self._moving.discard(target)
+                self._moving.pop(target, None)
 
     def count_queued(self, load: ClassLoad, amount: int) -> None:
         """Count requests that entered or left the queue of a service."""
@@ -204,7 +205,7 @@
             return
         if borrowed != target.borrowed:
             target.group.set_borrowed(target, borrowed)
-            self._moving.add(target)
+            self._follow(target)
 
     def place(
         self, request: Request, load: ClassLoad, *, tried: frozenset[str], now_s: float
@@ -247,6 +248,9 @@
         group = self.serving
         return group.free > 0 and self.long_running_in_flight < self.long_running_max(group, now_s)
 
+    def _follow(self, target: TargetState) -> None:
+        self._moving[target] = None
+
     def _least_filled(self, *, interactive: bool) -> ClassLoad | None:
         best: ClassLoad | None = None
         for service in self.services.values():
@@ -270,10 +274,10 @@
             target.ramp_from_s = ramp_from_s
             target.group.targets[name] = target
             self.health.add(target)
-            self._moving.add(target)
+            self._follow(target)
         else:
             del target.group.targets[name]
             target.group.set_borrowed(target, 0)
             self.health.remove(target)
-            self._moving.discard(target)
+            self._moving.pop(target, None)
             target.group.set_limit(target, 0)
