--- a/src/shallotworks/config/_store.py
+++ b/src/shallotworks/config/_store.py
@@ -3,36 +3,47 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
+from enum import Enum, unique
 
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
 from shallotworks.errors import ErrorKind, Failure
-from shallotworks.fleet import Change, apply
+from shallotworks.fleet import Change, FleetState, apply
 from shallotworks.metrics import Metrics
 from shallotworks.platform import KeyValueStore
 from shallotworks.timeline import EventKind, Subject, Timeline
 
 from ._compactor import Compactor
 from ._entries import Entry
+from ._history import read_entries, state_at
 from ._log_reader import LogReader
 from ._protocols import Accepted
 from ._replica import Replica
-from ._snapshots import log_key, write_snapshot
+from ._restore import restore
+from ._snapshots import log_key
+from ._undo import undo
 
 __all__ = ["ConfigStore"]
 
 PROPOSE_DEADLINE_S = 8.0
 FIRST_BACKOFF_S = 0.02
 HIGHEST_BACKOFF_S = 1.0
+RACE_SPREAD_S = 0.02
+"""A few proposals' time, over which those who lost a race spread their next tries."""
 IDLE_CHECK_S = 0.5
 """How often a process that need not watch looks whether it must."""
 RECHECK_S = 3.0
 """How often a watcher looks whether a store that came back empty or older agrees again."""
+CHECK_EVERY_S = 60.0
+"""How often a watcher reads the end of the log, to see whether the store still agrees."""
 FASTEST_ROUND_S = 0.05
 """Least time of a round of the watch that brought nothing, so that no fault makes it spin."""
+FRESH_S = 300.0
+"""A state known as the newest so recently can't lie behind the entries that are deleted."""
 CHANGE_ID_BITS = 96
 
 
@@ -40,7 +51,8 @@
     """Implements `ConfigView`, `ConfigLog` and `ConfigReplica` over the platform's service.
 
     A change costs two calls where nothing is amiss: the entry is created, and read back together
-    with the one before it. Each lost race costs two more.
+    with the one before it. Each lost race costs two more, and a process that has not heard for
+    some minutes what the newest revision is reads first.
 
     Args:
         store: The platform's key-value service.
@@ -51,6 +63,16 @@
         compactor: Keeps the log bounded; the default where not given.
     """
 
+    __slots__ = (
+        "_compacting",
+        "_compactor",
+        "_reader",
+        "_rng",
+        "_store",
+        "_turn",
+        "_wall_clock_s",
+    )
+
     def __init__(
         self,
         *,
@@ -93,13 +115,24 @@
         """
         loop = asyncio.get_running_loop()
         failures = 0
+        # After a start, an outage or a time without a watch the store may have come back older. A
+        # watch alone would not show that once its counter has grown again, so the first look is a
+        # read, and one now and then.
+        checked_at_s = -math.inf
         while True:
             if not should_watch():
+                checked_at_s = -math.inf
                 await asyncio.sleep(IDLE_CHECK_S)
                 continue
             started_s = loop.time()
             held = self.revision()
-            followed = await self._follow()
+            if started_s - checked_at_s > CHECK_EVERY_S:
+                followed = await self.load()
+                checked_at_s = started_s
+            else:
+                followed = await self._reader.follow()
+            if not isinstance(followed, Success) or self.fault() is not None:
+                checked_at_s = -math.inf
             if isinstance(followed, Success):
                 failures = 0
                 if self.revision() == held and loop.time() - started_s < FASTEST_ROUND_S:
@@ -128,27 +161,54 @@
         self._account(outcome, author, asyncio.get_running_loop().time() - started_s)
         return outcome
 
+    async def state_at(self, revision: int) -> Result[FleetState, Failure]:
+        """Return the state at a revision; ``NOT_FOUND`` where it is not kept any more."""
+        if revision == self.revision():
+            return Success(self.state())
+        return await state_at(self._store, revision)
+
+    async def change_back(self, revision: int, *, author: str) -> Result[Accepted, Failure]:
+        """Take the change of a revision back, as a new revision.
+
+        Returns:
+            As `propose`; ``NOT_FOUND`` where the revision is not kept any more; as
+            `shallotworks.config.undo` where it can't be taken back.
+        """
+        listed = await read_entries(self._store, after=revision - 1, limit=1)
+        before = await state_at(self._store, revision - 1)
+        if not isinstance(listed, Success) or not isinstance(before, Success):
+            return Err((before if isinstance(listed, Success) else listed).failure())
+        entry = next(iter(listed.unwrap()), None)
+        if entry is None or entry.revision != revision:
+            reason = f"the change of revision {revision} is not kept any more"
+            return Err(Failure(kind=ErrorKind.NOT_FOUND, reason=reason))
+        after = apply(before.unwrap(), entry.change)
+        if not isinstance(after, Success):
+            return Err(after.failure())
+        change = undo(entry.change, before=before.unwrap(), after=after.unwrap(), now=self.state())
+        if not isinstance(change, Success):
+            return Err(change.failure())
+        return await self.propose(change.unwrap(), author=author)
+
     async def restore_store(self) -> Result[int, Failure]:
-        """Write the state held as a snapshot into a store that came back empty or older.
+        """Bring a store that came back empty or older to the revision held here.
 
         Only ever at an operator's word, and at the process with the highest revision. The log then
         goes on from there.
 
         Returns:
-            The revision; ``CONFLICT`` where the store agrees, has another history, or a newer
-            revision than the one held here is known.
+            The revision; ``CONFLICT`` where the store lacks nothing, or a newer revision than the
+            one held here is known; ``STORE_REGRESSED`` where the store has another history.
         """
         read = await self._reader.read()
         if not isinstance(read, Success):
             return read
-        if self.fault() is None:
-            return Err(Failure(kind=ErrorKind.CONFLICT, reason="the store agrees; nothing to do"))
         if self.newest_heard() > self.revision():
             reason = f"another process holds revision {self.newest_heard()}; restore from there"
             return Err(Failure(kind=ErrorKind.CONFLICT, reason=reason))
-        written = await write_snapshot(self._store, self.snapshot())
-        if not isinstance(written, Success):
-            return Err(written.failure())
+        restored = await restore(self._store, self)
+        if not isinstance(restored, Success):
+            return restored
         self._metrics.count("config.store-restored")
         return await self.load()
 
@@ -158,13 +218,6 @@
             self._compacting.cancel()
             await asyncio.gather(self._compacting, return_exceptions=True)
 
-    async def _follow(self) -> Result[int, Failure]:
-        if self.fault() is None:
-            return await self._reader.follow()
-        outcome = await self._reader.read()
-        fault = self.fault()
-        return Err(fault) if isinstance(outcome, Success) and fault is not None else outcome
-
     def _retry_delay_s(self, failure: Failure, failures: int) -> float:
         if failure.kind is not ErrorKind.STORE_UNAVAILABLE:
             return self._rng.uniform(RECHECK_S / 2, RECHECK_S)
@@ -193,6 +246,11 @@
             written = await self._create(proposal, change, author)
             if not isinstance(written, Success) and not proposal.is_open:
                 return Err(written.failure())
+            if written.value_or(_Write.SENT) is _Write.TAKEN:
+                # Losers spread out before they read, not after: what is read is out of date
+                # within the time of one proposal, and a winner that goes on would win each time.
+                await asyncio.sleep(self._rng.uniform(0, RACE_SPREAD_S))
+            held = self.revision()
             await self._reader.read()
             if await self._settle(proposal):
                 revision = proposal.open_revision
@@ -200,17 +258,19 @@
             stopped = self._give_up(proposal, ends_at_s)
             if stopped is not None:
                 return Err(stopped)
-            proposal.rounds += 1
-            await asyncio.sleep(self._backoff_s(proposal.rounds))
+            if self.revision() > held:
+                continue
+            proposal.failures += 1
+            await asyncio.sleep(self._backoff_s(proposal.failures))
 
     async def _refuse(self, proposal: _Proposal, change: Change) -> Failure | None:
         """Check the change against the newest revision; one that may be written is past that."""
         if proposal.is_open:
             return None
-        if self.fault() is not None or self.revision() < self.newest_heard():
-            # A store that came back at just the revision held here looks right to this process;
-            # only what it has heard of newer ones keeps it from beginning a second history.
-            await self._reader.read()
+        if self._must_read_first():
+            read = await self._reader.read()
+            if not isinstance(read, Success):
+                return read.failure()
         checked = apply(self.state(), change)
         if not isinstance(checked, Success):
             # Only the newest state may refuse it; what is held may be a moment old.
@@ -222,13 +282,23 @@
             return self.fault()
         return None if isinstance(checked, Success) else checked.failure()
 
+    def _must_read_first(self) -> bool:
+        """Say whether an entry written after what is held could begin a second history.
+
+        A store that came back at just the revision held here looks right to this process, unless
+        it has heard of a newer one. And where this process was cut off for so long that the next
+        entry has been written, and deleted behind a snapshot, its key could be created again.
+        """
+        behind = self.revision() < self.newest_heard()
+        return behind or self.fault() is not None or self.age_s() > FRESH_S
+
     async def _create(
         self, proposal: _Proposal, change: Change, author: str
-    ) -> Result[None, Failure]:
+    ) -> Result[_Write, Failure]:
         """Create the entry; fails only where this attempt surely wrote nothing."""
         if proposal.is_open and proposal.open_revision <= self.revision():
             # Its revision is past, and whose entry it was can't be read just now.
-            return Success(None)
+            return Success(_Write.SENT)
         entry = Entry(
             revision=self.revision() + 1,
             change_id=proposal.change_id,
@@ -239,16 +309,16 @@
         outcome = await self._store.create(log_key(entry.revision), entry.encode())
         if isinstance(outcome, Success):
             proposal.open_revision = entry.revision
-            return Success(None)
+            return Success(_Write.SENT)
         failure = outcome.failure()
         if failure.kind is ErrorKind.OUTCOME_UNKNOWN:
             self._metrics.count("config.answers-lost")
             proposal.open_revision = entry.revision
-            return Success(None)
+            return Success(_Write.SENT)
         if failure.kind is ErrorKind.CONFLICT:
             if not proposal.is_open:
                 self._metrics.count("config.lost-races")
-            return Success(None)
+            return Success(_Write.TAKEN)
         return Err(failure)
 
     async def _settle(self, proposal: _Proposal) -> bool:
@@ -257,17 +327,13 @@
         if revision == 0 or revision > self.revision():
             return False
         # A snapshot may have carried this process past the revision without its entry.
-        change_id = self.change_id_at(revision) or await self._read_change_id(revision)
+        change_id = self.change_id_at(revision) or await self._reader.change_id_in_log(revision)
         if change_id == proposal.change_id:
             return True
         if change_id is not None:
             proposal.open_revision = 0
         return False
 
-    async def _read_change_id(self, revision: int) -> str | None:
-        item = (await self._store.get(log_key(revision))).value_or(None)
-        return Entry.decode(item.value).change_id if item is not None else None
-
     def _give_up(self, proposal: _Proposal, ends_at_s: float) -> Failure | None:
         fault = self.fault()
         over = asyncio.get_running_loop().time() >= ends_at_s
@@ -302,6 +368,14 @@
         await self._compactor.compact(self.snapshot())
 
 
+@unique
+class _Write(Enum):
+    SENT = "sent"
+    """The entry was written, or may have been."""
+    TAKEN = "taken"
+    """There is an entry under that key."""
+
+
 class _Proposal:
     """Where one change stands.
 
@@ -309,13 +383,13 @@
         change_id: Its id.
     """
 
-    __slots__ = ("change_id", "open_revision", "rounds")
+    __slots__ = ("change_id", "failures", "open_revision")
 
     def __init__(self, *, change_id: str) -> None:
         self.change_id = change_id
         self.open_revision = 0
         """The revision under which it may have been written; 0 for none."""
-        self.rounds = 0
+        self.failures = 0
 
     @property
     def is_open(self) -> bool:
