Count the bytes among peers, and move their status to a module of its own

Change: counters peers.bytes.sent and peers.bytes.received; PeerStatus in _status; totals kept by Links.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,6 +1,6 @@
 """Slopes for docs/CAPACITY.md: cost by peers, by data centres and by the size of the fleet.
 
-Writes every figure to ``bench/results/capacity.json``. Takes about five minutes.
+Writes every figure to ``bench/results/capacity.json``. Takes about ten minutes.
 """
 
 from __future__ import annotations
--- a/src/shallotworks/peers/__init__.py
+++ b/src/shallotworks/peers/__init__.py
@@ -8,8 +8,9 @@
 """
 
 from ._members import Member, MemberState
-from ._network import PeerNetwork, PeerStatus
+from ._network import PeerNetwork
 from ._settings import PeerSettings, PeerTiming
+from ._status import PeerStatus
 from ._transport import Listener, TcpTransport, Transport
 
 __all__ = [
--- a/src/shallotworks/peers/_links.py
+++ b/src/shallotworks/peers/_links.py
@@ -19,11 +19,13 @@
         own_name: Name of this process.
     """
 
-    __slots__ = ("_by_name", "_own_name")
+    __slots__ = ("_by_name", "_ended_received_bytes", "_ended_sent_bytes", "_own_name")
 
     def __init__(self, *, own_name: str) -> None:
         self._own_name = own_name
         self._by_name: dict[str, Link] = {}
+        self._ended_sent_bytes = 0
+        self._ended_received_bytes = 0
 
     def __iter__(self) -> Iterator[Link]:
         return iter(tuple(self._by_name.values()))
@@ -51,10 +53,24 @@
         return True
 
     def drop(self, link: Link) -> None:
-        """Forget a connection that has ended."""
+        """Use a connection no more."""
         if self._by_name.get(link.peer.name) is link:
             del self._by_name[link.peer.name]
 
+    def retire(self, link: Link) -> None:
+        """Forget a connection that has ended, but for what it has carried."""
+        self.drop(link)
+        self._ended_sent_bytes += link.sent_bytes
+        self._ended_received_bytes += link.received_bytes
+
+    def sent_bytes(self) -> int:
+        """Return the bytes sent on all connections so far."""
+        return self._ended_sent_bytes + sum(link.sent_bytes for link in self)
+
+    def received_bytes(self) -> int:
+        """Return the bytes received on all connections so far."""
+        return self._ended_received_bytes + sum(link.received_bytes for link in self)
+
     def _have_crossed(self, present: Link, link: Link) -> bool:
         same = present.peer.incarnation == link.peer.incarnation
         soon = link.opened_at_s - present.opened_at_s < CROSSED_WITHIN_S
--- a/src/shallotworks/peers/_network.py
+++ b/src/shallotworks/peers/_network.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
 from random import Random
 
 from shallotworks.config import ConfigReplica
@@ -35,9 +34,10 @@
 from ._loads import Loads
 from ._members import Member, MemberState, MemberTable
 from ._settings import PeerSettings
+from ._status import PeerStatus
 from ._transport import Listener, TcpTransport, Transport
 
-__all__ = ["PeerNetwork", "PeerStatus"]
+__all__ = ["PeerNetwork"]
 
 UNWANTED_FOR_S = 2.0
 """Time that a connection of no use stays open, in which both ends exchange records."""
@@ -49,35 +49,6 @@
 }
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PeerStatus:
-    """How this process stands among its peers, for operators.
-
-    Args:
-        relay_slot: Which relay of its data centre it is; -1 for none.
-        watches: Whether it should watch the platform's store.
-        links: Connections open.
-        data_centres_linked: Other data centres that it has a connection to.
-        data_centres_known: Other data centres that it knows a member of.
-        revision: Newest revision held here.
-        newest_revision: Newest revision that any process was heard to hold.
-        config_age_s: How long ago the revision held was known to be the newest.
-        sent_bytes: Bytes sent to peers so far.
-        received_bytes: Bytes received from peers so far.
-    """
-
-    relay_slot: int
-    watches: bool
-    links: int
-    data_centres_linked: tuple[str, ...]
-    data_centres_known: tuple[str, ...]
-    revision: int
-    newest_revision: int
-    config_age_s: float
-    sent_bytes: int
-    received_bytes: int
-
-
 class PeerNetwork:
     """One process among its peers: membership, and the configuration passed on.
 
@@ -94,8 +65,8 @@
 
     __slots__ = (
         "_accepted",
-        "_closed_received_bytes",
-        "_closed_sent_bytes",
+        "_counted_received_bytes",
+        "_counted_sent_bytes",
         "_dialler",
         "_distribution",
         "_links",
@@ -158,8 +129,8 @@
         self._serving: set[asyncio.Task[None]] = set()
         self._started_s = 0.0
         self._accepted = 0
-        self._closed_sent_bytes = 0
-        self._closed_received_bytes = 0
+        self._counted_sent_bytes = 0
+        self._counted_received_bytes = 0
 
     async def start(self) -> None:
         """Listen, and look for peers; raises ``OSError`` where the address can't be bound."""
@@ -215,8 +186,6 @@
         own = self._table.own
         known = {record.data_centre for record in self._table.records()}
         linked = {link.peer.data_centre for link in self._links}
-        sent = sum(link.sent_bytes for link in self._links)
-        received = sum(link.received_bytes for link in self._links)
         return PeerStatus(
             relay_slot=own.relay_slot,
             watches=self.should_watch(),
@@ -226,8 +195,8 @@
             revision=self._replica.revision(),
             newest_revision=self._distribution.newest(),
             config_age_s=self._replica.age_s(),
-            sent_bytes=self._closed_sent_bytes + sent,
-            received_bytes=self._closed_received_bytes + received,
+            sent_bytes=self._links.sent_bytes(),
+            received_bytes=self._links.received_bytes(),
         )
 
     def heartbeat_for(self, link: Link) -> Heartbeat:
@@ -285,8 +254,15 @@
             self._take_duties()
             self._dismiss_unwanted()
             self._dialler.step()
+            self._count_bytes()
             await asyncio.sleep(self._settings.timing.tick_s)
 
+    def _count_bytes(self) -> None:
+        sent, received = self._links.sent_bytes(), self._links.received_bytes()
+        self._metrics.count("peers.bytes.sent", sent - self._counted_sent_bytes)
+        self._metrics.count("peers.bytes.received", received - self._counted_received_bytes)
+        self._counted_sent_bytes, self._counted_received_bytes = sent, received
+
     def _is_settled(self) -> bool:
         if _now_s() - self._started_s >= self._settings.timing.settle_s:
             return True
@@ -390,10 +366,8 @@
         try:
             self._after(await link.run())
         finally:
-            self._links.drop(link)
+            self._links.retire(link)
             self._distribution.forget(link)
-            self._closed_sent_bytes += link.sent_bytes
-            self._closed_received_bytes += link.received_bytes
 
     def _after(self, end: LinkEnd) -> None:
         self._metrics.count(f"peers.links.ended.{end.value}")
