--- a/bench/plans.py
+++ b/bench/plans.py
@@ -14,6 +14,7 @@
 import random
 import statistics
 import time
+import timeit
 import tracemalloc
 from collections import Counter
 from collections.abc import Iterator
@@ -25,7 +26,15 @@
 from tests.fakes_plans import World, fjellsending, fleet, run, tijera
 
 from shallotworks.errors import ErrorKind, Failure
-from shallotworks.fleet import AdvancePlan, FleetState, Instance, SetCondition
+from shallotworks.fleet import (
+    AdvancePlan,
+    Condition,
+    FleetState,
+    Instance,
+    SetCondition,
+    apply,
+    basis_of,
+)
 from shallotworks.node._duty import LeaseDuty
 from shallotworks.plans import (
     Alternative,
@@ -58,6 +67,7 @@
 SMALL_INSTANCES = 6
 KILLS = 40
 EQUAL = 1e-9
+TICK_S = 0.001
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -118,6 +128,8 @@
     """Print one block for each matter."""
     for case in _cases():
         _print_planning(case)
+    _print_apply()
+    _print_loop_delay()
     _print_distance()
     _print_store_calls()
     _print_takeover()
@@ -173,6 +185,48 @@
     )
 
 
+def _print_apply() -> None:
+    """Tell what one change costs every process: a wave's cordon over all pools, and the basis."""
+    state = _target_fleet()
+    names = tuple(next(state.instances_of(pool)).name for pool in state.pools)
+    cordon = SetCondition(names=names, condition=Condition.CORDONED)
+    applied_s = timeit.repeat(lambda: apply(state, cordon).unwrap(), number=1, repeat=ROUNDS)
+    basis_s = timeit.repeat(lambda: basis_of(state, state.instances), number=1, repeat=ROUNDS)
+    print(
+        f"target: a cordon over {len(names)} pools applied, ms"
+        f" {statistics.median(applied_s) * 1e3:.1f};"
+        f" basis of a plan over everything, ms {statistics.median(basis_s) * 1e3:.1f}"
+    )
+
+
+def _print_loop_delay() -> None:
+    """Tell how long planning on a thread holds up the event loop, which takes all decisions."""
+    planner = Planner(weights=FJELLSENDING, model=DisruptionModel())
+    state = _target_fleet()
+    delays_s = [asyncio.run(_loop_delay_s(planner, state)) for _ in range(ROUNDS)]
+    idle_s = [asyncio.run(_loop_delay_s(None, state)) for _ in range(ROUNDS)]
+    print(
+        f"longest delay of the loop while the target is planned on a thread, ms"
+        f" {statistics.median(delays_s) * 1e3:.1f} (idle {statistics.median(idle_s) * 1e3:.1f})"
+    )
+
+
+async def _loop_delay_s(planner: Planner | None, state: FleetState) -> float:
+    def work() -> None:
+        if planner is None:
+            time.sleep(1.0)
+        else:
+            planner.plan(state, EVERYTHING, author="bench").unwrap()
+
+    planning = asyncio.ensure_future(asyncio.to_thread(work))
+    longest_s = 0.0
+    while not planning.done():
+        started_s = time.perf_counter()
+        await asyncio.sleep(TICK_S)
+        longest_s = max(longest_s, time.perf_counter() - started_s - TICK_S)
+    return longest_s
+
+
 def _print_distance() -> None:
     """Compare with exhaustive search over all ordered partitions of small cases into waves."""
     rng = random.Random(SEED)
--- a/src/shallotworks/fleet/_apply.py
+++ b/src/shallotworks/fleet/_apply.py
@@ -206,14 +206,16 @@
     Every process applies this at the one revision the cordon would become, so two plans, or two
     data centres that were cut off from each other, can't both take the last permit.
     """
+    unavailable = after.unavailable_by_pool()
+    unavailable_before = before.unavailable_by_pool()
+    budgets = after.budgets_by_pool()
     for pool in sorted({entry.pool for entry in changed}):
-        unavailable = after.unavailable_in(pool)
-        takes_more = unavailable > before.unavailable_in(pool)
-        if takes_more and unavailable > after.budget_of(pool):
+        takes_more = unavailable[pool] > unavailable_before[pool]
+        if takes_more and unavailable[pool] > budgets[pool]:
             return _refuse(
                 ErrorKind.BUDGET_SPENT,
-                f"pool {pool} would have {unavailable} instances unavailable;"
-                f" its services allow {after.budget_of(pool)}",
+                f"pool {pool} would have {unavailable[pool]} instances unavailable;"
+                f" its services allow {budgets[pool]}",
             )
     return Success(after)
 
--- a/src/shallotworks/fleet/_state.py
+++ b/src/shallotworks/fleet/_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -55,6 +56,19 @@
             return min(budgets)
         return sum(1 for _ in self.instances_of(pool))
 
+    def unavailable_by_pool(self) -> Counter[str]:
+        """Return `unavailable_in` of every pool at once, in one pass over the instances."""
+        return Counter(entry.pool for entry in self.instances.values() if not entry.available)
+
+    def budgets_by_pool(self) -> dict[str, int]:
+        """Return `budget_of` of every pool at once, in one pass."""
+        budgets: dict[str, int] = {}
+        for service in self.services.values():
+            least = budgets.get(service.pool, service.max_unavailable)
+            budgets[service.pool] = min(least, service.max_unavailable)
+        sizes = Counter(entry.pool for entry in self.instances.values())
+        return {name: budgets.get(name, sizes[name]) for name in self.pools}
+
     def open_plan_holding(self, names: tuple[str, ...]) -> PlanRecord | None:
         """Return an open plan that holds one of these instances, if there is one."""
         wanted = frozenset(names)
--- a/src/shallotworks/plans/_plan_run.py
+++ b/src/shallotworks/plans/_plan_run.py
@@ -10,7 +10,7 @@
 
 from shallotworks.config import ConfigView
 from shallotworks.errors import ErrorKind, Failure, ShallotworksError
-from shallotworks.fleet import Condition, FleetState, Instance, PlanRecord, PlanState
+from shallotworks.fleet import Condition, FleetState, PlanRecord, PlanState
 from shallotworks.metrics import Metrics
 from shallotworks.timeline import EventKind, Subject, Timeline
 
@@ -59,10 +59,13 @@
         around: What to work with.
     """
 
-    __slots__ = ("_around", "_ends", "_inherited", "_paused", "_plan", "_writer")
+    __slots__ = ("_around", "_ends", "_inherited", "_paused", "_plan", "_steps", "_writer")
 
     def __init__(self, *, plan: Plan, writer: PlanWriter, around: Surroundings) -> None:
         self._plan = plan
+        self._steps = {
+            name: step for wave in plan.waves for step in wave.steps for name in step.instances
+        }
         self._writer = writer
         self._around = around
         self._ends: dict[str, StepEnd] = {}
@@ -89,7 +92,7 @@
     def _inherit_failed(self) -> None:
         """Take over what an earlier conductor gave up, so that waves do not wait for it again."""
         state = self._around.view.state()
-        for name, step in self._steps().items():
+        for name, step in self._steps.items():
             failed = self._holds(name) and not state.instances[name].healthy
             if failed and Action.RETURN in step.actions:
                 self._ends[name] = StepEnd.NEVER_CAME_BACK
@@ -210,7 +213,7 @@
     async def _try_leftovers(self) -> None:
         """Give instances that did not come back in time another chance."""
         rules = self._around.rules
-        steps = self._steps()
+        steps = self._steps
         works = []
         for name in self._failed():
             limit_s = rules.return_limit_s if name in self._inherited else rules.last_chance_s
@@ -219,7 +222,7 @@
         await run_all(works)
 
     async def _finish(self) -> None:
-        steps = self._steps()
+        steps = self._steps
         undone = {name: self._end_of(name) for name in steps if not self._is_done(name)}
         state = PlanState.FAILED if undone else PlanState.DONE
         outcome = f"{len(steps) - len(undone)} of {len(steps)} instances done"
@@ -235,16 +238,16 @@
         stays cordoned.
         """
         limit_s = self._around.rules.return_limit_s
-        held = [name for name in self._steps() if self._holds(name)]
+        held = [name for name in self._steps if self._holds(name)]
         await run_all(self._roll_back_instance(name, limit_s) for name in held)
-        left = sorted(name for name in self._steps() if self._holds(name))
+        left = sorted(name for name in self._steps if self._holds(name))
         outcome = f"{len(held) - len(left)} of {len(held)} cordons rolled back"
         if left:
             outcome += f"; still cordoned: {', '.join(left[:NAMES_SHOWN])}"
         await self._end(PlanState.CANCELLED, outcome)
 
     async def _roll_back_instance(self, name: str, limit_s: float) -> None:
-        step = self._steps()[name]
+        step = self._steps[name]
         if step.to_pool:
             await self._writer.move(name, from_pool=step.to_pool, to_pool=step.pool)
         run = self._instance_run(step, name)
@@ -269,15 +272,6 @@
         except TimeoutError:
             return
 
-    def _steps(self) -> dict[str, Step]:
-        return {
-            name: step
-            for wave in self._plan.waves
-            for step in wave.steps
-            for name in step.instances
-            if name in self._around.view.state().instances
-        }
-
     def _is_through(self, step: Step, name: str) -> bool:
         """Whether nothing is left to do; a drain always asks its target again."""
         if Action.RETURN not in step.actions:
@@ -285,7 +279,7 @@
         return is_done(step, name, self._record(), self._around.view.state())
 
     def _is_done(self, name: str) -> bool:
-        return is_done(self._steps()[name], name, self._record(), self._around.view.state())
+        return is_done(self._steps[name], name, self._record(), self._around.view.state())
 
     def _end_of(self, name: str) -> StepEnd:
         return self._ends.get(name, StepEnd.NEVER_CAME_BACK)
@@ -341,12 +335,11 @@
 
 def _fitting(state: FleetState, names: dict[str, Step]) -> tuple[str, ...]:
     """Return those instances whose cordon the budgets have room for."""
-    room: dict[str, int] = {}
+    unavailable = state.unavailable_by_pool()
+    room = {pool: budget - unavailable[pool] for pool, budget in state.budgets_by_pool().items()}
     fitting = []
     for name in names:
-        entry: Instance = state.instances[name]
-        if entry.pool not in room:
-            room[entry.pool] = state.budget_of(entry.pool) - state.unavailable_in(entry.pool)
+        entry = state.instances[name]
         if entry.available and room[entry.pool] < 1:
             continue
         room[entry.pool] -= entry.available
--- a/src/shallotworks/plans/_proposals.py
+++ b/src/shallotworks/plans/_proposals.py
@@ -149,9 +149,9 @@
             self._note(EventKind.PLAN_CONFIRMED, plan.digest, f"by {operator}")
             return Success(state.plans[plan.digest])
         failure = result.failure()
-        self._metrics.count(f"plans.confirms_refused.{failure.kind.value}")
         if failure.kind is ErrorKind.STALE_PLAN:
             return await self._stale(plan, operator=operator)
+        self._metrics.count(f"plans.confirms_refused.{failure.kind.value}")
         if failure.kind is ErrorKind.CONFLICT:
             return Err(await self._tell_end(plan, failure))
         return Err(failure)
@@ -173,6 +173,7 @@
         if not isinstance(result, Success):
             return Err(result.failure())
         state = await self._view.wait_for(result.unwrap().revision)
+        self._note(EventKind.OPERATOR, record.digest, f"cancelled by {operator}")
         return Success(state.plans[record.digest])
 
     async def show(self, digest: str) -> Result[Plan, Failure]:
@@ -272,6 +273,7 @@
         return replace(failure, reason=f"{failure.reason}; {told}")
 
     async def _stale(self, plan: Plan, *, operator: str) -> Result[PlanRecord, Failure]:
+        self._metrics.count(f"plans.confirms_refused.{ErrorKind.STALE_PLAN.value}")
         fresh = await self.propose(plan.intent, author=operator)
         reason = f"what plan {plan.short_digest} rests on has changed"
         if isinstance(fresh, Success):
