Let a returned instance settle for 5 s instead of 30

Cause: tests.test_system.test_frozen_conductor waits 60 s for a plan of one instance a wave; with 30 s to settle after each return the plan took longer. Ejection by outcome acts within seconds, so 5 s show a bad return as well.

--- a/src/shallotworks/plans/_instance_run.py
+++ b/src/shallotworks/plans/_instance_run.py
@@ -44,7 +44,7 @@
     return_limit_s: float = 900.0
     last_chance_s: float = 30.0
     failed_limit: int = 2
-    settle_s: float = 30.0
+    settle_s: float = 5.0
     poll_s: float = 0.5
     window: MaintenanceWindow | None = None
 
