Check histories of concurrent requests against what the workers have run

Cause: the promises to callers were shown one failure at a time; nothing judged a whole concurrent run with several faults at once.

The worker stand-in keeps its runs.

--- a/src/shallotworks/standins/__init__.py
+++ b/src/shallotworks/standins/__init__.py
@@ -13,6 +13,7 @@
 from ._platform import PlatformStandIn, serve_platform
 from ._worker import WorkerCounts, WorkerStandIn, WorkerStatus, serve_worker
 from ._worker_faults import WorkerFault, WorkerFaults
+from ._worker_runs import WorkerRun
 from ._worker_tasks import Task, TaskOrder, TaskState, TaskTable
 
 __all__ = [
@@ -31,6 +32,7 @@
     "WorkerCounts",
     "WorkerFault",
     "WorkerFaults",
+    "WorkerRun",
     "WorkerStandIn",
     "WorkerStatus",
     "describe_fleet",
--- a/src/shallotworks/standins/_worker.py
+++ b/src/shallotworks/standins/_worker.py
@@ -16,6 +16,7 @@
 from shallotworks.listener import Listener
 
 from ._worker_faults import WorkerFault, WorkerFaults
+from ._worker_runs import RunLog, WorkerRun, run_of
 from ._worker_tasks import Task, TaskOrder, TaskState, TaskTable
 
 __all__ = ["RebootOrder", "WorkerCounts", "WorkerStandIn", "WorkerStatus", "serve_worker"]
@@ -147,7 +148,7 @@
         self._in_flight: set[str] = set()
         self._usage: deque[tuple[float, int]] = deque(maxlen=4096)
         self._counts: Counter[str] = Counter()
-        self._runs_by_key: Counter[str] = Counter()
+        self._runs = RunLog()
 
     @property
     def address(self) -> str:
@@ -230,7 +231,12 @@
     def runs_by_key(self) -> Counter[str]:
         """Return how often each request was run, by idempotency key or else by request id."""
         with self._lock:
-            return Counter(self._runs_by_key)
+            return self._runs.by_key()
+
+    def runs(self) -> tuple[WorkerRun, ...]:
+        """Return every run that has begun here."""
+        with self._lock:
+            return self._runs.all()
 
     def _usage_then(self, then_s: float) -> int:
         earlier = [count for at_s, count in self._usage if at_s <= then_s]
@@ -276,11 +282,7 @@
             self._in_flight.add(run_id)
             self._note_usage()
             self._counts["runs"] += 1
-            key = environ.get("HTTP_IDEMPOTENCY_KEY") or run_id.split("/")[0]
-            self._runs_by_key[key] += 1
-            safe = environ["REQUEST_METHOD"] == "GET"
-            idempotent = environ.get("HTTP_SHALLOT_IDEMPOTENT", "yes" if safe else "no") == "yes"
-            if not idempotent and self._runs_by_key[key] > 1:
+            if self._runs.add(run_of(self.name, run_id, environ)):
                 self._counts["doubled"] += 1
             return True
 
--- /dev/null
+++ b/tests/entry.py
@@ -0,0 +1,152 @@
+"""One entry instance within the test's process, with the real policy from port to target."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections.abc import Sequence
+
+from shallotworks.callers import CallersApplication, ReadingLimits
+from shallotworks.fleet import FleetState, Instance
+from shallotworks.listener import Listener
+from shallotworks.metrics import Metrics
+from shallotworks.platform import KeyValueStore
+from shallotworks.requests import (
+    BudgetedRetryPolicy,
+    DispatchLimits,
+    ExchangeLimits,
+    HttpExchange,
+    OnceLimits,
+    PoolDispatcher,
+    Relay,
+    RetryLimits,
+    StoreOnceGuard,
+)
+from shallotworks.standins import WorkerStandIn
+from shallotworks.timeline import Timeline
+from tests.dispatch_fakes import HeldConfig, fleet
+from tests.fakes import LoopThread
+
+BODY_LIMIT_BYTES = 64 * 1024
+THREADS = 24
+DEADLINE_S = 1.5
+ATTEMPT_TIMEOUT_S = 0.3
+TIDY_EVERY_S = 0.2
+OVERDUE_S = 1.0
+
+
+def state_of(
+    workers: Sequence[WorkerStandIn],
+    *,
+    services: Sequence[str],
+    quotas: dict[str, int] | None = None,
+) -> FleetState:
+    """Return a fleet of one pool of these workers."""
+    members = {
+        worker.name: Instance(
+            name=worker.name,
+            data_centre="here",
+            rack="r",
+            pool="pool",
+            address=worker.address,
+            slots=worker.slots,
+        )
+        for worker in workers
+    }
+    return fleet(members, shares={name: 1 / len(services) for name in services}, quotas=quotas)
+
+
+class InProcessEntry:
+    """An entry instance without peers and without operators.
+
+    Args:
+        name: Its name, different after each start.
+        loop_thread: The loop that takes its decisions.
+        state: The configuration in force.
+        store: The platform's service.
+        entries: How many entry instances share the targets.
+        limits: Limits of dispatch.
+        attempt_timeout_s: Longest attempt.
+        deadline_s: Deadline of a request that names none.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        loop_thread: LoopThread,
+        state: FleetState,
+        store: KeyValueStore,
+        entries: int = 1,
+        limits: DispatchLimits | None = None,
+        attempt_timeout_s: float = ATTEMPT_TIMEOUT_S,
+        deadline_s: float = DEADLINE_S,
+    ) -> None:
+        self.metrics = Metrics()
+        timeline = Timeline(process=name, wall_clock_s=lambda: 0.0)
+        numbers = itertools.count(1)
+        self._loop_thread = loop_thread
+        self.dispatcher = PoolDispatcher(
+            config=HeldConfig(state),
+            data_centre="here",
+            live_entries=lambda: entries,
+            limits=limits or DispatchLimits(probe_after_s=0.2),
+            metrics=self.metrics,
+            timeline=timeline,
+            rng=random.Random(name),
+        )
+        self._guard = StoreOnceGuard(
+            store=store,
+            process=name,
+            is_live=lambda process: process == name,
+            new_id=lambda: f"{name}-{next(numbers)}",
+            limits=OnceLimits(repeat_every_s=TIDY_EVERY_S, overdue_s=OVERDUE_S),
+            metrics=self.metrics,
+        )
+        self._exchange = HttpExchange(limits=ExchangeLimits(attempt_timeout_s=attempt_timeout_s))
+        relay = Relay(
+            loop=loop_thread.loop,
+            dispatcher=self.dispatcher,
+            retry_policy=BudgetedRetryPolicy(
+                limits=RetryLimits(burst=50.0), metrics=self.metrics, rng=random.Random(name)
+            ),
+            once_guard=self._guard,
+            exchange=self._exchange,
+            metrics=self.metrics,
+            timeline=timeline,
+            long_running_limit=THREADS // 2,
+        )
+        limits_of_reading = ReadingLimits(
+            body_limit_bytes=BODY_LIMIT_BYTES, default_deadline_s=deadline_s, max_deadline_s=60.0
+        )
+        self._listener = Listener(
+            host="127.0.0.1",
+            port=0,
+            application=CallersApplication(
+                loop=loop_thread.loop, relay=relay, limits=limits_of_reading
+            ),
+            threads=THREADS,
+            body_limit_bytes=4 * BODY_LIMIT_BYTES,
+        )
+
+    @property
+    def port(self) -> int:
+        """The callers' port."""
+        return self._listener.port
+
+    def start(self) -> None:
+        """Open the callers' port."""
+        self._loop_thread.loop.call_soon_threadsafe(self._start_tidying)
+        self._listener.start()
+
+    def stop(self) -> None:
+        """Close the port and all connections; the loop is stopped by its owner."""
+        self._listener.stop()
+        self._loop_thread.run(self._stop_tidying())
+        self._exchange.close()
+
+    def _start_tidying(self) -> None:
+        self._task = self._loop_thread.loop.create_task(self._guard.run())
+
+    async def _stop_tidying(self) -> None:
+        self._task.cancel()
--- /dev/null
+++ b/tests/history.py
@@ -0,0 +1,165 @@
+"""Histories of concurrent requests, and the checker that decides whether a promise was broken."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from shallotworks.errors import Ran
+from shallotworks.standins import WorkerRun
+
+
+@unique
+class AnswerKind(Enum):
+    """What a caller received."""
+
+    WHOLE = "whole"
+    """The target's answer, status 200, in the form in which the stand-in answers."""
+    TARGET_FAULT = "target-fault"
+    """The target's own answer that it failed."""
+    MALFORMED = "malformed"
+    """Something in the target's name that no target says."""
+    ERROR = "error"
+    """An error of this system."""
+    NOTHING = "nothing"
+    """The connection ended without an answer."""
+
+
+@unique
+class Rule(Enum):
+    """What must always hold towards callers."""
+
+    WHOLE = "an answer is whole"
+    OWN = "an answer is to the caller's own request"
+    ONCE = "a non-idempotent request runs at most once"
+    NOT_RUN = "what is told as not run was not run"
+    FROM_A_RUN = "an answer comes from a run that began before it"
+    HEARD = "whose request ran is answered, or told that the outcome is unknown"
+    SAME = "the same key gives one and the same answer"
+    FINAL = "every request gets a final answer"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Operation:
+    """One request of one caller, from its invocation to its completion.
+
+    Args:
+        caller: Number of the caller.
+        request_id: Id that the answer carries; empty where it carries none.
+        key: Idempotency key; empty for none.
+        idempotent: Whether it was marked as idempotent.
+        digest: Digest of the body that was sent.
+        began_at_s: Invocation, by `time.monotonic`.
+        ended_at_s: Completion.
+        answer: What was received.
+        ran: What the answer says of the run.
+        answered_id: Request id that the target's answer names.
+        answered_digest: Body digest that the target's answer names.
+        error: Kind of the error, for the counts.
+    """
+
+    caller: int
+    request_id: str
+    key: str
+    idempotent: bool
+    digest: str
+    began_at_s: float
+    ended_at_s: float
+    answer: AnswerKind
+    ran: Ran
+    answered_id: str = ""
+    answered_digest: str = ""
+    error: str = ""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Breach:
+    """One broken rule."""
+
+    rule: Rule
+    told: str
+
+
+def find_breaches(operations: Sequence[Operation], runs: Sequence[WorkerRun]) -> list[Breach]:
+    """Return every breach in a history; to be called when nothing is under way any more.
+
+    Args:
+        operations: What the callers did and saw.
+        runs: What the workers ran.
+    """
+    runs_of: dict[str, list[WorkerRun]] = defaultdict(list)
+    for run in runs:
+        runs_of[run.request_id].append(run)
+    ids_of_key: dict[str, set[str]] = defaultdict(set)
+    for operation in operations:
+        ids_of_key[operation.key].add(operation.request_id)
+    breaches = [
+        breach
+        for operation in operations
+        for breach in _judge(operation, runs_of, ids_of_key[operation.key])
+    ]
+    return [
+        *breaches,
+        *_doubled(runs),
+        *_unheard(operations, runs),
+        *_unequal(operations),
+    ]
+
+
+def _judge(
+    operation: Operation, runs_of: dict[str, list[WorkerRun]], ids_of_key: set[str]
+) -> Iterator[Breach]:
+    """Judge one operation by itself and the runs."""
+    if operation.answer is AnswerKind.NOTHING:
+        yield Breach(rule=Rule.FINAL, told=str(operation))
+    if operation.answer is AnswerKind.MALFORMED:
+        yield Breach(rule=Rule.WHOLE, told=str(operation))
+    if operation.answer is AnswerKind.WHOLE:
+        # A repeat under a key receives the first run's answer, which names the first request.
+        own_ids = ids_of_key if operation.key else {operation.request_id}
+        own = operation.answered_id in own_ids and operation.answered_digest == operation.digest
+        if not own:
+            yield Breach(rule=Rule.OWN, told=str(operation))
+        runs = runs_of.get(operation.answered_id, [])
+        if not any(run.began_at_s <= operation.ended_at_s for run in runs):
+            yield Breach(rule=Rule.FROM_A_RUN, told=str(operation))
+    if operation.ran is Ran.NO and operation.request_id in runs_of:
+        yield Breach(rule=Rule.NOT_RUN, told=f"{operation}: {runs_of[operation.request_id]}")
+
+
+def _doubled(runs: Sequence[WorkerRun]) -> Iterator[Breach]:
+    known: dict[str, list[WorkerRun]] = defaultdict(list)
+    for run in runs:
+        if not run.idempotent:
+            known[f"key {run.key}" if run.key else f"request {run.request_id}"].append(run)
+    for name, same in known.items():
+        if len(same) > 1:
+            yield Breach(rule=Rule.ONCE, told=f"{name}: {same}")
+
+
+def _unheard(operations: Sequence[Operation], runs: Sequence[WorkerRun]) -> Iterator[Breach]:
+    """Find runs whose callers know nothing of them."""
+    by_id = {operation.request_id: operation for operation in operations}
+    # A caller that received nothing knows no request id; its key tells that it may be meant.
+    keys_left_open = {
+        operation.key for operation in operations if operation.answer is AnswerKind.NOTHING
+    }
+    for run in runs:
+        operation = by_id.get(run.request_id)
+        heard = run.key in keys_left_open if operation is None else operation.ran is not Ran.NO
+        if not heard:
+            yield Breach(rule=Rule.HEARD, told=f"{run}: {operation}")
+
+
+def _unequal(operations: Sequence[Operation]) -> Iterator[Breach]:
+    answers: dict[str, set[tuple[AnswerKind, str, str]]] = defaultdict(set)
+    for operation in operations:
+        if operation.key and operation.answer in (AnswerKind.WHOLE, AnswerKind.TARGET_FAULT):
+            answers[operation.key].add(
+                (operation.answer, operation.answered_id, operation.answered_digest)
+            )
+    for key, several in answers.items():
+        if len(several) > 1:
+            yield Breach(rule=Rule.SAME, told=f"key {key}: {sorted(map(str, several))}")
