--- a/src/shallotworks/callers/_application.py
+++ b/src/shallotworks/callers/_application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Any
@@ -70,8 +71,8 @@
         (ERROR_KIND, failure.kind.value),
         (RAN, failure.ran.value),
     ]
-    if failure.retry_after_s is not None:
-        headers.append(("Retry-After", str(max(1, round(failure.retry_after_s)))))
+    if body.retry_after_s is not None:
+        headers.append(("Retry-After", str(max(1, math.ceil(body.retry_after_s)))))
     if failure.kind in _CLOSING_KINDS:
         headers.append(("Connection", "close"))
     return Response(status=body.status, headers=tuple(headers), body=_BODY.dump_json(body))
--- a/src/shallotworks/errors.py
+++ b/src/shallotworks/errors.py
@@ -153,15 +153,16 @@
 
 
 def failure_body(failure: Failure) -> FailureBody:
-    """Return how a failure is told as JSON."""
+    """Return how a failure is told as JSON; one never to be sent again has no time to come back."""
     answer = answer_for(failure.kind)
+    retry_after_s = None if answer.advice is Advice.NEVER else failure.retry_after_s
     return FailureBody(
         kind=failure.kind.value,
         status=answer.status,
         reason=failure.reason,
         ran=answer.ran.value,
         advice=answer.advice.value,
-        retry_after_s=failure.retry_after_s,
+        retry_after_s=retry_after_s,
     )
 
 
--- a/src/shallotworks/requests/_relay.py
+++ b/src/shallotworks/requests/_relay.py
@@ -87,6 +87,7 @@
         "_long_running_limit",
         "_loop",
         "_metrics",
+        "_noting",
         "_once_guard",
         "_retry_policy",
         "_stopping",
@@ -116,6 +117,7 @@
         self._metrics = metrics
         self._timeline = timeline
         self._in_flight: dict[str, int] = {}
+        self._noting: set[asyncio.Task[None]] = set()
         self._stopping = False
 
     def handle(self, request: Request) -> Result[Response, Failure]:
@@ -292,9 +294,25 @@
             if attempt.claim is not None:
                 await self._once_guard.settle(attempt.claim, result.response)
             return Success(result.response)
+        if attempt.claim is not None:
+            self._note_unknown(attempt.claim)
         if result.outcome.surely_not_run:
-            return _unknown(Failure(kind=ErrorKind.NO_TARGET, reason=result.detail))
-        return _fail(ErrorKind.OUTCOME_UNKNOWN, f"{result.outcome.value}: {result.detail}")
+            refusal = Failure(
+                kind=ErrorKind.NO_TARGET, reason=result.detail, retry_after_s=RETRY_AFTER_S
+            )
+            return _unknown(refusal)
+        reason = f"{result.outcome.value}: {result.detail}"
+        return _fail(ErrorKind.OUTCOME_UNKNOWN, reason, retry_after_s=RETRY_AFTER_S)
+
+    def _note_unknown(self, claim: Claim) -> None:
+        """Note in the background that nobody knows how the run under a claim ended.
+
+        The failure: the store is slow, and the caller waits for a note that does not change its
+        answer. It shows as an "outcome unknown" that comes at the deadline.
+        """
+        noting = self._loop.create_task(self._once_guard.mark_unknown(claim))
+        self._noting.add(noting)
+        noting.add_done_callback(self._noting.discard)
 
     def _finish(
         self,
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -88,10 +88,17 @@
 
 
 class MemoryOnceGuard:
-    """Keeps claims in a dict."""
+    """Keeps claims in a dict.
+
+    Attributes:
+        unknown: Keys whose end nobody knows.
+        write_s: How long it takes to note that.
+    """
 
     def __init__(self) -> None:
         self.records: dict[str, Response | None] = {}
+        self.unknown: set[str] = set()
+        self.write_s = 0.0
 
     async def claim(self, request: Request) -> Result[Claim, Failure]:
         """Claim a key once."""
@@ -109,6 +116,11 @@
         """Store the answer."""
         self.records[claim.key] = response
 
+    async def mark_unknown(self, claim: Claim) -> None:
+        """Note that the end is not known."""
+        self.unknown.add(claim.key)
+        await asyncio.sleep(self.write_s)
+
     async def abandon(self, claim: Claim) -> None:
         """Free the key."""
         del self.records[claim.key]
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -41,11 +41,12 @@
         self.exchange = HttpExchange(limits=ExchangeLimits(attempt_timeout_s=0.4))
         self.addCleanup(self.exchange.close)
         self.retry_policy = FixedRetryPolicy(attempts=3)
+        self.once_guard = MemoryOnceGuard()
         self.relay = Relay(
             loop=self.loop_thread.loop,
             dispatcher=self.dispatcher,
             retry_policy=self.retry_policy,
-            once_guard=MemoryOnceGuard(),
+            once_guard=self.once_guard,
             exchange=self.exchange,
             metrics=Metrics(),
             timeline=Timeline(process="entry-1", wall_clock_s=lambda: 0.0),
@@ -198,6 +199,22 @@
         self.assertEqual((answer.status, answer.json()["ran"]), (504, "unknown"))
         self.assertEqual(self.runs(), 1)
 
+    def test_unknown_end_is_noted_and_told_at_once(self) -> None:
+        """A key whose end is not known is noted as such, and the caller does not wait for that.
+
+        Story: an order is sent and its answer is cut short. The caller is told that the outcome is
+        unknown and asks again under its key; it is told that the order is in progress, though
+        nothing is. The cause: the claim was left as held. The store may be slow to take the note.
+        """
+        self.once_guard.write_s = 30.0
+        for worker in self.workers:
+            worker.set_faults(WorkerFaults(fault=WorkerFault.PARTIAL))
+        started_s = time.monotonic()
+        answer = self.send("POST", body=b"two tubes", Idempotency_Key="order-1")
+        self.assertLess(time.monotonic() - started_s, 3.0)
+        self.assertEqual((answer.status, answer.json()["ran"]), (504, "unknown"))
+        self.assertEqual(self.once_guard.unknown, {"order-1"})
+
     def test_unsafe_request_moves_on_where_it_was_surely_not_run(self) -> None:
         """A refusal by the target is certain, so the request may go to the next."""
         self.workers[0].set_faults(WorkerFaults(fault=WorkerFault.REFUSE))
