--- a/src/shallotworks/requests/_relay.py
+++ b/src/shallotworks/requests/_relay.py
@@ -28,14 +28,29 @@
 """How long past its deadline a caller's thread waits for the loop's own final answer."""
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Past:
+    """What came of a request before its next attempt.
+
+    Args:
+        claim: Its claim, where it has one.
+        tried: Names of the instances that its attempts went to.
+        attempts: How many attempts there were.
+        may_have_run: Whether one of them may have run it.
+    """
+
+    claim: Claim | None = None
+    tried: frozenset[str] = frozenset()
+    attempts: int = 0
+    may_have_run: bool = False
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Attempt:
     """Leave for the next attempt, decided on the loop and carried out on the caller's thread."""
 
     grant: Grant
-    number: int
-    tried: frozenset[str]
-    claim: Claim | None
+    past: _Past
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -46,6 +61,18 @@
     result: AttemptResult
     duration_s: float
 
+    @property
+    def past(self) -> _Past:
+        """What came of the request up to now."""
+        before = self.attempt.past
+        surely_not_run = self.result.outcome.surely_not_run
+        return _Past(
+            claim=before.claim,
+            tried=before.tried | {self.attempt.grant.target.instance},
+            attempts=before.attempts + 1,
+            may_have_run=before.may_have_run or not surely_not_run,
+        )
+
 
 _Next = Result[_Attempt | Response, Failure]
 
@@ -76,6 +103,7 @@
         "_long_running_limit",
         "_loop",
         "_metrics",
+        "_noting",
         "_once_guard",
         "_retry_policy",
         "_stopping",
@@ -105,6 +133,7 @@
         self._metrics = metrics
         self._timeline = timeline
         self._in_flight: dict[str, int] = {}
+        self._noting: set[asyncio.Task[None]] = set()
         self._stopping = False
 
     def handle(self, request: Request) -> Result[Response, Failure]:
@@ -154,7 +183,7 @@
             ended = self._attempt(reached, request)
             response = ended.result.response
             answered = ended.result.outcome is AttemptOutcome.ANSWERED
-            if answered and response is not None and reached.claim is None:
+            if answered and response is not None and reached.past.claim is None:
                 return Success(response), ended
             step = self._hop(partial(self._after, ended, request), request)
         return Err(step.failure()), None
@@ -163,7 +192,7 @@
         started_s = time.monotonic()
         left_s = request.deadline_s - self._loop.time()
         result = self._exchange.send(
-            attempt.grant.target, request, attempt=attempt.number, timeout_s=left_s
+            attempt.grant.target, request, attempt=attempt.past.attempts + 1, timeout_s=left_s
         )
         return _Ended(attempt=attempt, result=result, duration_s=time.monotonic() - started_s)
 
@@ -208,13 +237,13 @@
         granted = self._dispatcher.acquire_now(request, tried=frozenset())
         if granted is None:
             return None
-        return granted.map(partial(self._next_attempt, request, tried=frozenset(), number=1))
+        return granted.map(partial(self._next_attempt, request, _Past()))
 
     async def _begin_later(self, request: Request) -> _Next:
         """Go on where `_begin_now` has returned ``None``."""
         if not _needs_claim(request):
             granted = await self._dispatcher.wait(request, tried=frozenset())
-            return granted.map(partial(self._next_attempt, request, tried=frozenset(), number=1))
+            return granted.map(partial(self._next_attempt, request, _Past()))
         claimed = await self._once_guard.claim(request)
         if not isinstance(claimed, Success):
             return Err(claimed.failure())
@@ -222,7 +251,7 @@
         if claim.stored is not None:
             return Success(claim.stored)
         self._retry_policy.first_attempt(request)
-        return await self._acquire(request, tried=frozenset(), number=1, claim=claim)
+        return await self._acquire(request, _Past(claim=claim))
 
     def _refusal(self, request: Request) -> _Next | None:
         if self._stopping:
@@ -238,71 +267,73 @@
         self._long_running.add(request.request_id)
         return None
 
-    async def _acquire(
-        self, request: Request, *, tried: frozenset[str], number: int, claim: Claim | None
-    ) -> _Next:
-        granted = await self._dispatcher.acquire(request, tried=tried)
-        if not isinstance(granted, Success):
-            failure = granted.failure()
-            if claim is not None:
-                await self._once_guard.abandon(claim)
-            return Err(failure)
-        return Success(
-            self._next_attempt(request, granted.unwrap(), tried=tried, number=number, claim=claim)
-        )
+    async def _acquire(self, request: Request, past: _Past) -> _Next:
+        granted = await self._dispatcher.acquire(request, tried=past.tried)
+        if isinstance(granted, Success):
+            return Success(self._next_attempt(request, past, granted.unwrap()))
+        failure = granted.failure()
+        if past.claim is not None:
+            await self._once_guard.abandon(past.claim)
+        return _unknown(failure) if past.may_have_run else Err(failure)
 
-    def _next_attempt(
-        self,
-        request: Request,
-        grant: Grant,
-        *,
-        tried: frozenset[str],
-        number: int,
-        claim: Claim | None = None,
-    ) -> _Attempt:
+    def _next_attempt(self, request: Request, past: _Past, grant: Grant) -> _Attempt:
         instance = grant.target.instance
         self._in_flight[instance] = self._in_flight.get(instance, 0) + 1
-        self._record(EventKind.SENT, request, instance=instance, detail=f"attempt {number}")
-        return _Attempt(grant=grant, number=number, tried=tried, claim=claim)
+        detail = f"attempt {past.attempts + 1}"
+        self._record(EventKind.SENT, request, instance=instance, detail=detail)
+        return _Attempt(grant=grant, past=past)
 
     async def _after(self, ended: _Ended, request: Request) -> _Next:
-        attempt, result = ended.attempt, ended.result
+        past, result = ended.past, ended.result
         self._release(ended)
         if result.outcome is AttemptOutcome.ANSWERED and result.response is not None:
-            if attempt.claim is not None:
-                await self._once_guard.settle(attempt.claim, result.response)
-            return Success(result.response)
+            return await self._settle(past, result.response)
         delay_s = self._retry_policy.next_delay_s(
-            request, attempts=attempt.number, outcome=result.outcome
+            request, attempts=past.attempts, outcome=result.outcome
         )
         if delay_s is None or self._loop.time() + delay_s >= request.deadline_s:
-            return await self._give_up(attempt, result)
+            return await self._give_up(past, result)
         self._record(
             EventKind.RETRIED,
             request,
-            instance=attempt.grant.target.instance,
+            instance=ended.attempt.grant.target.instance,
             detail=f"{result.outcome.value}: {result.detail}",
         )
         await asyncio.sleep(delay_s)
-        tried = attempt.tried | {attempt.grant.target.instance}
-        following = await self._acquire(
-            request, tried=tried, number=attempt.number + 1, claim=attempt.claim
-        )
-        if isinstance(following, Err) and not result.outcome.surely_not_run:
-            return _unknown(following.failure())
-        return following
-
-    async def _give_up(self, attempt: _Attempt, result: AttemptResult) -> _Next:
-        if result.outcome.surely_not_run:
-            if attempt.claim is not None:
-                await self._once_guard.abandon(attempt.claim)
-            return _fail(ErrorKind.NO_TARGET, result.detail, retry_after_s=1.0)
+        return await self._acquire(request, past)
+
+    async def _settle(self, past: _Past, response: Response) -> _Next:
+        if past.claim is not None:
+            await self._once_guard.settle(past.claim, response)
+        return Success(response)
+
+    async def _give_up(self, past: _Past, result: AttemptResult) -> _Next:
+        if not past.may_have_run:
+            if past.claim is not None:
+                await self._once_guard.abandon(past.claim)
+            return _fail(ErrorKind.NO_TARGET, result.detail, retry_after_s=RETRY_AFTER_S)
         if result.outcome is AttemptOutcome.TARGET_ERROR and result.response is not None:
             # The target's own whole answer, even one that tells of a fault, is the caller's.
-            if attempt.claim is not None:
-                await self._once_guard.settle(attempt.claim, result.response)
-            return Success(result.response)
-        return _fail(ErrorKind.OUTCOME_UNKNOWN, f"{result.outcome.value}: {result.detail}")
+            return await self._settle(past, result.response)
+        if past.claim is not None:
+            self._note_unknown(past.claim)
+        if result.outcome.surely_not_run:
+            refusal = Failure(
+                kind=ErrorKind.NO_TARGET, reason=result.detail, retry_after_s=RETRY_AFTER_S
+            )
+            return _unknown(refusal)
+        reason = f"{result.outcome.value}: {result.detail}"
+        return _fail(ErrorKind.OUTCOME_UNKNOWN, reason, retry_after_s=RETRY_AFTER_S)
+
+    def _note_unknown(self, claim: Claim) -> None:
+        """Note in the background that nobody knows how the run under a claim ended.
+
+        The failure: the store is slow, and the caller waits for a note that does not change its
+        answer. It shows as an "outcome unknown" that comes at the deadline.
+        """
+        noting = self._loop.create_task(self._once_guard.mark_unknown(claim))
+        self._noting.add(noting)
+        noting.add_done_callback(self._noting.discard)
 
     def _finish(
         self,
@@ -362,9 +393,6 @@
 
 
 def _unknown(failure: Failure) -> _Next:
-    """Answer for a request whose earlier attempt may have run and whose next was not admitted.
-
-    Only the last attempt is known not to have run; to say "not run" of the request would be false.
-    """
+    """Answer for a request whose earlier attempt may have run and whose last surely did not."""
     reason = f"an earlier attempt may have run; then {failure}"
     return _fail(ErrorKind.OUTCOME_UNKNOWN, reason, retry_after_s=failure.retry_after_s)
