Name a process by its incarnation, so that a claim of a live one is told as in progress

Cause: the guard against second runs knew only itself as live; the same key at another instance was told that its outcome is unknown while the first run was still under way. Change: process names carry the incarnation that peers tell each other.

--- a/src/shallotworks/node/_node.py
+++ b/src/shallotworks/node/_node.py
@@ -19,10 +19,10 @@
 from shallotworks.listener import Listener
 from shallotworks.metrics import Metrics
 from shallotworks.operators import OperatorsServer
-from shallotworks.peers import PeerNetwork, PeerSettings, rank_among
+from shallotworks.peers import MemberState, PeerNetwork, PeerSettings, rank_among
 from shallotworks.plans import Conductor, Planner, Proposals, Surroundings
 from shallotworks.platform import HttpInstanceList, HttpKeyValueStore, LeaseHolder
-from shallotworks.protocol import load_keys
+from shallotworks.protocol import MemberRecord, load_keys
 from shallotworks.requests import (
     BudgetedRetryPolicy,
     HttpExchange,
@@ -67,7 +67,6 @@
         self._loop = asyncio.get_running_loop()
         self._rng = random.Random(secrets.randbits(128))
         own = settings.instance
-        self._process = f"{own.name}#{secrets.token_hex(4)}"
         self.metrics = Metrics()
         self.timeline = Timeline(
             process=own.name, wall_clock_s=time.time, capacity=settings.timeline.capacity
@@ -77,6 +76,7 @@
         self._duties: set[str] = set()
         self._build_platform()
         self._build_peers()
+        self._process = _process_name(self.peers.own_record)
         self._build_requests()
         self._build_plans()
         self._build_operators()
@@ -337,7 +337,10 @@
         return 1.0 + rank_among(places, own, duty=f"plan/{digest}")
 
     def _is_live(self, process: str) -> bool:
-        return process == self._process
+        """Say whether a process is known to run; one that is not known may still run."""
+        members = self.peers.members()
+        known = (entry.record for entry in members if entry.state is not MemberState.GONE)
+        return process == self._process or process in map(_process_name, known)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
@@ -348,6 +351,11 @@
         self.timeline.record(kind, subject=Subject(), detail=detail)
 
 
+def _process_name(record: MemberRecord) -> str:
+    """Return a name that differs after each start."""
+    return f"{record.name}#{record.incarnation:x}"
+
+
 def _cannot_listen(settings: Settings, error: OSError) -> ShallotworksError:
     address = f"{settings.peers.host}:{settings.peers.port}"
     failure = Failure(kind=ErrorKind.INVALID_SETTINGS, reason=f"can't listen at {address}: {error}")
--- a/src/shallotworks/peers/_network.py
+++ b/src/shallotworks/peers/_network.py
@@ -161,6 +161,11 @@
         """Return the live entry instances of this data centre, this process first."""
         return self._table.live_near(now_s=_now_s())
 
+    @property
+    def own_record(self) -> MemberRecord:
+        """What this process says of itself."""
+        return self._table.own
+
     def members(self) -> tuple[Member, ...]:
         """Return all other members known, whatever their state and data centre."""
         return self._table.members(now_s=_now_s())
