--- a/tests/system.py
+++ b/tests/system.py
@@ -140,13 +140,14 @@
 
 
 class System:
-    """Two data centres with two entry instances and four workers each.
+    """Data centres with two entry instances and four workers each.
 
     Args:
         folder: Folder for settings, token and key.
+        data_centres: Their names.
     """
 
-    def __init__(self, *, folder: Path) -> None:
+    def __init__(self, *, folder: Path, data_centres: Sequence[str] = DATA_CENTRES) -> None:
         self.token = secrets.token_hex(24)
         (folder / "operators.token").write_text(self.token)
         (folder / "peers.key").write_text(secrets.token_hex(48))
@@ -154,20 +155,20 @@
         self.platform.start()
         self.workers = [
             WorkerStandIn(name=f"{place}-{rack}-{service}", slots=SLOTS, reboot_s=0.5)
-            for place in DATA_CENTRES
+            for place in data_centres
             for rack in RACKS
             for service in SERVICES
         ]
         for worker in self.workers:
             worker.start()
-        ports = free_ports(12)
+        ports = free_ports(6 * len(data_centres))
         self.entries = [
             Entry(
                 name=f"{place}-entry-{number}",
                 data_centre=place,
                 ports=[ports.pop() for _ in range(3)],
             )
-            for place in DATA_CENTRES
+            for place in data_centres
             for number in (1, 2)
         ]
         for entry in self.entries:
@@ -211,10 +212,10 @@
 
 
 @contextlib.contextmanager
-def running_system() -> Iterator[System]:
+def running_system(data_centres: Sequence[str] = DATA_CENTRES) -> Iterator[System]:
     """Give a system that serves."""
     with tempfile.TemporaryDirectory() as folder:
-        system = System(folder=Path(folder))
+        system = System(folder=Path(folder), data_centres=data_centres)
         try:
             system.start()
             yield system
