--- a/src/shallotworks/config/_log_reader.py
+++ b/src/shallotworks/config/_log_reader.py
@@ -164,7 +164,7 @@
         if stored is None:
             return Success(self._without_pointer(held, first))
         if stored.pointer.revision > held:
-            return await self._load(stored.pointer)
+            return await self._load(stored.pointer, follows=first == held + 1)
         if stored.pointer.revision == held and stored.pointer.last_change_id == held_id:
             self._version = stored.version
             return Success(_Start.AGREES)
@@ -177,15 +177,29 @@
         self._report(f"has neither a snapshot nor the entry of revision {max(held, 1)}")
         return _Start.REGRESSED
 
-    async def _load(self, pointer: Pointer) -> Result[_Start, Failure]:
+    async def _load(self, pointer: Pointer, *, follows: bool) -> Result[_Start, Failure]:
+        """Take a snapshot; where it has lost a part, go on by the log if that follows.
+
+        The failure: the store comes back without its last writes just as a snapshot is written, and
+        keeps the pointer that is written next but not the part. Nobody without peers could load.
+        """
         outcome = await read_snapshot(self._store, pointer)
         if isinstance(outcome, Success):
             self._replica.adopt(outcome.unwrap())
             return Success(_Start.MOVED)
-        if outcome.failure().kind is ErrorKind.CONFLICT:
+        if outcome.failure().kind is not ErrorKind.CONFLICT:
+            return Err(outcome.failure())
+        again = await read_pointer(self._store)
+        if not isinstance(again, Success):
+            return Err(again.failure())
+        stored = again.unwrap()
+        if stored is None or stored.pointer != pointer:
             # A newer snapshot took its place while it was read.
             return Success(_Start.MOVED)
-        return Err(outcome.failure())
+        if follows:
+            return Success(_Start.AGREES)
+        self._report(f"has lost a part of snapshot {pointer.revision}")
+        return Success(_Start.REGRESSED)
 
     async def _skip_ahead(self, newest: int, known_before: int) -> Result[bool, Failure]:
         """Look for a snapshot beyond the log's end or gap, as a restored store has it."""
@@ -195,7 +209,8 @@
             return Err(outcome.failure())
         stored = outcome.unwrap()
         if stored is not None and stored.pointer.revision > held:
-            return (await self._load(stored.pointer)).map(lambda _: True)
+            loaded = await self._load(stored.pointer, follows=False)
+            return loaded.map(lambda start: start is _Start.MOVED)
         self._report(f"goes from revision {held} to {newest}; it had {known_before}")
         return Success(False)
 
--- a/src/shallotworks/config/_restore.py
+++ b/src/shallotworks/config/_restore.py
@@ -9,7 +9,7 @@
 from shallotworks.platform import KeyValueStore, Versioned
 
 from ._replica import Replica
-from ._snapshots import LOG_PREFIX, log_key, log_revision, read_pointer, write_snapshot
+from ._snapshots import LOG_PREFIX, is_whole, log_key, log_revision, read_pointer, write_snapshot
 from ._window import WINDOW_ENTRIES
 
 __all__ = ["restore"]
@@ -39,7 +39,8 @@
     entries = replica.history(limit=WINDOW_ENTRIES)
     gap = _newest_gap(replica.revision(), present | {entry.revision for entry in entries})
     stored = pointer.unwrap()
-    if gap > (stored.pointer.revision if stored is not None else 0):
+    is_usable = stored is not None and await is_whole(store, stored.pointer)
+    if gap > (stored.pointer.revision if stored is not None and is_usable else 0):
         return await _replace(store, replica, items)
     missing = [entry for entry in entries if entry.revision not in present]
     if not missing:
--- a/src/shallotworks/config/_snapshots.py
+++ b/src/shallotworks/config/_snapshots.py
@@ -25,6 +25,7 @@
     "PARTS_PREFIX",
     "Pointer",
     "delete_older_snapshots",
+    "is_whole",
     "log_key",
     "log_revision",
     "read_pointer",
@@ -123,6 +124,12 @@
         return _unreadable(f"snapshot {pointer.revision}: {error}")
 
 
+async def is_whole(store: KeyValueStore, pointer: Pointer) -> bool:
+    """Say whether no part of a snapshot is gone, as in a store that came back without it."""
+    outcome = await read_snapshot(store, pointer)
+    return isinstance(outcome, Success) or outcome.failure().kind is not ErrorKind.CONFLICT
+
+
 async def write_snapshot(store: KeyValueStore, snapshot: Snapshot) -> Result[Pointer, Failure]:
     """Write a snapshot, read it back, and return the pointer to it.
 
@@ -143,7 +150,8 @@
     if not isinstance(before, Success):
         return Err(before.failure())
     present = before.unwrap()
-    if present is not None and present.pointer.revision >= revision:
+    is_newer = present is not None and present.pointer.revision >= revision
+    if present is not None and is_newer and await is_whole(store, present.pointer):
         reason = f"the store has snapshot {present.pointer.revision}"
         return Err(Failure(kind=ErrorKind.CONFLICT, reason=reason))
     for number, chunk in enumerate(chunks):
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -434,6 +434,32 @@
 
         run(main)
 
+    def test_back_older_without_a_part_of_its_snapshot(self) -> None:
+        """A snapshot that lost a part is passed over where the log is whole, and written anew.
+
+        Story: the store comes back without its last writes just while a snapshot is written. The
+        pointer written next names a part that is gone. A newcomer without peers would look for it
+        for ever, though every entry is in the log.
+        """
+
+        async def main() -> None:
+            store = MemoryStore()
+            config = process(store, "e1", every=5)
+            await put_all(config, "a", "b", "c", "d", "e")
+            await asyncio.sleep(1)
+            parts = (await store.list("config/snapshot/")).unwrap()
+            await store.delete(parts[0].key, version=parts[0].version)
+            newcomer = process(store, "e2")
+            self.assertEqual((await newcomer.load()).unwrap(), 5)
+            entry = (await store.list("config/log/")).unwrap()[0]
+            await store.delete(entry.key, version=entry.version)
+            lost = process(store, "e3")
+            self.assertEqual(kind_of(await lost.load()), ErrorKind.STORE_REGRESSED)
+            self.assertEqual((await config.restore_store()).unwrap(), 5)
+            self.assertEqual((await lost.load()).unwrap(), 5)
+
+        run(main)
+
     def test_stale_reads_pass(self) -> None:
         """Stale answers after a failover are taken for a fault, which ends with them."""
 
