--- a/tests/test_conductor.py
+++ b/tests/test_conductor.py
@@ -3,8 +3,9 @@
 import asyncio
 import unittest
 
-from shallotworks.fleet import Condition, PlanState
-from shallotworks.plans import Drain, InPool, InRack, Maintain
+from shallotworks.errors import ErrorKind
+from shallotworks.fleet import Condition, PlanState, SetHealth
+from shallotworks.plans import Drain, InPool, InRack, Maintain, Named, Return
 from tests.fakes_plans import World, confirmed, fjellsending, run
 
 
@@ -48,3 +49,41 @@
             await world.stop()
 
         run(scenario)
+
+    def test_a_drained_instance_is_returned_and_works_again(self) -> None:
+        """A return probes, ends the cordon, and takes back the report that it had failed."""
+
+        async def scenario() -> None:
+            world = World(fjellsending())
+            world.start_conductor()
+            one = Named(names=("archive-0",))
+            await world.until_ended(await confirmed(world, Drain(selection=one)))
+            failed = SetHealth(names=one.names, healthy=False)
+            await world.config.propose(failed, author="peer")
+            state = await world.until_ended(await confirmed(world, Return(selection=one)))
+            self.assertTrue(state.instances["archive-0"].available)
+            await world.stop()
+
+        run(scenario)
+
+
+class ProposalTests(unittest.TestCase):
+    def test_only_old_proposals_are_pruned(self) -> None:
+        """A proposal that nobody confirmed goes after a while; a confirmed plan stays readable."""
+
+        async def scenario() -> None:
+            world = World(fjellsending())
+            kept = await confirmed(world, Drain(selection=Named(names=("archive-0",))))
+            intent = Drain(selection=Named(names=("coverage-0",)))
+            old = (await world.proposals.propose(intent, author="kari")).unwrap().digest
+            for healthy in (False, True):
+                change = SetHealth(names=("coverage-5",), healthy=healthy)
+                await world.config.propose(change, author="peer")
+            self.assertEqual((await world.proposals.prune(kept_revisions=5)).unwrap(), 0)
+            self.assertEqual((await world.proposals.prune(kept_revisions=1)).unwrap(), 1)
+            listed = (await world.proposals.list()).unwrap()
+            self.assertEqual([entry.plan.digest for entry in listed], [kept])
+            refused = (await world.proposals.show(old)).failure()
+            self.assertIs(refused.kind, ErrorKind.NOT_FOUND)
+
+        run(scenario)
