--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -36,17 +36,32 @@
 
 
 class RoundRobinDispatcher:
-    """Grants at once, the next target in turn that was not tried yet."""
+    """Grants at once, the next target in turn that was not tried yet.
+
+    Attributes:
+        grants_per_request: Targets that one request may try before it is refused.
+    """
 
     def __init__(self, *, targets: list[Target]) -> None:
         self.targets = targets
         self.outcomes: list[AttemptOutcome] = []
         self.open_grants = 0
+        self.grants_per_request = len(targets) + 1
         self.waiting = 0
         self._ids = itertools.count(1)
 
     async def acquire(self, request: Request, *, tried: frozenset[str]) -> Result[Grant, Failure]:
         """Return a grant."""
+        return self.acquire_now(request, tried=tried)
+
+    async def wait(self, request: Request, *, tried: frozenset[str]) -> Result[Grant, Failure]:
+        """Nothing ever waits here."""
+        raise AssertionError
+
+    def acquire_now(self, request: Request, *, tried: frozenset[str]) -> Result[Grant, Failure]:
+        """Return a grant."""
+        if len(tried) >= self.grants_per_request:
+            return Result.from_failure(Failure(kind=ErrorKind.NO_TARGET, reason="all were tried"))
         number = next(self._ids)
         fresh = [target for target in self.targets if target.instance not in tried]
         chosen = (fresh or self.targets)[number % len(fresh or self.targets)]
@@ -81,10 +96,17 @@
 
 
 class MemoryOnceGuard:
-    """Keeps claims in a dict."""
+    """Keeps claims in a dict.
+
+    Attributes:
+        unknown: Keys whose end nobody knows.
+        write_s: How long it takes to note that.
+    """
 
     def __init__(self) -> None:
         self.records: dict[str, Response | None] = {}
+        self.unknown: set[str] = set()
+        self.write_s = 0.0
 
     async def claim(self, request: Request) -> Result[Claim, Failure]:
         """Claim a key once."""
@@ -102,6 +124,11 @@
         """Store the answer."""
         self.records[claim.key] = response
 
+    async def mark_unknown(self, claim: Claim) -> None:
+        """Note that the end is not known."""
+        self.unknown.add(claim.key)
+        await asyncio.sleep(self.write_s)
+
     async def abandon(self, claim: Claim) -> None:
         """Free the key."""
         del self.records[claim.key]
