--- a/src/shallotworks/requests/_limits.py
+++ b/src/shallotworks/requests/_limits.py
@@ -16,7 +16,6 @@
             at least one slot, however much interactive work waits.
         reserve_factor: Slots that long-running work leaves to interactive work beyond those that
             this holds on average, as a multiple of the square root of the average; at least one.
-        reserve_min_part: Part of the slots that long-running work never holds.
         level_over_s: Time over which that average is taken.
         waiting_per_slot: Requests that may wait per usable slot of a pool.
         waiting_min: Requests that may wait at a pool, however few slots it has.
@@ -38,7 +37,6 @@
 
     long_running_min_part: float = 0.05
     reserve_factor: float = 0.35
-    reserve_min_part: float = 0.0
     level_over_s: float = 5.0
     waiting_per_slot: int = 16
     waiting_min: int = 64
--- a/src/shallotworks/requests/_pool.py
+++ b/src/shallotworks/requests/_pool.py
@@ -177,8 +177,7 @@
         is therefore the mean of interactive work, and its spread, which is about the square root.
         """
         mean = self.interactive.mean(now_s)
-        usual = mean + self._limits.reserve_factor * math.sqrt(mean)
-        left = max(1.0, usual, self._limits.reserve_min_part * group.own_capacity)
+        left = max(1.0, mean + self._limits.reserve_factor * math.sqrt(mean))
         return max(self.long_running_min(group), group.own_capacity - math.ceil(left))
 
     def long_running_min(self, group: TargetGroup) -> int:
