--- a/src/shallotworks/requests/_hop.py
+++ b/src/shallotworks/requests/_hop.py
@@ -84,7 +84,13 @@
         Raises:
             HopTimeoutError: The wait has ended; the work is cancelled.
         """
-        call = _Call(loop=self._loop, work=work, on_unclaimed=on_unclaimed, at_once=at_once)
+        call = _Call(
+            loop=self._loop,
+            work=work,
+            on_unclaimed=on_unclaimed,
+            on_reply=self._keep_sweeping,
+            at_once=at_once,
+        )
         self.post(call.start)
         try:
             outcome = call.replies.get(timeout=timeout_s)
@@ -99,8 +105,17 @@
         self._woken = False
         while self._inbox:
             self._inbox.popleft()()
+
+    def _keep_sweeping(self) -> None:
+        """Begin to empty the inbox at intervals, since a thread goes off with an answer.
+
+        The failure: the last request of a while is answered, and what its thread leaves here lies
+        until the next one comes. It shows as a slot that is held in an idle instance. Whatever a
+        thread may leave follows a reply, hence the sweep that begins here finds it.
+        """
         if not self._sweeping:
-            self._sweep()
+            self._sweeping = True
+            self._loop.call_later(SWEEP_S, self._sweep)
 
     def _sweep(self) -> None:
         """Empty the inbox at intervals while threads are on their way back."""
@@ -118,6 +133,7 @@
         "_at_once",
         "_given_up",
         "_loop",
+        "_on_reply",
         "_on_unclaimed",
         "_sent",
         "_task",
@@ -131,6 +147,7 @@
         loop: asyncio.AbstractEventLoop,
         work: Callable[[], Coroutine[Any, Any, _Value]],
         on_unclaimed: Callable[[_Value], None],
+        on_reply: Callable[[], None],
         at_once: Callable[[], _Value | None],
     ) -> None:
         self._at_once = at_once
@@ -139,6 +156,7 @@
         self._loop = loop
         self._work = work
         self._on_unclaimed = on_unclaimed
+        self._on_reply = on_reply
         self._task: asyncio.Task[_Value] | None = None
         self._given_up = False
 
@@ -151,6 +169,7 @@
             return
         if self._sent is not None:
             self.replies.put(self._sent)
+            self._on_reply()
             return
         self._task = self._loop.create_task(self._work())
         self._task.add_done_callback(self._reply)
@@ -166,15 +185,20 @@
         if self._task is None:
             if self._sent is not None:
                 self._on_unclaimed(self._sent)
-        elif self._task.done():
+            return
+        # A result that is there and was not yet put to the thread goes through `_reply`, which
+        # runs next; handing it back here too would release the slot of another.
+        if not self.replies.empty():
             self._reply_unclaimed(self._task)
-        else:
+        elif not self._task.done():
             self._task.cancel()
 
     def _reply(self, task: asyncio.Task[_Value]) -> None:
         if self._given_up:
             self._reply_unclaimed(task)
-        elif task.cancelled():
+            return
+        self._on_reply()
+        if task.cancelled():
             self.replies.put(asyncio.CancelledError())
         else:
             self.replies.put(task.exception() or task.result())
