Test that a description keeps pool and condition, and that a stop waits for a long request

Cause: mutations showed that nothing failed when PutInstance took over pool or condition, or when the node did not wait for requests in flight at a stop.

Change: tests only.

--- a/tests/test_fleet_plans.py
+++ b/tests/test_fleet_plans.py
@@ -16,6 +16,7 @@
     FleetState,
     MoveInstance,
     PlanState,
+    PutInstance,
     PutService,
     RemoveInstance,
     RemovePool,
@@ -86,6 +87,35 @@
         self.assertIs(apply(state, change).failure().kind, ErrorKind[kind])
 
 
+class DescribedAgainTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("pool", {"pool": "coverage"}),
+            ("condition", {"condition": Condition.ACTIVE}),
+            ("health", {"healthy": True}),
+            ("holder", {"held_by": ""}),
+            ("maintenance", {"maintained_at_s": 0.0}),
+        ]
+    )
+    def test_what_only_its_own_change_may_change(
+        self, _name: str, claimed: dict[str, object]
+    ) -> None:
+        """An instance that is described again keeps its pool, its condition and its plan.
+
+        Story: a script puts all instances as they were described at noon. One has been moved by a
+        plan since, and is out for maintenance. It would be in two operators' pools at once, or
+        take work in the middle of its reboot.
+        """
+        down = SetHealth(names=("archive-0",), healthy=False)
+        back = SetCondition(names=("archive-0",), condition=Condition.ACTIVE, maintained_at_s=9.0)
+        state = after(fjellsending(), back, CONFIRM, cordon("archive-0", plan="p1"), down)
+        known = state.instances["archive-0"]
+        again = replace(known, slots=known.slots + 1, **claimed)
+        self.assertNotEqual(replace(again, slots=known.slots), known)
+        put = after(state, PutInstance(instance=again)).instances["archive-0"]
+        self.assertEqual(put, replace(known, slots=known.slots + 1))
+
+
 class PlanRecordTests(unittest.TestCase):
     def test_an_ended_plan_keeps_no_list_of_instances(self) -> None:
         """Two hundred ended plans over a large fleet would else outgrow one stored value."""
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -8,6 +8,8 @@
 import unittest
 from collections.abc import Callable
 
+import urllib3
+
 from shallotworks.demo import DemoOperator
 from shallotworks.fleet import Condition, Pool, PutPool
 from shallotworks.operators import PlanView
@@ -100,6 +102,32 @@
         self.assertEqual(codes, [0] * len(self.entries))
         self.check_promises(ledger, unknown_allowed=False)
 
+    def test_stop_waits_for_what_is_in_flight(self) -> None:
+        """A request that runs for longer than the notice of a stop is answered all the same.
+
+        Story: an instance is told to stop while a coverage model runs for a crew. It is told to
+        callers for a second that it stops; the model takes longer. A stop that did not wait would
+        cut it off, and the crew would not know whether it ran.
+        """
+        answers: list[int] = []
+
+        def model() -> None:
+            answer = urllib3.request(
+                "POST",
+                f"http://127.0.0.1:{self.entries[0].callers_port}/model",
+                headers={"Shallot-Service": "traces", "Work-Ms": "2500"},
+                retries=False,
+                timeout=10.0,
+            )
+            answers.append(answer.status)
+
+        caller = threading.Thread(target=model)
+        caller.start()
+        wait_for(lambda: any(each.status().in_flight for each in self.system.workers), 5.0)
+        code = self.entries[0].stop()
+        caller.join()
+        self.assertEqual((answers, code), ([200], 0))
+
 
 class StoreOutageTests(SystemCase):
     def test_store_down(self) -> None:
