Build the platform's two HTTP clients on one base

Cause: HttpKeyValueStore and HttpInstanceList had the same constructor and close() twice, apart from a name and a default; the list's limits stood below their first use.

Change: both take constructor and close() from _HttpService and name only their service and their limits. Behaviour and parameters are the same.

--- a/src/shallotworks/platform/_http_store.py
+++ b/src/shallotworks/platform/_http_store.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from typing import Any, TypeVar
+from typing import Any, ClassVar, TypeVar
 from urllib.parse import urlencode
 
 from pydantic import TypeAdapter, ValidationError
@@ -31,22 +31,27 @@
 REVOKE = CallKind(name="revoke-lease", writes=True, urgent=True)
 READ_INSTANCES = CallKind(name="read")
 
+LIST_LIMITS = PlatformLimits(threads=1, watch_threads=1, rate_per_s=1.0, burst=4)
+
 _Value = TypeVar("_Value")
 
 
-class HttpKeyValueStore:
-    """Implements `KeyValueStore` with the platform's HTTP protocol; made on the event loop.
+class _HttpService:
+    """One of the platform's services; made on the event loop.
 
     Args:
         address: ``ip:port`` of the service.
-        metrics: Where calls are counted, under ``store``.
+        metrics: Where calls are counted.
         timeline: Where the service's ups and downs are recorded.
-        limits: Limits of this instance's calls.
+        limits: Limits of this instance's calls; the service's own by default.
         rng: Source of jitter.
     """
 
     __slots__ = ("_calls",)
 
+    _service: ClassVar[str]
+    _default_limits: ClassVar[PlatformLimits]
+
     def __init__(
         self,
         *,
@@ -57,23 +62,35 @@
         rng: random.Random | None = None,
     ) -> None:
         self._calls = PlatformCalls(
-            service="store",
+            service=self._service,
             address=address,
-            limits=limits or PlatformLimits(),
+            limits=limits or self._default_limits,
             metrics=metrics,
             timeline=timeline,
             rng=rng or random.Random(),
         )
 
+    def close(self) -> None:
+        """Cut all connections and end the threads."""
+        self._calls.close()
+
+
+class HttpKeyValueStore(_HttpService):
+    """Implements `KeyValueStore` with the platform's HTTP protocol.
+
+    Calls are counted under ``store``.
+    """
+
+    __slots__ = ()
+
+    _service = "store"
+    _default_limits = PlatformLimits()
+
     @property
     def is_up(self) -> bool:
         """Whether the service answered when it was last asked."""
         return self._calls.is_up
 
-    def close(self) -> None:
-        """Cut all connections and end the threads."""
-        self._calls.close()
-
     async def get(self, key: str) -> Result[Versioned | None, Failure]:
         """Read one key; ``None`` where it does not exist."""
         return await self._read(GET, wire.GET_PATH, {"key": key}, wire.ITEM)
@@ -137,40 +154,16 @@
         return _decode(await self._calls.make(call), adapter, _UNREADABLE_WRITE)
 
 
-class HttpInstanceList:
-    """Implements `InstanceList` with the platform's HTTP protocol; made on the event loop.
+class HttpInstanceList(_HttpService):
+    """Implements `InstanceList` with the platform's HTTP protocol.
 
-    Args:
-        address: ``ip:port`` of the service.
-        metrics: Where calls are counted, under ``instance-list``.
-        timeline: Where the service's ups and downs are recorded.
-        limits: Limits of this instance's calls.
-        rng: Source of jitter.
+    Calls are counted under ``instance-list``.
     """
 
-    __slots__ = ("_calls",)
+    __slots__ = ()
 
-    def __init__(
-        self,
-        *,
-        address: str,
-        metrics: Metrics,
-        timeline: Timeline,
-        limits: PlatformLimits | None = None,
-        rng: random.Random | None = None,
-    ) -> None:
-        self._calls = PlatformCalls(
-            service="instance-list",
-            address=address,
-            limits=limits or LIST_LIMITS,
-            metrics=metrics,
-            timeline=timeline,
-            rng=rng or random.Random(),
-        )
-
-    def close(self) -> None:
-        """Cut all connections and end the threads."""
-        self._calls.close()
+    _service = "instance-list"
+    _default_limits = LIST_LIMITS
 
     async def read(self) -> Result[tuple[ListedInstance, ...], Failure]:
         """Read the whole list, as it was a while ago."""
@@ -178,8 +171,6 @@
         return _decode(await self._calls.make(call), wire.INSTANCES, _UNREADABLE_READ)
 
 
-LIST_LIMITS = PlatformLimits(threads=1, watch_threads=1, rate_per_s=1.0, burst=4)
-
 _UNREADABLE_READ = ErrorKind.STORE_UNAVAILABLE
 _UNREADABLE_WRITE = ErrorKind.OUTCOME_UNKNOWN
 
