Write the handlers' outcome type and a plan's posted verbs once

Cause: Outcome stood in three handler modules; plan confirm and plan cancel built the same call in two places.

Change: Outcome lives in operators._calls beside its two types; both plan commands post through one function. The options of each command stay spelled out, since typer reads them from the command's own signature.

--- a/src/shallotworks/cli/_plan_commands.py
+++ b/src/shallotworks/cli/_plan_commands.py
@@ -5,10 +5,12 @@
 from typing import Annotated
 
 import typer
+from returns.result import Result
 
-from shallotworks.operators import PlansView, PlanView
+from shallotworks.operators import ErrorBody, PlansView, PlanView
 from shallotworks.plans import describe_intent
 
+from ._client import OperatorsClient
 from ._options import (
     DEFAULT_ADDRESS,
     AddressOption,
@@ -83,8 +85,7 @@
 ) -> None:
     """Confirm a proposal: from now on it is carried out."""
     client = open_client(address=address, token_file=token_file, operator=operator)
-    answer = client.bind(lambda opened: opened.post(_path(digest, "/confirm"), PlanView, b""))
-    finish(answer, as_json=as_json, show=_show_stage)
+    finish(_post(client, digest, "confirm"), as_json=as_json, show=_show_stage)
 
 
 @plan_app.command("cancel")
@@ -97,13 +98,18 @@
 ) -> None:
     """Cancel a confirmed plan: it starts nothing more and brings back what it cordoned."""
     client = open_client(address=address, token_file=token_file, operator=operator)
-    answer = client.bind(lambda opened: opened.post(_path(digest, "/cancel"), PlanView, b""))
-    finish(answer, as_json=as_json, show=_show_stage)
+    finish(_post(client, digest, "cancel"), as_json=as_json, show=_show_stage)
 
 
-def _path(digest: str, action: str = "") -> str:
+def _post(
+    client: Result[OperatorsClient, ErrorBody], digest: str, verb: str
+) -> Result[PlanView, ErrorBody]:
+    return client.bind(lambda opened: opened.post(f"{_path(digest)}/{verb}", PlanView, b""))
+
+
+def _path(digest: str) -> str:
     # What is no digest finds no route; what would change the path must not get into it.
-    return f"/plans/{digest if digest.isalnum() else '-'}{action}"
+    return f"/plans/{digest if digest.isalnum() else '-'}"
 
 
 def _show_plan(view: PlanView) -> None:
--- a/src/shallotworks/operators/_calls.py
+++ b/src/shallotworks/operators/_calls.py
@@ -7,11 +7,12 @@
 from typing import Any
 
 from pydantic import TypeAdapter
+from returns.result import Result
 
 from shallotworks.config import Accepted
 from shallotworks.errors import Failure, FailureBody, failure_body
 
-__all__ = ["Answered", "Call", "ErrorBody", "Refused", "answer_json", "error_body"]
+__all__ = ["Answered", "Call", "ErrorBody", "Outcome", "Refused", "answer_json", "error_body"]
 
 JSON_CONTENT_TYPE = "application/json"
 
@@ -61,6 +62,9 @@
     accepted: tuple[Accepted, ...] = ()
 
 
+Outcome = Result[Answered, Refused]
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ErrorBody(FailureBody):
     """The JSON body of a refusal.
--- a/src/shallotworks/operators/_fleet_handlers.py
+++ b/src/shallotworks/operators/_fleet_handlers.py
@@ -19,7 +19,7 @@
     SetCondition,
 )
 
-from ._calls import Answered, Call, Refused, answer_json
+from ._calls import Call, Outcome, Refused, answer_json
 from ._hop import LoopHop
 from ._invalid import read_body
 from ._parameters import whole_number
@@ -42,8 +42,6 @@
 HISTORY_LIMIT = 1_000
 HISTORY_DEFAULT = 100
 
-Outcome = Result[Answered, Refused]
-
 
 class FleetHandlers:
     """Shows the fleet in force, and hands changes to the configuration log.
--- a/src/shallotworks/operators/_plan_handlers.py
+++ b/src/shallotworks/operators/_plan_handlers.py
@@ -4,12 +4,11 @@
 
 from pydantic import TypeAdapter
 from returns.result import Failure as Err
-from returns.result import Result
 
 from shallotworks.errors import Failure
 from shallotworks.plans import Intent
 
-from ._calls import Answered, Call, Refused, answer_json
+from ._calls import Answered, Call, Outcome, Refused, answer_json
 from ._hop import LoopHop
 from ._invalid import read_body
 from ._protocols import OperatorBackend
@@ -17,8 +16,6 @@
 
 __all__ = ["PlanHandlers"]
 
-Outcome = Result[Answered, Refused]
-
 
 class PlanHandlers:
     """Hands what operators want of plans to the instance.
--- a/src/shallotworks/operators/_process_handlers.py
+++ b/src/shallotworks/operators/_process_handlers.py
@@ -11,7 +11,7 @@
 from shallotworks.metrics import EXPOSITION_CONTENT_TYPE, summarise, to_exposition
 from shallotworks.timeline import EventFilter, EventKind, Timeline
 
-from ._calls import Answered, Call, Refused, answer_json
+from ._calls import Answered, Call, Outcome, Refused, answer_json
 from ._hop import LoopHop
 from ._parameters import whole_number
 from ._protocols import OperatorBackend
@@ -20,8 +20,6 @@
 
 EVENTS_LIMIT = 1_000_000
 
-Outcome = Result[Answered, Refused]
-
 
 class ProcessHandlers:
     """Shows how this one process is doing.
