Wire what the parts asked for: restore the store, prune proposals, spread reads of the list

Change: restore-store on the command line and the API; defaults of 1.5 s, 4.5 s, 9 s and 4 s; the list is read as often in all as one reader would; ports below the range of outgoing connections.

--- a/src/shallotworks/cli/_fleet_commands.py
+++ b/src/shallotworks/cli/_fleet_commands.py
@@ -16,6 +16,7 @@
     HistoryView,
     InstancesView,
     PoolsView,
+    RestoredView,
     ServicesView,
     StatusView,
 )
@@ -46,6 +47,7 @@
     app.command("services")(_services)
     app.command("apply")(_apply)
     app.command("changes")(_changes)
+    app.command("restore-store")(_restore_store)
 
 
 def _status(
@@ -67,7 +69,7 @@
         ("state", "stopping" if status.stopping else "serving"),
         ("up for", f"{status.uptime_s:.0f} s"),
         ("revision", f"{status.revision}, {_age(status.config_age_s)}"),
-        ("store", "up" if status.store_up else "down"),
+        ("store", ("up" if status.store_up else "down") + _fault(status.store_fault)),
         ("requests", f"{status.requests_in_flight} in flight, {status.requests_queued} queued"),
         ("duties", ", ".join(status.duties) or "none"),
     )
@@ -208,6 +210,22 @@
     finish(answer, as_json=as_json, show=_show_accepted)
 
 
+def _restore_store(
+    address: AddressOption = DEFAULT_ADDRESS,
+    token_file: TokenFileOption = "",
+    operator: OperatorOption = "",
+    as_json: JsonOption = False,
+) -> None:
+    """Write one instance's configuration into a store that came back empty or older."""
+    client = open_client(address=address, token_file=token_file, operator=operator)
+    answer = client.bind(lambda opened: opened.post("/store/restore", RestoredView, b""))
+    finish(answer, as_json=as_json, show=_show_restored)
+
+
+def _show_restored(view: RestoredView) -> None:
+    print_text(f"the store holds revision {view.revision} again\n")
+
+
 def _read_file(file: str) -> Result[bytes, ErrorBody]:
     try:
         if file == STANDARD_INPUT:
@@ -265,6 +283,10 @@
     )
 
 
+def _fault(store_fault: str) -> str:
+    return f", {store_fault}" if store_fault else ""
+
+
 def _age(config_age_s: float | None) -> str:
     if config_age_s is None:
         return "never known to be the newest"
--- a/src/shallotworks/node/_backend.py
+++ b/src/shallotworks/node/_backend.py
@@ -64,6 +64,7 @@
         own = parts.settings.instance
         revisions = parts.peers.linked_revisions()
         age_s = parts.config.age_s()
+        fault = parts.config.fault()
         return StatusView(
             process=own.name,
             version=__version__,
@@ -74,6 +75,7 @@
             revision=parts.config.revision(),
             config_age_s=age_s if math.isfinite(age_s) else None,
             store_up=parts.is_store_up(),
+            store_fault=fault.reason if fault is not None else "",
             requests_queued=parts.dispatcher.waiting,
             requests_in_flight=parts.dispatcher.in_flight,
             duties=parts.duties(),
@@ -98,6 +100,10 @@
             return Err(Failure(kind=ErrorKind.NOT_FOUND, reason=reason))
         return Success(entries)
 
+    async def restore_store(self, *, operator: str) -> Result[int, Failure]:
+        """Write the state held here into a store that came back empty or older."""
+        return await self._parts.config.restore_store()
+
     async def propose_plan(self, intent: Intent, *, operator: str) -> Result[PlanView, Failure]:
         """Work out a plan for an intent and store it; nothing acts on it."""
         planned = await self._parts.proposals.propose(intent, author=operator)
--- a/src/shallotworks/node/_leaving.py
+++ b/src/shallotworks/node/_leaving.py
@@ -36,6 +36,8 @@
         log: Where changes go.
         dispatcher: Told at once.
         reads: Whether this process reads the list.
+        readers: How many processes of the data centre read it now; each reads that much less often,
+            so that an outage of the store does not multiply the calls to the list.
         metrics: Counters.
         author: Name of this process, for the history.
     """
@@ -47,6 +49,7 @@
         "_instances",
         "_log",
         "_metrics",
+        "_readers",
         "_reads",
         "_seen",
         "_view",
@@ -61,6 +64,7 @@
         log: ConfigLog,
         dispatcher: PoolDispatcher,
         reads: Callable[[], bool],
+        readers: Callable[[], int],
         metrics: Metrics,
         author: str,
     ) -> None:
@@ -70,6 +74,7 @@
         self._log = log
         self._dispatcher = dispatcher
         self._reads = reads
+        self._readers = readers
         self._metrics = metrics
         self._author = author
         self._seen: frozenset[str] = frozenset()
@@ -85,7 +90,7 @@
                 await self._act_on(listed.unwrap())
             else:
                 self._metrics.count("instance-list.unread")
-            await asyncio.sleep(POLL_S)
+            await asyncio.sleep(POLL_S * max(1, self._readers()))
 
     async def _act_on(self, listed: tuple[ListedInstance, ...]) -> None:
         present = frozenset(entry.name for entry in listed)
--- a/src/shallotworks/node/_node.py
+++ b/src/shallotworks/node/_node.py
@@ -48,6 +48,7 @@
 STALE_CONFIG_S = 15.0
 """Age of the configuration from which this process reads the list of instances for itself."""
 IN_FLIGHT_POLL_S = 0.05
+PRUNE_EVERY_S = 6 * 3_600.0
 STOP_NOTICE_S = 1.0
 """Time in which a stopping instance still answers: 503, not run, and closes the connection."""
 
@@ -107,6 +108,7 @@
         self._spawn(self._once_guard.run())
         self._spawn(self._conductor.run())
         self._spawn(self._leaving.run())
+        self._spawn(self._prune_proposals())
         await asyncio.to_thread(self._callers.start)
         self._record(EventKind.STARTED, f"callers at port {self.callers_port}")
         logging.info("%s serves callers at port %d", self._process, self.callers_port)
@@ -231,6 +233,7 @@
             view=self.config,
             log=self.config,
             dispatcher=self._dispatcher,
+            readers=lambda: 1 if self.peers.should_watch() else len(self.peers.live_entries()),
             reads=lambda: self.peers.should_watch() or self.config.age_s() > STALE_CONFIG_S,
             metrics=self.metrics,
             author=self._process,
@@ -309,6 +312,13 @@
         while self._dispatcher.in_flight and self._loop.time() < ends_at_s:
             await asyncio.sleep(IN_FLIGHT_POLL_S)
 
+    async def _prune_proposals(self) -> None:
+        """Delete old proposals now and then; one of the few that watch is enough."""
+        while True:
+            await asyncio.sleep(PRUNE_EVERY_S * self._rng.uniform(0.5, 1.0))
+            if self.peers.should_watch():
+                await self._proposals.prune()
+
     def _duty(self, digest: str) -> LeaseDuty:
         holder = LeaseHolder(
             store=self._store,
--- a/src/shallotworks/operators/_fleet_handlers.py
+++ b/src/shallotworks/operators/_fleet_handlers.py
@@ -30,6 +30,7 @@
     HistoryView,
     InstancesView,
     PoolsView,
+    RestoredView,
     ServicesView,
     TeamsView,
     pool_views,
@@ -104,6 +105,13 @@
             lambda failure: Refused(failure=failure)
         )
 
+    def restore(self, call: Call) -> Outcome:
+        """Write the state held here into a store that came back empty or older."""
+        restored = self._hop.write(self._backend.restore_store(operator=call.operator))
+        return restored.map(lambda revision: answer_json(RestoredView(revision=revision))).alt(
+            lambda failure: Refused(failure=failure)
+        )
+
     def change(self, call: Call) -> Outcome:
         """Propose one change or a list, in order, up to the first that is refused."""
         changes = _read_changes(call.body)
--- a/src/shallotworks/operators/_protocols.py
+++ b/src/shallotworks/operators/_protocols.py
@@ -45,6 +45,15 @@
         """
         ...
 
+    async def restore_store(self, *, operator: str) -> Result[int, Failure]:
+        """Write the state held here into a store that came back empty or older.
+
+        Returns:
+            The revision that the store then holds; ``CONFLICT`` where the store agrees, has another
+            history, or another process holds a newer revision.
+        """
+        ...
+
     async def propose_plan(self, intent: Intent, *, operator: str) -> Result[PlanView, Failure]:
         """Work out a plan for an intent and store it; nothing acts on it.
 
--- a/src/shallotworks/operators/_routes.py
+++ b/src/shallotworks/operators/_routes.py
@@ -27,6 +27,7 @@
     PlansView,
     PlanView,
     PoolsView,
+    RestoredView,
     ServicesView,
     StatusView,
     TeamsView,
@@ -214,6 +215,14 @@
             },
             errors=(ErrorKind.NOT_FOUND,),
         ),
+        Route(
+            method="POST",
+            path="/store/restore",
+            summary="Write the state held here into a store that came back empty or older.",
+            handler=handlers.restore,
+            answer=RestoredView,
+            errors=(ErrorKind.CONFLICT, ErrorKind.STORE_REGRESSED, *_STORE_ERRORS),
+        ),
         Route(
             method="POST",
             path="/changes",
--- a/src/shallotworks/operators/_views.py
+++ b/src/shallotworks/operators/_views.py
@@ -29,6 +29,7 @@
     "PlansView",
     "PoolView",
     "PoolsView",
+    "RestoredView",
     "ServiceView",
     "ServicesView",
     "StatusView",
@@ -85,6 +86,7 @@
         revision: The configuration revision in force here.
         config_age_s: Time since that was last known to be the newest; ``None`` for never.
         store_up: Whether the platform's key-value service answered the last call.
+        store_fault: What is wrong with the configuration in that service; empty for nothing.
         requests_queued: Requests waiting for a slot.
         requests_in_flight: Requests at a target.
         duties: Names of the duties that this instance holds by lease.
@@ -100,6 +102,7 @@
     revision: int
     config_age_s: float | None
     store_up: bool
+    store_fault: str = ""
     requests_queued: int
     requests_in_flight: int
     duties: tuple[str, ...] = ()
@@ -194,6 +197,13 @@
     accepted: tuple[Accepted, ...]
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RestoredView:
+    """The revision that the platform's service holds again."""
+
+    revision: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HistoryView:
     """Accepted changes with author and time, oldest first."""
--- a/src/shallotworks/peers/_distribution.py
+++ b/src/shallotworks/peers/_distribution.py
@@ -117,6 +117,9 @@
         self._newest = max(self._newest, message.newest_revision, message.revision)
         held = self._replica.revision()
         if message.revision > held:
+            # A store that comes back older looks right to whoever lags behind, unless it has heard
+            # of the newer revision before it asks that store.
+            self._replica.confirm_newest(message.revision)
             self._ask(link)
         elif message.revision == held and message.newest_age_ms < NEVER_CONFIRMED_MS:
             self._replica.confirm_newest(held, age_s=message.newest_age_ms / MS_PER_S)
--- a/src/shallotworks/settings/_sections.py
+++ b/src/shallotworks/settings/_sections.py
@@ -90,9 +90,9 @@
     port: int = 8082
     key_file: str
     seeds: tuple[str, ...] = ()
-    heartbeat_interval_s: float = 1.0
-    suspect_after_s: float = 3.0
-    remove_after_s: float = 60.0
+    heartbeat_interval_s: float = 1.5
+    suspect_after_s: float = 4.5
+    remove_after_s: float = 9.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -164,10 +164,10 @@
     weight_buffer: float = 1.0
     weight_rollout: float = 1.0
     weight_moves: float = 1.0
-    lease_ttl_s: float = 10.0
+    lease_ttl_s: float = 4.0
     drain_timeout_s: float = 300.0
     reboot_timeout_s: float = 600.0
-    settle_s: float = 30.0
+    settle_s: float = 5.0
     window_opens: str = "00:00"
     window_closes: str = "00:00"
 
--- a/src/shallotworks/standins/_description.py
+++ b/src/shallotworks/standins/_description.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+import random
 import socket
 from collections.abc import Sequence
 
@@ -25,6 +27,9 @@
 
 REGION = "vestland"
 TEAM = "crews"
+LOWEST_PORT = 20_000
+HIGHEST_PORT = 32_000
+PORTS_DRAWN = 200
 
 
 def describe_fleet(workers: Sequence[WorkerStandIn]) -> tuple[Change, ...]:
@@ -54,12 +59,21 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that are free now; peers need to know each other's before they listen."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [entry.getsockname()[1] for entry in sockets]
-    for entry in sockets:
-        entry.close()
-    return ports
+    """Return ports that are free now; peers need to know each other's before they listen.
+
+    They lie below those that the system gives to outgoing connections: one of these might take a
+    port between here and the moment at which it is listened at.
+    """
+    drawn = random.sample(range(LOWEST_PORT, HIGHEST_PORT), k=PORTS_DRAWN)
+    return list(itertools.islice(filter(_is_free, drawn), count))
+
+
+def _is_free(port: int) -> bool:
+    try:
+        socket.create_server(("127.0.0.1", port)).close()
+    except OSError:
+        return False
+    return True
 
 
 def _put_worker(worker: WorkerStandIn) -> PutInstance:
--- a/tests/fake_backend.py
+++ b/tests/fake_backend.py
@@ -120,6 +120,10 @@
         """Return entries."""
         return Success(tuple(self.entries[revision : revision + limit]))
 
+    async def restore_store(self, *, operator: str) -> Result[int, Failure]:
+        """Say that it is done."""
+        return Success(self.state.revision)
+
     async def propose_plan(self, intent: Intent, *, operator: str) -> Result[PlanView, Failure]:
         """Return a canned plan for any intent but to drain nothing."""
         if intent == Drain(selection=Named(names=())):
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -103,6 +103,7 @@
             log=config,
             dispatcher=dispatcher,
             reads=lambda: True,
+            readers=lambda: 1,
             metrics=Metrics(),
             author="entry-1",
         )
