Use a target that looks bad last where it may not be ejected

Cause: with 0.3 of a pool as the part that may be ejected and a third failing at once, the one that stayed looked the emptiest and failed 0.250 of all requests. Change: of two targets drawn, one that looks bad loses. The test of the set part checks it, and fails without the change.

--- a/src/shallotworks/requests/_choice.py
+++ b/src/shallotworks/requests/_choice.py
@@ -47,7 +47,7 @@
         if first is None:
             return None
         second = self._draw(free_targets, tried)
-        if second is None or filling(first) <= filling(second):
+        if second is None or rank(first) <= rank(second):
             return first
         return second
 
@@ -64,9 +64,13 @@
         return untried(free_targets, tried)
 
 
-def filling(target: TargetState) -> float:
-    """Return which part of its limit a target holds."""
-    return target.in_flight / target.limit
+def rank(target: TargetState) -> tuple[bool, float]:
+    """Return by what two targets are compared; the lower is taken.
+
+    A target that looks bad and may not be ejected, since too many are, comes after all others:
+    failing at once, it would otherwise always be the emptiest.
+    """
+    return target.bad, target.in_flight / target.limit
 
 
 def untried(free_targets: Sequence[TargetState], tried: frozenset[str]) -> TargetState | None:
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -98,6 +98,8 @@
             bad = {f"w{number}" for number in range(5)}
             await attempts(bench, 200, bad, ERROR)
             self.assertEqual(bench.metrics.counters()["targets.ejected"], 4)
+            later = await attempts(bench, 400, bad, ERROR)
+            self.assertLess(sum(later[name] for name in bad), 60, "it must not look the emptiest")
             held = [await bench.grant() for _ in range(32)]
             self.assertEqual(len({grant.target.instance for grant in held}), 4)
 
