Wire the entry's rank, record cordons and suspect connections in the time line

Change: entry_rank from the sorted names of the live entries; eject_part_max 0.5; cordons, returns and connections that went silent are recorded; the kind that nothing records is gone.

--- a/src/shallotworks/node/_node.py
+++ b/src/shallotworks/node/_node.py
@@ -14,8 +14,9 @@
 from returns.result import Success
 
 from shallotworks.callers import CallersApplication
-from shallotworks.config import ConfigStore
+from shallotworks.config import ConfigStore, Entry
 from shallotworks.errors import ErrorKind, Failure, ShallotworksError
+from shallotworks.fleet import Condition, SetCondition
 from shallotworks.listener import Listener
 from shallotworks.metrics import Metrics
 from shallotworks.operators import OperatorsServer
@@ -161,6 +162,8 @@
             rng=random.Random(secrets.randbits(128)),
         )
 
+        self.config.subscribe(self._note_condition)
+
     def _build_peers(self) -> None:
         own, peers = self._settings.instance, self._settings.peers
         keys = load_keys(Path(peers.key_file))
@@ -188,6 +191,7 @@
             config=self.config,
             data_centre=self._settings.instance.data_centre,
             live_entries=lambda: max(1, len(self.peers.live_entries())),
+            entry_rank=self._entry_rank,
             limits=_limits.dispatch_limits(self._settings),
             metrics=self.metrics,
             timeline=self.timeline,
@@ -336,6 +340,24 @@
             held=self._duties,
         )
 
+    def _entry_rank(self) -> int:
+        """Return which of the slots that don't divide evenly are this process's."""
+        names = sorted(entry.record.name for entry in self.peers.live_entries())
+        own = self._settings.instance.name
+        return names.index(own) if own in names else 0
+
+    def _note_condition(self, entry: Entry) -> None:
+        """Record from when on this process gives instances no new work, or gives it again."""
+        change = entry.change
+        if not isinstance(change, SetCondition):
+            return
+        kind = EventKind.TARGET_RETURNED
+        if change.condition is Condition.CORDONED:
+            kind = EventKind.TARGET_CORDONED
+        for name in change.names:
+            subject = Subject(instance=name, plan=change.plan)
+            self.timeline.record(kind, subject=subject, detail=f"revision {entry.revision}")
+
     def _patience(self, digest: str) -> float:
         """Return how slowly this process stands for a plan, by the rank of its data centre.
 
--- a/src/shallotworks/requests/_relay.py
+++ b/src/shallotworks/requests/_relay.py
@@ -286,6 +286,9 @@
     async def _after(self, ended: _Ended, request: Request) -> _Next:
         past, result = ended.past, ended.result
         self._release(ended)
+        if result.outcome is AttemptOutcome.TIMED_OUT:
+            instance = ended.attempt.grant.target.instance
+            self._record(EventKind.CONNECTION_SUSPECT, request, instance=instance)
         if result.outcome is AttemptOutcome.ANSWERED and result.response is not None:
             return await self._settle(past, result.response)
         delay_s = self._retry_policy.next_delay_s(
--- a/src/shallotworks/settings/_sections.py
+++ b/src/shallotworks/settings/_sections.py
@@ -137,7 +137,7 @@
     max_deadline_s: float = 3600.0
     waiting_per_slot: int = 16
     retry_part: float = 0.1
-    eject_part_max: float = 0.3
+    eject_part_max: float = 0.5
     interactive_reserve_factor: float = 0.35
     long_running_min_part: float = 0.1
     idle_connection_age_s: float = 30.0
--- a/src/shallotworks/timeline/_events.py
+++ b/src/shallotworks/timeline/_events.py
@@ -19,7 +19,6 @@
     SENT = "sent"
     ANSWERED = "answered"
     RETRIED = "retried"
-    CANCELLED = "cancelled"
     TARGET_EJECTED = "target-ejected"
     TARGET_RESTORED = "target-restored"
     TARGET_CORDONED = "target-cordoned"
