--- a/src/shallotworks/callers/_application.py
+++ b/src/shallotworks/callers/_application.py
@@ -12,7 +12,7 @@
 
 from shallotworks.errors import ErrorKind, Failure, FailureBody, failure_body
 from shallotworks.requests import Relay, Response
-from shallotworks.requests._headers import ERROR_KIND, RAN, REQUEST_ID
+from shallotworks.requests.headers import ERROR_KIND, RAN, REQUEST_ID
 
 from ._reading import ReadingLimits, read_request
 
--- a/src/shallotworks/callers/_reading.py
+++ b/src/shallotworks/callers/_reading.py
@@ -13,7 +13,7 @@
 
 from shallotworks.errors import ErrorKind, Failure
 from shallotworks.requests import Request, RequestClass
-from shallotworks.requests._headers import (
+from shallotworks.requests.headers import (
     ATTEMPT,
     CLASS,
     DEADLINE_MS,
--- a/src/shallotworks/requests/_exchange.py
+++ b/src/shallotworks/requests/_exchange.py
@@ -14,8 +14,8 @@
 from urllib3.exceptions import HTTPError
 from urllib3.response import HTTPResponse
 
-from ._headers import ATTEMPT, HOP_BY_HOP, RAN, REQUEST_ID
 from ._messages import AttemptOutcome, Request, Response, Target
+from .headers import ATTEMPT, HOP_BY_HOP, RAN, REQUEST_ID
 
 __all__ = ["AttemptResult", "Exchange", "ExchangeLimits", "HttpExchange"]
 
