Move the worker stand-in's control calls to a module of their own

It was not said why the platform stand-in has a server of its own where every other port is a Listener.

Change: _worker_control.py holds the control calls and what they carry; a comment says what a Listener can't show the platform stand-in.

--- a/src/shallotworks/standins/__init__.py
+++ b/src/shallotworks/standins/__init__.py
@@ -11,7 +11,8 @@
 from ._memory_instances import MemoryInstanceList
 from ._memory_store import MemoryStore, StoreFaults
 from ._platform import PlatformStandIn, serve_platform
-from ._worker import WorkerCounts, WorkerStandIn, WorkerStatus, serve_worker
+from ._worker import WorkerStandIn, serve_worker
+from ._worker_control import WorkerCounts, WorkerStatus
 from ._worker_faults import WorkerFault, WorkerFaults
 from ._worker_runs import WorkerRun
 from ._worker_tasks import Task, TaskOrder, TaskState, TaskTable
--- a/src/shallotworks/standins/_platform.py
+++ b/src/shallotworks/standins/_platform.py
@@ -99,6 +99,9 @@
 
     def start(self) -> None:
         """Listen and serve on threads of this process; returns once connections are taken."""
+        # Not a `Listener`: that serves WSGI, which shows no connection but only the port number of
+        # its other end. A later connection may have the same, and would be silent too; the fault
+        # is that those open now fall silent and new ones work.
         server = HTTPServer(
             self._bind_address,
             _gateway_of(self),
--- a/src/shallotworks/standins/_worker.py
+++ b/src/shallotworks/standins/_worker.py
@@ -1,4 +1,4 @@
-"""A worker instance for development and tests: serves requests, runs tasks, shows faults."""
+"""A worker instance for development and tests, on a port of its own."""
 
 from __future__ import annotations
 
@@ -8,18 +8,16 @@
 import time
 from collections import Counter, deque
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass
 from typing import Any
 
-from pydantic import TypeAdapter, ValidationError
-
 from shallotworks.listener import Listener
 
+from ._worker_control import RebootOrder, WorkerCounts, WorkerStatus, answer_control
 from ._worker_faults import WorkerFault, WorkerFaults
 from ._worker_runs import RunLog, WorkerRun, run_of
-from ._worker_tasks import Task, TaskOrder, TaskState, TaskTable
+from ._worker_tasks import TaskState, TaskTable
 
-__all__ = ["RebootOrder", "WorkerCounts", "WorkerStandIn", "WorkerStatus", "serve_worker"]
+__all__ = ["WorkerStandIn", "serve_worker"]
 
 CONTROL_PREFIX = "/.worker/"
 CONTROL_THREADS = 16
@@ -31,75 +29,6 @@
 _Environ = dict[str, Any]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class WorkerCounts:
-    """What a worker has seen; the demo's table is worked out from these.
-
-    Args:
-        runs: Requests run, retries included.
-        refused: Requests answered as not run.
-        doubled: Runs of a non-idempotent request after its first.
-        cut_off: Requests that a reboot ended in flight.
-    """
-
-    runs: int
-    refused: int
-    doubled: int
-    cut_off: int
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class WorkerStatus:
-    """What a worker reports of itself; its usage lags by the stated time.
-
-    Args:
-        name: The instance.
-        incarnation: Which machine it is; the same after a reboot.
-        reboot_id: Id of the reboot that it last came back from; empty for none.
-        slots: Requests it runs at once.
-        in_flight: Requests running now.
-        usage_in_flight: Requests running ``usage_lag_s`` ago.
-        usage_lag_s: The lag.
-        counts: What it has seen.
-    """
-
-    name: str
-    incarnation: str
-    reboot_id: str
-    slots: int
-    in_flight: int
-    usage_in_flight: int
-    usage_lag_s: float
-    counts: WorkerCounts
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RebootOrder:
-    """Asks a worker to reboot.
-
-    Args:
-        reboot_id: Names this reboot; asking again for the same one does nothing more.
-        fencing_token: Token of whoever asks; one lower than the highest seen is refused.
-    """
-
-    reboot_id: str
-    fencing_token: int
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _TaskCall:
-    epoch: int
-    speed: float = 1.0
-
-
-_STATUS = TypeAdapter(WorkerStatus)
-_FAULTS = TypeAdapter(WorkerFaults)
-_ORDER = TypeAdapter(TaskOrder)
-_TASKS: TypeAdapter[tuple[Task, ...]] = TypeAdapter(tuple[Task, ...])
-_TASK_CALL = TypeAdapter(_TaskCall)
-_REBOOT = TypeAdapter(RebootOrder)
-
-
 class WorkerStandIn:
     """One worker instance on a port of its own.
 
@@ -252,11 +181,10 @@
         path: str = environ["PATH_INFO"]
         if path.startswith(CONTROL_PREFIX):
             words = path.removeprefix(CONTROL_PREFIX).split("/")
-            return self._control(environ["REQUEST_METHOD"], words, body, start_response)
+            told = answer_control(self, environ["REQUEST_METHOD"], words, body)
+            return _answer(start_response, told.status, told.body, [])
         return self._run(environ, body, start_response)
 
-    # -- requests ------------------------------------------------------------------------------
-
     def _run(self, environ: _Environ, body: bytes, start_response: _Start) -> Iterable[bytes]:
         request_id = environ.get("HTTP_SHALLOT_REQUEST_ID", "")
         attempt = environ.get("HTTP_SHALLOT_ATTEMPT", "")
@@ -322,53 +250,6 @@
             return _cut(body[: len(body) // 2])
         return _answer(start_response, "200 OK", body, echo)
 
-    # -- control -------------------------------------------------------------------------------
-
-    def _control(
-        self, method: str, words: list[str], body: bytes, start_response: _Start
-    ) -> Iterable[bytes]:
-        try:
-            return self._control_call(method, words, body, start_response)
-        except ValidationError as error:
-            return _answer(start_response, "400 Bad Request", str(error).encode(), [])
-
-    def _control_call(
-        self, method: str, words: list[str], body: bytes, start_response: _Start
-    ) -> Iterable[bytes]:
-        match (method, words):
-            case ("GET", ["status"]):
-                return _answer(start_response, "200 OK", _STATUS.dump_json(self.status()), [])
-            case ("PUT", ["faults"]):
-                self.set_faults(_FAULTS.validate_json(body))
-                return _answer(start_response, "204 No Content", b"", [])
-            case ("POST", ["reboot"]):
-                return _done(start_response, self.reboot(_REBOOT.validate_json(body)))
-            case ("GET", ["tasks"]):
-                return _answer(start_response, "200 OK", _TASKS.dump_json(self.tasks.all()), [])
-            case ("POST", ["tasks"]):
-                return _done(start_response, self.tasks.start(_ORDER.validate_json(body)))
-            case ("POST", ["tasks", task_id, verb]):
-                call = _TASK_CALL.validate_json(body)
-                return _done(start_response, self._task_call(task_id, verb, call))
-        return _answer(start_response, "404 Not Found", b"", [])
-
-    def _task_call(self, task_id: str, verb: str, call: _TaskCall) -> bool:
-        match verb:
-            case "renew":
-                return self.tasks.renew(task_id, call.epoch)
-            case "throttle":
-                return self.tasks.throttle(task_id, call.epoch, call.speed)
-            case "checkpoint":
-                return self.tasks.checkpoint(task_id, call.epoch)
-            case "stop":
-                return self.tasks.stop(task_id, call.epoch)
-        return False
-
-
-def _done(start_response: _Start, taken: bool) -> Iterable[bytes]:
-    status = "204 No Content" if taken else "409 Conflict"
-    return _answer(start_response, status, b"", [])
-
 
 def _answer(
     start_response: _Start, status: str, body: bytes, headers: list[tuple[str, str]]
