Share the set-ups of the once guard's tests

Cause: six tests wrote the same first claim out, three the same claim whose answer is lost while the store goes down.

Change: two functions with a name; every assertion stays.

--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -50,6 +50,22 @@
     )
 
 
+async def warm_up(guard: StoreOnceGuard) -> None:
+    """Claim another key, so that the process has its lease and the next claim is one write."""
+    await guard.claim(make_request("r0", "parts", key="warm", idempotent=False))
+
+
+async def claim_while_store_goes_down(site: Site, guard: StoreOnceGuard) -> Result[Claim, Failure]:
+    """Claim the key; the answer is lost and the store is down until the claim has ended."""
+    site.store.set_faults(StoreFaults(delay_s=1.0, lost_answers=1))
+    claiming = asyncio.create_task(guard.claim(order()))
+    await asyncio.sleep(0.75)
+    site.store.set_faults(StoreFaults(down=True))
+    outcome = await claiming
+    site.store.set_faults(StoreFaults())
+    return outcome
+
+
 def is_claim_to_run(outcome: Result[Claim, Failure]) -> bool:
     return isinstance(outcome, Success) and outcome.unwrap().stored is None
 
@@ -114,7 +130,7 @@
             site = Site()
             site.store.set_faults(StoreFaults(lost_answers=0))
             guard = site.process("e1")
-            await guard.claim(make_request("r0", "parts", key="warm", idempotent=False))
+            await warm_up(guard)
             site.store.set_faults(StoreFaults(lost_answers=1))
             claim = await guard.claim(order())
             self.assertTrue(is_claim_to_run(claim))
@@ -171,13 +187,9 @@
         async def story() -> None:
             site = Site()
             first, second = site.process("e1"), site.process("e2")
-            await first.claim(make_request("r0", "parts", key="warm", idempotent=False))
-            site.store.set_faults(StoreFaults(delay_s=1.0, lost_answers=1))
-            claiming = asyncio.create_task(first.claim(order()))
-            await asyncio.sleep(0.75)
-            site.store.set_faults(StoreFaults(down=True))
-            self.assertIs(kind_of(await claiming), ErrorKind.STORE_UNAVAILABLE)
-            site.store.set_faults(StoreFaults())
+            await warm_up(first)
+            lost = await claim_while_store_goes_down(site, first)
+            self.assertIs(kind_of(lost), ErrorKind.STORE_UNAVAILABLE)
             await first.tidy()
             outcomes = await asyncio.gather(first.claim(order()), second.claim(order()))
             self.assertEqual(sum(map(is_claim_to_run, outcomes)), 1)
@@ -195,7 +207,7 @@
             site = Site()
             first, second = site.process("e1"), site.process("e2")
             claim = (await first.claim(order())).unwrap()
-            await second.claim(make_request("r0", "parts", key="warm", idempotent=False))
+            await warm_up(second)
             site.store.set_faults(StoreFaults(stale=True, lost_answers=1))
             await first.abandon(claim)
             self.assertTrue(is_claim_to_run(await second.claim(order())))
@@ -213,13 +225,9 @@
         async def story() -> None:
             site = Site()
             guard = site.process("e1")
-            await guard.claim(make_request("r0", "parts", key="warm", idempotent=False))
-            site.store.set_faults(StoreFaults(delay_s=1.0, lost_answers=1))
-            claiming = asyncio.create_task(guard.claim(order()))
-            await asyncio.sleep(0.75)
-            site.store.set_faults(StoreFaults(down=True))
-            self.assertIs(kind_of(await claiming), ErrorKind.STORE_UNAVAILABLE)
-            site.store.set_faults(StoreFaults())
+            await warm_up(guard)
+            lost = await claim_while_store_goes_down(site, guard)
+            self.assertIs(kind_of(lost), ErrorKind.STORE_UNAVAILABLE)
             await guard.claim(make_request("r1", "parts", key="other", idempotent=False))
             self.assertTrue(is_claim_to_run(await guard.claim(order())))
             self.assertIs(kind_of(await guard.claim(order())), ErrorKind.IN_PROGRESS)
@@ -245,7 +253,7 @@
         async def story() -> None:
             site = Site()
             first, second = site.process("e1"), site.process("e2")
-            await first.claim(make_request("r0", "parts", key="warm", idempotent=False))
+            await warm_up(first)
             site.store.set_faults(StoreFaults(delay_s=delay_s))
             claiming = asyncio.create_task(first.claim(order()))
             await asyncio.sleep(9.9)
@@ -272,14 +280,10 @@
         async def story() -> None:
             site = Site()
             first, second, third = (site.process(name) for name in ("e1", "e2", "e3"))
-            await first.claim(make_request("r0", "parts", key="warm", idempotent=False))
+            await warm_up(first)
             before = site.store.version
-            site.store.set_faults(StoreFaults(delay_s=1.0, lost_answers=1))
-            claiming = asyncio.create_task(first.claim(order()))
-            await asyncio.sleep(0.75)
-            site.store.set_faults(StoreFaults(down=True))
-            self.assertIs(kind_of(await claiming), ErrorKind.STORE_UNAVAILABLE)
-            site.store.set_faults(StoreFaults())
+            lost = await claim_while_store_goes_down(site, first)
+            self.assertIs(kind_of(lost), ErrorKind.STORE_UNAVAILABLE)
             site.store.come_back_at(before)
             self.assertTrue(is_claim_to_run(await second.claim(order())))
             await first.tidy()
