--- a/src/shallotworks/node/_node.py
+++ b/src/shallotworks/node/_node.py
@@ -14,8 +14,9 @@
 from returns.result import Success
 
 from shallotworks.callers import CallersApplication
-from shallotworks.config import ConfigStore
+from shallotworks.config import ConfigStore, Entry
 from shallotworks.errors import ErrorKind, Failure, ShallotworksError
+from shallotworks.fleet import Condition, SetCondition
 from shallotworks.listener import Listener
 from shallotworks.metrics import Metrics
 from shallotworks.operators import OperatorsServer
@@ -48,6 +49,7 @@
 STALE_CONFIG_S = 15.0
 """Age of the configuration from which this process reads the list of instances for itself."""
 IN_FLIGHT_POLL_S = 0.05
+PRUNE_EVERY_S = 6 * 3_600.0
 STOP_NOTICE_S = 1.0
 """Time in which a stopping instance still answers: 503, not run, and closes the connection."""
 
@@ -107,6 +109,7 @@
         self._spawn(self._once_guard.run())
         self._spawn(self._conductor.run())
         self._spawn(self._leaving.run())
+        self._spawn(self._prune_proposals())
         await asyncio.to_thread(self._callers.start)
         self._record(EventKind.STARTED, f"callers at port {self.callers_port}")
         logging.info("%s serves callers at port %d", self._process, self.callers_port)
@@ -159,6 +162,8 @@
             rng=random.Random(secrets.randbits(128)),
         )
 
+        self.config.subscribe(self._note_condition)
+
     def _build_peers(self) -> None:
         own, peers = self._settings.instance, self._settings.peers
         keys = load_keys(Path(peers.key_file))
@@ -186,6 +191,7 @@
             config=self.config,
             data_centre=self._settings.instance.data_centre,
             live_entries=lambda: max(1, len(self.peers.live_entries())),
+            entry_rank=self._entry_rank,
             limits=_limits.dispatch_limits(self._settings),
             metrics=self.metrics,
             timeline=self.timeline,
@@ -231,6 +237,7 @@
             view=self.config,
             log=self.config,
             dispatcher=self._dispatcher,
+            readers=lambda: 1 if self.peers.should_watch() else len(self.peers.live_entries()),
             reads=lambda: self.peers.should_watch() or self.config.age_s() > STALE_CONFIG_S,
             metrics=self.metrics,
             author=self._process,
@@ -309,6 +316,13 @@
         while self._dispatcher.in_flight and self._loop.time() < ends_at_s:
             await asyncio.sleep(IN_FLIGHT_POLL_S)
 
+    async def _prune_proposals(self) -> None:
+        """Delete old proposals now and then; one of the few that watch is enough."""
+        while True:
+            await asyncio.sleep(PRUNE_EVERY_S * self._rng.uniform(0.5, 1.0))
+            if self.peers.should_watch():
+                await self._proposals.prune()
+
     def _duty(self, digest: str) -> LeaseDuty:
         holder = LeaseHolder(
             store=self._store,
@@ -326,6 +340,24 @@
             held=self._duties,
         )
 
+    def _entry_rank(self) -> int:
+        """Return which of the slots that don't divide evenly are this process's."""
+        names = sorted(entry.record.name for entry in self.peers.live_entries())
+        own = self._settings.instance.name
+        return names.index(own) if own in names else 0
+
+    def _note_condition(self, entry: Entry) -> None:
+        """Record from when on this process gives instances no new work, or gives it again."""
+        change = entry.change
+        if not isinstance(change, SetCondition):
+            return
+        kind = EventKind.TARGET_RETURNED
+        if change.condition is Condition.CORDONED:
+            kind = EventKind.TARGET_CORDONED
+        for name in change.names:
+            subject = Subject(instance=name, plan=change.plan)
+            self.timeline.record(kind, subject=subject, detail=f"revision {entry.revision}")
+
     def _patience(self, digest: str) -> float:
         """Return how slowly this process stands for a plan, by the rank of its data centre.
 
