Say units and failures where they were missing; one prefix for control calls

Cause: constants of the demo, the callers, the worker control and the watch of leaving instances did not say what they bound; Parts did not say what it holds; the path of control calls was written out four times; names such as all_, _usage_then and AFTER_S needed their code to be understood.

Change: docstrings with units and error kinds, CONTROL_PREFIX, plainer names. Behaviour is the same.

--- a/src/shallotworks/demo/_run.py
+++ b/src/shallotworks/demo/_run.py
@@ -23,8 +23,11 @@
 
 SEED = 7
 WARM_UP_S = 3.0
+"""How long requests run before a plan is proposed."""
 UNCONFIRMED_S = 2.0
-AFTER_S = 3.0
+"""How long the plan stays unconfirmed, to show that nothing acts on it."""
+COOL_DOWN_S = 3.0
+"""How long requests run on after the plan."""
 IN_FORCE_TIMEOUT_S = 8.0
 PLAN_TIMEOUT_S = 30.0
 POLL_S = 0.1
@@ -67,7 +70,7 @@
     try:
         time.sleep(WARM_UP_S)
         view, took_s, drained_runs = _drain(fleet, operator, console)
-        time.sleep(AFTER_S)
+        time.sleep(COOL_DOWN_S)
     finally:
         callers.stop()
         operator.close()
@@ -88,7 +91,8 @@
     """Propose, wait, confirm, wait for the end.
 
     Returns:
-        The plan, how long it took, and what the drained workers had run at its end.
+        The plan, how many seconds it took, and how many requests the drained workers had run at
+        its end.
     """
     rack = InRack(data_centre=DATA_CENTRES[0], rack=DRAINED_RACK)
     proposed = operator.propose(Drain(selection=rack))
--- a/src/shallotworks/node/_backend.py
+++ b/src/shallotworks/node/_backend.py
@@ -32,7 +32,20 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Parts:
-    """The parts that operators look into."""
+    """The parts that operators look into.
+
+    Args:
+        settings: Checked settings.
+        config: The configuration held here, and the way to change it.
+        peers: The entry instances heard.
+        proposals: Plans, confirmed or not.
+        dispatcher: Requests that wait and that are in flight.
+        metrics: All metrics.
+        is_store_up: Returns whether the platform's store answered when it was last asked.
+        is_stopping: Returns whether this instance takes no more requests.
+        duties: Returns the names of the duties held here.
+        started_at_s: When this instance was made, by the event loop's clock.
+    """
 
     settings: Settings
     config: ConfigStore
--- a/src/shallotworks/node/_leaving.py
+++ b/src/shallotworks/node/_leaving.py
@@ -16,7 +16,9 @@
 __all__ = ["LeavingWatch"]
 
 POLL_S = 1.0
+"""Pause between two reads of the list where one process reads it."""
 IDLE_S = 0.5
+"""Pause before a process that does not read asks again whether it should."""
 
 
 class LeavingWatch:
@@ -34,7 +36,7 @@
         instances: The platform's list.
         view: The configuration in force.
         log: Where changes go.
-        dispatcher: Told at once.
+        dispatcher: Told which instances are away, before the change is in force.
         reads: Whether this process reads the list.
         readers: How many processes of the data centre read it now; each reads that much less often,
             so that an outage of the store does not multiply the calls to the list.
--- a/src/shallotworks/node/_node.py
+++ b/src/shallotworks/node/_node.py
@@ -44,6 +44,7 @@
 __all__ = ["Node"]
 
 LOAD_RETRY_S = 0.5
+"""Pause between two tries to get a first configuration."""
 PEERS_FIRST_S = 1.0
 """Time that peers have at a start to hand over what they hold, before the store is read."""
 STALE_CONFIG_S = 15.0
@@ -359,7 +360,7 @@
             self.timeline.record(kind, subject=subject, detail=f"revision {entry.revision}")
 
     def _patience(self, digest: str) -> float:
-        """Return how slowly this process stands for a plan, by the rank of its data centre.
+        """Return the factor on the pauses of this process's candidacy, by its data centre's rank.
 
         With 22 data centres whose watchers all stood alike, each open plan would cost the store 14
         reads a second; ranked they cost as much as about eight candidates.
--- a/src/shallotworks/standins/_callers.py
+++ b/src/shallotworks/standins/_callers.py
@@ -23,7 +23,9 @@
 __all__ = ["Callers", "Ledger"]
 
 TIMEOUT_S = 15.0
+"""Longest wait for the next bytes of an answer."""
 PAUSE_S = 0.01
+"""Pause of each thread between two requests."""
 LEFT_ALONE_S = 1.5
 """A little longer than a stopping instance goes on answering that it stops."""
 REPEAT_PART = 0.2
@@ -57,7 +59,7 @@
         foreign: Answers that were not to the caller's own request.
         keys: All keys of orders.
         answered_runs: Ids of the runs that the answers name: a key for orders, else a request id.
-        latencies_s: Times of interactive answers.
+        latencies_s: How long each interactive answer took.
     """
 
     sent: Counter[str] = field(default_factory=Counter)
@@ -126,7 +128,7 @@
         return rng.choice(open_ports or self._ports)
 
     def _ask(self, kind: _Kind, body: bytes, key: str, port: int) -> bool:
-        """Send one request; returns whether its outcome is known."""
+        """Send one request and note what became of it; returns whether its outcome is known."""
         request_class = RequestClass.INTERACTIVE
         if kind is _Kind.MODEL:
             request_class = RequestClass.LONG_RUNNING
--- a/src/shallotworks/standins/_worker.py
+++ b/src/shallotworks/standins/_worker.py
@@ -147,7 +147,7 @@
                 reboot_id=self._reboot_id,
                 slots=self.slots,
                 in_flight=len(self._in_flight),
-                usage_in_flight=self._usage_then(time.monotonic() - self._usage_lag_s),
+                usage_in_flight=self._usage_at(time.monotonic() - self._usage_lag_s),
                 usage_lag_s=self._usage_lag_s,
                 counts=WorkerCounts(
                     runs=self._counts["runs"],
@@ -167,8 +167,8 @@
         with self._lock:
             return self._runs.all()
 
-    def _usage_then(self, then_s: float) -> int:
-        earlier = [count for at_s, count in self._usage if at_s <= then_s]
+    def _usage_at(self, past_s: float) -> int:
+        earlier = [count for at_s, count in self._usage if at_s <= past_s]
         return earlier[-1] if earlier else 0
 
     def _serve(self, environ: _Environ, start_response: _Start) -> Iterable[bytes]:
--- a/src/shallotworks/workers/_http_control.py
+++ b/src/shallotworks/workers/_http_control.py
@@ -19,7 +19,10 @@
 __all__ = ["HttpTargetControl"]
 
 CALL_TIMEOUT_S = 2.0
+"""Longest wait for a connection, and for the next bytes of an answer."""
 THREADS = 4
+"""Calls in flight at once; further ones wait."""
+CONTROL_PREFIX = "/.worker"
 RUNNING: Final = "running"
 HTTP_CONFLICT = 409
 HTTP_ERROR = 400
@@ -64,7 +67,11 @@
 
 
 class HttpTargetControl:
-    """Implements `shallotworks.plans.TargetControl` with the workers' HTTP protocol."""
+    """Implements `shallotworks.plans.TargetControl` with the workers' HTTP protocol.
+
+    Every call fails with ``UNREACHABLE`` where there is no whole answer, ``CONFLICT`` where the
+    worker refuses, and ``TARGET_FAILED`` where it answers anything else but what was asked.
+    """
 
     __slots__ = ("_pool", "_threads")
 
@@ -96,7 +103,7 @@
         for task in tasks.unwrap():
             body = _TASK_CALL.dump_json(_TaskCall(epoch=task.order.epoch))
             for verb in ("checkpoint", "stop"):
-                path = f"/.worker/tasks/{task.order.task_id}/{verb}"
+                path = f"/tasks/{task.order.task_id}/{verb}"
                 called = await self._call(instance, "POST", path, body)
                 if not isinstance(called, Success):
                     return Err(called.failure())
@@ -108,7 +115,7 @@
     ) -> Result[None, Failure]:
         """Reboot it once for a reboot id; ``CONFLICT`` where work is in flight."""
         order = _RebootOrder(reboot_id=reboot_id, fencing_token=fencing_token)
-        called = await self._call(instance, "POST", "/.worker/reboot", _REBOOT.dump_json(order))
+        called = await self._call(instance, "POST", "/reboot", _REBOOT.dump_json(order))
         return called.map(lambda _: None)
 
     async def probe(self, instance: Instance) -> Result[ProbeReport, Failure]:
@@ -119,13 +126,13 @@
         )
 
     async def _status(self, instance: Instance) -> Result[_Status, Failure]:
-        called = await self._call(instance, "GET", "/.worker/status")
+        called = await self._call(instance, "GET", "/status")
         return called.bind(lambda data: _read(_STATUS, data, instance))
 
     async def _running_tasks(self, instance: Instance) -> Result[tuple[_Task, ...], Failure]:
-        called = await self._call(instance, "GET", "/.worker/tasks")
+        called = await self._call(instance, "GET", "/tasks")
         tasks = called.bind(lambda data: _read(_TASKS, data, instance))
-        return tasks.map(lambda all_: tuple(task for task in all_ if task.state == RUNNING))
+        return tasks.map(lambda listed: tuple(task for task in listed if task.state == RUNNING))
 
     async def _call(
         self, instance: Instance, method: str, path: str, body: bytes | None = None
@@ -138,13 +145,15 @@
     def _exchange(
         self, instance: Instance, method: str, path: str, body: bytes | None
     ) -> Result[bytes, Failure]:
-        url = f"http://{instance.address}{path}"
+        url = f"http://{instance.address}{CONTROL_PREFIX}{path}"
         try:
             answer = self._pool.request(method, url, body=body)
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return _refuse(ErrorKind.UNREACHABLE, f"{instance.name}: {type(error).__name__}")
         if answer.status == HTTP_CONFLICT:
-            return _refuse(ErrorKind.CONFLICT, f"{instance.name} refuses {method} {path}")
+            return _refuse(
+                ErrorKind.CONFLICT, f"{instance.name} refuses {method} {CONTROL_PREFIX}{path}"
+            )
         if answer.status >= HTTP_ERROR:
             return _refuse(ErrorKind.TARGET_FAILED, f"{instance.name}: HTTP {answer.status}")
         return Success(answer.data)
