Move the steps of a request out of the relay

Change: _steps.py holds Past, Attempt, EndedAttempt and NextStep, with their fields described. Behaviour is the same.

--- a/src/shallotworks/requests/_relay.py
+++ b/src/shallotworks/requests/_relay.py
@@ -5,7 +5,6 @@
 import asyncio
 import time
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
@@ -18,8 +17,9 @@
 
 from ._exchange import AttemptResult, Exchange
 from ._hop import HopTimeoutError, LoopHop
-from ._messages import AttemptOutcome, Claim, Grant, Request, RequestClass, Response
+from ._messages import AttemptOutcome, Grant, Request, RequestClass, Response
 from ._protocols import Dispatcher, OnceGuard, RetryPolicy
+from ._steps import Attempt, EndedAttempt, NextStep, Past
 
 __all__ = ["Relay"]
 
@@ -29,55 +29,6 @@
 """How long past its deadline a caller's thread waits for the loop's own final answer."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Past:
-    """What came of a request before its next attempt.
-
-    Args:
-        claim: Its claim, where it has one.
-        tried: Names of the instances that its attempts went to.
-        attempts: How many attempts there were.
-        may_have_run: Whether one of them may have run it.
-    """
-
-    claim: Claim | None = None
-    tried: frozenset[str] = frozenset()
-    attempts: int = 0
-    may_have_run: bool = False
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Attempt:
-    """Leave for the next attempt, decided on the loop and carried out on the caller's thread."""
-
-    grant: Grant
-    past: _Past
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Ended:
-    """An attempt and how it ended."""
-
-    attempt: _Attempt
-    result: AttemptResult
-    duration_s: float
-
-    @property
-    def past(self) -> _Past:
-        """What came of the request up to now."""
-        before = self.attempt.past
-        surely_not_run = self.result.outcome.surely_not_run
-        return _Past(
-            claim=before.claim,
-            tried=before.tried | {self.attempt.grant.target.instance},
-            attempts=before.attempts + 1,
-            may_have_run=before.may_have_run or not surely_not_run,
-        )
-
-
-_Next = Result[_Attempt | Response, Failure]
-
-
 class Relay:
     """Answers requests: decisions on the event loop, bytes on the thread that serves the caller.
 
@@ -172,7 +123,7 @@
         """Refuse every request from now on, as not run; those under way go on."""
         self._stopping = True
 
-    def _answer(self, request: Request) -> tuple[Result[Response, Failure], _Ended | None]:
+    def _answer(self, request: Request) -> tuple[Result[Response, Failure], EndedAttempt | None]:
         """Return the final answer, and the last attempt where its slot is still to be released."""
         step = self._hop(
             partial(self._begin_later, request), request, at_once=partial(self._begin_now, request)
@@ -189,21 +140,21 @@
             step = self._hop(partial(self._after, ended, request), request)
         return Err(step.failure()), None
 
-    def _attempt(self, attempt: _Attempt, request: Request) -> _Ended:
+    def _attempt(self, attempt: Attempt, request: Request) -> EndedAttempt:
         started_s = time.monotonic()
         left_s = request.deadline_s - self._loop.time()
         result = self._exchange.send(
             attempt.grant.target, request, attempt=attempt.past.attempts + 1, timeout_s=left_s
         )
-        return _Ended(attempt=attempt, result=result, duration_s=time.monotonic() - started_s)
+        return EndedAttempt(attempt=attempt, result=result, duration_s=time.monotonic() - started_s)
 
     def _hop(
         self,
-        decision: Callable[[], Coroutine[Any, Any, _Next]],
+        decision: Callable[[], Coroutine[Any, Any, NextStep]],
         request: Request,
         *,
-        at_once: Callable[[], _Next | None] = lambda: None,
-    ) -> _Next:
+        at_once: Callable[[], NextStep | None] = lambda: None,
+    ) -> NextStep:
         """Take one decision on the loop and wait for it.
 
         The decision ends by itself at the request's deadline. Should the loop be stuck past that,
@@ -220,14 +171,14 @@
         except HopTimeoutError:
             return _fail(ErrorKind.OUTCOME_UNKNOWN, "no decision was taken within the deadline")
 
-    def _give_back(self, step: _Next) -> None:
+    def _give_back(self, step: NextStep) -> None:
         """Release the slot of an attempt that nobody will make."""
         reached = step.value_or(None)
-        if isinstance(reached, _Attempt):
+        if isinstance(reached, Attempt):
             result = AttemptResult(outcome=AttemptOutcome.ABANDONED)
-            self._release(_Ended(attempt=reached, result=result, duration_s=0.0))
+            self._release(EndedAttempt(attempt=reached, result=result, duration_s=0.0))
 
-    def _begin_now(self, request: Request) -> _Next | None:
+    def _begin_now(self, request: Request) -> NextStep | None:
         """Decide without waiting; ``None`` where `_begin_later` has to go on."""
         refusal = self._refusal(request)
         if refusal is not None:
@@ -238,13 +189,13 @@
         granted = self._dispatcher.acquire_now(request, tried=frozenset())
         if granted is None:
             return None
-        return granted.map(partial(self._next_attempt, request, _Past()))
+        return granted.map(partial(self._next_attempt, request, Past()))
 
-    async def _begin_later(self, request: Request) -> _Next:
+    async def _begin_later(self, request: Request) -> NextStep:
         """Go on where `_begin_now` has returned ``None``."""
         if not _needs_claim(request):
             granted = await self._dispatcher.wait(request, tried=frozenset())
-            return granted.map(partial(self._next_attempt, request, _Past()))
+            return granted.map(partial(self._next_attempt, request, Past()))
         claimed = await self._once_guard.claim(request)
         if not isinstance(claimed, Success):
             return Err(claimed.failure())
@@ -252,9 +203,9 @@
         if claim.stored is not None:
             return Success(claim.stored)
         self._retry_policy.first_attempt(request)
-        return await self._acquire(request, _Past(claim=claim))
+        return await self._acquire(request, Past(claim=claim))
 
-    def _refusal(self, request: Request) -> _Next | None:
+    def _refusal(self, request: Request) -> NextStep | None:
         if self._stopping:
             return _fail(ErrorKind.STOPPING, "this instance is stopping", retry_after_s=0.1)
         if request.request_class is not RequestClass.LONG_RUNNING:
@@ -268,7 +219,7 @@
         self._long_running.add(request.request_id)
         return None
 
-    async def _acquire(self, request: Request, past: _Past) -> _Next:
+    async def _acquire(self, request: Request, past: Past) -> NextStep:
         granted = await self._dispatcher.acquire(request, tried=past.tried)
         if isinstance(granted, Success):
             return Success(self._next_attempt(request, past, granted.unwrap()))
@@ -277,14 +228,14 @@
             await self._once_guard.abandon(past.claim)
         return _unknown(failure) if past.may_have_run else Err(failure)
 
-    def _next_attempt(self, request: Request, past: _Past, grant: Grant) -> _Attempt:
+    def _next_attempt(self, request: Request, past: Past, grant: Grant) -> Attempt:
         instance = grant.target.instance
         self._in_flight[instance] = self._in_flight.get(instance, 0) + 1
         detail = f"attempt {past.attempts + 1}"
         self._record(EventKind.SENT, request, instance=instance, detail=detail)
-        return _Attempt(grant=grant, past=past)
+        return Attempt(grant=grant, past=past)
 
-    async def _after(self, ended: _Ended, request: Request) -> _Next:
+    async def _after(self, ended: EndedAttempt, request: Request) -> NextStep:
         past, result = ended.past, ended.result
         self._release(ended)
         if result.outcome is AttemptOutcome.TIMED_OUT:
@@ -306,7 +257,7 @@
         await asyncio.sleep(delay_s)
         return await self._acquire(request, past)
 
-    async def _settle(self, past: _Past, response: Response) -> _Next:
+    async def _settle(self, past: Past, response: Response) -> NextStep:
         """Store the answer under its claim, and hand it on.
 
         The failure: the store is slow, and an answer that is here waits for a record that does not
@@ -318,7 +269,7 @@
             await asyncio.wait((settling,), timeout=SETTLE_WAIT_S)
         return Success(response)
 
-    async def _give_up(self, past: _Past, result: AttemptResult) -> _Next:
+    async def _give_up(self, past: Past, result: AttemptResult) -> NextStep:
         if not past.may_have_run:
             if past.claim is not None:
                 await self._once_guard.abandon(past.claim)
@@ -348,14 +299,14 @@
         request: Request,
         answer: Result[Response, Failure],
         duration_s: float,
-        last: _Ended | None,
+        last: EndedAttempt | None,
     ) -> None:
         if last is not None:
             self._release(last)
         self._long_running.discard(request.request_id)
         self._account(request, answer, duration_s)
 
-    def _release(self, ended: _Ended) -> None:
+    def _release(self, ended: EndedAttempt) -> None:
         grant, outcome = ended.attempt.grant, ended.result.outcome
         instance = grant.target.instance
         left = self._in_flight.get(instance, 0) - 1
@@ -392,7 +343,7 @@
         self._timeline.record(kind, subject=subject, detail=detail, duration_s=duration_s)
 
 
-def _fail(kind: ErrorKind, reason: str, *, retry_after_s: float | None = None) -> _Next:
+def _fail(kind: ErrorKind, reason: str, *, retry_after_s: float | None = None) -> NextStep:
     return Err(Failure(kind=kind, reason=reason, retry_after_s=retry_after_s))
 
 
@@ -400,7 +351,7 @@
     return bool(request.idempotency_key) and not request.idempotent
 
 
-def _unknown(failure: Failure) -> _Next:
+def _unknown(failure: Failure) -> NextStep:
     """Answer for a request whose earlier attempt may have run and whose last surely did not."""
     reason = f"an earlier attempt may have run; then {failure}"
     return _fail(ErrorKind.OUTCOME_UNKNOWN, reason, retry_after_s=failure.retry_after_s)
--- /dev/null
+++ b/src/shallotworks/requests/_steps.py
@@ -0,0 +1,75 @@
+"""Steps of one request, handed to and fro between the event loop and its caller's thread."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from returns.result import Result
+
+from shallotworks.errors import Failure
+
+from ._exchange import AttemptResult
+from ._messages import Claim, Grant, Response
+
+__all__ = ["Attempt", "EndedAttempt", "NextStep", "Past"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Past:
+    """What came of a request before its next attempt.
+
+    Args:
+        claim: Its claim, where it has one.
+        tried: Names of the instances that its attempts went to.
+        attempts: How many attempts there were.
+        may_have_run: Whether one of them may have run it.
+    """
+
+    claim: Claim | None = None
+    tried: frozenset[str] = frozenset()
+    attempts: int = 0
+    may_have_run: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Attempt:
+    """Leave for the next attempt, decided on the loop and carried out on the caller's thread.
+
+    Args:
+        grant: The target, and the slot of it that is held.
+        past: What came of the request before.
+    """
+
+    grant: Grant
+    past: Past
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EndedAttempt:
+    """An attempt and how it ended.
+
+    Args:
+        attempt: The attempt.
+        result: How it ended.
+        duration_s: How long it took.
+    """
+
+    attempt: Attempt
+    result: AttemptResult
+    duration_s: float
+
+    @property
+    def past(self) -> Past:
+        """What came of the request up to now."""
+        before = self.attempt.past
+        surely_not_run = self.result.outcome.surely_not_run
+        return Past(
+            claim=before.claim,
+            tried=before.tried | {self.attempt.grant.target.instance},
+            attempts=before.attempts + 1,
+            may_have_run=before.may_have_run or not surely_not_run,
+        )
+
+
+NextStep = Result[Attempt | Response, Failure]
+"""An attempt to make, or the request's final answer."""
