Let a crashed worker stand-in cut its connections instead of answering 500

Cause: the reset it raised carried no error number, so cheroot wrote a 500; tests with crashed workers showed a broken answer, not a cut connection.

--- a/src/shallotworks/standins/_worker.py
+++ b/src/shallotworks/standins/_worker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import hashlib
 import secrets
 import threading
@@ -176,7 +177,7 @@
             down = time.monotonic() < self._down_until_s
             self._seen_ports.add(environ["REMOTE_PORT"])
         if down:
-            raise ConnectionResetError("rebooting")
+            raise _reset("rebooting")
         body: bytes = environ["wsgi.input"].read(int(environ.get("CONTENT_LENGTH") or 0))
         path: str = environ["PATH_INFO"]
         if path.startswith(CONTROL_PREFIX):
@@ -198,7 +199,7 @@
         finally:
             cut_off = self._end(run_id)
         if cut_off:
-            raise ConnectionResetError("rebooted while in flight")
+            raise _reset("rebooted while in flight")
         return self._answer_run(start_response, text.encode(), echo)
 
     def _begin(self, run_id: str, environ: _Environ) -> bool:
@@ -229,7 +230,7 @@
         faults = self._faults
         if environ["REMOTE_PORT"] in self._silent_ports:
             self._silence_ended.wait(LONGEST_SILENCE_S)
-            raise ConnectionResetError("this connection was silent")
+            raise _reset("this connection was silent")
         if faults.fault is WorkerFault.FAIL_ALL:
             return
         asked_ms = environ.get("HTTP_WORK_MS")
@@ -258,9 +259,14 @@
     return [body]
 
 
+def _reset(why: str) -> ConnectionResetError:
+    """Return what ends a connection without a byte; without its number cheroot would answer 500."""
+    return ConnectionResetError(errno.ECONNRESET, why)
+
+
 def _cut(part: bytes) -> Iterator[bytes]:
     yield part
-    raise ConnectionResetError("the answer is cut off here")
+    raise _reset("the answer is cut off here")
 
 
 def serve_worker(*, name: str, host: str, port: int, slots: int = 8) -> WorkerStandIn:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -265,6 +265,19 @@
         self.assertEqual(timed_out, 1)
 
 
+class CrashedWorkerTests(RelayCase):
+    def test_crash_cuts_the_connection(self) -> None:
+        """A request to a worker that is down breaks off without an answer, and runs elsewhere."""
+        self.workers[0].crash()
+        answer = self.send()
+        self.assertTrue(answer.data.startswith(b"w2 "))
+        direct = urllib3.PoolManager(retries=False)
+        self.addCleanup(direct.clear)
+        self.workers[0].crash()
+        with self.assertRaises(urllib3.exceptions.ProtocolError):
+            direct.request("GET", f"http://{self.workers[0].address}/")
+
+
 class SlowStoreTests(RelayCase):
     def test_answer_does_not_wait_for_its_record(self) -> None:
         """An answer that is here is handed on in time, though its record can't be written yet.
