--- a/src/shallotworks/node/_node.py
+++ b/src/shallotworks/node/_node.py
@@ -50,6 +50,8 @@
 STALE_CONFIG_S = 15.0
 """Age of the configuration from which this process reads the list of instances for itself."""
 IN_FLIGHT_POLL_S = 0.05
+RECORDS_S = 3.0
+"""Time that a stop spends on records of answers which a slow store has not taken yet."""
 PRUNE_EVERY_S = 6 * 3_600.0
 STOP_NOTICE_S = 1.0
 """Time in which a stopping instance still answers: 503, not run, and closes the connection."""
@@ -127,6 +129,7 @@
         await asyncio.sleep(STOP_NOTICE_S)
         await self._wait_until_idle()
         await asyncio.to_thread(self._callers.stop)
+        await self.relay.finish_records(timeout_s=RECORDS_S)
         await asyncio.to_thread(self._operators.stop)
         for task in self._tasks:
             task.cancel()
@@ -162,7 +165,6 @@
             wall_clock_s=time.time,
             rng=random.Random(secrets.randbits(128)),
         )
-
         self.config.subscribe(self._note_condition)
 
     def _build_peers(self) -> None:
--- a/src/shallotworks/requests/_relay.py
+++ b/src/shallotworks/requests/_relay.py
@@ -123,6 +123,15 @@
         """Refuse every request from now on, as not run; those under way go on."""
         self._stopping = True
 
+    async def finish_records(self, *, timeout_s: float) -> None:
+        """Wait for records that are still being written, for a stop.
+
+        The failure: an instance that stops has given its caller an answer whose record waits for a
+        slow store; ended now, a repeat of that key would be told that its outcome is unknown.
+        """
+        if self._background:
+            await asyncio.wait(tuple(self._background), timeout=timeout_s)
+
     def _answer(self, request: Request) -> tuple[Result[Response, Failure], EndedAttempt | None]:
         """Return the final answer, and the last attempt where its slot is still to be released."""
         step = self._hop(
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -292,6 +292,18 @@
         self.assertEqual(answer.status, 200)
         self.assertLess(time.monotonic() - started_s, 1.4)
 
+    def test_stop_waits_for_records(self) -> None:
+        """A stop waits for the record of an answer that was handed on before it was written.
+
+        Story: an instance is replaced while the store is slow. It has answered an order whose
+        record is still on its way; without it a repeat at the successor would not find the answer.
+        """
+        self.once_guard.write_s = 1.0
+        self.send("POST", Idempotency_Key="order-1")
+        self.assertIsNone(self.once_guard.records["order-1"])
+        self.loop_thread.run(self.relay.finish_records(timeout_s=5.0))
+        self.assertIsNotNone(self.once_guard.records["order-1"])
+
 
 class BadInputTests(RelayCase):
     @parameterized.expand(
