Take out what nothing calls: counts of attempts per target in the relay, two reads of metrics

Cause: the relay kept attempts under way by target for a reader that never came, and only asked whether there are any; its cancel and two reads of Metrics had no caller in code or tests. Change: one number in place of the map; the four methods are gone.

--- a/src/shallotworks/metrics/_metrics.py
+++ b/src/shallotworks/metrics/_metrics.py
@@ -87,18 +87,6 @@
         """Return all counters by name."""
         return dict(self._counters)
 
-    def quantile_s(self, name: str, quantile: float) -> float:
-        """Return a quantile (0 to 1) of a histogram in seconds; 0 where nothing was put in."""
-        latency = self._latencies.get(name)
-        if latency is None:
-            return 0.0
-        value: int = latency.histogram.get_value_at_percentile(quantile * 100)
-        return value / MICROSECONDS_PER_S
-
-    def histogram_names(self) -> tuple[str, ...]:
-        """Return the names of all histograms, sorted."""
-        return tuple(sorted(self._latencies))
-
     def freeze(self) -> FrozenMetrics:
         """Return a copy of everything, for `summarise` in another thread."""
         latencies = {
--- a/src/shallotworks/requests/_relay.py
+++ b/src/shallotworks/requests/_relay.py
@@ -77,14 +77,14 @@
         self._long_running_limit = long_running_limit
         self._long_running: set[str] = set()
         self._loop = loop
-        self._hops = LoopHop(loop=loop, expects_more=lambda: bool(self._in_flight))
+        self._hops = LoopHop(loop=loop, expects_more=lambda: self._in_flight > 0)
         self._dispatcher = dispatcher
         self._retry_policy = retry_policy
         self._once_guard = once_guard
         self._exchange = exchange
         self._metrics = metrics
         self._timeline = timeline
-        self._in_flight: dict[str, int] = {}
+        self._in_flight = 0
         self._background: set[asyncio.Task[None]] = set()
         self._stopping = False
 
@@ -106,14 +106,6 @@
             self._hops.post(finish)
         return answer
 
-    def in_flight(self, instance: str) -> int:
-        """Return how many attempts this process has under way at one target."""
-        return self._in_flight.get(instance, 0)
-
-    def cancel(self, request_id: str) -> bool:
-        """Take a waiting request out of its queue; says whether it was waiting."""
-        return self._dispatcher.cancel(request_id)
-
     @property
     def is_stopping(self) -> bool:
         """Whether new requests are refused."""
@@ -238,8 +230,8 @@
         return _unknown(failure) if past.may_have_run else Err(failure)
 
     def _next_attempt(self, request: Request, past: Past, grant: Grant) -> Attempt:
+        self._in_flight += 1
         instance = grant.target.instance
-        self._in_flight[instance] = self._in_flight.get(instance, 0) + 1
         detail = f"attempt {past.attempts + 1}"
         self._record(EventKind.SENT, request, instance=instance, detail=detail)
         return Attempt(grant=grant, past=past)
@@ -317,12 +309,7 @@
 
     def _release(self, ended: EndedAttempt) -> None:
         grant, outcome = ended.attempt.grant, ended.result.outcome
-        instance = grant.target.instance
-        left = self._in_flight.get(instance, 0) - 1
-        if left > 0:
-            self._in_flight[instance] = left
-        else:
-            self._in_flight.pop(instance, None)
+        self._in_flight -= 1
         self._metrics.count(f"attempts.{outcome.value}")
         self._dispatcher.release(grant, outcome, duration_s=ended.duration_s)
 
