Rename the product's own key-value client to kv, so that platform/ holds only the users' platform

Cause: the adapter for the users' platform must be one small folder of that name, and the product's own client of its stand-in stood there.

--- a/bench/config.py
+++ b/bench/config.py
@@ -37,7 +37,7 @@
     apply,
 )
 from shallotworks.metrics import Metrics
-from shallotworks.platform import HttpKeyValueStore, PlatformLimits
+from shallotworks.kv import HttpKeyValueStore, PlatformLimits
 from shallotworks.timeline import Timeline
 
 SIZES = (275, 550, 1_100, 2_200)
--- a/bench/plans.py
+++ b/bench/plans.py
@@ -52,7 +52,7 @@
 from shallotworks.plans._measures import measure, weighted_cost
 from shallotworks.plans._supply import index_supply
 from shallotworks.plans._targets import actions_of
-from shallotworks.platform import LeaseHolder
+from shallotworks.kv import LeaseHolder
 from shallotworks.standins import MemoryStore
 
 ROUNDS = 5
--- a/bench/platform_client.py
+++ b/bench/platform_client.py
@@ -12,7 +12,7 @@
 
 from bench._processes import serving
 from shallotworks.metrics import Metrics
-from shallotworks.platform import HttpKeyValueStore, PlatformLimits
+from shallotworks.kv import HttpKeyValueStore, PlatformLimits
 from shallotworks.timeline import Timeline
 
 CALLS = 1_000
--- a/src/shallotworks/config/_history.py
+++ b/src/shallotworks/config/_history.py
@@ -11,7 +11,7 @@
 
 from shallotworks.errors import ErrorKind, Failure
 from shallotworks.fleet import FleetState, apply
-from shallotworks.platform import KeyValueStore
+from shallotworks.kv import KeyValueStore
 
 from ._entries import Entry, Snapshot
 from ._snapshots import LOG_PREFIX, MOST_PARTS, PARTS_PREFIX, log_key
--- a/src/shallotworks/config/_log_reader.py
+++ b/src/shallotworks/config/_log_reader.py
@@ -11,7 +11,7 @@
 
 from shallotworks.errors import ErrorKind, Failure
 from shallotworks.metrics import Metrics
-from shallotworks.platform import KeyValueStore, Versioned
+from shallotworks.kv import KeyValueStore, Versioned
 
 from ._entries import Entry
 from ._replica import Replica, Taking
--- a/src/shallotworks/config/_proposer.py
+++ b/src/shallotworks/config/_proposer.py
@@ -13,7 +13,7 @@
 from shallotworks.errors import ErrorKind, Failure
 from shallotworks.fleet import Change, apply
 from shallotworks.metrics import Metrics
-from shallotworks.platform import KeyValueStore
+from shallotworks.kv import KeyValueStore
 
 from ._backoff import backoff_s
 from ._entries import Entry
--- a/src/shallotworks/config/_restore.py
+++ b/src/shallotworks/config/_restore.py
@@ -6,7 +6,7 @@
 from returns.result import Result, Success
 
 from shallotworks.errors import ErrorKind, Failure
-from shallotworks.platform import KeyValueStore, Versioned
+from shallotworks.kv import KeyValueStore, Versioned
 
 from ._replica import Replica
 from ._snapshots import LOG_PREFIX, is_whole, log_key, log_revision, read_pointer, write_snapshot
--- a/src/shallotworks/config/_snapshots.py
+++ b/src/shallotworks/config/_snapshots.py
@@ -15,7 +15,7 @@
 from returns.result import Result, Success
 
 from shallotworks.errors import ErrorKind, Failure
-from shallotworks.platform import KeyValueStore, Versioned
+from shallotworks.kv import KeyValueStore, Versioned
 
 from ._entries import Snapshot
 
--- a/src/shallotworks/platform/_calls.py
+++ b/src/shallotworks/kv/_calls.py
@@ -149,7 +149,7 @@
         Returns:
             The answer's body; ``STORE_UNAVAILABLE`` where the call surely took no effect (each
             read that failed, too); ``OUTCOME_UNKNOWN`` where a write was sent and its answer lost;
-            what the service answered otherwise (see `shallotworks.platform.wire`).
+            what the service answered otherwise (see `shallotworks.kv.wire`).
         """
         if call.kind.writes or call.kind.waits:
             return await self._attempt(call, patience_s=self._limits.deadline_s)
--- a/src/shallotworks/node/_duty.py
+++ b/src/shallotworks/node/_duty.py
@@ -6,7 +6,7 @@
 import contextlib
 from collections.abc import Callable
 
-from shallotworks.platform import LeaseHolder
+from shallotworks.kv import LeaseHolder
 
 __all__ = ["LeaseDuty"]
 
--- a/src/shallotworks/node/_leaving.py
+++ b/src/shallotworks/node/_leaving.py
@@ -10,7 +10,7 @@
 from shallotworks.config import ConfigLog, ConfigView
 from shallotworks.fleet import SetHealth
 from shallotworks.metrics import Metrics
-from shallotworks.platform import InstanceList, ListedInstance
+from shallotworks.kv import InstanceList, ListedInstance
 from shallotworks.requests import PoolDispatcher
 
 __all__ = ["LeavingWatch"]
--- a/src/shallotworks/node/_limits.py
+++ b/src/shallotworks/node/_limits.py
@@ -7,7 +7,7 @@
 from shallotworks.callers import ReadingLimits
 from shallotworks.peers import PeerTiming
 from shallotworks.plans import ConductorRules, DisruptionModel, MaintenanceWindow, PlannerWeights
-from shallotworks.platform import PlatformLimits
+from shallotworks.kv import PlatformLimits
 from shallotworks.requests import DispatchLimits, ExchangeLimits, OnceLimits, RetryLimits
 from shallotworks.settings import Settings
 
--- a/src/shallotworks/node/_node.py
+++ b/src/shallotworks/node/_node.py
@@ -22,7 +22,7 @@
 from shallotworks.operators import OperatorsServer
 from shallotworks.peers import MemberState, PeerNetwork, PeerSettings, rank_among
 from shallotworks.plans import Conductor, Planner, Proposals, Surroundings
-from shallotworks.platform import HttpInstanceList, HttpKeyValueStore, LeaseHolder
+from shallotworks.kv import HttpInstanceList, HttpKeyValueStore, LeaseHolder
 from shallotworks.protocol import MemberRecord, load_keys
 from shallotworks.requests import (
     BudgetedRetryPolicy,
--- a/src/shallotworks/plans/_conductor.py
+++ b/src/shallotworks/plans/_conductor.py
@@ -11,7 +11,7 @@
 
 from shallotworks.config import ConfigLog
 from shallotworks.errors import ErrorKind, ShallotworksError
-from shallotworks.platform import KeyValueStore
+from shallotworks.kv import KeyValueStore
 from shallotworks.timeline import EventKind, Subject
 
 from ._plan_run import PlanRun, Surroundings
--- a/src/shallotworks/plans/_proposals.py
+++ b/src/shallotworks/plans/_proposals.py
@@ -14,7 +14,7 @@
 from shallotworks.errors import ErrorKind, Failure
 from shallotworks.fleet import ConfirmPlan, FinishPlan, FleetState, PlanRecord, PlanState
 from shallotworks.metrics import Metrics
-from shallotworks.platform import KeyValueStore
+from shallotworks.kv import KeyValueStore
 from shallotworks.timeline import EventKind, Subject, Timeline
 
 from ._diff import PlanDiff, diff_plans
--- a/src/shallotworks/requests/_once.py
+++ b/src/shallotworks/requests/_once.py
@@ -13,7 +13,7 @@
 
 from shallotworks.errors import ErrorKind, Failure
 from shallotworks.metrics import Metrics
-from shallotworks.platform import KeyValueStore, Versioned
+from shallotworks.kv import KeyValueStore, Versioned
 
 from ._messages import Claim, Request, Response
 from ._once_ledger import ClaimLedger, HeldClaim
--- a/src/shallotworks/standins/_memory_instances.py
+++ b/src/shallotworks/standins/_memory_instances.py
@@ -8,13 +8,13 @@
 from returns.result import Result, Success
 
 from shallotworks.errors import ErrorKind, Failure
-from shallotworks.platform import ListedInstance
+from shallotworks.kv import ListedInstance
 
 __all__ = ["MemoryInstanceList"]
 
 
 class MemoryInstanceList:
-    """Implements `shallotworks.platform.InstanceList`; every read is as old as the lag.
+    """Implements `shallotworks.kv.InstanceList`; every read is as old as the lag.
 
     Args:
         lag_s: How long a change takes to show.
--- a/src/shallotworks/standins/_memory_store.py
+++ b/src/shallotworks/standins/_memory_store.py
@@ -11,7 +11,7 @@
 from returns.result import Result, Success
 
 from shallotworks.errors import ErrorKind, Failure
-from shallotworks.platform import Lease, Versioned, WatchResult
+from shallotworks.kv import Lease, Versioned, WatchResult
 
 __all__ = ["MAX_VALUE_BYTES", "MemoryStore", "StoreFaults"]
 
@@ -63,7 +63,7 @@
 
 
 class MemoryStore:
-    """Implements `shallotworks.platform.KeyValueStore` on the event loop's clock.
+    """Implements `shallotworks.kv.KeyValueStore` on the event loop's clock.
 
     Attributes:
         faults: The faults that are on.
--- a/src/shallotworks/standins/_platform.py
+++ b/src/shallotworks/standins/_platform.py
@@ -13,7 +13,7 @@
 
 from cheroot.server import Gateway, HTTPServer
 
-from shallotworks.platform import ListedInstance, wire
+from shallotworks.kv import ListedInstance, wire
 
 from ._memory_instances import MemoryInstanceList
 from ._memory_store import MemoryStore, StoreFaults
--- a/src/shallotworks/standins/_platform_routes.py
+++ b/src/shallotworks/standins/_platform_routes.py
@@ -12,7 +12,7 @@
 from returns.result import Result, Success
 
 from shallotworks.errors import ErrorKind, Failure
-from shallotworks.platform import wire
+from shallotworks.kv import wire
 
 from ._memory_instances import MemoryInstanceList
 from ._memory_store import MemoryStore, StoreFaults
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -10,7 +10,7 @@
 from shallotworks.fleet import FleetState, Instance
 from shallotworks.listener import Listener
 from shallotworks.metrics import Metrics
-from shallotworks.platform import KeyValueStore
+from shallotworks.kv import KeyValueStore
 from shallotworks.requests import (
     BudgetedRetryPolicy,
     DispatchLimits,
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -13,7 +13,7 @@
 from shallotworks.errors import ErrorKind, Failure
 from shallotworks.fleet import Pool, PutPool, RemovePool
 from shallotworks.metrics import Metrics
-from shallotworks.platform import KeyValueStore
+from shallotworks.kv import KeyValueStore
 from shallotworks.standins import MemoryStore, StoreFaults
 from shallotworks.timeline import EventKind, Timeline
 
--- a/tests/test_http_store.py
+++ b/tests/test_http_store.py
@@ -1,4 +1,4 @@
-"""Tests of `shallotworks.platform`'s HTTP client against the stand-in."""
+"""Tests of `shallotworks.kv`'s HTTP client against the stand-in."""
 
 import asyncio
 import random
@@ -12,7 +12,7 @@
 
 from shallotworks.errors import ErrorKind, Failure
 from shallotworks.metrics import Metrics
-from shallotworks.platform import (
+from shallotworks.kv import (
     HttpInstanceList,
     HttpKeyValueStore,
     KeyValueStore,
--- a/tests/test_lease_holder.py
+++ b/tests/test_lease_holder.py
@@ -1,4 +1,4 @@
-"""Tests of `shallotworks.platform.LeaseHolder`."""
+"""Tests of `shallotworks.kv.LeaseHolder`."""
 
 import asyncio
 import random
@@ -8,7 +8,7 @@
 import looptime
 
 from shallotworks.metrics import Metrics
-from shallotworks.platform import KeyValueStore, LeaseHolder
+from shallotworks.kv import KeyValueStore, LeaseHolder
 from shallotworks.standins import MemoryStore, StoreFaults
 from shallotworks.timeline import EventKind, Timeline
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -17,7 +17,7 @@
 from shallotworks.fleet import Change, FleetState, Instance, SetHealth
 from shallotworks.metrics import Metrics
 from shallotworks.node._leaving import LeavingWatch
-from shallotworks.platform import ListedInstance
+from shallotworks.kv import ListedInstance
 
 Listing = tuple[tuple[str, bool], ...]
 
--- a/tests/test_memory_store.py
+++ b/tests/test_memory_store.py
@@ -9,7 +9,7 @@
 from returns.result import Result, Success
 
 from shallotworks.errors import ErrorKind, Failure
-from shallotworks.platform import ListedInstance
+from shallotworks.kv import ListedInstance
 from shallotworks.standins import MemoryInstanceList, MemoryStore, StoreFaults
 
 
