--- a/Makefile
+++ b/Makefile
@@ -28,11 +28,14 @@
 	$(BIN)/black --quiet src tests bench
 	$(BIN)/ruff check --quiet --fix src tests bench
 
-# The lock names versions and hashes only, so that it holds for every index.
+# The locks name versions and hashes only, so that it holds for every index.
 lock: $(STAMP)
 	$(BIN)/pip-compile --quiet --extra dev --generate-hashes --allow-unsafe --strip-extras \
 		--no-emit-index-url --no-emit-find-links --no-header \
 		--output-file requirements.lock pyproject.toml
+	$(BIN)/pip-compile --quiet --generate-hashes --allow-unsafe --strip-extras \
+		--no-emit-index-url --no-emit-find-links --no-header \
+		--output-file requirements-run.lock pyproject.toml
 
 $(STAMP): requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
--- a/src/shallotworks/config/_store.py
+++ b/src/shallotworks/config/_store.py
@@ -12,8 +12,8 @@
 
 from shallotworks.errors import ErrorKind, Failure
 from shallotworks.fleet import Change, FleetState, apply
-from shallotworks.metrics import Metrics
 from shallotworks.kv import KeyValueStore
+from shallotworks.metrics import Metrics
 from shallotworks.timeline import EventKind, Subject, Timeline
 
 from ._backoff import backoff_s
--- /dev/null
+++ b/src/shallotworks/jobs/__init__.py
@@ -0,0 +1,35 @@
+"""Jobs: what callers hand in to be run as tasks on workers, and what has become of it.
+
+`JobDesk` answers callers: accepted means stored. The scheduling package runs the tasks and
+writes progress. This package never talks to workers.
+"""
+
+from ._desk import DeskAnswer, DeskEnding, JobDesk
+from ._progress import JobProgress, JobState
+from ._records import (
+    JobKeys,
+    decode_job,
+    decode_progress,
+    encode_job,
+    encode_progress,
+)
+from ._spec import Job, QueuePolicy, Repeats, Step, TaskName, faults_of
+
+__all__ = [
+    "DeskAnswer",
+    "DeskEnding",
+    "Job",
+    "JobDesk",
+    "JobKeys",
+    "JobProgress",
+    "JobState",
+    "QueuePolicy",
+    "Repeats",
+    "Step",
+    "TaskName",
+    "decode_job",
+    "decode_progress",
+    "encode_job",
+    "encode_progress",
+    "faults_of",
+]
--- /dev/null
+++ b/src/shallotworks/jobs/_desk.py
@@ -0,0 +1,186 @@
+"""Answering callers about jobs: hand in, state, cancel, how many wait."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from returns.result import Success
+
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.logs import LogLines
+from shallotworks.metrics import Metrics
+from shallotworks.store import Commit, Condition, Conflicted, Item, Store, Write
+
+from ._progress import JobProgress, JobState
+from ._records import JobKeys, decode_progress, encode_job, encode_progress
+from ._spec import Job, QueuePolicy
+
+__all__ = ["DeskAnswer", "DeskEnding", "JobDesk"]
+
+RETRY_PAUSE_S = 0.08
+"""Between tries of one request: about twice a slow answer of the store when it is well."""
+OUTAGE_RETRY_AFTER_S = 1.0
+"""Told to callers that are refused while the store can't be reached: most outages of the platform
+last seconds, and a second costs a caller little."""
+
+
+@unique
+class DeskEnding(Enum):
+    """What became of a caller's request."""
+
+    ACCEPTED = "accepted"
+    FOUND = "found"
+    NO_SUCH_JOB = "no-such-job"
+    REFUSED = "refused"
+    """It has not been done and never will be."""
+    UNKNOWN = "unknown"
+    """It may have been done, or may be yet; the same request may be sent again."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DeskAnswer:
+    """Answer to a caller.
+
+    Args:
+        ending: What became of the request.
+        state: The job's state, where it was asked for and found.
+        waiting: Jobs that have not begun, where that was asked.
+        retry_after_s: When to come back, where it was refused.
+    """
+
+    ending: DeskEnding
+    state: JobState | None = None
+    waiting: int = 0
+    retry_after_s: float = 0.0
+
+
+class JobDesk:
+    """Answers callers from the store, so that any instance answers alike.
+
+    Args:
+        store: The store.
+        metrics: Counters of endings.
+        log: One line for each answer that is not a plain look.
+        wall_clock: Time of day in seconds since 1970.
+    """
+
+    __slots__ = ("_log", "_metrics", "_store", "_wall_clock")
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        metrics: Metrics,
+        log: LogLines,
+        wall_clock: Callable[[], float],
+    ) -> None:
+        self._store = store
+        self._metrics = metrics
+        self._log = log
+        self._wall_clock = wall_clock
+
+    async def submit(self, job: Job, *, deadline_s: float) -> DeskAnswer:
+        """Store a job; a second one with its id is the same job.
+
+        The failure it guards against: a commit whose answer was lost may be carried out seconds
+        later, so a caller who was told "not accepted" would see its job run. Once one try has an
+        unknown outcome, the answer is either "accepted" or "unknown", never a refusal.
+
+        Args:
+            job: The job.
+            deadline_s: On the loop's clock, when the answer must be given.
+        """
+        keys = JobKeys(service=job.policy.service)
+        progress = JobProgress(queue=job.policy.queue)
+        commit = Commit(
+            conditions=(
+                Condition(key=keys.job(job.job_id), revision=0),
+                Condition(key=keys.progress(job.job_id), revision=0),
+            ),
+            writes=(
+                Write(key=keys.job(job.job_id), value=encode_job(job)),
+                Write(key=keys.progress(job.job_id), value=encode_progress(progress)),
+            ),
+        )
+        is_unknown = False
+        while True:
+            outcome = await self._store.commit(commit)
+            if isinstance(outcome, Success):
+                repeated = isinstance(outcome.unwrap(), Conflicted)
+                return self._answer("submit", job.job_id, DeskEnding.ACCEPTED, repeated=repeated)
+            failure = outcome.failure()
+            is_unknown |= failure.kind is not ErrorKind.STORE_UNAVAILABLE
+            if not await self._may_try_again(deadline_s):
+                ending = DeskEnding.UNKNOWN if is_unknown else DeskEnding.REFUSED
+                return self._answer("submit", job.job_id, ending, failure=failure)
+
+    async def state(self, policy: QueuePolicy, job_id: str, *, deadline_s: float) -> DeskAnswer:
+        """Tell a job's state."""
+        key = JobKeys(service=policy.service).progress(job_id)
+        item = await self._get(key, deadline_s)
+        if isinstance(item, Failure):
+            return self._answer("state", job_id, DeskEnding.REFUSED, failure=item)
+        if item is None:
+            return self._answer("state", job_id, DeskEnding.NO_SUCH_JOB)
+        progress = decode_progress(item.value)
+        if progress.queue != policy.queue:
+            return self._answer("state", job_id, DeskEnding.NO_SUCH_JOB, queue=progress.queue)
+        self._metrics.count("desk.state.found")
+        return DeskAnswer(ending=DeskEnding.FOUND, state=progress.state)
+
+    async def cancel(self, policy: QueuePolicy, job_id: str, *, deadline_s: float) -> DeskAnswer:
+        """Cancel a job; acknowledged once stored. One that has ended stays as it is."""
+        key = JobKeys(service=policy.service).progress(job_id)
+        while True:
+            item = await self._get(key, deadline_s)
+            if isinstance(item, Failure):
+                return self._answer("cancel", job_id, DeskEnding.UNKNOWN, failure=item)
+            if item is None:
+                return self._answer("cancel", job_id, DeskEnding.NO_SUCH_JOB)
+            progress = decode_progress(item.value)
+            if progress.state.is_final:
+                return self._answer("cancel", job_id, DeskEnding.ACCEPTED, was=progress.state.value)
+            progress.finish(JobState.CANCELLED, now_s=self._wall_clock())
+            outcome = await self._store.commit(
+                Commit(
+                    conditions=(Condition(key=key, revision=item.revision),),
+                    writes=(Write(key=key, value=encode_progress(progress)),),
+                )
+            )
+            if isinstance(outcome, Success) and not isinstance(outcome.unwrap(), Conflicted):
+                return self._answer("cancel", job_id, DeskEnding.ACCEPTED)
+            if not await self._may_try_again(deadline_s):
+                return self._answer("cancel", job_id, DeskEnding.UNKNOWN)
+
+    async def waiting(self, policy: QueuePolicy, *, deadline_s: float) -> DeskAnswer:
+        """Tell how many jobs of a queue have not begun, as its scheduler last wrote."""
+        item = await self._get(JobKeys(service=policy.service).pending(), deadline_s)
+        if isinstance(item, Failure):
+            return self._answer("waiting", policy.queue, DeskEnding.REFUSED, failure=item)
+        counts = json.loads(item.value) if item is not None else {}
+        return DeskAnswer(ending=DeskEnding.FOUND, waiting=counts.get(policy.queue, 0))
+
+    async def _get(self, key: str, deadline_s: float) -> Item | Failure | None:
+        while True:
+            outcome = await self._store.get(key)
+            if isinstance(outcome, Success):
+                item: Item | None = outcome.unwrap()
+                return item
+            if not await self._may_try_again(deadline_s):
+                return outcome.failure()
+
+    async def _may_try_again(self, deadline_s: float) -> bool:
+        loop = asyncio.get_running_loop()
+        if loop.time() + RETRY_PAUSE_S >= deadline_s:
+            return False
+        await asyncio.sleep(RETRY_PAUSE_S)
+        return True
+
+    def _answer(self, call: str, subject: str, ending: DeskEnding, **inputs: object) -> DeskAnswer:
+        self._metrics.count(f"desk.{call}.{ending.value}")
+        self._log.line(f"job-{call}", id=subject, outcome=ending.value, **inputs)
+        return DeskAnswer(ending=ending, retry_after_s=OUTAGE_RETRY_AFTER_S)
--- /dev/null
+++ b/src/shallotworks/jobs/_records.py
@@ -0,0 +1,92 @@
+"""Jobs and their progress as records of the store."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from pydantic import TypeAdapter
+
+from ._progress import JobProgress, JobState
+from ._spec import Job
+
+__all__ = ["JobKeys", "decode_job", "decode_progress", "encode_job", "encode_progress"]
+
+ROOT = "shallotworks/work/"
+JOB_SUFFIX = ".job"
+PROGRESS_SUFFIX = ".progress"
+
+_JOB = TypeAdapter(Job)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JobKeys:
+    """The keys of one service's jobs.
+
+    A job's immutable record and its progress are created in one commit; both stand under one
+    prefix, so that one watch tells of both in order.
+    """
+
+    service: str
+
+    @property
+    def prefix(self) -> str:
+        """Prefix of all keys of the service's jobs."""
+        return f"{ROOT}{self.service}/"
+
+    def job(self, job_id: str) -> str:
+        """Key of a job's immutable record."""
+        return f"{self.prefix}{job_id}{JOB_SUFFIX}"
+
+    def progress(self, job_id: str) -> str:
+        """Key of a job's progress."""
+        return f"{self.prefix}{job_id}{PROGRESS_SUFFIX}"
+
+    def pending(self) -> str:
+        """Key of the number of jobs of each queue that have not begun."""
+        return f"shallotworks/pending/{self.service}"
+
+    def parse(self, key: str) -> tuple[str, bool]:
+        """Return a key's job, and whether it is the progress."""
+        name = key.removeprefix(self.prefix)
+        if name.endswith(PROGRESS_SUFFIX):
+            return name.removesuffix(PROGRESS_SUFFIX), True
+        return name.removesuffix(JOB_SUFFIX), False
+
+
+def encode_job(job: Job) -> bytes:
+    """Return the record of a job."""
+    return _JOB.dump_json(job, exclude_defaults=True)
+
+
+def decode_job(record: bytes) -> Job:
+    """Return the job of a record; raises `ValueError` for one that this release can't read."""
+    return _JOB.validate_json(record)
+
+
+def encode_progress(progress: JobProgress) -> bytes:
+    """Return the record of a job's progress; equal progress gives equal bytes."""
+    record: dict[str, Any] = {"queue": progress.queue, "state": progress.state.value}
+    if progress.done:
+        record["done"] = [[*key, f"{bits:x}"] for key, bits in sorted(progress.done.items())]
+    if progress.failures:
+        record["failures"] = [[*key, runs] for key, runs in sorted(progress.failures.items())]
+    if progress.ended_s:
+        record["ended_s"] = round(progress.ended_s, 3)
+    return json.dumps(record, separators=(",", ":")).encode()
+
+
+def decode_progress(record: bytes) -> JobProgress:
+    """Return the progress of a record; raises `ValueError` for one that can't be read."""
+    try:
+        read = json.loads(record)
+        return JobProgress(
+            queue=read["queue"],
+            state=JobState(read["state"]),
+            done={(row[0], row[1]): int(row[2], 16) for row in read.get("done", ())},
+            failures={(row[0], row[1], row[2]): tuple(row[3]) for row in read.get("failures", ())},
+            ended_s=read.get("ended_s", 0.0),
+        )
+    except (KeyError, IndexError, TypeError) as error:
+        raise ValueError(f"unreadable progress: {error!r}") from error
--- a/src/shallotworks/node/_leaving.py
+++ b/src/shallotworks/node/_leaving.py
@@ -9,8 +9,8 @@
 
 from shallotworks.config import ConfigLog, ConfigView
 from shallotworks.fleet import SetHealth
-from shallotworks.metrics import Metrics
 from shallotworks.kv import InstanceList, ListedInstance
+from shallotworks.metrics import Metrics
 from shallotworks.requests import PoolDispatcher
 
 __all__ = ["LeavingWatch"]
--- a/src/shallotworks/node/_limits.py
+++ b/src/shallotworks/node/_limits.py
@@ -5,9 +5,9 @@
 from datetime import timedelta
 
 from shallotworks.callers import ReadingLimits
+from shallotworks.kv import PlatformLimits
 from shallotworks.peers import PeerTiming
 from shallotworks.plans import ConductorRules, DisruptionModel, MaintenanceWindow, PlannerWeights
-from shallotworks.kv import PlatformLimits
 from shallotworks.requests import DispatchLimits, ExchangeLimits, OnceLimits, RetryLimits
 from shallotworks.settings import Settings
 
--- a/src/shallotworks/node/_node.py
+++ b/src/shallotworks/node/_node.py
@@ -17,12 +17,12 @@
 from shallotworks.config import ConfigStore, Entry
 from shallotworks.errors import ErrorKind, Failure, ShallotworksError
 from shallotworks.fleet import Condition, SetCondition
+from shallotworks.kv import HttpInstanceList, HttpKeyValueStore, LeaseHolder
 from shallotworks.listener import Listener
 from shallotworks.metrics import Metrics
 from shallotworks.operators import OperatorsServer
 from shallotworks.peers import MemberState, PeerNetwork, PeerSettings, rank_among
 from shallotworks.plans import Conductor, Planner, Proposals, Surroundings
-from shallotworks.kv import HttpInstanceList, HttpKeyValueStore, LeaseHolder
 from shallotworks.protocol import MemberRecord, load_keys
 from shallotworks.requests import (
     BudgetedRetryPolicy,
--- a/src/shallotworks/plans/_proposals.py
+++ b/src/shallotworks/plans/_proposals.py
@@ -13,8 +13,8 @@
 from shallotworks.config import ConfigLog, ConfigView
 from shallotworks.errors import ErrorKind, Failure
 from shallotworks.fleet import ConfirmPlan, FinishPlan, FleetState, PlanRecord, PlanState
-from shallotworks.metrics import Metrics
 from shallotworks.kv import KeyValueStore
+from shallotworks.metrics import Metrics
 from shallotworks.timeline import EventKind, Subject, Timeline
 
 from ._diff import PlanDiff, diff_plans
--- /dev/null
+++ b/src/shallotworks/platform/_configuration.py
@@ -0,0 +1,170 @@
+"""What operators write into the store: the configuration, and waves of upkeep."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from shallotworks.jobs import QueuePolicy
+from shallotworks.logs import LogLines
+from shallotworks.scheduling import Upkeep
+from shallotworks.store import Item
+
+__all__ = ["OPERATORS_PREFIX", "Configuration", "OperatorsBook", "Queue"]
+
+OPERATORS_PREFIX = "op/"
+CONFIGURATION_KEY = "op/config"
+WAVES_PREFIX = "op/wave/"
+DEFAULT_BODY_BYTES = 262_144
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Queue:
+    """Where callers hand in jobs of one kind.
+
+    Args:
+        host: The host that they name.
+        prefix: What their paths begin with.
+        timeout_s: Time for an answer.
+        policy: How its jobs are run.
+    """
+
+    host: str
+    prefix: str
+    timeout_s: float
+    policy: QueuePolicy
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Configuration:
+    """One version of the configuration.
+
+    Args:
+        version: Its version.
+        queues: The queues of each host, those with the longest prefix first.
+        services: Names of all services.
+        longest_body_bytes: Longest body of a request.
+        idle_timeout_s: Idle connections of callers are closed after this.
+    """
+
+    version: int
+    queues: dict[str, tuple[Queue, ...]]
+    services: frozenset[str]
+    longest_body_bytes: int
+    idle_timeout_s: float
+
+    def queue_for(self, host: str, path: str) -> Queue | None:
+        """Return the queue that a request is for."""
+        for queue in self.queues.get(host, ()):
+            if path.startswith(queue.prefix):
+                return queue
+        return None
+
+
+class OperatorsBook:
+    """Follows what operators write; implements `UpkeepBook` and `MirrorListener`.
+
+    The failure it guards against: a configuration that is followed by an older one in the same
+    process, so that a route which callers already use is gone again. Only a higher version counts.
+
+    Args:
+        on_configuration: Called with each newer configuration.
+        log: One line for each.
+    """
+
+    __slots__ = ("_log", "_on_configuration", "_waves", "configuration")
+
+    def __init__(self, *, on_configuration: Callable[[Configuration], None], log: LogLines) -> None:
+        self._on_configuration = on_configuration
+        self._log = log
+        self._waves: dict[int, Upkeep] = {}
+        self.configuration: Configuration | None = None
+
+    def written(self, item: Item) -> None:
+        """Hear that an operator wrote something."""
+        try:
+            if item.key == CONFIGURATION_KEY:
+                self._take(decode_configuration(json.loads(item.value)), item.revision)
+            elif item.key.startswith(WAVES_PREFIX):
+                wave = _decode_wave(json.loads(item.value))
+                self._waves[wave.wave] = wave
+                self._log.line("wave-asked", wave=wave.wave, machines=len(wave.machines))
+        except (KeyError, ValueError, TypeError) as error:
+            self._log.line("operators-record-unreadable", key=item.key, reason=repr(error))
+
+    def deleted(self, key: str) -> None:
+        """Hear that a record is gone; the configuration in force stays."""
+        if key.startswith(WAVES_PREFIX):
+            self._waves.pop(int(key.removeprefix(WAVES_PREFIX)), None)
+
+    def waves(self) -> tuple[Upkeep, ...]:
+        """Return all waves."""
+        return tuple(self._waves.values())
+
+    def status_key(self, wave: int) -> str:
+        """Return the key under which a wave's state is told."""
+        return f"status/wave/{wave}"
+
+    def encode_status(self, is_completed: bool) -> bytes:
+        """Return a wave's state as the operators read it."""
+        return json.dumps({"state": "completed" if is_completed else "running"}).encode()
+
+    def _take(self, configuration: Configuration, revision: int) -> None:
+        earlier = self.configuration
+        if earlier is not None and configuration.version <= earlier.version:
+            return
+        self.configuration = configuration
+        self._log.line(
+            "configuration-in-force",
+            version=configuration.version,
+            revision=revision,
+            queues=sum(len(queues) for queues in configuration.queues.values()),
+        )
+        self._on_configuration(configuration)
+
+
+def decode_configuration(body: dict[str, Any]) -> Configuration:
+    """Decode a configuration; raises `KeyError`, `TypeError` or `ValueError`."""
+    by_host: dict[str, list[Queue]] = {}
+    for row in body["routes"]:
+        queue = _decode_queue(row)
+        by_host.setdefault(queue.host, []).append(queue)
+    limits = body.get("limits", {})
+    return Configuration(
+        version=int(body["version"]),
+        queues={
+            host: tuple(sorted(queues, key=lambda queue: -len(queue.prefix)))
+            for host, queues in by_host.items()
+        },
+        services=frozenset(str(row["name"]) for row in body["services"]),
+        longest_body_bytes=int(limits.get("maxBodyBytes", DEFAULT_BODY_BYTES)),
+        idle_timeout_s=float(limits.get("idleTimeoutMs", 15_000)) / 1000,
+    )
+
+
+def _decode_queue(row: dict[str, Any]) -> Queue:
+    return Queue(
+        host=str(row["host"]).lower(),
+        prefix=str(row["prefix"]),
+        timeout_s=float(row.get("timeoutMs", 3000)) / 1000,
+        policy=QueuePolicy(
+            queue=str(row["name"]),
+            service=str(row["service"]),
+            priority=int(row.get("priority", 0)),
+            most_attempts=max(1, int(row.get("maxAttempts", 1))),
+            stretch=float(row.get("stretch", 1.0)),
+            target_latency_s=float(row.get("targetLatencyMs", 0)) / 1000,
+            is_advised=bool(row.get("advice")),
+        ),
+    )
+
+
+def _decode_wave(body: dict[str, Any]) -> Upkeep:
+    return Upkeep(
+        wave=int(body["wave"]),
+        machines=tuple(str(name) for name in body["machines"]),
+        duration_s=float(body["durationS"]),
+        most_at_once=max(1, int(body["maxCount"])),
+    )
--- /dev/null
+++ b/src/shallotworks/platform/_daemon.py
@@ -0,0 +1,210 @@
+"""One entry instance on the users' platform: the product's parts, joined to the platform's."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from collections.abc import Awaitable
+
+from absl import logging
+from returns.result import Success
+
+from shallotworks.errors import answer_for
+from shallotworks.jobs import JobDesk
+from shallotworks.logs import LogLines
+from shallotworks.metrics import Metrics, summarise, to_exposition
+from shallotworks.scheduling import Bidder, OrderTimes, ServiceTerm, TermParts
+from shallotworks.store import Holder, HolderTimes, Mirror
+
+from ._configuration import OPERATORS_PREFIX, Configuration, OperatorsBook
+from ._http import HttpClient, close_all
+from ._ingress import Ingress
+from ._machines import PlatformAdvice, PlatformMachines
+from ._store import PlatformStore
+from ._workers import REGISTRY_PREFIX, PlatformOrders, WorkerRegistry
+from .settings import PlatformSettings, load_platform_settings
+
+__all__ = ["serve"]
+
+METRICS_PORT = 9464
+LEAVE_S = 2.6
+"""After the signal to stop, callers are served for this long: the platform asks once a second, and
+sends new connections until two answers were missed."""
+LEASE_PART = 5 / 6
+"""Of the longest lease that workers grant; see `OrderTimes`."""
+
+
+def serve(path: str | None = None) -> int:
+    """Run one entry instance until SIGTERM or SIGINT.
+
+    Args:
+        path: The settings file; the one that the environment names by default.
+
+    Returns:
+        The exit code: 0 after a graceful stop, else that of the error kind.
+    """
+    loaded = load_platform_settings(path)
+    if not isinstance(loaded, Success):
+        logging.error("%s", loaded.failure())
+        return answer_for(loaded.failure().kind).exit_code
+    asyncio.run(_Daemon(settings=loaded.unwrap(), path=path).run())
+    return 0
+
+
+def boot_clock() -> float:
+    """Return seconds that count the time in which the machine was suspended.
+
+    The loop's clock stands still meanwhile: after a thaw a scheduler would send what it decided
+    before, and take its lease for fresh.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class _Daemon:
+    """All parts of one instance.
+
+    Args:
+        settings: Its settings.
+        path: Their file.
+    """
+
+    def __init__(self, *, settings: PlatformSettings, path: str | None) -> None:
+        self._settings = settings
+        self._path = path
+        self._log = LogLines(process=settings.instance)
+        self._metrics = Metrics()
+        self._store_client = HttpClient(address=settings.store_address)
+        self._machines_client = HttpClient(address=settings.machines_address)
+        self._advice_client = HttpClient(address=settings.advice_address)
+        self._store = PlatformStore(client=self._store_client, metrics=self._metrics)
+        self._orders = PlatformOrders()
+        self._registry = WorkerRegistry(log=self._log)
+        self._book = OperatorsBook(on_configuration=self._configured, log=self._log)
+        self._held_times = HolderTimes()
+        self._parts = self._make_parts()
+        self._bidder = Bidder(
+            store=self._store,
+            instance=settings.instance,
+            run_term=self._run_term,
+            clock=boot_clock,
+            times=self._held_times,
+            log=self._log,
+        )
+        self._ingress = Ingress(
+            desk=JobDesk(
+                store=self._store, metrics=self._metrics, log=self._log, wall_clock=time.time
+            ),
+            configuration=lambda: self._book.configuration,
+            is_store_lost=lambda: self._store.is_lost,
+            log=self._log,
+            metrics=self._metrics,
+        )
+        self._stop = asyncio.Event()
+
+    def _make_parts(self) -> TermParts:
+        settings = self._settings
+        longest_s = settings.bounds.longest_lease_s
+        advice_client = self._advice_client if settings.advice_address else None
+        return TermParts(
+            store=self._store,
+            orders=self._orders,
+            directory=self._registry,
+            advice=PlatformAdvice(client=advice_client),
+            machines=PlatformMachines(client=self._machines_client, instance=settings.instance),
+            book=self._book,
+            clock=boot_clock,
+            wall_clock=time.time,
+            times=OrderTimes(
+                lease_s=longest_s * LEASE_PART,
+                longest_lease_s=longest_s,
+                grace_s=self._held_times.grace_s,
+            ),
+            log=self._log,
+            metrics=self._metrics,
+        )
+
+    async def run(self) -> None:
+        """Serve until told to stop."""
+        settings = self._settings
+        self._log.line(
+            "start", data_centre=settings.data_centre, callers_address=settings.callers_address
+        )
+        self._handle_signals()
+        workers = Mirror(
+            store=self._store, prefix=REGISTRY_PREFIX, listener=self._registry, log=self._log
+        )
+        operators = Mirror(
+            store=self._store, prefix=OPERATORS_PREFIX, listener=self._book, log=self._log
+        )
+        await self._ingress.listen_for_readiness(settings.ready_address)
+        await self._ingress.listen(settings.callers_address)
+        await self._ingress.listen_for_metrics(f"{settings.ip}:{METRICS_PORT}", self._metrics_text)
+        loops = [
+            asyncio.create_task(loop)
+            for loop in (
+                self._log.run(),
+                operators.run(),
+                workers.run(),
+                self._bidder.run(),
+                self._note_synced(workers),
+            )
+        ]
+        stopped = asyncio.create_task(self._stop.wait())
+        await asyncio.wait([*loops[:-1], stopped], return_when=asyncio.FIRST_COMPLETED)
+        await self._leave()
+        for loop in (*loops, stopped):
+            loop.cancel()
+        for loop in loops:
+            if loop.done() and not loop.cancelled() and loop.exception() is not None:
+                self._log.line("fault", reason=repr(loop.exception()))
+        self._log.line("stop")
+        self._log.flush()
+
+    async def _leave(self) -> None:
+        """Hand duties over, serve callers until they go elsewhere, then close."""
+        self._ingress.is_stopping = True
+        self._log.line("stopping", serve_for_s=LEAVE_S)
+        began_s = asyncio.get_running_loop().time()
+        await self._quietly(self._bidder.stop())
+        spent_s = asyncio.get_running_loop().time() - began_s
+        await asyncio.sleep(max(0.0, LEAVE_S - spent_s))
+        await self._quietly(self._ingress.close())
+        await self._orders.close()
+        await close_all([self._store_client, self._machines_client, self._advice_client])
+
+    async def _quietly(self, work: Awaitable[None]) -> None:
+        try:
+            await work
+        except TimeoutError as error:
+            self._log.line("stop-late", reason=repr(error))
+
+    async def _note_synced(self, workers: Mirror) -> None:
+        await workers.synced.wait()
+        self._registry.is_synced = True
+
+    async def _run_term(self, service: str, holder: Holder) -> None:
+        await ServiceTerm(service=service, holder=holder, parts=self._parts).run()
+
+    def _configured(self, configuration: Configuration) -> None:
+        self._bidder.serve(set(configuration.services))
+
+    def _metrics_text(self) -> str:
+        return to_exposition(summarise(self._metrics.freeze(), process=self._settings.instance))
+
+    # ---- signals
+
+    def _handle_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+
+    def _reload(self) -> None:
+        """Read the settings again; addresses of the running process stay as they are."""
+        loaded = load_platform_settings(self._path)
+        if not isinstance(loaded, Success):
+            self._log.line("reload", outcome="kept", reason=str(loaded.failure()))
+            return
+        is_changed = loaded.unwrap() != self._settings
+        self._log.line("reload", outcome="read", is_changed=is_changed)
--- /dev/null
+++ b/src/shallotworks/platform/_ingress.py
@@ -0,0 +1,261 @@
+"""Callers' requests over HTTP, on the event loop.
+
+aiohttp's server stands for the house's cheroot here: cheroot gives each connection a thread, so
+that 500 connections which send nothing keep every other caller waiting. Here only a request that
+has wholly arrived takes a task.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+import time
+from collections.abc import Awaitable, Callable
+
+from aiohttp import web
+from returns.result import Success
+
+from shallotworks.jobs import DeskAnswer, DeskEnding, JobDesk, JobState
+from shallotworks.logs import LogLines
+from shallotworks.metrics import Metrics
+
+from ._configuration import Configuration, Queue
+from ._job_requests import decode_submission, is_job_id
+
+__all__ = ["Ingress"]
+
+DEADLINE_HEADER = "Shallotworks-Deadline-Ms"
+ANSWER_MARGIN_S = 0.15
+"""Kept of a caller's time for the answer's way back."""
+PATIENCE_S = 1.6
+"""The most that one request is worked on: two tries at a silent store. After that the caller's
+next try, at another instance, is the better one."""
+REFUSAL_RETRY_AFTER_S = 1.0
+NO_CONFIGURATION_RETRY_AFTER_S = 1.0
+CONNECTION_IDLE_S = 15.0
+SHOWN_REASON = 400
+
+
+class Ingress:
+    """Answers callers.
+
+    Args:
+        desk: Answers about jobs.
+        configuration: Returns the configuration in force; ``None`` before the first.
+        is_store_lost: Whether the store can't be reached at present.
+        log: Refusals that the desk does not see.
+        metrics: Counters and latencies.
+    """
+
+    __slots__ = (
+        "_configuration",
+        "_desk",
+        "_is_store_lost",
+        "_log",
+        "_metrics",
+        "_runners",
+        "is_stopping",
+    )
+
+    def __init__(
+        self,
+        *,
+        desk: JobDesk,
+        configuration: Callable[[], Configuration | None],
+        is_store_lost: Callable[[], bool],
+        log: LogLines,
+        metrics: Metrics,
+    ) -> None:
+        self._desk = desk
+        self._configuration = configuration
+        self._is_store_lost = is_store_lost
+        self._log = log
+        self._metrics = metrics
+        self._runners: list[web.ServerRunner] = []
+        self.is_stopping = False
+
+    async def listen(self, address: str) -> None:
+        """Listen for callers."""
+        await self._serve(address, self._handle)
+
+    async def listen_for_readiness(self, address: str) -> None:
+        """Listen for the platform's question whether new connections may come."""
+        await self._serve(address, self._handle_ready)
+
+    async def listen_for_metrics(self, address: str, text: Callable[[], str]) -> None:
+        """Serve the metrics as text."""
+
+        async def handle(request: web.BaseRequest) -> web.StreamResponse:
+            return web.Response(text=text())
+
+        await self._serve(address, handle)
+
+    async def close(self) -> None:
+        """Stop listening and close idle connections; requests in flight get their answer."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def _serve(
+        self,
+        address: str,
+        handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    ) -> None:
+        server = web.Server(
+            handle, keepalive_timeout=CONNECTION_IDLE_S, access_log=None, lingering_time=0.5
+        )
+        runner = web.ServerRunner(server, shutdown_timeout=2.0)
+        await runner.setup()
+        host, port = address.rsplit(":", 1)
+        site = web.TCPSite(runner, host, int(port), backlog=1024, reuse_address=True)
+        await site.start()
+        self._runners.append(runner)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new connections should come here."""
+        has_configuration = self._configuration() is not None
+        return has_configuration and not self.is_stopping and not self._is_store_lost()
+
+    async def _handle_ready(self, request: web.BaseRequest) -> web.StreamResponse:
+        return web.Response(status=200 if self.is_ready else 503)
+
+    # ---- callers
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        began_s = time.monotonic()
+        response = await self._answer(request)
+        self._metrics.count(f"callers.{request.method}.{response.status}")
+        self._metrics.observe_s(f"callers.{request.method}", time.monotonic() - began_s)
+        if self.is_stopping:
+            response.force_close()
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> web.Response:
+        configuration = self._configuration()
+        if configuration is None:
+            return _refused("no configuration yet", NO_CONFIGURATION_RETRY_AFTER_S)
+        host = request.headers.get("Host", "").rsplit(":", 1)[0].lower()
+        path = request.path
+        queue = configuration.queue_for(host, path)
+        if queue is None:
+            self._log.line(
+                "queue-unknown", host=host, path=path[:100], version=configuration.version
+            )
+            return _said(404, "no such queue")
+        deadline_s = _deadline_s(request, queue)
+        name = path[len(queue.prefix) :]
+        if not name:
+            return await self._answer_queue(request, queue, deadline_s)
+        if not is_job_id(name):
+            return _said(400, "a job is named by 16 hexadecimal digits")
+        return await self._answer_job(request, configuration, queue, name, deadline_s)
+
+    async def _answer_queue(
+        self, request: web.BaseRequest, queue: Queue, deadline_s: float
+    ) -> web.Response:
+        if request.method != "GET":
+            return _said(405, "a queue can only be looked at")
+        answer = await self._desk.waiting(queue.policy, deadline_s=deadline_s)
+        if answer.ending is not DeskEnding.FOUND:
+            return _refused("the store can't be reached", answer.retry_after_s)
+        return _json(200, {"pending": answer.waiting})
+
+    async def _answer_job(
+        self,
+        request: web.BaseRequest,
+        configuration: Configuration,
+        queue: Queue,
+        job_id: str,
+        deadline_s: float,
+    ) -> web.Response:
+        if request.method == "POST":
+            return await self._submit(request, configuration, queue, job_id, deadline_s)
+        if request.method == "GET":
+            answer = await self._desk.state(queue.policy, job_id, deadline_s=deadline_s)
+            return _state_response(answer)
+        if request.method == "DELETE":
+            answer = await self._desk.cancel(queue.policy, job_id, deadline_s=deadline_s)
+            return _desk_response(answer)
+        return _said(405, "a job can be handed in, looked at and cancelled")
+
+    async def _submit(
+        self,
+        request: web.BaseRequest,
+        configuration: Configuration,
+        queue: Queue,
+        job_id: str,
+        deadline_s: float,
+    ) -> web.Response:
+        try:
+            body = await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            return _said(413, "the body is too long")
+        if len(body) > configuration.longest_body_bytes:
+            return _said(413, "the body is too long")
+        decoded = decode_submission(
+            body, job_id=job_id, policy=queue.policy, accepted_s=time.time()
+        )
+        if not isinstance(decoded, Success):
+            reason = decoded.failure().reason
+            self._log.line("job-invalid", id=job_id, queue=queue.policy.queue, reason=reason)
+            return _said(400, reason)
+        if self._is_store_lost():
+            # Refused before anything is sent, so that it is certain not to be run.
+            self._log.line("job-submit", id=job_id, outcome="refused", reason="store lost")
+            return _refused("the store can't be reached", REFUSAL_RETRY_AFTER_S)
+        answer = await self._desk.submit(decoded.unwrap(), deadline_s=deadline_s)
+        return _desk_response(answer)
+
+
+def _deadline_s(request: web.BaseRequest, queue: Queue) -> float:
+    """Return when the answer must be sent, on the loop's clock."""
+    given = request.headers.get(DEADLINE_HEADER, "")
+    allowed_s = queue.timeout_s
+    if given.isdigit():
+        allowed_s = min(allowed_s, int(given) / 1000)
+    patience_s = min(allowed_s - ANSWER_MARGIN_S, PATIENCE_S)
+    return asyncio.get_running_loop().time() + patience_s
+
+
+def _state_response(answer: DeskAnswer) -> web.Response:
+    if answer.ending is DeskEnding.FOUND and answer.state is not None:
+        return _json(200, {"state": _STATES[answer.state]})
+    return _desk_response(answer)
+
+
+def _desk_response(answer: DeskAnswer) -> web.Response:
+    if answer.ending is DeskEnding.ACCEPTED:
+        return _json(200, {})
+    if answer.ending is DeskEnding.NO_SUCH_JOB:
+        return _said(410, "no such job")
+    if answer.ending is DeskEnding.REFUSED:
+        return _refused("the store can't be reached", answer.retry_after_s)
+    return _said(504, "the outcome is not known; the same request may be sent again")
+
+
+_STATES = {
+    JobState.QUEUED: "queued",
+    JobState.RUNNING: "running",
+    JobState.COMPLETED: "completed",
+    JobState.FAILED: "failed",
+    JobState.CANCELLED: "cancelled",
+}
+
+
+def _refused(reason: str, retry_after_s: float) -> web.Response:
+    response = _said(503, reason)
+    response.headers["Retry-After"] = str(max(1, math.ceil(retry_after_s)))
+    return response
+
+
+def _said(status: int, reason: str) -> web.Response:
+    return _json(status, {"error": reason[:SHOWN_REASON]})
+
+
+def _json(status: int, body: dict[str, object]) -> web.Response:
+    return web.Response(
+        status=status,
+        body=json.dumps(body, separators=(",", ":")).encode(),
+        content_type="application/json",
+    )
--- /dev/null
+++ b/src/shallotworks/platform/_job_requests.py
@@ -0,0 +1,99 @@
+"""Jobs as callers send them, decoded and checked."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.jobs import Job, QueuePolicy, Repeats, Step, faults_of
+
+__all__ = ["decode_submission", "is_job_id"]
+
+JOB_ID_LENGTH = 16
+_HEXADECIMAL = frozenset("0123456789abcdefABCDEF")
+
+
+def is_job_id(text: str) -> bool:
+    """Whether a caller's text can name a job."""
+    return len(text) == JOB_ID_LENGTH and all(char in _HEXADECIMAL for char in text)
+
+
+def decode_submission(
+    body: bytes, *, job_id: str, policy: QueuePolicy, accepted_s: float
+) -> Result[Job, Failure]:
+    """Decode a job; ``INVALID_REQUEST`` says all that is wrong with it.
+
+    Args:
+        body: JSON as the caller sent it.
+        job_id: The job's name.
+        policy: Its queue's policy.
+        accepted_s: Time of day in seconds since 1970.
+    """
+    try:
+        table = json.loads(body)
+        job = Job(
+            job_id=job_id,
+            policy=policy,
+            spec=_text(table.get("spec", "")),
+            steps=tuple(_decode_step(row) for row in table["steps"]),
+            repeats=_decode_repeats(table),
+            accepted_s=accepted_s,
+        )
+        faults = "; ".join(faults_of(job))
+    except (KeyError, ValueError, TypeError, AttributeError, RecursionError) as error:
+        faults = f"the body is not a job: {error!r}"
+    if faults:
+        return Err(Failure(kind=ErrorKind.INVALID_REQUEST, reason=faults[:500]))
+    return Success(job)
+
+
+def _decode_step(row: dict[str, Any]) -> Step:
+    return Step(
+        count=_whole(row.get("count", 0)),
+        cpu_millicores=_whole(row.get("cpu", 0)),
+        memory_mb=_whole(row.get("memMb", 0)),
+        gpus=_whole(row.get("gpu", 0)),
+        estimated_s=float(row.get("estimatedMs", 0)) / 1000,
+        after=tuple(_whole(number) for number in row.get("after", ())),
+        is_checkpointed=bool(row.get("checkpointing", False)),
+        is_gang=bool(row.get("gang", False)),
+        is_one_rack=bool(row.get("sameRack", False)),
+        label=_text(row.get("requiredLabel", "")),
+        # The wire's word names the rack that holds the step's data.
+        near_rack=_text(row.get("affinity", "")),
+        # The wire's word is a number: the most tasks of the step on one worker.
+        most_per_worker=_whole(row.get("antiAffinity", 0)),
+        is_speculative=bool(row.get("speculative", False)),
+        is_lasting=bool(row.get("longRunning", False)),
+        image=_text(row.get("image", "")),
+        target_s=float(row.get("targetMs", 0)) / 1000,
+        is_filler=bool(row.get("fills", False)),
+        may_miss=_whole(row.get("mayMiss", 0)),
+    )
+
+
+def _decode_repeats(table: dict[str, Any]) -> Repeats | None:
+    count = _whole(table.get("repeatCount", 0))
+    if count == 0:
+        return None
+    return Repeats(
+        first_s=float(table.get("firstRunMs", 0)) / 1000,
+        interval_s=float(table.get("intervalMs", 0)) / 1000,
+        count=count,
+    )
+
+
+def _whole(value: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError(f"{value!r} is not a whole number")
+    return value
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"{value!r} is not a text")
+    return value
--- /dev/null
+++ b/src/shallotworks/platform/_machines.py
@@ -0,0 +1,110 @@
+"""The platform's machines and its advice on which workers may run a step."""
+
+from __future__ import annotations
+
+from urllib.parse import urlencode
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.scheduling import DutyEnding, Machine, MachineState, Permits
+
+from ._http import HttpAnswer, HttpClient, HttpLost
+
+__all__ = ["PlatformAdvice", "PlatformMachines"]
+
+CALL_S = 1.0
+"""Time for a call; an order that was not answered is asked for again, which does no harm."""
+ADVICE_S = 3.0
+"""The service takes its time for each worker, and one question at a time from each of us."""
+
+_ENDINGS = {
+    "fence": DutyEnding.FENCED,
+    "busy": DutyEnding.BUSY,
+    "wave": DutyEnding.NOT_IN_WAVE,
+}
+
+
+class PlatformMachines:
+    """Implements `Machines`.
+
+    Args:
+        client: Calls the platform.
+        instance: This instance's name, which the platform wants with each order.
+    """
+
+    __slots__ = ("_client", "_instance")
+
+    def __init__(self, *, client: HttpClient, instance: str) -> None:
+        self._client = client
+        self._instance = instance
+
+    async def list(self) -> Result[tuple[Machine, ...], Failure]:
+        """Read all machines."""
+        machines: list[Machine] = []
+        path = "/v1/machines"
+        while True:
+            answer = await self._client.call("GET", path, timeout_s=CALL_S)
+            if isinstance(answer, HttpLost) or answer.status != 200:
+                return Err(Failure(kind=ErrorKind.UNREACHABLE, reason=f"machines: {answer}"))
+            machines.extend(
+                Machine(
+                    name=row["machine"],
+                    pool=row["pool"],
+                    state=MachineState(row["state"]),
+                    worker_id=row.get("id") or "",
+                )
+                for row in answer.body["machines"]
+            )
+            token = answer.body.get("nextToken")
+            if not token:
+                return Success(tuple(machines))
+            path = f"/v1/machines?{urlencode({'pageToken': token})}"
+
+    async def upkeep(self, machine: str, *, wave: int, token: int) -> DutyEnding:
+        """Take a machine down for its upkeep; all that runs there ends at once."""
+        answer = await self._client.call(
+            "POST",
+            "/v1/machine-upkeep",
+            body={"machine": machine, "wave": wave},
+            headers={
+                "Shallotworks-Duty-Holder": self._instance,
+                "Shallotworks-Fencing-Token": str(token),
+            },
+            timeout_s=CALL_S,
+        )
+        if isinstance(answer, HttpLost):
+            return DutyEnding.REFUSED if answer.is_unsent else DutyEnding.UNANSWERED
+        if answer.status == 200:
+            return DutyEnding.OBEYED
+        if answer.status == 409:
+            return _ENDINGS.get(str(answer.body.get("reason", "")), DutyEnding.BUSY)
+        return DutyEnding.REFUSED if answer.status in (400, 429, 503) else DutyEnding.UNANSWERED
+
+
+class PlatformAdvice:
+    """Implements `AdviceService`.
+
+    Args:
+        client: Calls the service; ``None`` where there is none.
+    """
+
+    __slots__ = ("_client",)
+
+    def __init__(self, *, client: HttpClient | None) -> None:
+        self._client = client
+
+    async def ask(
+        self, step: tuple[str, int, int], worker_ids: tuple[str, ...]
+    ) -> Result[Permits, Failure]:
+        """Ask which of some workers may run a step."""
+        if self._client is None:
+            return Err(Failure(kind=ErrorKind.UNREACHABLE, reason="no advice service is set"))
+        body = {"step": ".".join(str(part) for part in step), "workers": list(worker_ids)}
+        answer = await self._client.call("POST", "/v1/advise", body=body, timeout_s=ADVICE_S)
+        if not isinstance(answer, HttpAnswer) or answer.status != 200:
+            return Err(Failure(kind=ErrorKind.UNREACHABLE, reason=f"advice: {answer}"))
+        tickets = {str(row[0]): str(row[1]) for row in answer.body.get("allowed", ())}
+        valid_s = float(answer.body.get("validMs", 1000)) / 1000
+        return Success(Permits(tickets=tickets, valid_s=valid_s))
--- /dev/null
+++ b/src/shallotworks/platform/settings.py
@@ -0,0 +1,114 @@
+"""The settings that the users' platform gives each process, decoded once."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from dataclasses import dataclass
+from typing import Any
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.errors import ErrorKind, Failure
+
+__all__ = ["SETTINGS_VARIABLE", "Bounds", "PlatformSettings", "load_platform_settings"]
+
+SETTINGS_VARIABLE = "SHALLOTWORKS_SETTINGS"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Bounds:
+    """Bounds that the users set, in our units.
+
+    Args:
+        stop_grace_s: Time between the signal to stop and the end.
+        longest_lease_s: The most that a worker grants.
+        stop_s: A worker needs this long to stop a task.
+        final_state_kept_s: A job's final state is told for this long.
+    """
+
+    stop_grace_s: float
+    longest_lease_s: float
+    stop_s: float
+    final_state_kept_s: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PlatformSettings:
+    """Settings of one process.
+
+    Args:
+        instance: Name of this entry instance.
+        ip: Its IP number.
+        data_centre: Where it is.
+        callers_address: Where callers connect.
+        ready_address: Where the platform asks whether new connections may come.
+        store_address: The platform's store.
+        machines_address: The platform's machines.
+        advice_address: The advice service; empty where there is none.
+        smallest_ttl_s: The shortest lease of the store.
+        bounds: Bounds.
+    """
+
+    instance: str
+    ip: str
+    data_centre: str
+    callers_address: str
+    ready_address: str
+    store_address: str
+    machines_address: str
+    advice_address: str
+    smallest_ttl_s: float
+    bounds: Bounds
+
+
+def load_platform_settings(path: str | None = None) -> Result[PlatformSettings, Failure]:
+    """Read and decode the settings file.
+
+    Args:
+        path: The file; the one that the environment names by default.
+
+    Returns:
+        The settings, or ``INVALID_SETTINGS`` with the reason.
+    """
+    path = path or os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        return Err(_invalid(f"{SETTINGS_VARIABLE} names no file"))
+    try:
+        with open(path, "rb") as file:
+            return Success(_decode(tomllib.load(file)))
+    except KeyError as error:
+        return Err(_invalid(f"{path}: {error} is missing"))
+    except (OSError, ValueError, TypeError) as error:
+        return Err(_invalid(f"{path}: {error}"))
+
+
+def _decode(table: dict[str, Any]) -> PlatformSettings:
+    listen = table["listen"]
+    store = table["platform"]
+    return PlatformSettings(
+        instance=str(table["nodeName"]),
+        ip=str(table["ip"]),
+        data_centre=str(table["zone"]),
+        callers_address=str(listen["front"]),
+        ready_address=str(listen["ready"]),
+        store_address=str(store["address"]),
+        machines_address=str(table.get("cloudApi", {}).get("address", "")),
+        advice_address=str(table.get("advice", "")),
+        smallest_ttl_s=float(store.get("minTtlMs", 1000)) / 1000,
+        bounds=_decode_bounds(table.get("bounds", {})),
+    )
+
+
+def _decode_bounds(table: dict[str, Any]) -> Bounds:
+    return Bounds(
+        stop_grace_s=float(table.get("graceS", 6)),
+        longest_lease_s=float(table.get("maxHoldMs", 6000)) / 1000,
+        stop_s=float(table.get("stopTimeoutMs", 400)) / 1000,
+        final_state_kept_s=float(table.get("status_s", 120)),
+    )
+
+
+def _invalid(reason: str) -> Failure:
+    return Failure(kind=ErrorKind.INVALID_SETTINGS, reason=reason)
--- a/src/shallotworks/requests/_once.py
+++ b/src/shallotworks/requests/_once.py
@@ -12,8 +12,8 @@
 from returns.result import Result, Success
 
 from shallotworks.errors import ErrorKind, Failure
-from shallotworks.metrics import Metrics
 from shallotworks.kv import KeyValueStore, Versioned
+from shallotworks.metrics import Metrics
 
 from ._messages import Claim, Request, Response
 from ._once_ledger import ClaimLedger, HeldClaim
--- a/src/shallotworks/requests/_once_ledger.py
+++ b/src/shallotworks/requests/_once_ledger.py
@@ -9,8 +9,8 @@
 from returns.result import Result, Success
 
 from shallotworks.errors import ErrorKind, Failure
-from shallotworks.metrics import Metrics
 from shallotworks.kv import KeyValueStore, Versioned
+from shallotworks.metrics import Metrics
 
 from ._once_record import OnceRecord
 
--- /dev/null
+++ b/src/shallotworks/scheduling/__init__.py
@@ -0,0 +1,77 @@
+"""Scheduling: which worker runs which task, in which order, under leases and fencing tokens.
+
+`ServiceTerm` is one term of a service's scheduler; `Bidder` wins terms. What is decided stands in
+`Decider`, `Placement`, the order of work and pacing, which need no network. This package knows
+workers, machines and the store only through protocols.
+"""
+
+from ._bidding import Bidder
+from ._board import ServiceBoard, Stored
+from ._decisions import Decider
+from ._model import (
+    AdviceRequest,
+    EndedTask,
+    EndKind,
+    OrderEnding,
+    OrderOutcome,
+    PaceOrder,
+    Run,
+    RunningTask,
+    RunPhase,
+    StartOrder,
+    StopOrder,
+    Worker,
+    WorkerReport,
+    WorkerView,
+)
+from ._orders import OrderTimes
+from ._protocols import (
+    AdviceService,
+    DutyEnding,
+    Machine,
+    Machines,
+    MachineState,
+    Permits,
+    Upkeep,
+    UpkeepBook,
+    WorkerDirectory,
+    WorkerOrders,
+)
+from ._term import ServiceTerm, TermParts
+from ._upkeep import UpkeepRunner, WaveRecord
+
+__all__ = [
+    "AdviceRequest",
+    "AdviceService",
+    "Bidder",
+    "Decider",
+    "DutyEnding",
+    "EndKind",
+    "EndedTask",
+    "Machine",
+    "MachineState",
+    "Machines",
+    "OrderEnding",
+    "OrderOutcome",
+    "OrderTimes",
+    "PaceOrder",
+    "Permits",
+    "Run",
+    "RunPhase",
+    "RunningTask",
+    "ServiceBoard",
+    "ServiceTerm",
+    "StartOrder",
+    "StopOrder",
+    "Stored",
+    "TermParts",
+    "Upkeep",
+    "UpkeepBook",
+    "UpkeepRunner",
+    "WaveRecord",
+    "Worker",
+    "WorkerDirectory",
+    "WorkerOrders",
+    "WorkerReport",
+    "WorkerView",
+]
--- /dev/null
+++ b/src/shallotworks/scheduling/_bidding.py
@@ -0,0 +1,166 @@
+"""Which instance schedules which service: whoever wins the service's leased key."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from collections.abc import Awaitable, Callable
+
+from shallotworks.logs import LogLines
+from shallotworks.store import Holder, HolderTimes, Item, Mirror, Store
+
+__all__ = ["Bidder"]
+
+ROOT = "shallotworks/scheduler/"
+SPREAD_S = 0.2
+"""Bids of different instances are spread over this long, each service's in another order, so that
+services spread over instances."""
+HELD_DELAY_S = 0.25
+"""Each service that an instance already schedules makes its next bid this much later."""
+RETRY_S = 0.5
+
+
+class Bidder:
+    """Bids for the keys of all services and runs a term for each that is won.
+
+    Args:
+        store: The store.
+        instance: This instance's name, written into the keys.
+        run_term: Runs a term until its key is lost.
+        clock: Seconds, counting suspended time.
+        times: Times of held keys.
+        log: One line for each term.
+    """
+
+    __slots__ = (
+        "_bids",
+        "_clock",
+        "_held",
+        "_holders",
+        "_instance",
+        "_is_stopping",
+        "_log",
+        "_mirror",
+        "_news",
+        "_run_term",
+        "_store",
+        "_times",
+    )
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        instance: str,
+        run_term: Callable[[str, Holder], Awaitable[None]],
+        clock: Callable[[], float],
+        times: HolderTimes,
+        log: LogLines,
+    ) -> None:
+        self._store = store
+        self._instance = instance
+        self._run_term = run_term
+        self._clock = clock
+        self._times = times
+        self._log = log
+        self._held: dict[str, int] = {}
+        self._holders: dict[str, Holder] = {}
+        self._bids: dict[str, asyncio.Task[None]] = {}
+        self._news = asyncio.Event()
+        self._is_stopping = False
+        self._mirror = Mirror(store=store, prefix=ROOT, listener=self, log=log)
+
+    async def run(self) -> None:
+        """Follow who holds what, until cancelled."""
+        await self._mirror.run()
+
+    def serve(self, services: set[str]) -> None:
+        """Say which services there are; terms of services that are gone are given up."""
+        for service in services - set(self._bids):
+            self._bids[service] = asyncio.create_task(self._bid(service))
+        for service in set(self._bids) - services:
+            self._bids.pop(service).cancel()
+            holder = self._holders.get(service)
+            if holder is not None:
+                holder.lose("the service is gone from the configuration")
+
+    async def stop(self) -> None:
+        """Give all keys back, so that successors begin at once."""
+        self._is_stopping = True
+        holders = list(self._holders.values())
+        for holder in holders:
+            holder.lose("stopping")
+        await asyncio.wait_for(
+            asyncio.gather(*self._bids.values(), return_exceptions=True), timeout=2.0
+        )
+
+    # ---- what the mirror tells
+
+    def written(self, item: Item) -> None:
+        """Hear who holds a key."""
+        service = item.key.removeprefix(ROOT)
+        self._held[service] = item.created
+        holder = self._holders.get(service)
+        if holder is not None and item.created > holder.token:
+            holder.lose("another holds its key")
+
+    def deleted(self, key: str) -> None:
+        """Hear that a key is free."""
+        service = key.removeprefix(ROOT)
+        token = self._held.pop(service, 0)
+        holder = self._holders.get(service)
+        if holder is not None and token >= holder.token:
+            holder.lose("its key was deleted")
+        self._news.set()
+
+    # ---- bids
+
+    async def _bid(self, service: str) -> None:
+        await self._mirror.synced.wait()
+        while not self._is_stopping:
+            if service in self._held:
+                await self._await_news()
+                continue
+            await asyncio.sleep(self._delay_s(service))
+            if service in self._held or self._is_stopping:
+                continue
+            holder = await Holder.acquire(
+                store=self._store,
+                key=ROOT + service,
+                value=self._instance.encode(),
+                clock=self._clock,
+                times=self._times,
+                log=self._log,
+            )
+            if holder is None:
+                await asyncio.sleep(RETRY_S)
+                continue
+            await self._hold(service, holder)
+
+    async def _hold(self, service: str, holder: Holder) -> None:
+        self._held[service] = holder.token
+        self._holders[service] = holder
+        self._log.line("duty-acquired", key=holder.key, token=holder.token)
+        try:
+            await self._run_term(service, holder)
+        except Exception as error:
+            # A fault in one term must not end the instance: the key goes to another instance.
+            self._log.line("term-fault", service=service, reason=repr(error))
+        finally:
+            holder.lose("the term has ended")
+            del self._holders[service]
+            await holder.release()
+            if self._held.get(service) == holder.token:
+                del self._held[service]
+
+    async def _await_news(self) -> None:
+        self._news.clear()
+        try:
+            await asyncio.wait_for(self._news.wait(), RETRY_S)
+        except TimeoutError:
+            return
+
+    def _delay_s(self, service: str) -> float:
+        digest = hashlib.blake2b(f"{self._instance}/{service}".encode(), digest_size=4).digest()
+        part = int.from_bytes(digest, "big") / 2**32
+        return part * SPREAD_S + HELD_DELAY_S * len(self._holders)
--- /dev/null
+++ b/src/shallotworks/scheduling/_board.py
@@ -0,0 +1,489 @@
+"""All that the scheduler of one service knows, and how it learns it, without network or clock."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from shallotworks.jobs import Job, JobProgress, JobState, Step, TaskName
+from shallotworks.logs import LogLines
+
+from ._entries import JobEntry, StepEntry
+from ._model import (
+    EndedTask,
+    EndKind,
+    Run,
+    RunningTask,
+    RunPhase,
+    Worker,
+    WorkerReport,
+    WorkerView,
+)
+
+__all__ = ["RUNS_PER_TERM", "ServiceBoard", "Stored"]
+
+RUNS_PER_TERM = 1_000_000
+"""Run ids begin at the term's fencing token times this, so that a successor's are higher than all
+that its predecessors gave out without knowing the last one."""
+MISSING_REPORTS = 2
+"""Reports without a run that runs, after which it is stopped: answers overtake each other."""
+SUSPECT_JOBS = 2
+SUSPECT_WINDOW_S = 6.0
+SUSPECT_S = 6.0
+"""A worker on which two jobs failed with nothing done between them is used last for this long:
+troubles of single workers last 5 to 7 s."""
+STRAY_STEP = Step(count=1)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Stored:
+    """Progress that the store has taken.
+
+    Args:
+        job_id: Whose.
+        changes: Up to which change.
+        revision: The store's revision of it.
+    """
+
+    job_id: str
+    changes: int
+    revision: int
+
+
+class ServiceBoard:
+    """Jobs, workers and runs of one service during one term of its scheduler.
+
+    Args:
+        service: The service.
+        token: The term's fencing token.
+        log: One line for each end of a run and each change of what is believed of a worker.
+    """
+
+    __slots__ = (
+        "_awaiting",
+        "_log",
+        "_next_run",
+        "entries",
+        "pending_recovery",
+        "service",
+        "timed",
+        "token",
+        "unwanted",
+        "workers",
+    )
+
+    def __init__(self, *, service: str, token: int, log: LogLines) -> None:
+        self.service = service
+        self.token = token
+        self._log = log
+        self._next_run = token * RUNS_PER_TERM
+        self.entries: dict[str, JobEntry] = {}
+        self.workers: dict[str, Worker] = {}
+        self.unwanted: set[Run] = set()
+        """Runs that are to be stopped, until their end is certain."""
+        self.timed: set[str] = set()
+        """Jobs with occurrences that are not due yet."""
+        self.pending_recovery: dict[str, float] = {}
+        """Workers that may run tasks of earlier terms and were not seen yet, with the time after
+        which whatever they ran has ended."""
+        self._awaiting: dict[str, list[tuple[int, Worker, int]]] = {}
+
+    # ---- jobs
+
+    def job_learnt(
+        self, job: Job, progress: JobProgress, *, revision: int, is_old: bool, wall_s: float
+    ) -> None:
+        """Learn of a job and its progress."""
+        if job.job_id in self.entries:
+            return
+        entry = JobEntry(job=job, progress=progress, revision=revision, is_old=is_old)
+        self.entries[job.job_id] = entry
+        if not progress.state.is_final:
+            self.timed.add(job.job_id)
+            self.open_due(entry, wall_s)
+
+    def progress_learnt(self, job_id: str, progress: JobProgress, revision: int) -> None:
+        """Learn that a job's progress was written, by this scheduler or by a caller's cancel."""
+        entry = self.entries.get(job_id)
+        if entry is None or revision <= entry.revision:
+            return
+        entry.revision = revision
+        if progress.state is JobState.CANCELLED and not entry.progress.state.is_final:
+            entry.progress.finish(JobState.CANCELLED, now_s=progress.ended_s)
+            self._settle(entry, entry.changes)
+            self._close(entry, "cancelled")
+
+    def job_deleted(self, job_id: str) -> None:
+        """Forget a job that the store no longer has."""
+        entry = self.entries.pop(job_id, None)
+        if entry is not None:
+            self._close(entry, "deleted")
+
+    def open_due(self, entry: JobEntry, wall_s: float) -> None:
+        """Open the steps of all occurrences that are due."""
+        job = entry.job
+        while entry.next_occurrence < job.occurrences:
+            occurrence = entry.next_occurrence
+            if job.repeats is not None and job.due_s(occurrence) > wall_s:
+                return
+            entry.next_occurrence += 1
+            for number in range(len(job.steps)):
+                self._open_step(entry, occurrence, number)
+        self.timed.discard(job.job_id)
+
+    def _open_step(self, entry: JobEntry, occurrence: int, number: int) -> None:
+        job, progress = entry.job, entry.progress
+        key = (occurrence, number)
+        if key in entry.steps or progress.is_step_done(job, occurrence, number):
+            return
+        earlier = job.steps[number].after
+        if not all(progress.is_step_done(job, occurrence, before) for before in earlier):
+            return
+        step = StepEntry(job_entry=entry, occurrence=occurrence, number=number)
+        step.waiting = [
+            index for index in range(step.step.count) if not progress.is_done(step.name(index))
+        ]
+        entry.steps[key] = step
+
+    def open_steps(self) -> Iterator[StepEntry]:
+        """Yield the steps with tasks that wait for a worker and may be started."""
+        is_recovered = not self.pending_recovery
+        for entry in self.entries.values():
+            if entry.is_old and not is_recovered:
+                continue
+            for step in entry.steps.values():
+                if step.waiting:
+                    yield step
+
+    def _close(self, entry: JobEntry, reason: str) -> None:
+        entry.steps.clear()
+        self.timed.discard(entry.job.job_id)
+        for run in entry.runs.values():
+            self.want_stop(run, reason)
+
+    # ---- what the store has
+
+    def dirty(self) -> list[JobEntry]:
+        """Return the jobs whose latest progress the store lacks."""
+        return [entry for entry in self.entries.values() if entry.is_dirty]
+
+    def stored(self, stored: Stored) -> None:
+        """Take note that progress was stored; ends that waited for it may be acknowledged."""
+        entry = self.entries.get(stored.job_id)
+        if entry is None:
+            return
+        entry.revision = max(entry.revision, stored.revision)
+        self._settle(entry, stored.changes)
+
+    def _settle(self, entry: JobEntry, changes: int) -> None:
+        entry.stored_changes = max(entry.stored_changes, changes)
+        waiting = self._awaiting.get(entry.job.job_id, [])
+        for change, worker, number in waiting:
+            if change <= changes:
+                worker.unsettled.discard(number)
+        left = [row for row in waiting if row[0] > changes]
+        if left:
+            self._awaiting[entry.job.job_id] = left
+        else:
+            self._awaiting.pop(entry.job.job_id, None)
+
+    # ---- workers
+
+    def worker_learnt(self, view: WorkerView) -> None:
+        """Learn of a worker, or that what is known of it has changed."""
+        worker = self.workers.get(view.worker_id)
+        if worker is None:
+            self.workers[view.worker_id] = Worker(view=view)
+            return
+        worker.view = view
+        worker.is_listed = True
+
+    def worker_unlisted(self, worker_id: str) -> None:
+        """Learn that discovery no longer lists a worker; it may live and still run tasks."""
+        worker = self.workers.get(worker_id)
+        if worker is not None:
+            worker.is_listed = False
+
+    def worker_over(self, worker_id: str, reason: str, now_s: float) -> None:
+        """Learn for certain that a worker is over, with all that it ran."""
+        self.pending_recovery.pop(worker_id, None)
+        worker = self.workers.pop(worker_id, None)
+        if worker is None:
+            return
+        self._log.line(
+            "worker-over", worker=worker_id, reason=reason, runs=len(worker.runs), token=self.token
+        )
+        self._void_runs(worker, now_s)
+
+    def lapse(self, worker: Worker, now_s: float) -> None:
+        """Learn that a worker's lease has certainly run out: nothing runs there any more."""
+        self._log.line(
+            "worker-lease-out",
+            worker=worker.worker_id,
+            runs=len(worker.runs),
+            silent_s=round(now_s - worker.reported_s, 2),
+            token=self.token,
+        )
+        worker.is_fenced = False
+        self._void_runs(worker, now_s)
+
+    def _void_runs(self, worker: Worker, now_s: float) -> None:
+        for run in list(worker.runs.values()):
+            self._finish_run(worker, run, EndKind.LAPSED, "", now_s)
+
+    def reported(
+        self, worker: Worker, report: WorkerReport, *, sent_s: float, now_s: float, wall_s: float
+    ) -> None:
+        """Learn from a worker's answer to a look.
+
+        Args:
+            worker: The worker.
+            report: Its answer.
+            sent_s: When the look was sent.
+            now_s: The scheduler's clock.
+            wall_s: Time of day.
+        """
+        worker.is_fenced = True
+        worker.clock_ms, worker.clock_at_s = report.clock_ms, now_s
+        for end in report.ended:
+            if end.number > worker.seen_ends:
+                self._end_learnt(worker, end, now_s, wall_s)
+                worker.seen_ends = end.number
+        listed = set()
+        for row in report.running:
+            listed.add((row.name, row.run_id))
+            self._row_learnt(worker, row, now_s)
+        for run in [run for key, run in worker.runs.items() if key not in listed]:
+            self._not_listed(worker, run, sent_s, now_s)
+        worker.reported_s = now_s
+        self.pending_recovery.pop(worker.worker_id, None)
+
+    def _row_learnt(self, worker: Worker, row: RunningTask, now_s: float) -> None:
+        run = worker.runs.get((row.name, row.run_id))
+        if run is None:
+            run = self._adopt(worker, row, now_s)
+        if run.phase in (RunPhase.STARTING, RunPhase.UNANSWERED):
+            run.enter(RunPhase.RUNNING, now_s)
+        if row.percent != run.percent:
+            run.progressed_s = now_s
+        run.percent, run.figure, run.missing = row.percent, row.figure, 0
+        if row.checkpoint:
+            run.checkpoint = row.checkpoint
+
+    def _adopt(self, worker: Worker, row: RunningTask, now_s: float) -> Run:
+        """Take over a run that this term has not started; stop it where it should not be."""
+        entry = self.entries.get(row.name.job_id)
+        step = _step_of(entry, row.name)
+        run = Run(
+            name=row.name,
+            run_id=row.run_id,
+            step=step or STRAY_STEP,
+            worker_id=worker.worker_id,
+            phase=RunPhase.RUNNING,
+            since_s=now_s,
+        )
+        worker.add(run)
+        step_entry = None
+        if entry is not None and row.name not in entry.runs:
+            step_entry = entry.steps.get((row.name.occurrence, row.name.step))
+        if entry is None or step_entry is None or row.name.number not in step_entry.waiting:
+            self.want_stop(run, "stray")
+            return run
+        step_entry.waiting.remove(row.name.number)
+        entry.runs[row.name] = run
+        self._note_begun(entry)
+        self._log.line(
+            "run-adopted",
+            id=row.name.job_id,
+            task=list(row.name[1:]),
+            run=row.run_id,
+            worker=worker.worker_id,
+            token=self.token,
+        )
+        return run
+
+    def _not_listed(self, worker: Worker, run: Run, sent_s: float, now_s: float) -> None:
+        """Judge a run that a report does not list.
+
+        The failure: a start without an answer may still be carried out, seconds later. Only a stop
+        that was obeyed rules that out, since the worker then refuses the run; a report that was
+        asked for after it, without the run, makes its absence certain.
+        """
+        if run.phase is RunPhase.STARTING or run.phase_s >= sent_s:
+            return
+        if run.phase is RunPhase.STOPPED:
+            self._finish_run(worker, run, EndKind.STOPPED, "", now_s)
+        elif run.phase is RunPhase.UNANSWERED:
+            self.want_stop(run, "start-unanswered")
+        elif run.phase is RunPhase.RUNNING:
+            run.missing += 1
+            if run.missing >= MISSING_REPORTS:
+                self.want_stop(run, "not-listed")
+
+    # ---- runs
+
+    def new_run(
+        self, step: StepEntry, index: int, worker: Worker, run_id: int, now_s: float
+    ) -> Run:
+        """Give a waiting task to a worker."""
+        run = Run(
+            name=step.name(index),
+            run_id=run_id,
+            step=step.step,
+            worker_id=worker.worker_id,
+            phase=RunPhase.STARTING,
+            since_s=now_s,
+        )
+        worker.add(run)
+        step.waiting.remove(index)
+        entry = step.job_entry
+        entry.runs[run.name] = run
+        self._note_begun(entry)
+        return run
+
+    def _note_begun(self, entry: JobEntry) -> None:
+        if entry.progress.state is JobState.QUEUED:
+            entry.progress.state = JobState.RUNNING
+            entry.changes += 1
+
+    def next_run_id(self) -> int:
+        """Return a run id that was never used."""
+        self._next_run += 1
+        return self._next_run
+
+    def start_failed(self, run: Run, now_s: float) -> None:
+        """Learn that a start was refused, so that the run does not exist."""
+        worker = self.workers.get(run.worker_id)
+        if worker is not None and (run.name, run.run_id) in worker.runs:
+            self._finish_run(worker, run, EndKind.STOPPED, "", now_s)
+
+    def want_stop(self, run: Run, reason: str) -> None:
+        """Have a run stopped."""
+        if not run.is_stop_wanted:
+            run.is_stop_wanted = True
+            run.stop_reason = reason
+            self.unwanted.add(run)
+
+    def _end_learnt(self, worker: Worker, end: EndedTask, now_s: float, wall_s: float) -> None:
+        run = worker.runs.get((end.name, end.run_id))
+        entry = self.entries.get(end.name.job_id)
+        self._log.line(
+            "run-ended",
+            id=end.name.job_id,
+            task=list(end.name[1:]),
+            run=end.run_id,
+            worker=worker.worker_id,
+            how=end.kind.value,
+            ran_s=round(now_s - run.since_s, 3) if run is not None else None,
+            token=self.token,
+        )
+        is_known = entry is not None and _step_of(entry, end.name) is not None
+        if entry is not None and is_known and self._count_end(entry, worker, end, now_s, wall_s):
+            worker.unsettled.add(end.number)
+            row = (entry.changes, worker, end.number)
+            self._awaiting.setdefault(entry.job.job_id, []).append(row)
+        if run is not None:
+            self._finish_run(worker, run, end.kind, end.checkpoint, now_s)
+
+    def _count_end(
+        self, entry: JobEntry, worker: Worker, end: EndedTask, now_s: float, wall_s: float
+    ) -> bool:
+        """Put an end into its job's progress; return whether that must be stored."""
+        if entry.progress.state.is_final:
+            return False
+        if end.kind is EndKind.DONE:
+            worker.failed_jobs.clear()
+            worker.avoid_until_s = 0.0
+            return self._task_done(entry, end.name, end.run_id, wall_s)
+        if end.kind is not EndKind.FAILED:
+            return False
+        self._suspect(worker, entry.job.job_id, now_s)
+        entry.avoid[end.name] = entry.avoid.get(end.name, frozenset()) | {worker.worker_id}
+        if not entry.progress.note_failed(entry.job, end.name, end.run_id, now_s=wall_s):
+            return False
+        entry.changes += 1
+        if entry.progress.state.is_final:
+            self._close(entry, "job-failed")
+        return True
+
+    def _task_done(self, entry: JobEntry, name: TaskName, run_id: int, wall_s: float) -> bool:
+        if entry.progress.is_done(name):
+            return False
+        current = entry.runs.get(name)
+        if current is not None and current.run_id != run_id:
+            self.want_stop(current, "done-elsewhere")
+        entry.progress.note_done(entry.job, name, now_s=wall_s)
+        entry.changes += 1
+        step = entry.steps.get((name.occurrence, name.step))
+        if step is not None and name.number in step.waiting:
+            step.waiting.remove(name.number)
+        if entry.progress.is_step_done(entry.job, name.occurrence, name.step):
+            entry.steps.pop((name.occurrence, name.step), None)
+            for number, later in enumerate(entry.job.steps):
+                if name.step in later.after:
+                    self._open_step(entry, name.occurrence, number)
+        if entry.progress.state.is_final:
+            self._close(entry, "completed")
+        return True
+
+    def _finish_run(
+        self, worker: Worker, run: Run, kind: EndKind, checkpoint: str, now_s: float
+    ) -> None:
+        """Free a run's room and let its task wait again where it has more to do."""
+        worker.remove(run)
+        self.unwanted.discard(run)
+        entry = self.entries.get(run.name.job_id)
+        if entry is None:
+            return
+        if run.step.is_checkpointed and (checkpoint or run.checkpoint):
+            entry.checkpoints[run.name] = checkpoint or run.checkpoint
+        if entry.runs.get(run.name) is not run:
+            return
+        del entry.runs[run.name]
+        step = entry.steps.get((run.name.occurrence, run.name.step))
+        if step is not None and not entry.progress.is_done(run.name):
+            step.waiting.append(run.name.number)
+
+    def _suspect(self, worker: Worker, job_id: str, now_s: float) -> None:
+        worker.failed_jobs[job_id] = now_s
+        recent = [at for at in worker.failed_jobs.values() if now_s - at < SUSPECT_WINDOW_S]
+        if len(recent) < SUSPECT_JOBS:
+            return
+        worker.avoid_until_s = now_s + SUSPECT_S
+        self._log.line(
+            "worker-suspected",
+            worker=worker.worker_id,
+            failed_jobs=len(recent),
+            window_s=SUSPECT_WINDOW_S,
+            for_s=SUSPECT_S,
+        )
+
+    # ---- counts
+
+    def waiting_jobs(self) -> dict[str, int]:
+        """Return for each queue the jobs for which no task has started."""
+        counts: dict[str, int] = {}
+        for entry in self.entries.values():
+            if entry.progress.state is JobState.QUEUED:
+                queue = entry.job.policy.queue
+                counts[queue] = counts.get(queue, 0) + 1
+        return counts
+
+    def away(self, step: StepEntry, excluding: Iterable[Run] = ()) -> int:
+        """Return how many tasks of a lasting step are not at work."""
+        ignored = {run.name for run in excluding}
+        runs = step.job_entry.runs
+        names = (step.name(index) for index in range(step.step.count))
+        return sum(1 for name in names if name not in ignored and not _is_at_work(runs.get(name)))
+
+
+def _is_at_work(run: Run | None) -> bool:
+    return run is not None and run.is_at_work and not run.is_stop_wanted
+
+
+def _step_of(entry: JobEntry | None, name: TaskName) -> Step | None:
+    if entry is None or not 0 <= name.step < len(entry.job.steps):
+        return None
+    step = entry.job.steps[name.step]
+    is_within = 0 <= name.number < step.count and 0 <= name.occurrence < entry.job.occurrences
+    return step if is_within else None
--- /dev/null
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -0,0 +1,280 @@
+"""What the scheduler does next: starts, stops, paces and questions for advice; no network."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from ._board import ServiceBoard
+from ._entries import StepEntry
+from ._model import (
+    AdviceRequest,
+    PaceOrder,
+    Run,
+    RunPhase,
+    StartOrder,
+    StopOrder,
+    Worker,
+)
+from ._ordering import urgency
+from ._pacing import pace_orders
+from ._placement import Placement
+
+__all__ = ["Decider", "Decision"]
+
+STOP_RETRY_S = 0.7
+"""A stop that was not answered is sent again after this; one takes a worker 0.2 to 0.9 s."""
+STANDSTILL_S = 2.5
+"""A task whose progress did not change for this long hangs: the shortest tasks take 0.6 s, and a
+worker slowed sixfold still moves a task of 2 s by 5 percent in that time."""
+LEAST_STANDSTILL_PART = 0.3
+"""... or for this part of its estimate, for the longest tasks, whose percent changes seldom."""
+ADVICE_WORKERS = 12
+"""Workers asked about at once: the service takes some time for each."""
+ADVICE_RETRY_S = 1.0
+DRAIN_LEFT_S = 2.0
+"""A draining worker serves on for this long at least; what needs longer and can go on elsewhere
+is moved at once."""
+
+Decision = StartOrder | StopOrder | PaceOrder | AdviceRequest
+
+
+class Decider:
+    """Decides on a board.
+
+    Args:
+        board: What is known.
+    """
+
+    __slots__ = ("_board",)
+
+    def __init__(self, *, board: ServiceBoard) -> None:
+        self._board = board
+
+    def decide(self, *, now_s: float, wall_s: float) -> Iterator[Decision]:
+        """Yield all that is to be done now; each run is counted as begun when it is yielded.
+
+        Args:
+            now_s: The scheduler's clock, which counts suspended time.
+            wall_s: Time of day in seconds since 1970.
+        """
+        self._pass_time(now_s, wall_s)
+        yield from self._stops(now_s)
+        yield from self._starts(now_s, wall_s)
+        for worker in self._board.workers.values():
+            yield from pace_orders(worker, now_s)
+
+    def evacuate(self, worker: Worker) -> None:
+        """Stop lasting tasks on a worker that is to go, as many as their budgets allow now."""
+        for run in list(worker.runs.values()):
+            if run.step.is_lasting and self.may_disturb(run):
+                self._board.want_stop(run, "evacuation")
+
+    def may_disturb(self, run: Run) -> bool:
+        """Whether a lasting task may be taken away now.
+
+        The failure: a service whose tasks are moved faster than they come back, so that its users
+        meet fewer of them than its budget says. A task counts as away until it is seen at work
+        again. A step without a budget is moved a task at a time.
+        """
+        if run.is_stop_wanted:
+            return False
+        entry = self._board.entries.get(run.name.job_id)
+        if entry is None or entry.progress.state.is_final:
+            return True
+        step = entry.steps.get((run.name.occurrence, run.name.step))
+        if step is None:
+            return True
+        return self._board.away(step, excluding=(run,)) < max(1, run.step.may_miss)
+
+    # ---- what time brings
+
+    def _pass_time(self, now_s: float, wall_s: float) -> None:
+        board = self._board
+        for job_id in list(board.timed):
+            board.open_due(board.entries[job_id], wall_s)
+        for worker_id, until_s in list(board.pending_recovery.items()):
+            if now_s > until_s:
+                del board.pending_recovery[worker_id]
+        for worker in list(board.workers.values()):
+            self._pass_time_of(worker, now_s)
+
+    def _pass_time_of(self, worker: Worker, now_s: float) -> None:
+        if now_s > worker.lease_ends_s and worker.is_fenced and worker.runs:
+            self._board.lapse(worker, now_s)
+        if not worker.is_listed and not worker.runs and now_s > worker.lease_ends_s:
+            self._board.worker_over(worker.worker_id, "no longer listed", now_s)
+            return
+        if worker.view.is_draining:
+            self.evacuate(worker)
+        for run in worker.runs.values():
+            if run.phase is RunPhase.RUNNING and not run.is_stop_wanted:
+                self._check_run(worker, run, now_s)
+
+    def _check_run(self, worker: Worker, run: Run, now_s: float) -> None:
+        step = run.step
+        if worker.view.is_draining and step.is_checkpointed and not step.is_lasting:
+            left_s = step.estimated_s * (1 - run.percent / 100)
+            if left_s > DRAIN_LEFT_S:
+                self._board.want_stop(run, "worker-draining")
+        if step.is_gang or step.is_lasting or run.pace_percent < 100:
+            return
+        limit_s = max(STANDSTILL_S, step.estimated_s * LEAST_STANDSTILL_PART)
+        if worker.reported_s - run.progressed_s > limit_s:
+            worker.avoid_until_s = now_s + limit_s
+            self._board.want_stop(run, "stands-still")
+            entry = self._board.entries.get(run.name.job_id)
+            if entry is not None:
+                earlier = entry.avoid.get(run.name, frozenset())
+                entry.avoid[run.name] = earlier | {worker.worker_id}
+
+    # ---- stops
+
+    def _stops(self, now_s: float) -> Iterator[StopOrder]:
+        for run in list(self._board.unwanted):
+            if run.phase in (RunPhase.STARTING, RunPhase.STOPPED):
+                continue
+            if now_s - run.stop_sent_s >= STOP_RETRY_S:
+                run.stop_sent_s = now_s
+                run.enter(RunPhase.STOPPING, now_s)
+                yield StopOrder(run=run)
+
+    # ---- starts
+
+    def _starts(self, now_s: float, wall_s: float) -> Iterator[StartOrder | AdviceRequest]:
+        steps = sorted(self._board.open_steps(), key=lambda step: urgency(step, wall_s))
+        too_big: list[tuple[int, int, int]] = []
+        for step in steps:
+            if _needs_as_much_as(step, too_big):
+                continue
+            if step.job_entry.job.policy.is_advised and not step.permits:
+                yield from self._ask(step, now_s)
+                continue
+            if step.step.is_gang:
+                yield from self._start_gang(step, now_s)
+                continue
+            yield from self._start_tasks(step, now_s)
+            if step.waiting and _is_plain(step):
+                too_big.append((step.step.cpu_millicores, step.step.memory_mb, step.step.gpus))
+
+    def _start_tasks(self, step: StepEntry, now_s: float) -> Iterator[StartOrder]:
+        placement = self._placement(step, now_s)
+        for index in list(step.waiting):
+            avoid = step.job_entry.avoid.get(step.name(index), frozenset())
+            worker = placement.choose(self._board.workers.values(), avoid=avoid, rack=step.rack)
+            if worker is None:
+                return
+            if step.step.is_one_rack and not step.rack:
+                step.rack = worker.view.rack
+            run_id = self._board.next_run_id()
+            run = self._board.new_run(step, index, worker, run_id, now_s)
+            yield self._order(step, run)
+
+    def _start_gang(self, step: StepEntry, now_s: float) -> Iterator[StartOrder]:
+        """Start all members at once or none: a part of them would only hold room and wait."""
+        if len(step.waiting) < step.step.count:
+            return
+        for rack in self._racks(step):
+            chosen = self._place_gang(step, rack, now_s)
+            if chosen is not None:
+                break
+        else:
+            return
+        run_id = self._board.next_run_id()
+        checkpoint = self._gang_checkpoint(step)
+        for index, worker in chosen:
+            run = self._board.new_run(step, index, worker, run_id, now_s)
+            spec = step.job_entry.job.spec
+            ticket = step.permits.get(worker.worker_id, "")
+            yield StartOrder(run=run, spec=spec, checkpoint=checkpoint, ticket=ticket)
+
+    def _place_gang(
+        self, step: StepEntry, rack: str, now_s: float
+    ) -> list[tuple[int, Worker]] | None:
+        """Return a worker for each member, within a rack if one is named; ``None`` without room."""
+        placement = self._placement(step, now_s)
+        workers = [
+            worker
+            for worker in self._board.workers.values()
+            if not rack or worker.view.rack == rack
+        ]
+        trial: list[tuple[int, Worker, Run]] = []
+        try:
+            for index in sorted(step.waiting):
+                avoid = step.job_entry.avoid.get(step.name(index), frozenset())
+                worker = placement.choose(workers, avoid=avoid)
+                if worker is None:
+                    return None
+                run = Run(
+                    name=step.name(index),
+                    run_id=0,
+                    step=step.step,
+                    worker_id=worker.worker_id,
+                    phase=RunPhase.STARTING,
+                    since_s=now_s,
+                )
+                worker.add(run)
+                trial.append((index, worker, run))
+            return [(index, worker) for index, worker, _ in trial]
+        finally:
+            for _, worker, run in trial:
+                worker.remove(run)
+
+    def _racks(self, step: StepEntry) -> list[str]:
+        if not step.step.is_one_rack:
+            return [""]
+        racks = sorted({worker.view.rack for worker in self._board.workers.values()})
+        racks.sort(key=lambda rack: rack != step.step.near_rack)
+        return [*racks, ""]
+
+    def _gang_checkpoint(self, step: StepEntry) -> str:
+        saved = step.job_entry.checkpoints
+        names = (step.name(index) for index in range(step.step.count))
+        return next((saved[name] for name in names if name in saved), "")
+
+    def _order(self, step: StepEntry, run: Run) -> StartOrder:
+        return StartOrder(
+            run=run,
+            spec=step.job_entry.job.spec,
+            checkpoint=step.job_entry.checkpoints.get(run.name, ""),
+            ticket=step.permits.get(run.worker_id, ""),
+        )
+
+    def _placement(self, step: StepEntry, now_s: float) -> Placement:
+        is_advised = step.job_entry.job.policy.is_advised
+        return Placement(
+            step=step.step,
+            job_id=step.job_entry.job.job_id,
+            occurrence=step.occurrence,
+            number=step.number,
+            now_s=now_s,
+            permits=frozenset(step.permits) if is_advised else None,
+        )
+
+    def _ask(self, step: StepEntry, now_s: float) -> Iterator[AdviceRequest]:
+        if step.is_asking or now_s - step.advised_s < ADVICE_RETRY_S:
+            return
+        usable = [
+            worker
+            for worker in self._board.workers.values()
+            if worker.is_fenced and worker.is_listed and not worker.view.is_draining
+        ]
+        usable.sort(key=lambda worker: worker.cpu_used / max(1, worker.view.cpu_millicores))
+        if usable:
+            step.is_asking = True
+            ids = tuple(worker.worker_id for worker in usable[:ADVICE_WORKERS])
+            yield AdviceRequest(step=step.key, worker_ids=ids)
+
+
+def _is_plain(step: StepEntry) -> bool:
+    """Whether only its size can keep a step's tasks waiting."""
+    wants = step.step
+    return not (wants.label or wants.most_per_worker or wants.is_filler or step.permits)
+
+
+def _needs_as_much_as(step: StepEntry, too_big: list[tuple[int, int, int]]) -> bool:
+    wants = step.step
+    return any(
+        wants.cpu_millicores >= cpu and wants.memory_mb >= memory and wants.gpus >= gpus
+        for cpu, memory, gpus in too_big
+        if not wants.is_filler
+    )
--- /dev/null
+++ b/src/shallotworks/scheduling/_entries.py
@@ -0,0 +1,119 @@
+"""Jobs as the scheduler keeps them: their steps that are open, and what is to be stored."""
+
+from __future__ import annotations
+
+from shallotworks.jobs import Job, JobProgress, Step, TaskName
+
+from ._model import Run
+
+__all__ = ["JobEntry", "StepEntry"]
+
+
+class StepEntry:
+    """A step of one occurrence whose turn has come, until all its tasks are done.
+
+    Args:
+        job_entry: Its job.
+        occurrence: Which occurrence.
+        number: Its number in the job.
+    """
+
+    __slots__ = (
+        "advised_s",
+        "chain_s",
+        "is_asking",
+        "job_entry",
+        "number",
+        "objective_ends_s",
+        "occurrence",
+        "permits",
+        "rack",
+        "step",
+        "waiting",
+    )
+
+    def __init__(self, *, job_entry: JobEntry, occurrence: int, number: int) -> None:
+        job = job_entry.job
+        self.job_entry = job_entry
+        self.occurrence = occurrence
+        self.number = number
+        self.step: Step = job.steps[number]
+        self.waiting: list[int] = []
+        self.rack = ""
+        self.chain_s = job_entry.chains_s[number]
+        self.objective_ends_s = job.due_s(occurrence) + job.objective_s()
+        self.permits: dict[str, str] = {}
+        """Tickets of the workers that the advice service allows."""
+        self.advised_s = -1e9
+        self.is_asking = False
+
+    @property
+    def key(self) -> tuple[str, int, int]:
+        """Names the step."""
+        return (self.job_entry.job.job_id, self.occurrence, self.number)
+
+    def name(self, index: int) -> TaskName:
+        """Name one of its tasks."""
+        return TaskName(self.job_entry.job.job_id, self.occurrence, self.number, index)
+
+
+class JobEntry:
+    """A job, its progress, and what of it the store has.
+
+    Args:
+        job: The job.
+        progress: Its progress.
+        revision: The revision of its progress in the store.
+        is_old: It was accepted before this scheduler's term, so that an earlier one may have
+            started its tasks.
+    """
+
+    __slots__ = (
+        "avoid",
+        "chains_s",
+        "changes",
+        "checkpoints",
+        "is_old",
+        "job",
+        "next_occurrence",
+        "progress",
+        "revision",
+        "runs",
+        "steps",
+        "stored_changes",
+        "work_core_s",
+    )
+
+    def __init__(self, *, job: Job, progress: JobProgress, revision: int, is_old: bool) -> None:
+        self.job = job
+        self.progress = progress
+        self.revision = revision
+        self.is_old = is_old
+        self.changes = 0
+        self.stored_changes = 0
+        self.next_occurrence = 0
+        self.steps: dict[tuple[int, int], StepEntry] = {}
+        self.runs: dict[TaskName, Run] = {}
+        """The one run that counts of each task that has one."""
+        self.avoid: dict[TaskName, frozenset[str]] = {}
+        """Workers on which a task failed."""
+        self.checkpoints: dict[TaskName, str] = {}
+        self.chains_s = _chains_s(job)
+        self.work_core_s = sum(
+            step.count * step.estimated_s * max(step.cpu_millicores, 1) / 1000 for step in job.steps
+        )
+
+    @property
+    def is_dirty(self) -> bool:
+        """Whether the store lacks the latest progress."""
+        return self.changes > self.stored_changes
+
+
+def _chains_s(job: Job) -> list[float]:
+    """Return for each step the estimated time from its start to the end of its occurrence."""
+    chains = [step.estimated_s for step in job.steps]
+    for number in range(len(job.steps) - 1, -1, -1):
+        for earlier in job.steps[number].after:
+            longest = job.steps[earlier].estimated_s + chains[number]
+            chains[earlier] = max(chains[earlier], longest)
+    return chains
--- /dev/null
+++ b/src/shallotworks/scheduling/_orders.py
@@ -0,0 +1,396 @@
+"""Carrying out decisions: orders to workers under leases, and looks at them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+from shallotworks.logs import LogLines
+from shallotworks.metrics import Metrics
+from shallotworks.store import Holder
+
+from ._board import ServiceBoard
+from ._model import (
+    OrderEnding,
+    OrderOutcome,
+    PaceOrder,
+    Run,
+    RunPhase,
+    StartOrder,
+    StopOrder,
+    Worker,
+)
+from ._protocols import WorkerOrders
+
+__all__ = ["OrderDesk", "OrderTimes"]
+
+CLOCK_SKEW_PART = 0.02
+"""How slow a worker's clock may be. Source: the platform's page on running tasks."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OrderTimes:
+    """Times of orders and leases.
+
+    Args:
+        lease_s: What runs on a worker ends this long after the last order that extended it. Long
+            enough for a successor to take over after a crash (2.5 s) and for an outage of the
+            store; short enough that tasks on a cut worker run again soon.
+        look_wait_s: A look waits this long at the worker for an end.
+        answer_s: Time for an order's answer beyond its own wait: workers answer in milliseconds.
+        idle_look_s: A worker with nothing to run is looked at this often, for its clock.
+        longest_lease_s: The most that a worker grants; bounds what any predecessor granted.
+        grace_s: How long a holder acts without a confirmed renewal; see `HolderTimes`.
+    """
+
+    lease_s: float = 5.0
+    look_wait_s: float = 1.0
+    answer_s: float = 0.8
+    idle_look_s: float = 10.0
+    longest_lease_s: float = 6.0
+    grace_s: float = 4.0
+
+    @property
+    def recovery_s(self) -> float:
+        """Time after which whatever an earlier term started on an unseen worker has ended."""
+        return self.grace_s + self.longest_lease_s * (1 + CLOCK_SKEW_PART) + MARGIN_S
+
+
+MARGIN_S = 0.2
+UNANSWERED_PAUSE_S = 0.5
+UNHEALTHY_PAUSE_S = 1.0
+NO_ROOM_PAUSE_S = 0.3
+SETTLE_WAIT_S = 0.3
+"""A look is held back this long for ends whose record is being stored: the worker would answer it
+at once with the same ends."""
+
+
+class OrderDesk:
+    """Sends orders and teaches the board what came of them.
+
+    Args:
+        board: What is known.
+        holder: Whether orders may be given, asked before each.
+        orders: Sends them.
+        clock: Seconds, counting suspended time.
+        wall_clock: Time of day in seconds since 1970.
+        times: Times.
+        log: One line for each order.
+        metrics: Counters and latencies.
+        on_progress: Called when a job's progress has changed.
+    """
+
+    __slots__ = (
+        "_board",
+        "_clock",
+        "_followers",
+        "_holder",
+        "_in_flight",
+        "_log",
+        "_metrics",
+        "_news",
+        "_on_progress",
+        "_orders",
+        "_stirred",
+        "_times",
+        "_wall_clock",
+    )
+
+    def __init__(
+        self,
+        *,
+        board: ServiceBoard,
+        holder: Holder,
+        orders: WorkerOrders,
+        clock: Callable[[], float],
+        wall_clock: Callable[[], float],
+        times: OrderTimes,
+        log: LogLines,
+        metrics: Metrics,
+        on_progress: Callable[[], None],
+    ) -> None:
+        self._board = board
+        self._holder = holder
+        self._orders = orders
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._times = times
+        self._log = log
+        self._metrics = metrics
+        self._on_progress = on_progress
+        self._news = asyncio.Event()
+        self._stirred: dict[str, asyncio.Event] = {}
+        self._followers: dict[str, asyncio.Task[None]] = {}
+        self._in_flight: set[asyncio.Task[None]] = set()
+
+    # ---- for the term
+
+    def wake(self) -> None:
+        """Say that there is news to decide on."""
+        self._news.set()
+        for worker_id, event in self._stirred.items():
+            worker = self._board.workers.get(worker_id)
+            if worker is not None and self._needs_look(worker):
+                event.set()
+
+    async def wait(self, longest_s: float) -> None:
+        """Wait for news."""
+        try:
+            await asyncio.wait_for(self._news.wait(), longest_s)
+        except TimeoutError:
+            return
+        finally:
+            self._news.clear()
+
+    def notice_workers(self) -> None:
+        """Begin to follow workers that are new on the board."""
+        for worker_id, worker in self._board.workers.items():
+            task = self._followers.get(worker_id)
+            if task is None or task.done():
+                self._stirred[worker_id] = asyncio.Event()
+                self._followers[worker_id] = asyncio.create_task(self._follow(worker))
+        for worker_id in [one for one in self._followers if one not in self._board.workers]:
+            self._followers.pop(worker_id).cancel()
+            self._stirred.pop(worker_id, None)
+
+    def carry_out(self, decision: StartOrder | StopOrder | PaceOrder) -> None:
+        """Send an order, without waiting for its answer."""
+        if isinstance(decision, StartOrder):
+            self._spawn(self._start(decision))
+        elif isinstance(decision, StopOrder):
+            self._spawn(self._stop(decision))
+        else:
+            decision.run.paced_s = self._clock()
+            self._spawn(self._pace(decision))
+
+    async def settle(self, longest_s: float) -> None:
+        """Wait for the orders in flight."""
+        if self._in_flight:
+            await asyncio.wait(list(self._in_flight), timeout=longest_s)
+
+    def close(self) -> None:
+        """Stop following workers."""
+        for task in (*self._followers.values(), *self._in_flight):
+            task.cancel()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._in_flight.add(task)
+        task.add_done_callback(self._order_finished)
+
+    def _order_finished(self, task: asyncio.Task[None]) -> None:
+        self._in_flight.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._holder.lose(f"a fault: {task.exception()!r}")
+
+    # ---- looks
+
+    async def _follow(self, worker: Worker) -> None:
+        try:
+            while self._board.workers.get(worker.worker_id) is worker:
+                await self._await_reason(worker)
+                if not self._holder.may_act:
+                    await asyncio.sleep(SETTLE_WAIT_S)
+                    continue
+                await self._look(worker)
+        except Exception as error:
+            self._holder.lose(f"a fault: {error!r}")
+            raise
+
+    async def _await_reason(self, worker: Worker) -> None:
+        event = self._stirred[worker.worker_id]
+        if worker.unsettled:
+            await _wait(event, SETTLE_WAIT_S, lambda: not worker.unsettled)
+        elif not self._needs_look(worker):
+            await _wait(event, self._times.idle_look_s, lambda: self._needs_look(worker))
+
+    def _needs_look(self, worker: Worker) -> bool:
+        return bool(
+            worker.runs
+            or not worker.is_fenced
+            or worker.acknowledged < worker.highest_settled
+            or worker.worker_id in self._board.pending_recovery
+        )
+
+    async def _look(self, worker: Worker) -> None:
+        sent_s = self._clock()
+        acknowledged = worker.highest_settled
+        lease_ms = self._extend(worker, sent_s) if worker.runs else None
+        wait_s = 0.0 if self._is_pressing(worker) else self._times.look_wait_s
+        outcome = await self._orders.look(
+            worker.view,
+            token=self._board.token,
+            acknowledged=acknowledged,
+            lease_until_ms=lease_ms,
+            wait_s=wait_s,
+            timeout_s=wait_s + self._times.answer_s,
+        )
+        self._metrics.count(f"scheduler.look.{outcome.ending.value}")
+        if outcome.report is None:
+            self._look_failed(worker, outcome)
+            await asyncio.sleep(SETTLE_WAIT_S)
+            return
+        worker.acknowledged = max(worker.acknowledged, acknowledged)
+        self._board.reported(
+            worker,
+            outcome.report,
+            sent_s=sent_s,
+            now_s=self._clock(),
+            wall_s=self._wall_clock(),
+        )
+        self._on_progress()
+        self._news.set()
+
+    def _is_pressing(self, worker: Worker) -> bool:
+        if not worker.is_fenced or worker.unsettled or not worker.clock_ms:
+            return True
+        pressing = (RunPhase.UNANSWERED, RunPhase.STOPPED)
+        return not worker.runs or any(run.phase in pressing for run in worker.runs.values())
+
+    def _look_failed(self, worker: Worker, outcome: OrderOutcome) -> None:
+        if not self._common_failure(worker, outcome):
+            worker.pause_until_s = self._clock() + UNANSWERED_PAUSE_S
+            self._log.line(
+                "look-failed",
+                worker=worker.worker_id,
+                outcome=outcome.ending.value,
+                detail=outcome.detail,
+                silent_s=round(self._clock() - worker.reported_s, 2),
+                lease_left_s=round(worker.lease_ends_s - self._clock(), 2),
+                token=self._board.token,
+            )
+        self._news.set()
+
+    def _extend(self, worker: Worker, sent_s: float) -> int | None:
+        """Return the end of a new lease on the worker's clock, and note when it has surely ended.
+
+        The worker's clock is reckoned from its last answer, so the reckoning is early by the way
+        back and late by what the clock loses; the end noted here allows for both.
+        """
+        if not worker.clock_ms:
+            return None
+        age_s = sent_s - worker.clock_at_s
+        lease_s = self._times.lease_s
+        ends_s = sent_s + lease_s + CLOCK_SKEW_PART * (lease_s + age_s) + MARGIN_S
+        worker.lease_ends_s = max(worker.lease_ends_s, ends_s)
+        return worker.clock_ms + int((age_s + lease_s) * 1000)
+
+    def _common_failure(self, worker: Worker, outcome: OrderOutcome) -> bool:
+        """Handle what ends more than one order; return whether it was that."""
+        if outcome.ending is OrderEnding.FENCED:
+            self._holder.lose(f"a later scheduler has fenced {worker.worker_id}")
+            return True
+        if outcome.ending is OrderEnding.GONE:
+            self._board.worker_over(worker.worker_id, "another incarnation", self._clock())
+            return True
+        return False
+
+    # ---- orders
+
+    async def _start(self, order: StartOrder) -> None:
+        run = order.run
+        worker = self._board.workers.get(run.worker_id)
+        sent_s = self._clock()
+        lease_ms = self._extend(worker, sent_s) if worker is not None else None
+        if worker is None or lease_ms is None or not self._holder.may_act:
+            self._board.start_failed(run, sent_s)
+            return
+        outcome = await self._orders.start(
+            worker.view, order, token=self._board.token, lease_until_ms=lease_ms
+        )
+        now_s = self._clock()
+        self._metrics.count(f"scheduler.start.{outcome.ending.value}")
+        self._metrics.observe_s("scheduler.start", now_s - sent_s)
+        self._log.line(
+            "run-started",
+            id=run.name.job_id,
+            task=list(run.name[1:]),
+            run=run.run_id,
+            worker=worker.worker_id,
+            outcome=outcome.ending.value,
+            detail=outcome.detail,
+            resumed=bool(order.checkpoint),
+            cpu_used=worker.cpu_used,
+            seen_s=round(now_s - worker.reported_s, 3),
+            token=self._board.token,
+        )
+        self._start_answered(worker, run, outcome, now_s)
+        self.wake()
+
+    def _start_answered(
+        self, worker: Worker, run: Run, outcome: OrderOutcome, now_s: float
+    ) -> None:
+        if self._common_failure(worker, outcome):
+            return
+        if outcome.ending in (OrderEnding.OBEYED, OrderEnding.UNANSWERED):
+            if run.phase is RunPhase.STARTING:
+                is_running = outcome.ending is OrderEnding.OBEYED
+                run.enter(RunPhase.RUNNING if is_running else RunPhase.UNANSWERED, now_s)
+            if outcome.ending is OrderEnding.UNANSWERED:
+                worker.pause_until_s = now_s + UNANSWERED_PAUSE_S
+            return
+        if outcome.ending is OrderEnding.TOO_LATE:
+            worker.is_fenced = False
+        elif outcome.ending is OrderEnding.NO_TICKET:
+            entry = self._board.entries.get(run.name.job_id)
+            step = entry.steps.get((run.name.occurrence, run.name.step)) if entry else None
+            if step is not None:
+                step.permits.pop(worker.worker_id, None)
+        elif outcome.ending is OrderEnding.NO_ROOM:
+            worker.pause_until_s = now_s + NO_ROOM_PAUSE_S
+        else:
+            worker.pause_until_s = now_s + UNHEALTHY_PAUSE_S
+        self._board.start_failed(run, now_s)
+
+    async def _stop(self, order: StopOrder) -> None:
+        run = order.run
+        worker = self._board.workers.get(run.worker_id)
+        if worker is None or not self._holder.may_act:
+            return
+        outcome = await self._orders.stop(worker.view, order, token=self._board.token)
+        self._metrics.count(f"scheduler.stop.{outcome.ending.value}")
+        self._log.line(
+            "run-stopped",
+            id=run.name.job_id,
+            task=list(run.name[1:]),
+            run=run.run_id,
+            worker=worker.worker_id,
+            reason=run.stop_reason,
+            outcome=outcome.ending.value,
+            token=self._board.token,
+        )
+        if not self._common_failure(worker, outcome) and outcome.ending is OrderEnding.OBEYED:
+            run.enter(RunPhase.STOPPED, self._clock())
+        self.wake()
+
+    async def _pace(self, order: PaceOrder) -> None:
+        worker = self._board.workers.get(order.run.worker_id)
+        if worker is None or not self._holder.may_act:
+            return
+        outcome = await self._orders.pace(worker.view, order, token=self._board.token)
+        self._metrics.count(f"scheduler.pace.{outcome.ending.value}")
+        self._log.line(
+            "run-paced",
+            id=order.run.name.job_id,
+            task=list(order.run.name[1:]),
+            worker=worker.worker_id,
+            percent=order.percent,
+            was=order.run.pace_percent,
+            outcome=outcome.ending.value,
+        )
+        if not self._common_failure(worker, outcome) and outcome.ending is OrderEnding.OBEYED:
+            order.run.pace_percent = order.percent
+
+
+async def _wait(event: asyncio.Event, longest_s: float, until: Callable[[], bool]) -> None:
+    """Wait until the condition holds, asked whenever the event is set, or the time is over."""
+    loop = asyncio.get_running_loop()
+    ends_s = loop.time() + longest_s
+    while not until() and loop.time() < ends_s:
+        event.clear()
+        try:
+            await asyncio.wait_for(event.wait(), ends_s - loop.time())
+        except TimeoutError:
+            return
--- /dev/null
+++ b/src/shallotworks/scheduling/_pacing.py
@@ -0,0 +1,58 @@
+"""Slowing fillers where they disturb tasks that serve."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from ._model import PaceOrder, RunPhase, Worker
+
+__all__ = ["pace_orders"]
+
+SLOW_PART = 0.85
+"""Part of its target from which a serving task's tail slows the fillers beside it."""
+WELL_PART = 0.6
+"""Part of the target below which fillers may go faster again."""
+LOWER_BY = 0.5
+RAISE_BY_PERCENT = 10
+SETTLE_S = 0.6
+"""Between changes: the tail is measured over half a second, and a change takes 0.1 s."""
+LOWEST_PERCENT = 5
+"""Below it a filler stands still."""
+
+
+def pace_orders(worker: Worker, now_s: float) -> Iterator[PaceOrder]:
+    """Yield what a worker's latest report asks for: halve quickly, raise slowly.
+
+    The failure: fillers that work on beside a task whose tail is over its target. A tail over the
+    target stops them at once; near it they are halved, so that most of the time none is stopped.
+    """
+    ratio = _worst_ratio(worker)
+    for run in worker.runs.values():
+        if not run.step.is_filler or run.phase is not RunPhase.RUNNING:
+            continue
+        percent = _next_percent(run.pace_percent, ratio)
+        if percent == run.pace_percent or now_s - run.paced_s < SETTLE_S:
+            continue
+        yield PaceOrder(run=run, percent=percent)
+
+
+def _worst_ratio(worker: Worker) -> float:
+    return max(
+        (
+            run.figure / 1000 / run.step.target_s
+            for run in worker.runs.values()
+            if run.step.target_s > 0 and run.is_at_work
+        ),
+        default=0.0,
+    )
+
+
+def _next_percent(percent: int, ratio: float) -> int:
+    if ratio >= 1.0:
+        return 0
+    if ratio >= SLOW_PART:
+        lower = int(percent * LOWER_BY)
+        return lower if lower >= LOWEST_PERCENT else 0
+    if ratio < WELL_PART:
+        return min(100, percent + RAISE_BY_PERCENT)
+    return percent
--- /dev/null
+++ b/src/shallotworks/scheduling/_term.py
@@ -0,0 +1,432 @@
+"""One term of a service's scheduler: from winning its key until losing it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+from returns.result import Success
+
+from shallotworks.jobs import JobKeys, decode_job, decode_progress, encode_progress
+from shallotworks.logs import LogLines
+from shallotworks.metrics import Metrics
+from shallotworks.store import (
+    Commit,
+    Committed,
+    Condition,
+    Conflicted,
+    Holder,
+    Item,
+    Mirror,
+    Store,
+    Write,
+)
+
+from ._board import ServiceBoard, Stored
+from ._decisions import Decider
+from ._entries import JobEntry
+from ._model import AdviceRequest, WorkerView
+from ._orders import OrderDesk, OrderTimes
+from ._protocols import AdviceService, Machines, UpkeepBook, WorkerDirectory, WorkerOrders
+from ._upkeep import UpkeepRunner
+
+__all__ = ["ServiceTerm", "TermParts"]
+
+DECIDE_EVERY_S = 0.2
+"""Decisions are also taken this often with no news, for what only time brings."""
+DIRECTORY_EVERY_S = 0.1
+PUBLISH_EVERY_S = 1.0
+"""Counts of waiting jobs may be 2 s old."""
+STORE_RETRY_S = 0.1
+MOST_JOBS_A_COMMIT = 14
+"""A condition and a write each, and the scheduler's own condition, within 32 entries."""
+KEEP_FINAL_S = 240.0
+"""Final states are told for 120 s at least (source: the settings); kept twice as long."""
+CLEAN_EVERY_S = 30.0
+STOP_PATIENCE_S = 0.4
+"""A term that is given up waits this long for the orders in flight."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TermParts:
+    """What a term works with.
+
+    Args:
+        store: The store.
+        orders: Gives orders to workers.
+        directory: Lists workers.
+        advice: Says which workers may run a step.
+        machines: The machines.
+        book: The waves that operators ask for.
+        clock: Seconds, counting suspended time.
+        wall_clock: Time of day in seconds since 1970.
+        times: Times of orders.
+        log: Decisions.
+        metrics: Counters.
+    """
+
+    store: Store
+    orders: WorkerOrders
+    directory: WorkerDirectory
+    advice: AdviceService
+    machines: Machines
+    book: UpkeepBook
+    clock: Callable[[], float]
+    wall_clock: Callable[[], float]
+    times: OrderTimes
+    log: LogLines
+    metrics: Metrics
+
+
+class ServiceTerm:
+    """Schedules one service while its key is held.
+
+    Args:
+        service: The service.
+        holder: The held key.
+        parts: What it works with.
+    """
+
+    __slots__ = (
+        "_desk",
+        "_holder",
+        "_keys",
+        "_mirror",
+        "_parts",
+        "_pending_jobs",
+        "_published",
+        "_recorded",
+        "_recorded_revision",
+        "_tasks",
+        "_wake_store",
+        "board",
+        "decider",
+        "is_prepared",
+        "service",
+    )
+
+    def __init__(self, *, service: str, holder: Holder, parts: TermParts) -> None:
+        self.service = service
+        self._holder = holder
+        self._parts = parts
+        self._keys = JobKeys(service=service)
+        self.board = ServiceBoard(service=service, token=holder.token, log=parts.log)
+        self.decider = Decider(board=self.board)
+        self._wake_store = asyncio.Event()
+        self._desk = OrderDesk(
+            board=self.board,
+            holder=holder,
+            orders=parts.orders,
+            clock=parts.clock,
+            wall_clock=parts.wall_clock,
+            times=parts.times,
+            log=parts.log,
+            metrics=parts.metrics,
+            on_progress=self._wake_store.set,
+        )
+        self._mirror = Mirror(
+            store=parts.store, prefix=self._keys.prefix, listener=self, log=parts.log
+        )
+        self._pending_jobs: dict[str, Item] = {}
+        self._recorded: dict[str, str] = {}
+        self._recorded_revision = 0
+        self._published: dict[str, int] | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.is_prepared = asyncio.Event()
+
+    async def run(self) -> None:
+        """Schedule until the key is lost."""
+        self._log("term-begun")
+        loops = (
+            self._holder.keep(),
+            self._mirror.run(),
+            self._schedule(),
+            self._store_progress(),
+            self._publish(),
+            self._clean(),
+            self._keep_machines(),
+        )
+        tasks = [asyncio.create_task(loop) for loop in loops]
+        lost = asyncio.create_task(self._holder.lost.wait())
+        try:
+            done, _ = await asyncio.wait([*tasks, lost], return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                if task is not lost and task.exception() is not None:
+                    self._holder.lose(f"a fault: {task.exception()!r}")
+                    raise task.exception() or RuntimeError
+            await self._desk.settle(STOP_PATIENCE_S)
+        finally:
+            for task in (*tasks, lost, *self._tasks):
+                task.cancel()
+            self._desk.close()
+            self._log("term-ended", runs=sum(len(w.runs) for w in self.board.workers.values()))
+
+    def _log(self, event: str, **fields: object) -> None:
+        self._parts.log.line(event, service=self.service, token=self._holder.token, **fields)
+
+    # ---- what the mirror tells
+
+    def written(self, item: Item) -> None:
+        """Hear of a job or of its progress."""
+        job_id, is_progress = self._keys.parse(item.key)
+        if not is_progress:
+            self._pending_jobs[job_id] = item
+            return
+        try:
+            self._progress_written(job_id, item)
+        except ValueError as error:
+            self._log("record-unreadable", id=job_id, reason=str(error)[:200])
+        self._desk.wake()
+
+    def _progress_written(self, job_id: str, item: Item) -> None:
+        progress = decode_progress(item.value)
+        if job_id in self.board.entries:
+            self.board.progress_learnt(job_id, progress, item.revision)
+            return
+        record = self._pending_jobs.pop(job_id, None)
+        if record is None:
+            # A job's record is created with its progress and stands before it in key order; without
+            # it there is nothing that could be run.
+            self._log("job-without-record", id=job_id)
+            return
+        self.board.job_learnt(
+            decode_job(record.value),
+            progress,
+            revision=item.revision,
+            is_old=record.revision < self._holder.token,
+            wall_s=self._parts.wall_clock(),
+        )
+
+    def deleted(self, key: str) -> None:
+        """Hear that a record is gone."""
+        job_id, is_progress = self._keys.parse(key)
+        if is_progress:
+            self.board.job_deleted(job_id)
+        else:
+            self._pending_jobs.pop(job_id, None)
+
+    # ---- scheduling
+
+    async def _schedule(self) -> None:
+        await self._prepare()
+        directory = asyncio.create_task(self._follow_directory())
+        self._tasks.add(directory)
+        while True:
+            if directory.done():
+                directory.result()
+            if self._holder.may_act:
+                self._decide()
+            await self._desk.wait(DECIDE_EVERY_S)
+
+    def _decide(self) -> None:
+        now_s, wall_s = self._parts.clock(), self._parts.wall_clock()
+        for decision in self.decider.decide(now_s=now_s, wall_s=wall_s):
+            if isinstance(decision, AdviceRequest):
+                self._spawn(self._ask(decision))
+            else:
+                self._desk.carry_out(decision)
+        self._desk.notice_workers()
+        if any(entry.is_dirty for entry in self.board.entries.values()):
+            self._wake_store.set()
+
+    async def _prepare(self) -> None:
+        """Learn what earlier terms left: jobs, and workers that may still run their tasks."""
+        await self._mirror.synced.wait()
+        while not self._parts.directory.is_synced:
+            await asyncio.sleep(DIRECTORY_EVERY_S)
+        record = await self._read_record()
+        now_s = self._parts.clock()
+        bound_s = self._parts.times.recovery_s
+        for worker_id, address in self._recorded.items():
+            self.board.pending_recovery[worker_id] = now_s + bound_s
+            view = WorkerView(worker_id=worker_id, service=self.service, address=address)
+            self.board.worker_learnt(view)
+            self.board.worker_unlisted(worker_id)
+            self.board.workers[worker_id].lease_ends_s = now_s + bound_s
+        self._log("term-prepared", jobs=len(self.board.entries), workers_recorded=len(record))
+        self.is_prepared.set()
+
+    async def _read_record(self) -> dict[str, str]:
+        while True:
+            outcome = await self._parts.store.get(self._record_key)
+            if isinstance(outcome, Success):
+                item = outcome.unwrap()
+                if item is not None:
+                    self._recorded = json.loads(item.value)
+                return self._recorded
+            await asyncio.sleep(STORE_RETRY_S)
+
+    @property
+    def _record_key(self) -> str:
+        return f"shallotworks/runners/{self.service}"
+
+    async def _follow_directory(self) -> None:
+        while True:
+            listed = self._parts.directory.workers_of(self.service)
+            if await self._record(listed):
+                for view in listed.values():
+                    self.board.worker_learnt(view)
+            for worker in self.board.workers.values():
+                if worker.worker_id not in listed:
+                    worker.is_listed = False
+                elif worker.worker_id in self._recorded:
+                    self.board.worker_learnt(listed[worker.worker_id])
+            self._desk.notice_workers()
+            self._desk.wake()
+            await asyncio.sleep(DIRECTORY_EVERY_S)
+
+    async def _record(self, listed: dict[str, WorkerView]) -> bool:
+        """Record which workers this term may use, before the first order to them.
+
+        The failure: a successor that starts a task again while a worker that it has never heard of,
+        and can't reach, still runs it. It reads this record, and until it has seen each of these
+        workers, or their leases have run out, it leaves earlier jobs alone.
+        """
+        if all(worker_id in self._recorded for worker_id in listed):
+            return False
+        known = {worker.worker_id: worker.view.address for worker in self.board.workers.values()}
+        record = {**known, **{view.worker_id: view.address for view in listed.values()}}
+        outcome = await self._parts.store.commit(
+            Commit(
+                conditions=(self._holder.condition,),
+                writes=(Write(key=self._record_key, value=json.dumps(record).encode()),),
+            )
+        )
+        if not isinstance(outcome, Success):
+            return False
+        if isinstance(outcome.unwrap(), Conflicted):
+            self._holder.lose("its key has another revision")
+            return False
+        self._recorded = record
+        return True
+
+    async def _ask(self, request: AdviceRequest) -> None:
+        outcome = await self._parts.advice.ask(request.step, request.worker_ids)
+        entry = self.board.entries.get(request.step[0])
+        step = entry.steps.get(request.step[1:]) if entry is not None else None
+        if step is None:
+            return
+        step.is_asking = False
+        step.advised_s = self._parts.clock()
+        if isinstance(outcome, Success):
+            permits = outcome.unwrap()
+            step.permits = dict(permits.tickets)
+            loop = asyncio.get_running_loop()
+            loop.call_later(permits.valid_s, step.permits.clear)
+        self._log("advice", id=request.step[0], step=list(request.step[1:]), outcome=str(outcome))
+        self._desk.wake()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # ---- the store
+
+    async def _store_progress(self) -> None:
+        while True:
+            await self._wake_store.wait()
+            self._wake_store.clear()
+            while dirty := self.board.dirty():
+                if not await self._store_batch(dirty[:MOST_JOBS_A_COMMIT]):
+                    await asyncio.sleep(STORE_RETRY_S)
+
+    async def _store_batch(self, entries: list[JobEntry]) -> bool:
+        changes = {entry.job.job_id: entry.changes for entry in entries}
+        keys = {self._keys.progress(entry.job.job_id): entry for entry in entries}
+        outcome = await self._parts.store.commit(
+            Commit(
+                conditions=(
+                    self._holder.condition,
+                    *(Condition(key=key, revision=entry.revision) for key, entry in keys.items()),
+                ),
+                writes=tuple(
+                    Write(key=key, value=encode_progress(entry.progress))
+                    for key, entry in keys.items()
+                ),
+            )
+        )
+        if not isinstance(outcome, Success):
+            self._log("progress-not-stored", jobs=len(entries), reason=str(outcome.failure()))
+            return False
+        result = outcome.unwrap()
+        if isinstance(result, Committed):
+            for job_id, change in changes.items():
+                self.board.stored(Stored(job_id=job_id, changes=change, revision=result.revision))
+            self._parts.metrics.count("scheduler.progress.stored", len(entries))
+            self._desk.wake()
+            return True
+        self._learn_conflict(result, keys)
+        return True
+
+    def _learn_conflict(self, conflict: Conflicted, keys: dict[str, JobEntry]) -> None:
+        current = {item.key: item for item in conflict.current}
+        own = current.get(self._holder.key)
+        if own is None or own.revision != self._holder.token:
+            self._holder.lose("its key is gone or another's")
+            return
+        for key, entry in keys.items():
+            item = current.get(key)
+            if item is None:
+                self.board.job_deleted(entry.job.job_id)
+            elif item.revision != entry.revision:
+                self._log("progress-conflict", id=entry.job.job_id, revision=item.revision)
+                self.board.progress_learnt(
+                    entry.job.job_id, decode_progress(item.value), item.revision
+                )
+        self._desk.wake()
+
+    async def _publish(self) -> None:
+        await self.is_prepared.wait()
+        while True:
+            counts = self.board.waiting_jobs()
+            if counts != self._published:
+                outcome = await self._parts.store.commit(
+                    Commit(
+                        conditions=(self._holder.condition,),
+                        writes=(
+                            Write(key=self._keys.pending(), value=json.dumps(counts).encode()),
+                        ),
+                    )
+                )
+                if isinstance(outcome, Success):
+                    self._published = counts
+            await asyncio.sleep(PUBLISH_EVERY_S)
+
+    async def _keep_machines(self) -> None:
+        await self.is_prepared.wait()
+        parts = self._parts
+        await UpkeepRunner(
+            board=self.board,
+            decider=self.decider,
+            holder=self._holder,
+            machines=parts.machines,
+            book=parts.book,
+            store=parts.store,
+            clock=parts.clock,
+            wall_clock=parts.wall_clock,
+            wake=self._desk.wake,
+            log=parts.log,
+        ).run()
+
+    async def _clean(self) -> None:
+        """Delete the records of jobs that ended long ago."""
+        while True:
+            await asyncio.sleep(CLEAN_EVERY_S)
+            before_s = self._parts.wall_clock() - KEEP_FINAL_S
+            old = [
+                job_id
+                for job_id, entry in self.board.entries.items()
+                if entry.progress.state.is_final
+                and entry.progress.ended_s < before_s
+                and not entry.is_dirty
+                and not entry.runs
+            ]
+            for job_id in old[: MOST_JOBS_A_COMMIT * 4]:
+                keys = (self._keys.job(job_id), self._keys.progress(job_id))
+                await self._parts.store.commit(
+                    Commit(conditions=(self._holder.condition,), deletes=keys)
+                )
--- /dev/null
+++ b/src/shallotworks/store/__init__.py
@@ -0,0 +1,37 @@
+"""The store in which everything that must last or be agreed on is kept, as the product sees it.
+
+Other packages see only the protocol and types named here. `Mirror` keeps a copy of all keys under
+a prefix up to date; `Holder` keeps a leased key, with a fencing token, while it can be kept.
+"""
+
+from ._holder import Holder, HolderTimes
+from ._mirror import Mirror, MirrorListener
+from ._protocols import (
+    Changes,
+    Commit,
+    Committed,
+    Condition,
+    Conflicted,
+    Deletion,
+    Item,
+    Page,
+    Store,
+    Write,
+)
+
+__all__ = [
+    "Changes",
+    "Commit",
+    "Committed",
+    "Condition",
+    "Conflicted",
+    "Deletion",
+    "Holder",
+    "HolderTimes",
+    "Item",
+    "Mirror",
+    "MirrorListener",
+    "Page",
+    "Store",
+    "Write",
+]
--- /dev/null
+++ b/src/shallotworks/store/_holder.py
@@ -0,0 +1,168 @@
+"""Holding a leased key, and with it a duty and its fencing token."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from returns.result import Success
+
+from shallotworks.errors import ErrorKind
+from shallotworks.logs import LogLines
+
+from ._protocols import Commit, Committed, Condition, Store, Write
+
+__all__ = ["Holder", "HolderTimes"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HolderTimes:
+    """Times of a held key.
+
+    Args:
+        ttl_s: The store drops the key this long after the last renewal. 2 s: a successor begins
+            within 2.5 s of a crash, and four renewals fit in.
+        renewal_s: Between renewals.
+        grace_s: The duty may be exercised this long after the last confirmed renewal was sent,
+            so that a short outage of the store does not stop work. Safety does not rest on it:
+            a successor fences each worker, and waits this long for one that it can't reach.
+    """
+
+    ttl_s: float = 2.0
+    renewal_s: float = 0.5
+    grace_s: float = 4.0
+
+
+class Holder:
+    """One held key, from its creation until it is lost.
+
+    A key can be taken away with no call that shows it, so whoever holds one also watches it and
+    calls `lose`.
+
+    Args:
+        store: The store.
+        key: The key.
+        lease_id: The lease that it ends with.
+        token: The revision of its creation: rises over all holders of all keys.
+        sent_s: When the creation or last renewal was sent, on ``clock``.
+        clock: Seconds, counting while the machine is suspended: a thawed holder must see that its
+            time has run out before it sends what it decided earlier.
+        times: Times.
+        log: Where the loss is written.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_lease_id",
+        "_log",
+        "_sent_s",
+        "_store",
+        "_times",
+        "key",
+        "lost",
+        "token",
+    )
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        key: str,
+        lease_id: int,
+        token: int,
+        sent_s: float,
+        clock: Callable[[], float],
+        times: HolderTimes,
+        log: LogLines,
+    ) -> None:
+        self._store = store
+        self._lease_id = lease_id
+        self._sent_s = sent_s
+        self._clock = clock
+        self._times = times
+        self._log = log
+        self.key = key
+        self.token = token
+        self.lost = asyncio.Event()
+
+    @classmethod
+    async def acquire(
+        cls,
+        *,
+        store: Store,
+        key: str,
+        value: bytes,
+        clock: Callable[[], float],
+        times: HolderTimes,
+        log: LogLines,
+    ) -> Holder | None:
+        """Create the key, if it does not exist; ``None`` where that failed or may have failed."""
+        granted = await store.grant_lease(ttl_s=times.ttl_s)
+        if not isinstance(granted, Success):
+            log.line("duty-not-acquired", key=key, reason=str(granted.failure()))
+            return None
+        lease_id = granted.unwrap()
+        sent_s = clock()
+        outcome = await store.commit(
+            Commit(
+                conditions=(Condition(key=key, revision=0),),
+                writes=(Write(key=key, value=value, lease_id=lease_id),),
+            )
+        )
+        if isinstance(outcome, Success) and isinstance(outcome.unwrap(), Committed):
+            return cls(
+                store=store,
+                key=key,
+                lease_id=lease_id,
+                token=outcome.unwrap().revision,
+                sent_s=sent_s,
+                clock=clock,
+                times=times,
+                log=log,
+            )
+        # Also where the outcome is unknown: a key that was created after all ends with its lease.
+        await store.end_lease(lease_id)
+        if not isinstance(outcome, Success):
+            log.line("duty-not-acquired", key=key, reason=str(outcome.failure()))
+        return None
+
+    @property
+    def may_act(self) -> bool:
+        """Whether orders may still be given; to be asked before each one."""
+        return not self.lost.is_set() and self.unconfirmed_s < self._times.grace_s
+
+    @property
+    def unconfirmed_s(self) -> float:
+        """Seconds since the last confirmed renewal was sent."""
+        return self._clock() - self._sent_s
+
+    @property
+    def condition(self) -> Condition:
+        """What a commit of this holder demands: that the key is still its own."""
+        return Condition(key=self.key, revision=self.token)
+
+    def lose(self, reason: str) -> None:
+        """Give the duty up without a word to the store."""
+        if not self.lost.is_set():
+            self._log.line("duty-lost", key=self.key, token=self.token, reason=reason)
+            self.lost.set()
+
+    async def keep(self) -> None:
+        """Renew until the key is lost, or the grace after the last renewal has run out."""
+        while not self.lost.is_set():
+            await asyncio.sleep(self._times.renewal_s)
+            sent_s = self._clock()
+            outcome = await self._store.renew_lease(self._lease_id)
+            if isinstance(outcome, Success):
+                self._sent_s = sent_s
+                continue
+            if outcome.failure().kind is ErrorKind.LEASE_LOST:
+                self.lose("its lease has ended")
+            elif self.unconfirmed_s >= self._times.grace_s:
+                self.lose(f"not renewed for {self.unconfirmed_s:.1f} s")
+
+    async def release(self) -> None:
+        """End the lease, so that a successor can begin at once."""
+        self.lose("released")
+        await self._store.end_lease(self._lease_id)
--- /dev/null
+++ b/src/shallotworks/store/_mirror.py
@@ -0,0 +1,137 @@
+"""A copy of all keys under a prefix, kept up to date by watching."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.errors import Failure
+from shallotworks.logs import LogLines
+
+from ._protocols import Deletion, Item, Store
+
+__all__ = ["Mirror", "MirrorListener"]
+
+WATCH_WAIT_S = 1.0
+"""One watch's wait. A connection that fell silent is noticed after this and the client's grace,
+so a change is seen within 1.7 s, inside the 2 s in which a configuration must be in force."""
+FIRST_BACKOFF_S = 0.05
+HIGHEST_BACKOFF_S = 0.4
+"""Between tries while the store fails: 2.5 calls a second for each mirror at the most."""
+
+
+class MirrorListener(Protocol):
+    """Hears what the mirror learns, in order of revision for each key."""
+
+    def written(self, item: Item) -> None:
+        """Hear that a key was written; the same write may be told twice."""
+        ...
+
+    def deleted(self, key: str) -> None:
+        """Hear that a key is gone."""
+        ...
+
+
+class Mirror:
+    """Keeps a copy of the keys under a prefix.
+
+    The failure it guards against: a watch whose history the store dropped would skip changes
+    without a sign. The store then says so, and everything is read anew: pages are no snapshot, so
+    watching goes on from the lowest revision of all pages, and a write told twice does no harm.
+
+    Args:
+        store: The store.
+        prefix: The keys' prefix.
+        listener: Who hears of changes.
+        log: Where lost and regained contact is written.
+    """
+
+    __slots__ = ("_is_failing", "_items", "_listener", "_log", "_prefix", "_store", "synced")
+
+    def __init__(
+        self, *, store: Store, prefix: str, listener: MirrorListener, log: LogLines
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._listener = listener
+        self._log = log
+        self._items: dict[str, int] = {}
+        self._is_failing = False
+        self.synced = asyncio.Event()
+        """Set once everything under the prefix has been read."""
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        backoff_s = FIRST_BACKOFF_S
+        revision: int | None = None
+        while True:
+            outcome = await (self._read_all() if revision is None else self._follow(revision))
+            if isinstance(outcome, Success):
+                revision = outcome.unwrap()
+                backoff_s = FIRST_BACKOFF_S
+                self._note_contact(None)
+                continue
+            self._note_contact(outcome.failure())
+            await asyncio.sleep(backoff_s)
+            backoff_s = min(HIGHEST_BACKOFF_S, backoff_s * 2)
+
+    async def _read_all(self) -> Result[int | None, Failure]:
+        seen: set[str] = set()
+        lowest: int | None = None
+        after = ""
+        while True:
+            outcome = await self._store.read_page(self._prefix, after=after)
+            if not isinstance(outcome, Success):
+                return Err(outcome.failure())
+            page = outcome.unwrap()
+            lowest = page.revision if lowest is None else min(lowest, page.revision)
+            for item in page.items:
+                seen.add(item.key)
+                self._write(item)
+            if not page.has_more or not page.items:
+                break
+            after = page.items[-1].key
+        for key in [key for key in self._items if key not in seen]:
+            self._delete(key, lowest)
+        self.synced.set()
+        return Success(lowest)
+
+    async def _follow(self, revision: int) -> Result[int | None, Failure]:
+        outcome = await self._store.watch(
+            self._prefix, after_revision=revision, wait_s=WATCH_WAIT_S
+        )
+        if not isinstance(outcome, Success):
+            return Err(outcome.failure())
+        changes = outcome.unwrap()
+        if changes.is_history_lost:
+            self._log.line("store-history-lost", prefix=self._prefix, after_revision=revision)
+            return Success(None)
+        for event in changes.events:
+            if isinstance(event, Deletion):
+                self._delete(event.key, event.revision)
+            else:
+                self._write(event)
+        return Success(max(changes.revision, revision))
+
+    def _write(self, item: Item) -> None:
+        if self._items.get(item.key, 0) >= item.revision:
+            return
+        self._items[item.key] = item.revision
+        self._listener.written(item)
+
+    def _delete(self, key: str, revision: int) -> None:
+        # A deletion older than the write that is known was told again after a new reading.
+        if self._items.get(key, revision + 1) > revision:
+            return
+        del self._items[key]
+        self._listener.deleted(key)
+
+    def _note_contact(self, failure: Failure | None) -> None:
+        if failure is not None and not self._is_failing:
+            self._log.line("store-lost", prefix=self._prefix, reason=str(failure))
+        if failure is None and self._is_failing:
+            self._log.line("store-regained", prefix=self._prefix)
+        self._is_failing = failure is not None
