Let leases of a silent worker run out; histories of schedulers through faults on stand-ins

Cause: each look at a worker that did not answer might have extended its lease, so tasks of a worker that died silently were held to be alive for ever, as long as its entry did not come back. Change: a look extends leases only while the last one was answered within its time. Stand-ins for the platform's store and for workers, in memory on the loop's clock, with lost and late answers, outages, revoked keys and forgotten history, judge histories of three instances.

--- a/bench/config.py
+++ b/bench/config.py
@@ -36,8 +36,8 @@
     Team,
     apply,
 )
-from shallotworks.metrics import Metrics
 from shallotworks.kv import HttpKeyValueStore, PlatformLimits
+from shallotworks.metrics import Metrics
 from shallotworks.timeline import Timeline
 
 SIZES = (275, 550, 1_100, 2_200)
--- a/bench/plans.py
+++ b/bench/plans.py
@@ -35,6 +35,7 @@
     apply,
     basis_of,
 )
+from shallotworks.kv import LeaseHolder
 from shallotworks.node._duty import LeaseDuty
 from shallotworks.plans import (
     Alternative,
@@ -52,7 +53,6 @@
 from shallotworks.plans._measures import measure, weighted_cost
 from shallotworks.plans._supply import index_supply
 from shallotworks.plans._targets import actions_of
-from shallotworks.kv import LeaseHolder
 from shallotworks.standins import MemoryStore
 
 ROUNDS = 5
--- a/bench/platform_client.py
+++ b/bench/platform_client.py
@@ -11,8 +11,8 @@
 from returns.result import Success
 
 from bench._processes import serving
-from shallotworks.metrics import Metrics
 from shallotworks.kv import HttpKeyValueStore, PlatformLimits
+from shallotworks.metrics import Metrics
 from shallotworks.timeline import Timeline
 
 CALLS = 1_000
--- a/src/shallotworks/scheduling/_orders.py
+++ b/src/shallotworks/scheduling/_orders.py
@@ -52,6 +52,11 @@
     longest_lease_s: float = 6.0
     grace_s: float = 4.0
 
+    @property
+    def silence_s(self) -> float:
+        """A worker that has not answered for this long gets no longer lease."""
+        return self.look_wait_s + self.answer_s
+
     @property
     def recovery_s(self) -> float:
         """Time after which whatever an earlier term started on an unseen worker has ended."""
@@ -217,7 +222,7 @@
     async def _look(self, worker: Worker) -> None:
         sent_s = self._clock()
         acknowledged = worker.highest_settled
-        lease_ms = self._extend(worker, sent_s) if worker.runs else None
+        lease_ms = self._extend(worker, sent_s) if self._may_extend(worker, sent_s) else None
         wait_s = 0.0 if self._is_pressing(worker) else self._times.look_wait_s
         outcome = await self._orders.look(
             worker.view,
@@ -243,6 +248,15 @@
         self._on_progress()
         self._news.set()
 
+    def _may_extend(self, worker: Worker, now_s: float) -> bool:
+        """Whether a look may extend the worker's lease.
+
+        The failure: a worker that died silently, and whose tasks are never started again, since
+        each look that it does not answer might have extended its lease. A look is answered within
+        its wait, so after one that was not, leases are left to run out until one is answered.
+        """
+        return bool(worker.runs) and now_s - worker.reported_s < self._times.silence_s
+
     def _is_pressing(self, worker: Worker) -> bool:
         if not worker.is_fenced or worker.unsettled or not worker.clock_ms:
             return True
--- a/src/shallotworks/standins/__init__.py
+++ b/src/shallotworks/standins/__init__.py
@@ -1,8 +1,9 @@
 """Small stand-ins for what the product runs beside, for development and tests.
 
 The platform's key-value service and its list of instances, and worker instances, each with faults
-that can be switched on. The product never imports this package; only the command line and the demo
-start it.
+that can be switched on. `RecordStore` and `TaskWorkers` stand for the users' platform in memory, on
+the loop's clock, and judge what schedulers do there. The product never imports this package; only
+the command line and the demo start it.
 """
 
 from ._breaches import Breaches, find_breaches
@@ -11,6 +12,8 @@
 from ._memory_instances import MemoryInstanceList
 from ._memory_store import MemoryStore, StoreFaults
 from ._platform import PlatformStandIn, serve_platform
+from ._record_store import RecordFaults, RecordStore, StoreView
+from ._task_workers import OrderFaults, OrdersView, TaskWorker, TaskWorkers
 from ._worker import WorkerStandIn, serve_worker
 from ._worker_control import WorkerCounts, WorkerStatus
 from ._worker_faults import WorkerFault, WorkerFaults
@@ -23,13 +26,20 @@
     "Ledger",
     "MemoryInstanceList",
     "MemoryStore",
+    "OrderFaults",
+    "OrdersView",
     "PlatformStandIn",
+    "RecordFaults",
+    "RecordStore",
     "StoreFaults",
+    "StoreView",
     "TEAM",
     "Task",
     "TaskOrder",
     "TaskState",
     "TaskTable",
+    "TaskWorker",
+    "TaskWorkers",
     "WorkerCounts",
     "WorkerFault",
     "WorkerFaults",
--- /dev/null
+++ b/src/shallotworks/standins/_record_store.py
@@ -0,0 +1,313 @@
+"""A store in memory with the faults that the platform's store may have."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass
+
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.store import (
+    Changes,
+    Commit,
+    Committed,
+    Condition,
+    Conflicted,
+    Deletion,
+    Item,
+    Page,
+    Write,
+)
+
+__all__ = ["RecordFaults", "RecordStore", "StoreView"]
+
+PAGE_ITEMS = 500
+CALL_S = 0.004
+
+
+@dataclass(slots=True, kw_only=True)
+class RecordFaults:
+    """Faults of the store, as one caller of it meets them.
+
+    Args:
+        is_down: Each call is refused, and nothing is done.
+        is_silent: No call is answered; nothing is done.
+        lost_part: Part of the commits that are done and not answered.
+        late_part: Part of the commits that are not answered and done ``late_s`` later.
+        late_s: See there.
+        delay_s: Added to each answer.
+    """
+
+    is_down: bool = False
+    is_silent: bool = False
+    lost_part: float = 0.0
+    late_part: float = 0.0
+    late_s: float = 2.0
+    delay_s: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class _Lease:
+    ttl_s: float
+    ends_s: float
+
+
+class RecordStore:
+    """The store itself, on the loop's clock; callers use a `StoreView` each.
+
+    Args:
+        rng: Draws which answers are lost.
+    """
+
+    def __init__(self, *, rng: random.Random) -> None:
+        self.rng = rng
+        self.items: dict[str, Item] = {}
+        self.revision = 1
+        self.commits = 0
+        self.are_leases_paused = False
+        self._history: list[Item | Deletion] = []
+        self._kept_from = 0
+        self._leases: dict[int, _Lease] = {}
+        self._last_lease = 0
+        self._news = asyncio.Event()
+
+    # ---- what tests do to it
+
+    def put(self, key: str, value: bytes) -> None:
+        """Write a key, as an operator or a worker does."""
+        self._write(Write(key=key, value=value))
+        self._tell()
+
+    def delete(self, key: str) -> None:
+        """Delete a key."""
+        self._delete(key)
+        self._tell()
+
+    def forget_history(self) -> None:
+        """Drop all history: watches from earlier revisions are told so."""
+        self._kept_from = self.revision
+        self._history.clear()
+        self._tell()
+
+    def revoke(self, prefix: str) -> None:
+        """Take away all leased keys under a prefix, without ending their leases."""
+        for key in [key for key, item in self.items.items() if key.startswith(prefix)]:
+            if self.items[key].lease_id:
+                self._delete(key)
+        self._tell()
+
+    def expire(self) -> None:
+        """End the leases whose time is over."""
+        if self.are_leases_paused:
+            return
+        now_s = asyncio.get_running_loop().time()
+        over = [lease_id for lease_id, lease in self._leases.items() if lease.ends_s <= now_s]
+        for lease_id in over:
+            self.end_lease(lease_id)
+
+    # ---- what callers do
+
+    def read_page(self, prefix: str, after: str) -> Page:
+        """Return keys under a prefix."""
+        keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
+        items = tuple(self.items[key] for key in keys[:PAGE_ITEMS])
+        return Page(items=items, has_more=len(keys) > PAGE_ITEMS, revision=self.revision)
+
+    def carry_out(self, commit: Commit) -> Committed | Conflicted | None:
+        """Carry out a commit; ``None`` where a lease of it has ended."""
+        self.expire()
+        self.commits += 1
+        if any(write.lease_id and write.lease_id not in self._leases for write in commit.writes):
+            return None
+        if not all(self._holds(condition) for condition in commit.conditions):
+            current = [self.items.get(condition.key) for condition in commit.conditions]
+            return Conflicted(current=tuple(item for item in current if item is not None))
+        self.revision += 1
+        for write in commit.writes:
+            self._write(write, self.revision)
+        for key in commit.deletes:
+            if key in self.items:
+                self._delete(key, self.revision)
+        self._tell()
+        return Committed(revision=self.revision)
+
+    def grant_lease(self, ttl_s: float) -> int:
+        """Grant a lease."""
+        self._last_lease += 1
+        ends_s = asyncio.get_running_loop().time() + ttl_s
+        self._leases[self._last_lease] = _Lease(ttl_s=ttl_s, ends_s=ends_s)
+        return self._last_lease
+
+    def renew_lease(self, lease_id: int) -> bool:
+        """Renew a lease; whether it still was."""
+        self.expire()
+        lease = self._leases.get(lease_id)
+        if lease is None:
+            return False
+        lease.ends_s = asyncio.get_running_loop().time() + lease.ttl_s
+        return True
+
+    def end_lease(self, lease_id: int) -> None:
+        """End a lease and delete its keys."""
+        self._leases.pop(lease_id, None)
+        for key in [key for key, item in self.items.items() if item.lease_id == lease_id]:
+            self._delete(key)
+        self._tell()
+
+    async def watch(self, prefix: str, after_revision: int, wait_s: float) -> Changes:
+        """Wait for changes."""
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + wait_s
+        while True:
+            self.expire()
+            if after_revision < self._kept_from:
+                return Changes(events=(), revision=after_revision, is_history_lost=True)
+            events = tuple(
+                event
+                for event in self._history
+                if event.revision > after_revision and event.key.startswith(prefix)
+            )
+            if events or loop.time() >= ends_s:
+                return Changes(events=events, revision=self.revision)
+            await self._wait(min(ends_s, self._next_expiry_s()) - loop.time())
+
+    def _next_expiry_s(self) -> float:
+        if self.are_leases_paused:
+            return float("inf")
+        return min((lease.ends_s for lease in self._leases.values()), default=float("inf"))
+
+    async def _wait(self, longest_s: float) -> None:
+        news = self._news
+        try:
+            await asyncio.wait_for(news.wait(), max(0.001, longest_s))
+        except TimeoutError:
+            return
+
+    def _holds(self, condition: Condition) -> bool:
+        item = self.items.get(condition.key)
+        return condition.revision == (item.revision if item is not None else 0)
+
+    def _write(self, write: Write, revision: int | None = None) -> None:
+        if revision is None:
+            self.revision += 1
+            revision = self.revision
+        earlier = self.items.get(write.key)
+        item = Item(
+            key=write.key,
+            value=write.value,
+            revision=revision,
+            created=earlier.created if earlier is not None else revision,
+            lease_id=write.lease_id,
+        )
+        self.items[write.key] = item
+        self._history.append(item)
+
+    def _delete(self, key: str, revision: int | None = None) -> None:
+        if revision is None:
+            self.revision += 1
+            revision = self.revision
+        del self.items[key]
+        self._history.append(Deletion(key=key, revision=revision))
+
+    def _tell(self) -> None:
+        self._news.set()
+        self._news = asyncio.Event()
+
+
+class StoreView:
+    """The store as one instance meets it; implements `Store`.
+
+    Args:
+        store: The store.
+        faults: What this instance meets.
+        timeout_s: Time after which an answer counts as lost.
+    """
+
+    def __init__(
+        self, *, store: RecordStore, faults: RecordFaults | None = None, timeout_s: float = 0.8
+    ) -> None:
+        self._store = store
+        self.faults = faults or RecordFaults()
+        self._timeout_s = timeout_s
+        self._late: set[asyncio.Task[None]] = set()
+
+    async def get(self, key: str) -> Result[Item | None, Failure]:
+        """Read one key."""
+        failure = await self._pass()
+        return Err(failure) if failure else Success(self._store.items.get(key))
+
+    async def read_page(self, prefix: str, *, after: str = "") -> Result[Page, Failure]:
+        """Read keys under a prefix."""
+        failure = await self._pass()
+        return Err(failure) if failure else Success(self._store.read_page(prefix, after))
+
+    async def watch(
+        self, prefix: str, *, after_revision: int, wait_s: float
+    ) -> Result[Changes, Failure]:
+        """Wait for changes."""
+        failure = await self._pass()
+        if failure:
+            return Err(failure)
+        changes = await self._store.watch(prefix, after_revision, wait_s)
+        if self.faults.is_down or self.faults.is_silent:
+            return Err(_unavailable("cut while it waited"))
+        return Success(changes)
+
+    async def commit(self, commit: Commit) -> Result[Committed | Conflicted, Failure]:
+        """Carry out a commit."""
+        failure = await self._pass()
+        if failure:
+            return Err(failure)
+        if self._store.rng.random() < self.faults.late_part:
+            task = asyncio.create_task(self._carry_out_late(commit))
+            self._late.add(task)
+            task.add_done_callback(self._late.discard)
+            await asyncio.sleep(self._timeout_s)
+            return Err(Failure(kind=ErrorKind.OUTCOME_UNKNOWN, reason="no answer"))
+        outcome = self._store.carry_out(commit)
+        if self._store.rng.random() < self.faults.lost_part:
+            await asyncio.sleep(self._timeout_s)
+            return Err(Failure(kind=ErrorKind.OUTCOME_UNKNOWN, reason="the answer was lost"))
+        if outcome is None:
+            return Err(Failure(kind=ErrorKind.LEASE_LOST, reason="a lease has ended"))
+        return Success(outcome)
+
+    async def grant_lease(self, *, ttl_s: float) -> Result[int, Failure]:
+        """Grant a lease."""
+        failure = await self._pass()
+        return Err(failure) if failure else Success(self._store.grant_lease(ttl_s))
+
+    async def renew_lease(self, lease_id: int) -> Result[None, Failure]:
+        """Renew a lease."""
+        failure = await self._pass()
+        if failure:
+            return Err(failure)
+        if not self._store.renew_lease(lease_id):
+            return Err(Failure(kind=ErrorKind.LEASE_LOST, reason="the lease has ended"))
+        return Success(None)
+
+    async def end_lease(self, lease_id: int) -> Result[None, Failure]:
+        """End a lease."""
+        failure = await self._pass()
+        if failure:
+            return Err(failure)
+        self._store.end_lease(lease_id)
+        return Success(None)
+
+    async def _carry_out_late(self, commit: Commit) -> None:
+        await asyncio.sleep(self.faults.late_s)
+        self._store.carry_out(commit)
+
+    async def _pass(self) -> Failure | None:
+        await asyncio.sleep(CALL_S + self.faults.delay_s)
+        if self.faults.is_silent:
+            await asyncio.sleep(self._timeout_s)
+            return _unavailable("no answer")
+        return _unavailable("down") if self.faults.is_down else None
+
+
+def _unavailable(reason: str) -> Failure:
+    return Failure(kind=ErrorKind.STORE_UNAVAILABLE, reason=reason)
--- /dev/null
+++ b/src/shallotworks/standins/_task_workers.py
@@ -0,0 +1,378 @@
+"""Workers in memory that run tasks under leases and fencing tokens, and judge their orders."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from dataclasses import dataclass, field
+
+from shallotworks.jobs import TaskName
+from shallotworks.scheduling import (
+    EndedTask,
+    EndKind,
+    OrderEnding,
+    OrderOutcome,
+    PaceOrder,
+    RunningTask,
+    StartOrder,
+    StopOrder,
+    WorkerReport,
+    WorkerView,
+)
+
+__all__ = ["OrderFaults", "OrdersView", "TaskWorker", "TaskWorkers"]
+
+LONGEST_LEASE_S = 6.0
+STOP_S = 0.2
+CALL_S = 0.002
+TIMEOUT_S = 0.7
+
+
+@dataclass(slots=True, kw_only=True)
+class OrderFaults:
+    """Faults on the way of one instance's orders.
+
+    Args:
+        late_part: Part of the orders that are not answered and carried out ``late_s`` later.
+        late_s: See there.
+        lost_part: Part of the orders that are carried out and not answered.
+        cut: Workers that this instance can't reach.
+    """
+
+    late_part: float = 0.0
+    late_s: float = 3.0
+    lost_part: float = 0.0
+    cut: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True, kw_only=True)
+class _Run:
+    name: TaskName
+    run_id: int
+    work_s: float
+    began_s: float
+    is_lasting: bool
+    fails: bool
+    stop_s: float = float("inf")
+
+    def percent(self, now_s: float) -> int:
+        if self.is_lasting:
+            return 100 if now_s - self.began_s > 0.3 else 0
+        return min(99, int((now_s - self.began_s) / self.work_s * 100))
+
+
+class TaskWorker:
+    """One incarnation of a worker.
+
+    Args:
+        view: What discovery says of it.
+        fleet: All workers, which judge.
+    """
+
+    def __init__(self, *, view: WorkerView, fleet: TaskWorkers) -> None:
+        self.view = view
+        self.is_alive = True
+        self._fleet = fleet
+        self._token = 0
+        self._lease_ends_s = 0.0
+        self._runs: dict[tuple[TaskName, int], _Run] = {}
+        self._highest: dict[TaskName, int] = {}
+        self._ended: list[EndedTask] = []
+        self._count = 0
+        self._news = asyncio.Event()
+        self._clock_offset_s = fleet.rng.uniform(100, 1000)
+
+    @property
+    def clock_ms(self) -> int:
+        """Its own steady clock."""
+        return int((self._now_s() + self._clock_offset_s) * 1000)
+
+    def names(self) -> set[TaskName]:
+        """Return the tasks that run."""
+        return {name for name, _ in self._runs}
+
+    def crash(self) -> None:
+        """End, with all that runs."""
+        self.is_alive = False
+        self._runs.clear()
+
+    def pass_time(self) -> None:
+        """End runs whose time has come."""
+        now_s = self._now_s()
+        for run in list(self._runs.values()):
+            ends_s, kind = self._first_end_s(run)
+            if ends_s <= now_s:
+                self._end(run, kind)
+
+    async def wait_for_end(self, longest_s: float) -> None:
+        """Wait until a run may have ended, or a new one or a stop may end sooner."""
+        now_s = self._now_s()
+        ends_s = min((self._first_end_s(run)[0] for run in self._runs.values()), default=now_s + 9)
+        wait_s = max(0.001, min(longest_s, ends_s - now_s))
+        news = self._news
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(news.wait(), wait_s)
+
+    def _first_end_s(self, run: _Run) -> tuple[float, EndKind]:
+        own = EndKind.FAILED if run.fails else EndKind.DONE
+        done_s = float("inf") if run.is_lasting else run.began_s + run.work_s
+        return min(
+            ((done_s, own), (run.stop_s, EndKind.STOPPED), (self._lease_ends_s, EndKind.LAPSED)),
+            key=lambda end: end[0],
+        )
+
+    def _tell(self) -> None:
+        self._news.set()
+        self._news = asyncio.Event()
+
+    def look(self, token: int, acknowledged: int, lease_until_ms: int | None) -> OrderOutcome:
+        """Carry out a look."""
+        self.pass_time()
+        if token < self._token:
+            return OrderOutcome(ending=OrderEnding.FENCED, clock_ms=self.clock_ms)
+        self._token = token
+        for end in self._ended:
+            if end.number <= acknowledged:
+                self._fleet.acknowledged(end)
+        self._ended = [end for end in self._ended if end.number > acknowledged]
+        if lease_until_ms is not None:
+            self._extend(lease_until_ms)
+        now_s = self._now_s()
+        report = WorkerReport(
+            clock_ms=self.clock_ms,
+            running=tuple(
+                RunningTask(name=run.name, run_id=run.run_id, percent=run.percent(now_s))
+                for run in self._runs.values()
+            ),
+            ended=tuple(self._ended),
+        )
+        return OrderOutcome(ending=OrderEnding.OBEYED, clock_ms=self.clock_ms, report=report)
+
+    def start(self, order: StartOrder, token: int, lease_until_ms: int) -> OrderOutcome:
+        """Carry out a start."""
+        self.pass_time()
+        run = order.run
+        if token < self._token:
+            return self._refuse(OrderEnding.FENCED)
+        self._token = token
+        if lease_until_ms <= self.clock_ms:
+            return self._refuse(OrderEnding.TOO_LATE)
+        if (run.name, run.run_id) in self._runs:
+            return OrderOutcome(ending=OrderEnding.OBEYED, clock_ms=self.clock_ms)
+        self._extend(lease_until_ms)
+        if run.run_id <= self._highest.get(run.name, 0):
+            return self._refuse(OrderEnding.STALE_RUN)
+        used = sum(self._fleet.need(name) for name, _ in self._runs)
+        if used + self._fleet.need(run.name) > self.view.cpu_millicores:
+            return self._refuse(OrderEnding.NO_ROOM)
+        self._fleet.starts(self, run.name)
+        self._runs[(run.name, run.run_id)] = self._fleet.make_run(run.name, run.run_id)
+        self._tell()
+        return OrderOutcome(ending=OrderEnding.OBEYED, clock_ms=self.clock_ms)
+
+    def stop(self, order: StopOrder, token: int) -> OrderOutcome:
+        """Carry out a stop."""
+        self.pass_time()
+        if token < self._token:
+            return self._refuse(OrderEnding.FENCED)
+        self._token = token
+        name, run_id = order.run.name, order.run.run_id
+        self._highest[name] = max(run_id, self._highest.get(name, 0))
+        run = self._runs.get((name, run_id))
+        if run is not None:
+            run.stop_s = min(run.stop_s, self._now_s() + STOP_S)
+            self._tell()
+        return OrderOutcome(ending=OrderEnding.OBEYED, clock_ms=self.clock_ms)
+
+    def _extend(self, lease_until_ms: int) -> None:
+        ends_s = lease_until_ms / 1000 - self._clock_offset_s
+        longest_s = self._now_s() + LONGEST_LEASE_S
+        self._lease_ends_s = max(self._lease_ends_s, min(ends_s, longest_s))
+
+    def _end(self, run: _Run, kind: EndKind) -> None:
+        del self._runs[(run.name, run.run_id)]
+        self._highest[run.name] = max(run.run_id, self._highest.get(run.name, 0))
+        self._count += 1
+        end = EndedTask(number=self._count, name=run.name, run_id=run.run_id, kind=kind)
+        self._ended.append(end)
+        self._fleet.ended(end)
+
+    def _refuse(self, ending: OrderEnding) -> OrderOutcome:
+        return OrderOutcome(ending=ending, clock_ms=self.clock_ms)
+
+    def _now_s(self) -> float:
+        return asyncio.get_running_loop().time()
+
+
+class TaskWorkers:
+    """All workers, and a judge of what is ordered; implements `WorkerDirectory`.
+
+    Args:
+        rng: Draws lengths and faults.
+    """
+
+    def __init__(self, *, rng: random.Random) -> None:
+        self.rng = rng
+        self.workers: dict[str, TaskWorker] = {}
+        self.unlisted: set[str] = set()
+        self.breaches: list[str] = []
+        self.started = 0
+        self.work_s: dict[str, float] = {}
+        self.needs: dict[str, int] = {}
+        self.after: dict[TaskName, tuple[TaskName, ...]] = {}
+        self.lasting: set[str] = set()
+        self.failing: set[TaskName] = set()
+        self.cancelled: dict[str, float] = {}
+        self.done: set[TaskName] = set()
+        self.noted: set[TaskName] = set()
+
+    def add(self, view: WorkerView) -> TaskWorker:
+        """Add a worker."""
+        worker = self.workers[view.worker_id] = TaskWorker(view=view, fleet=self)
+        return worker
+
+    # ---- discovery
+
+    @property
+    def is_synced(self) -> bool:
+        """Whether the list was read whole."""
+        return True
+
+    def workers_of(self, service: str) -> dict[str, WorkerView]:
+        """Return the listed workers."""
+        return {
+            key: worker.view
+            for key, worker in self.workers.items()
+            if worker.is_alive and key not in self.unlisted and worker.view.service == service
+        }
+
+    # ---- the judge
+
+    def need(self, name: TaskName) -> int:
+        """Return what a task asks of the processor, in millicores."""
+        return self.needs.get(name.job_id, 1000)
+
+    def make_run(self, name: TaskName, run_id: int) -> _Run:
+        """Return a run of a task."""
+        return _Run(
+            name=name,
+            run_id=run_id,
+            work_s=self.work_s.get(name.job_id, 0.8) * self.rng.uniform(0.7, 1.4),
+            began_s=asyncio.get_running_loop().time(),
+            is_lasting=name.job_id in self.lasting,
+            fails=name in self.failing,
+        )
+
+    def starts(self, worker: TaskWorker, name: TaskName) -> None:
+        """Judge a start."""
+        self.started += 1
+        now_s = asyncio.get_running_loop().time()
+        for other in self.workers.values():
+            if other.is_alive:
+                other.pass_time()
+            if other.is_alive and name in other.names():
+                self.breaches.append(f"{now_s:.3f} {name} runs twice at once")
+        if name in self.noted:
+            self.breaches.append(f"{now_s:.3f} {name} starts after its end was acknowledged")
+        if any(earlier not in self.done for earlier in self.after.get(name, ())):
+            self.breaches.append(f"{now_s:.3f} {name} starts before its turn")
+        if now_s > self.cancelled.get(name.job_id, now_s) + 3.0:
+            self.breaches.append(f"{now_s:.3f} {name} starts after its job was cancelled")
+
+    def ended(self, end: EndedTask) -> None:
+        """Take note of an end."""
+        if end.kind is EndKind.DONE:
+            self.done.add(end.name)
+
+    def acknowledged(self, end: EndedTask) -> None:
+        """Take note that an end was acknowledged."""
+        if end.kind is EndKind.DONE:
+            self.noted.add(end.name)
+
+
+class OrdersView:
+    """The workers as one instance reaches them; implements `WorkerOrders`.
+
+    Args:
+        fleet: The workers.
+        faults: Faults on this instance's way.
+    """
+
+    def __init__(self, *, fleet: TaskWorkers, faults: OrderFaults | None = None) -> None:
+        self._fleet = fleet
+        self.faults = faults or OrderFaults()
+        self._late: set[asyncio.Task[None]] = set()
+
+    async def look(
+        self,
+        worker: WorkerView,
+        *,
+        token: int,
+        acknowledged: int,
+        lease_until_ms: int | None,
+        wait_s: float,
+        timeout_s: float,
+    ) -> OrderOutcome:
+        """Ask what runs."""
+        reached = await self._reach(worker)
+        if isinstance(reached, OrderOutcome):
+            return reached
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + wait_s
+        outcome = reached.look(token, acknowledged, lease_until_ms)
+        while outcome.report is not None and not outcome.report.ended and loop.time() < ends_s:
+            await reached.wait_for_end(ends_s - loop.time())
+            outcome = reached.look(token, acknowledged, None)
+        if not reached.is_alive or worker.worker_id in self.faults.cut:
+            return OrderOutcome(ending=OrderEnding.UNANSWERED)
+        return outcome
+
+    async def start(
+        self, worker: WorkerView, order: StartOrder, *, token: int, lease_until_ms: int
+    ) -> OrderOutcome:
+        """Start a run."""
+        reached = await self._reach(worker)
+        if isinstance(reached, OrderOutcome):
+            return reached
+        if self._fleet.rng.random() < self.faults.late_part:
+            task = asyncio.create_task(self._start_late(reached, order, token, lease_until_ms))
+            self._late.add(task)
+            task.add_done_callback(self._late.discard)
+            return await self._lose()
+        outcome = reached.start(order, token, lease_until_ms)
+        if self._fleet.rng.random() < self.faults.lost_part:
+            return await self._lose()
+        return outcome
+
+    async def stop(self, worker: WorkerView, order: StopOrder, *, token: int) -> OrderOutcome:
+        """Stop a run."""
+        reached = await self._reach(worker)
+        if isinstance(reached, OrderOutcome):
+            return reached
+        outcome = reached.stop(order, token)
+        if self._fleet.rng.random() < self.faults.lost_part:
+            return await self._lose()
+        return outcome
+
+    async def pace(self, worker: WorkerView, order: PaceOrder, *, token: int) -> OrderOutcome:
+        """Obey without effect."""
+        return OrderOutcome(ending=OrderEnding.OBEYED)
+
+    async def _reach(self, worker: WorkerView) -> TaskWorker | OrderOutcome:
+        await asyncio.sleep(CALL_S)
+        reached = self._fleet.workers.get(worker.worker_id)
+        if reached is None or not reached.is_alive or worker.worker_id in self.faults.cut:
+            return await self._lose()
+        return reached
+
+    async def _lose(self) -> OrderOutcome:
+        await asyncio.sleep(TIMEOUT_S)
+        return OrderOutcome(ending=OrderEnding.UNANSWERED)
+
+    async def _start_late(
+        self, worker: TaskWorker, order: StartOrder, token: int, lease_until_ms: int
+    ) -> None:
+        await asyncio.sleep(self.faults.late_s)
+        if worker.is_alive:
+            worker.start(order, token, lease_until_ms)
--- a/tests/entry.py
+++ b/tests/entry.py
@@ -8,9 +8,9 @@
 
 from shallotworks.callers import CallersApplication, ReadingLimits
 from shallotworks.fleet import FleetState, Instance
+from shallotworks.kv import KeyValueStore
 from shallotworks.listener import Listener
 from shallotworks.metrics import Metrics
-from shallotworks.kv import KeyValueStore
 from shallotworks.requests import (
     BudgetedRetryPolicy,
     DispatchLimits,
--- /dev/null
+++ b/tests/fleet_history.py
@@ -0,0 +1,219 @@
+"""Several instances scheduling one service on the stand-ins, through faults drawn by seed."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from returns.result import Result, Success
+
+from shallotworks.errors import Failure
+from shallotworks.jobs import Job, JobDesk, JobKeys, JobState, Step, TaskName, decode_progress
+from shallotworks.metrics import Metrics
+from shallotworks.scheduling import (
+    Bidder,
+    DutyEnding,
+    Machine,
+    OrderTimes,
+    Permits,
+    ServiceTerm,
+    TermParts,
+    Upkeep,
+)
+from shallotworks.standins import OrderFaults, OrdersView, RecordStore, StoreView, TaskWorkers
+from shallotworks.store import Holder, HolderTimes
+from tests.scheduling_fakes import policy, quiet_log, step, view
+
+SERVICE = "antenna"
+
+
+class NoMachines:
+    """A platform without machines, waves or advice."""
+
+    async def list(self) -> Result[tuple[Machine, ...], Failure]:
+        return Success(())
+
+    async def upkeep(self, machine: str, *, wave: int, token: int) -> DutyEnding:
+        return DutyEnding.REFUSED
+
+    def waves(self) -> tuple[Upkeep, ...]:
+        return ()
+
+    def status_key(self, wave: int) -> str:
+        return f"status/{wave}"
+
+    def encode_status(self, is_completed: bool) -> bytes:
+        return b""
+
+    async def ask(
+        self, step: tuple[str, int, int], worker_ids: tuple[str, ...]
+    ) -> Result[Permits, Failure]:
+        return Success(Permits(tickets=dict.fromkeys(worker_ids, "t"), valid_s=60.0))
+
+
+class Instance:
+    """One entry instance, which can be killed and frozen."""
+
+    def __init__(self, *, name: str, store: RecordStore, fleet: TaskWorkers) -> None:
+        self.name = name
+        self.view = StoreView(store=store)
+        self.orders = OrdersView(fleet=fleet, faults=OrderFaults())
+        self.terms: list[ServiceTerm] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._fleet = fleet
+        self.desk = JobDesk(
+            store=self.view, metrics=Metrics(), log=quiet_log(), wall_clock=self.now_s
+        )
+        self.bidder = Bidder(
+            store=self.view,
+            instance=name,
+            run_term=self._run_term,
+            clock=self.now_s,
+            times=HolderTimes(),
+            log=quiet_log(),
+        )
+
+    @staticmethod
+    def now_s() -> float:
+        return asyncio.get_running_loop().time()
+
+    def start(self) -> None:
+        """Begin to bid."""
+        self._tasks.add(asyncio.create_task(self.bidder.run()))
+        self.bidder.serve({SERVICE})
+
+    async def kill(self) -> None:
+        """End at once, without a word to anyone."""
+        self.view.faults.is_down = True
+        self.orders.faults.cut = set(self._fleet.workers)
+        for task in (*self._tasks, *self.bidder._bids.values()):
+            task.cancel()
+        await asyncio.gather(*self._tasks, *self.bidder._bids.values(), return_exceptions=True)
+
+    async def _run_term(self, service: str, holder: Holder) -> None:
+        platform = NoMachines()
+        parts = TermParts(
+            store=self.view,
+            orders=self.orders,
+            directory=self._fleet,
+            advice=platform,
+            machines=platform,
+            book=platform,
+            clock=self.now_s,
+            wall_clock=self.now_s,
+            times=OrderTimes(),
+            log=quiet_log(),
+            metrics=Metrics(),
+        )
+        term = ServiceTerm(service=service, holder=holder, parts=parts)
+        self.terms.append(term)
+        await term.run()
+
+
+class History:
+    """A store, workers, instances and callers; judged at the end.
+
+    Args:
+        seed: Draws everything.
+        workers: Number of workers.
+        instances: Number of instances.
+    """
+
+    def __init__(self, *, seed: int, workers: int = 4, instances: int = 3) -> None:
+        self.rng = random.Random(seed)
+        self.store = RecordStore(rng=self.rng)
+        self.fleet = TaskWorkers(rng=self.rng)
+        for number in range(workers):
+            self.fleet.add(view(f"w{number}", service=SERVICE))
+        self.instances = [
+            Instance(name=f"n{number}", store=self.store, fleet=self.fleet)
+            for number in range(instances)
+        ]
+        self.accepted: dict[str, Job] = {}
+        self.refused: set[str] = set()
+        self._instances_made = instances
+
+    async def run_jobs(self, count: int, over_s: float) -> None:
+        """Hand in jobs at drawn moments."""
+        await asyncio.gather(*(self._hand_in(number, over_s) for number in range(count)))
+
+    async def _hand_in(self, number: int, over_s: float) -> None:
+        await asyncio.sleep(self.rng.uniform(0, over_s))
+        job_id = f"{number:016x}"
+        steps = [step(self.rng.randint(1, 3), estimated_s=0.8)]
+        if self.rng.random() < 0.5:
+            steps.append(step(self.rng.randint(1, 2), after=(0,), estimated_s=0.8))
+        await self.submit(job_id, *steps)
+        if job_id in self.accepted and self.rng.random() < 0.1:
+            await asyncio.sleep(self.rng.uniform(0, 1.0))
+            await self.cancel(job_id)
+
+    async def submit(self, job_id: str, *steps: Step) -> None:
+        """Hand in a job at drawn instances until it is accepted."""
+        one = Job(job_id=job_id, policy=policy(service=SERVICE), spec="x", steps=steps)
+        for number, later in enumerate(steps):
+            for index in range(later.count):
+                self.fleet.after[TaskName(job_id, 0, number, index)] = tuple(
+                    TaskName(job_id, 0, before, other)
+                    for before in later.after
+                    for other in range(steps[before].count)
+                )
+        for _ in range(20):
+            instance = self.rng.choice(self.instances)
+            answer = await instance.desk.submit(one, deadline_s=instance.now_s() + 1.5)
+            if answer.ending.value == "accepted":
+                self.accepted[job_id] = one
+                return
+            await asyncio.sleep(0.3)
+
+    async def cancel(self, job_id: str) -> None:
+        """Cancel a job at drawn instances until that is acknowledged."""
+        for _ in range(20):
+            instance = self.rng.choice(self.instances)
+            answer = await instance.desk.cancel(
+                policy(service=SERVICE), job_id, deadline_s=instance.now_s() + 1.5
+            )
+            if answer.ending.value == "accepted":
+                self.fleet.cancelled.setdefault(job_id, instance.now_s())
+                return
+            await asyncio.sleep(0.3)
+
+    async def replace(self, instance: Instance) -> None:
+        """Kill an instance; another comes in its place."""
+        self.instances.remove(instance)
+        await instance.kill()
+        self._instances_made += 1
+        newcomer = Instance(name=f"n{self._instances_made}", store=self.store, fleet=self.fleet)
+        self.instances.append(newcomer)
+        newcomer.start()
+
+    def scheduler(self) -> Instance | None:
+        """Return the instance that holds the service's key."""
+        item = self.store.items.get(f"shallotworks/scheduler/{SERVICE}")
+        if item is None:
+            return None
+        holders = [one for one in self.instances if one.name == item.value.decode()]
+        return holders[0] if holders else None
+
+    def state(self, job_id: str) -> JobState | None:
+        """Return a job's stored state."""
+        item = self.store.items.get(JobKeys(service=SERVICE).progress(job_id))
+        return decode_progress(item.value).state if item is not None else None
+
+    def breaches(self) -> list[str]:
+        """Return what broke a rule."""
+        found = list(self.fleet.breaches)
+        for job_id, one in self.accepted.items():
+            state = self.state(job_id)
+            if state not in (JobState.COMPLETED, JobState.CANCELLED):
+                found.append(f"job {job_id} is {state} at the end")
+            names = [
+                TaskName(job_id, 0, number, index)
+                for number, part in enumerate(one.steps)
+                for index in range(part.count)
+            ]
+            if state is JobState.COMPLETED and not all(name in self.fleet.done for name in names):
+                found.append(f"job {job_id} is completed with tasks that are not done")
+            if state is JobState.CANCELLED and job_id not in self.fleet.cancelled:
+                found.append(f"job {job_id} is cancelled and nobody asked for it")
+        return found
--- a/tests/scheduling_fakes.py
+++ b/tests/scheduling_fakes.py
@@ -95,8 +95,7 @@
 
     def starts(self) -> list[StartOrder]:
         """Return the starts of this moment; each is obeyed."""
-        orders = [order for order in self.decide() if isinstance(order, StartOrder)]
-        return orders
+        return [order for order in self.decide() if isinstance(order, StartOrder)]
 
     def report(
         self,
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -12,8 +12,8 @@
 from shallotworks.config import Compactor, ConfigStore
 from shallotworks.errors import ErrorKind, Failure
 from shallotworks.fleet import Pool, PutPool, RemovePool
-from shallotworks.metrics import Metrics
 from shallotworks.kv import KeyValueStore
+from shallotworks.metrics import Metrics
 from shallotworks.standins import MemoryStore, StoreFaults
 from shallotworks.timeline import EventKind, Timeline
 
--- a/tests/test_http_store.py
+++ b/tests/test_http_store.py
@@ -11,7 +11,6 @@
 from returns.result import Result
 
 from shallotworks.errors import ErrorKind, Failure
-from shallotworks.metrics import Metrics
 from shallotworks.kv import (
     HttpInstanceList,
     HttpKeyValueStore,
@@ -19,6 +18,7 @@
     ListedInstance,
     PlatformLimits,
 )
+from shallotworks.metrics import Metrics
 from shallotworks.standins import MemoryStore, PlatformStandIn, StoreFaults
 from shallotworks.timeline import EventKind, Timeline
 
--- a/tests/test_lease_holder.py
+++ b/tests/test_lease_holder.py
@@ -7,8 +7,8 @@
 
 import looptime
 
-from shallotworks.metrics import Metrics
 from shallotworks.kv import KeyValueStore, LeaseHolder
+from shallotworks.metrics import Metrics
 from shallotworks.standins import MemoryStore, StoreFaults
 from shallotworks.timeline import EventKind, Timeline
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -15,9 +15,9 @@
 from shallotworks.config import Accepted
 from shallotworks.errors import ErrorKind, Failure
 from shallotworks.fleet import Change, FleetState, Instance, SetHealth
+from shallotworks.kv import ListedInstance
 from shallotworks.metrics import Metrics
 from shallotworks.node._leaving import LeavingWatch
-from shallotworks.kv import ListedInstance
 
 Listing = tuple[tuple[str, bool], ...]
 
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -12,9 +12,9 @@
 
 from shallotworks.demo import DemoOperator
 from shallotworks.fleet import Condition, Pool, PutPool
+from shallotworks.kv import ListedInstance
 from shallotworks.operators import PlanView
 from shallotworks.plans import Drain, InPool, InRack, Intent, Maintain, Named
-from shallotworks.kv import ListedInstance
 from shallotworks.standins import Callers, Ledger, StoreFaults, find_breaches
 from tests.system import DATA_CENTRES, Entry, System, running_system, wait_for
 
