Move machines to services that lack them, by one keeper that also runs the waves

Change: schedulers tell what they lack and which workers may go; the keeper, one holder, lends from the standby pool and up to half of an idle pool, and sends back to the sizes it first saw. A worker is taken only after its scheduler's word was read again. Waves moved to the keeper.

--- a/src/shallotworks/platform/_configuration.py
+++ b/src/shallotworks/platform/_configuration.py
@@ -45,6 +45,7 @@
         version: Its version.
         queues: The queues of each host, those with the longest prefix first.
         services: Names of all services.
+        standby: Services whose machines are off and not paid for.
         longest_body_bytes: Longest body of a request.
         idle_timeout_s: Idle connections of callers are closed after this.
     """
@@ -52,6 +53,7 @@
     version: int
     queues: dict[str, tuple[Queue, ...]]
     services: frozenset[str]
+    standby: frozenset[str]
     longest_body_bytes: int
     idle_timeout_s: float
 
@@ -139,6 +141,7 @@
             for host, queues in by_host.items()
         },
         services=frozenset(str(row["name"]) for row in body["services"]),
+        standby=frozenset(str(row["name"]) for row in body["services"] if row.get("standby")),
         longest_body_bytes=int(limits.get("maxBodyBytes", DEFAULT_BODY_BYTES)),
         idle_timeout_s=float(limits.get("idleTimeoutMs", 15_000)) / 1000,
     )
--- a/src/shallotworks/platform/_daemon.py
+++ b/src/shallotworks/platform/_daemon.py
@@ -5,16 +5,25 @@
 import asyncio
 import signal
 import time
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 
 from absl import logging
 from returns.result import Success
 
 from shallotworks.errors import answer_for
-from shallotworks.jobs import JobDesk
+from shallotworks.jobs import JobDesk, JobKeys
 from shallotworks.logs import LogLines
 from shallotworks.metrics import Metrics, summarise, to_exposition
-from shallotworks.scheduling import Bidder, OrderTimes, ServiceTerm, TermParts
+from shallotworks.scheduling import (
+    MACHINES_PREFIX,
+    Bidder,
+    KeeperParts,
+    MachineBook,
+    MachineKeeper,
+    OrderTimes,
+    ServiceTerm,
+    TermParts,
+)
 from shallotworks.store import Holder, HolderTimes, Mirror
 
 from ._configuration import OPERATORS_PREFIX, Configuration, OperatorsBook
@@ -27,6 +36,7 @@
 
 __all__ = ["serve"]
 
+KEEPER_DUTY = "machines"
 METRICS_PORT = 9464
 LEAVE_S = 2.6
 """After the signal to stop, callers are served for this long: the platform asks once a second, and
@@ -84,15 +94,18 @@
         self._orders = PlatformOrders()
         self._registry = WorkerRegistry(log=self._log)
         self._book = OperatorsBook(on_configuration=self._configured, log=self._log)
+        self._machine_book = MachineBook(log=self._log)
         self._held_times = HolderTimes()
         self._parts = self._make_parts()
-        self._bidder = Bidder(
-            store=self._store,
-            instance=settings.instance,
+        self._schedulers = self._make_bidder(
+            root="shallotworks/scheduler/",
+            mark=lambda service: JobKeys(service=service).holder_mark,
             run_term=self._run_term,
-            clock=boot_clock,
-            times=self._held_times,
-            log=self._log,
+        )
+        self._keepers = self._make_bidder(
+            root="shallotworks/keeper/",
+            mark=lambda duty: f"{MACHINES_PREFIX}!{duty}",
+            run_term=self._run_keeper,
         )
         self._ingress = Ingress(
             desk=JobDesk(
@@ -114,8 +127,7 @@
             orders=self._orders,
             directory=self._registry,
             advice=PlatformAdvice(client=advice_client),
-            machines=PlatformMachines(client=self._machines_client, instance=settings.instance),
-            book=self._book,
+            book=self._machine_book,
             clock=boot_clock,
             wall_clock=time.time,
             times=OrderTimes(
@@ -127,6 +139,24 @@
             metrics=self._metrics,
         )
 
+    def _make_bidder(
+        self,
+        *,
+        root: str,
+        mark: Callable[[str], str],
+        run_term: Callable[[str, Holder], Awaitable[None]],
+    ) -> Bidder:
+        return Bidder(
+            store=self._store,
+            root=root,
+            mark=mark,
+            instance=self._settings.instance,
+            run_term=run_term,
+            clock=boot_clock,
+            times=self._held_times,
+            log=self._log,
+        )
+
     async def run(self) -> None:
         """Serve until told to stop."""
         settings = self._settings
@@ -144,6 +174,9 @@
         operators = Mirror(
             store=self._store, prefix=OPERATORS_PREFIX, listener=self._book, log=self._log
         )
+        needs = Mirror(
+            store=self._store, prefix=MACHINES_PREFIX, listener=self._machine_book, log=self._log
+        )
         await self._ingress.listen_for_readiness(settings.ready_address)
         await self._ingress.listen(settings.callers_address)
         await self._ingress.listen_for_metrics(f"{settings.ip}:{METRICS_PORT}", self._metrics_text)
@@ -153,7 +186,9 @@
                 self._log.run(),
                 operators.run(),
                 workers.run(),
-                self._bidder.run(),
+                needs.run(),
+                self._schedulers.run(),
+                self._keepers.run(),
                 self._note_synced(workers),
             )
         ]
@@ -173,7 +208,8 @@
         self._ingress.is_stopping = True
         self._log.line("stopping", serve_for_s=LEAVE_S)
         began_s = asyncio.get_running_loop().time()
-        await self._quietly(self._bidder.stop())
+        await self._quietly(self._schedulers.stop())
+        await self._quietly(self._keepers.stop())
         spent_s = asyncio.get_running_loop().time() - began_s
         await asyncio.sleep(max(0.0, LEAVE_S - spent_s))
         await self._quietly(self._ingress.close())
@@ -193,8 +229,28 @@
     async def _run_term(self, service: str, holder: Holder) -> None:
         await ServiceTerm(service=service, holder=holder, parts=self._parts).run()
 
+    async def _run_keeper(self, duty: str, holder: Holder) -> None:
+        parts = KeeperParts(
+            machines=PlatformMachines(
+                client=self._machines_client, instance=self._settings.instance
+            ),
+            upkeep=self._book,
+            book=self._machine_book,
+            standby=self._standby,
+            store=self._store,
+            clock=boot_clock,
+            wall_clock=time.time,
+            log=self._log,
+        )
+        await MachineKeeper(holder=holder, parts=parts).run()
+
+    def _standby(self) -> frozenset[str]:
+        configuration = self._book.configuration
+        return configuration.standby if configuration is not None else frozenset()
+
     def _configured(self, configuration: Configuration) -> None:
-        self._bidder.serve(set(configuration.services))
+        self._schedulers.serve(set(configuration.services))
+        self._keepers.serve({KEEPER_DUTY})
 
     def _metrics_text(self) -> str:
         return to_exposition(summarise(self._metrics.freeze(), process=self._settings.instance))
--- a/src/shallotworks/platform/_machines.py
+++ b/src/shallotworks/platform/_machines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Any
 from urllib.parse import urlencode
 
 from returns.result import Failure as Err
@@ -20,6 +21,12 @@
 """The service takes its time for each worker, and one question at a time from each of us."""
 
 _ENDINGS = {
+    200: DutyEnding.OBEYED,
+    400: DutyEnding.MISFIT,
+    429: DutyEnding.REFUSED,
+    503: DutyEnding.REFUSED,
+}
+_REASONS = {
     "fence": DutyEnding.FENCED,
     "busy": DutyEnding.BUSY,
     "wave": DutyEnding.NOT_IN_WAVE,
@@ -64,23 +71,23 @@
 
     async def upkeep(self, machine: str, *, wave: int, token: int) -> DutyEnding:
         """Take a machine down for its upkeep; all that runs there ends at once."""
-        answer = await self._client.call(
-            "POST",
-            "/v1/machine-upkeep",
-            body={"machine": machine, "wave": wave},
-            headers={
-                "Shallotworks-Duty-Holder": self._instance,
-                "Shallotworks-Fencing-Token": str(token),
-            },
-            timeout_s=CALL_S,
-        )
+        return await self._order("/v1/machine-upkeep", {"machine": machine, "wave": wave}, token)
+
+    async def move(self, machine: str, *, pool: str, token: int) -> DutyEnding:
+        """Move a machine into another service's pool; all that runs there ends at once."""
+        return await self._order("/v1/machine-move", {"machine": machine, "pool": pool}, token)
+
+    async def _order(self, path: str, body: dict[str, Any], token: int) -> DutyEnding:
+        headers = {
+            "Shallotworks-Duty-Holder": self._instance,
+            "Shallotworks-Fencing-Token": str(token),
+        }
+        answer = await self._client.call("POST", path, body=body, headers=headers, timeout_s=CALL_S)
         if isinstance(answer, HttpLost):
             return DutyEnding.REFUSED if answer.is_unsent else DutyEnding.UNANSWERED
-        if answer.status == 200:
-            return DutyEnding.OBEYED
         if answer.status == 409:
-            return _ENDINGS.get(str(answer.body.get("reason", "")), DutyEnding.BUSY)
-        return DutyEnding.REFUSED if answer.status in (400, 429, 503) else DutyEnding.UNANSWERED
+            return _REASONS.get(str(answer.body.get("reason", "")), DutyEnding.BUSY)
+        return _ENDINGS.get(answer.status, DutyEnding.UNANSWERED)
 
 
 class PlatformAdvice:
--- a/src/shallotworks/scheduling/__init__.py
+++ b/src/shallotworks/scheduling/__init__.py
@@ -8,6 +8,8 @@
 from ._bidding import Bidder
 from ._board import ServiceBoard, Stored
 from ._decisions import Decider
+from ._keeper import KeeperParts, MachineKeeper
+from ._machine_book import MACHINES_PREFIX, MachineBook, PoolNeed, need_key
 from ._model import (
     AdviceRequest,
     EndedTask,
@@ -37,8 +39,9 @@
     WorkerDirectory,
     WorkerOrders,
 )
+from ._sizing import PoolSizer, SizingLimits
 from ._term import ServiceTerm, TermParts
-from ._upkeep import UpkeepRunner, WaveRecord
+from ._wave import WaveRecord, wave_key
 
 __all__ = [
     "AdviceRequest",
@@ -48,7 +51,11 @@
     "DutyEnding",
     "EndKind",
     "EndedTask",
+    "KeeperParts",
+    "MACHINES_PREFIX",
     "Machine",
+    "MachineBook",
+    "MachineKeeper",
     "MachineState",
     "Machines",
     "OrderEnding",
@@ -56,22 +63,26 @@
     "OrderTimes",
     "PaceOrder",
     "Permits",
+    "PoolNeed",
+    "PoolSizer",
     "Run",
     "RunPhase",
     "RunningTask",
     "ServiceBoard",
     "ServiceTerm",
+    "SizingLimits",
     "StartOrder",
     "StopOrder",
     "Stored",
     "TermParts",
     "Upkeep",
     "UpkeepBook",
-    "UpkeepRunner",
     "WaveRecord",
     "Worker",
     "WorkerDirectory",
     "WorkerOrders",
     "WorkerReport",
     "WorkerView",
+    "need_key",
+    "wave_key",
 ]
--- a/src/shallotworks/scheduling/_bidding.py
+++ b/src/shallotworks/scheduling/_bidding.py
@@ -6,13 +6,11 @@
 import hashlib
 from collections.abc import Awaitable, Callable
 
-from shallotworks.jobs import JobKeys
 from shallotworks.logs import LogLines
 from shallotworks.store import Holder, HolderTimes, Item, Mirror, Store
 
 __all__ = ["Bidder"]
 
-ROOT = "shallotworks/scheduler/"
 SPREAD_S = 0.2
 """Bids of different instances are spread over this long, each service's in another order, so that
 services spread over instances."""
@@ -26,6 +24,8 @@
 
     Args:
         store: The store.
+        root: Prefix of the keys, each duty's name after it.
+        mark: Returns a second key for a duty's name; see `Holder.acquire`.
         instance: This instance's name, written into the keys.
         run_term: Runs a term until its key is lost.
         clock: Seconds, counting suspended time.
@@ -41,8 +41,10 @@
         "_instance",
         "_is_stopping",
         "_log",
+        "_mark",
         "_mirror",
         "_news",
+        "_root",
         "_run_term",
         "_store",
         "_times",
@@ -52,6 +54,8 @@
         self,
         *,
         store: Store,
+        root: str,
+        mark: Callable[[str], str],
         instance: str,
         run_term: Callable[[str, Holder], Awaitable[None]],
         clock: Callable[[], float],
@@ -59,6 +63,8 @@
         log: LogLines,
     ) -> None:
         self._store = store
+        self._root = root
+        self._mark = mark
         self._instance = instance
         self._run_term = run_term
         self._clock = clock
@@ -69,7 +75,7 @@
         self._bids: dict[str, asyncio.Task[None]] = {}
         self._news = asyncio.Event()
         self._is_stopping = False
-        self._mirror = Mirror(store=store, prefix=ROOT, listener=self, log=log)
+        self._mirror = Mirror(store=store, prefix=root, listener=self, log=log)
 
     async def run(self) -> None:
         """Follow who holds what, until cancelled."""
@@ -99,7 +105,7 @@
 
     def written(self, item: Item) -> None:
         """Hear who holds a key."""
-        service = item.key.removeprefix(ROOT)
+        service = item.key.removeprefix(self._root)
         self._held[service] = item.created
         holder = self._holders.get(service)
         if holder is not None and item.created > holder.token:
@@ -107,7 +113,7 @@
 
     def deleted(self, key: str) -> None:
         """Hear that a key is free."""
-        service = key.removeprefix(ROOT)
+        service = key.removeprefix(self._root)
         token = self._held.pop(service, 0)
         holder = self._holders.get(service)
         if holder is not None and token >= holder.token:
@@ -127,8 +133,8 @@
                 continue
             holder = await Holder.acquire(
                 store=self._store,
-                key=ROOT + service,
-                mark=JobKeys(service=service).holder_mark,
+                key=self._root + service,
+                mark=self._mark(service),
                 value=self._instance.encode(),
                 clock=self._clock,
                 times=self._times,
--- /dev/null
+++ b/src/shallotworks/scheduling/_machine_book.py
@@ -0,0 +1,89 @@
+"""What schedulers and the keeper of machines tell each other, through the store.
+
+Each scheduler writes how many machines it lacks and which of its workers may be taken away now; the
+keeper writes which workers it wants emptied. Nobody else writes these records.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+
+from shallotworks.logs import LogLines
+from shallotworks.store import Item
+
+__all__ = ["MACHINES_PREFIX", "MachineBook", "PoolNeed", "due_key", "need_key"]
+
+MACHINES_PREFIX = "shallotworks/machines/"
+NEED_PREFIX = MACHINES_PREFIX + "need/"
+
+
+def need_key(service: str) -> str:
+    """Return the key of what a service's scheduler writes."""
+    return NEED_PREFIX + service
+
+
+def due_key() -> str:
+    """Return the key of what the keeper writes."""
+    return MACHINES_PREFIX + "due"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PoolNeed:
+    """What a service's scheduler says of its machines.
+
+    Args:
+        lacking: Machines that it could use at once.
+        free: Workers that may be taken away: the scheduler starts nothing on them.
+        token: The scheduler's fencing token.
+    """
+
+    lacking: int = 0
+    free: tuple[str, ...] = ()
+    token: int = 0
+
+    def encode(self) -> bytes:
+        """Return the record."""
+        record = {"lacking": self.lacking, "free": list(self.free), "token": self.token}
+        return json.dumps(record).encode()
+
+    @classmethod
+    def decode(cls, value: bytes) -> PoolNeed:
+        """Return what a record says; raises `ValueError` or `KeyError`."""
+        record = json.loads(value)
+        return cls(
+            lacking=record["lacking"], free=tuple(record["free"]), token=record.get("token", 0)
+        )
+
+
+class MachineBook:
+    """Both kinds of records as they were last read; implements `MirrorListener`.
+
+    Args:
+        log: Records that can't be read.
+    """
+
+    __slots__ = ("_log", "due", "needs")
+
+    def __init__(self, *, log: LogLines) -> None:
+        self._log = log
+        self.needs: dict[str, PoolNeed] = {}
+        self.due: frozenset[str] = frozenset()
+        """Workers that are to be emptied."""
+
+    def written(self, item: Item) -> None:
+        """Hear that a record was written."""
+        try:
+            if item.key == due_key():
+                self.due = frozenset(json.loads(item.value))
+            elif item.key.startswith(NEED_PREFIX):
+                self.needs[item.key.removeprefix(NEED_PREFIX)] = PoolNeed.decode(item.value)
+        except (ValueError, KeyError, TypeError) as error:
+            self._log.line("machines-record-unreadable", key=item.key, reason=repr(error))
+
+    def deleted(self, key: str) -> None:
+        """Hear that a record is gone."""
+        if key == due_key():
+            self.due = frozenset()
+        else:
+            self.needs.pop(key.removeprefix(NEED_PREFIX), None)
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -265,6 +265,7 @@
         "is_cordoned",
         "is_fenced",
         "is_listed",
+        "lasting_from_s",
         "lease_ends_s",
         "memory_used",
         "pause_until_s",
@@ -285,6 +286,8 @@
         self.lease_ends_s = 0.0
         self.pause_until_s = 0.0
         self.avoid_until_s = 0.0
+        self.lasting_from_s = 0.0
+        """Lasting tasks are not placed here before: an order to take it away may still come."""
         self.failed_jobs: dict[str, float] = {}
         self.runs: dict[tuple[TaskName, int], Run] = {}
         self.cpu_used = 0
--- a/src/shallotworks/scheduling/_placement.py
+++ b/src/shallotworks/scheduling/_placement.py
@@ -63,6 +63,8 @@
             return False
         if worker.pause_until_s > self._now_s or not worker.fits(self._step):
             return False
+        if self._step.is_lasting and worker.lasting_from_s > self._now_s:
+            return False
         if self._step.label and self._step.label not in view.labels:
             return False
         if self._permits is not None and worker.worker_id not in self._permits:
--- a/src/shallotworks/scheduling/_protocols.py
+++ b/src/shallotworks/scheduling/_protocols.py
@@ -137,6 +137,8 @@
     FENCED = "fenced"
     BUSY = "busy"
     NOT_IN_WAVE = "not-in-wave"
+    MISFIT = "misfit"
+    """There is no such machine, or it can't be in that pool."""
     REFUSED = "refused"
     """Nothing was done; it may be asked again."""
     UNANSWERED = "unanswered"
@@ -154,6 +156,10 @@
         """Take a machine down for its upkeep; all that runs there ends at once."""
         ...
 
+    async def move(self, machine: str, *, pool: str, token: int) -> DutyEnding:
+        """Move a machine into another service's pool; all that runs there ends at once."""
+        ...
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Upkeep:
--- /dev/null
+++ b/src/shallotworks/scheduling/_sizing.py
@@ -0,0 +1,177 @@
+"""How many machines a service lacks, and which it can do without; no network.
+
+The load that it answers: demand that comes by turns, each queue asking several times its mean for
+some seconds, more than its pool holds, and next to nothing in between. Machines that wait for the
+next turn are paid for; a machine is there about two seconds after it was asked for.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from ._board import ServiceBoard
+from ._machine_book import PoolNeed
+from ._model import Worker
+
+__all__ = ["PoolSizer", "SizingLimits"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SizingLimits:
+    """Limits of sizing; each weighed on the bench of the users' days.
+
+    Args:
+        backlog_s: Waiting work that the pool would finish within this needs no more machines: one
+            takes longer to come.
+        busy_part: Part of the processor in use that comes free within ``backlog_s``.
+        idle_s: A worker on which nothing has run for this long may go.
+        patience_s: Tasks that end get this long on a worker that is to be emptied.
+        lasting_after_s: Lasting tasks wait this long before they are placed on a worker that was
+            offered and taken back: an order to take it away may still come.
+        largest_lack: The most machines asked for at once.
+    """
+
+    backlog_s: float = 0.8
+    idle_s: float = 1.0
+    busy_part: float = 0.5
+    patience_s: float = 1.5
+    lasting_after_s: float = 3.0
+    largest_lack: int = 64
+
+
+DEFAULT_MACHINE_MILLICORES = 32_000
+"""Taken for a machine's size while a pool has none."""
+
+
+class PoolSizer:
+    """Sizes the pool of one service.
+
+    Args:
+        board: The service's board.
+        limits: Limits.
+    """
+
+    __slots__ = ("_board", "_cordoned", "_idle_since", "_limits", "_offered")
+
+    def __init__(self, *, board: ServiceBoard, limits: SizingLimits) -> None:
+        self._board = board
+        self._limits = limits
+        self._idle_since: dict[str, float] = {}
+        self._cordoned: dict[str, float] = {}
+        """Workers that are being emptied, since when."""
+        self._offered: set[str] = set()
+
+    def assess(self, due: frozenset[str], *, now_s: float) -> PoolNeed:
+        """Return what to tell the keeper, having cordoned what is offered.
+
+        Args:
+            due: Workers that the keeper wants emptied.
+            now_s: The scheduler's clock.
+        """
+        self._watch_idle(now_s)
+        lacking = self._lacking()
+        self._cordon_due(due, now_s)
+        is_waiting = any(True for _ in self._board.open_steps())
+        offered = set() if is_waiting else self._surplus(now_s)
+        for worker in self._board.workers.values():
+            self._offer(worker, worker.worker_id in offered, now_s)
+        self._offered = offered
+        free = sorted(offered | set(self._emptied(now_s)))
+        return PoolNeed(lacking=lacking, free=tuple(free), token=self._board.token)
+
+    def emptying(self) -> Iterator[Worker]:
+        """Yield the workers that are due and still run something."""
+        for worker_id in self._cordoned:
+            worker = self._board.workers.get(worker_id)
+            if worker is not None:
+                yield worker
+
+    def _watch_idle(self, now_s: float) -> None:
+        for worker_id, worker in self._board.workers.items():
+            if worker.runs:
+                self._idle_since.pop(worker_id, None)
+            else:
+                self._idle_since.setdefault(worker_id, now_s)
+        for worker_id in [one for one in self._idle_since if one not in self._board.workers]:
+            del self._idle_since[worker_id]
+
+    def _usable(self) -> list[Worker]:
+        return [
+            worker
+            for worker in self._board.workers.values()
+            if worker.is_listed and not worker.view.is_draining
+        ]
+
+    def _lacking(self) -> int:
+        """Return the machines that would finish the waiting work in time, beyond the pool's."""
+        waiting_millicore_s = 0.0
+        for entry in self._board.open_steps():
+            step = entry.step
+            if not step.is_filler:
+                length_s = max(step.estimated_s, 0.1)
+                if step.is_lasting:
+                    length_s = self._limits.backlog_s
+                waiting_millicore_s += len(entry.waiting) * step.cpu_millicores * length_s
+        usable = self._usable()
+        size = max((worker.view.cpu_millicores for worker in usable), default=0)
+        size = size or DEFAULT_MACHINE_MILLICORES
+        have = sum(
+            worker.view.cpu_millicores - worker.cpu_used * (1 - self._limits.busy_part)
+            for worker in usable
+            if worker.worker_id not in self._cordoned
+        )
+        wanted = waiting_millicore_s / self._limits.backlog_s
+        if waiting_millicore_s and not have:
+            wanted = max(wanted, 1.0)
+        lack = -(-(wanted - have) // size)
+        return int(max(0, min(lack, self._limits.largest_lack)))
+
+    def _surplus(self, now_s: float) -> set[str]:
+        usable = [one for one in self._usable() if one.worker_id not in self._cordoned]
+        idle = [
+            worker
+            for worker in usable
+            if not worker.runs
+            and now_s - self._idle_since.get(worker.worker_id, now_s) >= self._limits.idle_s
+        ]
+        return {worker.worker_id for worker in idle}
+
+    def withdraw(self, now_s: float) -> bool:
+        """Take all offers back, since tasks wait; return whether there were any.
+
+        The keeper may have been about to take such a worker: tasks that end may be lost with it and
+        run again, lasting tasks are not placed on it for a while.
+        """
+        for worker_id in self._offered:
+            worker = self._board.workers.get(worker_id)
+            if worker is not None:
+                self._offer(worker, False, now_s)
+        had_offers = bool(self._offered)
+        self._offered = set()
+        return had_offers
+
+    def _offer(self, worker: Worker, is_offered: bool, now_s: float) -> None:
+        if worker.worker_id in self._cordoned:
+            return
+        if worker.is_cordoned and not is_offered:
+            worker.lasting_from_s = now_s + self._limits.lasting_after_s
+        worker.is_cordoned = is_offered
+
+    def _cordon_due(self, due: frozenset[str], now_s: float) -> None:
+        for worker_id in list(self._cordoned):
+            if worker_id not in due or worker_id not in self._board.workers:
+                del self._cordoned[worker_id]
+        for worker_id in due:
+            worker = self._board.workers.get(worker_id)
+            if worker is not None and worker_id not in self._cordoned:
+                self._cordoned[worker_id] = now_s
+                worker.is_cordoned = True
+
+    def _emptied(self, now_s: float) -> Iterator[str]:
+        for worker_id, since_s in self._cordoned.items():
+            worker = self._board.workers[worker_id]
+            if any(run.step.is_lasting for run in worker.runs.values()):
+                continue
+            if not worker.runs or now_s - since_s >= self._limits.patience_s:
+                yield worker_id
--- a/src/shallotworks/scheduling/_term.py
+++ b/src/shallotworks/scheduling/_term.py
@@ -28,10 +28,11 @@
 from ._board import ServiceBoard, Stored
 from ._decisions import Decider
 from ._entries import JobEntry
+from ._machine_book import MachineBook, PoolNeed, need_key
 from ._model import AdviceRequest, WorkerView
 from ._orders import OrderDesk, OrderTimes
-from ._protocols import AdviceService, Machines, UpkeepBook, WorkerDirectory, WorkerOrders
-from ._upkeep import UpkeepRunner
+from ._protocols import AdviceService, WorkerDirectory, WorkerOrders
+from ._sizing import PoolSizer, SizingLimits
 
 __all__ = ["ServiceTerm", "TermParts"]
 
@@ -39,6 +40,7 @@
 """Decisions are also taken this often with no news, for what only time brings."""
 JOBS_PAUSE_S = 0.01
 """Left between changes of jobs; half of the first starts come within 20 ms of the handing in."""
+SIZE_EVERY_S = 0.1
 DIRECTORY_EVERY_S = 0.1
 PUBLISH_EVERY_S = 1.0
 """Counts of waiting jobs may be 2 s old."""
@@ -61,8 +63,7 @@
         orders: Gives orders to workers.
         directory: Lists workers.
         advice: Says which workers may run a step.
-        machines: The machines.
-        book: The waves that operators ask for.
+        book: What the keeper of machines wants emptied.
         clock: Seconds, counting suspended time.
         wall_clock: Time of day in seconds since 1970.
         times: Times of orders.
@@ -74,8 +75,7 @@
     orders: WorkerOrders
     directory: WorkerDirectory
     advice: AdviceService
-    machines: Machines
-    book: UpkeepBook
+    book: MachineBook
     clock: Callable[[], float]
     wall_clock: Callable[[], float]
     times: OrderTimes
@@ -102,7 +102,7 @@
         "_pending_jobs",
         "_published",
         "_recorded",
-        "_recorded_revision",
+        "_sizer",
         "_tasks",
         "_wake_store",
         "board",
@@ -118,6 +118,7 @@
         self._keys = JobKeys(service=service)
         self.board = ServiceBoard(service=service, token=holder.token, log=parts.log)
         self.decider = Decider(board=self.board)
+        self._sizer = PoolSizer(board=self.board, limits=SizingLimits())
         self._wake_store = asyncio.Event()
         self._desk = OrderDesk(
             board=self.board,
@@ -139,7 +140,6 @@
         )
         self._pending_jobs: dict[str, Item] = {}
         self._recorded: dict[str, str] = {}
-        self._recorded_revision = 0
         self._has_mark = False
         self._published: dict[str, int] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -155,7 +155,7 @@
             self._store_progress(),
             self._publish(),
             self._clean(),
-            self._keep_machines(),
+            self._size_pool(),
         )
         tasks = [asyncio.create_task(loop) for loop in loops]
         lost = asyncio.create_task(self._holder.lost.wait())
@@ -242,15 +242,21 @@
             await self._desk.wait(DECIDE_EVERY_S)
 
     def _decide(self) -> None:
+        self._decide_once()
+        is_waiting = any(True for _ in self.board.open_steps())
+        if is_waiting and self._sizer.withdraw(self._parts.clock()):
+            self._decide_once()
+        self._desk.notice_workers()
+        if any(entry.is_dirty for entry in self.board.entries.values()):
+            self._wake_store.set()
+
+    def _decide_once(self) -> None:
         now_s, wall_s = self._parts.clock(), self._parts.wall_clock()
         for decision in self.decider.decide(now_s=now_s, wall_s=wall_s):
             if isinstance(decision, AdviceRequest):
                 self._spawn(self._ask(decision))
             else:
                 self._desk.carry_out(decision)
-        self._desk.notice_workers()
-        if any(entry.is_dirty for entry in self.board.entries.values()):
-            self._wake_store.set()
 
     async def _prepare(self) -> None:
         """Learn what earlier terms left: jobs, and workers that may still run their tasks."""
@@ -268,6 +274,9 @@
             self.board.worker_learnt(view)
             self.board.worker_unlisted(worker_id)
             self.board.workers[worker_id].lease_ends_s = now_s + bound_s
+        # Offers of an earlier term must not be taken for this one's.
+        while not await self._tell_need(PoolNeed(token=self._holder.token)):
+            await asyncio.sleep(STORE_RETRY_S)
         self._log("term-prepared", jobs=len(self.board.entries), workers_recorded=len(record))
         self.is_prepared.set()
 
@@ -418,21 +427,31 @@
                     self._published = counts
             await asyncio.sleep(PUBLISH_EVERY_S)
 
-    async def _keep_machines(self) -> None:
+    async def _size_pool(self) -> None:
+        """Tell the keeper of machines what this service lacks and what it can do without."""
         await self.is_prepared.wait()
-        parts = self._parts
-        await UpkeepRunner(
-            board=self.board,
-            decider=self.decider,
-            holder=self._holder,
-            machines=parts.machines,
-            book=parts.book,
-            store=parts.store,
-            clock=parts.clock,
-            wall_clock=parts.wall_clock,
-            wake=self._desk.wake,
-            log=parts.log,
-        ).run()
+        told: PoolNeed | None = None
+        while True:
+            book = self._parts.book
+            need = self._sizer.assess(book.due, now_s=self._parts.clock())
+            for worker in self._sizer.emptying():
+                self.decider.evacuate(worker)
+            if need != told and await self._tell_need(need):
+                told = need
+            self._desk.wake()
+            await asyncio.sleep(SIZE_EVERY_S)
+
+    async def _tell_need(self, need: PoolNeed) -> bool:
+        outcome = await self._parts.store.commit(
+            Commit(
+                conditions=(self._holder.condition,),
+                writes=(Write(key=need_key(self.service), value=need.encode()),),
+            )
+        )
+        if not isinstance(outcome, Success) or isinstance(outcome.unwrap(), Conflicted):
+            return False
+        self._log("need-told", lacking=need.lacking, free=len(need.free))
+        return True
 
     async def _clean(self) -> None:
         """Delete the records of jobs that ended long ago."""
--- a/tests/fleet_history.py
+++ b/tests/fleet_history.py
@@ -12,13 +12,11 @@
 from shallotworks.metrics import Metrics
 from shallotworks.scheduling import (
     Bidder,
-    DutyEnding,
-    Machine,
+    MachineBook,
     OrderTimes,
     Permits,
     ServiceTerm,
     TermParts,
-    Upkeep,
 )
 from shallotworks.standins import OrderFaults, OrdersView, RecordStore, StoreView, TaskWorkers
 from shallotworks.store import Holder, HolderTimes
@@ -27,23 +25,8 @@
 SERVICE = "antenna"
 
 
-class NoMachines:
-    """A platform without machines, waves or advice."""
-
-    async def list(self) -> Result[tuple[Machine, ...], Failure]:
-        return Success(())
-
-    async def upkeep(self, machine: str, *, wave: int, token: int) -> DutyEnding:
-        return DutyEnding.REFUSED
-
-    def waves(self) -> tuple[Upkeep, ...]:
-        return ()
-
-    def status_key(self, wave: int) -> str:
-        return f"status/{wave}"
-
-    def encode_status(self, is_completed: bool) -> bytes:
-        return b""
+class AllAllowed:
+    """An advice service that allows all workers."""
 
     async def ask(
         self, step: tuple[str, int, int], worker_ids: tuple[str, ...]
@@ -66,6 +49,8 @@
         )
         self.bidder = Bidder(
             store=self.view,
+            root="shallotworks/scheduler/",
+            mark=lambda service: JobKeys(service=service).holder_mark,
             instance=name,
             run_term=self._run_term,
             clock=self.now_s,
@@ -91,14 +76,12 @@
         await asyncio.gather(*self._tasks, *self.bidder._bids.values(), return_exceptions=True)
 
     async def _run_term(self, service: str, holder: Holder) -> None:
-        platform = NoMachines()
         parts = TermParts(
             store=self.view,
             orders=self.orders,
             directory=self._fleet,
-            advice=platform,
-            machines=platform,
-            book=platform,
+            advice=AllAllowed(),
+            book=MachineBook(log=quiet_log()),
             clock=self.now_s,
             wall_clock=self.now_s,
             times=OrderTimes(),
