--- a/src/shallotworks/platform/_workers.py
+++ b/src/shallotworks/platform/_workers.py
@@ -133,8 +133,8 @@
             headers={INCARNATION_HEADER: worker.worker_id},
         )
         if isinstance(answer, HttpLost):
-            # Also where nothing was sent: to the scheduler both are silence.
-            return OrderOutcome(ending=OrderEnding.UNANSWERED, detail=answer.detail)
+            ending = OrderEnding.UNSENT if answer.is_unsent else OrderEnding.UNANSWERED
+            return OrderOutcome(ending=ending, detail=answer.detail)
         return _outcome(answer, is_look)
 
 
--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -266,9 +266,9 @@
 
 
 def _is_plain(step: StepEntry) -> bool:
-    """Whether only its size can keep a step's tasks waiting."""
+    """Whether only its size can keep a step's tasks waiting; lasting ones keep off some workers."""
     wants = step.step
-    return not (wants.label or wants.most_per_worker or wants.is_filler or step.permits)
+    return not (wants.is_lasting or wants.label or wants.most_per_worker or wants.is_filler or step.permits)
 
 
 def _needs_as_much_as(step: StepEntry, too_big: list[tuple[int, int, int]]) -> bool:
--- a/src/shallotworks/scheduling/_keeper.py
+++ b/src/shallotworks/scheduling/_keeper.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -15,7 +16,7 @@
 from shallotworks.logs import LogLines
 from shallotworks.store import Commit, Committed, Condition, Conflicted, Holder, Store, Write
 
-from ._machine_book import MachineBook, PoolNeed, due_key, need_key
+from ._machine_book import KeeperWord, MachineBook, PoolNeed, keeper_key, need_key
 from ._protocols import DutyEnding, Machine, Machines, MachineState, Upkeep, UpkeepBook
 from ._wave import WaveRecord, wave_key
 
@@ -36,6 +37,8 @@
 MOVE_S = 3.0
 """A move counts as on its way for this long: 1.5 s, and the time until the worker is in use."""
 MOVES_A_ROUND = 16
+MOST_OVER = 100
+"""Workers that were taken away are told of until as many later ones were."""
 HOME_KEY = "shallotworks/home-sizes"
 AHEAD = 2
 """Machines that are emptied ahead of a wave's free slots, for each slot."""
@@ -81,13 +84,14 @@
         "_absent",
         "_begun_s",
         "_completed",
-        "_due",
         "_holder",
         "_home",
         "_misfits",
         "_moving",
         "_obeyed",
+        "_over",
         "_parts",
+        "_told",
     )
 
     def __init__(self, *, holder: Holder, parts: KeeperParts) -> None:
@@ -102,7 +106,8 @@
         """Machines on their way to a service, with the time of the order."""
         self._misfits: set[tuple[str, str]] = set()
         """Machines and pools that don't go together."""
-        self._due: frozenset[str] | None = None
+        self._told = KeeperWord()
+        self._over: deque[str] = deque(maxlen=MOST_OVER)
         self._home: dict[str, int] | None = None
 
     async def run(self) -> None:
@@ -136,7 +141,7 @@
             if record is not None:
                 in_waves.update(set(wave.machines) - set(record.done))
                 due.update(self._next_due(wave, record, machines))
-        await self._tell_due(frozenset(due))
+        await self._tell(frozenset(due))
         if self._parts.clock() - self._begun_s >= TURNS_APART_S:
             await self._move_some(machines, in_waves)
 
@@ -217,7 +222,7 @@
         """Return the workers to be emptied now: those that are free already go first."""
         left = [one for one in self._left(wave, record, machines) if one.worker_id]
         free = {worker for need in self._parts.book.needs.values() for worker in need.free}
-        earlier = self._due or frozenset()
+        earlier = self._told.due
         left.sort(key=lambda one: (one.worker_id not in earlier, one.worker_id not in free))
         return {one.worker_id for one in left[: wave.most_at_once * AHEAD]}
 
@@ -276,6 +281,7 @@
         self._note_order("upkeep", machine, ending, wave=wave.wave)
         if ending is DutyEnding.OBEYED:
             self._obeyed[machine.name] = self._parts.clock()
+            await self._note_over(machine)
 
     def _note_order(
         self, order: str, machine: Machine, ending: DutyEnding, **inputs: object
@@ -428,23 +434,36 @@
         self._note_order("move", machine, ending, to=service)
         if ending in (DutyEnding.OBEYED, DutyEnding.UNANSWERED):
             self._moving[machine.name] = (service, self._parts.clock())
-        elif ending is DutyEnding.MISFIT:
+        if ending is DutyEnding.OBEYED:
+            await self._note_over(machine)
+        if ending is DutyEnding.MISFIT:
             self._misfits.add((machine.name, service))
         return 1
 
     # ---- records
 
-    async def _tell_due(self, due: frozenset[str]) -> None:
-        if due == self._due:
+    async def _tell(self, due: frozenset[str]) -> None:
+        word = KeeperWord(due=due, over=tuple(self._over))
+        if word == self._told:
             return
         outcome = await self._parts.store.commit(
             Commit(
                 conditions=(self._holder.condition,),
-                writes=(Write(key=due_key(), value=json.dumps(sorted(due)).encode()),),
+                writes=(Write(key=keeper_key(), value=word.encode()),),
             )
         )
         if isinstance(outcome, Success) and isinstance(outcome.unwrap(), Committed):
-            self._due = due
+            self._told = word
+
+    async def _note_over(self, machine: Machine) -> None:
+        """Tell at once that a worker was taken away.
+
+        The failure: tasks that ran there wait until the worker's lease has surely run out, five
+        seconds, since a silent worker may be alive.
+        """
+        if machine.worker_id:
+            self._over.append(machine.worker_id)
+            await self._tell(self._told.due - {machine.worker_id})
 
     async def _load(self, wave: Upkeep) -> tuple[WaveRecord, int] | None:
         outcome = await self._parts.store.get(wave_key(wave.wave))
--- a/src/shallotworks/scheduling/_machine_book.py
+++ b/src/shallotworks/scheduling/_machine_book.py
@@ -1,7 +1,8 @@
 """What schedulers and the keeper of machines tell each other, through the store.
 
 Each scheduler writes how many machines it lacks and which of its workers may be taken away now; the
-keeper writes which workers it wants emptied. Nobody else writes these records.
+keeper writes which workers it wants emptied, and which it has taken away. Nobody else writes these
+records.
 """
 
 from __future__ import annotations
@@ -12,7 +13,7 @@
 from shallotworks.logs import LogLines
 from shallotworks.store import Item
 
-__all__ = ["MACHINES_PREFIX", "MachineBook", "PoolNeed", "due_key", "need_key"]
+__all__ = ["MACHINES_PREFIX", "KeeperWord", "MachineBook", "PoolNeed", "keeper_key", "need_key"]
 
 MACHINES_PREFIX = "shallotworks/machines/"
 NEED_PREFIX = MACHINES_PREFIX + "need/"
@@ -23,9 +24,9 @@
     return NEED_PREFIX + service
 
 
-def due_key() -> str:
+def keeper_key() -> str:
     """Return the key of what the keeper writes."""
-    return MACHINES_PREFIX + "due"
+    return MACHINES_PREFIX + "keeper"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -56,6 +57,30 @@
         )
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KeeperWord:
+    """What the keeper says of workers.
+
+    Args:
+        due: Workers that are to be emptied.
+        over: Workers that were taken away of late, with all that ran on them: the platform has
+            obeyed the order.
+    """
+
+    due: frozenset[str] = frozenset()
+    over: tuple[str, ...] = ()
+
+    def encode(self) -> bytes:
+        """Return the record."""
+        return json.dumps({"due": sorted(self.due), "over": list(self.over)}).encode()
+
+    @classmethod
+    def decode(cls, value: bytes) -> KeeperWord:
+        """Return what a record says; raises `ValueError` or `KeyError`."""
+        record = json.loads(value)
+        return cls(due=frozenset(record["due"]), over=tuple(record["over"]))
+
+
 class MachineBook:
     """Both kinds of records as they were last read; implements `MirrorListener`.
 
@@ -63,19 +88,18 @@
         log: Records that can't be read.
     """
 
-    __slots__ = ("_log", "due", "needs")
+    __slots__ = ("_log", "keeper", "needs")
 
     def __init__(self, *, log: LogLines) -> None:
         self._log = log
         self.needs: dict[str, PoolNeed] = {}
-        self.due: frozenset[str] = frozenset()
-        """Workers that are to be emptied."""
+        self.keeper = KeeperWord()
 
     def written(self, item: Item) -> None:
         """Hear that a record was written."""
         try:
-            if item.key == due_key():
-                self.due = frozenset(json.loads(item.value))
+            if item.key == keeper_key():
+                self.keeper = KeeperWord.decode(item.value)
             elif item.key.startswith(NEED_PREFIX):
                 self.needs[item.key.removeprefix(NEED_PREFIX)] = PoolNeed.decode(item.value)
         except (ValueError, KeyError, TypeError) as error:
@@ -83,7 +107,7 @@
 
     def deleted(self, key: str) -> None:
         """Hear that a record is gone."""
-        if key == due_key():
-            self.due = frozenset()
+        if key == keeper_key():
+            self.keeper = KeeperWord()
         else:
             self.needs.pop(key.removeprefix(NEED_PREFIX), None)
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -141,6 +141,8 @@
     UNHEALTHY = "unhealthy"
     """The worker did nothing."""
     INVALID = "invalid"
+    UNSENT = "unsent"
+    """No connection came about, so the worker knows nothing of it."""
     UNANSWERED = "unanswered"
     """It may have been carried out, or may be until its time has passed."""
 
--- a/src/shallotworks/scheduling/_term.py
+++ b/src/shallotworks/scheduling/_term.py
@@ -43,7 +43,7 @@
 GATHER_S = 0.02
 """Left between commits of progress, so that ends which come close together share one."""
 SIZE_EVERY_S = 0.1
-DIRECTORY_EVERY_S = 0.1
+DIRECTORY_EVERY_S = 0.05
 PUBLISH_EVERY_S = 1.0
 """Counts of waiting jobs may be 2 s old."""
 STORE_RETRY_S = 0.1
@@ -298,7 +298,7 @@
 
     async def _follow_directory(self) -> None:
         while True:
-            listed = self._parts.directory.workers_of(self.service)
+            listed = self._listed()
             if await self._record(listed):
                 for view in listed.values():
                     self.board.worker_learnt(view)
@@ -311,6 +311,15 @@
             self._desk.wake()
             await asyncio.sleep(DIRECTORY_EVERY_S)
 
+    def _listed(self) -> dict[str, WorkerView]:
+        """Return the listed workers but for those that were taken away, whose entries stay on."""
+        listed = self._parts.directory.workers_of(self.service)
+        for worker_id in self._parts.book.keeper.over:
+            listed.pop(worker_id, None)
+            if worker_id in self.board.workers:
+                self.board.worker_over(worker_id, "taken away", self._parts.clock())
+        return listed
+
     async def _record(self, listed: dict[str, WorkerView]) -> bool:
         """Record which workers this term may use, before the first order to them.
 
@@ -436,7 +445,7 @@
         while True:
             book = self._parts.book
             need = self._sizer.assess(
-                book.due, now_s=self._parts.clock(), wall_s=self._parts.wall_clock()
+                book.keeper.due, now_s=self._parts.clock(), wall_s=self._parts.wall_clock()
             )
             for worker in self._sizer.emptying():
                 self.decider.evacuate(worker)
--- /dev/null
+++ b/tests/test_job_desk.py
@@ -0,0 +1,174 @@
+"""Tests of `shallotworks.jobs.JobDesk`: what callers are told, through the store's faults."""
+
+import asyncio
+import random
+import unittest
+
+from parameterized import parameterized
+
+from shallotworks.jobs import DeskEnding, JobDesk, JobKeys, JobProgress, JobState, encode_progress
+from shallotworks.metrics import Metrics
+from shallotworks.standins import RecordFaults, RecordStore, StoreView
+from tests.on_loop import run_story
+from tests.scheduling_fakes import job, policy, quiet_log, step
+
+JOB = job("00000000000000aa", step(1))
+KEYS = JobKeys(service="antenna")
+PATIENCE_S = 1.5
+
+
+class World:
+    """A store and a desk on it."""
+
+    def __init__(self, **faults: object) -> None:
+        self.store = RecordStore(rng=random.Random(1))
+        self.view = StoreView(store=self.store, faults=RecordFaults(**faults))  # type: ignore[arg-type]
+        self.desk = JobDesk(
+            store=self.view, metrics=Metrics(), log=quiet_log(), wall_clock=lambda: 1.0
+        )
+
+    async def submit(self) -> DeskEnding:
+        """Hand the job in."""
+        ends_s = asyncio.get_running_loop().time() + PATIENCE_S
+        return (await self.desk.submit(JOB, deadline_s=ends_s)).ending
+
+    async def cancel(self) -> DeskEnding:
+        """Cancel it."""
+        ends_s = asyncio.get_running_loop().time() + PATIENCE_S
+        return (await self.desk.cancel(policy(), JOB.job_id, deadline_s=ends_s)).ending
+
+    async def state(self) -> JobState | DeskEnding:
+        """Ask for its state."""
+        ends_s = asyncio.get_running_loop().time() + PATIENCE_S
+        answer = await self.desk.state(policy(), JOB.job_id, deadline_s=ends_s)
+        return answer.state or answer.ending
+
+
+class SubmitTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("well", {}, DeskEnding.ACCEPTED, True),
+            ("down", {"is_down": True}, DeskEnding.REFUSED, False),
+            ("each answer lost", {"lost_part": 1.0}, DeskEnding.UNKNOWN, True),
+            ("each done late", {"late_part": 1.0, "late_s": 5.0}, DeskEnding.UNKNOWN, True),
+        ]
+    )
+    def test_what_callers_are_told(
+        self, _name: str, faults: dict[str, object], expected: DeskEnding, is_stored: bool
+    ) -> None:
+        """A refused job is never stored, an accepted one is; in between the outcome is unknown."""
+
+        async def story() -> None:
+            world = World(**faults)
+            self.assertIs(expected, await world.submit())
+            await asyncio.sleep(10)
+            self.assertEqual(is_stored, KEYS.job(JOB.job_id) in world.store.items)
+
+        run_story(story())
+
+    def test_no_refusal_after_a_try_with_unknown_outcome(self) -> None:
+        """A caller is told that its job was refused, and it runs.
+
+        The first commit gets no answer and is carried out seconds later; then the store is down
+        and surely refuses the second. Told "refused", the caller would hand the job in elsewhere,
+        or give it up, and it would run all the same.
+        """
+
+        async def story() -> None:
+            world = World(late_part=1.0, late_s=4.0)
+            asyncio.get_running_loop().call_later(
+                0.5, lambda: setattr(world.view.faults, "is_down", True)
+            )
+            self.assertIs(DeskEnding.UNKNOWN, await world.submit())
+            await asyncio.sleep(10)
+            self.assertIn(KEYS.job(JOB.job_id), world.store.items)
+
+        run_story(story())
+
+    def test_a_lost_answer_is_found_out(self) -> None:
+        """The second try meets the first one's records, and the job is accepted."""
+
+        async def story() -> None:
+            world = World(lost_part=1.0)
+            asyncio.get_running_loop().call_later(
+                0.5, lambda: setattr(world.view.faults, "lost_part", 0.0)
+            )
+            self.assertIs(DeskEnding.ACCEPTED, await world.submit())
+
+        run_story(story())
+
+    def test_the_same_job_again_is_one_job(self) -> None:
+        """Also after it was completed."""
+
+        async def story() -> None:
+            world = World()
+            await world.submit()
+            key = KEYS.progress(JOB.job_id)
+            done = JobProgress(queue="sweeps", state=JobState.COMPLETED)
+            world.store.put(key, encode_progress(done))
+            self.assertIs(DeskEnding.ACCEPTED, await world.submit())
+            self.assertIs(JobState.COMPLETED, await world.state())
+
+        run_story(story())
+
+
+class StateTests(unittest.TestCase):
+    def test_no_such_job_only_when_the_store_says_so(self) -> None:
+        """An accepted job is never denied: not while the store is down either."""
+
+        async def story() -> None:
+            world = World()
+            self.assertIs(DeskEnding.NO_SUCH_JOB, await world.state())
+            await world.submit()
+            self.assertIs(JobState.QUEUED, await world.state())
+            world.view.faults.is_down = True
+            self.assertIs(DeskEnding.REFUSED, await world.state())
+
+        run_story(story())
+
+
+class CancelTests(unittest.TestCase):
+    def test_acknowledged_once_stored(self) -> None:
+        """And the job stays cancelled."""
+
+        async def story() -> None:
+            world = World()
+            self.assertIs(DeskEnding.NO_SUCH_JOB, await world.cancel())
+            await world.submit()
+            self.assertIs(DeskEnding.ACCEPTED, await world.cancel())
+            self.assertIs(JobState.CANCELLED, await world.state())
+
+        run_story(story())
+
+    def test_a_completed_job_stays_completed(self) -> None:
+        """A cancel that comes late is acknowledged and changes nothing."""
+
+        async def story() -> None:
+            world = World()
+            await world.submit()
+            done = JobProgress(queue="sweeps", state=JobState.COMPLETED)
+            world.store.put(KEYS.progress(JOB.job_id), encode_progress(done))
+            self.assertIs(DeskEnding.ACCEPTED, await world.cancel())
+            self.assertIs(JobState.COMPLETED, await world.state())
+
+        run_story(story())
+
+    def test_progress_that_is_written_meanwhile_is_kept(self) -> None:
+        """A scheduler's write between the cancel's reading and writing is not lost."""
+
+        async def story() -> None:
+            world = World()
+            await world.submit()
+            key = KEYS.progress(JOB.job_id)
+            running = JobProgress(queue="sweeps", state=JobState.RUNNING, done={(0, 0): 1})
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.006, world.store.put, key, encode_progress(running))
+            self.assertIs(DeskEnding.ACCEPTED, await world.cancel())
+            self.assertIn(b'"done"', world.store.items[key].value)
+            self.assertIs(JobState.CANCELLED, await world.state())
+
+        run_story(story())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_machine_keeper.py
@@ -0,0 +1,311 @@
+"""Tests of `shallotworks.scheduling.MachineKeeper`: waves of upkeep and moves between pools."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import unittest
+
+from returns.result import Result, Success
+
+from shallotworks.errors import Failure
+from shallotworks.scheduling import (
+    MACHINES_PREFIX,
+    DutyEnding,
+    KeeperParts,
+    Machine,
+    MachineBook,
+    MachineKeeper,
+    MachineState,
+    PoolNeed,
+    Upkeep,
+    need_key,
+)
+from shallotworks.standins import RecordStore, StoreView
+from shallotworks.store import Holder, HolderTimes, Mirror
+from tests.on_loop import run_story
+from tests.scheduling_fakes import quiet_log
+
+UPKEEP_S = 2.0
+MOVE_S = 1.5
+
+
+class Platform:
+    """Machines that go down for upkeep and move, and a judge of how many are down."""
+
+    def __init__(self, **pools: int) -> None:
+        self.machines: dict[str, Machine] = {}
+        self.orders: list[tuple[str, str, float]] = []
+        self.down = 0
+        self.most_down = 0
+        self.asked: tuple[Upkeep, ...] = ()
+        self.lose_answers = False
+        self._lives = 0
+        for pool, count in pools.items():
+            for _ in range(count):
+                name = f"m{len(self.machines)}"
+                worker = "" if pool == "spare" else self._next_worker()
+                self.machines[name] = Machine(
+                    name=name, pool=pool, state=MachineState.UP, worker_id=worker
+                )
+
+    def _next_worker(self) -> str:
+        self._lives += 1
+        return f"w{self._lives}"
+
+    async def list(self) -> Result[tuple[Machine, ...], Failure]:
+        return Success(tuple(self.machines.values()))
+
+    async def upkeep(self, machine: str, *, wave: int, token: int) -> DutyEnding:
+        now_s = asyncio.get_running_loop().time()
+        known = ("upkeep", machine) in {order[:2] for order in self.orders}
+        self.orders.append(("upkeep", machine, now_s))
+        if not known:
+            self.down += 1
+            self.most_down = max(self.most_down, self.down)
+            self._away(machine, self.machines[machine].pool, MachineState.UPKEEP, UPKEEP_S)
+        return DutyEnding.UNANSWERED if self.lose_answers else DutyEnding.OBEYED
+
+    async def move(self, machine: str, *, pool: str, token: int) -> DutyEnding:
+        now_s = asyncio.get_running_loop().time()
+        self.orders.append((f"move {pool}", machine, now_s))
+        self._away(machine, pool, MachineState.MOVING, MOVE_S)
+        return DutyEnding.OBEYED
+
+    def _away(self, name: str, pool: str, state: MachineState, for_s: float) -> None:
+        self.machines[name] = Machine(name=name, pool=pool, state=state)
+        asyncio.get_running_loop().call_later(for_s, self._back, name, state)
+
+    def _back(self, name: str, state: MachineState) -> None:
+        pool = self.machines[name].pool
+        worker = "" if pool == "spare" else self._next_worker()
+        self.machines[name] = Machine(name=name, pool=pool, state=MachineState.UP, worker_id=worker)
+        if state is MachineState.UPKEEP:
+            self.down -= 1
+
+    def waves(self) -> tuple[Upkeep, ...]:
+        return self.asked
+
+    def status_key(self, wave: int) -> str:
+        return f"status/{wave}"
+
+    def encode_status(self, is_completed: bool) -> bytes:
+        return b"completed" if is_completed else b"running"
+
+
+class World:
+    """A keeper with its platform and store."""
+
+    def __init__(self, **pools: int) -> None:
+        self.platform = Platform(**pools)
+        self.store = RecordStore(rng=random.Random(1))
+        self.book = MachineBook(log=quiet_log())
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> Holder:
+        """Start a keeper."""
+        view = StoreView(store=self.store)
+        clock = asyncio.get_running_loop().time
+        holder = await Holder.acquire(
+            store=view,
+            key="keeper",
+            mark="mark",
+            value=b"n",
+            clock=clock,
+            times=HolderTimes(),
+            log=quiet_log(),
+        )
+        assert holder is not None
+        mirror = Mirror(store=view, prefix=MACHINES_PREFIX, listener=self.book, log=quiet_log())
+        parts = KeeperParts(
+            machines=self.platform,
+            upkeep=self.platform,
+            book=self.book,
+            standby=lambda: frozenset({"spare"}),
+            store=view,
+            clock=clock,
+            wall_clock=clock,
+            log=quiet_log(),
+        )
+        keeper = MachineKeeper(holder=holder, parts=parts)
+        self.tasks = [asyncio.create_task(mirror.run()), asyncio.create_task(keeper.run())]
+        return holder
+
+    def tell(self, service: str, *, lacking: int = 0, free: bool = False) -> None:
+        """Let a service's scheduler tell its need; free means all of its workers."""
+        workers = [
+            one.worker_id
+            for one in self.platform.machines.values()
+            if one.pool == service and one.worker_id
+        ]
+        need = PoolNeed(lacking=lacking, free=tuple(workers) if free else ())
+        self.store.put(need_key(service), need.encode())
+
+    def moves(self) -> list[tuple[str, str, float]]:
+        """Return the moves that were ordered."""
+        return [order for order in self.platform.orders if order[0].startswith("move")]
+
+    def size(self, pool: str) -> int:
+        """Return a pool's machines."""
+        return sum(1 for one in self.platform.machines.values() if one.pool == pool)
+
+    def stop(self) -> None:
+        """Stop the keeper."""
+        for task in self.tasks:
+            task.cancel()
+
+
+def wave(world: World, *, most: int) -> Upkeep:
+    """Return a wave of all machines."""
+    return Upkeep(wave=1, machines=tuple(world.platform.machines), duration_s=30, most_at_once=most)
+
+
+class WaveTests(unittest.TestCase):
+    def test_each_machine_once_and_never_too_many_down(self) -> None:
+        """Free workers go down, machines that are off too; then the wave is completed."""
+
+        async def story() -> None:
+            world = World(antenna=4, spare=2)
+            world.platform.asked = (wave(world, most=2),)
+            await world.start()
+            for _ in range(150):
+                world.tell("antenna", free=True)
+                await asyncio.sleep(0.2)
+            self.assertEqual(2, world.platform.most_down)
+            self.assertEqual(6, len({order[1] for order in world.platform.orders}))
+            self.assertEqual(b"completed", world.store.items["status/1"].value)
+            world.stop()
+
+        run_story(story())
+
+    def test_a_worker_with_lasting_tasks_is_waited_for(self) -> None:
+        """Nothing is taken down that its scheduler does not give; it is told what is due."""
+
+        async def story() -> None:
+            world = World(antenna=2)
+            world.platform.asked = (wave(world, most=1),)
+            await world.start()
+            world.tell("antenna")
+            await asyncio.sleep(8)
+            self.assertEqual([], world.platform.orders)
+            self.assertTrue(world.book.keeper.due)
+            self.assertEqual(b"running", world.store.items["status/1"].value)
+            world.stop()
+
+        run_story(story())
+
+    def test_a_lost_answer_is_no_second_slot(self) -> None:
+        """More machines down than the wave allows, after an order without an answer.
+
+        The order is carried out and its answer is lost. The machine's slot was taken before, and
+        stays taken until another worker is seen on it.
+        """
+
+        async def story() -> None:
+            world = World(antenna=4)
+            world.platform.lose_answers = True
+            world.platform.asked = (wave(world, most=1),)
+            await world.start()
+            for _ in range(150):
+                world.tell("antenna", free=True)
+                await asyncio.sleep(0.2)
+            self.assertEqual(1, world.platform.most_down)
+            self.assertEqual(b"completed", world.store.items["status/1"].value)
+            world.stop()
+
+        run_story(story())
+
+    def test_a_new_keeper_waits_before_its_first_order(self) -> None:
+        """Two holders that take turns on a machine within the time that is allowed apart."""
+
+        async def story() -> None:
+            world = World(antenna=2)
+            world.platform.asked = (wave(world, most=1),)
+            world.tell("antenna", free=True)
+            begun_s = asyncio.get_running_loop().time()
+            await world.start()
+            await asyncio.sleep(6)
+            self.assertGreater(world.platform.orders[0][2] - begun_s, 3.0)
+            world.stop()
+
+        run_story(story())
+
+    def test_a_word_taken_back_is_heard_before_the_order(self) -> None:
+        """Lasting tasks ended by upkeep on a worker that its scheduler had taken back.
+
+        The keeper's copy of the scheduler's word is old; it reads the word once more.
+        """
+
+        async def story() -> None:
+            world = World(antenna=1)
+            world.platform.asked = (wave(world, most=1),)
+            await world.start()
+            world.tell("antenna", free=True)
+            await asyncio.sleep(1)
+            world.tasks[0].cancel()
+            await asyncio.sleep(0.1)
+            world.tell("antenna")
+            await asyncio.sleep(6)
+            self.assertEqual([], world.platform.orders)
+            world.stop()
+
+        run_story(story())
+
+
+class MoveTests(unittest.TestCase):
+    def test_a_turn_borrows_and_gives_back(self) -> None:
+        """Machines go where callers wait, from the standby pool first, and home afterwards."""
+
+        async def story() -> None:
+            world = World(antenna=2, coverage=3, spare=2)
+            await world.start()
+            world.tell("antenna", lacking=4)
+            world.tell("coverage", free=True)
+            await asyncio.sleep(4.5)
+            self.assertEqual(6, world.size("antenna"))
+            self.assertEqual(0, world.size("spare"))
+            self.assertEqual(1, world.size("coverage"))
+            await asyncio.sleep(2)
+            world.tell("coverage")
+            world.tell("antenna", free=True)
+            await asyncio.sleep(5)
+            sizes = {pool: world.size(pool) for pool in ("antenna", "coverage", "spare")}
+            self.assertEqual({"antenna": 2, "coverage": 3, "spare": 2}, sizes)
+            world.stop()
+
+        run_story(story())
+
+    def test_machines_on_their_way_are_counted(self) -> None:
+        """A need that is told again and again is met once."""
+
+        async def story() -> None:
+            world = World(antenna=1, spare=5)
+            await world.start()
+            for _ in range(22):
+                world.tell("antenna", lacking=2)
+                await asyncio.sleep(0.2)
+            self.assertEqual(2, len(world.moves()))
+            world.stop()
+
+        run_story(story())
+
+    def test_taken_workers_are_told_at_once(self) -> None:
+        """Tasks that wait five seconds for the lease of a worker that was taken away."""
+
+        async def story() -> None:
+            world = World(antenna=1, coverage=1)
+            await world.start()
+            world.tell("coverage", free=True)
+            world.tell("antenna", lacking=1)
+            await asyncio.sleep(4)
+            self.assertEqual(("w2",), world.book.keeper.over)
+            record = json.loads(world.store.items[MACHINES_PREFIX + "keeper"].value)
+            self.assertEqual(["w2"], record["over"])
+            world.stop()
+
+        run_story(story())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_pool_sizing.py
@@ -0,0 +1,104 @@
+"""Tests of `shallotworks.scheduling.PoolSizer`: demand that comes by turns."""
+
+import unittest
+
+from shallotworks.scheduling import EndKind, PoolNeed, PoolSizer, RunningTask, SizingLimits
+from tests.scheduling_fakes import WALL_S, Bench, job, step, view
+
+LIMITS = SizingLimits(backlog_s=0.8, window_s=1.0, idle_s=0.3, patience_s=1.5)
+
+
+class Sized(Bench):
+    """A board with a sizer."""
+
+    def __init__(self, *names: str) -> None:
+        super().__init__(*(view(name) for name in names))
+        self.sizer = PoolSizer(board=self.board, limits=LIMITS)
+
+    def assess(self, *due: str) -> PoolNeed:
+        """Return what the keeper is told."""
+        return self.sizer.assess(frozenset(due), now_s=self.now_s, wall_s=WALL_S)
+
+
+class LackTests(unittest.TestCase):
+    def test_a_turn_that_begins_asks_for_machines(self) -> None:
+        """Callers of a queue's turn wait while other pools are idle.
+
+        Within a moment twelve core-seconds arrive at a pool of four cores: it asks for machines at
+        once, for what arrives and for what waits, not only when callers have waited for long.
+        """
+        bench = Sized("a")
+        for number in range(4):
+            bench.learn(job(f"j{number}", step(3)))
+        bench.starts()
+        self.assertEqual(5, bench.assess().lacking)
+
+    def test_nothing_is_lacking_while_nothing_waits(self) -> None:
+        """A full pool whose tasks all run needs no more."""
+        bench = Sized("a")
+        bench.learn(job("j", step(4)))
+        bench.starts()
+        self.assertEqual(0, bench.assess().lacking)
+
+    def test_an_empty_pool_asks_for_one(self) -> None:
+        """Whatever the size of its tasks."""
+        bench = Sized()
+        bench.learn(job("j", step(1, cpu_millicores=1)))
+        self.assertEqual(1, bench.assess().lacking)
+
+
+class OfferTests(unittest.TestCase):
+    def test_idle_workers_are_offered_and_taken_back(self) -> None:
+        """A worker may be lent between turns, and serves again as soon as tasks wait.
+
+        Lasting tasks are not placed on it for a while: an order to take it may be on its way.
+        """
+        bench = Sized("a")
+        self.assertEqual((), bench.assess().free)
+        bench.now_s += 0.4
+        self.assertEqual(("a",), bench.assess().free)
+        bench.learn(job("ends", step(1)))
+        bench.learn(job("lasts", step(1, is_lasting=True)))
+        self.assertEqual([], bench.starts())
+        self.assertTrue(bench.sizer.withdraw(bench.now_s))
+        self.assertEqual(["ends"], [order.run.name.job_id for order in bench.starts()])
+        bench.now_s += 3.1
+        self.assertEqual(["lasts"], [order.run.name.job_id for order in bench.starts()])
+
+    def test_busy_workers_are_kept(self) -> None:
+        """What runs is not taken away."""
+        bench = Sized("a", "b")
+        bench.learn(job("j", step(1)))
+        run = bench.starts()[0].run
+        bench.now_s += 0.4
+        bench.assess()
+        bench.now_s += 0.4
+        self.assertNotIn(run.worker_id, bench.assess().free)
+
+
+class EmptyingTests(unittest.TestCase):
+    def test_a_due_worker_is_free_when_nothing_lasting_is_left(self) -> None:
+        """Upkeep that ends a serving task, or waits for ever for tasks that end.
+
+        A due worker takes nothing new. It is told to be free once its lasting tasks have moved
+        away, and tasks that end have had their time.
+        """
+        bench = Sized("a")
+        bench.learn(job("s", step(1, is_lasting=True)))
+        bench.learn(job("j", step(1)))
+        runs = {order.run.name.job_id: order.run for order in bench.starts()}
+        self.assertEqual((), bench.assess("a").free)
+        bench.learn(job("new", step(1)))
+        self.assertEqual([], bench.starts())
+        bench.now_s += 2.0
+        self.assertEqual((), bench.assess("a").free)
+        ends = runs["j"]
+        row = RunningTask(name=ends.name, run_id=ends.run_id, percent=10)
+        gone = (runs["s"].name, runs["s"].run_id, EndKind.STOPPED)
+        bench.report("a", running=(row,), ended=(gone,))
+        self.assertEqual(("a",), bench.assess("a").free)
+        self.assertEqual((), bench.assess().free)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_scheduling_decisions.py
@@ -0,0 +1,290 @@
+"""Tests of what the scheduler decides: order, placement, gangs, retries, hangs, pacing, budgets."""
+
+import unittest
+
+from parameterized import parameterized
+
+from shallotworks.jobs import JobState, Repeats, Step, TaskName
+from shallotworks.scheduling import (
+    AdviceRequest,
+    EndKind,
+    PaceOrder,
+    RunningTask,
+    RunPhase,
+    StartOrder,
+    StopOrder,
+    WorkerView,
+)
+from tests.scheduling_fakes import WALL_S, Bench, job, policy, step, view
+
+
+def workers_of(starts: list[StartOrder]) -> list[str]:
+    """Return where tasks were started."""
+    return sorted(order.run.worker_id for order in starts)
+
+
+class PlacementTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("room", step(9), (view("a"), view("b")), ["a"] * 4 + ["b"] * 4),
+            ("memory", step(3, memory_mb=2000), (view("a"),), ["a", "a"]),
+            (
+                "label",
+                step(1, label="big"),
+                (view("a"), view("b", labels=frozenset({"big"}))),
+                ["b"],
+            ),
+            ("no such label", step(1, label="big"), (view("a"),), []),
+            ("apart", step(3, most_per_worker=1), (view("a"), view("b")), ["a", "b"]),
+            ("near its data", step(1, near_rack="r2"), (view("a"), view("b", rack="r2")), ["b"]),
+            ("spread", step(2), (view("a"), view("b")), ["a", "b"]),
+            ("draining", step(1), (view("a", is_draining=True), view("b")), ["b"]),
+            ("fillers use no processor", step(6, is_filler=True), (view("a"),), ["a"] * 6),
+            ("too large for any", step(1, cpu_millicores=4001), (view("a"),), []),
+        ]
+    )
+    def test_where_tasks_start(
+        self, _name: str, part: Step, workers: tuple[WorkerView, ...], expected: list[str]
+    ) -> None:
+        """Only where they may run and fit."""
+        bench = Bench(*workers)
+        bench.learn(job("j", part))
+        self.assertEqual(expected, workers_of(bench.starts()))
+
+    def test_gangs_start_whole_or_not_at_all(self) -> None:
+        """All members have one run id; without room for all, none is started."""
+        bench = Bench(view("a"))
+        bench.learn(job("wide", step(5, is_gang=True)))
+        self.assertEqual([], bench.starts())
+        bench.add(view("b"))
+        starts = bench.starts()
+        self.assertEqual(5, len(starts))
+        self.assertEqual(1, len({order.run.run_id for order in starts}))
+
+    def test_a_gang_prefers_one_rack(self) -> None:
+        """Where its tasks are slower apart, a rack that holds all of them is taken."""
+        racks = (("a", "r1"), ("b", "r2"), ("c", "r2"))
+        bench = Bench(*(view(name, rack=rack) for name, rack in racks))
+        bench.learn(job("g", step(8, is_gang=True, is_one_rack=True)))
+        self.assertEqual(["b"] * 4 + ["c"] * 4, workers_of(bench.starts()))
+
+    def test_a_step_waits_for_those_before(self) -> None:
+        """Its tasks start when all of the earlier step's are done."""
+        bench = Bench(view("a"))
+        bench.learn(job("j", step(2), step(1, after=(0,))))
+        first = bench.starts()
+        self.assertEqual(2, len(first))
+        ends = [(order.run.name, order.run.run_id, EndKind.DONE) for order in first]
+        bench.report("a", ended=(ends[0],))
+        self.assertEqual([], bench.starts())
+        bench.report("a", ended=(ends[1],))
+        self.assertEqual([TaskName("j", 0, 1, 0)], [order.run.name for order in bench.starts()])
+
+    def test_occurrences_wait_for_their_time(self) -> None:
+        """Each starts when it is due, whether the one before has ended or not."""
+        bench = Bench(view("a"))
+        bench.learn(job("j", step(1), repeats=Repeats(first_s=WALL_S + 2, interval_s=3, count=2)))
+        self.assertEqual([], bench.starts())
+        bench.now_s += 2.1
+        self.assertEqual([0], [order.run.name.occurrence for order in bench.starts()])
+        bench.now_s += 3
+        self.assertEqual([1], [order.run.name.occurrence for order in bench.starts()])
+
+
+class OrderTests(unittest.TestCase):
+    def test_who_gets_room_first(self) -> None:
+        """Lasting tasks, then by priority, then what must begin soonest; the hopeless last."""
+        bench = Bench(view("a", cpu_millicores=0))
+        low = policy(priority=1, stretch=2.0)
+        urgent = policy(stretch=1.0, target_latency_s=0.5)
+        patient = policy(stretch=1.0, target_latency_s=5.0)
+        bench.learn(job("low", step(1), policy=low))
+        bench.learn(job("hopeless", step(1), accepted_s=WALL_S - 60))
+        bench.learn(job("patient", step(1), policy=patient))
+        bench.learn(job("urgent", step(1), policy=urgent))
+        bench.learn(job("lasting", step(1, is_lasting=True)))
+        bench.board.worker_learnt(view("a", cpu_millicores=9000))
+        order = [start.run.name.job_id for start in bench.starts()]
+        self.assertEqual(["lasting", "urgent", "patient", "hopeless", "low"], order)
+
+
+class RetryTests(unittest.TestCase):
+    def test_a_failed_task_runs_elsewhere(self) -> None:
+        """One worker that fails all it is given must not use up a job's attempts."""
+        bench = Bench(view("a"), view("b"))
+        bench.learn(job("j", step(1)))
+        first = bench.starts()[0].run
+        bench.report(first.worker_id, ended=((first.name, first.run_id, EndKind.FAILED),))
+        second = bench.starts()[0].run
+        self.assertNotEqual(first.worker_id, second.worker_id)
+        self.assertGreater(second.run_id, first.run_id)
+
+    def test_a_worker_on_which_jobs_fail_is_used_last(self) -> None:
+        """Always free since it fails at once, it would draw all tasks and fail each."""
+        bench = Bench(view("a"), view("b"))
+        for job_id in ("x", "y"):
+            name = TaskName(job_id, 0, 0, 0)
+            bench.learn(job(job_id, step(1)))
+            bench.report("a", ended=((name, 1, EndKind.FAILED),))
+        bench.learn(job("j", step(2)))
+        self.assertEqual({"b"}, set(workers_of(bench.starts())))
+
+    def test_a_stopped_task_resumes_where_it_was(self) -> None:
+        """Its checkpoint goes with the next start."""
+        bench = Bench(view("a"))
+        bench.learn(job("j", step(1, is_checkpointed=True)))
+        run = bench.starts()[0].run
+        row = RunningTask(name=run.name, run_id=run.run_id, checkpoint="c1", percent=50)
+        bench.report("a", running=(row,))
+        bench.report("a", ended=((run.name, run.run_id, EndKind.LAPSED),))
+        self.assertEqual(["c1"], [order.checkpoint for order in bench.starts()])
+
+    def test_a_refused_start_is_tried_again(self) -> None:
+        """With a higher run id, since a worker may have taken note of the first."""
+        bench = Bench(view("a"))
+        bench.learn(job("j", step(1)))
+        first = bench.starts()[0].run
+        bench.board.start_failed(first, bench.now_s)
+        self.assertGreater(bench.starts()[0].run.run_id, first.run_id)
+
+    def test_a_task_that_stands_still_runs_elsewhere(self) -> None:
+        """A worker whose tasks hang and that answers looks all the same."""
+        bench = Bench(view("a"), view("b"))
+        bench.learn(job("j", step(1)))
+        run = bench.starts()[0].run
+        run.enter(RunPhase.RUNNING, bench.now_s)
+        row = RunningTask(name=run.name, run_id=run.run_id, percent=10)
+        for _ in range(4):
+            bench.report(run.worker_id, running=(row,))
+            bench.now_s += 1.0
+        stops = [order for order in bench.decide() if isinstance(order, StopOrder)]
+        self.assertEqual([run], [order.run for order in stops])
+        bench.report(run.worker_id, ended=((run.name, run.run_id, EndKind.STOPPED),))
+        self.assertNotEqual(run.worker_id, bench.starts()[0].run.worker_id)
+
+
+class StartWithoutAnswerTests(unittest.TestCase):
+    def test_it_is_stopped_before_it_starts_elsewhere(self) -> None:
+        """Two runs of one task at once, the first carried out seconds after its order.
+
+        A start gets no answer; a look does not list it. It may still be carried out. Only after a
+        stop was obeyed, and a look sent after that lists nothing, may the task start again.
+        """
+        bench = Bench(view("a"))
+        bench.learn(job("j", step(1)))
+        run = bench.starts()[0].run
+        run.enter(RunPhase.UNANSWERED, bench.now_s)
+        bench.now_s += 1
+        bench.report("a")
+        decisions = bench.decide()
+        self.assertEqual([StopOrder], [type(one) for one in decisions])
+        run.enter(RunPhase.STOPPED, bench.now_s)
+        bench.report("a", sent_s=bench.now_s - 0.1)
+        self.assertEqual([], bench.starts())
+        bench.now_s += 0.1
+        bench.report("a")
+        self.assertEqual(1, len(bench.starts()))
+
+    def test_one_that_runs_is_kept(self) -> None:
+        """Only its answer was lost."""
+        bench = Bench(view("a"))
+        bench.learn(job("j", step(1)))
+        run = bench.starts()[0].run
+        run.enter(RunPhase.UNANSWERED, bench.now_s)
+        bench.now_s += 1
+        bench.report("a", running=(RunningTask(name=run.name, run_id=run.run_id, percent=3),))
+        self.assertEqual([], bench.decide())
+        self.assertIs(RunPhase.RUNNING, run.phase)
+
+
+class CancelTests(unittest.TestCase):
+    def test_runs_of_a_cancelled_job_are_stopped(self) -> None:
+        """And none of its tasks starts any more."""
+        bench = Bench(view("a"))
+        one = job("j", step(2, cpu_millicores=3000))
+        bench.learn(one)
+        run = bench.starts()[0].run
+        run.enter(RunPhase.RUNNING, bench.now_s)
+        progress = bench.board.entries["j"].progress.__class__(queue="q", state=JobState.CANCELLED)
+        bench.board.progress_learnt("j", progress, revision=2)
+        self.assertEqual([run], [order.run for order in bench.decide()])
+        bench.report("a", ended=((run.name, run.run_id, EndKind.STOPPED),))
+        self.assertEqual([], bench.decide())
+
+
+class PacingTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("well", 50, 100, []),
+            ("near the target", 90, 100, [50]),
+            ("over the target", 120, 100, [0]),
+            ("well again", 40, 50, [60]),
+            ("nearly stopped", 90, 8, [0]),
+        ]
+    )
+    def test_fillers_give_way(
+        self, _name: str, tail_ms: int, percent: int, expected: list[int]
+    ) -> None:
+        """Fillers beside a serving task slow down before its users notice, and come back slowly."""
+        bench = Bench(view("a"))
+        serving = step(1, is_lasting=True, target_s=0.1)
+        filling = step(1, is_lasting=True, is_filler=True)
+        bench.learn(job("s", serving))
+        bench.learn(job("f", filling))
+        runs = {order.run.name.job_id: order.run for order in bench.starts()}
+        rows = tuple(
+            RunningTask(name=run.name, run_id=run.run_id, percent=100, figure=tail_ms)
+            for run in runs.values()
+        )
+        runs["f"].pace_percent = percent
+        bench.report("a", running=rows)
+        paces = [order for order in bench.decide() if isinstance(order, PaceOrder)]
+        self.assertEqual(expected, [order.percent for order in paces])
+
+
+class BudgetTests(unittest.TestCase):
+    def test_lasting_tasks_are_moved_within_their_budget(self) -> None:
+        """A service with fewer tasks at work than its budget allows, during upkeep.
+
+        Two of its five tasks may be away. The worker on which all of them run is emptied: two are
+        stopped, and the others only as those are at work again elsewhere.
+        """
+        bench = Bench(view("a", cpu_millicores=9000))
+        bench.learn(job("s", step(5, is_lasting=True, may_miss=2)))
+        runs = [order.run for order in bench.starts()]
+        rows = tuple(RunningTask(name=run.name, run_id=run.run_id, percent=100) for run in runs)
+        bench.report("a", running=rows)
+        worker = bench.worker("a")
+        worker.is_cordoned = True
+        bench.add(view("b"))
+        bench.decider.evacuate(worker)
+        stops = [order.run for order in bench.decide() if isinstance(order, StopOrder)]
+        self.assertEqual(2, len(stops))
+        gone = tuple((run.name, run.run_id, EndKind.STOPPED) for run in stops)
+        left = tuple(row for row in rows if row.name not in {run.name for run in stops})
+        bench.report("a", running=left, ended=gone)
+        moved = [order.run for order in bench.starts()]
+        bench.decider.evacuate(worker)
+        self.assertEqual([], bench.decide())
+        back = tuple(RunningTask(name=run.name, run_id=run.run_id, percent=100) for run in moved)
+        bench.report("b", running=back)
+        bench.decider.evacuate(worker)
+        self.assertEqual(2, len(bench.decide()))
+
+
+class AdviceTests(unittest.TestCase):
+    def test_only_allowed_workers_are_used_with_their_ticket(self) -> None:
+        """Advice is asked once; then tasks start where it allows."""
+        bench = Bench(view("a"), view("b"))
+        bench.learn(job("j", step(2), policy=policy(is_advised=True)))
+        asked = bench.decide()
+        self.assertEqual([AdviceRequest], [type(one) for one in asked])
+        self.assertEqual([], bench.decide())
+        entry = bench.board.entries["j"].steps[(0, 0)]
+        entry.is_asking, entry.permits = False, {"b": "t-b"}
+        starts = bench.starts()
+        self.assertEqual([("b", "t-b")] * 2, [(one.run.worker_id, one.ticket) for one in starts])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_store_following.py
@@ -0,0 +1,170 @@
+"""Tests of `shallotworks.store`: mirrors that follow the store, and keys that are held."""
+
+import asyncio
+import random
+import unittest
+
+from parameterized import parameterized
+
+from shallotworks.standins import RecordFaults, RecordStore, StoreView
+from shallotworks.store import Holder, HolderTimes, Item, Mirror
+from tests.on_loop import run_story
+from tests.scheduling_fakes import quiet_log
+
+
+class Listener:
+    """Keeps what a mirror tells."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, bytes] = {}
+        self.told: list[str] = []
+
+    def written(self, item: Item) -> None:
+        self.values[item.key] = item.value
+        self.told.append(f"{item.key}={item.value.decode()}")
+
+    def deleted(self, key: str) -> None:
+        del self.values[key]
+        self.told.append(f"{key} gone")
+
+
+class MirrorTests(unittest.TestCase):
+    def test_follows_writes_and_deletions(self) -> None:
+        """Each change is told once, in order, and only under the prefix."""
+
+        async def story() -> None:
+            store, listener, mirror = _mirror()
+            store.put("a/1", b"x")
+            store.put("b/1", b"x")
+            task = asyncio.create_task(mirror.run())
+            await mirror.synced.wait()
+            store.put("a/2", b"y")
+            await asyncio.sleep(0.5)
+            store.delete("a/1")
+            await asyncio.sleep(0.5)
+            self.assertEqual(["a/1=x", "a/2=y", "a/1 gone"], listener.told)
+            task.cancel()
+
+        run_story(story())
+
+    def test_more_keys_than_a_page(self) -> None:
+        """All of them are read."""
+
+        async def story() -> None:
+            store, listener, mirror = _mirror()
+            for number in range(1203):
+                store.put(f"a/{number:05d}", b"x")
+            task = asyncio.create_task(mirror.run())
+            await mirror.synced.wait()
+            self.assertEqual(1203, len(listener.values))
+            task.cancel()
+
+        run_story(story())
+
+    def test_nothing_is_missed_when_history_is_forgotten(self) -> None:
+        """A configuration that never comes into force, after the store dropped its history.
+
+        While the watch can't be answered, a key is written and another deleted, and the store
+        forgets both. The watch would go on from later; all must be read anew.
+        """
+
+        async def story() -> None:
+            store, listener, mirror = _mirror()
+            store.put("a/1", b"x")
+            task = asyncio.create_task(mirror.run())
+            await mirror.synced.wait()
+            mirror_view = mirror._store
+            assert isinstance(mirror_view, StoreView)
+            mirror_view.faults.is_down = True
+            await asyncio.sleep(1.2)
+            store.delete("a/1")
+            store.put("a/2", b"y")
+            store.forget_history()
+            mirror_view.faults.is_down = False
+            await asyncio.sleep(2)
+            self.assertEqual({"a/2": b"y"}, listener.values)
+            task.cancel()
+
+        run_story(story())
+
+
+class HolderTests(unittest.TestCase):
+    def test_one_holder_at_a_time_and_tokens_rise(self) -> None:
+        """A second bid fails until the key is free; its token is higher."""
+
+        async def story() -> None:
+            store = RecordStore(rng=random.Random(1))
+            first = await _acquire(store)
+            assert first is not None
+            self.assertIsNone(await _acquire(store))
+            await first.release()
+            second = await _acquire(store)
+            assert second is not None
+            self.assertGreater(second.token, first.token)
+
+        run_story(story())
+
+    @parameterized.expand([("down", {"is_down": True}), ("silent", {"is_silent": True})])
+    def test_no_orders_after_the_grace(self, _name: str, faults: dict[str, bool]) -> None:
+        """Two schedulers at once, after one was cut from the store.
+
+        A holder that can't renew acts on through a short outage, and no longer than the grace that
+        its successor reckons with.
+        """
+
+        async def story() -> None:
+            store = RecordStore(rng=random.Random(1))
+            view = StoreView(store=store)
+            holder = await _acquire(store, view)
+            assert holder is not None
+            keep = asyncio.create_task(holder.keep())
+            await asyncio.sleep(3)
+            self.assertTrue(holder.may_act)
+            view.faults = RecordFaults(**faults)  # type: ignore[arg-type]
+            await asyncio.sleep(2.5)
+            self.assertTrue(holder.may_act)
+            await asyncio.sleep(2.0)
+            self.assertFalse(holder.may_act)
+            await asyncio.sleep(3.0)
+            self.assertTrue(holder.lost.is_set())
+            keep.cancel()
+
+        run_story(story())
+
+    def test_a_lapsed_lease_is_noticed(self) -> None:
+        """The duty ends with the first renewal that finds the lease gone."""
+
+        async def story() -> None:
+            store = RecordStore(rng=random.Random(1))
+            holder = await _acquire(store)
+            assert holder is not None
+            keep = asyncio.create_task(holder.keep())
+            store.end_lease(1)
+            await asyncio.sleep(0.6)
+            self.assertTrue(holder.lost.is_set())
+            keep.cancel()
+
+        run_story(story())
+
+
+def _mirror() -> tuple[RecordStore, Listener, Mirror]:
+    store = RecordStore(rng=random.Random(1))
+    listener = Listener()
+    view = StoreView(store=store)
+    return store, listener, Mirror(store=view, prefix="a/", listener=listener, log=quiet_log())
+
+
+async def _acquire(store: RecordStore, view: StoreView | None = None) -> Holder | None:
+    return await Holder.acquire(
+        store=view or StoreView(store=store),
+        key="key",
+        mark="mark",
+        value=b"n",
+        clock=asyncio.get_running_loop().time,
+        times=HolderTimes(),
+        log=quiet_log(),
+    )
+
+
+if __name__ == "__main__":
+    unittest.main()
