Hold a decided start for alive until its order was answered

Decisions are taken twice in a row when offers are withdrawn; an idle worker has no lease, so that its run, decided a moment ago and not sent, was taken for lapsed and its task started again elsewhere. Change: a worker whose starts are on their way does not lapse; a start whose run was given up is not sent.

--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -99,7 +99,7 @@
             self._pass_time_of(worker, now_s)
 
     def _pass_time_of(self, worker: Worker, now_s: float) -> None:
-        if now_s > worker.lease_ends_s and worker.is_fenced and worker.runs:
+        if now_s > worker.lease_ends_s and worker.is_fenced and _is_settled(worker):
             self._board.lapse(worker, now_s)
         if not worker.is_listed and not worker.runs and now_s > worker.lease_ends_s:
             self._board.worker_over(worker.worker_id, "no longer listed", now_s)
@@ -265,10 +265,18 @@
             yield AdviceRequest(step=step.key, worker_ids=ids)
 
 
+def _is_settled(worker: Worker) -> bool:
+    """Whether something runs, and no start is on its way, which would grant a lease."""
+    phases = [run.phase for run in worker.runs.values()]
+    return bool(phases) and RunPhase.STARTING not in phases
+
+
 def _is_plain(step: StepEntry) -> bool:
     """Whether only its size can keep a step's tasks waiting; lasting ones keep off some workers."""
     wants = step.step
-    return not (wants.is_lasting or wants.label or wants.most_per_worker or wants.is_filler or step.permits)
+    return not (
+        wants.is_lasting or wants.label or wants.most_per_worker or wants.is_filler or step.permits
+    )
 
 
 def _needs_as_much_as(step: StepEntry, too_big: list[tuple[int, int, int]]) -> bool:
--- a/src/shallotworks/scheduling/_orders.py
+++ b/src/shallotworks/scheduling/_orders.py
@@ -308,7 +308,9 @@
         worker = self._board.workers.get(run.worker_id)
         sent_s = self._clock()
         lease_ms = self._extend(worker, sent_s) if worker is not None else None
-        if worker is None or lease_ms is None or not self._holder.may_act:
+        if worker is None or (run.name, run.run_id) not in worker.runs:
+            return
+        if lease_ms is None or not self._holder.may_act:
             self._board.start_failed(run, sent_s)
             return
         outcome = await self._orders.start(
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -163,6 +163,22 @@
         self.assertNotEqual(run.worker_id, bench.starts()[0].run.worker_id)
 
 
+class DecidedTwiceTests(unittest.TestCase):
+    def test_a_start_that_was_decided_is_not_decided_again(self) -> None:
+        """Two runs of one task at once, on a quiet day.
+
+        A worker that was idle has no lease. A start is decided, and before its order is sent, which
+        grants a lease, decisions are taken again: the worker's lease seemed to have run out, its
+        run to be over, and the task was started elsewhere.
+        """
+        bench = Bench(view("a"), view("b"))
+        for worker_id in ("a", "b"):
+            bench.worker(worker_id).lease_ends_s = 0.0
+        bench.learn(job("j", step(1)))
+        self.assertEqual(1, len(bench.starts()))
+        self.assertEqual([], bench.decide())
+
+
 class StartWithoutAnswerTests(unittest.TestCase):
     def test_it_is_stopped_before_it_starts_elsewhere(self) -> None:
         """Two runs of one task at once, the first carried out seconds after its order.
