--- a/src/shallotworks/scheduling/_keeper.py
+++ b/src/shallotworks/scheduling/_keeper.py
@@ -37,6 +37,10 @@
 MOVE_S = 3.0
 """A move counts as on its way for this long: 1.5 s, and the time until the worker is in use."""
 MOVES_A_ROUND = 16
+KEPT_PART = 0.5
+"""Part of its home size that a pool keeps while it is idle: its own callers' next turn begins with
+that, while the borrower is still busy with its last one. Lending all of it left a queue with a
+seventh of what it was owed in its turn (a day of the users' with large jobs before it)."""
 MOST_OVER = 100
 """Workers that were taken away are told of until as many later ones were."""
 HOME_KEY = "shallotworks/home-sizes"
@@ -408,7 +412,8 @@
         self, idle: list[Machine], service: str, home: dict[str, int], sizes: dict[str, int]
     ) -> Machine | None:
         """Return an idle machine of a service that can lend one."""
-        lendable = sorted(idle, key=lambda one: home.get(one.pool, 0) - sizes[one.pool])
+        lendable = [one for one in idle if sizes[one.pool] > home.get(one.pool, 0) * KEPT_PART]
+        lendable.sort(key=lambda one: home.get(one.pool, 0) - sizes[one.pool])
         picked = self._pick(lendable, service)
         if picked is not None:
             idle.remove(picked)
