Test the adapter over HTTP: store, ingress, decoding

Change: a server of the platform's store on the stand-in; tables of bad input, refusals, endings; 500 idle and 200 half-sent connections beside requests.

--- /dev/null
+++ b/tests/test_platform_ingress.py
@@ -0,0 +1,227 @@
+"""Tests of callers' requests as they arrive: jobs, bad input, idle and slow connections."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import socket
+import time
+import unittest
+from collections.abc import Awaitable, Callable
+
+from parameterized import parameterized
+
+from shallotworks.jobs import JobDesk
+from shallotworks.metrics import Metrics
+from shallotworks.platform._configuration import Configuration, decode_configuration
+from shallotworks.platform._http import HttpAnswer, HttpClient
+from shallotworks.platform._ingress import Ingress
+from shallotworks.standins import RecordStore, StoreView
+from tests.scheduling_fakes import quiet_log
+
+HOST = {"Host": "depot.example"}
+JOB = {"spec": "x", "steps": [{"count": 2, "cpu": 500, "memMb": 10, "estimatedMs": 900}]}
+ID = "5c0e7a21d94b36f8"
+CONFIGURATION = {
+    "version": 3,
+    "routes": [
+        {"name": "long", "host": "depot.example", "prefix": "/stock/long/", "service": "s"},
+        {"name": "short", "host": "depot.example", "prefix": "/stock/", "service": "s"},
+    ],
+    "services": [{"name": "s", "standby": False}, {"name": "t", "standby": True}],
+    "limits": {"maxBodyBytes": 4096},
+}
+
+
+class World:
+    """An ingress on a free port, over a store in memory."""
+
+    def __init__(self) -> None:
+        self.store = RecordStore(rng=random.Random(1))
+        self.view = StoreView(store=self.store)
+        self.configuration: Configuration | None = decode_configuration(CONFIGURATION)
+        self.is_store_lost = False
+        self.ingress = Ingress(
+            desk=JobDesk(store=self.view, metrics=Metrics(), log=quiet_log(), wall_clock=time.time),
+            configuration=lambda: self.configuration,
+            is_store_lost=lambda: self.is_store_lost,
+            log=quiet_log(),
+            metrics=Metrics(),
+        )
+        self.address = _free_address()
+        self.client = HttpClient(address=self.address)
+
+    async def call(
+        self, method: str, path: str, body: object = None, headers: dict[str, str] = HOST
+    ) -> HttpAnswer:
+        """Make a call."""
+        answer = await self.client.call(
+            method,
+            path,
+            body=body,  # type: ignore[arg-type]
+            headers=headers,
+            timeout_s=3.0,
+        )
+        assert isinstance(answer, HttpAnswer), answer
+        return answer
+
+
+def run(story: Callable[[World], Awaitable[None]]) -> None:
+    """Run a story."""
+
+    async def whole() -> None:
+        world = World()
+        await world.ingress.listen(world.address)
+        try:
+            await story(world)
+        finally:
+            await world.client.close()
+            await world.ingress.close()
+
+    asyncio.run(whole())
+
+
+class JobTests(unittest.TestCase):
+    def test_a_job_is_accepted_told_of_and_cancelled(self) -> None:
+        """Once it is stored."""
+
+        async def story(world: World) -> None:
+            self.assertEqual(410, (await world.call("GET", f"/stock/{ID}")).status)
+            self.assertEqual(200, (await world.call("POST", f"/stock/{ID}", JOB)).status)
+            self.assertEqual(200, (await world.call("POST", f"/stock/{ID}", JOB)).status)
+            answer = await world.call("GET", f"/stock/{ID}")
+            self.assertEqual({"state": "queued"}, answer.body)
+            self.assertEqual(200, (await world.call("DELETE", f"/stock/{ID}")).status)
+            answer = await world.call("GET", f"/stock/{ID}")
+            self.assertEqual({"state": "cancelled"}, answer.body)
+            self.assertEqual(0, (await world.call("GET", "/stock/")).body["pending"])
+
+        run(story)
+
+    def test_the_longest_prefix_names_the_queue(self) -> None:
+        """A job of one queue is none of another's."""
+
+        async def story(world: World) -> None:
+            await world.call("POST", f"/stock/long/{ID}", JOB)
+            self.assertEqual(410, (await world.call("GET", f"/stock/{ID}")).status)
+            self.assertEqual(200, (await world.call("GET", f"/stock/long/{ID}")).status)
+
+        run(story)
+
+    @parameterized.expand(
+        [
+            ("no job", f"/stock/{ID}", "text", 400),
+            ("no steps", f"/stock/{ID}", {"spec": "x"}, 400),
+            ("a cycle", f"/stock/{ID}", {"steps": [{"count": 1, "after": [0]}]}, 400),
+            ("negative", f"/stock/{ID}", {"steps": [{"count": -1}]}, 400),
+            ("odd type", f"/stock/{ID}", {"steps": [{"count": "2"}]}, 400),
+            ("no id", "/stock/xyz", JOB, 400),
+            ("too long", f"/stock/{ID}", JOB | {"spec": "x" * 5000}, 413),
+            ("no queue", f"/other/{ID}", JOB, 404),
+        ]
+    )
+    def test_bad_input_leaves_nothing_behind(
+        self, _name: str, path: str, body: object, status: int
+    ) -> None:
+        """It gets a clear error."""
+
+        async def story(world: World) -> None:
+            answer = await world.call("POST", path, body)
+            self.assertEqual(status, answer.status)
+            self.assertTrue(answer.body["error"])
+            self.assertEqual({}, world.store.items)
+
+        run(story)
+
+    def test_wrong_methods(self) -> None:
+        """Neither a job nor a queue can be put."""
+
+        async def story(world: World) -> None:
+            self.assertEqual(405, (await world.call("PUT", f"/stock/{ID}", JOB)).status)
+            self.assertEqual(405, (await world.call("POST", "/stock/", JOB)).status)
+
+        run(story)
+
+
+class RefusalTests(unittest.TestCase):
+    def test_without_a_configuration(self) -> None:
+        """Refused with a time to come back, and not ready."""
+
+        async def story(world: World) -> None:
+            world.configuration = None
+            self.assertEqual(503, (await world.call("POST", f"/stock/{ID}", JOB)).status)
+            self.assertFalse(world.ingress.is_ready)
+
+        run(story)
+
+    def test_while_the_store_is_lost(self) -> None:
+        """Refused at once, truly: nothing is sent to the store."""
+
+        async def story(world: World) -> None:
+            world.is_store_lost = True
+            began_s = time.monotonic()
+            self.assertEqual(503, (await world.call("POST", f"/stock/{ID}", JOB)).status)
+            self.assertLess(time.monotonic() - began_s, 0.5)
+            self.assertEqual(0, world.store.commits)
+            self.assertFalse(world.ingress.is_ready)
+
+        run(story)
+
+
+class ListenerTests(unittest.TestCase):
+    def test_idle_and_slow_connections_hold_up_nobody(self) -> None:
+        """All callers wait for as long as others' silent connections last.
+
+        Five hundred connections send nothing, two hundred half a head. With a thread for each
+        connection none was left, and every other request timed out.
+        """
+
+        async def story(world: World) -> None:
+            alone_s = await _slowest_of(world, 40)
+            silent = [await _connect(world.address, b"") for _ in range(500)]
+            halves = [await _connect(world.address, b"POST /stock/1 HT") for _ in range(200)]
+            beside_s = await _slowest_of(world, 40)
+            self.assertLess(beside_s, max(1.5 * alone_s, 0.05))
+            for _, writer in (*silent, *halves):
+                writer.close()
+
+        run(story)
+
+
+async def _slowest_of(world: World, count: int) -> float:
+    durations: list[float] = []
+    for number in range(count):
+        began_s = time.monotonic()
+        answer = await world.call("POST", f"/stock/{number:016x}", JOB)
+        assert answer.status == 200
+        durations.append(time.monotonic() - began_s)
+    return sorted(durations)[int(count * 0.95)]
+
+
+async def _connect(address: str, head: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    host, port = address.rsplit(":", 1)
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(head)
+    return reader, writer
+
+
+def _free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class ConfigurationTests(unittest.TestCase):
+    def test_decoded_once(self) -> None:
+        """Queues by host, the longest prefix first; pools whose machines are off."""
+        read = decode_configuration(json.loads(json.dumps(CONFIGURATION)))
+        self.assertEqual(frozenset({"t"}), read.standby)
+        queue = read.queue_for("depot.example", "/stock/long/1")
+        assert queue is not None
+        self.assertEqual("long", queue.policy.queue)
+        self.assertIsNone(read.queue_for("else.example", "/stock/1"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,150 @@
+"""Tests of `shallotworks.platform`'s client of the store, over HTTP."""
+
+import asyncio
+import unittest
+from collections.abc import Awaitable, Callable
+
+from parameterized import parameterized
+from returns.result import Success
+
+from shallotworks.errors import ErrorKind
+from shallotworks.metrics import Metrics
+from shallotworks.platform._http import HttpClient
+from shallotworks.platform._store import PlatformStore
+from shallotworks.store import Commit, Committed, Condition, Conflicted, Deletion, Item, Write
+from tests.platform_server import StoreServer
+
+Story = Callable[[StoreServer, PlatformStore], Awaitable[None]]
+PUT = Commit(writes=(Write(key="a/1", value=b"\x00x"),))
+
+
+def run(story: Story) -> None:
+    """Run a story with a server and a client."""
+
+    async def whole() -> None:
+        server = StoreServer()
+        await server.start()
+        client = HttpClient(address=server.address)
+        try:
+            await story(server, PlatformStore(client=client, metrics=Metrics()))
+        finally:
+            await client.close()
+            await server.stop()
+
+    asyncio.run(whole())
+
+
+class CallTests(unittest.TestCase):
+    def test_what_is_written_is_read(self) -> None:
+        """Bytes come back as they were, with their revisions."""
+
+        async def story(server: StoreServer, store: PlatformStore) -> None:
+            self.assertIsNone((await store.get("a/1")).unwrap())
+            committed = (await store.commit(PUT)).unwrap()
+            assert isinstance(committed, Committed)
+            item = (await store.get("a/1")).unwrap()
+            assert item is not None
+            self.assertEqual((b"\x00x", committed.revision), (item.value, item.revision))
+
+        run(story)
+
+    def test_pages(self) -> None:
+        """Keys in order, page by page."""
+
+        async def story(server: StoreServer, store: PlatformStore) -> None:
+            for number in range(510):
+                server.store.put(f"a/{number:04d}", b"")
+            first = (await store.read_page("a/")).unwrap()
+            self.assertTrue(first.has_more)
+            second = (await store.read_page("a/", after=first.items[-1].key)).unwrap()
+            self.assertEqual((500, 10), (len(first.items), len(second.items)))
+            self.assertFalse(second.has_more)
+
+        run(story)
+
+    def test_watch(self) -> None:
+        """Writes and deletions after a revision; a lost history is told apart."""
+
+        async def story(server: StoreServer, store: PlatformStore) -> None:
+            server.store.put("a/1", b"x")
+            revision = server.store.revision
+            server.store.put("a/2", b"y")
+            server.store.delete("a/1")
+            changes = (await store.watch("a/", after_revision=revision, wait_s=0.1)).unwrap()
+            self.assertEqual([Item, Deletion], [type(event) for event in changes.events])
+            server.store.forget_history()
+            lost = (await store.watch("a/", after_revision=revision, wait_s=0.1)).unwrap()
+            self.assertTrue(lost.is_history_lost)
+
+        run(story)
+
+    def test_conflict_tells_what_is_there(self) -> None:
+        """The current items of the conditions, without those that don't exist."""
+
+        async def story(server: StoreServer, store: PlatformStore) -> None:
+            server.store.put("a/1", b"x")
+            conditions = tuple(Condition(key=key, revision=5) for key in ("a/1", "a/2"))
+            outcome = (await store.commit(Commit(conditions=conditions))).unwrap()
+            assert isinstance(outcome, Conflicted)
+            self.assertEqual(["a/1"], [item.key for item in outcome.current])
+
+        run(story)
+
+    def test_leases(self) -> None:
+        """Keys go with their lease; a lease that has ended is told so."""
+
+        async def story(server: StoreServer, store: PlatformStore) -> None:
+            lease = (await store.grant_lease(ttl_s=5.0)).unwrap()
+            write = Write(key="a/1", value=b"", lease_id=lease)
+            await store.commit(Commit(writes=(write,)))
+            self.assertIsInstance(await store.renew_lease(lease), Success)
+            await store.end_lease(lease)
+            self.assertIsNone((await store.get("a/1")).unwrap())
+            self.assertIs(ErrorKind.LEASE_LOST, (await store.renew_lease(lease)).failure().kind)
+            late = await store.commit(Commit(writes=(write,)))
+            self.assertIs(ErrorKind.LEASE_LOST, late.failure().kind)
+
+        run(story)
+
+
+class FaultTests(unittest.TestCase):
+    @parameterized.expand([(status,) for status in (429, 503)])
+    def test_refusals_are_certain(self, status: int) -> None:
+        """Nothing was done, for writes too."""
+
+        async def story(server: StoreServer, store: PlatformStore) -> None:
+            server.status = status
+            kind = (await store.commit(PUT)).failure().kind
+            self.assertIs(ErrorKind.STORE_UNAVAILABLE, kind)
+
+        run(story)
+
+    def test_a_lost_answer_leaves_the_outcome_open(self) -> None:
+        """A write may have been done; a read surely did nothing."""
+
+        async def story(server: StoreServer, store: PlatformStore) -> None:
+            server.lose_answers = True
+            self.assertIs(ErrorKind.OUTCOME_UNKNOWN, (await store.commit(PUT)).failure().kind)
+            self.assertIn("a/1", server.store.items)
+            self.assertIs(ErrorKind.STORE_UNAVAILABLE, (await store.get("a/1")).failure().kind)
+            self.assertTrue(store.is_lost)
+            server.lose_answers = False
+            self.assertIsInstance(await store.get("a/1"), Success)
+            self.assertFalse(store.is_lost)
+
+        run(story)
+
+    def test_no_connection_is_certain(self) -> None:
+        """A store that is gone has done nothing."""
+
+        async def story(server: StoreServer, store: PlatformStore) -> None:
+            await server.stop()
+            kind = (await store.commit(PUT)).failure().kind
+            self.assertIs(ErrorKind.STORE_UNAVAILABLE, kind)
+            await server.start()
+
+        run(story)
+
+
+if __name__ == "__main__":
+    unittest.main()
