Keep late work off borrowed machines that their lenders lack

Cause: the queue before works off jobs that are late already on machines that it borrowed, while the lender's turn begins with half of its pool; and machines were borrowed for late work. Change: the keeper tells how many machines are wanted back; late tasks are not started on as many workers, which come free and go home; what is late asks for no machines.

--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -46,7 +46,7 @@
         order: Says which of the waiting steps gets room first, the smallest; see `urgency`.
     """
 
-    __slots__ = ("_board", "_order")
+    __slots__ = ("_board", "_order", "_wall_s")
 
     def __init__(
         self,
@@ -56,6 +56,7 @@
     ) -> None:
         self._board = board
         self._order = order
+        self._wall_s = 0.0
 
     def decide(self, *, now_s: float, wall_s: float) -> Iterator[Decision]:
         """Yield all that is to be done now; each run is counted as begun when it is yielded.
@@ -64,6 +65,7 @@
             now_s: The scheduler's clock, which counts suspended time.
             wall_s: Time of day in seconds since 1970.
         """
+        self._wall_s = wall_s
         self._pass_time(now_s, wall_s)
         yield from self._stops(now_s)
         yield from self._starts(now_s, wall_s)
@@ -160,7 +162,7 @@
                 yield from self._start_gang(step, now_s)
                 continue
             yield from self._start_tasks(step, now_s)
-            if step.waiting and _is_plain(step):
+            if step.waiting and _is_plain(step) and not step.is_hopeless(wall_s):
                 too_big.append((step.step.cpu_millicores, step.step.memory_mb, step.step.gpus))
 
     def _start_tasks(self, step: StepEntry, now_s: float) -> Iterator[StartOrder]:
@@ -255,6 +257,7 @@
             number=step.number,
             now_s=now_s,
             permits=frozenset(step.permits) if is_advised else None,
+            is_hopeless=step.is_hopeless(self._wall_s),
         )
 
     def _ask(self, step: StepEntry, now_s: float) -> Iterator[AdviceRequest]:
--- a/src/shallotworks/scheduling/_entries.py
+++ b/src/shallotworks/scheduling/_entries.py
@@ -52,6 +52,10 @@
         """Names the step."""
         return (self.job_entry.job.job_id, self.occurrence, self.number)
 
+    def is_hopeless(self, wall_s: float) -> bool:
+        """Whether its job can't meet its objective any more, even if the step began now."""
+        return not self.step.is_lasting and wall_s > self.objective_ends_s - self.chain_s
+
     def name(self, index: int) -> TaskName:
         """Name one of its tasks."""
         return TaskName(self.job_entry.job.job_id, self.occurrence, self.number, index)
--- a/src/shallotworks/scheduling/_keeper.py
+++ b/src/shallotworks/scheduling/_keeper.py
@@ -145,7 +145,7 @@
             if record is not None:
                 in_waves.update(set(wave.machines) - set(record.done))
                 due.update(self._next_due(wave, record, machines))
-        await self._tell(frozenset(due))
+        await self._tell(frozenset(due), await self._recalls(machines))
         if self._parts.clock() - self._begun_s >= TURNS_APART_S:
             await self._move_some(machines, in_waves)
 
@@ -344,6 +344,24 @@
             sizes[machine.pool] -= 1
             sizes[target] = sizes.get(target, 0) + 1
 
+    async def _recalls(self, machines: dict[str, Machine]) -> dict[str, int]:
+        """Return how many borrowed machines each service is asked to give back."""
+        home = await self._home_sizes(machines)
+        if home is None:
+            return {}
+        sizes = self._sizes(machines)
+        wanted = sum(
+            max(0, min(need.lacking, home.get(service, 0) - sizes.get(service, 0)))
+            for service, need in self._parts.book.needs.items()
+        )
+        recalls: dict[str, int] = {}
+        for service in sorted(self._parts.book.needs):
+            borrowed = sizes.get(service, 0) - home.get(service, 0)
+            if service not in self._parts.standby() and borrowed > 0 and wanted > 0:
+                recalls[service] = min(borrowed, wanted)
+                wanted -= recalls[service]
+        return recalls
+
     async def _home_sizes(self, machines: dict[str, Machine]) -> dict[str, int] | None:
         """Return the machines of each pool as they were when the first keeper saw them.
 
@@ -447,8 +465,8 @@
 
     # ---- records
 
-    async def _tell(self, due: frozenset[str]) -> None:
-        word = KeeperWord(due=due, over=tuple(self._over))
+    async def _tell(self, due: frozenset[str], recalls: dict[str, int]) -> None:
+        word = KeeperWord(due=due, over=tuple(self._over), recalls=recalls)
         if word == self._told:
             return
         outcome = await self._parts.store.commit(
@@ -468,7 +486,7 @@
         """
         if machine.worker_id:
             self._over.append(machine.worker_id)
-            await self._tell(self._told.due - {machine.worker_id})
+            await self._tell(self._told.due - {machine.worker_id}, self._told.recalls)
 
     async def _load(self, wave: Upkeep) -> tuple[WaveRecord, int] | None:
         outcome = await self._parts.store.get(wave_key(wave.wave))
--- a/src/shallotworks/scheduling/_machine_book.py
+++ b/src/shallotworks/scheduling/_machine_book.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from shallotworks.logs import LogLines
 from shallotworks.store import Item
@@ -65,20 +65,27 @@
         due: Workers that are to be emptied.
         over: Workers that were taken away of late, with all that ran on them: the platform has
             obeyed the order.
+        recalls: For each service that holds borrowed machines, how many of them their lenders lack.
     """
 
     due: frozenset[str] = frozenset()
     over: tuple[str, ...] = ()
+    recalls: dict[str, int] = field(default_factory=dict)
 
     def encode(self) -> bytes:
         """Return the record."""
-        return json.dumps({"due": sorted(self.due), "over": list(self.over)}).encode()
+        record = {"due": sorted(self.due), "over": list(self.over), "recalls": self.recalls}
+        return json.dumps(record).encode()
 
     @classmethod
     def decode(cls, value: bytes) -> KeeperWord:
         """Return what a record says; raises `ValueError` or `KeyError`."""
         record = json.loads(value)
-        return cls(due=frozenset(record["due"]), over=tuple(record["over"]))
+        return cls(
+            due=frozenset(record["due"]),
+            over=tuple(record["over"]),
+            recalls=record.get("recalls", {}),
+        )
 
 
 class MachineBook:
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -267,6 +267,7 @@
         "is_cordoned",
         "is_fenced",
         "is_listed",
+        "is_yielding",
         "lasting_from_s",
         "lease_ends_s",
         "memory_used",
@@ -283,6 +284,7 @@
         self.is_listed = True
         self.is_fenced = False
         self.is_cordoned = False
+        self.is_yielding = False
         self.clock_ms = 0
         self.clock_at_s = 0.0
         self.lease_ends_s = 0.0
--- a/src/shallotworks/scheduling/_ordering.py
+++ b/src/shallotworks/scheduling/_ordering.py
@@ -27,6 +27,5 @@
     if step.is_lasting:
         return (0, step.is_filler, priority, job_entry.job.accepted_s)
     latest_s = entry.objective_ends_s - entry.chain_s
-    is_hopeless = wall_s > latest_s
     has_begun = bool(job_entry.runs or job_entry.progress.done)
-    return (1, priority, is_hopeless, not has_begun, job_entry.work_core_s, latest_s)
+    return (1, priority, entry.is_hopeless(wall_s), not has_begun, job_entry.work_core_s, latest_s)
--- a/src/shallotworks/scheduling/_placement.py
+++ b/src/shallotworks/scheduling/_placement.py
@@ -21,9 +21,10 @@
         number: ... its number in the job.
         now_s: The scheduler's clock.
         permits: Workers that may run it; ``None`` for all.
+        is_hopeless: Its job is late already, and keeps off workers that others wait for.
     """
 
-    __slots__ = ("_key", "_now_s", "_permits", "_step")
+    __slots__ = ("_is_hopeless", "_key", "_now_s", "_permits", "_step")
 
     def __init__(
         self,
@@ -34,11 +35,13 @@
         number: int,
         now_s: float,
         permits: frozenset[str] | None = None,
+        is_hopeless: bool = False,
     ) -> None:
         self._step = step
         self._key = (job_id, occurrence, number)
         self._now_s = now_s
         self._permits = permits
+        self._is_hopeless = is_hopeless
 
     def choose(
         self, workers: Iterable[Worker], *, avoid: frozenset[str], rack: str = ""
@@ -61,6 +64,8 @@
         view = worker.view
         if view.is_draining or worker.is_cordoned or not worker.is_listed or not worker.is_fenced:
             return False
+        if self._is_hopeless and worker.is_yielding:
+            return False
         if worker.pause_until_s > self._now_s or not worker.fits(self._step):
             return False
         if self._step.is_lasting and worker.lasting_from_s > self._now_s:
--- a/src/shallotworks/scheduling/_sizing.py
+++ b/src/shallotworks/scheduling/_sizing.py
@@ -82,6 +82,26 @@
         free = sorted(offered | set(self._emptied(now_s)))
         return PoolNeed(lacking=lacking, free=tuple(free), token=self._board.token)
 
+    def yield_some(self, count: int) -> None:
+        """Keep late work off some borrowed workers, so that they come free for their lenders.
+
+        The load: a queue's turn begins while the queue before it still works off jobs that can't
+        meet their objective any more, on machines that it borrowed. Those with the least on them
+        are chosen; jobs that can still be on time use them as before.
+        """
+        yielding = {worker.worker_id for worker in self._least_used(count)}
+        for worker in self._board.workers.values():
+            worker.is_yielding = worker.worker_id in yielding
+
+    def _least_used(self, count: int) -> list[Worker]:
+        movable = [
+            worker
+            for worker in self._usable()
+            if not any(run.step.is_lasting for run in worker.runs.values())
+        ]
+        movable.sort(key=lambda worker: (not worker.is_yielding, worker.cpu_used))
+        return movable[:count]
+
     def emptying(self) -> Iterator[Worker]:
         """Yield the workers that are due and still run something."""
         for worker_id in self._cordoned:
@@ -109,9 +129,9 @@
         """Return the machines that the pool needs beyond what it has.
 
         What arrives now must be carried, and what waits must be finished in time; a pool with
-        nothing waiting lacks nothing.
+        nothing waiting lacks nothing, and for what is late no machines are borrowed.
         """
-        waiting_millicore_s = self._waiting_millicore_s()
+        waiting_millicore_s = self._waiting_millicore_s(wall_s)
         if not waiting_millicore_s:
             return 0
         usable = self._usable()
@@ -126,11 +146,11 @@
         lack = -(-(wanted - have) // size)
         return int(max(0 if have else 1, min(lack, self._limits.largest_lack)))
 
-    def _waiting_millicore_s(self) -> float:
+    def _waiting_millicore_s(self, wall_s: float) -> float:
         total = 0.0
         for entry in self._board.open_steps():
             step = entry.step
-            if step.is_filler:
+            if step.is_filler or entry.is_hopeless(wall_s):
                 continue
             length_s = max(step.estimated_s, 0.1)
             if step.is_lasting:
--- a/src/shallotworks/scheduling/_term.py
+++ b/src/shallotworks/scheduling/_term.py
@@ -447,6 +447,7 @@
             need = self._sizer.assess(
                 book.keeper.due, now_s=self._parts.clock(), wall_s=self._parts.wall_clock()
             )
+            self._sizer.yield_some(book.keeper.recalls.get(self.service, 0))
             for worker in self._sizer.emptying():
                 self.decider.evacuate(worker)
             if need != told and await self._tell_need(need):
--- a/tests/test_pool_sizing.py
+++ b/tests/test_pool_sizing.py
@@ -47,6 +47,28 @@
         self.assertEqual(1, bench.assess().lacking)
 
 
+class YieldTests(unittest.TestCase):
+    def test_late_work_leaves_borrowed_workers(self) -> None:
+        """A queue's turn is lost while late jobs of another keep its lent machines busy.
+
+        Asked to give one worker back, the scheduler starts late jobs on the others only; jobs that
+        can still be on time use all.
+        """
+        bench = Sized("a", "b")
+        bench.sizer.yield_some(1)
+        bench.learn(job("late", step(8), accepted_s=WALL_S - 60))
+        self.assertEqual(1, len({order.run.worker_id for order in bench.starts()}))
+        bench.learn(job("in time", step(1)))
+        self.assertEqual(["in time"], [order.run.name.job_id for order in bench.starts()])
+
+    def test_nothing_is_borrowed_for_late_work(self) -> None:
+        """However much of it waits."""
+        bench = Sized("a")
+        bench.learn(job("late", step(40), accepted_s=WALL_S - 60))
+        bench.board.arrivals.clear()
+        self.assertEqual(0, bench.assess().lacking)
+
+
 class OfferTests(unittest.TestCase):
     def test_idle_workers_are_offered_and_taken_back(self) -> None:
         """A worker may be lent between turns, and serves again as soon as tasks wait.
