Split the keeper and the term of a scheduler by concern; stop duties side by side

Change: waves, moves and orders for machines in modules of their own, the writer of progress apart; check-settings takes the platform's file; both bidders stop together.

--- a/src/shallotworks/cli/_process_commands.py
+++ b/src/shallotworks/cli/_process_commands.py
@@ -20,6 +20,7 @@
 
 __all__ = ["add_process_commands"]
 
+PLATFORM_SUFFIX = ".toml"
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 HostOption = Annotated[str, typer.Option(help="IP number to listen on.")]
@@ -59,11 +60,25 @@
 def _check_settings(
     file: Annotated[str, typer.Argument(help="The settings file.")],
 ) -> None:
-    """Check a settings file as a whole, and name every fault in it."""
+    """Check a settings file as a whole, and name every fault in it.
+
+    A file of the users' platform, which is TOML, is checked for what an instance needs of it.
+    """
+    if file.endswith(PLATFORM_SUFFIX):
+        _check_platform_settings(file)
+        return
     loaded = _load(file)
     print_text(f"{file}: settings of {loaded.instance.name} are right\n")
 
 
+def _check_platform_settings(file: str) -> None:
+    checked = _import("shallotworks.platform").load_platform_settings(file)
+    if isinstance(checked, Err):
+        print(one_line(str(checked.failure())), file=sys.stderr)
+        raise typer.Exit(answer_for(checked.failure().kind).exit_code)
+    print_text(f"{file}: settings of {checked.unwrap().instance} are right\n")
+
+
 def _load(file: str) -> Settings:
     loaded = load_settings(file)
     if isinstance(loaded, Err):
--- a/src/shallotworks/platform/_daemon.py
+++ b/src/shallotworks/platform/_daemon.py
@@ -208,8 +208,9 @@
         self._ingress.is_stopping = True
         self._log.line("stopping", serve_for_s=LEAVE_S)
         began_s = asyncio.get_running_loop().time()
-        await self._quietly(self._schedulers.stop())
-        await self._quietly(self._keepers.stop())
+        await asyncio.gather(
+            self._quietly(self._schedulers.stop()), self._quietly(self._keepers.stop())
+        )
         spent_s = asyncio.get_running_loop().time() - began_s
         await asyncio.sleep(max(0.0, LEAVE_S - spent_s))
         await self._quietly(self._ingress.close())
--- a/src/shallotworks/scheduling/__init__.py
+++ b/src/shallotworks/scheduling/__init__.py
@@ -9,8 +9,9 @@
 from ._board import ServiceBoard, Stored
 from ._decisions import Decider
 from ._entries import StepEntry
-from ._keeper import KeeperParts, MachineKeeper
+from ._keeper import MachineKeeper
 from ._machine_book import MACHINES_PREFIX, MachineBook, PoolNeed, need_key
+from ._machine_orders import KeeperParts
 from ._model import (
     AdviceRequest,
     EndedTask,
--- /dev/null
+++ b/src/shallotworks/scheduling/_machine_orders.py
@@ -0,0 +1,115 @@
+"""Orders for machines: what a keeper works with, and how each order is given and noted."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from returns.result import Success
+
+from shallotworks.logs import LogLines
+from shallotworks.store import Holder, Store
+
+from ._machine_book import MachineBook, PoolNeed, need_key
+from ._protocols import DutyEnding, Machine, Machines, UpkeepBook
+
+__all__ = ["KeeperParts", "MachineOrders"]
+
+MOST_OVER = 100
+"""Workers that were taken away are told of until as many later ones were."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KeeperParts:
+    """What a keeper works with.
+
+    Args:
+        machines: The machines.
+        upkeep: The waves that operators ask for.
+        book: What schedulers say.
+        standby: Returns the services whose machines are off and not paid for.
+        store: The store.
+        clock: Seconds, counting suspended time.
+        wall_clock: Time of day in seconds since 1970.
+        log: Decisions.
+    """
+
+    machines: Machines
+    upkeep: UpkeepBook
+    book: MachineBook
+    standby: Callable[[], frozenset[str]]
+    store: Store
+    clock: Callable[[], float]
+    wall_clock: Callable[[], float]
+    log: LogLines
+
+
+class MachineOrders:
+    """Gives the orders of one term of the keeper.
+
+    Args:
+        holder: The keeper's key; its token fences each order.
+        parts: What it works with.
+    """
+
+    __slots__ = ("_holder", "_parts", "over")
+
+    def __init__(self, *, holder: Holder, parts: KeeperParts) -> None:
+        self._holder = holder
+        self._parts = parts
+        self.over: deque[str] = deque(maxlen=MOST_OVER)
+        """Workers that were taken away: tasks that ran there need not wait for their lease."""
+
+    async def upkeep(self, machine: Machine, wave: int) -> DutyEnding:
+        """Take a machine down for its upkeep."""
+        if not self._holder.may_act:
+            return DutyEnding.REFUSED
+        ending = await self._parts.machines.upkeep(
+            machine.name, wave=wave, token=self._holder.token
+        )
+        self._note("upkeep", machine, ending, wave=wave)
+        return ending
+
+    async def move(self, machine: Machine, service: str) -> DutyEnding:
+        """Move a machine into another service's pool."""
+        if not self._holder.may_act:
+            return DutyEnding.REFUSED
+        ending = await self._parts.machines.move(
+            machine.name, pool=service, token=self._holder.token
+        )
+        self._note("move", machine, ending, to=service)
+        return ending
+
+    async def may_take(self, machine: Machine) -> bool:
+        """Whether the machine's scheduler has nothing on it that must stay.
+
+        The failure: a machine is taken that its scheduler has taken back, and lasting tasks end.
+        So its word is read from the store once more, just before the order.
+        """
+        if not machine.worker_id:
+            return True
+        need = self._parts.book.needs.get(machine.pool)
+        if need is None or machine.worker_id not in need.free:
+            return False
+        outcome = await self._parts.store.get(need_key(machine.pool))
+        if not isinstance(outcome, Success):
+            return False
+        item = outcome.unwrap()
+        return item is not None and machine.worker_id in PoolNeed.decode(item.value).free
+
+    def _note(self, order: str, machine: Machine, ending: DutyEnding, **inputs: object) -> None:
+        self._parts.log.line(
+            "machine-ordered",
+            order=order,
+            machine=machine.name,
+            worker=machine.worker_id,
+            pool=machine.pool,
+            token=self._holder.token,
+            outcome=ending.value,
+            **inputs,
+        )
+        if ending is DutyEnding.FENCED:
+            self._holder.lose(f"a later holder has given orders for {machine.name}")
+        if ending is DutyEnding.OBEYED and machine.worker_id:
+            self.over.append(machine.worker_id)
--- /dev/null
+++ b/src/shallotworks/scheduling/_moves.py
@@ -0,0 +1,198 @@
+"""Moving machines between pools: lending to whoever's turn it is, and giving back."""
+
+from __future__ import annotations
+
+import json
+
+from returns.result import Success
+
+from shallotworks.store import Commit, Committed, Condition, Holder, Write
+
+from ._machine_orders import KeeperParts, MachineOrders
+from ._protocols import DutyEnding, Machine, MachineState
+
+__all__ = ["PoolMover"]
+
+MOVE_S = 3.0
+"""A move counts as on its way for this long: 1.5 s, and the time until the worker is in use."""
+MOVES_A_ROUND = 16
+KEPT_PART = 0.5
+"""Part of its home size that a pool keeps while it is idle: its own callers' next turn begins with
+that, while the borrower is still busy with its last one. Lending all of it left a queue with a
+seventh of what it was owed in its turn (a day of the users' with large jobs before it)."""
+HOME_KEY = "shallotworks/home-sizes"
+
+
+class PoolMover:
+    """Moves machines during one term of the keeper.
+
+    Args:
+        holder: The keeper's key.
+        parts: What it works with.
+        orders: Gives orders.
+    """
+
+    __slots__ = ("_holder", "_home", "_misfits", "_moving", "_orders", "_parts")
+
+    def __init__(self, *, holder: Holder, parts: KeeperParts, orders: MachineOrders) -> None:
+        self._holder = holder
+        self._parts = parts
+        self._orders = orders
+        self._home: dict[str, int] | None = None
+        self._moving: dict[str, tuple[str, float]] = {}
+        """Machines on their way to a service, with the time of the order."""
+        self._misfits: set[tuple[str, str]] = set()
+        """Machines and pools that don't go together."""
+
+    async def move_some(self, machines: dict[str, Machine], in_waves: set[str]) -> None:
+        """Move machines to services that lack them, and what they can do without back again."""
+        now_s = self._parts.clock()
+        for name, (_, ordered_s) in list(self._moving.items()):
+            if now_s - ordered_s >= MOVE_S:
+                del self._moving[name]
+        home = await self._home_sizes(machines)
+        if home is None:
+            return
+        sizes = self._sizes(machines)
+        idle, resting = self._sources(machines, in_waves)
+        moves = 0
+        for service in self._takers():
+            source = self._pick(resting, service) or self._pick_lent(idle, service, home, sizes)
+            if source is None or moves >= MOVES_A_ROUND:
+                break
+            moves += await self._move(source, service)
+            sizes[source.pool] -= 1
+            sizes[service] = sizes.get(service, 0) + 1
+        await self._send_back(idle, home, sizes)
+
+    async def _send_back(
+        self, idle: list[Machine], home: dict[str, int], sizes: dict[str, int]
+    ) -> None:
+        """Send what a service has beyond its home size to where machines are missing."""
+        standby = self._parts.standby()
+        moves = 0
+        for machine in idle:
+            if moves >= MOVES_A_ROUND or sizes[machine.pool] <= home.get(machine.pool, 0):
+                continue
+            short = [one for one in home if one not in standby and sizes.get(one, 0) < home[one]]
+            target = max(short, key=lambda one: home[one] - sizes.get(one, 0), default=None)
+            target = target or min(standby, default=None)
+            if target is None:
+                return
+            moves += await self._move(machine, target)
+            sizes[machine.pool] -= 1
+            sizes[target] = sizes.get(target, 0) + 1
+
+    async def recalls(self, machines: dict[str, Machine]) -> dict[str, int]:
+        """Return how many borrowed machines each service is asked to give back."""
+        home = await self._home_sizes(machines)
+        if home is None:
+            return {}
+        sizes = self._sizes(machines)
+        wanted = sum(
+            max(0, min(need.lacking, home.get(service, 0) - sizes.get(service, 0)))
+            for service, need in self._parts.book.needs.items()
+        )
+        recalls: dict[str, int] = {}
+        for service in sorted(self._parts.book.needs):
+            borrowed = sizes.get(service, 0) - home.get(service, 0)
+            if service not in self._parts.standby() and borrowed > 0 and wanted > 0:
+                recalls[service] = min(borrowed, wanted)
+                wanted -= recalls[service]
+        return recalls
+
+    async def _home_sizes(self, machines: dict[str, Machine]) -> dict[str, int] | None:
+        """Return the machines of each pool as they were when the first keeper saw them.
+
+        The operators shaped the pools; what is lent goes back, so that they keep their shape.
+        """
+        if self._home is not None:
+            return self._home
+        outcome = await self._parts.store.get(HOME_KEY)
+        if not isinstance(outcome, Success):
+            return None
+        item = outcome.unwrap()
+        if item is None:
+            sizes = self._sizes(machines)
+            value = json.dumps(sizes).encode()
+            saved = await self._parts.store.commit(
+                Commit(
+                    conditions=(self._holder.condition, Condition(key=HOME_KEY, revision=0)),
+                    writes=(Write(key=HOME_KEY, value=value),),
+                )
+            )
+            is_saved = isinstance(saved, Success) and isinstance(saved.unwrap(), Committed)
+            self._home = sizes if is_saved else None
+        else:
+            self._home = json.loads(item.value)
+        return self._home
+
+    def _sizes(self, machines: dict[str, Machine]) -> dict[str, int]:
+        sizes: dict[str, int] = {}
+        for machine in machines.values():
+            pool = self._moving.get(machine.name, (machine.pool, 0.0))[0]
+            sizes[pool] = sizes.get(pool, 0) + 1
+        return sizes
+
+    def _sources(
+        self, machines: dict[str, Machine], in_waves: set[str]
+    ) -> tuple[list[Machine], list[Machine]]:
+        """Return machines that schedulers offer, and those in standby pools."""
+        idle: list[Machine] = []
+        resting: list[Machine] = []
+        needs = self._parts.book.needs
+        standby = self._parts.standby()
+        for machine in machines.values():
+            if machine.state is not MachineState.UP or machine.name in self._moving:
+                continue
+            if machine.pool in standby:
+                resting.append(machine)
+            elif machine.name not in in_waves and machine.worker_id:
+                need = needs.get(machine.pool)
+                if need is not None and machine.worker_id in need.free:
+                    idle.append(machine)
+        # Machines that are due for upkeep go to work last: they would soon be taken away again.
+        resting.sort(key=lambda one: one.name in in_waves)
+        return idle, resting
+
+    def _takers(self) -> list[str]:
+        """Return the services that lack machines, once for each, by turns."""
+        coming: dict[str, int] = {}
+        for service, _ in self._moving.values():
+            coming[service] = coming.get(service, 0) + 1
+        takers: list[tuple[int, str]] = []
+        for service, need in self._parts.book.needs.items():
+            takers.extend((turn, service) for turn in range(need.lacking - coming.get(service, 0)))
+        return [service for _, service in sorted(takers)]
+
+    def _pick_lent(
+        self, idle: list[Machine], service: str, home: dict[str, int], sizes: dict[str, int]
+    ) -> Machine | None:
+        """Return an idle machine of a service that can lend one."""
+        lendable = [one for one in idle if sizes[one.pool] > home.get(one.pool, 0) * KEPT_PART]
+        lendable.sort(key=lambda one: home.get(one.pool, 0) - sizes[one.pool])
+        picked = self._pick(lendable, service)
+        if picked is not None:
+            idle.remove(picked)
+        return picked
+
+    def _pick(self, sources: list[Machine], service: str) -> Machine | None:
+        for machine in sources:
+            if machine.pool != service and (machine.name, service) not in self._misfits:
+                sources.remove(machine)
+                return machine
+        return None
+
+    async def _move(self, machine: Machine, service: str) -> int:
+        """Move a machine; return the orders that were sent."""
+        if (machine.name, service) in self._misfits:
+            return 0
+        is_standby = machine.pool in self._parts.standby()
+        if not is_standby and not await self._orders.may_take(machine):
+            return 0
+        ending = await self._orders.move(machine, service)
+        if ending in (DutyEnding.OBEYED, DutyEnding.UNANSWERED):
+            self._moving[machine.name] = (service, self._parts.clock())
+        if ending is DutyEnding.MISFIT:
+            self._misfits.add((machine.name, service))
+        return 1
--- /dev/null
+++ b/src/shallotworks/scheduling/_progress_writer.py
@@ -0,0 +1,121 @@
+"""Storing the progress of jobs, several in one commit, before ends are acknowledged."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from returns.result import Success
+
+from shallotworks.jobs import JobKeys, decode_progress, encode_progress
+from shallotworks.logs import LogLines
+from shallotworks.metrics import Metrics
+from shallotworks.store import Commit, Committed, Condition, Conflicted, Holder, Store, Write
+
+from ._board import ServiceBoard, Stored
+from ._entries import JobEntry
+
+__all__ = ["ProgressWriter"]
+
+GATHER_S = 0.02
+"""Left between commits of progress, so that ends which come close together share one."""
+STORE_RETRY_S = 0.1
+MOST_JOBS_A_COMMIT = 14
+"""A condition and a write each, and the scheduler's own condition, within 32 entries."""
+
+
+class ProgressWriter:
+    """Stores what a board has learnt of its jobs.
+
+    Each commit demands that the scheduler's key is still its own and that nobody else has written
+    the jobs' progress meanwhile, as a caller's cancel does; then it learns what was written.
+
+    Args:
+        board: What is known.
+        holder: The scheduler's key.
+        store: The store.
+        log: Failures and conflicts.
+        metrics: Counters.
+        on_stored: Called after each commit.
+    """
+
+    __slots__ = ("_board", "_holder", "_keys", "_log", "_metrics", "_on_stored", "_store", "wake")
+
+    def __init__(
+        self,
+        *,
+        board: ServiceBoard,
+        holder: Holder,
+        store: Store,
+        log: LogLines,
+        metrics: Metrics,
+        on_stored: Callable[[], None],
+    ) -> None:
+        self._board = board
+        self._holder = holder
+        self._store = store
+        self._log = log
+        self._metrics = metrics
+        self._on_stored = on_stored
+        self._keys = JobKeys(service=board.service)
+        self.wake = asyncio.Event()
+        """Set when progress has changed."""
+
+    async def run(self) -> None:
+        """Store progress as it changes, until cancelled."""
+        while True:
+            await self.wake.wait()
+            self.wake.clear()
+            while dirty := self._board.dirty():
+                is_stored = await self._store_batch(dirty[:MOST_JOBS_A_COMMIT])
+                await asyncio.sleep(GATHER_S if is_stored else STORE_RETRY_S)
+
+    async def _store_batch(self, entries: list[JobEntry]) -> bool:
+        changes = {entry.job.job_id: entry.changes for entry in entries}
+        keys = {self._keys.progress(entry.job.job_id): entry for entry in entries}
+        outcome = await self._store.commit(
+            Commit(
+                conditions=(
+                    self._holder.condition,
+                    *(Condition(key=key, revision=entry.revision) for key, entry in keys.items()),
+                ),
+                writes=tuple(
+                    Write(key=key, value=encode_progress(entry.progress))
+                    for key, entry in keys.items()
+                ),
+            )
+        )
+        if not isinstance(outcome, Success):
+            self._log.line(
+                "progress-not-stored",
+                service=self._board.service,
+                jobs=len(entries),
+                reason=str(outcome.failure()),
+            )
+            return False
+        result = outcome.unwrap()
+        if isinstance(result, Committed):
+            for job_id, change in changes.items():
+                self._board.stored(Stored(job_id=job_id, changes=change, revision=result.revision))
+            self._metrics.count("scheduler.progress.stored", len(entries))
+            self._on_stored()
+            return True
+        self._learn_conflict(result, keys)
+        return True
+
+    def _learn_conflict(self, conflict: Conflicted, keys: dict[str, JobEntry]) -> None:
+        current = {item.key: item for item in conflict.current}
+        own = current.get(self._holder.key)
+        if own is None or own.revision != self._holder.token:
+            self._holder.lose("its key is gone or another's")
+            return
+        for key, entry in keys.items():
+            item = current.get(key)
+            if item is None:
+                self._board.job_deleted(entry.job.job_id)
+            elif item.revision != entry.revision:
+                self._log.line("progress-conflict", id=entry.job.job_id, revision=item.revision)
+                self._board.progress_learnt(
+                    entry.job.job_id, decode_progress(item.value), item.revision
+                )
+        self._on_stored()
--- a/src/shallotworks/scheduling/_term.py
+++ b/src/shallotworks/scheduling/_term.py
@@ -10,13 +10,11 @@
 
 from returns.result import Success
 
-from shallotworks.jobs import JobKeys, decode_job, decode_progress, encode_progress
+from shallotworks.jobs import JobKeys, decode_job, decode_progress
 from shallotworks.logs import LogLines
 from shallotworks.metrics import Metrics
 from shallotworks.store import (
     Commit,
-    Committed,
-    Condition,
     Conflicted,
     Holder,
     Item,
@@ -25,12 +23,12 @@
     Write,
 )
 
-from ._board import ServiceBoard, Stored
+from ._board import ServiceBoard
 from ._decisions import Decider
-from ._entries import JobEntry
 from ._machine_book import MachineBook, PoolNeed, need_key
 from ._model import AdviceRequest, WorkerView
 from ._orders import OrderDesk, OrderTimes
+from ._progress_writer import ProgressWriter
 from ._protocols import AdviceService, WorkerDirectory, WorkerOrders
 from ._sizing import PoolSizer, SizingLimits
 
@@ -40,18 +38,15 @@
 """Decisions are also taken this often with no news, for what only time brings."""
 JOBS_PAUSE_S = 0.025
 """Left between changes of jobs, which come a hundred times a second in a turn."""
-GATHER_S = 0.02
-"""Left between commits of progress, so that ends which come close together share one."""
 SIZE_EVERY_S = 0.1
 DIRECTORY_EVERY_S = 0.05
 PUBLISH_EVERY_S = 1.0
 """Counts of waiting jobs may be 2 s old."""
 STORE_RETRY_S = 0.1
-MOST_JOBS_A_COMMIT = 14
-"""A condition and a write each, and the scheduler's own condition, within 32 entries."""
 KEEP_FINAL_S = 240.0
 """Final states are told for 120 s at least (source: the settings); kept twice as long."""
 CLEAN_EVERY_S = 30.0
+MOST_CLEANED = 60
 STOP_PATIENCE_S = 0.4
 """A term that is given up waits this long for the orders in flight."""
 
@@ -106,7 +101,7 @@
         "_recorded",
         "_sizer",
         "_tasks",
-        "_wake_store",
+        "_writer",
         "board",
         "decider",
         "is_prepared",
@@ -121,7 +116,6 @@
         self.board = ServiceBoard(service=service, token=holder.token, log=parts.log)
         self.decider = Decider(board=self.board)
         self._sizer = PoolSizer(board=self.board, limits=SizingLimits())
-        self._wake_store = asyncio.Event()
         self._desk = OrderDesk(
             board=self.board,
             holder=holder,
@@ -131,7 +125,15 @@
             times=parts.times,
             log=parts.log,
             metrics=parts.metrics,
-            on_progress=self._wake_store.set,
+            on_progress=self._note_progress,
+        )
+        self._writer = ProgressWriter(
+            board=self.board,
+            holder=holder,
+            store=parts.store,
+            log=parts.log,
+            metrics=parts.metrics,
+            on_stored=self._desk.wake,
         )
         self._mirror = Mirror(
             store=parts.store,
@@ -154,7 +156,7 @@
             self._holder.keep(),
             self._mirror.run(),
             self._schedule(),
-            self._store_progress(),
+            self._writer.run(),
             self._publish(),
             self._clean(),
             self._size_pool(),
@@ -177,6 +179,9 @@
     def _log(self, event: str, **fields: object) -> None:
         self._parts.log.line(event, service=self.service, token=self._holder.token, **fields)
 
+    def _note_progress(self) -> None:
+        self._writer.wake.set()
+
     # ---- what the mirror tells
 
     def written(self, item: Item) -> None:
@@ -250,7 +255,7 @@
             self._decide_once()
         self._desk.notice_workers()
         if any(entry.is_dirty for entry in self.board.entries.values()):
-            self._wake_store.set()
+            self._writer.wake.set()
 
     def _decide_once(self) -> None:
         now_s, wall_s = self._parts.clock(), self._parts.wall_clock()
@@ -368,59 +373,6 @@
 
     # ---- the store
 
-    async def _store_progress(self) -> None:
-        while True:
-            await self._wake_store.wait()
-            self._wake_store.clear()
-            while dirty := self.board.dirty():
-                is_stored = await self._store_batch(dirty[:MOST_JOBS_A_COMMIT])
-                await asyncio.sleep(GATHER_S if is_stored else STORE_RETRY_S)
-
-    async def _store_batch(self, entries: list[JobEntry]) -> bool:
-        changes = {entry.job.job_id: entry.changes for entry in entries}
-        keys = {self._keys.progress(entry.job.job_id): entry for entry in entries}
-        outcome = await self._parts.store.commit(
-            Commit(
-                conditions=(
-                    self._holder.condition,
-                    *(Condition(key=key, revision=entry.revision) for key, entry in keys.items()),
-                ),
-                writes=tuple(
-                    Write(key=key, value=encode_progress(entry.progress))
-                    for key, entry in keys.items()
-                ),
-            )
-        )
-        if not isinstance(outcome, Success):
-            self._log("progress-not-stored", jobs=len(entries), reason=str(outcome.failure()))
-            return False
-        result = outcome.unwrap()
-        if isinstance(result, Committed):
-            for job_id, change in changes.items():
-                self.board.stored(Stored(job_id=job_id, changes=change, revision=result.revision))
-            self._parts.metrics.count("scheduler.progress.stored", len(entries))
-            self._desk.wake()
-            return True
-        self._learn_conflict(result, keys)
-        return True
-
-    def _learn_conflict(self, conflict: Conflicted, keys: dict[str, JobEntry]) -> None:
-        current = {item.key: item for item in conflict.current}
-        own = current.get(self._holder.key)
-        if own is None or own.revision != self._holder.token:
-            self._holder.lose("its key is gone or another's")
-            return
-        for key, entry in keys.items():
-            item = current.get(key)
-            if item is None:
-                self.board.job_deleted(entry.job.job_id)
-            elif item.revision != entry.revision:
-                self._log("progress-conflict", id=entry.job.job_id, revision=item.revision)
-                self.board.progress_learnt(
-                    entry.job.job_id, decode_progress(item.value), item.revision
-                )
-        self._desk.wake()
-
     async def _publish(self) -> None:
         await self.is_prepared.wait()
         while True:
@@ -480,7 +432,7 @@
                 and not entry.is_dirty
                 and not entry.runs
             ]
-            for job_id in old[: MOST_JOBS_A_COMMIT * 4]:
+            for job_id in old[:MOST_CLEANED]:
                 keys = (self._keys.job(job_id), self._keys.progress(job_id))
                 await self._parts.store.commit(
                     Commit(conditions=(self._holder.condition,), deletes=keys)
--- /dev/null
+++ b/src/shallotworks/scheduling/_waves.py
@@ -0,0 +1,225 @@
+"""Taking waves of upkeep forward, a machine at a time."""
+
+from __future__ import annotations
+
+from returns.result import Success
+
+from shallotworks.store import Commit, Committed, Condition, Conflicted, Holder, Write
+
+from ._machine_orders import KeeperParts, MachineOrders
+from ._protocols import DutyEnding, Machine, MachineState, Upkeep
+from ._wave import WaveRecord, wave_key
+
+__all__ = ["WaveRunner"]
+
+LIST_LAG_S = 1.0
+"""A list of machines read this long after an obeyed order shows what it brought about."""
+REPEAT_S = 4.0
+"""An obeyed order is repeated when its machine still seems untouched after this, twice the time
+that upkeep takes."""
+ABSENT_ROUNDS = 10
+"""Readings of the list without a machine after which it counts as taken away."""
+AHEAD = 2
+"""Machines that are emptied ahead of a wave's free slots, for each slot."""
+
+
+class WaveRunner:
+    """Takes waves forward during one term of the keeper.
+
+    A machine counts against its wave's limit from before its order until a new worker is seen on
+    it: the slot is taken in the store first, so that a predecessor's late order is counted too.
+
+    Args:
+        holder: The keeper's key.
+        parts: What it works with.
+        orders: Gives orders.
+    """
+
+    __slots__ = ("_absent", "_completed", "_holder", "_obeyed", "_orders", "_parts")
+
+    def __init__(self, *, holder: Holder, parts: KeeperParts, orders: MachineOrders) -> None:
+        self._holder = holder
+        self._parts = parts
+        self._orders = orders
+        self._completed: set[int] = set()
+        self._absent: dict[str, int] = {}
+        self._obeyed: dict[str, float] = {}
+        """Machines whose upkeep order was obeyed, with the time."""
+
+    def open_waves(self) -> list[Upkeep]:
+        """Return the waves that are not completed."""
+        return [one for one in self._parts.upkeep.waves() if one.wave not in self._completed]
+
+    async def advance(
+        self, wave: Upkeep, machines: dict[str, Machine], *, may_order: bool
+    ) -> WaveRecord | None:
+        """Take a wave as far as it goes now.
+
+        Args:
+            wave: The wave.
+            machines: All machines by name.
+            may_order: Whether this holder may give orders yet.
+
+        Returns:
+            What has become of it; ``None`` where it is completed or the store did not answer.
+        """
+        loaded = await self._load(wave)
+        if loaded is None:
+            return None
+        record, revision = loaded
+        if record.is_completed:
+            self._completed.add(wave.wave)
+            return None
+        is_changed = self._settle(wave, record, machines)
+        is_whole = self._is_whole(wave, record, machines)
+        if is_changed or is_whole:
+            record.is_completed = is_whole
+            saved = await self._save(wave, record, revision)
+            if saved is None:
+                return None
+            revision = saved
+        if may_order:
+            await self._repeat_unanswered(wave, record, machines)
+            await self._take_down(wave, record, revision, machines)
+        return record
+
+    def _settle(self, wave: Upkeep, record: WaveRecord, machines: dict[str, Machine]) -> bool:
+        """Give back the slots of machines that are back; return whether the record changed."""
+        is_changed = False
+        for name, old_worker in list(record.down.items()):
+            machine = machines.get(name)
+            is_gone = machine is None and self._absent.get(name, 0) >= ABSENT_ROUNDS
+            if is_gone or (machine is not None and self._is_back(machine, old_worker)):
+                del record.down[name]
+                record.done.append(name)
+                is_changed = True
+                self._parts.log.line("upkeep-done", machine=name, wave=wave.wave, is_gone=is_gone)
+        return is_changed
+
+    def _is_back(self, machine: Machine, old_worker: str) -> bool:
+        """Whether a machine has had its upkeep: another worker is on it.
+
+        One that is off has no worker before or after. An order that was obeyed takes it down at
+        once, so that one which is up in a list read later has been down meanwhile, or before.
+        """
+        if machine.state is not MachineState.UP:
+            return False
+        if old_worker or machine.worker_id:
+            return machine.worker_id not in ("", old_worker)
+        obeyed_s = self._obeyed.get(machine.name)
+        return obeyed_s is not None and self._parts.clock() - obeyed_s >= LIST_LAG_S
+
+    def _is_whole(self, wave: Upkeep, record: WaveRecord, machines: dict[str, Machine]) -> bool:
+        for name in wave.machines:
+            if name in machines:
+                self._absent.pop(name, None)
+            else:
+                self._absent[name] = self._absent.get(name, 0) + 1
+        return not record.down and all(
+            name in record.done or self._absent.get(name, 0) >= ABSENT_ROUNDS
+            for name in wave.machines
+        )
+
+    def _left(
+        self, wave: Upkeep, record: WaveRecord, machines: dict[str, Machine]
+    ) -> list[Machine]:
+        """Return the machines whose turn may come: up, neither done nor down for it."""
+        return [
+            machines[name]
+            for name in wave.machines
+            if name in machines
+            and name not in record.done
+            and name not in record.down
+            and machines[name].state is MachineState.UP
+        ]
+
+    def next_due(
+        self,
+        wave: Upkeep,
+        record: WaveRecord,
+        machines: dict[str, Machine],
+        earlier: frozenset[str],
+    ) -> set[str]:
+        """Return the workers to be emptied now: those that are free already go first.
+
+        Args:
+            wave: The wave.
+            record: What has become of it.
+            machines: All machines by name.
+            earlier: Workers that are being emptied.
+        """
+        left = [one for one in self._left(wave, record, machines) if one.worker_id]
+        free = {worker for need in self._parts.book.needs.values() for worker in need.free}
+        left.sort(key=lambda one: (one.worker_id not in earlier, one.worker_id not in free))
+        return {one.worker_id for one in left[: wave.most_at_once * AHEAD]}
+
+    async def _take_down(
+        self, wave: Upkeep, record: WaveRecord, revision: int, machines: dict[str, Machine]
+    ) -> None:
+        slots = wave.most_at_once - len(record.down)
+        for machine in self._left(wave, record, machines):
+            if slots <= 0:
+                return
+            if not await self._orders.may_take(machine):
+                continue
+            record.down[machine.name] = machine.worker_id
+            saved = await self._save(wave, record, revision)
+            if saved is None:
+                return
+            revision = saved
+            slots -= 1
+            await self._order(wave, machine)
+
+    async def _repeat_unanswered(
+        self, wave: Upkeep, record: WaveRecord, machines: dict[str, Machine]
+    ) -> None:
+        for name, old_worker in record.down.items():
+            machine = machines.get(name)
+            if machine is None:
+                continue
+            obeyed_s = self._obeyed.get(name, -REPEAT_S)
+            is_untouched = machine.state is MachineState.UP and machine.worker_id == old_worker
+            if is_untouched and self._parts.clock() - obeyed_s >= REPEAT_S:
+                await self._order(wave, machine)
+
+    async def _order(self, wave: Upkeep, machine: Machine) -> None:
+        if await self._orders.upkeep(machine, wave.wave) is DutyEnding.OBEYED:
+            self._obeyed[machine.name] = self._parts.clock()
+
+    async def _load(self, wave: Upkeep) -> tuple[WaveRecord, int] | None:
+        outcome = await self._parts.store.get(wave_key(wave.wave))
+        if not isinstance(outcome, Success):
+            return None
+        item = outcome.unwrap()
+        if item is not None:
+            return WaveRecord.decode(item.value), item.revision
+        record = WaveRecord(first_s=self._parts.wall_clock())
+        revision = await self._save(wave, record, 0)
+        return (record, revision) if revision is not None else None
+
+    async def _save(self, wave: Upkeep, record: WaveRecord, revision: int) -> int | None:
+        """Store a wave's record and tell its state; ``None`` where that failed."""
+        key = wave_key(wave.wave)
+        outcome = await self._parts.store.commit(
+            Commit(
+                conditions=(self._holder.condition, Condition(key=key, revision=revision)),
+                writes=(
+                    Write(key=key, value=record.encode()),
+                    Write(
+                        key=self._parts.upkeep.status_key(wave.wave),
+                        value=self._parts.upkeep.encode_status(record.is_completed),
+                    ),
+                ),
+            )
+        )
+        if not isinstance(outcome, Success):
+            self._parts.log.line("wave-not-stored", wave=wave.wave, reason=str(outcome.failure()))
+            return None
+        result = outcome.unwrap()
+        if isinstance(result, Conflicted):
+            current = {item.key: item.revision for item in result.current}
+            if current.get(self._holder.key) != self._holder.token:
+                self._holder.lose("its key is gone or another's")
+            return None
+        committed: Committed = result
+        return committed.revision
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -1,5 +1,7 @@
 """Tests of what the adapter reads: settings, operators' records, workers' entries and answers."""
 
+import contextlib
+import io
 import json
 import tempfile
 import unittest
@@ -7,6 +9,7 @@
 from parameterized import parameterized
 from returns.result import Success
 
+from shallotworks.cli._main import run as run_command
 from shallotworks.errors import ErrorKind
 from shallotworks.platform import load_platform_settings
 from shallotworks.platform._configuration import Configuration, OperatorsBook
@@ -58,6 +61,19 @@
         """The variable that should name it is told."""
         self.assertIn("SHALLOTWORKS_SETTINGS", load_platform_settings("").failure().reason)
 
+    @parameterized.expand([("sound", SETTINGS, True), ("unsound", "x = 1", False)])
+    def test_the_command_line_checks_them(self, _name: str, text: str, is_right: bool) -> None:
+        """`shallotworks check-settings` takes the platform's file too."""
+        with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+            file.write(text)
+            file.flush()
+            with (
+                contextlib.redirect_stdout(io.StringIO()),
+                contextlib.redirect_stderr(io.StringIO()),
+            ):
+                found = run_command(["check-settings", file.name])
+        self.assertEqual(is_right, found == 0)
+
     def _load(self, text: str):  # type: ignore[no-untyped-def]
         with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
             file.write(text)
