--- a/src/shallotworks/platform/_daemon.py
+++ b/src/shallotworks/platform/_daemon.py
@@ -5,7 +5,7 @@
 import asyncio
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
 
 from absl import logging
 from returns.result import Success
@@ -36,11 +36,15 @@
 
 __all__ = ["serve"]
 
-KEEPER_DUTY = "machines"
+DUTIES_PREFIX = "shallotworks/duty/"
+SCHEDULER_DUTY = "scheduler/"
+KEEPER_DUTY = "keeper"
 METRICS_PORT = 9464
 LEAVE_S = 2.6
 """After the signal to stop, callers are served for this long: the platform asks once a second, and
 sends new connections until two answers were missed."""
+MACHINES_PAUSE_S = 0.1
+"""Schedulers tell their needs ten times a second; the keeper acts five times a second."""
 REGISTRY_PAUSE_S = 0.4
 """Workers write their entries 30 times a second together at 40 workers; a worker that drains serves
 on for 2 s, so that this costs nothing. Measured at 0.2: 6,000 calls a day less of 18,000."""
@@ -97,15 +101,15 @@
         self._machine_book = MachineBook(log=self._log)
         self._held_times = HolderTimes()
         self._parts = self._make_parts()
-        self._schedulers = self._make_bidder(
-            root="shallotworks/scheduler/",
-            mark=lambda service: JobKeys(service=service).holder_mark,
-            run_term=self._run_term,
-        )
-        self._keepers = self._make_bidder(
-            root="shallotworks/keeper/",
-            mark=lambda duty: f"{MACHINES_PREFIX}!{duty}",
-            run_term=self._run_keeper,
+        self._bidder = Bidder(
+            store=self._store,
+            root=DUTIES_PREFIX,
+            mark=_mark_of,
+            instance=settings.instance,
+            run_term=self._run_duty,
+            clock=boot_clock,
+            times=self._held_times,
+            log=self._log,
         )
         self._ingress = Ingress(
             desk=JobDesk(
@@ -117,6 +121,7 @@
             metrics=self._metrics,
         )
         self._stop = asyncio.Event()
+        self._followers: list[asyncio.Task[None]] = []
 
     def _make_parts(self) -> TermParts:
         settings = self._settings
@@ -139,24 +144,6 @@
             metrics=self._metrics,
         )
 
-    def _make_bidder(
-        self,
-        *,
-        root: str,
-        mark: Callable[[str], str],
-        run_term: Callable[[str, Holder], Awaitable[None]],
-    ) -> Bidder:
-        return Bidder(
-            store=self._store,
-            root=root,
-            mark=mark,
-            instance=self._settings.instance,
-            run_term=run_term,
-            clock=boot_clock,
-            times=self._held_times,
-            log=self._log,
-        )
-
     async def run(self) -> None:
         """Serve until told to stop."""
         settings = self._settings
@@ -164,19 +151,9 @@
             "start", data_centre=settings.data_centre, callers_address=settings.callers_address
         )
         self._handle_signals()
-        workers = Mirror(
-            store=self._store,
-            prefix=REGISTRY_PREFIX,
-            listener=self._registry,
-            log=self._log,
-            pause_s=REGISTRY_PAUSE_S,
-        )
         operators = Mirror(
             store=self._store, prefix=OPERATORS_PREFIX, listener=self._book, log=self._log
         )
-        needs = Mirror(
-            store=self._store, prefix=MACHINES_PREFIX, listener=self._machine_book, log=self._log
-        )
         await self._ingress.listen_for_readiness(settings.ready_address)
         await self._ingress.listen(settings.callers_address)
         await self._ingress.listen_for_metrics(f"{settings.ip}:{METRICS_PORT}", self._metrics_text)
@@ -185,17 +162,13 @@
             for loop in (
                 self._log.run(),
                 operators.run(),
-                workers.run(),
-                needs.run(),
-                self._schedulers.run(),
-                self._keepers.run(),
-                self._note_synced(workers),
+                self._bidder.run(),
             )
         ]
         stopped = asyncio.create_task(self._stop.wait())
-        await asyncio.wait([*loops[:-1], stopped], return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.wait([*loops, stopped], return_when=asyncio.FIRST_COMPLETED)
         await self._leave()
-        for loop in (*loops, stopped):
+        for loop in (*loops, *self._followers, stopped):
             loop.cancel()
         for loop in loops:
             if loop.done() and not loop.cancelled() and loop.exception() is not None:
@@ -208,9 +181,7 @@
         self._ingress.is_stopping = True
         self._log.line("stopping", serve_for_s=LEAVE_S)
         began_s = asyncio.get_running_loop().time()
-        await asyncio.gather(
-            self._quietly(self._schedulers.stop()), self._quietly(self._keepers.stop())
-        )
+        await self._quietly(self._bidder.stop())
         spent_s = asyncio.get_running_loop().time() - began_s
         await asyncio.sleep(max(0.0, LEAVE_S - spent_s))
         await self._quietly(self._ingress.close())
@@ -223,14 +194,42 @@
         except TimeoutError as error:
             self._log.line("stop-late", reason=repr(error))
 
+    async def _run_duty(self, duty: str, holder: Holder) -> None:
+        self._follow_fleet()
+        if duty == KEEPER_DUTY:
+            await self._run_keeper(holder)
+            return
+        service = duty.removeprefix(SCHEDULER_DUTY)
+        await ServiceTerm(service=service, holder=holder, parts=self._parts).run()
+
+    def _follow_fleet(self) -> None:
+        """Follow workers and machines from the first duty on; who only answers callers need not."""
+        if self._followers:
+            return
+        workers = Mirror(
+            store=self._store,
+            prefix=REGISTRY_PREFIX,
+            listener=self._registry,
+            log=self._log,
+            pause_s=REGISTRY_PAUSE_S,
+        )
+        machines = Mirror(
+            store=self._store,
+            prefix=MACHINES_PREFIX,
+            listener=self._machine_book,
+            log=self._log,
+            pause_s=MACHINES_PAUSE_S,
+        )
+        self._followers = [
+            asyncio.create_task(work)
+            for work in (workers.run(), machines.run(), self._note_synced(workers))
+        ]
+
     async def _note_synced(self, workers: Mirror) -> None:
         await workers.synced.wait()
         self._registry.is_synced = True
 
-    async def _run_term(self, service: str, holder: Holder) -> None:
-        await ServiceTerm(service=service, holder=holder, parts=self._parts).run()
-
-    async def _run_keeper(self, duty: str, holder: Holder) -> None:
+    async def _run_keeper(self, holder: Holder) -> None:
         parts = KeeperParts(
             machines=PlatformMachines(
                 client=self._machines_client, instance=self._settings.instance
@@ -250,8 +249,8 @@
         return configuration.standby if configuration is not None else frozenset()
 
     def _configured(self, configuration: Configuration) -> None:
-        self._schedulers.serve(set(configuration.services))
-        self._keepers.serve({KEEPER_DUTY})
+        schedulers = {SCHEDULER_DUTY + service for service in configuration.services}
+        self._bidder.serve(schedulers | {KEEPER_DUTY})
 
     def _metrics_text(self) -> str:
         return to_exposition(summarise(self._metrics.freeze(), process=self._settings.instance))
@@ -272,3 +271,10 @@
             return
         is_changed = loaded.unwrap() != self._settings
         self._log.line("reload", outcome="read", is_changed=is_changed)
+
+
+def _mark_of(duty: str) -> str:
+    """Return the second key of a duty, among the records that it works on; see `Holder`."""
+    if duty == KEEPER_DUTY:
+        return f"{MACHINES_PREFIX}!{duty}"
+    return JobKeys(service=duty.removeprefix(SCHEDULER_DUTY)).holder_mark
--- a/tests/fleet_history.py
+++ b/tests/fleet_history.py
@@ -49,7 +49,7 @@
         )
         self.bidder = Bidder(
             store=self.view,
-            root="shallotworks/scheduler/",
+            root="shallotworks/duty/scheduler/",
             mark=lambda service: JobKeys(service=service).holder_mark,
             instance=name,
             run_term=self._run_term,
@@ -172,7 +172,7 @@
 
     def scheduler(self) -> Instance | None:
         """Return the instance that holds the service's key."""
-        item = self.store.items.get(f"shallotworks/scheduler/{SERVICE}")
+        item = self.store.items.get(f"shallotworks/duty/scheduler/{SERVICE}")
         if item is None:
             return None
         holders = [one for one in self.instances if one.name == item.value.decode()]
