--- /dev/null
+++ b/bench/jobs.py
@@ -0,0 +1,120 @@
+"""Jobs accepted by one instance over HTTP, and orders given by one scheduler: rates and costs.
+
+The store and the workers are the stand-ins in memory; the store answers in 4 ms, as the users'.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import resource
+import socket
+import time
+
+from tests.fleet_history import SERVICE, History
+from tests.scheduling_fakes import quiet_log, step, view
+
+from shallotworks.jobs import JobDesk
+from shallotworks.metrics import Metrics
+from shallotworks.platform._configuration import decode_configuration
+from shallotworks.platform._http import HttpAnswer, HttpClient
+from shallotworks.platform._ingress import Ingress
+from shallotworks.standins import RecordStore, StoreView
+
+CALLERS = 16
+JOBS = 1_600
+JOB = {"spec": "x", "steps": [{"count": 6, "cpu": 500, "memMb": 10, "estimatedMs": 900}]}
+HEADERS = {"Host": "bench.example"}
+CONFIGURATION = {
+    "version": 1,
+    "routes": [{"name": "q", "host": "bench.example", "prefix": "/q/", "service": "s"}],
+    "services": [{"name": "s"}],
+}
+TASKS = 2_000
+WORKERS = 40
+IDLE_S = 5.0
+
+
+def main() -> None:
+    """Print rates, latencies, processor time and memory."""
+    asyncio.run(_accept_jobs())
+    asyncio.run(_give_orders())
+    for workers in (40, 172):
+        asyncio.run(_idle(workers))
+    peak_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+    print(f"memory at its peak, callers, store and workers included: {peak_mb:.0f} MB")
+
+
+async def _accept_jobs() -> None:
+    store = StoreView(store=RecordStore(rng=random.Random(1)))
+    configuration = decode_configuration(CONFIGURATION)
+    ingress = Ingress(
+        desk=JobDesk(store=store, metrics=Metrics(), log=quiet_log(), wall_clock=time.time),
+        configuration=lambda: configuration,
+        is_store_lost=lambda: False,
+        log=quiet_log(),
+        metrics=Metrics(),
+    )
+    address = _free_address()
+    await ingress.listen(address)
+    durations: list[float] = []
+    numbers = iter(range(JOBS))
+
+    async def call_on() -> None:
+        client = HttpClient(address=address)
+        for number in numbers:
+            began_s = time.monotonic()
+            answer = await client.call(
+                "POST", f"/q/{number:016x}", body=JOB, headers=HEADERS, timeout_s=5.0
+            )
+            assert isinstance(answer, HttpAnswer) and answer.status == 200, answer
+            durations.append(time.monotonic() - began_s)
+        await client.close()
+
+    began_s, began_cpu_s = time.monotonic(), time.process_time()
+    await asyncio.gather(*(call_on() for _ in range(CALLERS)))
+    took_s, cpu_s = time.monotonic() - began_s, time.process_time() - began_cpu_s
+    durations.sort()
+    print(
+        f"jobs accepted: {JOBS / took_s:.0f} a second, p50 {durations[JOBS // 2] * 1000:.1f} ms, "
+        f"p99 {durations[int(JOBS * 0.99)] * 1000:.1f} ms, {cpu_s / JOBS * 1e6:.0f} us of "
+        "processor time each with its caller"
+    )
+    await ingress.close()
+
+
+async def _give_orders() -> None:
+    history = History(seed=1, workers=0, instances=1)
+    for number in range(WORKERS):
+        history.fleet.add(view(f"w{number}", service=SERVICE, cpu_millicores=64_000))
+    history.instances[0].start()
+    await asyncio.sleep(1.0)
+    began_s, began_cpu_s = time.monotonic(), time.process_time()
+    jobs = TASKS // 8
+    await asyncio.gather(*(history.submit(f"{number:016x}", step(8)) for number in range(jobs)))
+    while history.fleet.started < TASKS or len(history.fleet.noted) < TASKS:
+        await asyncio.sleep(0.02)
+    took_s, cpu_s = time.monotonic() - began_s, time.process_time() - began_cpu_s
+    print(
+        f"orders: {TASKS} tasks of {jobs} jobs started, ended and acknowledged in {took_s:.2f} s, "
+        f"{TASKS / took_s:.0f} starts a second; {cpu_s / TASKS * 1e6:.0f} us of processor time a "
+        "task with its worker and store"
+    )
+    await history.instances[0].kill()
+
+
+async def _idle(workers: int) -> None:
+    history = History(seed=1, workers=workers, instances=1)
+    history.instances[0].start()
+    await asyncio.sleep(2.0)
+    began_cpu_s = time.process_time()
+    await asyncio.sleep(IDLE_S)
+    cores = (time.process_time() - began_cpu_s) / IDLE_S
+    print(f"idle at {workers} workers: {cores * 100:.2f}% of a core with the stand-ins")
+    await history.instances[0].kill()
+
+
+def _free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
--- a/src/shallotworks/platform/_workers.py
+++ b/src/shallotworks/platform/_workers.py
@@ -198,12 +198,13 @@
         log: One line for each change of what is believed of a worker.
     """
 
-    __slots__ = ("_log", "_workers", "is_synced")
+    __slots__ = ("_log", "_workers", "is_synced", "version")
 
     def __init__(self, *, log: LogLines) -> None:
         self._log = log
         self._workers: dict[str, WorkerView] = {}
         self.is_synced = False
+        self.version = 0
 
     def workers_of(self, service: str) -> dict[str, WorkerView]:
         """Return the listed workers of a service by id."""
@@ -219,6 +220,7 @@
             return
         earlier = self._workers.get(worker_id)
         self._workers[worker_id] = view
+        self.version += earlier != view
         if earlier is None or earlier.is_draining != view.is_draining:
             state = "draining" if view.is_draining else "ready"
             self._log.line("worker-listed", worker=worker_id, state=state, revision=item.revision)
@@ -227,6 +229,7 @@
         """Hear that a worker's entry is gone."""
         worker_id = key.removeprefix(REGISTRY_PREFIX)
         if self._workers.pop(worker_id, None) is not None:
+            self.version += 1
             self._log.line("worker-unlisted", worker=worker_id)
 
 
--- a/src/shallotworks/scheduling/_protocols.py
+++ b/src/shallotworks/scheduling/_protocols.py
@@ -78,6 +78,11 @@
         """Whether the list was read whole."""
         ...
 
+    @property
+    def version(self) -> int:
+        """Rises with each change of the list."""
+        ...
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Permits:
--- a/src/shallotworks/scheduling/_term.py
+++ b/src/shallotworks/scheduling/_term.py
@@ -25,7 +25,7 @@
 
 from ._board import ServiceBoard
 from ._decisions import Decider
-from ._machine_book import MachineBook, PoolNeed, need_key
+from ._machine_book import KeeperWord, MachineBook, PoolNeed, need_key
 from ._model import AdviceRequest, WorkerView
 from ._orders import OrderDesk, OrderTimes
 from ._progress_writer import ProgressWriter
@@ -91,6 +91,7 @@
 
     __slots__ = (
         "_desk",
+        "_directory_seen",
         "_has_mark",
         "_holder",
         "_keys",
@@ -145,6 +146,7 @@
         self._pending_jobs: dict[str, Item] = {}
         self._recorded: dict[str, str] = {}
         self._has_mark = False
+        self._directory_seen: tuple[int, KeeperWord] | None = None
         self._published: dict[str, int] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self.is_prepared = asyncio.Event()
@@ -303,19 +305,26 @@
 
     async def _follow_directory(self) -> None:
         while True:
-            listed = self._listed()
-            if await self._record(listed):
-                for view in listed.values():
-                    self.board.worker_learnt(view)
-            for worker in self.board.workers.values():
-                if worker.worker_id not in listed:
-                    worker.is_listed = False
-                elif worker.worker_id in self._recorded:
-                    self.board.worker_learnt(listed[worker.worker_id])
-            self._desk.notice_workers()
-            self._desk.wake()
+            version = (self._parts.directory.version, self._parts.book.keeper)
+            if version != self._directory_seen:
+                self._directory_seen = version if await self._learn_directory() else None
+                self._desk.notice_workers()
+                self._desk.wake()
             await asyncio.sleep(DIRECTORY_EVERY_S)
 
+    async def _learn_directory(self) -> bool:
+        """Put the listed workers on the board; return whether all of them may be used."""
+        listed = self._listed()
+        if await self._record(listed):
+            for view in listed.values():
+                self.board.worker_learnt(view)
+        for worker in self.board.workers.values():
+            if worker.worker_id not in listed:
+                worker.is_listed = False
+            elif worker.worker_id in self._recorded:
+                self.board.worker_learnt(listed[worker.worker_id])
+        return all(worker_id in self._recorded for worker_id in listed)
+
     def _listed(self) -> dict[str, WorkerView]:
         """Return the listed workers but for those that were taken away, whose entries stay on."""
         listed = self._parts.directory.workers_of(self.service)
@@ -402,9 +411,9 @@
             self._sizer.yield_some(book.keeper.recalls.get(self.service, 0))
             for worker in self._sizer.emptying():
                 self.decider.evacuate(worker)
+                self._desk.wake()
             if need != told and await self._tell_need(need):
                 told = need
-            self._desk.wake()
             await asyncio.sleep(SIZE_EVERY_S)
 
     async def _tell_need(self, need: PoolNeed) -> bool:
--- a/src/shallotworks/standins/_task_workers.py
+++ b/src/shallotworks/standins/_task_workers.py
@@ -239,6 +239,11 @@
         """Whether the list was read whole."""
         return True
 
+    @property
+    def version(self) -> int:
+        """Rises with each change of the list, which tests may change at any time."""
+        return hash((tuple(self.unlisted), tuple(one.is_alive for one in self.workers.values())))
+
     def workers_of(self, service: str) -> dict[str, WorkerView]:
         """Return the listed workers."""
         return {
