--- a/src/shallotworks/scheduling/_waves.py
+++ b/src/shallotworks/scheduling/_waves.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from returns.result import Success
 
 from shallotworks.store import Commit, Committed, Condition, Conflicted, Holder, Write
@@ -17,8 +19,10 @@
 REPEAT_S = 4.0
 """An obeyed order is repeated when its machine still seems untouched after this, twice the time
 that upkeep takes."""
-ABSENT_ROUNDS = 10
-"""Readings of the list without a machine after which it counts as taken away."""
+ABSENT_S = 20.0
+"""A machine that is not listed for this long, when the wave's time is over too, has left. One that
+lost power is not listed either, for 8 s in the users' days; told too early that it is completed, a
+wave would leave it out, and a late wave costs little."""
 AHEAD = 2
 """Machines that are emptied ahead of a wave's free slots, for each slot."""
 
@@ -42,7 +46,8 @@
         self._parts = parts
         self._orders = orders
         self._completed: set[int] = set()
-        self._absent: dict[str, int] = {}
+        self._absent: dict[str, float] = {}
+        """Machines that are not listed, since when."""
         self._obeyed: dict[str, float] = {}
         """Machines whose upkeep order was obeyed, with the time."""
 
@@ -88,7 +93,7 @@
         is_changed = False
         for name, old_worker in list(record.down.items()):
             machine = machines.get(name)
-            is_gone = machine is None and self._absent.get(name, 0) >= ABSENT_ROUNDS
+            is_gone = machine is None and self._has_left(wave, record, name)
             if is_gone or (machine is not None and self._is_back(machine, old_worker)):
                 del record.down[name]
                 record.done.append(name)
@@ -114,12 +119,16 @@
             if name in machines:
                 self._absent.pop(name, None)
             else:
-                self._absent[name] = self._absent.get(name, 0) + 1
+                self._absent.setdefault(name, self._parts.clock())
         return not record.down and all(
-            name in record.done or self._absent.get(name, 0) >= ABSENT_ROUNDS
-            for name in wave.machines
+            name in record.done or self._has_left(wave, record, name) for name in wave.machines
         )
 
+    def _has_left(self, wave: Upkeep, record: WaveRecord, name: str) -> bool:
+        absent_s = self._parts.clock() - self._absent.get(name, math.inf)
+        is_over = self._parts.wall_clock() >= record.first_s + wave.duration_s
+        return absent_s >= ABSENT_S and is_over
+
     def _left(
         self, wave: Upkeep, record: WaveRecord, machines: dict[str, Machine]
     ) -> list[Machine]:
--- a/tests/test_machine_keeper.py
+++ b/tests/test_machine_keeper.py
@@ -195,6 +195,48 @@
 
         run_story(story())
 
+    def test_a_machine_that_is_not_listed_for_a_while_is_waited_for(self) -> None:
+        """A wave told to be completed while machines of it never had their upkeep.
+
+        A rack loses power in the middle of the wave, and its machines are not in the list until it
+        is back, eight seconds later. They were taken for machines that had left.
+        """
+
+        async def story() -> None:
+            world = World(antenna=3)
+            world.platform.asked = (wave(world, most=1),)
+            dark = world.platform.machines.pop("m2")
+            await world.start()
+            for _ in range(75):
+                world.tell("antenna", free=True)
+                await asyncio.sleep(0.2)
+            self.assertEqual(b"running", world.store.items["status/1"].value)
+            world.platform.machines["m2"] = dark
+            for _ in range(40):
+                world.tell("antenna", free=True)
+                await asyncio.sleep(0.2)
+            self.assertEqual(b"completed", world.store.items["status/1"].value)
+            self.assertEqual(3, len({order[1] for order in world.platform.orders}))
+            world.stop()
+
+        run_story(story())
+
+    def test_a_machine_that_left_for_good_does_not_hold_the_wave_for_ever(self) -> None:
+        """Once the wave's time is over it is completed without it."""
+
+        async def story() -> None:
+            world = World(antenna=2)
+            world.platform.asked = (wave(world, most=1),)
+            world.platform.machines.pop("m1")
+            await world.start()
+            for _ in range(200):
+                world.tell("antenna", free=True)
+                await asyncio.sleep(0.2)
+            self.assertEqual(b"completed", world.store.items["status/1"].value)
+            world.stop()
+
+        run_story(story())
+
     def test_a_lost_answer_is_no_second_slot(self) -> None:
         """More machines down than the wave allows, after an order without an answer.
 
