--- a/src/shallotworks/scheduling/_sizing.py
+++ b/src/shallotworks/scheduling/_sizing.py
@@ -19,7 +19,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SizingLimits:
-    """Limits of sizing; each weighed on the bench of the users' days.
+    """Limits of sizing.
+
+    Weighed against each other on days whose queues ask by turns for five times their mean, five
+    seconds each; the figures stand in ``docs/design/platform-programs.md``.
 
     Args:
         backlog_s: Waiting work that the pool would finish within this needs no more machines: one
