--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,96 @@
+"""Tests of the list of tests that may fail."""
+
+import unittest
+
+from tests.known_red import MOST_LISTED, KnownRed, Verdict, judge, names_in, read_list
+
+
+class _Samples:
+    """Holds the sample away from the loader, which runs every test case of a module."""
+
+    class Sample(unittest.TestCase):
+        def test_good(self) -> None:
+            pass
+
+        def test_bad(self) -> None:
+            self.fail("meant to")
+
+        def test_broken(self) -> None:
+            raise OSError("meant to")
+
+        def test_left_out(self) -> None:
+            self.skipTest("meant to")
+
+        def test_bad_parts(self) -> None:
+            for number in range(2):
+                with self.subTest(number=number):
+                    self.fail("meant to")
+
+        def test_half_left_out(self) -> None:
+            with self.subTest(part="left out"):
+                self.skipTest("meant to")
+            self.fail("meant to")
+
+
+PREFIX = f"{_Samples.Sample.__module__}.{_Samples.Sample.__qualname__}."
+
+
+def _run(*methods: str, listed: tuple[str, ...]) -> Verdict:
+    suite = unittest.TestSuite(
+        [unittest.TestSuite([_Samples.Sample(method) for method in methods])]
+    )
+    names = names_in(suite)
+    result = unittest.TestResult()
+    suite.run(result)
+    lines = [KnownRed(test=PREFIX + one, cause="c", issue="i") for one in listed]
+    return judge(result, names, lines)
+
+
+class JudgeTests(unittest.TestCase):
+    def test_a_run_is_green_only_where_exactly_the_listed_tests_fail(self) -> None:
+        cases = (
+            (("test_good",), (), True),
+            (("test_good", "test_bad"), (), False),
+            (("test_good", "test_bad"), ("test_bad",), True),
+            (("test_good", "test_broken"), ("test_broken",), True),
+            (("test_good", "test_bad", "test_broken"), ("test_bad",), False),
+            (("test_good", "test_bad_parts"), ("test_bad_parts",), True),
+            (("test_good", "test_half_left_out"), ("test_half_left_out",), True),
+            (("test_good",), ("test_good",), False),
+            (("test_good", "test_left_out"), ("test_left_out",), False),
+            (("test_good",), ("test_unknown",), False),
+            (("test_bad",), ("test_bad",), False),
+            ((), (), False),
+        )
+        for methods, listed, is_green in cases:
+            with self.subTest(methods=methods, listed=listed):
+                self.assertIs(is_green, _run(*methods, listed=listed).is_green)
+
+    def test_counts_tell_tests_apart_by_how_they_ended(self) -> None:
+        verdict = _run(
+            "test_good", "test_bad", "test_bad_parts", "test_left_out", listed=("test_bad",)
+        )
+        self.assertEqual((1, 1, 1), (verdict.passed, verdict.failed, verdict.skipped))
+        self.assertEqual([PREFIX + "test_bad"], [one.test for one in verdict.excused])
+
+
+class ListTests(unittest.TestCase):
+    def test_a_line_names_test_cause_and_issue(self) -> None:
+        (one,) = read_list("\na.b.C.test_d | some cause | issue 3\n")
+        self.assertEqual(KnownRed(test="a.b.C.test_d", cause="some cause", issue="issue 3"), one)
+
+    def test_a_list_that_can_not_be_meant_is_refused(self) -> None:
+        cases = (
+            "a.b.C.test_d",
+            "a.b.C.test_d | cause",
+            "a.b.C.test_d | cause | ",
+            "a | cause | issue\na | other | issue",
+            "\n".join(f"{n} | cause | issue" for n in range(MOST_LISTED + 1)),
+        )
+        for text in cases:
+            with self.subTest(text=text), self.assertRaises(ValueError):
+                read_list(text)
+
+
+if __name__ == "__main__":
+    unittest.main()
