Let placement say what speaks against a worker

Cause: whether a worker may run a task was a bare yes or no, so nothing could tell an engineer why a task waits without a second copy of the checks. Change: Placement.obstacle returns the first reason against a worker (None = may run) and replaces may_run_on; Placement.of makes the placement of an open step, which the decider did itself. What is unsuitable is checked before what passes by itself. No decision changes.

--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -168,7 +168,7 @@
                 too_big.append((step.step.cpu_millicores, step.step.memory_mb, step.step.gpus))
 
     def _start_tasks(self, step: StepEntry, now_s: float) -> Iterator[StartOrder]:
-        placement = self._placement(step, now_s)
+        placement = Placement.of(step, now_s=now_s, wall_s=self._wall_s)
         for index in list(step.waiting):
             avoid = step.job_entry.avoid.get(step.name(index), frozenset())
             worker = placement.choose(self._board.workers.values(), avoid=avoid, rack=step.rack)
@@ -202,7 +202,7 @@
         self, step: StepEntry, rack: str, now_s: float
     ) -> list[tuple[int, Worker]] | None:
         """Return a worker for each member, within a rack if one is named; ``None`` without room."""
-        placement = self._placement(step, now_s)
+        placement = Placement.of(step, now_s=now_s, wall_s=self._wall_s)
         workers = [
             worker
             for worker in self._board.workers.values()
@@ -250,18 +250,6 @@
             ticket=step.permits.get(run.worker_id, ""),
         )
 
-    def _placement(self, step: StepEntry, now_s: float) -> Placement:
-        is_advised = step.job_entry.job.policy.is_advised
-        return Placement(
-            step=step.step,
-            job_id=step.job_entry.job.job_id,
-            occurrence=step.occurrence,
-            number=step.number,
-            now_s=now_s,
-            permits=frozenset(step.permits) if is_advised else None,
-            is_hopeless=step.is_hopeless(self._wall_s),
-        )
-
     def _ask(self, step: StepEntry, now_s: float) -> Iterator[AdviceRequest]:
         if step.is_asking or now_s - step.advised_s < ADVICE_RETRY_S:
             return
--- a/src/shallotworks/scheduling/_placement.py
+++ b/src/shallotworks/scheduling/_placement.py
@@ -1,4 +1,4 @@
-"""Which worker runs a task."""
+"""Which worker runs a task, and what speaks against the others."""
 
 from __future__ import annotations
 
@@ -6,7 +6,9 @@
 
 from shallotworks.jobs import Step, TaskName
 
+from ._entries import StepEntry
 from ._model import Worker
+from ._wait_reason import WaitReason
 
 __all__ = ["Placement"]
 
@@ -18,6 +20,11 @@
 the next queue's turn came. The part of a step that is expected to be down is the same either
 way."""
 
+_ROOM = WaitReason.ROOM
+_CORDONED = WaitReason.CORDONED
+"""The usual reasons, read once: to read a member from its class takes 0.2 us in Python 3.11, as
+long as all the checks before it, and in an overload each decision meets thousands."""
+
 
 class Placement:
     """Chooses workers for the tasks of one step.
@@ -51,6 +58,26 @@
         self._permits = permits
         self._is_hopeless = is_hopeless
 
+    @classmethod
+    def of(cls, entry: StepEntry, *, now_s: float, wall_s: float) -> Placement:
+        """Return the placement of an open step's tasks.
+
+        Args:
+            entry: The step.
+            now_s: The scheduler's clock.
+            wall_s: Time of day in seconds since 1970.
+        """
+        job = entry.job_entry.job
+        return cls(
+            step=entry.step,
+            job_id=job.job_id,
+            occurrence=entry.occurrence,
+            number=entry.number,
+            now_s=now_s,
+            permits=frozenset(entry.permits) if job.policy.is_advised else None,
+            is_hopeless=entry.is_hopeless(wall_s),
+        )
+
     def choose(
         self, workers: Iterable[Worker], *, avoid: frozenset[str], rack: str = ""
     ) -> Worker | None:
@@ -62,30 +89,47 @@
             rack: Rack of the step's other tasks, where they are slower apart; empty for any.
         """
         known = list(workers)
-        fitting = [worker for worker in known if self.may_run_on(worker)]
+        fitting = [worker for worker in known if self.obstacle(worker) is None]
         if not fitting:
             return None
         wanted_rack = self._step.near_rack or rack
         crowds = self._crowds(known) if self._step.is_lasting else {}
         return min(fitting, key=lambda worker: self._cost(worker, avoid, wanted_rack, crowds))
 
-    def may_run_on(self, worker: Worker) -> bool:
-        """Whether a worker takes new tasks and has room for one of this step."""
+    def obstacle(self, worker: Worker) -> WaitReason | None:
+        """Return the first reason against a worker, or ``None`` if it may run a task of this step.
+
+        What makes it unsuitable is checked before what passes by itself, so that the reason of a
+        worker which only the scheduler keeps back is not hidden by another.
+        """
         view = worker.view
-        if view.is_draining or worker.is_cordoned or not worker.is_listed or not worker.is_fenced:
-            return False
-        if self._is_hopeless and worker.is_yielding:
-            return False
-        if worker.pause_until_s > self._now_s or not worker.fits(self._step):
-            return False
-        if self._step.is_lasting and worker.lasting_from_s > self._now_s:
-            return False
+        if not worker.is_listed:
+            return WaitReason.UNLISTED
+        if not worker.is_fenced:
+            return WaitReason.UNREACHED
+        if view.is_draining:
+            return WaitReason.DRAINING
         if self._step.label and self._step.label not in view.labels:
-            return False
+            return WaitReason.LABEL
         if self._permits is not None and worker.worker_id not in self._permits:
-            return False
+            return WaitReason.PERMIT
+        if not worker.fits(self._step):
+            return _ROOM
+        return self._kept_back(worker)
+
+    def _kept_back(self, worker: Worker) -> WaitReason | None:
         most = self._step.most_per_worker
-        return not most or self._count_siblings(worker) < most
+        if most and self._count_siblings(worker) >= most:
+            return WaitReason.SPREAD
+        if self._is_hopeless and worker.is_yielding:
+            return WaitReason.YIELDING
+        if worker.pause_until_s > self._now_s:
+            return WaitReason.PAUSED
+        if self._step.is_lasting and worker.lasting_from_s > self._now_s:
+            return WaitReason.CLOSED_TO_LASTING
+        if worker.is_cordoned:
+            return _CORDONED
+        return None
 
     def _cost(
         self, worker: Worker, avoid: frozenset[str], rack: str, crowds: dict[str, int]
