Tell from the logs and metrics why a task waits

Cause: while a new scheduler's recovery kept all earlier jobs back, pool-state showed zeros, and no line said which workers were waited for, nor that idle ones were offered or closed to lasting tasks. Scheduling is as before.

--- a/src/shallotworks/scheduling/__init__.py
+++ b/src/shallotworks/scheduling/__init__.py
@@ -44,6 +44,8 @@
 )
 from ._sizing import PoolSizer, SizingLimits
 from ._term import ServiceTerm, TermParts
+from ._wait_reason import WaitReason
+from ._waiting import WaitSummary, WaitWatch, waiting_reason
 from ._wave import WaveRecord, wave_key
 
 __all__ = [
@@ -81,6 +83,9 @@
     "TermParts",
     "Upkeep",
     "UpkeepBook",
+    "WaitReason",
+    "WaitSummary",
+    "WaitWatch",
     "WaveRecord",
     "Worker",
     "WorkerDirectory",
@@ -89,5 +94,6 @@
     "WorkerView",
     "need_key",
     "urgency",
+    "waiting_reason",
     "wave_key",
 ]
--- a/src/shallotworks/scheduling/_sizing.py
+++ b/src/shallotworks/scheduling/_sizing.py
@@ -13,6 +13,7 @@
 from ._board import ServiceBoard
 from ._machine_book import PoolNeed
 from ._model import Worker
+from ._waiting import tasks_recovering
 
 __all__ = ["PoolSizer", "SizingLimits"]
 
@@ -100,6 +101,7 @@
             "cores_lasting": sum(run.step.cpu_millicores for run in lasting) // 1000,
             "waiting_core_s": int(self._waiting_millicore_s(wall_s) / 1000),
             "tasks_waiting": sum(len(step.waiting) for step in waiting),
+            "tasks_recovering": tasks_recovering(self._board),
             "tasks_hopeless": sum(len(step.waiting) for step in hopeless),
             "jobs": len(self._board.entries),
             "unseen_workers": len(self._board.pending_recovery),
--- a/src/shallotworks/scheduling/_term.py
+++ b/src/shallotworks/scheduling/_term.py
@@ -31,6 +31,7 @@
 from ._progress_writer import ProgressWriter
 from ._protocols import AdviceService, WorkerDirectory, WorkerOrders
 from ._sizing import PoolSizer, SizingLimits
+from ._waiting import WaitWatch, name_some
 
 __all__ = ["ServiceTerm", "TermParts"]
 
@@ -47,6 +48,7 @@
 """Final states are kept this many times as long as they must be told."""
 CLEAN_EVERY_S = 30.0
 MOST_CLEANED = 60
+MOST_AWAITED_NAMED = 10
 HAND_OVER_FRESH_S = 1.0
 """A term whose store has not answered for this long, two renewals, ends without a word."""
 STOP_PATIENCE_S = 0.4
@@ -107,6 +109,7 @@
         "_recorded",
         "_sizer",
         "_tasks",
+        "_waits",
         "_writer",
         "board",
         "decider",
@@ -122,6 +125,7 @@
         self.board = ServiceBoard(service=service, token=holder.token, log=parts.log)
         self.decider = Decider(board=self.board)
         self._sizer = PoolSizer(board=self.board, limits=SizingLimits())
+        self._waits = WaitWatch(board=self.board, metrics=parts.metrics, log=parts.log)
         self._desk = OrderDesk(
             board=self.board,
             holder=holder,
@@ -314,7 +318,12 @@
         # Offers of an earlier term must not be taken for this one's.
         while not await self._tell_need(PoolNeed(token=self._holder.token)):
             await asyncio.sleep(STORE_RETRY_S)
-        self._log("term-prepared", jobs=len(self.board.entries), workers_recorded=len(record))
+        self._log(
+            "term-prepared",
+            jobs=len(self.board.entries),
+            workers_recorded=len(record),
+            awaited=name_some(self.board.pending_recovery, MOST_AWAITED_NAMED),
+        )
         self.is_prepared.set()
 
     async def _read_record(self) -> dict[str, str]:
@@ -416,7 +425,9 @@
     async def _publish(self) -> None:
         await self.is_prepared.wait()
         while True:
-            self._log("pool-state", **self._sizer.state(wall_s=self._parts.wall_clock()))
+            now_s, wall_s = self._parts.clock(), self._parts.wall_clock()
+            self._log("pool-state", **self._sizer.state(wall_s=wall_s))
+            self._waits.tell(now_s=now_s, wall_s=wall_s)
             counts = self.board.waiting_jobs()
             if counts != self._published:
                 outcome = await self._parts.store.commit(
--- /dev/null
+++ b/src/shallotworks/scheduling/_waiting.py
@@ -0,0 +1,354 @@
+"""Which tasks wait, since when and why; no network.
+
+What it answers: an on-call engineer sees that a task doesn't run, and nothing says whether its
+scheduler may not start it yet, finds no worker, or keeps the workers back itself.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from shallotworks.jobs import TaskName
+from shallotworks.logs import LogLines
+from shallotworks.metrics import Metrics
+
+from ._board import ServiceBoard
+from ._entries import StepEntry
+from ._placement import Placement
+from ._wait_reason import WaitReason
+
+__all__ = [
+    "RecoveryWait",
+    "TaskWait",
+    "WaitSummary",
+    "WaitWatch",
+    "name_some",
+    "tasks_recovering",
+    "waiting_reason",
+]
+
+LONG_WAIT_S = 0.9
+"""Waits are logged from here on: those that the second of two looks a second apart still finds."""
+MOST_NAMED = 5
+MOST_EXAMINED = 64
+"""Kinds of steps examined in one look. To find that none of 100 full workers has room for 64 kinds
+takes 2.5 ms of the event loop."""
+MS_PER_S = 1000
+_CLOSENESS = {reason: rank for rank, reason in enumerate(WaitReason)}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TaskWait:
+    """A task that waits.
+
+    Args:
+        name: The task.
+        reason: Why.
+        is_lasting: It serves users as long as it runs.
+        waited_s: How long it has been seen to wait, in this term.
+    """
+
+    name: TaskName
+    reason: WaitReason
+    is_lasting: bool
+    waited_s: float
+
+    def fields(self, prefix: str = "") -> dict[str, object]:
+        """Return it as fields of a log line.
+
+        Args:
+            prefix: Put before the name of each field.
+        """
+        return {
+            f"{prefix}id": self.name.job_id,
+            f"{prefix}task": list(self.name[1:]),
+            f"{prefix}reason": self.reason.value,
+            f"{prefix}wait_s": round(self.waited_s, 1),
+        }
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RecoveryWait:
+    """What a term waits for before it starts tasks of earlier terms.
+
+    Args:
+        unseen: Workers not seen yet, by name.
+        left_s: Until whatever ran on the last of them has surely ended.
+    """
+
+    unseen: tuple[str, ...]
+    left_s: float
+
+    def fields(self) -> dict[str, object]:
+        """Return it as fields of a log line."""
+        return {
+            "unseen_workers": len(self.unseen),
+            "unseen_named": name_some(self.unseen, MOST_NAMED),
+            "recovery_left_s": round(self.left_s, 1),
+        }
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WaitSummary:
+    """The tasks of one service that wait at one moment.
+
+    Args:
+        counts: Tasks by reason; reasons without any are left out.
+        lasting: How many of them are lasting.
+        longest: The one that has waited longest, of equals a lasting one.
+        longest_lasting: The lasting one that has waited longest.
+        recovery: What is waited for, if the reason of some is `WaitReason.RECOVERY`.
+    """
+
+    counts: tuple[tuple[WaitReason, int], ...] = ()
+    lasting: int = 0
+    longest: TaskWait | None = None
+    longest_lasting: TaskWait | None = None
+    recovery: RecoveryWait | None = None
+
+    @property
+    def is_long(self) -> bool:
+        """Whether a task has waited for long enough to be told of."""
+        return self.longest is not None and self.longest.waited_s >= LONG_WAIT_S
+
+    def fields(self) -> dict[str, object]:
+        """Return it as fields of a log line, whose number is bounded."""
+        fields: dict[str, object] = {
+            "tasks": sum(count for _, count in self.counts),
+            "tasks_lasting": self.lasting,
+            "tasks_by_reason": {reason.value: count for reason, count in self.counts},
+        }
+        if self.longest is not None:
+            fields |= self.longest.fields() | {"is_lasting": self.longest.is_lasting}
+        if self.longest_lasting is not None:
+            fields |= self.longest_lasting.fields("lasting_")
+        if self.recovery is not None:
+            fields |= self.recovery.fields()
+        return fields
+
+
+def waiting_reason(
+    board: ServiceBoard, step: StepEntry, *, now_s: float, wall_s: float
+) -> WaitReason:
+    """Return why the waiting tasks of a step that may be started wait.
+
+    Of the reasons against the workers it is that of the worker that came closest: workers that are
+    full tell nothing while an idle one is cordoned.
+
+    Args:
+        board: What is known.
+        step: The step.
+        now_s: The scheduler's clock.
+        wall_s: Time of day in seconds since 1970.
+    """
+    if step.step.is_gang and len(step.waiting) < step.step.count:
+        return WaitReason.GANG
+    placement = Placement.of(step, now_s=now_s, wall_s=wall_s)
+    closest = WaitReason.UNLISTED
+    for worker in board.workers.values():
+        obstacle = placement.obstacle(worker)
+        if obstacle is None:
+            return WaitReason.GANG if step.step.is_gang else WaitReason.READY
+        if obstacle is not closest and _CLOSENESS[obstacle] > _CLOSENESS[closest]:
+            closest = obstacle
+    return closest
+
+
+def tasks_recovering(board: ServiceBoard) -> int:
+    """Return how many tasks wait until recovery is over."""
+    return sum(len(step.waiting) for step in _held_steps(board))
+
+
+def name_some(worker_ids: Iterable[str], most: int) -> list[str]:
+    """Return the first names in order, for a log line.
+
+    Args:
+        worker_ids: Workers.
+        most: The most names returned.
+    """
+    return sorted(worker_ids)[:most]
+
+
+def _held_steps(board: ServiceBoard) -> Iterator[StepEntry]:
+    """Yield the steps with tasks that wait and that the board holds back."""
+    if not board.pending_recovery:
+        return
+    startable = set(board.open_steps())
+    for entry in board.entries.values():
+        for step in entry.steps.values():
+            if step.waiting and step not in startable:
+                yield step
+
+
+class WaitWatch:
+    """Watches the waiting tasks of one service during a term.
+
+    A wait counts from the first look that finds it, so it may be longer by the time between two
+    looks; one that is broken by a run between two looks counts as one.
+
+    Args:
+        board: What is known.
+        metrics: Counts the time that tasks wait by reason, in milliseconds times tasks: its rate
+            in a second, divided by 1,000, is the number of tasks that wait. A gauge would go on
+            telling the last number of a term that has ended.
+        log: One line for each look that finds a long wait.
+    """
+
+    __slots__ = ("_board", "_log", "_looked_s", "_metrics", "_since_s")
+
+    def __init__(self, *, board: ServiceBoard, metrics: Metrics, log: LogLines) -> None:
+        self._board = board
+        self._metrics = metrics
+        self._log = log
+        self._since_s: dict[StepEntry, dict[int, float]] = {}
+        self._looked_s: float | None = None
+
+    def tell(self, *, now_s: float, wall_s: float) -> None:
+        """Look, count, and log what has waited for long.
+
+        Args:
+            now_s: The scheduler's clock.
+            wall_s: Time of day in seconds since 1970.
+        """
+        summary = self.look(now_s=now_s, wall_s=wall_s)
+        self._count(summary, now_s)
+        if summary.is_long:
+            board = self._board
+            fields = summary.fields()
+            self._log.line("tasks-waiting", service=board.service, token=board.token, **fields)
+
+    def look(self, *, now_s: float, wall_s: float) -> WaitSummary:
+        """Return what waits now.
+
+        Args:
+            now_s: The scheduler's clock.
+            wall_s: Time of day in seconds since 1970.
+        """
+        held, startable = list(_held_steps(self._board)), list(self._board.open_steps())
+        self._remember([*held, *startable], now_s)
+        # The longest waits come first, so that their reasons are among those that are found.
+        startable.sort(key=lambda step: (self._oldest_s(step), not step.step.is_lasting))
+        examiner = _Examiner(board=self._board, now_s=now_s, wall_s=wall_s)
+        waits = [_StepWait(step, WaitReason.RECOVERY, self._oldest_s(step)) for step in held]
+        waits += [
+            _StepWait(step, examiner.reason(step), self._oldest_s(step)) for step in startable
+        ]
+        lasting = [wait for wait in waits if wait.step.step.is_lasting]
+        return WaitSummary(
+            counts=_count_tasks(waits),
+            lasting=sum(len(wait.step.waiting) for wait in lasting),
+            longest=self._longest(waits, now_s),
+            longest_lasting=self._longest(lasting, now_s),
+            recovery=self._recovery(now_s) if held else None,
+        )
+
+    def _remember(self, steps: list[StepEntry], now_s: float) -> None:
+        earlier, self._since_s = self._since_s, {}
+        for step in steps:
+            known = earlier.get(step, {})
+            self._since_s[step] = {index: known.get(index, now_s) for index in step.waiting}
+
+    def _oldest_s(self, step: StepEntry) -> float:
+        return min(self._since_s[step].values())
+
+    def _longest(self, waits: list[_StepWait], now_s: float) -> TaskWait | None:
+        if not waits:
+            return None
+        wait = min(waits, key=lambda one: (one.since_s, not one.step.step.is_lasting))
+        since_s = self._since_s[wait.step]
+        return TaskWait(
+            name=wait.step.name(min(since_s, key=lambda index: (since_s[index], index))),
+            reason=wait.reason,
+            is_lasting=wait.step.step.is_lasting,
+            waited_s=now_s - wait.since_s,
+        )
+
+    def _recovery(self, now_s: float) -> RecoveryWait:
+        pending = self._board.pending_recovery
+        return RecoveryWait(
+            unseen=tuple(sorted(pending)), left_s=max(0.0, max(pending.values()) - now_s)
+        )
+
+    def _count(self, summary: WaitSummary, now_s: float) -> None:
+        last_s, self._looked_s = self._looked_s, now_s
+        if last_s is None:
+            return
+        passed_ms = round((now_s - last_s) * MS_PER_S)
+        for reason, tasks in summary.counts:
+            name = f"scheduler.waiting_task_ms.{self._board.service}.{reason.value}"
+            self._metrics.count(name, tasks * passed_ms)
+
+
+class _StepWait(NamedTuple):
+    """The waiting tasks of one step, which have their reason in common."""
+
+    step: StepEntry
+    reason: WaitReason
+    since_s: float
+
+
+class _Kind(NamedTuple):
+    """All of a step that decides about workers; steps of one kind have one reason."""
+
+    cpu_millicores: int
+    memory_mb: int
+    gpus: int
+    label: str
+    is_filler: bool
+    is_lasting: bool
+    is_hopeless: bool
+
+
+class _Examiner:
+    """Finds the reasons of one look, each kind of step once and so many kinds only.
+
+    The load: thousands of steps wait in an overload, mostly of a few sizes. To compare each with
+    each worker would hold the event loop, and with it the renewal of the term's key.
+    """
+
+    __slots__ = ("_board", "_by_kind", "_left", "_now_s", "_wall_s")
+
+    def __init__(self, *, board: ServiceBoard, now_s: float, wall_s: float) -> None:
+        self._board = board
+        self._now_s = now_s
+        self._wall_s = wall_s
+        self._left = MOST_EXAMINED
+        self._by_kind: dict[_Kind, WaitReason] = {}
+
+    def reason(self, step: StepEntry) -> WaitReason:
+        """Return why a step's tasks wait."""
+        kind = self._kind(step)
+        if kind is not None and kind in self._by_kind:
+            return self._by_kind[kind]
+        if self._left <= 0:
+            return WaitReason.NOT_EXAMINED
+        self._left -= 1
+        reason = waiting_reason(self._board, step, now_s=self._now_s, wall_s=self._wall_s)
+        if kind is not None:
+            self._by_kind[kind] = reason
+        return reason
+
+    def _kind(self, entry: StepEntry) -> _Kind | None:
+        """Return a step's kind, or ``None`` if its reason depends on its own tasks or permits."""
+        step = entry.step
+        if step.is_gang or step.most_per_worker or entry.job_entry.job.policy.is_advised:
+            return None
+        return _Kind(
+            cpu_millicores=step.cpu_millicores,
+            memory_mb=step.memory_mb,
+            gpus=step.gpus,
+            label=step.label,
+            is_filler=step.is_filler,
+            is_lasting=step.is_lasting,
+            is_hopeless=entry.is_hopeless(self._wall_s),
+        )
+
+
+def _count_tasks(waits: list[_StepWait]) -> tuple[tuple[WaitReason, int], ...]:
+    counts: Counter[WaitReason] = Counter()
+    for wait in waits:
+        counts[wait.reason] += len(wait.step.waiting)
+    return tuple(sorted(counts.items(), key=lambda row: _CLOSENESS[row[0]]))
