--- /dev/null
+++ b/tests/test_outage_recovery.py
@@ -0,0 +1,193 @@
+"""Tests of what holds lasting tasks back after the store was away; on the stand-ins."""
+
+import asyncio
+import random
+import unittest
+
+from parameterized import parameterized
+from returns.result import Result
+
+from shallotworks.errors import Failure
+from shallotworks.jobs import JobKeys
+from shallotworks.scheduling import Bidder, PoolSizer, SizingLimits
+from shallotworks.standins import RecordStore, StoreView
+from shallotworks.store import Changes, Holder, HolderTimes
+from tests.fleet_history import History
+from tests.on_loop import run_story
+from tests.scheduling_fakes import WALL_S, Bench, job, quiet_log, step, view
+
+JOB_ID = "00000000000000aa"
+OUTAGE_S = 9.0
+BACK_S = 4.0
+"""Time from the store's return until the tasks run again: instances bid within 2 s, since their
+calls in flight have to time out, and whoever wins looks at all workers at once."""
+
+
+def _set_silent(history: History, is_silent: bool) -> None:
+    for instance in history.instances:
+        instance.view.faults.is_silent = is_silent
+
+
+def _running(history: History) -> int:
+    alive = [worker for worker in history.fleet.workers.values() if worker.is_alive]
+    for worker in alive:
+        worker.pass_time()
+    return sum(len(worker.names()) for worker in alive)
+
+
+async def _begun(workers: int) -> History:
+    """Return a history in which a job of two lasting tasks runs."""
+    history = History(seed=1, workers=workers, instances=2)
+    history.fleet.lasting.add(JOB_ID)
+    for instance in history.instances:
+        instance.start()
+    await asyncio.sleep(1.0)
+    await history.submit(JOB_ID, step(2, is_lasting=True))
+    await asyncio.sleep(SizingLimits().lasting_after_s + 1.0)
+    return history
+
+
+class LeftWorkerTests(unittest.TestCase):
+    def test_tasks_run_again_soon_though_a_worker_left_long_before_the_outage(self) -> None:
+        """Lasting tasks stood still for 14 s after an outage of the store, beside idle workers.
+
+        A worker with nothing on it left. Twelve seconds later the store fell silent, the scheduler
+        gave up without a word, and the tasks lapsed. Its successor found the worker in the record
+        of those that may run tasks, where it had stayed, and left all earlier jobs alone until the
+        leases of a worker that nobody can reach had surely run out.
+        """
+
+        async def story() -> None:
+            history = await _begun(workers=3)
+            idle = [one for one in history.fleet.workers.values() if not one.names()]
+            self.assertEqual(1, len(idle))
+            idle[0].crash()
+            await asyncio.sleep(12.0)
+            _set_silent(history, True)
+            await asyncio.sleep(OUTAGE_S)
+            self.assertEqual(0, _running(history))
+            _set_silent(history, False)
+            await asyncio.sleep(BACK_S)
+            self.assertEqual(2, _running(history))
+            self.assertEqual([], history.fleet.breaches)
+            for instance in history.instances:
+                await instance.kill()
+
+        run_story(story())
+
+
+class ShortOutageTests(unittest.TestCase):
+    @parameterized.expand(
+        [("paused", 4.5, True), ("paused longer", 5.2, True), ("run out", 4.0, False)]
+    )
+    def test_tasks_run_on_through_a_short_outage(
+        self, _name: str, outage_s: float, are_leases_paused: bool
+    ) -> None:
+        """Every lasting task was lost in an outage of the store of five seconds.
+
+        The scheduler stopped extending leases on workers when its grace was over, and nobody
+        extended them again before they ran out: where the store's leases had stood still with it,
+        the key of the scheduler that had given up stood for two seconds more.
+        """
+
+        async def story() -> None:
+            history = await _begun(workers=3)
+            started = history.fleet.started
+            history.store.are_leases_paused = are_leases_paused
+            _set_silent(history, True)
+            await asyncio.sleep(outage_s)
+            _set_silent(history, False)
+            history.store.are_leases_paused = False
+            await asyncio.sleep(BACK_S)
+            self.assertEqual(2, _running(history))
+            self.assertEqual(started, history.fleet.started)
+            for instance in history.instances:
+                await instance.kill()
+
+        run_story(story())
+
+
+class _SlowWatch(StoreView):
+    """A store whose watches are answered late while a test wants that."""
+
+    is_late = False
+
+    async def watch(
+        self, prefix: str, *, after_revision: int, wait_s: float
+    ) -> Result[Changes, Failure]:
+        outcome = await super().watch(prefix, after_revision=after_revision, wait_s=wait_s)
+        while self.is_late:
+            await asyncio.sleep(0.05)
+        return outcome
+
+
+class LateNewsTests(unittest.TestCase):
+    def test_news_of_an_earlier_key_does_not_end_the_next_term(self) -> None:
+        """Every scheduler gave up within half a second of its start, after an outage of the store.
+
+        A scheduler lost its key in the outage, bid as soon as the store answered and won. Its watch
+        of the keys was answered later, and told that the key was gone: the one from before.
+        """
+
+        async def story() -> None:
+            store = RecordStore(rng=random.Random(1))
+            watched = _SlowWatch(store=store)
+            holders: list[Holder] = []
+
+            async def run_term(service: str, holder: Holder) -> None:
+                holders.append(holder)
+                keep = asyncio.create_task(holder.keep())
+                await holder.lost.wait()
+                keep.cancel()
+
+            bidder = Bidder(
+                store=watched,
+                root="duty/",
+                mark=lambda service: JobKeys(service=service).holder_mark,
+                instance="n0",
+                run_term=run_term,
+                clock=asyncio.get_running_loop().time,
+                times=HolderTimes(),
+                log=quiet_log(),
+            )
+            follow = asyncio.create_task(bidder.run())
+            bidder.serve({"antenna"})
+            await asyncio.sleep(2.0)
+            watched.is_late = True
+            store.end_lease(store.items["duty/antenna"].lease_id)
+            await asyncio.sleep(3.0)
+            self.assertEqual(2, len(holders))
+            watched.is_late = False
+            await asyncio.sleep(2.0)
+            self.assertEqual(2, len(holders))
+            self.assertFalse(holders[1].lost.is_set())
+            follow.cancel()
+            await bidder.stop()
+
+        run_story(story())
+
+
+class RecoveringPoolTests(unittest.TestCase):
+    def test_a_pool_with_tasks_to_recover_does_not_offer_its_workers(self) -> None:
+        """Lasting tasks waited 3 s longer than the recovery, beside idle workers.
+
+        A new scheduler left earlier jobs alone until it had seen all workers. Meanwhile nothing
+        seemed to wait, so that it offered its idle workers to other pools. When the recovery was
+        over it took them back, and placed no lasting task on them while an order to take them away
+        might still come.
+        """
+        bench = Bench(view("a"), view("b"))
+        bench.board.pending_recovery["c"] = bench.now_s + 5.0
+        bench.learn(job("j", step(2, is_lasting=True)), is_old=True)
+        sizer = PoolSizer(board=bench.board, limits=SizingLimits())
+        for _ in range(20):
+            need = sizer.assess(frozenset(), now_s=bench.now_s, wall_s=WALL_S)
+            self.assertEqual((), need.free)
+            bench.now_s += 0.1
+        bench.board.recovered("c", "seen")
+        sizer.withdraw(bench.now_s)
+        self.assertEqual(2, len(bench.starts()))
+
+
+if __name__ == "__main__":
+    unittest.main()
