End a term only for the deletion of its own key

Cause: an instance bids as soon as its own term is over, and may win before its mirror of the keys tells that the earlier key is gone. The bidder took that for the loss of the new key: in the incident five terms ended within half a second of their start, each in the millisecond in which its instance regained the mirror, and each successor waited for unseen workers from the start. Change: the mirror says at which revision a key was deleted; only a later one than the key's creation ends the term.

--- a/src/shallotworks/platform/_configuration.py
+++ b/src/shallotworks/platform/_configuration.py
@@ -96,7 +96,7 @@
         except (KeyError, ValueError, TypeError) as error:
             self._log.line("operators-record-unreadable", key=item.key, reason=repr(error))
 
-    def deleted(self, key: str) -> None:
+    def deleted(self, key: str, revision: int) -> None:
         """Hear that a record is gone; the configuration in force stays."""
         if key.startswith(WAVES_PREFIX):
             self._waves.pop(int(key.removeprefix(WAVES_PREFIX)), None)
--- a/src/shallotworks/platform/_workers.py
+++ b/src/shallotworks/platform/_workers.py
@@ -225,7 +225,7 @@
             state = "draining" if view.is_draining else "ready"
             self._log.line("worker-listed", worker=worker_id, state=state, revision=item.revision)
 
-    def deleted(self, key: str) -> None:
+    def deleted(self, key: str, revision: int) -> None:
         """Hear that a worker's entry is gone."""
         worker_id = key.removeprefix(REGISTRY_PREFIX)
         if self._workers.pop(worker_id, None) is not None:
--- a/src/shallotworks/scheduling/_bidding.py
+++ b/src/shallotworks/scheduling/_bidding.py
@@ -81,6 +81,7 @@
         self._times = times
         self._log = log
         self._held: dict[str, int] = {}
+        """Tokens of the keys that are held, as far as is known."""
         self._holders: dict[str, Holder] = {}
         self._bids: dict[str, asyncio.Task[None]] = {}
         self._news = asyncio.Event()
@@ -117,19 +118,25 @@
     def written(self, item: Item) -> None:
         """Hear who holds a key."""
         service = item.key.removeprefix(self._root)
-        self._held[service] = item.created
+        self._held[service] = max(item.created, self._held.get(service, 0))
         holder = self._holders.get(service)
         if holder is not None and item.created > holder.token:
             holder.lose("another holds its key")
 
-    def deleted(self, key: str) -> None:
-        """Hear that a key is free."""
+    def deleted(self, key: str, revision: int) -> None:
+        """Hear that a key is free.
+
+        The failure: this instance bids as soon as its own term has ended, and may win before the
+        mirror tells that the earlier key is gone; the new term then ended at its start. Only what
+        was deleted after a key's creation was that key.
+        """
         service = key.removeprefix(self._root)
-        token = self._held.pop(service, 0)
         holder = self._holders.get(service)
-        if holder is not None and token >= holder.token:
+        if holder is not None and revision > holder.token:
             holder.lose("its key was deleted")
-        self._news.set()
+        if revision > self._held.get(service, 0):
+            self._held.pop(service, None)
+            self._news.set()
 
     # ---- bids
 
--- a/src/shallotworks/scheduling/_machine_book.py
+++ b/src/shallotworks/scheduling/_machine_book.py
@@ -112,7 +112,7 @@
         except (ValueError, KeyError, TypeError) as error:
             self._log.line("machines-record-unreadable", key=item.key, reason=repr(error))
 
-    def deleted(self, key: str) -> None:
+    def deleted(self, key: str, revision: int) -> None:
         """Hear that a record is gone."""
         if key == keeper_key():
             self.keeper = KeeperWord()
--- a/src/shallotworks/scheduling/_term.py
+++ b/src/shallotworks/scheduling/_term.py
@@ -254,7 +254,7 @@
             wall_s=self._parts.wall_clock(),
         )
 
-    def deleted(self, key: str) -> None:
+    def deleted(self, key: str, revision: int) -> None:
         """Hear that a record is gone.
 
         The failure that the mark guards against: a scheduler whose key was taken away starts a job
--- a/src/shallotworks/store/_mirror.py
+++ b/src/shallotworks/store/_mirror.py
@@ -30,8 +30,8 @@
         """Hear that a key was written; the same write may be told twice."""
         ...
 
-    def deleted(self, key: str) -> None:
-        """Hear that a key is gone."""
+    def deleted(self, key: str, revision: int) -> None:
+        """Hear that a key is gone; a key of that name may have been created after the revision."""
         ...
 
 
@@ -147,7 +147,7 @@
         if self._items.get(key, revision + 1) > revision:
             return
         del self._items[key]
-        self._listener.deleted(key)
+        self._listener.deleted(key, revision)
 
     def _note_contact(self, failure: Failure | None) -> None:
         if failure is not None and not self._is_failing:
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -99,7 +99,7 @@
         book = OperatorsBook(on_configuration=lambda _: None, log=quiet_log())
         book.written(self._item("op/config", _configuration(2)))
         book.written(self._item("op/config", {"version": 3}))
-        book.deleted("op/config")
+        book.deleted("op/config", 9)
         assert book.configuration is not None
         self.assertEqual(2, book.configuration.version)
 
@@ -112,7 +112,7 @@
             [(4, ("m1",), 20.0, 2)],
             [(one.wave, one.machines, one.duration_s, one.most_at_once) for one in book.waves()],
         )
-        book.deleted("op/wave/4")
+        book.deleted("op/wave/4", 9)
         self.assertEqual((), book.waves())
 
     @staticmethod
@@ -136,7 +136,7 @@
         view = registry.workers_of("s")["i-1"]
         self.assertEqual(("r1-3", 16000, True), (view.rack, view.cpu_millicores, view.is_draining))
         self.assertEqual(1, len(registry.workers_of("s")))
-        registry.deleted("servers/i-1")
+        registry.deleted("servers/i-1", 9)
         self.assertEqual({}, registry.workers_of("s"))
 
     @parameterized.expand(
--- a/tests/test_store_following.py
+++ b/tests/test_store_following.py
@@ -23,7 +23,7 @@
         self.values[item.key] = item.value
         self.told.append(f"{item.key}={item.value.decode()}")
 
-    def deleted(self, key: str) -> None:
+    def deleted(self, key: str, revision: int) -> None:
         del self.values[key]
         self.told.append(f"{key} gone")
 
