Offer no workers while tasks wait for recovery

Cause: tasks of earlier jobs don't count as waiting until a new scheduler has seen all workers, so that its pool seemed idle and was offered to others. Taken back, a worker is closed to lasting tasks for 3 s: in the incident these came on top of the recovery. Change: what keeps a pool from offering its workers is any waiting task, also one that may not be started yet.

--- a/src/shallotworks/scheduling/_board.py
+++ b/src/shallotworks/scheduling/_board.py
@@ -182,6 +182,14 @@
                 if step.waiting:
                     yield step
 
+    def has_waiting_tasks(self) -> bool:
+        """Whether tasks wait, also those that may not be started yet.
+
+        The failure: a pool that has to see all workers before it starts earlier jobs offers its
+        idle workers meanwhile; lasting tasks are kept off these for 3 s after they were taken back.
+        """
+        return any(step.waiting for entry in self.entries.values() for step in entry.steps.values())
+
     def _close(self, entry: JobEntry, reason: str) -> None:
         entry.steps.clear()
         self.timed.discard(entry.job.job_id)
