Take workers that are over out of the record that a successor waits for

Cause: the record of workers that may run a service's tasks only grew during a term. The class: what is remembered of a party that can never answer, and is never forgotten. Change: a record with one owner (RunnersRecord), written anew once a second where a worker is over, or drained and empty. A term that is stopped tells how long what it never reached may live on, so that its successor does not wait from the start. Each write demands the record's last revision: one that is carried out late would take a worker out that was entered meanwhile, and tasks could run twice. A worker that is not recorded gets no lease. A record that can't be read holds earlier jobs back for as long as any worker would.

--- a/src/shallotworks/scheduling/__init__.py
+++ b/src/shallotworks/scheduling/__init__.py
@@ -42,6 +42,7 @@
     WorkerDirectory,
     WorkerOrders,
 )
+from ._runners import Runner, RunnersRecord, runners_key
 from ._sizing import PoolSizer, SizingLimits
 from ._term import ServiceTerm, TermParts
 from ._wait_reason import WaitReason
@@ -73,6 +74,8 @@
     "Run",
     "RunPhase",
     "RunningTask",
+    "Runner",
+    "RunnersRecord",
     "ServiceBoard",
     "ServiceTerm",
     "SizingLimits",
@@ -93,6 +96,7 @@
     "WorkerReport",
     "WorkerView",
     "need_key",
+    "runners_key",
     "urgency",
     "waiting_reason",
     "wave_key",
--- a/src/shallotworks/scheduling/_orders.py
+++ b/src/shallotworks/scheduling/_orders.py
@@ -285,7 +285,7 @@
         The worker's clock is reckoned from its last answer, so the reckoning is early by the way
         back and late by what the clock loses; the end noted here allows for both.
         """
-        if not worker.clock_ms:
+        if not worker.clock_ms or not worker.is_recorded:
             return None
         age_s = sent_s - worker.clock_at_s
         lease_s = self._times.lease_s
--- a/src/shallotworks/scheduling/_term.py
+++ b/src/shallotworks/scheduling/_term.py
@@ -30,6 +30,7 @@
 from ._orders import OrderDesk, OrderTimes
 from ._progress_writer import ProgressWriter
 from ._protocols import AdviceService, WorkerDirectory, WorkerOrders
+from ._runners import Runner, RunnersRecord
 from ._sizing import PoolSizer, SizingLimits
 from ._waiting import WaitWatch, name_some
 
@@ -106,7 +107,7 @@
         "_parts",
         "_pending_jobs",
         "_published",
-        "_recorded",
+        "_runners",
         "_sizer",
         "_tasks",
         "_waits",
@@ -152,8 +153,10 @@
             log=parts.log,
             pause_s=JOBS_PAUSE_S,
         )
+        self._runners = RunnersRecord(
+            service=service, holder=holder, store=parts.store, log=parts.log
+        )
         self._pending_jobs: dict[str, Item] = {}
-        self._recorded: dict[str, str] = {}
         self._has_mark = False
         self._directory_seen: tuple[int, KeeperWord] | None = None
         self._published: dict[str, int] | None = None
@@ -195,14 +198,26 @@
         workers that its predecessors had used within 10 s, most of them moved away since.
         """
         is_silent = self._holder.unconfirmed_s > HAND_OVER_FRESH_S
-        if is_silent or not self.is_prepared.is_set():
-            return
-        record = {
-            worker.worker_id: worker.view.address
-            for worker in self.board.workers.values()
-            if worker.runs or worker.worker_id in self.board.pending_recovery
-        }
-        await self._store_record(record)
+        if not is_silent and self.is_prepared.is_set():
+            await self._runners.keep(self._runners_left)
+
+    def _runners_left(self) -> dict[str, Runner]:
+        """Return the workers that may run something, now that this term orders nothing more.
+
+        What an earlier term left on a worker that was never reached ends no later for the change:
+        where instances are stopped in turn, each successor would wait for it from the start.
+        """
+        now_s = self._parts.clock()
+        left: dict[str, Runner] = {}
+        for worker_id, worker in self.board.workers.items():
+            until_s = self.board.pending_recovery.get(worker_id)
+            if until_s is not None:
+                left[worker_id] = Runner(
+                    address=worker.view.address, left_s=max(0.0, until_s - now_s)
+                )
+            elif worker.runs:
+                left[worker_id] = Runner(address=worker.view.address)
+        return left
 
     def _log(self, event: str, **fields: object) -> None:
         self._parts.log.line(event, service=self.service, token=self._holder.token, **fields)
@@ -306,39 +321,32 @@
             self._holder.lose("its mark among the jobs is not there")
         while not self._parts.directory.is_synced:
             await asyncio.sleep(DIRECTORY_EVERY_S)
-        record = await self._read_record()
-        now_s = self._parts.clock()
-        bound_s = self._parts.times.recovery_s
-        for worker_id, address in self._recorded.items():
-            self.board.pending_recovery[worker_id] = now_s + bound_s
-            view = WorkerView(worker_id=worker_id, service=self.service, address=address)
-            self.board.worker_learnt(view)
-            self.board.worker_unlisted(worker_id)
-            self.board.workers[worker_id].lease_ends_s = now_s + bound_s
+        await self._runners.read()
+        for worker_id, runner in self._runners.runners.items():
+            self._await_runner(worker_id, runner)
+        self._note_usable()
         # Offers of an earlier term must not be taken for this one's.
         while not await self._tell_need(PoolNeed(token=self._holder.token)):
             await asyncio.sleep(STORE_RETRY_S)
         self._log(
             "term-prepared",
             jobs=len(self.board.entries),
-            workers_recorded=len(record),
+            workers_recorded=len(self._runners.runners),
             awaited=name_some(self.board.pending_recovery, MOST_AWAITED_NAMED),
         )
         self.is_prepared.set()
 
-    async def _read_record(self) -> dict[str, str]:
-        while True:
-            outcome = await self._parts.store.get(self._record_key)
-            if isinstance(outcome, Success):
-                item = outcome.unwrap()
-                if item is not None:
-                    self._recorded = json.loads(item.value)
-                return self._recorded
-            await asyncio.sleep(STORE_RETRY_S)
-
-    @property
-    def _record_key(self) -> str:
-        return f"shallotworks/runners/{self.service}"
+    def _await_runner(self, worker_id: str, runner: Runner) -> None:
+        """Leave earlier jobs alone until a worker is seen, or what runs there has surely ended."""
+        bound_s = self._parts.times.recovery_s
+        if runner.left_s is not None:
+            bound_s = min(bound_s, runner.left_s)
+        over_s = self._parts.clock() + bound_s
+        self.board.pending_recovery[worker_id] = over_s
+        view = WorkerView(worker_id=worker_id, service=self.service, address=runner.address)
+        self.board.worker_learnt(view)
+        self.board.worker_unlisted(worker_id)
+        self.board.workers[worker_id].lease_ends_s = over_s
 
     async def _follow_directory(self) -> None:
         while True:
@@ -352,15 +360,17 @@
     async def _learn_directory(self) -> bool:
         """Put the listed workers on the board; return whether all of them may be used."""
         listed = self._listed()
-        if await self._record(listed):
-            for view in listed.values():
-                self.board.worker_learnt(view)
-        for worker in self.board.workers.values():
-            if worker.worker_id not in listed:
+        for worker_id, worker in self.board.workers.items():
+            if worker_id not in listed:
                 worker.is_listed = False
-            elif worker.worker_id in self._recorded:
-                self.board.worker_learnt(listed[worker.worker_id])
-        return all(worker_id in self._recorded for worker_id in listed)
+            elif listed[worker_id].is_draining:
+                self.board.worker_learnt(listed[worker_id])
+        is_kept = await self._keep_runners()
+        for worker_id, view in listed.items():
+            if self._runners.may_use(worker_id):
+                self.board.worker_learnt(view)
+        self._note_usable()
+        return is_kept
 
     def _listed(self) -> dict[str, WorkerView]:
         """Return the listed workers but for those that were taken away, whose entries stay on."""
@@ -371,33 +381,36 @@
                 self.board.worker_over(worker_id, "taken away", self._parts.clock())
         return listed
 
-    async def _record(self, listed: dict[str, WorkerView]) -> bool:
-        """Record which workers this term may use, before the first order to them.
+    async def _keep_runners(self) -> bool:
+        """Have the record name the workers that this term may use, and no others.
 
-        The failure: a successor that starts a task again while a worker that it has never heard of,
-        and can't reach, still runs it. It reads this record, and until it has seen each of these
-        workers, or their leases have run out, it leaves earlier jobs alone.
+        The failure: a worker leaves, or crashes, and stays in the record. After a crash or an
+        outage of the store the next term can't reach it, and leaves all earlier jobs alone for 7 s
+        though nothing runs there. So workers that are over go, and so do drained ones before they
+        leave: their end may fall into a time without a scheduler.
         """
-        if all(worker_id in self._recorded for worker_id in listed):
-            return False
-        known = {worker.worker_id: worker.view.address for worker in self.board.workers.values()}
-        record = {**known, **{view.worker_id: view.address for view in listed.values()}}
-        return await self._store_record(record)
+        is_kept = await self._runners.keep(self._runners_wanted)
+        self._note_usable()
+        return is_kept
 
-    async def _store_record(self, record: dict[str, str]) -> bool:
-        outcome = await self._parts.store.commit(
-            Commit(
-                conditions=(self._holder.condition,),
-                writes=(Write(key=self._record_key, value=json.dumps(record).encode()),),
-            )
-        )
-        if not isinstance(outcome, Success):
-            return False
-        if isinstance(outcome.unwrap(), Conflicted):
-            self._holder.lose("its key has another revision")
-            return False
-        self._recorded = record
-        return True
+    def _runners_wanted(self) -> dict[str, Runner]:
+        listed = self._listed()
+        views = {worker_id: worker.view for worker_id, worker in self.board.workers.items()}
+        views |= listed
+        return {
+            worker_id: Runner(address=view.address)
+            for worker_id, view in views.items()
+            if not view.is_draining or self._may_run_something(worker_id)
+        }
+
+    def _may_run_something(self, worker_id: str) -> bool:
+        worker = self.board.workers.get(worker_id)
+        is_unseen = worker_id in self.board.pending_recovery
+        return is_unseen or (worker is not None and bool(worker.runs))
+
+    def _note_usable(self) -> None:
+        for worker_id, worker in self.board.workers.items():
+            worker.is_recorded = self._runners.may_use(worker_id)
 
     async def _ask(self, request: AdviceRequest) -> None:
         outcome = await self._parts.advice.ask(request.step, request.worker_ids)
@@ -428,6 +441,7 @@
             now_s, wall_s = self._parts.clock(), self._parts.wall_clock()
             self._log("pool-state", **self._sizer.state(wall_s=wall_s))
             self._waits.tell(now_s=now_s, wall_s=wall_s)
+            await self._keep_runners()
             counts = self.board.waiting_jobs()
             if counts != self._published:
                 outcome = await self._parts.store.commit(
--- a/src/shallotworks/standins/_task_workers.py
+++ b/src/shallotworks/standins/_task_workers.py
@@ -217,6 +217,8 @@
         self.rng = rng
         self.workers: dict[str, TaskWorker] = {}
         self.unlisted: set[str] = set()
+        self.changes = 0
+        """Raised by tests that change a worker's view."""
         self.breaches: list[str] = []
         self.started = 0
         self.work_s: dict[str, float] = {}
@@ -247,7 +249,13 @@
     @property
     def version(self) -> int:
         """Rises with each change of the list, which tests may change at any time."""
-        return hash((tuple(self.unlisted), tuple(one.is_alive for one in self.workers.values())))
+        return hash(
+            (
+                self.changes,
+                tuple(self.unlisted),
+                tuple(one.is_alive for one in self.workers.values()),
+            )
+        )
 
     def workers_of(self, service: str) -> dict[str, WorkerView]:
         """Return the listed workers."""
--- /dev/null
+++ b/tests/test_runners_record.py
@@ -0,0 +1,169 @@
+"""Tests of the record of workers that may run tasks, and of what a successor waits for."""
+
+import asyncio
+import random
+import unittest
+
+from shallotworks.jobs import JobKeys, TaskName
+from shallotworks.scheduling import OrderTimes, Runner, RunnersRecord, runners_key
+from shallotworks.standins import RecordStore, StoreView
+from shallotworks.store import Holder, HolderTimes
+from tests.fleet_history import SERVICE, History
+from tests.on_loop import run_story
+from tests.scheduling_fakes import quiet_log, step, view
+
+JOB_ID = "00000000000000ab"
+NAME = TaskName(JOB_ID, 0, 0, 0)
+LONGEST_WITHOUT_RUN_S = 10.0
+"""After the last trouble a task that is to last, and has room, runs again within this time.
+Source: the rules; 3 s until instances count as in touch, and 4 and 3 s after that."""
+BEGUN_S = 5.0
+
+
+def _recorded(history: History) -> set[str]:
+    item = history.store.items.get(runners_key(SERVICE))
+    return set(RunnersRecord.decode(item.value)) if item is not None else set()
+
+
+async def _begun(*, workers: int, instances: int) -> History:
+    """Return a history in which one lasting task runs."""
+    history = History(seed=3, workers=workers, instances=instances)
+    history.fleet.lasting.add(JOB_ID)
+    for instance in history.instances:
+        instance.start()
+    await asyncio.sleep(1.0)
+    await history.submit(JOB_ID, step(1, is_lasting=True))
+    await asyncio.sleep(BEGUN_S)
+    return history
+
+
+async def _end(history: History) -> None:
+    for instance in history.instances:
+        await instance.kill()
+
+
+async def _until_it_runs(history: History) -> float:
+    """Return the time that passes until the task runs on a worker that is up."""
+    loop = asyncio.get_running_loop()
+    begun_s = loop.time()
+    while loop.time() - begun_s < 30.0:
+        for worker in history.fleet.workers.values():
+            if worker.is_alive:
+                worker.pass_time()
+                if NAME in worker.names():
+                    return loop.time() - begun_s
+        await asyncio.sleep(0.05)
+    return loop.time() - begun_s
+
+
+class NarrowingTests(unittest.TestCase):
+    def test_workers_that_can_run_nothing_go_from_the_record(self) -> None:
+        """Each crash of a scheduler held earlier jobs up for as long as a lost worker's leases.
+
+        Workers that crashed, or were drained and about to leave, stayed in the record, and whoever
+        took over waited for them; a drained one may leave while there is no scheduler.
+        """
+
+        async def story() -> None:
+            history = await _begun(workers=4, instances=1)
+            busy = next(one for one in history.fleet.workers.values() if one.names())
+            crashed, drained, kept = (
+                one for one in history.fleet.workers.values() if one is not busy
+            )
+            self.assertEqual(set(history.fleet.workers), _recorded(history))
+            crashed.crash()
+            drained.view = view(drained.view.worker_id, service=SERVICE, is_draining=True)
+            history.fleet.changes += 1
+            await asyncio.sleep(2.5)
+            self.assertEqual({busy.view.worker_id, kept.view.worker_id}, _recorded(history))
+            drained.view = view(drained.view.worker_id, service=SERVICE)
+            history.fleet.changes += 1
+            await asyncio.sleep(0.5)
+            self.assertIn(drained.view.worker_id, _recorded(history))
+            await _end(history)
+
+        run_story(story())
+
+    def test_a_write_carried_out_late_takes_no_worker_out(self) -> None:
+        """Two runs of one task at once, one on a worker that the successor has never heard of.
+
+        A write of the record was not answered, and carried out seconds later. Meanwhile a worker
+        was entered, and a task started there; the late write took the worker out again.
+        """
+
+        async def story() -> None:
+            store = RecordStore(rng=random.Random(1))
+            late = StoreView(store=store)
+            holder = await Holder.acquire(
+                store=late,
+                key="duty/antenna",
+                mark=JobKeys(service=SERVICE).holder_mark,
+                value=b"n0",
+                clock=asyncio.get_running_loop().time,
+                times=HolderTimes(ttl_s=60.0),
+                log=quiet_log(),
+            )
+            assert holder is not None
+            record = RunnersRecord(service=SERVICE, holder=holder, store=late, log=quiet_log())
+            await record.read()
+            one, two = Runner(address="a:1"), Runner(address="b:1")
+            late.faults.late_part = 1.0
+            self.assertFalse(await record.keep(lambda: {"one": one}))
+            late.faults.late_part = 0.0
+            self.assertTrue(await record.keep(lambda: {"one": one, "two": two}))
+            await asyncio.sleep(4.0)
+            item = store.items[runners_key(SERVICE)]
+            self.assertEqual({"one": one, "two": two}, RunnersRecord.decode(item.value))
+            self.assertFalse(holder.lost.is_set())
+
+        run_story(story())
+
+    def test_a_write_that_met_its_own_earlier_one_is_made_again(self) -> None:
+        """A worker is entered though an earlier write was carried out without an answer."""
+
+        async def story() -> None:
+            store = RecordStore(rng=random.Random(1))
+            caller = StoreView(store=store)
+            holder = await Holder.acquire(
+                store=caller,
+                key="duty/antenna",
+                mark=JobKeys(service=SERVICE).holder_mark,
+                value=b"n0",
+                clock=asyncio.get_running_loop().time,
+                times=HolderTimes(ttl_s=60.0),
+                log=quiet_log(),
+            )
+            assert holder is not None
+            record = RunnersRecord(service=SERVICE, holder=holder, store=caller, log=quiet_log())
+            caller.faults.lost_part = 1.0
+            self.assertFalse(await record.keep(lambda: {"one": Runner(address="a:1")}))
+            caller.faults.lost_part = 0.0
+            self.assertFalse(record.may_use("one"))
+            both = {"one": Runner(address="a:1"), "two": Runner(address="b:1")}
+            self.assertFalse(await record.keep(lambda: both))
+            self.assertTrue(await record.keep(lambda: both))
+            self.assertTrue(record.may_use("two"))
+            self.assertFalse(holder.lost.is_set())
+
+        run_story(story())
+
+    def test_a_record_that_can_not_be_read_holds_earlier_jobs_back(self) -> None:
+        """A scheduler that can't read whom its predecessor used waits, and then goes on."""
+
+        async def story() -> None:
+            history = History(seed=4, workers=1, instances=1)
+            history.fleet.lasting.add(JOB_ID)
+            await history.submit(JOB_ID, step(1, is_lasting=True))
+            history.store.put(runners_key(SERVICE), b'{"w0": "127.0.0.1:1"}')
+            history.instances[0].start()
+            took_s = await _until_it_runs(history)
+            self.assertGreater(took_s, OrderTimes().recovery_s)
+            await asyncio.sleep(2.0)
+            self.assertEqual({"w0"}, _recorded(history))
+            await _end(history)
+
+        run_story(story())
+
+
+if __name__ == "__main__":
+    unittest.main()
