Bound what a successor waits for by the last renewal of the key; let duties rest

Cause: a successor that can't reach a worker waited 10.3 s: 4 s in which a predecessor that the store does not answer acts on, and the longest lease of 6 s. With the time until it began that is over the 10 s after which a lasting task counts as lost. And a holder that gave up in an outage in which leases stood still left its key standing for 2 s more, in which nobody could act. Change: leases are granted in full (5 s) for 1.5 s after the last confirmed renewal, then shorter, so that all end 6.5 s after it; a successor waits 7.1 s. A holder beyond its grace rests and keeps its key; it goes on with the first renewal that is answered, once it has read that the key is its own. Workers that were silent are asked without a wait, since their leases are extended only afterwards.

--- a/src/shallotworks/platform/_daemon.py
+++ b/src/shallotworks/platform/_daemon.py
@@ -132,7 +132,6 @@
 
     def _make_parts(self) -> TermParts:
         settings = self._settings
-        longest_s = settings.bounds.longest_lease_s
         advice_client = self._advice_client if settings.advice_address else None
         return TermParts(
             store=self._store,
@@ -142,11 +141,7 @@
             book=self._machine_book,
             clock=boot_clock,
             wall_clock=time.time,
-            times=OrderTimes(
-                lease_s=longest_s * LEASE_PART,
-                longest_lease_s=longest_s,
-                grace_s=self._held_times.grace_s,
-            ),
+            times=OrderTimes(lease_s=settings.bounds.longest_lease_s * LEASE_PART),
             log=self._log,
             metrics=self._metrics,
             final_state_told_s=settings.bounds.final_state_told_s,
--- a/src/shallotworks/scheduling/__init__.py
+++ b/src/shallotworks/scheduling/__init__.py
@@ -29,7 +29,7 @@
     WorkerView,
 )
 from ._ordering import urgency
-from ._orders import OrderTimes
+from ._orders import OrderDesk, OrderTimes
 from ._protocols import (
     AdviceService,
     DutyEnding,
@@ -66,6 +66,7 @@
     "Machines",
     "OrderEnding",
     "OrderOutcome",
+    "OrderDesk",
     "OrderTimes",
     "PaceOrder",
     "Permits",
--- a/src/shallotworks/scheduling/_machine_orders.py
+++ b/src/shallotworks/scheduling/_machine_orders.py
@@ -17,7 +17,7 @@
 
 OVER_TOLD_S = 15.0
 """Workers that were taken away are told of for this long: a scheduler that begins meanwhile need
-not wait for their leases, which takes 10.3 s; see `OrderTimes.recovery_s`."""
+not wait for their leases, which takes 7 s; see `OrderTimes.recovery_s`."""
 OVER_KEPT_S = 60.0
 """... and remembered for this long, so that what the last word told is not taken for news."""
 
--- a/src/shallotworks/scheduling/_orders.py
+++ b/src/shallotworks/scheduling/_orders.py
@@ -41,26 +41,36 @@
         look_wait_s: A look waits this long at the worker for an end.
         answer_s: Time for an order's answer beyond its own wait: workers answer in milliseconds.
         idle_look_s: A worker with nothing to run is looked at this often, for its clock.
-        longest_lease_s: The most that a worker grants; bounds what any predecessor granted.
-        grace_s: How long a holder acts without a confirmed renewal; see `HolderTimes`.
+        full_lease_s: Leases are granted in full for this long after the last confirmed renewal of
+            the scheduler's key, and no lease ends later than one granted then. Three renewals; it
+            bounds how long a successor waits for a worker that it can't reach.
     """
 
     lease_s: float = 5.0
     look_wait_s: float = 1.0
     answer_s: float = 0.8
     idle_look_s: float = 10.0
-    longest_lease_s: float = 6.0
-    grace_s: float = 4.0
+    full_lease_s: float = 1.5
 
     @property
     def silence_s(self) -> float:
         """A worker that has not answered for this long gets no longer lease."""
         return self.look_wait_s + self.answer_s
 
+    @property
+    def horizon_s(self) -> float:
+        """Whatever runs ends this long after the last confirmed renewal of the scheduler's key."""
+        return self.lease_s + self.full_lease_s
+
     @property
     def recovery_s(self) -> float:
-        """Time after which whatever an earlier term started on an unseen worker has ended."""
-        return self.grace_s + self.longest_lease_s * (1 + CLOCK_SKEW_PART) + MARGIN_S
+        """Time after which whatever an earlier term started on an unseen worker has ended.
+
+        Its key was confirmed for the last time before this term's came to be. Workers' clocks may
+        be slow, and are reckoned from answers as old as the pause between looks.
+        """
+        skew_s = CLOCK_SKEW_PART * (self.horizon_s + self.idle_look_s + self.silence_s)
+        return self.horizon_s + skew_s + MARGIN_S
 
 
 MARGIN_S = 0.2
@@ -262,6 +272,9 @@
     def _is_pressing(self, worker: Worker) -> bool:
         if not worker.is_fenced or worker.unsettled or not worker.clock_ms:
             return True
+        if self._clock() - worker.reported_s >= self._times.silence_s:
+            # Until it has answered, its lease is not extended.
+            return True
         pressing = (RunPhase.UNANSWERED, RunPhase.STOPPED)
         return not worker.runs or any(run.phase in pressing for run in worker.runs.values())
 
@@ -282,13 +295,19 @@
     def _extend(self, worker: Worker, sent_s: float) -> int | None:
         """Return the end of a new lease on the worker's clock, and note when it has surely ended.
 
+        The failure that the horizon guards against: a scheduler that is cut off from the store goes
+        on granting full leases, and its successor has to wait that much longer for each worker that
+        it can't reach.
+
         The worker's clock is reckoned from its last answer, so the reckoning is early by the way
         back and late by what the clock loses; the end noted here allows for both.
         """
         if not worker.clock_ms or not worker.is_recorded:
             return None
         age_s = sent_s - worker.clock_at_s
-        lease_s = self._times.lease_s
+        lease_s = min(self._times.lease_s, self._times.horizon_s - self._holder.unconfirmed_s)
+        if lease_s <= 0:
+            return None
         ends_s = sent_s + lease_s + CLOCK_SKEW_PART * (lease_s + age_s) + MARGIN_S
         worker.lease_ends_s = max(worker.lease_ends_s, ends_s)
         return worker.clock_ms + int((age_s + lease_s) * 1000)
--- a/src/shallotworks/store/_holder.py
+++ b/src/shallotworks/store/_holder.py
@@ -24,6 +24,7 @@
         ttl_s: The store drops the key this long after the last renewal. 2 s: a successor begins
             within 2.5 s of a crash, and four renewals fit in.
         renewal_s: Between renewals.
+        retry_s: Between renewals while none is answered, after the grace.
         grace_s: The duty may be exercised this long after the last confirmed renewal was sent,
             so that a short outage of the store does not stop work. Safety does not rest on it:
             a successor fences each worker, and waits this long for one that it can't reach.
@@ -31,6 +32,7 @@
 
     ttl_s: float = 2.0
     renewal_s: float = 0.5
+    retry_s: float = 0.2
     grace_s: float = 4.0
 
 
@@ -162,18 +164,51 @@
             self.lost.set()
 
     async def keep(self) -> None:
-        """Renew until the key is lost, or the grace after the last renewal has run out."""
+        """Renew until the key is lost.
+
+        Beyond the grace the duty rests and is not given up: where the store's leases stood still
+        with it, the holder goes on with the first renewal that is answered. Given up, the key
+        would still stand for its time to live, and nobody could act until then.
+        """
         while not self.lost.is_set():
-            await asyncio.sleep(self._times.renewal_s)
+            has_rested = self._has_run_out
+            await asyncio.sleep(self._times.retry_s if has_rested else self._times.renewal_s)
             sent_s = self._clock()
             outcome = await self._store.renew_lease(self._lease_id)
             if isinstance(outcome, Success):
-                self._sent_s = sent_s
-                continue
-            if outcome.failure().kind is ErrorKind.LEASE_LOST:
+                if not self._has_run_out or await self._is_still_own():
+                    self._sent_s = sent_s
+            elif outcome.failure().kind is ErrorKind.LEASE_LOST:
                 self.lose("its lease has ended")
-            elif self.unconfirmed_s >= self._times.grace_s:
-                self.lose(f"not renewed for {self.unconfirmed_s:.1f} s")
+            self._note_rest(has_rested)
+
+    @property
+    def _has_run_out(self) -> bool:
+        return self.unconfirmed_s >= self._times.grace_s
+
+    async def _is_still_own(self) -> bool:
+        """Whether the key is still there after the duty has rested.
+
+        The failure: keys are taken away while their lease lives on, and another holds the key by
+        now; what tells a holder of that may come later than the answer to its renewal.
+        """
+        outcome = await self._store.get(self.key)
+        if not isinstance(outcome, Success):
+            return False
+        item = outcome.unwrap()
+        if item is None or item.revision != self.token:
+            self.lose("its key was gone after an outage")
+        return not self.lost.is_set()
+
+    def _note_rest(self, has_rested: bool) -> None:
+        if self._has_run_out != has_rested and not self.lost.is_set():
+            event = "duty-resumed" if has_rested else "duty-rests"
+            self._log.line(
+                event,
+                key=self.key,
+                token=self.token,
+                unconfirmed_s=round(self.unconfirmed_s, 2),
+            )
 
     async def release(self) -> None:
         """End the lease, so that a successor can begin at once."""
