--- a/tests/fleet_history.py
+++ b/tests/fleet_history.py
@@ -17,6 +17,7 @@
     Permits,
     ServiceTerm,
     TermParts,
+    WorkerDirectory,
 )
 from shallotworks.standins import OrderFaults, OrdersView, RecordStore, StoreView, TaskWorkers
 from shallotworks.store import Holder, HolderTimes
@@ -44,6 +45,8 @@
         self.terms: list[ServiceTerm] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._fleet = fleet
+        self.directory: WorkerDirectory = fleet
+        """Lists workers; a story may put another in its place before the instance starts."""
         self.desk = JobDesk(
             store=self.view, metrics=Metrics(), log=quiet_log(), wall_clock=self.now_s
         )
@@ -79,7 +82,7 @@
         parts = TermParts(
             store=self.view,
             orders=self.orders,
-            directory=self._fleet,
+            directory=self.directory,
             advice=AllAllowed(),
             book=MachineBook(log=quiet_log()),
             clock=self.now_s,
