Decode what others write strictly, and let the rest hold

Cause: an entry under servers/ that is no table, or whose capacity is none, raised out of the mirror and ended the task that follows the workers; an unknown state was taken for draining, a missing capacity for a worker without room, and an entry that turned unreadable left the earlier one in use. A value that is not base64 failed the whole answer of the store for ever. A clock of another type in a worker's answer, a machine with an unknown state, a short row of advice and a wave's key without a number ended a term, the keeper, a step's question and the process. A worker whose entry is faulty is not listed: nothing new starts there, and its scheduler goes on looking at it while its leases live. One log line for each change of the fault. A value that can't be decoded stands for itself only. A machine that can't be read is down, not gone. platform/_fields.py holds the readers that stood in the job requests. A listener that raises no longer ends its mirror.

--- a/src/shallotworks/platform/_configuration.py
+++ b/src/shallotworks/platform/_configuration.py
@@ -12,6 +12,8 @@
 from shallotworks.scheduling import Upkeep
 from shallotworks.store import Item
 
+from ._fields import UNREADABLE, table
+
 __all__ = ["OPERATORS_PREFIX", "Configuration", "OperatorsBook", "Queue"]
 
 OPERATORS_PREFIX = "op/"
@@ -93,13 +95,15 @@
                 wave = _decode_wave(json.loads(item.value))
                 self._waves[wave.wave] = wave
                 self._log.line("wave-asked", wave=wave.wave, machines=len(wave.machines))
-        except (KeyError, ValueError, TypeError) as error:
+        except UNREADABLE as error:
             self._log.line("operators-record-unreadable", key=item.key, reason=repr(error))
 
     def deleted(self, key: str) -> None:
         """Hear that a record is gone; the configuration in force stays."""
-        if key.startswith(WAVES_PREFIX):
-            self._waves.pop(int(key.removeprefix(WAVES_PREFIX)), None)
+        wave = key.removeprefix(WAVES_PREFIX)
+        # A key that names no wave never stood for one.
+        if key.startswith(WAVES_PREFIX) and wave.isdecimal():
+            self._waves.pop(int(wave), None)
 
     def waves(self) -> tuple[Upkeep, ...]:
         """Return all waves."""
@@ -128,12 +132,12 @@
 
 
 def decode_configuration(body: dict[str, Any]) -> Configuration:
-    """Decode a configuration; raises `KeyError`, `TypeError` or `ValueError`."""
+    """Decode a configuration; raises one of `UNREADABLE`."""
     by_host: dict[str, list[Queue]] = {}
     for row in body["routes"]:
         queue = _decode_queue(row)
         by_host.setdefault(queue.host, []).append(queue)
-    limits = body.get("limits", {})
+    limits = table(body.get("limits", {}))
     return Configuration(
         version=int(body["version"]),
         queues={
--- a/src/shallotworks/platform/_http.py
+++ b/src/shallotworks/platform/_http.py
@@ -163,7 +163,10 @@
 def _decode(raw: bytes) -> dict[str, Any]:
     if not raw:
         return {}
-    decoded = json.loads(raw)
+    try:
+        decoded = json.loads(raw)
+    except RecursionError as error:
+        raise ValueError("an answer that is nested too deep") from error
     return decoded if isinstance(decoded, dict) else {}
 
 
--- a/src/shallotworks/platform/_job_requests.py
+++ b/src/shallotworks/platform/_job_requests.py
@@ -11,6 +11,8 @@
 from shallotworks.errors import ErrorKind, Failure
 from shallotworks.jobs import Job, QueuePolicy, Repeats, Step, faults_of
 
+from ._fields import UNREADABLE, text, whole
+
 __all__ = ["decode_submission", "is_job_id"]
 
 JOB_ID_LENGTH = 16
@@ -38,13 +40,13 @@
         job = Job(
             job_id=job_id,
             policy=policy,
-            spec=_text(table.get("spec", "")),
+            spec=text(table.get("spec", "")),
             steps=tuple(_decode_step(row) for row in table["steps"]),
             repeats=_decode_repeats(table),
             accepted_s=accepted_s,
         )
         faults = "; ".join(faults_of(job))
-    except (KeyError, ValueError, TypeError, AttributeError, RecursionError) as error:
+    except UNREADABLE as error:
         faults = f"the body is not a job: {error!r}"
     if faults:
         return Err(Failure(kind=ErrorKind.INVALID_REQUEST, reason=faults[:500]))
@@ -53,31 +55,31 @@
 
 def _decode_step(row: dict[str, Any]) -> Step:
     return Step(
-        count=_whole(row.get("count", 0)),
-        cpu_millicores=_whole(row.get("cpu", 0)),
-        memory_mb=_whole(row.get("memMb", 0)),
-        gpus=_whole(row.get("gpu", 0)),
+        count=whole(row.get("count", 0)),
+        cpu_millicores=whole(row.get("cpu", 0)),
+        memory_mb=whole(row.get("memMb", 0)),
+        gpus=whole(row.get("gpu", 0)),
         estimated_s=float(row.get("estimatedMs", 0)) / 1000,
-        after=tuple(_whole(number) for number in row.get("after", ())),
+        after=tuple(whole(number) for number in row.get("after", ())),
         is_checkpointed=bool(row.get("checkpointing", False)),
         is_gang=bool(row.get("gang", False)),
         is_one_rack=bool(row.get("sameRack", False)),
-        label=_text(row.get("requiredLabel", "")),
+        label=text(row.get("requiredLabel", "")),
         # The wire's word names the rack that holds the step's data.
-        near_rack=_text(row.get("affinity", "")),
+        near_rack=text(row.get("affinity", "")),
         # The wire's word is a number: the most tasks of the step on one worker.
-        most_per_worker=_whole(row.get("antiAffinity", 0)),
+        most_per_worker=whole(row.get("antiAffinity", 0)),
         is_speculative=bool(row.get("speculative", False)),
         is_lasting=bool(row.get("longRunning", False)),
-        image=_text(row.get("image", "")),
+        image=text(row.get("image", "")),
         target_s=float(row.get("targetMs", 0)) / 1000,
         is_filler=bool(row.get("fills", False)),
-        may_miss=_whole(row.get("mayMiss", 0)),
+        may_miss=whole(row.get("mayMiss", 0)),
     )
 
 
 def _decode_repeats(table: dict[str, Any]) -> Repeats | None:
-    count = _whole(table.get("repeatCount", 0))
+    count = whole(table.get("repeatCount", 0))
     if count == 0:
         return None
     return Repeats(
@@ -85,15 +87,3 @@
         interval_s=float(table.get("intervalMs", 0)) / 1000,
         count=count,
     )
-
-
-def _whole(value: Any) -> int:
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise TypeError(f"{value!r} is not a whole number")
-    return value
-
-
-def _text(value: Any) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f"{value!r} is not a text")
-    return value
--- a/src/shallotworks/platform/_machines.py
+++ b/src/shallotworks/platform/_machines.py
@@ -11,6 +11,7 @@
 from shallotworks.errors import ErrorKind, Failure
 from shallotworks.scheduling import DutyEnding, Machine, MachineState, Permits
 
+from ._fields import UNREADABLE, number, rows, text
 from ._http import HttpAnswer, HttpClient, HttpLost
 
 __all__ = ["PlatformAdvice", "PlatformMachines"]
@@ -19,6 +20,7 @@
 """Time for a call; an order that was not answered is asked for again, which does no harm."""
 ADVICE_S = 3.0
 """The service takes its time for each worker, and one question at a time from each of us."""
+DEFAULT_VALID_MS = 1000
 
 _ENDINGS = {
     200: DutyEnding.OBEYED,
@@ -55,16 +57,12 @@
             answer = await self._client.call("GET", path, timeout_s=CALL_S)
             if isinstance(answer, HttpLost) or answer.status != 200:
                 return Err(Failure(kind=ErrorKind.UNREACHABLE, reason=f"machines: {answer}"))
-            machines.extend(
-                Machine(
-                    name=row["machine"],
-                    pool=row["pool"],
-                    state=MachineState(row["state"]),
-                    worker_id=row.get("id") or "",
-                )
-                for row in answer.body["machines"]
-            )
-            token = answer.body.get("nextToken")
+            try:
+                machines.extend(_decode_machines(answer.body["machines"]))
+                token = _decode_token(answer.body.get("nextToken"))
+            except UNREADABLE as error:
+                reason = f"a list of machines that can't be read: {error!r}"
+                return Err(Failure(kind=ErrorKind.UNREACHABLE, reason=reason))
             if not token:
                 return Success(tuple(machines))
             path = f"/v1/machines?{urlencode({'pageToken': token})}"
@@ -112,6 +110,52 @@
         answer = await self._client.call("POST", "/v1/advise", body=body, timeout_s=ADVICE_S)
         if not isinstance(answer, HttpAnswer) or answer.status != 200:
             return Err(Failure(kind=ErrorKind.UNREACHABLE, reason=f"advice: {answer}"))
-        tickets = {str(row[0]): str(row[1]) for row in answer.body.get("allowed", ())}
-        valid_s = float(answer.body.get("validMs", 1000)) / 1000
-        return Success(Permits(tickets=tickets, valid_s=valid_s))
+        try:
+            return Success(_decode_permits(answer.body))
+        except UNREADABLE as error:
+            reason = f"advice that can't be read: {error!r}"
+            return Err(Failure(kind=ErrorKind.UNREACHABLE, reason=reason))
+
+
+def _decode_machines(listed: Any) -> list[Machine]:
+    """Return the machines of those rows that name one."""
+    named = [row for row in rows(listed) if isinstance(row, dict) and _text_of(row, "machine")]
+    return [_decode_machine(row) for row in named]
+
+
+def _decode_token(token: Any) -> str:
+    if isinstance(token, int):
+        return str(token)
+    return text(token or "")
+
+
+def _text_of(row: dict[str, Any], name: str) -> str:
+    value = row.get(name)
+    return value if isinstance(value, str) else ""
+
+
+def _decode_machine(row: dict[str, Any]) -> Machine:
+    """Return a machine; one whose state, pool or worker can't be read is down.
+
+    The failures: a row that can't be read ends the keeper, and with it each upkeep and each move;
+    or, left out, it makes a machine of a wave count as gone and the wave as completed. One that is
+    down gets no order, and is there.
+    """
+    name = row["machine"]
+    try:
+        return Machine(
+            name=name,
+            pool=text(row["pool"]),
+            state=MachineState(row["state"]),
+            worker_id=text(row.get("id") or ""),
+        )
+    except UNREADABLE:
+        return Machine(name=name, pool=_text_of(row, "pool"), state=MachineState.DOWN)
+
+
+def _decode_permits(body: dict[str, Any]) -> Permits:
+    allowed = [rows(row) for row in rows(body.get("allowed", []))]
+    valid_ms = number(body.get("validMs", DEFAULT_VALID_MS))
+    if valid_ms < 0:
+        raise ValueError("a time that ended before it began")
+    return Permits(tickets={text(row[0]): text(row[1]) for row in allowed}, valid_s=valid_ms / 1000)
--- a/src/shallotworks/platform/_store.py
+++ b/src/shallotworks/platform/_store.py
@@ -22,9 +22,14 @@
     Page,
 )
 
+from ._fields import UNREADABLE, rows, table, text, whole
 from ._http import HttpAnswer, HttpClient, HttpLost
 
-__all__ = ["PlatformStore"]
+__all__ = ["UNREADABLE_VALUE", "PlatformStore"]
+
+UNREADABLE_VALUE = b"\xff"
+"""Stands for a value whose text is not base64. The byte occurs in no UTF-8 text, so that each
+reader of records finds this one unreadable, as it does other bytes, and says so under its key."""
 
 CALL_S = 0.8
 """Time for a call: the store answers in 4 ms, sixty times that on its slow days, and more behind a
@@ -92,9 +97,9 @@
         return _read(
             answer,
             lambda body: Page(
-                items=tuple(_item(row) for row in body["items"]),
+                items=tuple(_item(row) for row in rows(body["items"])),
                 has_more=bool(body.get("hasMore", False)),
-                revision=body["atRev"],
+                revision=whole(body["atRev"]),
             ),
         )
 
@@ -113,8 +118,8 @@
         return _read(
             answer,
             lambda body: Changes(
-                events=tuple(_event(row) for row in body.get("events", ())),
-                revision=body["atRev"],
+                events=tuple(_event(row) for row in rows(body.get("events", []))),
+                revision=whole(body["atRev"]),
             ),
         )
 
@@ -139,7 +144,7 @@
             return Err(_failure(ErrorKind.LEASE_LOST, "a lease of the commit has ended"))
         return _read(
             answer,
-            lambda body: Committed(revision=body["revision"]),
+            lambda body: Committed(revision=whole(body["revision"])),
             lost=ErrorKind.OUTCOME_UNKNOWN,
             unreadable=ErrorKind.OUTCOME_UNKNOWN,
         )
@@ -148,7 +153,7 @@
         """Grant a lease and return its id."""
         body = {"ttlMs": int(ttl_s * 1000)}
         answer = await self._call("POST", "/v1/kv-lease", "grant", body=body)
-        return _read(answer, lambda body: int(body["lease"]))
+        return _read(answer, lambda body: whole(body["lease"]))
 
     async def renew_lease(self, lease_id: int) -> Result[None, Failure]:
         """Renew a lease; ``LEASE_LOST`` where it has ended."""
@@ -203,31 +208,48 @@
     if answer.status == status:
         try:
             return Success(decode(answer.body))
-        except (KeyError, TypeError, ValueError) as error:
+        except UNREADABLE as error:
             return Err(_failure(unreadable, f"{BAD_ANSWER}: {error!r}"))
     return Err(_failure(_KINDS.get(answer.status, unreadable), f"status {answer.status}"))
 
 
 def _conflict(body: dict[str, Any]) -> Conflicted:
     # A key that does not exist may be left out or stand there without a value.
-    return Conflicted(current=tuple(_item(row) for row in body["items"] if "value" in row))
+    found = [table(row) for row in rows(body["items"])]
+    return Conflicted(current=tuple(_item(row) for row in found if "value" in row))
 
 
-def _event(row: dict[str, Any]) -> Item | Deletion:
-    if row.get("deleted"):
-        return Deletion(key=row["key"], revision=row["revision"])
-    return _item(row)
+def _event(row: Any) -> Item | Deletion:
+    fields = table(row)
+    if fields.get("deleted"):
+        return Deletion(key=text(fields["key"]), revision=whole(fields["revision"]))
+    return _item(fields)
 
 
-def _item(row: dict[str, Any]) -> Item:
+def _item(row: Any) -> Item:
+    fields = table(row)
+    revision = whole(fields["revision"])
     return Item(
-        key=row["key"],
-        value=base64.b64decode(row["value"]),
-        revision=row["revision"],
-        created=row.get("created", row["revision"]),
-        lease_id=row.get("lease", 0),
+        key=text(fields["key"]),
+        value=_value(fields.get("value")),
+        revision=revision,
+        created=whole(fields.get("created", revision)),
+        lease_id=whole(fields.get("lease", 0)),
     )
 
 
+def _value(encoded: Any) -> bytes:
+    """Return a value's bytes.
+
+    The failure: one value that can't be decoded fails the answer that it stands in, whoever follows
+    the store asks for the same answer for ever, and hears of no key under the prefix any more. The
+    key and its revision are the store's own and hold without the value.
+    """
+    try:
+        return base64.b64decode(text(encoded), validate=True)
+    except (TypeError, ValueError):
+        return UNREADABLE_VALUE
+
+
 def _failure(kind: ErrorKind, reason: str) -> Failure:
     return Failure(kind=kind, reason=reason)
--- a/src/shallotworks/platform/_workers.py
+++ b/src/shallotworks/platform/_workers.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
+from returns.result import Success
+
 from shallotworks.jobs import TaskName
 from shallotworks.logs import LogLines
 from shallotworks.scheduling import (
@@ -21,7 +22,9 @@
 )
 from shallotworks.store import Item
 
+from ._fields import UNREADABLE, number, rows, text, whole
 from ._http import HttpAnswer, HttpClient, HttpLost
+from ._worker_entries import EntryFault, decode_entry
 
 __all__ = ["REGISTRY_PREFIX", "PlatformOrders", "WorkerRegistry"]
 
@@ -139,7 +142,7 @@
 
 
 def _outcome(answer: HttpAnswer, is_look: bool) -> OrderOutcome:
-    clock_ms = int(answer.body.get("clockMs", 0))
+    clock_ms = _clock_ms(answer.body)
     if answer.status == 409:
         reason = str(answer.body.get("reason", ""))
         ending = _REFUSALS.get(reason, OrderEnding.INVALID)
@@ -149,36 +152,50 @@
     if not is_look or ending is not OrderEnding.OBEYED:
         return OrderOutcome(ending=ending, clock_ms=clock_ms, detail=detail)
     try:
-        report = _decode_report(answer.body, clock_ms)
-    except (KeyError, IndexError, ValueError, TypeError) as error:
+        report = _decode_report(answer.body)
+    except UNREADABLE as error:
         return OrderOutcome(ending=OrderEnding.INVALID, detail=repr(error))
     return OrderOutcome(ending=ending, clock_ms=clock_ms, report=report)
 
 
-def _decode_report(body: dict[str, Any], clock_ms: int) -> WorkerReport:
+def _clock_ms(body: dict[str, Any]) -> int:
+    """Return the worker's clock; 0 where the answer does not tell it.
+
+    What became of the order is said by the status alone, and holds without the clock.
+    """
+    try:
+        return int(number(body.get("clockMs", 0)))
+    except TypeError:
+        return 0
+
+
+def _decode_report(body: dict[str, Any]) -> WorkerReport:
     return WorkerReport(
-        clock_ms=clock_ms,
-        running=tuple(_decode_running(row) for row in body.get("running", ())),
-        ended=tuple(
-            EndedTask(
-                number=row[0],
-                name=_decode_name(row[1]),
-                run_id=row[2],
-                kind=EndKind(row[3]),
-                checkpoint=row[4] or "",
-            )
-            for row in body.get("ended", ())
-        ),
+        clock_ms=int(number(body.get("clockMs", 0))),
+        running=tuple(_decode_running(row) for row in rows(body.get("running", []))),
+        ended=tuple(_decode_ended(row) for row in rows(body.get("ended", []))),
     )
 
 
-def _decode_running(row: list[Any]) -> RunningTask:
+def _decode_running(row: Any) -> RunningTask:
+    fields = rows(row)
     return RunningTask(
-        name=_decode_name(row[0]),
-        run_id=row[1],
-        checkpoint=row[2] or "",
-        percent=int(row[3]) if len(row) > 3 else 0,
-        figure=int(row[4] or 0) if len(row) > 4 else 0,
+        name=_decode_name(fields[0]),
+        run_id=whole(fields[1]),
+        checkpoint=text(fields[2] or ""),
+        percent=int(fields[3]) if len(fields) > 3 else 0,
+        figure=int(fields[4] or 0) if len(fields) > 4 else 0,
+    )
+
+
+def _decode_ended(row: Any) -> EndedTask:
+    fields = rows(row)
+    return EndedTask(
+        number=whole(fields[0]),
+        name=_decode_name(fields[1]),
+        run_id=whole(fields[2]),
+        kind=EndKind(fields[3]),
+        checkpoint=text(fields[4] or ""),
     )
 
 
@@ -186,23 +203,31 @@
     return f"{name.job_id}.{name.occurrence}.{name.step}.{name.number}"
 
 
-def _decode_name(text: str) -> TaskName:
-    job_id, occurrence, step, index = text.split(".")
+def _decode_name(name: Any) -> TaskName:
+    job_id, occurrence, step, index = text(name).split(".")
     return TaskName(job_id, int(occurrence), int(step), int(index))
 
 
 class WorkerRegistry:
     """The workers that register themselves; implements `WorkerDirectory` and `MirrorListener`.
 
+    The failure it guards against: an entry that another writer has left, or has written over a
+    worker's own, is acted upon. An entry that can't be decoded names no worker to use: neither is
+    the worker in use as an earlier entry told of it, nor is it taken for draining or for gone. It
+    is left out of the list, and that is all. The worker itself may be well and run tasks under
+    leases that still hold: its scheduler goes on looking at a worker that is not listed, and
+    extends its lease while it answers, so that those tasks end there and none is started twice.
+
     Args:
         log: One line for each change of what is believed of a worker.
     """
 
-    __slots__ = ("_log", "_workers", "is_synced", "version")
+    __slots__ = ("_faults", "_log", "_workers", "is_synced", "version")
 
     def __init__(self, *, log: LogLines) -> None:
         self._log = log
         self._workers: dict[str, WorkerView] = {}
+        self._faults: dict[str, EntryFault] = {}
         self.is_synced = False
         self.version = 0
 
@@ -213,39 +238,41 @@
     def written(self, item: Item) -> None:
         """Hear that a worker registered, or changed its entry."""
         worker_id = item.key.removeprefix(REGISTRY_PREFIX)
-        try:
-            view = _decode_view(worker_id, json.loads(item.value))
-        except (KeyError, ValueError, TypeError) as error:
-            self._log.line("worker-unreadable", worker=worker_id, reason=repr(error))
-            return
-        earlier = self._workers.get(worker_id)
-        self._workers[worker_id] = view
-        self.version += earlier != view
-        if earlier is None or earlier.is_draining != view.is_draining:
-            state = "draining" if view.is_draining else "ready"
-            self._log.line("worker-listed", worker=worker_id, state=state, revision=item.revision)
+        decoded = decode_entry(worker_id, item.value)
+        if isinstance(decoded, Success):
+            self._list(decoded.unwrap(), item.revision)
+        else:
+            self._refuse(worker_id, decoded.failure(), item.revision)
 
     def deleted(self, key: str) -> None:
         """Hear that a worker's entry is gone."""
         worker_id = key.removeprefix(REGISTRY_PREFIX)
+        self._faults.pop(worker_id, None)
         if self._workers.pop(worker_id, None) is not None:
             self.version += 1
             self._log.line("worker-unlisted", worker=worker_id)
 
+    def _list(self, view: WorkerView, revision: int) -> None:
+        self._faults.pop(view.worker_id, None)
+        earlier = self._workers.get(view.worker_id)
+        self._workers[view.worker_id] = view
+        self.version += earlier != view
+        if earlier is None or earlier.is_draining != view.is_draining:
+            state = "draining" if view.is_draining else "ready"
+            self._log.line("worker-listed", worker=view.worker_id, state=state, revision=revision)
 
-def _decode_view(worker_id: str, entry: dict[str, Any]) -> WorkerView:
-    room = entry.get("capacity", {})
-    labels = [str(label) for label in entry.get("labels", ())]
-    return WorkerView(
-        worker_id=worker_id,
-        service=str(entry["service"]),
-        address=str(entry["address"]),
-        data_centre=str(entry.get("zone", "")),
-        cpu_millicores=int(room.get("cpu", 0)),
-        memory_mb=int(room.get("memMb", 0)),
-        gpus=int(room.get("gpu", 0)),
-        labels=frozenset(labels),
-        # The first label is the worker's kind, the second its rack.
-        rack=labels[1] if len(labels) > 1 else "",
-        is_draining=entry.get("state") != "ready",
-    )
+    def _refuse(self, worker_id: str, fault: EntryFault, revision: int) -> None:
+        earlier = self._workers.pop(worker_id, None)
+        self.version += earlier is not None
+        # Entries are written anew every second or two: the same fault again is no news.
+        if self._faults.get(worker_id) == fault:
+            return
+        self._faults[worker_id] = fault
+        self._log.line(
+            "worker-unreadable",
+            worker=worker_id,
+            fault=fault.kind.value,
+            field=fault.field,
+            was_listed=earlier is not None,
+            revision=revision,
+        )
--- a/src/shallotworks/store/_mirror.py
+++ b/src/shallotworks/store/_mirror.py
@@ -140,14 +140,28 @@
         if self._items.get(item.key, 0) >= item.revision:
             return
         self._items[item.key] = item.revision
-        self._listener.written(item)
+        try:
+            self._listener.written(item)
+        except Exception as error:
+            self._note_fault(item.key, error)
 
     def _delete(self, key: str, revision: int) -> None:
         # A deletion older than the write that is known was told again after a new reading.
         if self._items.get(key, revision + 1) > revision:
             return
         del self._items[key]
-        self._listener.deleted(key)
+        try:
+            self._listener.deleted(key)
+        except Exception as error:
+            self._note_fault(key, error)
+
+    def _note_fault(self, key: str, error: Exception) -> None:
+        """Log a listener's fault; the other keys are still told.
+
+        The failure: one record that its reader does not expect ends the task that follows the
+        store, and of all keys under the prefix nothing is heard any more.
+        """
+        self._log.line("listener-fault", prefix=self._prefix, key=key, reason=repr(error))
 
     def _note_contact(self, failure: Failure | None) -> None:
         if failure is not None and not self._is_failing:
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -29,7 +29,7 @@
 from shallotworks.platform._machines import PlatformAdvice, PlatformMachines
 from shallotworks.platform._store import PlatformStore
 from shallotworks.platform._workers import WorkerRegistry, _outcome
-from shallotworks.scheduling import MachineState, OrderEnding
+from shallotworks.scheduling import MachineState, OrderEnding, ServiceBoard
 from shallotworks.standins import RecordStore, StoreView
 from shallotworks.standins._http_listener import HttpListener, answer_json
 from shallotworks.store import Item, Mirror
@@ -570,51 +570,94 @@
         elsewhere; taken for draining, it would be emptied. It must be unlisted: looked at, its
         lease extended, its end counted, and nothing new started there.
         """
-        run_story(self._story(value))
-
-    async def _story(self, value: bytes) -> None:
-        history = History(seed=3, workers=2, instances=1)
-        registry = WorkerRegistry(log=quiet_log())
-        registry.is_synced = True
-        instance = history.instances[0]
-        instance.directory = registry
-        for worker_id in ("w0", "w1"):
-            self._register(history, worker_id)
+
+        async def story(fleet: RegisteredFleet) -> None:
+            busy = await fleet.run_long_task(14.0)
+            fleet.write(busy, value)
+            await asyncio.sleep(SETTLE_S)
+            self.assertFalse(fleet.board.workers[busy].is_listed)
+            for number in range(1, 9):
+                await fleet.history.submit(f"{number:016x}", step(2))
+                await asyncio.sleep(0.5)
+                self.assertEqual(1, len(fleet.board.workers[busy].runs))
+            await asyncio.sleep(16.0)
+            self.assertEqual(1 + 8 * 2, fleet.history.fleet.started)
+            self.assertEqual([], fleet.history.breaches())
+
+        run_story(RegisteredFleet().play(story))
+
+    @parameterized.expand([("while it runs a task", 4.0), ("when it has let go of it", 24.0)])
+    def test_it_is_used_again_when_its_entry_is_good_again(
+        self, _name: str, bad_for_s: float
+    ) -> None:
+        """A task waits for ever beside a worker with room for it.
+
+        The worker's entry was bad for a while. Once nothing runs there, the scheduler lets go of a
+        worker that is not listed; its entry turns good again, and the worker must be used as any
+        newcomer is.
+        """
+
+        async def story(fleet: RegisteredFleet) -> None:
+            spoilt = await fleet.run_long_task(14.0)
+            fleet.write(spoilt, b"\xff")
+            await asyncio.sleep(bad_for_s)
+            fleet.register(spoilt)
+            await asyncio.sleep(SETTLE_S)
+            self.assertIn(spoilt, fleet.board.workers)
+            self.assertTrue(fleet.board.workers[spoilt].is_listed)
+
+        run_story(RegisteredFleet().play(story))
+
+
+class RegisteredFleet:
+    """One scheduler and two workers that it hears of by their entries in the store."""
+
+    def __init__(self) -> None:
+        self.history = History(seed=3, workers=2, instances=1)
+        self._registry = WorkerRegistry(log=quiet_log())
+        self._registry.is_synced = True
+        self._instance = self.history.instances[0]
+        self._instance.directory = self._registry
+
+    async def play(self, story: Callable[[RegisteredFleet], Awaitable[None]]) -> None:
+        """Play a story once both workers are known."""
         mirror = Mirror(
-            store=StoreView(store=history.store),
+            store=StoreView(store=self.history.store),
             prefix="servers/",
-            listener=registry,
+            listener=self._registry,
             log=quiet_log(),
         )
         follower = asyncio.create_task(mirror.run())
-        instance.start()
-        await asyncio.sleep(SETTLE_S)
-        history.fleet.work_s["0" * 16] = 14.0
-        await history.submit("0" * 16, step(1, estimated_s=14.0, is_checkpointed=True))
-        await asyncio.sleep(SETTLE_S)
-        (busy,) = (key for key, one in history.fleet.workers.items() if one.names())
-        history.store.put(f"servers/{busy}", value)
+        for worker_id in self.history.fleet.workers:
+            self.register(worker_id)
+        self._instance.start()
         await asyncio.sleep(SETTLE_S)
-        board = instance.terms[-1].board
-        self.assertFalse(board.workers[busy].is_listed)
-        for number in range(1, 9):
-            await history.submit(f"{number:016x}", step(2))
-            await asyncio.sleep(0.5)
-            self.assertEqual(1, len(board.workers[busy].runs))
-        await asyncio.sleep(16.0)
-        self.assertEqual(1 + 8 * 2, history.fleet.started)
-        self.assertEqual([], history.breaches())
-        self._register(history, busy)
-        await asyncio.sleep(SETTLE_S)
-        self.assertTrue(board.workers[busy].is_listed)
-        await instance.kill()
+        await story(self)
+        await self._instance.kill()
         follower.cancel()
 
-    @staticmethod
-    def _register(history: History, worker_id: str) -> None:
+    @property
+    def board(self) -> ServiceBoard:
+        """What the scheduler knows."""
+        return self._instance.terms[-1].board
+
+    def write(self, worker_id: str, value: bytes) -> None:
+        """Write an entry."""
+        self.history.store.put(f"servers/{worker_id}", value)
+
+    def register(self, worker_id: str) -> None:
+        """Write the entry that the worker itself writes."""
         room = {"cpu": 4000, "memMb": 4000, "gpu": 0}
-        value = changed(service=SERVICE, address="127.0.0.1:1", capacity=room)
-        history.store.put(f"servers/{worker_id}", value)
+        self.write(worker_id, changed(service=SERVICE, address="127.0.0.1:1", capacity=room))
+
+    async def run_long_task(self, length_s: float) -> str:
+        """Have a task run; return the worker that runs it."""
+        job_id = "0" * 16
+        self.history.fleet.work_s[job_id] = length_s
+        await self.history.submit(job_id, step(1, estimated_s=length_s, is_checkpointed=True))
+        await asyncio.sleep(SETTLE_S)
+        (busy,) = (key for key, one in self.history.fleet.workers.items() if one.names())
+        return busy
 
 
 # ---- what else others write
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -127,8 +127,13 @@
         entry = {
             "service": "s",
             "address": "10.0.0.1:1",
+            "zone": "hall",
+            "version": "v1",
+            "slots": 8,
             "state": "draining",
-            "capacity": {"cpu": 16000, "memMb": 32768},
+            "coldRemainingMs": 0,
+            "seqNo": 4,
+            "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
             "labels": ["a", "r1-3"],
         }
         registry.written(_entry("i-1", entry))
