Hold a word that was not answered for possible; let a late one never stand

A write of the record of workers that got no answer, and was carried out late, could strike a worker out that had come back and ran a task by then: the record seemed to stand as wanted, so that nothing was written. A scheduler's offer of machines, its counts, and the keeper's word demanded only the holder's key, so that an older word, carried out late, stood for the last. The class: late news taken for current. Change: HeldRecord, the one way for a duty's holder to write a word of its own: each write demands the revision of the one before, and what a write without an answer says counts as possible until the next is through. No lease for a worker that any possible record leaves out. A resting holder reads its key before it renews. A keeper that rested waits as a new one does. Leases run out also on workers that have to be reached again.

--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -110,7 +110,7 @@
             self._pass_time_of(worker, now_s)
 
     def _pass_time_of(self, worker: Worker, now_s: float) -> None:
-        if now_s > worker.lease_ends_s and worker.is_fenced and _is_settled(worker):
+        if now_s > worker.lease_ends_s and _is_settled(worker):
             self._board.lapse(worker, now_s)
         if not worker.is_listed and not worker.runs and now_s > worker.lease_ends_s:
             self._board.worker_over(worker.worker_id, "no longer listed", now_s)
--- a/src/shallotworks/scheduling/_keeper.py
+++ b/src/shallotworks/scheduling/_keeper.py
@@ -9,7 +9,7 @@
 
 from returns.result import Success
 
-from shallotworks.store import Commit, Committed, Holder, Write
+from shallotworks.store import HeldRecord, Holder
 
 from ._machine_book import KeeperWord, keeper_key
 from ._machine_orders import KeeperParts, MachineOrders
@@ -32,7 +32,7 @@
         parts: What it works with.
     """
 
-    __slots__ = ("_begun_s", "_holder", "_mover", "_orders", "_parts", "_told", "_waves")
+    __slots__ = ("_begun_s", "_holder", "_mover", "_orders", "_parts", "_record", "_told", "_waves")
 
     def __init__(self, *, holder: Holder, parts: KeeperParts) -> None:
         self._holder = holder
@@ -42,13 +42,17 @@
         self._waves = WaveRunner(holder=holder, parts=parts, orders=self._orders)
         self._mover = PoolMover(holder=holder, parts=parts, orders=self._orders)
         self._told = KeeperWord()
+        self._record = HeldRecord(key=keeper_key(), holder=holder, store=parts.store, log=parts.log)
 
     async def run(self) -> None:
         """Keep machines until the key is lost."""
         keep = asyncio.create_task(self._holder.keep())
         try:
             while not self._holder.lost.is_set():
-                if self._holder.may_act and self._has_work():
+                if not self._holder.may_act:
+                    # Schedulers that rested too have to write anew what they offer.
+                    self._begun_s = self._parts.clock()
+                elif self._has_work():
                     await self._round()
                 await asyncio.sleep(ROUND_S)
         finally:
@@ -84,11 +88,5 @@
         word = KeeperWord(due=due, over=self._orders.over(), recalls=recalls)
         if word == self._told:
             return
-        outcome = await self._parts.store.commit(
-            Commit(
-                conditions=(self._holder.condition,),
-                writes=(Write(key=keeper_key(), value=word.encode()),),
-            )
-        )
-        if isinstance(outcome, Success) and isinstance(outcome.unwrap(), Committed):
+        if await self._record.put(word.encode()):
             self._told = word
--- a/src/shallotworks/scheduling/_orders.py
+++ b/src/shallotworks/scheduling/_orders.py
@@ -92,6 +92,8 @@
         clock: Seconds, counting suspended time.
         wall_clock: Time of day in seconds since 1970.
         times: Times.
+        may_use: Whether a successor will know that tasks may run on a worker, by its id; without
+            that none is granted a lease there.
         log: One line for each order.
         metrics: Counters and latencies.
         on_progress: Called when a job's progress has changed.
@@ -104,6 +106,7 @@
         "_holder",
         "_in_flight",
         "_log",
+        "_may_use",
         "_metrics",
         "_news",
         "_on_progress",
@@ -122,6 +125,7 @@
         clock: Callable[[], float],
         wall_clock: Callable[[], float],
         times: OrderTimes,
+        may_use: Callable[[str], bool],
         log: LogLines,
         metrics: Metrics,
         on_progress: Callable[[], None],
@@ -132,6 +136,7 @@
         self._clock = clock
         self._wall_clock = wall_clock
         self._times = times
+        self._may_use = may_use
         self._log = log
         self._metrics = metrics
         self._on_progress = on_progress
@@ -302,7 +307,7 @@
         The worker's clock is reckoned from its last answer, so the reckoning is early by the way
         back and late by what the clock loses; the end noted here allows for both.
         """
-        if not worker.clock_ms or not worker.is_recorded:
+        if not worker.clock_ms or not self._may_use(worker.worker_id):
             return None
         age_s = sent_s - worker.clock_at_s
         lease_s = min(self._times.lease_s, self._times.horizon_s - self._holder.unconfirmed_s)
--- a/src/shallotworks/scheduling/_term.py
+++ b/src/shallotworks/scheduling/_term.py
@@ -15,12 +15,11 @@
 from shallotworks.metrics import Metrics
 from shallotworks.store import (
     Commit,
-    Conflicted,
+    HeldRecord,
     Holder,
     Item,
     Mirror,
     Store,
-    Write,
 )
 
 from ._board import ServiceBoard
@@ -104,9 +103,10 @@
         "_holder",
         "_keys",
         "_mirror",
+        "_need",
         "_parts",
+        "_pending",
         "_pending_jobs",
-        "_published",
         "_runners",
         "_sizer",
         "_tasks",
@@ -127,6 +127,9 @@
         self.decider = Decider(board=self.board)
         self._sizer = PoolSizer(board=self.board, limits=SizingLimits())
         self._waits = WaitWatch(board=self.board, metrics=parts.metrics, log=parts.log)
+        self._runners = RunnersRecord(
+            service=service, holder=holder, store=parts.store, log=parts.log
+        )
         self._desk = OrderDesk(
             board=self.board,
             holder=holder,
@@ -134,6 +137,7 @@
             clock=parts.clock,
             wall_clock=parts.wall_clock,
             times=parts.times,
+            may_use=self._runners.may_use,
             log=parts.log,
             metrics=parts.metrics,
             on_progress=self._note_progress,
@@ -153,16 +157,18 @@
             log=parts.log,
             pause_s=JOBS_PAUSE_S,
         )
-        self._runners = RunnersRecord(
-            service=service, holder=holder, store=parts.store, log=parts.log
-        )
+        self._need = self._own_record(need_key(service))
+        self._pending = self._own_record(self._keys.pending())
         self._pending_jobs: dict[str, Item] = {}
         self._has_mark = False
         self._directory_seen: tuple[int, KeeperWord] | None = None
-        self._published: dict[str, int] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self.is_prepared = asyncio.Event()
 
+    def _own_record(self, key: str) -> HeldRecord:
+        parts = self._parts
+        return HeldRecord(key=key, holder=self._holder, store=parts.store, log=parts.log)
+
     async def run(self) -> None:
         """Schedule until the key is lost."""
         self._log("term-begun")
@@ -324,7 +330,6 @@
         await self._runners.read()
         for worker_id, runner in self._runners.runners.items():
             self._await_runner(worker_id, runner)
-        self._note_usable()
         # Offers of an earlier term must not be taken for this one's.
         while not await self._tell_need(PoolNeed(token=self._holder.token)):
             await asyncio.sleep(STORE_RETRY_S)
@@ -369,7 +374,6 @@
         for worker_id, view in listed.items():
             if self._runners.may_use(worker_id):
                 self.board.worker_learnt(view)
-        self._note_usable()
         return is_kept
 
     def _listed(self) -> dict[str, WorkerView]:
@@ -389,9 +393,7 @@
         though nothing runs there. So workers that are over go, and so do drained ones before they
         leave: their end may fall into a time without a scheduler.
         """
-        is_kept = await self._runners.keep(self._runners_wanted)
-        self._note_usable()
-        return is_kept
+        return await self._runners.keep(self._runners_wanted)
 
     def _runners_wanted(self) -> dict[str, Runner]:
         listed = self._listed()
@@ -406,11 +408,7 @@
     def _may_run_something(self, worker_id: str) -> bool:
         worker = self.board.workers.get(worker_id)
         is_unseen = worker_id in self.board.pending_recovery
-        return is_unseen or (worker is not None and bool(worker.runs))
-
-    def _note_usable(self) -> None:
-        for worker_id, worker in self.board.workers.items():
-            worker.is_recorded = self._runners.may_use(worker_id)
+        return is_unseen or (worker is not None and bool(worker.runs or worker.unsettled))
 
     async def _ask(self, request: AdviceRequest) -> None:
         outcome = await self._parts.advice.ask(request.step, request.worker_ids)
@@ -442,18 +440,7 @@
             self._log("pool-state", **self._sizer.state(wall_s=wall_s))
             self._waits.tell(now_s=now_s, wall_s=wall_s)
             await self._keep_runners()
-            counts = self.board.waiting_jobs()
-            if counts != self._published:
-                outcome = await self._parts.store.commit(
-                    Commit(
-                        conditions=(self._holder.condition,),
-                        writes=(
-                            Write(key=self._keys.pending(), value=json.dumps(counts).encode()),
-                        ),
-                    )
-                )
-                if isinstance(outcome, Success):
-                    self._published = counts
+            await self._pending.put(json.dumps(self.board.waiting_jobs(), sort_keys=True).encode())
             await asyncio.sleep(PUBLISH_EVERY_S)
 
     async def _size_pool(self) -> None:
@@ -474,13 +461,7 @@
             await asyncio.sleep(SIZE_EVERY_S)
 
     async def _tell_need(self, need: PoolNeed) -> bool:
-        outcome = await self._parts.store.commit(
-            Commit(
-                conditions=(self._holder.condition,),
-                writes=(Write(key=need_key(self.service), value=need.encode()),),
-            )
-        )
-        if not isinstance(outcome, Success) or isinstance(outcome.unwrap(), Conflicted):
+        if not await self._need.put(need.encode()):
             return False
         self._log("need-told", lacking=need.lacking, free=len(need.free))
         return True
--- a/src/shallotworks/store/__init__.py
+++ b/src/shallotworks/store/__init__.py
@@ -1,9 +1,11 @@
 """The store in which everything that must last or be agreed on is kept, as the product sees it.
 
 Other packages see only the protocol and types named here. `Mirror` keeps a copy of all keys under
-a prefix up to date; `Holder` keeps a leased key, with a fencing token, while it can be kept.
+a prefix up to date; `Holder` keeps a leased key, with a fencing token, while it can be kept;
+`HeldRecord` is the last word of such a holder under a key.
 """
 
+from ._held_record import HeldRecord
 from ._holder import Holder, HolderTimes
 from ._mirror import Mirror, MirrorListener
 from ._protocols import (
@@ -26,6 +28,7 @@
     "Condition",
     "Conflicted",
     "Deletion",
+    "HeldRecord",
     "Holder",
     "HolderTimes",
     "Item",
--- /dev/null
+++ b/src/shallotworks/store/_held_record.py
@@ -0,0 +1,96 @@
+"""A key that the holder of a duty writes, and nobody else."""
+
+from __future__ import annotations
+
+from returns.result import Success
+
+from shallotworks.logs import LogLines
+
+from ._holder import Holder
+from ._protocols import Commit, Condition, Conflicted, Item, Store, Write
+
+__all__ = ["HeldRecord"]
+
+MOST_TRIES = 2
+"""A write that meets an earlier one of the same holder is made again, with that one's revision."""
+
+
+class HeldRecord:
+    """The last word of a duty's holder under one key; one write at a time.
+
+    The failure that it guards against: a write whose answer was lost is carried out seconds later,
+    after newer ones, and the older word stands for the last. So each write demands the revision of
+    the one before, and what a write without an answer says is held for possible until the next
+    one is through.
+
+    Args:
+        key: The key.
+        holder: The held key of the duty.
+        store: The store.
+        log: A write that was carried out after all.
+    """
+
+    __slots__ = ("_holder", "_key", "_log", "_revision", "_store", "doubtful", "value")
+
+    def __init__(self, *, key: str, holder: Holder, store: Store, log: LogLines) -> None:
+        self._key = key
+        self._holder = holder
+        self._store = store
+        self._log = log
+        self._revision = 0
+        self.value: bytes | None = None
+        """What the store has, but for what is doubtful; ``None`` before it is known."""
+        self.doubtful: list[bytes] = []
+        """What may stand there instead: writes on their way or without an answer."""
+
+    async def read(self) -> bool:
+        """Read what stands there; return whether the store answered."""
+        outcome = await self._store.get(self._key)
+        if not isinstance(outcome, Success):
+            return False
+        item = outcome.unwrap()
+        if item is not None:
+            self._learn(item)
+        return True
+
+    async def put(self, value: bytes) -> bool:
+        """Write, unless the value stands there for certain; return whether it does."""
+        if value == self.value and not self.doubtful:
+            return True
+        for _ in range(MOST_TRIES):
+            self.doubtful.append(value)
+            outcome = await self._store.commit(
+                Commit(
+                    conditions=(
+                        self._holder.condition,
+                        Condition(key=self._key, revision=self._revision),
+                    ),
+                    writes=(Write(key=self._key, value=value),),
+                )
+            )
+            if not isinstance(outcome, Success):
+                return False
+            done = outcome.unwrap()
+            if not isinstance(done, Conflicted):
+                self.value, self._revision = value, done.revision
+                self.doubtful.clear()
+                return True
+            if not self._conflicted(done):
+                return False
+        return False
+
+    def _learn(self, item: Item) -> None:
+        self.value, self._revision = item.value, item.revision
+        self.doubtful.clear()
+
+    def _conflicted(self, conflict: Conflicted) -> bool:
+        """Learn what stands there; return whether the duty's key is still its holder's."""
+        current = {item.key: item for item in conflict.current}
+        own = current.get(self._holder.key)
+        if own is None or own.revision != self._holder.token:
+            self._holder.lose("its key has another revision")
+            return False
+        if self._key in current:
+            self._learn(current[self._key])
+        self._log.line("record-met", key=self._key, revision=self._revision)
+        return self._key in current
--- a/src/shallotworks/store/_holder.py
+++ b/src/shallotworks/store/_holder.py
@@ -24,7 +24,7 @@
         ttl_s: The store drops the key this long after the last renewal. 2 s: a successor begins
             within 2.5 s of a crash, and four renewals fit in.
         renewal_s: Between renewals.
-        retry_s: Between renewals while none is answered, after the grace.
+        retry_s: After a renewal that failed.
         grace_s: The duty may be exercised this long after the last confirmed renewal was sent,
             so that a short outage of the store does not stop work. Safety does not rest on it:
             a successor fences each worker, and waits this long for one that it can't reach.
@@ -170,27 +170,35 @@
         with it, the holder goes on with the first renewal that is answered. Given up, the key
         would still stand for its time to live, and nobody could act until then.
         """
+        pause_s = self._times.renewal_s
         while not self.lost.is_set():
+            await asyncio.sleep(pause_s)
             has_rested = self._has_run_out
-            await asyncio.sleep(self._times.retry_s if has_rested else self._times.renewal_s)
-            sent_s = self._clock()
-            outcome = await self._store.renew_lease(self._lease_id)
-            if isinstance(outcome, Success):
-                if not self._has_run_out or await self._is_still_own():
-                    self._sent_s = sent_s
-            elif outcome.failure().kind is ErrorKind.LEASE_LOST:
-                self.lose("its lease has ended")
+            if not has_rested or await self._is_still_own():
+                is_renewed = await self._renew()
+                pause_s = self._times.renewal_s if is_renewed else self._times.retry_s
             self._note_rest(has_rested)
 
+    async def _renew(self) -> bool:
+        sent_s = self._clock()
+        outcome = await self._store.renew_lease(self._lease_id)
+        if isinstance(outcome, Success):
+            self._sent_s = sent_s
+            return True
+        if outcome.failure().kind is ErrorKind.LEASE_LOST:
+            self.lose("its lease has ended")
+        return False
+
     @property
     def _has_run_out(self) -> bool:
         return self.unconfirmed_s >= self._times.grace_s
 
     async def _is_still_own(self) -> bool:
-        """Whether the key is still there after the duty has rested.
+        """Whether the store answers that the key is still there, after the duty has rested.
 
-        The failure: keys are taken away while their lease lives on, and another holds the key by
-        now; what tells a holder of that may come later than the answer to its renewal.
+        Two failures: keys are taken away while their lease lives on, and another holds the key by
+        now; and a holder that rests since no answer reaches it renews the key all the while, so
+        that nobody else can win it. A read prolongs nothing.
         """
         outcome = await self._store.get(self.key)
         if not isinstance(outcome, Success):
--- /dev/null
+++ b/tests/test_late_writes.py
@@ -0,0 +1,254 @@
+"""Tests of what late writes and lost answers leave behind; on the stand-ins."""
+
+import asyncio
+import random
+import unittest
+
+from returns.result import Failure as Err
+from returns.result import Result
+
+from shallotworks.errors import ErrorKind, Failure
+from shallotworks.jobs import TaskName
+from shallotworks.scheduling import PoolNeed, Runner, RunnersRecord, need_key, runners_key
+from shallotworks.standins import RecordStore, StoreView
+from shallotworks.store import Item
+from tests.fleet_history import SERVICE, History
+from tests.held_keys import acquire
+from tests.on_loop import run_story
+from tests.scheduling_fakes import Bench, job, quiet_log, step, view
+from tests.test_machine_keeper import World
+
+JOB_ID = "00000000000000ab"
+NAME = TaskName(JOB_ID, 0, 0, 0)
+ONE, TWO = Runner(address="a:1"), Runner(address="b:1")
+LATE_S = 4.0
+"""Longer than the stand-in takes to carry out what it did not answer."""
+UNANSWERED_S = 20.0
+STARTED_AGAIN_S = 10.0
+AWAY_S = 6.0
+WRITE_AGAIN_S = 1.5
+"""A scheduler's call in flight times out after 0.8 s, and it writes its next need 0.2 s later."""
+
+
+class _Deaf(StoreView):
+    """A store that carries out what one instance asks, and whose answers to it are lost."""
+
+    is_deaf = False
+
+    async def get(self, key: str) -> Result[Item | None, Failure]:
+        outcome = await super().get(key)
+        return await self._lose() if self.is_deaf else outcome
+
+    async def renew_lease(self, lease_id: int) -> Result[None, Failure]:
+        outcome = await super().renew_lease(lease_id)
+        return await self._lose() if self.is_deaf else outcome
+
+    async def _lose(self) -> Err[Failure]:
+        await asyncio.sleep(self._timeout_s)
+        return Err(Failure(kind=ErrorKind.STORE_UNAVAILABLE, reason="the answer was lost"))
+
+
+async def _recorded() -> tuple[RecordStore, StoreView, RunnersRecord]:
+    """Return a store in which the record names two workers."""
+    store = RecordStore(rng=random.Random(1))
+    caller = StoreView(store=store)
+    holder = await acquire(caller)
+    asyncio.get_running_loop().create_task(holder.keep())
+    record = RunnersRecord(service=SERVICE, holder=holder, store=caller, log=quiet_log())
+    await record.read()
+    assert await record.keep(lambda: {"one": ONE, "two": TWO})
+    return store, caller, record
+
+
+class RecordTests(unittest.TestCase):
+    def test_a_worker_that_came_back_outlives_the_late_write_that_took_it_out(self) -> None:
+        """Two runs of one task at once, one on a worker that the successor has never heard of.
+
+        After an outage a worker's entry was gone, and it was taken out of the record; the store
+        did not answer. Its entry came back, so that the record seemed to stand as wanted: nothing
+        was written, and a task was started there. Then the store carried out the first write.
+        """
+
+        async def story() -> None:
+            store, caller, record = await _recorded()
+            caller.faults.late_part = 1.0
+            self.assertFalse(await record.keep(lambda: {"one": ONE}))
+            caller.faults.late_part = 0.0
+            self.assertTrue(await record.keep(lambda: {"one": ONE, "two": TWO}))
+            self.assertTrue(record.may_use("two"))
+            await asyncio.sleep(LATE_S)
+            stored = RunnersRecord.decode(store.items[runners_key(SERVICE)].value)
+            self.assertIn("two", stored)
+
+        run_story(story())
+
+    def test_a_task_on_a_worker_that_came_back_does_not_run_twice(self) -> None:
+        """The story before, played to its end: all workers can be reached all the while.
+
+        The process that had scheduled was killed; its successor had one worker to see, saw it and
+        started the task there, while the other one ran it under a lease that was still good.
+        """
+
+        async def story() -> None:
+            history = History(seed=3, workers=2, instances=2)
+            history.fleet.lasting.add(JOB_ID)
+            for instance in history.instances:
+                instance.start()
+            await asyncio.sleep(2.0)
+            scheduler = history.scheduler()
+            assert scheduler is not None
+            scheduler.view.faults.late_part = 1.0
+            scheduler.view.faults.late_s = LATE_S
+            history.fleet.unlisted.add("w1")
+            await asyncio.sleep(0.5)
+            scheduler.view.faults.late_part = 0.0
+            history.fleet.unlisted.clear()
+            await asyncio.sleep(2.0)
+            # Its only task fits on the worker that came back alone.
+            history.fleet.workers["w0"].view = view("w0", service=SERVICE, cpu_millicores=100)
+            history.fleet.changes += 1
+            await asyncio.sleep(0.5)
+            await history.submit(JOB_ID, step(1, is_lasting=True))
+            await asyncio.sleep(LATE_S)
+            self.assertIn(NAME, history.fleet.workers["w1"].names())
+            history.fleet.workers["w0"].view = view("w0", service=SERVICE)
+            history.fleet.changes += 1
+            await history.replace(scheduler)
+            await asyncio.sleep(10.0)
+            self.assertEqual([], history.fleet.breaches)
+            for instance in history.instances:
+                await instance.kill()
+
+        run_story(story())
+
+    def test_no_task_starts_on_a_worker_that_is_being_taken_out(self) -> None:
+        """Two runs of one task at once, one on a worker that the successor has never heard of.
+
+        A worker was being taken out of the record, since its entry said that it drains; the board
+        had not heard of that. A task was started there before the store answered, and the process
+        that had just written was killed.
+        """
+
+        async def story() -> None:
+            _, caller, record = await _recorded()
+            caller.faults.delay_s = 0.2
+            taken_out = asyncio.create_task(record.keep(lambda: {"one": ONE}))
+            await asyncio.sleep(0.1)
+            self.assertFalse(record.may_use("two"))
+            self.assertTrue(record.may_use("one"))
+            await taken_out
+
+        run_story(story())
+
+
+class RestTests(unittest.TestCase):
+    def test_a_duty_whose_holder_hears_no_answers_goes_to_another(self) -> None:
+        """A service stood still for as long as one instance got no answers from the store.
+
+        Its calls were carried out all the while. It rested and renewed the key with each try, so
+        that nobody else could win it.
+        """
+
+        async def story() -> None:
+            store = RecordStore(rng=random.Random(1))
+            deaf = _Deaf(store=store)
+            holder = await acquire(deaf)
+            keep = asyncio.create_task(holder.keep())
+            await asyncio.sleep(1.0)
+            deaf.is_deaf = True
+            await asyncio.sleep(UNANSWERED_S)
+            store.expire()
+            self.assertFalse(holder.may_act)
+            await acquire(StoreView(store=store))
+            keep.cancel()
+
+        run_story(story())
+
+
+class NeedTests(unittest.TestCase):
+    def test_an_offer_carried_out_late_does_not_stand_after_it_was_taken_back(self) -> None:
+        """A machine was taken away under a lasting task, on the word of its own scheduler.
+
+        The scheduler offered an idle worker, and the store did not answer. A task came, the offer
+        was taken back and that was stored; then the store carried out the first write. The keeper
+        reads the store's word before it takes a machine.
+        """
+
+        async def story() -> None:
+            history = History(seed=1, workers=1, instances=1)
+            history.instances[0].start()
+            await asyncio.sleep(2.0)
+            term = history.instances[0].terms[-1]
+            token = term.board.token
+            faults = history.instances[0].view.faults
+            history.fleet.lasting.add(JOB_ID)
+            await history.submit(JOB_ID, step(1, is_lasting=True))
+            await asyncio.sleep(1.0)
+            faults.late_part = 1.0
+            offer = PoolNeed(token=token, free=("w0",))
+            self.assertFalse(await term._tell_need(offer))
+            faults.late_part = 0.0
+            self.assertTrue(await term._tell_need(PoolNeed(token=token)))
+            await asyncio.sleep(LATE_S)
+            stored = PoolNeed.decode(history.store.items[need_key(SERVICE)].value)
+            self.assertEqual((), stored.free)
+            await history.instances[0].kill()
+
+        run_story(story())
+
+
+class KeeperTests(unittest.TestCase):
+    def test_a_keeper_that_wakes_takes_no_machine_on_a_word_from_before_the_outage(self) -> None:
+        """A machine was taken away under tasks that its scheduler had started in an outage.
+
+        The scheduler took its offer back while the store was away, and could not say so; its call
+        in flight had to time out before it wrote again. The keeper had rested, and gave orders
+        with its first look, which a new keeper does not.
+        """
+
+        async def story() -> None:
+            world = World(antenna=4, radar=2, spare=0)
+            holder = await world.start()
+            world.tell("antenna", free=True)
+            await asyncio.sleep(5.0)
+            faults = holder._store.faults
+            world.store.are_leases_paused = True
+            faults.is_silent = True
+            await asyncio.sleep(AWAY_S)
+            self.assertFalse(holder.may_act)
+            faults.is_silent = False
+            # What lacks machines has written first.
+            world.tell("radar", lacking=1)
+            await asyncio.sleep(WRITE_AGAIN_S)
+            world.tell("antenna")
+            await asyncio.sleep(5.0)
+            self.assertTrue(holder.may_act)
+            self.assertEqual([], world.moves())
+            world.stop()
+
+        run_story(story())
+
+
+class LapseTests(unittest.TestCase):
+    def test_runs_of_a_worker_that_died_after_a_late_order_are_started_again(self) -> None:
+        """A lasting task never ran again until its scheduler was replaced.
+
+        A worker that ran it answered the start of another task that the order's time was over; so
+        it counted as unreached, and was lost before the next look. Only reached workers' leases
+        run out on the board, so that the task counted as running for ever.
+        """
+        bench = Bench(view("a"))
+        bench.learn(job("j", step(1, is_lasting=True)))
+        (order,) = bench.starts()
+        bench.worker("a").lease_ends_s = bench.now_s + 5.0
+        order.run.enter(order.run.phase.RUNNING, bench.now_s)
+        bench.add(view("b"))
+        # What `OrderDesk` does when an order came too late.
+        bench.worker("a").is_fenced = False
+        bench.board.worker_unlisted("a")
+        bench.now_s += STARTED_AGAIN_S
+        self.assertEqual(["b"], [one.run.worker_id for one in bench.starts()])
+
+
+if __name__ == "__main__":
+    unittest.main()
