Show by tests how lasting tasks lose their budget around a change of scheduler

A successor puts the workers that its predecessor recorded on its board and tells what is free 10 to 20 ms after it is prepared, before its first looks are answered; a due worker without known runs counts as emptied. The keeper reads that word and orders the upkeep; the word is taken back 0.1 s later. Four more races of the same kind were found by reading. Change: tests/test_budget_at_takeover.py, with the real term, keeper and records on the stand-ins; no change of logic.

--- /dev/null
+++ b/tests/test_budget_at_takeover.py
@@ -0,0 +1,492 @@
+"""Tests of the budget of lasting tasks while a service's scheduler changes.
+
+Terms, the keeper of machines and the store's records are the real ones; workers, machines and the
+store are stand-ins on a clock that tests advance. A judge counts how many tasks of a step are away
+whenever an order for a task or for a machine ends one that is at work.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+import unittest
+
+from returns.result import Result, Success
+
+from shallotworks.errors import Failure
+from shallotworks.jobs import Job, JobDesk, JobKeys, TaskName
+from shallotworks.metrics import Metrics
+from shallotworks.scheduling import (
+    MACHINES_PREFIX,
+    DutyEnding,
+    EndedTask,
+    EndKind,
+    KeeperParts,
+    Machine,
+    MachineBook,
+    MachineKeeper,
+    MachineState,
+    OrderTimes,
+    PoolNeed,
+    Run,
+    ServiceTerm,
+    TermParts,
+    Upkeep,
+    need_key,
+)
+from shallotworks.scheduling._machine_book import KeeperWord, keeper_key
+from shallotworks.standins import OrderFaults, OrdersView, RecordStore, StoreView, TaskWorkers
+from shallotworks.store import Holder, HolderTimes, Mirror
+from tests.fleet_history import AllAllowed
+from tests.on_loop import run_story
+from tests.scheduling_fakes import policy, quiet_log, step, view
+
+SERVICE = "antenna"
+BORROWER = "coverage"
+JOB = "00000000000000aa"
+UPKEEP_S = 2.0
+MOVE_S = 1.5
+KEEPER_WAITS_S = 3.2
+
+
+def now_s() -> float:
+    """Return the loop's clock."""
+    return asyncio.get_running_loop().time()
+
+
+class Budget:
+    """Judges each end of a lasting task by the others of its step that are away.
+
+    A task counts as away as soon as it is not at work.
+
+    Args:
+        fleet: The workers.
+        names: The tasks of the step.
+        may_miss: How many of them may be away at once.
+    """
+
+    def __init__(self, *, fleet: TaskWorkers, names: list[TaskName], may_miss: int) -> None:
+        self._fleet = fleet
+        self._names = names
+        self._may_miss = may_miss
+        self.breaches: list[str] = []
+
+    def at_work(self) -> set[TaskName]:
+        """Return the tasks that are at work."""
+        working = set()
+        for worker in self._fleet.workers.values():
+            if worker.is_alive:
+                worker.pass_time()
+                runs = worker._runs.values()
+                working.update(run.name for run in runs if run.percent(now_s()) >= 100)
+        return working
+
+    def order_ends(self, names: set[TaskName], how: str) -> None:
+        """Judge tasks at work that are ended by an order, all at one moment."""
+        working = self.at_work()
+        for name in sorted(names):
+            away = [other for other in self._names if other not in working and other != name]
+            if name in self._names and len(away) >= self._may_miss:
+                self.breaches.append(f"{now_s():.3f} {how} ends {name[3]}, {len(away)} are away")
+            working.discard(name)
+
+
+class JudgedWorkers(TaskWorkers):
+    """Workers whose ends by a stop are judged."""
+
+    budget: Budget | None = None
+
+    def ended(self, end: EndedTask) -> None:
+        """Take note of an end."""
+        super().ended(end)
+        if self.budget is not None and end.kind is EndKind.STOPPED:
+            self.budget.order_ends({end.name}, "a stop")
+
+
+class TermHandle:
+    """A term that runs, and what stands between it and the world."""
+
+    def __init__(
+        self, *, term: ServiceTerm, holder: Holder, store: StoreView, orders: OrdersView
+    ) -> None:
+        self.term = term
+        self.holder = holder
+        self.store = store
+        self.orders = orders
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def cut_from_store(self) -> None:
+        """No call to the store is answered from now on."""
+        self.store.faults.is_silent = True
+
+
+class Site:
+    """A service with lasting tasks, its machines, their keeper and the service's schedulers.
+
+    Implements `Machines` and `UpkeepBook`. Each machine has the name of its worker with an ``m``
+    before it.
+    """
+
+    def __init__(self, *workers: str, **step_fields: int) -> None:
+        rng = random.Random(1)
+        self.store = RecordStore(rng=rng)
+        self.fleet = JudgedWorkers(rng=rng)
+        self.machines: dict[str, Machine] = {}
+        self.taken: list[str] = []
+        """Lasting tasks at work that orders for machines ended; a scheduler gives none away."""
+        self.order_s = 0.0
+        """Time from an order for a machine to its being carried out."""
+        self.asked: tuple[Upkeep, ...] = ()
+        for name in workers:
+            self._add("m" + name, name, SERVICE)
+        count = step_fields.pop("count")
+        self.job = Job(
+            job_id=JOB,
+            policy=policy(service=SERVICE),
+            spec="x",
+            steps=(step(count, is_lasting=True, **step_fields),),
+        )
+        self.fleet.lasting.add(JOB)
+        self.fleet.needs[JOB] = self.job.steps[0].cpu_millicores
+        names = [TaskName(JOB, 0, 0, index) for index in range(count)]
+        self.budget = Budget(fleet=self.fleet, names=names, may_miss=self.job.steps[0].may_miss)
+        self.fleet.budget = self.budget
+        self.keeper_book = MachineBook(log=quiet_log())
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def _add(self, machine: str, worker: str, pool: str) -> None:
+        self.fleet.add(view(worker, service=pool))
+        self.machines[machine] = Machine(
+            name=machine, pool=pool, state=MachineState.UP, worker_id=worker
+        )
+
+    # ---- machines and waves
+
+    async def list(self) -> Result[tuple[Machine, ...], Failure]:
+        return Success(tuple(self.machines.values()))
+
+    async def upkeep(self, machine: str, *, wave: int, token: int) -> DutyEnding:
+        return await self._take(machine, MachineState.UPKEEP, self.machines[machine].pool, UPKEEP_S)
+
+    async def move(self, machine: str, *, pool: str, token: int) -> DutyEnding:
+        return await self._take(machine, MachineState.MOVING, pool, MOVE_S)
+
+    async def _take(self, machine: str, state: MachineState, pool: str, for_s: float) -> DutyEnding:
+        await asyncio.sleep(self.order_s)
+        if self.machines[machine].state is not MachineState.UP:
+            return DutyEnding.BUSY
+        worker = self.fleet.workers[self.machines[machine].worker_id]
+        ended = self.budget.at_work() & worker.names()
+        self.taken += [f"{now_s():.3f} {state.value} ends {name[3]}" for name in sorted(ended)]
+        self.budget.order_ends(ended, state.value)
+        worker.crash()
+        self.machines[machine] = Machine(name=machine, pool=pool, state=state)
+        life = f"{worker.view.worker_id}+"
+        asyncio.get_running_loop().call_later(for_s, self._add, machine, life, pool)
+        return DutyEnding.OBEYED
+
+    def waves(self) -> tuple[Upkeep, ...]:
+        return self.asked
+
+    def status_key(self, wave: int) -> str:
+        return f"status/{wave}"
+
+    def encode_status(self, is_completed: bool) -> bytes:
+        return b""
+
+    def ask_wave(self, *machines: str) -> None:
+        """Ask for a wave that may take all its machines at once."""
+        self.asked = (Upkeep(wave=1, machines=machines, duration_s=30, most_at_once=len(machines)),)
+
+    def tell_due(self, *workers: str) -> None:
+        """Say in the keeper's place which workers are to be emptied."""
+        self.store.put(keeper_key(), KeeperWord(due=frozenset(workers)).encode())
+
+    def drain(self, *workers: str) -> None:
+        """Let workers say that they are about to leave."""
+        for worker in workers:
+            one = self.fleet.workers[worker]
+            one.view = dataclasses.replace(one.view, is_draining=True)
+        # The list's version is reckoned from the workers that are not listed.
+        self.fleet.unlisted.add("none")
+
+    def borrow(self, count: int) -> None:
+        """Let another service lack machines."""
+        self.store.put(need_key(BORROWER), PoolNeed(lacking=count).encode())
+
+    # ---- holders
+
+    async def begin_keeper(self) -> None:
+        """Begin a term of the keeper, and let its wait before the first order pass."""
+        store = StoreView(store=self.store)
+        holder = await self._acquire(store, "keeper", "keeper-mark")
+        parts = KeeperParts(
+            machines=self,
+            upkeep=self,
+            book=self.keeper_book,
+            standby=frozenset,
+            store=store,
+            clock=now_s,
+            wall_clock=now_s,
+            log=quiet_log(),
+        )
+        mirror = Mirror(
+            store=store, prefix=MACHINES_PREFIX, listener=self.keeper_book, log=quiet_log()
+        )
+        keeper = MachineKeeper(holder=holder, parts=parts)
+        self._tasks += [asyncio.create_task(mirror.run()), asyncio.create_task(keeper.run())]
+        await asyncio.sleep(KEEPER_WAITS_S + 0.1)
+
+    async def begin_term(self, *, cut: set[str] | None = None) -> TermHandle:
+        """Begin a term of the service's scheduler.
+
+        Args:
+            cut: Workers that it can't reach.
+        """
+        store = StoreView(store=self.store)
+        orders = OrdersView(fleet=self.fleet, faults=OrderFaults(cut=cut or set()))
+        mark = JobKeys(service=SERVICE).holder_mark
+        holder = await self._acquire(store, f"shallotworks/duty/scheduler/{SERVICE}", mark)
+        book = MachineBook(log=quiet_log())
+        mirror = Mirror(store=store, prefix=MACHINES_PREFIX, listener=book, log=quiet_log())
+        parts = TermParts(
+            store=store,
+            orders=orders,
+            directory=self.fleet,
+            advice=AllAllowed(),
+            book=book,
+            clock=now_s,
+            wall_clock=now_s,
+            times=OrderTimes(),
+            log=quiet_log(),
+            metrics=Metrics(),
+        )
+        mirroring = asyncio.create_task(mirror.run())
+        await mirror.synced.wait()
+        term = ServiceTerm(service=SERVICE, holder=holder, parts=parts)
+        handle = TermHandle(term=term, holder=holder, store=store, orders=orders)
+        handle.tasks = [mirroring, asyncio.create_task(term.run())]
+        self._tasks += handle.tasks
+        return handle
+
+    @staticmethod
+    async def _acquire(store: StoreView, key: str, mark: str) -> Holder:
+        holder = await Holder.acquire(
+            store=store,
+            key=key,
+            mark=mark,
+            value=b"n",
+            clock=now_s,
+            times=HolderTimes(),
+            log=quiet_log(),
+        )
+        assert holder is not None
+        return holder
+
+    def revoke(self) -> None:
+        """Take the scheduler's keys away."""
+        self.store.revoke("shallotworks/duty/scheduler/")
+        self.store.revoke(JobKeys(service=SERVICE).holder_mark)
+
+    async def kill(self, handle: TermHandle) -> None:
+        """End a term without a word, and its keys with it."""
+        handle.store.faults.is_down = True
+        for task in handle.tasks:
+            task.cancel()
+        await asyncio.gather(*handle.tasks, return_exceptions=True)
+        self.revoke()
+
+    async def submit(self) -> None:
+        """Hand the lasting job in."""
+        desk = JobDesk(
+            store=StoreView(store=self.store),
+            metrics=Metrics(),
+            log=quiet_log(),
+            wall_clock=now_s,
+        )
+        answer = await desk.submit(self.job, deadline_s=now_s() + 2)
+        assert answer.ending.value == "accepted"
+
+    async def close(self) -> None:
+        """End everything."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+class UnseenWorkerTests(unittest.TestCase):
+    """A successor knows from a record which workers there are, before it knows what runs there."""
+
+    def test_a_wave_takes_no_worker_that_the_successor_has_not_seen(self) -> None:
+        """Users meet none of a service's three tasks, of which one may be away.
+
+        A wave wants the tasks' workers emptied when the scheduler is killed. Its successor puts the
+        recorded workers on its board and tells what is free before its first looks are answered:
+        without runs, these workers seem empty. It takes that back a tenth of a second later, and
+        the keeper has ordered their upkeep meanwhile.
+        """
+
+        async def story(wait_s: float) -> list[str]:
+            site = Site("w0", "w1", "w2", "w3", count=3, may_miss=1, cpu_millicores=3000)
+            first = await site.begin_term()
+            await site.submit()
+            await site.begin_keeper()
+            taken = {run.worker_id for run in _runs(first)}
+            site.ask_wave(*("m" + worker for worker in sorted(taken)))
+            while not site.keeper_book.keeper.due:
+                await asyncio.sleep(0.005)
+            await site.kill(first)
+            await asyncio.sleep(wait_s)
+            await site.begin_term()
+            await asyncio.sleep(1.0)
+            await site.close()
+            return site.taken
+
+        for part in range(8):
+            with self.subTest(successor_begins_after_s=part * 0.025):
+                self.assertEqual([], run_story(story(part * 0.025)))
+
+    def test_a_worker_that_the_successor_cannot_reach_is_not_lent(self) -> None:
+        """Users meet one of a service's three tasks, of which one may be away.
+
+        The scheduler is killed, and its successor can't reach two of the tasks' workers. It has
+        seen nothing run there, so they count as idle, and the keeper lends them to another service.
+        """
+
+        async def story() -> list[str]:
+            site = Site("w0", "w1", "w2", "w3", count=3, may_miss=1, cpu_millicores=3000)
+            first = await site.begin_term()
+            await site.submit()
+            await site.begin_keeper()
+            taken = sorted({run.worker_id for run in _runs(first)})
+            await site.kill(first)
+            site.borrow(2)
+            await site.begin_term(cut=set(taken[:2]))
+            await asyncio.sleep(2.0)
+            await site.close()
+            return site.taken
+
+        self.assertEqual([], run_story(story()))
+
+
+class AdoptedRunTests(unittest.TestCase):
+    def test_what_the_predecessor_has_just_stopped_counts_as_away(self) -> None:
+        """Users meet one of a service's three tasks, of which one may be away.
+
+        A scheduler that is cut off from the store stops a task, since its worker is due for upkeep.
+        A stopped task is listed and at 100 percent for 0.2 s more; in this time a successor takes
+        the service over, counts the task as at work and stops the next one.
+        """
+
+        async def story(wait_s: float) -> list[str]:
+            site = Site("w0", "w1", "w2", "w3", count=3, may_miss=1, cpu_millicores=3000)
+            first = await site.begin_term()
+            await site.submit()
+            await asyncio.sleep(2.0)
+            # No keeper, whose orders for the machines have tests of their own. Each process walks
+            # through the due workers in an order of its own, which here is the same for both.
+            due = sorted({run.worker_id for run in _runs(first)})
+            last = list(frozenset(due))[-1]
+            site.tell_due(last)
+            while not any(run.is_stop_wanted for run in _runs(first)):
+                await asyncio.sleep(0.005)
+            site.tell_due(*due)
+            first.cut_from_store()
+            site.revoke()
+            await asyncio.sleep(wait_s)
+            await site.begin_term()
+            await asyncio.sleep(3.0)
+            await site.close()
+            return site.budget.breaches
+
+        for part in range(8):
+            with self.subTest(successor_begins_after_s=part * 0.025):
+                self.assertEqual([], run_story(story(part * 0.025)))
+
+
+class EarlierWordTests(unittest.TestCase):
+    """What a scheduler told the keeper may stand for longer than it means it."""
+
+    def test_a_lasting_task_keeps_off_what_the_predecessor_offered(self) -> None:
+        """A service's task is taken away at work, with no look at its budget.
+
+        An order to lend an idle worker is under way when the worker's scheduler changes. Within a
+        term, lasting tasks keep off a worker that was offered for 3 s; the successor knows of no
+        offer, starts a waiting task there, and the order ends it.
+        """
+
+        async def story() -> list[str]:
+            site = Site("w0", "w1", "w2", count=2, may_miss=1, cpu_millicores=3000)
+            first = await site.begin_term()
+            await site.begin_keeper()
+            site.order_s = 0.7
+            site.borrow(1)
+            await asyncio.sleep(0.25)
+            await site.kill(first)
+            await site.submit()
+            await site.begin_term()
+            await asyncio.sleep(1.5)
+            await site.close()
+            return site.taken
+
+        self.assertEqual([], run_story(story()))
+
+    def test_a_lasting_task_keeps_off_what_the_store_still_offers(self) -> None:
+        """A service's task is taken away at work, with no look at its budget.
+
+        A scheduler that is cut off from the store can't take its offers back. A worker drains;
+        after 3 s its task is started on one that was offered. The scheduler may act for 4 s, and
+        the service's next one is slow to begin. The keeper still reads the offer and takes it.
+        """
+
+        async def story() -> list[str]:
+            site = Site("w0", "w1", "w2", "w3", "w4", count=3, may_miss=1, cpu_millicores=3000)
+            first = await site.begin_term()
+            await site.submit()
+            await site.begin_keeper()
+            first.cut_from_store()
+            site.drain(min(run.worker_id for run in _runs(first)))
+            await asyncio.sleep(3.75)
+            site.borrow(2)
+            await asyncio.sleep(1.0)
+            await site.close()
+            return site.taken
+
+        self.assertEqual([], run_story(story()))
+
+    def test_an_offer_that_the_store_takes_late_does_not_outlive_its_withdrawal(self) -> None:
+        """A service's task is taken away at work, with no look at its budget.
+
+        The store does not answer an offer, and carries it out 2.5 s later, when the scheduler has
+        offered the worker once more, taken that back, and waits to start a task there. It takes its
+        last answered word for the one that stands, and does not tell it again.
+        """
+
+        async def story() -> list[str]:
+            site = Site("w0", "w1", "w2", count=2, may_miss=1, cpu_millicores=3000)
+            first = await site.begin_term()
+            await site.submit()
+            await asyncio.sleep(0.2)
+            first.store.faults.late_s = 2.5
+            first.store.faults.late_part = 1.0
+            await asyncio.sleep(0.6)
+            first.store.faults.late_part = 0.0
+            await asyncio.sleep(0.8)
+            site.drain(min(run.worker_id for run in _runs(first)))
+            await site.begin_keeper()
+            await asyncio.sleep(0.6)
+            site.borrow(1)
+            await asyncio.sleep(1.0)
+            await site.close()
+            return site.taken
+
+        self.assertEqual([], run_story(story()))
+
+
+def _runs(handle: TermHandle) -> list[Run]:
+    return [run for worker in handle.term.board.workers.values() for run in worker.runs.values()]
+
+
+if __name__ == "__main__":
+    unittest.main()
