Tell no worker to be free before it was looked at

Cause: AVAIL around a change of scheduler. A successor puts the workers that its predecessor recorded on its board before it knows what runs there; without runs a due one counted as emptied, and after 0.3 s any of them as idle. The keeper took the machine within the 0.1 s until the word was taken back. Change: the sizer passes over workers whose recovery is pending.

--- a/src/shallotworks/scheduling/_sizing.py
+++ b/src/shallotworks/scheduling/_sizing.py
@@ -192,11 +192,19 @@
         idle = [
             worker
             for worker in usable
-            if not worker.runs
+            if self._is_known_empty(worker)
             and now_s - self._idle_since.get(worker.worker_id, now_s) >= self._limits.idle_s
         ]
         return {worker.worker_id for worker in idle}
 
+    def _is_known_empty(self, worker: Worker) -> bool:
+        """Whether surely nothing runs on a worker, also nothing that an earlier term started.
+
+        The failure: a successor tells that a worker is free which it has not looked at yet, its
+        machine is taken, and the lasting tasks that its predecessor started there end.
+        """
+        return not worker.runs and worker.worker_id not in self._board.pending_recovery
+
     def withdraw(self, now_s: float) -> bool:
         """Take all offers back, since tasks wait; return whether there were any.
 
@@ -231,6 +239,8 @@
     def _emptied(self, now_s: float) -> Iterator[str]:
         for worker_id, since_s in self._cordoned.items():
             worker = self._board.workers[worker_id]
+            if worker_id in self._board.pending_recovery:
+                continue
             if any(run.step.is_lasting for run in worker.runs.values()):
                 continue
             if not worker.runs or now_s - since_s >= self._limits.patience_s:
