Count an adopted task as at work once a later report says so

Cause: a task that a scheduler cut off from the store has just stopped is listed at 100 percent for 0.2 s more. A successor that adopted it in this time counted it as at work and stopped another task of the step; each process walks through the due workers in an order of its own. Change: an adopted run counts as away until its worker reports it at work 0.5 s after the adoption.

--- a/src/shallotworks/scheduling/_board.py
+++ b/src/shallotworks/scheduling/_board.py
@@ -37,6 +37,9 @@
 FRESH_S = 2.0
 """A worker that runs lasting tasks reports once a second; one silent for longer may be dead.
 A task counts as away after 4.5 s (source: the platform's settings)."""
+ADOPTED_S = 0.5
+"""A run that an earlier scheduler has stopped is listed at work for 0.2 s more (source: the
+platform's settings); an adopted one that is reported at work this long after was not stopped."""
 STRAY_STEP = Step(count=1)
 
 
@@ -527,7 +530,8 @@
         """Return how many tasks of a lasting step are not at work, or may not be.
 
         The failure: a worker dies without a word, its last report says that its task is at work,
-        and another task of the step is stopped. So only what was reported of late counts.
+        and another task of the step is stopped. So only what was reported of late counts. The same
+        with a task that the last scheduler had stopped just before this one adopted it.
         """
         runs = step.job_entry.runs
         names = (step.name(index) for index in range(step.step.count))
@@ -538,7 +542,10 @@
         if run is None or not run.is_at_work or run.is_stop_wanted:
             return False
         worker = self.workers.get(run.worker_id)
-        return worker is not None and now_s - worker.reported_s < FRESH_S
+        if worker is None or now_s - worker.reported_s >= FRESH_S:
+            return False
+        is_adopted = run.run_id <= self.token * RUNS_PER_TERM
+        return not is_adopted or worker.reported_s - run.since_s >= ADOPTED_S
 
 
 def _step_of(entry: JobEntry | None, name: TaskName) -> Step | None:
