Keep lasting tasks off workers that may still stand as free in the store

Cause: within a term lasting tasks keep off a worker for 3 s after its offer was taken back, since the keeper may have read the offer. That did not hold for offers of the term before, for offers that a scheduler cut off from the store could not take back, and for a word that the store carried out late, after a newer one, which then stood until the need changed. Change: each word demands the revision of the one before it, and a refused one tells what stands; while a worker may stand as free, and for 3 s after, lasting tasks keep off it. A takeover takes one more commit, in which it learns of its predecessor's offers.

--- a/src/shallotworks/scheduling/_board.py
+++ b/src/shallotworks/scheduling/_board.py
@@ -69,6 +69,7 @@
 
     __slots__ = (
         "_awaiting",
+        "_lasting_from_s",
         "_log",
         "_next_run",
         "arrivals",
@@ -102,6 +103,8 @@
         self.arrivals: deque[tuple[float, float]] = deque(maxlen=MOST_ARRIVALS)
         """Time of day and core-seconds of the latest jobs."""
         self._awaiting: dict[str, list[tuple[int, Worker, int]]] = {}
+        self._lasting_from_s: dict[str, float] = {}
+        """Workers that are not on the board yet; see `keep_lasting_off`."""
 
     # ---- jobs
 
@@ -232,11 +235,20 @@
         """Learn of a worker, or that what is known of it has changed."""
         worker = self.workers.get(view.worker_id)
         if worker is None:
-            self.workers[view.worker_id] = Worker(view=view)
+            worker = self.workers[view.worker_id] = Worker(view=view)
+            worker.lasting_from_s = self._lasting_from_s.pop(view.worker_id, 0.0)
             return
         worker.view = view
         worker.is_listed = True
 
+    def keep_lasting_off(self, worker_id: str, until_s: float) -> None:
+        """Place no lasting task on a worker before then, also if it is not on the board yet."""
+        worker = self.workers.get(worker_id)
+        if worker is None:
+            self._lasting_from_s[worker_id] = until_s
+        else:
+            worker.lasting_from_s = until_s
+
     def worker_unlisted(self, worker_id: str) -> None:
         """Learn that discovery no longer lists a worker; it may live and still run tasks."""
         worker = self.workers.get(worker_id)
--- a/src/shallotworks/scheduling/_sizing.py
+++ b/src/shallotworks/scheduling/_sizing.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 from ._board import ServiceBoard
@@ -219,6 +219,11 @@
         self._offered = set()
         return had_offers
 
+    def keep_lasting_off(self, worker_ids: Iterable[str], now_s: float) -> None:
+        """Keep lasting tasks off workers that the keeper may still read to be free."""
+        for worker_id in worker_ids:
+            self._board.keep_lasting_off(worker_id, now_s + self._limits.lasting_after_s)
+
     def _offer(self, worker: Worker, is_offered: bool, now_s: float) -> None:
         if worker.worker_id in self._cordoned:
             return
--- a/src/shallotworks/scheduling/_term.py
+++ b/src/shallotworks/scheduling/_term.py
@@ -15,6 +15,8 @@
 from shallotworks.metrics import Metrics
 from shallotworks.store import (
     Commit,
+    Committed,
+    Condition,
     Conflicted,
     Holder,
     Item,
@@ -101,6 +103,8 @@
         "_holder",
         "_keys",
         "_mirror",
+        "_need_revision",
+        "_offers",
         "_parts",
         "_pending_jobs",
         "_published",
@@ -152,6 +156,9 @@
         self._recorded: dict[str, str] = {}
         self._has_mark = False
         self._directory_seen: tuple[int, KeeperWord] | None = None
+        self._need_revision = 0
+        self._offers: set[str] = set()
+        """Workers that may stand as free in the store, told by this term or the one before it."""
         self._published: dict[str, int] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self.is_prepared = asyncio.Event()
@@ -436,6 +443,7 @@
         await self.is_prepared.wait()
         told: PoolNeed | None = None
         while True:
+            self._sizer.keep_lasting_off(self._offers, self._parts.clock())
             book = self._parts.book
             need = self._sizer.assess(
                 book.keeper.due, now_s=self._parts.clock(), wall_s=self._parts.wall_clock()
@@ -449,16 +457,46 @@
             await asyncio.sleep(SIZE_EVERY_S)
 
     async def _tell_need(self, need: PoolNeed) -> bool:
-        outcome = await self._parts.store.commit(
-            Commit(
-                conditions=(self._holder.condition,),
-                writes=(Write(key=need_key(self.service), value=need.encode()),),
+        """Tell the keeper what this service needs; return whether that surely stands now.
+
+        The failure: a lasting task is started on a worker that stands as free in the store, and
+        the keeper takes the worker: offered by the term before this one, or by a word that was not
+        answered and is carried out after a later one. So each word demands the one before it, and
+        while a worker stands as free, and for a while after, lasting tasks keep off it.
+        """
+        self._offers.update(need.free)
+        key = need_key(self.service)
+        for _ in range(2):
+            outcome = await self._parts.store.commit(
+                Commit(
+                    conditions=(
+                        self._holder.condition,
+                        Condition(key=key, revision=self._need_revision),
+                    ),
+                    writes=(Write(key=key, value=need.encode()),),
+                )
             )
-        )
-        if not isinstance(outcome, Success) or isinstance(outcome.unwrap(), Conflicted):
-            return False
-        self._log("need-told", lacking=need.lacking, free=len(need.free))
-        return True
+            if not isinstance(outcome, Success):
+                return False
+            result = outcome.unwrap()
+            if isinstance(result, Committed):
+                self._need_revision = result.revision
+                self._sizer.keep_lasting_off(self._offers, self._parts.clock())
+                self._offers = set(need.free)
+                self._log("need-told", lacking=need.lacking, free=len(need.free))
+                return True
+            standing = {item.key: item for item in result.current}.get(key)
+            self._need_revision = standing.revision if standing is not None else 0
+            if standing is not None:
+                self._offers.update(self._offered_by(standing))
+        return False
+
+    def _offered_by(self, item: Item) -> tuple[str, ...]:
+        try:
+            return PoolNeed.decode(item.value).free
+        except (ValueError, KeyError, TypeError) as error:
+            self._log("machines-record-unreadable", key=item.key, reason=repr(error))
+            return ()
 
     async def _clean(self) -> None:
         """Delete the records of jobs that ended long ago."""
