Tell the need again after a word that was not answered

Cause: an offer whose answer was lost stands in the store; where the need had meanwhile become that of the last answered word, nothing was told, and the keeper took a worker with a lasting task. Change: after a word without an answer the next one is told whatever it says; a test.

--- a/src/shallotworks/scheduling/_term.py
+++ b/src/shallotworks/scheduling/_term.py
@@ -452,8 +452,9 @@
             for worker in self._sizer.emptying():
                 self.decider.evacuate(worker)
                 self._desk.wake()
-            if need != told and await self._tell_need(need):
-                told = need
+            if need != told:
+                # Without an answer it is not known which of both words stands.
+                told = need if await self._tell_need(need) else None
             await asyncio.sleep(SIZE_EVERY_S)
 
     async def _tell_need(self, need: PoolNeed) -> bool:
--- a/tests/test_budget_at_takeover.py
+++ b/tests/test_budget_at_takeover.py
@@ -483,6 +483,33 @@
 
         self.assertEqual([], run_story(story()))
 
+    def test_an_offer_that_was_taken_without_an_answer_is_taken_back(self) -> None:
+        """A service's task is taken away at work, with no look at its budget.
+
+        The store carries an offer out and its answer is lost. Until the call is given up the worker
+        is needed again; the scheduler's need is the one of its last answered word, so it tells
+        nothing, and the offer stands.
+        """
+
+        async def story() -> tuple[list[str], int]:
+            site = Site("w0", "w1", "w2", count=2, may_miss=1, cpu_millicores=3000)
+            first = await site.begin_term()
+            await site.submit()
+            await asyncio.sleep(0.2)
+            first.store.faults.lost_part = 1.0
+            await asyncio.sleep(0.6)
+            first.store.faults.lost_part = 0.0
+            site.drain(min(run.worker_id for run in _runs(first)))
+            await site.begin_keeper()
+            await asyncio.sleep(1.0)
+            site.borrow(1)
+            await asyncio.sleep(1.0)
+            at_work = len(site.budget.at_work())
+            await site.close()
+            return site.taken, at_work
+
+        self.assertEqual(([], 2), run_story(story()))
+
 
 def _runs(handle: TermHandle) -> list[Run]:
     return [run for worker in handle.term.board.workers.values() for run in worker.runs.values()]
