--- a/src/shallotworks/scheduling/_sizing.py
+++ b/src/shallotworks/scheduling/_sizing.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 from ._board import ServiceBoard
@@ -193,11 +193,19 @@
         idle = [
             worker
             for worker in usable
-            if not worker.runs
+            if self._is_known_empty(worker)
             and now_s - self._idle_since.get(worker.worker_id, now_s) >= self._limits.idle_s
         ]
         return {worker.worker_id for worker in idle}
 
+    def _is_known_empty(self, worker: Worker) -> bool:
+        """Whether surely nothing runs on a worker, also nothing that an earlier term started.
+
+        The failure: a successor tells that a worker is free which it has not looked at yet, its
+        machine is taken, and the lasting tasks that its predecessor started there end.
+        """
+        return not worker.runs and worker.worker_id not in self._board.pending_recovery
+
     def withdraw(self, now_s: float) -> bool:
         """Take all offers back, since tasks wait; return whether there were any.
 
@@ -212,6 +220,11 @@
         self._offered = set()
         return had_offers
 
+    def keep_lasting_off(self, worker_ids: Iterable[str], now_s: float) -> None:
+        """Keep lasting tasks off workers that the keeper may still read to be free."""
+        for worker_id in worker_ids:
+            self._board.keep_lasting_off(worker_id, now_s + self._limits.lasting_after_s)
+
     def _offer(self, worker: Worker, is_offered: bool, now_s: float) -> None:
         if worker.worker_id in self._cordoned:
             return
@@ -232,6 +245,8 @@
     def _emptied(self, now_s: float) -> Iterator[str]:
         for worker_id, since_s in self._cordoned.items():
             worker = self._board.workers[worker_id]
+            if worker_id in self._board.pending_recovery:
+                continue
             if any(run.step.is_lasting for run in worker.runs.values()):
                 continue
             if not worker.runs or now_s - since_s >= self._limits.patience_s:
--- a/src/shallotworks/scheduling/_term.py
+++ b/src/shallotworks/scheduling/_term.py
@@ -330,6 +330,8 @@
         await self._runners.read()
         for worker_id, runner in self._runners.runners.items():
             self._await_runner(worker_id, runner)
+        while not await self._need.read():
+            await asyncio.sleep(STORE_RETRY_S)
         # Offers of an earlier term must not be taken for this one's.
         while not await self._tell_need(PoolNeed(token=self._holder.token)):
             await asyncio.sleep(STORE_RETRY_S)
@@ -448,6 +450,7 @@
         await self.is_prepared.wait()
         told: PoolNeed | None = None
         while True:
+            self._sizer.keep_lasting_off(self._standing_offers(), self._parts.clock())
             book = self._parts.book
             need = self._sizer.assess(
                 book.keeper.due, now_s=self._parts.clock(), wall_s=self._parts.wall_clock()
@@ -456,16 +459,34 @@
             for worker in self._sizer.emptying():
                 self.decider.evacuate(worker)
                 self._desk.wake()
-            if need != told and await self._tell_need(need):
+            if (need != told or self._need.doubtful) and await self._tell_need(need):
                 told = need
             await asyncio.sleep(SIZE_EVERY_S)
 
     async def _tell_need(self, need: PoolNeed) -> bool:
+        """Tell the keeper what this service needs; return whether that surely stands now.
+
+        The failure: a lasting task is started on a worker that stands as free in the store, and the
+        keeper takes the worker: offered by the term before this one, or by a word that was not
+        answered. While a worker may stand as free, and for a while after, lasting tasks keep off.
+        """
+        offered = self._standing_offers() | set(need.free)
         if not await self._need.put(need.encode()):
             return False
+        self._sizer.keep_lasting_off(offered, self._parts.clock())
         self._log("need-told", lacking=need.lacking, free=len(need.free))
         return True
 
+    def _standing_offers(self) -> set[str]:
+        """Return the workers that may stand as free in the store."""
+        offered: set[str] = set()
+        for word in self._need.possible():
+            try:
+                offered.update(PoolNeed.decode(word).free)
+            except (ValueError, KeyError, TypeError) as error:
+                self._log("need-unreadable", reason=repr(error))
+        return offered
+
     async def _clean(self) -> None:
         """Delete the records of jobs that ended long ago."""
         while True:
--- a/src/shallotworks/store/_held_record.py
+++ b/src/shallotworks/store/_held_record.py
@@ -53,6 +53,11 @@
             self._learn(item)
         return True
 
+    def possible(self) -> list[bytes]:
+        """Return all that may stand there."""
+        known = [] if self.value is None else [self.value]
+        return known + self.doubtful
+
     async def put(self, value: bytes) -> bool:
         """Write, unless the value stands there for certain; return whether it does."""
         if value == self.value and not self.doubtful:
