Give the workers of a term a module of their own

Change: _term_workers.py follows the directory, keeps the record and hands over; no change of behaviour.

--- a/src/shallotworks/scheduling/_term.py
+++ b/src/shallotworks/scheduling/_term.py
@@ -24,13 +24,14 @@
 
 from ._board import ServiceBoard
 from ._decisions import Decider
-from ._machine_book import KeeperWord, MachineBook, PoolNeed, need_key
-from ._model import AdviceRequest, WorkerView
+from ._machine_book import MachineBook, PoolNeed, need_key
+from ._model import AdviceRequest
 from ._orders import OrderDesk, OrderTimes
 from ._progress_writer import ProgressWriter
 from ._protocols import AdviceService, WorkerDirectory, WorkerOrders
-from ._runners import Runner, RunnersRecord
+from ._runners import RunnersRecord
 from ._sizing import PoolSizer, SizingLimits
+from ._term_workers import DIRECTORY_EVERY_S, TermWorkers
 from ._waiting import WaitWatch, name_some
 
 __all__ = ["ServiceTerm", "TermParts"]
@@ -40,7 +41,6 @@
 JOBS_PAUSE_S = 0.025
 """Left between changes of jobs, which come a hundred times a second in a turn."""
 SIZE_EVERY_S = 0.1
-DIRECTORY_EVERY_S = 0.05
 PUBLISH_EVERY_S = 1.0
 """Counts of waiting jobs may be 2 s old."""
 STORE_RETRY_S = 0.1
@@ -98,7 +98,6 @@
 
     __slots__ = (
         "_desk",
-        "_directory_seen",
         "_has_mark",
         "_holder",
         "_keys",
@@ -107,10 +106,10 @@
         "_parts",
         "_pending",
         "_pending_jobs",
-        "_runners",
         "_sizer",
         "_tasks",
         "_waits",
+        "_workers",
         "_writer",
         "board",
         "decider",
@@ -127,8 +126,13 @@
         self.decider = Decider(board=self.board)
         self._sizer = PoolSizer(board=self.board, limits=SizingLimits())
         self._waits = WaitWatch(board=self.board, metrics=parts.metrics, log=parts.log)
-        self._runners = RunnersRecord(
-            service=service, holder=holder, store=parts.store, log=parts.log
+        self._workers = TermWorkers(
+            board=self.board,
+            record=RunnersRecord(service=service, holder=holder, store=parts.store, log=parts.log),
+            directory=parts.directory,
+            book=parts.book,
+            clock=parts.clock,
+            recovery_s=parts.times.recovery_s,
         )
         self._desk = OrderDesk(
             board=self.board,
@@ -137,7 +141,7 @@
             clock=parts.clock,
             wall_clock=parts.wall_clock,
             times=parts.times,
-            may_use=self._runners.may_use,
+            may_use=self._workers.may_use,
             log=parts.log,
             metrics=parts.metrics,
             on_progress=self._note_progress,
@@ -161,7 +165,6 @@
         self._pending = self._own_record(self._keys.pending())
         self._pending_jobs: dict[str, Item] = {}
         self._has_mark = False
-        self._directory_seen: tuple[int, KeeperWord] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self.is_prepared = asyncio.Event()
 
@@ -205,29 +208,15 @@
         """
         is_silent = self._holder.unconfirmed_s > HAND_OVER_FRESH_S
         if not is_silent and self.is_prepared.is_set():
-            await self._runners.keep(self._runners_left)
-
-    def _runners_left(self) -> dict[str, Runner]:
-        """Return the workers that may run something, now that this term orders nothing more.
-
-        What an earlier term left on a worker that was never reached ends no later for the change:
-        where instances are stopped in turn, each successor would wait for it from the start.
-        """
-        now_s = self._parts.clock()
-        left: dict[str, Runner] = {}
-        for worker_id, worker in self.board.workers.items():
-            until_s = self.board.pending_recovery.get(worker_id)
-            if until_s is not None:
-                left[worker_id] = Runner(
-                    address=worker.view.address, left_s=max(0.0, until_s - now_s)
-                )
-            elif worker.runs:
-                left[worker_id] = Runner(address=worker.view.address)
-        return left
+            await self._workers.hand_over()
 
     def _log(self, event: str, **fields: object) -> None:
         self._parts.log.line(event, service=self.service, token=self._holder.token, **fields)
 
+    def _workers_changed(self) -> None:
+        self._desk.notice_workers()
+        self._desk.wake()
+
     def _note_progress(self) -> None:
         self._writer.wake.set()
 
@@ -294,7 +283,7 @@
 
     async def _schedule(self) -> None:
         await self._prepare()
-        directory = asyncio.create_task(self._follow_directory())
+        directory = asyncio.create_task(self._workers.follow(self._workers_changed))
         self._tasks.add(directory)
         while True:
             if directory.done():
@@ -327,9 +316,7 @@
             self._holder.lose("its mark among the jobs is not there")
         while not self._parts.directory.is_synced:
             await asyncio.sleep(DIRECTORY_EVERY_S)
-        await self._runners.read()
-        for worker_id, runner in self._runners.runners.items():
-            self._await_runner(worker_id, runner)
+        recorded = await self._workers.await_earlier()
         while not await self._need.read():
             await asyncio.sleep(STORE_RETRY_S)
         # Offers of an earlier term must not be taken for this one's.
@@ -338,80 +325,11 @@
         self._log(
             "term-prepared",
             jobs=len(self.board.entries),
-            workers_recorded=len(self._runners.runners),
+            workers_recorded=recorded,
             awaited=name_some(self.board.pending_recovery, MOST_AWAITED_NAMED),
         )
         self.is_prepared.set()
 
-    def _await_runner(self, worker_id: str, runner: Runner) -> None:
-        """Leave earlier jobs alone until a worker is seen, or what runs there has surely ended."""
-        bound_s = self._parts.times.recovery_s
-        if runner.left_s is not None:
-            bound_s = min(bound_s, runner.left_s)
-        over_s = self._parts.clock() + bound_s
-        self.board.pending_recovery[worker_id] = over_s
-        view = WorkerView(worker_id=worker_id, service=self.service, address=runner.address)
-        self.board.worker_learnt(view)
-        self.board.worker_unlisted(worker_id)
-        self.board.workers[worker_id].lease_ends_s = over_s
-
-    async def _follow_directory(self) -> None:
-        while True:
-            version = (self._parts.directory.version, self._parts.book.keeper)
-            if version != self._directory_seen:
-                self._directory_seen = version if await self._learn_directory() else None
-                self._desk.notice_workers()
-                self._desk.wake()
-            await asyncio.sleep(DIRECTORY_EVERY_S)
-
-    async def _learn_directory(self) -> bool:
-        """Put the listed workers on the board; return whether all of them may be used."""
-        listed = self._listed()
-        for worker_id, worker in self.board.workers.items():
-            if worker_id not in listed:
-                worker.is_listed = False
-            elif listed[worker_id].is_draining:
-                self.board.worker_learnt(listed[worker_id])
-        is_kept = await self._keep_runners()
-        for worker_id, view in listed.items():
-            if self._runners.may_use(worker_id):
-                self.board.worker_learnt(view)
-        return is_kept
-
-    def _listed(self) -> dict[str, WorkerView]:
-        """Return the listed workers but for those that were taken away, whose entries stay on."""
-        listed = self._parts.directory.workers_of(self.service)
-        for worker_id in self._parts.book.keeper.over:
-            listed.pop(worker_id, None)
-            if worker_id in self.board.workers:
-                self.board.worker_over(worker_id, "taken away", self._parts.clock())
-        return listed
-
-    async def _keep_runners(self) -> bool:
-        """Have the record name the workers that this term may use, and no others.
-
-        The failure: a worker leaves, or crashes, and stays in the record. After a crash or an
-        outage of the store the next term can't reach it, and leaves all earlier jobs alone for 7 s
-        though nothing runs there. So workers that are over go, and so do drained ones before they
-        leave: their end may fall into a time without a scheduler.
-        """
-        return await self._runners.keep(self._runners_wanted)
-
-    def _runners_wanted(self) -> dict[str, Runner]:
-        listed = self._listed()
-        views = {worker_id: worker.view for worker_id, worker in self.board.workers.items()}
-        views |= listed
-        return {
-            worker_id: Runner(address=view.address)
-            for worker_id, view in views.items()
-            if not view.is_draining or self._may_run_something(worker_id)
-        }
-
-    def _may_run_something(self, worker_id: str) -> bool:
-        worker = self.board.workers.get(worker_id)
-        is_unseen = worker_id in self.board.pending_recovery
-        return is_unseen or (worker is not None and bool(worker.runs or worker.unsettled))
-
     async def _ask(self, request: AdviceRequest) -> None:
         outcome = await self._parts.advice.ask(request.step, request.worker_ids)
         entry = self.board.entries.get(request.step[0])
@@ -441,7 +359,7 @@
             now_s, wall_s = self._parts.clock(), self._parts.wall_clock()
             self._log("pool-state", **self._sizer.state(wall_s=wall_s))
             self._waits.tell(now_s=now_s, wall_s=wall_s)
-            await self._keep_runners()
+            await self._workers.keep_record()
             await self._pending.put(json.dumps(self.board.waiting_jobs(), sort_keys=True).encode())
             await asyncio.sleep(PUBLISH_EVERY_S)
 
--- /dev/null
+++ b/src/shallotworks/scheduling/_term_workers.py
@@ -0,0 +1,155 @@
+"""The workers of one term: which it may use, and which may still run tasks of earlier terms."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from ._board import ServiceBoard
+from ._machine_book import KeeperWord, MachineBook
+from ._model import WorkerView
+from ._protocols import WorkerDirectory
+from ._runners import Runner, RunnersRecord
+
+__all__ = ["DIRECTORY_EVERY_S", "TermWorkers"]
+
+DIRECTORY_EVERY_S = 0.05
+
+
+class TermWorkers:
+    """Brings the listed workers onto a service's board, each after it was recorded.
+
+    Args:
+        board: The board.
+        record: The record that the next term reads.
+        directory: Lists workers.
+        book: What the keeper of machines has taken away.
+        clock: Seconds, counting suspended time.
+        recovery_s: Whatever an earlier term started on an unseen worker has ended by then.
+    """
+
+    __slots__ = ("_board", "_book", "_clock", "_directory", "_record", "_recovery_s")
+
+    def __init__(
+        self,
+        *,
+        board: ServiceBoard,
+        record: RunnersRecord,
+        directory: WorkerDirectory,
+        book: MachineBook,
+        clock: Callable[[], float],
+        recovery_s: float,
+    ) -> None:
+        self._board = board
+        self._record = record
+        self._directory = directory
+        self._book = book
+        self._clock = clock
+        self._recovery_s = recovery_s
+
+    def may_use(self, worker_id: str) -> bool:
+        """Whether tasks may be started on a worker, as far as the record says."""
+        return self._record.may_use(worker_id)
+
+    async def await_earlier(self) -> int:
+        """Put the workers of earlier terms on the board, to be seen; return how many there are."""
+        await self._record.read()
+        for worker_id, runner in self._record.runners.items():
+            self._await_runner(worker_id, runner)
+        return len(self._record.runners)
+
+    def _await_runner(self, worker_id: str, runner: Runner) -> None:
+        """Leave earlier jobs alone until a worker is seen, or what runs there has surely ended."""
+        bound_s = self._recovery_s
+        if runner.left_s is not None:
+            bound_s = min(bound_s, runner.left_s)
+        over_s = self._clock() + bound_s
+        self._board.pending_recovery[worker_id] = over_s
+        view = WorkerView(worker_id=worker_id, service=self._board.service, address=runner.address)
+        self._board.worker_learnt(view)
+        self._board.worker_unlisted(worker_id)
+        self._board.workers[worker_id].lease_ends_s = over_s
+
+    async def follow(self, on_change: Callable[[], None]) -> None:
+        """Follow the directory and the keeper's word, until cancelled.
+
+        Args:
+            on_change: Called when the board has changed.
+        """
+        seen: tuple[int, KeeperWord] | None = None
+        while True:
+            version = (self._directory.version, self._book.keeper)
+            if version != seen:
+                seen = version if await self._learn_directory() else None
+                on_change()
+            await asyncio.sleep(DIRECTORY_EVERY_S)
+
+    async def _learn_directory(self) -> bool:
+        """Put the listed workers on the board; return whether all of them may be used."""
+        listed = self._listed()
+        for worker_id, worker in self._board.workers.items():
+            if worker_id not in listed:
+                worker.is_listed = False
+            elif listed[worker_id].is_draining:
+                # Known before the record leaves it out: nothing may start there from then on.
+                self._board.worker_learnt(listed[worker_id])
+        is_kept = await self.keep_record()
+        for worker_id, view in listed.items():
+            if self._record.may_use(worker_id):
+                self._board.worker_learnt(view)
+        return is_kept
+
+    def _listed(self) -> dict[str, WorkerView]:
+        """Return the listed workers but for those that were taken away, whose entries stay on."""
+        listed = self._directory.workers_of(self._board.service)
+        for worker_id in self._book.keeper.over:
+            listed.pop(worker_id, None)
+            if worker_id in self._board.workers:
+                self._board.worker_over(worker_id, "taken away", self._clock())
+        return listed
+
+    async def keep_record(self) -> bool:
+        """Have the record name the workers that this term may use, and no others.
+
+        The failure: a worker leaves, or crashes, and stays in the record. After a crash or an
+        outage of the store the next term can't reach it, and leaves all earlier jobs alone for 7 s
+        though nothing runs there. So workers that are over go, and so do drained ones before they
+        leave: their end may fall into a time without a scheduler.
+        """
+        return await self._record.keep(self._wanted)
+
+    def _wanted(self) -> dict[str, Runner]:
+        listed = self._listed()
+        views = {worker_id: worker.view for worker_id, worker in self._board.workers.items()}
+        views |= listed
+        return {
+            worker_id: Runner(address=view.address)
+            for worker_id, view in views.items()
+            if not view.is_draining or self._may_run_something(worker_id)
+        }
+
+    def _may_run_something(self, worker_id: str) -> bool:
+        worker = self._board.workers.get(worker_id)
+        is_unseen = worker_id in self._board.pending_recovery
+        return is_unseen or (worker is not None and bool(worker.runs or worker.unsettled))
+
+    async def hand_over(self) -> None:
+        """Leave to the next term the workers that may run something, and no others."""
+        await self._record.keep(self._left)
+
+    def _left(self) -> dict[str, Runner]:
+        """Return the workers that may run something, now that this term orders nothing more.
+
+        What an earlier term left on a worker that was never reached ends no later for the change:
+        where instances are stopped in turn, each successor would wait for it from the start.
+        """
+        now_s = self._clock()
+        left: dict[str, Runner] = {}
+        for worker_id, worker in self._board.workers.items():
+            address = worker.view.address
+            until_s = self._board.pending_recovery.get(worker_id)
+            if until_s is not None:
+                left[worker_id] = Runner(address=address, left_s=max(0.0, until_s - now_s))
+            elif worker.runs:
+                left[worker_id] = Runner(address=address)
+        return left
