Acknowledge the ends of a job whose record is gone

Where the job's record was deleted before, it waited for ever, and the worker told it again with each look. Change: deleting a job settles its ends. Measured: a test failed before (the end stays unsettled) and passes.

--- a/src/shallotworks/scheduling/_board.py
+++ b/src/shallotworks/scheduling/_board.py
@@ -149,6 +149,8 @@
         entry = self.entries.pop(job_id, None)
         if entry is not None:
             self._close(entry, "deleted")
+            # Nothing of it will be stored any more that its ends could wait for.
+            self._settle(entry, entry.changes)
 
     def open_due(self, entry: JobEntry, wall_s: float) -> None:
         """Open the steps of all occurrences that are due."""
--- a/tests/test_finished_jobs.py
+++ b/tests/test_finished_jobs.py
@@ -135,6 +135,19 @@
 
 
 class BoardTests(unittest.TestCase):
+    def test_ends_of_a_deleted_job_are_acknowledged(self) -> None:
+        """A worker tells the same ends again for as long as it lives, and a drained one is kept on.
+
+        A job's end was learnt, and its record was gone before its progress was stored; what the
+        acknowledgement waited for could not come any more.
+        """
+        bench = Bench(view("a"))
+        bench.learn(job("j", step(1)))
+        bench.report("a", ended=((DONE, 5, EndKind.DONE),))
+        self.assertEqual({1}, bench.worker("a").unsettled)
+        bench.board.job_deleted("j")
+        self.assertEqual(set(), bench.worker("a").unsettled)
+
     def test_a_stored_cancel_stands(self) -> None:
         """A job whose cancel was acknowledged is shown as completed later.
 
