Test the recovery of lasting tasks on the stand-ins

Cause: a task that was to last stayed without a run for 16 s after an outage of the store, beside idle workers, and no test played lasting tasks through a change of schedulers.

Change: tests/lasting_history.py plays lasting jobs with the product's own bidders, terms, mirrors and list of workers; workers register in the store, drain, leave for good, crash, fall silent and are replaced, and a keeper of machines takes away what is offered. A judge watches throughout: no task runs twice at once; none with room is without a run for more than 10 s in calm times; none is stopped, taken away or left to lapse beyond its step's budget; none is at work on a worker that was offered. tests/test_lasting_recovery.py has the stories, and 20 seeded mixes.

The stand-ins gain what that lacks: leases that pause and keep the time that they had left, what becomes of calls for a worker that is over, tasks that fail, a hook for judging stops. Their waits no longer use `wait_for`, which swallowed a cancellation: an instance that was killed sometimes lived on, and one mix never ended.

--- a/src/shallotworks/standins/_record_store.py
+++ b/src/shallotworks/standins/_record_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from dataclasses import dataclass
 
@@ -68,6 +69,7 @@
         self.revision = 1
         self.commits = 0
         self.are_leases_paused = False
+        self._paused_s = 0.0
         self._history: list[Item | Deletion] = []
         self._kept_from = 0
         self._leases: dict[int, _Lease] = {}
@@ -99,6 +101,17 @@
                 self._delete(key)
         self._tell()
 
+    def pause_leases(self) -> None:
+        """Let no lease lose time from now on."""
+        self.are_leases_paused = True
+        self._paused_s = asyncio.get_running_loop().time()
+
+    def resume_leases(self) -> None:
+        """Let leases go on with the time that they had left at the pause."""
+        self.are_leases_paused = False
+        for lease in self._leases.values():
+            lease.ends_s += asyncio.get_running_loop().time() - self._paused_s
+
     def expire(self) -> None:
         """End the leases whose time is over."""
         if self.are_leases_paused:
@@ -181,10 +194,10 @@
 
     async def _wait(self, longest_s: float) -> None:
         news = self._news
-        try:
-            await asyncio.wait_for(news.wait(), max(0.001, longest_s))
-        except TimeoutError:
-            return
+        # Not `wait_for`, which loses a cancellation that comes with the news.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0.001, longest_s)):
+                await news.wait()
 
     def _holds(self, condition: Condition) -> bool:
         item = self.items.get(condition.key)
--- a/src/shallotworks/standins/_task_workers.py
+++ b/src/shallotworks/standins/_task_workers.py
@@ -7,6 +7,7 @@
 import random
 from collections import Counter
 from dataclasses import dataclass, field
+from math import isinf
 
 from shallotworks.jobs import TaskName
 from shallotworks.scheduling import (
@@ -93,11 +94,23 @@
         """Return the tasks that run."""
         return {name for name, _ in self._runs}
 
+    def at_work(self) -> set[TaskName]:
+        """Return the lasting tasks that serve and are not being stopped."""
+        now_s = self._now_s()
+        staying = (run for run in self._runs.values() if run.is_lasting and isinf(run.stop_s))
+        return {run.name for run in staying if run.percent(now_s) == 100}
+
     def crash(self) -> None:
         """End, with all that runs."""
         self.is_alive = False
         self._runs.clear()
 
+    def fail(self, name: TaskName) -> None:
+        """Let what runs of a task fail now."""
+        for run in [run for run in self._runs.values() if run.name == name]:
+            self._end(run, EndKind.FAILED)
+        self._tell()
+
     def pass_time(self) -> None:
         """End runs whose time has come."""
         now_s = self._now_s()
@@ -112,8 +125,10 @@
         ends_s = min((self._first_end_s(run)[0] for run in self._runs.values()), default=now_s + 9)
         wait_s = max(0.001, min(longest_s, ends_s - now_s))
         news = self._news
+        # Not `wait_for`, which loses a cancellation that comes with the news.
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(news.wait(), wait_s)
+            async with asyncio.timeout(wait_s):
+                await news.wait()
 
     def _first_end_s(self, run: _Run) -> tuple[float, EndKind]:
         own = EndKind.FAILED if run.fails else EndKind.DONE
@@ -182,6 +197,7 @@
         self._highest[name] = max(run_id, self._highest.get(name, 0))
         run = self._runs.get((name, run_id))
         if run is not None:
+            self._fleet.stops(self, name)
             run.stop_s = min(run.stop_s, self._now_s() + STOP_S)
             self._tell()
         return OrderOutcome(ending=OrderEnding.OBEYED, clock_ms=self.clock_ms)
@@ -228,6 +244,8 @@
         self.done: set[TaskName] = set()
         self.noted: set[TaskName] = set()
         self.begun: set[TaskName] = set()
+        self.absences: dict[str, OrderEnding] = {}
+        """What becomes of calls for workers that are over; by default they get no answer."""
         self.most_attempts = 0
         """Failed ends of a task after which no run of it may start; 0 for no limit."""
         self._failures_noted: Counter[TaskName] = Counter()
@@ -293,6 +311,9 @@
         if now_s > self.cancelled.get(name.job_id, now_s) + 3.0:
             self.breaches.append(f"{now_s:.3f} {name} starts after its job was cancelled")
 
+    def stops(self, worker: TaskWorker, name: TaskName) -> None:
+        """Judge a stop of what runs; for judges that know more of the task."""
+
     def ended(self, end: EndedTask) -> None:
         """Take note of an end."""
         if end.kind is EndKind.DONE:
@@ -377,6 +398,9 @@
     async def _reach(self, worker: WorkerView) -> TaskWorker | OrderOutcome:
         await asyncio.sleep(CALL_S)
         reached = self._fleet.workers.get(worker.worker_id)
+        absence = self._fleet.absences.get(worker.worker_id)
+        if absence is not None and worker.worker_id not in self.faults.cut:
+            return OrderOutcome(ending=absence)
         if reached is None or not reached.is_alive or worker.worker_id in self.faults.cut:
             return await self._lose()
         return reached
--- /dev/null
+++ b/tests/lasting_history.py
@@ -0,0 +1,750 @@
+"""Lasting tasks on the stand-ins, through troubles that stories bring about, judged all the while.
+
+Instances, terms, bidders, their mirrors and the list of workers are the product's own; the store,
+the workers and the keeper of machines are stand-ins. Workers register in the store as the
+platform's do, so that instances learn of them late or not at all while the store is down.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+from collections.abc import Coroutine, Iterator
+from dataclasses import replace
+from typing import Any
+
+from shallotworks.jobs import Job, JobDesk, JobKeys, JobState, Step, TaskName, decode_progress
+from shallotworks.logs import LogLines
+from shallotworks.metrics import Metrics
+from shallotworks.platform._workers import REGISTRY_PREFIX, WorkerRegistry
+from shallotworks.scheduling import (
+    MACHINES_PREFIX,
+    EndedTask,
+    EndKind,
+    MachineBook,
+    OrderEnding,
+    OrderTimes,
+    PoolNeed,
+    ServiceTerm,
+    TermParts,
+    need_key,
+)
+from shallotworks.scheduling._machine_book import KeeperWord, keeper_key
+from shallotworks.scheduling._machine_orders import OVER_TOLD_S
+from shallotworks.standins import (
+    OrderFaults,
+    RecordFaults,
+    RecordStore,
+    TaskWorker,
+    TaskWorkers,
+)
+from shallotworks.store import Holder, Mirror
+from tests.fleet_history import SERVICE, AllAllowed, Instance
+from tests.scheduling_fakes import policy, quiet_log, step, view
+
+__all__ = ["RUNS_AGAIN_S", "LastingHistory", "lasting"]
+
+RUNS_AGAIN_S = 10.0
+"""A lasting task with room for it runs again within this after the last trouble. Source: the users'
+rules: instances are in touch 3 s after a trouble, the 4 s before a task is missed must be calm, and
+it may be missed for 3 s."""
+MISSED_S = 3.0
+"""A task that was stopped to be moved is back sooner; one that is not is missed. Source: the users'
+rules."""
+NOTICE_S = 4.5
+"""A task that is not at work for this long counts as away. Source: the platform's settings."""
+LEASE_S = 6.0
+"""The longest lease of what runs on a worker: what lapses later than this after the last trouble
+lapses in calm times."""
+STOPPED_WITHIN_S = 8.0
+"""A cancelled task runs no longer than this, 3 s for the cancel to be known and 5 s for a stop, in
+calm times."""
+DRAIN_S = 2.0
+"""A worker serves on for this long after the store has taken its word that it leaves."""
+EXPIRY_S = 3.0
+"""A worker that sends nothing is listed for this long."""
+ENTRY_BACK_S = 2.0
+"""Entries of workers that were lost in an outage of the store are back this long after it."""
+REPLACED_S = 1.5
+"""A new worker is there this long after an earlier one crashed or was taken away."""
+SAMPLE_S = 0.2
+WATCH_LEASES_S = 7.0
+"""A lease that no one extends has run out this long after a trouble."""
+KEEPER_ROUND_S = 0.02
+"""Between the keeper's looks at what is offered: ten times as often as it has rounds, since an
+offer that must not be made must not be seen, whenever a round comes."""
+LONGEST_EVACUATION_S = 20.0
+"""The keeper gives a worker up that is not offered for this long."""
+LONGEST_LENDING_S = 2.0
+"""The keeper gives it up to lend a worker if none is offered for this long."""
+HAND_IN_TRIES = 40
+
+
+def lasting(count: int, **changes: object) -> Step:
+    """Return a step of lasting tasks of a core each, of which one may be away by our doing."""
+    given: dict[str, object] = {"is_lasting": True, "may_miss": 1}
+    return step(count, **(given | changes))
+
+
+class Journal(LogLines):
+    """Keeps an instance's log lines, at the story's times.
+
+    Args:
+        process: The instance.
+        lines: All instances' lines.
+    """
+
+    __slots__ = ("_instance", "_lines_kept")
+
+    def __init__(self, *, process: str, lines: list[str]) -> None:
+        super().__init__(process=process, write=len)
+        self._instance = process
+        self._lines_kept = lines
+
+    def line(self, event: str, **fields: object) -> None:
+        """Keep a line."""
+        now_s = asyncio.get_running_loop().time()
+        told = " ".join(f"{key}={value}" for key, value in fields.items())
+        self._lines_kept.append(f"{now_s:8.3f} {self._instance} {event} {told}")
+
+
+class LastingInstance(Instance):
+    """An instance that reads workers and the keeper's word from the store, as the daemon does.
+
+    Args:
+        name: Its name.
+        store: The store.
+        faults: What all instances meet at the store.
+        fleet: The workers.
+        silent: Workers that no instance reaches.
+        log: Its decisions.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        store: RecordStore,
+        faults: RecordFaults,
+        fleet: TaskWorkers,
+        silent: set[str],
+        log: LogLines,
+    ) -> None:
+        super().__init__(name=name, store=store, fleet=fleet)
+        self.view.faults = faults
+        self.orders.faults = OrderFaults(cut=silent)
+        self.bidder._log = log
+        self._log = log
+        self._registry = WorkerRegistry(log=quiet_log())
+        self._book = MachineBook(log=log)
+        self._is_following = False
+        self.terms_begun_s: list[float] = []
+
+    async def kill(self) -> None:
+        """End at once, without a word to anyone."""
+        self.view.faults = RecordFaults()
+        self.orders.faults = OrderFaults()
+        await super().kill()
+
+    async def stop(self) -> None:
+        """End as after a signal to stop: duties are handed over."""
+        with contextlib.suppress(TimeoutError):
+            await self.bidder.stop()
+        await self.kill()
+
+    async def _run_term(self, service: str, holder: Holder) -> None:
+        self.terms_begun_s.append(self.now_s())
+        self._follow()
+        parts = TermParts(
+            store=self.view,
+            orders=self.orders,
+            directory=self._registry,
+            advice=AllAllowed(),
+            book=self._book,
+            clock=self.now_s,
+            wall_clock=self.now_s,
+            times=OrderTimes(),
+            log=self._log,
+            metrics=Metrics(),
+        )
+        term = ServiceTerm(service=service, holder=holder, parts=parts)
+        self.terms.append(term)
+        await term.run()
+
+    def _follow(self) -> None:
+        """Follow workers and the keeper from the first duty on."""
+        if self._is_following:
+            return
+        self._is_following = True
+        workers, machines = (
+            Mirror(store=self.view, prefix=prefix, listener=listener, log=quiet_log())
+            for prefix, listener in (
+                (REGISTRY_PREFIX, self._registry),
+                (MACHINES_PREFIX, self._book),
+            )
+        )
+        for work in (workers.run(), machines.run(), self._note_synced(workers)):
+            self._tasks.add(asyncio.create_task(work))
+
+    async def _note_synced(self, workers: Mirror) -> None:
+        await workers.synced.wait()
+        self._registry.is_synced = True
+
+
+class LastingWorkers(TaskWorkers):
+    """Workers whose judge also knows how many tasks of each step may be away by our doing.
+
+    Args:
+        rng: Draws lengths and faults.
+    """
+
+    def __init__(self, *, rng: random.Random) -> None:
+        super().__init__(rng=rng)
+        self.calm_from_s = 0.0
+        self.silent: set[str] = set()
+        """Workers that nobody reaches, while what runs there runs on."""
+        self._steps: dict[TaskName, tuple[int, frozenset[TaskName]]] = {}
+        self._at_work_s: dict[TaskName, float] = {}
+        self._ordered_away: set[TaskName] = set()
+
+    def watch_step(self, names: frozenset[TaskName], may_miss: int) -> None:
+        """Judge from now on how many tasks of a step are away."""
+        now_s = asyncio.get_running_loop().time()
+        for name in names:
+            self._steps[name] = (may_miss, names - {name})
+            self._at_work_s[name] = now_s
+
+    def note_at_work(self) -> None:
+        """See which tasks are at work."""
+        now_s = asyncio.get_running_loop().time()
+        for worker in self.workers.values():
+            if worker.is_alive:
+                worker.pass_time()
+                for name in worker.at_work():
+                    self._at_work_s[name] = now_s
+                    self._ordered_away.discard(name)
+
+    def stops(self, worker: TaskWorker, name: TaskName) -> None:
+        """Judge a stop: as many others as may be away must not be away already."""
+        is_sound = worker.view.worker_id not in self.silent and not worker.view.is_draining
+        if is_sound and name in worker.at_work():
+            self._judge_end(name, "stopped")
+
+    def ended(self, end: EndedTask) -> None:
+        """Judge a lease that lapses in calm times as a stop."""
+        super().ended(end)
+        now_s = asyncio.get_running_loop().time()
+        if end.kind is EndKind.LAPSED and now_s > self.calm_from_s + LEASE_S:
+            self._judge_end(end.name, "left to lapse")
+
+    def take_away(self, worker: TaskWorker) -> None:
+        """Take a worker away that its scheduler offered: no lasting task may be there."""
+        now_s = asyncio.get_running_loop().time()
+        for name in worker.at_work():
+            self.breaches.append(f"{now_s:.3f} {name} is at work on a worker that was offered")
+            self._judge_end(name, "taken away")
+        worker.crash()
+
+    def _judge_end(self, name: TaskName, how: str) -> None:
+        if name.job_id in self.cancelled:
+            return
+        self.note_at_work()
+        now_s = asyncio.get_running_loop().time()
+        may_miss, others = self._steps.get(name, (0, frozenset()))
+        away = [
+            other
+            for other in others
+            if other in self._ordered_away or now_s - self._at_work_s[other] >= NOTICE_S
+        ]
+        self._ordered_away.add(name)
+        if may_miss and len(away) >= may_miss:
+            self.breaches.append(f"{now_s:.3f} {name} is {how} while {away} are away")
+
+
+class LastingHistory:
+    """A store, workers, instances and lasting jobs; judged all the while.
+
+    Args:
+        seed: Draws everything.
+        workers: Number of workers.
+        instances: Number of instances.
+    """
+
+    def __init__(self, *, seed: int = 1, workers: int = 6, instances: int = 3) -> None:
+        self.rng = random.Random(seed)
+        self.store = RecordStore(rng=self.rng)
+        self.fleet = LastingWorkers(rng=self.rng)
+        self.instances: list[LastingInstance] = []
+        self._all_instances: list[LastingInstance] = []
+        self.lines: list[str] = []
+        self.breaches: list[str] = []
+        self._last_missed_s = 0.0
+        self._faults = RecordFaults()
+        self._is_store_up = asyncio.Event()
+        self._is_store_up.set()
+        self._one_outage = asyncio.Lock()
+        self._open_troubles = 0
+        self._calm_from_s = 0.0
+        self._accepted: dict[str, Job] = {}
+        self._cancelled_s: dict[str, float] = {}
+        self._missing_s: dict[TaskName, float] = {}
+        self._reported: set[str] = set()
+        self._due: frozenset[str] = frozenset()
+        self._over_s: dict[str, float] = {}
+        self._made = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        for _ in range(workers):
+            self.add_worker()
+        self._first_instances = instances
+
+    # ---- the story's frame
+
+    def start(self) -> None:
+        """Start the instances and the judge."""
+        for _ in range(self._first_instances):
+            self.add_instance()
+        self._tasks.add(asyncio.create_task(self._judge()))
+
+    async def close(self) -> None:
+        """End everything."""
+        for instance in self.instances:
+            await instance.kill()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    @contextlib.contextmanager
+    def trouble(self) -> Iterator[None]:
+        """Judge how long tasks are missed only from the end of this trouble, or of the last."""
+        self._open_troubles += 1
+        self.fleet.calm_from_s = float("inf")
+        try:
+            yield
+        finally:
+            self._open_troubles -= 1
+            self._calm_from_s = _now_s()
+            if not self._open_troubles:
+                self.fleet.calm_from_s = self._calm_from_s
+
+    @property
+    def recovered_after_s(self) -> float:
+        """Seconds from the end of the last trouble until no task with room was missed any more."""
+        return max(0.0, self._last_missed_s - self._calm_from_s)
+
+    async def recover(self, longest_s: float) -> None:
+        """Wait until leases have run out, and while tasks are missed."""
+        ends_s = _now_s() + longest_s
+        await asyncio.sleep(WATCH_LEASES_S)
+        while self._missing_s and _now_s() < ends_s:
+            await asyncio.sleep(SAMPLE_S)
+
+    def _in_background(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.add(asyncio.create_task(work))
+
+    # ---- callers
+
+    async def hand_in(self, job_id: str, *steps: Step) -> None:
+        """Hand in a lasting job at drawn instances until it is accepted."""
+        one = Job(job_id=job_id, policy=policy(service=SERVICE), spec="x", steps=steps)
+        self.fleet.lasting.add(job_id)
+        for _ in range(HAND_IN_TRIES):
+            desk = await self._any_desk()
+            answer = await desk.submit(one, deadline_s=_now_s() + 1.5)
+            if answer.ending.value == "accepted":
+                self._accepted[job_id] = one
+                for number, part in enumerate(steps):
+                    self.fleet.watch_step(frozenset(_names_of(job_id, number, part)), part.may_miss)
+                return
+            await asyncio.sleep(0.3)
+
+    async def cancel(self, job_id: str) -> None:
+        """Cancel a job at drawn instances until that is acknowledged."""
+        if job_id not in self._accepted or job_id in self._cancelled_s:
+            return
+        self._cancelled_s[job_id] = float("inf")
+        for _ in range(HAND_IN_TRIES):
+            desk = await self._any_desk()
+            answer = await desk.cancel(policy(service=SERVICE), job_id, deadline_s=_now_s() + 1.5)
+            if answer.ending.value == "accepted":
+                self._cancelled_s[job_id] = _now_s()
+                self.fleet.cancelled[job_id] = _now_s()
+                return
+            await asyncio.sleep(0.3)
+
+    async def _any_desk(self) -> JobDesk:
+        while not self.instances:
+            await asyncio.sleep(SAMPLE_S)
+        return self.rng.choice(self.instances).desk
+
+    # ---- instances
+
+    def add_instance(self) -> None:
+        """Start another instance."""
+        self._made += 1
+        name = f"n{self._made}"
+        instance = LastingInstance(
+            name=name,
+            store=self.store,
+            faults=self._faults,
+            fleet=self.fleet,
+            silent=self.fleet.silent,
+            log=Journal(process=name, lines=self.lines),
+        )
+        self.instances.append(instance)
+        self._all_instances.append(instance)
+        instance.start()
+
+    def scheduler(self) -> LastingInstance | None:
+        """Return the instance that holds the service's key."""
+        item = self.store.items.get(f"shallotworks/duty/scheduler/{SERVICE}")
+        holders = [one for one in self.instances if item and one.name == item.value.decode()]
+        return holders[0] if holders else None
+
+    async def kill_scheduler(self) -> None:
+        """Kill whoever schedules; another instance comes in its place."""
+        await self._replace(self.scheduler(), is_planned=False)
+
+    async def stop_scheduler(self) -> None:
+        """Stop whoever schedules, as planned work does; another instance comes in its place."""
+        await self._replace(self.scheduler(), is_planned=True)
+
+    async def _replace(self, instance: LastingInstance | None, *, is_planned: bool) -> None:
+        with self.trouble():
+            if instance is None:
+                return
+            self.instances.remove(instance)
+            self.add_instance()
+            self._note("killed" if not is_planned else "told to stop", instance.name)
+            await (instance.stop() if is_planned else instance.kill())
+
+    async def kill_all(self, *, restart_s: float) -> None:
+        """Kill all instances at once; others are started a while later."""
+        with self.trouble():
+            self._note("killed", "all instances")
+            killed, self.instances = self.instances, []
+            await asyncio.gather(*(one.kill() for one in killed))
+            await asyncio.sleep(restart_s)
+            for _ in killed:
+                self.add_instance()
+        self._note("started", "all instances")
+
+    async def cut_scheduler(self, for_s: float) -> None:
+        """Let the store not answer whoever schedules for a while, but all others."""
+        instance = self.scheduler()
+        if instance is None:
+            return
+        with self.trouble():
+            self._note("cut from the store", instance.name)
+            instance.view.faults = RecordFaults(is_silent=True)
+            await asyncio.sleep(for_s)
+            if instance in self.instances:
+                instance.view.faults = self._faults
+
+    def terms_begun_after(self, at_s: float) -> int:
+        """Return how many terms began after a moment."""
+        begins = (begun_s for one in self._all_instances for begun_s in one.terms_begun_s)
+        return sum(1 for begun_s in begins if begun_s > at_s)
+
+    # ---- the store
+
+    async def outage(
+        self,
+        for_s: float,
+        *,
+        is_silent: bool = False,
+        are_leases_paused: bool = False,
+        are_entries_lost: bool = False,
+    ) -> None:
+        """Let the store serve nobody for a while, after any outage that is under way.
+
+        Args:
+            for_s: How long.
+            is_silent: Calls get no answer; else they are refused.
+            are_leases_paused: Leases lose no time meanwhile; else they run out.
+            are_entries_lost: Workers' entries run out too, and come back after the outage.
+        """
+        async with self._one_outage:
+            with self.trouble():
+                self._note("down", "the store")
+                self._is_store_up.clear()
+                self._faults.is_silent, self._faults.is_down = is_silent, not is_silent
+                if are_leases_paused:
+                    self.store.pause_leases()
+                await asyncio.sleep(for_s)
+                if are_leases_paused:
+                    self.store.resume_leases()
+                if are_entries_lost:
+                    self._lose_entries()
+                self._faults.is_silent = self._faults.is_down = False
+                self._is_store_up.set()
+            self._note("up", "the store")
+
+    def _lose_entries(self) -> None:
+        for key in [key for key in self.store.items if key.startswith(REGISTRY_PREFIX)]:
+            self.store.delete(key)
+            worker = self.fleet.workers[key.removeprefix(REGISTRY_PREFIX)]
+            if worker.is_alive:
+                back_s = self.rng.uniform(0.1, ENTRY_BACK_S)
+                self._in_background(self._register_later(worker, back_s))
+
+    async def _register_later(self, worker: TaskWorker, after_s: float) -> None:
+        await asyncio.sleep(after_s)
+        await self._is_store_up.wait()
+        if worker.is_alive:
+            self._register(worker)
+
+    def revoke_keys(self) -> None:
+        """Take all held keys away."""
+        with self.trouble():
+            self._note("revoked", "keys")
+            self.store.revoke("shallotworks/")
+
+    # ---- workers
+
+    def add_worker(self, *, address: str = "") -> TaskWorker:
+        """Add a worker, and register it."""
+        worker_id = f"w{len(self.fleet.workers)}"
+        address = address or f"127.0.0.1:{len(self.fleet.workers) + 1}"
+        worker = self.fleet.add(view(worker_id, service=SERVICE, address=address))
+        self._register(worker)
+        return worker
+
+    def workers_up(self) -> int:
+        """Return the number of workers that neither drain nor are over."""
+        workers = self.fleet.workers.values()
+        return sum(1 for one in workers if one.is_alive and not one.view.is_draining)
+
+    def crash(self, worker_id: str) -> None:
+        """End a worker without a word; its entry runs out later, also while the store is down."""
+        with self.trouble():
+            self._note("crashes", worker_id)
+            self.fleet.workers[worker_id].crash()
+            self._in_background(self._unregister_later(worker_id, EXPIRY_S))
+
+    async def leave(self, worker_id: str, *, absence: OrderEnding = OrderEnding.UNSENT) -> None:
+        """Let a worker drain, and go for good.
+
+        Args:
+            worker_id: The worker.
+            absence: What becomes of later calls: nobody listens, or nobody answers, at its address.
+        """
+        with self.trouble():
+            await self._is_store_up.wait()
+            worker = self.fleet.workers[worker_id]
+            if not worker.is_alive:
+                return
+            self._note("drains", worker_id)
+            worker.view = replace(worker.view, is_draining=True)
+            self._register(worker)
+            await asyncio.sleep(DRAIN_S + self.rng.uniform(0, 0.5))
+            self._note("leaves", worker_id)
+            worker.crash()
+            self.fleet.absences[worker_id] = absence
+        await self._is_store_up.wait()
+        self._unregister(worker_id)
+
+    async def replace_worker(self, worker_id: str) -> None:
+        """Crash a worker; another incarnation answers at its address a while later."""
+        with self.trouble():
+            self.crash(worker_id)
+            await asyncio.sleep(REPLACED_S)
+            await self._is_store_up.wait()
+            self.add_worker(address=self.fleet.workers[worker_id].view.address)
+            self.fleet.absences[worker_id] = OrderEnding.GONE
+
+    def fail_task(self, worker_id: str) -> None:
+        """Let a task of a worker fail through its own fault."""
+        with self.trouble():
+            worker = self.fleet.workers[worker_id]
+            for name in sorted(worker.names())[:1]:
+                self._note("fails", str(name))
+                worker.fail(name)
+
+    async def silence(self, worker_id: str, for_s: float) -> None:
+        """Let no instance reach a worker for a while; it stays listed and what runs runs on."""
+        with self.trouble():
+            self._note("silent", worker_id)
+            self.fleet.silent.add(worker_id)
+            await asyncio.sleep(for_s)
+            self.fleet.silent.discard(worker_id)
+        self._note("reached again", worker_id)
+
+    async def upkeep(self, worker_id: str) -> None:
+        """Have a worker emptied as the keeper does, and take it away once it is offered."""
+        await self._is_store_up.wait()
+        self._note("due for upkeep", worker_id)
+        self._due |= {worker_id}
+        self._tell_keeper_word()
+        ends_s = _now_s() + LONGEST_EVACUATION_S
+        while _now_s() < ends_s and self.fleet.workers[worker_id].is_alive:
+            await asyncio.sleep(KEEPER_ROUND_S)
+            if worker_id in self.offered():
+                self._in_background(self._take_away(worker_id, is_back=True))
+                break
+        self._due -= {worker_id}
+        await self._is_store_up.wait()
+        self._tell_keeper_word()
+
+    async def lend_worker(self) -> None:
+        """Move an idle worker that is offered into another pool, as the keeper does."""
+        ends_s = _now_s() + LONGEST_LENDING_S
+        while _now_s() < ends_s:
+            lendable = [one for one in self.offered() if self.fleet.workers[one].is_alive]
+            if lendable:
+                await self._take_away(lendable[0], is_back=False)
+                return
+            await asyncio.sleep(KEEPER_ROUND_S)
+
+    async def _take_away(self, worker_id: str, *, is_back: bool) -> None:
+        with self.trouble():
+            self._note("taken away", worker_id)
+            worker = self.fleet.workers[worker_id]
+            self.fleet.take_away(worker)
+            self._over_s[worker_id] = _now_s()
+            self.fleet.absences[worker_id] = OrderEnding.UNSENT
+            self._tell_keeper_word()
+            await asyncio.sleep(REPLACED_S)
+            await self._is_store_up.wait()
+            self._unregister(worker_id)
+            if is_back:
+                self.add_worker(address=worker.view.address)
+
+    def offered(self) -> tuple[str, ...]:
+        """Return what the scheduler offers, read just before an order as the keeper does."""
+        item = self.store.items.get(need_key(SERVICE))
+        if item is None or not self._is_store_up.is_set():
+            return ()
+        return PoolNeed.decode(item.value).free
+
+    def is_held_back(self, worker_id: str) -> bool:
+        """Return whether whoever schedules starts nothing on a worker, since it is offered."""
+        scheduler = self.scheduler()
+        if scheduler is None:
+            return False
+        worker = scheduler.terms[-1].board.workers.get(worker_id)
+        return worker is not None and worker.is_cordoned
+
+    def _tell_keeper_word(self) -> None:
+        over = (one for one, at_s in self._over_s.items() if _now_s() - at_s < OVER_TOLD_S)
+        word = KeeperWord(due=self._due, over=tuple(over))
+        self.store.put(keeper_key(), word.encode())
+
+    def _register(self, worker: TaskWorker) -> None:
+        """Write a worker's entry as the platform's workers do."""
+        seen = worker.view
+        entry = {
+            "service": seen.service,
+            "address": seen.address,
+            "zone": "z1",
+            "version": "1.0",
+            "slots": 4,
+            "state": "draining" if seen.is_draining else "ready",
+            "coldRemainingMs": 0,
+            "seqNo": self.store.revision,
+            "capacity": {"cpu": seen.cpu_millicores, "memMb": seen.memory_mb, "gpu": seen.gpus},
+            "labels": ["plain", "r1"],
+        }
+        self.store.put(REGISTRY_PREFIX + worker.view.worker_id, json.dumps(entry).encode())
+
+    def _unregister(self, worker_id: str) -> None:
+        if REGISTRY_PREFIX + worker_id in self.store.items:
+            self.store.delete(REGISTRY_PREFIX + worker_id)
+
+    async def _unregister_later(self, worker_id: str, after_s: float) -> None:
+        await asyncio.sleep(after_s)
+        self._unregister(worker_id)
+
+    # ---- the judge
+
+    async def _judge(self) -> None:
+        while True:
+            await asyncio.sleep(SAMPLE_S)
+            self.fleet.note_at_work()
+            running = {
+                name
+                for worker in self.fleet.workers.values()
+                if worker.is_alive
+                for name in worker.names()
+            }
+            for name, part in self._wanted():
+                self._judge_task(name, part, is_running=name in running)
+            for name in running:
+                self._judge_cancelled(name)
+
+    def _wanted(self) -> Iterator[tuple[TaskName, Step]]:
+        for job_id, one in self._accepted.items():
+            if job_id in self._cancelled_s:
+                continue
+            for number, part in enumerate(one.steps):
+                for name in _names_of(job_id, number, part):
+                    yield name, part
+
+    def _judge_task(self, name: TaskName, part: Step, *, is_running: bool) -> None:
+        now_s = _now_s()
+        if is_running:
+            self._missing_s.pop(name, None)
+            return
+        if not self._has_room(name, part):
+            self._missing_s[name] = now_s
+            return
+        missing_s = self._missing_s.setdefault(name, now_s)
+        if now_s - missing_s >= MISSED_S:
+            self._last_missed_s = now_s
+        since_s = max(missing_s, self._calm_from_s)
+        if not self._open_troubles and now_s - since_s > RUNS_AGAIN_S:
+            self._report(f"{name} has no run", f"{since_s:.3f}")
+
+    def _judge_cancelled(self, name: TaskName) -> None:
+        since_s = max(self._cancelled_s.get(name.job_id, float("inf")), self._calm_from_s)
+        if not self._open_troubles and _now_s() - since_s > STOPPED_WITHIN_S:
+            self._report(f"{name} runs on though it is cancelled", f"{since_s:.3f}")
+
+    def _has_room(self, name: TaskName, part: Step) -> bool:
+        return any(
+            worker.is_alive
+            and REGISTRY_PREFIX + worker_id in self.store.items
+            and worker_id not in self.fleet.silent
+            and not worker.view.is_draining
+            and self._free_millicores(worker) >= part.cpu_millicores
+            and _siblings(worker, name) < (part.most_per_worker or part.count)
+            for worker_id, worker in self.fleet.workers.items()
+        )
+
+    def _free_millicores(self, worker: TaskWorker) -> int:
+        used = sum(self.fleet.need(name) for name in worker.names())
+        return worker.view.cpu_millicores - used
+
+    def _report(self, breach: str, since: str) -> None:
+        told = f"{breach} since {since}"
+        if told not in self._reported:
+            self._reported.add(told)
+            self.breaches.append(f"{_now_s():.3f} {told}")
+
+    def _note(self, event: str, subject: str) -> None:
+        self.lines.append(f"{_now_s():8.3f} story {subject} {event}")
+
+    def judged(self) -> list[str]:
+        """Return what broke a rule, with jobs whose stored state is wrong at the end."""
+        found = [*self.breaches, *self.fleet.breaches]
+        for job_id in self._accepted:
+            item = self.store.items.get(JobKeys(service=SERVICE).progress(job_id))
+            state = decode_progress(item.value).state if item is not None else None
+            is_cancelled = job_id in self._cancelled_s
+            if state is not (JobState.CANCELLED if is_cancelled else JobState.RUNNING):
+                found.append(f"job {job_id} is {state} at the end")
+        return found
+
+
+def _names_of(job_id: str, number: int, part: Step) -> list[TaskName]:
+    return [TaskName(job_id, 0, number, index) for index in range(part.count)]
+
+
+def _siblings(worker: TaskWorker, name: TaskName) -> int:
+    """Return how many tasks of a task's step run on a worker."""
+    return sum(1 for one in worker.names() if one[:3] == name[:3])
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/tests/test_lasting_recovery.py
@@ -0,0 +1,482 @@
+"""Lasting tasks run again soon after each trouble, never twice at once, never too few by our doing.
+
+A task that is to last and has room must run again within `RUNS_AGAIN_S` of the last trouble. A
+breach tells the story's time; `LastingHistory.lines` holds what the instances logged.
+"""
+
+import asyncio
+import random
+import unittest
+from collections.abc import Awaitable, Callable
+
+from parameterized import parameterized
+
+from shallotworks.scheduling import OrderEnding
+from tests.lasting_history import RUNS_AGAIN_S, LastingHistory, lasting
+from tests.on_loop import run_story
+
+SETTLED_S = 4.0
+"""Jobs run by then, also on workers that were offered and taken back, and idle ones are offered."""
+LEFT_BEFORE_S = 7.0
+"""A worker that left this long before a trouble is over for all who watch it."""
+AFTER_S = RUNS_AGAIN_S + 3.0
+"""Stories are watched for this long after their last trouble."""
+JOB = "00000000000000a1"
+SECOND_JOB = "00000000000000a2"
+SPREAD_JOB = "00000000000000a3"
+SEEDS = range(1, 21)
+TROUBLES_A_MIX = 6
+LONGEST_PAUSE_S = 4.0
+
+Trouble = Callable[[LastingHistory], Awaitable[None]]
+
+
+def play(trouble: Trouble, *, seed: int = 1, before: Trouble | None = None) -> LastingHistory:
+    """Play one story: two jobs that run, a trouble, and a while in which to recover.
+
+    Args:
+        trouble: What happens; over when it returns.
+        seed: Draws what the trouble leaves open.
+        before: What happened well before.
+    """
+
+    async def story() -> LastingHistory:
+        history = LastingHistory(seed=seed)
+        history.start()
+        await history.hand_in(JOB, lasting(3))
+        await history.hand_in(SECOND_JOB, lasting(2), lasting(2, most_per_worker=1))
+        await asyncio.sleep(SETTLED_S)
+        if before is not None:
+            await before(history)
+            await asyncio.sleep(LEFT_BEFORE_S)
+        await trouble(history)
+        await history.recover(AFTER_S)
+        await history.close()
+        return history
+
+    return run_story(story())
+
+
+def used_worker(history: LastingHistory) -> str:
+    """Return the first worker that runs a task, or the first one where none does."""
+    up = [(key, one) for key, one in history.fleet.workers.items() if one.is_alive]
+    used = [worker_id for worker_id, worker in up if worker.names()]
+    return (used or [worker_id for worker_id, _ in up])[0]
+
+
+async def one_leaves(history: LastingHistory) -> None:
+    await history.leave(used_worker(history))
+
+
+async def a_worker_crashes(history: LastingHistory) -> None:
+    history.crash(used_worker(history))
+
+
+async def one_leaves_unanswering(history: LastingHistory) -> None:
+    await history.leave(used_worker(history), absence=OrderEnding.UNANSWERED)
+
+
+def together(first: Trouble, second: Trouble, *, after_s: float) -> Trouble:
+    """Bring both about, the second one a little later."""
+
+    async def both(history: LastingHistory) -> None:
+        async def later() -> None:
+            await asyncio.sleep(after_s)
+            await second(history)
+
+        await asyncio.gather(first(history), later())
+
+    return both
+
+
+class StoryTests(unittest.TestCase):
+    def assert_recovered(self, history: LastingHistory) -> None:
+        """Nothing broke a rule, and all tasks ran soon after the last trouble."""
+        self.assertEqual([], history.judged())
+        self.assertGreater(history.fleet.started, 0)
+        self.assertLessEqual(history.recovered_after_s, RUNS_AGAIN_S)
+
+
+# ---- all instances at once
+
+
+async def all_killed(history: LastingHistory) -> None:
+    await history.kill_all(restart_s=1.0)
+
+
+async def all_killed_for_longer(history: LastingHistory) -> None:
+    await history.kill_all(restart_s=3.0)
+
+
+async def all_killed_twice(history: LastingHistory) -> None:
+    await history.kill_all(restart_s=1.0)
+    await asyncio.sleep(2.5)
+    await history.kill_all(restart_s=1.0)
+
+
+class AllKilledTests(StoryTests):
+    @parameterized.expand(
+        [
+            ("alone", all_killed, None),
+            ("a_worker_left_earlier", all_killed, one_leaves),
+            ("a_worker_left_and_nothing_answers_there", all_killed, one_leaves_unanswering),
+            (
+                "a_worker_leaves_meanwhile",
+                together(one_leaves, all_killed_for_longer, after_s=0.5),
+                None,
+            ),
+            (
+                "a_worker_crashes_with_them",
+                together(a_worker_crashes, all_killed, after_s=0.0),
+                None,
+            ),
+            ("twice", all_killed_twice, None),
+            ("twice_a_worker_left_earlier", all_killed_twice, one_leaves),
+        ]
+    )
+    def test_tasks_run_again(self, _name: str, trouble: Trouble, before: Trouble | None) -> None:
+        """A job's tasks stay away after all processes were lost and started again.
+
+        All instances are killed at once, so that no scheduler hands over. The next one reads from
+        the store which workers its predecessors used. It waits for one of them that has left as for
+        one that may still run tasks, and starts nothing of earlier jobs until then.
+        """
+        self.assert_recovered(play(trouble, before=before))
+
+
+# ---- duties that change hands again and again
+
+TURNS = 4
+
+
+def killed_in_turn(every_s: float) -> Trouble:
+    async def trouble(history: LastingHistory) -> None:
+        for _ in range(TURNS):
+            await history.kill_scheduler()
+            await asyncio.sleep(every_s)
+
+    return trouble
+
+
+def stopped_in_turn(every_s: float) -> Trouble:
+    async def trouble(history: LastingHistory) -> None:
+        for _ in range(TURNS):
+            await history.stop_scheduler()
+            await asyncio.sleep(every_s)
+
+    return trouble
+
+
+def keys_revoked(every_s: float) -> Trouble:
+    async def trouble(history: LastingHistory) -> None:
+        for _ in range(TURNS):
+            history.revoke_keys()
+            await asyncio.sleep(every_s)
+
+    return trouble
+
+
+TURNS_OF = (("killed", killed_in_turn), ("stopped", stopped_in_turn), ("revoked", keys_revoked))
+EVERY_S = (1.0, 2.0, 3.0)
+
+
+class RenewedDutyTests(StoryTests):
+    @parameterized.expand([(name, make) for name, make in TURNS_OF])
+    def test_tasks_run_again(self, _name: str, make: Callable[[float], Trouble]) -> None:
+        """A job's tasks stay away while its scheduler changes again and again, and after it.
+
+        Schedulers are killed, are stopped as planned or lose their keys every one to three seconds;
+        workers stay, one leaves or one crashes meanwhile. Each successor begins its wait for the
+        workers that it has not seen anew.
+        """
+        for every_s in EVERY_S:
+            trouble = make(every_s)
+            stories: tuple[tuple[str, Trouble], ...] = (
+                ("all workers stay", trouble),
+                ("a worker leaves", together(one_leaves, trouble, after_s=0.2)),
+                ("a worker crashes", together(trouble, a_worker_crashes, after_s=0.6)),
+            )
+            for case, story in stories:
+                with self.subTest(every_s=every_s, case=case):
+                    self.assert_recovered(play(story))
+
+
+# ---- outages of the store
+
+
+def outage(
+    for_s: float,
+    *,
+    is_silent: bool,
+    are_leases_paused: bool,
+    are_entries_lost: bool = False,
+) -> Trouble:
+    async def trouble(history: LastingHistory) -> None:
+        await history.outage(
+            for_s,
+            is_silent=is_silent,
+            are_leases_paused=are_leases_paused,
+            are_entries_lost=are_entries_lost,
+        )
+
+    return trouble
+
+
+def leaving_after(trouble: Trouble) -> Trouble:
+    """Let a worker leave just after a trouble."""
+
+    async def both(history: LastingHistory) -> None:
+        worker_id = used_worker(history)
+        await trouble(history)
+        await asyncio.sleep(0.5)
+        await history.leave(worker_id)
+
+    return both
+
+
+OUTAGES_S = (4.5, 6.0, 9.0)
+LEASES = (("run_out", False), ("paused", True))
+ANSWERS = (("refusing", False), ("silent", True))
+
+
+class OutageTests(StoryTests):
+    @parameterized.expand(
+        [
+            (f"{leases}_{answers}", are_paused, is_silent)
+            for leases, are_paused in LEASES
+            for answers, is_silent in ANSWERS
+        ]
+    )
+    def test_tasks_run_again(self, _name: str, are_paused: bool, is_silent: bool) -> None:
+        """A job's tasks stay away after an outage of the store, while workers stand idle.
+
+        The store serves nobody, terms end without handing over, and tasks lapse. A worker left
+        before, leaves during the outage or just after it; the next term waits for it, since its
+        record still stands. Or nobody leaves, and the bidder whose mirror lags
+        behind takes the deletion of an earlier key for that of its own.
+        """
+        for for_s in OUTAGES_S:
+            trouble = outage(for_s, is_silent=is_silent, are_leases_paused=are_paused)
+            stories: tuple[tuple[str, Trouble, Trouble | None], ...] = (
+                ("all workers stay", trouble, None),
+                ("a worker left", trouble, one_leaves),
+                ("a worker leaves during it", together(one_leaves, trouble, after_s=0.2), None),
+                ("a worker leaves after it", leaving_after(trouble), None),
+            )
+            for case, story, before in stories:
+                with self.subTest(for_s=for_s, case=case):
+                    self.assert_recovered(play(story, before=before))
+
+    def test_entries_of_workers_that_were_lost(self) -> None:
+        """A job's tasks stay away after an outage in which the list of workers ran out.
+
+        The store serves nobody, and workers' entries run out with their leases. They come back one
+        by one within two seconds of its return, so that a new term first sees none of its workers.
+        """
+        for for_s in (OUTAGES_S[0], OUTAGES_S[-1]):
+            trouble = outage(for_s, is_silent=False, are_leases_paused=False, are_entries_lost=True)
+            for case, before in (("all workers stay", None), ("a worker left", one_leaves)):
+                with self.subTest(for_s=for_s, case=case):
+                    self.assert_recovered(play(trouble, before=before))
+
+    @parameterized.expand([(name, is_silent) for name, is_silent in ANSWERS])
+    def test_one_term_begins(self, _name: str, is_silent: bool) -> None:
+        """All that a new term has learnt is lost 0.1 s after it began, and the next learns it anew.
+
+        An instance bids as soon as the store answers, and wins. Then its mirror of the keys catches
+        up, and tells that the key of before the outage is gone; the bidder takes that for its own.
+        """
+        for for_s in OUTAGES_S:
+            for case, before in (("all workers stay", None), ("a worker left", one_leaves)):
+                with self.subTest(for_s=for_s, case=case):
+                    up_s: list[float] = []
+
+                    async def trouble(
+                        history: LastingHistory, for_s: float = for_s, up_s: list[float] = up_s
+                    ) -> None:
+                        await history.outage(for_s, is_silent=is_silent)
+                        up_s.append(asyncio.get_running_loop().time())
+
+                    history = play(trouble, before=before)
+                    self.assertLessEqual(history.terms_begun_after(up_s[0]), 1)
+
+    def test_an_offer_that_is_taken_back_meanwhile(self) -> None:
+        """A task is taken away with its worker just after the store is back.
+
+        One worker is idle and offered. Another incarnation answers for a worker, and only the idle
+        one has room for its task: the offer is taken back, and before that is stored the store goes
+        down. The task starts there 3 s later. When the store is back, it still names the worker as
+        free, and the keeper, which asks there just before its order, takes it away.
+        """
+
+        async def trouble(history: LastingHistory) -> None:
+            await history.hand_in(SPREAD_JOB, lasting(5, most_per_worker=1))
+            await asyncio.sleep(SETTLED_S)
+            (idle,) = history.offered()
+            lost = used_worker(history)
+            history.crash(lost)
+            history.fleet.absences[lost] = OrderEnding.GONE
+            while history.is_held_back(idle):
+                await asyncio.sleep(0.001)
+            await history.outage(3.6, is_silent=True)
+            await history.lend_worker()
+
+        self.assert_recovered(play(trouble))
+
+    def test_a_second_outage_after_a_worker_left(self) -> None:
+        """A lasting job has no task for 14 s after the second of two outages.
+
+        In the first, all terms end and tasks lapse; a new term records all workers. One of them
+        leaves, and is over for that term. In the second, that term ends without handing over; the
+        tasks lapse again. The next terms wait for the worker that left.
+        """
+
+        async def trouble(history: LastingHistory) -> None:
+            await history.outage(5.8)
+            await asyncio.sleep(2.5)
+            await one_leaves(history)
+            await asyncio.sleep(7.5)
+            await history.outage(10.1, is_silent=True)
+
+        self.assert_recovered(play(trouble))
+
+
+# ---- workers
+
+
+async def a_worker_is_replaced(history: LastingHistory) -> None:
+    await history.replace_worker(used_worker(history))
+
+
+async def a_worker_is_silent_for_short(history: LastingHistory) -> None:
+    await history.silence(used_worker(history), 2.5)
+
+
+async def a_worker_is_silent_for_long(history: LastingHistory) -> None:
+    await history.silence(used_worker(history), 9.0)
+
+
+async def a_worker_is_taken_away(history: LastingHistory) -> None:
+    await history.upkeep(used_worker(history))
+
+
+async def a_worker_is_lent(history: LastingHistory) -> None:
+    await history.lend_worker()
+
+
+async def a_task_fails(history: LastingHistory) -> None:
+    history.fail_task(used_worker(history))
+
+
+async def another_is_taken_away(history: LastingHistory) -> None:
+    first = used_worker(history)
+    await history.upkeep(next(one for one in history.fleet.workers if one != first))
+
+
+async def two_are_taken_away(history: LastingHistory) -> None:
+    await together(a_worker_is_taken_away, another_is_taken_away, after_s=0.1)(history)
+
+
+WORKER_TROUBLES: tuple[Trouble, ...] = (
+    a_worker_crashes,
+    a_worker_is_replaced,
+    a_worker_is_silent_for_short,
+    a_worker_is_silent_for_long,
+    a_task_fails,
+    a_worker_is_lent,
+    a_worker_is_taken_away,
+    two_are_taken_away,
+)
+
+
+async def nothing(_history: LastingHistory) -> None:
+    return None
+
+
+async def scheduler_cut(history: LastingHistory) -> None:
+    await history.cut_scheduler(5.5)
+
+
+OTHERS: tuple[tuple[str, Trouble], ...] = (
+    ("calm", nothing),
+    ("schedulers killed", killed_in_turn(1.0)),
+    ("schedulers stopped", stopped_in_turn(1.0)),
+    ("scheduler cut", scheduler_cut),
+    ("all killed", all_killed),
+    ("store down", outage(6.0, is_silent=False, are_leases_paused=False)),
+)
+
+
+class WorkerTests(StoryTests):
+    @parameterized.expand([(one.__name__, one) for one in WORKER_TROUBLES])
+    def test_tasks_run_again(self, _name: str, trouble: Trouble) -> None:
+        """A task stays away, or runs twice, after trouble with its worker.
+
+        The worker crashes, is replaced at its address by another incarnation, is not reached for a
+        while, is lent or is taken away for upkeep, or the task fails; beside that, nothing happens,
+        schedulers are killed, stopped or cut from the store, all instances are killed, or the store
+        is down.
+        """
+        for case, other in OTHERS:
+            with self.subTest(case=case):
+                self.assert_recovered(play(together(trouble, other, after_s=0.7)))
+
+
+# ---- mixes
+
+MIXED: tuple[tuple[int, Trouble], ...] = (
+    (3, LastingHistory.kill_scheduler),
+    (2, LastingHistory.stop_scheduler),
+    (1, scheduler_cut),
+    (1, all_killed),
+    (1, outage(4.5, is_silent=True, are_leases_paused=False)),
+    (1, outage(6.0, is_silent=False, are_leases_paused=True)),
+    (1, outage(6.0, is_silent=False, are_leases_paused=False, are_entries_lost=True)),
+    (1, outage(9.0, is_silent=False, are_leases_paused=False)),
+    (2, one_leaves),
+    (1, one_leaves_unanswering),
+    (2, a_worker_crashes),
+    (2, a_worker_is_replaced),
+    (1, a_worker_is_silent_for_short),
+    (1, a_worker_is_silent_for_long),
+    (2, a_task_fails),
+    (2, a_worker_is_lent),
+    (2, a_worker_is_taken_away),
+)
+"""Troubles of a mix, and how often each is drawn."""
+
+
+LEAST_WORKERS = 4
+"""Others come while fewer are up, so that there is room."""
+
+
+async def mixed(history: LastingHistory) -> None:
+    """Bring about troubles, some of them at once, and hand in and cancel a job meanwhile."""
+    draw = random.Random(history.rng.random())
+    weights = [weight for weight, _ in MIXED]
+    running: list[Awaitable[None]] = [history.hand_in("00000000000000b1", lasting(2))]
+    for _ in range(TROUBLES_A_MIX):
+        _, trouble = draw.choices(MIXED, weights)[0]
+        running.append(asyncio.ensure_future(trouble(history)))
+        await asyncio.sleep(draw.uniform(0, LONGEST_PAUSE_S))
+        if draw.random() < 0.1:
+            running.append(history.cancel(SECOND_JOB))
+        while history.workers_up() < LEAST_WORKERS:
+            history.add_worker()
+    await asyncio.gather(*running)
+
+
+class MixTests(StoryTests):
+    def test_tasks_run_again(self) -> None:
+        """A lasting task is missed, or runs twice, after troubles that came on top of each other.
+
+        Each seed draws its own order of outages, kills, planned stops, and workers that leave,
+        crash, fall silent, are replaced or taken away.
+        """
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                self.assert_recovered(play(mixed, seed=seed))
+
+
+if __name__ == "__main__":
+    unittest.main()
