Probe a silent store with short watches

Cause: while the store answers nobody, each mirror sends watches that wait a second and time out after 1.6 s. Change: while the last call of a mirror has failed, its watch does not wait.

--- a/src/shallotworks/standins/_record_store.py
+++ b/src/shallotworks/standins/_record_store.py
@@ -27,6 +27,8 @@
 
 PAGE_ITEMS = 500
 CALL_S = 0.004
+WATCH_GRACE_S = 0.6
+"""A watch counts as silent this long after its own wait."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -261,7 +263,7 @@
         self, prefix: str, *, after_revision: int, wait_s: float
     ) -> Result[Changes, Failure]:
         """Wait for changes."""
-        failure = await self._pass()
+        failure = await self._pass(silence_s=wait_s + WATCH_GRACE_S)
         if failure:
             return Err(failure)
         changes = await self.store.watch(prefix, after_revision, wait_s)
@@ -314,10 +316,10 @@
         await asyncio.sleep(self.faults.late_s)
         self.store.carry_out(commit)
 
-    async def _pass(self) -> Failure | None:
+    async def _pass(self, silence_s: float | None = None) -> Failure | None:
         await asyncio.sleep(CALL_S + self.faults.delay_s)
         if self.faults.is_silent:
-            await asyncio.sleep(self._timeout_s)
+            await asyncio.sleep(silence_s or self._timeout_s)
             return _unavailable("no answer")
         return _unavailable("down") if self.faults.is_down else None
 
--- a/src/shallotworks/store/_mirror.py
+++ b/src/shallotworks/store/_mirror.py
@@ -18,6 +18,9 @@
 WATCH_WAIT_S = 1.0
 """One watch's wait. A connection that fell silent is noticed after this and the client's grace,
 so a change is seen within 1.7 s, inside the 2 s in which a configuration must be in force."""
+PROBE_WAIT_S = 0.05
+"""... and while the store fails: a watch that was sent just before its return has to time out, and
+who holds which duty is not known before. With the full wait that took up to 2 s."""
 FIRST_BACKOFF_S = 0.05
 HIGHEST_BACKOFF_S = 0.4
 """Between tries while the store fails: 2.5 calls a second for each mirror at the most."""
@@ -118,9 +121,8 @@
         return Success(lowest)
 
     async def _follow(self, revision: int) -> Result[int | None, Failure]:
-        outcome = await self._store.watch(
-            self._prefix, after_revision=revision, wait_s=WATCH_WAIT_S
-        )
+        wait_s = PROBE_WAIT_S if self._is_failing else WATCH_WAIT_S
+        outcome = await self._store.watch(self._prefix, after_revision=revision, wait_s=wait_s)
         if not isinstance(outcome, Success):
             return Err(outcome.failure())
         changes = outcome.unwrap()
--- a/tests/test_store_following.py
+++ b/tests/test_store_following.py
@@ -11,6 +11,9 @@
 from tests.on_loop import run_story
 from tests.scheduling_fakes import quiet_log
 
+TOLD_S = 1.2
+"""A watch without a wait times out after 0.65 s, and is sent again 0.4 s later at the latest."""
+
 
 class Listener:
     """Keeps what a mirror tells."""
@@ -61,6 +64,32 @@
 
         run_story(story())
 
+    def test_what_happened_in_an_outage_is_told_soon_after_it(self) -> None:
+        """Duties stood still for two seconds after the store was back.
+
+        A watch waits for a second at the store, and for its answer beyond that; the one that was
+        sent just before the store's return had to time out before anyone heard which keys were
+        free.
+        """
+
+        async def story() -> None:
+            store, listener, _ = _mirror()
+            view = StoreView(store=store)
+            mirror = Mirror(store=view, prefix="a/", listener=listener, log=quiet_log())
+            following = asyncio.create_task(mirror.run())
+            await asyncio.sleep(1.0)
+            for outage_s in (3.0, 3.3, 3.6, 3.9, 4.2, 4.5):
+                view.faults.is_silent = True
+                await asyncio.sleep(outage_s)
+                key = f"a/{outage_s}"
+                store.put(key, b"")
+                view.faults.is_silent = False
+                await asyncio.sleep(TOLD_S)
+                self.assertIn(key, listener.values)
+            following.cancel()
+
+        run_story(story())
+
     def test_nothing_is_missed_when_history_is_forgotten(self) -> None:
         """A configuration that never comes into force, after the store dropped its history.
 
