--- a/src/shallotworks/scheduling/__init__.py
+++ b/src/shallotworks/scheduling/__init__.py
@@ -29,7 +29,7 @@
     WorkerView,
 )
 from ._ordering import urgency
-from ._orders import OrderTimes
+from ._orders import OrderDesk, OrderTimes
 from ._protocols import (
     AdviceService,
     DutyEnding,
@@ -42,8 +42,11 @@
     WorkerDirectory,
     WorkerOrders,
 )
+from ._runners import Runner, RunnersRecord, runners_key
 from ._sizing import PoolSizer, SizingLimits
 from ._term import ServiceTerm, TermParts
+from ._wait_reason import WaitReason
+from ._waiting import WaitSummary, WaitWatch, waiting_reason
 from ._wave import WaveRecord, wave_key
 
 __all__ = [
@@ -63,6 +66,7 @@
     "Machines",
     "OrderEnding",
     "OrderOutcome",
+    "OrderDesk",
     "OrderTimes",
     "PaceOrder",
     "Permits",
@@ -71,6 +75,8 @@
     "Run",
     "RunPhase",
     "RunningTask",
+    "Runner",
+    "RunnersRecord",
     "ServiceBoard",
     "ServiceTerm",
     "SizingLimits",
@@ -81,6 +87,9 @@
     "TermParts",
     "Upkeep",
     "UpkeepBook",
+    "WaitReason",
+    "WaitSummary",
+    "WaitWatch",
     "WaveRecord",
     "Worker",
     "WorkerDirectory",
@@ -88,6 +97,8 @@
     "WorkerReport",
     "WorkerView",
     "need_key",
+    "runners_key",
     "urgency",
+    "waiting_reason",
     "wave_key",
 ]
