--- a/src/shallotworks/scheduling/_board.py
+++ b/src/shallotworks/scheduling/_board.py
@@ -37,6 +37,9 @@
 FRESH_S = 2.0
 """A worker that runs lasting tasks reports once a second; one silent for longer may be dead.
 A task counts as away after 4.5 s (source: the platform's settings)."""
+ADOPTED_S = 0.5
+"""A run that an earlier scheduler has stopped is listed at work for 0.2 s more (source: the
+platform's settings); an adopted one that is reported at work this long after was not stopped."""
 STRAY_STEP = Step(count=1)
 
 
@@ -66,6 +69,7 @@
 
     __slots__ = (
         "_awaiting",
+        "_lasting_from_s",
         "_log",
         "_next_run",
         "arrivals",
@@ -99,6 +103,8 @@
         self.arrivals: deque[tuple[float, float]] = deque(maxlen=MOST_ARRIVALS)
         """Time of day and core-seconds of the latest jobs."""
         self._awaiting: dict[str, list[tuple[int, Worker, int]]] = {}
+        self._lasting_from_s: dict[str, float] = {}
+        """Workers that are not on the board yet; see `keep_lasting_off`."""
 
     # ---- jobs
 
@@ -237,11 +243,20 @@
         """Learn of a worker, or that what is known of it has changed."""
         worker = self.workers.get(view.worker_id)
         if worker is None:
-            self.workers[view.worker_id] = Worker(view=view)
+            worker = self.workers[view.worker_id] = Worker(view=view)
+            worker.lasting_from_s = self._lasting_from_s.pop(view.worker_id, 0.0)
             return
         worker.view = view
         worker.is_listed = True
 
+    def keep_lasting_off(self, worker_id: str, until_s: float) -> None:
+        """Place no lasting task on a worker before then, also if it is not on the board yet."""
+        worker = self.workers.get(worker_id)
+        if worker is None:
+            self._lasting_from_s[worker_id] = until_s
+        else:
+            worker.lasting_from_s = until_s
+
     def worker_unlisted(self, worker_id: str) -> None:
         """Learn that discovery no longer lists a worker; it may live and still run tasks."""
         worker = self.workers.get(worker_id)
@@ -535,7 +550,8 @@
         """Return how many tasks of a lasting step are not at work, or may not be.
 
         The failure: a worker dies without a word, its last report says that its task is at work,
-        and another task of the step is stopped. So only what was reported of late counts.
+        and another task of the step is stopped. So only what was reported of late counts. The same
+        with a task that the last scheduler had stopped just before this one adopted it.
         """
         runs = step.job_entry.runs
         names = (step.name(index) for index in range(step.step.count))
@@ -546,7 +562,10 @@
         if run is None or not run.is_at_work or run.is_stop_wanted:
             return False
         worker = self.workers.get(run.worker_id)
-        return worker is not None and now_s - worker.reported_s < FRESH_S
+        if worker is None or now_s - worker.reported_s >= FRESH_S:
+            return False
+        is_adopted = run.run_id <= self.token * RUNS_PER_TERM
+        return not is_adopted or worker.reported_s - run.since_s >= ADOPTED_S
 
 
 def _step_of(entry: JobEntry | None, name: TaskName) -> Step | None:
