Tell the keeper's word again after one that was not answered

Cause: found in the read-through: as with a scheduler's offers, a word of the keeper that was carried out without an answer stood for good where the next one equalled the last that was answered. Change: the word is told again while a write is in doubt; the comment on the grace says what a successor waits for now. Measured: the new test failed before (the worker stays due) and passes, with 33 around it.

--- a/src/shallotworks/scheduling/__init__.py
+++ b/src/shallotworks/scheduling/__init__.py
@@ -10,7 +10,7 @@
 from ._decisions import Decider
 from ._entries import StepEntry
 from ._keeper import MachineKeeper
-from ._machine_book import MACHINES_PREFIX, MachineBook, PoolNeed, need_key
+from ._machine_book import MACHINES_PREFIX, KeeperWord, MachineBook, PoolNeed, keeper_key, need_key
 from ._machine_orders import KeeperParts
 from ._model import (
     AdviceRequest,
@@ -59,6 +59,7 @@
     "EndedTask",
     "KeeperParts",
     "MACHINES_PREFIX",
+    "KeeperWord",
     "Machine",
     "MachineBook",
     "MachineKeeper",
@@ -96,6 +97,7 @@
     "WorkerOrders",
     "WorkerReport",
     "WorkerView",
+    "keeper_key",
     "need_key",
     "runners_key",
     "urgency",
--- a/src/shallotworks/scheduling/_keeper.py
+++ b/src/shallotworks/scheduling/_keeper.py
@@ -86,7 +86,7 @@
 
     async def _tell(self, due: frozenset[str], recalls: dict[str, int]) -> None:
         word = KeeperWord(due=due, over=self._orders.over(), recalls=recalls)
-        if word == self._told:
+        if word == self._told and not self._record.doubtful:
             return
         if await self._record.put(word.encode()):
             self._told = word
--- a/src/shallotworks/store/_holder.py
+++ b/src/shallotworks/store/_holder.py
@@ -27,7 +27,8 @@
         retry_s: After a renewal that failed.
         grace_s: The duty may be exercised this long after the last confirmed renewal was sent,
             so that a short outage of the store does not stop work. Safety does not rest on it:
-            a successor fences each worker, and waits this long for one that it can't reach.
+            a successor fences each worker, and waits for one that it can't reach until the last
+            lease that was granted there is out.
     """
 
     ttl_s: float = 2.0
--- a/tests/test_late_writes.py
+++ b/tests/test_late_writes.py
@@ -9,7 +9,15 @@
 
 from shallotworks.errors import ErrorKind, Failure
 from shallotworks.jobs import TaskName
-from shallotworks.scheduling import PoolNeed, Runner, RunnersRecord, need_key, runners_key
+from shallotworks.scheduling import (
+    KeeperWord,
+    PoolNeed,
+    Runner,
+    RunnersRecord,
+    keeper_key,
+    need_key,
+    runners_key,
+)
 from shallotworks.standins import RecordStore, StoreView
 from shallotworks.store import Item
 from tests.fleet_history import SERVICE, History
@@ -228,6 +236,29 @@
 
         run_story(story())
 
+    def test_a_word_that_was_taken_without_an_answer_is_taken_back(self) -> None:
+        """A worker was emptied for good, though its upkeep was over.
+
+        The keeper said that the worker was due, and the store did not answer; when it was not due
+        any more, that was what the keeper had been answered last, and nothing was written.
+        """
+
+        async def story() -> None:
+            world = World(antenna=2)
+            holder = await world.start()
+            faults = holder._store.faults
+            keeper = world.keeper
+            assert keeper is not None
+            faults.lost_part = 1.0
+            await keeper._tell(frozenset({"w"}), {})
+            faults.lost_part = 0.0
+            await keeper._tell(frozenset(), {})
+            stored = KeeperWord.decode(world.store.items[keeper_key()].value)
+            self.assertEqual(frozenset(), stored.due)
+            world.stop()
+
+        run_story(story())
+
 
 class LapseTests(unittest.TestCase):
     def test_runs_of_a_worker_that_died_after_a_late_order_are_started_again(self) -> None:
--- a/tests/test_machine_keeper.py
+++ b/tests/test_machine_keeper.py
@@ -114,6 +114,7 @@
         self.store = RecordStore(rng=random.Random(1))
         self.book = MachineBook(log=quiet_log())
         self.tasks: list[asyncio.Task[None]] = []
+        self.keeper: MachineKeeper | None = None
 
     async def start(self) -> Holder:
         """Start a keeper."""
@@ -140,8 +141,8 @@
             wall_clock=clock,
             log=quiet_log(),
         )
-        keeper = MachineKeeper(holder=holder, parts=parts)
-        self.tasks = [asyncio.create_task(mirror.run()), asyncio.create_task(keeper.run())]
+        self.keeper = MachineKeeper(holder=holder, parts=parts)
+        self.tasks = [asyncio.create_task(mirror.run()), asyncio.create_task(self.keeper.run())]
         return holder
 
     def tell(self, service: str, *, lacking: int = 0, free: bool = False) -> None:
