Hand over the workers that still tell an end, and store ends before

Cause: a stopped scheduler left its successor those workers only on which something ran. One that told an end whose progress waited for the next commit (20 ms apart) was left out, so that the successor waited for nobody, started the task again as its first run, and heard of the end 0.07 s later. Change: such workers are left too, and what is known is stored first, for 0.4 s at the most, unless the key is gone.

--- /dev/null
+++ b/bench/bottlenecks.py
@@ -0,0 +1,268 @@
+"""What binds in a played day, told from the logs of all its processes.
+
+Reads what a play printed with the logs of all processes, and prints for each service, second by
+second, its machines and its waiting work, beside what was asked for, ordered and on its way; then
+where the time of its jobs went, summed up over the day. ``python -m bench.bottlenecks FILE``.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, TextIO
+
+__all__ = ["DayLog", "Event", "read_events"]
+
+ON_ITS_WAY_S = 2.2
+"""A machine that was ordered is listed as a worker after about this long."""
+STATE_FIELDS = (
+    "workers",
+    "with_lasting",
+    "idle",
+    "cores",
+    "cores_used",
+    "waiting_core_s",
+    "tasks_hopeless",
+    "unseen_workers",
+)
+HEADINGS = (
+    "second",
+    "workers",
+    "lasting",
+    "idle",
+    "cores",
+    "used",
+    "wait core-s",
+    "hopeless",
+    "unseen",
+    "accepted",
+    "lacking",
+    "offered",
+    "in",
+    "out",
+    "coming",
+    "holder",
+)
+LATE_START_S = 0.5
+"""A job whose first task started later than this after its acceptance counts as one that waited."""
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Event:
+    """One line of a process's log.
+
+    Args:
+        at_s: Since the start of traffic.
+        process: Who wrote it.
+        name: Which kind of event.
+        fields: All that it says.
+    """
+
+    at_s: float
+    process: str
+    name: str
+    fields: dict[str, Any]
+
+
+def read_events(lines: Iterable[str]) -> Iterator[Event]:
+    """Yield the events of a play's output; lines that hold none are passed over."""
+    for line in lines:
+        head, brace, body = line.partition("{")
+        words = head.split()
+        if not brace or len(words) != 2:
+            continue
+        try:
+            at_s = float(words[0])
+            fields = json.loads(brace + body)
+        except ValueError:
+            continue
+        name = fields.get("event")
+        if isinstance(name, str):
+            yield Event(at_s=at_s, process=words[1], name=name, fields=fields)
+
+
+@dataclass(slots=True, kw_only=True)
+class JobTimes:
+    """Times of one job, in seconds since the start of traffic.
+
+    Args:
+        service: Whose scheduler ran it.
+        accepted_s: When it was first accepted.
+        started_s: When its first task was started.
+        ended_s: When its last task ended.
+        starts: How many runs were started.
+        bad_ends: Ends of runs other than done.
+    """
+
+    service: str = ""
+    accepted_s: float | None = None
+    started_s: float | None = None
+    ended_s: float | None = None
+    starts: int = 0
+    bad_ends: Counter[str] = field(default_factory=Counter)
+
+
+class DayLog:
+    """Gathers the events of a day.
+
+    Args:
+        events: The events, in order of time.
+    """
+
+    __slots__ = ("_services", "_states", "jobs", "lacks", "moves", "terms")
+
+    def __init__(self, *, events: Iterable[Event]) -> None:
+        self._services: dict[int, str] = {}
+        self._states: dict[tuple[str, int], Event] = {}
+        self.lacks: dict[tuple[str, int], tuple[int, int]] = {}
+        """The most machines that a service lacked and offered in a second."""
+        self.moves: list[tuple[float, str, str]] = []
+        """Time, from which pool, to which."""
+        self.terms: dict[str, list[tuple[float, str]]] = defaultdict(list)
+        self.jobs: dict[str, JobTimes] = defaultdict(JobTimes)
+        readers = {
+            "pool-state": self._read_state,
+            "need-told": self._read_need,
+            "machine-ordered": self._read_order,
+            "term-begun": self._read_term,
+            "job-submit": self._read_submit,
+            "run-started": self._read_start,
+            "run-ended": self._read_end,
+        }
+        for event in events:
+            reader = readers.get(event.name)
+            if reader is not None:
+                reader(event)
+
+    @property
+    def services(self) -> list[str]:
+        """All services that a scheduler spoke of."""
+        return sorted({service for service, _ in self._states})
+
+    def _read_state(self, event: Event) -> None:
+        self._states[(event.fields["service"], int(event.at_s // 1))] = event
+
+    def _read_need(self, event: Event) -> None:
+        key = (event.fields["service"], int(event.at_s // 1))
+        lacking, free = self.lacks.get(key, (0, 0))
+        told = event.fields
+        self.lacks[key] = (max(lacking, told["lacking"]), max(free, told["free"]))
+
+    def _read_order(self, event: Event) -> None:
+        if event.fields["order"] == "move" and event.fields["outcome"] == "obeyed":
+            self.moves.append((event.at_s, event.fields["pool"], event.fields["to"]))
+
+    def _read_term(self, event: Event) -> None:
+        self._services[event.fields["token"]] = event.fields["service"]
+        self.terms[event.fields["service"]].append((event.at_s, event.process))
+
+    def _read_submit(self, event: Event) -> None:
+        job = self.jobs[event.fields["id"]]
+        if event.fields["outcome"] == "accepted" and job.accepted_s is None:
+            job.accepted_s = event.at_s
+
+    def _read_start(self, event: Event) -> None:
+        job = self.jobs[event.fields["id"]]
+        job.service = self._services.get(event.fields["token"], "")
+        job.starts += 1
+        if job.started_s is None and event.fields["outcome"] == "obeyed":
+            job.started_s = event.at_s
+
+    def _read_end(self, event: Event) -> None:
+        job = self.jobs[event.fields["id"]]
+        if event.fields["how"] == "done":
+            job.ended_s = event.at_s
+        else:
+            job.bad_ends[event.fields["how"]] += 1
+
+    def rows(self, service: str) -> Iterator[tuple[object, ...]]:
+        """Yield a row for each second of a service; see `HEADINGS`."""
+        seconds = sorted(second for name, second in self._states if name == service)
+        accepted = Counter(
+            int(job.accepted_s // 1)
+            for job in self.jobs.values()
+            if job.service == service and job.accepted_s is not None
+        )
+        for second in seconds:
+            state = self._states[(service, second)].fields
+            lacking, offered = self.lacks.get((service, second), ("", ""))
+            within = [row for row in self.moves if second <= row[0] < second + 1]
+            coming = sum(
+                1
+                for at_s, _, target in self.moves
+                if target == service and at_s < second + 1 <= at_s + ON_ITS_WAY_S
+            )
+            yield (
+                second,
+                *(state[name] for name in STATE_FIELDS),
+                accepted[second] or "",
+                lacking,
+                offered,
+                sum(1 for row in within if row[2] == service) or "",
+                sum(1 for row in within if row[1] == service) or "",
+                coming or "",
+                self._holder(service, second + 1),
+            )
+
+    def _holder(self, service: str, at_s: float) -> str:
+        before = [process for begun_s, process in self.terms[service] if begun_s < at_s]
+        return before[-1] if before else ""
+
+    def machine_seconds(self, service: str) -> dict[str, int]:
+        """Return the seconds of its machines, idle ones and ones with lasting tasks."""
+        states = [event.fields for (name, _), event in self._states.items() if name == service]
+        return {
+            name: sum(state[name] for state in states)
+            for name in ("workers", "idle", "with_lasting")
+        }
+
+
+def _print_service(log: DayLog, service: str, out: TextIO) -> None:
+    seconds = log.machine_seconds(service)
+    moves_in = sum(1 for _, _, target in log.moves if target == service)
+    print(f"\n{service}: machine-seconds {seconds}, moved in {moves_in}", file=out)
+    print("".join(f"{name:>12}" for name in HEADINGS), file=out)
+    for row in log.rows(service):
+        print("".join(f"{value!s:>12}" for value in row), file=out)
+
+
+def _print_jobs(log: DayLog, out: TextIO) -> None:
+    print("\njobs by service: accepted, waited, runs that did not end well", file=out)
+    by_service: dict[str, list[JobTimes]] = defaultdict(list)
+    for job in log.jobs.values():
+        if job.accepted_s is not None:
+            by_service[job.service].append(job)
+    for service, jobs in sorted(by_service.items()):
+        waits_s = [
+            job.started_s - job.accepted_s
+            for job in jobs
+            if job.started_s is not None and job.accepted_s is not None
+        ]
+        waited = [wait_s for wait_s in waits_s if wait_s > LATE_START_S]
+        ends: Counter[str] = Counter()
+        for job in jobs:
+            ends.update(job.bad_ends)
+        print(
+            f"{service or '(never started)'}: {len(jobs)} jobs, {len(waited)} waited "
+            f"{sum(waited):.0f} s, longest {max(waits_s, default=0):.1f} s, {dict(ends)}",
+            file=out,
+        )
+
+
+def main(paths: list[str]) -> None:
+    """Print the tables of each file."""
+    for path in paths:
+        with Path(path).open(encoding="utf-8", errors="replace") as lines:
+            log = DayLog(events=read_events(lines))
+        print(path)
+        for service in log.services:
+            _print_service(log, service, sys.stdout)
+        _print_jobs(log, sys.stdout)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- a/src/shallotworks/scheduling/_progress_writer.py
+++ b/src/shallotworks/scheduling/_progress_writer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 from returns.result import Success
@@ -42,7 +43,18 @@
         on_stored: Called after each commit.
     """
 
-    __slots__ = ("_board", "_holder", "_keys", "_log", "_metrics", "_on_stored", "_store", "wake")
+    __slots__ = (
+        "_board",
+        "_holder",
+        "_is_key_gone",
+        "_keys",
+        "_log",
+        "_metrics",
+        "_on_stored",
+        "_store",
+        "is_settled",
+        "wake",
+    )
 
     def __init__(
         self,
@@ -61,17 +73,36 @@
         self._metrics = metrics
         self._on_stored = on_stored
         self._keys = JobKeys(service=board.service)
+        self._is_key_gone = False
         self.wake = asyncio.Event()
         """Set when progress has changed."""
+        self.is_settled = asyncio.Event()
+        """Set while the store has all that was to be stored at the last change."""
 
     async def run(self) -> None:
         """Store progress as it changes, until cancelled."""
         while True:
             await self.wake.wait()
             self.wake.clear()
+            self.is_settled.clear()
             while dirty := self._board.dirty():
                 is_stored = await self._store_batch(_batch(dirty))
+                if self._is_key_gone:
+                    break
                 await asyncio.sleep(GATHER_S if is_stored else STORE_RETRY_S)
+            self.is_settled.set()
+
+    async def settle(self, longest_s: float) -> None:
+        """Wait until the store has all that is known, but no longer than this.
+
+        A term that is stopped between two commits would leave tasks that have ended to be waited
+        for by its successor, until that has seen their workers.
+        """
+        self.is_settled.clear()
+        self.wake.set()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(longest_s):
+                await self.is_settled.wait()
 
     async def _store_batch(self, entries: list[JobEntry]) -> bool:
         changes = {entry.job.job_id: entry.changes for entry in entries}
@@ -115,6 +146,7 @@
         current = {item.key: item for item in conflict.current}
         own = current.get(self._holder.key)
         if own is None or own.revision != self._holder.token:
+            self._is_key_gone = True
             self._holder.lose("its key is gone or another's")
             return
         for key, entry in keys.items():
--- a/src/shallotworks/scheduling/_term.py
+++ b/src/shallotworks/scheduling/_term.py
@@ -52,7 +52,8 @@
 HAND_OVER_FRESH_S = 1.0
 """A term whose store has not answered for this long, two renewals, ends without a word."""
 STOP_PATIENCE_S = 0.4
-"""A term that is given up waits this long for the orders in flight."""
+"""A term that is given up waits this long for the orders in flight, and as long for its last
+commit of progress."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -208,6 +209,7 @@
         """
         is_silent = self._holder.unconfirmed_s > HAND_OVER_FRESH_S
         if not is_silent and self.is_prepared.is_set():
+            await self._writer.settle(STOP_PATIENCE_S)
             await self._workers.hand_over()
 
     def _log(self, event: str, **fields: object) -> None:
--- a/src/shallotworks/scheduling/_term_workers.py
+++ b/src/shallotworks/scheduling/_term_workers.py
@@ -142,6 +142,10 @@
 
         What an earlier term left on a worker that was never reached ends no later for the change:
         where instances are stopped in turn, each successor would wait for it from the start.
+
+        The failure: a task runs again on another worker, after it has ended on one that is left out
+        since nothing runs there, and before its end was stored. Such a worker still tells the end,
+        so it is to be seen first.
         """
         now_s = self._clock()
         left: dict[str, Runner] = {}
@@ -150,6 +154,6 @@
             until_s = self._board.pending_recovery.get(worker_id)
             if until_s is not None:
                 left[worker_id] = Runner(address=address, left_s=max(0.0, until_s - now_s))
-            elif worker.runs:
+            elif worker.runs or worker.unsettled:
                 left[worker_id] = Runner(address=address)
         return left
--- a/tests/test_runners_record.py
+++ b/tests/test_runners_record.py
@@ -9,6 +9,8 @@
 from shallotworks.jobs import JobProgress, TaskName
 from shallotworks.metrics import Metrics
 from shallotworks.scheduling import (
+    EndKind,
+    MachineBook,
     OrderDesk,
     OrderTimes,
     Run,
@@ -19,12 +21,14 @@
     StartOrder,
     runners_key,
 )
+from shallotworks.scheduling._board import Stored
+from shallotworks.scheduling._term_workers import TermWorkers
 from shallotworks.standins import OrdersView, RecordStore, StoreView, TaskWorkers
 from shallotworks.store import HolderTimes
 from tests.fleet_history import SERVICE, History
 from tests.held_keys import acquire
 from tests.on_loop import run_story
-from tests.scheduling_fakes import job, quiet_log, step, view
+from tests.scheduling_fakes import Bench, job, quiet_log, step, view
 
 JOB_ID = "00000000000000ab"
 NAME = TaskName(JOB_ID, 0, 0, 0)
@@ -162,6 +166,75 @@
         run_story(story())
 
 
+class HandOverTests(unittest.TestCase):
+    def test_a_worker_is_left_that_told_an_end_which_is_not_stored(self) -> None:
+        """A clip was cut twice, when instances were restarted one after the other.
+
+        A task ends, and its scheduler hears of it just after it has stored another end, so that
+        this one waits for the next commit. The scheduler is stopped in that moment and leaves word
+        that nothing runs on the worker; its successor waits for nobody, and starts the task again
+        elsewhere before it has asked the worker, which still tells the end.
+        """
+
+        async def story() -> None:
+            loop = asyncio.get_running_loop()
+            store = RecordStore(rng=random.Random(1))
+            holder = await acquire(StoreView(store=store), times=LONG)
+            record = RunnersRecord(
+                service=SERVICE, holder=holder, store=StoreView(store=store), log=quiet_log()
+            )
+            bench = Bench(view("ended"), view("idle"))
+            workers = TermWorkers(
+                board=bench.board,
+                record=record,
+                directory=TaskWorkers(rng=random.Random(1)),
+                book=MachineBook(log=quiet_log()),
+                clock=loop.time,
+                recovery_s=OrderTimes().recovery_s,
+            )
+            bench.learn(job(JOB_ID, step(1)))
+            (order,) = bench.starts()
+            self.assertEqual("ended", order.run.worker_id)
+            bench.report("ended", ended=((NAME, order.run.run_id, EndKind.DONE),))
+            await workers.hand_over()
+            self.assertEqual({"ended"}, set(record.runners))
+            (dirty,) = bench.board.dirty()
+            stored = Stored(job_id=JOB_ID, changes=dirty.changes, revision=2)
+            bench.board.stored(stored)
+            await workers.hand_over()
+            self.assertEqual(set(), set(record.runners))
+
+        run_story(story())
+
+    def test_a_scheduler_that_is_stopped_stores_what_it_has_learnt(self) -> None:
+        """A successor waits for workers on which nothing runs, or runs ended tasks again.
+
+        The scheduler is stopped between two commits of progress; what it has learnt since the last
+        one is to be stored before its key is given back.
+        """
+
+        async def story() -> None:
+            history = History(seed=5, workers=8, instances=1)
+            job_ids = [f"{number:016x}" for number in range(1, 9)]
+            for number, job_id in enumerate(job_ids):
+                history.fleet.work_s[job_id] = 1.0 + 0.01 * number
+            (scheduler,) = history.instances
+            scheduler.start()
+            await asyncio.sleep(1.0)
+            whole_worker = step(1, cpu_millicores=4000)
+            await asyncio.gather(*(history.submit(one, whole_worker) for one in job_ids))
+            board = scheduler.terms[-1].board
+            while len(history.fleet.done) < 2 or not board.dirty():
+                await asyncio.sleep(0.001)
+            # A store that answers this slowly has not answered before the key is given back.
+            scheduler.view.faults.delay_s = 0.05
+            await scheduler.bidder.stop()
+            self.assertEqual([], board.dirty())
+            await _end(history)
+
+        run_story(story())
+
+
 class LeaseTests(unittest.TestCase):
     @parameterized.expand([("recorded", True), ("not recorded", False)])
     def test_only_a_recorded_worker_is_given_leases(self, _name: str, is_recorded: bool) -> None:
