Hold room on one worker for lasting tasks that find none

Change: one worker on which the task would fit once the tasks that end are over is kept free of others, the one with the most room.

--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -18,6 +18,7 @@
 from ._ordering import urgency
 from ._pacing import pace_orders
 from ._placement import Placement
+from ._wait_reason import WaitReason
 
 __all__ = ["Decider", "Decision"]
 
@@ -46,7 +47,7 @@
         order: Says which of the waiting steps gets room first, the smallest; see `urgency`.
     """
 
-    __slots__ = ("_board", "_now_s", "_order", "_wall_s")
+    __slots__ = ("_board", "_held", "_now_s", "_order", "_wall_s")
 
     def __init__(
         self,
@@ -56,6 +57,8 @@
     ) -> None:
         self._board = board
         self._order = order
+        self._held: set[str] = set()
+        """Workers whose room is held for lasting tasks, in this decision."""
         self._now_s = 0.0
         self._wall_s = 0.0
 
@@ -154,6 +157,7 @@
     def _starts(self, now_s: float, wall_s: float) -> Iterator[StartOrder | AdviceRequest]:
         steps = sorted(self._board.open_steps(), key=lambda step: self._order(step, wall_s))
         too_big: list[tuple[int, int, int]] = []
+        self._held.clear()
         for step in steps:
             if _needs_as_much_as(step, too_big):
                 continue
@@ -164,14 +168,17 @@
                 yield from self._start_gang(step, now_s)
                 continue
             yield from self._start_tasks(step, now_s)
+            if step.waiting and step.step.is_lasting:
+                self._hold_room(step, now_s)
             if step.waiting and _is_plain(step) and not step.is_hopeless(wall_s):
                 too_big.append((step.step.cpu_millicores, step.step.memory_mb, step.step.gpus))
 
     def _start_tasks(self, step: StepEntry, now_s: float) -> Iterator[StartOrder]:
         placement = Placement.of(step, now_s=now_s, wall_s=self._wall_s)
+        workers = self._workers_for(step)
         for index in list(step.waiting):
             avoid = step.job_entry.avoid.get(step.name(index), frozenset())
-            worker = placement.choose(self._board.workers.values(), avoid=avoid, rack=step.rack)
+            worker = placement.choose(workers, avoid=avoid, rack=step.rack)
             if worker is None:
                 return
             if step.step.is_one_rack and not step.rack:
@@ -180,6 +187,31 @@
             run = self._board.new_run(step, index, worker, run_id, now_s)
             yield self._start_order(step, run)
 
+    def _workers_for(self, step: StepEntry) -> list[Worker]:
+        workers = self._board.workers.values()
+        return [one for one in workers if step.step.is_lasting or one.worker_id not in self._held]
+
+    def _hold_room(self, step: StepEntry, now_s: float) -> None:
+        """Keep tasks that end off one worker, where lasting tasks of a step find no room.
+
+        The failure: a lasting task of a third of a worker's memory comes back in a turn. Whatever
+        room comes free is taken at once by smaller tasks that wait behind it, and it is down until
+        the turn is over. The worker with the most room is held, and since nothing is started there,
+        it is the one with the most room next time too; tasks of a turn take a second or two.
+        """
+        placement = Placement.of(step, now_s=now_s, wall_s=self._wall_s)
+        fitting = [
+            worker
+            for worker in self._board.workers.values()
+            if placement.obstacle(worker) is WaitReason.ROOM
+            and not worker.is_cordoned
+            and worker.lasting_from_s <= now_s
+            and worker.fits_beside_lasting(step.step)
+        ]
+        if fitting:
+            chosen = min(fitting, key=lambda worker: worker.lacks_for(step.step))
+            self._held.add(chosen.worker_id)
+
     def _start_gang(self, step: StepEntry, now_s: float) -> Iterator[StartOrder]:
         """Start all members at once or none: a part of them would only hold room and wait."""
         if len(step.waiting) < step.step.count:
@@ -204,9 +236,7 @@
         """Return a worker for each member, within a rack if one is named; ``None`` without room."""
         placement = Placement.of(step, now_s=now_s, wall_s=self._wall_s)
         workers = [
-            worker
-            for worker in self._board.workers.values()
-            if not rack or worker.view.rack == rack
+            worker for worker in self._workers_for(step) if not rack or worker.view.rack == rack
         ]
         trial: list[tuple[int, Worker, Run]] = []
         try:
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -317,6 +317,21 @@
             and self.gpus_used + step.gpus <= self.view.gpus
         )
 
+    def fits_beside_lasting(self, step: Step) -> bool:
+        """Whether a task of the step would fit once all tasks that end are over."""
+        lasting = [run.step for run in self.runs.values() if run.step.is_lasting]
+        cpu = sum(one.cpu_millicores for one in (*lasting, step) if not one.is_filler)
+        memory = sum(one.memory_mb for one in lasting) + step.memory_mb
+        gpus = sum(one.gpus for one in lasting) + step.gpus
+        view = self.view
+        return cpu <= view.cpu_millicores and memory <= view.memory_mb and gpus <= view.gpus
+
+    def lacks_for(self, step: Step) -> float:
+        """Return the larger part of its processor and memory that is missing for a task."""
+        cpu = self.cpu_used + step.cpu_millicores - self.view.cpu_millicores
+        memory = self.memory_used + step.memory_mb - self.view.memory_mb
+        return max(cpu / max(1, self.view.cpu_millicores), memory / max(1, self.view.memory_mb))
+
     def add(self, run: Run) -> None:
         """Count a run's room as used."""
         self.runs[(run.name, run.run_id)] = run
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -1,6 +1,7 @@
 """Tests of what the scheduler decides: order, placement, gangs, retries, hangs, pacing, budgets."""
 
 import unittest
+from collections.abc import Iterable
 
 from parameterized import parameterized
 
@@ -9,6 +10,7 @@
     AdviceRequest,
     EndKind,
     PaceOrder,
+    Run,
     RunningTask,
     RunPhase,
     StartOrder,
@@ -172,6 +174,64 @@
         self.assertEqual(["small"], [order.run.name.job_id for order in bench.starts()])
 
 
+class LastingInATurnTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("processor", step(1, is_lasting=True, cpu_millicores=3000, memory_mb=100)),
+            ("memory", step(1, is_lasting=True, cpu_millicores=1000, memory_mb=3000)),
+        ]
+    )
+    def test_a_large_lasting_task_comes_back_within_a_turn(self, _name: str, lasting: Step) -> None:
+        """A season archive stood still for ten seconds, until a turn of short clips was over.
+
+        Its worker is lost in the turn, and it needs three quarters of another one. Workers are
+        full of clips; each time one ends, the next clip takes the room, so that there is never
+        room for the archive at once, though it stands first in the order.
+        """
+        bench = Bench(view("a"), view("b"))
+        clips = [f"clip{number:02}" for number in range(40)]
+        for job_id in clips:
+            bench.learn(job(job_id, step(1, memory_mb=1000)))
+        running = {order.run.name: order.run for order in bench.starts()}
+        self.assertEqual(8, len(running))
+        bench.learn(job("archive", lasting))
+        for _ in range(8):
+            ended = next(iter(running.values()))
+            del running[ended.name]
+            bench.now_s += 0.1
+            bench.report(
+                ended.worker_id,
+                running=_rows(run for run in running.values() if run.worker_id == ended.worker_id),
+                ended=((ended.name, ended.run_id, EndKind.DONE),),
+            )
+            for order in bench.starts():
+                if order.run.name.job_id == "archive":
+                    return
+                running[order.run.name] = order.run
+        self.fail("the archive waits though each worker could hold it")
+
+    def test_the_other_workers_take_clips_meanwhile(self) -> None:
+        """Room is held on one worker only."""
+        bench = Bench(view("a"), view("b"))
+        bench.learn(job("first", step(8)))
+        self.assertEqual(8, len(bench.starts()))
+        bench.learn(job("archive", step(5, is_lasting=True, cpu_millicores=3000)))
+        bench.learn(job("clip", step(8)))
+        for worker_id in ("a", "b"):
+            bench.report(
+                worker_id,
+                ended=tuple(
+                    (name, run_id, EndKind.DONE)
+                    for (name, run_id) in list(bench.worker(worker_id).runs)[:1]
+                ),
+            )
+        self.assertEqual(1, len(bench.starts()))
+
+
+def _rows(runs: Iterable[Run]) -> tuple[RunningTask, ...]:
+    return tuple(RunningTask(name=run.name, run_id=run.run_id) for run in runs)
+
+
 class RetryTests(unittest.TestCase):
     def test_a_failed_task_runs_elsewhere(self) -> None:
         """One worker that fails all it is given must not use up a job's attempts."""
