Ask for a turn's machines in full at its start

Hypothesis: a turn's first second shows two fifths of its demand, and a moment in which all that came runs shows none; from the first sign to the last order 3.7 s passed on one turn. Change: the rate is also taken over the time since the first job of the window, once three more have come in 0.3 s; what arrives beyond the pool's room counts also while nothing waits. Measured: three tests of the load.

--- a/src/shallotworks/scheduling/_sizing.py
+++ b/src/shallotworks/scheduling/_sizing.py
@@ -30,6 +30,9 @@
             takes longer to come.
         window_s: Demand is measured over this long: shorter follows the start of a turn sooner, and
             single large jobs more.
+        onset_s: ... but where several jobs have come since a quiet moment, over the time since the
+            first of them, once that is this long: jobs of one moment show no rate.
+        onset_jobs: So many, beside the first: fewer may come close together by chance.
         idle_s: A worker on which nothing has run for this long may go.
         patience_s: Tasks that end get this long on a worker that is to be emptied.
         lasting_after_s: Lasting tasks wait this long before they are placed on a worker that was
@@ -40,6 +43,8 @@
     backlog_s: float = 0.8
     idle_s: float = 0.3
     window_s: float = 1.0
+    onset_s: float = 0.3
+    onset_jobs: int = 3
     patience_s: float = 1.5
     lasting_after_s: float = 3.0
     largest_lack: int = 64
@@ -152,12 +157,14 @@
     def _lacking(self, wall_s: float) -> int:
         """Return the machines that the pool needs beyond what it has.
 
-        What arrives now must be carried, and what waits must be finished in time; a pool with
-        nothing waiting lacks nothing, and for what is late no machines are borrowed.
+        What arrives now must be carried, and what waits must be finished in time; for what is late
+        no machines are borrowed. A pool that carries what arrives lacks nothing while nothing
+        waits. One that doesn't lacks machines also in the moments in which all its tasks run, as
+        often at the start of a turn, after machines have come: asked only while tasks waited, it
+        stood at a third of what its turn took for 1.2 s.
         """
         waiting_millicore_s = self._waiting_millicore_s(wall_s)
-        if not waiting_millicore_s:
-            return 0
+        arriving = self._arriving(wall_s)
         usable = self._usable()
         size = max((worker.view.cpu_millicores for worker in usable), default=0)
         size = size or DEFAULT_MACHINE_MILLICORES
@@ -166,7 +173,9 @@
             for worker in usable
             if worker.worker_id not in self._cordoned
         )
-        wanted = waiting_millicore_s / self._limits.backlog_s + self._arriving(wall_s)
+        if not waiting_millicore_s and arriving <= have:
+            return 0
+        wanted = waiting_millicore_s / self._limits.backlog_s + arriving
         lack = -(-(wanted - have) // size)
         return int(max(0 if have else 1, min(lack, self._limits.largest_lack)))
 
@@ -183,10 +192,19 @@
         return total
 
     def _arriving(self, wall_s: float) -> float:
-        """Return the millicores that the jobs of the last moments ask for in a second."""
+        """Return the millicores that the jobs of the last moments ask for in a second.
+
+        At the start of a turn a window holds quiet time too: after 0.4 s of a turn, a second's
+        window shows two fifths of what it takes. The jobs since the first one of the window show
+        it, but for that first one, whose own time is not known.
+        """
         window_s = self._limits.window_s
-        recent = sum(core_s for at_s, core_s in self._board.arrivals if wall_s - at_s <= window_s)
-        return recent * 1000 / window_s
+        recent = [row for row in self._board.arrivals if wall_s - row[0] <= window_s]
+        whole = sum(core_s for _, core_s in recent) / window_s
+        since_s = wall_s - recent[0][0] if recent else 0.0
+        if len(recent) <= self._limits.onset_jobs or since_s < self._limits.onset_s:
+            return whole * 1000
+        return max(whole, sum(core_s for _, core_s in recent[1:]) / since_s) * 1000
 
     def _surplus(self, now_s: float) -> set[str]:
         usable = [one for one in self._usable() if one.worker_id not in self._cordoned]
--- a/tests/test_pool_sizing.py
+++ b/tests/test_pool_sizing.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from shallotworks.jobs import JobProgress
 from shallotworks.scheduling import EndKind, PoolNeed, PoolSizer, RunningTask, SizingLimits
 from tests.scheduling_fakes import WALL_S, Bench, job, step, view
 
@@ -15,9 +16,15 @@
         super().__init__(*(view(name) for name in names))
         self.sizer = PoolSizer(board=self.board, limits=LIMITS)
 
-    def assess(self, *due: str) -> PoolNeed:
-        """Return what the keeper is told."""
-        return self.sizer.assess(frozenset(due), now_s=self.now_s, wall_s=WALL_S)
+    def assess(self, *due: str, after_s: float = 0.0) -> PoolNeed:
+        """Return what the keeper is told, some time after the jobs' arrival."""
+        return self.sizer.assess(frozenset(due), now_s=self.now_s, wall_s=WALL_S + after_s)
+
+    def arrive(self, job_id: str, at_s: float, count: int) -> None:
+        """Let a job of so many core-seconds arrive."""
+        one = job(job_id, step(count), accepted_s=WALL_S + at_s)
+        progress = JobProgress(queue=one.policy.queue)
+        self.board.job_learnt(one, progress, revision=1, is_old=False, wall_s=WALL_S + at_s)
 
 
 class LackTests(unittest.TestCase):
@@ -47,6 +54,41 @@
         self.assertEqual(1, bench.assess().lacking)
 
 
+class OnsetTests(unittest.TestCase):
+    """A queue's turn: calm, and then several times what its pool holds, from one moment on."""
+
+    def test_a_turn_is_asked_for_in_full_soon_after_its_start(self) -> None:
+        """The first second of a turn is late, and with it all that waits behind it.
+
+        Clips of three core-seconds come every tenth of a second, so the turn takes 30 cores. After
+        0.4 s a pool of four is to ask for nearly all of them, not for what it has seen of a second.
+        """
+        bench = Sized("a")
+        for number in range(5):
+            bench.arrive(f"j{number}", at_s=number * 0.1, count=3)
+        self.assertGreaterEqual(bench.assess(after_s=0.4).lacking, (30 - 4) // 4)
+
+    def test_a_few_jobs_at_once_are_no_turn(self) -> None:
+        """Three jobs that come close together are carried by the pool's own workers."""
+        bench = Sized("a", "b", "c", "d")
+        for number in range(3):
+            bench.arrive(f"j{number}", at_s=number * 0.1, count=3)
+        bench.starts()
+        self.assertEqual(0, bench.assess(after_s=0.3).lacking)
+
+    def test_machines_are_lacking_while_all_that_came_runs(self) -> None:
+        """A turn stands still at the machines that came first, since for a moment nothing waits."""
+        bench = Sized("a", "b")
+        for number in range(8):
+            bench.arrive(f"j{number}", at_s=number * 0.1, count=3)
+        bench.starts()
+        for worker_id in ("a", "b"):
+            bench.worker(worker_id).view = view(worker_id, cpu_millicores=12_000)
+        bench.starts()
+        self.assertEqual([], [one for one in bench.board.open_steps() if one.waiting])
+        self.assertEqual(1, bench.assess(after_s=0.75).lacking)
+
+
 class YieldTests(unittest.TestCase):
     def test_late_work_leaves_borrowed_workers(self) -> None:
         """A queue's turn is lost while late jobs of another keep its lent machines busy.
