Let waves pass turns

Hypothesis: six machines of a wave are down at once in the second in which a turn begins, while the wave has four times the time that it takes. Change: while a queue lacks machines a wave waits, unless less than one and a half times the time that its machines need is left of its own.

--- a/src/shallotworks/scheduling/_waves.py
+++ b/src/shallotworks/scheduling/_waves.py
@@ -25,6 +25,12 @@
 """A machine that is not listed for this long, when the wave's time is over too, has left. One that
 lost power is not listed either, for 8 s in the users' days; told too early that it is completed, a
 wave would leave it out, and a late wave costs little."""
+SLOT_S = 4.0
+"""An upkeep keeps its slot for this long: 1.5 s until its worker is empty, 2 s of upkeep (source:
+the platform's settings), and the time until it is seen to be back."""
+HASTE = 1.5
+"""A wave goes on beside a queue's turn when less than this many times the time that its machines
+take, with all slots in use, is left of its own."""
 AHEAD = 2
 """Machines that are emptied ahead of a wave's free slots, for each slot."""
 
@@ -158,6 +164,21 @@
             and machines[name].state is MachineState.UP
         ]
 
+    def yields(self, wave: Upkeep, record: WaveRecord) -> bool:
+        """Whether a wave can wait while a queue lacks machines.
+
+        The load: the operators' wave and a queue's turn begin in the same second. Six machines at
+        once were down for 2 s each, of the 20 that the turn lacked; the wave had 26 s, and took 6.
+        What lacks machines is asked each time, so that the wave goes on between turns, and beside
+        them when its own time runs short.
+        """
+        if not any(need.lacking for need in self._parts.book.needs.values()):
+            return False
+        left = len(wave.machines) - len(record.done)
+        rounds = math.ceil(left / max(1, wave.most_at_once))
+        ends_s = record.first_s + wave.duration_s
+        return ends_s - self._parts.wall_clock() > rounds * SLOT_S * HASTE
+
     def next_due(
         self,
         wave: Upkeep,
@@ -174,6 +195,8 @@
             earlier: Workers that are being emptied.
         """
         left = [one for one in self._left(wave, record, machines) if one.worker_id]
+        if self.yields(wave, record):
+            left = []
         free = {worker for need in self._parts.book.needs.values() for worker in need.free}
         left.sort(key=lambda one: (one.worker_id not in earlier, one.worker_id not in free))
         chosen = [*left[: wave.most_at_once * AHEAD], *self._unproved(record, machines)]
@@ -199,6 +222,8 @@
     ) -> int:
         """Take slots and order upkeeps; return the revision of the record."""
         slots = max(0, wave.most_at_once - len(record.down))
+        if self.yields(wave, record):
+            slots = 0
         left = self._left(wave, record, machines)
         free = [machine for machine in left if self._orders.seems_free(machine)]
         for machine in await self._orders.prepare(free[:slots]):
