Send machines home at once, to standby after a rest; forget old orders

The new keeper found the machines of the last turn named in a word of five seconds before, and left them alone for three more. Change: a pool that misses machines gets them at once, only what no pool misses rests 2 s before it goes to the standby pool. Machines go from the keeper's word when their orders are old, by a write of its own, once a second at the most. Measured: a test of the word.

--- a/src/shallotworks/scheduling/_keeper.py
+++ b/src/shallotworks/scheduling/_keeper.py
@@ -47,8 +47,10 @@
             while not self._holder.lost.is_set():
                 if not self._holder.may_act:
                     self._record.rest()
-                elif self._has_work():
-                    await self._round()
+                else:
+                    if self._has_work():
+                        await self._round()
+                    await self._record.forget_old()
                 await asyncio.sleep(ROUND_S)
         finally:
             keep.cancel()
--- a/src/shallotworks/scheduling/_keeper_record.py
+++ b/src/shallotworks/scheduling/_keeper_record.py
@@ -18,9 +18,12 @@
 """... and remembered for this long, so that what the last word told is not taken for news."""
 TURNS_MARGIN_S = 0.2
 """For clocks, beyond the time that two holders' orders must be apart."""
-ORDERED_TOLD_S = 4.0
-"""A machine is told of for this long after it was ordered, longer than two holders' orders must be
-apart (3 s; source: the platform's settings)."""
+ORDERED_TOLD_MARGIN_S = 0.4
+"""A machine is told of for this much longer than two holders' orders must be apart."""
+FORGET_EVERY_S = 1.0
+"""The word is written anew this often at the most where only machines are to go from it. They go
+though each call is paid for: a new keeper found those that a turn had borrowed named in a word of
+five seconds before, and left them alone for three more, when the next turn lacked them."""
 
 
 class KeeperRecord:
@@ -40,6 +43,7 @@
     __slots__ = (
         "_begun_s",
         "_blocked",
+        "_forgot_s",
         "_holder",
         "_ordered",
         "_over",
@@ -56,6 +60,7 @@
         self._begun_s = parts.clock()
         self._blocked: frozenset[str] | None = None
         """Machines that have to wait; ``None`` for all."""
+        self._forgot_s = parts.clock()
         self._ordered: dict[str, float] = {}
         """Machines for which orders may have been given, with the latest moment."""
         self._over: dict[str, float] = {}
@@ -108,6 +113,15 @@
             return True
         return await self._put(self.told.due, self.told.recalls)
 
+    async def forget_old(self) -> None:
+        """Take machines from the word whose orders no new keeper can come too close to."""
+        now_s = self._parts.clock()
+        if not self.is_read or now_s - self._forgot_s < FORGET_EVERY_S:
+            return
+        self._forgot_s = now_s
+        if set(self.told.ordered or ()) - set(self._recently_ordered()):
+            await self._put(self.told.due, self.told.recalls)
+
     def note_over(self, worker_id: str) -> None:
         """Take note that a worker was taken away."""
         self._over[worker_id] = self._parts.clock()
@@ -120,10 +134,7 @@
             await self._put(due, recalls)
 
     async def _put(self, due: frozenset[str], recalls: dict[str, int]) -> bool:
-        now_s = self._parts.clock()
-        self._ordered = {
-            name: at_s for name, at_s in self._ordered.items() if now_s - at_s < ORDERED_TOLD_S
-        }
+        self._ordered = self._recently_ordered()
         word = KeeperWord(
             due=due,
             over=self._over_told(),
@@ -135,6 +146,11 @@
             self.told = word
         return is_told
 
+    def _recently_ordered(self) -> dict[str, float]:
+        told_s = self._parts.turns_apart_s + ORDERED_TOLD_MARGIN_S
+        now_s = self._parts.clock()
+        return {name: at_s for name, at_s in self._ordered.items() if now_s - at_s < told_s}
+
     def _over_told(self) -> tuple[str, ...]:
         """Return the workers that were taken away of late, by this keeper or the one before it.
 
--- a/src/shallotworks/scheduling/_moves.py
+++ b/src/shallotworks/scheduling/_moves.py
@@ -27,11 +27,12 @@
 that, while the borrower is still busy with its last one. Lending all of it left a queue with a
 seventh of what it was owed in its turn (a day of the users' with large jobs before it)."""
 REST_S = 2.0
-"""A borrowed machine has to be idle for this long before it is sent back: the next queue's turn may
-begin meanwhile, and takes it where it stands. Sent back at once, it is under way for 1.5 s when
-that turn lacks it, and moves twice. By the users' prices a move costs as much as 1.14 seconds of a
-machine: to wait for the time that the saved moves would pay for is never dearer than twice the
-best choice."""
+"""A borrowed machine that no pool misses has to be idle for this long before it goes to the standby
+pool: the next queue's turn may begin meanwhile, and takes it where it stands. Sent off at once, it
+is under way for 1.5 s when that turn lacks it, and moves twice. By the users' prices a move costs
+as much as 1.14 seconds of a machine: to wait for the time that the saved moves would pay for is
+never dearer than twice the best choice. One that a pool misses goes home at once: left where they
+stood, 17 idle machines were out of reach when the keeper changed as the next turn began."""
 HOME_KEY = "shallotworks/home-sizes"
 
 
@@ -137,13 +138,12 @@
         for machine in idle:
             if len(moves) >= MOVES_A_ROUND or sizes[machine.pool] <= home.get(machine.pool, 0):
                 continue
-            if not self._has_rested(machine):
-                continue
             short = [one for one in home if one not in standby and sizes.get(one, 0) < home[one]]
             target = max(short, key=lambda one: home[one] - sizes.get(one, 0), default=None)
-            target = target or min(standby, default=None)
             if target is None:
-                break
+                if not standby or not self._has_rested(machine):
+                    continue
+                target = min(standby)
             if (machine.name, target) in self._misfits:
                 continue
             moves.append((machine, target))
--- a/tests/test_machine_keeper.py
+++ b/tests/test_machine_keeper.py
@@ -489,6 +489,29 @@
 
         run_story(story())
 
+    def test_machines_that_were_ordered_long_ago_are_not_named(self) -> None:
+        """A turn's machines stayed out of reach for three seconds after the keeper had changed.
+
+        They were ordered in the turn before, and the keeper had had nothing to do since.
+        """
+
+        async def story() -> None:
+            world = World(antenna=1, spare=2)
+            before = KeeperWord(ordered=())
+            world.store.put(MACHINES_PREFIX + "keeper", before.encode())
+            world.tell("antenna", lacking=2)
+            await world.start()
+            await asyncio.sleep(1.0)
+            world.tell("antenna")
+            item = world.store.items[MACHINES_PREFIX + "keeper"]
+            self.assertEqual(("m1", "m2"), KeeperWord.decode(item.value).ordered)
+            await asyncio.sleep(5.0)
+            item = world.store.items[MACHINES_PREFIX + "keeper"]
+            self.assertEqual((), KeeperWord.decode(item.value).ordered)
+            world.stop()
+
+        run_story(story())
+
     @parameterized.expand([("move",), ("upkeep",)])
     def test_a_machine_is_named_in_the_store_before_it_is_ordered(self, order: str) -> None:
         """Two holders that take turns on a machine, since the second did not know of an order."""
