Order the machines of a round together

Cause: where the store takes 0.3 s for a call, a turn's machines took 4 s to order one after the other: before each the lender's word is read once more. Change: they are ordered at the same time. Measured: a test on a slow store, which failed before.

--- a/src/shallotworks/scheduling/_moves.py
+++ b/src/shallotworks/scheduling/_moves.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 
 from returns.result import Success
@@ -82,8 +83,14 @@
         moves = self._lend(idle, resting, home, sizes)
         moves += self._send_back(idle, home, sizes)
         targets = {machine.name: target for machine, target in moves}
-        for machine in await self._orders.prepare([machine for machine, _ in moves]):
-            await self._move(machine, targets[machine.name])
+        # Together: where the store takes 0.3 s for a call, a turn's machines one after the other
+        # took 4 s to order.
+        await asyncio.gather(
+            *(
+                self._move(machine, targets[machine.name])
+                for machine in await self._orders.prepare([machine for machine, _ in moves])
+            )
+        )
 
     def _watch_arrivals(self, machines: dict[str, Machine]) -> None:
         """Let go of moves that are over."""
--- a/tests/test_machine_keeper.py
+++ b/tests/test_machine_keeper.py
@@ -130,8 +130,8 @@
         if machine not in (ordered or ()):
             self.unnamed.append(machine)
 
-    async def start(self) -> Holder:
-        """Start a keeper."""
+    async def start(self, *, answer_s: float = 0.0) -> Holder:
+        """Start a keeper, whose store answers this much later."""
         view = StoreView(store=self.store)
         clock = asyncio.get_running_loop().time
         holder = await Holder.acquire(
@@ -144,6 +144,7 @@
             log=quiet_log(),
         )
         assert holder is not None
+        view.faults.delay_s = answer_s
         mirror = Mirror(store=view, prefix=MACHINES_PREFIX, listener=self.book, log=quiet_log())
         parts = KeeperParts(
             machines=self.platform,
@@ -628,6 +629,25 @@
 
         run_story(story())
 
+    def test_a_slow_store_delays_a_turns_machines_once(self) -> None:
+        """A turn waits for seconds for machines that are idle, while the store is slow.
+
+        Before each order the lender's word is read once more, which takes 0.3 s here.
+        """
+
+        async def story() -> None:
+            world = World(antenna=2, coverage=16)
+            before = KeeperWord(ordered=())
+            world.store.put(MACHINES_PREFIX + "keeper", before.encode())
+            world.tell("coverage", free=True)
+            world.tell("antenna", lacking=8)
+            await world.start(answer_s=0.3)
+            await asyncio.sleep(2.5)
+            self.assertEqual(8, len(world.moves()))
+            world.stop()
+
+        run_story(story())
+
     def test_the_next_turn_takes_machines_where_they_stand(self) -> None:
         """A queue's turn waits 1.5 s longer, as the machines of the last one were just sent away.
 
