Keep late work off for all that a turn lacks

Hypothesis: a turn lacks 60 machines while 16 that another queue has borrowed work off jobs which are late anyway; the borrower was asked to yield only what the lender itself had lent. Change: it is asked for as many as others lack, of what it has borrowed. Measured: a test.

--- a/src/shallotworks/scheduling/_moves.py
+++ b/src/shallotworks/scheduling/_moves.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections import Counter
 
 from returns.result import Success
 
@@ -159,20 +160,25 @@
         return moves
 
     async def recalls(self, machines: dict[str, Machine]) -> dict[str, int]:
-        """Return how many borrowed machines each service is asked to give back."""
+        """Return how many borrowed machines each service is asked to give up.
+
+        The load: a queue's turn lacks 60 machines, while 16 work off jobs of the turn before, which
+        are late whatever is done. For as many as are lacking, the borrowers keep late work off.
+        What is lacking counts, and not only what the lenders lent: in a turn a queue needs three
+        times its own machines, and a job in time is worth fourteen late ones.
+        """
         home = await self._home_sizes(machines)
         if home is None:
             return {}
         sizes = self._sizes(machines)
-        wanted = sum(
-            max(0, min(need.lacking, home.get(service, 0) - sizes.get(service, 0)))
-            for service, need in self._parts.book.needs.items()
-        )
+        lacking = Counter(self._takers())
+        wanted = lacking.total()
         recalls: dict[str, int] = {}
         for service in sorted(self._parts.book.needs):
             borrowed = sizes.get(service, 0) - home.get(service, 0)
-            if service not in self._parts.standby() and borrowed > 0 and wanted > 0:
-                recalls[service] = min(borrowed, wanted)
+            by_others = min(wanted, lacking.total() - lacking[service])
+            if service not in self._parts.standby() and borrowed > 0 and by_others > 0:
+                recalls[service] = min(borrowed, by_others)
                 wanted -= recalls[service]
         return recalls
 
--- a/tests/test_machine_keeper.py
+++ b/tests/test_machine_keeper.py
@@ -648,6 +648,32 @@
 
         run_story(story())
 
+    def test_late_work_is_kept_off_for_all_that_a_turn_lacks(self) -> None:
+        """A turn is lost while the one before it works off jobs that are late anyway.
+
+        A pool of one has borrowed four machines, all busy. The next queue has its own machines, and
+        lacks three times as many; the borrower is asked to keep late work off all that it borrowed.
+        """
+
+        async def story() -> None:
+            world = World(antenna=1, coverage=1, spare=4)
+            before = KeeperWord(ordered=())
+            world.store.put(MACHINES_PREFIX + "keeper", before.encode())
+            world.tell("antenna", lacking=4)
+            await world.start()
+            await asyncio.sleep(2.0)
+            world.tell("antenna")
+            world.tell("coverage", lacking=3)
+            await asyncio.sleep(0.5)
+            self.assertEqual({"antenna": 3}, world.book.keeper.recalls)
+            world.tell("antenna", lacking=9)
+            world.tell("coverage", lacking=9)
+            await asyncio.sleep(0.5)
+            self.assertEqual({"antenna": 4}, world.book.keeper.recalls)
+            world.stop()
+
+        run_story(story())
+
     def test_the_next_turn_takes_machines_where_they_stand(self) -> None:
         """A queue's turn waits 1.5 s longer, as the machines of the last one were just sent away.
 
