--- a/src/shallotworks/scheduling/_sizing.py
+++ b/src/shallotworks/scheduling/_sizing.py
@@ -30,8 +30,6 @@
             takes longer to come.
         window_s: Demand is measured over this long: shorter follows the start of a turn sooner, and
             single large jobs more.
-        release_s: Machines that are idle are kept as far as the demand of this long takes them: the
-            jobs of a turn come four a second, and a second with one of them is not its end.
         onset_s: ... but where several jobs have come since a quiet moment, over the time since the
             first of them, once that is this long: jobs of one moment show no rate.
         onset_jobs: So many, beside the first: fewer may come close together by chance.
@@ -45,7 +43,6 @@
     backlog_s: float = 0.8
     idle_s: float = 0.3
     window_s: float = 1.0
-    release_s: float = 2.0
     onset_s: float = 0.3
     onset_jobs: int = 3
     patience_s: float = 1.5
@@ -86,7 +83,7 @@
         self._watch_idle(now_s)
         lacking = self._lacking(wall_s)
         self._cordon_due(due, now_s)
-        offered = set() if self._board.has_tasks_to_place(now_s) else self._surplus(now_s, wall_s)
+        offered = set() if self._board.has_tasks_to_place(now_s) else self._surplus(now_s)
         for worker in self._board.workers.values():
             self._offer(worker, worker.worker_id in offered, now_s)
         self._offered = offered
@@ -203,22 +200,13 @@
         """
         window_s = self._limits.window_s
         recent = [row for row in self._board.arrivals if wall_s - row[0] <= window_s]
-        whole = self._mean_arriving(wall_s, window_s) / 1000
+        whole = sum(core_s for _, core_s in recent) / window_s
         since_s = wall_s - recent[0][0] if recent else 0.0
         if len(recent) <= self._limits.onset_jobs or since_s < self._limits.onset_s:
             return whole * 1000
         return max(whole, sum(core_s for _, core_s in recent[1:]) / since_s) * 1000
 
-    def _mean_arriving(self, wall_s: float, window_s: float) -> float:
-        recent = (core_s for at_s, core_s in self._board.arrivals if wall_s - at_s <= window_s)
-        return sum(recent) * 1000 / window_s
-
-    def _surplus(self, now_s: float, wall_s: float) -> set[str]:
-        """Return the workers that the pool can do without.
-
-        The load: within a turn hardly anything comes for a second. The eleven machines that were
-        idle by then went home, and a second later the turn lacked 52.
-        """
+    def _surplus(self, now_s: float) -> set[str]:
         usable = [one for one in self._usable() if one.worker_id not in self._cordoned]
         idle = [
             worker
@@ -226,14 +214,7 @@
             if self._is_known_empty(worker)
             and now_s - self._idle_since.get(worker.worker_id, now_s) >= self._limits.idle_s
         ]
-        spare = sum(worker.view.cpu_millicores for worker in usable)
-        spare -= int(self._mean_arriving(wall_s, self._limits.release_s))
-        surplus: set[str] = set()
-        for worker in sorted(idle, key=lambda one: one.worker_id not in self._offered):
-            spare -= worker.view.cpu_millicores
-            if spare >= 0:
-                surplus.add(worker.worker_id)
-        return surplus
+        return {worker.worker_id for worker in idle}
 
     def _is_known_empty(self, worker: Worker) -> bool:
         """Whether surely nothing runs on a worker, also nothing that an earlier term started.
--- a/tests/test_pool_sizing.py
+++ b/tests/test_pool_sizing.py
@@ -129,23 +129,6 @@
         bench.now_s += 3.1
         self.assertEqual(["lasts"], [order.run.name.job_id for order in bench.starts()])
 
-    def test_a_lull_within_a_turn_sends_no_machines_away(self) -> None:
-        """Callers of a turn wait for machines that were theirs a second ago.
-
-        Five jobs of three core-seconds came within a second, then none for another one: the turn
-        takes seven cores and a half, so two of three idle workers stay. When nothing has come for
-        two seconds, all may go.
-        """
-        bench = Sized("a", "b", "c")
-        for number in range(5):
-            bench.arrive(f"j{number}", at_s=number * 0.2, count=3)
-        for job_id in list(bench.board.entries):
-            bench.board.job_deleted(job_id)
-        bench.assess(after_s=1.0)
-        bench.now_s += 0.5
-        self.assertEqual(1, len(bench.assess(after_s=1.9).free))
-        self.assertEqual(3, len(bench.assess(after_s=3.0).free))
-
     def test_busy_workers_are_kept(self) -> None:
         """What runs is not taken away."""
         bench = Sized("a", "b")
