--- a/tests/test_machine_keeper.py
+++ b/tests/test_machine_keeper.py
@@ -404,8 +404,8 @@
         """Callers of a turn wait, as machines that their queue lacks are down for upkeep.
 
         Two machines at a time, four in all: eight seconds of upkeep, of the thirty that the wave
-        has. It waits while a queue lacks machines, which may borrow those of the wave meanwhile, and
-        goes on when the turn is over; a wave whose own time runs short goes on beside it.
+        has. It waits while a queue lacks machines, which may borrow those of the wave meanwhile,
+        and goes on when the turn is over; a wave whose own time runs short goes on beside it.
         """
 
         async def story() -> None:
