--- a/tests/lasting_history.py
+++ b/tests/lasting_history.py
@@ -31,8 +31,8 @@
     TermParts,
     need_key,
 )
+from shallotworks.scheduling._keeper_record import OVER_TOLD_S
 from shallotworks.scheduling._machine_book import KeeperWord, keeper_key
-from shallotworks.scheduling._machine_orders import OVER_TOLD_S
 from shallotworks.standins import (
     OrderFaults,
     RecordFaults,
