--- a/src/shallotworks/scheduling/_keeper_record.py
+++ b/src/shallotworks/scheduling/_keeper_record.py
@@ -20,11 +20,6 @@
 """For clocks, beyond the time that two holders' orders must be apart."""
 ORDERED_TOLD_MARGIN_S = 0.4
 """A machine is told of for this much longer than two holders' orders must be apart."""
-RESUME_S = 1.2
-"""After its own key has rested a keeper gives no order for this long: schedulers that rested with
-it renew every 0.2 s then, and tell 0.1 s later what they offer; where lasting tasks were lost they
-take offers back. No other keeper has ordered anything meanwhile. It was the time that orders of two
-keepers must be apart, and a turn lacked 43 machines for 3 s after an outage, with 18 idle."""
 FORGET_EVERY_S = 1.0
 """The word is written anew this often at the most where only machines are to go from it. They go
 though each call is paid for: a new keeper found those that a turn had borrowed named in a word of
@@ -49,7 +44,6 @@
         "_begun_s",
         "_blocked",
         "_forgot_s",
-        "_free_from_s",
         "_holder",
         "_ordered",
         "_over",
@@ -67,7 +61,6 @@
         self._blocked: frozenset[str] | None = None
         """Machines that have to wait; ``None`` for all."""
         self._forgot_s = parts.clock()
-        self._free_from_s = parts.clock()
         self._ordered: dict[str, float] = {}
         """Machines for which orders may have been given, with the latest moment."""
         self._over: dict[str, float] = {}
@@ -98,13 +91,12 @@
             return KeeperWord(ordered=None)
 
     def rest(self) -> None:
-        """Take note that the key rests: no order is given until a while after."""
-        self._free_from_s = self._parts.clock() + RESUME_S
+        """Let all machines wait anew, as schedulers that rested too write anew what they offer."""
+        self._begun_s = self._parts.clock()
+        self._blocked = None
 
     def may_order(self, machine: str) -> bool:
         """Whether no earlier order of another holder can be too close to one given now."""
-        if self._parts.clock() < self._free_from_s:
-            return False
         apart_s = self._parts.turns_apart_s + TURNS_MARGIN_S
         if self._parts.clock() - self._begun_s >= apart_s:
             return True
