--- a/bench/bottlenecks.py
+++ b/bench/bottlenecks.py
@@ -10,12 +10,12 @@
 import json
 import sys
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, TextIO
 
-__all__ = ["DayLog", "Event", "read_events"]
+__all__ = ["DayLog", "Event", "print_day", "read_events"]
 
 ON_ITS_WAY_S = 2.2
 """A machine that was ordered is listed as a worker after about this long."""
@@ -221,6 +221,13 @@
         }
 
 
+def print_day(log: DayLog, out: TextIO) -> None:
+    """Print a day's tables: each service's seconds, then its jobs."""
+    for service in log.services:
+        _print_service(log, service, out)
+    _print_jobs(log, out)
+
+
 def _print_service(log: DayLog, service: str, out: TextIO) -> None:
     seconds = log.machine_seconds(service)
     moves_in = sum(1 for _, _, target in log.moves if target == service)
@@ -253,15 +260,15 @@
         )
 
 
-def main(paths: list[str]) -> None:
-    """Print the tables of each file."""
+def main(paths: Sequence[str] = ()) -> None:
+    """Print the tables of each file; without any, what to name."""
+    if not paths:
+        print("name the output of a played day: python -m bench.bottlenecks FILE")
     for path in paths:
         with Path(path).open(encoding="utf-8", errors="replace") as lines:
             log = DayLog(events=read_events(lines))
         print(path)
-        for service in log.services:
-            _print_service(log, service, sys.stdout)
-        _print_jobs(log, sys.stdout)
+        print_day(log, sys.stdout)
 
 
 if __name__ == "__main__":
