--- a/src/shallotworks/scheduling/_placement.py
+++ b/src/shallotworks/scheduling/_placement.py
@@ -10,7 +10,7 @@
 from ._model import Worker
 from ._wait_reason import WaitReason
 
-__all__ = ["LEAST_WORKERS", "Placement"]
+__all__ = ["Placement"]
 
 LEAST_WORKERS = 3
 """A lasting step is spread over as many workers at least, so that a crash takes a third of it.
