--- a/src/shallotworks/scheduling/_moves.py
+++ b/src/shallotworks/scheduling/_moves.py
@@ -21,8 +21,8 @@
 ARRIVAL_S = 0.6
 """... and for this long after it has arrived: entries of workers are read every 0.4 s, and its
 scheduler has to tell what it lacks with that one counted in. A machine that counts as on its way
-beside its worker stands for two: of 19 that a turn lacked, 8 were ordered 1.5 s later than they
-could have been."""
+beside its worker stands for two: five that had come did so for 1.4 s, of the 8 to 15 that a turn
+lacked then."""
 MOVES_A_ROUND = 16
 KEPT_PART = 0.5
 """Part of its home size that a pool keeps while it is idle: its own callers' next turn begins with
--- a/src/shallotworks/scheduling/_sizing.py
+++ b/src/shallotworks/scheduling/_sizing.py
@@ -161,7 +161,7 @@
         no machines are borrowed. A pool that carries what arrives lacks nothing while nothing
         waits. One that doesn't lacks machines also in the moments in which all its tasks run, as
         often at the start of a turn, after machines have come: asked only while tasks waited, it
-        stood at a third of what its turn took for 1.2 s.
+        told of no lack for 1.2 s, in a turn that lacked 19 machines two seconds later.
         """
         waiting_millicore_s = self._waiting_millicore_s(wall_s)
         arriving = self._arriving(wall_s)
--- a/src/shallotworks/scheduling/_waves.py
+++ b/src/shallotworks/scheduling/_waves.py
@@ -168,9 +168,9 @@
         """Whether a wave can wait while a queue lacks machines.
 
         The load: the operators' wave and a queue's turn begin in the same second. Six machines at
-        once were down for 2 s each, of the 20 that the turn lacked; the wave had 26 s, and took 6.
-        What lacks machines is asked each time, so that the wave goes on between turns, and beside
-        them when its own time runs short.
+        once were down for 2 s each, of the 19 that the turn lacked; the wave had 26 s, and 14 of
+        its 15 upkeeps fell into the turn. What lacks machines is asked each time, so that the wave
+        goes on between turns, and beside them when its own time runs short.
         """
         if not any(need.lacking for need in self._parts.book.needs.values()):
             return False
@@ -183,7 +183,7 @@
         """Return the machines that a wave keeps from being lent.
 
         One that is lent has its upkeep later, in another pool. While a wave waits it keeps no more
-        than those that are down: half of all machines stood idle for it through a turn.
+        than those that are down: five and more stood idle for 4 s beside a turn that lacked 63.
         """
         if self.yields(wave, record):
             return set(record.down)
