Say once what the keeper's policies had said in several places

Change: the wait stands in `_left`, which both that empty and that take down ask; `KeeperParts` has a module of its own, and orders name their machines to `KeeperRecord` itself; the room is asked of a worker with just its lasting tasks; `_Move` is one thing; a decision that holds no room filters no workers. Behaviour stays.

--- a/bench/bottlenecks.py
+++ b/bench/bottlenecks.py
@@ -93,16 +93,12 @@
         service: Whose scheduler ran it.
         accepted_s: When it was first accepted.
         started_s: When its first task was started.
-        ended_s: When its last task ended.
-        starts: How many runs were started.
         bad_ends: Ends of runs other than done.
     """
 
     service: str = ""
     accepted_s: float | None = None
     started_s: float | None = None
-    ended_s: float | None = None
-    starts: int = 0
     bad_ends: Counter[str] = field(default_factory=Counter)
 
 
@@ -168,16 +164,12 @@
     def _read_start(self, event: Event) -> None:
         job = self.jobs[event.fields["id"]]
         job.service = self._services.get(event.fields["token"], "")
-        job.starts += 1
         if job.started_s is None and event.fields["outcome"] == "obeyed":
             job.started_s = event.at_s
 
     def _read_end(self, event: Event) -> None:
-        job = self.jobs[event.fields["id"]]
-        if event.fields["how"] == "done":
-            job.ended_s = event.at_s
-        else:
-            job.bad_ends[event.fields["how"]] += 1
+        if event.fields["how"] != "done":
+            self.jobs[event.fields["id"]].bad_ends[event.fields["how"]] += 1
 
     def rows(self, service: str) -> Iterator[tuple[object, ...]]:
         """Yield a row for each second of a service; see `HEADINGS`."""
--- a/src/shallotworks/scheduling/__init__.py
+++ b/src/shallotworks/scheduling/__init__.py
@@ -10,8 +10,8 @@
 from ._decisions import Decider
 from ._entries import StepEntry
 from ._keeper import MachineKeeper
+from ._keeper_parts import KeeperParts
 from ._machine_book import MACHINES_PREFIX, KeeperWord, MachineBook, PoolNeed, keeper_key, need_key
-from ._machine_orders import KeeperParts
 from ._model import (
     AdviceRequest,
     EndedTask,
--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -188,8 +188,10 @@
             yield self._start_order(step, run)
 
     def _workers_for(self, step: StepEntry) -> list[Worker]:
-        workers = self._board.workers.values()
-        return [one for one in workers if step.step.is_lasting or one.worker_id not in self._held]
+        workers = list(self._board.workers.values())
+        if step.step.is_lasting or not self._held:
+            return workers
+        return [worker for worker in workers if worker.worker_id not in self._held]
 
     def _hold_room(self, step: StepEntry, now_s: float) -> None:
         """Keep tasks that end off one worker, where lasting tasks of a step find no room.
--- a/src/shallotworks/scheduling/_keeper.py
+++ b/src/shallotworks/scheduling/_keeper.py
@@ -11,8 +11,9 @@
 
 from shallotworks.store import Holder
 
+from ._keeper_parts import KeeperParts
 from ._keeper_record import KeeperRecord
-from ._machine_orders import KeeperParts, MachineOrders
+from ._machine_orders import MachineOrders
 from ._moves import PoolMover
 from ._waves import WaveRunner
 
@@ -36,7 +37,7 @@
         self._holder = holder
         self._parts = parts
         self._record = KeeperRecord(holder=holder, parts=parts)
-        orders = MachineOrders(holder=holder, parts=parts, ledger=self._record)
+        orders = MachineOrders(holder=holder, parts=parts, record=self._record)
         self._waves = WaveRunner(holder=holder, parts=parts, orders=orders)
         self._mover = PoolMover(holder=holder, parts=parts, orders=orders)
 
--- /dev/null
+++ b/src/shallotworks/scheduling/_keeper_parts.py
@@ -0,0 +1,42 @@
+"""What a keeper of machines works with."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from shallotworks.logs import LogLines
+from shallotworks.store import Store
+
+from ._machine_book import MachineBook
+from ._protocols import Machines, UpkeepBook
+
+__all__ = ["KeeperParts"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KeeperParts:
+    """What a keeper works with.
+
+    Args:
+        machines: The machines.
+        upkeep: The waves that operators ask for.
+        book: What schedulers say.
+        standby: Returns the services whose machines are off and not paid for.
+        store: The store.
+        clock: Seconds, counting suspended time.
+        wall_clock: Time of day in seconds since 1970.
+        log: Decisions.
+        turns_apart_s: Orders of two holders for a machine must be this far apart: they must not
+            take turns on it. Source: the platform's settings.
+    """
+
+    machines: Machines
+    upkeep: UpkeepBook
+    book: MachineBook
+    standby: Callable[[], frozenset[str]]
+    store: Store
+    clock: Callable[[], float]
+    wall_clock: Callable[[], float]
+    log: LogLines
+    turns_apart_s: float = 3.0
--- a/src/shallotworks/scheduling/_keeper_record.py
+++ b/src/shallotworks/scheduling/_keeper_record.py
@@ -6,8 +6,8 @@
 
 from shallotworks.store import HeldRecord, Holder
 
+from ._keeper_parts import KeeperParts
 from ._machine_book import KeeperWord, keeper_key
-from ._machine_orders import KeeperParts
 
 __all__ = ["KeeperRecord"]
 
@@ -83,12 +83,12 @@
     def _predecessor(self) -> KeeperWord:
         value = self._record.value
         if value is None:
-            return KeeperWord(ordered=None)
+            return KeeperWord()
         try:
             return KeeperWord.decode(value)
         except (ValueError, KeyError, TypeError) as error:
             self._parts.log.line("machines-record-unreadable", key=keeper_key(), reason=repr(error))
-            return KeeperWord(ordered=None)
+            return KeeperWord()
 
     def rest(self) -> None:
         """Let all machines wait anew, as schedulers that rested too write anew what they offer."""
--- a/src/shallotworks/scheduling/_machine_orders.py
+++ b/src/shallotworks/scheduling/_machine_orders.py
@@ -1,64 +1,17 @@
-"""Orders for machines: what a keeper works with, and how each order is given and noted."""
+"""Orders for machines: how each is given and noted."""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
-from typing import Protocol
-
 from returns.result import Success
 
-from shallotworks.logs import LogLines
-from shallotworks.store import Holder, Store
-
-from ._machine_book import MachineBook, PoolNeed, need_key
-from ._protocols import DutyEnding, Machine, Machines, UpkeepBook
-
-__all__ = ["KeeperParts", "MachineOrders", "OrderLedger"]
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class KeeperParts:
-    """What a keeper works with.
-
-    Args:
-        machines: The machines.
-        upkeep: The waves that operators ask for.
-        book: What schedulers say.
-        standby: Returns the services whose machines are off and not paid for.
-        store: The store.
-        clock: Seconds, counting suspended time.
-        wall_clock: Time of day in seconds since 1970.
-        log: Decisions.
-        turns_apart_s: Orders of two holders for a machine must be this far apart: they must not
-            take turns on it. Source: the platform's settings.
-    """
-
-    machines: Machines
-    upkeep: UpkeepBook
-    book: MachineBook
-    standby: Callable[[], frozenset[str]]
-    store: Store
-    clock: Callable[[], float]
-    wall_clock: Callable[[], float]
-    log: LogLines
-    turns_apart_s: float = 3.0
-
-
-class OrderLedger(Protocol):
-    """What stands in the store of the orders of one term."""
-
-    def may_order(self, machine: str) -> bool:
-        """Whether no earlier order of another holder can be too close to one given now."""
-        ...
+from shallotworks.store import Holder
 
-    async def announce(self, machines: Iterable[str]) -> bool:
-        """Name machines in the store before they are ordered; return whether they stand there."""
-        ...
+from ._keeper_parts import KeeperParts
+from ._keeper_record import KeeperRecord
+from ._machine_book import PoolNeed, need_key
+from ._protocols import DutyEnding, Machine
 
-    def note_over(self, worker_id: str) -> None:
-        """Take note that a worker was taken away."""
-        ...
+__all__ = ["MachineOrders"]
 
 
 class MachineOrders:
@@ -67,20 +20,20 @@
     Args:
         holder: The keeper's key; its token fences each order.
         parts: What it works with.
-        ledger: Where machines are named before they are ordered.
+        record: Where machines are named before they are ordered.
     """
 
-    __slots__ = ("_holder", "_ledger", "_parts")
+    __slots__ = ("_holder", "_parts", "_record")
 
-    def __init__(self, *, holder: Holder, parts: KeeperParts, ledger: OrderLedger) -> None:
+    def __init__(self, *, holder: Holder, parts: KeeperParts, record: KeeperRecord) -> None:
         self._holder = holder
         self._parts = parts
-        self._ledger = ledger
+        self._record = record
 
     async def prepare(self, machines: list[Machine]) -> list[Machine]:
         """Return the machines that may be ordered now, having named them in the store."""
-        allowed = [one for one in machines if self._ledger.may_order(one.name)]
-        is_named = await self._ledger.announce(one.name for one in allowed)
+        allowed = [one for one in machines if self._record.may_order(one.name)]
+        is_named = await self._record.announce(one.name for one in allowed)
         return allowed if is_named else []
 
     async def upkeep(self, machine: Machine, wave: int, *, is_first: bool) -> DutyEnding:
@@ -150,4 +103,4 @@
         if ending is DutyEnding.FENCED:
             self._holder.lose(f"a later holder has given orders for {machine.name}")
         if ending is DutyEnding.OBEYED and machine.worker_id and is_over:
-            self._ledger.note_over(machine.worker_id)
+            self._record.note_over(machine.worker_id)
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -319,12 +319,11 @@
 
     def fits_beside_lasting(self, step: Step) -> bool:
         """Whether a task of the step would fit once all tasks that end are over."""
-        lasting = [run.step for run in self.runs.values() if run.step.is_lasting]
-        cpu = sum(one.cpu_millicores for one in (*lasting, step) if not one.is_filler)
-        memory = sum(one.memory_mb for one in lasting) + step.memory_mb
-        gpus = sum(one.gpus for one in lasting) + step.gpus
-        view = self.view
-        return cpu <= view.cpu_millicores and memory <= view.memory_mb and gpus <= view.gpus
+        alone = Worker(view=self.view)
+        for run in self.runs.values():
+            if run.step.is_lasting:
+                alone.add(run)
+        return alone.fits(step)
 
     def lacks_for(self, step: Step) -> float:
         """Return the larger part of its processor and memory that is missing for a task."""
--- a/src/shallotworks/scheduling/_moves.py
+++ b/src/shallotworks/scheduling/_moves.py
@@ -5,12 +5,14 @@
 import asyncio
 import json
 from collections import Counter
+from dataclasses import dataclass
 
 from returns.result import Success
 
 from shallotworks.store import Commit, Committed, Condition, Holder, Write
 
-from ._machine_orders import KeeperParts, MachineOrders
+from ._keeper_parts import KeeperParts
+from ._machine_orders import MachineOrders
 from ._protocols import DutyEnding, Machine, MachineState
 
 __all__ = ["PoolMover"]
@@ -38,6 +40,26 @@
 HOME_KEY = "shallotworks/home-sizes"
 
 
+@dataclass(slots=True, kw_only=True)
+class _Move:
+    """A machine on its way.
+
+    Args:
+        service: Where to.
+        ordered_s: When it was ordered.
+        arrived_s: When it was first seen there; ``None`` before.
+    """
+
+    service: str
+    ordered_s: float
+    arrived_s: float | None = None
+
+    def is_over(self, now_s: float) -> bool:
+        """Whether its machine no longer counts as on its way."""
+        has_settled = self.arrived_s is not None and now_s - self.arrived_s >= ARRIVAL_S
+        return has_settled or now_s - self.ordered_s >= LONGEST_MOVE_S
+
+
 class PoolMover:
     """Moves machines during one term of the keeper.
 
@@ -48,7 +70,6 @@
     """
 
     __slots__ = (
-        "_arrived",
         "_holder",
         "_home",
         "_idle_since",
@@ -63,10 +84,8 @@
         self._parts = parts
         self._orders = orders
         self._home: dict[str, int] | None = None
-        self._moving: dict[str, tuple[str, float]] = {}
-        """Machines on their way to a service, with the time of the order."""
-        self._arrived: dict[str, float] = {}
-        """Machines among these that have arrived, since when."""
+        self._moving: dict[str, _Move] = {}
+        """Machines on their way, by name."""
         self._idle_since: dict[str, float] = {}
         """Workers that their schedulers offer, since when this keeper has seen that."""
         self._misfits: set[tuple[str, str]] = set()
@@ -96,13 +115,11 @@
     def _watch_arrivals(self, machines: dict[str, Machine]) -> None:
         """Let go of moves that are over."""
         now_s = self._parts.clock()
-        for name, (service, ordered_s) in list(self._moving.items()):
-            if self._has_arrived(machines.get(name), service):
-                self._arrived.setdefault(name, now_s)
-            arrived_s = self._arrived.get(name, now_s)
-            if now_s - arrived_s >= ARRIVAL_S or now_s - ordered_s >= LONGEST_MOVE_S:
+        for name, move in list(self._moving.items()):
+            if move.arrived_s is None and self._has_arrived(machines.get(name), move.service):
+                move.arrived_s = now_s
+            if move.is_over(now_s):
                 del self._moving[name]
-                self._arrived.pop(name, None)
 
     def _has_arrived(self, machine: Machine | None, service: str) -> bool:
         if machine is None or machine.state is not MachineState.UP or machine.pool != service:
@@ -123,8 +140,7 @@
             if source is None or len(moves) >= MOVES_A_ROUND:
                 break
             moves.append((source, service))
-            sizes[source.pool] -= 1
-            sizes[service] = sizes.get(service, 0) + 1
+            _count_move(sizes, source, service)
         return moves
 
     def _watch_idle(self, idle: list[Machine]) -> None:
@@ -155,8 +171,7 @@
             if (machine.name, target) in self._misfits:
                 continue
             moves.append((machine, target))
-            sizes[machine.pool] -= 1
-            sizes[target] = sizes.get(target, 0) + 1
+            _count_move(sizes, machine, target)
         return moves
 
     async def recalls(self, machines: dict[str, Machine]) -> dict[str, int]:
@@ -211,7 +226,8 @@
     def _sizes(self, machines: dict[str, Machine]) -> dict[str, int]:
         sizes: dict[str, int] = {}
         for machine in machines.values():
-            pool = self._moving.get(machine.name, (machine.pool, 0.0))[0]
+            move = self._moving.get(machine.name)
+            pool = machine.pool if move is None else move.service
             sizes[pool] = sizes.get(pool, 0) + 1
         return sizes
 
@@ -239,8 +255,8 @@
     def _takers(self) -> list[str]:
         """Return the services that lack machines, once for each, by turns."""
         coming: dict[str, int] = {}
-        for service, _ in self._moving.values():
-            coming[service] = coming.get(service, 0) + 1
+        for move in self._moving.values():
+            coming[move.service] = coming.get(move.service, 0) + 1
         takers: list[tuple[int, str]] = []
         for service, need in self._parts.book.needs.items():
             takers.extend((turn, service) for turn in range(need.lacking - coming.get(service, 0)))
@@ -270,7 +286,12 @@
             return
         ending = await self._orders.move(machine, service)
         if ending in (DutyEnding.OBEYED, DutyEnding.UNANSWERED):
-            self._moving[machine.name] = (service, self._parts.clock())
-            self._arrived.pop(machine.name, None)
+            self._moving[machine.name] = _Move(service=service, ordered_s=self._parts.clock())
         if ending is DutyEnding.MISFIT:
             self._misfits.add((machine.name, service))
+
+
+def _count_move(sizes: dict[str, int], machine: Machine, target: str) -> None:
+    """Count a machine in the pool that it is to go to."""
+    sizes[machine.pool] -= 1
+    sizes[target] = sizes.get(target, 0) + 1
--- a/src/shallotworks/scheduling/_progress_writer.py
+++ b/src/shallotworks/scheduling/_progress_writer.py
@@ -47,12 +47,12 @@
         "_board",
         "_holder",
         "_is_key_gone",
+        "_is_settled",
         "_keys",
         "_log",
         "_metrics",
         "_on_stored",
         "_store",
-        "is_settled",
         "wake",
     )
 
@@ -76,7 +76,7 @@
         self._is_key_gone = False
         self.wake = asyncio.Event()
         """Set when progress has changed."""
-        self.is_settled = asyncio.Event()
+        self._is_settled = asyncio.Event()
         """Set while the store has all that was to be stored at the last change."""
 
     async def run(self) -> None:
@@ -84,13 +84,13 @@
         while True:
             await self.wake.wait()
             self.wake.clear()
-            self.is_settled.clear()
+            self._is_settled.clear()
             while dirty := self._board.dirty():
                 is_stored = await self._store_batch(_batch(dirty))
                 if self._is_key_gone:
                     break
                 await asyncio.sleep(GATHER_S if is_stored else STORE_RETRY_S)
-            self.is_settled.set()
+            self._is_settled.set()
 
     async def settle(self, longest_s: float) -> None:
         """Wait until the store has all that is known, but no longer than this.
@@ -98,11 +98,11 @@
         A term that is stopped between two commits would leave tasks that have ended to be waited
         for by its successor, until that has seen their workers.
         """
-        self.is_settled.clear()
+        self._is_settled.clear()
         self.wake.set()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(longest_s):
-                await self.is_settled.wait()
+                await self._is_settled.wait()
 
     async def _store_batch(self, entries: list[JobEntry]) -> bool:
         changes = {entry.job.job_id: entry.changes for entry in entries}
--- a/src/shallotworks/scheduling/_waves.py
+++ b/src/shallotworks/scheduling/_waves.py
@@ -8,7 +8,8 @@
 
 from shallotworks.store import Commit, Committed, Condition, Conflicted, Holder, Write
 
-from ._machine_orders import KeeperParts, MachineOrders
+from ._keeper_parts import KeeperParts
+from ._machine_orders import MachineOrders
 from ._protocols import DutyEnding, Machine, MachineState, Upkeep
 from ._wave import WaveRecord, wave_key
 
@@ -154,7 +155,12 @@
     def _left(
         self, wave: Upkeep, record: WaveRecord, machines: dict[str, Machine]
     ) -> list[Machine]:
-        """Return the machines whose turn may come: up, neither done nor down for it."""
+        """Return the machines whose turn may come: up, neither done nor down for it.
+
+        None while the wave yields: neither is one emptied for it, nor does one go down.
+        """
+        if self._yields(wave, record):
+            return []
         return [
             machines[name]
             for name in wave.machines
@@ -164,7 +170,7 @@
             and machines[name].state is MachineState.UP
         ]
 
-    def yields(self, wave: Upkeep, record: WaveRecord) -> bool:
+    def _yields(self, wave: Upkeep, record: WaveRecord) -> bool:
         """Whether a wave can wait while a queue lacks machines.
 
         The load: the operators' wave and a queue's turn begin in the same second. Six machines at
@@ -185,7 +191,7 @@
         One that is lent has its upkeep later, in another pool. While a wave waits it keeps no more
         than those that are down: five and more stood idle for 4 s beside a turn that lacked 63.
         """
-        if self.yields(wave, record):
+        if self._yields(wave, record):
             return set(record.down)
         return set(wave.machines) - set(record.done)
 
@@ -205,8 +211,6 @@
             earlier: Workers that are being emptied.
         """
         left = [one for one in self._left(wave, record, machines) if one.worker_id]
-        if self.yields(wave, record):
-            left = []
         free = {worker for need in self._parts.book.needs.values() for worker in need.free}
         left.sort(key=lambda one: (one.worker_id not in earlier, one.worker_id not in free))
         chosen = [*left[: wave.most_at_once * AHEAD], *self._unproved(record, machines)]
@@ -232,8 +236,6 @@
     ) -> int:
         """Take slots and order upkeeps; return the revision of the record."""
         slots = max(0, wave.most_at_once - len(record.down))
-        if self.yields(wave, record):
-            slots = 0
         left = self._left(wave, record, machines)
         free = [machine for machine in left if self._orders.seems_free(machine)]
         for machine in await self._orders.prepare(free[:slots]):
