Let tests win keys, learn jobs and name their bound in one place

Change: `held_keys` serves all; `Bench.learn` takes the time of day; `RUNS_AGAIN_S` is imported. No assertion, bound or seed is changed.

--- a/tests/held_keys.py
+++ b/tests/held_keys.py
@@ -10,16 +10,33 @@
 DUTY = "duty/antenna"
 
 
-async def acquire(store: Store, *, times: HolderTimes | None = None) -> Holder:
-    """Return the holder of a duty's key, which is free."""
-    holder = await Holder.acquire(
+async def try_acquire(
+    store: Store,
+    *,
+    key: str = DUTY,
+    mark: str = JobKeys(service=SERVICE).holder_mark,
+    times: HolderTimes | None = None,
+) -> Holder | None:
+    """Return the holder of a key; ``None`` where another has it."""
+    return await Holder.acquire(
         store=store,
-        key=DUTY,
-        mark=JobKeys(service=SERVICE).holder_mark,
+        key=key,
+        mark=mark,
         value=b"n0",
         clock=asyncio.get_running_loop().time,
         times=times or HolderTimes(),
         log=quiet_log(),
     )
+
+
+async def acquire(
+    store: Store,
+    *,
+    key: str = DUTY,
+    mark: str = JobKeys(service=SERVICE).holder_mark,
+    times: HolderTimes | None = None,
+) -> Holder:
+    """Return the holder of a key, which is free."""
+    holder = await try_acquire(store, key=key, mark=mark, times=times)
     assert holder is not None
     return holder
--- a/tests/scheduling_fakes.py
+++ b/tests/scheduling_fakes.py
@@ -78,14 +78,21 @@
         """Return a worker."""
         return self.board.workers[worker_id]
 
-    def learn(self, one: Job, *, is_old: bool = False, progress: JobProgress | None = None) -> None:
-        """Add a job."""
+    def learn(
+        self,
+        one: Job,
+        *,
+        is_old: bool = False,
+        progress: JobProgress | None = None,
+        wall_s: float = WALL_S,
+    ) -> None:
+        """Add a job, learnt at a time of day."""
         self.board.job_learnt(
             one,
             progress or JobProgress(queue=one.policy.queue),
             revision=1,
             is_old=is_old,
-            wall_s=WALL_S,
+            wall_s=wall_s,
         )
 
     def decide(self) -> list[object]:
--- a/tests/test_budget_at_takeover.py
+++ b/tests/test_budget_at_takeover.py
@@ -37,8 +37,9 @@
 )
 from shallotworks.scheduling._machine_book import KeeperWord, keeper_key
 from shallotworks.standins import OrderFaults, OrdersView, RecordStore, StoreView, TaskWorkers
-from shallotworks.store import Holder, HolderTimes, Mirror
+from shallotworks.store import Holder, Mirror
 from tests.fleet_history import AllAllowed
+from tests.held_keys import acquire
 from tests.on_loop import run_story
 from tests.scheduling_fakes import policy, quiet_log, step, view
 
@@ -220,7 +221,7 @@
     async def begin_keeper(self) -> None:
         """Begin a term of the keeper, and let its wait before the first order pass."""
         store = StoreView(store=self.store)
-        holder = await self._acquire(store, "keeper", "keeper-mark")
+        holder = await acquire(store, key="keeper", mark="keeper-mark")
         parts = KeeperParts(
             machines=self,
             upkeep=self,
@@ -247,7 +248,7 @@
         store = StoreView(store=self.store)
         orders = OrdersView(fleet=self.fleet, faults=OrderFaults(cut=cut or set()))
         mark = JobKeys(service=SERVICE).holder_mark
-        holder = await self._acquire(store, f"shallotworks/duty/scheduler/{SERVICE}", mark)
+        holder = await acquire(store, key=f"shallotworks/duty/scheduler/{SERVICE}", mark=mark)
         book = MachineBook(log=quiet_log())
         mirror = Mirror(store=store, prefix=MACHINES_PREFIX, listener=book, log=quiet_log())
         parts = TermParts(
@@ -270,20 +271,6 @@
         self._tasks += handle.tasks
         return handle
 
-    @staticmethod
-    async def _acquire(store: StoreView, key: str, mark: str) -> Holder:
-        holder = await Holder.acquire(
-            store=store,
-            key=key,
-            mark=mark,
-            value=b"n",
-            clock=now_s,
-            times=HolderTimes(),
-            log=quiet_log(),
-        )
-        assert holder is not None
-        return holder
-
     def revoke(self) -> None:
         """Take the scheduler's keys away."""
         self.store.revoke("shallotworks/duty/scheduler/")
--- a/tests/test_finished_jobs.py
+++ b/tests/test_finished_jobs.py
@@ -22,6 +22,7 @@
 from shallotworks.standins import RecordStore, StoreView
 from shallotworks.store import Commit, Holder, HolderTimes, Write
 from tests.fleet_history import SERVICE, History
+from tests.held_keys import acquire
 from tests.on_loop import run_story
 from tests.scheduling_fakes import Bench, job, quiet_log, step, view
 
@@ -70,16 +71,7 @@
                     outcome = self.store.carry_out(commit)
                     return Success(outcome)
 
-            holder = await Holder.acquire(
-                store=StoreView(store=store),
-                key="duty",
-                mark="mark",
-                value=b"",
-                clock=asyncio.get_running_loop().time,
-                times=HolderTimes(),
-                log=quiet_log(),
-            )
-            assert holder is not None
+            holder = await acquire(StoreView(store=store))
             for number in range(30):
                 name = f"{number:04}"
                 one = job(name, step(1))
--- a/tests/test_machine_keeper.py
+++ b/tests/test_machine_keeper.py
@@ -26,7 +26,8 @@
 )
 from shallotworks.scheduling._machine_book import KeeperWord
 from shallotworks.standins import RecordStore, StoreView
-from shallotworks.store import Holder, HolderTimes, Mirror
+from shallotworks.store import Holder, Mirror
+from tests.held_keys import acquire
 from tests.on_loop import run_story
 from tests.scheduling_fakes import quiet_log
 
@@ -142,16 +143,7 @@
         """Start a keeper, whose store answers this much later."""
         view = StoreView(store=self.store)
         clock = asyncio.get_running_loop().time
-        holder = await Holder.acquire(
-            store=view,
-            key="keeper",
-            mark="mark",
-            value=b"n",
-            clock=clock,
-            times=HolderTimes(),
-            log=quiet_log(),
-        )
-        assert holder is not None
+        holder = await acquire(view, key="keeper", mark="mark")
         view.faults.delay_s = answer_s
         mirror = Mirror(store=view, prefix=MACHINES_PREFIX, listener=self.book, log=quiet_log())
         parts = KeeperParts(
--- a/tests/test_pool_sizing.py
+++ b/tests/test_pool_sizing.py
@@ -2,7 +2,6 @@
 
 import unittest
 
-from shallotworks.jobs import JobProgress
 from shallotworks.scheduling import EndKind, PoolNeed, PoolSizer, RunningTask, SizingLimits
 from tests.scheduling_fakes import WALL_S, Bench, job, step, view
 
@@ -22,9 +21,8 @@
 
     def arrive(self, job_id: str, at_s: float, count: int) -> None:
         """Let a job of so many core-seconds arrive."""
-        one = job(job_id, step(count), accepted_s=WALL_S + at_s)
-        progress = JobProgress(queue=one.policy.queue)
-        self.board.job_learnt(one, progress, revision=1, is_old=False, wall_s=WALL_S + at_s)
+        wall_s = WALL_S + at_s
+        self.learn(job(job_id, step(count), accepted_s=wall_s), wall_s=wall_s)
 
 
 class LackTests(unittest.TestCase):
--- a/tests/test_runners_record.py
+++ b/tests/test_runners_record.py
@@ -27,14 +27,12 @@
 from shallotworks.store import HolderTimes
 from tests.fleet_history import SERVICE, History
 from tests.held_keys import acquire
+from tests.lasting_history import RUNS_AGAIN_S
 from tests.on_loop import run_story
 from tests.scheduling_fakes import Bench, job, quiet_log, step, view
 
 JOB_ID = "00000000000000ab"
 NAME = TaskName(JOB_ID, 0, 0, 0)
-LONGEST_WITHOUT_RUN_S = 10.0
-"""After the last trouble a task that is to last, and has room, runs again within this time.
-Source: the rules; 3 s until instances count as in touch, and 4 and 3 s after that."""
 BEGUN_S = 5.0
 LONG = HolderTimes(ttl_s=60.0)
 
@@ -158,7 +156,7 @@
             history.instances[0].start()
             took_s = await _until_it_runs(history)
             self.assertGreater(took_s, OrderTimes().recovery_s)
-            self.assertLess(took_s, LONGEST_WITHOUT_RUN_S)
+            self.assertLess(took_s, RUNS_AGAIN_S)
             await asyncio.sleep(2.0)
             self.assertEqual({"w0"}, _recorded(history))
             await _end(history)
@@ -303,7 +301,7 @@
             assert scheduler is not None
             busy.crash()
             await history.replace(scheduler)
-            self.assertLess(await _until_it_runs(history), LONGEST_WITHOUT_RUN_S)
+            self.assertLess(await _until_it_runs(history), RUNS_AGAIN_S)
             self.assertEqual([], history.fleet.breaches)
             await _end(history)
 
@@ -331,7 +329,7 @@
                 if scheduler is not None:
                     await scheduler.bidder.stop()
                     history.instances.remove(scheduler)
-            self.assertLess(await waited, LONGEST_WITHOUT_RUN_S + 2.0)
+            self.assertLess(await waited, RUNS_AGAIN_S + 2.0)
             self.assertEqual([], history.fleet.breaches)
             await _end(history)
 
--- a/tests/test_store_following.py
+++ b/tests/test_store_following.py
@@ -7,7 +7,8 @@
 from parameterized import parameterized
 
 from shallotworks.standins import RecordFaults, RecordStore, StoreView
-from shallotworks.store import Holder, HolderTimes, Item, Mirror
+from shallotworks.store import Item, Mirror
+from tests.held_keys import acquire, try_acquire
 from tests.on_loop import run_story
 from tests.scheduling_fakes import quiet_log
 
@@ -123,12 +124,11 @@
 
         async def story() -> None:
             store = RecordStore(rng=random.Random(1))
-            first = await _acquire(store)
-            assert first is not None
-            self.assertIsNone(await _acquire(store))
+            view = StoreView(store=store)
+            first = await acquire(view)
+            self.assertIsNone(await try_acquire(view))
             await first.release()
-            second = await _acquire(store)
-            assert second is not None
+            second = await acquire(view)
             self.assertGreater(second.token, first.token)
 
         run_story(story())
@@ -144,8 +144,7 @@
         async def story() -> None:
             store = RecordStore(rng=random.Random(1))
             view = StoreView(store=store)
-            holder = await _acquire(store, view)
-            assert holder is not None
+            holder = await acquire(view, key="key", mark="mark")
             keep = asyncio.create_task(holder.keep())
             await asyncio.sleep(3)
             self.assertTrue(holder.may_act)
@@ -177,8 +176,7 @@
         async def story() -> None:
             store = RecordStore(rng=random.Random(1))
             view = StoreView(store=store)
-            holder = await _acquire(store, view)
-            assert holder is not None
+            holder = await acquire(view, key="key", mark="mark")
             keep = asyncio.create_task(holder.keep())
             await asyncio.sleep(1)
             view.faults.is_silent = True
@@ -202,8 +200,7 @@
 
         async def story() -> None:
             store = RecordStore(rng=random.Random(1))
-            holder = await _acquire(store)
-            assert holder is not None
+            holder = await acquire(StoreView(store=store), key="key", mark="mark")
             keep = asyncio.create_task(holder.keep())
             store.end_lease(1)
             await asyncio.sleep(0.6)
@@ -220,17 +217,5 @@
     return store, listener, Mirror(store=view, prefix="a/", listener=listener, log=quiet_log())
 
 
-async def _acquire(store: RecordStore, view: StoreView | None = None) -> Holder | None:
-    return await Holder.acquire(
-        store=view or StoreView(store=store),
-        key="key",
-        mark="mark",
-        value=b"n",
-        clock=asyncio.get_running_loop().time,
-        times=HolderTimes(),
-        log=quiet_log(),
-    )
-
-
 if __name__ == "__main__":
     unittest.main()
