Log each run that is lost with its worker

Cause: a run that was lost with a worker left no line, so that the logs could not show which task was lost on one worker after the other, nor how old it was when the worker was last heard of.

Change: `run-lost`, one line a run, when a worker is over or its lease out.

--- a/src/shallotworks/scheduling/_board.py
+++ b/src/shallotworks/scheduling/_board.py
@@ -302,7 +302,7 @@
         self._log.line(
             "worker-over", worker=worker_id, reason=reason, runs=len(worker.runs), token=self.token
         )
-        self._void_runs(worker, now_s)
+        self._void_runs(worker, reason, now_s)
 
     def lapse(self, worker: Worker, now_s: float) -> None:
         """Learn that a worker's lease has certainly run out: nothing runs there any more."""
@@ -314,10 +314,21 @@
             token=self.token,
         )
         worker.is_fenced = False
-        self._void_runs(worker, now_s)
+        self._void_runs(worker, "lease out", now_s)
 
-    def _void_runs(self, worker: Worker, now_s: float) -> None:
+    def _void_runs(self, worker: Worker, reason: str, now_s: float) -> None:
         for run in list(worker.runs.values()):
+            self._log.line(
+                "run-lost",
+                id=run.name.job_id,
+                task=list(run.name[1:]),
+                run=run.run_id,
+                worker=worker.worker_id,
+                reason=reason,
+                ran_s=round(worker.reported_s - run.since_s, 3),
+                silent_s=round(now_s - worker.reported_s, 2),
+                token=self.token,
+            )
             self._finish_run(worker, run, EndKind.LAPSED, "", now_s)
 
     def reported(
