Reproduce tasks that crash their workers without end, listed as red

Change: workers of the stand-ins that crash under a task and come back, judged by the users' budget of starts, and three tests: the task is given up, also when each scheduler is killed before it knows of the crash, and what ran beside it is done.

--- a/tests/fleet_history.py
+++ b/tests/fleet_history.py
@@ -103,12 +103,20 @@
         seed: Draws everything.
         workers: Number of workers.
         instances: Number of instances.
+        fleet: The workers' type, for stories in which they judge or do more.
     """
 
-    def __init__(self, *, seed: int, workers: int = 4, instances: int = 3) -> None:
+    def __init__(
+        self,
+        *,
+        seed: int,
+        workers: int = 4,
+        instances: int = 3,
+        fleet: type[TaskWorkers] = TaskWorkers,
+    ) -> None:
         self.rng = random.Random(seed)
         self.store = RecordStore(rng=self.rng)
-        self.fleet = TaskWorkers(rng=self.rng)
+        self.fleet = fleet(rng=self.rng)
         for number in range(workers):
             self.fleet.add(view(f"w{number}", service=SERVICE))
         self.instances = [
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -1,11 +1,30 @@
 """Tests of tasks that crash the workers which start them, and of those that run beside them."""
 
+import asyncio
 import json
 import unittest
 
+from shallotworks.jobs import JobState, TaskName
 from shallotworks.logs import LogLines
+from tests.crash_history import CrashingWorkers
+from tests.fleet_history import History
+from tests.on_loop import run_story
 from tests.scheduling_fakes import Bench, job, step, view
 
+JOB_ID = "00000000000000aa"
+CULPRIT = TaskName(JOB_ID, 0, 0, 0)
+GIVEN_UP_WITHIN_S = 16.0
+"""Time for three crashes, each noticed within 3.6 s, and a takeover."""
+
+
+def history(seed: int, *, workers: int = 6) -> History:
+    """Return a history whose first task of one job crashes its workers."""
+    one = History(seed=seed, workers=workers, fleet=CrashingWorkers)
+    one.fleet.crashing.add(CULPRIT)
+    for instance in one.instances:
+        instance.start()
+    return one
+
 
 class LostRunLogTests(unittest.TestCase):
     def test_each_run_that_is_lost_with_its_worker_is_logged(self) -> None:
@@ -33,5 +52,67 @@
         )
 
 
+class CrashingTaskTests(unittest.TestCase):
+    def test_a_task_that_crashes_its_workers_is_given_up(self) -> None:
+        """A task was started without end, and each start cost a worker with all that it ran."""
+
+        async def story() -> None:
+            one = history(seed=1)
+            await asyncio.sleep(1.0)
+            await one.submit(JOB_ID, step(2, estimated_s=0.8))
+            await asyncio.sleep(GIVEN_UP_WITHIN_S)
+            self.assertEqual([], one.fleet.breaches)
+            self.assertIs(JobState.FAILED, one.state(JOB_ID))
+            for instance in one.instances:
+                await instance.kill()
+
+        run_story(story())
+
+    def test_the_count_of_crashes_survives_the_scheduler(self) -> None:
+        """Each scheduler was killed before it knew of a crash, and its successor counted anew."""
+
+        async def story() -> None:
+            one = history(seed=2)
+            await asyncio.sleep(1.0)
+            await one.submit(JOB_ID, step(1, estimated_s=0.8))
+            for _ in range(6):
+                one.fleet.crashed.clear()
+                try:
+                    async with asyncio.timeout(GIVEN_UP_WITHIN_S):
+                        await one.fleet.crashed.wait()
+                except TimeoutError:
+                    break
+                await asyncio.sleep(1.0)
+                scheduler = one.scheduler()
+                if scheduler is not None:
+                    await one.replace(scheduler)
+            await asyncio.sleep(GIVEN_UP_WITHIN_S)
+            self.assertEqual([], one.fleet.breaches)
+            self.assertIs(JobState.FAILED, one.state(JOB_ID))
+            for instance in one.instances:
+                await instance.kill()
+
+        run_story(story())
+
+    def test_tasks_that_were_lost_beside_the_culprit_are_done(self) -> None:
+        """Tasks that only stood on the same workers as one that crashes them were lost with it."""
+
+        async def story() -> None:
+            one = history(seed=3, workers=8)
+            await asyncio.sleep(1.0)
+            others = [f"{number:016x}" for number in range(1, 9)]
+            await asyncio.gather(
+                one.submit(JOB_ID, step(1, estimated_s=0.8)),
+                *(one.submit(other, step(3, estimated_s=0.8)) for other in others),
+            )
+            await asyncio.sleep(GIVEN_UP_WITHIN_S)
+            self.assertEqual([], one.fleet.breaches)
+            self.assertEqual({JobState.COMPLETED}, {one.state(other) for other in others})
+            for instance in one.instances:
+                await instance.kill()
+
+        run_story(story())
+
+
 if __name__ == "__main__":
     unittest.main()
