Give up tasks that crash their workers, by a count that the store holds

Cause: a run that was lost with its worker put its task back to wait, and nothing counted it. Only ends that a worker lists and a scheduler acknowledges count as attempts, and a dead worker lists nothing.

Change: a crash is blamed on the runs that were young when the worker closed its connections, or was last heard of. The blame stands in the job's progress: uncertain at once, certain when another incarnation answers or the worker stays away. Suspects are started apart, on a worker where least would be lost and on which nothing else is started until it has outlived the start; that start is stored before it is sent, so that a successor counts it. A job has failed when two workers have crashed under a task, one of them with it as the only suspect. While one task of a job is tried, its others wait. After a takeover in which a worker was lost unseen, starts of earlier jobs are stored too, since nobody knows what ran there. A planned leave, a lapsed lease of a worker that answers again, and many workers lost at one moment blame nobody.

The stand-in answers a look at a worker that died during it as the wire does: refused, or not at all.

--- a/src/shallotworks/jobs/__init__.py
+++ b/src/shallotworks/jobs/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from ._coming_back import retry_after_s
+from ._crashes import Blame, LostRun, is_crash_looping, is_suspect
 from ._desk import DeskAnswer, DeskEnding, JobDesk
 from ._progress import JobProgress, JobState
 from ._records import (
@@ -17,6 +18,7 @@
 from ._spec import Job, QueuePolicy, Repeats, Step, TaskName, faults_of
 
 __all__ = [
+    "Blame",
     "DeskAnswer",
     "DeskEnding",
     "Job",
@@ -24,6 +26,7 @@
     "JobKeys",
     "JobProgress",
     "JobState",
+    "LostRun",
     "QueuePolicy",
     "Repeats",
     "Step",
@@ -33,5 +36,7 @@
     "encode_job",
     "encode_progress",
     "faults_of",
+    "is_crash_looping",
+    "is_suspect",
     "retry_after_s",
 ]
--- a/src/shallotworks/jobs/_progress.py
+++ b/src/shallotworks/jobs/_progress.py
@@ -4,10 +4,14 @@
 
 from enum import Enum, unique
 
+from ._crashes import LostRun, is_crash_looping
 from ._spec import Job, TaskName
 
 __all__ = ["JobProgress", "JobState"]
 
+MOST_LOST_KEPT = 8
+"""Lost runs of a task that its record holds, the latest ones."""
+
 
 @unique
 class JobState(Enum):
@@ -37,10 +41,11 @@
         done: Per occurrence and step, a set of task numbers as bits.
         failures: Ids of the failed runs of each task: a set, since an end that was stored and not
             acknowledged is told again to the next scheduler and must count once.
+        lost: Runs of each task that were lost with their workers, while it isn't done.
         ended_s: Time of day at which it reached its final state; 0 before.
     """
 
-    __slots__ = ("done", "ended_s", "failures", "queue", "state")
+    __slots__ = ("done", "ended_s", "failures", "lost", "queue", "state")
 
     def __init__(
         self,
@@ -49,12 +54,14 @@
         state: JobState = JobState.QUEUED,
         done: dict[tuple[int, int], int] | None = None,
         failures: dict[tuple[int, int, int], tuple[int, ...]] | None = None,
+        lost: dict[tuple[int, int, int], tuple[LostRun, ...]] | None = None,
         ended_s: float = 0.0,
     ) -> None:
         self.queue = queue
         self.state = state
         self.done = done if done is not None else {}
         self.failures = failures if failures is not None else {}
+        self.lost = lost if lost is not None else {}
         self.ended_s = ended_s
 
     def is_done(self, name: TaskName) -> bool:
@@ -71,6 +78,7 @@
         step = job.steps[name.step]
         bits = (1 << step.count) - 1 if step.is_gang else 1 << name.number
         self.done[key] = self.done.get(key, 0) | bits
+        self.lost.pop(_attempts_key(job, name), None)
         if self._are_all_done(job):
             self.finish(JobState.COMPLETED, now_s=now_s)
 
@@ -80,16 +88,46 @@
         Returns:
             Whether something changed; failures of lasting tasks are not counted.
         """
-        step = job.steps[name.step]
-        key = (name.occurrence, name.step, 0 if step.is_gang else name.number)
+        key = _attempts_key(job, name)
         earlier = self.failures.get(key, ())
-        if step.is_lasting or run_id in earlier:
+        if job.steps[name.step].is_lasting or run_id in earlier:
             return False
         self.failures[key] = (*earlier, run_id)
         if len(self.failures[key]) >= job.policy.most_attempts:
             self.finish(JobState.FAILED, now_s=now_s)
         return True
 
+    def lost_runs(self, job: Job, name: TaskName) -> tuple[LostRun, ...]:
+        """Return the runs of a task that were lost; a gang's members share them."""
+        return self.lost.get(_attempts_key(job, name), ())
+
+    def note_lost(self, job: Job, name: TaskName, lost: LostRun, *, now_s: float) -> bool:
+        """Take note of a lost run, or of what is known of it now; return whether that is news.
+
+        What is certain stays. A job with a task whose runs crash their workers again and again has
+        failed.
+        """
+        earlier = self.lost_runs(job, name)
+        known = next((one for one in earlier if one.run_id == lost.run_id), None)
+        if known == lost or (known is not None and known.is_certain):
+            return False
+        others = tuple(one for one in earlier if one.run_id != lost.run_id)
+        runs = self.lost[_attempts_key(job, name)] = (*others, lost)[-MOST_LOST_KEPT:]
+        if is_crash_looping(runs):
+            self.finish(JobState.FAILED, now_s=now_s)
+        return True
+
+    def note_survived(self, job: Job, name: TaskName, run_id: int) -> bool:
+        """Take note that a run's worker has not crashed under it; return whether that is news."""
+        earlier = self.lost_runs(job, name)
+        left = tuple(one for one in earlier if one.is_certain or one.run_id != run_id)
+        if left == earlier:
+            return False
+        self.lost[_attempts_key(job, name)] = left
+        if not left:
+            del self.lost[_attempts_key(job, name)]
+        return True
+
     def finish(self, state: JobState, *, now_s: float) -> None:
         """Set a final state, once."""
         if not self.state.is_final:
@@ -102,3 +140,8 @@
             for occurrence in range(job.occurrences)
             for step in range(len(job.steps))
         )
+
+
+def _attempts_key(job: Job, name: TaskName) -> tuple[int, int, int]:
+    """Return under which key a task's attempts are counted; a gang's members share one."""
+    return (name.occurrence, name.step, 0 if job.steps[name.step].is_gang else name.number)
--- a/src/shallotworks/jobs/_records.py
+++ b/src/shallotworks/jobs/_records.py
@@ -8,6 +8,7 @@
 
 from pydantic import TypeAdapter
 
+from ._crashes import Blame, LostRun
 from ._progress import JobProgress, JobState
 from ._spec import Job
 
@@ -77,6 +78,11 @@
         record["done"] = [[*key, f"{bits:x}"] for key, bits in sorted(progress.done.items())]
     if progress.failures:
         record["failures"] = [[*key, runs] for key, runs in sorted(progress.failures.items())]
+    if progress.lost:
+        record["lost"] = [
+            [*key, [[one.run_id, one.worker_id, one.blame.value, one.is_certain] for one in runs]]
+            for key, runs in sorted(progress.lost.items())
+        ]
     if progress.ended_s:
         record["ended_s"] = round(progress.ended_s, 3)
     return json.dumps(record, separators=(",", ":")).encode()
@@ -91,6 +97,13 @@
             state=JobState(read["state"]),
             done={(row[0], row[1]): int(row[2], 16) for row in read.get("done", ())},
             failures={(row[0], row[1], row[2]): tuple(row[3]) for row in read.get("failures", ())},
+            lost={
+                (row[0], row[1], row[2]): tuple(
+                    LostRun(run_id=run[0], worker_id=run[1], blame=Blame(run[2]), is_certain=run[3])
+                    for run in row[3]
+                )
+                for row in read.get("lost", ())
+            },
             ended_s=read.get("ended_s", 0.0),
         )
     except (KeyError, IndexError, TypeError) as error:
--- a/src/shallotworks/scheduling/_board.py
+++ b/src/shallotworks/scheduling/_board.py
@@ -10,6 +10,7 @@
 from shallotworks.jobs import Job, JobProgress, JobState, Step, TaskName
 from shallotworks.logs import LogLines
 
+from ._crash_loops import CrashLoops
 from ._demand import Arrival
 from ._entries import JobEntry, StepEntry
 from ._model import (
@@ -83,6 +84,7 @@
         "_log",
         "_next_run",
         "arrivals",
+        "crashes",
         "entries",
         "finals",
         "pending_recovery",
@@ -113,6 +115,9 @@
         self.arrivals: deque[Arrival] = deque(maxlen=MOST_ARRIVALS)
         """Time of day and core-seconds of the latest jobs."""
         self._awaiting: dict[str, list[tuple[int, Worker, int]]] = {}
+        self.crashes = CrashLoops(
+            entries=self.entries, workers=self.workers, log=log, close=self._close
+        )
         self._lasting_from_s: dict[str, float] = {}
         """Workers that are not on the board yet; see `keep_lasting_off`."""
 
@@ -248,6 +253,7 @@
         job_id = entry.job.job_id
         if entry.progress.state.is_final and not entry.is_dirty and not entry.live:
             self.entries.pop(job_id, None)
+            self.crashes.forget(job_id)
             self.finals[job_id] = entry.progress.ended_s
 
     def _settle(self, entry: JobEntry, changes: int) -> None:
@@ -293,8 +299,20 @@
         if self.pending_recovery.pop(worker_id, None) is not None and not self.pending_recovery:
             self._log.line("recovery-over", last_worker=worker_id, how=how, token=self.token)
 
-    def worker_over(self, worker_id: str, reason: str, now_s: float) -> None:
-        """Learn for certain that a worker is over, with all that it ran."""
+    def worker_over(
+        self, worker_id: str, reason: str, now_s: float, wall_s: float, *, is_planned: bool = False
+    ) -> None:
+        """Learn for certain that a worker is over, with all that it ran.
+
+        Args:
+            worker_id: The worker.
+            reason: How that is known.
+            now_s: The scheduler's clock.
+            wall_s: Time of day.
+            is_planned: It was taken away, and has not crashed.
+        """
+        if worker_id in self.pending_recovery and not is_planned:
+            self.crashes.earlier_runs_lost()
         self.recovered(worker_id, reason)
         worker = self.workers.pop(worker_id, None)
         if worker is None:
@@ -302,9 +320,13 @@
         self._log.line(
             "worker-over", worker=worker_id, reason=reason, runs=len(worker.runs), token=self.token
         )
+        if is_planned or worker.view.is_draining:
+            self.crashes.worker_left(worker)
+        else:
+            self.crashes.worker_crashed(worker, wall_s)
         self._void_runs(worker, reason, now_s)
 
-    def lapse(self, worker: Worker, now_s: float) -> None:
+    def lapse(self, worker: Worker, now_s: float, wall_s: float) -> None:
         """Learn that a worker's lease has certainly run out: nothing runs there any more."""
         self._log.line(
             "worker-lease-out",
@@ -314,6 +336,7 @@
             token=self.token,
         )
         worker.is_fenced = False
+        self.crashes.worker_silent(worker, wall_s)
         self._void_runs(worker, "lease out", now_s)
 
     def _void_runs(self, worker: Worker, reason: str, now_s: float) -> None:
@@ -356,6 +379,7 @@
         for run in [run for key, run in worker.runs.items() if key not in listed]:
             self._not_listed(worker, run, sent_s, now_s)
         worker.reported_s = now_s
+        self.crashes.answered(worker, now_s)
         self.recovered(worker.worker_id, "seen")
 
     def _row_learnt(self, worker: Worker, row: RunningTask, now_s: float) -> None:
@@ -422,6 +446,7 @@
         if run.phase is RunPhase.STARTING or run.phase_s >= sent_s:
             return
         if run.phase is RunPhase.STOPPED:
+            self.crashes.survived(run)
             self._finish_run(worker, run, EndKind.STOPPED, "", now_s)
         elif run.phase is RunPhase.UNANSWERED:
             self.want_stop(run, "start-unanswered")
@@ -466,6 +491,7 @@
         """Learn that a start was refused, so that the run does not exist."""
         worker = self.workers.get(run.worker_id)
         if worker is not None and (run.name, run.run_id) in worker.runs:
+            self.crashes.survived(run)
             self._finish_run(worker, run, EndKind.STOPPED, "", now_s)
 
     def want_stop(self, run: Run, reason: str) -> None:
@@ -494,6 +520,7 @@
             row = (entry.changes, worker, end.number)
             self._awaiting.setdefault(entry.job.job_id, []).append(row)
         if run is not None:
+            self.crashes.survived(run)
             self._finish_run(worker, run, end.kind, end.checkpoint, now_s)
 
     def _count_end(
@@ -542,6 +569,8 @@
     ) -> None:
         """Free a run's room and let its task wait again where it has more to do."""
         worker.remove(run)
+        if worker.isolated is run:
+            worker.isolated = None
         self.unwanted.discard(run)
         entry = self.entries.get(run.name.job_id)
         if entry is None:
--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -81,6 +81,7 @@
         for worker in self._board.workers.values():
             yield from pace_orders(worker, now_s)
         self._started = 0
+        yield from self._isolated_starts(now_s)
         yield from self._starts(now_s, wall_s)
 
     @property
@@ -120,15 +121,17 @@
             board.open_due(board.entries[job_id], wall_s)
         for worker_id, until_s in list(board.pending_recovery.items()):
             if now_s > until_s:
+                board.crashes.earlier_runs_lost()
                 board.recovered(worker_id, "leases out")
         for worker in list(board.workers.values()):
             self._pass_time_of(worker, now_s)
 
     def _pass_time_of(self, worker: Worker, now_s: float) -> None:
         if now_s > worker.lease_ends_s and _is_settled(worker):
-            self._board.lapse(worker, now_s)
+            self._board.lapse(worker, now_s, self._wall_s)
         if not worker.is_listed and not worker.runs and now_s > worker.lease_ends_s:
-            self._board.worker_over(worker.worker_id, "no longer listed", now_s)
+            reason = "no longer listed"
+            self._board.worker_over(worker.worker_id, reason, now_s, self._wall_s)
             return
         if worker.view.is_draining:
             self.evacuate(worker)
@@ -182,16 +185,54 @@
             if step.step.is_gang:
                 yield from self._start_gang(step, now_s)
                 continue
-            yield from self._start_tasks(step, now_s)
+            if step.job_entry.progress.lost:
+                yield from self._start_beside_suspects(step, now_s)
+                continue
+            yield from self._start_tasks(step, step.waiting, now_s)
             if step.waiting and step.step.is_lasting:
                 self._hold_room(step, now_s)
             if step.waiting and _is_plain(step) and not step.is_hopeless(wall_s):
                 too_big.append((step.step.cpu_millicores, step.step.memory_mb, step.step.gpus))
 
-    def _start_tasks(self, step: StepEntry, now_s: float) -> Iterator[StartOrder]:
+    def _isolated_starts(self, now_s: float) -> Iterator[StartOrder]:
+        """Yield the starts of suspects whose workers are ready for them."""
+        for run, may_be_sent in self._board.crashes.ready(now_s):
+            entry = self._board.entries.get(run.name.job_id)
+            step = entry.steps.get((run.name.occurrence, run.name.step)) if entry else None
+            if may_be_sent and step is not None:
+                yield self._start_order(step, run)
+            else:
+                self._board.start_failed(run, now_s)
+
+    def _start_beside_suspects(self, step: StepEntry, now_s: float) -> Iterator[StartOrder]:
+        """Start tasks of a job that has lost runs with crashed workers, suspects apart."""
+        crashes, entry = self._board.crashes, step.job_entry
+        indices = {step.name(index): index for index in step.waiting}
+        suspects = crashes.suspects(entry, indices, self._wall_s)
+        if entry.progress.state.is_final:
+            return
+        for name in crashes.may_start(entry, suspects):
+            self._isolate(step, indices[name], now_s)
+        if not crashes.is_held(entry, suspects):
+            others = [index for name, index in indices.items() if name not in suspects]
+            yield from self._start_tasks(step, others, now_s)
+
+    def _isolate(self, step: StepEntry, index: int, now_s: float) -> None:
+        """Keep a worker for a suspect, one where a crash would take the least with it."""
+        placement = Placement.of(step, now_s=now_s, wall_s=self._wall_s)
+        places = [one for one in self._board.crashes.places() if placement.obstacle(one) is None]
+        if not places:
+            return
+        run = self._board.new_run(step, index, places[0], self._board.next_run_id(), now_s)
+        self._board.crashes.isolate(run, places[0], now_s=now_s, wall_s=self._wall_s)
+        self._started += 1
+
+    def _start_tasks(
+        self, step: StepEntry, indices: list[int], now_s: float
+    ) -> Iterator[StartOrder]:
         placement = Placement.of(step, now_s=now_s, wall_s=self._wall_s)
         candidates = Candidates(placement=placement, workers=self._workers_for(step))
-        for index in list(step.waiting):
+        for index in list(indices):
             avoid = step.job_entry.avoid.get(step.name(index), frozenset())
             worker = candidates.best(avoid=avoid, rack=step.rack)
             if worker is None or self.is_cut_short:
@@ -200,6 +241,7 @@
                 step.rack = worker.view.rack
             run_id = self._board.next_run_id()
             run = self._board.new_run(step, index, worker, run_id, now_s)
+            self._board.crashes.started(run, self._wall_s)
             candidates.placed(worker)
             self._started += 1
             yield self._start_order(step, run)
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum, unique
 
@@ -191,6 +192,7 @@
 
     __slots__ = (
         "checkpoint",
+        "confirmed_s",
         "figure",
         "is_stop_wanted",
         "missing",
@@ -226,6 +228,8 @@
         self.phase = phase
         self.phase_s = since_s
         self.since_s = since_s
+        self.confirmed_s = since_s if phase is RunPhase.RUNNING else math.inf
+        """When its worker first said that it runs."""
         self.progressed_s = since_s
         self.percent = 0
         self.figure = 0
@@ -242,6 +246,8 @@
         self.phase = phase
         self.phase_s = now_s
         self.missing = 0
+        if phase is RunPhase.RUNNING:
+            self.confirmed_s = min(self.confirmed_s, now_s)
 
     @property
     def is_at_work(self) -> bool:
@@ -261,6 +267,7 @@
         "avoid_until_s",
         "clock_at_s",
         "clock_ms",
+        "closed_s",
         "cpu_used",
         "failed_jobs",
         "gpus_used",
@@ -268,6 +275,7 @@
         "is_fenced",
         "is_listed",
         "is_yielding",
+        "isolated",
         "lasting_from_s",
         "lease_ends_s",
         "memory_used",
@@ -292,6 +300,10 @@
         self.avoid_until_s = 0.0
         self.lasting_from_s = 0.0
         """Lasting tasks are not placed here before: an order to take it away may still come."""
+        self.closed_s: float | None = None
+        """When it closed its connections, if it has not answered since."""
+        self.isolated: Run | None = None
+        """A run that may crash the worker; nothing else is started here until it has not."""
         self.failed_jobs: dict[str, float] = {}
         self.runs: dict[tuple[TaskName, int], Run] = {}
         self.cpu_used = 0
--- a/src/shallotworks/scheduling/_orders.py
+++ b/src/shallotworks/scheduling/_orders.py
@@ -77,6 +77,11 @@
 UNANSWERED_PAUSE_S = 0.5
 UNHEALTHY_PAUSE_S = 1.0
 NO_ROOM_PAUSE_S = 0.3
+LEAST_WAIT_S = 0.02
+"""A look that waits for a run started apart to outlive its start."""
+CLOSED_WITHIN_S = 0.5
+"""A look that gets no answer this soon has not timed out: its connection was closed or refused."""
+_LOST = (OrderEnding.UNANSWERED, OrderEnding.UNSENT)
 SETTLE_WAIT_S = 0.3
 """A look is held back this long for ends whose record is being stored: the worker would answer it
 at once with the same ends."""
@@ -263,7 +268,7 @@
         sent_s = self._clock()
         acknowledged = worker.highest_settled
         lease_ms = self._extend(worker, sent_s) if self._may_extend(worker, sent_s) else None
-        wait_s = 0.0 if self._is_pressing(worker) else self._times.look_wait_s
+        wait_s = self._look_wait_s(worker)
         outcome = await self._orders.look(
             worker.view,
             token=self._board.token,
@@ -274,6 +279,8 @@
         )
         self._metrics.count(f"scheduler.look.{outcome.ending.value}")
         if outcome.report is None:
+            if outcome.ending in _LOST and self._clock() - sent_s < wait_s + CLOSED_WITHIN_S:
+                self._board.crashes.connection_closed(worker, self._clock(), self._wall_clock())
             self._look_failed(worker, outcome)
             await asyncio.sleep(SETTLE_WAIT_S)
             return
@@ -297,6 +304,14 @@
         """
         return bool(worker.runs) and now_s - worker.reported_s < self._times.silence_s
 
+    def _look_wait_s(self, worker: Worker) -> float:
+        if self._is_pressing(worker):
+            return 0.0
+        left_s = self._board.crashes.isolation_left_s(worker, self._clock())
+        if left_s is None:
+            return self._times.look_wait_s
+        return min(self._times.look_wait_s, max(left_s, LEAST_WAIT_S))
+
     def _is_pressing(self, worker: Worker) -> bool:
         if not worker.is_fenced or worker.unsettled or not worker.clock_ms:
             return True
@@ -346,7 +361,8 @@
             self._holder.lose(f"a later scheduler has fenced {worker.worker_id}")
             return True
         if outcome.ending is OrderEnding.GONE:
-            self._board.worker_over(worker.worker_id, "another incarnation", self._clock())
+            reason = "another incarnation"
+            self._board.worker_over(worker.worker_id, reason, self._clock(), self._wall_clock())
             return True
         return False
 
--- a/src/shallotworks/scheduling/_placement.py
+++ b/src/shallotworks/scheduling/_placement.py
@@ -114,6 +114,8 @@
             return WaitReason.SPREAD
         if self._is_hopeless and worker.is_yielding:
             return WaitReason.YIELDING
+        if worker.isolated is not None:
+            return WaitReason.QUARANTINED
         if worker.pause_until_s > self._now_s:
             return WaitReason.PAUSED
         if self._step.is_lasting and worker.lasting_from_s > self._now_s:
--- a/src/shallotworks/scheduling/_term.py
+++ b/src/shallotworks/scheduling/_term.py
@@ -136,6 +136,7 @@
             directory=parts.directory,
             book=parts.book,
             clock=parts.clock,
+            wall_clock=parts.wall_clock,
             recovery_s=parts.times.recovery_s,
         )
         self._desk = OrderDesk(
--- a/src/shallotworks/scheduling/_term_workers.py
+++ b/src/shallotworks/scheduling/_term_workers.py
@@ -25,10 +25,19 @@
         directory: Lists workers.
         book: What the keeper of machines has taken away.
         clock: Seconds, counting suspended time.
+        wall_clock: Time of day in seconds since 1970.
         recovery_s: Whatever an earlier term started on an unseen worker has ended by then.
     """
 
-    __slots__ = ("_board", "_book", "_clock", "_directory", "_record", "_recovery_s")
+    __slots__ = (
+        "_board",
+        "_book",
+        "_clock",
+        "_directory",
+        "_record",
+        "_recovery_s",
+        "_wall_clock",
+    )
 
     def __init__(
         self,
@@ -38,6 +47,7 @@
         directory: WorkerDirectory,
         book: MachineBook,
         clock: Callable[[], float],
+        wall_clock: Callable[[], float],
         recovery_s: float,
     ) -> None:
         self._board = board
@@ -45,6 +55,7 @@
         self._directory = directory
         self._book = book
         self._clock = clock
+        self._wall_clock = wall_clock
         self._recovery_s = recovery_s
 
     def may_use(self, worker_id: str) -> bool:
@@ -105,7 +116,9 @@
         for worker_id in self._book.keeper.over:
             listed.pop(worker_id, None)
             if worker_id in self._board.workers:
-                self._board.worker_over(worker_id, "taken away", self._clock())
+                self._board.worker_over(
+                    worker_id, "taken away", self._clock(), self._wall_clock(), is_planned=True
+                )
         return listed
 
     async def keep_record(self) -> bool:
--- a/src/shallotworks/scheduling/_waiting.py
+++ b/src/shallotworks/scheduling/_waiting.py
@@ -151,12 +151,19 @@
     for worker in board.workers.values():
         obstacle = placement.obstacle(worker)
         if obstacle is None:
-            return WaitReason.GANG if step.step.is_gang else WaitReason.READY
+            return _reason_beside_room(step)
         if obstacle is not closest and _CLOSENESS[obstacle] > _CLOSENESS[closest]:
             closest = obstacle
     return closest
 
 
+def _reason_beside_room(step: StepEntry) -> WaitReason:
+    """Return why tasks wait though a worker may run one of them."""
+    if step.step.is_gang:
+        return WaitReason.GANG
+    return WaitReason.SUSPECT if step.job_entry.progress.lost else WaitReason.READY
+
+
 def tasks_recovering(board: ServiceBoard) -> int:
     """Return how many tasks wait until recovery is over."""
     return sum(len(step.waiting) for step in _held_steps(board))
@@ -336,6 +343,8 @@
         step = entry.step
         if step.is_gang or step.most_per_worker or entry.job_entry.job.policy.is_advised:
             return None
+        if entry.job_entry.progress.lost:
+            return None
         return _Kind(
             cpu_millicores=step.cpu_millicores,
             memory_mb=step.memory_mb,
--- a/src/shallotworks/standins/_task_workers.py
+++ b/src/shallotworks/standins/_task_workers.py
@@ -105,6 +105,10 @@
         self.is_alive = False
         self._runs.clear()
 
+    def wake(self) -> None:
+        """Let calls that wait for an end see what has become of the worker."""
+        self._tell()
+
     def fail(self, name: TaskName) -> None:
         """Let what runs of a task fail now."""
         for run in [run for run in self._runs.values() if run.name == name]:
@@ -369,7 +373,7 @@
             await reached.wait_for_end(ends_s - loop.time())
             outcome = reached.look(token, acknowledged, None)
         if not reached.is_alive or worker.worker_id in self.faults.cut:
-            return OrderOutcome(ending=OrderEnding.UNANSWERED)
+            return await self._answer_of_absent(worker)
         return outcome
 
     async def start(
@@ -406,12 +410,18 @@
     async def _reach(self, worker: WorkerView) -> TaskWorker | OrderOutcome:
         await asyncio.sleep(CALL_S)
         reached = self._fleet.workers.get(worker.worker_id)
+        is_absent = worker.worker_id in self._fleet.absences
+        if reached is None or not reached.is_alive or is_absent:
+            return await self._answer_of_absent(worker)
+        if worker.worker_id in self.faults.cut:
+            return await self._lose()
+        return reached
+
+    async def _answer_of_absent(self, worker: WorkerView) -> OrderOutcome:
         absence = self._fleet.absences.get(worker.worker_id)
         if absence is not None and worker.worker_id not in self.faults.cut:
             return OrderOutcome(ending=absence)
-        if reached is None or not reached.is_alive or worker.worker_id in self.faults.cut:
-            return await self._lose()
-        return reached
+        return await self._lose()
 
     async def _lose(self) -> OrderOutcome:
         await asyncio.sleep(TIMEOUT_S)
--- a/tests/crash_history.py
+++ b/tests/crash_history.py
@@ -32,6 +32,8 @@
         self.crashes: Counter[TaskName] = Counter()
         self.starts_of: Counter[TaskName] = Counter()
         self.crashed = asyncio.Event()
+        self.is_silent = False
+        """Whether a crashed worker's connections hang, and are not closed and refused."""
 
     def starts(self, worker: TaskWorker, name: TaskName) -> None:
         """Judge a start; crash the worker shortly after it where the task is one that does."""
@@ -53,6 +55,9 @@
     def crash(self, worker: TaskWorker) -> None:
         """Crash a worker; another incarnation takes its place."""
         worker.crash()
+        if not self.is_silent:
+            self.absences[worker.view.worker_id] = OrderEnding.UNSENT
+            worker.wake()
         asyncio.get_running_loop().call_later(BACK_AFTER_S, self._come_back, worker)
 
     def _come_back(self, worker: TaskWorker) -> None:
--- a/tests/scheduling_fakes.py
+++ b/tests/scheduling_fakes.py
@@ -11,6 +11,7 @@
     RunningTask,
     ServiceBoard,
     StartOrder,
+    Stored,
     Worker,
     WorkerReport,
     WorkerView,
@@ -101,8 +102,23 @@
         return list(self.decider.decide(now_s=self.now_s, wall_s=wall_s))
 
     def starts(self) -> list[StartOrder]:
-        """Return the starts of this moment; each is obeyed."""
-        return [order for order in self.decide() if isinstance(order, StartOrder)]
+        """Return the starts of this moment; each is obeyed.
+
+        What is started apart waits until it is stored, which happens here at once.
+        """
+        decisions = self.decide()
+        if any(worker.isolated is not None for worker in self.board.workers.values()):
+            self.store()
+            decisions += self.decide()
+        return [order for order in decisions if isinstance(order, StartOrder)]
+
+    def store(self) -> None:
+        """Store all progress."""
+        for entry in self.board.dirty():
+            stored = Stored(
+                job_id=entry.job.job_id, changes=entry.changes, revision=entry.revision + 1
+            )
+            self.board.stored(stored)
 
     def report(
         self,
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -4,22 +4,26 @@
 import json
 import unittest
 
+from parameterized import parameterized
+
 from shallotworks.jobs import JobState, TaskName
 from shallotworks.logs import LogLines
 from tests.crash_history import CrashingWorkers
 from tests.fleet_history import History
 from tests.on_loop import run_story
-from tests.scheduling_fakes import Bench, job, step, view
+from tests.scheduling_fakes import WALL_S, Bench, job, step, view
 
+CRASHES = [("refused", False), ("silent", True)]
 JOB_ID = "00000000000000aa"
 CULPRIT = TaskName(JOB_ID, 0, 0, 0)
 GIVEN_UP_WITHIN_S = 16.0
 """Time for three crashes, each noticed within 3.6 s, and a takeover."""
 
 
-def history(seed: int, *, workers: int = 6) -> History:
+def history(seed: int, *, workers: int = 6, is_silent: bool = False) -> History:
     """Return a history whose first task of one job crashes its workers."""
     one = History(seed=seed, workers=workers, fleet=CrashingWorkers)
+    one.fleet.is_silent = is_silent
     one.fleet.crashing.add(CULPRIT)
     for instance in one.instances:
         instance.start()
@@ -42,7 +46,7 @@
         bench.now_s += 0.25
         bench.report("a")
         bench.now_s += 3.0
-        bench.board.worker_over("a", "another incarnation", bench.now_s)
+        bench.board.worker_over("a", "another incarnation", bench.now_s, WALL_S)
         log.flush()
         records = [json.loads(line) for line in b"".join(lines).splitlines()]
         lost = [record for record in records if record["event"] == "run-lost"]
@@ -53,11 +57,12 @@
 
 
 class CrashingTaskTests(unittest.TestCase):
-    def test_a_task_that_crashes_its_workers_is_given_up(self) -> None:
+    @parameterized.expand(CRASHES)
+    def test_a_task_that_crashes_its_workers_is_given_up(self, _how: str, is_silent: bool) -> None:
         """A task was started without end, and each start cost a worker with all that it ran."""
 
         async def story() -> None:
-            one = history(seed=1)
+            one = history(seed=1, is_silent=is_silent)
             await asyncio.sleep(1.0)
             await one.submit(JOB_ID, step(2, estimated_s=0.8))
             await asyncio.sleep(GIVEN_UP_WITHIN_S)
@@ -68,11 +73,12 @@
 
         run_story(story())
 
-    def test_the_count_of_crashes_survives_the_scheduler(self) -> None:
+    @parameterized.expand(CRASHES)
+    def test_the_count_of_crashes_survives_the_scheduler(self, _how: str, is_silent: bool) -> None:
         """Each scheduler was killed before it knew of a crash, and its successor counted anew."""
 
         async def story() -> None:
-            one = history(seed=2)
+            one = history(seed=2, is_silent=is_silent)
             await asyncio.sleep(1.0)
             await one.submit(JOB_ID, step(1, estimated_s=0.8))
             for _ in range(6):
@@ -94,11 +100,14 @@
 
         run_story(story())
 
-    def test_tasks_that_were_lost_beside_the_culprit_are_done(self) -> None:
+    @parameterized.expand(CRASHES)
+    def test_tasks_that_were_lost_beside_the_culprit_are_done(
+        self, _how: str, is_silent: bool
+    ) -> None:
         """Tasks that only stood on the same workers as one that crashes them were lost with it."""
 
         async def story() -> None:
-            one = history(seed=3, workers=8)
+            one = history(seed=3, workers=8, is_silent=is_silent)
             await asyncio.sleep(1.0)
             others = [f"{number:016x}" for number in range(1, 9)]
             await asyncio.gather(
--- a/tests/test_runners_record.py
+++ b/tests/test_runners_record.py
@@ -188,6 +188,7 @@
                 directory=TaskWorkers(rng=random.Random(1)),
                 book=MachineBook(log=quiet_log()),
                 clock=loop.time,
+                wall_clock=loop.time,
                 recovery_s=OrderTimes().recovery_s,
             )
             bench.learn(job(JOB_ID, step(1)))
