Spread jobs over workers while workers crash one after the other

Cause: tasks are packed on the fullest workers, so that others come free to be lent; in a series of crashes each then took the tasks of five jobs and more with it.

Change: for ten seconds after the third of three such crashes, tasks of one job go together, to the least used workers.

--- a/src/shallotworks/scheduling/_crash_loops.py
+++ b/src/shallotworks/scheduling/_crash_loops.py
@@ -29,6 +29,8 @@
 SAME_MOMENT_S = 0.05
 MASS_CRASH_WORKERS = 4
 """So many workers lost at the same moment were not crashed by single tasks."""
+FREQUENT_WINDOW_S = 10.0
+FREQUENT_CRASHES = 3
 MOST_DEATHS_KEPT = 256
 BUSY_PART = 1 / 8
 """Part of the workers with other work on which suspects may be tried at once."""
@@ -46,6 +48,7 @@
 
     __slots__ = (
         "_close",
+        "_crashes",
         "_deaths",
         "_entries",
         "_has_blind_spot",
@@ -67,7 +70,10 @@
         self._workers = workers
         self._log = log
         self._close = close
+        self._crashes: deque[float] = deque(maxlen=FREQUENT_CRASHES)
+        """Time of day at which the last workers were lost with young runs."""
         self._deaths: deque[tuple[float, str]] = deque(maxlen=MOST_DEATHS_KEPT)
+        """When workers closed their connections, on the scheduler's clock, and which."""
         self._waiting: dict[Run, tuple[int, float]] = {}
         """Starts that wait until they are stored and their workers have settled: the change of the
         job that has to be stored, and since when."""
@@ -91,9 +97,11 @@
 
     def worker_silent(self, worker: Worker, wall_s: float) -> None:
         """Blame young runs for a worker that may have crashed."""
-        for run, blame in self._blames(worker):
-            if blame is not Blame.LATE:
-                self._note(run, worker, blame, is_certain=False, wall_s=wall_s)
+        young = [one for one in self._blames(worker) if one[1] is not Blame.LATE]
+        if young:
+            self._crashes.append(wall_s)
+        for run, blame in young:
+            self._note(run, worker, blame, is_certain=False, wall_s=wall_s)
 
     def worker_crashed(self, worker: Worker, wall_s: float) -> None:
         """Blame runs for a worker that has crashed, also those that were given up before."""
@@ -229,6 +237,11 @@
             )
             self.survived(run)
 
+    def are_frequent(self, wall_s: float) -> bool:
+        """Whether tasks crash one worker after the other, so that each should run few jobs."""
+        crashes = self._crashes
+        return len(crashes) == FREQUENT_CRASHES and wall_s - crashes[0] < FREQUENT_WINDOW_S
+
     # ---- suspects
 
     def isolation_left_s(self, worker: Worker, now_s: float) -> float | None:
--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -230,7 +230,8 @@
     def _start_tasks(
         self, step: StepEntry, indices: list[int], now_s: float
     ) -> Iterator[StartOrder]:
-        placement = Placement.of(step, now_s=now_s, wall_s=self._wall_s)
+        is_spread = self._board.crashes.are_frequent(self._wall_s)
+        placement = Placement.of(step, now_s=now_s, wall_s=self._wall_s, is_spread=is_spread)
         candidates = Candidates(placement=placement, workers=self._workers_for(step))
         for index in list(indices):
             avoid = step.job_entry.avoid.get(step.name(index), frozenset())
--- a/src/shallotworks/scheduling/_placement.py
+++ b/src/shallotworks/scheduling/_placement.py
@@ -35,9 +35,10 @@
         now_s: The scheduler's clock.
         permits: Workers that may run it; ``None`` for all.
         is_hopeless: Its job is late already, and keeps off workers that others wait for.
+        is_spread: Tasks go to the least used workers, and not to the fullest.
     """
 
-    __slots__ = ("_is_hopeless", "_key", "_now_s", "_permits", "_step")
+    __slots__ = ("_is_hopeless", "_is_spread", "_key", "_now_s", "_permits", "_step")
 
     def __init__(
         self,
@@ -49,21 +50,26 @@
         now_s: float,
         permits: frozenset[str] | None = None,
         is_hopeless: bool = False,
+        is_spread: bool = False,
     ) -> None:
         self._step = step
         self._key = (job_id, occurrence, number)
         self._now_s = now_s
         self._permits = permits
         self._is_hopeless = is_hopeless
+        self._is_spread = is_spread
 
     @classmethod
-    def of(cls, entry: StepEntry, *, now_s: float, wall_s: float) -> Placement:
+    def of(
+        cls, entry: StepEntry, *, now_s: float, wall_s: float, is_spread: bool = False
+    ) -> Placement:
         """Return the placement of an open step's tasks.
 
         Args:
             entry: The step.
             now_s: The scheduler's clock.
             wall_s: Time of day in seconds since 1970.
+            is_spread: Tasks go to the least used workers.
         """
         job = entry.job_entry.job
         return cls(
@@ -74,6 +80,7 @@
             now_s=now_s,
             permits=frozenset(entry.permits) if job.policy.is_advised else None,
             is_hopeless=entry.is_hopeless(wall_s),
+            is_spread=is_spread,
         )
 
     def choose(
@@ -136,7 +143,10 @@
         memory = worker.memory_used / max(1, view.memory_mb)
         before = (is_suspect, worker.worker_id in avoid, is_far)
         crowd = self._crowd_cost(worker, crowds) if self.is_crowding else (0, 0, 0)
-        return (*before, *crowd, _is_lendable(worker), -max(load, memory))
+        fullness = max(load, memory)
+        if self._is_spread:
+            return (*before, *crowd, not self._count_siblings(worker), fullness)
+        return (*before, *crowd, _is_lendable(worker), -fullness)
 
     def _crowd_cost(self, worker: Worker, crowds: dict[str, int]) -> tuple[float, ...]:
         """Say how badly a lasting task would stand on a worker beside others.
