Test which runs are blamed for a crash, and how suspects are started

Change: tests of the blame, of the count that the store holds, and of starts that are tried apart, on a board without network.

--- /dev/null
+++ b/tests/test_crash_blame.py
@@ -0,0 +1,311 @@
+"""Tests of which runs are blamed for a crash, and of how suspects are started."""
+
+import unittest
+
+from parameterized import parameterized
+
+from shallotworks.jobs import (
+    Blame,
+    JobProgress,
+    JobState,
+    LostRun,
+    Step,
+    TaskName,
+    decode_progress,
+    encode_progress,
+    is_crash_looping,
+    is_suspect,
+)
+from shallotworks.scheduling import EndKind, RunningTask, StartOrder, WaitReason, waiting_reason
+from tests.scheduling_fakes import WALL_S, Bench, job, step, view
+
+SOLE, SHARED, LATE = Blame.SOLE, Blame.SHARED, Blame.LATE
+NAME = TaskName("j", 0, 0, 0)
+AGED_S = 0.4
+"""A run this old is not young any more."""
+
+
+def lost(*blames: Blame, is_certain: bool = True) -> tuple[LostRun, ...]:
+    """Return lost runs, each on a worker of its own."""
+    return tuple(
+        LostRun(run_id=number, worker_id=f"w{number}", blame=blame, is_certain=is_certain)
+        for number, blame in enumerate(blames)
+    )
+
+
+def confirm(bench: Bench, *orders: StartOrder) -> None:
+    """Let workers answer starts."""
+    for order in orders:
+        order.run.enter(order.run.phase.RUNNING, bench.now_s)
+
+
+def crash(bench: Bench, worker_id: str) -> None:
+    """Crash a worker: its connections are closed, later another incarnation answers."""
+    bench.board.crashes.connection_closed(bench.worker(worker_id), bench.now_s, WALL_S)
+    bench.board.worker_over(worker_id, "another incarnation", bench.now_s, WALL_S)
+
+
+def blames(bench: Bench, job_id: str = "j") -> list[list[Blame]]:
+    """Return the blames of a job's tasks, by task."""
+    progress = bench.board.entries[job_id].progress
+    return [[one.blame for one in runs] for _, runs in sorted(progress.lost.items())]
+
+
+class GivenUpTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("one crash", lost(SOLE), False, True),
+            ("two, one as sole suspect", lost(SHARED, SOLE), True, True),
+            ("one late, one as sole suspect", lost(LATE, SOLE), True, True),
+            ("two beside others", lost(SHARED, SHARED), False, True),
+            ("three beside others", lost(SHARED, SHARED, SHARED), True, True),
+            ("one late", lost(LATE), False, False),
+            ("many late", lost(LATE, LATE, LATE, LATE), False, True),
+            ("none certain", lost(SOLE, SOLE, SOLE, is_certain=False), False, True),
+        ]
+    )
+    def test_when_a_task_is_given_up(
+        self, _name: str, runs: tuple[LostRun, ...], is_given_up: bool, is_tried_apart: bool
+    ) -> None:
+        """A sound task is given up for crashes of others, or a culprit is started on and on."""
+        self.assertEqual(is_given_up, is_crash_looping(runs))
+        self.assertEqual(is_tried_apart, is_suspect(runs))
+
+    def test_what_is_certain_stays_and_each_run_counts_once(self) -> None:
+        """One crash is told to two schedulers and counts as two."""
+        progress, one = JobProgress(queue="q"), job("j", step(1))
+        maybe = LostRun(run_id=1, worker_id="a", blame=SOLE, is_certain=False)
+        surely = maybe._replace(is_certain=True)
+        told = [progress.note_lost(one, NAME, lost, now_s=5.0) for lost in (maybe, surely, maybe)]
+        self.assertEqual([True, True, False], told)
+        self.assertFalse(progress.note_survived(one, NAME, 1))
+        self.assertEqual((surely,), progress.lost_runs(one, NAME))
+        self.assertIs(JobState.QUEUED, progress.state)
+
+    def test_lost_runs_stay_in_the_record_until_the_task_is_done(self) -> None:
+        """A successor does not know of a crash, since the record leaves it out."""
+        progress, one = JobProgress(queue="q"), job("j", step(2))
+        for run in lost(LATE, SHARED):
+            progress.note_lost(one, NAME, run, now_s=5.0)
+        read = decode_progress(encode_progress(progress))
+        self.assertEqual(progress.lost, read.lost)
+        read.note_done(one, NAME, now_s=6.0)
+        self.assertEqual({}, read.lost)
+
+
+class BlameTests(unittest.TestCase):
+    def test_young_runs_share_the_blame_and_others_are_late(self) -> None:
+        """A task that had run for long is suspected beside the one that was just started."""
+        bench = Bench(view("a"))
+        bench.learn(job("old", step(1)))
+        confirm(bench, *bench.starts())
+        bench.now_s += AGED_S
+        bench.learn(job("j", step(2)))
+        confirm(bench, *bench.starts())
+        crash(bench, "a")
+        self.assertEqual([[LATE]], blames(bench, "old"))
+        self.assertEqual([[SHARED], [SHARED]], blames(bench))
+
+    def test_a_start_that_was_not_answered_is_young(self) -> None:
+        """The start during which the worker died is not suspected."""
+        bench = Bench(view("a"))
+        bench.learn(job("j", step(1)))
+        bench.starts()
+        bench.now_s += 3.0
+        crash(bench, "a")
+        self.assertEqual([[SOLE]], blames(bench))
+
+    def test_a_worker_that_dies_silently_is_blamed_on_runs_of_its_last_report(self) -> None:
+        """Nobody is suspected, since a silent death is known only seconds later."""
+        bench = Bench(view("a"))
+        bench.learn(job("j", step(1)))
+        (order,) = bench.starts()
+        bench.now_s += 0.1
+        bench.report("a", running=(RunningTask(name=NAME, run_id=order.run.run_id),))
+        bench.now_s += 5.0
+        bench.board.worker_over("a", "another incarnation", bench.now_s, WALL_S)
+        self.assertEqual([[SOLE]], blames(bench))
+
+    def test_lasting_tasks_that_have_run_for_long_are_not_blamed(self) -> None:
+        """A lasting task is given up for the crashes of all the workers that it has seen."""
+        bench = Bench(view("a"))
+        bench.learn(job("j", step(1, is_lasting=True)))
+        confirm(bench, *bench.starts())
+        bench.now_s += AGED_S
+        crash(bench, "a")
+        self.assertEqual([], blames(bench))
+
+    def test_many_workers_lost_at_once_are_blamed_on_nobody_in_particular(self) -> None:
+        """A rack loses power, and all that was just started there is tried apart."""
+        workers = ["a", "b", "c", "d"]
+        bench = Bench(*(view(one, cpu_millicores=1000) for one in workers))
+        bench.learn(job("j", step(4)))
+        confirm(bench, *bench.starts())
+        for one in workers:
+            bench.board.crashes.connection_closed(bench.worker(one), bench.now_s, WALL_S)
+        bench.now_s += 3.0
+        for one in workers:
+            bench.board.worker_over(one, "another incarnation", bench.now_s, WALL_S)
+        self.assertEqual([[LATE]] * 4, blames(bench))
+
+    @parameterized.expand([("taken away", True, False), ("drained", False, True)])
+    def test_a_worker_that_leaves_as_planned_blames_nobody(
+        self, _name: str, is_planned: bool, is_draining: bool
+    ) -> None:
+        """A task is suspected since its machine was moved."""
+        bench = Bench(view("a"))
+        bench.learn(job("j", step(1)))
+        bench.starts()
+        bench.board.crashes.connection_closed(bench.worker("a"), bench.now_s, WALL_S)
+        bench.board.worker_learnt(view("a", is_draining=is_draining))
+        bench.board.worker_over("a", "gone", bench.now_s, WALL_S, is_planned=is_planned)
+        self.assertEqual([], blames(bench))
+
+    def test_a_worker_that_answers_again_clears_its_runs(self) -> None:
+        """Reset connections count as crashes, and a sound task is given up."""
+        bench = Bench(view("a"), view("b"))
+        bench.learn(job("j", step(1)))
+        (order,) = bench.starts()
+        confirm(bench, order)
+        worker = bench.worker(order.run.worker_id)
+        bench.board.crashes.connection_closed(worker, bench.now_s, WALL_S)
+        self.assertEqual([[SOLE]], blames(bench))
+        bench.report(worker.worker_id, ended=((NAME, order.run.run_id, EndKind.FAILED),))
+        self.assertEqual([], blames(bench))
+        self.assertIsNone(worker.closed_s)
+
+    def test_a_lapsed_run_is_cleared_when_its_worker_is_back(self) -> None:
+        """A worker was cut off for a while; its tasks are tried apart for ever."""
+        bench = Bench(view("a"), view("b"))
+        bench.learn(job("j", step(1)))
+        (order,) = bench.starts()
+        worker = bench.worker(order.run.worker_id)
+        confirm(bench, order)
+        bench.board.lapse(worker, bench.now_s, WALL_S)
+        self.assertEqual([[SOLE]], blames(bench))
+        bench.report(worker.worker_id)
+        (again,) = bench.starts()
+        self.assertEqual([], blames(bench))
+        self.assertIsNone(bench.worker(again.run.worker_id).isolated)
+
+    def test_a_lapsed_run_is_counted_when_its_worker_is_over(self) -> None:
+        """A worker is back as another incarnation only after its lease is out."""
+        bench = Bench(view("a"), view("b"))
+        bench.learn(job("j", step(1)))
+        (order,) = bench.starts()
+        worker = bench.worker(order.run.worker_id)
+        bench.board.lapse(worker, bench.now_s, WALL_S)
+        bench.board.worker_over(worker.worker_id, "no longer listed", bench.now_s, WALL_S)
+        (runs,) = bench.board.entries["j"].progress.lost.values()
+        self.assertEqual([(SOLE, True)], [(one.blame, one.is_certain) for one in runs])
+
+
+class ApartTests(unittest.TestCase):
+    """A task of job j was lost on worker c, and is to be tried apart."""
+
+    def setUp(self) -> None:
+        self.bench = Bench(view("a"), view("b"))
+
+    def suspect(self, *steps: Step, **changes: object) -> None:
+        """Learn of a job whose first task has lost a run."""
+        progress = JobProgress(queue="sweeps", lost={(0, 0, 0): lost(SHARED)})
+        self.bench.learn(job("j", *steps, **changes), progress=progress)
+
+    def test_the_start_is_stored_before_it_is_sent(self) -> None:
+        """A scheduler dies with the worker, and its successor does not know of the start."""
+        self.suspect(step(1))
+        self.assertEqual([], self.bench.decide())
+        self.assertEqual([[SHARED, SOLE]], blames(self.bench))
+        self.bench.store()
+        (order,) = self.bench.decide()
+        assert isinstance(order, StartOrder)
+        self.assertEqual(NAME, order.run.name)
+
+    def test_nothing_else_is_started_beside_it(self) -> None:
+        """Tasks of other jobs are lost with a worker on which a suspect was tried."""
+        self.suspect(step(1))
+        self.bench.starts()
+        (isolated,) = [w for w in self.bench.board.workers.values() if w.isolated is not None]
+        self.bench.learn(job("k", step(8)))
+        others = self.bench.starts()
+        self.assertEqual(4, len(others))
+        self.assertNotIn(isolated.worker_id, {one.run.worker_id for one in others})
+        (waiting,) = self.bench.board.open_steps()
+        reason = waiting_reason(self.bench.board, waiting, now_s=self.bench.now_s, wall_s=WALL_S)
+        self.assertIs(WaitReason.QUARANTINED, reason)
+
+    def test_it_waits_for_young_runs_beside_it(self) -> None:
+        """A sound task that was started a moment before shares the blame of the crash."""
+        for worker_id in ("a", "b"):
+            self.bench.learn(job(f"k{worker_id}", step(1, estimated_s=9.0, cpu_millicores=2500)))
+        confirm(self.bench, *self.bench.starts())
+        self.suspect(step(1))
+        self.assertEqual([], self.bench.starts())
+        self.bench.now_s += AGED_S
+        self.assertEqual([NAME], [one.run.name for one in self.bench.starts()])
+
+    def test_other_tasks_of_the_job_wait_until_it_has_proved_harmless(self) -> None:
+        """Each task of a job crashes a worker, and all are started again at once."""
+        self.suspect(step(3))
+        (order,) = self.bench.starts()
+        confirm(self.bench, order)
+        worker = self.bench.worker(order.run.worker_id)
+        running = (RunningTask(name=order.run.name, run_id=order.run.run_id),)
+        self.bench.report(worker.worker_id, running=running)
+        self.assertEqual([], self.bench.starts())
+        self.bench.now_s += 1.0
+        self.bench.report(worker.worker_id, running=running)
+        self.assertIsNone(worker.isolated)
+        self.assertEqual([1, 2], sorted(one.run.name.number for one in self.bench.starts()))
+
+    def test_a_crash_under_it_fails_the_job(self) -> None:
+        """A task is tried apart, crashes that worker too, and is started once more."""
+        self.suspect(step(1))
+        (order,) = self.bench.starts()
+        confirm(self.bench, order)
+        self.bench.now_s += 3.0
+        crash(self.bench, order.run.worker_id)
+        entry = self.bench.board.entries["j"]
+        self.assertIs(JobState.FAILED, entry.progress.state)
+        self.assertEqual([], self.bench.starts())
+
+    def test_a_cancelled_job_gives_its_worker_back(self) -> None:
+        """A worker stays kept for a start that is never sent."""
+        self.suspect(step(1))
+        self.bench.decide()
+        cancelled = JobProgress(queue="sweeps")
+        cancelled.finish(JobState.CANCELLED, now_s=WALL_S)
+        self.bench.board.progress_learnt("j", cancelled, 9)
+        self.assertEqual([], self.bench.starts())
+        workers = self.bench.board.workers.values()
+        self.assertEqual([None, None], [worker.isolated for worker in workers])
+        self.assertEqual([0, 0], [len(worker.runs) for worker in workers])
+
+    def test_a_start_that_cannot_be_stored_is_given_back(self) -> None:
+        """While the store is away a worker is kept for a start that can't be sent."""
+        self.suspect(step(1))
+        self.bench.decide()
+        self.bench.now_s += 2.5
+        self.bench.report("a")
+        self.bench.report("b")
+        self.bench.decide()
+        self.assertEqual([[SHARED, SOLE]], blames(self.bench))
+        self.assertEqual(1, sum(len(one.runs) for one in self.bench.board.workers.values()))
+
+    @parameterized.expand([("its worker is over", False, 2), ("its worker lives", True, 1)])
+    def test_a_successor_finds_out_what_became_of_a_start(
+        self, _name: str, lives: bool, crashes: int
+    ) -> None:
+        """A start that was under way when its scheduler died is forgotten, or held against it."""
+        row = LostRun(run_id=5, worker_id="a" if lives else "z", blame=SOLE, is_certain=False)
+        progress = JobProgress(queue="sweeps", lost={(0, 0, 0): (*lost(LATE), row)})
+        self.bench.learn(job("j", step(1)), progress=progress, is_old=True)
+        self.bench.decide()
+        entry = self.bench.board.entries["j"]
+        known = entry.progress.lost_runs(entry.job, NAME)
+        self.assertEqual(crashes, sum(one.is_certain for one in known))
+        self.assertEqual(not lives, entry.progress.state is JobState.FAILED)
+
+
+if __name__ == "__main__":
+    unittest.main()
