Give a start back whose worker's capacity has shrunk meanwhile

Cause: a suspect's start waits until it is stored and its worker has settled, up to two seconds. The worker was not asked again whether it still has room; one that refuses nothing would have been brought over its capacity.

Change: a worker is checked once more before such a start is sent. Tests of shrinking capacity: nothing starts beyond what is left, and what is being stopped still counts.

Measured: the test of the waiting start failed before; the others pass on the code as it was.

--- a/src/shallotworks/scheduling/_crash_loops.py
+++ b/src/shallotworks/scheduling/_crash_loops.py
@@ -334,7 +334,7 @@
             elif entry.stored_changes >= change and self._is_settled(worker, run, now_s):
                 del self._waiting[run]
                 run.since_s = run.phase_s = now_s
-                yield run, worker.is_listed and worker.is_fenced and not worker.view.is_draining
+                yield run, _may_start_on(worker)
             elif now_s - since_s > SETTLE_LIMIT_S:
                 yield run, False
 
@@ -348,6 +348,12 @@
         self._vouched.discard(job_id)
 
 
+def _may_start_on(worker: Worker) -> bool:
+    """Whether a worker on which room is held for a start may still be given it."""
+    is_reached = worker.is_listed and worker.is_fenced
+    return is_reached and not worker.view.is_draining and not worker.is_overfull
+
+
 def _harm(worker: Worker) -> tuple[bool, int, int]:
     """Return how much would be lost with a worker."""
     has_lasting = any(run.step.is_lasting for run in worker.runs.values())
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -329,6 +329,16 @@
             and self.gpus_used + step.gpus <= self.view.gpus
         )
 
+    @property
+    def is_overfull(self) -> bool:
+        """Whether what runs takes more than the capacity, which may have shrunk."""
+        view = self.view
+        return (
+            self.cpu_used > view.cpu_millicores
+            or self.memory_used > view.memory_mb
+            or self.gpus_used > view.gpus
+        )
+
     def fits_beside_lasting(self, step: Step) -> bool:
         """Whether a task of the step would fit once all tasks that end are over."""
         alone = Worker(view=self.view)
--- /dev/null
+++ b/tests/test_shrunk_capacity.py
@@ -0,0 +1,65 @@
+"""Tests of workers whose capacity shrinks and grows while they run."""
+
+import unittest
+
+from parameterized import parameterized
+
+from shallotworks.jobs import Blame, JobProgress, LostRun
+from shallotworks.scheduling import EndKind, RunningTask, StopOrder
+from tests.scheduling_fakes import Bench, job, step, view
+
+
+class ShrunkCapacityTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("processor", {"cpu_millicores": 1500}),
+            ("memory", {"memory_mb": 150}),
+            ("all", {"cpu_millicores": 0, "memory_mb": 0}),
+        ]
+    )
+    def test_nothing_starts_beyond_what_is_left(
+        self, _name: str, capacity: dict[str, object]
+    ) -> None:
+        """A worker that refuses nothing is given more than its capacity, which has shrunk."""
+        bench = Bench(view("a"))
+        bench.learn(job("j", step(1)))
+        self.assertEqual(1, len(bench.starts()))
+        bench.board.worker_learnt(view("a", **capacity))
+        bench.learn(job("k", step(1)))
+        self.assertEqual([], bench.starts())
+        bench.board.worker_learnt(view("a"))
+        self.assertEqual(1, len(bench.starts()))
+
+    def test_what_is_being_stopped_still_counts(self) -> None:
+        """A worker with shrunk capacity is given a task while an earlier one is stopping."""
+        bench = Bench(view("a"))
+        bench.learn(job("j", step(1, cpu_millicores=3000)))
+        (order,) = bench.starts()
+        order.run.enter(order.run.phase.RUNNING, bench.now_s)
+        bench.board.worker_learnt(view("a", cpu_millicores=3500))
+        bench.board.want_stop(order.run, "test")
+        bench.learn(job("k", step(1)))
+        stops = [one for one in bench.decide() if isinstance(one, StopOrder)]
+        self.assertEqual([order.run], [one.run for one in stops])
+        order.run.enter(order.run.phase.STOPPED, bench.now_s)
+        running = (RunningTask(name=order.run.name, run_id=order.run.run_id),)
+        bench.report("a", running=running)
+        self.assertEqual([], bench.starts())
+        bench.report("a", ended=((order.run.name, order.run.run_id, EndKind.STOPPED),))
+        self.assertEqual(["k"], [one.run.name.job_id for one in bench.starts()][:1])
+
+    def test_a_start_that_waits_to_be_stored_is_given_back(self) -> None:
+        """Capacity shrinks between the choice of a worker for a suspect and its start."""
+        bench = Bench(view("a"), view("b", cpu_millicores=0))
+        row = LostRun(run_id=1, worker_id="c", blame=Blame.SHARED, is_certain=True)
+        progress = JobProgress(queue="sweeps", lost={(0, 0, 0): (row,)})
+        bench.learn(job("j", step(1)), progress=progress)
+        bench.decide()
+        bench.store()
+        bench.board.worker_learnt(view("a", cpu_millicores=500))
+        self.assertEqual([], bench.decide())
+        self.assertEqual(0, bench.worker("a").cpu_used)
+
+
+if __name__ == "__main__":
+    unittest.main()
