Look no more at a worker that another incarnation has replaced

Cause: the entry of a crashed worker stands listed for seconds after another incarnation has answered at its address.

Change: a replaced incarnation is left out of the list as long as it stands there.

--- a/src/shallotworks/scheduling/_board.py
+++ b/src/shallotworks/scheduling/_board.py
@@ -83,6 +83,7 @@
         "_lasting_from_s",
         "_log",
         "_next_run",
+        "_replaced",
         "arrivals",
         "crashes",
         "entries",
@@ -118,6 +119,8 @@
         self.crashes = CrashLoops(
             entries=self.entries, workers=self.workers, log=log, close=self._close
         )
+        self._replaced: set[str] = set()
+        """Incarnations that another one has replaced, as long as they are listed."""
         self._lasting_from_s: dict[str, float] = {}
         """Workers that are not on the board yet; see `keep_lasting_off`."""
 
@@ -280,6 +283,17 @@
         worker.view = view
         worker.is_listed = True
 
+    def replaced(self, worker_id: str, now_s: float, wall_s: float) -> None:
+        """Learn that another incarnation has answered at a worker's address."""
+        self._replaced.add(worker_id)
+        self.worker_over(worker_id, "another incarnation", now_s, wall_s)
+
+    def drop_replaced(self, listed: dict[str, WorkerView]) -> None:
+        """Drop replaced workers from a list, on which they stand for seconds more."""
+        self._replaced.intersection_update(listed)
+        for worker_id in self._replaced:
+            del listed[worker_id]
+
     def keep_lasting_off(self, worker_id: str, until_s: float) -> None:
         """Place no lasting task on a worker before then, also if it is not on the board yet."""
         worker = self.workers.get(worker_id)
--- a/src/shallotworks/scheduling/_orders.py
+++ b/src/shallotworks/scheduling/_orders.py
@@ -361,8 +361,7 @@
             self._holder.lose(f"a later scheduler has fenced {worker.worker_id}")
             return True
         if outcome.ending is OrderEnding.GONE:
-            reason = "another incarnation"
-            self._board.worker_over(worker.worker_id, reason, self._clock(), self._wall_clock())
+            self._board.replaced(worker.worker_id, self._clock(), self._wall_clock())
             return True
         return False
 
--- a/src/shallotworks/scheduling/_term_workers.py
+++ b/src/shallotworks/scheduling/_term_workers.py
@@ -111,8 +111,9 @@
         return is_kept
 
     def _listed(self) -> dict[str, WorkerView]:
-        """Return the listed workers but for those that were taken away, whose entries stay on."""
+        """Return the listed workers but for those that are over, whose entries stay on."""
         listed = self._directory.workers_of(self._board.service)
+        self._board.drop_replaced(listed)
         for worker_id in self._book.keeper.over:
             listed.pop(worker_id, None)
             if worker_id in self._board.workers:
--- a/tests/test_replaced_workers.py
+++ b/tests/test_replaced_workers.py
@@ -8,12 +8,13 @@
 import unittest
 from collections import Counter
 from dataclasses import replace
+from typing import Any
 
 from parameterized import parameterized
 
 from shallotworks.jobs import TaskName
-from shallotworks.scheduling import EndedTask, EndKind
-from shallotworks.standins import TaskWorkers
+from shallotworks.scheduling import EndedTask, EndKind, OrderEnding, OrderOutcome, WorkerView
+from shallotworks.standins import OrdersView, TaskWorkers
 from tests.fleet_history import SERVICE, History
 from tests.on_loop import run_story
 from tests.scheduling_fakes import step, view
@@ -33,6 +34,11 @@
     def __init__(self, *, fleet: TaskWorkers) -> None:
         super().__init__(rng=fleet.rng)
         self.times_done: Counter[TaskName] = Counter()
+        self.listed_though_dead: set[str] = set()
+
+    def workers_of(self, service: str) -> dict[str, WorkerView]:
+        stale = {name: self.workers[name].view for name in self.listed_though_dead}
+        return super().workers_of(service) | stale
 
     def ended(self, end: EndedTask) -> None:
         super().ended(end)
@@ -52,6 +58,17 @@
     return history, fleet
 
 
+def count_looks(orders: OrdersView, worker_id: str, looks: list[int]) -> None:
+    """Count an instance's looks at one worker."""
+    look = orders.look
+
+    async def counted(worker: WorkerView, **arguments: Any) -> OrderOutcome:
+        looks[0] += worker.worker_id == worker_id
+        return await look(worker, **arguments)
+
+    orders.look = counted  # type: ignore[method-assign]
+
+
 async def replace_one_after_the_other(fleet: TaskWorkers) -> None:
     """Drain each worker, let it leave, and put another one in its place."""
     for number in range(WORKERS):
@@ -118,6 +135,32 @@
 
         run_story(story())
 
+    def test_a_crashed_worker_is_looked_at_no_more_once_another_has_answered(self) -> None:
+        """A dead worker was looked at again and again for as long as its entry stood listed."""
+
+        async def story() -> None:
+            history, fleet = history_of(1)
+            for instance in history.instances:
+                instance.start()
+            await asyncio.sleep(1.0)
+            await history.submit("00000000000000aa", step(1, is_lasting=True))
+            await asyncio.sleep(1.0)
+            dead = next(iter(fleet.workers.values()))
+            fleet.listed_though_dead.add(dead.view.worker_id)
+            dead.crash()
+            fleet.absences[dead.view.worker_id] = OrderEnding.GONE
+            looks = [0]
+            for instance in history.instances:
+                count_looks(instance.orders, dead.view.worker_id, looks)
+            for _ in range(10):
+                await asyncio.sleep(0.5)
+                fleet.changes += 1
+            self.assertLessEqual(looks[0], 1)
+            for instance in history.instances:
+                await instance.kill()
+
+        run_story(story())
+
     def test_a_list_that_loses_all_workers_for_a_while_ends_nothing(self) -> None:
         """All tasks of a service end and start anew, though their workers are well.
 
