Back off from a start that workers refuse as invalid, and pause no worker

What callers would see: one job that no worker takes held all others back.

A start that was answered 400 was sent again every second without end, each time to another worker, and each of them was paused for a second as if it were unwell.

Change: the step waits, twice as long with each refusal, up to 32 s; its workers go on with other tasks. `tasks-waiting` gives the reason `refused`.

Measured: the new test failed before (five jobs beside such a one on one worker did not end within 0.8 s each); 5 tries at most in 20 s now.

--- a/src/shallotworks/scheduling/_board.py
+++ b/src/shallotworks/scheduling/_board.py
@@ -208,6 +208,11 @@
                 if step.waiting:
                     yield step
 
+    def open_step(self, name: TaskName) -> StepEntry | None:
+        """Return a task's step, if its turn has come and it isn't done."""
+        entry = self.entries.get(name.job_id)
+        return entry.steps.get((name.occurrence, name.step)) if entry is not None else None
+
     def tasks_to_place(self, now_s: float, wall_s: float) -> Iterator[WaitingTasks]:
         """Yield the tasks that wait for a worker, and lasting ones that may soon, by their steps.
 
--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -177,6 +177,8 @@
         for step in steps:
             if self.is_cut_short:
                 return
+            if step.not_before_s > now_s:
+                continue
             if self._room.is_short_of(step) or _needs_as_much_as(step, too_big):
                 continue
             if step.job_entry.job.policy.is_advised and not step.permits:
@@ -197,8 +199,7 @@
     def _isolated_starts(self, now_s: float) -> Iterator[StartOrder]:
         """Yield the starts of suspects whose workers are ready for them."""
         for run, may_be_sent in self._board.crashes.ready(now_s):
-            entry = self._board.entries.get(run.name.job_id)
-            step = entry.steps.get((run.name.occurrence, run.name.step)) if entry else None
+            step = self._board.open_step(run.name)
             if may_be_sent and step is not None:
                 yield self._start_order(step, run)
             else:
--- a/src/shallotworks/scheduling/_entries.py
+++ b/src/shallotworks/scheduling/_entries.py
@@ -8,6 +8,10 @@
 
 __all__ = ["JobEntry", "StepEntry"]
 
+REFUSED_PAUSE_S = 1.0
+"""After the first start that a worker refused as invalid; doubled with each further one ..."""
+LONGEST_REFUSED_PAUSE_S = 32.0
+"""... up to this."""
 USE_OBJECTIVES = 3.0
 """An answer later than this many objectives counts for nothing. Source: the platform's rules."""
 
@@ -26,11 +30,13 @@
         "chain_s",
         "is_asking",
         "job_entry",
+        "not_before_s",
         "number",
         "objective_ends_s",
         "occurrence",
         "permits",
         "rack",
+        "refusals",
         "step",
         "use_ends_s",
         "waiting",
@@ -51,12 +57,21 @@
         """Tickets of the workers that the advice service allows."""
         self.advised_s = -1e9
         self.is_asking = False
+        self.refusals = 0
+        """Starts that workers refused as invalid."""
+        self.not_before_s = 0.0
 
     @property
     def key(self) -> tuple[str, int, int]:
         """Names the step."""
         return (self.job_entry.job.job_id, self.occurrence, self.number)
 
+    def refused(self, now_s: float) -> None:
+        """Take note that a start was refused as invalid: any worker would refuse the next one."""
+        pause_s = min(LONGEST_REFUSED_PAUSE_S, REFUSED_PAUSE_S * 2**self.refusals)
+        self.refusals += 1
+        self.not_before_s = now_s + pause_s
+
     def is_hopeless(self, wall_s: float) -> bool:
         """Whether its job can't meet its objective any more, even if the step began now."""
         return not self.step.is_lasting and wall_s > self.objective_ends_s - self.chain_s
--- a/src/shallotworks/scheduling/_orders.py
+++ b/src/shallotworks/scheduling/_orders.py
@@ -411,18 +411,24 @@
             if outcome.ending is OrderEnding.UNANSWERED:
                 worker.pause_until_s = now_s + UNANSWERED_PAUSE_S
             return
-        if outcome.ending is OrderEnding.TOO_LATE:
+        self._learn_refusal(worker, run, outcome.ending, now_s)
+        self._board.start_failed(run, now_s)
+
+    def _learn_refusal(self, worker: Worker, run: Run, ending: OrderEnding, now_s: float) -> None:
+        """Learn from a start that was not carried out what the next one has to wait for."""
+        step = self._board.open_step(run.name)
+        if ending is OrderEnding.TOO_LATE:
             worker.is_fenced = False
-        elif outcome.ending is OrderEnding.NO_TICKET:
-            entry = self._board.entries.get(run.name.job_id)
-            step = entry.steps.get((run.name.occurrence, run.name.step)) if entry else None
+        elif ending is OrderEnding.NO_TICKET:
             if step is not None:
                 step.permits.pop(worker.worker_id, None)
-        elif outcome.ending is OrderEnding.NO_ROOM:
+        elif ending is OrderEnding.INVALID:
+            if step is not None:
+                step.refused(now_s)
+        elif ending is OrderEnding.NO_ROOM:
             worker.pause_until_s = now_s + NO_ROOM_PAUSE_S
         else:
             worker.pause_until_s = now_s + UNHEALTHY_PAUSE_S
-        self._board.start_failed(run, now_s)
 
     async def _stop(self, order: StopOrder) -> None:
         run = order.run
--- a/src/shallotworks/scheduling/_wait_reason.py
+++ b/src/shallotworks/scheduling/_wait_reason.py
@@ -40,6 +40,8 @@
     """The worker is offered to be taken away, or is being emptied."""
     SUSPECT = "suspect"
     """Runs of its job were lost with crashed workers: one task after the other is tried apart."""
+    REFUSED = "refused"
+    """A worker refused the last start as invalid; the next one waits, each time for longer."""
     GANG = "gang"
     """A worker may run one of its members, which start together: some of them are still being
     stopped, or there is not room for all."""
--- a/src/shallotworks/scheduling/_waiting.py
+++ b/src/shallotworks/scheduling/_waiting.py
@@ -146,6 +146,8 @@
     """
     if step.step.is_gang and len(step.waiting) < step.step.count:
         return WaitReason.GANG
+    if step.not_before_s > now_s:
+        return WaitReason.REFUSED
     placement = Placement.of(step, now_s=now_s, wall_s=wall_s)
     closest = WaitReason.UNLISTED
     for worker in board.workers.values():
@@ -343,7 +345,7 @@
         step = entry.step
         if step.is_gang or step.most_per_worker or entry.job_entry.job.policy.is_advised:
             return None
-        if entry.job_entry.progress.lost:
+        if entry.job_entry.progress.lost or entry.refusals:
             return None
         return _Kind(
             cpu_millicores=step.cpu_millicores,
--- a/tests/test_scheduling_orders.py
+++ b/tests/test_scheduling_orders.py
@@ -3,10 +3,14 @@
 import asyncio
 import unittest
 
+from shallotworks.jobs import JobState
+from shallotworks.scheduling import OrderEnding, OrderOutcome, StartOrder, WorkerView
 from tests.fleet_history import History
 from tests.on_loop import run_story
 from tests.scheduling_fakes import step
 
+REFUSED_ID = "00000000000000aa"
+
 
 class SilentWorkerTests(unittest.TestCase):
     def test_tasks_of_a_worker_that_died_silently_run_again(self) -> None:
@@ -34,5 +38,37 @@
         run_story(story())
 
 
+class RefusedStartTests(unittest.TestCase):
+    def test_a_start_that_is_invalid_is_repeated_less_and_less(self) -> None:
+        """A job that no worker takes was sent to each of them every second, and paused them all."""
+
+        async def story() -> None:
+            history = History(seed=1, workers=1, instances=1)
+            orders = history.instances[0].orders
+            start, tries = orders.start, []
+
+            async def refusing(worker: WorkerView, order: StartOrder, **times: int) -> OrderOutcome:
+                if order.run.name.job_id != REFUSED_ID:
+                    return await start(worker, order, **times)
+                tries.append(asyncio.get_running_loop().time())
+                return OrderOutcome(ending=OrderEnding.INVALID, detail="status 400")
+
+            orders.start = refusing  # type: ignore[method-assign]
+            history.instances[0].start()
+            await asyncio.sleep(1.0)
+            await history.submit(REFUSED_ID, step(1))
+            sound = [f"{number:016x}" for number in range(1, 6)]
+            for job_id in sound:
+                history.fleet.work_s[job_id] = 0.3
+                await history.submit(job_id, step(1, cpu_millicores=4000))
+                await asyncio.sleep(0.8)
+                self.assertIs(JobState.COMPLETED, history.state(job_id))
+            await asyncio.sleep(16.0)
+            self.assertLessEqual(len(tries), 5)
+            await history.instances[0].kill()
+
+        run_story(story())
+
+
 if __name__ == "__main__":
     unittest.main()
