Soak with tasks that crash workers and with machines that shrink

Cause: the soak's workers crashed by themselves only, and had the same capacity from their start to their end, so that it could not have found the incident.

Change: a twentieth of the jobs crash the workers that start them, and machines shrink and grow, half of them without refusing anything; both by draws of their own, so that a seed draws the other troubles as before. Judged are the budget of starts, starts beyond a capacity that has shrunk, and the final states. The stand-in counts what each task asks, and not the most that its job asks. `OrdersView` has a module of its own.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -10,7 +10,7 @@
 import aiohttp
 
 from shallotworks.jobs import TaskName
-from shallotworks.standins import TaskWorkers
+from shallotworks.standins import CrashingWorkers
 from soak._journal import Journal
 from soak._processes import EntryProcess
 from soak._proxy import Proxy
@@ -27,6 +27,11 @@
 GIVE_UP_PART = 0.2
 """Part of the callers that take a first refusal for an answer."""
 
+CPU_MILLICORES = (1000, 1500)
+"""What the tasks of a job's first and second step ask of the processor."""
+CRASHING_PART = 0.05
+"""Part of the jobs whose first task crashes its workers."""
+
 
 @dataclass(slots=True, kw_only=True)
 class CalledJob:
@@ -37,6 +42,7 @@
         queue: Its queue.
         tasks: Its tasks.
         fails: Its first task always fails.
+        crashes: Its first task crashes each worker that starts it.
         is_lasting: Its tasks last until it is cancelled.
     """
 
@@ -44,6 +50,7 @@
     queue: str
     tasks: tuple[TaskName, ...]
     fails: bool = False
+    crashes: bool = False
     is_lasting: bool = False
     accepted_s: float = 0.0
     is_cancel_sent: bool = False
@@ -60,6 +67,7 @@
         entries: The entry processes, with the proxy before each.
         fleet: The workers, which are told what each job's tasks are.
         rng: Draws.
+        crash_rng: Draws the jobs that crash workers.
         journal: Where breaches go, and what is under way.
     """
 
@@ -67,14 +75,16 @@
         self,
         *,
         entries: dict[str, tuple[EntryProcess, Proxy]],
-        fleet: TaskWorkers,
+        fleet: CrashingWorkers,
         rng: random.Random,
+        crash_rng: random.Random,
         journal: Journal,
     ) -> None:
         self.jobs: dict[str, CalledJob] = {}
         self._entries = entries
         self._fleet = fleet
         self._rng = rng
+        self._crash_rng = crash_rng
         self._journal = journal
         self._session: aiohttp.ClientSession | None = None
 
@@ -185,13 +195,18 @@
         rng = self._rng
         job_id = f"{number:016x}"
         steps: list[dict[str, object]] = [
-            {"count": rng.randint(1, 4), "cpu": 1000, "memMb": 100, "estimatedMs": 800}
+            {"count": rng.randint(1, 4), "cpu": CPU_MILLICORES[0], "memMb": 100, "estimatedMs": 800}
         ]
         is_lasting = rng.random() < 0.1
         if is_lasting:
             steps[0] |= {"longRunning": True, "mayMiss": 1}
         elif rng.random() < 0.5:
-            later = {"count": rng.randint(1, 3), "cpu": 1500, "memMb": 100, "estimatedMs": 800}
+            later = {
+                "count": rng.randint(1, 3),
+                "cpu": CPU_MILLICORES[1],
+                "memMb": 100,
+                "estimatedMs": 800,
+            }
             steps.append(later | {"after": [0]})
         counts = [int(str(step["count"])) for step in steps]
         tasks = tuple(
@@ -205,6 +220,7 @@
             queue=rng.choice(list(QUEUES)),
             tasks=tasks,
             fails=fails,
+            crashes=self._crash_rng.random() < CRASHING_PART,
             is_lasting=is_lasting,
         )
         self._teach(job, counts)
@@ -217,8 +233,10 @@
             fleet.lasting.add(job.job_id)
         if job.fails:
             fleet.failing.add(job.tasks[0])
-        fleet.needs[job.job_id] = 1500
+        if job.crashes:
+            fleet.crashing.add(job.tasks[0])
         first = tuple(TaskName(job.job_id, 0, 0, index) for index in range(counts[0]))
         for task in job.tasks:
+            fleet.needs[task] = CPU_MILLICORES[task.step]
             if task.step == 1:
                 fleet.after[task] = first
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -5,15 +5,18 @@
 import asyncio
 import json
 import random
+from collections import Counter
 from dataclasses import dataclass
 
+from shallotworks.jobs import TaskName
 from shallotworks.scheduling import WorkerView
 from shallotworks.standins import (
+    CrashingWorkers,
     MachineOrder,
     MachineRow,
     OrdersView,
     RecordStore,
-    TaskWorkers,
+    TaskWorker,
     WorkerServer,
 )
 from soak._proxy import Proxy
@@ -38,6 +41,26 @@
     view: WorkerView | None = None
 
 
+class _Workers(CrashingWorkers):
+    """Workers whose machines come back after a crash.
+
+    Args:
+        fleet: Their machines.
+        rng: Draws.
+    """
+
+    def __init__(self, *, fleet: Fleet, rng: random.Random) -> None:
+        super().__init__(rng=rng)
+        self._machines = fleet
+        self.crashed_under: Counter[TaskName] = Counter()
+        """Workers that have crashed under each task, by its doing or not."""
+
+    def crash(self, worker: TaskWorker) -> None:
+        """Crash a worker's machine."""
+        name = self._machines.machine_of(worker.view.worker_id)
+        self._machines.crash(name, down_s=self.rng.uniform(1.0, 4.0))
+
+
 class Fleet:
     """All machines.
 
@@ -48,7 +71,7 @@
     """
 
     def __init__(self, *, store: RecordStore, rng: random.Random, host: str) -> None:
-        self.workers = TaskWorkers(rng=rng)
+        self.workers = _Workers(fleet=self, rng=rng)
         self.orders = OrdersView(fleet=self.workers)
         self.machines: dict[str, MachineRow] = {}
         self.breaches: list[str] = []
@@ -93,11 +116,30 @@
         """Return the proxy of each machine's worker."""
         return [place.proxy for place in self._places.values()]
 
+    def machine_of(self, worker_id: str) -> str:
+        """Return the machine that a worker is or was on."""
+        return worker_id.split("-")[1]
+
+    async def resize(self, rng: random.Random) -> None:
+        """Let the capacity of machines shrink and grow, one after the other, until cancelled."""
+        while True:
+            await asyncio.sleep(rng.uniform(0.5, 3.0))
+            place = self._places[rng.choice(sorted(self._places))]
+            size = rng.choice([CPU_MILLICORES, int(CPU_MILLICORES * rng.uniform(0.25, 1.0))])
+            if place.view is None:
+                continue
+            worker = self.workers.workers[place.view.worker_id]
+            worker.resize(size)
+            place.view = worker.view
+            self._register(place.view)
+
     def crash(self, name: str, *, down_s: float) -> None:
         """Let a machine's worker end silently; another incarnation comes later."""
         place = self._places[name]
         if place.row.state != "up":
             return
+        if place.row.worker_id in self.workers.workers:
+            self.workers.crashed_under.update(self.workers.workers[place.row.worker_id].names())
         old = self._end(place)
         place.row.state = "down"
         self._spawn(self._return(place, old, down_s, LAPSE_S))
@@ -161,7 +203,8 @@
             memory_mb=MEMORY_MB,
             rack=place.rack,
         )
-        self.workers.add(view)
+        # Half of the machines take whatever they are given.
+        self.workers.add(view).is_guarded = self._lives % 2 == 0
         # The old worker's connections end with it; its address goes to the new one.
         if place.server is not None:
             await place.server.listener.stop()
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -16,6 +16,8 @@
 
 WAVE_PART = 0.4
 SETTLE_POLL_S = 0.5
+MOST_CRASHES = 2
+"""A task under which so many workers have crashed may be given up. Source: the users' rules."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -188,7 +190,10 @@
     allowed = {"completed"}
     if job.is_cancel_sent:
         allowed.add("cancelled")
-    if job.fails:
+    crashed_under = world.fleet.workers.crashed_under
+    if any(crashed_under[task] >= MOST_CRASHES for task in job.tasks):
+        allowed.add("failed")
+    if job.fails or job.crashes:
         allowed = {"failed"} | (allowed - {"completed"})
     if state not in allowed:
         world.journal.breach(f"{job.job_id} is {state} at the end; allowed: {sorted(allowed)}")
--- a/soak/_world.py
+++ b/soak/_world.py
@@ -73,7 +73,8 @@
         self._folder = folder
         self._slot = slot
         self._count = entries
-        self._heartbeat: asyncio.Task[None] | None = None
+        self._seed = seed
+        self._background: list[asyncio.Task[None]] = []
         self.callers: Callers | None = None
 
     async def start(self) -> None:
@@ -83,7 +84,11 @@
         pools += [SPARE_POOL] * SPARE_MACHINES
         for number, pool in enumerate(pools):
             await self.fleet.add(f"m{number}", pool, f"rack-{number % 3}")
-        self._heartbeat = asyncio.create_task(self.fleet.heartbeat())
+        # Draws of their own, so that what a seed draws else stays as it was.
+        resizing = self.fleet.resize(random.Random(self._seed + 3))
+        self._background = [
+            asyncio.create_task(work) for work in (self.fleet.heartbeat(), resizing)
+        ]
         self.write_configuration()
         for number in range(self._count):
             entry = await self._make_entry(number, machines_address)
@@ -93,6 +98,7 @@
             entries={name: (one.process, one.callers) for name, one in self.entries.items()},
             fleet=self.fleet.workers,
             rng=self.rng,
+            crash_rng=random.Random(self._seed + 4),
             journal=self.journal,
         )
         starting = self.journal.begin("start", EVERYONE)
@@ -105,8 +111,8 @@
         if self.callers is not None:
             await self.callers.close()
         await asyncio.gather(*(one.process.stop() for one in self.entries.values()))
-        if self._heartbeat is not None:
-            self._heartbeat.cancel()
+        for task in self._background:
+            task.cancel()
         await self.fleet.stop()
         for entry in self.entries.values():
             for proxy in (entry.callers, entry.store_link, entry.machines_link):
--- a/src/shallotworks/standins/__init__.py
+++ b/src/shallotworks/standins/__init__.py
@@ -9,14 +9,16 @@
 
 from ._breaches import Breaches, find_breaches
 from ._callers import Callers, Ledger
+from ._crashing_workers import CrashingWorkers
 from ._description import TEAM, describe_fleet, free_ports
 from ._machines_http import MachineOrder, MachineRow, MachinesServer
 from ._memory_instances import MemoryInstanceList
 from ._memory_store import MemoryStore, StoreFaults
+from ._orders_view import OrderFaults, OrdersView
 from ._platform import PlatformStandIn, serve_platform
 from ._record_store import RecordFaults, RecordStore, StoreView
 from ._store_http import StoreServer
-from ._task_workers import OrderFaults, OrdersView, TaskWorker, TaskWorkers
+from ._task_workers import TaskWorker, TaskWorkers
 from ._worker import WorkerStandIn, serve_worker
 from ._worker_control import WorkerCounts, WorkerStatus
 from ._worker_faults import WorkerFault, WorkerFaults
@@ -27,6 +29,7 @@
 __all__ = [
     "Breaches",
     "Callers",
+    "CrashingWorkers",
     "Ledger",
     "MachineOrder",
     "MachineRow",
--- /dev/null
+++ b/src/shallotworks/standins/_crashing_workers.py
@@ -0,0 +1,51 @@
+"""Workers in memory that crash under some tasks, judged by a retry budget."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+
+from shallotworks.jobs import TaskName
+
+from ._task_workers import TaskWorker, TaskWorkers
+
+__all__ = ["CrashingWorkers"]
+
+CRASH_AFTER_S = 0.01
+MOST_STARTS = 5
+"""Three starts that crash their workers and two more. Source: the users' rules."""
+
+
+class CrashingWorkers(TaskWorkers):
+    """Workers that crash under the tasks in ``crashing``; what `crash` does says how.
+
+    Args:
+        rng: Draws lengths and faults.
+    """
+
+    def __init__(self, *, rng: random.Random) -> None:
+        super().__init__(rng=rng)
+        self.crashing: set[TaskName] = set()
+        self.crashes: Counter[TaskName] = Counter()
+        """Workers that each task in ``crashing`` has crashed."""
+        self.starts_of: Counter[TaskName] = Counter()
+
+    def starts(self, worker: TaskWorker, name: TaskName) -> None:
+        """Judge a start; crash the worker shortly after it where the task is one that does."""
+        super().starts(worker, name)
+        self.starts_of[name] += 1
+        if name not in self.crashing:
+            return
+        if self.starts_of[name] > MOST_STARTS:
+            self.breaches.append(f"{name} starts after {self.crashes[name]} workers have crashed")
+        asyncio.get_running_loop().call_later(CRASH_AFTER_S, self._crash_under, worker, name)
+
+    def _crash_under(self, worker: TaskWorker, name: TaskName) -> None:
+        if worker.is_alive:
+            self.crashes[name] += 1
+            self.crash(worker)
+
+    def crash(self, worker: TaskWorker) -> None:
+        """Crash a worker; a subclass may bring another incarnation."""
+        worker.crash()
--- /dev/null
+++ b/src/shallotworks/standins/_orders_view.py
@@ -0,0 +1,135 @@
+"""The workers in memory as one instance reaches them, with faults on the way."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from shallotworks.scheduling import (
+    OrderEnding,
+    OrderOutcome,
+    PaceOrder,
+    StartOrder,
+    StopOrder,
+    WorkerView,
+)
+
+from ._task_workers import TaskWorker, TaskWorkers
+
+__all__ = ["OrderFaults", "OrdersView"]
+
+CALL_S = 0.002
+TIMEOUT_S = 0.7
+
+
+@dataclass(slots=True, kw_only=True)
+class OrderFaults:
+    """Faults on the way of one instance's orders.
+
+    Args:
+        late_part: Part of the orders that are not answered and carried out ``late_s`` later.
+        late_s: See there.
+        lost_part: Part of the orders that are carried out and not answered.
+        cut: Workers that this instance can't reach.
+    """
+
+    late_part: float = 0.0
+    late_s: float = 3.0
+    lost_part: float = 0.0
+    cut: set[str] = field(default_factory=set)
+
+
+class OrdersView:
+    """The workers as one instance reaches them; implements `WorkerOrders`.
+
+    Args:
+        fleet: The workers.
+        faults: Faults on this instance's way.
+    """
+
+    def __init__(self, *, fleet: TaskWorkers, faults: OrderFaults | None = None) -> None:
+        self._fleet = fleet
+        self.faults = faults or OrderFaults()
+        self._late: set[asyncio.Task[None]] = set()
+
+    async def look(
+        self,
+        worker: WorkerView,
+        *,
+        token: int,
+        acknowledged: int,
+        lease_until_ms: int | None,
+        wait_s: float,
+        timeout_s: float,
+    ) -> OrderOutcome:
+        """Ask what runs."""
+        reached = await self._reach(worker)
+        if isinstance(reached, OrderOutcome):
+            return reached
+        loop = asyncio.get_running_loop()
+        ends_s = loop.time() + wait_s
+        outcome = reached.look(token, acknowledged, lease_until_ms)
+        while outcome.report is not None and not outcome.report.ended and loop.time() < ends_s:
+            await reached.wait_for_end(ends_s - loop.time())
+            outcome = reached.look(token, acknowledged, None)
+        if not reached.is_alive or worker.worker_id in self.faults.cut:
+            return await self._answer_of_absent(worker)
+        return outcome
+
+    async def start(
+        self, worker: WorkerView, order: StartOrder, *, token: int, lease_until_ms: int
+    ) -> OrderOutcome:
+        """Start a run."""
+        reached = await self._reach(worker)
+        if isinstance(reached, OrderOutcome):
+            return reached
+        if self._fleet.rng.random() < self.faults.late_part:
+            task = asyncio.create_task(self._start_late(reached, order, token, lease_until_ms))
+            self._late.add(task)
+            task.add_done_callback(self._late.discard)
+            return await self._lose()
+        outcome = reached.start(order, token, lease_until_ms)
+        if self._fleet.rng.random() < self.faults.lost_part:
+            return await self._lose()
+        return outcome
+
+    async def stop(self, worker: WorkerView, order: StopOrder, *, token: int) -> OrderOutcome:
+        """Stop a run."""
+        reached = await self._reach(worker)
+        if isinstance(reached, OrderOutcome):
+            return reached
+        outcome = reached.stop(order, token)
+        if self._fleet.rng.random() < self.faults.lost_part:
+            return await self._lose()
+        return outcome
+
+    async def pace(self, worker: WorkerView, order: PaceOrder, *, token: int) -> OrderOutcome:
+        """Obey without effect."""
+        return OrderOutcome(ending=OrderEnding.OBEYED)
+
+    async def _reach(self, worker: WorkerView) -> TaskWorker | OrderOutcome:
+        await asyncio.sleep(CALL_S)
+        reached = self._fleet.workers.get(worker.worker_id)
+        is_absent = worker.worker_id in self._fleet.absences
+        if reached is None or not reached.is_alive or is_absent:
+            return await self._answer_of_absent(worker)
+        if worker.worker_id in self.faults.cut:
+            return await self._lose()
+        return reached
+
+    async def _answer_of_absent(self, worker: WorkerView) -> OrderOutcome:
+        absence = self._fleet.absences.get(worker.worker_id)
+        if absence is not None and worker.worker_id not in self.faults.cut:
+            return OrderOutcome(ending=absence)
+        return await self._lose()
+
+    async def _lose(self) -> OrderOutcome:
+        await asyncio.sleep(TIMEOUT_S)
+        return OrderOutcome(ending=OrderEnding.UNANSWERED)
+
+    async def _start_late(
+        self, worker: TaskWorker, order: StartOrder, token: int, lease_until_ms: int
+    ) -> None:
+        await asyncio.sleep(self.faults.late_s)
+        if worker.is_alive:
+            worker.start(order, token, lease_until_ms, is_late=True)
--- a/src/shallotworks/standins/_task_workers.py
+++ b/src/shallotworks/standins/_task_workers.py
@@ -6,7 +6,7 @@
 import contextlib
 import random
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, replace
 from math import isinf
 
 from shallotworks.jobs import TaskName
@@ -15,7 +15,6 @@
     EndKind,
     OrderEnding,
     OrderOutcome,
-    PaceOrder,
     RunningTask,
     StartOrder,
     StopOrder,
@@ -23,29 +22,12 @@
     WorkerView,
 )
 
-__all__ = ["OrderFaults", "OrdersView", "TaskWorker", "TaskWorkers"]
+__all__ = ["TaskWorker", "TaskWorkers"]
 
 LONGEST_LEASE_S = 6.0
 STOP_S = 0.2
-CALL_S = 0.002
-TIMEOUT_S = 0.7
-
-
-@dataclass(slots=True, kw_only=True)
-class OrderFaults:
-    """Faults on the way of one instance's orders.
-
-    Args:
-        late_part: Part of the orders that are not answered and carried out ``late_s`` later.
-        late_s: See there.
-        lost_part: Part of the orders that are carried out and not answered.
-        cut: Workers that this instance can't reach.
-    """
-
-    late_part: float = 0.0
-    late_s: float = 3.0
-    lost_part: float = 0.0
-    cut: set[str] = field(default_factory=set)
+SHRUNK_COUNTS_AFTER_S = 4.5
+"""Capacity that has shrunk counts this long after. Source: the users' rules."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -84,12 +66,28 @@
         self._count = 0
         self._news = asyncio.Event()
         self._clock_offset_s = fleet.rng.uniform(100, 1000)
+        self._capacities: list[tuple[float, int]] = []
+        """Until when it had which capacity, in millicores."""
+        self.is_guarded = True
+        """Whether it refuses what does not fit."""
 
     @property
     def clock_ms(self) -> int:
         """Its own steady clock."""
         return int((self._now_s() + self._clock_offset_s) * 1000)
 
+    def resize(self, cpu_millicores: int) -> None:
+        """Change its capacity, which discovery tells."""
+        self._capacities.append((self._now_s(), self.view.cpu_millicores))
+        self.view = replace(self.view, cpu_millicores=cpu_millicores)
+
+    def _is_over_capacity(self, used: int) -> bool:
+        if self.is_guarded:
+            return used > self.view.cpu_millicores
+        since_s = self._now_s() - SHRUNK_COUNTS_AFTER_S
+        earlier = [size for until_s, size in self._capacities if until_s > since_s]
+        return used > max(self.view.cpu_millicores, *earlier, 0)
+
     def names(self) -> set[TaskName]:
         """Return the tasks that run."""
         return {name for name, _ in self._runs}
@@ -169,8 +167,10 @@
         )
         return OrderOutcome(ending=OrderEnding.OBEYED, clock_ms=self.clock_ms, report=report)
 
-    def start(self, order: StartOrder, token: int, lease_until_ms: int) -> OrderOutcome:
-        """Carry out a start."""
+    def start(
+        self, order: StartOrder, token: int, lease_until_ms: int, *, is_late: bool = False
+    ) -> OrderOutcome:
+        """Carry out a start; one that was held up is not judged by the capacity."""
         self.pass_time()
         run = order.run
         if token < self._token:
@@ -184,8 +184,11 @@
         if run.run_id <= self._highest.get(run.name, 0):
             return self._refuse(OrderEnding.STALE_RUN)
         used = sum(self._fleet.need(name) for name, _ in self._runs)
-        if used + self._fleet.need(run.name) > self.view.cpu_millicores:
-            return self._refuse(OrderEnding.NO_ROOM)
+        if self._is_over_capacity(used + self._fleet.need(run.name)):
+            if self.is_guarded:
+                return self._refuse(OrderEnding.NO_ROOM)
+            if not is_late:
+                self._fleet.overfilled(self, run.name)
         self._fleet.starts(self, run.name)
         self._runs[(run.name, run.run_id)] = self._fleet.make_run(run.name, run.run_id)
         self._tell()
@@ -242,7 +245,8 @@
         self.breaches: list[str] = []
         self.started = 0
         self.work_s: dict[str, float] = {}
-        self.needs: dict[str, int] = {}
+        self.needs: dict[str | TaskName, int] = {}
+        """What tasks ask of the processor, by task, or by job where its tasks ask the same."""
         self.after: dict[TaskName, tuple[TaskName, ...]] = {}
         self.lasting: set[str] = set()
         self.failing: set[TaskName] = set()
@@ -291,7 +295,7 @@
 
     def need(self, name: TaskName) -> int:
         """Return what a task asks of the processor, in millicores."""
-        return self.needs.get(name.job_id, 1000)
+        return self.needs.get(name, self.needs.get(name.job_id, 1000))
 
     def make_run(self, name: TaskName, run_id: int) -> _Run:
         """Return a run of a task."""
@@ -323,6 +327,12 @@
         if now_s > self.cancelled.get(name.job_id, now_s) + 3.0:
             self.breaches.append(f"{now_s:.3f} {name} starts after its job was cancelled")
 
+    def overfilled(self, worker: TaskWorker, name: TaskName) -> None:
+        """Take note of a start that brings an unguarded worker over its capacity."""
+        now_s = asyncio.get_running_loop().time()
+        size = worker.view.cpu_millicores
+        self.breaches.append(f"{now_s:.3f} {name} brings a worker over its {size} millicores")
+
     def stops(self, worker: TaskWorker, name: TaskName) -> None:
         """Judge a stop of what runs; for judges that know more of the task."""
 
@@ -337,99 +347,3 @@
             self.noted.add(end.name)
         elif end.kind is EndKind.FAILED:
             self._failures_noted[end.name] += 1
-
-
-class OrdersView:
-    """The workers as one instance reaches them; implements `WorkerOrders`.
-
-    Args:
-        fleet: The workers.
-        faults: Faults on this instance's way.
-    """
-
-    def __init__(self, *, fleet: TaskWorkers, faults: OrderFaults | None = None) -> None:
-        self._fleet = fleet
-        self.faults = faults or OrderFaults()
-        self._late: set[asyncio.Task[None]] = set()
-
-    async def look(
-        self,
-        worker: WorkerView,
-        *,
-        token: int,
-        acknowledged: int,
-        lease_until_ms: int | None,
-        wait_s: float,
-        timeout_s: float,
-    ) -> OrderOutcome:
-        """Ask what runs."""
-        reached = await self._reach(worker)
-        if isinstance(reached, OrderOutcome):
-            return reached
-        loop = asyncio.get_running_loop()
-        ends_s = loop.time() + wait_s
-        outcome = reached.look(token, acknowledged, lease_until_ms)
-        while outcome.report is not None and not outcome.report.ended and loop.time() < ends_s:
-            await reached.wait_for_end(ends_s - loop.time())
-            outcome = reached.look(token, acknowledged, None)
-        if not reached.is_alive or worker.worker_id in self.faults.cut:
-            return await self._answer_of_absent(worker)
-        return outcome
-
-    async def start(
-        self, worker: WorkerView, order: StartOrder, *, token: int, lease_until_ms: int
-    ) -> OrderOutcome:
-        """Start a run."""
-        reached = await self._reach(worker)
-        if isinstance(reached, OrderOutcome):
-            return reached
-        if self._fleet.rng.random() < self.faults.late_part:
-            task = asyncio.create_task(self._start_late(reached, order, token, lease_until_ms))
-            self._late.add(task)
-            task.add_done_callback(self._late.discard)
-            return await self._lose()
-        outcome = reached.start(order, token, lease_until_ms)
-        if self._fleet.rng.random() < self.faults.lost_part:
-            return await self._lose()
-        return outcome
-
-    async def stop(self, worker: WorkerView, order: StopOrder, *, token: int) -> OrderOutcome:
-        """Stop a run."""
-        reached = await self._reach(worker)
-        if isinstance(reached, OrderOutcome):
-            return reached
-        outcome = reached.stop(order, token)
-        if self._fleet.rng.random() < self.faults.lost_part:
-            return await self._lose()
-        return outcome
-
-    async def pace(self, worker: WorkerView, order: PaceOrder, *, token: int) -> OrderOutcome:
-        """Obey without effect."""
-        return OrderOutcome(ending=OrderEnding.OBEYED)
-
-    async def _reach(self, worker: WorkerView) -> TaskWorker | OrderOutcome:
-        await asyncio.sleep(CALL_S)
-        reached = self._fleet.workers.get(worker.worker_id)
-        is_absent = worker.worker_id in self._fleet.absences
-        if reached is None or not reached.is_alive or is_absent:
-            return await self._answer_of_absent(worker)
-        if worker.worker_id in self.faults.cut:
-            return await self._lose()
-        return reached
-
-    async def _answer_of_absent(self, worker: WorkerView) -> OrderOutcome:
-        absence = self._fleet.absences.get(worker.worker_id)
-        if absence is not None and worker.worker_id not in self.faults.cut:
-            return OrderOutcome(ending=absence)
-        return await self._lose()
-
-    async def _lose(self) -> OrderOutcome:
-        await asyncio.sleep(TIMEOUT_S)
-        return OrderOutcome(ending=OrderEnding.UNANSWERED)
-
-    async def _start_late(
-        self, worker: TaskWorker, order: StartOrder, token: int, lease_until_ms: int
-    ) -> None:
-        await asyncio.sleep(self.faults.late_s)
-        if worker.is_alive:
-            worker.start(order, token, lease_until_ms)
--- a/src/shallotworks/standins/_worker_http.py
+++ b/src/shallotworks/standins/_worker_http.py
@@ -19,7 +19,7 @@
 )
 
 from ._http_listener import HttpListener, answer_json, drop_connection
-from ._task_workers import OrdersView
+from ._orders_view import OrdersView
 
 __all__ = ["WorkerServer"]
 
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -8,7 +8,7 @@
 
 from shallotworks.jobs import JobState, TaskName
 from shallotworks.logs import LogLines
-from tests.crash_history import CrashingWorkers
+from tests.crash_history import ReturningWorkers
 from tests.fleet_history import History
 from tests.on_loop import run_story
 from tests.scheduling_fakes import WALL_S, Bench, job, step, view
@@ -22,7 +22,7 @@
 
 def history(seed: int, *, workers: int = 6, is_silent: bool = False) -> History:
     """Return a history whose first task of one job crashes its workers."""
-    one = History(seed=seed, workers=workers, fleet=CrashingWorkers)
+    one = History(seed=seed, workers=workers, fleet=ReturningWorkers)
     one.fleet.is_silent = is_silent
     one.fleet.crashing.add(CULPRIT)
     for instance in one.instances:
@@ -46,7 +46,7 @@
         bench.now_s += 0.25
         bench.report("a")
         bench.now_s += 3.0
-        bench.board.worker_over("a", "another incarnation", bench.now_s, WALL_S)
+        bench.board.replaced("a", bench.now_s, WALL_S)
         log.flush()
         records = [json.loads(line) for line in b"".join(lines).splitlines()]
         lost = [record for record in records if record["event"] == "run-lost"]
