Blame no start that never arrived, nor one that its worker may have outlived

Cause: two starts were held against its tasks. One was under way to a worker that was dead before; another incarnation refused it a moment after a look had shown that the worker was over. The other was tried apart and cleared, the scheduler lost the store before that was stored, and its successor took the start for the only cause when the worker went for another reason.

Change: a start under way is blamed only when its answer doesn't rule it out. What an earlier term has left open, and what went with a worker that may be cut off, counts as shared blame: three of these give a job up, or two with one that is proven. A start stored after a takeover counts as shared too, so that a task whose scheduler dies each time is still given up in time.

--- a/src/shallotworks/scheduling/_board.py
+++ b/src/shallotworks/scheduling/_board.py
@@ -117,7 +117,11 @@
         """Time of day and core-seconds of the latest jobs."""
         self._awaiting: dict[str, list[tuple[int, Worker, int]]] = {}
         self.crashes = CrashLoops(
-            entries=self.entries, workers=self.workers, log=log, close=self._close
+            entries=self.entries,
+            workers=self.workers,
+            first_run_id=self._next_run,
+            log=log,
+            close=self._close,
         )
         self._replaced: set[str] = set()
         """Incarnations that another one has replaced, as long as they are listed."""
@@ -342,7 +346,7 @@
         if is_planned or worker.view.is_draining:
             self.crashes.worker_left(worker)
         else:
-            self.crashes.worker_crashed(worker, wall_s)
+            self.crashes.worker_over(worker, wall_s, is_replaced=worker_id in self._replaced)
         self._void_runs(worker, reason, now_s)
 
     def lapse(self, worker: Worker, now_s: float, wall_s: float) -> None:
--- a/src/shallotworks/scheduling/_crash_loops.py
+++ b/src/shallotworks/scheduling/_crash_loops.py
@@ -15,7 +15,7 @@
 from shallotworks.logs import LogLines
 
 from ._entries import JobEntry
-from ._model import Run, Worker
+from ._model import Run, RunPhase, Worker
 
 __all__ = ["CrashLoops"]
 
@@ -42,6 +42,7 @@
     Args:
         entries: The service's jobs by id.
         workers: Its workers by id.
+        first_run_id: Runs with lower ids are of earlier terms.
         log: One line for each blame and each job that is given up.
         close: Called for a job that has failed.
     """
@@ -51,8 +52,10 @@
         "_crashes",
         "_deaths",
         "_entries",
+        "_first_run_id",
         "_has_blind_spot",
         "_log",
+        "_unanswered",
         "_vouched",
         "_waiting",
         "_workers",
@@ -63,11 +66,13 @@
         *,
         entries: dict[str, JobEntry],
         workers: dict[str, Worker],
+        first_run_id: int,
         log: LogLines,
         close: Callable[[JobEntry, str], None],
     ) -> None:
         self._entries = entries
         self._workers = workers
+        self._first_run_id = first_run_id
         self._log = log
         self._close = close
         self._crashes: deque[float] = deque(maxlen=FREQUENT_CRASHES)
@@ -77,6 +82,8 @@
         self._waiting: dict[Run, tuple[int, float]] = {}
         """Starts that wait until they are stored and their workers have settled: the change of the
         job that has to be stored, and since when."""
+        self._unanswered: dict[int, tuple[Run, Blame]] = {}
+        """By its id, each run whose start was under way when its worker was known to be over."""
         self._has_blind_spot = False
         """Whether a worker was lost that may have run tasks of an earlier term."""
         self._vouched: set[str] = set()
@@ -103,14 +110,55 @@
         for run, blame in young:
             self._note(run, worker, blame, is_certain=False, wall_s=wall_s)
 
-    def worker_crashed(self, worker: Worker, wall_s: float) -> None:
-        """Blame runs for a worker that has crashed, also those that were given up before."""
+    def worker_over(self, worker: Worker, wall_s: float, *, is_replaced: bool) -> None:
+        """Blame runs for a worker that is over, also those that were given up before.
+
+        Args:
+            worker: The worker.
+            wall_s: Time of day.
+            is_replaced: Another incarnation has taken its place, so that it has crashed; else it
+                may be cut off.
+        """
         for run in [run for run in worker.runs.values() if run in self._waiting]:
             self.survived(run)
         for run, blame in self._blames(worker):
-            self._note(run, worker, blame, is_certain=True, wall_s=wall_s)
+            if run.phase is RunPhase.STARTING:
+                self._unanswered[run.run_id] = (run, blame)
+            else:
+                self._note(run, worker, blame, is_certain=True, wall_s=wall_s)
         for entry, name, lost in self._doubtful_on(worker.worker_id):
-            self._note_lost(entry, name, lost._replace(is_certain=True), wall_s)
+            if lost.run_id not in self._unanswered:
+                self._confirm(entry, name, lost, wall_s, is_replaced=is_replaced)
+
+    def start_answered(self, run: Run, wall_s: float, *, may_have_run: bool) -> None:
+        """Hear what became of a start, whose worker may be known to be over by now."""
+        _, blame = self._unanswered.pop(run.run_id, (run, None))
+        entry = self._entries.get(run.name.job_id)
+        if blame is None or entry is None or entry.progress.state.is_final:
+            return
+        if may_have_run:
+            lost = LostRun(run_id=run.run_id, worker_id=run.worker_id, blame=blame, is_certain=True)
+            self._note_lost(entry, run.name, lost, wall_s)
+        else:
+            self._clear(entry, run.name, run.run_id)
+
+    def _confirm(
+        self,
+        entry: JobEntry,
+        name: TaskName,
+        lost: LostRun,
+        wall_s: float,
+        *,
+        is_replaced: bool,
+    ) -> None:
+        """Make a blame certain; it is less than sole where the worker may have lived on for long.
+
+        Of an earlier term's run it is not known whether it was cleared, and that not stored.
+        """
+        blame = lost.blame
+        if blame is Blame.SOLE and not (is_replaced and lost.run_id > self._first_run_id):
+            blame = Blame.SHARED
+        self._note_lost(entry, name, lost._replace(blame=blame, is_certain=True), wall_s)
 
     def earlier_runs_lost(self) -> None:
         """Take note that a worker was lost, and nobody knows what an earlier term ran there."""
@@ -125,7 +173,7 @@
         entry = self._entries[run.name.job_id]
         if self._has_blind_spot and entry.is_old and not run.step.is_lasting:
             lost = LostRun(
-                run_id=run.run_id, worker_id=run.worker_id, blame=Blame.LATE, is_certain=False
+                run_id=run.run_id, worker_id=run.worker_id, blame=Blame.SHARED, is_certain=False
             )
             self._note_lost(entry, run.name, lost, wall_s)
 
@@ -270,11 +318,11 @@
             name = TaskName(entry.job.job_id, *key)
             alive = {run.run_id for run in entry.live.get(name, ())}
             for lost in runs:
-                if lost.is_certain or lost.run_id in alive:
+                if lost.is_certain or lost.run_id in alive or lost.run_id in self._unanswered:
                     continue
                 worker = self._workers.get(lost.worker_id)
                 if worker is None:
-                    self._note_lost(entry, name, lost._replace(is_certain=True), wall_s)
+                    self._confirm(entry, name, lost, wall_s, is_replaced=False)
                 elif worker.is_fenced:
                     self._clear(entry, name, lost.run_id)
 
--- a/src/shallotworks/scheduling/_orders.py
+++ b/src/shallotworks/scheduling/_orders.py
@@ -402,9 +402,12 @@
     def _start_answered(
         self, worker: Worker, run: Run, outcome: OrderOutcome, now_s: float
     ) -> None:
-        if self._common_failure(worker, outcome):
+        is_gone = self._common_failure(worker, outcome)
+        may_have_run = outcome.ending in (OrderEnding.OBEYED, OrderEnding.UNANSWERED)
+        self._board.crashes.start_answered(run, self._wall_clock(), may_have_run=may_have_run)
+        if is_gone:
             return
-        if outcome.ending in (OrderEnding.OBEYED, OrderEnding.UNANSWERED):
+        if may_have_run:
             if run.phase is RunPhase.STARTING:
                 is_running = outcome.ending is OrderEnding.OBEYED
                 run.enter(RunPhase.RUNNING if is_running else RunPhase.UNANSWERED, now_s)
