Start nothing on unguarded workers by a list that is old

Cause: its capacity shrank while the store gave no answer. The scheduler that won its key as the store came back started tasks by the list of before, for up to two seconds, until its mirror of the workers had caught up.

Change: where workers don't guard their capacity (`admissionControl`), tasks are started only while the store has answered the mirror within 2.5 s. Guarded workers are used as before: what doesn't fit they refuse.

--- a/src/shallotworks/platform/_configuration.py
+++ b/src/shallotworks/platform/_configuration.py
@@ -48,6 +48,7 @@
         queues: The queues of each host, those with the longest prefix first.
         services: Names of all services.
         standby: Services whose machines are off and not paid for.
+        guarded: Services whose workers refuse what goes beyond their capacity.
         longest_body_bytes: Longest body of a request.
         idle_timeout_s: Idle connections of callers are closed after this.
     """
@@ -56,6 +57,7 @@
     queues: dict[str, tuple[Queue, ...]]
     services: frozenset[str]
     standby: frozenset[str]
+    guarded: frozenset[str]
     longest_body_bytes: int
     idle_timeout_s: float
 
@@ -146,6 +148,9 @@
         },
         services=frozenset(str(row["name"]) for row in body["services"]),
         standby=frozenset(str(row["name"]) for row in body["services"] if row.get("standby")),
+        guarded=frozenset(
+            str(row["name"]) for row in body["services"] if row.get("admissionControl")
+        ),
         longest_body_bytes=int(limits.get("maxBodyBytes", DEFAULT_BODY_BYTES)),
         idle_timeout_s=float(limits.get("idleTimeoutMs", 15_000)) / 1000,
     )
--- a/src/shallotworks/platform/_daemon.py
+++ b/src/shallotworks/platform/_daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import signal
 import time
 from collections.abc import Awaitable
@@ -40,6 +41,8 @@
 SCHEDULER_DUTY = "scheduler/"
 KEEPER_DUTY = "keeper"
 METRICS_PORT = 9464
+LIST_FRESH_S = 2.5
+"""Two answers of the watch that follows the workers, which write their entries more often."""
 LEAVE_S = 2.6
 """After the signal to stop, callers are served for this long: the platform asks once a second, and
 sends new connections until two answers were missed."""
@@ -103,6 +106,7 @@
         self._store = PlatformStore(client=self._store_client, metrics=self._metrics)
         self._orders = PlatformOrders()
         self._registry = WorkerRegistry(log=self._log)
+        self._workers_heard_s = -math.inf
         self._book = OperatorsBook(on_configuration=self._configured, log=self._log)
         self._machine_book = MachineBook(log=self._log)
         self._held_times = HolderTimes(ttl_s=max(HolderTimes().ttl_s, settings.smallest_ttl_s))
@@ -153,6 +157,7 @@
             log=self._log,
             metrics=self._metrics,
             final_state_told_s=settings.bounds.final_state_told_s,
+            is_capacity_known=self._is_capacity_known,
         )
 
     async def run(self) -> None:
@@ -224,6 +229,7 @@
             prefix=REGISTRY_PREFIX,
             listener=self._registry,
             log=self._log,
+            on_heard=self._workers_heard,
             pause_s=REGISTRY_PAUSE_S,
         )
         machines = Mirror(
@@ -258,6 +264,15 @@
         )
         await MachineKeeper(holder=holder, parts=parts).run()
 
+    def _workers_heard(self) -> None:
+        self._workers_heard_s = boot_clock()
+
+    def _is_capacity_known(self, service: str) -> bool:
+        """Whether workers' capacities are known of late, or are guarded by the workers."""
+        configuration = self._book.configuration
+        is_guarded = configuration is not None and service in configuration.guarded
+        return is_guarded or boot_clock() - self._workers_heard_s < LIST_FRESH_S
+
     def _standby(self) -> frozenset[str]:
         configuration = self._book.configuration
         return configuration.standby if configuration is not None else frozenset()
--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -68,12 +68,13 @@
         self._now_s = 0.0
         self._wall_s = 0.0
 
-    def decide(self, *, now_s: float, wall_s: float) -> Iterator[Decision]:
+    def decide(self, *, now_s: float, wall_s: float, may_start: bool = True) -> Iterator[Decision]:
         """Yield all that is to be done now; each run is counted as begun when it is yielded.
 
         Args:
             now_s: The scheduler's clock, which counts suspended time.
             wall_s: Time of day in seconds since 1970.
+            may_start: Whether tasks may be started now.
         """
         self._now_s, self._wall_s = now_s, wall_s
         self._pass_time(now_s, wall_s)
@@ -81,8 +82,9 @@
         for worker in self._board.workers.values():
             yield from pace_orders(worker, now_s)
         self._started = 0
-        yield from self._isolated_starts(now_s)
-        yield from self._starts(now_s, wall_s)
+        if may_start:
+            yield from self._isolated_starts(now_s)
+            yield from self._starts(now_s, wall_s)
 
     @property
     def is_cut_short(self) -> bool:
--- a/src/shallotworks/scheduling/_term.py
+++ b/src/shallotworks/scheduling/_term.py
@@ -76,6 +76,8 @@
         metrics: Counters.
         final_state_told_s: A job's final state is told for this long. Source: the platform's
             settings.
+        is_capacity_known: Whether the capacities of a service's workers are known well enough to
+            start tasks there.
     """
 
     store: Store
@@ -89,6 +91,7 @@
     log: LogLines
     metrics: Metrics
     final_state_told_s: float = 120.0
+    is_capacity_known: Callable[[str], bool] = lambda _service: True
 
 
 class ServiceTerm:
@@ -315,7 +318,8 @@
 
     def _decide_once(self) -> None:
         now_s, wall_s = self._parts.clock(), self._parts.wall_clock()
-        for decision in self.decider.decide(now_s=now_s, wall_s=wall_s):
+        may_start = self._parts.is_capacity_known(self.service)
+        for decision in self.decider.decide(now_s=now_s, wall_s=wall_s, may_start=may_start):
             if isinstance(decision, AdviceRequest):
                 self._spawn(self._ask(decision))
             else:
--- a/src/shallotworks/store/_mirror.py
+++ b/src/shallotworks/store/_mirror.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Protocol
 
 from returns.result import Failure as Err
@@ -52,6 +53,7 @@
         prefix: The keys' prefix.
         listener: Who hears of changes.
         log: Where lost and regained contact is written.
+        on_heard: Called with each answer of the store: the copy is then as new as the answer.
         pause_s: Left between a change and the next watch, so that changes which come close
             together are told in one answer: each call is paid for.
     """
@@ -61,6 +63,7 @@
         "_items",
         "_listener",
         "_log",
+        "_on_heard",
         "_pause_s",
         "_prefix",
         "_store",
@@ -74,12 +77,14 @@
         prefix: str,
         listener: MirrorListener,
         log: LogLines,
+        on_heard: Callable[[], None] | None = None,
         pause_s: float = 0.0,
     ) -> None:
         self._store = store
         self._prefix = prefix
         self._listener = listener
         self._log = log
+        self._on_heard = on_heard
         self._pause_s = pause_s
         self._items: dict[str, int] = {}
         self._is_failing = False
@@ -96,6 +101,8 @@
                 revision = outcome.unwrap()
                 backoff_s = FIRST_BACKOFF_S
                 self._note_contact(None)
+                if self._on_heard is not None and revision is not None:
+                    self._on_heard()
                 continue
             self._note_contact(outcome.failure())
             await asyncio.sleep(backoff_s)
--- a/tests/test_shrunk_capacity.py
+++ b/tests/test_shrunk_capacity.py
@@ -1,12 +1,18 @@
 """Tests of workers whose capacity shrinks and grows while they run."""
 
+import asyncio
+import random
 import unittest
 
 from parameterized import parameterized
 
 from shallotworks.jobs import Blame, JobProgress, LostRun
+from shallotworks.platform._workers import WorkerRegistry
 from shallotworks.scheduling import EndKind, RunningTask, StopOrder
-from tests.scheduling_fakes import Bench, job, step, view
+from shallotworks.standins import RecordStore, StoreView
+from shallotworks.store import Mirror
+from tests.on_loop import run_story
+from tests.scheduling_fakes import WALL_S, Bench, job, quiet_log, step, view
 
 
 class ShrunkCapacityTests(unittest.TestCase):
@@ -61,5 +67,47 @@
         self.assertEqual(0, bench.worker("a").cpu_used)
 
 
+class StaleListTests(unittest.TestCase):
+    def test_nothing_starts_while_capacities_are_not_known(self) -> None:
+        """After an outage a worker that shrank meanwhile is filled by its capacity of before."""
+        bench = Bench(view("a"))
+        bench.learn(job("j", step(1, cpu_millicores=2000)))
+        (order,) = bench.starts()
+        order.run.enter(order.run.phase.RUNNING, bench.now_s)
+        bench.board.want_stop(order.run, "test")
+        bench.learn(job("k", step(1)))
+        decisions = list(bench.decider.decide(now_s=bench.now_s, wall_s=WALL_S, may_start=False))
+        self.assertEqual([StopOrder], [type(one) for one in decisions])
+        self.assertEqual(["k"], [one.run.name.job_id for one in bench.starts()])
+
+    def test_a_mirror_tells_that_it_has_heard_only_while_the_store_answers(self) -> None:
+        """A copy that is ten seconds old passes for a new one."""
+
+        async def story() -> None:
+            store = RecordStore(rng=random.Random(1))
+            one, heard = StoreView(store=store), []
+            mirror = Mirror(
+                store=one,
+                prefix="servers/",
+                listener=WorkerRegistry(log=quiet_log()),
+                log=quiet_log(),
+                on_heard=lambda: heard.append(asyncio.get_running_loop().time()),
+            )
+            following = asyncio.create_task(mirror.run())
+            await asyncio.sleep(5.0)
+            self.assertGreater(len(heard), 2)
+            one.faults.is_silent = True
+            await asyncio.sleep(0.1)
+            before = len(heard)
+            await asyncio.sleep(10.0)
+            self.assertEqual(before, len(heard))
+            one.faults.is_silent = False
+            await asyncio.sleep(2.5)
+            self.assertGreater(len(heard), before)
+            following.cancel()
+
+        run_story(story())
+
+
 if __name__ == "__main__":
     unittest.main()
