Hold a later crash against a task only where it was the sole suspect

Cause: a task that was the sole suspect of its first crash, was tried apart and outlived that, was given up when its worker went for another reason afterwards.

Change: proof is a crash after the first one, with the task as its only suspect.

--- a/src/shallotworks/jobs/_crashes.py
+++ b/src/shallotworks/jobs/_crashes.py
@@ -9,7 +9,7 @@
 __all__ = ["Blame", "LostRun", "is_crash_looping", "is_suspect"]
 
 MOST_CRASHES = 2
-"""Crashes of one task, the sole suspect of one of them, after which its job has failed."""
+"""Crashes of one task, the sole suspect of a later one, after which its job has failed."""
 MOST_SHARED_CRASHES = 3
 """... or crashes shortly after its starts, whoever else may have caused them."""
 
@@ -46,7 +46,7 @@
     """Whether a task is given up for the crashes of its runs."""
     crashes = [one.blame for one in lost if one.is_certain]
     early = [blame for blame in crashes if blame is not Blame.LATE]
-    is_proven = Blame.SOLE in crashes and len(crashes) >= MOST_CRASHES
+    is_proven = Blame.SOLE in crashes[MOST_CRASHES - 1 :]
     return is_proven or len(early) >= MOST_SHARED_CRASHES
 
 
