Split the blame for crashes from starts in isolation

Change: `CrashBlame` and `Isolation`; a run whose start waits to be stored has a phase of its own, `reserved`.

--- a/src/shallotworks/scheduling/_board.py
+++ b/src/shallotworks/scheduling/_board.py
@@ -10,9 +10,10 @@
 from shallotworks.jobs import Job, JobProgress, JobState, Step, TaskName
 from shallotworks.logs import LogLines
 
-from ._crash_loops import CrashLoops
+from ._crash_blame import CrashBlame
 from ._demand import Arrival
 from ._entries import JobEntry, StepEntry
+from ._isolation import Isolation
 from ._model import (
     EndedTask,
     EndKind,
@@ -43,6 +44,7 @@
 ADOPTED_S = 0.5
 """A run that an earlier scheduler has stopped is listed at work for 0.2 s more (source: the
 platform's settings); an adopted one that is reported at work this long after was not stopped."""
+UNSENT_PHASES = (RunPhase.RESERVED, RunPhase.STARTING)
 STRAY_STEP = Step(count=1)
 
 
@@ -88,6 +90,7 @@
         "crashes",
         "entries",
         "finals",
+        "isolation",
         "pending_recovery",
         "service",
         "timed",
@@ -116,13 +119,16 @@
         self.arrivals: deque[Arrival] = deque(maxlen=MOST_ARRIVALS)
         """Time of day and core-seconds of the latest jobs."""
         self._awaiting: dict[str, list[tuple[int, Worker, int]]] = {}
-        self.crashes = CrashLoops(
+        self.crashes = CrashBlame(
             entries=self.entries,
             workers=self.workers,
             first_run_id=self._next_run,
             log=log,
             close=self._close,
         )
+        self.isolation = Isolation(
+            entries=self.entries, workers=self.workers, blame=self.crashes, log=log
+        )
         self._replaced: set[str] = set()
         """Incarnations that another one has replaced, as long as they are listed."""
         self._lasting_from_s: dict[str, float] = {}
@@ -265,7 +271,7 @@
         job_id = entry.job.job_id
         if entry.progress.state.is_final and not entry.is_dirty and not entry.live:
             self.entries.pop(job_id, None)
-            self.crashes.forget(job_id)
+            self.isolation.forget(job_id)
             self.finals[job_id] = entry.progress.ended_s
 
     def _settle(self, entry: JobEntry, changes: int) -> None:
@@ -402,7 +408,8 @@
         for run in [run for key, run in worker.runs.items() if key not in listed]:
             self._not_listed(worker, run, sent_s, now_s)
         worker.reported_s = now_s
-        self.crashes.answered(worker, now_s)
+        worker.closed_s = None
+        self.isolation.answered(worker, now_s)
         self.recovered(worker.worker_id, "seen")
 
     def _row_learnt(self, worker: Worker, row: RunningTask, now_s: float) -> None:
@@ -466,7 +473,7 @@
         that was obeyed rules that out, since the worker then refuses the run; a report that was
         asked for after it, without the run, makes its absence certain.
         """
-        if run.phase is RunPhase.STARTING or run.phase_s >= sent_s:
+        if run.phase in UNSENT_PHASES or run.phase_s >= sent_s:
             return
         if run.phase is RunPhase.STOPPED:
             self.crashes.survived(run)
--- a/src/shallotworks/scheduling/_crash_loops.py
+++ b/src/shallotworks/scheduling/_crash_blame.py
@@ -1,43 +1,37 @@
-"""Which tasks crash their workers, and how they are kept from crashing more; no network.
+"""Which runs are blamed for a crash of their worker; no network.
 
-A crashed worker says nothing of what it ran, so a crash is blamed on the runs that were young when
-it died. A suspect is started apart: alone among young runs on a worker that nothing else is started
-on until it has outlived the start. Its start is stored before it is sent, so that a successor knows
-of it. What crashes a worker that way is the cause.
+A crashed worker says nothing of what it ran, so a crash is blamed on the runs that were on
+probation when it died. Blame is part of a job's progress, so that a successor knows of it.
 """
 
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 
-from shallotworks.jobs import Blame, LostRun, TaskName, is_suspect
+from shallotworks.jobs import Blame, LostRun, TaskName
 from shallotworks.logs import LogLines
 
 from ._entries import JobEntry
 from ._model import Run, RunPhase, Worker
 
-__all__ = ["CrashLoops"]
+__all__ = ["PROBATION_S", "CrashBlame"]
 
-YOUNG_S = 0.25
+PROBATION_S = 0.25
 """A run that its worker has confirmed for this long is no first suspect ..."""
-YOUNG_GROWTH = 2.0
+PROBATION_GROWTH = 2.0
 """... and this many times longer after each lost run of its task."""
-LONGEST_ISOLATION_S = 8.0
-SETTLE_LIMIT_S = 2.0
-"""A start that is neither stored nor has its worker settled by then is given back."""
+LONGEST_PROBATION_S = 8.0
 SAME_MOMENT_S = 0.05
 MASS_CRASH_WORKERS = 4
 """So many workers lost at the same moment were not crashed by single tasks."""
 FREQUENT_WINDOW_S = 10.0
 FREQUENT_CRASHES = 3
 MOST_DEATHS_KEPT = 256
-BUSY_PART = 1 / 8
-"""Part of the workers with other work on which suspects may be tried at once."""
 
 
-class CrashLoops:
-    """Blames crashes of workers on tasks, and starts suspects apart from others.
+class CrashBlame:
+    """Blames crashes of workers on tasks, and gives jobs up whose tasks crash one after the other.
 
     Args:
         entries: The service's jobs by id.
@@ -53,11 +47,9 @@
         "_deaths",
         "_entries",
         "_first_run_id",
-        "_has_blind_spot",
         "_log",
+        "_may_miss_crashes",
         "_unanswered",
-        "_vouched",
-        "_waiting",
         "_workers",
     )
 
@@ -79,15 +71,10 @@
         """Time of day at which the last workers were lost with young runs."""
         self._deaths: deque[tuple[float, str]] = deque(maxlen=MOST_DEATHS_KEPT)
         """When workers closed their connections, on the scheduler's clock, and which."""
-        self._waiting: dict[Run, tuple[int, float]] = {}
-        """Starts that wait until they are stored and their workers have settled: the change of the
-        job that has to be stored, and since when."""
         self._unanswered: dict[int, tuple[Run, Blame]] = {}
         """By its id, each run whose start was under way when its worker was known to be over."""
-        self._has_blind_spot = False
+        self._may_miss_crashes = False
         """Whether a worker was lost that may have run tasks of an earlier term."""
-        self._vouched: set[str] = set()
-        """Jobs of which a suspect has not crashed its worker."""
 
     # ---- blame
 
@@ -119,8 +106,9 @@
             is_replaced: Another incarnation has taken its place, so that it has crashed; else it
                 may be cut off.
         """
-        for run in [run for run in worker.runs.values() if run in self._waiting]:
-            self.survived(run)
+        for run in worker.runs.values():
+            if run.phase is RunPhase.RESERVED:
+                self.survived(run)
         for run, blame in self._blames(worker):
             if run.phase is RunPhase.STARTING:
                 self._unanswered[run.run_id] = (run, blame)
@@ -138,7 +126,7 @@
             return
         if may_have_run:
             lost = LostRun(run_id=run.run_id, worker_id=run.worker_id, blame=blame, is_certain=True)
-            self._note_lost(entry, run.name, lost, wall_s)
+            self.note_lost(entry, run.name, lost, wall_s)
         else:
             self._clear(entry, run.name, run.run_id)
 
@@ -158,11 +146,11 @@
         blame = lost.blame
         if blame is Blame.SOLE and not (is_replaced and lost.run_id > self._first_run_id):
             blame = Blame.SHARED
-        self._note_lost(entry, name, lost._replace(blame=blame, is_certain=True), wall_s)
+        self.note_lost(entry, name, lost._replace(blame=blame, is_certain=True), wall_s)
 
     def earlier_runs_lost(self) -> None:
         """Take note that a worker was lost, and nobody knows what an earlier term ran there."""
-        self._has_blind_spot = True
+        self._may_miss_crashes = True
 
     def started(self, run: Run, wall_s: float) -> None:
         """Store where a task of an earlier term runs, if runs of it may have been lost before.
@@ -171,21 +159,21 @@
         the start is stored beside being sent.
         """
         entry = self._entries[run.name.job_id]
-        if self._has_blind_spot and entry.is_old and not run.step.is_lasting:
+        if self._may_miss_crashes and entry.is_old and not run.step.is_lasting:
             lost = LostRun(
                 run_id=run.run_id, worker_id=run.worker_id, blame=Blame.SHARED, is_certain=False
             )
-            self._note_lost(entry, run.name, lost, wall_s)
+            self.note_lost(entry, run.name, lost, wall_s)
 
     def _blames(self, worker: Worker) -> list[tuple[Run, Blame]]:
         died_s = worker.reported_s if worker.closed_s is None else worker.closed_s
-        started = [run for run in worker.runs.values() if run not in self._waiting]
+        started = [run for run in worker.runs.values() if run.phase is not RunPhase.RESERVED]
         if worker.isolated in started:
             others = [run for run in started if run is not worker.isolated]
             return [(worker.isolated, Blame.SOLE), *_late(others)]
         if self._is_mass_crash(died_s, worker):
             return _late(started)
-        young = {run for run in started if died_s - run.confirmed_s < self._isolation_s(run)}
+        young = {run for run in started if died_s - run.confirmed_s < self.probation_s(run)}
         tasks = {
             (run.name if not run.step.is_gang else run.name._replace(number=0)) for run in young
         }
@@ -212,9 +200,10 @@
             blame=blame,
             is_certain=is_certain,
         )
-        self._note_lost(entry, run.name, lost, wall_s)
+        self.note_lost(entry, run.name, lost, wall_s)
 
-    def _note_lost(self, entry: JobEntry, name: TaskName, lost: LostRun, wall_s: float) -> None:
+    def note_lost(self, entry: JobEntry, name: TaskName, lost: LostRun, wall_s: float) -> None:
+        """Put a lost run into its job's progress, and give the job up where it is one too many."""
         if not entry.progress.note_lost(entry.job, name, lost, now_s=wall_s):
             return
         entry.changes += 1
@@ -244,6 +233,20 @@
             if lost.worker_id == worker_id and not lost.is_certain
         ]
 
+    def resolve(self, entry: JobEntry, wall_s: float) -> None:
+        """Find out what became of workers that runs of a job, now over, may have crashed."""
+        for key, runs in list(entry.progress.lost.items()):
+            name = TaskName(entry.job.job_id, *key)
+            alive = {run.run_id for run in entry.live.get(name, ())}
+            for lost in runs:
+                if lost.is_certain or lost.run_id in alive or lost.run_id in self._unanswered:
+                    continue
+                worker = self._workers.get(lost.worker_id)
+                if worker is None:
+                    self._confirm(entry, name, lost, wall_s, is_replaced=False)
+                elif worker.is_fenced:
+                    self._clear(entry, name, lost.run_id)
+
     # ---- no blame
 
     def worker_left(self, worker: Worker) -> None:
@@ -255,7 +258,6 @@
 
     def survived(self, run: Run) -> None:
         """Clear a run: its worker lives, or never had it."""
-        self._waiting.pop(run, None)
         worker = self._workers.get(run.worker_id)
         if worker is not None and worker.isolated is run:
             worker.isolated = None
@@ -268,144 +270,19 @@
         if entry.progress.note_survived(entry.job, name, run_id):
             entry.changes += 1
 
-    def answered(self, worker: Worker, now_s: float) -> None:
-        """Hear that a worker lives; what was started apart on it may have proved harmless."""
-        worker.closed_s = None
-        run = worker.isolated
-        if run is None or run in self._waiting:
-            return
-        if now_s - run.confirmed_s >= self._isolation_s(run):
-            self._vouched.add(run.name.job_id)
-            self._log.line(
-                "suspect-cleared",
-                id=run.name.job_id,
-                task=list(run.name[1:]),
-                run=run.run_id,
-                worker=worker.worker_id,
-            )
-            self.survived(run)
-
     def are_frequent(self, wall_s: float) -> bool:
         """Whether tasks crash one worker after the other, so that each should run few jobs."""
         crashes = self._crashes
         return len(crashes) == FREQUENT_CRASHES and wall_s - crashes[0] < FREQUENT_WINDOW_S
 
-    # ---- suspects
-
-    def isolation_left_s(self, worker: Worker, now_s: float) -> float | None:
-        """Return how long a worker has to live on for the run that was started apart there."""
-        run = worker.isolated
-        if run is None or run in self._waiting:
-            return None
-        return max(0.0, min(run.confirmed_s, now_s) + self._isolation_s(run) - now_s)
-
-    def _isolation_s(self, run: Run) -> float:
+    def probation_s(self, run: Run) -> float:
+        """Return for how long a worker has to outlive a start before its run is no suspect."""
         entry = self._entries.get(run.name.job_id)
         if entry is None or not entry.progress.lost:
-            return YOUNG_S
+            return PROBATION_S
         earlier = entry.progress.lost_runs(entry.job, run.name)
         count = sum(1 for one in earlier if one.run_id != run.run_id)
-        return float(min(LONGEST_ISOLATION_S, YOUNG_S * YOUNG_GROWTH**count))
-
-    def suspects(self, entry: JobEntry, names: Iterable[TaskName], wall_s: float) -> list[TaskName]:
-        """Return which of some waiting tasks of a job have to be started apart."""
-        self._resolve(entry, wall_s)
-        return [name for name in names if is_suspect(entry.progress.lost_runs(entry.job, name))]
-
-    def _resolve(self, entry: JobEntry, wall_s: float) -> None:
-        """Find out what became of workers that runs of a job, now over, may have crashed."""
-        for key, runs in list(entry.progress.lost.items()):
-            name = TaskName(entry.job.job_id, *key)
-            alive = {run.run_id for run in entry.live.get(name, ())}
-            for lost in runs:
-                if lost.is_certain or lost.run_id in alive or lost.run_id in self._unanswered:
-                    continue
-                worker = self._workers.get(lost.worker_id)
-                if worker is None:
-                    self._confirm(entry, name, lost, wall_s, is_replaced=False)
-                elif worker.is_fenced:
-                    self._clear(entry, name, lost.run_id)
-
-    def may_start(self, entry: JobEntry, suspects: list[TaskName]) -> list[TaskName]:
-        """Return the suspects of a job that may be started now, each apart.
-
-        The tasks of a job are much alike, so one of them goes first; see `is_held`.
-        """
-        if entry.job.job_id in self._vouched:
-            return suspects
-        return [] if self._is_trying(entry) else suspects[:1]
-
-    def is_held(self, entry: JobEntry, suspects: list[TaskName]) -> bool:
-        """Whether a job's other tasks wait: they may do the same as a suspect of the job."""
-        is_doubtful = bool(suspects) or self._is_trying(entry)
-        return is_doubtful and entry.job.job_id not in self._vouched
-
-    def _is_trying(self, entry: JobEntry) -> bool:
-        runs = entry.runs.values()
-        return any(self._is_isolated(run) for run in runs)
-
-    def _is_isolated(self, run: Run) -> bool:
-        worker = self._workers.get(run.worker_id)
-        return worker is not None and worker.isolated is run
-
-    def places(self) -> list[Worker]:
-        """Return the workers on which a suspect may be started apart, the least used first."""
-        workers = list(self._workers.values())
-        tried_on = [worker for worker in workers if worker.isolated is not None]
-        busy = sum(1 for worker in tried_on if len(worker.runs) > 1)
-        may_use_busy = busy < max(1, int(len(workers) * BUSY_PART))
-        free = [
-            worker
-            for worker in workers
-            if worker.isolated is None and (may_use_busy or not worker.runs)
-        ]
-        free.sort(key=_harm)
-        return free
-
-    def isolate(self, run: Run, worker: Worker, *, now_s: float, wall_s: float) -> None:
-        """Keep a worker for the start of a suspect, and have the start stored first."""
-        entry = self._entries[run.name.job_id]
-        worker.isolated = run
-        lost = LostRun(
-            run_id=run.run_id, worker_id=worker.worker_id, blame=Blame.SOLE, is_certain=False
-        )
-        self._note_lost(entry, run.name, lost, wall_s)
-        self._waiting[run] = (entry.changes, now_s)
-
-    def ready(self, now_s: float) -> Iterator[tuple[Run, bool]]:
-        """Yield the starts that no longer wait, and whether they may be sent."""
-        for run, (change, since_s) in list(self._waiting.items()):
-            worker = self._workers.get(run.worker_id)
-            entry = self._entries.get(run.name.job_id)
-            if worker is None or entry is None or run.is_stop_wanted:
-                yield run, False
-            elif entry.stored_changes >= change and self._is_settled(worker, run, now_s):
-                del self._waiting[run]
-                run.since_s = run.phase_s = now_s
-                yield run, _may_start_on(worker)
-            elif now_s - since_s > SETTLE_LIMIT_S:
-                yield run, False
-
-    def _is_settled(self, worker: Worker, run: Run, now_s: float) -> bool:
-        """Whether no other run on a worker would be blamed for its crash."""
-        others = [one for one in worker.runs.values() if one is not run]
-        return all(now_s - one.confirmed_s >= YOUNG_S for one in others)
-
-    def forget(self, job_id: str) -> None:
-        """Forget a job that is over."""
-        self._vouched.discard(job_id)
-
-
-def _may_start_on(worker: Worker) -> bool:
-    """Whether a worker on which room is held for a start may still be given it."""
-    is_reached = worker.is_listed and worker.is_fenced
-    return is_reached and not worker.view.is_draining and not worker.is_overfull
-
-
-def _harm(worker: Worker) -> tuple[bool, int, int]:
-    """Return how much would be lost with a worker."""
-    has_lasting = any(run.step.is_lasting for run in worker.runs.values())
-    return (has_lasting, worker.cpu_used, len(worker.runs))
+        return float(min(LONGEST_PROBATION_S, PROBATION_S * PROBATION_GROWTH**count))
 
 
 def _late(runs: Iterable[Run]) -> list[tuple[Run, Blame]]:
--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -162,7 +162,7 @@
 
     def _stops(self, now_s: float) -> Iterator[StopOrder]:
         for run in list(self._board.unwanted):
-            if run.phase in (RunPhase.STARTING, RunPhase.STOPPED):
+            if run.phase in (RunPhase.RESERVED, RunPhase.STARTING, RunPhase.STOPPED):
                 continue
             if now_s - run.stop_sent_s >= STOP_RETRY_S:
                 run.stop_sent_s = now_s
@@ -200,7 +200,7 @@
 
     def _isolated_starts(self, now_s: float) -> Iterator[StartOrder]:
         """Yield the starts of suspects whose workers are ready for them."""
-        for run, may_be_sent in self._board.crashes.ready(now_s):
+        for run, may_be_sent in self._board.isolation.ready(now_s):
             step = self._board.open_step(run.name)
             if may_be_sent and step is not None:
                 yield self._start_order(step, run)
@@ -209,25 +209,25 @@
 
     def _start_beside_suspects(self, step: StepEntry, now_s: float) -> Iterator[StartOrder]:
         """Start tasks of a job that has lost runs with crashed workers, suspects apart."""
-        crashes, entry = self._board.crashes, step.job_entry
+        isolation, entry = self._board.isolation, step.job_entry
         indices = {step.name(index): index for index in step.waiting}
-        suspects = crashes.suspects(entry, indices, self._wall_s)
+        suspects = isolation.suspects(entry, indices, self._wall_s)
         if entry.progress.state.is_final:
             return
-        for name in crashes.may_start(entry, suspects):
+        for name in isolation.may_start(entry, suspects):
             self._isolate(step, indices[name], now_s)
-        if not crashes.is_held(entry, suspects):
+        if not isolation.is_held(entry, suspects):
             others = [index for name, index in indices.items() if name not in suspects]
             yield from self._start_tasks(step, others, now_s)
 
     def _isolate(self, step: StepEntry, index: int, now_s: float) -> None:
         """Keep a worker for a suspect, one where a crash would take the least with it."""
         placement = Placement.of(step, now_s=now_s, wall_s=self._wall_s)
-        places = [one for one in self._board.crashes.places() if placement.obstacle(one) is None]
+        places = [one for one in self._board.isolation.places() if placement.obstacle(one) is None]
         if not places:
             return
         run = self._board.new_run(step, index, places[0], self._board.next_run_id(), now_s)
-        self._board.crashes.isolate(run, places[0], now_s=now_s, wall_s=self._wall_s)
+        self._board.isolation.isolate(run, places[0], now_s=now_s, wall_s=self._wall_s)
         self._started += 1
 
     def _start_tasks(
@@ -363,8 +363,8 @@
 
 def _is_settled(worker: Worker) -> bool:
     """Whether something runs, and no start is on its way, which would grant a lease."""
-    phases = [run.phase for run in worker.runs.values()]
-    return bool(phases) and RunPhase.STARTING not in phases
+    phases = {run.phase for run in worker.runs.values()}
+    return bool(phases) and phases.isdisjoint((RunPhase.RESERVED, RunPhase.STARTING))
 
 
 def _is_plain(step: StepEntry) -> bool:
--- /dev/null
+++ b/src/shallotworks/scheduling/_isolation.py
@@ -0,0 +1,171 @@
+"""Starting suspects in isolation; no network.
+
+A suspect is started where no other run is on probation, and nothing else is started beside it until
+its worker has outlived the start. Its start is stored before it is sent, so that a successor knows
+of it. What crashes a worker that way is the cause.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from shallotworks.jobs import Blame, LostRun, TaskName, is_suspect
+from shallotworks.logs import LogLines
+
+from ._crash_blame import PROBATION_S, CrashBlame
+from ._entries import JobEntry
+from ._model import Run, RunPhase, Worker
+
+__all__ = ["Isolation"]
+
+RESERVED_LIMIT_S = 2.0
+"""A start that is neither stored nor has its worker settled by then is given back."""
+BUSY_PART = 1 / 8
+"""Part of the workers with other work on which suspects may be started at once."""
+
+
+class Isolation:
+    """Keeps workers for suspects, and starts these there.
+
+    Args:
+        entries: The service's jobs by id.
+        workers: Its workers by id.
+        blame: Which tasks are suspect.
+        log: One line for each suspect whose worker has outlived it.
+    """
+
+    __slots__ = ("_blame", "_cleared_jobs", "_entries", "_log", "_reserved", "_workers")
+
+    def __init__(
+        self,
+        *,
+        entries: dict[str, JobEntry],
+        workers: dict[str, Worker],
+        blame: CrashBlame,
+        log: LogLines,
+    ) -> None:
+        self._entries = entries
+        self._workers = workers
+        self._blame = blame
+        self._log = log
+        self._reserved: dict[Run, tuple[int, float]] = {}
+        """Starts that wait until they are stored and their workers have settled: the change of the
+        job that has to be stored, and since when."""
+        self._cleared_jobs: set[str] = set()
+        """Jobs of which a suspect has not crashed its worker."""
+
+    def answered(self, worker: Worker, now_s: float) -> None:
+        """Hear that a worker lives, and may have outlived the start in isolation."""
+        run = worker.isolated
+        if run is None or run.phase is RunPhase.RESERVED:
+            return
+        if now_s - run.confirmed_s < self._blame.probation_s(run):
+            return
+        self._cleared_jobs.add(run.name.job_id)
+        self._log.line(
+            "suspect-cleared",
+            id=run.name.job_id,
+            task=list(run.name[1:]),
+            run=run.run_id,
+            worker=worker.worker_id,
+        )
+        self._blame.survived(run)
+
+    def left_s(self, worker: Worker, now_s: float) -> float | None:
+        """Return how long a worker has to live on for the run in isolation; ``None`` for none."""
+        run = worker.isolated
+        if run is None or run.phase is RunPhase.RESERVED:
+            return None
+        return max(0.0, min(run.confirmed_s, now_s) + self._blame.probation_s(run) - now_s)
+
+    def suspects(self, entry: JobEntry, names: Iterable[TaskName], wall_s: float) -> list[TaskName]:
+        """Return which of some waiting tasks of a job have to be started in isolation."""
+        self._blame.resolve(entry, wall_s)
+        return [name for name in names if is_suspect(entry.progress.lost_runs(entry.job, name))]
+
+    def may_start(self, entry: JobEntry, suspects: list[TaskName]) -> list[TaskName]:
+        """Return the suspects of a job that may be started now, each in isolation.
+
+        The tasks of a job are much alike, so one of them goes first; see `is_held`.
+        """
+        if entry.job.job_id in self._cleared_jobs:
+            return suspects
+        return [] if self._has_isolated_run(entry) else suspects[:1]
+
+    def is_held(self, entry: JobEntry, suspects: list[TaskName]) -> bool:
+        """Whether a job's other tasks wait: they may do the same as a suspect of the job."""
+        is_doubtful = bool(suspects) or self._has_isolated_run(entry)
+        return is_doubtful and entry.job.job_id not in self._cleared_jobs
+
+    def _has_isolated_run(self, entry: JobEntry) -> bool:
+        runs = entry.runs.values()
+        return any(self._is_isolated(run) for run in runs)
+
+    def _is_isolated(self, run: Run) -> bool:
+        worker = self._workers.get(run.worker_id)
+        return worker is not None and worker.isolated is run
+
+    def places(self) -> list[Worker]:
+        """Return the workers that may be kept for a suspect, the least used first."""
+        workers = list(self._workers.values())
+        kept = [worker for worker in workers if worker.isolated is not None]
+        busy = sum(1 for worker in kept if len(worker.runs) > 1)
+        may_use_busy = busy < max(1, int(len(workers) * BUSY_PART))
+        free = [
+            worker
+            for worker in workers
+            if worker.isolated is None and (may_use_busy or not worker.runs)
+        ]
+        free.sort(key=_harm)
+        return free
+
+    def isolate(self, run: Run, worker: Worker, *, now_s: float, wall_s: float) -> None:
+        """Keep a worker for the start of a suspect, and have the start stored first."""
+        entry = self._entries[run.name.job_id]
+        worker.isolated = run
+        run.enter(RunPhase.RESERVED, now_s)
+        lost = LostRun(
+            run_id=run.run_id, worker_id=worker.worker_id, blame=Blame.SOLE, is_certain=False
+        )
+        self._blame.note_lost(entry, run.name, lost, wall_s)
+        self._reserved[run] = (entry.changes, now_s)
+
+    def ready(self, now_s: float) -> Iterator[tuple[Run, bool]]:
+        """Yield the starts that no longer wait, and whether they may be sent."""
+        for run, (change, since_s) in list(self._reserved.items()):
+            worker = self._workers.get(run.worker_id)
+            entry = self._entries.get(run.name.job_id)
+            if worker is None or (run.name, run.run_id) not in worker.runs:
+                del self._reserved[run]
+            elif entry is None or run.is_stop_wanted:
+                del self._reserved[run]
+                yield run, False
+            elif entry.stored_changes >= change and self._is_settled(worker, run, now_s):
+                del self._reserved[run]
+                run.since_s = now_s
+                run.enter(RunPhase.STARTING, now_s)
+                yield run, _may_start_on(worker)
+            elif now_s - since_s > RESERVED_LIMIT_S:
+                del self._reserved[run]
+                yield run, False
+
+    def _is_settled(self, worker: Worker, run: Run, now_s: float) -> bool:
+        """Whether no other run on a worker would be blamed for its crash."""
+        others = [one for one in worker.runs.values() if one is not run]
+        return all(now_s - one.confirmed_s >= PROBATION_S for one in others)
+
+    def forget(self, job_id: str) -> None:
+        """Forget a job that is over."""
+        self._cleared_jobs.discard(job_id)
+
+
+def _may_start_on(worker: Worker) -> bool:
+    """Whether a worker on which room is held for a start may still be given it."""
+    is_reached = worker.is_listed and worker.is_fenced
+    return is_reached and not worker.view.is_draining and not worker.is_overfull
+
+
+def _harm(worker: Worker) -> tuple[bool, int, int]:
+    """Return how much would be lost with a worker."""
+    has_lasting = any(run.step.is_lasting for run in worker.runs.values())
+    return (has_lasting, worker.cpu_used, len(worker.runs))
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -169,6 +169,8 @@
 class RunPhase(Enum):
     """Phases of a run, as far as the scheduler knows."""
 
+    RESERVED = "reserved"
+    """Room is held for it; its start has not been sent."""
     STARTING = "starting"
     RUNNING = "running"
     UNANSWERED = "unanswered"
--- a/src/shallotworks/scheduling/_orders.py
+++ b/src/shallotworks/scheduling/_orders.py
@@ -307,7 +307,7 @@
     def _look_wait_s(self, worker: Worker) -> float:
         if self._is_pressing(worker):
             return 0.0
-        left_s = self._board.crashes.isolation_left_s(worker, self._clock())
+        left_s = self._board.isolation.left_s(worker, self._clock())
         if left_s is None:
             return self._times.look_wait_s
         return min(self._times.look_wait_s, max(left_s, LEAST_WAIT_S))
