Tell early crashes from late ones when a task is given up

Change: a job has failed after two crashes shortly after the starts of one task, the last as sole suspect; or after three, of which the last, or all, were such.

--- a/src/shallotworks/jobs/_crashes.py
+++ b/src/shallotworks/jobs/_crashes.py
@@ -8,10 +8,12 @@
 
 __all__ = ["Blame", "LostRun", "is_crash_looping", "is_suspect"]
 
-MOST_CRASHES = 2
-"""Crashes of one task, the sole suspect of a later one, after which its job has failed."""
-MOST_SHARED_CRASHES = 3
-"""... or crashes shortly after its starts, whoever else may have caused them."""
+MOST_EARLY_CRASHES = 2
+"""Crashes shortly after a task's starts, the last with it as sole suspect, that fail its job ..."""
+MOST_CRASHES = 3
+"""... or of all crashes this many; or this many early ones, whoever else may have caused them."""
+MOST_LATE_CRASHES = 2
+"""Other crashes of a task's workers after which it is a suspect."""
 
 
 @unique
@@ -46,10 +48,13 @@
     """Whether a task is given up for the crashes of its runs."""
     crashes = [one.blame for one in lost if one.is_certain]
     early = [blame for blame in crashes if blame is not Blame.LATE]
-    is_proven = Blame.SOLE in crashes[MOST_CRASHES - 1 :]
-    return is_proven or len(early) >= MOST_SHARED_CRASHES
+    if crashes and crashes[-1] is Blame.SOLE and len(early) >= MOST_EARLY_CRASHES:
+        return True
+    return len(early) >= MOST_CRASHES or (
+        len(crashes) >= MOST_CRASHES and crashes[-1] is Blame.SOLE
+    )
 
 
 def is_suspect(lost: Sequence[LostRun]) -> bool:
-    """Whether a task is to run apart from others until its worker has outlived its start."""
-    return len(lost) >= MOST_CRASHES or any(one.blame is not Blame.LATE for one in lost)
+    """Whether a task is to be started in isolation."""
+    return len(lost) >= MOST_LATE_CRASHES or any(one.blame is not Blame.LATE for one in lost)
