--- a/src/shallotworks/scheduling/_crash_blame.py
+++ b/src/shallotworks/scheduling/_crash_blame.py
@@ -71,8 +71,8 @@
         """Time of day at which the last workers were lost with young runs."""
         self._deaths: deque[tuple[float, str]] = deque(maxlen=MOST_DEATHS_KEPT)
         """When workers closed their connections, on the scheduler's clock, and which."""
-        self._unanswered: dict[int, tuple[Run, Blame]] = {}
-        """By its id, each run whose start was under way when its worker was known to be over."""
+        self._unanswered: dict[int, Blame] = {}
+        """Blame of runs, by id, whose starts were under way when their workers were over."""
         self._may_miss_crashes = False
         """Whether a worker was lost that may have run tasks of an earlier term."""
 
@@ -95,7 +95,7 @@
         if young:
             self._crashes.append(wall_s)
         for run, blame in young:
-            self._note(run, worker, blame, is_certain=False, wall_s=wall_s)
+            self._note(run, blame, is_certain=False, wall_s=wall_s)
 
     def worker_over(self, worker: Worker, wall_s: float, *, is_replaced: bool) -> None:
         """Blame runs for a worker that is over, also those that were given up before.
@@ -111,24 +111,20 @@
                 self.survived(run)
         for run, blame in self._blames(worker):
             if run.phase is RunPhase.STARTING:
-                self._unanswered[run.run_id] = (run, blame)
+                self._unanswered[run.run_id] = blame
             else:
-                self._note(run, worker, blame, is_certain=True, wall_s=wall_s)
+                self._note(run, blame, is_certain=True, wall_s=wall_s)
         for entry, name, lost in self._doubtful_on(worker.worker_id):
             if lost.run_id not in self._unanswered:
                 self._confirm(entry, name, lost, wall_s, is_replaced=is_replaced)
 
     def start_answered(self, run: Run, wall_s: float, *, may_have_run: bool) -> None:
         """Hear what became of a start, whose worker may be known to be over by now."""
-        _, blame = self._unanswered.pop(run.run_id, (run, None))
-        entry = self._entries.get(run.name.job_id)
-        if blame is None or entry is None or entry.progress.state.is_final:
-            return
-        if may_have_run:
-            lost = LostRun(run_id=run.run_id, worker_id=run.worker_id, blame=blame, is_certain=True)
-            self.note_lost(entry, run.name, lost, wall_s)
-        else:
-            self._clear(entry, run.name, run.run_id)
+        blame = self._unanswered.pop(run.run_id, None)
+        if blame is not None and may_have_run:
+            self._note(run, blame, is_certain=True, wall_s=wall_s)
+        elif blame is not None:
+            self.survived(run)
 
     def _confirm(
         self,
@@ -160,10 +156,7 @@
         """
         entry = self._entries[run.name.job_id]
         if self._may_miss_crashes and entry.is_old and not run.step.is_lasting:
-            lost = LostRun(
-                run_id=run.run_id, worker_id=run.worker_id, blame=Blame.SHARED, is_certain=False
-            )
-            self.note_lost(entry, run.name, lost, wall_s)
+            self._note(run, Blame.SHARED, is_certain=False, wall_s=wall_s)
 
     def _blames(self, worker: Worker) -> list[tuple[Run, Blame]]:
         died_s = worker.reported_s if worker.closed_s is None else worker.closed_s
@@ -188,17 +181,12 @@
         }
         return len(near) >= MASS_CRASH_WORKERS - 1
 
-    def _note(
-        self, run: Run, worker: Worker, blame: Blame, *, is_certain: bool, wall_s: float
-    ) -> None:
+    def _note(self, run: Run, blame: Blame, *, is_certain: bool, wall_s: float) -> None:
         entry = self._entries.get(run.name.job_id)
         if entry is None or entry.progress.state.is_final or entry.progress.is_done(run.name):
             return
         lost = LostRun(
-            run_id=run.run_id,
-            worker_id=worker.worker_id,
-            blame=blame,
-            is_certain=is_certain,
+            run_id=run.run_id, worker_id=run.worker_id, blame=blame, is_certain=is_certain
         )
         self.note_lost(entry, run.name, lost, wall_s)
 
