Pass a decision's new argument through the test that makes it costly

Cause: `Decider.decide` is told whether tasks may be started, and the stand-in of one test took two arguments only, so that its term ended with a fault.

Change: the stand-in passes on what it is given; the assertions stay.

--- a/tests/test_scheduling_at_size.py
+++ b/tests/test_scheduling_at_size.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 from collections.abc import Iterator
+from typing import Any
 from unittest import mock
 
 from parameterized import parameterized
@@ -184,10 +185,10 @@
         spent_s = 0.0
         plain = Decider.decide
 
-        def costly(self: Decider, *, now_s: float, wall_s: float) -> Iterator[Decision]:
+        def costly(self: Decider, **moment: Any) -> Iterator[Decision]:
             nonlocal spent_s
             spent_s += cost_s
-            return plain(self, now_s=now_s, wall_s=wall_s)
+            return plain(self, **moment)
 
         def clock() -> float:
             return asyncio.get_running_loop().time() + spent_s
