Date a crash by the last sign of life, and isolate only after a fresh one

Cause: a crash was dated by the moment at which a connection was closed or a call given up. Where that is noticed a second late, a culprit counts as late, and a lasting one as nobody. And a worker that was kept for a suspect counted as settled by the clock alone: several had died unseen in the meantime, and the start that found them dead was held against the task.

Change: runs are young by the worker's last sign of life, a report or a confirmed start. Workers without young runs come first.

--- a/src/shallotworks/scheduling/_crash_blame.py
+++ b/src/shallotworks/scheduling/_crash_blame.py
@@ -159,25 +159,28 @@
             self._note(run, Blame.SHARED, is_certain=False, wall_s=wall_s)
 
     def _blames(self, worker: Worker) -> list[tuple[Run, Blame]]:
-        died_s = worker.reported_s if worker.closed_s is None else worker.closed_s
         started = [run for run in worker.runs.values() if run.phase is not RunPhase.RESERVED]
         if worker.isolated in started:
             others = [run for run in started if run is not worker.isolated]
             return [(worker.isolated, Blame.SOLE), *_late(others)]
-        if self._is_mass_crash(died_s, worker):
+        if self._is_mass_crash(worker):
             return _late(started)
-        young = {run for run in started if died_s - run.confirmed_s < self.probation_s(run)}
+        # Not until its connections were closed: a worker that lost power closes none.
+        lived_s = worker.last_seen_s
+        young = {run for run in started if lived_s - run.confirmed_s < self.probation_s(run)}
         tasks = {
             (run.name if not run.step.is_gang else run.name._replace(number=0)) for run in young
         }
         blame = Blame.SOLE if len(tasks) == 1 else Blame.SHARED
         return [(run, blame) for run in young] + _late(run for run in started if run not in young)
 
-    def _is_mass_crash(self, died_s: float, worker: Worker) -> bool:
+    def _is_mass_crash(self, worker: Worker) -> bool:
+        if worker.closed_s is None:
+            return False
         near = {
             other
             for at_s, other in self._deaths
-            if abs(at_s - died_s) <= SAME_MOMENT_S and other != worker.worker_id
+            if abs(at_s - worker.closed_s) <= SAME_MOMENT_S and other != worker.worker_id
         }
         return len(near) >= MASS_CRASH_WORKERS - 1
 
--- a/src/shallotworks/scheduling/_isolation.py
+++ b/src/shallotworks/scheduling/_isolation.py
@@ -72,10 +72,15 @@
         self._blame.survived(run)
 
     def left_s(self, worker: Worker, now_s: float) -> float | None:
-        """Return how long a worker has to live on for the run in isolation; ``None`` for none."""
+        """Return how long a worker has to live on for the run in isolation; ``None`` for none.
+
+        One that is kept for a run is to be seen often: the start follows a sign of life.
+        """
         run = worker.isolated
-        if run is None or run.phase is RunPhase.RESERVED:
+        if run is None:
             return None
+        if run.phase is RunPhase.RESERVED:
+            return PROBATION_S
         return max(0.0, min(run.confirmed_s, now_s) + self._blame.probation_s(run) - now_s)
 
     def suspects(self, entry: JobEntry, names: Iterable[TaskName], wall_s: float) -> list[TaskName]:
@@ -140,7 +145,7 @@
             elif entry is None or run.is_stop_wanted:
                 del self._reserved[run]
                 yield run, False
-            elif entry.stored_changes >= change and self._is_settled(worker, run, now_s):
+            elif entry.stored_changes >= change and _is_settled(worker, run, since_s):
                 del self._reserved[run]
                 run.since_s = now_s
                 run.enter(RunPhase.STARTING, now_s)
@@ -149,11 +154,6 @@
                 del self._reserved[run]
                 yield run, False
 
-    def _is_settled(self, worker: Worker, run: Run, now_s: float) -> bool:
-        """Whether no other run on a worker would be blamed for its crash."""
-        others = [one for one in worker.runs.values() if one is not run]
-        return all(now_s - one.confirmed_s >= PROBATION_S for one in others)
-
     def forget(self, job_id: str) -> None:
         """Forget a job that is over."""
         self._cleared_jobs.discard(job_id)
@@ -165,7 +165,17 @@
     return is_reached and not worker.view.is_draining and not worker.is_overfull
 
 
-def _harm(worker: Worker) -> tuple[bool, int, int]:
-    """Return how much would be lost with a worker."""
+def _is_settled(worker: Worker, run: Run, since_s: float) -> bool:
+    """Whether a worker has lived since it was kept, and no other run would share the blame."""
+    return worker.reported_s >= since_s and not _has_young_run(worker, run)
+
+
+def _has_young_run(worker: Worker, but: Run | None = None) -> bool:
+    others = [run for run in worker.runs.values() if run is not but]
+    return any(worker.reported_s - run.confirmed_s < PROBATION_S for run in others)
+
+
+def _harm(worker: Worker) -> tuple[bool, bool, int, int]:
+    """Return how badly a worker suits a suspect: by what would be lost, and how soon it may be."""
     has_lasting = any(run.step.is_lasting for run in worker.runs.values())
-    return (has_lasting, worker.cpu_used, len(worker.runs))
+    return (has_lasting, _has_young_run(worker), worker.cpu_used, len(worker.runs))
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -331,6 +331,12 @@
             and self.gpus_used + step.gpus <= self.view.gpus
         )
 
+    @property
+    def last_seen_s(self) -> float:
+        """When it last told what runs, or confirmed a start."""
+        confirmed = (run.confirmed_s for run in self.runs.values())
+        return max((self.reported_s, *(at_s for at_s in confirmed if at_s < math.inf)))
+
     @property
     def is_overfull(self) -> bool:
         """Whether what runs takes more than the capacity, which may have shrunk."""
--- a/tests/scheduling_fakes.py
+++ b/tests/scheduling_fakes.py
@@ -9,6 +9,7 @@
     EndedTask,
     EndKind,
     RunningTask,
+    RunPhase,
     ServiceBoard,
     StartOrder,
     Stored,
@@ -104,11 +105,15 @@
     def starts(self) -> list[StartOrder]:
         """Return the starts of this moment; each is obeyed.
 
-        What is started apart waits until it is stored, which happens here at once.
+        A start in isolation waits until it is stored and its worker has answered a look, which both
+        happens here at once.
         """
         decisions = self.decide()
-        if any(worker.isolated is not None for worker in self.board.workers.values()):
+        kept = [one for one in self.board.workers.values() if one.isolated is not None]
+        if kept:
             self.store()
+            for worker in kept:
+                self.report(worker.worker_id, running=_rows(worker))
             decisions += self.decide()
         return [order for order in decisions if isinstance(order, StartOrder)]
 
@@ -141,3 +146,12 @@
             now_s=self.now_s,
             wall_s=WALL_S,
         )
+
+
+def _rows(worker: Worker) -> tuple[RunningTask, ...]:
+    """Return what a worker runs, as it lists it."""
+    return tuple(
+        RunningTask(name=run.name, run_id=run.run_id, percent=run.percent)
+        for run in worker.runs.values()
+        if run.phase is RunPhase.RUNNING
+    )
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -134,11 +134,22 @@
         """A lasting task is given up for the crashes of all the workers that it has seen."""
         bench = Bench(view("a"))
         bench.learn(job("j", step(1, is_lasting=True)))
-        confirm(bench, *bench.starts())
+        (order,) = bench.starts()
+        confirm(bench, order)
         bench.now_s += AGED_S
+        bench.report("a", running=(RunningTask(name=NAME, run_id=order.run.run_id),))
         crash(bench, "a")
         self.assertEqual([], blames(bench))
 
+    def test_a_culprit_is_young_however_late_its_crash_is_noticed(self) -> None:
+        """A lasting task that crashes its workers is never blamed, as their links hang on."""
+        bench = Bench(view("a"))
+        bench.learn(job("j", step(1, is_lasting=True)))
+        confirm(bench, *bench.starts())
+        bench.now_s += 1.0
+        crash(bench, "a")
+        self.assertEqual([[SOLE]], blames(bench))
+
     def test_many_workers_lost_at_once_are_blamed_on_nobody_in_particular(self) -> None:
         """A rack loses power, and all that was just started there is tried apart."""
         workers = ["a", "b", "c", "d"]
@@ -237,13 +248,27 @@
     def test_the_start_is_stored_before_it_is_sent(self) -> None:
         """A scheduler dies with the worker, and its successor does not know of the start."""
         self.suspect(step(1))
-        self.assertEqual([], self.bench.decide())
+        for _ in range(2):
+            self.assertEqual([], self.bench.decide())
         self.assertEqual([[SHARED, SOLE]], blames(self.bench))
         self.bench.store()
         (order,) = self.bench.decide()
         assert isinstance(order, StartOrder)
         self.assertEqual(NAME, order.run.name)
 
+    def test_it_is_started_only_on_a_worker_that_has_answered_since(self) -> None:
+        """A sound task is failed for its start on a worker that was dead, and not known to be."""
+        self.suspect(step(1))
+        self.bench.now_s += 1.0
+        self.bench.decide()
+        self.bench.store()
+        self.assertEqual([], self.bench.decide())
+        for worker_id in ("a", "b"):
+            self.bench.report(worker_id)
+        (order,) = self.bench.decide()
+        assert isinstance(order, StartOrder)
+        self.assertEqual(NAME, order.run.name)
+
     def test_nothing_else_is_started_beside_it(self) -> None:
         """Tasks of other jobs are lost with a worker on which a suspect was tried."""
         self.suspect(step(1))
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -3,11 +3,13 @@
 import asyncio
 import json
 import unittest
+from dataclasses import replace
 
 from parameterized import parameterized
 
 from shallotworks.jobs import JobState, TaskName
 from shallotworks.logs import LogLines
+from shallotworks.scheduling import OrderEnding, OrderOutcome, StartOrder, WorkerView
 from tests.crash_history import ReturningWorkers
 from tests.fleet_history import History
 from tests.on_loop import run_story
@@ -16,6 +18,7 @@
 CRASHES = [("refused", False), ("silent", True)]
 JOB_ID = "00000000000000aa"
 CULPRIT = TaskName(JOB_ID, 0, 0, 0)
+REFUSED_STARTS = 3
 GIVEN_UP_WITHIN_S = 16.0
 """Time for three crashes, each noticed within 3.6 s, and a takeover."""
 
@@ -122,6 +125,36 @@
 
         run_story(story())
 
+    def test_starts_that_another_incarnation_refuses_are_no_crashes(self) -> None:
+        """A sound job was failed for starts to workers that had died unseen before."""
+
+        async def story() -> None:
+            one = History(seed=4, workers=1, instances=1, fleet=ReturningWorkers)
+            orders = one.instances[0].orders
+            start, refused = orders.start, []
+
+            async def refusing(worker: WorkerView, order: StartOrder, **times: int) -> OrderOutcome:
+                if len(refused) == REFUSED_STARTS:
+                    return await start(worker, order, **times)
+                refused.append(worker.worker_id)
+                one.fleet.workers[worker.worker_id].crash()
+                one.fleet.absences[worker.worker_id] = OrderEnding.GONE
+                one.fleet.add(replace(worker, worker_id=f"{worker.worker_id}+"))
+                # A look shows meanwhile that the worker is over.
+                await asyncio.sleep(0.1)
+                return OrderOutcome(ending=OrderEnding.GONE)
+
+            orders.start = refusing  # type: ignore[method-assign]
+            one.instances[0].start()
+            await asyncio.sleep(1.0)
+            await one.submit(JOB_ID, step(1, estimated_s=0.8))
+            await asyncio.sleep(GIVEN_UP_WITHIN_S)
+            self.assertEqual(REFUSED_STARTS, len(refused))
+            self.assertIs(JobState.COMPLETED, one.state(JOB_ID))
+            await one.instances[0].kill()
+
+        run_story(story())
+
 
 if __name__ == "__main__":
     unittest.main()
