--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -364,5 +364,28 @@
         self.assertEqual(is_given_up, entry.progress.state is JobState.FAILED)
 
 
+class SpreadTests(unittest.TestCase):
+    @parameterized.expand([("none", 0, "a"), ("two", 2, "a"), ("three", 3, "b")])
+    def test_a_series_of_crashes_spreads_jobs_over_workers(
+        self, _name: str, crashes: int, expected: str
+    ) -> None:
+        """Each crash in a series took the tasks of five jobs with it, packed on one worker."""
+        bench = Bench(view("a"), view("b"))
+        bench.learn(job("k", step(1, estimated_s=9.0)))
+        bench.starts()
+        (first,) = [one for one in bench.board.workers.values() if one.runs]
+        self.assertEqual("a", first.worker_id)
+        for number in range(crashes):
+            worker = bench.add(view(f"x{number}"))
+            bench.learn(job(f"c{number}", step(1, label="none", is_lasting=True)))
+            entry = bench.board.entries[f"c{number}"]
+            (lost_step,) = entry.steps.values()
+            bench.board.new_run(lost_step, 0, worker, bench.board.next_run_id(), bench.now_s)
+            crash(bench, worker.worker_id)
+        bench.learn(job("j", step(2)))
+        workers = {one.run.worker_id for one in bench.starts() if one.run.name.job_id == "j"}
+        self.assertEqual({expected}, workers)
+
+
 if __name__ == "__main__":
     unittest.main()
