Start nothing beside runs of unknown size

Cause: the successor found runs of a job that was cancelled and gone from the store, and had them stopped; what is being stopped still counts, but of these nobody knew what they take, and they counted as nothing.

Change: nothing is started on a worker as long as such a run is there.

Measured: the new test failed before.

--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -185,10 +185,11 @@
         """Bring a machine back; the entry of its old worker lapses meanwhile, or after."""
         unlisting = asyncio.get_running_loop().call_later(lapse_s, self._unregister, old)
         await asyncio.sleep(down_s)
-        place.row.state = "up"
         if wave:
             self._in_upkeep[wave].discard(place.row.name)
         await self._begin(place)
+        # Not before: an order taken meanwhile would bring a second worker.
+        place.row.state = "up"
         if unlisting.when() < asyncio.get_running_loop().time():
             self._unregister(old)
 
--- a/src/shallotworks/scheduling/_board.py
+++ b/src/shallotworks/scheduling/_board.py
@@ -15,6 +15,7 @@
 from ._entries import JobEntry, StepEntry
 from ._isolation import Isolation
 from ._model import (
+    UNKNOWN_STEP,
     EndedTask,
     EndKind,
     Run,
@@ -45,7 +46,6 @@
 """A run that an earlier scheduler has stopped is listed at work for 0.2 s more (source: the
 platform's settings); an adopted one that is reported at work this long after was not stopped."""
 UNSENT_PHASES = (RunPhase.RESERVED, RunPhase.STARTING)
-STRAY_STEP = Step(count=1)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -431,7 +431,7 @@
         run = Run(
             name=row.name,
             run_id=row.run_id,
-            step=step or STRAY_STEP,
+            step=step or UNKNOWN_STEP,
             worker_id=worker.worker_id,
             phase=RunPhase.RUNNING,
             since_s=now_s,
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -180,6 +180,10 @@
     """The stop was obeyed; the end, or its absence, is still to be seen."""
 
 
+UNKNOWN_STEP = Step(count=1)
+"""Stands for the step of a run whose job is not known any more, nor what it takes of a worker."""
+
+
 class Run:
     """One run of a task on a worker; it holds room there until its end is certain.
 
@@ -285,6 +289,7 @@
         "reported_s",
         "runs",
         "seen_ends",
+        "unknown_runs",
         "unsettled",
         "view",
     )
@@ -311,6 +316,8 @@
         self.cpu_used = 0
         self.memory_used = 0
         self.gpus_used = 0
+        self.unknown_runs = 0
+        """Runs of which it is not known what they take."""
         self.acknowledged = 0
         self.seen_ends = 0
         self.reported_s = -1e9
@@ -324,6 +331,8 @@
 
     def fits(self, step: Step) -> bool:
         """Whether a task of the step fits beside what runs."""
+        if self.unknown_runs:
+            return False
         cpu = 0 if step.is_filler else step.cpu_millicores
         return (
             self.cpu_used + cpu <= self.view.cpu_millicores
@@ -342,7 +351,8 @@
         """Whether what runs takes more than the capacity, which may have shrunk."""
         view = self.view
         return (
-            self.cpu_used > view.cpu_millicores
+            self.unknown_runs > 0
+            or self.cpu_used > view.cpu_millicores
             or self.memory_used > view.memory_mb
             or self.gpus_used > view.gpus
         )
@@ -372,6 +382,8 @@
         self._use(run.step, -1)
 
     def _use(self, step: Step, sign: int) -> None:
+        if step is UNKNOWN_STEP:
+            self.unknown_runs += sign
         if not step.is_filler:
             self.cpu_used += sign * step.cpu_millicores
         self.memory_used += sign * step.memory_mb
--- a/tests/test_shrunk_capacity.py
+++ b/tests/test_shrunk_capacity.py
@@ -6,7 +6,7 @@
 
 from parameterized import parameterized
 
-from shallotworks.jobs import Blame, JobProgress, LostRun
+from shallotworks.jobs import Blame, JobProgress, LostRun, TaskName
 from shallotworks.platform._workers import WorkerRegistry
 from shallotworks.scheduling import EndKind, RunningTask, StopOrder
 from shallotworks.standins import RecordStore, StoreView
@@ -66,6 +66,16 @@
         self.assertEqual([], bench.decide())
         self.assertEqual(0, bench.worker("a").cpu_used)
 
+    def test_nothing_starts_beside_a_run_of_unknown_size(self) -> None:
+        """A successor filled a worker on which runs of a job that was gone were being stopped."""
+        bench = Bench(view("a"))
+        gone = TaskName("gone", 0, 0, 0)
+        bench.report("a", running=(RunningTask(name=gone, run_id=5),))
+        bench.learn(job("k", step(1)))
+        self.assertEqual([], bench.starts())
+        bench.report("a", ended=((gone, 5, EndKind.STOPPED),))
+        self.assertEqual(["k"], [one.run.name.job_id for one in bench.starts()])
+
 
 class StaleListTests(unittest.TestCase):
     def test_nothing_starts_while_capacities_are_not_known(self) -> None:
