Say "in isolation" throughout

Cause: comments and tests called the same thing "apart", "tried apart" and "in isolation".

Change: comments, names of tests and their lines; no code.

--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -208,7 +208,7 @@
                 self._board.start_failed(run, now_s)
 
     def _start_beside_suspects(self, step: StepEntry, now_s: float) -> Iterator[StartOrder]:
-        """Start tasks of a job that has lost runs with crashed workers, suspects apart."""
+        """Start tasks of a job that has lost runs with crashed workers, suspects in isolation."""
         isolation, entry = self._board.isolation, step.job_entry
         indices = {step.name(index): index for index in step.waiting}
         suspects = isolation.suspects(entry, indices, self._wall_s)
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -342,7 +342,7 @@
 
     @property
     def last_seen_s(self) -> float:
-        """When it last told what runs, or confirmed a start."""
+        """When it last reported, or confirmed a start."""
         confirmed = (run.confirmed_s for run in self.runs.values())
         return max((self.reported_s, *(at_s for at_s in confirmed if at_s < math.inf)))
 
--- a/src/shallotworks/scheduling/_orders.py
+++ b/src/shallotworks/scheduling/_orders.py
@@ -78,7 +78,7 @@
 UNHEALTHY_PAUSE_S = 1.0
 NO_ROOM_PAUSE_S = 0.3
 LEAST_WAIT_S = 0.02
-"""A look that waits for a run started apart to outlive its start."""
+"""The least that a look waits at a worker which has to outlive a start in isolation."""
 CLOSED_WITHIN_S = 0.5
 """A look that gets no answer this soon has not timed out: its connection was closed or refused."""
 _LOST = (OrderEnding.UNANSWERED, OrderEnding.UNSENT)
--- a/src/shallotworks/scheduling/_wait_reason.py
+++ b/src/shallotworks/scheduling/_wait_reason.py
@@ -39,7 +39,7 @@
     CORDONED = "cordoned"
     """The worker is offered to be taken away, or is being emptied."""
     SUSPECT = "suspect"
-    """Runs of its job were lost with crashed workers: one task after the other is tried apart."""
+    """Runs of its job were lost with crashed workers: its suspects are started in isolation."""
     REFUSED = "refused"
     """A worker refused the last start as invalid; the next one waits, each time for longer."""
     GANG = "gang"
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -68,11 +68,11 @@
         ]
     )
     def test_when_a_task_is_given_up(
-        self, _name: str, runs: tuple[LostRun, ...], is_given_up: bool, is_tried_apart: bool
+        self, _name: str, runs: tuple[LostRun, ...], is_given_up: bool, is_isolated: bool
     ) -> None:
         """A sound task is given up for crashes of others, or a culprit is started on and on."""
         self.assertEqual(is_given_up, is_crash_looping(runs))
-        self.assertEqual(is_tried_apart, is_suspect(runs))
+        self.assertEqual(is_isolated, is_suspect(runs))
 
     def test_what_is_certain_stays_and_each_run_counts_once(self) -> None:
         """One crash is told to two schedulers and counts as two."""
@@ -151,7 +151,7 @@
         self.assertEqual([[SOLE]], blames(bench))
 
     def test_many_workers_lost_at_once_are_blamed_on_nobody_in_particular(self) -> None:
-        """A rack loses power, and all that was just started there is tried apart."""
+        """A rack loses power, and all that was just started there is started in isolation."""
         workers = ["a", "b", "c", "d"]
         bench = Bench(*(view(one, cpu_millicores=1000) for one in workers))
         bench.learn(job("j", step(4)))
@@ -203,7 +203,7 @@
         self.assertIsNone(worker.closed_s)
 
     def test_a_lapsed_run_is_cleared_when_its_worker_is_back(self) -> None:
-        """A worker was cut off for a while; its tasks are tried apart for ever."""
+        """A worker was cut off for a while; its tasks are started in isolation for ever."""
         bench = Bench(view("a"), view("b"))
         bench.learn(job("j", step(1)))
         (order,) = bench.starts()
@@ -234,8 +234,8 @@
         self.assertEqual([(blame, True)], [(one.blame, one.is_certain) for one in runs])
 
 
-class ApartTests(unittest.TestCase):
-    """A task of job j was lost on worker c, and is to be tried apart."""
+class IsolationTests(unittest.TestCase):
+    """A task of job j was lost on worker c, and is to be started in isolation."""
 
     def setUp(self) -> None:
         self.bench = Bench(view("a"), view("b"))
@@ -307,7 +307,7 @@
         self.assertEqual([1, 2], sorted(one.run.name.number for one in self.bench.starts()))
 
     def test_a_crash_under_it_fails_the_job(self) -> None:
-        """A task is tried apart, crashes that worker too, and is started once more."""
+        """A task is started in isolation, crashes that worker too, and is started once more."""
         self.suspect(step(1))
         (order,) = self.bench.starts()
         confirm(self.bench, order)
