Give a start in isolation up with the first look that its worker leaves open

Cause: it was started on a worker that left in the same moment, and its lease ran out five seconds later; then it was to be started in isolation. The least used workers come first there, among them idle ones that had left unseen, and each was waited for until the limit of two seconds.

Change: a reservation is given back as soon as its worker leaves a look unanswered, and the next worker is taken.

--- a/src/shallotworks/scheduling/_isolation.py
+++ b/src/shallotworks/scheduling/_isolation.py
@@ -19,7 +19,8 @@
 __all__ = ["Isolation"]
 
 RESERVED_LIMIT_S = 2.0
-"""A start that is neither stored nor has its worker settled by then is given back."""
+"""A start that is neither stored nor has its worker settled by then is given back, as is one whose
+worker leaves a look unanswered."""
 BUSY_PART = 1 / 8
 """Part of the workers with other work on which suspects may be started at once."""
 
@@ -150,7 +151,7 @@
                 run.since_s = now_s
                 run.enter(RunPhase.STARTING, now_s)
                 yield run, _may_start_on(worker)
-            elif now_s - since_s > RESERVED_LIMIT_S:
+            elif now_s - since_s > RESERVED_LIMIT_S or worker.pause_until_s > now_s:
                 del self._reserved[run]
                 yield run, False
 
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -269,6 +269,18 @@
         assert isinstance(order, StartOrder)
         self.assertEqual(NAME, order.run.name)
 
+    def test_a_worker_that_does_not_answer_is_given_up_for_another_at_once(self) -> None:
+        """A lasting task was away for ten seconds, waiting for idle workers that had left."""
+        self.suspect(step(1, is_lasting=True))
+        self.bench.now_s += 1.0
+        self.bench.decide()
+        (kept,) = [one for one in self.bench.board.workers.values() if one.isolated is not None]
+        # What a failed look does.
+        kept.pause_until_s = self.bench.now_s + 0.5
+        self.bench.now_s += 0.1
+        (order,) = self.bench.starts()
+        self.assertNotEqual(kept.worker_id, order.run.worker_id)
+
     def test_nothing_else_is_started_beside_it(self) -> None:
         """Tasks of other jobs are lost with a worker on which a suspect was tried."""
         self.suspect(step(1))
