--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -362,7 +362,7 @@
     def test_a_successor_finds_out_what_became_of_a_start(
         self, _name: str, earlier: tuple[Blame, ...], lives: bool, crashes: int, is_given_up: bool
     ) -> None:
-        """A start under way when its scheduler died is forgotten, or is taken for the only cause."""
+        """A start under way when its scheduler died is forgotten, or taken for the only cause."""
         row = LostRun(run_id=5, worker_id="a" if lives else "z", blame=SOLE, is_certain=False)
         progress = JobProgress(queue="sweeps", lost={(0, 0, 0): (*lost(*earlier), row)})
         self.bench.learn(job("j", step(1)), progress=progress, is_old=True)
