Read when a worker started, and log it with its entry and its ends

Cause: the logs can't distinguish the hypotheses of the incident. A worker that starts again under its id looks in them like the one before, and a run's end has no number there.

Change: platform/ decodes `born` of entries and of lists of runs into the time at which an incarnation started; a missing, malformed or earlier one is bad input. The lines `worker-listed` and `run-ended` say it, the latter with the number of the end. The stand-ins state it, and can restart a worker under its id. Nothing decides on it yet.

--- a/src/shallotworks/jobs/__init__.py
+++ b/src/shallotworks/jobs/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from ._crashes import Blame, LostRun, is_crash_looping, is_suspect
+from ._incarnation import Incarnation
 from ._progress import JobProgress, JobState
 from ._records import (
     JobKeys,
@@ -19,6 +20,7 @@
 
 __all__ = [
     "Blame",
+    "Incarnation",
     "JobResponse",
     "JobRequestStatus",
     "Job",
--- /dev/null
+++ b/src/shallotworks/jobs/_incarnation.py
@@ -0,0 +1,43 @@
+"""Identifies one start of a worker."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["Incarnation"]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Incarnation:
+    """One start of a worker.
+
+    Everything that a worker holds, knows and counts belongs to one incarnation of it. A worker that
+    starts again under its id knows nothing of before, so that two incarnations have nothing in
+    common but the id.
+
+    Args:
+        worker_id: The worker.
+        born_ms: When it started, in milliseconds since 1970. ``None`` if that is not known, as in a
+            record of an earlier release, or on a platform that does not state it.
+    """
+
+    worker_id: str
+    born_ms: int | None = None
+
+    def __str__(self) -> str:
+        return self.worker_id if self.born_ms is None else f"{self.worker_id}@{self.born_ms}"
+
+    def is_later_than(self, other: Incarnation) -> bool:
+        """Whether this is a later start of the same worker."""
+        return (
+            self.worker_id == other.worker_id
+            and self.born_ms is not None
+            and other.born_ms is not None
+            and self.born_ms > other.born_ms
+        )
+
+    def may_be(self, other: Incarnation) -> bool:
+        """Whether both may be the same start of the same worker."""
+        return self.worker_id == other.worker_id and (
+            self.born_ms is None or other.born_ms is None or self.born_ms == other.born_ms
+        )
--- a/src/shallotworks/platform/_worker_entries.py
+++ b/src/shallotworks/platform/_worker_entries.py
@@ -16,7 +16,7 @@
 
 from ._fields import DECODE_ERRORS, json_array, json_integer, json_number, json_object, json_string
 
-__all__ = ["EntryProblem", "EntryProblemKind", "decode_entry"]
+__all__ = ["EntryProblem", "EntryProblemKind", "InvalidEntryError", "decode_entry", "read_born_ms"]
 
 MAX_CPU_MILLICORES = 10_000_000
 MAX_MEMORY_MB = 100_000_000
@@ -31,6 +31,8 @@
 _WORKER_ID = re.compile(r"[!-.0-~]+")
 _ADDRESS = re.compile(r"(?:[0-9A-Za-z.-]{1,253}|\[[0-9A-Fa-f:.]{2,45}\]):([0-9]{1,5})")
 MAX_PORT = 65_535
+BORN_FIELD = "born"
+"""The field in which a worker states when it started."""
 
 
 @unique
@@ -44,6 +46,8 @@
     WRONG_TYPE = "wrong-type"
     OUT_OF_RANGE = "out-of-range"
     UNKNOWN_STATE = "unknown-state"
+    SUPERSEDED = "superseded"
+    """The entry is of an earlier incarnation than one that is known already."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -62,15 +66,17 @@
     field: str = ""
 
 
-class _InvalidEntryError(ValueError):
-    """An entry can't be decoded; caught within this module."""
+class InvalidEntryError(ValueError):
+    """What a worker states about itself can't be decoded."""
 
     def __init__(self, kind: EntryProblemKind, field: str = "") -> None:
         super().__init__(kind, field)
         self.problem = EntryProblem(kind=kind, field=field)
 
 
-def decode_entry(worker_id: str, value: bytes) -> Result[WorkerView, EntryProblem]:
+def decode_entry(
+    worker_id: str, value: bytes, *, requires_born: bool = False
+) -> Result[WorkerView, EntryProblem]:
     """Decode the entry of a worker.
 
     Each field that a worker writes must be present with its type, also those that are not used
@@ -81,15 +87,19 @@
     Args:
         worker_id: The worker's id from the entry's key.
         value: The entry's bytes.
+        requires_born: Whether the entry must state when the worker started. A platform that states
+            it does so for each of its workers.
 
     Returns:
         The worker, or why the entry was rejected.
     """
     try:
         if not _WORKER_ID.fullmatch(worker_id):
-            raise _InvalidEntryError(EntryProblemKind.BAD_ID)
-        entry = _read_fields(_load_json(value), _ENTRY_READERS)
-    except _InvalidEntryError as error:
+            raise InvalidEntryError(EntryProblemKind.BAD_ID)
+        json_fields = _load_json(value)
+        entry = _read_fields(json_fields, _ENTRY_READERS)
+        born_ms = read_born_ms(json_fields, is_required=requires_born)
+    except InvalidEntryError as error:
         return Err(error.problem)
     capacity, labels = entry["capacity"], entry["labels"]
     return Success(
@@ -105,19 +115,38 @@
             # The first label is the worker's kind, the second its rack.
             rack=labels[1] if len(labels) > 1 else "",
             is_draining=entry["state"] == DRAINING,
+            born_ms=born_ms,
         )
     )
 
 
+def read_born_ms(json_fields: Mapping[str, Any], *, is_required: bool) -> int | None:
+    """Return when a worker started, in milliseconds since 1970, as it states in a message.
+
+    Args:
+        json_fields: The top level of the message.
+        is_required: Whether a message without it is invalid.
+
+    Returns:
+        The time; ``None`` if it is neither stated nor required.
+
+    Raises:
+        InvalidEntryError: It is missing, no whole number, or not after 1970.
+    """
+    if BORN_FIELD not in json_fields and not is_required:
+        return None
+    return int(_read_fields(json_fields, {BORN_FIELD: _read_born})[BORN_FIELD])
+
+
 def _load_json(value: bytes) -> dict[str, Any]:
     try:
         decoded = json.loads(
             value.decode(), object_pairs_hook=_unique_fields, parse_constant=_reject_constant
         )
     except DECODE_ERRORS:
-        raise _InvalidEntryError(EntryProblemKind.NOT_JSON) from None
+        raise InvalidEntryError(EntryProblemKind.NOT_JSON) from None
     if not isinstance(decoded, dict):
-        raise _InvalidEntryError(EntryProblemKind.WRONG_TYPE)
+        raise InvalidEntryError(EntryProblemKind.WRONG_TYPE)
     return decoded
 
 
@@ -134,7 +163,7 @@
 
 _FieldReader = Callable[[Any, str], Any]
 """Takes a field's value and name, and returns the value. Raises `TypeError` for another type, and
-`_InvalidEntryError`, which contains the name, for any other problem."""
+`InvalidEntryError`, which contains the name, for any other problem."""
 
 
 def _read_fields(
@@ -144,11 +173,11 @@
     for name, reader in readers.items():
         field = prefix + name
         if name not in json_fields:
-            raise _InvalidEntryError(EntryProblemKind.MISSING, field)
+            raise InvalidEntryError(EntryProblemKind.MISSING, field)
         try:
             values[name] = reader(json_fields[name], field)
         except TypeError:
-            raise _InvalidEntryError(EntryProblemKind.WRONG_TYPE, field) from None
+            raise InvalidEntryError(EntryProblemKind.WRONG_TYPE, field) from None
     return values
 
 
@@ -160,33 +189,39 @@
     return json_integer(value)
 
 
+def _read_born(value: Any, field: str) -> int:
+    if json_integer(value) <= 0:
+        raise InvalidEntryError(EntryProblemKind.OUT_OF_RANGE, field)
+    return int(value)
+
+
 def _read_number(value: Any, _field: str) -> float:
     return json_number(value)
 
 
 def _read_non_empty(value: Any, field: str) -> str:
     if not json_string(value):
-        raise _InvalidEntryError(EntryProblemKind.OUT_OF_RANGE, field)
+        raise InvalidEntryError(EntryProblemKind.OUT_OF_RANGE, field)
     return str(value)
 
 
 def _read_address(value: Any, field: str) -> str:
     match = _ADDRESS.fullmatch(json_string(value))
     if match is None or not 0 < int(match[1]) <= MAX_PORT:
-        raise _InvalidEntryError(EntryProblemKind.OUT_OF_RANGE, field)
+        raise InvalidEntryError(EntryProblemKind.OUT_OF_RANGE, field)
     return str(value)
 
 
 def _read_state(value: Any, field: str) -> str:
     if json_string(value) not in (READY, DRAINING):
-        raise _InvalidEntryError(EntryProblemKind.UNKNOWN_STATE, field)
+        raise InvalidEntryError(EntryProblemKind.UNKNOWN_STATE, field)
     return str(value)
 
 
 def _integer_up_to(limit: int) -> _FieldReader:
     def read_integer(value: Any, field: str) -> int:
         if not 0 <= json_integer(value) <= limit:
-            raise _InvalidEntryError(EntryProblemKind.OUT_OF_RANGE, field)
+            raise InvalidEntryError(EntryProblemKind.OUT_OF_RANGE, field)
         return int(value)
 
     return read_integer
--- a/src/shallotworks/platform/_workers.py
+++ b/src/shallotworks/platform/_workers.py
@@ -24,15 +24,24 @@
 
 from ._fields import DECODE_ERRORS, json_array, json_integer, json_number, json_string
 from ._http import HttpAnswer, HttpClient, HttpNoAnswer
-from ._worker_entries import EntryProblem, decode_entry
+from ._worker_entries import (
+    EntryProblem,
+    EntryProblemKind,
+    InvalidEntryError,
+    decode_entry,
+    read_born_ms,
+)
 
 __all__ = ["REGISTRY_PREFIX", "PlatformOrders", "WorkerRegistry"]
 
 REGISTRY_PREFIX = "servers/"
+MAX_KNOWN_BIRTHS = 10_000
+"""Number of workers of which the latest known start is remembered."""
 INCARNATION_HEADER = "Shallotworks-Expect-Instance"
 ORDER_TIMEOUT_S = 0.7
 """Timeout of an order: healthy workers answer in a few milliseconds."""
 
+_SUPERSEDED = EntryProblem(kind=EntryProblemKind.SUPERSEDED, field="born")
 _STATUS_BY_REASON = {
     "fence": OrderStatus.FENCED,
     "old": OrderStatus.STALE_RUN,
@@ -138,10 +147,12 @@
         if isinstance(answer, HttpNoAnswer):
             order_status = OrderStatus.UNSENT if answer.is_unsent else OrderStatus.UNANSWERED
             return OrderOutcome(status=order_status, detail=answer.detail)
-        return _decode_outcome(answer, is_poll)
+        return _decode_outcome(answer, is_poll, known_born_ms=worker.born_ms)
 
 
-def _decode_outcome(answer: HttpAnswer, is_poll: bool) -> OrderOutcome:
+def _decode_outcome(
+    answer: HttpAnswer, is_poll: bool, *, known_born_ms: int | None = None
+) -> OrderOutcome:
     clock_ms = _decode_clock_ms(answer.body)
     if answer.status == 409:
         reason = str(answer.body.get("reason", ""))
@@ -150,12 +161,43 @@
     order_status = _STATUS_BY_HTTP_STATUS.get(answer.status, OrderStatus.UNANSWERED)
     detail = "" if answer.status == 200 else f"status {answer.status}"
     if not is_poll or order_status is not OrderStatus.OBEYED:
-        return OrderOutcome(status=order_status, clock_ms=clock_ms, detail=detail)
+        return OrderOutcome(
+            status=order_status,
+            clock_ms=clock_ms,
+            detail=detail,
+            born_ms=_decode_optional_born_ms(answer.body),
+        )
     try:
         report = _decode_report(answer.body)
-    except DECODE_ERRORS as error:
+        born_ms = _decode_born_ms(answer.body, known_born_ms)
+    except (*DECODE_ERRORS, InvalidEntryError) as error:
         return OrderOutcome(status=OrderStatus.INVALID, detail=repr(error))
-    return OrderOutcome(status=order_status, clock_ms=clock_ms, report=report)
+    return OrderOutcome(status=order_status, clock_ms=clock_ms, report=report, born_ms=born_ms)
+
+
+def _decode_born_ms(body: dict[str, Any], known_born_ms: int | None) -> int | None:
+    """Return when the worker that sent its lists of runs had started, in milliseconds since 1970.
+
+    Args:
+        body: The answer.
+        known_born_ms: The latest known start of the worker; ``None`` if unknown.
+
+    Raises:
+        InvalidEntryError: It is invalid, earlier than the known one, or missing although one is
+            known.
+    """
+    born_ms = read_born_ms(body, is_required=known_born_ms is not None)
+    if born_ms is not None and known_born_ms is not None and born_ms < known_born_ms:
+        raise InvalidEntryError(EntryProblemKind.SUPERSEDED, "born")
+    return born_ms
+
+
+def _decode_optional_born_ms(body: dict[str, Any]) -> int | None:
+    """Return the start that an answer without lists states; ``None`` if it states no valid one."""
+    try:
+        return read_born_ms(body, is_required=False)
+    except InvalidEntryError:
+        return None
 
 
 def _decode_clock_ms(body: dict[str, Any]) -> int:
@@ -218,17 +260,33 @@
     to poll an unlisted worker and extends the worker's lease while it answers, so that those tasks
     end there and none is started twice.
 
+    An entry of an earlier incarnation than the latest known one is ignored: a write of the earlier
+    one may arrive late, and a read may be stale.
+
     Args:
-        log: Receives a line when a worker is listed, starts or stops draining, becomes unreadable
-            or is deleted.
+        log: Receives a line when a worker is listed, starts again, starts or stops draining,
+            becomes unreadable or is deleted.
     """
 
-    __slots__ = ("_log", "_problems", "_workers", "is_synced", "version")
+    __slots__ = (
+        "_is_born_stated",
+        "_latest_born_ms",
+        "_log",
+        "_problems",
+        "_workers",
+        "is_synced",
+        "version",
+    )
 
     def __init__(self, *, log: StructuredLog) -> None:
         self._log = log
         self._workers: dict[str, WorkerView] = {}
         self._problems: dict[str, EntryProblem] = {}
+        self._latest_born_ms: dict[str, int] = {}
+        """The latest known start of each worker, also of workers that are not listed any more."""
+        self._is_born_stated = False
+        """Whether workers of this platform state when they started. A platform either has this
+        field in all entries or, like the one that the bench plays, in none."""
         self.is_synced = False
         self.version = 0
 
@@ -239,11 +297,18 @@
     def on_write(self, item: Item) -> None:
         """List a worker whose entry was written; remove it if the entry can't be decoded."""
         worker_id = item.key.removeprefix(REGISTRY_PREFIX)
-        decoded = decode_entry(worker_id, item.value)
-        if isinstance(decoded, Success):
-            self._add(decoded.unwrap(), item.revision)
-        else:
+        decoded = decode_entry(worker_id, item.value, requires_born=self._is_born_stated)
+        if not isinstance(decoded, Success):
             self._reject(worker_id, decoded.failure(), item.revision)
+            return
+        view = decoded.unwrap()
+        if view.born_ms is not None:
+            self._require_born(item.revision)
+            if view.born_ms < self._latest_born_ms.get(worker_id, 0):
+                self._note_problem(worker_id, _SUPERSEDED, item.revision, was_listed=False)
+                return
+            self._note_born(worker_id, view.born_ms)
+        self._add(view, item.revision)
 
     def on_delete(self, key: str, revision: int) -> None:
         """Remove a worker whose entry was deleted."""
@@ -258,13 +323,41 @@
         earlier = self._workers.get(view.worker_id)
         self._workers[view.worker_id] = view
         self.version += earlier != view
-        if earlier is None or earlier.is_draining != view.is_draining:
+        is_new = earlier is None or earlier.incarnation != view.incarnation
+        if is_new or (earlier is not None and earlier.is_draining != view.is_draining):
             state = "draining" if view.is_draining else "ready"
-            self._log.line("worker-listed", worker=view.worker_id, state=state, revision=revision)
+            self._log.line(
+                "worker-listed",
+                worker=view.worker_id,
+                state=state,
+                revision=revision,
+                born_ms=view.born_ms,
+                was_born_ms=earlier.born_ms if earlier is not None else None,
+            )
+
+    def _require_born(self, revision: int) -> None:
+        """Require each entry to state the worker's start, now that one has stated it."""
+        if self._is_born_stated:
+            return
+        self._is_born_stated = True
+        problem = EntryProblem(kind=EntryProblemKind.MISSING, field="born")
+        for worker_id in [key for key, view in self._workers.items() if view.born_ms is None]:
+            self._reject(worker_id, problem, revision)
+
+    def _note_born(self, worker_id: str, born_ms: int) -> None:
+        self._latest_born_ms.pop(worker_id, None)
+        self._latest_born_ms[worker_id] = born_ms
+        if len(self._latest_born_ms) > MAX_KNOWN_BIRTHS:
+            del self._latest_born_ms[next(iter(self._latest_born_ms))]
 
     def _reject(self, worker_id: str, problem: EntryProblem, revision: int) -> None:
         earlier = self._workers.pop(worker_id, None)
         self.version += earlier is not None
+        self._note_problem(worker_id, problem, revision, was_listed=earlier is not None)
+
+    def _note_problem(
+        self, worker_id: str, problem: EntryProblem, revision: int, *, was_listed: bool
+    ) -> None:
         # Entries are rewritten every second or two, so the same problem is logged only once.
         if self._problems.get(worker_id) == problem:
             return
@@ -274,6 +367,6 @@
             worker=worker_id,
             fault=problem.kind.value,
             field=problem.field,
-            was_listed=earlier is not None,
+            was_listed=was_listed,
             revision=revision,
         )
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from enum import Enum, unique
 
-from shallotworks.jobs import Step, TaskName
+from shallotworks.jobs import Incarnation, Step, TaskName
 
 __all__ = [
     "AdviceRequest",
@@ -31,7 +31,7 @@
     """The entry of one incarnation of a worker in discovery.
 
     Args:
-        worker_id: Identifies this incarnation; a worker that restarts gets a new id.
+        worker_id: Identifies the worker.
         service: The pool that the worker belongs to.
         address: ``ip:port``.
         data_centre: The data centre of the worker.
@@ -41,6 +41,8 @@
         labels: The kind of the worker, its rack, and other properties that a step may demand.
         rack: The failure domain of the worker within its data centre.
         is_draining: Whether the worker is about to leave and accepts no new task.
+        born_ms: When this incarnation started, in milliseconds since 1970; ``None`` if unknown. See
+            `Incarnation`.
     """
 
     worker_id: str
@@ -53,6 +55,12 @@
     labels: frozenset[str] = frozenset()
     rack: str = ""
     is_draining: bool = False
+    born_ms: int | None = None
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """Identifies this incarnation."""
+        return Incarnation(worker_id=self.worker_id, born_ms=self.born_ms)
 
 
 @unique
@@ -157,12 +165,15 @@
         clock_ms: The worker's clock if it answered, otherwise 0.
         report: The answer to a poll.
         detail: The message of the worker or of the connection.
+        born_ms: When the incarnation that answered had started, in milliseconds since 1970;
+            ``None`` if it did not say so.
     """
 
     status: OrderStatus
     clock_ms: int = 0
     report: WorkerReport | None = None
     detail: str = ""
+    born_ms: int | None = None
 
 
 @unique
@@ -351,9 +362,14 @@
 
     @property
     def worker_id(self) -> str:
-        """Identifies this incarnation."""
+        """Identifies the worker, of which this is one incarnation."""
         return self.view.worker_id
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """Identifies this incarnation."""
+        return self.view.incarnation
+
     def fits(self, step: Step) -> bool:
         """Whether a task of the step fits beside the present runs."""
         if self.unknown_runs:
--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -564,6 +564,8 @@
             task=list(end.name[1:]),
             run=end.run_id,
             worker=worker.worker_id,
+            born_ms=worker.view.born_ms,
+            end=end.number,
             how=end.kind.value,
             ran_s=round(now_s - run.since_s, 3) if run is not None else None,
             token=self.token,
--- a/src/shallotworks/standins/_task_workers.py
+++ b/src/shallotworks/standins/_task_workers.py
@@ -26,6 +26,8 @@
 
 MAX_LEASE_S = 6.0
 STOP_DURATION_S = 0.2
+FIRST_BORN_MS = 1_700_000_000_000
+"""Start of the first worker in milliseconds since 1970; each later start is a millisecond later."""
 CAPACITY_REDUCTION_GRACE_S = 4.5
 """After a reduction, the former capacity is still permitted this long. Source: the users' rules."""
 
@@ -180,7 +182,12 @@
             ),
             ended=tuple(self._ended),
         )
-        return OrderOutcome(status=OrderStatus.OBEYED, clock_ms=self.clock_ms, report=report)
+        return OrderOutcome(
+            status=OrderStatus.OBEYED,
+            clock_ms=self.clock_ms,
+            report=report,
+            born_ms=self.view.born_ms,
+        )
 
     def start(
         self, order: StartOrder, token: int, lease_until_ms: int, *, is_late: bool = False
@@ -287,12 +294,24 @@
         self.most_attempts = 0
         """Acknowledged failures of a task after which it may not start again; 0 for no limit."""
         self._acknowledged_failures: Counter[TaskName] = Counter()
+        self._start_count = 0
 
     def add(self, view: WorkerView) -> TaskWorker:
-        """Add a worker."""
+        """Add a worker that has just started, under a new id or under one that it had before."""
+        self._start_count += 1
+        view = replace(view, born_ms=FIRST_BORN_MS + self._start_count)
         worker = self.workers[view.worker_id] = TaskWorker(view=view, fleet=self)
         return worker
 
+    def restart(self, worker_id: str) -> TaskWorker:
+        """Crash a worker and start it again under its id, knowing nothing of before."""
+        earlier = self.workers[worker_id]
+        earlier.crash()
+        earlier.wake_polls()
+        restarted = self.add(earlier.view)
+        restarted.refuses_overload = earlier.refuses_overload
+        return restarted
+
     # ---- discovery
 
     @property
@@ -307,7 +326,7 @@
             (
                 self.view_change_count,
                 tuple(self.unlisted),
-                tuple(worker.is_alive for worker in self.workers.values()),
+                tuple((one.is_alive, one.view.born_ms) for one in self.workers.values()),
             )
         )
 
--- a/src/shallotworks/standins/_worker_http.py
+++ b/src/shallotworks/standins/_worker_http.py
@@ -97,6 +97,8 @@
 
 def _encode_report(outcome: OrderOutcome) -> dict[str, Any]:
     answer: dict[str, Any] = {"clockMs": outcome.clock_ms}
+    if outcome.born_ms is not None:
+        answer["born"] = outcome.born_ms
     if outcome.report is not None:
         answer["running"] = [
             [
--- a/tests/lasting_task_simulation.py
+++ b/tests/lasting_task_simulation.py
@@ -679,6 +679,7 @@
             "state": "draining" if worker_view.is_draining else "ready",
             "coldRemainingMs": 0,
             "seqNo": self.store.revision,
+            "born": worker_view.born_ms,
             "capacity": {
                 "cpu": worker_view.cpu_millicores,
                 "memMb": worker_view.memory_mb,
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -11,6 +11,7 @@
 
 from shallotworks.cli._main import run as run_command
 from shallotworks.errors import ErrorKind
+from shallotworks.logs import StructuredLog
 from shallotworks.platform import load_platform_settings
 from shallotworks.platform._configuration import Configuration, OperatorRecords
 from shallotworks.platform._http import HttpAnswer
@@ -122,6 +123,79 @@
         return Item(key=key, value=json.dumps(record).encode(), revision=1, created=1)
 
 
+class IncarnationDecodingTests(unittest.TestCase):
+    """Entries and lists of runs of workers that start again under their ids."""
+
+    @parameterized.expand(
+        [
+            ("missing", {}, "missing"),
+            ("null", {"born": None}, "wrong-type"),
+            ("true", {"born": True}, "wrong-type"),
+            ("text", {"born": "1700000000000"}, "wrong-type"),
+            ("fraction", {"born": 1.7e12}, "wrong-type"),
+            ("negative", {"born": -1}, "out-of-range"),
+            ("earlier than known", {"born": 1_699_999_999_999}, "superseded"),
+        ]
+    )
+    def test_entry_with_an_invalid_start(
+        self, _name: str, fields: dict[str, object], fault: str
+    ) -> None:
+        """An entry that does not name its incarnation was taken for the present one."""
+        written = io.BytesIO()
+        log = StructuredLog(process="test", write=written.write)
+        registry = WorkerRegistry(log=log)
+        registry.on_write(_entry("i-1", _ENTRY | {"born": 1_700_000_000_000}))
+        registry.on_write(_entry("i-1", _ENTRY | {"state": "draining"} | fields))
+        registry.on_write(_entry("i-2", _ENTRY | {"born": 1_700_000_000_000}))
+        views = registry.workers_of("s")
+        self.assertIn("i-2", views)
+        self.assertEqual(fault == "superseded", "i-1" in views)
+        self.assertFalse(any(view.is_draining for view in views.values()))
+        log.flush()
+        self.assertIn(f'"fault":"{fault}"', written.getvalue().decode())
+
+    def test_workers_without_a_start_are_dropped_once_one_states_it(self) -> None:
+        """A worker without the field was used beside workers that state it."""
+        registry = WorkerRegistry(log=quiet_log())
+        registry.on_write(_entry("i-1", _ENTRY))
+        self.assertEqual({"i-1"}, set(registry.workers_of("s")))
+        registry.on_write(_entry("i-2", _ENTRY | {"born": 1_700_000_000_000}))
+        self.assertEqual({"i-2"}, set(registry.workers_of("s")))
+
+    def test_a_new_start_changes_the_list(self) -> None:
+        """A restart that only the new field shows left the list as it was."""
+        registry = WorkerRegistry(log=quiet_log())
+        registry.on_write(_entry("i-1", _ENTRY | {"born": 1_700_000_000_000}))
+        version = registry.version
+        registry.on_write(_entry("i-1", _ENTRY | {"born": 1_700_000_000_001, "seqNo": 1}))
+        self.assertEqual(1_700_000_000_001, registry.workers_of("s")["i-1"].born_ms)
+        self.assertNotEqual(version, registry.version)
+
+    @parameterized.expand(
+        [
+            (None, {}, OrderStatus.OBEYED, None),
+            (None, {"born": 5}, OrderStatus.OBEYED, 5),
+            (5, {"born": 5}, OrderStatus.OBEYED, 5),
+            (5, {"born": 6}, OrderStatus.OBEYED, 6),
+            (5, {"born": 4}, OrderStatus.INVALID, None),
+            (5, {"born": "5"}, OrderStatus.INVALID, None),
+            (5, {}, OrderStatus.INVALID, None),
+        ]
+    )
+    def test_start_stated_with_lists_of_runs(
+        self,
+        known_born_ms: int | None,
+        fields: dict[str, object],
+        status: OrderStatus,
+        born_ms: int | None,
+    ) -> None:
+        """Lists of runs that don't name their incarnation were taken for the known one's."""
+        body = {"clockMs": 7, "running": [], "ended": []} | fields
+        answer = HttpAnswer(status=200, body=body)
+        outcome = _decode_outcome(answer, True, known_born_ms=known_born_ms)
+        self.assertEqual((status, born_ms), (outcome.status, outcome.born_ms))
+
+
 class WorkerDecodingTests(unittest.TestCase):
     def test_worker_entries(self) -> None:
         """Guards against misreading a worker's fields, and against listing an invalid entry."""
@@ -185,6 +259,21 @@
     return {"version": version, "routes": [], "services": []}
 
 
+_ENTRY: dict[str, object] = {
+    "service": "s",
+    "address": "10.0.0.1:1",
+    "zone": "hall",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "seqNo": 4,
+    "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+}
+"""An entry as a worker writes it, without its start."""
+
+
 def _entry(worker_id: str, record: object) -> Item:
     value = json.dumps(record).encode()
     return Item(key=f"servers/{worker_id}", value=value, revision=1, created=1)
