--- a/src/shallotworks/jobs/_crashes.py
+++ b/src/shallotworks/jobs/_crashes.py
@@ -6,6 +6,8 @@
 from enum import Enum, unique
 from typing import NamedTuple
 
+from ._incarnation import Incarnation
+
 __all__ = ["Blame", "LostRun", "is_crash_looping", "is_suspect"]
 
 MAX_EARLY_CRASHES = 2
@@ -36,14 +38,14 @@
 
     Args:
         run_id: The run.
-        worker_id: The worker that it ran on.
+        incarnation: The start of the worker that it ran on.
         blame: How likely it was the cause.
         is_certain: Whether the worker has crashed. Otherwise it may have crashed, or may still do
             so.
     """
 
     run_id: int
-    worker_id: str
+    incarnation: Incarnation
     blame: Blame
     is_certain: bool
 
--- a/src/shallotworks/jobs/_incarnation.py
+++ b/src/shallotworks/jobs/_incarnation.py
@@ -6,6 +6,8 @@
 
 __all__ = ["Incarnation"]
 
+_SEPARATOR = "/"
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Incarnation:
@@ -24,8 +26,21 @@
     worker_id: str
     born_ms: int | None = None
 
-    def __str__(self) -> str:
-        return self.worker_id if self.born_ms is None else f"{self.worker_id}@{self.born_ms}"
+    def encode(self) -> str:
+        """Return the text form for records of the store; an id contains no separator."""
+        if self.born_ms is None:
+            return self.worker_id
+        return f"{self.worker_id}{_SEPARATOR}{self.born_ms}"
+
+    @classmethod
+    def decode(cls, text: str) -> Incarnation:
+        """Return the incarnation that a record names; earlier releases wrote only the id.
+
+        Raises:
+            ValueError: The part after the separator is not a whole number.
+        """
+        worker_id, separator, born_ms = text.partition(_SEPARATOR)
+        return cls(worker_id=worker_id, born_ms=int(born_ms) if separator else None)
 
     def is_later_than(self, other: Incarnation) -> bool:
         """Whether this is a later start of the same worker."""
@@ -36,6 +51,10 @@
             and self.born_ms > other.born_ms
         )
 
+    def is_same_or_later_than(self, other: Incarnation) -> bool:
+        """Whether this is the same start of the same worker, or a later one."""
+        return self == other or self.is_later_than(other)
+
     def may_be(self, other: Incarnation) -> bool:
         """Whether both may be the same start of the same worker."""
         return self.worker_id == other.worker_id and (
--- a/src/shallotworks/jobs/_records.py
+++ b/src/shallotworks/jobs/_records.py
@@ -9,6 +9,7 @@
 from pydantic import TypeAdapter
 
 from ._crashes import Blame, LostRun
+from ._incarnation import Incarnation
 from ._progress import JobProgress, JobState
 from ._spec import Job
 
@@ -87,7 +88,13 @@
             [
                 *key,
                 [
-                    [lost_run.run_id, lost_run.worker_id, lost_run.blame.value, lost_run.is_certain]
+                    [
+                        lost_run.run_id,
+                        lost_run.incarnation.worker_id,
+                        lost_run.blame.value,
+                        lost_run.is_certain,
+                        lost_run.incarnation.born_ms,
+                    ]
                     for lost_run in runs
                 ],
             ]
@@ -115,7 +122,15 @@
             },
             lost={
                 (row[0], row[1], row[2]): tuple(
-                    LostRun(run_id=run[0], worker_id=run[1], blame=Blame(run[2]), is_certain=run[3])
+                    LostRun(
+                        run_id=run[0],
+                        # Earlier releases wrote no start of the worker.
+                        incarnation=Incarnation(
+                            worker_id=run[1], born_ms=run[4] if len(run) > 4 else None
+                        ),
+                        blame=Blame(run[2]),
+                        is_certain=run[3],
+                    )
                     for run in row[3]
                 )
                 for row in fields.get("lost", ())
--- a/src/shallotworks/platform/_daemon.py
+++ b/src/shallotworks/platform/_daemon.py
@@ -261,7 +261,9 @@
     async def _run_machine_controller(self, lease: HeldLease) -> None:
         dependencies = MachineControllerDependencies(
             machines=PlatformMachines(
-                client=self._machines_client, instance=self._settings.instance
+                client=self._machines_client,
+                instance=self._settings.instance,
+                born_ms_of=self._registry.born_ms_of,
             ),
             maintenance_schedule=self._operator_records,
             machine_records=self._machine_records,
--- a/src/shallotworks/platform/_machines.py
+++ b/src/shallotworks/platform/_machines.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 from urllib.parse import urlencode
 
@@ -42,13 +44,22 @@
     Args:
         client: HTTP client of the machine API.
         instance: Name of this instance, which the platform requires with each order.
+        born_ms_of: Returns when the worker with an id had started, in milliseconds since 1970, if
+            it is registered in a pool; the list of machines does not state it.
     """
 
-    __slots__ = ("_client", "_instance")
+    __slots__ = ("_born_ms_of", "_client", "_instance")
 
-    def __init__(self, *, client: HttpClient, instance: str) -> None:
+    def __init__(
+        self,
+        *,
+        client: HttpClient,
+        instance: str,
+        born_ms_of: Callable[[str, str], int | None] = lambda _pool, _worker_id: None,
+    ) -> None:
         self._client = client
         self._instance = instance
+        self._born_ms_of = born_ms_of
 
     async def list(self) -> Result[tuple[Machine, ...], Failure]:
         """Read all machines, page by page; ``UNREACHABLE`` if a page can't be read."""
@@ -65,9 +76,14 @@
                 reason = f"the list of machines can't be decoded: {error!r}"
                 return Err(Failure(kind=ErrorKind.UNREACHABLE, reason=reason))
             if not token:
-                return Success(tuple(machines))
+                return Success(tuple(self._with_start(machine) for machine in machines))
             path = f"/v1/machines?{urlencode({'pageToken': token})}"
 
+    def _with_start(self, machine: Machine) -> Machine:
+        if not machine.worker_id:
+            return machine
+        return replace(machine, born_ms=self._born_ms_of(machine.pool, machine.worker_id))
+
     async def start_maintenance(self, machine: str, *, wave: int, token: int) -> MachineOrderStatus:
         """Take a machine down for maintenance, which ends all runs there at once."""
         return await self._send_order(
--- a/src/shallotworks/platform/_workers.py
+++ b/src/shallotworks/platform/_workers.py
@@ -294,6 +294,11 @@
         """Return the listed workers of a service by id."""
         return {key: view for key, view in self._workers.items() if view.service == service}
 
+    def born_ms_of(self, service: str, worker_id: str) -> int | None:
+        """Return when a listed worker of a service had started, in milliseconds since 1970."""
+        view = self._workers.get(worker_id)
+        return view.born_ms if view is not None and view.service == service else None
+
     def on_write(self, item: Item) -> None:
         """List a worker whose entry was written; remove it if the entry can't be decoded."""
         worker_id = item.key.removeprefix(REGISTRY_PREFIX)
--- a/src/shallotworks/scheduling/_active_workers.py
+++ b/src/shallotworks/scheduling/_active_workers.py
@@ -33,10 +33,13 @@
             is set if the epoch that wrote the record never reached the worker, and so started
             nothing there, and if that epoch sends no more orders. It is ``None`` if that epoch may
             have started tasks.
+        born_ms: When the worker had started, in milliseconds since 1970; ``None`` if unknown. A
+            record of an earlier release has none.
     """
 
     address: str
     left_s: float | None = None
+    born_ms: int | None = None
 
 
 class ActiveWorkersRecord:
@@ -69,12 +72,18 @@
     def decode(value: bytes) -> dict[str, ActiveWorker]:
         """Return the active workers of a stored record, by worker id."""
         return {
-            worker_id: ActiveWorker(address=row["address"], left_s=row["left_s"])
+            worker_id: ActiveWorker(
+                address=row["address"], left_s=row["left_s"], born_ms=row.get("born_ms")
+            )
             for worker_id, row in json.loads(value).items()
         }
 
     def is_recorded(self, worker_id: str) -> bool:
-        """Whether tasks may be started on a worker, which every possible stored value must name."""
+        """Whether tasks may be started on a worker, which every possible stored value must name.
+
+        It need not name the present start of the worker: a successor polls whichever start there is
+        and learns from it what runs.
+        """
         active_worker = self.active_workers.get(worker_id)
         may_be_absent = any(
             worker_id not in self.decode(value) for value in self._record.unconfirmed_values
@@ -114,7 +123,11 @@
 
 def _encode(active_workers: dict[str, ActiveWorker]) -> bytes:
     rows = {
-        worker_id: {"address": active_worker.address, "left_s": active_worker.left_s}
+        worker_id: {
+            "address": active_worker.address,
+            "left_s": active_worker.left_s,
+            "born_ms": active_worker.born_ms,
+        }
         for worker_id, active_worker in sorted(active_workers.items())
     }
     return json.dumps(rows).encode()
--- a/src/shallotworks/scheduling/_crash_blame.py
+++ b/src/shallotworks/scheduling/_crash_blame.py
@@ -10,7 +10,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 
-from shallotworks.jobs import Blame, LostRun, TaskName
+from shallotworks.jobs import Blame, Incarnation, LostRun, TaskName
 from shallotworks.logs import StructuredLog
 
 from ._model import Run, RunPhase, Worker
@@ -123,10 +123,38 @@
                 self._unanswered_starts[run.run_id] = blame
             else:
                 self._note(run, blame, is_certain=True, wall_s=wall_s)
-        for tracked_job, name, lost in self._uncertain_losses_on(worker.worker_id):
+        for tracked_job, name, lost in self._uncertain_losses_on(worker.incarnation):
             if lost.run_id not in self._unanswered_starts:
                 self._confirm(tracked_job, name, lost, wall_s, is_replaced=is_replaced)
 
+    def note_worker_restarted(self, worker: Worker, unconfirmed: list[Run], wall_s: float) -> None:
+        """Blame the runs of a worker that has crashed and started again under its id.
+
+        Args:
+            worker: The earlier start.
+            unconfirmed: Its runs that the later start may have received instead. Their blame stays
+                uncertain until a report of the later one shows whether it has them.
+            wall_s: Time of day in seconds since 1970.
+        """
+        for run in worker.runs.values():
+            if run.phase is RunPhase.RESERVED:
+                self.clear_run(run)
+        for run, blame in self._assign_blame(worker):
+            self._note(run, blame, is_certain=run not in unconfirmed, wall_s=wall_s)
+        pending = {run.run_id for run in unconfirmed}
+        for tracked_job, name, lost in self._uncertain_losses_on(worker.incarnation):
+            if lost.run_id not in pending:
+                self._confirm(tracked_job, name, lost, wall_s, is_replaced=True)
+
+    def confirm_run(self, run: Run, wall_s: float) -> None:
+        """Record that a run was lost with an earlier start of its worker, if that received it."""
+        tracked_job = self._tracked_jobs.get(run.name.job_id)
+        if tracked_job is None or tracked_job.progress.state.is_final:
+            return
+        for lost in tracked_job.progress.lost_runs(tracked_job.job, run.name):
+            if lost.run_id == run.run_id and not lost.is_certain:
+                self._confirm(tracked_job, run.name, lost, wall_s, is_replaced=True)
+
     def note_start_answered(self, run: Run, wall_s: float, *, may_have_run: bool) -> None:
         """Record the outcome of a start whose worker may have ended in the meantime."""
         blame = self._unanswered_starts.pop(run.run_id, None)
@@ -210,7 +238,7 @@
         ):
             return
         lost = LostRun(
-            run_id=run.run_id, worker_id=run.worker_id, blame=blame, is_certain=is_certain
+            run_id=run.run_id, incarnation=run.incarnation, blame=blame, is_certain=is_certain
         )
         self.note_lost(tracked_job, run.name, lost, wall_s)
 
@@ -227,7 +255,8 @@
             id=name.job_id,
             task=list(name[1:]),
             run=lost.run_id,
-            worker=lost.worker_id,
+            worker=lost.incarnation.worker_id,
+            born_ms=lost.incarnation.born_ms,
             blame=lost.blame.value,
             is_certain=lost.is_certain,
             runs_lost=len(tracked_job.progress.lost_runs(tracked_job.job, name)),
@@ -236,22 +265,24 @@
         if is_given_up:
             self._close(tracked_job, "crash-loop")
 
-    def _uncertain_losses_on(self, worker_id: str) -> list[tuple[TrackedJob, TaskName, LostRun]]:
-        """Return the uncertain lost runs on a worker, with their jobs and tasks."""
+    def _uncertain_losses_on(
+        self, incarnation: Incarnation
+    ) -> list[tuple[TrackedJob, TaskName, LostRun]]:
+        """Return the uncertain lost runs on one start of a worker, with their jobs and tasks."""
         return [
             (tracked_job, TaskName(tracked_job.job.job_id, *key), lost)
             for tracked_job in self._tracked_jobs.values()
             if tracked_job.progress.lost and not tracked_job.progress.state.is_final
             for key, runs in tracked_job.progress.lost.items()
             for lost in runs
-            if lost.worker_id == worker_id and not lost.is_certain
+            if lost.incarnation.may_be(incarnation) and not lost.is_certain
         ]
 
     def resolve(self, tracked_job: TrackedJob, wall_s: float) -> None:
         """Confirm or clear the uncertain lost runs of a job that are no longer tracked as alive.
 
-        A run is confirmed if its worker is not known any more, and cleared if its worker has
-        answered this scheduler.
+        A run is confirmed if its worker is not known any more or has started again, and cleared if
+        its worker has answered this scheduler.
         """
         for key, runs in list(tracked_job.progress.lost.items()):
             name = TaskName(tracked_job.job.job_id, *key)
@@ -263,9 +294,11 @@
                     or lost.run_id in self._unanswered_starts
                 ):
                     continue
-                worker = self._workers.get(lost.worker_id)
+                worker = self._workers.get(lost.incarnation.worker_id)
                 if worker is None:
                     self._confirm(tracked_job, name, lost, wall_s, is_replaced=False)
+                elif worker.incarnation.is_later_than(lost.incarnation):
+                    self._confirm(tracked_job, name, lost, wall_s, is_replaced=True)
                 elif worker.is_fenced:
                     self._clear(tracked_job, name, lost.run_id)
 
@@ -275,7 +308,7 @@
         """Clear the runs of a worker that left as planned."""
         for run in worker.runs.values():
             self.clear_run(run)
-        for tracked_job, name, lost in self._uncertain_losses_on(worker.worker_id):
+        for tracked_job, name, lost in self._uncertain_losses_on(worker.incarnation):
             self._clear(tracked_job, name, lost.run_id)
 
     def clear_run(self, run: Run) -> None:
--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -173,7 +173,7 @@
             tracked_job = self._scheduler_state.tracked_jobs.get(run.name.job_id)
             if tracked_job is not None:
                 avoided = tracked_job.avoided_workers.get(run.name, frozenset())
-                tracked_job.avoided_workers[run.name] = avoided | {worker.worker_id}
+                tracked_job.avoided_workers[run.name] = avoided | {worker.incarnation}
 
     # ---- stops
 
@@ -350,7 +350,7 @@
                     name=step.name(index),
                     run_id=0,
                     step=step.step,
-                    worker_id=worker.worker_id,
+                    incarnation=worker.incarnation,
                     phase=RunPhase.STARTING,
                     since_s=now_s,
                 )
--- a/src/shallotworks/scheduling/_isolation.py
+++ b/src/shallotworks/scheduling/_isolation.py
@@ -145,7 +145,10 @@
         worker.isolated_run = run
         run.enter(RunPhase.RESERVED, now_s)
         lost = LostRun(
-            run_id=run.run_id, worker_id=worker.worker_id, blame=Blame.SOLE, is_certain=False
+            run_id=run.run_id,
+            incarnation=worker.incarnation,
+            blame=Blame.SOLE,
+            is_certain=False,
         )
         self._blame.note_lost(tracked_job, run.name, lost, wall_s)
         self._reserved[run] = (tracked_job.changes, now_s)
--- a/src/shallotworks/scheduling/_machine_controller_ledger.py
+++ b/src/shallotworks/scheduling/_machine_controller_ledger.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+from shallotworks.jobs import Incarnation
 from shallotworks.store import FencedRecord, HeldLease
 
 from ._machine_controller_dependencies import MachineControllerDependencies
@@ -75,7 +76,7 @@
         self._pruned_s = dependencies.clock()
         self._ordered_at_s: dict[str, float] = {}
         """Machines that may have been ordered, with the time of the latest possible order."""
-        self._removed_workers: dict[str, float] = {}
+        self._removed_workers: dict[Incarnation, float] = {}
         """Removed workers, with the time of removal. Their runs don't have to wait for a lease."""
         self._suspended_s = -1e9
         self._origins_at_suspension: dict[str, tuple[int, int]] = {}
@@ -167,9 +168,9 @@
         if set(self.published.ordered or ()) - set(self._recently_ordered()):
             await self._put(self.published.due, self.published.recalls)
 
-    def note_worker_removed(self, worker_id: str) -> None:
+    def note_worker_removed(self, incarnation: Incarnation) -> None:
         """Note that a worker was removed with its machine."""
-        self._removed_workers[worker_id] = self._dependencies.clock()
+        self._removed_workers[incarnation] = self._dependencies.clock()
 
     async def publish(self, due: frozenset[str], recalls: dict[str, int]) -> None:
         """Publish workers due for draining, recalled machines and removed workers to schedulers."""
@@ -202,7 +203,7 @@
             name: at_s for name, at_s in self._ordered_at_s.items() if now_s - at_s < retained_s
         }
 
-    def _recently_removed_workers(self) -> tuple[str, ...]:
+    def _recently_removed_workers(self) -> tuple[Incarnation, ...]:
         """Return workers that this controller or its predecessor removed recently.
 
         A scheduler and the controller on one instance may be killed together. If the new controller
--- a/src/shallotworks/scheduling/_machine_order_dispatcher.py
+++ b/src/shallotworks/scheduling/_machine_order_dispatcher.py
@@ -139,4 +139,4 @@
         if status is MachineOrderStatus.FENCED:
             self._lease.mark_lost(f"a later holder has given orders for {machine.name}")
         if status is MachineOrderStatus.OBEYED and machine.worker_id and ends_worker:
-            self._ledger.note_worker_removed(machine.worker_id)
+            self._ledger.note_worker_removed(machine.incarnation)
--- a/src/shallotworks/scheduling/_machine_records.py
+++ b/src/shallotworks/scheduling/_machine_records.py
@@ -10,6 +10,7 @@
 import json
 from dataclasses import dataclass, field
 
+from shallotworks.jobs import Incarnation
 from shallotworks.logs import StructuredLog
 from shallotworks.store import Item
 
@@ -42,7 +43,8 @@
 
     Args:
         lacking: Number of machines that it could use at once.
-        free: Workers that may be removed; the scheduler starts nothing on them.
+        free: Ids of the workers that may be removed; the scheduler starts nothing on them, nor on
+            a later start of one.
         token: The scheduler's fencing token.
         woke: How often the scheduler has resumed in this epoch after a store outage suspended it.
     """
@@ -90,9 +92,9 @@
     """The controller's record of workers and machines.
 
     Args:
-        due: Workers that are to be drained.
-        over: Workers that were removed recently, with everything that ran on them: the platform has
-            obeyed the order.
+        due: Ids of the workers that are to be drained, also if they start again meanwhile.
+        over: Starts of workers that were removed recently, with everything that ran on them: the
+            platform has obeyed the order. A later start of the same worker is not over.
         recalls: For each service with borrowed machines, how many of them it is asked to free for
             services that lack machines.
         ordered: Machines that may have been ordered recently or may be ordered now; ``None`` if
@@ -100,7 +102,7 @@
     """
 
     due: frozenset[str] = frozenset()
-    over: tuple[str, ...] = ()
+    over: tuple[Incarnation, ...] = ()
     recalls: dict[str, int] = field(default_factory=dict)
     ordered: tuple[str, ...] | None = None
 
@@ -108,7 +110,7 @@
         """Return the record as JSON bytes."""
         record = {
             "due": sorted(self.due),
-            "over": list(self.over),
+            "over": [removed.encode() for removed in self.over],
             "recalls": self.recalls,
             "ordered": None if self.ordered is None else list(self.ordered),
         }
@@ -127,7 +129,7 @@
         ordered = record.get("ordered")
         return cls(
             due=frozenset(record["due"]),
-            over=tuple(record["over"]),
+            over=tuple(Incarnation.decode(removed) for removed in record["over"]),
             recalls=record.get("recalls", {}),
             ordered=None if ordered is None else tuple(ordered),
         )
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -193,6 +193,10 @@
     run."""
 
 
+CLOCK_TOLERANCE_RATIO = 0.03
+"""A worker's clock may be 2% slow. Source: the platform's page on running tasks."""
+CLOCK_TOLERANCE_MS = 1_000
+"""The report with which a clock is compared may have taken this long to arrive."""
 UNKNOWN_STEP = Step(count=1)
 """Placeholder for the step of a run whose job, and therefore whose resource demand, is not
 known."""
@@ -205,7 +209,7 @@
         name: The task.
         run_id: Increases with each run of the task.
         step: The step of the task.
-        worker_id: The worker.
+        incarnation: The start of the worker that the run is on.
         phase: The phase of the run.
         since_s: Time of the start on the scheduler's clock.
     """
@@ -213,6 +217,7 @@
     __slots__ = (
         "checkpoint",
         "confirmed_s",
+        "incarnation",
         "is_stop_requested",
         "measurement",
         "missing_reports",
@@ -222,13 +227,13 @@
         "percent",
         "phase",
         "phase_s",
+        "possibly_lost_on",
         "progressed_s",
         "run_id",
         "since_s",
         "step",
         "stop_reason",
         "stop_sent_s",
-        "worker_id",
     )
 
     def __init__(
@@ -237,14 +242,17 @@
         name: TaskName,
         run_id: int,
         step: Step,
-        worker_id: str,
+        incarnation: Incarnation,
         phase: RunPhase,
         since_s: float,
     ) -> None:
         self.name = name
         self.run_id = run_id
         self.step = step
-        self.worker_id = worker_id
+        self.incarnation = incarnation
+        self.possibly_lost_on: Incarnation | None = None
+        """An earlier start of the worker that may have carried out the start order, and has ended;
+        ``None`` if it is certain which one did."""
         self.phase = phase
         self.phase_s = since_s
         """Time at which the present phase began."""
@@ -265,6 +273,27 @@
         self.paced_s = -1e9
         """Time of the last change of pace."""
 
+    @property
+    def worker_id(self) -> str:
+        """The worker."""
+        return self.incarnation.worker_id
+
+    @property
+    def is_unconfirmed(self) -> bool:
+        """Whether a start was sent of which it is not known which start of the worker received it.
+
+        An order names the worker's id only, so a later start of the worker may carry it out too.
+        """
+        return self.phase is not RunPhase.RESERVED and self.confirmed_s == math.inf
+
+    def move_to_restarted(self, incarnation: Incarnation, now_s: float) -> None:
+        """Look for the run on a later start of its worker, which may have received the order."""
+        self.possibly_lost_on = self.possibly_lost_on or self.incarnation
+        self.incarnation = incarnation
+        self.stop_sent_s = -1e9
+        if self.phase is not RunPhase.STARTING:
+            self.enter(RunPhase.UNANSWERED, now_s)
+
     def enter(self, phase: RunPhase, now_s: float) -> None:
         """Change the phase."""
         self.phase = phase
@@ -295,6 +324,7 @@
         "cpu_used",
         "failed_jobs",
         "gpus_used",
+        "has_answered_last_poll",
         "highest_seen_end",
         "is_cordoned",
         "is_fenced",
@@ -356,6 +386,7 @@
         """Highest number of an end that the worker reported."""
         self.reported_s = -1e9
         """Time of the worker's last report on the scheduler's clock."""
+        self.has_answered_last_poll = False
         self.unsettled_ends: set[int] = set()
         """Numbers of the ends that must not be acknowledged before the progress of a job is
         stored."""
@@ -370,6 +401,31 @@
         """Identifies this incarnation."""
         return self.view.incarnation
 
+    def restart(self, view: WorkerView) -> Worker:
+        """Return a later start of this worker.
+
+        It takes over only what this scheduler has decided about the worker, and nothing that the
+        worker itself has reported.
+        """
+        restarted = Worker(view=view)
+        restarted.is_listed = self.is_listed
+        restarted.is_cordoned = self.is_cordoned
+        restarted.is_yielding = self.is_yielding
+        restarted.lasting_allowed_from_s = self.lasting_allowed_from_s
+        return restarted
+
+    def is_plausible_clock(self, clock_ms: int, *, sent_s: float, now_s: float) -> bool:
+        """Whether an answer's clock can be that of the incarnation that reported last.
+
+        Args:
+            clock_ms: The clock in the answer.
+            sent_s: When the call was sent, on the scheduler's clock in seconds.
+            now_s: When it was answered.
+        """
+        earliest = self.clock_ms + 1000 * (sent_s - self.clock_at_s) * (1 - CLOCK_TOLERANCE_RATIO)
+        latest = self.clock_ms + 1000 * (now_s - self.clock_at_s) * (1 + CLOCK_TOLERANCE_RATIO)
+        return earliest - CLOCK_TOLERANCE_MS <= clock_ms <= latest + CLOCK_TOLERANCE_MS
+
     def fits(self, step: Step) -> bool:
         """Whether a task of the step fits beside the present runs."""
         if self.unknown_runs:
@@ -430,6 +486,18 @@
         self.memory_used += sign * step.memory_mb
         self.gpus_used += sign * step.gpus
 
+    @property
+    def end_to_acknowledge(self) -> int:
+        """The highest number to acknowledge with the next poll; 0 for none.
+
+        A poll names the worker's id only. One that acknowledges ends of an earlier start makes a
+        later one forget ends that nobody has read. So each end is acknowledged only until a poll
+        that does so is answered, and only directly after an answer of the start that reported it.
+        """
+        if not self.has_answered_last_poll or self.highest_settled <= self.acknowledged:
+            return 0
+        return self.highest_settled
+
     @property
     def highest_settled(self) -> int:
         """The highest number up to which all ends may be acknowledged."""
--- a/src/shallotworks/scheduling/_order_dispatcher.py
+++ b/src/shallotworks/scheduling/_order_dispatcher.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from shallotworks.logs import StructuredLog
@@ -155,7 +155,8 @@
         self._on_progress = on_progress
         self._state_changed = asyncio.Event()
         self._poll_events: dict[str, asyncio.Event] = {}
-        self._poll_tasks: dict[str, asyncio.Task[None]] = {}
+        self._poll_tasks: dict[str, tuple[Worker, asyncio.Task[None]]] = {}
+        """Polling tasks by worker id, each with the start of the worker that it polls."""
         self._in_flight: set[asyncio.Task[None]] = set()
 
     # ---- used by the service scheduler
@@ -194,18 +195,20 @@
 
     def sync_workers(self) -> None:
         """Start polling tasks for new workers, and cancel those of workers that have ended."""
+        for worker_id, (worker, task) in list(self._poll_tasks.items()):
+            if not self._is_present(worker):
+                task.cancel()
+                del self._poll_tasks[worker_id], self._poll_events[worker_id]
         for worker_id, worker in self._scheduler_state.workers.items():
-            task = self._poll_tasks.get(worker_id)
-            if task is None or task.done():
+            polled = self._poll_tasks.get(worker_id)
+            if polled is None or polled[1].done():
                 self._poll_events[worker_id] = asyncio.Event()
-                self._poll_tasks[worker_id] = asyncio.create_task(self._poll_repeatedly(worker))
-        for worker_id in [
-            polled_id
-            for polled_id in self._poll_tasks
-            if polled_id not in self._scheduler_state.workers
-        ]:
-            self._poll_tasks.pop(worker_id).cancel()
-            self._poll_events.pop(worker_id, None)
+                task = asyncio.create_task(self._poll_repeatedly(worker))
+                self._poll_tasks[worker_id] = (worker, task)
+
+    def _is_present(self, worker: Worker) -> bool:
+        """Whether a worker has neither ended nor started again."""
+        return self._scheduler_state.workers.get(worker.worker_id) is worker
 
     def carry_out(self, decision: StartOrder | StopOrder | PaceOrder) -> None:
         """Send an order, without waiting for its answer."""
@@ -229,7 +232,7 @@
         store when the lease is released. An end that is not recorded stays with its worker, which
         reports it to the successor.
         """
-        for task in self._poll_tasks.values():
+        for _, task in self._poll_tasks.values():
             task.cancel()
 
     def close(self) -> None:
@@ -252,18 +255,18 @@
 
     async def _poll_repeatedly(self, worker: Worker) -> None:
         try:
-            while self._scheduler_state.workers.get(worker.worker_id) is worker:
-                await self._await_poll_reason(worker)
+            event = self._poll_events[worker.worker_id]
+            while self._is_present(worker):
+                await self._await_poll_reason(worker, event)
                 if not self._lease.is_valid:
                     await asyncio.sleep(POLL_PAUSE_S)
-                    continue
-                await self._poll(worker)
+                elif self._is_present(worker):
+                    await self._poll(worker)
         except Exception as error:
             self._lease.mark_lost(f"unexpected error: {error!r}")
             raise
 
-    async def _await_poll_reason(self, worker: Worker) -> None:
-        event = self._poll_events[worker.worker_id]
+    async def _await_poll_reason(self, worker: Worker, event: asyncio.Event) -> None:
         if worker.unsettled_ends:
             await _wait(event, POLL_PAUSE_S, lambda: not worker.unsettled_ends)
         elif not self._needs_poll(worker):
@@ -279,7 +282,7 @@
 
     async def _poll(self, worker: Worker) -> None:
         sent_s = self._clock()
-        acknowledged = worker.highest_settled
+        acknowledged = worker.end_to_acknowledge
         lease_ms = (
             self._extend_lease(worker, sent_s) if self._may_extend_lease(worker, sent_s) else None
         )
@@ -293,7 +296,11 @@
             timeout_s=wait_s + self._times.answer_s,
         )
         self._metrics.count(f"scheduler.look.{outcome.status.value}")
+        if not self._is_present(worker):
+            # It has ended or started again, so that nothing in this answer holds any more.
+            return
         if outcome.report is None:
+            worker.has_answered_last_poll = False
             if (
                 outcome.status in _NO_ANSWER_STATUSES
                 and self._clock() - sent_s < wait_s + CLOSED_CONNECTION_WITHIN_S
@@ -304,9 +311,11 @@
             self._handle_poll_failure(worker, outcome)
             await asyncio.sleep(POLL_PAUSE_S)
             return
-        worker.acknowledged = max(worker.acknowledged, acknowledged)
+        reporter = self._identify(worker, outcome)
+        if reporter is worker:
+            worker.acknowledged = max(worker.acknowledged, acknowledged)
         self._scheduler_state.apply_report(
-            worker,
+            reporter,
             outcome.report,
             sent_s=sent_s,
             now_s=self._clock(),
@@ -315,6 +324,54 @@
         self._on_progress()
         self._state_changed.set()
 
+    def _identify(self, worker: Worker, outcome: OrderOutcome) -> Worker:
+        """Return the start of a worker that gave an answer: the known one, or a later one."""
+        born_ms, known_born_ms = outcome.born_ms, worker.view.born_ms
+        if born_ms is None or born_ms == known_born_ms:
+            return worker
+        view = replace(worker.view, born_ms=born_ms)
+        if known_born_ms is None:
+            # A record of an earlier release names the worker without its start.
+            worker.view = view
+            return worker
+        now_s = self._clock()
+        return self._scheduler_state.note_restarted(
+            worker,
+            view,
+            now_s=now_s,
+            wall_s=self._wall_clock(),
+            runs_end_s=now_s + self._times.recovery_s,
+        )
+
+    def _is_from_known_start(self, worker: Worker, outcome: OrderOutcome, sent_s: float) -> bool:
+        """Return whether the known start of a worker answered an order; poll at once if not.
+
+        An answer to an order need not state when the worker started, but its clock tells: a later
+        start counts anew. Which start it is, and what runs there, the next report shows.
+        """
+        if not self._is_present(worker):
+            return False
+        if outcome.born_ms is not None and outcome.born_ms != worker.view.born_ms:
+            return self._identify(worker, outcome) is worker
+        now_s = self._clock()
+        if not outcome.clock_ms or worker.is_plausible_clock(
+            outcome.clock_ms, sent_s=sent_s, now_s=now_s
+        ):
+            return True
+        self._log.line(
+            "worker-clock-differs",
+            worker=worker.worker_id,
+            born_ms=worker.view.born_ms,
+            clock_ms=outcome.clock_ms,
+            known_clock_ms=worker.clock_ms,
+            age_s=round(now_s - worker.clock_at_s, 3),
+            token=self._scheduler_state.token,
+        )
+        worker.clock_ms = 0
+        worker.is_fenced = False
+        worker.lease_ends_s = max(worker.lease_ends_s, now_s + self._times.recovery_s)
+        return False
+
     def _may_extend_lease(self, worker: Worker, now_s: float) -> bool:
         """Return whether a poll may extend the worker's lease.
 
@@ -391,7 +448,10 @@
             self._lease.mark_lost(f"a later scheduler has fenced {worker.worker_id}")
             return True
         if outcome.status is OrderStatus.GONE:
-            self._scheduler_state.note_replaced(worker.worker_id, self._clock(), self._wall_clock())
+            if self._is_present(worker):
+                self._scheduler_state.note_replaced(
+                    worker.worker_id, self._clock(), self._wall_clock()
+                )
             return True
         return False
 
@@ -426,22 +486,34 @@
             seen_s=round(now_s - worker.reported_s, 3),
             token=self._scheduler_state.token,
         )
-        self._handle_start_outcome(worker, run, outcome, now_s)
+        is_certain = self._is_from_known_start(worker, outcome, sent_s)
+        self._handle_start_outcome(worker, run, outcome, now_s, is_certain=is_certain)
         self._wake_for_worker(worker)
 
     def _handle_start_outcome(
-        self, worker: Worker, run: Run, outcome: OrderOutcome, now_s: float
+        self, worker: Worker, run: Run, outcome: OrderOutcome, now_s: float, *, is_certain: bool
     ) -> None:
+        """Record the outcome of a start.
+
+        Args:
+            worker: The worker that the start was sent to.
+            run: The run.
+            outcome: The outcome.
+            now_s: Time on the scheduler's clock in seconds.
+            is_certain: Whether that start of the worker gave the answer, and no later one.
+        """
         is_fenced_or_gone = self._handle_fenced_or_gone(worker, outcome)
         may_have_run = outcome.status in (OrderStatus.OBEYED, OrderStatus.UNANSWERED)
         self._scheduler_state.crashes.note_start_answered(
             run, self._wall_clock(), may_have_run=may_have_run
         )
+        if outcome.status is OrderStatus.GONE:
+            self._scheduler_state.note_start_failed(run, now_s)
         if is_fenced_or_gone:
             return
         if may_have_run:
             if run.phase is RunPhase.STARTING:
-                is_running = outcome.status is OrderStatus.OBEYED
+                is_running = outcome.status is OrderStatus.OBEYED and is_certain
                 run.enter(RunPhase.RUNNING if is_running else RunPhase.UNANSWERED, now_s)
             if outcome.status is OrderStatus.UNANSWERED:
                 worker.pause_until_s = now_s + PAUSE_AFTER_NO_ANSWER_S
@@ -472,6 +544,7 @@
         worker = self._scheduler_state.workers.get(run.worker_id)
         if worker is None or not self._lease.is_valid:
             return
+        sent_s = self._clock()
         outcome = await self._orders.stop(worker.view, order, token=self._scheduler_state.token)
         self._metrics.count(f"scheduler.stop.{outcome.status.value}")
         self._log.line(
@@ -487,6 +560,7 @@
         if (
             not self._handle_fenced_or_gone(worker, outcome)
             and outcome.status is OrderStatus.OBEYED
+            and self._is_from_known_start(worker, outcome, sent_s)
         ):
             run.enter(RunPhase.STOPPED, self._clock())
         self._wake_for_worker(worker)
--- a/src/shallotworks/scheduling/_placement.py
+++ b/src/shallotworks/scheduling/_placement.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from shallotworks.jobs import Step, TaskName
+from shallotworks.jobs import Incarnation, Step, TaskName
 
 from ._model import Worker
 from ._tracked_jobs import TrackedStep
@@ -86,7 +86,7 @@
         )
 
     def choose(
-        self, workers: Iterable[Worker], *, avoid: frozenset[str], rack: str = ""
+        self, workers: Iterable[Worker], *, avoid: frozenset[Incarnation], rack: str = ""
     ) -> Worker | None:
         """Return the best worker with room for one task, or ``None``; see `Candidates.best`."""
         return Candidates(placement=self, workers=workers).best(avoid=avoid, rack=rack)
@@ -135,7 +135,11 @@
         return None
 
     def cost(
-        self, worker: Worker, avoid: frozenset[str], rack: str, siblings_by_rack: dict[str, int]
+        self,
+        worker: Worker,
+        avoid: frozenset[Incarnation],
+        rack: str,
+        siblings_by_rack: dict[str, int],
     ) -> tuple[float, ...]:
         """Return the cost of placing a task on a worker; `Candidates.best` takes the lowest."""
         view = worker.view
@@ -144,7 +148,7 @@
         is_other_rack = bool(wanted_rack) and view.rack != wanted_rack
         load = worker.cpu_used / max(1, view.cpu_millicores)
         memory = worker.memory_used / max(1, view.memory_mb)
-        before = (is_suspect, worker.worker_id in avoid, is_other_rack)
+        before = (is_suspect, bool(avoid) and worker.incarnation in avoid, is_other_rack)
         colocation = (
             self._colocation_cost(worker, siblings_by_rack)
             if self.depends_on_siblings
@@ -202,16 +206,16 @@
         self._placement = placement
         self._workers = list(workers)
         self._fitting = [one for one in self._workers if placement.rejection_reason(one) is None]
-        self._cost_inputs: tuple[frozenset[str], str] = (frozenset(), "")
+        self._cost_inputs: tuple[frozenset[Incarnation], str] = (frozenset(), "")
         self._costs: dict[str, tuple[float, ...]] = {}
         """Costs of the fitting workers by id for the last cost inputs. Outdated costs are
         removed."""
 
-    def best(self, *, avoid: frozenset[str], rack: str = "") -> Worker | None:
+    def best(self, *, avoid: frozenset[Incarnation], rack: str = "") -> Worker | None:
         """Return the best worker with room, or ``None``.
 
         Args:
-            avoid: Ids of the workers on which this task failed. They are used only if no other has
+            avoid: The workers on which this task failed. They are used only if no other has
                 room.
             rack: Preferred rack, which holds the other tasks of the step, if these are slower when
                 they are on different racks; empty for any.
@@ -225,7 +229,7 @@
             self._compute_missing_costs(avoid, rack)
         return min(self._fitting, key=lambda worker: self._costs[worker.worker_id])
 
-    def _compute_missing_costs(self, avoid: frozenset[str], rack: str) -> None:
+    def _compute_missing_costs(self, avoid: frozenset[Incarnation], rack: str) -> None:
         siblings_by_rack = self._placement.siblings_by_rack(self._workers)
         for worker in self._fitting:
             if worker.worker_id not in self._costs:
--- a/src/shallotworks/scheduling/_protocols.py
+++ b/src/shallotworks/scheduling/_protocols.py
@@ -9,6 +9,7 @@
 from returns.result import Result
 
 from shallotworks.errors import Failure
+from shallotworks.jobs import Incarnation
 
 from ._model import OrderOutcome, PaceOrder, StartOrder, StopOrder, WorkerView
 
@@ -127,12 +128,20 @@
         pool: The service whose pool the machine is in.
         state: State of the machine.
         worker_id: The worker on the machine; empty for none.
+        born_ms: When that worker had started, in milliseconds since 1970, as its entry in the same
+            pool states; ``None`` if there is no such entry.
     """
 
     name: str
     pool: str
     state: MachineState
     worker_id: str = ""
+    born_ms: int | None = None
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """Identifies the start of the worker that was on the machine when the list was read."""
+        return Incarnation(worker_id=self.worker_id, born_ms=self.born_ms)
 
 
 @unique
--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from shallotworks.jobs import Job, JobProgress, JobState, Step, TaskName
+from shallotworks.jobs import Incarnation, Job, JobProgress, JobState, Step, TaskName
 from shallotworks.logs import StructuredLog
 
 from ._crash_blame import CrashBlame
@@ -89,7 +89,7 @@
         "_last_run_id",
         "_lasting_allowed_from_s",
         "_log",
-        "_replaced_worker_ids",
+        "_replaced_workers",
         "arrivals",
         "crashes",
         "finished_jobs",
@@ -133,8 +133,9 @@
         self.isolation = Isolation(
             tracked_jobs=self.tracked_jobs, workers=self.workers, blame=self.crashes, log=log
         )
-        self._replaced_worker_ids: set[str] = set()
-        """Incarnations that another one has replaced, for as long as discovery lists them."""
+        self._replaced_workers: dict[str, Incarnation] = {}
+        """Workers of which another one has taken the address, by id, for as long as discovery lists
+        them."""
         self._lasting_allowed_from_s: dict[str, float] = {}
         """Values of `Worker.lasting_allowed_from_s` for workers that are not in `workers` yet."""
 
@@ -312,19 +313,87 @@
             worker = self.workers[view.worker_id] = Worker(view=view)
             worker.lasting_allowed_from_s = self._lasting_allowed_from_s.pop(view.worker_id, 0.0)
             return
-        worker.view = view
         worker.is_listed = True
+        if worker.incarnation.may_be(view.incarnation):
+            worker.view = view
+
+    def note_restarted(
+        self, worker: Worker, view: WorkerView, *, now_s: float, wall_s: float, runs_end_s: float
+    ) -> Worker:
+        """Replace a worker by a later start of it, which knows nothing of the earlier one.
+
+        An order names the worker's id only. So a start order for the earlier one may have been
+        carried out by the later one, or may still be. Runs of which that is possible are kept, on
+        the later one, until its reports show whether they are there. All other runs have ended.
+
+        Args:
+            worker: The earlier start.
+            view: The later start.
+            now_s: Time on the scheduler's clock in seconds.
+            wall_s: Time of day in seconds.
+            runs_end_s: Time on the scheduler's clock by which all that earlier orders have started
+                on the later one has ended, if no report of it arrives.
+
+        Returns:
+            The later start.
+        """
+        worker_id = worker.worker_id
+        unconfirmed = [run for run in worker.runs.values() if run.is_unconfirmed]
+        self._log.line(
+            "worker-over",
+            worker=worker_id,
+            reason="started again",
+            born_ms=view.born_ms,
+            was_born_ms=worker.view.born_ms,
+            runs=len(worker.runs),
+            unconfirmed=len(unconfirmed),
+            silent_s=round(now_s - worker.reported_s, 2),
+            token=self.token,
+        )
+        if worker.view.is_draining:
+            self.crashes.note_worker_left(worker)
+        else:
+            self.crashes.note_worker_restarted(worker, unconfirmed, wall_s)
+        restarted = worker.restart(view)
+        restarted.lease_ends_s = runs_end_s
+        isolated_run = worker.isolated_run
+        for run in unconfirmed:
+            worker.remove(run)
+            run.move_to_restarted(restarted.incarnation, now_s)
+            restarted.add(run)
+        if isolated_run in unconfirmed:
+            restarted.isolated_run = isolated_run
+        self._lapse_runs(worker, "worker started again", now_s)
+        self.workers[worker_id] = restarted
+        if worker_id in self.pending_recovery:
+            # An earlier scheduler may have given orders to either start.
+            self.crashes.note_earlier_runs_lost()
+            self.pending_recovery[worker_id] = max(self.pending_recovery[worker_id], runs_end_s)
+        self._drop_permits(worker_id)
+        return restarted
+
+    def _drop_permits(self, worker_id: str) -> None:
+        """Drop the tickets for a worker, which were valid for its earlier start only."""
+        for tracked_job in self.tracked_jobs.values():
+            if tracked_job.job.policy.is_advised:
+                for step in tracked_job.steps.values():
+                    step.permits.pop(worker_id, None)
 
     def note_replaced(self, worker_id: str, now_s: float, wall_s: float) -> None:
-        """Record that a worker has ended, since another incarnation answered at its address."""
-        self._replaced_worker_ids.add(worker_id)
-        self.note_worker_ended(worker_id, "another incarnation", now_s, wall_s)
+        """Record that a worker has ended, since another one answered at its address."""
+        worker = self.workers.get(worker_id)
+        if worker is not None:
+            self._replaced_workers[worker_id] = worker.incarnation
+        self.note_worker_ended(worker_id, "another incarnation", now_s, wall_s, is_replaced=True)
 
     def drop_replaced(self, listed: dict[str, WorkerView]) -> None:
         """Remove replaced workers from ``listed``: discovery lists them for some seconds more."""
-        self._replaced_worker_ids.intersection_update(listed)
-        for worker_id in self._replaced_worker_ids:
-            del listed[worker_id]
+        for worker_id, replaced in list(self._replaced_workers.items()):
+            view = listed.get(worker_id)
+            if view is not None and replaced.is_same_or_later_than(view.incarnation):
+                del listed[worker_id]
+            else:
+                del self._replaced_workers[worker_id]
 
     def defer_lasting_tasks(self, worker_id: str, until_s: float) -> None:
         """Place no lasting task on a worker before ``until_s``, also if it is added later."""
@@ -346,7 +415,14 @@
             self._log.line("recovery-over", last_worker=worker_id, how=how, token=self.token)
 
     def note_worker_ended(
-        self, worker_id: str, reason: str, now_s: float, wall_s: float, *, is_planned: bool = False
+        self,
+        worker_id: str,
+        reason: str,
+        now_s: float,
+        wall_s: float,
+        *,
+        is_planned: bool = False,
+        is_replaced: bool = False,
     ) -> None:
         """Record that a worker has certainly ended, with all its runs.
 
@@ -356,6 +432,7 @@
             now_s: Time on the scheduler's clock in seconds.
             wall_s: Time of day in seconds.
             is_planned: Whether the machine controller removed the worker, which has not crashed.
+            is_replaced: Whether another worker has taken its place, so that it has crashed.
         """
         if worker_id in self.pending_recovery and not is_planned:
             self.crashes.note_earlier_runs_lost()
@@ -369,9 +446,7 @@
         if is_planned or worker.view.is_draining:
             self.crashes.note_worker_left(worker)
         else:
-            self.crashes.note_worker_ended(
-                worker, wall_s, is_replaced=worker_id in self._replaced_worker_ids
-            )
+            self.crashes.note_worker_ended(worker, wall_s, is_replaced=is_replaced)
         self._lapse_runs(worker, reason, now_s)
 
     def expire_lease(self, worker: Worker, now_s: float, wall_s: float) -> None:
@@ -425,8 +500,9 @@
             listed.add((running_task.name, running_task.run_id))
             self._handle_running_task(worker, running_task, now_s)
         for run in [run for key, run in worker.runs.items() if key not in listed]:
-            self._handle_missing_run(worker, run, sent_s, now_s)
+            self._handle_missing_run(worker, run, sent_s, now_s, wall_s)
         worker.reported_s = now_s
+        worker.has_answered_last_poll = True
         worker.connection_closed_s = None
         self.isolation.note_answered(worker, now_s)
         self.note_recovered(worker.worker_id, "seen")
@@ -437,6 +513,9 @@
             run = self._adopt(worker, running_task, now_s)
         if run.phase in (RunPhase.STARTING, RunPhase.UNANSWERED):
             run.enter(RunPhase.RUNNING, now_s)
+        if run.possibly_lost_on is not None:
+            run.possibly_lost_on = None
+            self.crashes.clear_run(run)
         if running_task.percent != run.percent:
             run.progressed_s = now_s
         run.percent, run.measurement, run.missing_reports = (
@@ -455,7 +534,7 @@
             name=running_task.name,
             run_id=running_task.run_id,
             step=step or UNKNOWN_STEP,
-            worker_id=worker.worker_id,
+            incarnation=worker.incarnation,
             phase=RunPhase.RUNNING,
             since_s=now_s,
         )
@@ -490,7 +569,9 @@
         is_over = tracked_job.progress.state.is_final or tracked_job.progress.is_done(run.name)
         return not is_over and run.name not in tracked_job.runs
 
-    def _handle_missing_run(self, worker: Worker, run: Run, sent_s: float, now_s: float) -> None:
+    def _handle_missing_run(
+        self, worker: Worker, run: Run, sent_s: float, now_s: float, wall_s: float
+    ) -> None:
         """Handle a run that its worker's report does not list.
 
         A start without an answer may still be carried out seconds later. Only a stop that the
@@ -500,7 +581,10 @@
         if run.phase in START_PENDING_PHASES or run.phase_s >= sent_s:
             return
         if run.phase is RunPhase.STOPPED:
-            self.crashes.clear_run(run)
+            if run.possibly_lost_on is not None:
+                self.crashes.confirm_run(run, wall_s)
+            else:
+                self.crashes.clear_run(run)
             self._finish_run(worker, run, EndKind.STOPPED, "", now_s)
         elif run.phase is RunPhase.UNANSWERED:
             self.request_stop(run, "start-unanswered")
@@ -519,7 +603,7 @@
             name=step.name(index),
             run_id=run_id,
             step=step.step,
-            worker_id=worker.worker_id,
+            incarnation=worker.incarnation,
             phase=RunPhase.STARTING,
             since_s=now_s,
         )
@@ -598,7 +682,7 @@
         self._note_failed_job(worker, tracked_job.job.job_id, now_s)
         tracked_job.avoided_workers[end.name] = tracked_job.avoided_workers.get(
             end.name, frozenset()
-        ) | {worker.worker_id}
+        ) | {worker.incarnation}
         if not tracked_job.progress.note_failed(
             tracked_job.job, end.name, end.run_id, now_s=wall_s
         ):
--- a/src/shallotworks/scheduling/_tracked_jobs.py
+++ b/src/shallotworks/scheduling/_tracked_jobs.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from shallotworks.jobs import Job, JobProgress, Step, TaskName
+from shallotworks.jobs import Incarnation, Job, JobProgress, Step, TaskName
 
 from ._model import Run
 
@@ -136,8 +136,8 @@
         """The current run of each task that has one."""
         self.live_runs: dict[TaskName, set[Run]] = {}
         """All runs of each task that may be alive, including runs that are being stopped."""
-        self.avoided_workers: dict[TaskName, frozenset[str]] = {}
-        """Ids of the workers on which a task failed or hung, by task."""
+        self.avoided_workers: dict[TaskName, frozenset[Incarnation]] = {}
+        """The workers on which a task failed or hung, by task."""
         self.checkpoints: dict[TaskName, str] = {}
         """The latest checkpoint of each task that has one."""
         self.critical_paths_s = _critical_paths_s(job)
--- a/src/shallotworks/scheduling/_wave.py
+++ b/src/shallotworks/scheduling/_wave.py
@@ -18,7 +18,8 @@
     """Progress of a maintenance wave.
 
     Args:
-        down: Machines that may be down for the wave, each with the worker that was on it.
+        down: Machines that may be down for the wave, each with the start of the worker that was on
+            it, encoded by `Incarnation.encode`; earlier releases wrote only the id.
         begun: Machines of ``down`` whose maintenance is known to have begun.
         done: Machines whose maintenance is finished, or that were removed.
         first_s: Time of day at which a controller first saw the wave, in seconds since 1970.
--- a/src/shallotworks/scheduling/_wave_executor.py
+++ b/src/shallotworks/scheduling/_wave_executor.py
@@ -6,6 +6,7 @@
 
 from returns.result import Success
 
+from shallotworks.jobs import Incarnation
 from shallotworks.store import Commit, Committed, Condition, Conflicted, HeldLease, Write
 
 from ._machine_controller_dependencies import MachineControllerDependencies
@@ -148,20 +149,22 @@
         return is_changed
 
     def _has_had_maintenance(self, machine: Machine, old_worker: str) -> bool:
-        """Whether a machine's maintenance is known to have begun, and another worker is on it now.
+        """Whether a machine's maintenance is known to have begun, and its worker has started since.
 
-        A new worker alone does not prove maintenance. If an order was refused and the machine's
-        worker crashed and was replaced, the wave would be reported as completed although the
-        machine had no maintenance. A machine that is off has no worker before or after its
-        maintenance. Maintenance takes it down at once, so if a list that was read
-        `LIST_STALENESS_S` later shows it up, its maintenance is over.
+        The worker may have a new id or start again under the old one. That alone does not prove
+        maintenance. If an order was refused and the machine's worker crashed and was replaced, the
+        wave would be reported as completed although the machine had no maintenance. A machine that
+        is off has no worker before or after its maintenance. Maintenance takes it down at once, so
+        if a list that was read `LIST_STALENESS_S` later shows it up, its maintenance is over.
         """
         begun_s = self._begun_at_s.get(machine.name)
         if begun_s is None or machine.state is not MachineState.UP:
             return False
         if self._dependencies.clock() - begun_s < LIST_STALENESS_S:
             return False
-        return not (old_worker or machine.worker_id) or machine.worker_id not in ("", old_worker)
+        if not machine.worker_id:
+            return not old_worker
+        return not _may_be_on(machine, old_worker)
 
     def _is_finished(
         self, wave: MaintenanceWave, record: WaveRecord, machines: dict[str, Machine]
@@ -270,7 +273,7 @@
             for machine, old_worker in up
             if machine.name not in self._begun_at_s
             or (
-                machine.worker_id == old_worker
+                _may_be_on(machine, old_worker)
                 and now_s - self._begun_at_s[machine.name] >= REPEAT_ORDER_AFTER_S
             )
         ]
@@ -285,7 +288,7 @@
         for machine in await self._orders.prepare(free[:slots]):
             if not await self._orders.confirm_free(machine):
                 continue
-            record.down[machine.name] = machine.worker_id
+            record.down[machine.name] = machine.incarnation.encode()
             # A start that is known so far belongs to an earlier wave.
             self._begun_at_s.pop(machine.name, None)
             saved = await self._save(wave, record, revision)
@@ -357,3 +360,15 @@
             return None
         committed: Committed = result
         return committed.revision
+
+
+def _may_be_on(machine: Machine, old_worker: str) -> bool:
+    """Whether the worker that a wave's record names may still be on its machine.
+
+    Where the record does not say which start it was, as one of an earlier release, a start that is
+    known counts as a later one.
+    """
+    old = Incarnation.decode(old_worker)
+    if old.born_ms is None and machine.born_ms is not None:
+        return False
+    return machine.incarnation.may_be(old)
--- a/src/shallotworks/scheduling/_worker_tracker.py
+++ b/src/shallotworks/scheduling/_worker_tracker.py
@@ -81,6 +81,7 @@
             worker_id=worker_id,
             service=self._scheduler_state.service,
             address=active_worker.address,
+            born_ms=active_worker.born_ms,
         )
         self._scheduler_state.update_worker(view)
         self._scheduler_state.mark_unlisted(worker_id)
@@ -103,18 +104,34 @@
     async def _sync_directory(self) -> bool:
         """Update the scheduler state from the directory; return whether the record was stored."""
         listed = self._listed_workers()
-        for worker_id, worker in self._scheduler_state.workers.items():
-            if worker_id not in listed:
+        for worker_id, worker in list(self._scheduler_state.workers.items()):
+            view = listed.get(worker_id)
+            if view is None:
                 worker.is_listed = False
-            elif listed[worker_id].is_draining:
+            elif view.is_draining or view.incarnation.is_later_than(worker.incarnation):
                 # Set before the record omits the worker, since nothing may start there afterwards.
-                self._scheduler_state.update_worker(listed[worker_id])
+                self._update_worker(view)
         is_stored = await self.update_record()
         for worker_id, view in listed.items():
             if self._record.is_recorded(worker_id):
-                self._scheduler_state.update_worker(view)
+                self._update_worker(view)
         return is_stored
 
+    def _update_worker(self, view: WorkerView) -> None:
+        """Add or update a worker, or replace it by the later start that discovery lists."""
+        worker = self._scheduler_state.workers.get(view.worker_id)
+        if worker is None or not view.incarnation.is_later_than(worker.incarnation):
+            self._scheduler_state.update_worker(view)
+            return
+        now_s = self._clock()
+        self._scheduler_state.note_restarted(
+            worker,
+            view,
+            now_s=now_s,
+            wall_s=self._wall_clock(),
+            runs_end_s=now_s + self._recovery_s,
+        )
+
     def _listed_workers(self) -> dict[str, WorkerView]:
         """Return the listed workers without those that were replaced or removed.
 
@@ -123,9 +140,13 @@
         """
         listed = self._directory.workers_of(self._scheduler_state.service)
         self._scheduler_state.drop_replaced(listed)
-        for worker_id in self._machine_records.controller.over:
-            listed.pop(worker_id, None)
-            if worker_id in self._scheduler_state.workers:
+        for removed in self._machine_records.controller.over:
+            worker_id = removed.worker_id
+            view = listed.get(worker_id)
+            if view is not None and removed.is_same_or_later_than(view.incarnation):
+                del listed[worker_id]
+            worker = self._scheduler_state.workers.get(worker_id)
+            if worker is not None and removed.is_same_or_later_than(worker.incarnation):
                 self._scheduler_state.note_worker_ended(
                     worker_id, "taken away", self._clock(), self._wall_clock(), is_planned=True
                 )
@@ -151,7 +172,7 @@
         }
         views |= listed
         return {
-            worker_id: ActiveWorker(address=view.address)
+            worker_id: ActiveWorker(address=view.address, born_ms=view.born_ms)
             for worker_id, view in views.items()
             if not view.is_draining or self._may_have_runs(worker_id)
         }
@@ -181,12 +202,12 @@
         now_s = self._clock()
         active_workers: dict[str, ActiveWorker] = {}
         for worker_id, worker in self._scheduler_state.workers.items():
-            address = worker.view.address
+            address, born_ms = worker.view.address, worker.view.born_ms
             runs_ended_s = self._scheduler_state.pending_recovery.get(worker_id)
             if runs_ended_s is not None:
                 active_workers[worker_id] = ActiveWorker(
-                    address=address, left_s=max(0.0, runs_ended_s - now_s)
+                    address=address, left_s=max(0.0, runs_ended_s - now_s), born_ms=born_ms
                 )
             elif worker.runs or worker.unsettled_ends:
-                active_workers[worker_id] = ActiveWorker(address=address)
+                active_workers[worker_id] = ActiveWorker(address=address, born_ms=born_ms)
         return active_workers
--- a/src/shallotworks/standins/_fault_injecting_orders.py
+++ b/src/shallotworks/standins/_fault_injecting_orders.py
@@ -80,6 +80,9 @@
         ):
             await reached.wait_for_end(wait_ends_at_s - loop.time())
             outcome = reached.poll(token, acknowledged, None)
+        if self._fleet.workers.get(worker.worker_id) is not reached:
+            # The worker has started again, which closed its connections.
+            return OrderOutcome(status=OrderStatus.UNANSWERED)
         if not reached.is_alive or worker.worker_id in self.faults.unreachable_worker_ids:
             return await self._answer_for_absent_worker(worker, times_out_at_s)
         return outcome
--- a/src/shallotworks/standins/_worker_http.py
+++ b/src/shallotworks/standins/_worker_http.py
@@ -89,7 +89,7 @@
             name=TaskName(job_id, int(occurrence), int(step), int(number)),
             run_id=body["runId"],
             step=Step(count=1),
-            worker_id=self._view.worker_id,
+            incarnation=self._view.incarnation,
             phase=RunPhase.STARTING,
             since_s=0.0,
         )
--- a/tests/lasting_task_simulation.py
+++ b/tests/lasting_task_simulation.py
@@ -660,7 +660,7 @@
 
     def _publish_controller_record(self) -> None:
         over = (
-            worker_id
+            self.fleet.workers[worker_id].view.incarnation
             for worker_id, at_s in self._taken_away_s.items()
             if _now_s() - at_s < REMOVED_WORKERS_PUBLISHED_S
         )
--- a/tests/returning_workers.py
+++ b/tests/returning_workers.py
@@ -1,4 +1,4 @@
-"""Simulated workers that crash under some tasks and are restarted as new incarnations."""
+"""Simulated workers that crash under some tasks and start again."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 class ReturningWorkers(CrashingWorkers):
-    """Workers that are replaced by another incarnation after each crash.
+    """Workers that start again after each crash, under a new id or under the one that they had.
 
     Args:
         rng: Random generator for durations and faults.
@@ -25,6 +25,8 @@
     def __init__(self, *, rng: random.Random) -> None:
         super().__init__(rng=rng)
         self.crashed = asyncio.Event()
+        self.keeps_ids = False
+        """Whether a worker starts again under its id."""
         self.is_silent = False
         """Whether connections of a crashed worker hang instead of being closed and refused."""
 
@@ -38,5 +40,9 @@
         self.crashed.set()
 
     def _restart(self, worker: TaskWorker) -> None:
+        if self.keeps_ids:
+            self.outcomes_when_absent.pop(worker.view.worker_id, None)
+            self.add(worker.view)
+            return
         self.outcomes_when_absent[worker.view.worker_id] = OrderStatus.GONE
         self.add(replace(worker.view, worker_id=f"{worker.view.worker_id}+"))
--- a/tests/test_active_workers_record.py
+++ b/tests/test_active_workers_record.py
@@ -269,7 +269,7 @@
                 name=NAME,
                 run_id=1,
                 step=one.steps[0],
-                worker_id="w0",
+                incarnation=worker.view.incarnation,
                 phase=RunPhase.STARTING,
                 since_s=loop.time(),
             )
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -6,6 +6,7 @@
 
 from shallotworks.jobs import (
     Blame,
+    Incarnation,
     JobProgress,
     JobState,
     LostRun,
@@ -28,7 +29,12 @@
 def lost(*blames: Blame, is_certain: bool = True) -> tuple[LostRun, ...]:
     """Return lost runs, each on a different worker."""
     return tuple(
-        LostRun(run_id=number, worker_id=f"w{number}", blame=blame, is_certain=is_certain)
+        LostRun(
+            run_id=number,
+            incarnation=Incarnation(worker_id=f"w{number}"),
+            blame=blame,
+            is_certain=is_certain,
+        )
         for number, blame in enumerate(blames)
     )
 
@@ -79,7 +85,9 @@
     def test_a_certain_loss_is_kept_and_each_run_counts_once(self) -> None:
         """Guards against counting one crash twice because two schedulers recorded it."""
         progress, one = JobProgress(queue="q"), job("j", step(1))
-        uncertain = LostRun(run_id=1, worker_id="a", blame=SOLE, is_certain=False)
+        uncertain = LostRun(
+            run_id=1, incarnation=Incarnation(worker_id="a"), blame=SOLE, is_certain=False
+        )
         certain = uncertain._replace(is_certain=True)
         changed = [
             progress.note_lost(one, NAME, lost, now_s=5.0)
@@ -395,7 +403,12 @@
         is_given_up: bool,
     ) -> None:
         """Guards against forgetting a start that a dead scheduler sent, or blaming it alone."""
-        row = LostRun(run_id=5, worker_id="a" if is_alive else "z", blame=SOLE, is_certain=False)
+        row = LostRun(
+            run_id=5,
+            incarnation=Incarnation(worker_id="a" if is_alive else "z"),
+            blame=SOLE,
+            is_certain=False,
+        )
         progress = JobProgress(queue="sweeps", lost={(0, 0, 0): (*lost(*earlier), row)})
         self.harness.add_job(job("j", step(1)), progress=progress, is_inherited=True)
         self.harness.decide()
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -15,7 +15,13 @@
 from tests.scheduling_simulation import SchedulingSimulation
 from tests.virtual_clock import run_scenario
 
-CRASH_MODES = [("refused", False), ("silent", True)]
+CRASH_MODES = [
+    ("refused", False, False),
+    ("silent", True, False),
+    ("refused_and_back_under_its_id", False, True),
+    ("silent_and_back_under_its_id", True, True),
+]
+"""Name, whether crashed workers are silent, and whether they start again under their ids."""
 JOB_ID = "00000000000000aa"
 CRASHING_TASK = TaskName(JOB_ID, 0, 0, 0)
 REFUSED_STARTS = 3
@@ -23,10 +29,13 @@
 """Time for three crashes, each detected within 3.6 s, and a takeover."""
 
 
-def simulation(seed: int, *, workers: int = 6, is_silent: bool = False) -> SchedulingSimulation:
+def simulation(
+    seed: int, *, workers: int = 6, is_silent: bool = False, keeps_ids: bool = False
+) -> SchedulingSimulation:
     """Return a running simulation in which the first task of one job crashes its workers."""
     one = SchedulingSimulation(seed=seed, workers=workers, fleet=ReturningWorkers)
     one.fleet.is_silent = is_silent
+    one.fleet.keeps_ids = keeps_ids
     one.fleet.crashing.add(CRASHING_TASK)
     for instance in one.instances:
         instance.start()
@@ -62,12 +71,12 @@
 class CrashingTaskTests(unittest.TestCase):
     @parameterized.expand(CRASH_MODES)
     def test_a_task_that_crashes_its_workers_fails_its_job(
-        self, _how: str, is_silent: bool
+        self, _how: str, is_silent: bool, keeps_ids: bool
     ) -> None:
         """Guards against restarting a task without limit, each time losing a worker's runs."""
 
         async def scenario() -> None:
-            one = simulation(seed=1, is_silent=is_silent)
+            one = simulation(seed=1, is_silent=is_silent, keeps_ids=keeps_ids)
             await asyncio.sleep(1.0)
             await one.submit(JOB_ID, step(2, estimated_s=0.8))
             await asyncio.sleep(CRASH_LOOP_TIMEOUT_S)
@@ -80,12 +89,12 @@
 
     @parameterized.expand(CRASH_MODES)
     def test_the_count_of_crashes_survives_scheduler_failures(
-        self, _how: str, is_silent: bool
+        self, _how: str, is_silent: bool, keeps_ids: bool
     ) -> None:
         """Guards against a successor that restarts the count after a scheduler missed a crash."""
 
         async def scenario() -> None:
-            one = simulation(seed=2, is_silent=is_silent)
+            one = simulation(seed=2, is_silent=is_silent, keeps_ids=keeps_ids)
             await asyncio.sleep(1.0)
             await one.submit(JOB_ID, step(1, estimated_s=0.8))
             for _ in range(6):
@@ -108,11 +117,13 @@
         run_scenario(scenario())
 
     @parameterized.expand(CRASH_MODES)
-    def test_tasks_lost_beside_a_crashing_task_complete(self, _how: str, is_silent: bool) -> None:
+    def test_tasks_lost_beside_a_crashing_task_complete(
+        self, _how: str, is_silent: bool, keeps_ids: bool
+    ) -> None:
         """Guards against failing jobs that only shared workers with a task that crashes them."""
 
         async def scenario() -> None:
-            one = simulation(seed=3, workers=8, is_silent=is_silent)
+            one = simulation(seed=3, workers=8, is_silent=is_silent, keeps_ids=keeps_ids)
             await asyncio.sleep(1.0)
             others = [f"{number:016x}" for number in range(1, 9)]
             await asyncio.gather(
--- a/tests/test_machine_controller.py
+++ b/tests/test_machine_controller.py
@@ -12,6 +12,7 @@
 from returns.result import Result, Success
 
 from shallotworks.errors import Failure
+from shallotworks.jobs import Incarnation
 from shallotworks.scheduling import (
     MACHINES_PREFIX,
     Machine,
@@ -48,6 +49,10 @@
         self.on_order: Callable[[str], None] = lambda _machine: None
         self.busy: set[str] = set()
         """Machines that refuse orders for now."""
+        self.keeps_ids = False
+        """Whether a worker starts again under its id after maintenance, a move or a crash."""
+        self._born_ms = 1_700_000_000_000
+        self._last_worker_ids: dict[str, str] = {}
         self._worker_count = 0
         for pool, count in pools.items():
             for _ in range(count):
@@ -88,19 +93,34 @@
 
     def crash(self, name: str) -> None:
         """End the worker of a machine; a new worker replaces it at once."""
-        pool = self.machines[name].pool
-        self.machines[name] = Machine(
-            name=name, pool=pool, state=MachineState.UP, worker_id=self._new_worker_id()
+        self.machines[name] = self._restarted(name)
+
+    def _restarted(self, name: str) -> Machine:
+        """Return a machine that is up, with a worker that has just started."""
+        machine = self.machines[name]
+        earlier_id = machine.worker_id or self._last_worker_ids.get(name, "")
+        if machine.pool == "spare":
+            worker_id, born_ms = "", None
+        elif self.keeps_ids:
+            self._born_ms += 1
+            worker_id, born_ms = earlier_id or self._new_worker_id(), self._born_ms
+        else:
+            worker_id, born_ms = self._new_worker_id(), None
+        return Machine(
+            name=name,
+            pool=machine.pool,
+            state=MachineState.UP,
+            worker_id=worker_id,
+            born_ms=born_ms,
         )
 
     def _take_away(self, name: str, pool: str, state: MachineState, for_s: float) -> None:
+        self._last_worker_ids[name] = self.machines[name].worker_id
         self.machines[name] = Machine(name=name, pool=pool, state=state)
         asyncio.get_running_loop().call_later(for_s, self._bring_back, name, state)
 
     def _bring_back(self, name: str, state: MachineState) -> None:
-        pool = self.machines[name].pool
-        worker = "" if pool == "spare" else self._new_worker_id()
-        self.machines[name] = Machine(name=name, pool=pool, state=MachineState.UP, worker_id=worker)
+        self.machines[name] = self._restarted(name)
         if state is MachineState.MAINTENANCE:
             self.down -= 1
 
@@ -226,11 +246,21 @@
 
 
 class WaveTests(unittest.TestCase):
-    def test_a_wave_maintains_each_machine_once_within_its_limit(self) -> None:
-        """Offered machines and machines that are off are maintained; then the wave completes."""
+    @parameterized.expand([("new_ids", False), ("the_same_ids", True)])
+    def test_a_wave_maintains_each_machine_once_within_its_limit(
+        self, _name: str, keeps_ids: bool
+    ) -> None:
+        """Offered machines and machines that are off are maintained; then the wave completes.
+
+        Guards against a wave that never ends, since a worker that returned under its id counted as
+        the one that had gone down.
+        """
 
         async def scenario() -> None:
             machine_harness = MachineHarness(antenna=4, spare=2)
+            machine_harness.platform.keeps_ids = keeps_ids
+            for name in machine_harness.platform.machines:
+                machine_harness.platform.crash(name)
             machine_harness.platform.requested_waves = (wave(machine_harness, most=2),)
             await machine_harness.start()
             for _ in range(150):
@@ -300,7 +330,10 @@
 
         run_scenario(scenario())
 
-    def test_a_worker_crash_does_not_count_as_maintenance(self) -> None:
+    @parameterized.expand([("new_ids", False), ("the_same_ids", True)])
+    def test_a_worker_crash_does_not_count_as_maintenance(
+        self, _name: str, keeps_ids: bool
+    ) -> None:
         """Guards against a wave reported as completed although a machine was not maintained.
 
         The machine refused its order; its worker crashed, and the new one looked like maintenance.
@@ -308,6 +341,9 @@
 
         async def scenario() -> None:
             machine_harness = MachineHarness(antenna=3)
+            machine_harness.platform.keeps_ids = keeps_ids
+            for name in machine_harness.platform.machines:
+                machine_harness.platform.crash(name)
             machine_harness.platform.requested_waves = (wave(machine_harness, most=1),)
             machine_harness.platform.busy = {"m0"}
             await machine_harness.start()
@@ -739,13 +775,39 @@
             machine_harness.publish_demand("coverage", free=True)
             machine_harness.publish_demand("antenna", lacking=1)
             await asyncio.sleep(4)
-            self.assertEqual(("w2",), machine_harness.machine_records.controller.over)
+            over = machine_harness.machine_records.controller.over
+            self.assertEqual((Incarnation(worker_id="w2"),), over)
             record = json.loads(machine_harness.store.items[MACHINES_PREFIX + "keeper"].value)
             self.assertEqual(["w2"], record["over"])
             machine_harness.stop()
 
         run_scenario(scenario())
 
+    def test_a_later_start_of_a_removed_worker_is_not_removed(self) -> None:
+        """A worker that started again under its id in its new pool was taken for removed there."""
+
+        async def scenario() -> None:
+            machine_harness = MachineHarness(antenna=1, coverage=2)
+            machine_harness.platform.keeps_ids = True
+            for name in machine_harness.platform.machines:
+                machine_harness.platform.crash(name)
+            await machine_harness.start()
+            machine_harness.publish_demand("coverage", free=True)
+            machine_harness.publish_demand("antenna", lacking=1)
+            await asyncio.sleep(6.0)
+            (removed,) = machine_harness.machine_records.controller.over
+            moved = next(
+                one
+                for one in machine_harness.platform.machines.values()
+                if one.worker_id == removed.worker_id
+            )
+            self.assertEqual("antenna", moved.pool)
+            self.assertTrue(moved.incarnation.is_later_than(removed))
+            self.assertFalse(removed.is_same_or_later_than(moved.incarnation))
+            machine_harness.stop()
+
+        run_scenario(scenario())
+
     def test_a_new_controller_republishes_removals_of_its_predecessor(self) -> None:
         """Guards against jobs that stall for 10 s after scheduler and controller were both killed.
 
@@ -754,18 +816,19 @@
 
         async def scenario() -> None:
             machine_harness = MachineHarness(antenna=2, coverage=3)
-            before = MachineControllerRecord(over=("w0",))
+            before = MachineControllerRecord(over=(Incarnation(worker_id="w0"),))
             machine_harness.store.put(MACHINES_PREFIX + "keeper", before.encode())
             await machine_harness.start()
             machine_harness.publish_demand("coverage", free=True)
             machine_harness.publish_demand("antenna", lacking=1)
             await asyncio.sleep(4.5)
             over = machine_harness.machine_records.controller.over
-            self.assertEqual(("w0", 2), (over[0], len(over)))
+            self.assertEqual((Incarnation(worker_id="w0"), 2), (over[0], len(over)))
             await asyncio.sleep(16)
             machine_harness.publish_demand("antenna", lacking=3)
             await asyncio.sleep(1)
-            self.assertNotIn("w0", machine_harness.machine_records.controller.over)
+            over = machine_harness.machine_records.controller.over
+            self.assertNotIn(Incarnation(worker_id="w0"), over)
             machine_harness.stop()
 
         run_scenario(scenario())
--- a/tests/test_shrunk_capacity.py
+++ b/tests/test_shrunk_capacity.py
@@ -6,7 +6,7 @@
 
 from parameterized import parameterized
 
-from shallotworks.jobs import Blame, JobProgress, LostRun, TaskName
+from shallotworks.jobs import Blame, Incarnation, JobProgress, LostRun, TaskName
 from shallotworks.platform._workers import WorkerRegistry
 from shallotworks.scheduling import EndKind, RunningTask, StopOrder
 from shallotworks.standins import FaultInjectingStore, RecordStore
@@ -57,7 +57,9 @@
     def test_a_reserved_start_is_cancelled_when_capacity_shrinks(self) -> None:
         """Guards against starting a suspected task on a reserved worker whose capacity shrank."""
         harness = SchedulingHarness(view("a"), view("b", cpu_millicores=0))
-        row = LostRun(run_id=1, worker_id="c", blame=Blame.SHARED, is_certain=True)
+        row = LostRun(
+            run_id=1, incarnation=Incarnation(worker_id="c"), blame=Blame.SHARED, is_certain=True
+        )
         progress = JobProgress(queue="sweeps", lost={(0, 0, 0): (row,)})
         harness.add_job(job("j", step(1)), progress=progress)
         harness.decide()
--- a/tests/test_waiting_reasons.py
+++ b/tests/test_waiting_reasons.py
@@ -88,7 +88,7 @@
             name=name,
             run_id=1,
             step=one,
-            worker_id=worker.worker_id,
+            incarnation=worker.incarnation,
             phase=RunPhase.RUNNING,
             since_s=0.0,
         )
