Close the last window in which an acknowledgement meets another start

Cause: a poll that acknowledges ends and reaches a later start of the worker makes that one forget its own ends with these numbers for as long as the poll waits: in a trace, a poll of one second met a worker 2 ms after its restart, and a run that began and ended in that second was forgotten. And a start that neither start of a worker confirmed counted as a crash like one that ran there.

Change: a poll that acknowledges ends waits 0.1 s at most, which is shorter than a task. A run that is looked for on the later start and not there gets late blame, unless it was started in isolation. The soak restarts workers under their ids: after ends were acknowledged, beside a killed process, and without the store.

--- a/soak/_fault_scenarios.py
+++ b/soak/_fault_scenarios.py
@@ -11,7 +11,7 @@
 from soak._fault_log import ALL_INSTANCES
 from soak._testbed import Entry, Testbed
 
-__all__ = ["FAULT_SCENARIOS"]
+__all__ = ["FAULT_SCENARIOS", "RESTART_SCENARIOS"]
 
 STOP_GRACE_S = 6.0
 CONFIG_IN_FORCE_S = 2.0
@@ -183,6 +183,42 @@
     testbed.fault_log.end(fault)
 
 
+def _restart_workers(testbed: Testbed) -> None:
+    """Restart one to three workers under their ids, rather such with acknowledged ends."""
+    rng = testbed.restart_rng
+    names = testbed.fleet.machines_with_acknowledged_ends() or sorted(testbed.fleet.machines)
+    for name in rng.sample(names, min(len(names), rng.randint(1, 3))):
+        testbed.fleet.crash(name, down_s=rng.uniform(0.02, 1.5), keeps_id=True)
+
+
+async def restart_workers(testbed: Testbed) -> None:
+    """Restart workers to which ends were acknowledged."""
+    _restart_workers(testbed)
+
+
+async def restart_workers_beside_dead_scheduler(testbed: Testbed) -> None:
+    """Kill a process that may hold leases, and restart workers before it is back."""
+    name = testbed.restart_rng.choice(sorted(testbed.entries))
+    fault = testbed.fault_log.begin("kill", name)
+    testbed.entries[name].process.send(signal.SIGKILL)
+    _restart_workers(testbed)
+    await asyncio.sleep(1.5)
+    testbed.fault_log.end(fault)
+
+
+async def restart_workers_without_store(testbed: Testbed) -> None:
+    """Restart workers while no process reaches the store."""
+    fault = testbed.fault_log.begin("store down", ALL_INSTANCES)
+    for entry in testbed.entries.values():
+        entry.store.faults = RecordFaults(is_down=True)
+    await asyncio.sleep(testbed.restart_rng.uniform(0.1, 1.0))
+    _restart_workers(testbed)
+    await asyncio.sleep(testbed.restart_rng.uniform(0.5, 2.0))
+    for entry in testbed.entries.values():
+        entry.store.faults = RecordFaults()
+    testbed.fault_log.end(fault)
+
+
 async def delay_orders(testbed: Testbed) -> None:
     """Delay some orders to workers, and lose the answers of some."""
     fault = testbed.fault_log.begin("orders-late", ALL_INSTANCES)
@@ -241,6 +277,13 @@
         )
 
 
+RESTART_SCENARIOS: tuple[FaultScenario, ...] = (
+    restart_workers,
+    restart_workers,
+    restart_workers_beside_dead_scheduler,
+    restart_workers_without_store,
+)
+"""Restarts of workers under their ids, drawn from a random source of their own."""
 FAULT_SCENARIOS: tuple[FaultScenario, ...] = (
     kill_in_series,
     kill_all,
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -141,8 +141,23 @@
             machine.view = worker.view
             self._register(machine.view)
 
-    def crash(self, name: str, *, down_s: float) -> None:
-        """End a machine's worker without deregistration; start a new one after ``down_s``."""
+    def machines_with_acknowledged_ends(self) -> list[str]:
+        """Return the machines that are up and whose workers have had an end acknowledged."""
+        return sorted(
+            name
+            for name, machine in self._machines.items()
+            if machine.view is not None
+            and self.workers.workers[machine.view.worker_id].acknowledged_count
+        )
+
+    def crash(self, name: str, *, down_s: float, keeps_id: bool = False) -> None:
+        """End a machine's worker without deregistration; start one again after ``down_s``.
+
+        Args:
+            name: The machine.
+            down_s: How long no worker runs on it.
+            keeps_id: Whether the worker starts again under its id, instead of under a new one.
+        """
         machine = self._machines[name]
         if machine.listed.state != "up":
             return
@@ -152,7 +167,11 @@
             )
         old_worker_id = self._end_worker(machine)
         machine.listed.state = "down"
-        self._spawn(self._return_machine(machine, old_worker_id, down_s, REGISTRATION_TTL_S))
+        self._spawn(
+            self._return_machine(
+                machine, old_worker_id, down_s, REGISTRATION_TTL_S, keeps_id=keeps_id
+            )
+        )
 
     def execute_order(self, order: MachineOrder) -> bool:
         """Execute a move or a maintenance order; return whether the machine accepted it."""
@@ -200,11 +219,13 @@
         down_s: float,
         expiry_delay_s: float,
         wave: int = 0,
+        *,
+        keeps_id: bool = False,
     ) -> None:
         """Start a new worker after ``down_s``.
 
         The registration of the old worker expires after ``expiry_delay_s``, which may be before
-        or after the start of the new one.
+        or after the start of the new one. One that starts again under its id renews it.
         """
         expiry = asyncio.get_running_loop().call_later(
             expiry_delay_s, self._unregister, old_worker_id
@@ -212,16 +233,19 @@
         await asyncio.sleep(down_s)
         if wave:
             self._in_maintenance[wave].discard(machine.listed.name)
-        await self._start_worker(machine)
+        await self._start_worker(machine, worker_id=old_worker_id if keeps_id else "")
+        if keeps_id:
+            expiry.cancel()
         # Set after the start: an order accepted during it would start a second worker.
         machine.listed.state = "up"
-        if expiry.when() < asyncio.get_running_loop().time():
+        if not keeps_id and expiry.when() < asyncio.get_running_loop().time():
             self._unregister(old_worker_id)
 
-    async def _start_worker(self, machine: _Machine) -> None:
+    async def _start_worker(self, machine: _Machine, *, worker_id: str = "") -> None:
+        """Start a worker on a machine, under a new id or under one that it had."""
         self._last_worker_number += 1
         view = WorkerView(
-            worker_id=f"w-{machine.listed.name}-{self._last_worker_number}",
+            worker_id=worker_id or f"w-{machine.listed.name}-{self._last_worker_number}",
             service=machine.listed.pool,
             address=machine.proxy.address,
             data_centre="dc-1",
@@ -230,7 +254,9 @@
             rack=machine.rack,
         )
         # Every second worker refuses no start for lack of capacity.
-        self.workers.add(view).refuses_overload = self._last_worker_number % 2 == 0
+        worker = self.workers.add(view)
+        worker.refuses_overload = self._last_worker_number % 2 == 0
+        view = worker.view
         # The old worker's connections end with it; the new one is served at the same address.
         if machine.server is not None:
             await machine.server.listener.stop()
@@ -251,6 +277,7 @@
             "state": "ready",
             "coldRemainingMs": 0,
             "seqNo": self._store.revision,
+            "born": view.born_ms,
             "capacity": {"cpu": view.cpu_millicores, "memMb": view.memory_mb, "gpu": 0},
             "labels": ["kind-a", view.rack],
         }
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -8,7 +8,7 @@
 
 from soak._callers import CalledJob
 from soak._fault_log import ALL_INSTANCES
-from soak._fault_scenarios import FAULT_SCENARIOS
+from soak._fault_scenarios import FAULT_SCENARIOS, RESTART_SCENARIOS
 from soak._slots import Slot
 from soak._testbed import Testbed
 
@@ -90,6 +90,7 @@
         testbed.request_wave(1, count=int(machines * WAVE_MACHINE_RATIO), max_at_once=2)
     ends_s = loop.time() + plan.fault_period_s
     series = [_inject_faults(testbed, ends_s) for _ in range(plan.series)]
+    series.append(_restart_workers(testbed, ends_s))
     await asyncio.gather(testbed.callers.run(plan.jobs, plan.fault_period_s), *series)
     began_s = loop.time()
     settling = testbed.fault_log.begin("settling", ALL_INSTANCES)
@@ -126,6 +127,16 @@
         await asyncio.sleep(testbed.rng.uniform(0.0, 3.0))
 
 
+async def _restart_workers(testbed: Testbed, ends_s: float) -> None:
+    """Restart workers under their ids, again and again, beside all other faults."""
+    loop = asyncio.get_running_loop()
+    rng = testbed.restart_rng
+    await asyncio.sleep(rng.uniform(1.0, 4.0))
+    while loop.time() < ends_s:
+        await rng.choice(RESTART_SCENARIOS)(testbed)
+        await asyncio.sleep(rng.uniform(1.0, 4.0))
+
+
 async def _poll_states(testbed: Testbed) -> None:
     """Poll the states of open jobs, up to five per round, at random instances until cancelled."""
     while True:
--- a/soak/_testbed.py
+++ b/soak/_testbed.py
@@ -76,6 +76,8 @@
         self._seed = seed
         self._background: list[asyncio.Task[None]] = []
         self.callers: Callers | None = None
+        self.restart_rng = random.Random(seed + 5)
+        """Draws restarts of workers under their ids; all other draws of a seed stay unchanged."""
 
     async def start(self) -> None:
         """Start all components; return once each entry process has a configuration."""
--- a/src/shallotworks/scheduling/_crash_blame.py
+++ b/src/shallotworks/scheduling/_crash_blame.py
@@ -147,12 +147,20 @@
                 self._confirm(tracked_job, name, lost, wall_s, is_replaced=True)
 
     def confirm_run(self, run: Run, wall_s: float) -> None:
-        """Record that a run was lost with an earlier start of its worker, if that received it."""
+        """Record that a run was lost with an earlier start of its worker, if that received it.
+
+        No answer shows that it did. Unless the run was started in isolation, it therefore gets late
+        blame: a sound task whose start was never received must not count as crashing its worker.
+        """
+        worker = self._workers.get(run.worker_id)
+        is_isolated = worker is not None and worker.isolated_run is run
         tracked_job = self._tracked_jobs.get(run.name.job_id)
         if tracked_job is None or tracked_job.progress.state.is_final:
             return
         for lost in tracked_job.progress.lost_runs(tracked_job.job, run.name):
             if lost.run_id == run.run_id and not lost.is_certain:
+                blame = lost.blame if is_isolated else Blame.LATE
+                lost = lost._replace(blame=blame)
                 self._confirm(tracked_job, run.name, lost, wall_s, is_replaced=True)
 
     def note_start_answered(self, run: Run, wall_s: float, *, may_have_run: bool) -> None:
--- a/src/shallotworks/scheduling/_order_dispatcher.py
+++ b/src/shallotworks/scheduling/_order_dispatcher.py
@@ -83,6 +83,9 @@
 PAUSE_AFTER_UNHEALTHY_S = 1.0
 PAUSE_AFTER_NO_ROOM_S = 0.3
 """No task is placed on a worker while one of these three pauses lasts."""
+MAX_ACKNOWLEDGING_POLL_WAIT_S = 0.1
+"""Longest wait of a poll that acknowledges ends. If it reaches a later start of the worker, that one
+forgets its own ends with these numbers for as long as the poll waits; a task takes longer."""
 MIN_ISOLATED_POLL_WAIT_S = 0.02
 """Shortest wait of a poll at a worker that has to survive the start of an isolated run."""
 CLOSED_CONNECTION_WITHIN_S = 0.5
@@ -385,10 +388,13 @@
     def _poll_wait_s(self, worker: Worker) -> float:
         if self._needs_immediate_answer(worker):
             return 0.0
+        wait_s = self._times.poll_wait_s
+        if worker.end_to_acknowledge:
+            wait_s = min(wait_s, MAX_ACKNOWLEDGING_POLL_WAIT_S)
         left_s = self._scheduler_state.isolation.remaining_probation_s(worker, self._clock())
         if left_s is None:
-            return self._times.poll_wait_s
-        return min(self._times.poll_wait_s, max(left_s, MIN_ISOLATED_POLL_WAIT_S))
+            return wait_s
+        return min(wait_s, max(left_s, MIN_ISOLATED_POLL_WAIT_S))
 
     def _needs_immediate_answer(self, worker: Worker) -> bool:
         if not worker.is_fenced or worker.unsettled_ends or not worker.clock_ms:
--- a/src/shallotworks/standins/_task_workers.py
+++ b/src/shallotworks/standins/_task_workers.py
@@ -70,6 +70,8 @@
         self._clock_offset_s = fleet.rng.uniform(100, 1000)
         self._former_capacities: list[tuple[float, int]] = []
         """Former capacities in millicores, each with the loop time at which it was replaced."""
+        self.acknowledged_count = 0
+        """Number of ends that were acknowledged to this incarnation."""
         self.refuses_overload = True
         """Whether the worker refuses a start that exceeds its capacity."""
 
@@ -170,6 +172,7 @@
         for end in self._ended:
             if end.number <= acknowledged:
                 self._fleet.note_acknowledged(end)
+                self.acknowledged_count += 1
         self._ended = [end for end in self._ended if end.number > acknowledged]
         if lease_until_ms is not None:
             self._extend_lease(lease_until_ms)
