Acknowledge an end only once the store has all that makes it needless

Cause: an end that changes nothing was acknowledged at once. But it may change nothing only because of a change that is not stored yet: its job has failed here, or the task is done here. A successor that reads the store finds neither, and the worker has forgotten the end.

Change: any end of a job with changes that are not stored waits until all changes of the job up to it are. The rule asks the job, no longer the end.

Why it works: what makes an end needless is in the job's progress, and the store has all of the progress that was known when the end was read before the worker may forget it.

--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -388,8 +388,8 @@
         """Time of the worker's last report on the scheduler's clock."""
         self.has_answered_last_poll = False
         self.unsettled_ends: set[int] = set()
-        """Numbers of the ends that must not be acknowledged before the progress of a job is
-        stored."""
+        """Numbers of the ends that must not be acknowledged yet: the store lacks a change of their
+        job's progress that makes them needless."""
 
     @property
     def worker_id(self) -> str:
--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -654,12 +654,10 @@
             ran_s=round(now_s - run.since_s, 3) if run is not None else None,
             token=self.token,
         )
-        is_known = tracked_job is not None and _step_of(tracked_job, end.name) is not None
-        if (
-            tracked_job is not None
-            and is_known
-            and self._record_end(tracked_job, worker, end, now_s, wall_s)
-        ):
+        if tracked_job is not None and _step_of(tracked_job, end.name) is not None:
+            self._record_end(tracked_job, worker, end, now_s, wall_s)
+        if tracked_job is not None and tracked_job.is_dirty:
+            # An end that changes nothing is needless only because of changes before it.
             worker.unsettled_ends.add(end.number)
             pending_end = (tracked_job.changes, worker, end.number)
             self._ends_awaiting_commit.setdefault(tracked_job.job.job_id, []).append(pending_end)
@@ -669,16 +667,17 @@
 
     def _record_end(
         self, tracked_job: TrackedJob, worker: Worker, end: EndedTask, now_s: float, wall_s: float
-    ) -> bool:
-        """Add a run's end to its job's progress; return whether this must be stored."""
+    ) -> None:
+        """Add a run's end to its job's progress."""
         if tracked_job.progress.state.is_final:
-            return False
+            return
         if end.kind is EndKind.DONE:
             worker.failed_jobs.clear()
             worker.avoid_until_s = 0.0
-            return self._record_done(tracked_job, end.name, end.run_id, wall_s)
+            self._record_done(tracked_job, end.name, end.run_id, wall_s)
+            return
         if end.kind is not EndKind.FAILED:
-            return False
+            return
         self._note_failed_job(worker, tracked_job.job.job_id, now_s)
         tracked_job.avoided_workers[end.name] = tracked_job.avoided_workers.get(
             end.name, frozenset()
@@ -686,17 +685,16 @@
         if not tracked_job.progress.note_failed(
             tracked_job.job, end.name, end.run_id, now_s=wall_s
         ):
-            return False
+            return
         tracked_job.changes += 1
         if tracked_job.progress.state.is_final:
             self._close_job(tracked_job, "job-failed")
-        return True
 
     def _record_done(
         self, tracked_job: TrackedJob, name: TaskName, run_id: int, wall_s: float
-    ) -> bool:
+    ) -> None:
         if tracked_job.progress.is_done(name):
-            return False
+            return
         current = tracked_job.runs.get(name)
         if current is not None and current.run_id != run_id:
             self.request_stop(current, "done-elsewhere")
@@ -712,7 +710,6 @@
                     self._open_step(tracked_job, name.occurrence, number)
         if tracked_job.progress.state.is_final:
             self._close_job(tracked_job, "completed")
-        return True
 
     def _finish_run(
         self, worker: Worker, run: Run, kind: EndKind, checkpoint: str, now_s: float
--- a/tests/scheduling_simulation.py
+++ b/tests/scheduling_simulation.py
@@ -13,6 +13,7 @@
     JobKeys,
     JobRequestHandler,
     JobState,
+    QueuePolicy,
     Step,
     TaskName,
     decode_progress,
@@ -38,6 +39,7 @@
 from tests.scheduling_fakes import policy, quiet_log, step, view
 
 SERVICE = "antenna"
+DEFAULT_POLICY = policy(service=SERVICE)
 
 
 class AllowAllAdvice:
@@ -160,9 +162,9 @@
             await asyncio.sleep(self.rng.uniform(0, 1.0))
             await self.cancel(job_id)
 
-    async def submit(self, job_id: str, *steps: Step) -> None:
+    async def submit(self, job_id: str, *steps: Step, policy: QueuePolicy = DEFAULT_POLICY) -> None:
         """Submit a job to drawn instances until one accepts it, at most 20 times."""
-        submitted_job = Job(job_id=job_id, policy=policy(service=SERVICE), spec="x", steps=steps)
+        submitted_job = Job(job_id=job_id, policy=policy, spec="x", steps=steps)
         for number, later in enumerate(steps):
             for index in range(later.count):
                 self.fleet.task_dependencies[TaskName(job_id, 0, number, index)] = tuple(
