--- a/src/shallotworks/scheduling/_order_dispatcher.py
+++ b/src/shallotworks/scheduling/_order_dispatcher.py
@@ -354,7 +354,10 @@
         """
         if not self._is_present(worker):
             return False
-        if outcome.born_ms is not None and outcome.born_ms != worker.view.born_ms:
+        known_born_ms = worker.view.born_ms
+        if outcome.born_ms is not None and known_born_ms is not None:
+            if outcome.born_ms < known_born_ms:
+                return False
             return self._identify(worker, outcome) is worker
         now_s = self._clock()
         if not outcome.clock_ms or worker.is_plausible_clock(
--- a/tests/scheduling_fakes.py
+++ b/tests/scheduling_fakes.py
@@ -76,6 +76,17 @@
         self.report(one.worker_id)
         return worker
 
+    def restart(self, worker_id: str, later: WorkerView) -> Worker:
+        """Replace a worker by a later start of it, which has not reported."""
+        self.ends.pop(worker_id, None)
+        return self.scheduler_state.note_restarted(
+            self.worker(worker_id),
+            later,
+            now_s=self.now_s,
+            wall_s=WALL_S,
+            runs_end_s=UNEXPIRING_LEASE_END_S,
+        )
+
     def worker(self, worker_id: str) -> Worker:
         """Return a worker."""
         return self.scheduler_state.workers[worker_id]
--- a/tests/test_restarted_workers.py
+++ b/tests/test_restarted_workers.py
@@ -12,10 +12,29 @@
 
 from parameterized import parameterized
 
-from shallotworks.jobs import JobState, TaskName
-from shallotworks.scheduling import WorkerView
+from shallotworks.jobs import (
+    Blame,
+    Incarnation,
+    JobProgress,
+    JobState,
+    LostRun,
+    TaskName,
+    decode_progress,
+    encode_progress,
+)
+from shallotworks.scheduling import (
+    ActiveWorkersRecord,
+    EndKind,
+    MachineControllerRecord,
+    Run,
+    RunningTask,
+    RunPhase,
+    StartOrder,
+    StopOrder,
+    WorkerView,
+)
 from shallotworks.standins import TaskWorker, TaskWorkers
-from tests.scheduling_fakes import step
+from tests.scheduling_fakes import UNEXPIRING_LEASE_END_S, SchedulingHarness, job, step, view
 from tests.scheduling_simulation import SchedulingSimulation
 from tests.virtual_clock import run_scenario
 
@@ -190,3 +209,147 @@
                 await instance.kill()
 
         run_scenario(scenario())
+
+
+class LaterStartTests(unittest.TestCase):
+    """What a scheduler's state keeps of a worker that starts again under its id."""
+
+    def setUp(self) -> None:
+        self.harness = SchedulingHarness(view("a", born_ms=1))
+
+    def start_run(self) -> Run:
+        """Start the one task of a job on the worker, without an answer."""
+        self.harness.add_job(job("j", step(1)))
+        (order,) = self.harness.start_orders()
+        return order.run
+
+    def test_what_the_earlier_start_reported_is_forgotten(self) -> None:
+        """Ends of a later start were skipped, or acknowledged, by the count of the earlier one."""
+        run = self.start_run()
+        self.harness.report("a", ended=((run.name, run.run_id, EndKind.DONE),))
+        self.harness.store()
+        self.assertEqual(1, self.harness.worker("a").end_to_acknowledge)
+        earlier = self.harness.worker("a")
+        earlier.is_cordoned, earlier.lasting_allowed_from_s = True, 7.0
+        later = self.harness.restart("a", view("a", born_ms=2))
+        self.assertEqual(
+            (0, 0, 0, False, {}),
+            (
+                later.end_to_acknowledge,
+                later.highest_seen_end,
+                later.clock_ms,
+                later.is_fenced,
+                later.runs,
+            ),
+        )
+        # The scheduler's own decisions on the worker stand.
+        self.assertEqual((True, 7.0), (later.is_cordoned, later.lasting_allowed_from_s))
+
+    def test_an_end_is_acknowledged_once_and_after_an_answer(self) -> None:
+        """A poll repeated an acknowledgement, and met a later start of the worker."""
+        run = self.start_run()
+        self.harness.report("a", ended=((run.name, run.run_id, EndKind.DONE),))
+        worker = self.harness.worker("a")
+        self.assertEqual(0, worker.end_to_acknowledge)
+        self.harness.store()
+        self.assertEqual(1, worker.end_to_acknowledge)
+        worker.has_answered_last_poll = False
+        self.assertEqual(0, worker.end_to_acknowledge)
+        worker.has_answered_last_poll, worker.acknowledged = True, 1
+        self.assertEqual(0, worker.end_to_acknowledge)
+
+    def test_a_confirmed_run_is_lost_at_once(self) -> None:
+        """A task waited for a lease to expire, though its worker had started again."""
+        run = self.start_run()
+        self.harness.report("a", running=(RunningTask(name=run.name, run_id=run.run_id),))
+        self.harness.restart("a", view("a", born_ms=2))
+        self.harness.report("a")
+        (order,) = self.harness.start_orders()
+        self.assertEqual((run.name, True), (order.run.name, order.run.run_id > run.run_id))
+
+    @parameterized.expand([(RunPhase.STARTING,), (RunPhase.UNANSWERED,)])
+    def test_an_unconfirmed_run_may_be_on_the_later_start(self, phase: RunPhase) -> None:
+        """A task was started elsewhere while a later start of its worker ran it."""
+        run = self.start_run()
+        run.enter(phase, self.harness.now_s)
+        self.harness.restart("a", view("a", born_ms=2))
+        self.assertEqual([], self.harness.start_orders())
+        self.harness.now_s += 0.1
+        self.harness.report("a", running=(RunningTask(name=run.name, run_id=run.run_id),))
+        self.assertIs(RunPhase.RUNNING, run.phase)
+        self.assertEqual(2, run.incarnation.born_ms)
+        self.assertFalse(self.harness.scheduler_state.tracked_jobs["j"].progress.lost)
+
+    def test_an_unconfirmed_run_is_stopped_before_its_task_starts_again(self) -> None:
+        """A delayed start order was carried out after the task had started elsewhere."""
+        run = self.start_run()
+        run.enter(RunPhase.UNANSWERED, self.harness.now_s)
+        self.harness.restart("a", view("a", born_ms=2))
+        self.harness.now_s += 0.1
+        self.harness.report("a")
+        orders = self.harness.decide()
+        self.assertEqual([run], [one.run for one in orders if isinstance(one, StopOrder)])
+        self.assertFalse([one for one in orders if isinstance(one, StartOrder)])
+        run.enter(RunPhase.STOPPED, self.harness.now_s)
+        self.harness.now_s += 0.1
+        self.harness.report("a")
+        (order,) = self.harness.start_orders()
+        self.assertEqual(run.name, order.run.name)
+
+    def test_an_entry_of_an_earlier_start_changes_nothing(self) -> None:
+        """A late entry of the earlier start made the later one look like it."""
+        self.harness.restart("a", view("a", born_ms=2))
+        self.harness.scheduler_state.update_worker(view("a", born_ms=1, is_draining=True))
+        worker = self.harness.worker("a")
+        self.assertEqual((2, False), (worker.view.born_ms, worker.view.is_draining))
+
+    @parameterized.expand(
+        [
+            ("as_expected", 11_000, True),
+            ("two_percent_slow", 10_800, True),
+            ("report_was_late", 11_900, True),
+            ("counts_anew", 200, False),
+            ("counts_anew_from_a_higher_number", 900_000, False),
+        ]
+    )
+    def test_clock_of_an_answer(self, _name: str, clock_ms: int, is_plausible: bool) -> None:
+        """A start that a later start of the worker had carried out was taken for confirmed."""
+        worker = self.harness.worker("a")
+        worker.clock_ms, worker.clock_at_s = 1_000, 100.0
+        self.assertIs(
+            is_plausible, worker.is_plausible_clock(clock_ms, sent_s=109.999, now_s=110.0)
+        )
+
+    def test_recovery_waits_for_the_later_start(self) -> None:
+        """An earlier scheduler's task ran on the later start, and was started again elsewhere."""
+        state = self.harness.scheduler_state
+        state.pending_recovery["a"] = self.harness.now_s + 1.0
+        self.harness.restart("a", view("a", born_ms=2))
+        self.assertEqual({"a": UNEXPIRING_LEASE_END_S}, state.pending_recovery)
+        self.harness.report("a")
+        self.assertEqual({}, state.pending_recovery)
+
+
+class EarlierRecordTests(unittest.TestCase):
+    """Records that releases wrote which did not know when a worker had started."""
+
+    def test_records_without_a_start_are_read(self) -> None:
+        """A record of the release before ended a duty of this one."""
+        workers = ActiveWorkersRecord.decode(b'{"a": {"address": "x:1", "left_s": null}}')
+        self.assertIsNone(workers["a"].born_ms)
+        record = MachineControllerRecord.decode(b'{"due": [], "over": ["a"]}')
+        self.assertEqual((Incarnation(worker_id="a"),), record.over)
+        row = b'{"queue": "q", "state": "running", "lost": [[0, 0, 0, [[5, "a", "sole", true]]]]}'
+        (lost,) = decode_progress(row).lost[(0, 0, 0)]
+        self.assertEqual(Incarnation(worker_id="a"), lost.incarnation)
+
+    @parameterized.expand([(None,), (1_700_000_000_001,)])
+    def test_a_start_is_read_as_it_was_written(self, born_ms: int | None) -> None:
+        """A record named another start than the one it was written for."""
+        incarnation = Incarnation(worker_id="i-1@b", born_ms=born_ms)
+        self.assertEqual(incarnation, Incarnation.decode(incarnation.encode()))
+        record = MachineControllerRecord(over=(incarnation,))
+        self.assertEqual(record, MachineControllerRecord.decode(record.encode()))
+        lost = LostRun(run_id=1, incarnation=incarnation, blame=Blame.LATE, is_certain=True)
+        progress = JobProgress(queue="q", lost={(0, 0, 0): (lost,)})
+        self.assertEqual(progress.lost, decode_progress(encode_progress(progress)).lost)
--- a/tests/test_shrunk_capacity.py
+++ b/tests/test_shrunk_capacity.py
@@ -36,6 +36,15 @@
         harness.scheduler_state.update_worker(view("a"))
         self.assertEqual(1, len(harness.start_orders()))
 
+    def test_a_worker_that_starts_again_smaller(self) -> None:
+        """Guards against filling a later start of a worker by the capacity of the earlier one."""
+        harness = SchedulingHarness(view("a", born_ms=1))
+        later = view("a", born_ms=2, cpu_millicores=1500)
+        harness.restart("a", later)
+        harness.report("a")
+        harness.add_job(job("j", step(2)))
+        self.assertEqual(1, len(harness.start_orders()))
+
     def test_a_run_that_is_being_stopped_occupies_capacity(self) -> None:
         """Guards against starting a task on a shrunk worker while an earlier one is stopping."""
         harness = SchedulingHarness(view("a"))
