Don't fail a job for a start that its worker may never have received

Cause: a start that no worker confirmed counted as a crash like one that was confirmed, and two such crashes, the last as the sole suspect, fail a job.

Change: a lost run's record says whether its worker is known to have received the start. Of the two crashes both must be received; three of any kind fail a job as before, so that a task which crashes its workers before they answer still ends after three. The late blame for runs that a restarted worker never showed goes: this rule covers them.

--- a/src/shallotworks/jobs/_crashes.py
+++ b/src/shallotworks/jobs/_crashes.py
@@ -11,8 +11,8 @@
 __all__ = ["Blame", "LostRun", "is_crash_looping", "is_suspect"]
 
 MAX_EARLY_CRASHES = 2
-"""A task is crash looping after this many crashes shortly after its starts, if it is the sole
-suspect of its last crash."""
+"""A task is crash looping after this many crashes shortly after starts that workers received, if it
+is the sole suspect of its last crash."""
 MAX_CRASHES = 3
 """A task is crash looping after this many early crashes, whatever other runs may have caused them.
 It is also crash looping after this many crashes of any kind, if it is the sole suspect of the
@@ -42,19 +42,25 @@
         blame: How likely it was the cause.
         is_certain: Whether the worker has crashed. Otherwise it may have crashed, or may still do
             so.
+        is_received: Whether the worker is known to have received the start. Otherwise it may have
+            been dead before.
     """
 
     run_id: int
     incarnation: Incarnation
     blame: Blame
     is_certain: bool
+    is_received: bool = True
 
 
 def is_crash_looping(lost: Sequence[LostRun]) -> bool:
     """Whether a task is in a crash loop, which fails its job: its runs keep crashing workers."""
     crashes = [one.blame for one in lost if one.is_certain]
     early = [blame for blame in crashes if blame is not Blame.LATE]
-    if crashes and crashes[-1] is Blame.SOLE and len(early) >= MAX_EARLY_CRASHES:
+    received = sum(
+        1 for one in lost if one.is_certain and one.is_received and one.blame is not Blame.LATE
+    )
+    if crashes and crashes[-1] is Blame.SOLE and received >= MAX_EARLY_CRASHES:
         return True
     return len(early) >= MAX_CRASHES or (len(crashes) >= MAX_CRASHES and crashes[-1] is Blame.SOLE)
 
--- a/src/shallotworks/jobs/_records.py
+++ b/src/shallotworks/jobs/_records.py
@@ -94,6 +94,7 @@
                         lost_run.blame.value,
                         lost_run.is_certain,
                         lost_run.incarnation.born_ms,
+                        lost_run.is_received,
                     ]
                     for lost_run in runs
                 ],
@@ -124,12 +125,14 @@
                 (row[0], row[1], row[2]): tuple(
                     LostRun(
                         run_id=run[0],
-                        # Earlier releases wrote no start of the worker.
+                        # Earlier releases wrote neither the start of the worker nor whether it
+                        # received the run.
                         incarnation=Incarnation(
                             worker_id=run[1], born_ms=run[4] if len(run) > 4 else None
                         ),
                         blame=Blame(run[2]),
                         is_certain=run[3],
+                        is_received=run[5] if len(run) > 5 else True,
                     )
                     for run in row[3]
                 )
--- a/src/shallotworks/scheduling/_crash_blame.py
+++ b/src/shallotworks/scheduling/_crash_blame.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable, Iterable
 
@@ -147,20 +148,12 @@
                 self._confirm(tracked_job, name, lost, wall_s, is_replaced=True)
 
     def confirm_run(self, run: Run, wall_s: float) -> None:
-        """Record that a run was lost with an earlier start of its worker, if that received it.
-
-        No answer shows that it did. Unless the run was started in isolation, it therefore gets late
-        blame: a sound task whose start was never received must not count as crashing its worker.
-        """
-        worker = self._workers.get(run.worker_id)
-        is_isolated = worker is not None and worker.isolated_run is run
+        """Record that a run was lost with an earlier start of its worker, if that received it."""
         tracked_job = self._tracked_jobs.get(run.name.job_id)
         if tracked_job is None or tracked_job.progress.state.is_final:
             return
         for lost in tracked_job.progress.lost_runs(tracked_job.job, run.name):
             if lost.run_id == run.run_id and not lost.is_certain:
-                blame = lost.blame if is_isolated else Blame.LATE
-                lost = lost._replace(blame=blame)
                 self._confirm(tracked_job, run.name, lost, wall_s, is_replaced=True)
 
     def note_start_answered(self, run: Run, wall_s: float, *, may_have_run: bool) -> None:
@@ -246,7 +239,11 @@
         ):
             return
         lost = LostRun(
-            run_id=run.run_id, incarnation=run.incarnation, blame=blame, is_certain=is_certain
+            run_id=run.run_id,
+            incarnation=run.incarnation,
+            blame=blame,
+            is_certain=is_certain,
+            is_received=run.confirmed_s < math.inf,
         )
         self.note_lost(tracked_job, run.name, lost, wall_s)
 
@@ -267,6 +264,7 @@
             born_ms=lost.incarnation.born_ms,
             blame=lost.blame.value,
             is_certain=lost.is_certain,
+            is_received=lost.is_received,
             runs_lost=len(tracked_job.progress.lost_runs(tracked_job.job, name)),
             is_given_up=is_given_up,
         )
--- a/src/shallotworks/scheduling/_isolation.py
+++ b/src/shallotworks/scheduling/_isolation.py
@@ -149,6 +149,7 @@
             incarnation=worker.incarnation,
             blame=Blame.SOLE,
             is_certain=False,
+            is_received=False,
         )
         self._blame.note_lost(tracked_job, run.name, lost, wall_s)
         self._reserved[run] = (tracked_job.changes, now_s)
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -17,7 +17,14 @@
     is_crash_looping,
     is_suspect,
 )
-from shallotworks.scheduling import EndKind, RunningTask, StartOrder, WaitReason, waiting_reason
+from shallotworks.scheduling import (
+    EndKind,
+    RunningTask,
+    RunPhase,
+    StartOrder,
+    WaitReason,
+    waiting_reason,
+)
 from tests.scheduling_fakes import WALL_S, SchedulingHarness, job, step, view
 
 SOLE, SHARED, LATE = Blame.SOLE, Blame.SHARED, Blame.LATE
@@ -82,6 +89,26 @@
         self.assertEqual(is_given_up, is_crash_looping(runs))
         self.assertEqual(is_isolated, is_suspect(runs))
 
+    @parameterized.expand([(2, True, True), (2, False, False), (3, False, True)])
+    def test_a_sound_task_whose_start_was_not_received(
+        self, crashes: int, is_received: bool, is_given_up: bool
+    ) -> None:
+        """Guards against failing a sound job for a start that a dead worker never received.
+
+        One real crash by chance was then enough.
+        """
+        harness = SchedulingHarness(view("a"), view("b"), view("c"))
+        harness.add_job(job("j", step(1)))
+        tracked_job = harness.scheduler_state.tracked_jobs["j"]
+        for number in range(crashes):
+            (order,) = harness.start_orders()
+            if number or is_received:
+                confirm(harness, order)
+            else:
+                order.run.enter(RunPhase.UNANSWERED, harness.now_s)
+            crash(harness, order.run.worker_id)
+        self.assertEqual(is_given_up, tracked_job.progress.state is JobState.FAILED)
+
     def test_a_certain_loss_is_kept_and_each_run_counts_once(self) -> None:
         """Guards against counting one crash twice because two schedulers recorded it."""
         progress, one = JobProgress(queue="q"), job("j", step(1))
