Count a start that was answered after its worker ended as received

Cause: by reading. A start that the worker confirmed, but whose answer was read after the worker was found to have ended, was recorded as not received; and a worker that came back from an earlier record stayed unlisted for the rest of one update.

Change: the outcome of the start says whether it was received; a later start that discovery lists is listed.

--- a/src/shallotworks/scheduling/_crash_blame.py
+++ b/src/shallotworks/scheduling/_crash_blame.py
@@ -156,11 +156,20 @@
             if lost.run_id == run.run_id and not lost.is_certain:
                 self._confirm(tracked_job, run.name, lost, wall_s, is_replaced=True)
 
-    def note_start_answered(self, run: Run, wall_s: float, *, may_have_run: bool) -> None:
-        """Record the outcome of a start whose worker may have ended in the meantime."""
+    def note_start_answered(
+        self, run: Run, wall_s: float, *, may_have_run: bool, is_received: bool = False
+    ) -> None:
+        """Record the outcome of a start whose worker may have ended in the meantime.
+
+        Args:
+            run: The run.
+            wall_s: Time of day in seconds since 1970.
+            may_have_run: Whether the worker may have received the start.
+            is_received: Whether it certainly has.
+        """
         blame = self._unanswered_starts.pop(run.run_id, None)
         if blame is not None and may_have_run:
-            self._note(run, blame, is_certain=True, wall_s=wall_s)
+            self._note(run, blame, is_certain=True, wall_s=wall_s, is_received=is_received)
         elif blame is not None:
             self.clear_run(run)
 
@@ -230,7 +239,15 @@
         }
         return len(near) >= MIN_MASS_CRASH_WORKERS - 1
 
-    def _note(self, run: Run, blame: Blame, *, is_certain: bool, wall_s: float) -> None:
+    def _note(
+        self,
+        run: Run,
+        blame: Blame,
+        *,
+        is_certain: bool,
+        wall_s: float,
+        is_received: bool = False,
+    ) -> None:
         tracked_job = self._tracked_jobs.get(run.name.job_id)
         if (
             tracked_job is None
@@ -243,7 +260,7 @@
             incarnation=run.incarnation,
             blame=blame,
             is_certain=is_certain,
-            is_received=run.confirmed_s < math.inf,
+            is_received=is_received or run.confirmed_s < math.inf,
         )
         self.note_lost(tracked_job, run.name, lost, wall_s)
 
--- a/src/shallotworks/scheduling/_order_dispatcher.py
+++ b/src/shallotworks/scheduling/_order_dispatcher.py
@@ -514,7 +514,10 @@
         is_fenced_or_gone = self._handle_fenced_or_gone(worker, outcome)
         may_have_run = outcome.status in (OrderStatus.OBEYED, OrderStatus.UNANSWERED)
         self._scheduler_state.crashes.note_start_answered(
-            run, self._wall_clock(), may_have_run=may_have_run
+            run,
+            self._wall_clock(),
+            may_have_run=may_have_run,
+            is_received=outcome.status is OrderStatus.OBEYED,
         )
         if outcome.status is OrderStatus.GONE:
             self._scheduler_state.note_start_failed(run, now_s)
--- a/src/shallotworks/scheduling/_worker_tracker.py
+++ b/src/shallotworks/scheduling/_worker_tracker.py
@@ -124,13 +124,14 @@
             self._scheduler_state.update_worker(view)
             return
         now_s = self._clock()
-        self._scheduler_state.note_restarted(
+        restarted = self._scheduler_state.note_restarted(
             worker,
             view,
             now_s=now_s,
             wall_s=self._wall_clock(),
             runs_end_s=now_s + self._recovery_s,
         )
+        restarted.is_listed = True
 
     def _listed_workers(self) -> dict[str, WorkerView]:
         """Return the listed workers without those that were replaced or removed.
