Keep what a late answer says of a later scheduler

A poll's answer that came after its worker had ended was dropped whole, also where it said that a later scheduler had fenced the worker. And each answer to an order in flight compared its clock with one that had been forgotten.

Change: such an answer still ends the epoch; without a known clock an answer confirms nothing and logs nothing.

--- a/src/shallotworks/scheduling/_order_dispatcher.py
+++ b/src/shallotworks/scheduling/_order_dispatcher.py
@@ -300,7 +300,8 @@
         )
         self._metrics.count(f"scheduler.look.{outcome.status.value}")
         if not self._is_present(worker):
-            # It has ended or started again, so that nothing in this answer holds any more.
+            # It has ended or started again, so that nothing it reports holds any more.
+            self._handle_fenced_or_gone(worker, outcome)
             return
         if outcome.report is None:
             worker.has_answered_last_poll = False
@@ -359,6 +360,9 @@
             if outcome.born_ms < known_born_ms:
                 return False
             return self._identify(worker, outcome) is worker
+        if not worker.clock_ms:
+            # An earlier answer was not of the known start, and no report has come since.
+            return False
         now_s = self._clock()
         if not outcome.clock_ms or worker.is_plausible_clock(
             outcome.clock_ms, sent_s=sent_s, now_s=now_s
