Isolate fewer tasks after a series of crashes, on more machines

Cause: a crash makes suspects of all young tasks on its worker, and each was started in isolation: 200 to 300 waited for half a minute, three or four a second. Their jobs were late, so the pool requested no machines.

The logs show "suspect" as the only reason to wait from 19 s on. Two tests fail on the code before.

Change: once a suspect of a job is cleared, its tasks that were lost once and beside others start together: the tasks of a job are similar, and one that still crashes its worker is a suspect again. Jobs that wait with lost runs request machines, one for two, however late they are.

--- a/src/shallotworks/scheduling/_isolation.py
+++ b/src/shallotworks/scheduling/_isolation.py
@@ -93,12 +93,19 @@
         """Return those waiting tasks of a job that have to be started in isolation.
 
         Uncertain lost runs of the job are resolved first, which may fail the job.
+
+        The tasks of a job are similar. Once a suspect of the job is cleared, a task that was lost
+        only once, and beside others, is no suspect any more: a crash makes suspects of all young
+        tasks on a worker, and after a series of crashes it would take too long to start each of
+        them in isolation.
         """
         self._blame.resolve(tracked_job, wall_s)
+        is_cleared = tracked_job.job.job_id in self._cleared_jobs
+        lost = {name: tracked_job.progress.lost_runs(tracked_job.job, name) for name in names}
         return [
             name
-            for name in names
-            if is_suspect(tracked_job.progress.lost_runs(tracked_job.job, name))
+            for name, runs in lost.items()
+            if is_suspect(runs) and not (is_cleared and _is_lost_once_beside_others(runs))
         ]
 
     def startable_suspects(
@@ -180,6 +187,10 @@
         self._cleared_jobs.discard(job_id)
 
 
+def _is_lost_once_beside_others(lost: tuple[LostRun, ...]) -> bool:
+    return [one.blame for one in lost] == [Blame.SHARED]
+
+
 def _may_start_on(worker: Worker) -> bool:
     """Whether a worker that is reserved for a start may still be sent that start."""
     is_reached = worker.is_listed and worker.is_fenced
--- a/src/shallotworks/scheduling/_sizing.py
+++ b/src/shallotworks/scheduling/_sizing.py
@@ -34,6 +34,8 @@
         drain_grace_s: Time that tasks which end by themselves get on a worker that is drained.
         lasting_exclusion_s: Lasting tasks are kept off a worker for this long after its offer was
             withdrawn, because an order to remove it may still arrive.
+        isolated_jobs_per_worker: A pool with more jobs that wait with lost runs requests machines.
+            Their tasks are started one by one on a worker, which takes a second, and some crash it.
         max_lacking: Upper limit of the machines requested at once by a pool with few workers.
         max_lacking_ratio: Upper limit for a larger pool, as a multiple of its workers: in a burst a
             queue demands several times its mean, however large its pool is.
@@ -44,6 +46,7 @@
     demand: DemandLimits = field(default_factory=DemandLimits)
     drain_grace_s: float = 1.5
     lasting_exclusion_s: float = 3.0
+    isolated_jobs_per_worker: int = 2
     max_lacking: int = 64
     max_lacking_ratio: float = 4.0
 
@@ -190,13 +193,23 @@
             for worker in usable
             if worker.worker_id not in self._cordoned
         )
-        if not waiting_millicore_s and arriving <= available_millicores:
+        isolation_lack = self._lacking_for_isolation(len(usable))
+        if not waiting_millicore_s and arriving <= available_millicores and not isolation_lack:
             return 0
         wanted = waiting_millicore_s / self._limits.backlog_s + arriving
-        lack = -(-(wanted - available_millicores) // size)
+        lack = max(isolation_lack, -(-(wanted - available_millicores) // size))
         lacking_limit = max(self._limits.max_lacking, self._limits.max_lacking_ratio * len(usable))
         return int(max(0 if available_millicores else 1, min(lack, lacking_limit)))
 
+    def _lacking_for_isolation(self, usable: int) -> int:
+        """Return how many machines are lacking to isolate suspects, however late their jobs are."""
+        jobs = {
+            step.tracked_job.job.job_id
+            for step in self._scheduler_state.open_steps()
+            if step.tracked_job.progress.lost
+        }
+        return max(0, len(jobs) // self._limits.isolated_jobs_per_worker - usable)
+
     def _waiting_millicore_s(self, wall_s: float) -> float:
         total = 0.0
         for entry in self._scheduler_state.open_steps():
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -378,6 +378,27 @@
         self.assertIsNone(worker.isolated_run)
         self.assertEqual([1, 2], sorted(one.run.name.number for one in self.harness.start_orders()))
 
+    def test_tasks_of_a_cleared_job_that_were_lost_beside_others_start_together(self) -> None:
+        """Guards against starting hundreds of tasks one by one after a series of crashes.
+
+        Jobs had nothing running for half a minute, on workers that were less than half full.
+        """
+        runs = {(0, 0, number): lost(SHARED) for number in range(3)}
+        runs[0, 0, 3] = lost(SHARED, SHARED)
+        progress = JobProgress(queue="sweeps", lost=runs)
+        self.harness.add_job(job("j", step(4)), progress=progress)
+        (order,) = self.harness.start_orders()
+        confirm(self.harness, order)
+        worker = self.harness.worker(order.run.worker_id)
+        running = (RunningTask(name=order.run.name, run_id=order.run.run_id),)
+        self.harness.now_s += 1.0
+        self.harness.report(worker.worker_id, running=running)
+        together = [one for one in self.harness.decide() if isinstance(one, StartOrder)]
+        self.assertEqual([1, 2], sorted(one.run.name.number for one in together))
+        # The one that was lost twice is still started in isolation.
+        isolated = [one.isolated_run for one in self.harness.scheduler_state.workers.values()]
+        self.assertEqual([3], [run.name.number for run in isolated if run is not None])
+
     def test_a_crash_during_isolation_fails_the_job(self) -> None:
         """Guards against restarting a task that crashed its worker in isolation too."""
         self.suspect(step(1))
--- a/tests/test_pool_sizing.py
+++ b/tests/test_pool_sizing.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from shallotworks.jobs import Blame, Incarnation, JobProgress, LostRun
 from shallotworks.scheduling import EndKind, PoolDemand, PoolSizer, RunningTask, SizingLimits
 from tests.scheduling_fakes import WALL_S, SchedulingHarness, job, step, view
 
@@ -37,6 +38,21 @@
         harness.start_orders()
         self.assertEqual(5, harness.assess().lacking)
 
+    def test_tasks_that_wait_for_isolation_request_machines(self) -> None:
+        """Guards against jobs that wait half a minute to be started one by one on a small pool.
+
+        After a series of crashes they are late, and late work requests no machines.
+        """
+        harness = SizingHarness("a", "b")
+        lost = LostRun(
+            run_id=1, incarnation=Incarnation(worker_id="z"), blame=Blame.SHARED, is_certain=True
+        )
+        for number in range(12):
+            progress = JobProgress(queue="sweeps", lost={(0, 0, 0): (lost,)})
+            harness.add_job(job(f"j{number}", step(1)), progress=progress)
+        self.assertEqual(4, harness.assess(after_s=100.0).lacking)
+        self.assertEqual(0, SizingHarness("a", "b").assess(after_s=100.0).lacking)
+
     def test_nothing_is_lacking_while_nothing_waits(self) -> None:
         """A full pool whose tasks all run needs no more machines."""
         harness = SizingHarness("a")
