Count starts that no worker confirmed for less than confirmed ones

Cause: two starts sent to dead workers counted as crashes beside the real one, and three of any kind fail a job.

A task that crashes its workers before they can answer is still given up, one crash later.

--- a/src/shallotworks/jobs/_crashes.py
+++ b/src/shallotworks/jobs/_crashes.py
@@ -11,12 +11,16 @@
 __all__ = ["Blame", "LostRun", "is_crash_looping", "is_suspect"]
 
 MAX_EARLY_CRASHES = 2
-"""A task is crash looping after this many crashes shortly after starts that workers received, if it
-is the sole suspect of its last crash."""
+"""A task is crash looping after this many crashes shortly after its starts, if it is the sole
+suspect of its last crash. Here and below, crashes count after starts that workers received."""
 MAX_CRASHES = 3
 """A task is crash looping after this many early crashes, whatever other runs may have caused them.
 It is also crash looping after this many crashes of any kind, if it is the sole suspect of the
 last."""
+MAX_UNRECEIVED_CRASHES = 4
+"""A task is crash looping after this many early crashes, even if workers confirmed none of its
+starts. Such a start may have been sent to a worker that was dead before, so that it counts for less.
+"""
 MIN_SUSPECT_CRASHES = 2
 """A task is a suspect after this many lost runs, even if each of them gets late blame."""
 
@@ -55,14 +59,14 @@
 
 def is_crash_looping(lost: Sequence[LostRun]) -> bool:
     """Whether a task is in a crash loop, which fails its job: its runs keep crashing workers."""
-    crashes = [one.blame for one in lost if one.is_certain]
-    early = [blame for blame in crashes if blame is not Blame.LATE]
-    received = sum(
-        1 for one in lost if one.is_certain and one.is_received and one.blame is not Blame.LATE
-    )
-    if crashes and crashes[-1] is Blame.SOLE and received >= MAX_EARLY_CRASHES:
+    crashes = [one for one in lost if one.is_certain]
+    received = [one.blame for one in crashes if one.is_received]
+    early = [blame for blame in received if blame is not Blame.LATE]
+    if received and received[-1] is Blame.SOLE and len(early) >= MAX_EARLY_CRASHES:
         return True
-    return len(early) >= MAX_CRASHES or (len(crashes) >= MAX_CRASHES and crashes[-1] is Blame.SOLE)
+    if len(early) >= MAX_CRASHES or (len(received) >= MAX_CRASHES and received[-1] is Blame.SOLE):
+        return True
+    return sum(one.blame is not Blame.LATE for one in crashes) >= MAX_UNRECEIVED_CRASHES
 
 
 def is_suspect(lost: Sequence[LostRun]) -> bool:
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -89,6 +89,24 @@
         self.assertEqual(is_given_up, is_crash_looping(runs))
         self.assertEqual(is_isolated, is_suspect(runs))
 
+    @parameterized.expand(
+        [
+            ("one_of_three_received", (False, True, False), False),
+            ("two_of_three_received", (False, True, True), True),
+            ("none_of_three_received", (False, False, False), False),
+            ("none_of_four_received", (False, False, False, False), True),
+        ]
+    )
+    def test_starts_that_were_not_received_count_for_less(
+        self, _name: str, received: tuple[bool, ...], is_given_up: bool
+    ) -> None:
+        """Guards against failing a sound job for one crash and two starts sent to dead workers."""
+        runs = tuple(
+            run._replace(is_received=is_received)
+            for run, is_received in zip(lost(*[SOLE] * len(received)), received, strict=True)
+        )
+        self.assertEqual(is_given_up, is_crash_looping(runs))
+
     @parameterized.expand([(2, True, True), (2, False, False), (3, False, True)])
     def test_a_sound_task_whose_start_was_not_received(
         self, crashes: int, is_received: bool, is_given_up: bool
