--- a/src/shallotworks/jobs/_crashes.py
+++ b/src/shallotworks/jobs/_crashes.py
@@ -19,8 +19,7 @@
 last."""
 MAX_UNRECEIVED_CRASHES = 4
 """A task is crash looping after this many early crashes, even if workers confirmed none of its
-starts. Such a start may have been sent to a worker that was dead before, so that it counts for less.
-"""
+starts. Such a start may have been sent to a worker that was already dead, so it counts for less."""
 MIN_SUSPECT_CRASHES = 2
 """A task is a suspect after this many lost runs, even if each of them gets late blame."""
 
