--- a/tests/test_acknowledged_ends.py
+++ b/tests/test_acknowledged_ends.py
@@ -17,6 +17,9 @@
 from tests.scheduling_simulation import SchedulingSimulation
 from tests.virtual_clock import run_scenario
 
+SEEDS = range(1, 17)
+DISTURBANCES = 6
+MAX_ATTEMPTS = 2
 JOB_ID = "00000000000000aa"
 FIRST, SECOND = TaskName(JOB_ID, 0, 0, 0), TaskName(JOB_ID, 0, 0, 1)
 
@@ -28,6 +31,24 @@
         return a
 
 
+async def disturb(simulation: SchedulingSimulation) -> None:
+    """Take the store away again and again, and kill the scheduler or crash a worker meanwhile."""
+    rng = simulation.rng
+    for _ in range(DISTURBANCES):
+        await asyncio.sleep(rng.uniform(0.2, 2.0))
+        for instance in simulation.instances:
+            instance.store.faults = RecordFaults(is_down=True)
+        await asyncio.sleep(rng.uniform(0.1, 3.0))
+        holder = simulation.scheduler()
+        if holder is not None and rng.random() < 0.6:
+            await simulation.replace(holder)
+        if rng.random() < 0.4:
+            worker_id = rng.choice(list(simulation.fleet.workers))
+            simulation.fleet.restart(worker_id)
+        for instance in simulation.instances:
+            instance.store.faults = RecordFaults()
+
+
 class AcknowledgedEndTests(unittest.TestCase):
     @parameterized.expand(
         [
@@ -87,3 +108,26 @@
                 await instance.kill()
 
         run_scenario(scenario())
+
+    @parameterized.expand([(seed,) for seed in SEEDS])
+    def test_no_task_starts_after_its_end_was_acknowledged(self, seed: int) -> None:
+        """A task ran again after outages beside failing jobs, cancels, takeovers and crashes.
+
+        Nor does one start after its last attempt was acknowledged as failed.
+        """
+
+        async def scenario() -> None:
+            simulation = SchedulingSimulation(seed=seed, workers=5, instances=3)
+            simulation.fleet.most_attempts = MAX_ATTEMPTS
+            for number in range(0, 40, 3):
+                simulation.fleet.failing.add(TaskName(f"{number:016x}", 0, 0, 0))
+            for instance in simulation.instances:
+                instance.start()
+            await asyncio.sleep(1.0)
+            await asyncio.gather(simulation.run_jobs(40, 12.0), disturb(simulation))
+            await asyncio.sleep(30.0)
+            self.assertEqual([], simulation.fleet.violations)
+            for instance in simulation.instances:
+                await instance.kill()
+
+        run_scenario(scenario())
