Check a worker's start in one place

Cause: reading the change once more. That an entry or a list of runs is of an earlier start was checked twice, in the registry and for answers; the field's name stood as text beside its constant; a reader of whole numbers had a twin; and the registry compared incarnations that it built for each heartbeat.

Change: read_born_ms takes the known start and makes the check; _integer_within serves all ranges; an entry of an earlier start is one kind of rejection that unlists nothing. Behaviour is as before.

--- a/src/shallotworks/platform/_worker_entries.py
+++ b/src/shallotworks/platform/_worker_entries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import re
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -16,7 +17,14 @@
 
 from ._fields import DECODE_ERRORS, json_array, json_integer, json_number, json_object, json_string
 
-__all__ = ["EntryProblem", "EntryProblemKind", "InvalidEntryError", "decode_entry", "read_born_ms"]
+__all__ = [
+    "BORN_FIELD",
+    "EntryProblem",
+    "EntryProblemKind",
+    "InvalidEntryError",
+    "decode_entry",
+    "read_born_ms",
+]
 
 MAX_CPU_MILLICORES = 10_000_000
 MAX_MEMORY_MB = 100_000_000
@@ -75,7 +83,11 @@
 
 
 def decode_entry(
-    worker_id: str, value: bytes, *, requires_born: bool = False
+    worker_id: str,
+    value: bytes,
+    *,
+    requires_born: bool = False,
+    known_born_ms: int | None = None,
 ) -> Result[WorkerView, EntryProblem]:
     """Decode the entry of a worker.
 
@@ -89,6 +101,7 @@
         value: The entry's bytes.
         requires_born: Whether the entry must state when the worker started. A platform that states
             it does so for each of its workers.
+        known_born_ms: The latest known start of the worker; ``None`` if unknown.
 
     Returns:
         The worker, or why the entry was rejected.
@@ -98,7 +111,7 @@
             raise InvalidEntryError(EntryProblemKind.BAD_ID)
         json_fields = _load_json(value)
         entry = _read_fields(json_fields, _ENTRY_READERS)
-        born_ms = read_born_ms(json_fields, is_required=requires_born)
+        born_ms = read_born_ms(json_fields, is_required=requires_born, known_born_ms=known_born_ms)
     except InvalidEntryError as error:
         return Err(error.problem)
     capacity, labels = entry["capacity"], entry["labels"]
@@ -120,22 +133,29 @@
     )
 
 
-def read_born_ms(json_fields: Mapping[str, Any], *, is_required: bool) -> int | None:
+def read_born_ms(
+    json_fields: Mapping[str, Any], *, is_required: bool, known_born_ms: int | None = None
+) -> int | None:
     """Return when a worker started, in milliseconds since 1970, as it states in a message.
 
     Args:
         json_fields: The top level of the message.
         is_required: Whether a message without it is invalid.
+        known_born_ms: The latest known start of the worker; ``None`` if unknown.
 
     Returns:
         The time; ``None`` if it is neither stated nor required.
 
     Raises:
-        InvalidEntryError: It is missing, no whole number, or not after 1970.
+        InvalidEntryError: It is missing, no whole number, not after 1970, or earlier than the known
+            one.
     """
     if BORN_FIELD not in json_fields and not is_required:
         return None
-    return int(_read_fields(json_fields, {BORN_FIELD: _read_born})[BORN_FIELD])
+    born_ms: int = _read_fields(json_fields, {BORN_FIELD: _integer_within(1)})[BORN_FIELD]
+    if known_born_ms is not None and born_ms < known_born_ms:
+        raise InvalidEntryError(EntryProblemKind.SUPERSEDED, BORN_FIELD)
+    return born_ms
 
 
 def _load_json(value: bytes) -> dict[str, Any]:
@@ -189,12 +209,6 @@
     return json_integer(value)
 
 
-def _read_born(value: Any, field: str) -> int:
-    if json_integer(value) <= 0:
-        raise InvalidEntryError(EntryProblemKind.OUT_OF_RANGE, field)
-    return int(value)
-
-
 def _read_number(value: Any, _field: str) -> float:
     return json_number(value)
 
@@ -218,9 +232,9 @@
     return str(value)
 
 
-def _integer_up_to(limit: int) -> _FieldReader:
+def _integer_within(lowest: int, highest: float = math.inf) -> _FieldReader:
     def read_integer(value: Any, field: str) -> int:
-        if not 0 <= json_integer(value) <= limit:
+        if not lowest <= json_integer(value) <= highest:
             raise InvalidEntryError(EntryProblemKind.OUT_OF_RANGE, field)
         return int(value)
 
@@ -236,9 +250,9 @@
 
 
 _CAPACITY_READERS: Mapping[str, _FieldReader] = {
-    "cpu": _integer_up_to(MAX_CPU_MILLICORES),
-    "memMb": _integer_up_to(MAX_MEMORY_MB),
-    "gpu": _integer_up_to(MAX_GPUS),
+    "cpu": _integer_within(0, MAX_CPU_MILLICORES),
+    "memMb": _integer_within(0, MAX_MEMORY_MB),
+    "gpu": _integer_within(0, MAX_GPUS),
 }
 _ENTRY_READERS: Mapping[str, _FieldReader] = {
     "service": _read_non_empty,
--- a/src/shallotworks/platform/_workers.py
+++ b/src/shallotworks/platform/_workers.py
@@ -25,6 +25,7 @@
 from ._fields import DECODE_ERRORS, json_array, json_integer, json_number, json_string
 from ._http import HttpAnswer, HttpClient, HttpNoAnswer
 from ._worker_entries import (
+    BORN_FIELD,
     EntryProblem,
     EntryProblemKind,
     InvalidEntryError,
@@ -41,7 +42,6 @@
 ORDER_TIMEOUT_S = 0.7
 """Timeout of an order: healthy workers answer in a few milliseconds."""
 
-_SUPERSEDED = EntryProblem(kind=EntryProblemKind.SUPERSEDED, field="born")
 _STATUS_BY_REASON = {
     "fence": OrderStatus.FENCED,
     "old": OrderStatus.STALE_RUN,
@@ -169,29 +169,14 @@
         )
     try:
         report = _decode_report(answer.body)
-        born_ms = _decode_born_ms(answer.body, known_born_ms)
-    except (*DECODE_ERRORS, InvalidEntryError) as error:
+        born_ms = read_born_ms(
+            answer.body, is_required=known_born_ms is not None, known_born_ms=known_born_ms
+        )
+    except DECODE_ERRORS as error:
         return OrderOutcome(status=OrderStatus.INVALID, detail=repr(error))
     return OrderOutcome(status=order_status, clock_ms=clock_ms, report=report, born_ms=born_ms)
 
 
-def _decode_born_ms(body: dict[str, Any], known_born_ms: int | None) -> int | None:
-    """Return when the worker that sent its lists of runs had started, in milliseconds since 1970.
-
-    Args:
-        body: The answer.
-        known_born_ms: The latest known start of the worker; ``None`` if unknown.
-
-    Raises:
-        InvalidEntryError: It is invalid, earlier than the known one, or missing although one is
-            known.
-    """
-    born_ms = read_born_ms(body, is_required=known_born_ms is not None)
-    if born_ms is not None and known_born_ms is not None and born_ms < known_born_ms:
-        raise InvalidEntryError(EntryProblemKind.SUPERSEDED, "born")
-    return born_ms
-
-
 def _decode_optional_born_ms(body: dict[str, Any]) -> int | None:
     """Return the start that an answer without lists states; ``None`` if it states no valid one."""
     try:
@@ -285,8 +270,7 @@
         self._latest_born_ms: dict[str, int] = {}
         """The latest known start of each worker, also of workers that are not listed any more."""
         self._is_born_stated = False
-        """Whether workers of this platform state when they started. A platform either has this
-        field in all entries or, like the one that the bench plays, in none."""
+        """Whether workers of this platform state when they started: all of them do, or none."""
         self.is_synced = False
         self.version = 0
 
@@ -302,16 +286,18 @@
     def on_write(self, item: Item) -> None:
         """List a worker whose entry was written; remove it if the entry can't be decoded."""
         worker_id = item.key.removeprefix(REGISTRY_PREFIX)
-        decoded = decode_entry(worker_id, item.value, requires_born=self._is_born_stated)
+        decoded = decode_entry(
+            worker_id,
+            item.value,
+            requires_born=self._is_born_stated,
+            known_born_ms=self._latest_born_ms.get(worker_id),
+        )
         if not isinstance(decoded, Success):
             self._reject(worker_id, decoded.failure(), item.revision)
             return
         view = decoded.unwrap()
         if view.born_ms is not None:
             self._require_born(item.revision)
-            if view.born_ms < self._latest_born_ms.get(worker_id, 0):
-                self._note_problem(worker_id, _SUPERSEDED, item.revision, was_listed=False)
-                return
             self._note_born(worker_id, view.born_ms)
         self._add(view, item.revision)
 
@@ -328,8 +314,10 @@
         earlier = self._workers.get(view.worker_id)
         self._workers[view.worker_id] = view
         self.version += earlier != view
-        is_new = earlier is None or earlier.incarnation != view.incarnation
-        if is_new or (earlier is not None and earlier.is_draining != view.is_draining):
+        if earlier is None or (earlier.born_ms, earlier.is_draining) != (
+            view.born_ms,
+            view.is_draining,
+        ):
             state = "draining" if view.is_draining else "ready"
             self._log.line(
                 "worker-listed",
@@ -345,7 +333,7 @@
         if self._is_born_stated:
             return
         self._is_born_stated = True
-        problem = EntryProblem(kind=EntryProblemKind.MISSING, field="born")
+        problem = EntryProblem(kind=EntryProblemKind.MISSING, field=BORN_FIELD)
         for worker_id in [key for key, view in self._workers.items() if view.born_ms is None]:
             self._reject(worker_id, problem, revision)
 
@@ -356,13 +344,10 @@
             del self._latest_born_ms[next(iter(self._latest_born_ms))]
 
     def _reject(self, worker_id: str, problem: EntryProblem, revision: int) -> None:
-        earlier = self._workers.pop(worker_id, None)
+        # An entry of an earlier start says nothing against the later one that is listed.
+        is_superseded = problem.kind is EntryProblemKind.SUPERSEDED
+        earlier = None if is_superseded else self._workers.pop(worker_id, None)
         self.version += earlier is not None
-        self._note_problem(worker_id, problem, revision, was_listed=earlier is not None)
-
-    def _note_problem(
-        self, worker_id: str, problem: EntryProblem, revision: int, *, was_listed: bool
-    ) -> None:
         # Entries are rewritten every second or two, so the same problem is logged only once.
         if self._problems.get(worker_id) == problem:
             return
@@ -372,6 +357,6 @@
             worker=worker_id,
             fault=problem.kind.value,
             field=problem.field,
-            was_listed=was_listed,
+            was_listed=earlier is not None,
             revision=revision,
         )
