Blame the runs of ended and of restarted workers in one function

Cause: note_worker_restarted repeated note_worker_ended but for the runs that a later start may have; and the largest skew of a worker's clock stood in two modules.

Change: note_worker_ended takes these runs; the clock's tolerance follows from the one constant.

--- a/src/shallotworks/scheduling/_crash_blame.py
+++ b/src/shallotworks/scheduling/_crash_blame.py
@@ -9,7 +9,7 @@
 
 import math
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from shallotworks.jobs import Blame, Incarnation, LostRun, TaskName
 from shallotworks.logs import StructuredLog
@@ -107,7 +107,14 @@
         for run, blame in on_probation:
             self._note(run, blame, is_certain=False, wall_s=wall_s)
 
-    def note_worker_ended(self, worker: Worker, wall_s: float, *, is_replaced: bool) -> None:
+    def note_worker_ended(
+        self,
+        worker: Worker,
+        wall_s: float,
+        *,
+        is_replaced: bool,
+        unconfirmed: Collection[Run] = (),
+    ) -> None:
         """Blame the runs of a worker that has ended, and confirm earlier uncertain losses on it.
 
         Args:
@@ -115,37 +122,21 @@
             wall_s: Time of day in seconds since 1970.
             is_replaced: Whether another incarnation has taken the worker's place, so that it has
                 crashed. Otherwise it may only be unreachable.
+            unconfirmed: Its runs that a later start of it may have received instead. Their blame
+                stays uncertain until a report of the later one shows whether it has them.
         """
         for run in worker.runs.values():
             if run.phase is RunPhase.RESERVED:
                 self.clear_run(run)
         for run, blame in self._assign_blame(worker):
-            if run.phase is RunPhase.STARTING:
+            if run.phase is RunPhase.STARTING and run not in unconfirmed:
                 self._unanswered_starts[run.run_id] = blame
             else:
-                self._note(run, blame, is_certain=True, wall_s=wall_s)
-        for tracked_job, name, lost in self._uncertain_losses_on(worker.incarnation):
-            if lost.run_id not in self._unanswered_starts:
-                self._confirm(tracked_job, name, lost, wall_s, is_replaced=is_replaced)
-
-    def note_worker_restarted(self, worker: Worker, unconfirmed: list[Run], wall_s: float) -> None:
-        """Blame the runs of a worker that has crashed and started again under its id.
-
-        Args:
-            worker: The earlier start.
-            unconfirmed: Its runs that the later start may have received instead. Their blame stays
-                uncertain until a report of the later one shows whether it has them.
-            wall_s: Time of day in seconds since 1970.
-        """
-        for run in worker.runs.values():
-            if run.phase is RunPhase.RESERVED:
-                self.clear_run(run)
-        for run, blame in self._assign_blame(worker):
-            self._note(run, blame, is_certain=run not in unconfirmed, wall_s=wall_s)
-        pending = {run.run_id for run in unconfirmed}
+                self._note(run, blame, is_certain=run not in unconfirmed, wall_s=wall_s)
+        pending = self._unanswered_starts.keys() | {run.run_id for run in unconfirmed}
         for tracked_job, name, lost in self._uncertain_losses_on(worker.incarnation):
             if lost.run_id not in pending:
-                self._confirm(tracked_job, name, lost, wall_s, is_replaced=True)
+                self._confirm(tracked_job, name, lost, wall_s, is_replaced=is_replaced)
 
     def confirm_run(self, run: Run, wall_s: float) -> None:
         """Record that a run was lost with an earlier start of its worker, if that received it."""
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -12,6 +12,7 @@
     "AdviceRequest",
     "EndKind",
     "EndedTask",
+    "MAX_CLOCK_SKEW_RATIO",
     "OrderStatus",
     "OrderOutcome",
     "PaceOrder",
@@ -193,8 +194,10 @@
     run."""
 
 
-CLOCK_TOLERANCE_RATIO = 0.03
-"""A worker's clock may be 2% slow. Source: the platform's page on running tasks."""
+MAX_CLOCK_SKEW_RATIO = 0.02
+"""How slow a worker's clock may run. Source: the platform's page on running tasks."""
+CLOCK_TOLERANCE_RATIO = 1.5 * MAX_CLOCK_SKEW_RATIO
+"""Largest difference at which a clock is still taken for the same worker's."""
 CLOCK_TOLERANCE_MS = 1_000
 """The report with which a clock is compared may have taken this long to arrive."""
 UNKNOWN_STEP = Step(count=1)
--- a/src/shallotworks/scheduling/_order_dispatcher.py
+++ b/src/shallotworks/scheduling/_order_dispatcher.py
@@ -12,6 +12,7 @@
 from shallotworks.store import HeldLease
 
 from ._model import (
+    MAX_CLOCK_SKEW_RATIO,
     OrderOutcome,
     OrderStatus,
     PaceOrder,
@@ -26,9 +27,6 @@
 
 __all__ = ["OrderDispatcher", "OrderTimes"]
 
-MAX_CLOCK_SKEW_RATIO = 0.02
-"""How slow a worker's clock may run. Source: the platform's page on running tasks."""
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class OrderTimes:
--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -353,7 +353,9 @@
         if worker.view.is_draining:
             self.crashes.note_worker_left(worker)
         else:
-            self.crashes.note_worker_restarted(worker, unconfirmed, wall_s)
+            self.crashes.note_worker_ended(
+                worker, wall_s, is_replaced=True, unconfirmed=unconfirmed
+            )
         restarted = worker.restart(view)
         restarted.lease_ends_s = runs_end_s
         isolated_run = worker.isolated_run
