Inject faults and restarts of the soak by one loop

Cause: the loop that restarts workers was a copy of the one that injects faults.

Change: the loop takes its scenarios, its random source and its pauses.

--- a/soak/_fault_scenarios.py
+++ b/soak/_fault_scenarios.py
@@ -11,7 +11,7 @@
 from soak._fault_log import ALL_INSTANCES
 from soak._testbed import Entry, Testbed
 
-__all__ = ["FAULT_SCENARIOS", "RESTART_SCENARIOS"]
+__all__ = ["FAULT_SCENARIOS", "RESTART_SCENARIOS", "FaultScenario"]
 
 STOP_GRACE_S = 6.0
 CONFIG_IN_FORCE_S = 2.0
@@ -183,8 +183,8 @@
     testbed.fault_log.end(fault)
 
 
-def _restart_workers(testbed: Testbed) -> None:
-    """Restart one to three workers under their ids, rather such with acknowledged ends."""
+def _restart_drawn_workers(testbed: Testbed) -> None:
+    """Restart one to three workers under their ids, preferably such with acknowledged ends."""
     rng = testbed.restart_rng
     names = testbed.fleet.machines_with_acknowledged_ends() or sorted(testbed.fleet.machines)
     for name in rng.sample(names, min(len(names), rng.randint(1, 3))):
@@ -193,7 +193,7 @@
 
 async def restart_workers(testbed: Testbed) -> None:
     """Restart workers to which ends were acknowledged."""
-    _restart_workers(testbed)
+    _restart_drawn_workers(testbed)
 
 
 async def restart_workers_beside_dead_scheduler(testbed: Testbed) -> None:
@@ -201,7 +201,7 @@
     name = testbed.restart_rng.choice(sorted(testbed.entries))
     fault = testbed.fault_log.begin("kill", name)
     testbed.entries[name].process.send(signal.SIGKILL)
-    _restart_workers(testbed)
+    _restart_drawn_workers(testbed)
     await asyncio.sleep(1.5)
     testbed.fault_log.end(fault)
 
@@ -212,7 +212,7 @@
     for entry in testbed.entries.values():
         entry.store.faults = RecordFaults(is_down=True)
     await asyncio.sleep(testbed.restart_rng.uniform(0.1, 1.0))
-    _restart_workers(testbed)
+    _restart_drawn_workers(testbed)
     await asyncio.sleep(testbed.restart_rng.uniform(0.5, 2.0))
     for entry in testbed.entries.values():
         entry.store.faults = RecordFaults()
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import pathlib
+import random
 from dataclasses import dataclass
 
 from soak._callers import CalledJob
 from soak._fault_log import ALL_INSTANCES
-from soak._fault_scenarios import FAULT_SCENARIOS, RESTART_SCENARIOS
+from soak._fault_scenarios import FAULT_SCENARIOS, RESTART_SCENARIOS, FaultScenario
 from soak._slots import Slot
 from soak._testbed import Testbed
 
@@ -89,8 +90,13 @@
     if testbed.rng.random() < 0.7:
         testbed.request_wave(1, count=int(machines * WAVE_MACHINE_RATIO), max_at_once=2)
     ends_s = loop.time() + plan.fault_period_s
-    series = [_inject_faults(testbed, ends_s) for _ in range(plan.series)]
-    series.append(_restart_workers(testbed, ends_s))
+    series = [
+        _inject_faults(testbed, ends_s, FAULT_SCENARIOS, testbed.rng, (0.0, 3.0))
+        for _ in range(plan.series)
+    ]
+    series.append(
+        _inject_faults(testbed, ends_s, RESTART_SCENARIOS, testbed.restart_rng, (1.0, 4.0))
+    )
     await asyncio.gather(testbed.callers.run(plan.jobs, plan.fault_period_s), *series)
     began_s = loop.time()
     settling = testbed.fault_log.begin("settling", ALL_INSTANCES)
@@ -119,22 +125,19 @@
     )
 
 
-async def _inject_faults(testbed: Testbed, ends_s: float) -> None:
-    loop = asyncio.get_running_loop()
-    await asyncio.sleep(testbed.rng.uniform(0.0, 3.0))
-    while loop.time() < ends_s:
-        await testbed.rng.choice(FAULT_SCENARIOS)(testbed)
-        await asyncio.sleep(testbed.rng.uniform(0.0, 3.0))
-
-
-async def _restart_workers(testbed: Testbed, ends_s: float) -> None:
-    """Restart workers under their ids, again and again, beside all other faults."""
+async def _inject_faults(
+    testbed: Testbed,
+    ends_s: float,
+    scenarios: tuple[FaultScenario, ...],
+    rng: random.Random,
+    pause_range_s: tuple[float, float],
+) -> None:
+    """Inject one drawn fault after the other until ``ends_s``, with drawn pauses in seconds."""
     loop = asyncio.get_running_loop()
-    rng = testbed.restart_rng
-    await asyncio.sleep(rng.uniform(1.0, 4.0))
+    await asyncio.sleep(rng.uniform(*pause_range_s))
     while loop.time() < ends_s:
-        await rng.choice(RESTART_SCENARIOS)(testbed)
-        await asyncio.sleep(rng.uniform(1.0, 4.0))
+        await rng.choice(scenarios)(testbed)
+        await asyncio.sleep(rng.uniform(*pause_range_s))
 
 
 async def _poll_states(testbed: Testbed) -> None:
