--- a/tests/test_acknowledged_ends.py
+++ b/tests/test_acknowledged_ends.py
@@ -72,10 +72,7 @@
         self.assertEqual([1, 1], [harness.worker(one).highest_settled for one in "ab"])
 
     def test_a_successor_starts_no_task_whose_end_was_acknowledged(self) -> None:
-        """A task that was done ran again after its job had failed while the store was away.
-
-        The scheduler dies before it can store that, and the worker that told of the failure too.
-        """
+        """A task that was done ran again, as its job's failure was lost with the scheduler."""
 
         async def scenario() -> None:
             simulation = SchedulingSimulation(seed=1, workers=2, instances=2)
@@ -111,10 +108,7 @@
 
     @parameterized.expand([(seed,) for seed in SEEDS])
     def test_no_task_starts_after_its_end_was_acknowledged(self, seed: int) -> None:
-        """A task ran again after outages beside failing jobs, cancels, takeovers and crashes.
-
-        Nor does one start after its last attempt was acknowledged as failed.
-        """
+        """A task ran again after outages beside failing jobs, cancels, takeovers and crashes."""
 
         async def scenario() -> None:
             simulation = SchedulingSimulation(seed=seed, workers=5, instances=3)
--- a/tests/test_config_history.py
+++ b/tests/test_config_history.py
@@ -223,22 +223,16 @@
     """Sessions that have shown a fault, played again step by step."""
 
     def test_revision_that_one_process_never_heard_of(self) -> None:
-        """Two processes read a revision as the store loses it; a third must not write it anew.
-
-        Reads are stale until the moment of the loss, so the third knows the revision by hearsay.
-        """
+        """Two processes read a revision as the store lost it, and a third wrote it anew."""
         session = self._session_with_unread_revision()
         session.come_back_older(lost_writes=1)
         session.propose(count=1, index=1)
         session.teardown()
 
     def test_revision_that_is_written_anew_is_reported(self) -> None:
-        """Processes went on with different changes of one revision, and none of them said so.
-
-        As above, but nothing has told the third process of the revision, so that it writes it anew.
-        The two that read it keep what they have and report the store's fault.
-        """
+        """Processes went on with different changes of one revision, and none of them said so."""
         session = self._session_with_unread_revision()
+        # Nothing tells the third process of the revision before it writes.
         session.values = _Anything()
         session.change_faults(delay_s=0.0, down=False, lost_answers=0, stale=False)
         session._on_loop(lambda: session.store.roll_back_to(0))
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -111,10 +111,7 @@
     def test_a_sound_task_whose_start_was_not_received(
         self, crashes: int, is_received: bool, is_given_up: bool
     ) -> None:
-        """Guards against failing a sound job for a start that a dead worker never received.
-
-        One real crash by chance was then enough.
-        """
+        """Guards against failing a sound job for a start that a dead worker never received."""
         harness = SchedulingHarness(view("a"), view("b"), view("c"))
         harness.add_job(job("j", step(1)))
         tracked_job = harness.scheduler_state.tracked_jobs["j"]
@@ -397,10 +394,7 @@
         self.assertEqual([1, 2], sorted(one.run.name.number for one in self.harness.start_orders()))
 
     def test_tasks_of_a_cleared_job_that_were_lost_beside_others_start_together(self) -> None:
-        """Guards against starting hundreds of tasks one by one after a series of crashes.
-
-        Jobs had nothing running for half a minute, on workers that were less than half full.
-        """
+        """Guards against starting hundreds of tasks one by one after a series of crashes."""
         runs = {(0, 0, number): lost(SHARED) for number in range(3)}
         runs[0, 0, 3] = lost(SHARED, SHARED)
         progress = JobProgress(queue="sweeps", lost=runs)
--- a/tests/test_machine_controller.py
+++ b/tests/test_machine_controller.py
@@ -250,11 +250,7 @@
     def test_a_wave_maintains_each_machine_once_within_its_limit(
         self, _name: str, keeps_ids: bool
     ) -> None:
-        """Offered machines and machines that are off are maintained; then the wave completes.
-
-        Guards against a wave that never ends, since a worker that returned under its id counted as
-        the one that had gone down.
-        """
+        """Guards against a wave that never ends, since a worker returned under its earlier id."""
 
         async def scenario() -> None:
             machine_harness = MachineHarness(antenna=4, spare=2)
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -200,19 +200,7 @@
     def test_worker_entries(self) -> None:
         """Guards against misreading a worker's fields, and against listing an invalid entry."""
         registry = WorkerRegistry(log=quiet_log())
-        entry = {
-            "service": "s",
-            "address": "10.0.0.1:1",
-            "zone": "hall",
-            "version": "v1",
-            "slots": 8,
-            "state": "draining",
-            "coldRemainingMs": 0,
-            "seqNo": 4,
-            "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
-            "labels": ["a", "r1-3"],
-        }
-        registry.on_write(_entry("i-1", entry))
+        registry.on_write(_entry("i-1", _ENTRY | {"state": "draining"}))
         registry.on_write(_entry("i-2", {"service": "s"}))
         view = registry.workers_of("s")["i-1"]
         self.assertEqual(("r1-3", 16000, True), (view.rack, view.cpu_millicores, view.is_draining))
--- a/tests/test_pool_sizing.py
+++ b/tests/test_pool_sizing.py
@@ -39,10 +39,7 @@
         self.assertEqual(5, harness.assess().lacking)
 
     def test_tasks_that_wait_for_isolation_request_machines(self) -> None:
-        """Guards against jobs that wait half a minute to be started one by one on a small pool.
-
-        After a series of crashes they are late, and late work requests no machines.
-        """
+        """Guards against late jobs that wait for isolation on a pool that requests no machines."""
         harness = SizingHarness("a", "b")
         lost = LostRun(
             run_id=1, incarnation=Incarnation(worker_id="z"), blame=Blame.SHARED, is_certain=True
--- a/tests/test_restarted_workers.py
+++ b/tests/test_restarted_workers.py
@@ -188,10 +188,7 @@
     def test_ends_of_a_new_start_are_read(
         self, _name: str, is_stale: bool, restart: Callable[[SchedulingSimulation], Awaitable[None]]
     ) -> None:
-        """Ends of a worker that started again under its id were acknowledged before being read.
-
-        Their numbers begin anew. Tasks that were done ran again, and the next step never started.
-        """
+        """Ends of a worker that started again under its id were acknowledged before being read."""
 
         async def scenario() -> None:
             simulation = SchedulingSimulation(seed=1, workers=2, instances=2)
