Isolate the suspects of a step together, on more workers while more jobs wait

With a quarter of a queue's jobs crashing their workers, sound jobs whose tasks were lost beside them stood still for half a minute and had not ended 14 s after the traffic.

Cause: the rate of isolation did not grow with the number of suspects. A suspect that was done before its probation was over cleared nothing, so that each task of a job was isolated by itself. One task stood for its whole job, although the cause is one task of one step, so that "cleared" jobs crashed further workers. Only one busy worker in eight could be reserved, however many jobs waited.

Change: all suspects of a step that fit start together on one worker with nothing beside them, so that a crash blames the job, whichever task it was, and survival clears them all; lasting ones on a worker each. A step is cleared, not a job, also by tasks that are done. Up to half of the workers may be reserved while busy, as many as jobs wait. The pool's sizing counts the same jobs by the same function.

`isolated_run` is now a list, and the asserts on it compare with an empty one.

--- a/src/shallotworks/scheduling/_crash_blame.py
+++ b/src/shallotworks/scheduling/_crash_blame.py
@@ -200,9 +200,10 @@
     def _assign_blame(self, worker: Worker) -> list[tuple[Run, Blame]]:
         """Return the runs on a worker that are to blame for its crash, each with its blame."""
         started = [run for run in worker.runs.values() if run.phase is not RunPhase.RESERVED]
-        if worker.isolated_run in started:
-            others = [run for run in started if run is not worker.isolated_run]
-            return [(worker.isolated_run, Blame.SOLE), *_late_blames(others)]
+        isolated = [run for run in started if run in worker.isolated_runs]
+        if isolated:
+            others = [run for run in started if run not in isolated]
+            return [*((run, Blame.SOLE) for run in isolated), *_late_blames(others)]
         if self._is_mass_crash(worker):
             return _late_blames(started)
         # The age of a run counts up to the last report, not to the close of the connections,
@@ -328,8 +329,8 @@
     def clear_run(self, run: Run) -> None:
         """Clear a run whose worker is alive or never received it."""
         worker = self._workers.get(run.worker_id)
-        if worker is not None and worker.isolated_run is run:
-            worker.isolated_run = None
+        if worker is not None and run in worker.isolated_runs:
+            worker.isolated_runs.remove(run)
         tracked_job = self._tracked_jobs.get(run.name.job_id)
         if tracked_job is not None and tracked_job.progress.lost:
             self._clear(tracked_job, run.name, run.run_id)
--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -60,6 +60,7 @@
 
     __slots__ = (
         "_held_worker_ids",
+        "_jobs_with_lost_runs",
         "_now_s",
         "_order",
         "_room",
@@ -78,6 +79,7 @@
         self._order = order
         self._held_worker_ids: set[str] = set()
         """Workers whose room is held for lasting tasks in this decision."""
+        self._jobs_with_lost_runs = 0
         self._room = Room([], [])
         self._started = 0
         self._now_s = 0.0
@@ -195,6 +197,7 @@
         unplaced_sizes: list[tuple[int, int, int]] = []
         self._room = Room(self._scheduler_state.workers.values(), steps)
         self._held_worker_ids.clear()
+        self._jobs_with_lost_runs = self._scheduler_state.count_jobs_with_lost_runs()
         for step in steps:
             if self.has_reached_start_limit:
                 return
@@ -235,29 +238,33 @@
         suspects = isolation.suspects(tracked_job, indices, self._wall_s)
         if tracked_job.progress.state.is_final:
             return
-        for name in isolation.startable_suspects(tracked_job, suspects):
-            self._isolate(step, indices[name], now_s)
-        if not isolation.holds_other_tasks(tracked_job, suspects):
+        if suspects and isolation.may_isolate(step):
+            self._isolate(step, [indices[name] for name in suspects], now_s)
+        if not isolation.holds_other_tasks(step, suspects):
             others = [index for name, index in indices.items() if name not in suspects]
             yield from self._start_tasks(step, others, now_s)
 
-    def _isolate(self, step: TrackedStep, index: int, now_s: float) -> None:
-        """Reserve a worker for a suspect, preferably one whose crash stops the least work."""
+    def _isolate(self, step: TrackedStep, indices: list[int], now_s: float) -> None:
+        """Reserve a worker for as many suspects of a step as fit on it.
+
+        A worker whose crash stops the least work is preferred among those with room for one.
+        Lasting tasks stay where they are started, so they are isolated on a worker each.
+        """
         placement = Placement.of(step, now_s=now_s, wall_s=self._wall_s)
-        candidate_workers = [
-            one
-            for one in self._scheduler_state.isolation.candidate_workers()
-            if placement.rejection_reason(one) is None
-        ]
-        if not candidate_workers:
+        isolation = self._scheduler_state.isolation
+        candidates = isolation.candidate_workers(self._jobs_with_lost_runs)
+        worker = next((one for one in candidates if placement.rejection_reason(one) is None), None)
+        if worker is None:
             return
-        run = self._scheduler_state.new_run(
-            step, index, candidate_workers[0], self._scheduler_state.next_run_id(), now_s
-        )
-        self._scheduler_state.isolation.isolate(
-            run, candidate_workers[0], now_s=now_s, wall_s=self._wall_s
-        )
-        self._started += 1
+        runs: list[Run] = []
+        for index in indices[:1] if step.step.is_lasting else indices:
+            if placement.rejection_reason(worker) is not None or self.has_reached_start_limit:
+                break
+            run_id = self._scheduler_state.next_run_id()
+            runs.append(self._scheduler_state.new_run(step, index, worker, run_id, now_s))
+            self._started += 1
+        if runs:
+            isolation.isolate(runs, worker, now_s=now_s, wall_s=self._wall_s)
 
     def _start_tasks(
         self, step: TrackedStep, indices: list[int], now_s: float
--- a/src/shallotworks/scheduling/_isolation.py
+++ b/src/shallotworks/scheduling/_isolation.py
@@ -1,9 +1,10 @@
 """Starts suspects in isolation; no network calls.
 
-A suspect is a task that may have crashed a worker. It is started on a worker where no other run is
-on probation, and nothing else is started there until the worker has survived the start for the
-probation time. The start is stored in the job's progress before it is sent, so that a succeeding
-scheduler knows of it. If the worker crashes in that time, the suspect is the only run to blame.
+A suspect is a task that may have crashed a worker. All suspects of a step that fit are started
+together on a worker where no other run is on probation, and nothing else is started there until the
+worker has survived the starts for the probation time. The starts are stored in the job's progress
+before they are sent, so that a succeeding scheduler knows of them. If the worker crashes in that
+time, their job is the only one to blame.
 """
 
 from __future__ import annotations
@@ -15,16 +16,18 @@
 
 from ._crash_blame import MIN_PROBATION_S, CrashBlame
 from ._model import Run, RunPhase, Worker
-from ._tracked_jobs import TrackedJob
+from ._tracked_jobs import TrackedJob, TrackedStep
 
 __all__ = ["Isolation"]
 
 MAX_RESERVATION_S = 2.0
 """A reserved start is cancelled if it is not stored, or if its worker is not ready for it, within
 this time. It is also cancelled if the worker leaves a poll unanswered."""
-MAX_BUSY_WORKER_RATIO = 1 / 8
+MIN_BUSY_WORKER_RATIO = 1 / 8
 """At most this ratio of all workers, but at least one, may be reserved for suspects while they also
-have other runs."""
+have other runs. It grows up to `MAX_BUSY_WORKER_RATIO` with the number of jobs that wait for
+isolation."""
+MAX_BUSY_WORKER_RATIO = 1 / 2
 
 
 class Isolation:
@@ -37,7 +40,7 @@
         log: Receives a line for each suspect that its worker has survived.
     """
 
-    __slots__ = ("_blame", "_cleared_jobs", "_log", "_reserved", "_tracked_jobs", "_workers")
+    __slots__ = ("_blame", "_cleared_steps", "_log", "_reserved", "_tracked_jobs", "_workers")
 
     def __init__(
         self,
@@ -54,17 +57,26 @@
         self._reserved: dict[Run, tuple[int, float]] = {}
         """Starts that wait until they are stored and their workers are ready. Each has the number
         of the job's change that has to be stored, and the time at which it was reserved."""
-        self._cleared_jobs: set[str] = set()
-        """Ids of jobs of which a suspect was started in isolation and did not crash its worker."""
+        self._cleared_steps: dict[str, set[tuple[int, int]]] = {}
+        """Steps, by occurrence and number, of which suspects were started in isolation and did not
+        crash their worker; by job id."""
 
     def note_answered(self, worker: Worker, now_s: float) -> None:
-        """End the isolation of a worker that has answered after the probation of its suspect."""
-        run = worker.isolated_run
-        if run is None or run.phase is RunPhase.RESERVED:
+        """End the isolation of a worker that has answered after the probation of its suspects."""
+        if any(
+            run.phase is RunPhase.RESERVED or now_s - run.confirmed_s < self._blame.probation_s(run)
+            for run in worker.isolated_runs
+        ):
             return
-        if now_s - run.confirmed_s < self._blame.probation_s(run):
-            return
-        self._cleared_jobs.add(run.name.job_id)
+        for run in list(worker.isolated_runs):
+            self._clear(worker, run)
+
+    def note_done(self, worker: Worker, run: Run) -> None:
+        """Clear a suspect that is done before its probation was over."""
+        if run in worker.isolated_runs:
+            self._clear(worker, run)
+
+    def _clear(self, worker: Worker, run: Run) -> None:
         self._log.line(
             "suspect-cleared",
             id=run.name.job_id,
@@ -73,16 +85,18 @@
             worker=worker.worker_id,
         )
         self._blame.clear_run(run)
+        if not worker.isolated_runs:
+            self._cleared_steps.setdefault(run.name.job_id, set()).add(_step_key(run.name))
 
     def remaining_probation_s(self, worker: Worker, now_s: float) -> float | None:
-        """Return how long a worker still has to survive its isolated run; ``None`` without one.
+        """Return how long a worker still has to survive its isolated runs; ``None`` without any.
 
         The time is in seconds. For a worker that is reserved, the shortest probation time is
-        returned, so that it is polled often: the start is sent only after the worker has answered.
+        returned, so that it is polled often: the starts are sent only after it has answered.
         """
-        run = worker.isolated_run
-        if run is None:
-            return None
+        return max((self._remaining_s(run, now_s) for run in worker.isolated_runs), default=None)
+
+    def _remaining_s(self, run: Run, now_s: float) -> float:
         if run.phase is RunPhase.RESERVED:
             return MIN_PROBATION_S
         return max(0.0, min(run.confirmed_s, now_s) + self._blame.probation_s(run) - now_s)
@@ -93,73 +107,71 @@
         """Return those waiting tasks of a job that have to be started in isolation.
 
         Uncertain lost runs of the job are resolved first, which may fail the job.
-
-        The tasks of a job are similar. Once a suspect of the job is cleared, a task that was lost
-        only once, and beside others, is no suspect any more: a crash makes suspects of all young
-        tasks on a worker, and after a series of crashes it would take too long to start each of
-        them in isolation.
         """
         self._blame.resolve(tracked_job, wall_s)
-        is_cleared = tracked_job.job.job_id in self._cleared_jobs
-        lost = {name: tracked_job.progress.lost_runs(tracked_job.job, name) for name in names}
-        return [
-            name
-            for name, runs in lost.items()
-            if is_suspect(runs) and not (is_cleared and _is_lost_once_beside_others(runs))
-        ]
+        job, progress = tracked_job.job, tracked_job.progress
+        return [name for name in names if is_suspect(progress.lost_runs(job, name))]
 
-    def startable_suspects(
-        self, tracked_job: TrackedJob, suspects: list[TaskName]
-    ) -> list[TaskName]:
-        """Return the suspects of a job that may be started now, each in isolation.
+    def may_isolate(self, step: TrackedStep) -> bool:
+        """Whether suspects of a step may be started now, on one more worker.
 
-        The tasks of a job are similar, so one suspect is started first; see `holds_other_tasks`.
+        Until a worker has survived some of them, they are started on one worker at a time, so that
+        a job that crashes its workers takes one with each attempt.
         """
-        if tracked_job.job.job_id in self._cleared_jobs:
-            return suspects
-        return [] if self._has_isolated_run(tracked_job) else suspects[:1]
+        return self._is_cleared(step) or not self._has_isolated_run(step)
+
+    def holds_other_tasks(self, step: TrackedStep, suspects: list[TaskName]) -> bool:
+        """Whether the other tasks of a step wait, because they may crash workers too."""
+        has_open_suspect = bool(suspects) or self._has_isolated_run(step)
+        return has_open_suspect and not self._is_cleared(step)
 
-    def holds_other_tasks(self, tracked_job: TrackedJob, suspects: list[TaskName]) -> bool:
-        """Whether the other tasks of a job wait, because they may crash workers too."""
-        has_open_suspect = bool(suspects) or self._has_isolated_run(tracked_job)
-        return has_open_suspect and tracked_job.job.job_id not in self._cleared_jobs
+    def _is_cleared(self, step: TrackedStep) -> bool:
+        cleared = self._cleared_steps.get(step.tracked_job.job.job_id, ())
+        return (step.occurrence, step.number) in cleared
 
-    def _has_isolated_run(self, tracked_job: TrackedJob) -> bool:
-        runs = tracked_job.runs.values()
-        return any(self._is_isolated(run) for run in runs)
+    def _has_isolated_run(self, step: TrackedStep) -> bool:
+        return any(
+            _step_key(run.name) == (step.occurrence, step.number) and self._is_isolated(run)
+            for run in step.tracked_job.runs.values()
+        )
 
     def _is_isolated(self, run: Run) -> bool:
         worker = self._workers.get(run.worker_id)
-        return worker is not None and worker.isolated_run is run
+        return worker is not None and run in worker.isolated_runs
+
+    def candidate_workers(self, waiting_jobs: int) -> list[Worker]:
+        """Return the workers that may be reserved for suspects, in order of `_crash_cost`.
 
-    def candidate_workers(self) -> list[Worker]:
-        """Return the workers that may be reserved for a suspect, in order of `_crash_cost`."""
+        Args:
+            waiting_jobs: Number of jobs that wait with lost runs.
+        """
         workers = list(self._workers.values())
-        kept = [worker for worker in workers if worker.isolated_run is not None]
-        busy = sum(1 for worker in kept if len(worker.runs) > 1)
-        may_use_busy = busy < max(1, int(len(workers) * MAX_BUSY_WORKER_RATIO))
+        busy = sum(1 for worker in workers if worker.isolated_runs and _has_other_runs(worker))
+        may_use_busy = busy < _max_busy_workers(len(workers), waiting_jobs)
         free = [
             worker
             for worker in workers
-            if worker.isolated_run is None and (may_use_busy or not worker.runs)
+            if not worker.isolated_runs and (may_use_busy or not worker.runs)
         ]
         free.sort(key=_crash_cost)
         return free
 
-    def isolate(self, run: Run, worker: Worker, *, now_s: float, wall_s: float) -> None:
-        """Reserve a worker for the start of a suspect, and record the start for storing."""
-        tracked_job = self._tracked_jobs[run.name.job_id]
-        worker.isolated_run = run
-        run.enter(RunPhase.RESERVED, now_s)
-        lost = LostRun(
-            run_id=run.run_id,
-            incarnation=worker.incarnation,
-            blame=Blame.SOLE,
-            is_certain=False,
-            is_received=False,
-        )
-        self._blame.note_lost(tracked_job, run.name, lost, wall_s)
-        self._reserved[run] = (tracked_job.changes, now_s)
+    def isolate(self, runs: list[Run], worker: Worker, *, now_s: float, wall_s: float) -> None:
+        """Reserve a worker for the starts of suspects, and record the starts for storing."""
+        tracked_job = self._tracked_jobs[runs[0].name.job_id]
+        worker.isolated_runs.extend(runs)
+        for run in runs:
+            run.enter(RunPhase.RESERVED, now_s)
+            lost = LostRun(
+                run_id=run.run_id,
+                incarnation=worker.incarnation,
+                blame=Blame.SOLE,
+                is_certain=False,
+                is_received=False,
+            )
+            self._blame.note_lost(tracked_job, run.name, lost, wall_s)
+        for run in runs:
+            self._reserved[run] = (tracked_job.changes, now_s)
 
     def release_reservations(self, now_s: float) -> Iterator[tuple[Run, bool]]:
         """End reservations that are ready or cancelled; yield each start and whether to send it."""
@@ -171,9 +183,7 @@
             elif tracked_job is None or run.is_stop_requested:
                 del self._reserved[run]
                 yield run, False
-            elif tracked_job.stored_changes >= change and _is_ready_for_isolation(
-                worker, run, since_s
-            ):
+            elif tracked_job.stored_changes >= change and _is_ready_for_isolation(worker, since_s):
                 del self._reserved[run]
                 run.since_s = now_s
                 run.enter(RunPhase.STARTING, now_s)
@@ -184,11 +194,22 @@
 
     def remove_job(self, job_id: str) -> None:
         """Remove a job that has ended."""
-        self._cleared_jobs.discard(job_id)
+        self._cleared_steps.pop(job_id, None)
+
+
+def _step_key(name: TaskName) -> tuple[int, int]:
+    return (name.occurrence, name.step)
+
+
+def _max_busy_workers(workers: int, waiting_jobs: int) -> int:
+    """Return how many workers with other runs may be reserved at the same time."""
+    most = min(waiting_jobs, int(workers * MAX_BUSY_WORKER_RATIO))
+    return max(1, int(workers * MIN_BUSY_WORKER_RATIO), most)
 
 
-def _is_lost_once_beside_others(lost: tuple[LostRun, ...]) -> bool:
-    return [one.blame for one in lost] == [Blame.SHARED]
+def _has_other_runs(worker: Worker) -> bool:
+    """Whether a worker has runs beside its isolated ones."""
+    return len(worker.runs) > len(worker.isolated_runs)
 
 
 def _may_start_on(worker: Worker) -> bool:
@@ -197,13 +218,13 @@
     return is_reached and not worker.view.is_draining and not worker.is_overfull
 
 
-def _is_ready_for_isolation(worker: Worker, run: Run, since_s: float) -> bool:
+def _is_ready_for_isolation(worker: Worker, since_s: float) -> bool:
     """Whether a worker has reported since it was reserved, and has no other run on probation."""
-    return worker.reported_s >= since_s and not _has_run_on_probation(worker, run)
+    return worker.reported_s >= since_s and not _has_run_on_probation(worker)
 
 
-def _has_run_on_probation(worker: Worker, excluding: Run | None = None) -> bool:
-    others = [run for run in worker.runs.values() if run is not excluding]
+def _has_run_on_probation(worker: Worker) -> bool:
+    others = [run for run in worker.runs.values() if run not in worker.isolated_runs]
     return any(worker.reported_s - run.confirmed_s < MIN_PROBATION_S for run in others)
 
 
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -333,7 +333,7 @@
         "is_fenced",
         "is_listed",
         "is_yielding",
-        "isolated_run",
+        "isolated_runs",
         "lasting_allowed_from_s",
         "lease_ends_s",
         "memory_used",
@@ -372,9 +372,9 @@
         may still arrive."""
         self.connection_closed_s: float | None = None
         """Time at which the worker closed its connections, if it has not answered since."""
-        self.isolated_run: Run | None = None
-        """A suspect that may crash the worker; nothing else is started here until its probation is
-        over."""
+        self.isolated_runs: list[Run] = []
+        """Suspects of one step that may crash the worker; nothing else is started here until their
+        probation is over."""
         self.failed_jobs: dict[str, float] = {}
         """Time at which a task of a job last failed here, by job id."""
         self.runs: dict[tuple[TaskName, int], Run] = {}
--- a/src/shallotworks/scheduling/_placement.py
+++ b/src/shallotworks/scheduling/_placement.py
@@ -124,7 +124,7 @@
             return WaitReason.SPREAD
         if self._is_hopeless and worker.is_yielding:
             return WaitReason.YIELDING
-        if worker.isolated_run is not None:
+        if worker.isolated_runs:
             return WaitReason.QUARANTINED
         if worker.pause_until_s > self._now_s:
             return WaitReason.PAUSED
--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -229,6 +229,19 @@
                 if step.waiting:
                     yield step
 
+    def count_jobs_with_lost_runs(self) -> int:
+        """Return how many jobs wait that lost runs in crashes of workers.
+
+        Their suspects have to be started in isolation.
+        """
+        return len(
+            {
+                step.tracked_job.job.job_id
+                for step in self.open_steps()
+                if step.tracked_job.progress.lost
+            }
+        )
+
     def open_step(self, name: TaskName) -> TrackedStep | None:
         """Return a task's step, or ``None`` if the step is not open or is done."""
         tracked_job = self.tracked_jobs.get(name.job_id)
@@ -358,13 +371,11 @@
             )
         restarted = worker.restart(view)
         restarted.lease_ends_s = runs_end_s
-        isolated_run = worker.isolated_run
+        restarted.isolated_runs = [run for run in worker.isolated_runs if run in unconfirmed]
         for run in unconfirmed:
             worker.remove(run)
             run.move_to_restarted(restarted.incarnation, now_s)
             restarted.add(run)
-        if isolated_run in unconfirmed:
-            restarted.isolated_run = isolated_run
         self._lapse_runs(worker, "worker started again", now_s)
         self.workers[worker_id] = restarted
         if worker_id in self.pending_recovery:
@@ -664,6 +675,8 @@
             pending_end = (tracked_job.changes, worker, end.number)
             self._ends_awaiting_commit.setdefault(tracked_job.job.job_id, []).append(pending_end)
         if run is not None:
+            if end.kind is EndKind.DONE:
+                self.isolation.note_done(worker, run)
             self.crashes.clear_run(run)
             self._finish_run(worker, run, end.kind, end.checkpoint, now_s)
 
@@ -718,8 +731,8 @@
     ) -> None:
         """Free a run's resources and queue its task again if the task is not done."""
         worker.remove(run)
-        if worker.isolated_run is run:
-            worker.isolated_run = None
+        if run in worker.isolated_runs:
+            worker.isolated_runs.remove(run)
         self.runs_to_stop.discard(run)
         tracked_job = self.tracked_jobs.get(run.name.job_id)
         if tracked_job is None:
--- a/src/shallotworks/scheduling/_sizing.py
+++ b/src/shallotworks/scheduling/_sizing.py
@@ -203,12 +203,8 @@
 
     def _lacking_for_isolation(self, usable: int) -> int:
         """Return how many machines are lacking to isolate suspects, however late their jobs are."""
-        jobs = {
-            step.tracked_job.job.job_id
-            for step in self._scheduler_state.open_steps()
-            if step.tracked_job.progress.lost
-        }
-        return max(0, len(jobs) // self._limits.isolated_jobs_per_worker - usable)
+        jobs = self._scheduler_state.count_jobs_with_lost_runs()
+        return max(0, jobs // self._limits.isolated_jobs_per_worker - usable)
 
     def _waiting_millicore_s(self, wall_s: float) -> float:
         total = 0.0
--- a/tests/scheduling_fakes.py
+++ b/tests/scheduling_fakes.py
@@ -120,9 +120,7 @@
         harness does both at once.
         """
         decisions = self.decide()
-        kept = [
-            one for one in self.scheduler_state.workers.values() if one.isolated_run is not None
-        ]
+        kept = [one for one in self.scheduler_state.workers.values() if one.isolated_runs]
         if kept:
             self.store()
             for worker in kept:
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -277,7 +277,7 @@
         harness.report(worker.worker_id)
         (again,) = harness.start_orders()
         self.assertEqual([], blames_of(harness))
-        self.assertIsNone(harness.worker(again.run.worker_id).isolated_run)
+        self.assertEqual([], harness.worker(again.run.worker_id).isolated_runs)
 
     @parameterized.expand([("another incarnation", True, SOLE), ("unlisted", False, SHARED)])
     def test_a_lapsed_run_is_confirmed_lost_when_its_worker_ends(
@@ -340,9 +340,7 @@
         self.harness.now_s += 1.0
         self.harness.decide()
         (kept,) = [
-            one
-            for one in self.harness.scheduler_state.workers.values()
-            if one.isolated_run is not None
+            one for one in self.harness.scheduler_state.workers.values() if one.isolated_runs
         ]
         # A failed poll pauses the worker in this way.
         kept.pause_until_s = self.harness.now_s + 0.5
@@ -354,9 +352,7 @@
         """Guards against losing tasks of other jobs with a worker that isolates a suspect."""
         self.suspect(step(1))
         self.harness.start_orders()
-        (isolated,) = [
-            w for w in self.harness.scheduler_state.workers.values() if w.isolated_run is not None
-        ]
+        (isolated,) = [w for w in self.harness.scheduler_state.workers.values() if w.isolated_runs]
         self.harness.add_job(job("k", step(8)))
         others = self.harness.start_orders()
         self.assertEqual(4, len(others))
@@ -390,26 +386,88 @@
         self.assertEqual([], self.harness.start_orders())
         self.harness.now_s += 1.0
         self.harness.report(worker.worker_id, running=running)
-        self.assertIsNone(worker.isolated_run)
+        self.assertEqual([], worker.isolated_runs)
         self.assertEqual([1, 2], sorted(one.run.name.number for one in self.harness.start_orders()))
 
-    def test_tasks_of_a_cleared_job_that_were_lost_beside_others_start_together(self) -> None:
+    def test_all_suspects_of_a_step_start_together_in_isolation(self) -> None:
         """Guards against starting hundreds of tasks one by one after a series of crashes."""
         runs = {(0, 0, number): lost(SHARED) for number in range(3)}
         runs[0, 0, 3] = lost(SHARED, SHARED)
         progress = JobProgress(queue="sweeps", lost=runs)
         self.harness.add_job(job("j", step(4)), progress=progress)
+        together = self.harness.start_orders()
+        self.assertEqual([0, 1, 2, 3], sorted(one.run.name.number for one in together))
+        (worker,) = {self.harness.worker(one.run.worker_id) for one in together}
+        self.assertEqual({one.run for one in together}, set(worker.isolated_runs))
+
+    def test_lasting_suspects_are_isolated_on_a_worker_each(self) -> None:
+        """Guards against losing all tasks of a lasting step with the one worker they started on."""
+        progress = JobProgress(queue="sweeps", lost={(0, 0, n): lost(SHARED) for n in range(2)})
+        self.harness.add_job(job("j", step(2, is_lasting=True)), progress=progress)
+        (first,) = self.harness.start_orders()
+        confirm(self.harness, first)
+        self.harness.now_s += 1.0
+        running = (RunningTask(name=first.run.name, run_id=first.run.run_id),)
+        self.harness.report(first.run.worker_id, running=running)
+        (second,) = self.harness.start_orders()
+        self.assertNotEqual(first.run.worker_id, second.run.worker_id)
+
+    def test_suspects_that_are_done_on_probation_clear_their_step(self) -> None:
+        """Guards against isolating the tasks of a job one by one if they end within probation."""
+        progress = JobProgress(queue="sweeps", lost={(0, 0, n): lost(SHARED) for n in range(4)})
+        self.harness.add_job(job("j", step(6, cpu_millicores=2000)), progress=progress)
+        first = self.harness.start_orders()
+        self.assertEqual([0, 1], sorted(one.run.name.number for one in first))
+        confirm(self.harness, *first)
+        self.harness.now_s += 0.1
+        (worker_id,) = {one.run.worker_id for one in first}
+        ended = tuple((one.run.name, one.run.run_id, EndKind.DONE) for one in first)
+        self.harness.report(worker_id, ended=ended)
+        later = self.harness.start_orders()
+        self.assertEqual([2, 3, 4, 5], sorted(one.run.name.number for one in later))
+
+    def test_a_cleared_step_does_not_clear_another_one(self) -> None:
+        """Guards against crashing a worker again with tasks of which no similar one was tried."""
+        runs = {(0, 0, 0): lost(SHARED), (0, 1, 0): lost(SHARED), (0, 1, 1): lost(SHARED)}
+        progress = JobProgress(queue="sweeps", lost=runs)
+        self.harness.add_job(job("j", step(1), step(2, after=(0,))), progress=progress)
         (order,) = self.harness.start_orders()
         confirm(self.harness, order)
-        worker = self.harness.worker(order.run.worker_id)
-        running = (RunningTask(name=order.run.name, run_id=order.run.run_id),)
-        self.harness.now_s += 1.0
-        self.harness.report(worker.worker_id, running=running)
-        together = [one for one in self.harness.decide() if isinstance(one, StartOrder)]
-        self.assertEqual([1, 2], sorted(one.run.name.number for one in together))
-        # The one that was lost twice is still started in isolation.
-        isolated = [one.isolated_run for one in self.harness.scheduler_state.workers.values()]
-        self.assertEqual([3], [run.name.number for run in isolated if run is not None])
+        self.harness.now_s += 0.1
+        ended = ((order.run.name, order.run.run_id, EndKind.DONE),)
+        self.harness.report(order.run.worker_id, ended=ended)
+        together = self.harness.start_orders()
+        self.assertEqual([(1, 0), (1, 1)], sorted(one.run.name[2:] for one in together))
+        (worker,) = {self.harness.worker(one.run.worker_id) for one in together}
+        self.assertEqual({one.run for one in together}, set(worker.isolated_runs))
+
+    def test_a_crash_of_a_worker_with_all_suspects_of_a_job_fails_the_job(self) -> None:
+        """Guards against a third crash because the cause was started beside its siblings."""
+        progress = JobProgress(queue="sweeps", lost={(0, 0, n): lost(SHARED) for n in range(4)})
+        self.harness.add_job(job("j", step(4)), progress=progress)
+        together = self.harness.start_orders()
+        self.assertEqual(4, len(together))
+        confirm(self.harness, *together)
+        self.harness.now_s += 3.0
+        crash(self.harness, together[0].run.worker_id)
+        entry = self.harness.scheduler_state.tracked_jobs["j"]
+        self.assertIs(JobState.FAILED, entry.progress.state)
+
+    @parameterized.expand([("few", 1, 1), ("many", 6, 2)])
+    def test_more_busy_workers_are_reserved_while_more_jobs_wait_for_isolation(
+        self, _name: str, jobs: int, expected: int
+    ) -> None:
+        """Guards against isolating one job at a time while each worker runs some other task."""
+        harness = SchedulingHarness(*(view(one) for one in "abcd"))
+        harness.add_job(job("other", step(4, cpu_millicores=2500, estimated_s=9.0)))
+        confirm(harness, *harness.start_orders())
+        harness.now_s += PAST_PROBATION_S
+        for number in range(jobs):
+            progress = JobProgress(queue="sweeps", lost={(0, 0, 0): lost(SHARED)})
+            harness.add_job(job(f"j{number}", step(1)), progress=progress)
+        harness.decide()
+        reserved = [one for one in harness.scheduler_state.workers.values() if one.isolated_runs]
+        self.assertEqual(expected, len(reserved))
 
     def test_a_crash_during_isolation_fails_the_job(self) -> None:
         """Guards against restarting a task that crashed its worker in isolation too."""
@@ -431,7 +489,7 @@
         self.harness.scheduler_state.update_progress("j", cancelled, 9)
         self.assertEqual([], self.harness.start_orders())
         workers = self.harness.scheduler_state.workers.values()
-        self.assertEqual([None, None], [worker.isolated_run for worker in workers])
+        self.assertEqual([[], []], [worker.isolated_runs for worker in workers])
         self.assertEqual([0, 0], [len(worker.runs) for worker in workers])
 
     def test_a_start_that_cannot_be_stored_is_cancelled(self) -> None:
