Ask the peers which revision they hold around each write of the configuration

What callers saw: a change was reported as accepted that two of three processes never took. They held another change at its revision, which they had read as the store lost it, and the process that wrote had never heard of that.

Cause: a process took a store that shows no revision for one that never had it, and asked nobody else. Peers were asked at a start only; heartbeats are up to 3 s old.

Change: a process asks its connected peers before each write and once more before a change is called accepted. One that is ahead makes it read the log, which shows the store's fault, so that nothing is written; one that holds another change of the new revision makes the outcome unknown. The question and its answer are fields of heartbeats, answered at once. No peer votes: a silent one is waited for 0.3 s, and not again until it has answered. Why it works: what a store forgets is known to whoever has read it, and they are asked after the loss and before the write.

PeerSurveyTests and SurveyTests are new; with the answers dropped the former fail.

--- a/bench/_peer_nodes.py
+++ b/bench/_peer_nodes.py
@@ -19,6 +19,7 @@
 from random import Random
 
 from shallotworks.config import ConfigStore
+from shallotworks.kv import KeyValueStore
 from shallotworks.metrics import Metrics
 from shallotworks.peers import Listener, PeerNetwork, PeerSettings, PeerTiming, TcpTransport
 from shallotworks.protocol import ByteStream, FleetKeys
@@ -88,7 +89,7 @@
         data_centre: str,
         seeds: tuple[str, ...],
         timing: PeerTiming | None = None,
-        store: MemoryStore | None = None,
+        store: KeyValueStore | None = None,
     ) -> None:
         self.name = name
         self.address = address
@@ -120,6 +121,7 @@
             wall_clock_s=time.time,
             transport=self.transport,
         )
+        self.config.connect_peers(self.peers)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/bench/config.py
+++ b/bench/config.py
@@ -17,6 +17,7 @@
 import urllib3
 from returns.result import Success
 
+from bench._peer_nodes import Node, free_address, wait_linked
 from bench._processes import serving
 from shallotworks.config import Compactor, ConfigStore, Snapshot
 from shallotworks.fleet import (
@@ -49,6 +50,7 @@
 PROPOSAL_COUNT = 300
 RACING_PROPOSERS = 4
 WATCHER_COUNT = 8
+PEER_COUNT = 9
 UNTHROTTLED_LIMITS = PlatformLimits(rate_per_s=5_000, burst=5_000)
 
 
@@ -202,6 +204,7 @@
         await _publish(author, stores[0])
         await _measure_load(process("newcomer"), address)
         await _measure_propose(author, address)
+        await _measure_propose_with_peers(stores[0], address)
         await _measure_race(
             [process(f"racer-{number}") for number in range(RACING_PROPOSERS)], address
         )
@@ -246,6 +249,27 @@
     print(f"propose, alone: {_format_quantiles(times_ms)}, {calls:.2f} calls a change")
 
 
+async def _measure_propose_with_peers(store: HttpKeyValueStore, address: str) -> None:
+    """Measure changes at one of several processes that ask each other around each write."""
+    addresses = tuple(free_address() for _ in range(PEER_COUNT))
+    nodes = [
+        Node(name=f"node-{n}", address=own, data_centre="a", seeds=addresses, store=store)
+        for n, own in enumerate(addresses)
+    ]
+    for node in nodes:
+        await node.peers.start()
+    await wait_linked(nodes, lambda _: PEER_COUNT - 1)
+    (await nodes[0].config.load()).unwrap()
+    sent_bytes = nodes[0].peers.status().sent_bytes
+    print(f"with {PEER_COUNT - 1} peers, ", end="")
+    await _measure_propose(nodes[0].config, address)
+    sent_bytes = nodes[0].peers.status().sent_bytes - sent_bytes
+    print(f"  sent to them: {sent_bytes / PROPOSAL_COUNT:.0f} bytes a change, entries included")
+    for node in nodes:
+        await node.peers.stop()
+        await node.config.close()
+
+
 async def _measure_race(racers: list[ConfigStore], address: str) -> None:
     for racer in racers:
         (await racer.load()).unwrap()
--- a/src/shallotworks/config/__init__.py
+++ b/src/shallotworks/config/__init__.py
@@ -8,7 +8,14 @@
 
 from ._compactor import Compactor
 from ._entries import Entry, Snapshot
-from ._protocols import Accepted, ConfigLog, ConfigReplica, ConfigView
+from ._protocols import (
+    Accepted,
+    ConfigLog,
+    ConfigReplica,
+    ConfigView,
+    HeldRevision,
+    RevisionSurvey,
+)
 from ._revert import Difference, RecordKind, diff, revert_change
 from ._store import ConfigStore
 
@@ -21,7 +28,9 @@
     "ConfigView",
     "Difference",
     "Entry",
+    "HeldRevision",
     "RecordKind",
+    "RevisionSurvey",
     "Snapshot",
     "diff",
     "revert_change",
--- a/src/shallotworks/config/_proposer.py
+++ b/src/shallotworks/config/_proposer.py
@@ -18,7 +18,7 @@
 from ._backoff import backoff_s
 from ._entries import Entry
 from ._log_reader import LogReader
-from ._protocols import Accepted
+from ._protocols import Accepted, HeldRevision, RevisionSurvey
 from ._replica import Replica
 from ._snapshots import log_key
 
@@ -45,7 +45,7 @@
         rng: Source of jitter and of change ids.
     """
 
-    __slots__ = ("_metrics", "_reader", "_replica", "_rng", "_store", "_wall_clock_s")
+    __slots__ = ("_metrics", "_peers", "_reader", "_replica", "_rng", "_store", "_wall_clock_s")
 
     def __init__(
         self,
@@ -63,6 +63,11 @@
         self._metrics = metrics
         self._wall_clock_s = wall_clock_s
         self._rng = rng
+        self._peers: RevisionSurvey | None = None
+
+    def connect_peers(self, peers: RevisionSurvey) -> None:
+        """Ask these peers, around each write, which revision they hold."""
+        self._peers = peers
 
     async def propose(
         self, change: Change, *, author: str, ends_at_s: float
@@ -98,8 +103,7 @@
             held = self._replica.revision()
             await self._reader.read()
             if await self._is_logged(proposal):
-                revision = proposal.unresolved_revision
-                return Success(Accepted(revision=revision, change_id=proposal.change_id))
+                return await self._confirm_with_peers(proposal)
             failure_to_return = self._failure_to_return(proposal, ends_at_s)
             if failure_to_return is not None:
                 return Err(failure_to_return)
@@ -115,6 +119,7 @@
         """
         if proposal.is_unresolved:
             return None
+        await self._ask_peers()
         if self._must_read_first():
             read = await self._reader.read()
             if not isinstance(read, Success):
@@ -130,6 +135,29 @@
             return self._replica.fault()
         return None if isinstance(checked, Success) else checked.failure()
 
+    async def _ask_peers(self) -> tuple[HeldRevision, ...]:
+        """Learn from the peers which revisions the store has had.
+
+        A store that lost a revision which only others have read shows nothing of it, and would take
+        another change under the same key.
+
+        Returns:
+            What contradicts the replica.
+        """
+        held = await self._peers.held_revisions() if self._peers is not None else ()
+        return tuple(one for one in held if self._replica.contradicts(one))
+
+    async def _confirm_with_peers(self, proposal: _Proposal) -> Result[Accepted, Failure]:
+        """Return the acceptance, unless a peer holds another change at the entry's revision.
+
+        It may have read that change after it was asked and before the entry was written.
+        """
+        revision = proposal.unresolved_revision
+        if any(one.revision == revision for one in await self._ask_peers()):
+            reason = f"a peer holds another change of revision {revision}, which the store has lost"
+            return Err(Failure(kind=ErrorKind.OUTCOME_UNKNOWN, reason=reason))
+        return Success(Accepted(revision=revision, change_id=proposal.change_id))
+
     def _must_read_first(self) -> bool:
         """Return whether writing after the replica's revision could fork the log's history.
 
--- a/src/shallotworks/config/_protocols.py
+++ b/src/shallotworks/config/_protocols.py
@@ -13,7 +13,14 @@
 
 from ._entries import Entry, Snapshot
 
-__all__ = ["Accepted", "ConfigLog", "ConfigReplica", "ConfigView"]
+__all__ = [
+    "Accepted",
+    "ConfigLog",
+    "ConfigReplica",
+    "ConfigView",
+    "HeldRevision",
+    "RevisionSurvey",
+]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -29,6 +36,30 @@
     change_id: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HeldRevision:
+    """The newest revision that a peer holds.
+
+    Args:
+        revision: The revision.
+        change_id: The change that led to it.
+    """
+
+    revision: int
+    change_id: str
+
+
+class RevisionSurvey(Protocol):
+    """Asks peers for the configuration that they hold."""
+
+    async def held_revisions(self) -> tuple[HeldRevision, ...]:
+        """Ask all peers that are reached; return the answers that arrive in time.
+
+        No peer agrees to anything by its answer, and none that is silent delays it beyond a bound.
+        """
+        ...
+
+
 class ConfigView(Protocol):
     """The configuration in this process; its revision never decreases."""
 
--- a/src/shallotworks/config/_replica.py
+++ b/src/shallotworks/config/_replica.py
@@ -20,6 +20,7 @@
 from shallotworks.timeline import EventKind, Subject, Timeline
 
 from ._entries import Entry, Snapshot
+from ._protocols import HeldRevision
 from ._window import EntryWindow
 
 __all__ = ["Replica", "EntryOutcome"]
@@ -140,11 +141,24 @@
 
         A store that later shows only an older one was restored with an older state.
         """
-        self._newest_known_revision = max(self._newest_known_revision, revision)
+        self.confirm_known(revision)
         if revision == self.revision():
             seen_at_s = asyncio.get_running_loop().time() - age_s
             self._newest_confirmed_at_s = max(self._newest_confirmed_at_s, seen_at_s)
 
+    def contradicts(self, held: HeldRevision) -> bool:
+        """Record what a peer holds; return whether it is another change of a known revision."""
+        self.confirm_known(held.revision)
+        known = self.change_id_at(held.revision)
+        if known is None or known == held.change_id:
+            return False
+        self._note_contradiction(held.revision, held.change_id)
+        return True
+
+    def confirm_known(self, revision: int) -> None:
+        """Record that the store has had a revision, which need not be its newest one now."""
+        self._newest_known_revision = max(self._newest_known_revision, revision)
+
     def newest_known_revision(self) -> int:
         """Return the newest revision that the store is known to have had."""
         return self._newest_known_revision
--- a/src/shallotworks/config/_store.py
+++ b/src/shallotworks/config/_store.py
@@ -21,7 +21,7 @@
 from ._history import read_entries, state_at
 from ._log_reader import LogReader
 from ._proposer import Proposer
-from ._protocols import Accepted
+from ._protocols import Accepted, RevisionSurvey
 from ._replica import Replica
 from ._restore import restore
 from ._revert import revert_change
@@ -92,6 +92,10 @@
         self._propose_lock = asyncio.Lock()
         self._compacting: asyncio.Task[None] | None = None
 
+    def connect_peers(self, peers: RevisionSurvey) -> None:
+        """Ask these peers, around each write, which revision they hold."""
+        self._proposer.connect_peers(peers)
+
     async def load(self) -> Result[int, Failure]:
         """Bring the state to the store's newest revision.
 
--- a/src/shallotworks/node/_node.py
+++ b/src/shallotworks/node/_node.py
@@ -189,6 +189,7 @@
             random=self._rng,
             wall_clock_s=time.time,
         )
+        self.config.connect_peers(self.peers)
 
     def _build_requests(self) -> None:
         self._dispatcher = PoolDispatcher(
--- a/src/shallotworks/peers/_link.py
+++ b/src/shallotworks/peers/_link.py
@@ -95,6 +95,10 @@
         pushed_revision: Newest revision pushed to the peer.
         change_cursor: Membership change up to which records were sent to the peer.
         load_cursor: Position in this process's loads from which the next heartbeat sends.
+        asked_question: Number of the last question sent to the peer; 0 for none.
+        answered_question: Number of the last question that the peer has answered.
+        peer_question: Number of the peer's last question; 0 for none.
+        sent_answer: Number of the peer's last question that was answered.
         no_requests_before_s: Time before which this process sends the peer no requests.
         opened_at_s: When the handshake was completed, by the event loop's clock.
         end: Why the connection ended; ``None`` while it is open.
@@ -118,6 +122,8 @@
         "_stream",
         "_timing",
         "_wake",
+        "answered_question",
+        "asked_question",
         "change_cursor",
         "dialled",
         "end",
@@ -125,9 +131,11 @@
         "no_requests_before_s",
         "opened_at_s",
         "peer",
+        "peer_question",
         "pushed_revision",
         "revision",
         "same_data_centre",
+        "sent_answer",
     )
 
     def __init__(
@@ -167,6 +175,10 @@
         self.no_requests_before_s = self.opened_at_s
         self.change_cursor = 0
         self.load_cursor = 0
+        self.asked_question = 0
+        self.answered_question = 0
+        self.peer_question = 0
+        self.sent_answer = 0
         self.end: LinkEnd | None = None
 
     @property
--- a/src/shallotworks/peers/_network.py
+++ b/src/shallotworks/peers/_network.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Coroutine
 from random import Random
 
-from shallotworks.config import ConfigReplica
+from shallotworks.config import ConfigReplica, HeldRevision
 from shallotworks.errors import ErrorKind, Failure, ShallotworksError
 from shallotworks.metrics import Metrics
 from shallotworks.protocol import (
@@ -35,6 +35,7 @@
 from ._rendezvous import relays_among, watchers_among
 from ._settings import PeerSettings
 from ._status import PeerStatus
+from ._survey import Survey
 from ._transport import Listener, TcpTransport, Transport
 
 __all__ = ["PeerNetwork"]
@@ -78,6 +79,7 @@
         "_serving_tasks",
         "_settings",
         "_started_s",
+        "_survey",
         "_table",
         "_tick_task",
         "_timeline",
@@ -124,6 +126,7 @@
             timing=settings.timing,
             random=random,
         )
+        self._survey = Survey(links=lambda: self._links, metrics=metrics)
         self._listener: Listener | None = None
         self._tick_task: asyncio.Task[None] | None = None
         self._serving_tasks: set[asyncio.Task[None]] = set()
@@ -193,6 +196,10 @@
         """Return the newest revision that each connected peer is known to hold, by its name."""
         return {link.peer.name: link.revision for link in self._links}
 
+    async def held_revisions(self) -> tuple[HeldRevision, ...]:
+        """Ask all connected peers which revision they hold; return the answers in time."""
+        return await self._survey.held_revisions()
+
     def status(self) -> PeerStatus:
         """Return the state of this process in the peer network, for operators."""
         own = self._table.own
@@ -215,6 +222,8 @@
         """Return the heartbeat to send on a connection, and advance its cursors."""
         updates = self._table.updates_for(link.peer, since=link.change_cursor)
         link.change_cursor = updates.change_cursor
+        is_new_answer = link.peer_question > link.sent_answer
+        link.sent_answer = link.peer_question
         return Heartbeat(
             revision=self._replica.revision(),
             newest_revision=self._distribution.newest_revision(),
@@ -224,6 +233,9 @@
             ),
             records=updates.records,
             loads=self._loads.next_for(link) if link.same_data_centre else (),
+            question=link.asked_question,
+            answer=link.peer_question,
+            change_id=self._replica.snapshot().last_change_id if is_new_answer else "",
         )
 
     def has_newer_revision_for(self, link: Link) -> bool:
@@ -267,6 +279,7 @@
             self._table.apply_vouches(message.heard, now_s=now_s)
             self._loads.record_loads(link, message.loads)
         self._distribution.on_heartbeat(link, message)
+        self._survey.on_heartbeat(link, message)
 
     async def _tick(self) -> None:
         while True:
@@ -388,6 +401,7 @@
         finally:
             self._links.retire(link)
             self._distribution.discard_link(link)
+            self._survey.discard_link(link)
 
     def _count_end(self, end: LinkEnd) -> None:
         self._metrics.count(f"peers.links.ended.{end.value}")
--- a/src/shallotworks/protocol/_codec.py
+++ b/src/shallotworks/protocol/_codec.py
@@ -129,6 +129,10 @@
     builder.revision = message.revision
     builder.newestRevision = message.newest_revision
     builder.newestAgeMs = message.newest_age_ms
+    builder.question = message.question
+    builder.answer = message.answer
+    if message.change_id:
+        builder.changeId = message.change_id
     if message.heard:
         builder.heard = message.heard
     if message.records:
@@ -155,6 +159,9 @@
             ServiceLoad(service=load.service, in_flight=load.inFlight, waiting=load.waiting)
             for load in reader.loads
         ),
+        question=reader.question,
+        answer=reader.answer,
+        change_id=reader.changeId,
     )
 
 
--- a/src/shallotworks/protocol/_messages.py
+++ b/src/shallotworks/protocol/_messages.py
@@ -105,6 +105,10 @@
         records: Member records changed since the last heartbeat on this connection, a bounded
             number.
         loads: Some of the sender's loads, in rotation.
+        question: Number of the sender's last question for the revision that the receiver holds; the
+            receiver answers a new one with a heartbeat at once. 0 for none.
+        answer: Number of the receiver's last question, which this heartbeat answers; 0 for none.
+        change_id: The change that led to ``revision``, in the first heartbeat with an answer.
     """
 
     revision: int
@@ -113,6 +117,9 @@
     heard: tuple[int, ...] = ()
     records: tuple[MemberRecord, ...] = ()
     loads: tuple[ServiceLoad, ...] = ()
+    question: int = 0
+    answer: int = 0
+    change_id: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/shallotworks/protocol/peers.capnp
+++ b/src/shallotworks/protocol/peers.capnp
@@ -50,6 +50,9 @@
   heard @3 :List(UInt32);
   records @4 :List(MemberRecord);
   loads @5 :List(ServiceLoad);
+  question @6 :UInt32;
+  answer @7 :UInt32;
+  changeId @8 :Text;
 }
 
 struct Entries {
--- a/tests/test_config_history.py
+++ b/tests/test_config_history.py
@@ -16,7 +16,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 from returns.result import Success
 
-from shallotworks.config import Compactor, ConfigStore
+from shallotworks.config import Compactor, ConfigStore, HeldRevision
 from shallotworks.errors import ErrorKind
 from shallotworks.fleet import Pool, PutPool
 from shallotworks.metrics import Metrics
@@ -26,9 +26,35 @@
 PROCESSES = 3
 IN_FORCE_S = 8.0
 PROPOSAL_ENDS_S = 12.0
+PEER_LATENCY_S = 0.002
 INDEX = st.integers(0, PROCESSES - 1)
 
 
+class OtherProcesses:
+    """Asks the other processes of a session, as `PeerNetwork` asks the connected peers.
+
+    Args:
+        own: The process that asks.
+        all_processes: Returns the processes that run now.
+    """
+
+    def __init__(
+        self, *, own: ConfigStore, all_processes: Callable[[], Iterable[ConfigStore]]
+    ) -> None:
+        self._own = own
+        self._all_processes = all_processes
+
+    async def held_revisions(self) -> tuple[HeldRevision, ...]:
+        await asyncio.sleep(PEER_LATENCY_S)
+        held = tuple(
+            HeldRevision(revision=one.revision(), change_id=one.snapshot().last_change_id)
+            for one in self._all_processes()
+            if one is not self._own
+        )
+        await asyncio.sleep(PEER_LATENCY_S)
+        return held
+
+
 class ConfigHistory(RuleBasedStateMachine):
     """Random sessions of a few processes on one store."""
 
@@ -61,6 +87,7 @@
             ),
         )
         config.subscribe(lambda entry: self._note(entry.revision, entry.change_id))
+        config.connect_peers(OtherProcesses(own=config, all_processes=lambda: self.processes))
         return config
 
     def _note(self, revision: int, change_id: str) -> None:
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -9,7 +9,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from shallotworks.config import Compactor, ConfigStore
+from shallotworks.config import Compactor, ConfigStore, Entry, HeldRevision
 from shallotworks.errors import ErrorKind, Failure
 from shallotworks.fleet import Pool, PutPool, RemovePool
 from shallotworks.kv import KeyValueStore
@@ -93,6 +93,83 @@
         await asyncio.sleep(1)
 
 
+class StandInPeers:
+    """Peers that answer with the revisions of the given processes, in one round trip."""
+
+    def __init__(self, *processes: ConfigStore) -> None:
+        self.processes = list(processes)
+        self.questions = 0
+
+    async def held_revisions(self) -> tuple[HeldRevision, ...]:
+        self.questions += 1
+        await asyncio.sleep(0.001)
+        return tuple(
+            HeldRevision(revision=one.revision(), change_id=one.snapshot().last_change_id)
+            for one in self.processes
+        )
+
+
+class PeerSurveyTests(unittest.TestCase):
+    """A store has lost revisions that some processes have read and others never heard of."""
+
+    def test_a_revision_that_only_a_peer_has_read_is_not_written_anew(self) -> None:
+        """Guards against two values of a revision that the store lost after one process read it."""
+
+        async def main() -> None:
+            store = MemoryStore()
+            author, reader = make_process(store, "e1"), make_process(store, "e2")
+            other = make_process(store, "e3")
+            await put_pools(author, "a")
+            await reader.load()
+            store.roll_back_to(0)
+            other.connect_peers(StandInPeers(reader))
+            outcome = await other.propose(put_pool("b"), author="kari")
+            self.assertIs(ErrorKind.STORE_REGRESSED, kind_of(outcome))
+            self.assertEqual((), (await store.list("config/log/")).unwrap())
+            self.assertEqual((0, 1), (other.revision(), reader.revision()))
+
+        run(main)
+
+    def test_a_change_is_not_accepted_if_a_peer_has_read_another_meanwhile(self) -> None:
+        """Guards against accepting a change of a revision that a peer holds with another one."""
+
+        async def main() -> None:
+            store = MemoryStore()
+            author, other = make_process(store, "e1"), make_process(store, "e2")
+            peers = StandInPeers(author)
+            other.connect_peers(peers)
+            proposing = asyncio.create_task(other.propose(put_pool("b"), author="kari"))
+            while not store.calls["create"]:
+                await asyncio.sleep(0.0001)
+            author.append_entries(
+                (Entry(revision=1, change_id="lost", author="ola", at_s=0.0, change=put_pool("a")),)
+            )
+            outcome = await proposing
+            self.assertIs(ErrorKind.OUTCOME_UNKNOWN, kind_of(outcome))
+
+        run(main)
+
+    def test_peers_that_agree_cost_no_call_of_the_store(self) -> None:
+        """A change takes two calls and two questions; what a peer is ahead by is read first."""
+
+        async def main() -> None:
+            store = MemoryStore()
+            author, other = make_process(store, "e1"), make_process(store, "e2")
+            peers = StandInPeers(author)
+            await put_pools(author, "z")
+            await other.load()
+            other.connect_peers(peers)
+            store.calls.clear()
+            await put_pools(other, "a")
+            self.assertEqual(({"create": 1, "list": 1}, 2), (store.calls, peers.questions))
+            await author.load()
+            await put_pools(author, "b")
+            await put_pools(other, "c")
+            self.assertEqual(4, other.revision())
+
+        run(main)
+
+
 class ProposeTests(unittest.TestCase):
     def test_a_change_costs_two_calls(self) -> None:
         """An accepted change is in the state and the history, and takes one write and one read."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -73,6 +73,39 @@
     )
 
 
+class SurveyTests(unittest.TestCase):
+    @with_fleet(a=3, b=2)
+    async def test_all_connected_peers_answer_with_what_they_hold_now(self, fleet: Fleet) -> None:
+        """Guards against answers from before the question, such as the last heartbeats."""
+        fleet.nodes["a1"].replica.append_entries((fleet.log.accept(),))
+        started_s = asyncio.get_running_loop().time()
+        held = await fleet.nodes["a0"].peers.held_revisions()
+        self.assertIn((1, "c1"), [(one.revision, one.change_id) for one in held])
+        self.assertEqual(len(fleet.nodes["a0"].peers.linked_revisions()), len(held))
+        self.assertLess(asyncio.get_running_loop().time() - started_s, 0.05)
+
+    @with_fleet(a=3)
+    async def test_a_silent_peer_delays_one_question_only(self, fleet: Fleet) -> None:
+        """Guards against a peer without power that delays each change of the configuration."""
+        fleet.kill("a2")
+        loop = asyncio.get_running_loop()
+        waits_s = []
+        for _ in range(2):
+            started_s = loop.time()
+            held = await fleet.nodes["a0"].peers.held_revisions()
+            waits_s.append(loop.time() - started_s)
+            self.assertEqual(1, len(held))
+        self.assertLess(waits_s[0], 0.5)
+        self.assertLess(waits_s[1], 0.05)
+
+    @with_fleet(a=1)
+    async def test_a_process_without_peers_waits_for_nobody(self, fleet: Fleet) -> None:
+        """Guards against a data centre with one process that can't change the configuration."""
+        started_s = asyncio.get_running_loop().time()
+        self.assertEqual((), await fleet.nodes["a0"].peers.held_revisions())
+        self.assertEqual(started_s, asyncio.get_running_loop().time())
+
+
 class MembershipTests(unittest.TestCase):
     @with_fleet(a=4, b=1)
     async def test_members_of_a_data_centre_find_each_other(self, fleet: Fleet) -> None:
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -64,6 +64,17 @@
             loads=(ServiceLoad(service="trace", in_flight=3, waiting=4),),
         ),
     ),
+    (
+        "heartbeat with a question and an answer",
+        Heartbeat(
+            revision=7,
+            newest_revision=8,
+            newest_age_ms=9,
+            question=3,
+            answer=2**32 - 1,
+            change_id="c7",
+        ),
+    ),
     ("entries", Entries(entries=(b"a", b"", b"bc"))),
     ("entries request", EntriesRequest(after=2**40)),
     ("snapshot request", SnapshotRequest()),
