--- a/tests/test_acknowledged_ends.py
+++ b/tests/test_acknowledged_ends.py
@@ -11,15 +11,16 @@
 from parameterized import parameterized
 
 from shallotworks.jobs import JobState, TaskName
-from shallotworks.scheduling import EndKind
-from shallotworks.standins import RecordFaults
+from shallotworks.scheduling import EndedTask, EndKind
+from shallotworks.standins import RecordFaults, TaskWorkers
 from tests.scheduling_fakes import SchedulingHarness, job, policy, step, view
-from tests.scheduling_simulation import SchedulingSimulation
+from tests.scheduling_simulation import SERVICE, SchedulingSimulation
 from tests.virtual_clock import run_scenario
 
 SEEDS = range(1, 17)
 DISTURBANCES = 6
-MAX_ATTEMPTS = 2
+JOBS = 40
+SUBMIT_PERIOD_S = 16.0
 JOB_ID = "00000000000000aa"
 FIRST, SECOND = TaskName(JOB_ID, 0, 0, 0), TaskName(JOB_ID, 0, 0, 1)
 
@@ -31,22 +32,43 @@
         return a
 
 
+class FailingWorkers(TaskWorkers):
+    """Workers that tell when a run has failed, and on which of them."""
+
+    def __init__(self, *, rng: random.Random) -> None:
+        super().__init__(rng=rng)
+        self.has_failed = asyncio.Event()
+        self.failed_on = ""
+
+    def note_end(self, end: EndedTask) -> None:
+        super().note_end(end)
+        if end.kind is EndKind.FAILED and not self.has_failed.is_set():
+            on = (key for key, one in self.workers.items() if end in one._ended)
+            self.failed_on = next(on, "")
+            self.has_failed.set()
+
+
 async def disturb(simulation: SchedulingSimulation) -> None:
-    """Take the store away again and again, and kill the scheduler or crash a worker meanwhile."""
-    rng = simulation.rng
+    """Take the store away right after a job has failed, while other tasks of it run.
+
+    Then kill the scheduler, and at times restart the worker that lists the failure.
+    """
+    rng, fleet = simulation.rng, simulation.fleet
+    assert isinstance(fleet, FailingWorkers)
     for _ in range(DISTURBANCES):
-        await asyncio.sleep(rng.uniform(0.2, 2.0))
+        fleet.has_failed.clear()
+        await fleet.has_failed.wait()
         for instance in simulation.instances:
             instance.store.faults = RecordFaults(is_down=True)
-        await asyncio.sleep(rng.uniform(0.1, 3.0))
+        await asyncio.sleep(rng.uniform(0.2, 1.5))
         holder = simulation.scheduler()
-        if holder is not None and rng.random() < 0.6:
+        if holder is not None:
             await simulation.replace(holder)
-        if rng.random() < 0.4:
-            worker_id = rng.choice(list(simulation.fleet.workers))
-            simulation.fleet.restart(worker_id)
+        if fleet.failed_on and rng.random() < 0.8:
+            fleet.restart(fleet.failed_on)
         for instance in simulation.instances:
             instance.store.faults = RecordFaults()
+        await asyncio.sleep(rng.uniform(0.5, 2.0))
 
 
 class AcknowledgedEndTests(unittest.TestCase):
@@ -108,19 +130,37 @@
 
     @parameterized.expand([(seed,) for seed in SEEDS])
     def test_no_task_starts_after_its_end_was_acknowledged(self, seed: int) -> None:
-        """A task ran again after outages beside failing jobs, cancels, takeovers and crashes."""
+        """A task ran again after outages that began between two ends of its job."""
 
         async def scenario() -> None:
-            simulation = SchedulingSimulation(seed=seed, workers=5, instances=3)
-            simulation.fleet.most_attempts = MAX_ATTEMPTS
-            for number in range(0, 40, 3):
-                simulation.fleet.failing.add(TaskName(f"{number:016x}", 0, 0, 0))
+            simulation = SchedulingSimulation(
+                seed=seed, workers=5, instances=3, fleet=FailingWorkers
+            )
+            fleet, rng = simulation.fleet, simulation.rng
+            fleet.most_attempts = 1
             for instance in simulation.instances:
                 instance.start()
             await asyncio.sleep(1.0)
-            await asyncio.gather(simulation.run_jobs(40, 12.0), disturb(simulation))
+
+            async def submit(number: int, after_s: float) -> None:
+                await asyncio.sleep(after_s)
+                job_id = f"{number:016x}"
+                if number % 2:
+                    fleet.failing.add(TaskName(job_id, 0, 0, 0))
+                await simulation.submit(
+                    job_id,
+                    step(rng.randint(2, 4), estimated_s=0.8),
+                    policy=policy(service=SERVICE, most_attempts=1),
+                )
+                if rng.random() < 0.1:
+                    await asyncio.sleep(rng.uniform(0, 1.0))
+                    await simulation.cancel(job_id)
+
+            disturbing = asyncio.create_task(disturb(simulation))
+            await asyncio.gather(*(submit(n, rng.uniform(0, SUBMIT_PERIOD_S)) for n in range(JOBS)))
             await asyncio.sleep(30.0)
-            self.assertEqual([], simulation.fleet.violations)
+            disturbing.cancel()
+            self.assertEqual([], fleet.violations)
             for instance in simulation.instances:
                 await instance.kill()
 
