Don't repeat a write of the configuration over what a peer has read

A write whose answer was lost is repeated under its key. If the store has lost another change there in the meantime, the second attempt gives the revision a second value.

Cause: peers were asked before the first attempt only.

Change: the peers are asked before each further attempt as well. If any of them, or this process, holds that revision, the log is read and nothing is written; if what is read isn't this change, the outcome is unknown.

--- a/src/shallotworks/config/_proposer.py
+++ b/src/shallotworks/config/_proposer.py
@@ -181,8 +181,8 @@
         Returns:
             What is known of the key; a failure only if this attempt certainly wrote nothing.
         """
-        if proposal.is_unresolved and proposal.unresolved_revision <= self._replica.revision():
-            # The log has passed the entry's revision, but the change there can't be read yet.
+        if proposal.is_unresolved and await self._is_passed(proposal):
+            # The log has, or had, an entry of that revision, but it can't be read yet.
             return Success(_CreateOutcome.SENT)
         entry = Entry(
             revision=self._replica.revision() + 1,
@@ -206,6 +206,11 @@
             return Success(_CreateOutcome.TAKEN)
         return Err(failure)
 
+    async def _is_passed(self, proposal: _Proposal) -> bool:
+        """Return whether this process or a peer holds the revision of an unresolved entry."""
+        await self._ask_peers()
+        return proposal.unresolved_revision <= self._replica.newest_known_revision()
+
     async def _is_logged(self, proposal: _Proposal) -> bool:
         """Return whether the entry that may have been written is in the log.
 
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -109,6 +109,22 @@
         )
 
 
+class LosingFirstCreate(MemoryStore):
+    """A store that the first write does not reach; its answer is missing, too."""
+
+    async def create(self, key: str, value: bytes, *, lease_id: str = "") -> Result[int, Failure]:
+        if self.calls["create"]:
+            return await super().create(key, value, lease_id=lease_id)
+        self.calls["create"] += 1
+        await asyncio.sleep(0.1)
+        return Err(Failure(kind=ErrorKind.OUTCOME_UNKNOWN, reason="the connection was lost"))
+
+
+def lost_entry() -> Entry:
+    """Return the entry of a revision that the store has lost."""
+    return Entry(revision=1, change_id="lost", author="ola", at_s=0.0, change=put_pool("a"))
+
+
 class PeerSurveyTests(unittest.TestCase):
     """A store has lost revisions that some processes have read and others never heard of."""
 
@@ -141,14 +157,28 @@
             proposing = asyncio.create_task(other.propose(put_pool("b"), author="kari"))
             while not store.calls["create"]:
                 await asyncio.sleep(0.0001)
-            author.append_entries(
-                (Entry(revision=1, change_id="lost", author="ola", at_s=0.0, change=put_pool("a")),)
-            )
+            author.append_entries((lost_entry(),))
             outcome = await proposing
             self.assertIs(ErrorKind.OUTCOME_UNKNOWN, kind_of(outcome))
 
         run(main)
 
+    def test_a_write_without_an_answer_is_not_repeated_over_what_a_peer_has_read(self) -> None:
+        """Guards against two values of a revision by the second attempt of a write."""
+
+        async def main() -> None:
+            store = LosingFirstCreate()
+            author, other = make_process(store, "e1"), make_process(store, "e2")
+            other.connect_peers(StandInPeers(author))
+            proposing = asyncio.create_task(other.propose(put_pool("b"), author="kari"))
+            while not store.calls["create"]:
+                await asyncio.sleep(0.0001)
+            author.append_entries((lost_entry(),))
+            self.assertIs(ErrorKind.OUTCOME_UNKNOWN, kind_of(await proposing))
+            self.assertEqual((), (await store.list("config/log/")).unwrap())
+
+        run(main)
+
     def test_peers_that_agree_cost_no_call_of_the_store(self) -> None:
         """A change takes two calls and two questions; what a peer is ahead by is read first."""
 
