Give each incarnation of a worker its own fencing token

Cause: an order names the worker's id only, and all orders of an epoch carried one token. A poll that acknowledged ends of one incarnation and was held up until the worker had started again made the later incarnation forget an end that nobody had read; the task ran a second time (TWICE).

Change: each incarnation that a scheduler sees gets the next token of its epoch's range. It is fenced, and started on, only after it has answered a poll with that token; it refuses what was sent before. A refusal of an order to an earlier incarnation does not end the scheduler's lease. The epoch's token times a million begins the range, so that a successor's tokens are above all of its predecessor's.

--- a/bench/scheduling.py
+++ b/bench/scheduling.py
@@ -153,7 +153,14 @@
                 kind=EndKind.DONE,
             )
             report = WorkerReport(clock_ms=1, running=(), ended=(end,))
-            scheduler_state.apply_report(worker, report, sent_s=-1.0, now_s=now_s, wall_s=now_s)
+            scheduler_state.apply_report(
+                worker,
+                report,
+                order_token=worker.order_token,
+                sent_s=-1.0,
+                now_s=now_s,
+                wall_s=now_s,
+            )
     return [row for row in running if row[0] > now_s]
 
 
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -316,6 +316,7 @@
 
     Args:
         view: The entry of the worker in discovery.
+        order_token: Fencing token of the orders to this incarnation.
     """
 
     __slots__ = (
@@ -337,6 +338,7 @@
         "lasting_allowed_from_s",
         "lease_ends_s",
         "memory_used",
+        "order_token",
         "pause_until_s",
         "reported_s",
         "runs",
@@ -345,13 +347,14 @@
         "view",
     )
 
-    def __init__(self, *, view: WorkerView) -> None:
+    def __init__(self, *, view: WorkerView, order_token: int = 0) -> None:
         self.view = view
+        self.order_token = order_token
         self.is_listed = True
         """Whether discovery lists the worker."""
         self.is_fenced = False
-        """Whether the worker has answered this scheduler, so that it refuses orders of earlier
-        ones."""
+        """Whether this incarnation has seen its token, so that it refuses orders of earlier
+        schedulers and orders that were sent to its earlier incarnations."""
         self.is_cordoned = False
         """Whether nothing is started here, because the worker is offered for removal or is being
         evacuated."""
@@ -404,13 +407,13 @@
         """Identifies this incarnation."""
         return self.view.incarnation
 
-    def restart(self, view: WorkerView) -> Worker:
-        """Return a later start of this worker.
+    def restart(self, view: WorkerView, *, order_token: int) -> Worker:
+        """Return a later incarnation of this worker.
 
         It takes over only what this scheduler has decided about the worker, and nothing that the
         worker itself has reported.
         """
-        restarted = Worker(view=view)
+        restarted = Worker(view=view, order_token=order_token)
         restarted.is_listed = self.is_listed
         restarted.is_cordoned = self.is_cordoned
         restarted.is_yielding = self.is_yielding
@@ -493,9 +496,10 @@
     def end_to_acknowledge(self) -> int:
         """The highest number to acknowledge with the next poll; 0 for none.
 
-        A poll names the worker's id only. One that acknowledges ends of an earlier start makes a
-        later one forget ends that nobody has read. So each end is acknowledged only until a poll
-        that does so is answered, and only directly after an answer of the start that reported it.
+        A poll names the worker's id only. One that acknowledges ends of an earlier incarnation
+        makes a later one, which has not seen its own token yet, forget ends that nobody has read.
+        So each end is acknowledged only until a poll that does so is answered, and only directly
+        after an answer of the incarnation that reported it.
         """
         if not self.has_answered_last_poll or self.highest_settled <= self.acknowledged:
             return 0
--- a/src/shallotworks/scheduling/_order_dispatcher.py
+++ b/src/shallotworks/scheduling/_order_dispatcher.py
@@ -290,7 +290,7 @@
         wait_s = self._poll_wait_s(worker)
         outcome = await self._orders.poll(
             worker.view,
-            token=self._scheduler_state.token,
+            token=worker.order_token,
             acknowledged=acknowledged,
             lease_until_ms=lease_ms,
             wait_s=wait_s,
@@ -319,6 +319,7 @@
         self._scheduler_state.apply_report(
             reporter,
             outcome.report,
+            order_token=worker.order_token,
             sent_s=sent_s,
             now_s=self._clock(),
             wall_s=self._wall_clock(),
@@ -453,10 +454,12 @@
     def _handle_fenced_or_gone(self, worker: Worker, outcome: OrderOutcome) -> bool:
         """Handle an outcome that ends this epoch or the worker; return whether it was one.
 
-        After ``FENCED`` the scheduler's lease is lost; after ``GONE`` the worker has ended.
+        After ``FENCED`` the scheduler's lease is lost, unless the order was sent to an earlier
+        incarnation of the worker, which a later one refuses. After ``GONE`` the worker has ended.
         """
         if outcome.status is OrderStatus.FENCED:
-            self._lease.mark_lost(f"a later scheduler has fenced {worker.worker_id}")
+            if self._is_present(worker):
+                self._lease.mark_lost(f"a later scheduler has fenced {worker.worker_id}")
             return True
         if outcome.status is OrderStatus.GONE:
             if self._is_present(worker):
@@ -479,7 +482,7 @@
             self._scheduler_state.note_start_failed(run, sent_s)
             return
         outcome = await self._orders.start(
-            worker.view, order, token=self._scheduler_state.token, lease_until_ms=lease_ms
+            worker.view, order, token=worker.order_token, lease_until_ms=lease_ms
         )
         now_s = self._clock()
         self._metrics.count(f"scheduler.start.{outcome.status.value}")
@@ -521,9 +524,8 @@
             may_have_run=may_have_run,
             is_received=outcome.status is OrderStatus.OBEYED,
         )
-        if outcome.status is OrderStatus.GONE:
-            self._scheduler_state.note_start_failed(run, now_s)
         if is_fenced_or_gone:
+            self._scheduler_state.note_start_failed(run, now_s)
             return
         if may_have_run:
             if run.phase is RunPhase.STARTING:
@@ -559,7 +561,7 @@
         if worker is None or not self._lease.is_valid:
             return
         sent_s = self._clock()
-        outcome = await self._orders.stop(worker.view, order, token=self._scheduler_state.token)
+        outcome = await self._orders.stop(worker.view, order, token=worker.order_token)
         self._metrics.count(f"scheduler.stop.{outcome.status.value}")
         self._log.line(
             "run-stopped",
@@ -583,7 +585,7 @@
         worker = self._scheduler_state.workers.get(order.run.worker_id)
         if worker is None or not self._lease.is_valid:
             return
-        outcome = await self._orders.pace(worker.view, order, token=self._scheduler_state.token)
+        outcome = await self._orders.pace(worker.view, order, token=worker.order_token)
         self._metrics.count(f"scheduler.pace.{outcome.status.value}")
         self._log.line(
             "run-paced",
--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -31,6 +31,9 @@
 RUN_IDS_PER_EPOCH = 1_000_000
 """Run ids of an epoch begin at its fencing token times this, so that they are higher than all ids
 of earlier epochs, although the scheduler does not know the last of these."""
+ORDER_TOKENS_PER_EPOCH = 1_000_000
+"""Fencing tokens of an epoch's orders begin at the epoch's own token times this, so that they are
+higher than those of earlier epochs and lower than those of later ones."""
 MISSING_REPORTS_BEFORE_STOP = 2
 """A running task that this many reports of its worker do not list is stopped. One report is not
 enough, since answers can arrive out of order."""
@@ -86,6 +89,7 @@
 
     __slots__ = (
         "_ends_awaiting_commit",
+        "_last_order_token",
         "_last_run_id",
         "_lasting_allowed_from_s",
         "_log",
@@ -108,6 +112,7 @@
         self.token = token
         self._log = log
         self._last_run_id = token * RUN_IDS_PER_EPOCH
+        self._last_order_token = token * ORDER_TOKENS_PER_EPOCH
         self.tracked_jobs: dict[str, TrackedJob] = {}
         """Jobs that have not ended, whose end is not stored, or with a run that may be alive."""
         self.finished_jobs: dict[str, float] = {}
@@ -323,7 +328,8 @@
         """Add a worker, or update what discovery says of it."""
         worker = self.workers.get(view.worker_id)
         if worker is None:
-            worker = self.workers[view.worker_id] = Worker(view=view)
+            worker = Worker(view=view, order_token=self._next_order_token())
+            self.workers[view.worker_id] = worker
             worker.lasting_allowed_from_s = self._lasting_allowed_from_s.pop(view.worker_id, 0.0)
             return
         worker.is_listed = True
@@ -369,7 +375,7 @@
             self.crashes.note_worker_ended(
                 worker, wall_s, is_replaced=True, unconfirmed=unconfirmed
             )
-        restarted = worker.restart(view)
+        restarted = worker.restart(view, order_token=self._next_order_token())
         restarted.lease_ends_s = runs_end_s
         restarted.isolated_runs = [run for run in worker.isolated_runs if run in unconfirmed]
         for run in unconfirmed:
@@ -385,6 +391,16 @@
         self._drop_permits(worker_id)
         return restarted
 
+    def _next_order_token(self) -> int:
+        """Return a fencing token that is higher than those of all earlier incarnations.
+
+        An order names the worker's id only. An incarnation that has seen its own token refuses what
+        was sent to an earlier one.
+        """
+        highest = (self.token + 1) * ORDER_TOKENS_PER_EPOCH - 1
+        self._last_order_token = min(self._last_order_token + 1, highest)
+        return self._last_order_token
+
     def _drop_permits(self, worker_id: str) -> None:
         """Drop the tickets for a worker, which were valid for its earlier start only."""
         for tracked_job in self.tracked_jobs.values():
@@ -491,18 +507,27 @@
             self._finish_run(worker, run, EndKind.LAPSED, "", now_s)
 
     def apply_report(
-        self, worker: Worker, report: WorkerReport, *, sent_s: float, now_s: float, wall_s: float
+        self,
+        worker: Worker,
+        report: WorkerReport,
+        *,
+        order_token: int,
+        sent_s: float,
+        now_s: float,
+        wall_s: float,
     ) -> None:
         """Record a worker's answer to a poll.
 
         Args:
             worker: The worker.
             report: Its answer.
+            order_token: Fencing token of the poll, which may have been sent to an earlier
+                incarnation.
             sent_s: When the poll was sent, on the scheduler's clock in seconds.
             now_s: Time on the scheduler's clock in seconds.
             wall_s: Time of day in seconds.
         """
-        worker.is_fenced = True
+        worker.is_fenced = worker.is_fenced or order_token >= worker.order_token
         worker.clock_ms, worker.clock_at_s = report.clock_ms, now_s
         for end in report.ended:
             if end.number > worker.highest_seen_end:
--- a/tests/scheduling_fakes.py
+++ b/tests/scheduling_fakes.py
@@ -153,6 +153,7 @@
         self.scheduler_state.apply_report(
             self.worker(worker_id),
             WorkerReport(clock_ms=1000, running=running, ended=tuple(rows)),
+            order_token=self.worker(worker_id).order_token,
             sent_s=self.now_s if sent_s is None else sent_s,
             now_s=self.now_s,
             wall_s=WALL_S,
