Require API keys on queues that aren't public, and bound their revocation

Cause: the platform's programs knew neither teams nor keys.

Change: teams, their keys, weights and limits are decoded in platform/, where only digests are kept. Each call on a queue that isn't public is authenticated; the team is stored with the job and its progress, and other teams neither see nor cancel nor take over its jobs. With strictRevoke a keyed call is admitted only for 0.7 of revokeMs after the beginning of the last reading of the configuration.

--- a/src/shallotworks/jobs/__init__.py
+++ b/src/shallotworks/jobs/__init__.py
@@ -17,6 +17,7 @@
 from ._request_handler import JobRequestHandler, JobRequestStatus, JobResponse
 from ._retry_after import retry_after_s
 from ._spec import Job, QueuePolicy, Repeats, Step, TaskName, job_problems
+from ._team import Resources, Team
 
 __all__ = [
     "Blame",
@@ -31,8 +32,10 @@
     "LostRun",
     "QueuePolicy",
     "Repeats",
+    "Resources",
     "Step",
     "TaskName",
+    "Team",
     "decode_job",
     "decode_progress",
     "encode_job",
--- a/src/shallotworks/jobs/_progress.py
+++ b/src/shallotworks/jobs/_progress.py
@@ -43,9 +43,10 @@
             but not acknowledged is reported again to the next scheduler and must count once.
         lost: Runs of each task that were lost with their workers, until the task is done.
         ended_s: Time of day at which it reached its final state; 0 before.
+        team: The team whose job it is; empty for a job of a public queue.
     """
 
-    __slots__ = ("done", "ended_s", "failures", "lost", "queue", "state")
+    __slots__ = ("done", "ended_s", "failures", "lost", "queue", "state", "team")
 
     def __init__(
         self,
@@ -56,14 +57,20 @@
         failures: dict[tuple[int, int, int], tuple[int, ...]] | None = None,
         lost: dict[tuple[int, int, int], tuple[LostRun, ...]] | None = None,
         ended_s: float = 0.0,
+        team: str = "",
     ) -> None:
         self.queue = queue
+        self.team = team
         self.state = state
         self.done = done if done is not None else {}
         self.failures = failures if failures is not None else {}
         self.lost = lost if lost is not None else {}
         self.ended_s = ended_s
 
+    def is_visible_to(self, team: str | None) -> bool:
+        """Whether a team may see and cancel the job; ``None`` for a call on a public queue."""
+        return team is None or not self.team or self.team == team
+
     def is_done(self, name: TaskName) -> bool:
         """Whether a task has succeeded."""
         return bool(self.done.get((name.occurrence, name.step), 0) >> name.number & 1)
--- a/src/shallotworks/jobs/_records.py
+++ b/src/shallotworks/jobs/_records.py
@@ -79,6 +79,8 @@
 def encode_progress(progress: JobProgress) -> bytes:
     """Encode a job's progress; equal progress gives equal bytes."""
     record: dict[str, Any] = {"queue": progress.queue, "state": progress.state.value}
+    if progress.team:
+        record["team"] = progress.team
     if progress.done:
         record["done"] = [[*key, f"{bits:x}"] for key, bits in sorted(progress.done.items())]
     if progress.failures:
@@ -139,6 +141,7 @@
                 for row in fields.get("lost", ())
             },
             ended_s=fields.get("ended_s", 0.0),
+            team=fields.get("team", ""),
         )
     except (KeyError, IndexError, TypeError) as error:
         raise ValueError(f"progress record can't be decoded: {error!r}") from error
--- a/src/shallotworks/jobs/_request_handler.py
+++ b/src/shallotworks/jobs/_request_handler.py
@@ -35,6 +35,8 @@
     NO_SUCH_JOB = "no-such-job"
     REFUSED = "refused"
     """The request was not carried out and never will be."""
+    ID_TAKEN = "id-taken"
+    """The id names a job of another team; nothing was changed."""
     UNKNOWN = "unknown"
     """The request may have been carried out, or may be yet; the caller may send it again."""
 
@@ -91,7 +93,7 @@
             deadline_s: Time on the loop's clock by which the answer must be given.
         """
         keys = JobKeys(service=job.policy.service)
-        progress = JobProgress(queue=job.policy.queue)
+        progress = JobProgress(queue=job.policy.queue, team=job.team)
         commit = Commit(
             conditions=(
                 Condition(key=keys.job(job.job_id), revision=0),
@@ -106,10 +108,10 @@
         while True:
             outcome = await self._store.commit(commit)
             if isinstance(outcome, Success):
-                repeated = isinstance(outcome.unwrap(), Conflicted)
-                return self._answer(
-                    "submit", job.job_id, JobRequestStatus.ACCEPTED, repeated=repeated
-                )
+                committed = outcome.unwrap()
+                if isinstance(committed, Conflicted):
+                    return self._answer_conflict(job, committed)
+                return self._answer("submit", job.job_id, JobRequestStatus.ACCEPTED, repeated=False)
             failure = outcome.failure()
             is_outcome_unknown |= failure.kind is not ErrorKind.STORE_UNAVAILABLE
             if not await self._wait_before_retry(deadline_s):
@@ -118,8 +120,26 @@
                 )
                 return self._answer("submit", job.job_id, status, failure=failure)
 
-    async def state(self, policy: QueuePolicy, job_id: str, *, deadline_s: float) -> JobResponse:
-        """Return a job's state."""
+    def _answer_conflict(self, job: Job, conflict: Conflicted) -> JobResponse:
+        """Answer a submission whose id is in use: by the same job, or by one of another team."""
+        key = JobKeys(service=job.policy.service).progress(job.job_id)
+        found = next((item for item in conflict.current if item.key == key), None)
+        if found is not None and decode_progress(found.value).team != job.team:
+            return self._answer("submit", job.job_id, JobRequestStatus.ID_TAKEN, team=job.team)
+        return self._answer("submit", job.job_id, JobRequestStatus.ACCEPTED, repeated=True)
+
+    async def state(
+        self, policy: QueuePolicy, job_id: str, *, deadline_s: float, team: str | None = None
+    ) -> JobResponse:
+        """Return a job's state.
+
+        Args:
+            policy: Policy of the queue.
+            job_id: The job.
+            deadline_s: Time on the loop's clock by which the answer must be given.
+            team: The team of the caller, for which jobs of other teams don't exist; ``None`` for a
+                call on a public queue.
+        """
         key = JobKeys(service=policy.service).progress(job_id)
         item = await self._get_with_retries(key, deadline_s)
         if isinstance(item, Failure):
@@ -127,13 +147,18 @@
         if item is None:
             return self._answer("state", job_id, JobRequestStatus.NO_SUCH_JOB)
         progress = decode_progress(item.value)
-        if progress.queue != policy.queue:
+        if progress.queue != policy.queue or not progress.is_visible_to(team):
             return self._answer("state", job_id, JobRequestStatus.NO_SUCH_JOB, queue=progress.queue)
         self._metrics.count("desk.state.found")
         return JobResponse(status=JobRequestStatus.FOUND, state=progress.state)
 
-    async def cancel(self, policy: QueuePolicy, job_id: str, *, deadline_s: float) -> JobResponse:
-        """Cancel a job; accepted once that is stored. A job that has ended does not change."""
+    async def cancel(
+        self, policy: QueuePolicy, job_id: str, *, deadline_s: float, team: str | None = None
+    ) -> JobResponse:
+        """Cancel a job; accepted once that is stored. A job that has ended does not change.
+
+        The arguments are those of `state`.
+        """
         keys = JobKeys(service=policy.service)
         key = keys.progress(job_id)
         while True:
@@ -143,6 +168,8 @@
             if item is None:
                 return self._answer("cancel", job_id, JobRequestStatus.NO_SUCH_JOB)
             progress = decode_progress(item.value)
+            if not progress.is_visible_to(team):
+                return self._answer("cancel", job_id, JobRequestStatus.NO_SUCH_JOB)
             if progress.state.is_final:
                 return self._answer(
                     "cancel", job_id, JobRequestStatus.ACCEPTED, was=progress.state.value
--- a/src/shallotworks/jobs/_spec.py
+++ b/src/shallotworks/jobs/_spec.py
@@ -124,6 +124,7 @@
         steps: Its steps.
         repeats: When the steps are run again; ``None`` for a job that runs once, at once.
         accepted_s: Time of day of its acceptance, in seconds since 1970.
+        team: The team that submitted it; empty for a job of a public queue.
     """
 
     job_id: str
@@ -132,6 +133,7 @@
     steps: tuple[Step, ...]
     repeats: Repeats | None = None
     accepted_s: float = 0.0
+    team: str = ""
 
     @property
     def occurrences(self) -> int:
--- a/src/shallotworks/platform/_configuration.py
+++ b/src/shallotworks/platform/_configuration.py
@@ -7,12 +7,14 @@
 from dataclasses import dataclass
 from typing import Any
 
-from shallotworks.jobs import QueuePolicy
+from shallotworks.jobs import QueuePolicy, Resources, Team
 from shallotworks.logs import StructuredLog
+from shallotworks.metrics import Metrics
 from shallotworks.scheduling import MaintenanceWave
 from shallotworks.store import Item
 
-from ._fields import DECODE_ERRORS, json_object
+from ._api_keys import ApiKeys
+from ._fields import DECODE_ERRORS, json_integer, json_number, json_object, json_string
 
 __all__ = ["OPERATORS_PREFIX", "Configuration", "OperatorRecords", "Queue"]
 
@@ -31,12 +33,14 @@
         prefix: Prefix of the requests' paths.
         timeout_s: Longest time for an answer.
         policy: Policy under which the queue's jobs run.
+        is_public: Whether calls need no API key.
     """
 
     host: str
     prefix: str
     timeout_s: float
     policy: QueuePolicy
+    is_public: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -51,6 +55,8 @@
         guarded: Services whose workers refuse tasks beyond their capacity.
         max_body_bytes: Longest body of a request.
         idle_timeout_s: Time after which callers' idle connections are closed.
+        teams: The teams by name.
+        api_keys: The keys of the teams.
     """
 
     version: int
@@ -60,6 +66,8 @@
     guarded: frozenset[str]
     max_body_bytes: int
     idle_timeout_s: float
+    teams: dict[str, Team]
+    api_keys: ApiKeys
 
     def queue_for(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest matching prefix; ``None`` if no queue matches."""
@@ -78,28 +86,45 @@
     Args:
         on_configuration: Called with each newer configuration.
         log: Receives a line for each newer configuration, each wave and each unreadable record.
+        metrics: Counts unreadable records.
     """
 
-    __slots__ = ("_log", "_on_configuration", "_waves", "configuration")
+    __slots__ = (
+        "_log",
+        "_metrics",
+        "_on_configuration",
+        "_waves",
+        "configuration",
+        "is_configuration_readable",
+    )
 
     def __init__(
-        self, *, on_configuration: Callable[[Configuration], None], log: StructuredLog
+        self,
+        *,
+        on_configuration: Callable[[Configuration], None],
+        log: StructuredLog,
+        metrics: Metrics,
     ) -> None:
         self._on_configuration = on_configuration
         self._log = log
+        self._metrics = metrics
         self._waves: dict[int, MaintenanceWave] = {}
         self.configuration: Configuration | None = None
+        self.is_configuration_readable = False
+        """Whether the latest record of the configuration that was read could be decoded."""
 
     def on_write(self, item: Item) -> None:
         """Apply a record that an operator wrote; log it if it can't be decoded."""
         try:
             if item.key == CONFIGURATION_KEY:
+                self.is_configuration_readable = False
                 self._apply_if_newer(decode_configuration(json.loads(item.value)), item.revision)
             elif item.key.startswith(WAVES_PREFIX):
                 wave = _decode_wave(json.loads(item.value))
                 self._waves[wave.wave] = wave
                 self._log.line("wave-asked", wave=wave.wave, machines=len(wave.machines))
         except DECODE_ERRORS as error:
+            self._metrics.count("operators.unreadable")
             self._log.line("operators-record-unreadable", key=item.key, reason=repr(error))
 
     def on_delete(self, key: str, revision: int) -> None:
@@ -122,6 +147,7 @@
         return json.dumps({"state": "completed" if is_completed else "running"}).encode()
 
     def _apply_if_newer(self, configuration: Configuration, revision: int) -> None:
+        self.is_configuration_readable = True
         earlier = self.configuration
         if earlier is not None and configuration.version <= earlier.version:
             return
@@ -131,6 +157,7 @@
             version=configuration.version,
             revision=revision,
             queues=sum(len(queues) for queues in configuration.queues.values()),
+            teams=len(configuration.teams),
         )
         self._on_configuration(configuration)
 
@@ -146,6 +173,7 @@
         queue = _decode_queue(row)
         by_host.setdefault(queue.host, []).append(queue)
     limits = json_object(body.get("limits", {}))
+    tenants = [json_object(row) for row in body.get("tenants") or ()]
     return Configuration(
         version=int(body["version"]),
         queues={
@@ -159,6 +187,25 @@
         ),
         max_body_bytes=int(limits.get("maxBodyBytes", DEFAULT_MAX_BODY_BYTES)),
         idle_timeout_s=float(limits.get("idleTimeoutMs", 15_000)) / 1000,
+        teams={team.name: team for team in map(_decode_team, tenants)},
+        api_keys=ApiKeys(
+            (json_string(row["name"]), json_string(key))
+            for row in tenants
+            for key in row.get("apiKeys") or ()
+        ),
+    )
+
+
+def _decode_team(row: dict[str, Any]) -> Team:
+    most = json_object(row.get("maxCount") or {})
+    return Team(
+        name=json_string(row["name"]),
+        weight=json_number(row.get("weight", 1)),
+        limit=Resources(
+            cpu_millicores=json_integer(most.get("cpu", 0)),
+            memory_mb=json_integer(most.get("memMb", 0)),
+            gpus=json_integer(most.get("gpu", 0)),
+        ),
     )
 
 
@@ -176,6 +223,7 @@
             target_latency_s=float(row.get("targetLatencyMs", 0)) / 1000,
             is_advised=bool(row.get("advice")),
         ),
+        is_public=bool(row.get("public", False)),
     )
 
 
--- a/src/shallotworks/platform/_daemon.py
+++ b/src/shallotworks/platform/_daemon.py
@@ -28,8 +28,9 @@
 from shallotworks.store import HeldLease, LeaseTiming, PrefixWatcher
 
 from ._configuration import OPERATORS_PREFIX, Configuration, OperatorRecords
+from ._configuration_proof import ConfigurationProof
 from ._http import HttpClient, close_all
-from ._ingress import Ingress
+from ._ingress import Admission, Ingress
 from ._machines import PlatformAdvice, PlatformMachines
 from ._store import PlatformStore
 from ._workers import REGISTRY_PREFIX, PlatformOrders, WorkerRegistry
@@ -110,8 +111,11 @@
         self._orders = PlatformOrders()
         self._registry = WorkerRegistry(log=self._log)
         self._workers_answered_s = -math.inf
+        self._configuration_proof = ConfigurationProof(
+            revocation_s=settings.bounds.revocation_s, clock=boot_time_s
+        )
         self._operator_records = OperatorRecords(
-            on_configuration=self._on_configuration, log=self._log
+            on_configuration=self._on_configuration, log=self._log, metrics=self._metrics
         )
         self._machine_records = MachineRecords(log=self._log)
         self._lease_timing = LeaseTiming(ttl_s=max(LeaseTiming().ttl_s, settings.smallest_ttl_s))
@@ -136,6 +140,10 @@
             outage_s=lambda: self._store.outage_s,
             log=self._log,
             metrics=self._metrics,
+            admission=Admission(
+                are_keys_required=settings.are_keys_required,
+                is_configuration_proven=lambda: self._configuration_proof.is_valid,
+            ),
         )
         self._load = LoadMonitor(
             cores=settings.cores,
@@ -177,6 +185,8 @@
             prefix=OPERATORS_PREFIX,
             listener=self._operator_records,
             log=self._log,
+            on_answer=self._note_configuration_answer,
+            clock=boot_time_s,
         )
         await self._ingress.listen_for_readiness(settings.ready_address)
         await self._ingress.listen(settings.callers_address)
@@ -276,7 +286,12 @@
         )
         await MachineController(lease=lease, dependencies=dependencies).run()
 
-    def _note_workers_answer(self) -> None:
+    def _note_configuration_answer(self, sent_s: float) -> None:
+        self._configuration_proof.note_reading(
+            sent_s, is_readable=self._operator_records.is_configuration_readable
+        )
+
+    def _note_workers_answer(self, _sent_s: float) -> None:
         self._workers_answered_s = boot_time_s()
 
     def _is_capacity_known(self, service: str) -> bool:
--- a/src/shallotworks/platform/_ingress.py
+++ b/src/shallotworks/platform/_ingress.py
@@ -11,6 +11,7 @@
 import json
 import time
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 from aiohttp import web
 from returns.result import Success
@@ -25,10 +26,11 @@
 from shallotworks.logs import StructuredLog
 from shallotworks.metrics import Metrics
 
+from ._api_keys import parse_key
 from ._configuration import Configuration, Queue
 from ._job_requests import decode_submission, is_job_id
 
-__all__ = ["Ingress"]
+__all__ = ["Admission", "Ingress"]
 
 DEADLINE_HEADER = "Shallotworks-Deadline-Ms"
 ANSWER_MARGIN_S = 0.15
@@ -41,6 +43,20 @@
 MAX_REASON_CHARACTERS = 400
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Admission:
+    """How calls on queues that aren't public are admitted.
+
+    Args:
+        are_keys_required: Whether such a call needs an API key.
+        is_configuration_proven: Returns whether the configuration was read from the store recently
+            enough to rule out a revocation that must be in force by now.
+    """
+
+    are_keys_required: bool = False
+    is_configuration_proven: Callable[[], bool] = lambda: True
+
+
 class Ingress:
     """Answers callers' requests, readiness checks and reads of the metrics.
 
@@ -51,9 +67,11 @@
         outage_s: Returns the seconds since the store last answered, while calls to it fail.
         log: Receives a line for each request that is rejected before it reaches the job handler.
         metrics: Counters and latencies of requests.
+        admission: How calls with API keys are admitted.
     """
 
     __slots__ = (
+        "_admission",
         "_configuration",
         "_is_store_unavailable",
         "_job_handler",
@@ -73,7 +91,9 @@
         outage_s: Callable[[], float],
         log: StructuredLog,
         metrics: Metrics,
+        admission: Admission = Admission(),
     ) -> None:
+        self._admission = admission
         self._job_handler = job_handler
         self._configuration = configuration
         self._is_store_unavailable = is_store_unavailable
@@ -151,13 +171,42 @@
                 "queue-unknown", host=host, path=path[:100], version=configuration.version
             )
             return _error_response(404, "no such queue")
+        team: str | None = None
+        if self._admission.are_keys_required and not queue.is_public:
+            admitted = self._admit(request, configuration)
+            if isinstance(admitted, web.Response):
+                return admitted
+            team = admitted
         deadline_s = _deadline_s(request, queue)
         name = path[len(queue.prefix) :]
         if not name:
             return await self._answer_queue(request, queue, deadline_s)
         if not is_job_id(name):
             return _error_response(400, "a job is named by 16 hexadecimal digits")
-        return await self._answer_job(request, configuration, queue, name, deadline_s)
+        return await self._answer_job(
+            request, configuration, queue, name, deadline_s=deadline_s, team=team
+        )
+
+    def _admit(self, request: web.BaseRequest, configuration: Configuration) -> str | web.Response:
+        """Return the team of a call's key, or the answer that refuses the call."""
+        key = parse_key(request.headers.get("Authorization", ""))
+        if key is None:
+            return self._unauthorized_response("missing")
+        # An instance that can't prove its configuration may not know a key that was added either.
+        if not self._admission.is_configuration_proven():
+            self._metrics.count("callers.unproven")
+            return _unavailable_response(
+                "it can't be confirmed that the key is still valid; the request has not run",
+                retry_after_s(self._outage_s()),
+            )
+        team = configuration.api_keys.team_of(key)
+        return team if team is not None else self._unauthorized_response("unknown")
+
+    def _unauthorized_response(self, reason: str) -> web.Response:
+        self._metrics.count(f"callers.key.{reason}")
+        response = _error_response(401, f"the API key is {reason}")
+        response.headers["WWW-Authenticate"] = "Token"
+        return response
 
     async def _answer_queue(
         self, request: web.BaseRequest, queue: Queue, deadline_s: float
@@ -175,15 +224,23 @@
         configuration: Configuration,
         queue: Queue,
         job_id: str,
+        *,
         deadline_s: float,
+        team: str | None,
     ) -> web.Response:
         if request.method == "POST":
-            return await self._submit(request, configuration, queue, job_id, deadline_s)
+            return await self._submit(
+                request, configuration, queue, job_id, deadline_s=deadline_s, team=team
+            )
         if request.method == "GET":
-            answer = await self._job_handler.state(queue.policy, job_id, deadline_s=deadline_s)
+            answer = await self._job_handler.state(
+                queue.policy, job_id, deadline_s=deadline_s, team=team
+            )
             return self._state_response(answer)
         if request.method == "DELETE":
-            answer = await self._job_handler.cancel(queue.policy, job_id, deadline_s=deadline_s)
+            answer = await self._job_handler.cancel(
+                queue.policy, job_id, deadline_s=deadline_s, team=team
+            )
             return self._job_response(answer)
         return _error_response(405, "a job can be handed in, looked at and cancelled")
 
@@ -193,7 +250,9 @@
         configuration: Configuration,
         queue: Queue,
         job_id: str,
+        *,
         deadline_s: float,
+        team: str | None,
     ) -> web.Response:
         try:
             body = await request.read()
@@ -202,7 +261,7 @@
         if len(body) > configuration.max_body_bytes:
             return _error_response(413, "the body is too long")
         decoded = decode_submission(
-            body, job_id=job_id, policy=queue.policy, accepted_s=time.time()
+            body, job_id=job_id, policy=queue.policy, accepted_s=time.time(), team=team or ""
         )
         if not isinstance(decoded, Success):
             reason = decoded.failure().reason
@@ -225,6 +284,8 @@
             return _json_response(200, {})
         if answer.status is JobRequestStatus.NO_SUCH_JOB:
             return _error_response(410, "no such job")
+        if answer.status is JobRequestStatus.ID_TAKEN:
+            return _error_response(409, "the id is in use")
         if answer.status is JobRequestStatus.REFUSED:
             return self._store_unavailable_response()
         return _error_response(504, "the outcome is not known; the same request may be sent again")
--- a/src/shallotworks/platform/_job_requests.py
+++ b/src/shallotworks/platform/_job_requests.py
@@ -25,7 +25,7 @@
 
 
 def decode_submission(
-    body: bytes, *, job_id: str, policy: QueuePolicy, accepted_s: float
+    body: bytes, *, job_id: str, policy: QueuePolicy, accepted_s: float, team: str = ""
 ) -> Result[Job, Failure]:
     """Decode and validate a job.
 
@@ -34,6 +34,7 @@
         job_id: Id of the job.
         policy: Policy of the job's queue.
         accepted_s: Time of acceptance in seconds since 1970.
+        team: The team that submits it; empty for a public queue.
 
     Returns:
         The job, or ``INVALID_REQUEST`` with everything that is wrong with it.
@@ -47,6 +48,7 @@
             steps=tuple(_decode_step(row) for row in table["steps"]),
             repeats=_decode_repeats(table),
             accepted_s=accepted_s,
+            team=team,
         )
         problems = "; ".join(job_problems(job))
     except DECODE_ERRORS as error:
--- a/src/shallotworks/platform/settings.py
+++ b/src/shallotworks/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 import tomllib
 from dataclasses import dataclass
@@ -26,12 +27,15 @@
         longest_lease_s: Longest lease that a worker grants.
         final_state_told_s: Time for which a job's final state is reported.
         turns_apart_s: Minimum time between orders of two lease holders for one machine.
+        revocation_s: Time after which a revoked API key must not be admitted by any instance, in
+            touch with the store or not; infinite if only instances in touch have to refuse it.
     """
 
     stop_grace_s: float
     longest_lease_s: float
     final_state_told_s: float
     turns_apart_s: float
+    revocation_s: float
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -50,6 +54,7 @@
         smallest_ttl_s: Shortest lease that the store grants.
         cores: Processor capacity that this process may use, in cores.
         link_mbps: Bandwidth of the instance's network link.
+        are_keys_required: Whether calls on queues that aren't public need an API key.
         bounds: Limits that the users set.
     """
 
@@ -64,6 +69,7 @@
     smallest_ttl_s: float
     cores: float
     link_mbps: float
+    are_keys_required: bool
     bounds: Bounds
 
 
@@ -105,6 +111,7 @@
         # In this file "cores" is the speed of the one shared core, not a number of cores.
         cores=float(limits.get("cpuShare", 1)) * float(limits.get("cores", 1)),
         link_mbps=float(limits.get("linkMbps", 1000)),
+        are_keys_required="tenants" in table.get("contracts", ()),
         bounds=_decode_bounds(table.get("bounds", {})),
     )
 
@@ -116,6 +123,9 @@
         final_state_told_s=float(table.get("status_s", 120)),
         # "leaseMs" is no lease: it is the minimum time between orders of two lease holders.
         turns_apart_s=float(table.get("leaseMs", 3000)) / 1000,
+        revocation_s=(
+            float(table.get("revokeMs", 5000)) / 1000 if table.get("strictRevoke") else math.inf
+        ),
     )
 
 
--- a/src/shallotworks/store/_prefix_watcher.py
+++ b/src/shallotworks/store/_prefix_watcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 from typing import Protocol
 
@@ -58,12 +59,16 @@
         listener: Receives the changes.
         log: Receives lost and regained contact with the store, and errors of the listener.
         on_answer: Called after each complete read and each watch answer, once the listener has
-            received their changes; not after a failure or an answer that reports lost history.
+            received their changes; not after a failure or an answer that reports lost history. Its
+            argument is the time at which the read or watch was sent: the listener knows all that
+            the store had acknowledged by then.
+        clock: Seconds; the clock of that time.
         pause_s: Pause between a change and the next watch, so that changes in quick succession
             arrive in one answer; each call is paid for.
     """
 
     __slots__ = (
+        "_clock",
         "_is_failing",
         "_known_revisions",
         "_listener",
@@ -82,9 +87,11 @@
         prefix: str,
         listener: WatchListener,
         log: StructuredLog,
-        on_answer: Callable[[], None] | None = None,
+        on_answer: Callable[[float], None] | None = None,
+        clock: Callable[[], float] = time.monotonic,
         pause_s: float = 0.0,
     ) -> None:
+        self._clock = clock
         self._store = store
         self._prefix = prefix
         self._listener = listener
@@ -101,13 +108,14 @@
         backoff_s = FIRST_BACKOFF_S
         revision: int | None = None
         while True:
+            sent_s = self._clock()
             outcome = await (self._read_all() if revision is None else self._watch_once(revision))
             if isinstance(outcome, Success):
                 revision = outcome.unwrap()
                 backoff_s = FIRST_BACKOFF_S
                 self._log_contact_change(None)
                 if self._on_answer is not None and revision is not None:
-                    self._on_answer()
+                    self._on_answer(sent_s)
                 continue
             self._log_contact_change(outcome.failure())
             await asyncio.sleep(backoff_s)
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -860,7 +860,9 @@
     )
     def test_invalid_record_is_ignored(self, _name: str, key: str, value: bytes) -> None:
         """Guards against an invalid record that has an effect when it is written or deleted."""
-        operator_records = OperatorRecords(on_configuration=lambda _: None, log=quiet_log())
+        operator_records = OperatorRecords(
+            on_configuration=lambda _: None, log=quiet_log(), metrics=Metrics()
+        )
         valid = json.dumps(CONFIGURATION).encode()
         operator_records.on_write(Item(key="op/config", value=valid, revision=1, created=1))
         operator_records.on_write(Item(key=key, value=value, revision=2, created=1))
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -12,6 +12,7 @@
 from shallotworks.cli._main import run as run_command
 from shallotworks.errors import ErrorKind
 from shallotworks.logs import StructuredLog
+from shallotworks.metrics import Metrics
 from shallotworks.platform import load_platform_settings
 from shallotworks.platform._configuration import Configuration, OperatorRecords
 from shallotworks.platform._http import HttpAnswer
@@ -89,14 +90,18 @@
         Two overlapping reads of the store deliver the older configuration last.
         """
         applied: list[Configuration] = []
-        operator_records = OperatorRecords(on_configuration=applied.append, log=quiet_log())
+        operator_records = OperatorRecords(
+            on_configuration=applied.append, log=quiet_log(), metrics=Metrics()
+        )
         for version in (2, 7, 3, 7):
             operator_records.on_write(self._item("op/config", _configuration(version)))
         self.assertEqual([2, 7], [configuration.version for configuration in applied])
 
     def test_unreadable_configuration_is_ignored(self) -> None:
         """Guards against an unreadable or deleted record replacing the configuration in force."""
-        operator_records = OperatorRecords(on_configuration=lambda _: None, log=quiet_log())
+        operator_records = OperatorRecords(
+            on_configuration=lambda _: None, log=quiet_log(), metrics=Metrics()
+        )
         operator_records.on_write(self._item("op/config", _configuration(2)))
         operator_records.on_write(self._item("op/config", {"version": 3}))
         operator_records.on_delete("op/config", 9)
@@ -105,7 +110,9 @@
 
     def test_maintenance_waves(self) -> None:
         """Guards against misreading a maintenance wave, and against keeping a deleted one."""
-        operator_records = OperatorRecords(on_configuration=lambda _: None, log=quiet_log())
+        operator_records = OperatorRecords(
+            on_configuration=lambda _: None, log=quiet_log(), metrics=Metrics()
+        )
         record = {"wave": 4, "machines": ["m1"], "durationS": 20, "maxCount": 2}
         operator_records.on_write(self._item("op/wave/4", record))
         self.assertEqual(
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -9,6 +9,7 @@
 import time
 import unittest
 from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 from parameterized import parameterized
 
@@ -74,11 +75,17 @@
         return answer
 
 
-def run(scenario: Callable[[IngressHarness], Awaitable[None]]) -> None:
+_Harness = TypeVar("_Harness", bound=IngressHarness)
+
+
+def run(
+    scenario: Callable[[_Harness], Awaitable[None]],
+    make: Callable[[], _Harness] = IngressHarness,  # type: ignore[assignment]
+) -> None:
     """Run a scenario against a listening ingress."""
 
     async def run_with_server() -> None:
-        harness = IngressHarness()
+        harness = make()
         await harness.ingress.listen(harness.address)
         try:
             await scenario(harness)
--- a/tests/test_shrunk_capacity.py
+++ b/tests/test_shrunk_capacity.py
@@ -114,7 +114,7 @@
                 prefix="servers/",
                 listener=WorkerRegistry(log=quiet_log()),
                 log=quiet_log(),
-                on_answer=lambda: answers_s.append(asyncio.get_running_loop().time()),
+                on_answer=lambda _sent_s: answers_s.append(asyncio.get_running_loop().time()),
             )
             watcher_task = asyncio.create_task(watcher.run())
             await asyncio.sleep(5.0)
