Keep teams within their limits over all services

Change: each team has a record with a share of its limit for each service. A scheduler changes its own service's share by compare-and-swap under its lease, and starts a task only within it; a successor counts the inherited share as used until all earlier workers have answered. A service that is short says so, and the others give up what they do not want.

--- a/src/shallotworks/platform/_daemon.py
+++ b/src/shallotworks/platform/_daemon.py
@@ -12,7 +12,7 @@
 from returns.result import Success
 
 from shallotworks.errors import attributes_of
-from shallotworks.jobs import JobKeys, JobRequestHandler
+from shallotworks.jobs import JobKeys, JobRequestHandler, Team
 from shallotworks.logs import StructuredLog
 from shallotworks.metrics import LoadMonitor, Metrics, summarise, to_exposition
 from shallotworks.scheduling import (
@@ -170,6 +170,7 @@
             log=self._log,
             metrics=self._metrics,
             final_state_told_s=settings.bounds.final_state_told_s,
+            team_of=self._team_of,
             is_capacity_known=self._is_capacity_known,
         )
 
@@ -300,6 +301,10 @@
         is_guarded = configuration is not None and service in configuration.guarded
         return is_guarded or boot_time_s() - self._workers_answered_s < MAX_WORKER_LIST_AGE_S
 
+    def _team_of(self, name: str) -> Team | None:
+        configuration = self._operator_records.configuration
+        return configuration.teams.get(name) if configuration is not None else None
+
     def _standby(self) -> frozenset[str]:
         configuration = self._operator_records.configuration
         return configuration.standby if configuration is not None else frozenset()
--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Callable, Iterator
 
+from shallotworks.jobs import Resources
+
 from ._model import (
     AdviceRequest,
     PaceOrder,
@@ -18,6 +20,7 @@
 from ._placement import Candidates, Placement
 from ._room import Room
 from ._scheduler_state import SchedulerState
+from ._team_rooms import TeamRooms
 from ._tracked_jobs import TrackedStep
 from ._wait_reason import WaitReason
 
@@ -56,6 +59,7 @@
         scheduler_state: The known jobs, runs and workers.
         order: Returns the sort key of a waiting step; the smallest is given room first. See
             `urgency`.
+        team_rooms: Returns what each team may start in a decision.
     """
 
     __slots__ = (
@@ -66,6 +70,7 @@
         "_room",
         "_scheduler_state",
         "_started",
+        "_team_rooms",
         "_wall_s",
     )
 
@@ -74,7 +79,9 @@
         *,
         scheduler_state: SchedulerState,
         order: Callable[[TrackedStep, float], tuple[float, ...]] = urgency,
+        team_rooms: Callable[[], TeamRooms] = TeamRooms,
     ) -> None:
+        self._team_rooms = team_rooms
         self._scheduler_state = scheduler_state
         self._order = order
         self._held_worker_ids: set[str] = set()
@@ -197,13 +204,12 @@
         unplaced_sizes: list[tuple[int, int, int]] = []
         self._room = Room(self._scheduler_state.workers.values(), steps)
         self._held_worker_ids.clear()
+        self._scheduler_state.team_rooms = self._team_rooms()
         self._jobs_with_lost_runs = self._scheduler_state.count_jobs_with_lost_runs()
         for step in steps:
             if self.has_reached_start_limit:
                 return
-            if step.not_before_s > now_s:
-                continue
-            if self._room.is_short_of(step) or _is_at_least_as_large(step, unplaced_sizes):
+            if not self._may_start_some(step, unplaced_sizes, now_s):
                 continue
             if step.tracked_job.job.policy.is_advised and not step.permits:
                 yield from self._request_advice(step, now_s)
@@ -217,11 +223,41 @@
             yield from self._start_tasks(step, step.waiting, now_s)
             if step.waiting and step.step.is_lasting:
                 self._hold_worker_for_lasting(step, now_s)
-            if step.waiting and _waits_only_for_capacity(step) and not step.is_hopeless(wall_s):
+            if (
+                step.waiting
+                and _waits_only_for_capacity(step)
+                and not step.is_hopeless(wall_s)
+                and self._has_team_room(step)
+            ):
                 unplaced_sizes.append(
                     (step.step.cpu_millicores, step.step.memory_mb, step.step.gpus)
                 )
 
+    def _may_start_some(
+        self, step: TrackedStep, unplaced_sizes: list[tuple[int, int, int]], now_s: float
+    ) -> bool:
+        """Whether tasks of a step may be started, as far as it shows without a look at workers."""
+        if step.not_before_s > now_s or self._room.is_short_of(step):
+            return False
+        if _is_at_least_as_large(step, unplaced_sizes):
+            return False
+        return self._has_team_room(step, step.step.count if step.step.is_gang else 1)
+
+    def _has_team_room(self, step: TrackedStep, tasks: int = 1) -> bool:
+        """Whether the limit of the job's team leaves room for some tasks of a step."""
+        team = step.tracked_job.job.team
+        return not team or self._scheduler_state.team_rooms.has_room(
+            team, Resources.of(step.step, tasks)
+        )
+
+    def _assign(
+        self, step: TrackedStep, index: int, worker: Worker, run_id: int, now_s: float
+    ) -> Run:
+        """Assign a task to a worker, within what its team may start."""
+        self._started += 1
+        self._scheduler_state.team_rooms.take(step.tracked_job.job.team, Resources.of(step.step))
+        return self._scheduler_state.new_run(step, index, worker, run_id, now_s)
+
     def _decide_isolated_starts(self, now_s: float) -> Iterator[StartOrder]:
         """Yield the starts of suspects whose workers are ready for them."""
         for run, may_be_sent in self._scheduler_state.isolation.release_reservations(now_s):
@@ -260,9 +296,10 @@
         for index in indices[:1] if step.step.is_lasting else indices:
             if placement.rejection_reason(worker) is not None or self.has_reached_start_limit:
                 break
+            if not self._has_team_room(step):
+                break
             run_id = self._scheduler_state.next_run_id()
-            runs.append(self._scheduler_state.new_run(step, index, worker, run_id, now_s))
-            self._started += 1
+            runs.append(self._assign(step, index, worker, run_id, now_s))
         if runs:
             isolation.isolate(runs, worker, now_s=now_s, wall_s=self._wall_s)
 
@@ -275,15 +312,14 @@
         for index in list(indices):
             avoid = step.tracked_job.avoided_workers.get(step.name(index), frozenset())
             worker = candidates.best(avoid=avoid, rack=step.rack)
-            if worker is None or self.has_reached_start_limit:
+            if worker is None or self.has_reached_start_limit or not self._has_team_room(step):
                 return
             if step.step.is_one_rack and not step.rack:
                 step.rack = worker.view.rack
             run_id = self._scheduler_state.next_run_id()
-            run = self._scheduler_state.new_run(step, index, worker, run_id, now_s)
+            run = self._assign(step, index, worker, run_id, now_s)
             self._scheduler_state.crashes.note_started(run, self._wall_s)
             candidates.note_placed(worker)
-            self._started += 1
             yield self._start_order(step, run)
 
     def _workers_for(self, step: TrackedStep) -> list[Worker]:
@@ -328,9 +364,8 @@
             return
         run_id = self._scheduler_state.next_run_id()
         checkpoint = self._gang_checkpoint(step)
-        self._started += len(chosen)
         for index, worker in chosen:
-            run = self._scheduler_state.new_run(step, index, worker, run_id, now_s)
+            run = self._assign(step, index, worker, run_id, now_s)
             spec = step.tracked_job.job.spec
             ticket = step.permits.get(worker.worker_id, "")
             yield StartOrder(run=run, spec=spec, checkpoint=checkpoint, ticket=ticket)
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -215,6 +215,7 @@
         incarnation: The start of the worker that the run is on.
         phase: The phase of the run.
         since_s: Time of the start on the scheduler's clock.
+        team: The team of the job; empty for none.
     """
 
     __slots__ = (
@@ -237,6 +238,7 @@
         "step",
         "stop_reason",
         "stop_sent_s",
+        "team",
     )
 
     def __init__(
@@ -248,7 +250,9 @@
         incarnation: Incarnation,
         phase: RunPhase,
         since_s: float,
+        team: str = "",
     ) -> None:
+        self.team = team
         self.name = name
         self.run_id = run_id
         self.step = step
--- a/src/shallotworks/scheduling/_order_dispatcher.py
+++ b/src/shallotworks/scheduling/_order_dispatcher.py
@@ -168,6 +168,10 @@
         for worker in self._scheduler_state.workers.values():
             self._request_poll(worker)
 
+    def request_decision(self) -> None:
+        """Request a new decision, after a change that concerns no worker."""
+        self._state_changed.set()
+
     def _request_poll(self, worker: Worker) -> None:
         """Wake the polling task of a worker, if there is a reason to poll it now."""
         event = self._poll_events.get(worker.worker_id)
--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -24,6 +24,7 @@
     WorkerReport,
     WorkerView,
 )
+from ._team_rooms import TeamRooms
 from ._tracked_jobs import TrackedJob, TrackedStep
 
 __all__ = ["RUN_IDS_PER_EPOCH", "SchedulerState", "StoredProgress", "WaitingTasks"]
@@ -102,6 +103,7 @@
         "pending_recovery",
         "runs_to_stop",
         "service",
+        "team_rooms",
         "token",
         "tracked_jobs",
         "workers",
@@ -138,6 +140,8 @@
         self.isolation = Isolation(
             tracked_jobs=self.tracked_jobs, workers=self.workers, blame=self.crashes, log=log
         )
+        self.team_rooms = TeamRooms()
+        """What each team could still start at the last decision."""
         self._replaced_workers: dict[str, Incarnation] = {}
         """Workers of which another one has taken the address, by id, for as long as discovery lists
         them."""
@@ -575,6 +579,7 @@
             incarnation=worker.incarnation,
             phase=RunPhase.RUNNING,
             since_s=now_s,
+            team=tracked_job.job.team if tracked_job is not None else "",
         )
         worker.add(run)
         if tracked_job is not None:
@@ -644,6 +649,7 @@
             incarnation=worker.incarnation,
             phase=RunPhase.STARTING,
             since_s=now_s,
+            team=step.tracked_job.job.team,
         )
         worker.add(run)
         step.waiting.remove(index)
--- a/src/shallotworks/scheduling/_service_scheduler.py
+++ b/src/shallotworks/scheduling/_service_scheduler.py
@@ -10,7 +10,7 @@
 
 from returns.result import Success
 
-from shallotworks.jobs import JobKeys, decode_job, decode_progress
+from shallotworks.jobs import JobKeys, Team, decode_job, decode_progress
 from shallotworks.logs import StructuredLog
 from shallotworks.metrics import Metrics
 from shallotworks.store import (
@@ -31,6 +31,8 @@
 from ._protocols import AdviceService, WorkerDirectory, WorkerOrders
 from ._scheduler_state import SchedulerState
 from ._sizing import PoolSizer, SizingLimits
+from ._team_limits import TeamLimits
+from ._team_shares import TeamShares
 from ._waiting import WaitMonitor, first_names
 from ._worker_tracker import DIRECTORY_POLL_INTERVAL_S, WorkerTracker
 
@@ -79,6 +81,8 @@
         metrics: Counters and latencies.
         final_state_told_s: A job's final state is reported for this long. Source: the platform's
             settings.
+        team_of: Returns a team by its name as the configuration has it now; ``None`` if it has none
+            of the name.
         is_capacity_known: Whether the capacities of a service's workers are known well enough to
             start tasks there.
     """
@@ -94,6 +98,7 @@
     log: StructuredLog
     metrics: Metrics
     final_state_told_s: float = 120.0
+    team_of: Callable[[str], Team | None] = lambda _name: None
     is_capacity_known: Callable[[str], bool] = lambda _service: True
 
 
@@ -118,6 +123,8 @@
         "_pending_counts_record",
         "_progress_writer",
         "_sizer",
+        "_team_limits",
+        "_team_shares",
         "_wait_monitor",
         "_watcher",
         "_worker_tracker",
@@ -137,7 +144,12 @@
         self.scheduler_state = SchedulerState(
             service=service, token=lease.token, log=dependencies.log
         )
-        self.decision_engine = DecisionEngine(scheduler_state=self.scheduler_state)
+        self._team_limits = TeamLimits(
+            service=service, scheduler_state=self.scheduler_state, team_of=dependencies.team_of
+        )
+        self.decision_engine = DecisionEngine(
+            scheduler_state=self.scheduler_state, team_rooms=self._team_limits.rooms
+        )
         self._sizer = PoolSizer(scheduler_state=self.scheduler_state, limits=SizingLimits())
         self._wait_monitor = WaitMonitor(
             scheduler_state=self.scheduler_state, metrics=dependencies.metrics, log=dependencies.log
@@ -173,6 +185,14 @@
             metrics=dependencies.metrics,
             on_stored=self._order_dispatcher.wake,
         )
+        self._team_shares = TeamShares(
+            limits=self._team_limits,
+            lease=lease,
+            store=dependencies.store,
+            clock=dependencies.clock,
+            log=dependencies.log,
+            on_change=self._order_dispatcher.request_decision,
+        )
         self._watcher = PrefixWatcher(
             store=dependencies.store,
             prefix=self._keys.prefix,
@@ -204,6 +224,7 @@
             self._publish(),
             self._delete_old_jobs(),
             self._size_pool(),
+            self._team_shares.run(),
         )
         tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
         lease_lost = asyncio.create_task(self._lease.lost_event.wait())
@@ -328,6 +349,8 @@
         if is_waiting and self._sizer.withdraw(now_s, wall_s=wall_s):
             self._decide_once()
         self._order_dispatcher.sync_workers()
+        if self.scheduler_state.team_rooms.refused:
+            self._team_shares.review_soon()
         if any(tracked_job.is_dirty for tracked_job in self.scheduler_state.tracked_jobs.values()):
             self._progress_writer.wake.set()
         return self.decision_engine.has_reached_start_limit
@@ -393,6 +416,8 @@
             now_s, wall_s = self._dependencies.clock(), self._dependencies.wall_clock()
             self._log("pool-state", **self._sizer.state(wall_s=wall_s))
             self._wait_monitor.report(now_s=now_s, wall_s=wall_s)
+            if self.scheduler_state.team_rooms.refused:
+                self._log("team-limits", teams=self._team_limits.fields())
             await self._worker_tracker.update_record()
             await self._pending_counts_record.put(
                 json.dumps(self.scheduler_state.count_waiting_jobs(), sort_keys=True).encode()
--- a/src/shallotworks/scheduling/_wait_reason.py
+++ b/src/shallotworks/scheduling/_wait_reason.py
@@ -49,6 +49,8 @@
     REFUSED = "refused"
     """A worker refused the last start as invalid. The next start is delayed, longer after each
     refusal."""
+    TEAM_LIMIT = "team-limit"
+    """The team of the job has no room left in its share of its limit on this service."""
     GANG = "gang"
     """A worker may run a member of the gang, but members start together: some are still being
     stopped, or there is not enough room for all."""
--- a/src/shallotworks/scheduling/_waiting.py
+++ b/src/shallotworks/scheduling/_waiting.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from shallotworks.jobs import TaskName
+from shallotworks.jobs import Resources, TaskName
 from shallotworks.logs import StructuredLog
 from shallotworks.metrics import Metrics
 
@@ -150,6 +150,10 @@
         return WaitReason.GANG
     if step.not_before_s > now_s:
         return WaitReason.REFUSED
+    job = step.tracked_job.job
+    tasks = step.step.count if step.step.is_gang else 1
+    if not scheduler_state.team_rooms.has_room(job.team, Resources.of(step.step, tasks)):
+        return WaitReason.TEAM_LIMIT
     placement = Placement.of(step, now_s=now_s, wall_s=wall_s)
     closest = WaitReason.UNLISTED
     for worker in scheduler_state.workers.values():
@@ -322,6 +326,7 @@
     is_filler: bool
     is_lasting: bool
     is_hopeless: bool
+    team: str
 
 
 class _ReasonFinder:
@@ -368,6 +373,7 @@
             is_filler=step.is_filler,
             is_lasting=step.is_lasting,
             is_hopeless=entry.is_hopeless(self._wall_s),
+            team=entry.tracked_job.job.team,
         )
 
 
--- a/tests/scheduling_simulation.py
+++ b/tests/scheduling_simulation.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from returns.result import Result, Success
 
@@ -16,6 +17,7 @@
     QueuePolicy,
     Step,
     TaskName,
+    Team,
     decode_progress,
 )
 from shallotworks.metrics import Metrics
@@ -54,8 +56,18 @@
 class Instance:
     """An entry instance, which can be killed and cut off from the store and from workers."""
 
-    def __init__(self, *, name: str, store: RecordStore, fleet: TaskWorkers) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        store: RecordStore,
+        fleet: TaskWorkers,
+        service: str = SERVICE,
+        team_of: Callable[[str], Team | None] = lambda _name: None,
+    ) -> None:
         self.name = name
+        self._service = service
+        self._team_of = team_of
         self.store = FaultInjectingStore(store=store)
         self.orders = FaultInjectingOrders(fleet=fleet, faults=OrderFaults())
         self.service_schedulers: list[ServiceScheduler] = []
@@ -84,7 +96,7 @@
     def start(self) -> None:
         """Start trying to acquire the service's lease."""
         self._tasks.add(asyncio.create_task(self.elector.run()))
-        self.elector.set_services({SERVICE})
+        self.elector.set_services({self._service})
 
     async def kill(self) -> None:
         """End the instance at once, without releasing or reporting anything."""
@@ -108,6 +120,7 @@
             times=OrderTimes(),
             log=quiet_log(),
             metrics=Metrics(),
+            team_of=self._team_of,
         )
         service_scheduler = ServiceScheduler(
             service=service, lease=lease, dependencies=dependencies
@@ -124,6 +137,9 @@
         workers: Number of workers.
         instances: Number of instances.
         fleet: Type of the workers, for scenarios in which they check or do more.
+        service: The service.
+        store: The store; by default one of its own.
+        team_of: Returns a team by its name; by default there are none.
     """
 
     def __init__(
@@ -133,20 +149,33 @@
         workers: int = 4,
         instances: int = 3,
         fleet: type[TaskWorkers] = TaskWorkers,
+        service: str = SERVICE,
+        store: RecordStore | None = None,
+        team_of: Callable[[str], Team | None] = lambda _name: None,
     ) -> None:
         self.rng = random.Random(seed)
-        self.store = RecordStore(rng=self.rng)
+        self.service = service
+        self._team_of = team_of
+        self.store = store or RecordStore(rng=self.rng)
         self.fleet = fleet(rng=self.rng)
         for number in range(workers):
-            self.fleet.add(view(f"w{number}", service=SERVICE))
-        self.instances = [
-            Instance(name=f"n{number}", store=self.store, fleet=self.fleet)
-            for number in range(instances)
-        ]
+            self.fleet.add(
+                view(f"{service[0]}{number}" if store else f"w{number}", service=service)
+            )
+        self.instances = [self._make_instance(number) for number in range(instances)]
         self.accepted: dict[str, Job] = {}
         self.refused: set[str] = set()
         self._instance_count = instances
 
+    def _make_instance(self, number: int) -> Instance:
+        return Instance(
+            name=f"n{number}",
+            store=self.store,
+            fleet=self.fleet,
+            service=self.service,
+            team_of=self._team_of,
+        )
+
     async def run_jobs(self, count: int, over_s: float) -> None:
         """Submit jobs at drawn moments within ``over_s`` seconds."""
         await asyncio.gather(*(self._submit_drawn_job(number, over_s) for number in range(count)))
@@ -162,9 +191,11 @@
             await asyncio.sleep(self.rng.uniform(0, 1.0))
             await self.cancel(job_id)
 
-    async def submit(self, job_id: str, *steps: Step, policy: QueuePolicy = DEFAULT_POLICY) -> None:
+    async def submit(
+        self, job_id: str, *steps: Step, policy: QueuePolicy = DEFAULT_POLICY, team: str = ""
+    ) -> None:
         """Submit a job to drawn instances until one accepts it, at most 20 times."""
-        submitted_job = Job(job_id=job_id, policy=policy, spec="x", steps=steps)
+        submitted_job = Job(job_id=job_id, policy=policy, spec="x", steps=steps, team=team)
         for number, later in enumerate(steps):
             for index in range(later.count):
                 self.fleet.task_dependencies[TaskName(job_id, 0, number, index)] = tuple(
@@ -187,7 +218,7 @@
         for _ in range(20):
             instance = self.rng.choice(self.instances)
             answer = await instance.job_handler.cancel(
-                policy(service=SERVICE), job_id, deadline_s=instance.now_s() + 1.5
+                policy(service=self.service), job_id, deadline_s=instance.now_s() + 1.5
             )
             if answer.status.value == "accepted":
                 self.fleet.cancelled.setdefault(job_id, instance.now_s())
@@ -199,13 +230,13 @@
         self.instances.remove(instance)
         await instance.kill()
         self._instance_count += 1
-        replacement = Instance(name=f"n{self._instance_count}", store=self.store, fleet=self.fleet)
+        replacement = self._make_instance(self._instance_count)
         self.instances.append(replacement)
         replacement.start()
 
     def scheduler(self) -> Instance | None:
         """Return the instance that holds the service's lease."""
-        item = self.store.items.get(f"shallotworks/duty/scheduler/{SERVICE}")
+        item = self.store.items.get(f"shallotworks/duty/scheduler/{self.service}")
         if item is None:
             return None
         lease_holders = [
@@ -215,7 +246,7 @@
 
     def state(self, job_id: str) -> JobState | None:
         """Return a job's stored state."""
-        item = self.store.items.get(JobKeys(service=SERVICE).progress(job_id))
+        item = self.store.items.get(JobKeys(service=self.service).progress(job_id))
         return decode_progress(item.value).state if item is not None else None
 
     def violations(self) -> list[str]:
