--- a/tests/test_team_limits.py
+++ b/tests/test_team_limits.py
@@ -168,13 +168,14 @@
 
         async def scenario() -> None:
             simulation = TeamSimulation(seed=seed, limit_millicores=8_000)
-            rng, count = simulation.rng, 0
+            rng, submissions = simulation.rng, []
             await asyncio.sleep(1.0)
             for _ in range(14):
                 service = rng.choice(simulation.services)
                 for _ in range(rng.randint(1, 4)):
-                    await simulation.submit(service, f"{count:016x}", rng.randint(1, 9))
-                    count += 1
+                    job_id = f"{len(submissions):016x}"
+                    submission = simulation.submit(service, job_id, rng.randint(1, 9))
+                    submissions.append(asyncio.create_task(submission))
                 await self._disturb(simulation)
                 await asyncio.sleep(rng.uniform(0.2, 2.0))
             for service in simulation.services:
@@ -182,6 +183,7 @@
                     instance.store.faults.is_down = False
                     instance.orders.faults.unreachable_worker_ids = set()
             simulation.set_limit(8_000)
+            await asyncio.gather(*submissions)
             await asyncio.sleep(25.0)
             self.assertEqual([], simulation.over_limit)
             for service in simulation.services:
