Name incarnations, epochs and leases in docstrings and log events by the field's words

The word start meant a worker's incarnation, a start of a task and a start order, often in one docstring; the first is an incarnation now. Log events and metrics of the old tongue (need-told, look-failed, term-begun, worker-over, duty-lost, scheduler.look) carry the field's words.

--- a/bench/bottlenecks.py
+++ b/bench/bottlenecks.py
@@ -138,15 +138,15 @@
         """For each process the times at which it was saturated (true) or relieved (false)."""
         readers = {
             "pool-state": self._read_state,
-            "need-told": self._read_demand,
+            "demand-published": self._read_demand,
             "machine-ordered": self._read_order,
-            "term-begun": self._read_epoch,
+            "epoch-begun": self._read_epoch,
             "job-submit": self._read_submit,
             "run-started": self._read_start,
             "run-ended": self._read_end,
             "duty-rests": self._read_lease_suspension,
             "duty-resumed": self._read_lease_suspension,
-            "duty-lost": self._read_lease_suspension,
+            "lease-lost": self._read_lease_suspension,
             "process-saturated": self._read_load,
             "process-relieved": self._read_load,
         }
--- a/src/shallotworks/jobs/_crashes.py
+++ b/src/shallotworks/jobs/_crashes.py
@@ -41,7 +41,7 @@
 
     Args:
         run_id: The run.
-        incarnation: The start of the worker that it ran on.
+        incarnation: The incarnation of the worker that it ran on.
         blame: How likely it was the cause.
         is_certain: Whether the worker has crashed. Otherwise it may have crashed, or may still do
             so.
--- a/src/shallotworks/jobs/_incarnation.py
+++ b/src/shallotworks/jobs/_incarnation.py
@@ -1,4 +1,4 @@
-"""Identifies one start of a worker."""
+"""Identifies one incarnation of a worker."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Incarnation:
-    """One start of a worker.
+    """One incarnation of a worker: from its start to its end.
 
     Everything that a worker holds, knows and counts belongs to one incarnation of it. A worker that
     starts again under its id knows nothing of before, so that two incarnations have nothing in
@@ -43,7 +43,7 @@
         return cls(worker_id=worker_id, born_ms=int(born_ms) if separator else None)
 
     def is_later_than(self, other: Incarnation) -> bool:
-        """Whether this is a later start of the same worker."""
+        """Whether this is a later incarnation of the same worker."""
         return (
             self.worker_id == other.worker_id
             and self.born_ms is not None
--- a/src/shallotworks/jobs/_records.py
+++ b/src/shallotworks/jobs/_records.py
@@ -129,8 +129,8 @@
                 (row[0], row[1], row[2]): tuple(
                     LostRun(
                         run_id=run[0],
-                        # Earlier releases wrote neither the start of the worker nor whether it
-                        # received the run.
+                        # Earlier releases wrote neither the incarnation of the worker nor
+                        # whether it received the run.
                         incarnation=Incarnation(
                             worker_id=run[1], born_ms=run[4] if len(run) > 4 else None
                         ),
--- a/src/shallotworks/platform/_configuration.py
+++ b/src/shallotworks/platform/_configuration.py
@@ -122,7 +122,7 @@
             elif item.key.startswith(WAVES_PREFIX):
                 wave = _decode_wave(json.loads(item.value))
                 self._waves[wave.wave] = wave
-                self._log.line("wave-asked", wave=wave.wave, machines=len(wave.machines))
+                self._log.line("wave-requested", wave=wave.wave, machines=len(wave.machines))
         except DECODE_ERRORS as error:
             self._metrics.count("operators.unreadable")
             self._log.line("operators-record-unreadable", key=item.key, reason=repr(error))
--- a/src/shallotworks/platform/_worker_entries.py
+++ b/src/shallotworks/platform/_worker_entries.py
@@ -101,7 +101,7 @@
         value: The entry's bytes.
         requires_born: Whether the entry must state when the worker started. A platform that states
             it does so for each of its workers.
-        known_born_ms: The latest known start of the worker; ``None`` if unknown.
+        known_born_ms: The latest known incarnation of the worker; ``None`` if unknown.
 
     Returns:
         The worker, or why the entry was rejected.
@@ -141,7 +141,7 @@
     Args:
         json_fields: The top level of the message.
         is_required: Whether a message without it is invalid.
-        known_born_ms: The latest known start of the worker; ``None`` if unknown.
+        known_born_ms: The latest known incarnation of the worker; ``None`` if unknown.
 
     Returns:
         The time; ``None`` if it is neither stated nor required.
--- a/src/shallotworks/platform/_workers.py
+++ b/src/shallotworks/platform/_workers.py
@@ -37,7 +37,7 @@
 
 REGISTRY_PREFIX = "servers/"
 MAX_KNOWN_BIRTHS = 10_000
-"""Number of workers of which the latest known start is remembered."""
+"""Number of workers of which the latest known incarnation is remembered."""
 INCARNATION_HEADER = "Shallotworks-Expect-Instance"
 ORDER_TIMEOUT_S = 0.7
 """Timeout of an order: healthy workers answer in a few milliseconds."""
@@ -268,7 +268,7 @@
         self._workers: dict[str, WorkerView] = {}
         self._problems: dict[str, EntryProblem] = {}
         self._latest_born_ms: dict[str, int] = {}
-        """The latest known start of each worker, also of workers that are not listed any more."""
+        """The latest known incarnation of each worker, also of those no longer listed."""
         self._is_born_stated = False
         """Whether workers of this platform state when they started: all of them do, or none."""
         self.is_synced = False
@@ -344,7 +344,7 @@
             del self._latest_born_ms[next(iter(self._latest_born_ms))]
 
     def _reject(self, worker_id: str, problem: EntryProblem, revision: int) -> None:
-        # An entry of an earlier start says nothing against the later one that is listed.
+        # An entry of an earlier incarnation says nothing against the later one that is listed.
         is_superseded = problem.kind is EntryProblemKind.SUPERSEDED
         earlier = None if is_superseded else self._workers.pop(worker_id, None)
         self.version += earlier is not None
--- a/src/shallotworks/scheduling/_active_workers.py
+++ b/src/shallotworks/scheduling/_active_workers.py
@@ -81,7 +81,7 @@
     def is_recorded(self, worker_id: str) -> bool:
         """Whether tasks may be started on a worker, which every possible stored value must name.
 
-        It need not name the present start of the worker: a successor polls whichever start there is
+        It need not name the present incarnation: a successor polls whichever incarnation there is
         and learns from it what runs.
         """
         active_worker = self.active_workers.get(worker_id)
@@ -115,7 +115,7 @@
         try:
             self.active_workers = self.decode(value)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
-            self._log.line("runners-unreadable", key=self._key, reason=repr(error)[:200])
+            self._log.line("active-workers-unreadable", key=self._key, reason=repr(error)[:200])
             # The writer may have used workers that this epoch doesn't know and so can't poll.
             # Earlier jobs wait until the leases of those workers have expired.
             self.active_workers = {UNREADABLE_RECORD_ID: ActiveWorker(address="")}
--- a/src/shallotworks/scheduling/_crash_blame.py
+++ b/src/shallotworks/scheduling/_crash_blame.py
@@ -122,7 +122,7 @@
             wall_s: Time of day in seconds since 1970.
             is_replaced: Whether another incarnation has taken the worker's place, so that it has
                 crashed. Otherwise it may only be unreachable.
-            unconfirmed: Its runs that a later start of it may have received instead. Their blame
+            unconfirmed: Its runs that a later incarnation may have received instead. Their blame
                 stays uncertain until a report of the later one shows whether it has them.
         """
         for run in worker.runs.values():
@@ -139,7 +139,7 @@
                 self._confirm(tracked_job, name, lost, wall_s, is_replaced=is_replaced)
 
     def confirm_run(self, run: Run, wall_s: float) -> None:
-        """Record that a run was lost with an earlier start of its worker, if that received it."""
+        """Record that a run was lost with an earlier incarnation, if that received it."""
         tracked_job = self._tracked_jobs.get(run.name.job_id)
         if tracked_job is None or tracked_job.progress.state.is_final:
             return
@@ -283,7 +283,7 @@
     def _uncertain_losses_on(
         self, incarnation: Incarnation
     ) -> list[tuple[TrackedJob, TaskName, LostRun]]:
-        """Return the uncertain lost runs on one start of a worker, with their jobs and tasks."""
+        """Return the uncertain lost runs on one incarnation, with their jobs and tasks."""
         return [
             (tracked_job, TaskName(tracked_job.job.job_id, *key), lost)
             for tracked_job in self._tracked_jobs.values()
--- a/src/shallotworks/scheduling/_leader_elector.py
+++ b/src/shallotworks/scheduling/_leader_elector.py
@@ -192,12 +192,12 @@
     async def _run_with_lease(self, service: str, lease: HeldLease) -> None:
         self._holder_tokens[service] = lease.token
         self._leases[service] = lease
-        self._log.line("duty-acquired", key=lease.key, token=lease.token)
+        self._log.line("lease-acquired", key=lease.key, token=lease.token)
         try:
             await self._run_epoch(service, lease)
         except Exception as error:
             # A fault in one epoch must not end the instance; another instance acquires the lease.
-            self._log.line("term-fault", service=service, reason=repr(error))
+            self._log.line("epoch-fault", service=service, reason=repr(error))
         finally:
             lease.mark_lost("the epoch has ended")
             del self._leases[service]
--- a/src/shallotworks/scheduling/_machine_records.py
+++ b/src/shallotworks/scheduling/_machine_records.py
@@ -44,7 +44,7 @@
     Args:
         lacking: Number of machines that it could use at once.
         free: Ids of the workers that may be removed; the scheduler starts nothing on them, nor on
-            a later start of one.
+            a later incarnation of one.
         token: The scheduler's fencing token.
         woke: How often the scheduler has resumed in this epoch after a store outage suspended it.
         has_claims: Whether all tasks that run on the service's workers are of claimed jobs.
@@ -98,8 +98,8 @@
 
     Args:
         due: Ids of the workers that are to be drained, also if they start again meanwhile.
-        over: Starts of workers that were removed recently, with everything that ran on them: the
-            platform has obeyed the order. A later start of the same worker is not over.
+        over: Incarnations that were removed recently, with everything that ran on them: the
+            platform has obeyed the order. A later incarnation of the same worker is not over.
         recalls: For each service with borrowed machines, how many of them it is asked to free for
             services that lack machines.
         ordered: Machines that may have been ordered recently or may be ordered now; ``None`` if
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -212,7 +212,7 @@
         name: The task.
         run_id: Increases with each run of the task.
         step: The step of the task.
-        incarnation: The start of the worker that the run is on.
+        incarnation: The incarnation of the worker that the run is on.
         phase: The phase of the run.
         since_s: Time of the start on the scheduler's clock.
         team: The team of the job; empty for none.
@@ -258,7 +258,7 @@
         self.step = step
         self.incarnation = incarnation
         self.possibly_lost_on: Incarnation | None = None
-        """An earlier start of the worker that may have carried out the start order, and has ended;
+        """An earlier incarnation that may have carried out the start order, and has ended;
         ``None`` if it is certain which one did."""
         self.phase = phase
         self.phase_s = since_s
@@ -287,14 +287,14 @@
 
     @property
     def is_unconfirmed(self) -> bool:
-        """Whether a start was sent of which it is not known which start of the worker received it.
+        """Whether a start was sent of which it is not known which incarnation received it.
 
-        An order names the worker's id only, so a later start of the worker may carry it out too.
+        An order names the worker's id only, so a later incarnation may carry it out too.
         """
         return self.phase is not RunPhase.RESERVED and self.confirmed_s == math.inf
 
     def move_to_restarted(self, incarnation: Incarnation, now_s: float) -> None:
-        """Look for the run on a later start of its worker, which may have received the order."""
+        """Look for the run on a later incarnation, which may have received the order."""
         self.possibly_lost_on = self.possibly_lost_on or self.incarnation
         self.incarnation = incarnation
         self.stop_sent_s = -1e9
--- a/src/shallotworks/scheduling/_order_dispatcher.py
+++ b/src/shallotworks/scheduling/_order_dispatcher.py
@@ -82,7 +82,7 @@
 PAUSE_AFTER_NO_ROOM_S = 0.3
 """No task is placed on a worker while one of these three pauses lasts."""
 MAX_ACKNOWLEDGING_POLL_WAIT_S = 0.1
-"""Longest wait of a poll that acknowledges ends. A later start of the worker that receives the poll
+"""Longest wait of a poll that acknowledges ends. A later incarnation that receives the poll
 forgets its own ends with these numbers for as long as it waits; a task takes longer."""
 MIN_ISOLATED_POLL_WAIT_S = 0.02
 """Shortest wait of a poll at a worker that has to survive the start of an isolated run."""
@@ -157,7 +157,7 @@
         self._state_changed = asyncio.Event()
         self._poll_events: dict[str, asyncio.Event] = {}
         self._poll_tasks: dict[str, tuple[Worker, asyncio.Task[None]]] = {}
-        """Polling tasks by worker id, each with the start of the worker that it polls."""
+        """Polling tasks by worker id, each with the incarnation that it polls."""
         self._in_flight: set[asyncio.Task[None]] = set()
 
     # ---- used by the service scheduler
@@ -300,7 +300,7 @@
             wait_s=wait_s,
             timeout_s=wait_s + self._times.answer_s,
         )
-        self._metrics.count(f"scheduler.look.{outcome.status.value}")
+        self._metrics.count(f"scheduler.poll.{outcome.status.value}")
         if not self._is_present(worker):
             # It has ended or started again, so that nothing it reports holds any more.
             self._handle_fenced_or_gone(worker, outcome)
@@ -332,7 +332,7 @@
         self._state_changed.set()
 
     def _identify(self, worker: Worker, outcome: OrderOutcome) -> Worker:
-        """Return the start of a worker that gave an answer: the known one, or a later one."""
+        """Return the incarnation that gave an answer: the known one, or a later one."""
         born_ms, known_born_ms = outcome.born_ms, worker.view.born_ms
         if born_ms is None or born_ms == known_born_ms:
             return worker
@@ -350,8 +350,10 @@
             runs_end_s=now_s + self._times.recovery_s,
         )
 
-    def _is_from_known_start(self, worker: Worker, outcome: OrderOutcome, sent_s: float) -> bool:
-        """Return whether the known start of a worker answered an order; poll at once if not.
+    def _is_from_known_incarnation(
+        self, worker: Worker, outcome: OrderOutcome, sent_s: float
+    ) -> bool:
+        """Return whether the known incarnation answered an order; poll at once if not.
 
         An answer to an order need not state when the worker started, but its clock tells: a later
         start counts anew. Which start it is, and what runs there, the next report shows.
@@ -364,7 +366,7 @@
                 return False
             return self._identify(worker, outcome) is worker
         if not worker.clock_ms:
-            # An earlier answer was not of the known start, and no report has come since.
+            # An earlier answer was not of the known incarnation, and no report has come since.
             return False
         now_s = self._clock()
         if not outcome.clock_ms or worker.is_plausible_clock(
@@ -419,7 +421,7 @@
         if not self._handle_fenced_or_gone(worker, outcome):
             worker.pause_until_s = self._clock() + PAUSE_AFTER_NO_ANSWER_S
             self._log.line(
-                "look-failed",
+                "poll-failed",
                 worker=worker.worker_id,
                 outcome=outcome.status.value,
                 detail=outcome.detail,
@@ -504,7 +506,7 @@
             seen_s=round(now_s - worker.reported_s, 3),
             token=self._scheduler_state.token,
         )
-        is_certain = self._is_from_known_start(worker, outcome, sent_s)
+        is_certain = self._is_from_known_incarnation(worker, outcome, sent_s)
         self._handle_start_outcome(worker, run, outcome, now_s, is_certain=is_certain)
         self._wake_for_worker(worker)
 
@@ -518,7 +520,7 @@
             run: The run.
             outcome: The outcome.
             now_s: Time on the scheduler's clock in seconds.
-            is_certain: Whether that start of the worker gave the answer, and no later one.
+            is_certain: Whether that incarnation gave the answer, and no later one.
         """
         is_fenced_or_gone = self._handle_fenced_or_gone(worker, outcome)
         may_have_run = outcome.status in (OrderStatus.OBEYED, OrderStatus.UNANSWERED)
@@ -580,7 +582,7 @@
         if (
             not self._handle_fenced_or_gone(worker, outcome)
             and outcome.status is OrderStatus.OBEYED
-            and self._is_from_known_start(worker, outcome, sent_s)
+            and self._is_from_known_incarnation(worker, outcome, sent_s)
         ):
             run.enter(RunPhase.STOPPED, self._clock())
         self._wake_for_worker(worker)
--- a/src/shallotworks/scheduling/_protocols.py
+++ b/src/shallotworks/scheduling/_protocols.py
@@ -140,7 +140,7 @@
 
     @property
     def incarnation(self) -> Incarnation:
-        """Identifies the start of the worker that was on the machine when the list was read."""
+        """Identifies the incarnation that was on the machine when the list was read."""
         return Incarnation(worker_id=self.worker_id, born_ms=self.born_ms)
 
 
--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -12,6 +12,7 @@
 
 from ._crash_blame import CrashBlame
 from ._demand import Arrival
+from ._epoch_numbers import RUN_IDS_PER_EPOCH, EpochNumbers
 from ._isolation import Isolation
 from ._model import (
     UNKNOWN_STEP,
@@ -26,15 +27,10 @@
 )
 from ._team_rooms import TeamRooms
 from ._tracked_jobs import TrackedJob, TrackedStep
+from ._unstored_ends import UnstoredEnds
 
-__all__ = ["RUN_IDS_PER_EPOCH", "SchedulerState", "StoredProgress", "WaitingTasks"]
+__all__ = ["SchedulerState", "StoredProgress", "WaitingTasks"]
 
-RUN_IDS_PER_EPOCH = 1_000_000
-"""Run ids of an epoch begin at its fencing token times this, so that they are higher than all ids
-of earlier epochs, although the scheduler does not know the last of these."""
-ORDER_TOKENS_PER_EPOCH = 1_000_000
-"""Fencing tokens of an epoch's orders begin at the epoch's own token times this, so that they are
-higher than those of earlier epochs and lower than those of later ones."""
 MISSING_REPORTS_BEFORE_STOP = 2
 """A running task that this many reports of its worker do not list is stopped. One report is not
 enough, since answers can arrive out of order."""
@@ -89,12 +85,11 @@
     """
 
     __slots__ = (
-        "_ends_awaiting_commit",
-        "_last_order_token",
-        "_last_run_id",
         "_lasting_allowed_from_s",
         "_log",
+        "_numbers",
         "_replaced_workers",
+        "_unstored_ends",
         "arrivals",
         "crashes",
         "finished_jobs",
@@ -115,8 +110,7 @@
         self.service = service
         self.token = token
         self._log = log
-        self._last_run_id = token * RUN_IDS_PER_EPOCH
-        self._last_order_token = token * ORDER_TOKENS_PER_EPOCH
+        self._numbers = EpochNumbers(token)
         self.tracked_jobs: dict[str, TrackedJob] = {}
         """Jobs that have not ended, whose end is not stored, or with a run that may be alive."""
         self.finished_jobs: dict[str, float] = {}
@@ -131,11 +125,11 @@
         the time on the scheduler's clock after which all these tasks have ended."""
         self.arrivals: deque[Arrival] = deque(maxlen=MAX_TRACKED_ARRIVALS)
         """Time of day in seconds and estimated work in core-seconds of the latest jobs."""
-        self._ends_awaiting_commit: dict[str, list[tuple[int, Worker, int]]] = {}
+        self._unstored_ends = UnstoredEnds()
         self.crashes = CrashBlame(
             tracked_jobs=self.tracked_jobs,
             workers=self.workers,
-            first_run_id=self._last_run_id,
+            first_run_id=token * RUN_IDS_PER_EPOCH,
             log=log,
             close=self._close_job,
         )
@@ -327,15 +321,7 @@
 
     def _release_stored_ends(self, tracked_job: TrackedJob, changes: int) -> None:
         tracked_job.stored_changes = max(tracked_job.stored_changes, changes)
-        waiting = self._ends_awaiting_commit.get(tracked_job.job.job_id, [])
-        for change, worker, number in waiting:
-            if change <= changes:
-                worker.unsettled_ends.discard(number)
-        left = [pending_end for pending_end in waiting if pending_end[0] > changes]
-        if left:
-            self._ends_awaiting_commit[tracked_job.job.job_id] = left
-        else:
-            self._ends_awaiting_commit.pop(tracked_job.job.job_id, None)
+        self._unstored_ends.release(tracked_job.job.job_id, changes)
 
     # ---- workers
 
@@ -343,7 +329,7 @@
         """Add a worker, or update what discovery says of it."""
         worker = self.workers.get(view.worker_id)
         if worker is None:
-            worker = Worker(view=view, order_token=self._next_order_token())
+            worker = Worker(view=view, order_token=self._numbers.next_order_token())
             self.workers[view.worker_id] = worker
             worker.lasting_allowed_from_s = self._lasting_allowed_from_s.pop(view.worker_id, 0.0)
             return
@@ -354,27 +340,27 @@
     def note_restarted(
         self, worker: Worker, view: WorkerView, *, now_s: float, wall_s: float, runs_end_s: float
     ) -> Worker:
-        """Replace a worker by a later start of it, which knows nothing of the earlier one.
+        """Replace a worker by a later incarnation, which knows nothing of the earlier one.
 
         An order names the worker's id only. So a start order for the earlier one may have been
         carried out by the later one, or may still be. Runs of which that is possible are kept, on
         the later one, until its reports show whether they are there. All other runs have ended.
 
         Args:
-            worker: The earlier start.
-            view: The later start.
+            worker: The earlier incarnation.
+            view: The later incarnation.
             now_s: Time on the scheduler's clock in seconds.
             wall_s: Time of day in seconds.
             runs_end_s: Time on the scheduler's clock by which all that earlier orders have started
                 on the later one has ended, if no report of it arrives.
 
         Returns:
-            The later start.
+            The later incarnation.
         """
         worker_id = worker.worker_id
         unconfirmed = [run for run in worker.runs.values() if run.is_unconfirmed]
         self._log.line(
-            "worker-over",
+            "worker-ended",
             worker=worker_id,
             reason="started again",
             born_ms=view.born_ms,
@@ -390,7 +376,7 @@
             self.crashes.note_worker_ended(
                 worker, wall_s, is_replaced=True, unconfirmed=unconfirmed
             )
-        restarted = worker.restart(view, order_token=self._next_order_token())
+        restarted = worker.restart(view, order_token=self._numbers.next_order_token())
         restarted.lease_ends_s = runs_end_s
         restarted.isolated_runs = [run for run in worker.isolated_runs if run in unconfirmed]
         for run in unconfirmed:
@@ -406,18 +392,8 @@
         self._drop_permits(worker_id)
         return restarted
 
-    def _next_order_token(self) -> int:
-        """Return a fencing token that is higher than those of all earlier incarnations.
-
-        An order names the worker's id only. An incarnation that has seen its own token refuses what
-        was sent to an earlier one.
-        """
-        highest = (self.token + 1) * ORDER_TOKENS_PER_EPOCH - 1
-        self._last_order_token = min(self._last_order_token + 1, highest)
-        return self._last_order_token
-
     def _drop_permits(self, worker_id: str) -> None:
-        """Drop the tickets for a worker, which were valid for its earlier start only."""
+        """Drop the tickets for a worker, which were valid for its earlier incarnation only."""
         for tracked_job in self.tracked_jobs.values():
             if tracked_job.job.policy.is_advised:
                 for step in tracked_job.steps.values():
@@ -485,7 +461,7 @@
         if worker is None:
             return
         self._log.line(
-            "worker-over", worker=worker_id, reason=reason, runs=len(worker.runs), token=self.token
+            "worker-ended", worker=worker_id, reason=reason, runs=len(worker.runs), token=self.token
         )
         if is_planned or worker.view.is_draining:
             self.crashes.note_worker_left(worker)
@@ -678,8 +654,7 @@
 
     def next_run_id(self) -> int:
         """Return a run id that no earlier run has."""
-        self._last_run_id += 1
-        return self._last_run_id
+        return self._numbers.next_run_id()
 
     def note_start_failed(self, run: Run, now_s: float) -> None:
         """Remove a run whose start was not sent or was refused; its task waits again."""
@@ -714,9 +689,7 @@
             self._record_end(tracked_job, worker, end, now_s, wall_s)
         if tracked_job is not None and tracked_job.is_dirty:
             # An end that changes nothing is needless only because of changes before it.
-            worker.unsettled_ends.add(end.number)
-            pending_end = (tracked_job.changes, worker, end.number)
-            self._ends_awaiting_commit.setdefault(tracked_job.job.job_id, []).append(pending_end)
+            self._unstored_ends.add(tracked_job, worker, end.number)
         if run is not None:
             if end.kind is EndKind.DONE:
                 self.isolation.note_done(worker, run)
--- a/src/shallotworks/scheduling/_service_scheduler.py
+++ b/src/shallotworks/scheduling/_service_scheduler.py
@@ -216,7 +216,7 @@
 
     async def run(self) -> None:
         """Schedule until the lease is lost."""
-        self._log("term-begun")
+        self._log("epoch-begun")
         coroutines = (
             self._lease.renew_until_lost(),
             self._watcher.run(),
@@ -243,7 +243,7 @@
                 task.cancel()
             self._order_dispatcher.close()
             self._log(
-                "term-ended", runs=sum(len(w.runs) for w in self.scheduler_state.workers.values())
+                "epoch-ended", runs=sum(len(w.runs) for w in self.scheduler_state.workers.values())
             )
 
     async def _hand_over(self) -> None:
@@ -384,7 +384,7 @@
         ):
             await asyncio.sleep(STORE_RETRY_S)
         self._log(
-            "term-prepared",
+            "epoch-prepared",
             jobs=len(self.scheduler_state.tracked_jobs),
             workers_recorded=recorded,
             awaited=first_names(self.scheduler_state.pending_recovery, MAX_PENDING_WORKERS_LOGGED),
@@ -402,7 +402,7 @@
         try:
             return PoolDemand.decode(value).has_claims
         except (ValueError, KeyError, TypeError) as error:
-            self._log("need-unreadable", reason=repr(error))
+            self._log("demand-unreadable", reason=repr(error))
             return False
 
     @property
@@ -487,7 +487,7 @@
         if not await self._demand_record.put(demand.encode()):
             return False
         self._sizer.defer_lasting_tasks(offers, self._dependencies.clock())
-        self._log("need-told", lacking=demand.lacking, free=len(demand.free))
+        self._log("demand-published", lacking=demand.lacking, free=len(demand.free))
         return True
 
     def _possible_offers(self) -> set[str]:
@@ -497,7 +497,7 @@
             try:
                 offers.update(PoolDemand.decode(stored_value).free)
             except (ValueError, KeyError, TypeError) as error:
-                self._log("need-unreadable", reason=repr(error))
+                self._log("demand-unreadable", reason=repr(error))
         return offers
 
     async def _delete_old_jobs(self) -> None:
--- a/src/shallotworks/scheduling/_wave.py
+++ b/src/shallotworks/scheduling/_wave.py
@@ -18,7 +18,7 @@
     """Progress of a maintenance wave.
 
     Args:
-        down: Machines that may be down for the wave, each with the start of the worker that was on
+        down: Machines that may be down for the wave, each with the incarnation that was on
             it, encoded by `Incarnation.encode`; earlier releases wrote only the id.
         begun: Machines of ``down`` whose maintenance is known to have begun.
         done: Machines whose maintenance is finished, or that were removed.
--- a/src/shallotworks/scheduling/_wave_executor.py
+++ b/src/shallotworks/scheduling/_wave_executor.py
@@ -365,8 +365,8 @@
 def _may_be_on(machine: Machine, old_worker: str) -> bool:
     """Whether the worker that a wave's record names may still be on its machine.
 
-    Where the record does not say which start it was, as one of an earlier release, a start that is
-    known counts as a later one.
+    Where the record does not say which incarnation it was, as one of an earlier release, one that
+    is known counts as a later one.
     """
     old = Incarnation.decode(old_worker)
     if old.born_ms is None and machine.born_ms is not None:
--- a/src/shallotworks/store/_fenced_record.py
+++ b/src/shallotworks/store/_fenced_record.py
@@ -104,5 +104,5 @@
             return False
         if self._key in current:
             self._set_known(current[self._key])
-        self._log.line("record-met", key=self._key, revision=self._revision)
+        self._log.line("record-conflict", key=self._key, revision=self._revision)
         return self._key in current
--- a/src/shallotworks/store/_held_lease.py
+++ b/src/shallotworks/store/_held_lease.py
@@ -120,7 +120,7 @@
         """
         granted = await store.grant_lease(ttl_s=timing.ttl_s)
         if not isinstance(granted, Success):
-            log.line("duty-not-acquired", key=key, reason=str(granted.failure()))
+            log.line("lease-not-acquired", key=key, reason=str(granted.failure()))
             return None
         lease_id = granted.unwrap()
         sent_s = clock()
@@ -147,7 +147,7 @@
         # after all.
         await store.revoke_lease(lease_id)
         if not isinstance(outcome, Success):
-            log.line("duty-not-acquired", key=key, reason=str(outcome.failure()))
+            log.line("lease-not-acquired", key=key, reason=str(outcome.failure()))
         return None
 
     @property
@@ -168,7 +168,7 @@
     def mark_lost(self, reason: str) -> None:
         """Give the lease up locally, without a call to the store."""
         if not self.lost_event.is_set():
-            self._log.line("duty-lost", key=self.key, token=self.token, reason=reason)
+            self._log.line("lease-lost", key=self.key, token=self.token, reason=reason)
             self.lost_event.set()
 
     async def renew_until_lost(self) -> None:
--- a/tests/test_bottlenecks.py
+++ b/tests/test_bottlenecks.py
@@ -26,11 +26,11 @@
 KEY = "shallotworks/duty/scheduler/s"
 LINES = [
     "built in 0.1 s; 10 lines in 2 files",
-    line(0.1, "a", "term-begun", service="s", token=5),
+    line(0.1, "a", "epoch-begun", service="s", token=5),
     line(0.2, "a", "pool-state", service="s", token=5, **STATE),
     line(0.3, "b", "job-submit", id="j", outcome="accepted"),
-    line(0.4, "a", "need-told", service="s", token=5, lacking=4, free=0),
-    line(0.5, "a", "need-told", service="s", token=5, lacking=2, free=1),
+    line(0.4, "a", "demand-published", service="s", token=5, lacking=4, free=0),
+    line(0.5, "a", "demand-published", service="s", token=5, lacking=2, free=1),
     line(0.6, "c", "machine-ordered", order="move", pool="spare", to="s", outcome="obeyed"),
     line(0.7, "c", "machine-ordered", order="move", pool="spare", to="s", outcome="busy"),
     line(1.9, "a", "run-started", id="j", token=5, outcome="obeyed"),
@@ -53,7 +53,7 @@
             ("no cause", (), {}, ""),
             (
                 "machines",
-                (line(0.3, "a", "need-told", service="s", lacking=1, free=0),),
+                (line(0.3, "a", "demand-published", service="s", lacking=1, free=0),),
                 {},
                 "machines",
             ),
@@ -79,7 +79,7 @@
         self, _: str, lines: tuple[str, ...], state: dict[str, int], expected: str
     ) -> None:
         """Of several causes for waiting tasks, the one that takes precedence is reported."""
-        epoch_line = line(0.1, "a", "term-begun", service="s", token=5)
+        epoch_line = line(0.1, "a", "epoch-begun", service="s", token=5)
         state_line = line(0.2, "a", "pool-state", service="s", token=5, **(STATE | state))
         (row,) = DayLog(events=read_events([epoch_line, state_line, *lines])).rows("s")
         self.assertEqual(expected, row[-1])
--- a/tests/test_waiting_reasons.py
+++ b/tests/test_waiting_reasons.py
@@ -472,7 +472,7 @@
 
         with mock.patch.object(scheduling_simulation, "quiet_log", lambda: lines.log):
             run_scenario(scenario())
-        self.assertEqual(["w0", "w1", "w2"], lines.of("term-prepared")[-1]["awaited"])
+        self.assertEqual(["w0", "w1", "w2"], lines.of("epoch-prepared")[-1]["awaited"])
         reported = [row for row in lines.of("tasks-waiting") if row["reason"] == "recovery"]
         self.assertGreaterEqual(len(reported), 5)
         self.assertLessEqual(len(reported), 12)
