Ignore a deadline header whose digits are no decimal ones

Cause: str.isdigit holds for a superscript, which int refuses, so that the caller was answered 500. Change: only ASCII digits count.

--- a/src/shallotworks/platform/_ingress.py
+++ b/src/shallotworks/platform/_ingress.py
@@ -312,7 +312,7 @@
     """Return the time of the event loop's clock by which the answer must be sent."""
     deadline_header = request.headers.get(DEADLINE_HEADER, "")
     time_limit_s = queue.timeout_s
-    if deadline_header.isdigit():
+    if deadline_header.isascii() and deadline_header.isdigit():
         time_limit_s = min(time_limit_s, int(deadline_header) / 1000)
     time_left_s = min(time_limit_s - ANSWER_MARGIN_S, MAX_REQUEST_S)
     return asyncio.get_running_loop().time() + time_left_s
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -113,6 +113,19 @@
 
         run(scenario)
 
+    @parameterized.expand(
+        [("a superscript in UTF-8", "\u00c2\u00b2"), ("a word", "soon"), ("a sign", "-5")]
+    )
+    def test_a_deadline_that_is_no_number_is_ignored(self, _name: str, deadline: str) -> None:
+        """Guards against a caller who is answered 500 for a digit that is no decimal one."""
+
+        async def scenario(harness: IngressHarness) -> None:
+            headers = HOST | {"Shallotworks-Deadline-Ms": deadline}
+            answer = await harness.call("GET", f"/stock/{JOB_ID}", None, headers)
+            self.assertEqual(410, answer.status)
+
+        run(scenario)
+
     def test_longest_prefix_selects_the_queue(self) -> None:
         """Guards against finding a job of one queue in another whose prefix matches, too."""
 
