Reserve one worker for each spread task, not the whole pool

Cause: a step with a limit per worker counted as one that only some workers can take, so that one waiting task of it, or one lasting task on a silent or draining worker, reserved all workers of its pool.

Change: an empty worker takes as many tasks of a spread step as the limit allows.

Two new tests fail on the code before.

--- a/src/shallotworks/scheduling/_sizing.py
+++ b/src/shallotworks/scheduling/_sizing.py
@@ -58,17 +58,17 @@
 def _tasks_per_worker(step: Step, worker: Worker | None) -> int:
     """Return how many tasks of a step fit on an empty worker; 0 if capacity alone does not decide.
 
-    Labels, limits per worker and gangs restrict the placement. Data locality does not: a task away
-    from its data is slower but can run on any worker.
+    Labels and gangs restrict the placement further. Data locality does not: a task away from its
+    data is slower but can run on any worker.
     """
-    is_plain = not (step.label or step.most_per_worker or step.is_gang)
-    if worker is None or not is_plain:
+    if worker is None or step.label or step.is_gang:
         return 0
     view = worker.view
     return min(
         view.cpu_millicores // max(1, step.cpu_millicores),
         view.memory_mb // max(1, step.memory_mb),
         view.gpus // step.gpus if step.gpus else step.count,
+        step.most_per_worker or step.count,
     )
 
 
--- a/tests/test_pool_sizing.py
+++ b/tests/test_pool_sizing.py
@@ -179,6 +179,28 @@
         harness.now_s += 2.1
         self.assertEqual(5, len(harness.assess().free))
 
+    def test_workers_are_reserved_for_the_spread_lasting_tasks_of_a_silent_worker(self) -> None:
+        """Guards against a pool that keeps all idle machines since one worker is silent.
+
+        A task of a step that is spread over workers needs one of them, like any other.
+        """
+        harness = SizingHarness(*"abcdefghij")
+        harness.add_job(job("lasts", step(1, is_lasting=True, most_per_worker=1)))
+        (order,) = harness.start_orders()
+        row = RunningTask(name=order.run.name, run_id=order.run.run_id, percent=100)
+        harness.report(order.run.worker_id, running=(row,))
+        harness.assess()
+        harness.now_s += 2.1
+        self.assertEqual(5, len(harness.assess().free))
+
+    def test_a_waiting_step_that_is_spread_reserves_a_worker_for_each_task(self) -> None:
+        """Guards against a burst elsewhere that gets nothing since one small spread job waits."""
+        harness = SizingHarness(*"abcdefghij")
+        harness.assess()
+        harness.now_s += 0.4
+        harness.add_job(job("j", step(3, most_per_worker=1)))
+        self.assertEqual(4, len(harness.assess().free))
+
     def test_workers_that_late_work_is_kept_off_are_offered(self) -> None:
         """Guards against 40 recalled machines that idle for seconds during another queue's burst.
 
