--- a/src/shallotworks/jobs/_progress.py
+++ b/src/shallotworks/jobs/_progress.py
@@ -44,10 +44,9 @@
         lost: Runs of each task that were lost with their workers, until the task is done.
         ended_s: Time of day at which it reached its final state; 0 before.
         team: The team whose job it is; empty for a job of a public queue.
-        is_claimed: Whether a scheduler may have started a task of it.
     """
 
-    __slots__ = ("done", "ended_s", "failures", "is_claimed", "lost", "queue", "state", "team")
+    __slots__ = ("done", "ended_s", "failures", "lost", "queue", "state", "team")
 
     def __init__(
         self,
@@ -59,10 +58,8 @@
         lost: dict[tuple[int, int, int], tuple[LostRun, ...]] | None = None,
         ended_s: float = 0.0,
         team: str = "",
-        is_claimed: bool = False,
     ) -> None:
         self.queue = queue
-        self.is_claimed = is_claimed
         self.team = team
         self.state = state
         self.done = done if done is not None else {}
--- a/src/shallotworks/jobs/_records.py
+++ b/src/shallotworks/jobs/_records.py
@@ -81,8 +81,6 @@
     record: dict[str, Any] = {"queue": progress.queue, "state": progress.state.value}
     if progress.team:
         record["team"] = progress.team
-    if progress.is_claimed:
-        record["claimed"] = True
     if progress.done:
         record["done"] = [[*key, f"{bits:x}"] for key, bits in sorted(progress.done.items())]
     if progress.failures:
@@ -144,7 +142,6 @@
             },
             ended_s=fields.get("ended_s", 0.0),
             team=fields.get("team", ""),
-            is_claimed=fields.get("claimed", False),
         )
     except (KeyError, IndexError, TypeError) as error:
         raise ValueError(f"progress record can't be decoded: {error!r}") from error
--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -6,7 +6,6 @@
 
 from shallotworks.jobs import Resources
 
-from ._claims import claim_jobs
 from ._model import (
     AdviceRequest,
     PaceOrder,
@@ -206,8 +205,6 @@
         self._room = Room(self._scheduler_state.workers.values(), steps)
         self._held_worker_ids.clear()
         self._scheduler_state.team_rooms = self._team_rooms()
-        if self._scheduler_state.uses_claims:
-            claim_jobs(steps, self._scheduler_state.workers.values())
         self._jobs_with_lost_runs = self._scheduler_state.count_jobs_with_lost_runs()
         for step in steps:
             if self.has_reached_start_limit:
@@ -240,8 +237,6 @@
         self, step: TrackedStep, unplaced_sizes: list[tuple[int, int, int]], now_s: float
     ) -> bool:
         """Whether tasks of a step may be started, as far as it shows without a look at workers."""
-        if self._scheduler_state.uses_claims and not step.tracked_job.is_claim_stored:
-            return False
         if step.not_before_s > now_s or self._room.is_short_of(step):
             return False
         if _is_at_least_as_large(step, unplaced_sizes):
--- a/src/shallotworks/scheduling/_machine_records.py
+++ b/src/shallotworks/scheduling/_machine_records.py
@@ -47,14 +47,12 @@
             a later incarnation of one.
         token: The scheduler's fencing token.
         woke: How often the scheduler has resumed in this epoch after a store outage suspended it.
-        has_claims: Whether all tasks that run on the service's workers are of claimed jobs.
     """
 
     lacking: int = 0
     free: tuple[str, ...] = ()
     token: int = 0
     woke: int = 0
-    has_claims: bool = False
 
     @property
     def origin(self) -> tuple[int, int]:
@@ -63,14 +61,12 @@
 
     def encode(self) -> bytes:
         """Return the record as JSON bytes."""
-        record: dict[str, object] = {
+        record = {
             "lacking": self.lacking,
             "free": list(self.free),
             "token": self.token,
             "woke": self.woke,
         }
-        if self.has_claims:
-            record["claims"] = True
         return json.dumps(record).encode()
 
     @classmethod
@@ -88,7 +84,6 @@
             free=tuple(record["free"]),
             token=record.get("token", 0),
             woke=record.get("woke", 0),
-            has_claims=record.get("claims", False),
         )
 
 
--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -101,8 +101,6 @@
         "team_rooms",
         "token",
         "tracked_jobs",
-        "trusts_claims",
-        "uses_claims",
         "workers",
     )
 
@@ -133,10 +131,6 @@
             log=log,
             close=self._close_job,
         )
-        self.uses_claims = False
-        """Whether a job's first task is started only after its claim is stored."""
-        self.trusts_claims = False
-        """Whether earlier schedulers started tasks of claimed jobs only."""
         self.isolation = Isolation(
             tracked_jobs=self.tracked_jobs, workers=self.workers, blame=self.crashes, log=log
         )
@@ -228,21 +222,16 @@
     def open_steps(self) -> Iterator[TrackedStep]:
         """Yield the steps with waiting tasks that may be started.
 
-        Jobs of earlier epochs of which tasks may run are omitted until all workers of earlier
-        epochs have been recovered.
+        Jobs of earlier epochs are omitted until all workers of earlier epochs have been recovered.
         """
+        is_recovered = not self.pending_recovery
         for tracked_job in self.tracked_jobs.values():
-            if self.pending_recovery and self._awaits_recovery(tracked_job):
+            if tracked_job.is_inherited and not is_recovered:
                 continue
             for step in tracked_job.steps.values():
                 if step.waiting:
                     yield step
 
-    def _awaits_recovery(self, tracked_job: TrackedJob) -> bool:
-        if self.trusts_claims:
-            return tracked_job.may_run_elsewhere
-        return tracked_job.is_inherited
-
     def count_jobs_with_lost_runs(self) -> int:
         """Return how many jobs wait that lost runs in crashes of workers.
 
@@ -578,7 +567,6 @@
         if tracked_step is not None and running_task.name.number in tracked_step.waiting:
             tracked_step.waiting.remove(running_task.name.number)
         tracked_job.runs[running_task.name] = run
-        tracked_job.claim()
         self._mark_job_running(tracked_job)
         self._log.line(
             "run-adopted",
--- a/src/shallotworks/scheduling/_service_scheduler.py
+++ b/src/shallotworks/scheduling/_service_scheduler.py
@@ -144,7 +144,6 @@
         self.scheduler_state = SchedulerState(
             service=service, token=lease.token, log=dependencies.log
         )
-        self.scheduler_state.uses_claims = True
         self._team_limits = TeamLimits(
             service=service, scheduler_state=self.scheduler_state, team_of=dependencies.team_of
         )
@@ -377,11 +376,8 @@
         recorded = await self._worker_tracker.add_recorded_workers()
         while not await self._demand_record.read():
             await asyncio.sleep(STORE_RETRY_S)
-        self.scheduler_state.trusts_claims = self._did_predecessor_claim()
         # The machine controller must not mistake offers of an earlier epoch for this one's.
-        while not await self._publish_demand(
-            PoolDemand(token=self._lease.token, has_claims=self._has_claims)
-        ):
+        while not await self._publish_demand(PoolDemand(token=self._lease.token)):
             await asyncio.sleep(STORE_RETRY_S)
         self._log(
             "epoch-prepared",
@@ -391,25 +387,6 @@
         )
         self.is_prepared.set()
 
-    def _did_predecessor_claim(self) -> bool:
-        """Whether earlier schedulers started tasks of claimed jobs only.
-
-        Earlier releases did not claim jobs.
-        """
-        value = self._demand_record.value
-        if value is None:
-            return not self.scheduler_state.pending_recovery
-        try:
-            return PoolDemand.decode(value).has_claims
-        except (ValueError, KeyError, TypeError) as error:
-            self._log("demand-unreadable", reason=repr(error))
-            return False
-
-    @property
-    def _has_claims(self) -> bool:
-        """Whether only tasks of claimed jobs run, those of earlier epochs included."""
-        return self.scheduler_state.trusts_claims or not self.scheduler_state.pending_recovery
-
     async def _request_advice(self, request: AdviceRequest) -> None:
         outcome = await self._dependencies.advice.request_permits(request.step, request.worker_ids)
         tracked_job = self.scheduler_state.tracked_jobs.get(request.step[0])
@@ -460,11 +437,7 @@
                 now_s=self._dependencies.clock(),
                 wall_s=self._dependencies.wall_clock(),
             )
-            demand = replace(
-                demand,
-                woke=resumes.count(may_act=self._lease.is_valid),
-                has_claims=self._has_claims,
-            )
+            demand = replace(demand, woke=resumes.count(may_act=self._lease.is_valid))
             self._sizer.restrict_late_work(machine_records.controller.recalls.get(self.service, 0))
             for worker in self._sizer.draining_workers():
                 self.decision_engine.evacuate(worker)
--- a/src/shallotworks/scheduling/_team_limits.py
+++ b/src/shallotworks/scheduling/_team_limits.py
@@ -20,7 +20,6 @@
 from ._model import Run
 from ._scheduler_state import SchedulerState
 from ._team_rooms import UNLIMITED, TeamRooms
-from ._tracked_jobs import TrackedJob
 
 __all__ = ["TEAM_RECORDS_PREFIX", "ShareWrite", "TeamLimits", "TeamShare"]
 
@@ -195,8 +194,7 @@
         """Return what may run for each team on this service.
 
         Until all workers of earlier epochs have answered, all that an earlier scheduler may have
-        started counts as running: the waiting tasks of claimed jobs, or its whole share where it
-        did not claim jobs.
+        started counts as running: its whole share.
         """
         state = self._scheduler_state
         adopted = dict.fromkeys(teams, NOTHING)
@@ -208,26 +206,12 @@
                     sums = started if run.run_id > first_own_run_id else adopted
                     sums[run.team] = sums[run.team].plus(_resources_of(run))
         if state.pending_recovery:
-            hidden = self._may_run_unseen(adopted)
-            for name, amount in hidden.items():
-                adopted[name] = adopted[name].plus(amount)
+            for name in adopted:
+                record = self._records.get(name)
+                if record is not None and record.inherited is not None:
+                    adopted[name] = adopted[name].at_least(record.inherited)
         return {name: adopted[name].plus(started[name]) for name in adopted}
 
-    def _may_run_unseen(self, adopted: dict[str, Resources]) -> dict[str, Resources]:
-        """Return what may run for each team on workers that have not answered this scheduler."""
-        hidden: dict[str, Resources] = {}
-        for name, seen in adopted.items():
-            record = self._records.get(name)
-            if record is not None and record.inherited is not None:
-                hidden[name] = record.inherited.minus(seen).at_least(NOTHING)
-        if not self._scheduler_state.trusts_claims:
-            return hidden
-        waiting = dict.fromkeys(hidden, NOTHING)
-        for tracked in self._scheduler_state.tracked_jobs.values():
-            if tracked.may_run_elsewhere and tracked.job.team in waiting:
-                waiting[tracked.job.team] = waiting[tracked.job.team].plus(_waiting_demand(tracked))
-        return {name: amount.at_most(waiting[name]) for name, amount in hidden.items()}
-
     # ---- shares
 
     def due_writes(self, now_s: float) -> list[ShareWrite]:
@@ -251,7 +235,10 @@
         waiting = dict.fromkeys(teams, NOTHING)
         for tracked in state.tracked_jobs.values():
             if tracked.job.team in waiting:
-                waiting[tracked.job.team] = waiting[tracked.job.team].plus(_waiting_demand(tracked))
+                demand = _total(
+                    Resources.of(step.step, len(step.waiting)) for step in tracked.steps.values()
+                )
+                waiting[tracked.job.team] = waiting[tracked.job.team].plus(demand)
         free = _total(
             Resources(
                 worker.view.cpu_millicores - worker.cpu_used,
@@ -368,11 +355,6 @@
     return total
 
 
-def _waiting_demand(tracked_job: TrackedJob) -> Resources:
-    """Return what the waiting tasks of a job's open steps request."""
-    return _total(Resources.of(step.step, len(step.waiting)) for step in tracked_job.steps.values())
-
-
 def _resources_of(run: Run) -> Resources:
     return Resources.of(run.step)
 
--- a/src/shallotworks/scheduling/_tracked_jobs.py
+++ b/src/shallotworks/scheduling/_tracked_jobs.py
@@ -106,7 +106,6 @@
         "avoided_workers",
         "changes",
         "checkpoints",
-        "claim_change",
         "critical_paths_s",
         "is_inherited",
         "job",
@@ -129,8 +128,6 @@
         self.is_inherited = is_inherited
         self.changes = 0
         """Number of changes of the progress in this epoch."""
-        self.claim_change: int | None = 0 if progress.is_claimed else None
-        """Number of the change that claimed the job; ``None`` before it is claimed."""
         self.stored_changes = 0
         """Number of these changes that the store has."""
         self.next_occurrence = 0
@@ -148,23 +145,6 @@
             step.count * step.estimated_s * max(step.cpu_millicores, 1) / 1000 for step in job.steps
         )
 
-    def claim(self) -> None:
-        """Record that tasks of the job may be started from now on."""
-        if self.claim_change is None:
-            self.progress.is_claimed = True
-            self.changes += 1
-            self.claim_change = self.changes
-
-    @property
-    def is_claim_stored(self) -> bool:
-        """Whether every successor knows that tasks of the job may have been started."""
-        return self.claim_change is not None and self.claim_change <= self.stored_changes
-
-    @property
-    def may_run_elsewhere(self) -> bool:
-        """Whether an earlier scheduler that claims jobs may have started tasks of this one."""
-        return self.is_inherited and self.claim_change == 0
-
     def add_run(self, run: Run) -> None:
         """Record that a run may be alive."""
         self.live_runs.setdefault(run.name, set()).add(run)
