--- a/src/shallotworks/jobs/_team.py
+++ b/src/shallotworks/jobs/_team.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from ._spec import Step
+from ._spec import Job, Step
 
 __all__ = ["Resources", "Team"]
 
@@ -22,6 +22,11 @@
         """Return what a number of tasks of a step request."""
         return cls(step.cpu_millicores * tasks, step.memory_mb * tasks, step.gpus * tasks)
 
+    @classmethod
+    def of_smallest_start(cls, step: Step) -> Resources:
+        """Return what the fewest tasks of a step that may start request: one, or a whole gang."""
+        return cls.of(step, step.count if step.is_gang else 1)
+
     def plus(self, other: Resources) -> Resources:
         """Return the sum."""
         return Resources(*(mine + its for mine, its in zip(self, other, strict=True)))
@@ -60,8 +65,10 @@
     weight: float = 1.0
     limit: Resources = NO_LIMIT
 
-    def may_run(self, resources: Resources) -> bool:
-        """Whether the team may use these resources while nothing else of it runs."""
+    def may_ever_run(self, job: Job) -> bool:
+        """Whether each task and each gang of a job fits into the limit by itself."""
         return all(
-            not most or used <= most for used, most in zip(resources, self.limit, strict=True)
+            not most or used <= most
+            for step in job.steps
+            for used, most in zip(Resources.of_smallest_start(step), self.limit, strict=True)
         )
--- a/src/shallotworks/platform/_ingress.py
+++ b/src/shallotworks/platform/_ingress.py
@@ -17,13 +17,10 @@
 from returns.result import Success
 
 from shallotworks.jobs import (
-    Job,
     JobRequestHandler,
     JobRequestStatus,
     JobResponse,
     JobState,
-    Resources,
-    Team,
     retry_after_s,
 )
 from shallotworks.logs import StructuredLog
@@ -271,7 +268,8 @@
             self._log.line("job-invalid", id=job_id, queue=queue.policy.queue, reason=reason)
             return _error_response(400, reason)
         job = decoded.unwrap()
-        if not _may_ever_run(job, configuration.teams.get(job.team)):
+        owner = configuration.teams.get(job.team)
+        if owner is not None and not owner.may_ever_run(job):
             self._log.line("job-submit", id=job_id, outcome="refused", reason="team limit")
             return _error_response(429, "a step is larger than the limit of the team")
         if self._is_store_unavailable():
@@ -301,13 +299,6 @@
         return _unavailable_response("the store can't be reached", retry_after_s(self._outage_s()))
 
 
-def _may_ever_run(job: Job, team: Team | None) -> bool:
-    """Whether each task and each gang of a job fits into its team's limit."""
-    return team is None or all(
-        team.may_run(Resources.of(step, step.count if step.is_gang else 1)) for step in job.steps
-    )
-
-
 def _deadline_s(request: web.BaseRequest, queue: Queue) -> float:
     """Return the time of the event loop's clock by which the answer must be sent."""
     deadline_header = request.headers.get(DEADLINE_HEADER, "")
--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -241,13 +241,13 @@
             return False
         if _is_at_least_as_large(step, unplaced_sizes):
             return False
-        return self._has_team_room(step, step.step.count if step.step.is_gang else 1)
+        return self._has_team_room(step)
 
-    def _has_team_room(self, step: TrackedStep, tasks: int = 1) -> bool:
-        """Whether the limit of the job's team leaves room for some tasks of a step."""
+    def _has_team_room(self, step: TrackedStep) -> bool:
+        """Whether the limit of the job's team leaves room for a task of a step, or for its gang."""
         team = step.tracked_job.job.team
         return not team or self._scheduler_state.team_rooms.has_room(
-            team, Resources.of(step.step, tasks)
+            team, Resources.of_smallest_start(step.step)
         )
 
     def _assign(
--- a/src/shallotworks/scheduling/_epoch_numbers.py
+++ b/src/shallotworks/scheduling/_epoch_numbers.py
@@ -2,14 +2,11 @@
 
 from __future__ import annotations
 
-__all__ = ["RUN_IDS_PER_EPOCH", "EpochNumbers"]
+__all__ = ["EpochNumbers"]
 
-RUN_IDS_PER_EPOCH = 1_000_000
-"""Run ids of an epoch begin at its fencing token times this, so that they are higher than all ids
-of earlier epochs, although the scheduler does not know the last of these."""
-ORDER_TOKENS_PER_EPOCH = 1_000_000
-"""Fencing tokens of an epoch's orders begin at the epoch's own token times this, so that they are
-higher than those of earlier epochs and lower than those of later ones."""
+NUMBERS_PER_EPOCH = 1_000_000
+"""The numbers of an epoch begin at its fencing token times this, so that they are higher than those
+of all earlier epochs, although the scheduler does not know the last of these."""
 
 
 class EpochNumbers:
@@ -19,12 +16,12 @@
         token: The epoch's fencing token.
     """
 
-    __slots__ = ("_last_order_token", "_last_run_id", "_token")
+    __slots__ = ("_last_order_token", "_last_run_id", "before_first")
 
     def __init__(self, token: int) -> None:
-        self._token = token
-        self._last_run_id = token * RUN_IDS_PER_EPOCH
-        self._last_order_token = token * ORDER_TOKENS_PER_EPOCH
+        self.before_first = token * NUMBERS_PER_EPOCH
+        """Numbers up to this one are of earlier epochs."""
+        self._last_run_id = self._last_order_token = self.before_first
 
     def next_run_id(self) -> int:
         """Return a run id that no earlier run has."""
@@ -37,6 +34,6 @@
         An order names the worker's id only. An incarnation that has seen its own token refuses what
         was sent to an earlier one.
         """
-        highest = (self._token + 1) * ORDER_TOKENS_PER_EPOCH - 1
+        highest = self.before_first + NUMBERS_PER_EPOCH - 1
         self._last_order_token = min(self._last_order_token + 1, highest)
         return self._last_order_token
--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -12,7 +12,7 @@
 
 from ._crash_blame import CrashBlame
 from ._demand import Arrival
-from ._epoch_numbers import RUN_IDS_PER_EPOCH, EpochNumbers
+from ._epoch_numbers import EpochNumbers
 from ._isolation import Isolation
 from ._model import (
     UNKNOWN_STEP,
@@ -127,7 +127,7 @@
         self.crashes = CrashBlame(
             tracked_jobs=self.tracked_jobs,
             workers=self.workers,
-            first_run_id=token * RUN_IDS_PER_EPOCH,
+            first_run_id=self._numbers.before_first,
             log=log,
             close=self._close_job,
         )
@@ -640,6 +640,10 @@
             tracked_job.progress.state = JobState.RUNNING
             tracked_job.changes += 1
 
+    def has_started(self, run: Run) -> bool:
+        """Whether this epoch started a run, and no earlier one."""
+        return run.run_id > self._numbers.before_first
+
     def next_run_id(self) -> int:
         """Return a run id that no earlier run has."""
         return self._numbers.next_run_id()
@@ -797,8 +801,7 @@
         worker = self.workers.get(run.worker_id)
         if worker is None or now_s - worker.reported_s >= FRESH_REPORT_AGE_S:
             return False
-        is_adopted = run.run_id <= self.token * RUN_IDS_PER_EPOCH
-        return not is_adopted or worker.reported_s - run.since_s >= ADOPTED_RUN_CONFIRM_S
+        return self.has_started(run) or worker.reported_s - run.since_s >= ADOPTED_RUN_CONFIRM_S
 
 
 def _step_of(tracked_job: TrackedJob | None, name: TaskName) -> Step | None:
--- a/src/shallotworks/scheduling/_team_limits.py
+++ b/src/shallotworks/scheduling/_team_limits.py
@@ -16,8 +16,6 @@
 
 from shallotworks.jobs import Resources, Team
 
-from ._epoch_numbers import RUN_IDS_PER_EPOCH
-from ._model import Run
 from ._scheduler_state import SchedulerState
 from ._team_rooms import UNLIMITED, TeamRooms
 
@@ -199,12 +197,11 @@
         state = self._scheduler_state
         adopted = dict.fromkeys(teams, NOTHING)
         started = dict.fromkeys(teams, NOTHING)
-        first_own_run_id = state.token * RUN_IDS_PER_EPOCH
         for worker in state.workers.values():
             for run in worker.runs.values():
                 if run.team in started:
-                    sums = started if run.run_id > first_own_run_id else adopted
-                    sums[run.team] = sums[run.team].plus(_resources_of(run))
+                    sums = started if state.has_started(run) else adopted
+                    sums[run.team] = sums[run.team].plus(Resources.of(run.step))
         if state.pending_recovery:
             for name in adopted:
                 record = self._records.get(name)
@@ -261,10 +258,10 @@
         own, others = self._own(record), self._others(record)
         wanted = wanted.at_most(team.limit.at_least(used))
         target = _target(team.limit, used=used, wanted=wanted, others=others)
-        is_short = not _limited(team, wanted).is_within(own.granted)
-        may_grow = is_short and _exceeds(team, target, own.granted, 0.0)
+        is_short = _exceeds(team, wanted, own.granted)
+        may_grow = is_short and _exceeds(team, target, own.granted)
         must_signal = is_short and _exceeds(team, wanted, own.wanted, SIGNAL_RATIO)
-        is_over = _exceeds(team, own.granted, target, 0.0)
+        is_over = _exceeds(team, own.granted, target)
         must_yield = is_over and _are_short(team, others)
         must_tidy = _exceeds(team, own.wanted, wanted, TIDY_RATIO)
         age_s = now_s - record.written_s
@@ -329,14 +326,7 @@
     return Resources(*amounts)
 
 
-def _limited(team: Team, resources: Resources) -> Resources:
-    """Return resources without those that the team has no limit for."""
-    return Resources(
-        *(amount if most else 0 for amount, most in zip(resources, team.limit, strict=True))
-    )
-
-
-def _exceeds(team: Team, left: Resources, right: Resources, ratio: float) -> bool:
+def _exceeds(team: Team, left: Resources, right: Resources, ratio: float = 0.0) -> bool:
     """Whether an amount exceeds another by more than a part of the limit, if there is one."""
     return any(
         most and mine - its > most * ratio
@@ -345,7 +335,7 @@
 
 
 def _are_short(team: Team, shares: list[TeamShare]) -> bool:
-    return any(_exceeds(team, share.wanted, share.granted, 0.0) for share in shares)
+    return any(_exceeds(team, share.wanted, share.granted) for share in shares)
 
 
 def _total(amounts: Iterable[Resources]) -> Resources:
@@ -355,10 +345,6 @@
     return total
 
 
-def _resources_of(run: Run) -> Resources:
-    return Resources.of(run.step)
-
-
 def _encode(shares: dict[str, TeamShare]) -> bytes:
     rows = {service: [share.granted, share.wanted] for service, share in sorted(shares.items())}
     return json.dumps(rows, separators=(",", ":")).encode()
--- a/src/shallotworks/scheduling/_waiting.py
+++ b/src/shallotworks/scheduling/_waiting.py
@@ -150,9 +150,8 @@
         return WaitReason.GANG
     if step.not_before_s > now_s:
         return WaitReason.REFUSED
-    job = step.tracked_job.job
-    tasks = step.step.count if step.step.is_gang else 1
-    if not scheduler_state.team_rooms.has_room(job.team, Resources.of(step.step, tasks)):
+    team, start = step.tracked_job.job.team, Resources.of_smallest_start(step.step)
+    if not scheduler_state.team_rooms.has_room(team, start):
         return WaitReason.TEAM_LIMIT
     placement = Placement.of(step, now_s=now_s, wall_s=wall_s)
     closest = WaitReason.UNLISTED
--- a/tests/scheduling_simulation.py
+++ b/tests/scheduling_simulation.py
@@ -159,9 +159,7 @@
         self.store = store or RecordStore(rng=self.rng)
         self.fleet = fleet(rng=self.rng)
         for number in range(workers):
-            self.fleet.add(
-                view(f"{service[0]}{number}" if store else f"w{number}", service=service)
-            )
+            self.fleet.add(view(f"w{number}", service=service))
         self.instances = [self._make_instance(number) for number in range(instances)]
         self.accepted: dict[str, Job] = {}
         self.refused: set[str] = set()
@@ -234,6 +232,11 @@
         self.instances.append(replacement)
         replacement.start()
 
+    async def kill(self) -> None:
+        """End all instances at once."""
+        for instance in self.instances:
+            await instance.kill()
+
     def scheduler(self) -> Instance | None:
         """Return the instance that holds the service's lease."""
         item = self.store.items.get(f"shallotworks/duty/scheduler/{self.service}")
--- a/tests/team_simulation.py
+++ b/tests/team_simulation.py
@@ -103,5 +103,4 @@
     async def kill(self) -> None:
         """End all instances."""
         for service in self.services:
-            for instance in service.instances:
-                await instance.kill()
+            await service.kill()
--- a/tests/test_pool_sizing.py
+++ b/tests/test_pool_sizing.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from parameterized import parameterized
+
 from shallotworks.jobs import Blame, Incarnation, JobProgress, LostRun
 from shallotworks.scheduling import EndKind, PoolDemand, PoolSizer, RunningTask, SizingLimits
 from tests.scheduling_fakes import WALL_S, SchedulingHarness, job, step, view
@@ -165,27 +167,17 @@
         harness.now_s += 0.1
         self.assertEqual(9, len(harness.assess().free))
 
-    def test_workers_are_reserved_for_lasting_tasks_that_may_be_lost(self) -> None:
+    @parameterized.expand([("any", 0), ("one_a_worker", 1)])
+    def test_workers_are_reserved_for_lasting_tasks_that_may_be_lost(
+        self, _name: str, most_per_worker: int
+    ) -> None:
         """Guards against a lasting task that is down for 10 s since all idle machines were offered.
 
-        Once its worker is silent for 2 s, room for it and three more machines are reserved.
-        """
-        harness = SizingHarness(*"abcdefghij")
-        harness.add_job(job("lasts", step(1, is_lasting=True)))
-        (order,) = harness.start_orders()
-        row = RunningTask(name=order.run.name, run_id=order.run.run_id, percent=100)
-        harness.report(order.run.worker_id, running=(row,))
-        harness.assess()
-        harness.now_s += 2.1
-        self.assertEqual(5, len(harness.assess().free))
-
-    def test_workers_are_reserved_for_the_spread_lasting_tasks_of_a_silent_worker(self) -> None:
-        """Guards against a pool that keeps all idle machines since one worker is silent.
-
-        A task of a step that is spread over workers needs one of them, like any other.
+        Once its worker is silent for 2 s, room for it and three more machines are reserved. A pool
+        that keeps all of them for a task which is spread over workers fails the second case.
         """
         harness = SizingHarness(*"abcdefghij")
-        harness.add_job(job("lasts", step(1, is_lasting=True, most_per_worker=1)))
+        harness.add_job(job("lasts", step(1, is_lasting=True, most_per_worker=most_per_worker)))
         (order,) = harness.start_orders()
         row = RunningTask(name=order.run.name, run_id=order.run.run_id, percent=100)
         harness.report(order.run.worker_id, running=(row,))
--- a/tests/test_progress_only_advances.py
+++ b/tests/test_progress_only_advances.py
@@ -69,8 +69,7 @@
             await asyncio.sleep(20.0)
             self.assertEqual([], store.setbacks)
             self.assertEqual([], simulation.violations())
-            for instance in simulation.instances:
-                await instance.kill()
+            await simulation.kill()
 
         run_scenario(scenario())
 
--- a/tests/test_team_limits.py
+++ b/tests/test_team_limits.py
@@ -130,12 +130,11 @@
             simulation = TeamSimulation(seed=1, limit_millicores=10_000)
             await asyncio.sleep(1.0)
             for number, service in enumerate(simulation.services):
-                await simulation.submit(service, f"{number:016x}", 40)
+                job_id = f"{number:016x}"
+                await simulation.submit(service, job_id, 40)
                 await asyncio.sleep(FOLLOW_S)
                 self.assertGreater(simulation.running(), 5_000)
-                while any(one.state(f"{number:016x}") is not None for one in [service]):
-                    if service.state(f"{number:016x}").is_final:  # type: ignore[union-attr]
-                        break
+                while (state := service.state(job_id)) is None or not state.is_final:
                     await asyncio.sleep(0.1)
             self.assertEqual([], simulation.over_limit)
             await simulation.kill()
