Send each order only over a connection of the incarnation it is meant for

A task ran a second time, beside its run elsewhere, or was lost to view, since an order for one incarnation of a worker was carried out by a later one at the same address and under the same id.

Cause: the client kept connections by address. For any call without an idle connection it opened a new one, which whichever process listens accepts; the header names the worker's id alone. An incarnation that no poll has reached has seen no token, and its clock begins anew, so that it refuses nothing. A call to an incarnation that has ended needed no delay at all for that: the next start, stop or poll was enough.

Change: a connection is of an incarnation once an answer on it has stated its start. A start, stop, pace, acknowledgement or lease goes only over a connection of the incarnation it is meant for, which the order names; a new connection first carries a poll that acknowledges and grants nothing. If another incarnation answers that, the order is unsent, for certain, and a poll returns that incarnation's report. Where no start is stated, nothing is added.

Why it works: a TCP connection belongs to the process that accepted it and ends with it. Bytes that are held up on it can't reach a later process, whose kernel resets the connection; an order that the worker itself holds back ends with it, since a later one knows nothing of before.

--- a/src/shallotworks/platform/_http.py
+++ b/src/shallotworks/platform/_http.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import re
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass
 from typing import Any
 
@@ -17,7 +18,7 @@
 
 from ._http_connection import Connection, ConnectionLostError
 
-__all__ = ["HttpAnswer", "HttpClient", "HttpNoAnswer"]
+__all__ = ["Handshake", "HttpAnswer", "HttpClient", "HttpNoAnswer", "Recipient"]
 
 CONNECT_TIMEOUT_S = 0.4
 """Time for opening a connection: one way takes 1 to 12 ms, and a lost SYN packet is retransmitted
@@ -51,10 +52,46 @@
     Args:
         is_unsent: Whether it is certain that no byte of the request reached the server.
         detail: Description of the error.
+        handshake_answer: The answer to the handshake, if it did not identify the recipient, so that
+            the request was not sent.
     """
 
     is_unsent: bool
     detail: str
+    handshake_answer: HttpAnswer | None = None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Handshake:
+    """A POST request whose answer identifies the process, and that any process may carry out.
+
+    Args:
+        path: Path.
+        body: JSON object to send.
+    """
+
+    path: str
+    body: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Recipient:
+    """The process that a call is meant for, among those that serve one address in turn.
+
+    A connection belongs to the process that accepted it. What is sent over a connection on which
+    the recipient has identified itself therefore never reaches another process, however late it
+    arrives.
+
+    Args:
+        process: Identifies the recipient.
+        identify: Returns which process gave an answer; ``None`` if the answer does not say.
+        handshake: Sent first over a connection whose process is not known. ``None`` for a call that
+            any process may carry out; its answer identifies the process.
+    """
+
+    process: Hashable
+    identify: Callable[[HttpAnswer], Hashable | None]
+    handshake: Handshake | None
 
 
 class HttpClient:
@@ -89,6 +126,7 @@
         read_timeout_s: float | None = None,
         body: dict[str, Any] | None = None,
         headers: dict[str, str] | None = None,
+        recipient: Recipient | None = None,
     ) -> HttpAnswer | HttpNoAnswer:
         """Send one request, without retries.
 
@@ -98,7 +136,8 @@
             timeout_s: Longest time for the whole call.
             read_timeout_s: Longest time without a byte of the answer; ``None`` for no limit.
             body: JSON object to send.
-            headers: Additional headers.
+            headers: Additional headers, also of the handshake.
+            recipient: The process that the call is meant for; ``None`` if any may carry it out.
 
         Returns:
             The answer, or why there is none and whether the request may have been sent.
@@ -106,23 +145,32 @@
         deadline_s = asyncio.get_running_loop().time() + timeout_s
         try:
             request = self._encode(method, path, body, headers)
-            connection = await self._acquire(deadline_s)
+            handshake = self._encode_handshake(recipient, headers)
+            connection = await self._acquire(deadline_s, recipient)
         except TimeoutError:
             return HttpNoAnswer(is_unsent=True, detail="no connection before the deadline")
         except (OSError, ValueError) as error:
             return _no_answer(error, is_unsent=True)
+        is_unsent = True
         try:
-            status, raw = await connection.exchange(
-                request, deadline_s=deadline_s, read_timeout_s=read_timeout_s
-            )
-            return HttpAnswer(status=status, body=_decode(raw))
+            if recipient and handshake and connection.process != recipient.process:
+                answer = await _exchange(connection, handshake, recipient, deadline_s, None)
+                if connection.process != recipient.process:
+                    connection.close()
+                    return HttpNoAnswer(
+                        is_unsent=True,
+                        detail=f"the handshake did not identify {recipient.process}",
+                        handshake_answer=answer,
+                    )
+            is_unsent = False
+            return await _exchange(connection, request, recipient, deadline_s, read_timeout_s)
         except TimeoutError:
             self._retire_connections()
             return HttpNoAnswer(
-                is_unsent=False, detail=f"no answer within {read_timeout_s or timeout_s:.2f} s"
+                is_unsent=is_unsent, detail=f"no answer within {read_timeout_s or timeout_s:.2f} s"
             )
         except (ConnectionLostError, ValueError) as error:
-            return _no_answer(error, is_unsent=False)
+            return _no_answer(error, is_unsent=is_unsent)
         finally:
             self._release(connection)
 
@@ -136,6 +184,13 @@
             connection.close()
         self._connections.clear()
 
+    def _encode_handshake(
+        self, recipient: Recipient | None, headers: dict[str, str] | None
+    ) -> bytes | None:
+        if recipient is None or recipient.handshake is None:
+            return None
+        return self._encode("POST", recipient.handshake.path, recipient.handshake.body, headers)
+
     def _encode(
         self, method: str, path: str, body: dict[str, Any] | None, headers: dict[str, str] | None
     ) -> bytes:
@@ -160,9 +215,11 @@
 
     # ---- connections
 
-    async def _acquire(self, deadline_s: float) -> Connection:
+    async def _acquire(self, deadline_s: float, recipient: Recipient | None) -> Connection:
         """Return a connection for the exclusive use of this call until `_release`.
 
+        It is not known to be one to another process than the recipient.
+
         Raises:
             TimeoutError: No connection is free by ``deadline_s``, or none opens within
                 `CONNECT_TIMEOUT_S`.
@@ -173,16 +230,21 @@
         else:
             await self._slots.acquire()
         try:
-            while self._idle:
-                connection = self._idle.pop()
-                if connection.is_open:
-                    return connection
-                self._connections.discard(connection)
-            return await self._connect(deadline_s)
+            return self._take_idle(recipient) or await self._connect(deadline_s)
         except BaseException:
             self._slots.release()
             raise
 
+    def _take_idle(self, recipient: Recipient | None) -> Connection | None:
+        for connection in reversed(self._idle.copy()):
+            if not connection.is_open:
+                self._idle.remove(connection)
+                self._connections.discard(connection)
+            elif recipient is None or connection.process in (None, recipient.process):
+                self._idle.remove(connection)
+                return connection
+        return None
+
     async def _connect(self, deadline_s: float) -> Connection:
         host, _, port = self._address.rpartition(":")
         generation = self._generation
@@ -227,6 +289,23 @@
             self._schedule_purge()
 
 
+async def _exchange(
+    connection: Connection,
+    request: bytes,
+    recipient: Recipient | None,
+    deadline_s: float,
+    read_timeout_s: float | None,
+) -> HttpAnswer:
+    """Send a request, and note which process the answer identifies."""
+    status, raw = await connection.exchange(
+        request, deadline_s=deadline_s, read_timeout_s=read_timeout_s
+    )
+    answer = HttpAnswer(status=status, body=_decode(raw))
+    if recipient is not None:
+        connection.process = recipient.identify(answer) or connection.process
+    return answer
+
+
 def _no_answer(error: Exception, *, is_unsent: bool) -> HttpNoAnswer:
     return HttpNoAnswer(is_unsent=is_unsent, detail=repr(error)[:MAX_DETAIL_CHARACTERS])
 
--- a/src/shallotworks/platform/_http_connection.py
+++ b/src/shallotworks/platform/_http_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Hashable
 
 import httptools
 
@@ -21,6 +22,9 @@
 
     Args:
         generation: The client's generation in which the connection was opened.
+
+    Attributes:
+        process: Identifies the server process at the other end; ``None`` until an answer does.
     """
 
     __slots__ = (
@@ -38,11 +42,13 @@
         "_transport",
         "generation",
         "idle_since_s",
+        "process",
     )
 
     def __init__(self, *, generation: int) -> None:
         self.generation = generation
         self.idle_since_s = 0.0
+        self.process: Hashable | None = None
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._answer: asyncio.Future[tuple[int, bytes]] | None = None
--- a/src/shallotworks/platform/_workers.py
+++ b/src/shallotworks/platform/_workers.py
@@ -6,7 +6,7 @@
 
 from returns.result import Success
 
-from shallotworks.jobs import TaskName
+from shallotworks.jobs import Incarnation, TaskName
 from shallotworks.logs import StructuredLog
 from shallotworks.scheduling import (
     EndedTask,
@@ -23,7 +23,7 @@
 from shallotworks.store import Item
 
 from ._fields import DECODE_ERRORS, json_array, json_integer, json_number, json_string
-from ._http import HttpAnswer, HttpClient, HttpNoAnswer
+from ._http import Handshake, HttpAnswer, HttpClient, HttpNoAnswer, Recipient
 from ._worker_entries import (
     BORN_FIELD,
     EntryProblem,
@@ -38,7 +38,8 @@
 REGISTRY_PREFIX = "servers/"
 MAX_KNOWN_BIRTHS = 10_000
 """Number of workers of which the latest known incarnation is remembered."""
-INCARNATION_HEADER = "Shallotworks-Expect-Instance"
+WORKER_ID_HEADER = "Shallotworks-Expect-Instance"
+POLL_PATH = "/v1/hold"
 ORDER_TIMEOUT_S = 0.7
 """Timeout of an order: healthy workers answer in a few milliseconds."""
 
@@ -56,10 +57,21 @@
     429: OrderStatus.UNHEALTHY,
     503: OrderStatus.UNHEALTHY,
 }
+_HANDSHAKE_REFUSALS = (OrderStatus.FENCED, OrderStatus.GONE, OrderStatus.UNHEALTHY)
 
 
 class PlatformOrders:
-    """Implements `WorkerOrders` over persistent connections to each worker."""
+    """Implements `WorkerOrders` over persistent connections to each worker.
+
+    The failure it guards against: an order is held up until its worker has started again at the
+    same address. The later incarnation has the id that the order names, has seen no fencing token,
+    and its clock begins anew, so that it would carry the order out. So an order is sent only over a
+    connection on which the intended incarnation has answered a poll. That connection ends with the
+    incarnation.
+
+    An incarnation of which the start is not known can't be told apart from others under its id;
+    orders to it are sent over any connection.
+    """
 
     __slots__ = ("_clients",)
 
@@ -82,7 +94,21 @@
             body["expiresMs"] = lease_until_ms
         if wait_s > 0:
             body["waitMs"] = int(wait_s * 1000)
-        return await self._send_order(worker, "/v1/hold", body, timeout_s=timeout_s, is_poll=True)
+        is_free_of_effects = not acknowledged and lease_until_ms is None
+        answer = await self._call(
+            worker,
+            worker.incarnation,
+            POLL_PATH,
+            body,
+            timeout_s=timeout_s,
+            needs_handshake=not is_free_of_effects,
+        )
+        if isinstance(answer, HttpNoAnswer) and answer.handshake_answer is not None:
+            # The handshake is a poll too, so its answer is the report of whichever worker gave it.
+            answer = answer.handshake_answer
+        if isinstance(answer, HttpNoAnswer):
+            return _unanswered(answer)
+        return _decode_outcome(answer, is_poll=True, known_born_ms=worker.born_ms)
 
     async def start(
         self, worker: WorkerView, order: StartOrder, *, token: int, lease_until_ms: int
@@ -99,7 +125,7 @@
             body["checkpoint"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
-        return await self._send_order(worker, "/v1/run-start", body)
+        return await self._send_order(worker, order.incarnation, "/v1/run-start", body)
 
     async def stop(self, worker: WorkerView, order: StopOrder, *, token: int) -> OrderOutcome:
         """Stop a run."""
@@ -108,7 +134,7 @@
             "runId": order.run.run_id,
             "fencingToken": token,
         }
-        return await self._send_order(worker, "/v1/run-stop", body)
+        return await self._send_order(worker, order.incarnation, "/v1/run-stop", body)
 
     async def pace(self, worker: WorkerView, order: PaceOrder, *, token: int) -> OrderOutcome:
         """Set the speed of a run in percent of its full speed."""
@@ -118,7 +144,7 @@
             "percent": order.percent,
             "fencingToken": token,
         }
-        return await self._send_order(worker, "/v1/pace", body)
+        return await self._send_order(worker, order.incarnation, "/v1/pace", body)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -126,28 +152,76 @@
             await client.close()
 
     async def _send_order(
+        self, worker: WorkerView, incarnation: Incarnation, path: str, body: dict[str, Any]
+    ) -> OrderOutcome:
+        answer = await self._call(
+            worker, incarnation, path, body, timeout_s=ORDER_TIMEOUT_S, needs_handshake=True
+        )
+        if not isinstance(answer, HttpNoAnswer):
+            return _decode_outcome(answer, is_poll=False)
+        if answer.handshake_answer is None:
+            return _unanswered(answer)
+        return _decode_unsent(answer.handshake_answer, detail=answer.detail)
+
+    async def _call(
         self,
         worker: WorkerView,
+        incarnation: Incarnation,
         path: str,
         body: dict[str, Any],
         *,
-        timeout_s: float = ORDER_TIMEOUT_S,
-        is_poll: bool = False,
-    ) -> OrderOutcome:
+        timeout_s: float,
+        needs_handshake: bool,
+    ) -> HttpAnswer | HttpNoAnswer:
+        """Call a worker.
+
+        Args:
+            worker: The worker.
+            incarnation: The only incarnation of it that may carry the call out.
+            path: Path.
+            body: JSON object to send; contains the fencing token.
+            timeout_s: Longest time for the whole call.
+            needs_handshake: Whether another incarnation must not receive the call.
+        """
         client = self._clients.get(worker.address)
         if client is None:
             client = self._clients[worker.address] = HttpClient(address=worker.address)
-        answer = await client.call(
+        handshake_body = {"fencingToken": body["fencingToken"], "lastSeen": 0}
+        recipient = Recipient(
+            process=incarnation,
+            identify=lambda answer: _identify(incarnation.worker_id, answer),
+            handshake=Handshake(path=POLL_PATH, body=handshake_body) if needs_handshake else None,
+        )
+        return await client.call(
             "POST",
             path,
             body=body,
             timeout_s=timeout_s,
-            headers={INCARNATION_HEADER: worker.worker_id},
+            headers={WORKER_ID_HEADER: incarnation.worker_id},
+            recipient=recipient if incarnation.born_ms is not None else None,
         )
-        if isinstance(answer, HttpNoAnswer):
-            order_status = OrderStatus.UNSENT if answer.is_unsent else OrderStatus.UNANSWERED
-            return OrderOutcome(status=order_status, detail=answer.detail)
-        return _decode_outcome(answer, is_poll, known_born_ms=worker.born_ms)
+
+
+def _identify(worker_id: str, answer: HttpAnswer) -> Incarnation | None:
+    """Return which incarnation of a worker gave an answer; ``None`` if the answer does not say."""
+    born_ms = _decode_optional_born_ms(answer.body) if answer.status == 200 else None
+    return Incarnation(worker_id=worker_id, born_ms=born_ms) if born_ms is not None else None
+
+
+def _unanswered(answer: HttpNoAnswer) -> OrderOutcome:
+    order_status = OrderStatus.UNSENT if answer.is_unsent else OrderStatus.UNANSWERED
+    return OrderOutcome(status=order_status, detail=answer.detail)
+
+
+def _decode_unsent(handshake_answer: HttpAnswer, *, detail: str) -> OrderOutcome:
+    """Return the outcome of an order that was not sent, as its handshake was answered otherwise.
+
+    A refusal of the handshake is one of the order, which has the same fencing token and worker id.
+    """
+    outcome = _decode_outcome(handshake_answer, is_poll=True)
+    if outcome.status in _HANDSHAKE_REFUSALS:
+        return outcome
+    return OrderOutcome(status=OrderStatus.UNSENT, detail=detail, born_ms=outcome.born_ms)
 
 
 def _decode_outcome(
--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -193,7 +193,7 @@
             if now_s - run.stop_sent_s >= STOP_RETRY_INTERVAL_S:
                 run.stop_sent_s = now_s
                 run.enter(RunPhase.STOPPING, now_s)
-                yield StopOrder(run=run)
+                yield StopOrder(run=run, incarnation=run.incarnation)
 
     # ---- starts
 
@@ -368,7 +368,13 @@
             run = self._assign(step, index, worker, run_id, now_s)
             spec = step.tracked_job.job.spec
             ticket = step.permits.get(worker.worker_id, "")
-            yield StartOrder(run=run, spec=spec, checkpoint=checkpoint, ticket=ticket)
+            yield StartOrder(
+                run=run,
+                incarnation=run.incarnation,
+                spec=spec,
+                checkpoint=checkpoint,
+                ticket=ticket,
+            )
 
     def _place_gang(
         self, step: TrackedStep, rack: str, now_s: float
@@ -418,6 +424,7 @@
     def _start_order(self, step: TrackedStep, run: Run) -> StartOrder:
         return StartOrder(
             run=run,
+            incarnation=run.incarnation,
             spec=step.tracked_job.job.spec,
             checkpoint=step.tracked_job.checkpoints.get(run.name, ""),
             ticket=step.permits.get(run.worker_id, ""),
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -152,7 +152,8 @@
     """The worker did not carry out the order."""
     INVALID = "invalid"
     UNSENT = "unsent"
-    """No connection was established, so the worker has not received the order."""
+    """No connection to the intended incarnation was established, so no worker has received the
+    order."""
     UNANSWERED = "unanswered"
     """The order may have been carried out, or may still be until its deadline has passed."""
 
@@ -520,13 +521,15 @@
     """Order to start a run.
 
     Args:
-        run: The run.
+        run: The run, which may be looked for on a later incarnation while the order is under way.
+        incarnation: The only incarnation that may carry the order out.
         spec: The job specification as the caller wrote it.
         checkpoint: The checkpoint to resume from; empty to start from the beginning.
         ticket: Permit of the advice service; empty if none is needed.
     """
 
     run: Run
+    incarnation: Incarnation
     spec: str
     checkpoint: str = ""
     ticket: str = ""
@@ -534,9 +537,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StopOrder:
-    """Order to stop a run."""
+    """Order to stop a run.
+
+    Args:
+        run: The run.
+        incarnation: The only incarnation that may carry the order out.
+    """
 
     run: Run
+    incarnation: Incarnation
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -554,7 +563,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PaceOrder:
-    """Order to run a filler at a percentage of its full speed."""
+    """Order to run a filler at a percentage of its full speed.
+
+    Args:
+        run: The run.
+        incarnation: The only incarnation that may carry the order out.
+        percent: The speed.
+    """
 
     run: Run
+    incarnation: Incarnation
     percent: int
--- a/src/shallotworks/scheduling/_pacing.py
+++ b/src/shallotworks/scheduling/_pacing.py
@@ -38,7 +38,7 @@
         percent = _next_percent(run.pace_percent, ratio)
         if percent == run.pace_percent or now_s - run.paced_s < MIN_PACE_INTERVAL_S:
             continue
-        yield PaceOrder(run=run, percent=percent)
+        yield PaceOrder(run=run, incarnation=run.incarnation, percent=percent)
 
 
 def _worst_latency_ratio(worker: Worker) -> float:
--- a/src/shallotworks/scheduling/_protocols.py
+++ b/src/shallotworks/scheduling/_protocols.py
@@ -28,7 +28,11 @@
 
 
 class WorkerOrders(Protocol):
-    """Sends orders to workers, each to one incarnation and with a fencing token."""
+    """Sends orders to workers, each to one incarnation and with a fencing token.
+
+    No incarnation carries out an order that is meant for another one, however late the order
+    arrives. An incarnation of which the start is not known is one with all others under its id.
+    """
 
     async def poll(
         self,
@@ -42,8 +46,11 @@
     ) -> OrderOutcome:
         """Poll a worker for its running and ended tasks, and extend the lease of all its runs.
 
+        If another incarnation answers, the outcome is its report; nothing was acknowledged to it,
+        and its lease was not extended.
+
         Args:
-            worker: The worker.
+            worker: The incarnation that the poll is meant for.
             token: The fencing token.
             acknowledged: The worker may forget ends up to this number.
             lease_until_ms: The new end of the lease in milliseconds on the worker's clock;
@@ -56,15 +63,18 @@
     async def start(
         self, worker: WorkerView, order: StartOrder, *, token: int, lease_until_ms: int
     ) -> OrderOutcome:
-        """Start a run."""
+        """Start a run; `UNSENT` with its `born_ms` if another incarnation was found."""
         ...
 
     async def stop(self, worker: WorkerView, order: StopOrder, *, token: int) -> OrderOutcome:
-        """Stop a run."""
+        """Stop a run; `UNSENT` with its `born_ms` if another incarnation was found."""
         ...
 
     async def pace(self, worker: WorkerView, order: PaceOrder, *, token: int) -> OrderOutcome:
-        """Set the share of its full speed at which a run works."""
+        """Set the share of its full speed at which a run works.
+
+        The outcome is `UNSENT`, with its `born_ms`, if another incarnation was found.
+        """
         ...
 
 
--- a/src/shallotworks/standins/_http_listener.py
+++ b/src/shallotworks/standins/_http_listener.py
@@ -32,11 +32,12 @@
 
 
 class HttpListener:
-    """Serves HTTP on a free port of one address.
+    """Serves HTTP on one address.
 
     Args:
         handle: Answers each request.
         host: Address to listen on.
+        port: Port to listen on; 0 for any free one.
     """
 
     def __init__(
@@ -44,15 +45,17 @@
         *,
         handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         host: str,
+        port: int = 0,
     ) -> None:
         self.address = ""
         self._host = host
+        self._port = port
         self._runner = web.ServerRunner(web.Server(handle), shutdown_timeout=SHUTDOWN_TIMEOUT_S)
 
     async def start(self) -> str:
         """Start listening; return the address as ``ip:port``."""
         await self._runner.setup()
-        await web.TCPSite(self._runner, self._host, 0).start()
+        await web.TCPSite(self._runner, self._host, self._port).start()
         host, port = self._runner.addresses[0][:2]
         self.address = f"{host}:{port}"
         return self.address
--- a/src/shallotworks/standins/_worker_http.py
+++ b/src/shallotworks/standins/_worker_http.py
@@ -39,15 +39,21 @@
     Args:
         orders: Executes the orders, with the network faults to all workers.
         view: The worker as discovery lists it.
-        host: Address to listen on; the port is any free one.
+        host: Address to listen on.
+        port: Port to listen on, such as the one of the earlier incarnation; 0 for any free one.
     """
 
     def __init__(
-        self, *, orders: FaultInjectingOrders, view: WorkerView, host: str = "127.0.0.1"
+        self,
+        *,
+        orders: FaultInjectingOrders,
+        view: WorkerView,
+        host: str = "127.0.0.1",
+        port: int = 0,
     ) -> None:
         self._orders = orders
         self._view = view
-        self.listener = HttpListener(handle=self._handle, host=host)
+        self.listener = HttpListener(handle=self._handle, host=host, port=port)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.headers.get(INCARNATION_HEADER, "") != self._view.worker_id:
@@ -74,13 +80,19 @@
             )
         run = self._parse_run(body)
         if path == "/v1/run-start":
-            order = StartOrder(run=run, spec=body["spec"], checkpoint=body.get("checkpoint", ""))
+            order = StartOrder(
+                run=run,
+                incarnation=run.incarnation,
+                spec=body["spec"],
+                checkpoint=body.get("checkpoint", ""),
+            )
             return await self._orders.start(
                 self._view, order, token=token, lease_until_ms=body["expiresMs"]
             )
         if path == "/v1/run-stop":
-            return await self._orders.stop(self._view, StopOrder(run=run), token=token)
-        pace = PaceOrder(run=run, percent=body["percent"])
+            stop = StopOrder(run=run, incarnation=run.incarnation)
+            return await self._orders.stop(self._view, stop, token=token)
+        pace = PaceOrder(run=run, incarnation=run.incarnation, percent=body["percent"])
         return await self._orders.pace(self._view, pace, token=token)
 
     def _parse_run(self, body: dict[str, Any]) -> Run:
--- a/tests/test_active_workers_record.py
+++ b/tests/test_active_workers_record.py
@@ -276,7 +276,8 @@
             # An earlier epoch started this run. The first scheduler never reached the worker and
             # recorded how long its leases might last; the second one reached the worker, and is
             # lost before it can record that.
-            worker.start(StartOrder(run=run, spec="x"), 8, worker.clock_ms + 3000)
+            order = StartOrder(run=run, incarnation=run.incarnation, spec="x")
+            worker.start(order, 8, worker.clock_ms + 3000)
             lease = await acquire(FaultInjectingStore(store=RecordStore(rng=random.Random(1))))
             order_dispatcher = OrderDispatcher(
                 scheduler_state=scheduler_state,
