Let no stand-in carry out an order that is meant for another incarnation

What callers saw: TWICE. A start of an ended scheduler was held up until its worker had started again, and ran there beside the run that the successor had started elsewhere.

The stand-ins in memory had no connections, so that an order reached whichever incarnation had the worker's id.

Change: the stand-ins keep the promise of WorkerOrders that tests/test_order_connections.py shows of PlatformOrders. A start or stop for another incarnation is unsent; a poll for another one acknowledges nothing, grants nothing and returns the report of the one that is there. The checks of the stand-ins, the simulation's violations and both tests of held-up calls stay as they are.

The stand-in refuses by the incarnation that the order is meant for, which a real worker can't; but a real worker never receives such an order over a connection of its own.

--- a/src/shallotworks/standins/_fault_injecting_orders.py
+++ b/src/shallotworks/standins/_fault_injecting_orders.py
@@ -66,14 +66,17 @@
     ) -> OrderOutcome:
         """Poll a worker, which answers as soon as a run has ended or when ``wait_s`` has passed.
 
-        A worker that can't be reached is `UNANSWERED` after ``timeout_s``, or has the status that
-        `TaskWorkers.outcomes_when_absent` gives.
+        A later incarnation than the intended one reports at once. A worker that can't be reached is
+        `UNANSWERED` after ``timeout_s``, or has the status that `TaskWorkers.outcomes_when_absent`
+        gives.
         """
         loop = asyncio.get_running_loop()
         wait_ends_at_s, times_out_at_s = loop.time() + wait_s, loop.time() + timeout_s
         reached = await self._reach_worker(worker, times_out_at_s)
         if isinstance(reached, OrderOutcome):
             return reached
+        if not worker.incarnation.may_be(reached.view.incarnation):
+            return reached.poll(token, 0, None)
         outcome = reached.poll(token, acknowledged, lease_until_ms)
         while (
             outcome.report is not None and not outcome.report.ended and loop.time() < wait_ends_at_s
--- a/src/shallotworks/standins/_task_workers.py
+++ b/src/shallotworks/standins/_task_workers.py
@@ -49,7 +49,10 @@
 
 
 class TaskWorker:
-    """One incarnation of a worker.
+    """One incarnation of a worker, behind connections that end with it.
+
+    An order reaches only the incarnation that it is meant for. Source: `WorkerOrders`, which
+    ``tests/test_order_connections.py`` shows of the orders over sockets.
 
     Args:
         view: The worker as discovery lists it.
@@ -204,6 +207,8 @@
             is_late: Whether the order was delayed. A delayed start that exceeds the capacity of a
                 worker that does not refuse overload is not recorded as a violation.
         """
+        if not order.incarnation.may_be(self.view.incarnation):
+            return self._unreached()
         self.end_due_runs()
         run = order.run
         if token < self._token:
@@ -232,6 +237,8 @@
 
         Later starts of the task with the same run id or a lower one are refused as stale.
         """
+        if not order.incarnation.may_be(self.view.incarnation):
+            return self._unreached()
         self.end_due_runs()
         if token < self._token:
             return self._refuse(OrderStatus.FENCED)
@@ -258,6 +265,9 @@
         self._ended.append(end)
         self._fleet.note_end(end)
 
+    def _unreached(self) -> OrderOutcome:
+        return OrderOutcome(status=OrderStatus.UNSENT, born_ms=self.view.born_ms)
+
     def _refuse(self, status: OrderStatus) -> OrderOutcome:
         return OrderOutcome(status=status, clock_ms=self.clock_ms)
 
