Show the held-up start of an ended scheduler over sockets

Cause: the listed test hands the late order to the later incarnation itself, so that on its own it can't show whether the order would reach it.

Change: a test in which whole schedulers send their orders over sockets. The connection of a start is held up; the scheduler ends; its successor starts the task on the other worker; the first worker starts again at its port under its id, and the connection is let through.

--- a/tests/test_order_connections.py
+++ b/tests/test_order_connections.py
@@ -8,7 +8,7 @@
 import unittest
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import replace
-from typing import Any
+from typing import Any, TypeVar
 
 from parameterized import parameterized
 
@@ -24,12 +24,22 @@
     StopOrder,
     WorkerView,
 )
-from shallotworks.standins import FaultInjectingOrders, TaskWorker, TaskWorkers, WorkerServer
-from tests.scheduling_fakes import view
+from shallotworks.standins import (
+    FaultInjectingOrders,
+    OrderFaults,
+    TaskWorker,
+    TaskWorkers,
+    WorkerServer,
+)
+from tests.scheduling_fakes import step, view
+from tests.scheduling_simulation import Instance, SchedulingSimulation
 
 WORKER_ID = "w0"
 TOKEN = 7_000_001
 POLL_TIMEOUT_S = 1.0
+ORDER_TIMEOUT_S = 0.7
+WAIT_TIMEOUT_S = 30.0
+TASK_MILLICORES = 3_000
 LEASE_MS = 3_600_000
 """Lies ahead on the clock of every incarnation, as a deadline does on a clock that begins anew."""
 ENDED_JOB, ORDERED_JOB = "0" * 16, "1" * 16
@@ -48,17 +58,17 @@
 
 
 class Network:
-    """Forwards connections to a worker, and holds up those that are opened meanwhile.
+    """Forwards connections to a worker, and holds up those that are opened while `hold` applies.
 
     A connection that is held up reaches whichever process listens when it is let through.
     """
 
     def __init__(self) -> None:
         self.target = ""
-        self.let_through = asyncio.Event()
-        self.let_through.set()
         self.held_up = asyncio.Event()
-        """Set while a connection is held up."""
+        """Set once a connection is held up."""
+        self._let_through = asyncio.Event()
+        self._is_holding = False
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> str:
@@ -68,12 +78,30 @@
         return f"{host}:{port}"
 
     async def stop(self) -> None:
-        """End all connections."""
+        """Stop listening, and end all connections."""
         self._server.close()
+        await self.end_connections()
+
+    async def end_connections(self) -> None:
+        """End all connections."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def hold(self) -> None:
+        """Hold up the connections that are opened from now on."""
+        self._is_holding = True
+
+    def forward_new(self) -> None:
+        """Forward the connections that are opened from now on; held-up ones stay so."""
+        self._is_holding = False
+
+    def let_through(self) -> None:
+        """Forward all connections."""
+        self.forward_new()
+        self._let_through.set()
+        self._let_through = asyncio.Event()
+
     def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.create_task(self._forward(reader, writer))
         self._tasks.add(task)
@@ -84,9 +112,9 @@
     async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         target_writer: asyncio.StreamWriter | None = None
         try:
-            if not self.let_through.is_set():
+            if self._is_holding:
                 self.held_up.set()
-                await self.let_through.wait()
+                await self._let_through.wait()
             host, port = self.target.split(":")
             target_reader, target_writer = await asyncio.open_connection(host, int(port))
             async with asyncio.TaskGroup() as group:
@@ -110,26 +138,23 @@
 class Machine:
     """A machine on which one incarnation of a worker after another serves at one address."""
 
-    def __init__(self) -> None:
-        self.fleet = TaskWorkers(rng=random.Random(1))
-        self.fleet.work_s[ENDED_JOB] = 0.0
-        self.fleet.work_s[ORDERED_JOB] = 60.0
+    def __init__(self, *, fleet: TaskWorkers, worker_id: str = WORKER_ID) -> None:
+        self.fleet = fleet
+        self.worker_id = worker_id
         self.network = Network()
         self.paths: list[str] = []
         """Paths of all requests that a worker received."""
         self._orders = FaultInjectingOrders(fleet=self.fleet)
-        self._address = ""
         self._server: WorkerServer | None = None
 
     @property
     def worker(self) -> TaskWorker:
         """The present incarnation."""
-        return self.fleet.workers[WORKER_ID]
+        return self.fleet.workers[self.worker_id]
 
     async def start(self) -> WorkerView:
-        """Start the first incarnation, and return its entry."""
-        self._address = await self.network.start()
-        self.fleet.add(view(WORKER_ID, address=self._address))
+        """Serve the first incarnation, and return its entry."""
+        self.worker.view = replace(self.worker.view, address=await self.network.start())
         await self._serve(0)
         return self.worker.view
 
@@ -140,7 +165,9 @@
         # The event loop leaves connections unclosed that it accepts while their listener is closed.
         await asyncio.sleep(0.01)
         await self._server.listener.stop()
-        self.fleet.restart(WORKER_ID)
+        later = self.fleet.restart(self.worker_id)
+        # Its clock counts anew, so that the deadlines of orders to the earlier one lie ahead.
+        later._clock_offset_s = -asyncio.get_running_loop().time()
         await self._serve(int(self.network.target.split(":")[1]))
         return self.worker.view
 
@@ -189,6 +216,7 @@
     return StartOrder(run=run, incarnation=run.incarnation, spec="x")
 
 
+_Value = TypeVar("_Value")
 Send = Callable[[PlatformOrders, WorkerView, Run], Awaitable[OrderOutcome]]
 
 
@@ -241,11 +269,22 @@
 PATHS = {start: "/v1/run-start", stop: "/v1/run-stop", pace: "/v1/pace"}
 
 
+async def until(condition: Callable[[], _Value | None]) -> _Value:
+    """Return the first true value of a condition."""
+    async with asyncio.timeout(WAIT_TIMEOUT_S):
+        while not (value := condition()):
+            await asyncio.sleep(0.01)
+    return value
+
+
 def run_on_machine(
     scenario: Callable[[Machine, PlatformOrders, WorkerView], Coroutine[Any, Any, None]],
 ) -> None:
     async def run() -> None:
-        machine, orders = Machine(), PlatformOrders()
+        fleet, orders = TaskWorkers(rng=random.Random(1)), PlatformOrders()
+        fleet.work_s |= {ENDED_JOB: 0.0, ORDERED_JOB: 60.0}
+        fleet.add(view(WORKER_ID))
+        machine = Machine(fleet=fleet)
         worker = await machine.start()
         try:
             await scenario(machine, orders, worker)
@@ -295,13 +334,13 @@
             # A waiting poll occupies the open connection.
             waiting = asyncio.create_task(poll(orders, worker, wait_s=1.0))
             await asyncio.sleep(0.05)
-            machine.network.let_through.clear()
+            machine.network.hold()
             sending = asyncio.create_task(send(orders, worker, machine.run(9, of=worker)))
             await machine.network.held_up.wait()
             await machine.restart()
             machine.end_a_run()
             before = machine.state()
-            machine.network.let_through.set()
+            machine.network.let_through()
             self.assert_withheld(machine, send, await sending, before)
             await waiting
 
@@ -312,13 +351,13 @@
         """Guards against an order that is, or counts as, sent before its worker has answered."""
 
         async def scenario(machine: Machine, orders: PlatformOrders, worker: WorkerView) -> None:
-            machine.network.let_through.clear()
+            machine.network.hold()
             outcome = await send(orders, worker, machine.run(9, of=worker))
             self.assertIs(OrderStatus.UNSENT, outcome.status)
             await machine.restart()
             machine.end_a_run()
             before = machine.state()
-            machine.network.let_through.set()
+            machine.network.let_through()
             await asyncio.sleep(0.2)
             self.assertEqual(before, machine.state())
 
@@ -337,9 +376,9 @@
                 if draw < 0.3:
                     views.append(await machine.restart())
                 elif draw < 0.5:
-                    machine.network.let_through.clear()
+                    machine.network.hold()
                 elif draw < 0.7:
-                    machine.network.let_through.set()
+                    machine.network.let_through()
                 # An earlier scheduler knows an earlier incarnation only.
                 known = rng.choice(views[-3:])
                 run = machine.run(number, of=known)
@@ -350,7 +389,7 @@
                 present = machine.worker
                 for name in present.names():
                     self.assertEqual(present.view.born_ms, sent[name])
-            machine.network.let_through.set()
+            machine.network.let_through()
             await asyncio.gather(*sending)
             present = machine.worker
             for name in present.names():
@@ -360,6 +399,78 @@
         run_on_machine(scenario)
 
 
+class SocketOrders(PlatformOrders):
+    """Orders over sockets of an instance of the simulation, which can be killed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.faults = OrderFaults()
+
+
+class SocketSimulation(SchedulingSimulation):
+    """A simulation whose instances send their orders over sockets."""
+
+    def _make_instance(self, number: int) -> Instance:
+        instance = super()._make_instance(number)
+        instance.orders = SocketOrders()  # type: ignore[assignment]
+        self.socket_orders = [*getattr(self, "socket_orders", ()), instance.orders]
+        return instance
+
+    async def kill(self) -> None:
+        """End all instances, and close the connections of all that there were."""
+        await super().kill()
+        for orders in self.socket_orders:
+            await orders.close()
+
+
+class EndedSchedulerTests(unittest.TestCase):
+    def test_start_of_an_ended_scheduler_is_held_up(self) -> None:
+        """Guards against a second run of a task beside one that its successor has started."""
+
+        async def scenario() -> None:
+            simulation = SocketSimulation(seed=1, workers=2, instances=2)
+            fleet, name = simulation.fleet, TaskName(ORDERED_JOB, 0, 0, 0)
+            fleet.cpu_millicores[name] = TASK_MILLICORES
+            fleet.work_s[ORDERED_JOB] = 60.0
+            machines = [Machine(fleet=fleet, worker_id=one) for one in fleet.workers]
+            for machine in machines:
+                await machine.start()
+            for instance in simulation.instances:
+                instance.start()
+            first = await until(simulation.scheduler)
+            await asyncio.sleep(1.0)
+            for machine in machines:
+                machine.network.hold()
+                await machine.network.end_connections()
+            await simulation.submit(
+                ORDERED_JOB, step(1, cpu_millicores=TASK_MILLICORES, estimated_s=60.0)
+            )
+            held_up = await until(
+                lambda: next((one for one in machines if one.network.held_up.is_set()), None)
+            )
+            # Until the start is sent, or the scheduler gives it up.
+            await asyncio.sleep(ORDER_TIMEOUT_S)
+            # The successor finds no room there, so that it starts the task on the other worker.
+            held_up.worker.resize(TASK_MILLICORES - 1)
+            for machine in machines:
+                machine.network.forward_new()
+            await simulation.replace(first)
+            await until(lambda: any(name in one.names() for one in fleet.workers.values()))
+            held_up.worker.resize(2 * TASK_MILLICORES)
+            await held_up.restart()
+            held_up.network.let_through()
+            await asyncio.sleep(1.0)
+            running = [key for key, one in fleet.workers.items() if name in one.names()]
+            self.assertEqual(1, len(running), running)
+            self.assertEqual([], fleet.violations)
+            await simulation.kill()
+            for machine in machines:
+                await machine.stop()
+            await asyncio.sleep(0.05)
+
+        asyncio.run(scenario())
+
+
 class SameIncarnationTests(unittest.TestCase):
     """Orders for the incarnation that is there are carried out."""
 
