--- a/src/shallotworks/platform/_workers.py
+++ b/src/shallotworks/platform/_workers.py
@@ -69,8 +69,8 @@
     connection on which the intended incarnation has answered a poll. That connection ends with the
     incarnation.
 
-    An incarnation of which the start is not known can't be told apart from others under its id;
-    orders to it are sent over any connection.
+    Where the start of the intended incarnation is not known, incarnations can't be told apart, and
+    orders are sent over any connection.
     """
 
     __slots__ = ("_clients",)
@@ -104,7 +104,7 @@
             needs_handshake=not is_free_of_effects,
         )
         if isinstance(answer, HttpNoAnswer) and answer.handshake_answer is not None:
-            # The handshake is a poll too, so its answer is the report of whichever worker gave it.
+            # The handshake is a poll too, so its answer is the report of whoever gave it.
             answer = answer.handshake_answer
         if isinstance(answer, HttpNoAnswer):
             return _unanswered(answer)
--- a/src/shallotworks/scheduling/_epoch_numbers.py
+++ b/src/shallotworks/scheduling/_epoch_numbers.py
@@ -31,8 +31,8 @@
     def next_order_token(self) -> int:
         """Return a fencing token that is higher than those of all earlier incarnations.
 
-        An order names the worker's id only. An incarnation that has seen its own token refuses what
-        was sent to an earlier one.
+        An incarnation that has seen its own token refuses what was sent to an earlier one. It is a
+        second guard beside the promise of `WorkerOrders`.
         """
         highest = self.before_first + NUMBERS_PER_EPOCH - 1
         self._last_order_token = min(self._last_order_token + 1, highest)
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -290,7 +290,8 @@
     def is_unconfirmed(self) -> bool:
         """Whether a start was sent of which it is not known which incarnation received it.
 
-        An order names the worker's id only, so a later incarnation may carry it out too.
+        `WorkerOrders` keeps the order from later incarnations, except where incarnations can't be
+        told apart.
         """
         return self.phase is not RunPhase.RESERVED and self.confirmed_s == math.inf
 
@@ -501,10 +502,9 @@
     def end_to_acknowledge(self) -> int:
         """The highest number to acknowledge with the next poll; 0 for none.
 
-        A poll names the worker's id only. One that acknowledges ends of an earlier incarnation
-        makes a later one, which has not seen its own token yet, forget ends that nobody has read.
-        So each end is acknowledged only until a poll that does so is answered, and only directly
-        after an answer of the incarnation that reported it.
+        Each end is acknowledged only until a poll that does so is answered, and only directly after
+        an answer of the incarnation that reported it. Where incarnations can't be told apart, a
+        later one that received the poll would forget ends that nobody has read.
         """
         if not self.has_answered_last_poll or self.highest_settled <= self.acknowledged:
             return 0
--- a/src/shallotworks/scheduling/_order_dispatcher.py
+++ b/src/shallotworks/scheduling/_order_dispatcher.py
@@ -82,8 +82,9 @@
 PAUSE_AFTER_NO_ROOM_S = 0.3
 """No task is placed on a worker while one of these three pauses lasts."""
 MAX_ACKNOWLEDGING_POLL_WAIT_S = 0.1
-"""Longest wait of a poll that acknowledges ends. A later incarnation that receives the poll
-forgets its own ends with these numbers for as long as it waits; a task takes longer."""
+"""Longest wait of a poll that acknowledges ends. Where incarnations can't be told apart, a later
+one that receives the poll forgets its own ends with these numbers for as long as it waits; a task
+takes longer."""
 MIN_ISOLATED_POLL_WAIT_S = 0.02
 """Shortest wait of a poll at a worker that has to survive the start of an isolated run."""
 CLOSED_CONNECTION_WITHIN_S = 0.5
--- a/src/shallotworks/scheduling/_protocols.py
+++ b/src/shallotworks/scheduling/_protocols.py
@@ -31,7 +31,7 @@
     """Sends orders to workers, each to one incarnation and with a fencing token.
 
     No incarnation carries out an order that is meant for another one, however late the order
-    arrives. An incarnation of which the start is not known is one with all others under its id.
+    arrives. Incarnations can't be told apart where the start of the intended one is not known.
     """
 
     async def poll(
--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -331,9 +331,9 @@
     ) -> Worker:
         """Replace a worker by a later incarnation, which knows nothing of the earlier one.
 
-        An order names the worker's id only. So a start order for the earlier one may have been
-        carried out by the later one, or may still be. Runs of which that is possible are kept, on
-        the later one, until its reports show whether they are there. All other runs have ended.
+        Runs of which the start was not confirmed are kept, on the later one, until its reports show
+        that they are not there; what crashed the earlier one is judged by that. All other runs have
+        ended.
 
         Args:
             worker: The earlier incarnation.
--- a/tests/test_order_connections.py
+++ b/tests/test_order_connections.py
@@ -347,7 +347,7 @@
         run_on_machine(scenario)
 
     @parameterized.expand(ORDERS)
-    def test_order_that_no_answer_precedes_in_time(self, _name: str, send: Send) -> None:
+    def test_order_whose_handshake_is_held_up(self, _name: str, send: Send) -> None:
         """Guards against an order that is, or counts as, sent before its worker has answered."""
 
         async def scenario(machine: Machine, orders: PlatformOrders, worker: WorkerView) -> None:
@@ -410,16 +410,20 @@
 class SocketSimulation(SchedulingSimulation):
     """A simulation whose instances send their orders over sockets."""
 
+    def __init__(self, **arguments: Any) -> None:
+        self._socket_orders: list[SocketOrders] = []
+        super().__init__(**arguments)
+
     def _make_instance(self, number: int) -> Instance:
         instance = super()._make_instance(number)
-        instance.orders = SocketOrders()  # type: ignore[assignment]
-        self.socket_orders = [*getattr(self, "socket_orders", ()), instance.orders]
+        instance.orders = orders = SocketOrders()  # type: ignore[assignment]
+        self._socket_orders.append(orders)
         return instance
 
     async def kill(self) -> None:
         """End all instances, and close the connections of all that there were."""
         await super().kill()
-        for orders in self.socket_orders:
+        for orders in self._socket_orders:
             await orders.close()
 
 
