Give machines, duties, teams and workers a sub-package each in scheduling

Cause: scheduling/ was a flat of 38 modules, and the parts to come would each add several to it.

Change: modules are moved and imports follow; each sub-package says what it is and what others may use. Arrival moved to the tracked jobs, which the demand forecast reads. No behaviour changes, and no test but its imports.

--- a/src/shallotworks/scheduling/__init__.py
+++ b/src/shallotworks/scheduling/__init__.py
@@ -7,17 +7,6 @@
 
 from ._active_workers import ActiveWorker, ActiveWorkersRecord, active_workers_key
 from ._decisions import DecisionEngine
-from ._leader_elector import LeaderElector
-from ._machine_controller import MachineController
-from ._machine_controller_dependencies import MachineControllerDependencies
-from ._machine_records import (
-    MACHINES_PREFIX,
-    MachineControllerRecord,
-    MachineRecords,
-    PoolDemand,
-    machine_controller_key,
-    pool_demand_key,
-)
 from ._model import (
     AdviceRequest,
     EndedTask,
@@ -50,11 +39,24 @@
 )
 from ._scheduler_state import SchedulerState, StoredProgress
 from ._service_scheduler import SchedulerDependencies, ServiceScheduler
-from ._sizing import PoolSizer, SizingLimits
 from ._tracked_jobs import TrackedStep
 from ._wait_reason import WaitReason
 from ._waiting import WaitMonitor, WaitSummary, waiting_reason
-from ._wave import WaveRecord, wave_key
+from .duties import LeaderElector
+from .machines import (
+    MACHINES_PREFIX,
+    MachineController,
+    MachineControllerDependencies,
+    MachineControllerRecord,
+    MachineRecords,
+    PoolDemand,
+    PoolSizer,
+    SizingLimits,
+    WaveRecord,
+    machine_controller_key,
+    pool_demand_key,
+    wave_key,
+)
 
 __all__ = [
     "AdviceRequest",
--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -20,9 +20,9 @@
 from ._placement import Candidates, Placement
 from ._room import Room
 from ._scheduler_state import SchedulerState
-from ._team_rooms import TeamRooms
 from ._tracked_jobs import TrackedStep
 from ._wait_reason import WaitReason
+from .teams import TeamRooms
 
 __all__ = ["DecisionEngine", "Decision"]
 
--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -10,10 +10,7 @@
 from shallotworks.jobs import Incarnation, Job, JobProgress, JobState, Step, TaskName
 from shallotworks.logs import StructuredLog
 
-from ._crash_blame import CrashBlame
-from ._demand import Arrival
 from ._epoch_numbers import EpochNumbers
-from ._isolation import Isolation
 from ._model import (
     UNKNOWN_STEP,
     EndedTask,
@@ -25,9 +22,10 @@
     WorkerReport,
     WorkerView,
 )
-from ._team_rooms import TeamRooms
-from ._tracked_jobs import TrackedJob, TrackedStep
+from ._tracked_jobs import Arrival, TrackedJob, TrackedStep
 from ._unstored_ends import UnstoredEnds
+from .teams import TeamRooms
+from .workers import CrashBlame, Isolation
 
 __all__ = ["SchedulerState", "StoredProgress", "WaitingTasks"]
 
--- a/src/shallotworks/scheduling/_service_scheduler.py
+++ b/src/shallotworks/scheduling/_service_scheduler.py
@@ -24,17 +24,15 @@
 
 from ._active_workers import ActiveWorkersRecord
 from ._decisions import DecisionEngine
-from ._machine_records import MachineRecords, PoolDemand, pool_demand_key
 from ._model import AdviceRequest
 from ._order_dispatcher import OrderDispatcher, OrderTimes
 from ._progress_writer import ProgressWriter
 from ._protocols import AdviceService, WorkerDirectory, WorkerOrders
 from ._scheduler_state import SchedulerState
-from ._sizing import PoolSizer, SizingLimits
-from ._team_limits import TeamLimits
-from ._team_shares import TeamShares
 from ._waiting import WaitMonitor, first_names
 from ._worker_tracker import DIRECTORY_POLL_INTERVAL_S, WorkerTracker
+from .machines import MachineRecords, PoolDemand, PoolSizer, SizingLimits, pool_demand_key
+from .teams import TeamLimits, TeamShares
 
 __all__ = ["ServiceScheduler", "SchedulerDependencies"]
 
--- a/src/shallotworks/scheduling/_tracked_jobs.py
+++ b/src/shallotworks/scheduling/_tracked_jobs.py
@@ -6,7 +6,10 @@
 
 from ._model import Run
 
-__all__ = ["TrackedJob", "TrackedStep"]
+__all__ = ["Arrival", "TrackedJob", "TrackedStep"]
+
+Arrival = tuple[float, float]
+"""The arrival of a job: its time of day in seconds since 1970 and its estimated core-seconds."""
 
 MIN_REFUSAL_BACKOFF_S = 1.0
 """Backoff after the first start that a worker refused as invalid. It doubles with each further
--- a/src/shallotworks/scheduling/_worker_tracker.py
+++ b/src/shallotworks/scheduling/_worker_tracker.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable
 
 from ._active_workers import ActiveWorker, ActiveWorkersRecord
-from ._machine_records import MachineControllerRecord, MachineRecords
 from ._model import WorkerView
 from ._protocols import WorkerDirectory
 from ._scheduler_state import SchedulerState
+from .machines import MachineControllerRecord, MachineRecords
 
 __all__ = ["DIRECTORY_POLL_INTERVAL_S", "WorkerTracker"]
 
--- a/src/shallotworks/scheduling/_demand.py
+++ b/src/shallotworks/scheduling/machines/_demand.py
@@ -12,10 +12,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-__all__ = ["Arrival", "DemandLimits", "forecast_demand_cores"]
+from .._tracked_jobs import Arrival
 
-Arrival = tuple[float, float]
-"""The arrival of a job: its time of day in seconds since 1970 and its estimated core-seconds."""
+__all__ = ["Arrival", "DemandLimits", "forecast_demand_cores"]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/shallotworks/scheduling/_machine_controller_dependencies.py
+++ b/src/shallotworks/scheduling/machines/_machine_controller_dependencies.py
@@ -8,8 +8,8 @@
 from shallotworks.logs import StructuredLog
 from shallotworks.store import Store
 
+from .._protocols import Machines, MaintenanceSchedule
 from ._machine_records import MachineRecords
-from ._protocols import Machines, MaintenanceSchedule
 
 __all__ = ["MachineControllerDependencies"]
 
--- a/src/shallotworks/scheduling/_machine_controller_ledger.py
+++ b/src/shallotworks/scheduling/machines/_machine_controller_ledger.py
@@ -7,9 +7,9 @@
 from shallotworks.jobs import Incarnation
 from shallotworks.store import FencedRecord, HeldLease
 
+from .._protocols import Machine
 from ._machine_controller_dependencies import MachineControllerDependencies
 from ._machine_records import MachineControllerRecord, machine_controller_key
-from ._protocols import Machine
 
 __all__ = ["MachineControllerLedger"]
 
--- a/src/shallotworks/scheduling/_machine_order_dispatcher.py
+++ b/src/shallotworks/scheduling/machines/_machine_order_dispatcher.py
@@ -8,10 +8,10 @@
 
 from shallotworks.store import HeldLease
 
+from .._protocols import Machine, MachineOrderStatus
 from ._machine_controller_dependencies import MachineControllerDependencies
 from ._machine_controller_ledger import MachineControllerLedger
 from ._machine_records import PoolDemand, pool_demand_key
-from ._protocols import Machine, MachineOrderStatus
 
 __all__ = ["MachineOrderDispatcher"]
 
--- a/src/shallotworks/scheduling/_pool_rebalancer.py
+++ b/src/shallotworks/scheduling/machines/_pool_rebalancer.py
@@ -11,9 +11,9 @@
 
 from shallotworks.store import Commit, Committed, Condition, HeldLease, Write
 
+from .._protocols import Machine, MachineOrderStatus, MachineState
 from ._machine_controller_dependencies import MachineControllerDependencies
 from ._machine_order_dispatcher import MachineOrderDispatcher
-from ._protocols import Machine, MachineOrderStatus, MachineState
 
 __all__ = ["PoolRebalancer"]
 
--- a/src/shallotworks/scheduling/_sizing.py
+++ b/src/shallotworks/scheduling/machines/_sizing.py
@@ -12,12 +12,12 @@
 
 from shallotworks.jobs import Step
 
+from .._model import Worker
+from .._placement import MIN_WORKERS_PER_LASTING_STEP
+from .._scheduler_state import SchedulerState
+from .._waiting import tasks_recovering
 from ._demand import DemandLimits, forecast_demand_cores
 from ._machine_records import PoolDemand
-from ._model import Worker
-from ._placement import MIN_WORKERS_PER_LASTING_STEP
-from ._scheduler_state import SchedulerState
-from ._waiting import tasks_recovering
 
 __all__ = ["PoolSizer", "SizingLimits"]
 
--- a/src/shallotworks/scheduling/_wave_executor.py
+++ b/src/shallotworks/scheduling/machines/_wave_executor.py
@@ -9,9 +9,9 @@
 from shallotworks.jobs import Incarnation
 from shallotworks.store import Commit, Committed, Condition, Conflicted, HeldLease, Write
 
+from .._protocols import Machine, MachineOrderStatus, MachineState, MaintenanceWave
 from ._machine_controller_dependencies import MachineControllerDependencies
 from ._machine_order_dispatcher import MachineOrderDispatcher
-from ._protocols import Machine, MachineOrderStatus, MachineState, MaintenanceWave
 from ._wave import WaveRecord, wave_key
 
 __all__ = ["WaveExecutor"]
--- /dev/null
+++ b/src/shallotworks/scheduling/teams/__init__.py
@@ -0,0 +1,11 @@
+"""Teams: what each team may use, over all services, and its turn when capacity is short.
+
+`TeamLimits` and `TeamShares` keep a team within its limit. This package orders and limits tasks; it
+never drops a job that was accepted.
+"""
+
+from ._team_limits import TEAM_RECORDS_PREFIX, TeamLimits
+from ._team_rooms import TeamRooms
+from ._team_shares import TeamShares
+
+__all__ = ["TEAM_RECORDS_PREFIX", "TeamLimits", "TeamRooms", "TeamShares"]
--- a/src/shallotworks/scheduling/_team_limits.py
+++ b/src/shallotworks/scheduling/teams/_team_limits.py
@@ -12,13 +12,16 @@
 import json
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from shallotworks.jobs import Resources, Team
 
-from ._scheduler_state import SchedulerState
 from ._team_rooms import UNLIMITED, TeamRooms
 
+if TYPE_CHECKING:
+    # The state itself holds what the teams may start.
+    from .._scheduler_state import SchedulerState
+
 __all__ = ["TEAM_RECORDS_PREFIX", "ShareWrite", "TeamLimits", "TeamShare"]
 
 TEAM_RECORDS_PREFIX = "shallotworks/teams/"
--- a/src/shallotworks/scheduling/_crash_blame.py
+++ b/src/shallotworks/scheduling/workers/_crash_blame.py
@@ -14,8 +14,8 @@
 from shallotworks.jobs import Blame, Incarnation, LostRun, TaskName
 from shallotworks.logs import StructuredLog
 
-from ._model import Run, RunPhase, Worker
-from ._tracked_jobs import TrackedJob
+from .._model import Run, RunPhase, Worker
+from .._tracked_jobs import TrackedJob
 
 __all__ = ["MIN_PROBATION_S", "CrashBlame"]
 
--- a/src/shallotworks/scheduling/_isolation.py
+++ b/src/shallotworks/scheduling/workers/_isolation.py
@@ -14,9 +14,9 @@
 from shallotworks.jobs import Blame, LostRun, TaskName, is_suspect
 from shallotworks.logs import StructuredLog
 
+from .._model import Run, RunPhase, Worker
+from .._tracked_jobs import TrackedJob, TrackedStep
 from ._crash_blame import MIN_PROBATION_S, CrashBlame
-from ._model import Run, RunPhase, Worker
-from ._tracked_jobs import TrackedJob, TrackedStep
 
 __all__ = ["Isolation"]
 
--- a/tests/lasting_task_simulation.py
+++ b/tests/lasting_task_simulation.py
@@ -40,8 +40,11 @@
     ServiceScheduler,
     pool_demand_key,
 )
-from shallotworks.scheduling._machine_controller_ledger import REMOVED_WORKERS_PUBLISHED_S
-from shallotworks.scheduling._machine_records import MachineControllerRecord, machine_controller_key
+from shallotworks.scheduling.machines._machine_controller_ledger import REMOVED_WORKERS_PUBLISHED_S
+from shallotworks.scheduling.machines._machine_records import (
+    MachineControllerRecord,
+    machine_controller_key,
+)
 from shallotworks.standins import (
     OrderFaults,
     RecordFaults,
--- a/tests/test_budget_at_takeover.py
+++ b/tests/test_budget_at_takeover.py
@@ -35,7 +35,10 @@
     ServiceScheduler,
     pool_demand_key,
 )
-from shallotworks.scheduling._machine_records import MachineControllerRecord, machine_controller_key
+from shallotworks.scheduling.machines._machine_records import (
+    MachineControllerRecord,
+    machine_controller_key,
+)
 from shallotworks.standins import (
     FaultInjectingOrders,
     FaultInjectingStore,
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -5,7 +5,7 @@
 
 from parameterized import parameterized
 
-from shallotworks.scheduling._demand import Arrival, DemandLimits, forecast_demand_cores
+from shallotworks.scheduling.machines._demand import Arrival, DemandLimits, forecast_demand_cores
 
 LIMITS = DemandLimits()
 CORE_S_PER_JOB = 100.0
--- a/tests/test_machine_controller.py
+++ b/tests/test_machine_controller.py
@@ -25,7 +25,7 @@
     PoolDemand,
     pool_demand_key,
 )
-from shallotworks.scheduling._machine_records import MachineControllerRecord
+from shallotworks.scheduling.machines._machine_records import MachineControllerRecord
 from shallotworks.standins import FaultInjectingStore, RecordStore
 from shallotworks.store import HeldLease, PrefixWatcher
 from tests.held_leases import acquire
--- a/tests/test_team_limits.py
+++ b/tests/test_team_limits.py
@@ -9,7 +9,7 @@
 
 from shallotworks.jobs import Resources, Team
 from shallotworks.scheduling import WaitReason, waiting_reason
-from shallotworks.scheduling._team_limits import TeamLimits, TeamShare, _encode, _target
+from shallotworks.scheduling.teams._team_limits import TeamLimits, TeamShare, _encode, _target
 from tests.scheduling_fakes import SchedulingHarness, job, step, view
 from tests.team_simulation import TEAM, TeamSimulation
 from tests.virtual_clock import run_scenario
