--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -15,7 +15,7 @@
     StopOrder,
     Worker,
 )
-from ._ordering import urgency
+from ._ordering import StepOrder, urgency
 from ._pacing import pace_orders
 from ._placement import Candidates, Placement
 from ._room import Room
@@ -78,7 +78,7 @@
         self,
         *,
         scheduler_state: SchedulerState,
-        order: Callable[[TrackedStep, float], tuple[float, ...]] = urgency,
+        order: StepOrder = urgency,
         team_rooms: Callable[[], TeamRooms] = TeamRooms,
     ) -> None:
         self._team_rooms = team_rooms
