Publish a pool's demand from a module of its own

`DemandPublisher` in `machines/` assesses and publishes the demand of one epoch, and `SchedulerDependencies` has a module of its own. Behaviour and tests are as they were.

--- a/src/shallotworks/scheduling/__init__.py
+++ b/src/shallotworks/scheduling/__init__.py
@@ -37,8 +37,9 @@
     WorkerDirectory,
     WorkerOrders,
 )
+from ._scheduler_dependencies import SchedulerDependencies
 from ._scheduler_state import SchedulerState, StoredProgress
-from ._service_scheduler import SchedulerDependencies, ServiceScheduler
+from ._service_scheduler import ServiceScheduler
 from ._tracked_jobs import TrackedStep
 from ._wait_reason import WaitReason
 from ._waiting import WaitMonitor, WaitSummary, waiting_reason
--- a/src/shallotworks/scheduling/_service_scheduler.py
+++ b/src/shallotworks/scheduling/_service_scheduler.py
@@ -4,37 +4,33 @@
 
 import asyncio
 import json
-from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, replace
+from collections.abc import Coroutine
 from typing import Any
 
 from returns.result import Success
 
-from shallotworks.jobs import JobKeys, Team, decode_job, decode_progress
-from shallotworks.logs import StructuredLog
-from shallotworks.metrics import Metrics
+from shallotworks.jobs import JobKeys, decode_job, decode_progress
 from shallotworks.store import (
     Commit,
     FencedRecord,
     HeldLease,
     Item,
     PrefixWatcher,
-    Store,
 )
 
 from ._active_workers import ActiveWorkersRecord
 from ._decisions import DecisionEngine
-from ._model import AdviceRequest
-from ._order_dispatcher import OrderDispatcher, OrderTimes
+from ._model import AdviceRequest, Worker
+from ._order_dispatcher import OrderDispatcher
 from ._progress_writer import ProgressWriter
-from ._protocols import AdviceService, WorkerDirectory, WorkerOrders
+from ._scheduler_dependencies import SchedulerDependencies
 from ._scheduler_state import SchedulerState
 from ._waiting import WaitMonitor, first_names
 from ._worker_tracker import DIRECTORY_POLL_INTERVAL_S, WorkerTracker
-from .machines import MachineRecords, PoolDemand, PoolSizer, SizingLimits, pool_demand_key
+from .machines import DemandPublisher, PoolDemand, PoolSizer, SizingLimits
 from .teams import TeamLimits, TeamShares
 
-__all__ = ["ServiceScheduler", "SchedulerDependencies"]
+__all__ = ["ServiceScheduler"]
 
 DECISION_INTERVAL_S = 0.2
 """Decisions are taken at least this often, since some depend on time alone and on no event."""
@@ -44,10 +40,8 @@
 for orders and polls."""
 JOB_WATCH_PAUSE_S = 0.025
 """Pause between two batches of job changes; at peak load jobs change a hundred times a second."""
-SIZING_INTERVAL_S = 0.1
 PUBLISH_INTERVAL_S = 1.0
 """The published counts of waiting jobs may be up to 2 s old."""
-STORE_RETRY_S = 0.1
 FINAL_STATE_RETENTION_RATIO = 2.0
 """Records of finished jobs are kept for this multiple of the time for which callers may ask for a
 job's final state."""
@@ -62,44 +56,6 @@
 commit of progress."""
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class SchedulerDependencies:
-    """Services and settings that a scheduler uses.
-
-    Args:
-        store: The store.
-        orders: Sends orders to workers.
-        directory: Lists workers.
-        advice: Says which workers may run a step.
-        machine_records: Says which workers the machine controller drains, and which it has removed.
-        clock: Seconds, counting suspended time.
-        wall_clock: Time of day in seconds since 1970.
-        times: Times of orders.
-        log: Receives the decisions and the state of the pool.
-        metrics: Counters and latencies.
-        final_state_told_s: A job's final state is reported for this long. Source: the platform's
-            settings.
-        team_of: Returns a team by its name as the configuration has it now; ``None`` if it has none
-            of the name.
-        is_capacity_known: Whether the capacities of a service's workers are known well enough to
-            start tasks there.
-    """
-
-    store: Store
-    orders: WorkerOrders
-    directory: WorkerDirectory
-    advice: AdviceService
-    machine_records: MachineRecords
-    clock: Callable[[], float]
-    wall_clock: Callable[[], float]
-    times: OrderTimes
-    log: StructuredLog
-    metrics: Metrics
-    final_state_told_s: float = 120.0
-    team_of: Callable[[str], Team | None] = lambda _name: None
-    is_capacity_known: Callable[[str], bool] = lambda _service: True
-
-
 class ServiceScheduler:
     """Schedules one service while this instance holds the service's lease.
 
@@ -111,7 +67,7 @@
 
     __slots__ = (
         "_background_tasks",
-        "_demand_record",
+        "_demand_publisher",
         "_dependencies",
         "_has_marker",
         "_job_records",
@@ -198,19 +154,28 @@
             log=dependencies.log,
             pause_s=JOB_WATCH_PAUSE_S,
         )
-        self._demand_record = self._make_fenced_record(pool_demand_key(service))
-        self._pending_counts_record = self._make_fenced_record(self._keys.pending_counts())
+        self._demand_publisher = DemandPublisher(
+            service=service,
+            lease=lease,
+            store=dependencies.store,
+            sizer=self._sizer,
+            machine_records=dependencies.machine_records,
+            clock=dependencies.clock,
+            wall_clock=dependencies.wall_clock,
+            log=dependencies.log,
+            on_draining=self._evacuate,
+        )
+        self._pending_counts_record = FencedRecord(
+            key=self._keys.pending_counts(),
+            lease=lease,
+            store=dependencies.store,
+            log=dependencies.log,
+        )
         self._job_records: dict[str, Item] = {}
         self._has_marker = False
         self._background_tasks: set[asyncio.Task[None]] = set()
         self.is_prepared = asyncio.Event()
 
-    def _make_fenced_record(self, key: str) -> FencedRecord:
-        dependencies = self._dependencies
-        return FencedRecord(
-            key=key, lease=self._lease, store=dependencies.store, log=dependencies.log
-        )
-
     async def run(self) -> None:
         """Schedule until the lease is lost."""
         self._log("epoch-begun")
@@ -372,11 +337,7 @@
         while not self._dependencies.directory.is_synced:
             await asyncio.sleep(DIRECTORY_POLL_INTERVAL_S)
         recorded = await self._worker_tracker.add_recorded_workers()
-        while not await self._demand_record.read():
-            await asyncio.sleep(STORE_RETRY_S)
-        # The machine controller must not mistake offers of an earlier epoch for this one's.
-        while not await self._publish_demand(PoolDemand(token=self._lease.token)):
-            await asyncio.sleep(STORE_RETRY_S)
+        await self._demand_publisher.prepare()
         self._log(
             "epoch-prepared",
             jobs=len(self.scheduler_state.tracked_jobs),
@@ -423,53 +384,15 @@
             await asyncio.sleep(PUBLISH_INTERVAL_S)
 
     async def _size_pool(self) -> None:
-        """Publish for the machine controller which machines this service lacks and can spare."""
         await self.is_prepared.wait()
-        published: PoolDemand | None = None
-        resumes = _ResumeCounter()
-        while True:
-            self._sizer.defer_lasting_tasks(self._possible_offers(), self._dependencies.clock())
-            machine_records = self._dependencies.machine_records
-            demand = self._sizer.assess(
-                machine_records.controller.due,
-                now_s=self._dependencies.clock(),
-                wall_s=self._dependencies.wall_clock(),
-            )
-            demand = replace(demand, woke=resumes.count(may_act=self._lease.is_valid))
-            self._sizer.restrict_late_work(machine_records.controller.recalls.get(self.service, 0))
-            for worker in self._sizer.draining_workers():
-                self.decision_engine.evacuate(worker)
-                self._order_dispatcher.wake()
-            if (
-                demand != published or self._demand_record.unconfirmed_values
-            ) and await self._publish_demand(demand):
-                published = demand
-            await asyncio.sleep(SIZING_INTERVAL_S)
+        await self._demand_publisher.run()
 
     async def _publish_demand(self, demand: PoolDemand) -> bool:
-        """Publish the demand; return whether the store has confirmed it.
+        return await self._demand_publisher.publish(demand)
 
-        The store may list a worker as free because the previous epoch offered it, or because of a
-        write that was not answered. A lasting task that is started there ends when the machine
-        controller removes the worker. While the store may list a worker as free, and for a while
-        after that, no lasting task is placed on it.
-        """
-        offers = self._possible_offers() | set(demand.free)
-        if not await self._demand_record.put(demand.encode()):
-            return False
-        self._sizer.defer_lasting_tasks(offers, self._dependencies.clock())
-        self._log("demand-published", lacking=demand.lacking, free=len(demand.free))
-        return True
-
-    def _possible_offers(self) -> set[str]:
-        """Return the workers that the store may list as free."""
-        offers: set[str] = set()
-        for stored_value in self._demand_record.possible_values():
-            try:
-                offers.update(PoolDemand.decode(stored_value).free)
-            except (ValueError, KeyError, TypeError) as error:
-                self._log("demand-unreadable", reason=repr(error))
-        return offers
+    def _evacuate(self, worker: Worker) -> None:
+        self.decision_engine.evacuate(worker)
+        self._order_dispatcher.wake()
 
     async def _delete_old_jobs(self) -> None:
         """Delete the records of jobs that ended long ago."""
@@ -489,27 +412,3 @@
                 await self._dependencies.store.commit(
                     Commit(conditions=(self._lease.condition,), deletes=keys)
                 )
-
-
-class _ResumeCounter:
-    """Counts how often an epoch has resumed after a suspension, while its lease was not valid.
-
-    A machine controller that was suspended too acts only on demands published after the outage, so
-    a scheduler that resumes publishes its demand again, even if nothing has changed for its pool.
-    """
-
-    __slots__ = ("_count", "_is_suspended")
-
-    def __init__(self) -> None:
-        self._count = 0
-        self._is_suspended = False
-
-    def count(self, *, may_act: bool) -> int:
-        """Return the number of resumptions so far.
-
-        Args:
-            may_act: Whether orders may be given now.
-        """
-        self._count += self._is_suspended and may_act
-        self._is_suspended = not may_act
-        return self._count
