Say that a process is saturated where its processor clock tells nothing

Under a platform that slows a process down by stopping it, the processor clock follows the time: all weak instances read 1.94 of what they may use, were saturated from their first second on, and a scheduler that fell behind in its queue's turn logged nothing. The clock now counts only while it reads at most 1.1 of what the process may use, the first reading above is logged once, and the lateness of the event loop decides alone from then on, with a limit of its own for relief.

--- a/src/shallotworks/metrics/_load_monitor.py
+++ b/src/shallotworks/metrics/_load_monitor.py
@@ -20,13 +20,19 @@
 repeated log lines from a process whose use is close to the limit."""
 SATURATED_LATENESS_S = 0.1
 """A mean lateness of the event loop that delays lease renewals and polls, whatever the use."""
+RELIEVED_LATENESS_S = 0.05
+"""A saturated process counts as relieved below this mean lateness."""
+MAX_CREDIBLE_USE_RATIO = 1.1
+"""A processor clock that reads more than this multiple of what the process may use tells nothing.
+Where a platform slows a process down by stopping it, that clock may follow the time of day."""
 
 
 class LoadMonitor:
     """Measures the load of a process and logs when it becomes saturated or is relieved.
 
     The failure: tasks wait in a queue while workers are idle, and nothing shows whether the
-    scheduler lacks machines or processor time.
+    scheduler lacks machines or processor time. The lateness of the event loop shows it on every
+    platform; the processor clock shows it too, while its reading can be true.
 
     Args:
         cores: Number of processor cores that the process may use.
@@ -34,11 +40,14 @@
         log: Receives one line for each change.
         processor_clock: Returns the processor time used so far, in seconds.
         held_leases: Returns the names of the leases that the process currently holds.
+        clock: Seconds; by default the event loop's clock.
     """
 
     __slots__ = (
+        "_clock",
         "_cores",
         "_held_leases",
+        "_is_clock_doubt_logged",
         "_is_saturated",
         "_lateness_samples_s",
         "_log",
@@ -55,23 +64,26 @@
         log: StructuredLog,
         processor_clock: Callable[[], float],
         held_leases: Callable[[], list[str]],
+        clock: Callable[[], float] | None = None,
     ) -> None:
+        self._clock = clock
         self._cores = cores
         self._metrics = metrics
         self._log = log
         self._processor_clock = processor_clock
         self._held_leases = held_leases
         self._is_saturated = False
+        self._is_clock_doubt_logged = False
         self._lateness_samples_s: list[float] = []
         self._use_samples: list[float] = []
 
     async def run(self) -> None:
         """Measure until cancelled."""
-        loop = asyncio.get_running_loop()
+        clock = self._clock or asyncio.get_running_loop().time
         while True:
-            started_s, used_s = loop.time(), self._processor_clock()
+            started_s, used_s = clock(), self._processor_clock()
             await asyncio.sleep(SAMPLE_INTERVAL_S)
-            elapsed_s = loop.time() - started_s
+            elapsed_s = clock() - started_s
             processor_s = self._processor_clock() - used_s
             self._sample(
                 elapsed_s - SAMPLE_INTERVAL_S, processor_s, processor_s / elapsed_s / self._cores
@@ -89,14 +101,25 @@
         late_s = sum(self._lateness_samples_s) / WINDOW_SAMPLES
         use = sum(self._use_samples) / WINDOW_SAMPLES
         use_limit = RELIEVED_RATIO if self._is_saturated else SATURATED_RATIO
-        is_saturated = use >= use_limit or late_s >= SATURATED_LATENESS_S
+        late_limit_s = RELIEVED_LATENESS_S if self._is_saturated else SATURATED_LATENESS_S
+        is_use_credible = use <= MAX_CREDIBLE_USE_RATIO
+        if not is_use_credible:
+            self._log_clock_doubt(use)
+        is_saturated = (is_use_credible and use >= use_limit) or late_s >= late_limit_s
         if is_saturated == self._is_saturated:
             return
         self._is_saturated = is_saturated
         self._log.line(
             "process-saturated" if is_saturated else "process-relieved",
-            used_part=round(use, 2),
+            used_part=round(use, 2) if is_use_credible else None,
             late_s=round(late_s, 3),
             cores=round(self._cores, 2),
             duties=self._held_leases(),
         )
+
+    def _log_clock_doubt(self, use: float) -> None:
+        if not self._is_clock_doubt_logged:
+            self._is_clock_doubt_logged = True
+            self._log.line(
+                "processor-clock-unusable", used_part=round(use, 2), cores=round(self._cores, 2)
+            )
