Send idle machines of large pools to the standby pool between turns

Pools kept all machines of their home size, idle or not, and refilled to it. A pool above 16 machines now keeps the larger of 16 and half of its home size where the configuration has a standby service; what is idle beyond that goes to standby after 2 s, and only demand brings it back. Smaller pools, and deployments without a standby service, decide as before.

The harness of the controller's tests can leave out the standby pool; its default is as it was.

--- a/src/shallotworks/scheduling/machines/_pool_rebalancer.py
+++ b/src/shallotworks/scheduling/machines/_pool_rebalancer.py
@@ -14,6 +14,7 @@
 from .._protocols import Machine, MachineOrderStatus, MachineState
 from ._machine_controller_dependencies import MachineControllerDependencies
 from ._machine_order_dispatcher import MachineOrderDispatcher
+from ._pool_reserve import PoolReserve, ReserveLimits
 
 __all__ = ["PoolRebalancer"]
 
@@ -32,13 +33,6 @@
 MIN_KEPT_HOME_FRACTION = 0.5
 """Fraction of its home size that an idle pool keeps. The next burst of its own callers starts with
 these machines while the borrower is still busy with its previous burst."""
-IDLE_BEFORE_STANDBY_S = 2.0
-"""A borrowed machine that no pool lacks moves to the standby pool after being idle for this long.
-If the next burst begins meanwhile, it borrows the machine directly; a machine that was moved at
-once would be in flight when the burst needs it, and would move twice. A move costs about as much as
-this much idle time, so waiting never costs more than twice the best choice. A machine that a pool
-is missing from its home size returns at once, because there it is available even while no
-controller runs."""
 HOME_SIZES_KEY = "shallotworks/home-sizes"
 
 
@@ -79,6 +73,7 @@
         "_misfits",
         "_moves_in_flight",
         "_orders",
+        "_reserve",
     )
 
     def __init__(
@@ -91,6 +86,7 @@
         self._lease = lease
         self._dependencies = dependencies
         self._orders = orders
+        self._reserve = PoolReserve(limits=ReserveLimits())
         self._cached_home_sizes: dict[str, int] | None = None
         self._moves_in_flight: dict[str, _Move] = {}
         """Moves in flight, by name of the machine."""
@@ -108,6 +104,7 @@
         sizes = self._sizes(machines)
         idle, in_standby = self._available_machines(machines, in_waves)
         self._track_idle(idle)
+        self._note_demands(home_sizes)
         max_moves = max(MIN_MOVE_LIMIT, int(len(machines) * MAX_MOVED_FRACTION))
         moves = self._plan_loans(idle, in_standby, home_sizes, sizes, max_moves)
         moves += self._plan_returns(idle, home_sizes, sizes, max_moves)
@@ -164,37 +161,55 @@
             one.worker_id: self._idle_since.get(one.worker_id, now_s) for one in idle
         }
 
+    def _note_demands(self, home_sizes: dict[str, int]) -> None:
+        demands = self._dependencies.machine_records.demands
+        lacking = {service: demand.lacking for service, demand in demands.items()}
+        self._reserve.note_demands(lacking, home_sizes, self._dependencies.clock())
+
     def _is_idle_long_enough(self, machine: Machine) -> bool:
         now_s = self._dependencies.clock()
-        return now_s - self._idle_since.get(machine.worker_id, now_s) >= IDLE_BEFORE_STANDBY_S
+        idle_s = now_s - self._idle_since.get(machine.worker_id, now_s)
+        return idle_s >= self._reserve.idle_before_standby_s(machine.pool, now_s)
+
+    def _kept_machines(self, home_size: int) -> int:
+        return self._reserve.kept_machines(
+            home_size, has_standby=bool(self._dependencies.standby())
+        )
 
     def _plan_returns(
         self, idle: list[Machine], home_sizes: dict[str, int], sizes: dict[str, int], max_moves: int
     ) -> list[tuple[Machine, str]]:
-        """Choose machines beyond a pool's home size to return to undersized or standby pools."""
-        standby = self._dependencies.standby()
+        """Choose idle machines beyond what their pool keeps, and where they return to.
+
+        Borrowed machines return to undersized pools at once, because there they are available even
+        while no controller runs. Other machines go to the standby pool after some time. Only
+        demand brings machines from there.
+        """
         moves: list[tuple[Machine, str]] = []
         for machine in idle:
-            if len(moves) >= max_moves or sizes[machine.pool] <= home_sizes.get(machine.pool, 0):
+            home_size = home_sizes.get(machine.pool, 0)
+            if len(moves) >= max_moves or sizes[machine.pool] <= self._kept_machines(home_size):
                 continue
-            undersized = [
-                one
-                for one in home_sizes
-                if one not in standby and sizes.get(one, 0) < home_sizes[one]
-            ]
-            target = max(
-                undersized, key=lambda one: home_sizes[one] - sizes.get(one, 0), default=None
-            )
-            if target is None:
-                if not standby or not self._is_idle_long_enough(machine):
-                    continue
-                target = min(standby)
-            if (machine.name, target) in self._misfits:
+            is_borrowed = sizes[machine.pool] > home_size
+            target = self._most_undersized(home_sizes, sizes) if is_borrowed else None
+            if target is None and self._is_idle_long_enough(machine):
+                target = min(self._dependencies.standby(), default=None)
+            if target is None or (machine.name, target) in self._misfits:
                 continue
             moves.append((machine, target))
             _count_at_target(sizes, machine, target)
         return moves
 
+    def _most_undersized(self, home_sizes: dict[str, int], sizes: dict[str, int]) -> str | None:
+        """Return the pool that is furthest below its home size among those that miss machines."""
+        undersized = [
+            one
+            for one in home_sizes
+            if one not in self._dependencies.standby()
+            and sizes.get(one, 0) < self._kept_machines(home_sizes[one])
+        ]
+        return max(undersized, key=lambda one: home_sizes[one] - sizes.get(one, 0), default=None)
+
     async def recalls(self, machines: dict[str, Machine]) -> dict[str, int]:
         """Return how many borrowed machines each service is asked to free.
 
--- a/tests/test_machine_controller.py
+++ b/tests/test_machine_controller.py
@@ -146,6 +146,7 @@
         self.unannounced: list[str] = []
         """Machines that were ordered before the controller had named them in the store."""
         self.platform.on_order = self._check_announced
+        self.has_standby = True
 
     def _check_announced(self, machine: str) -> None:
         is_stored = MACHINES_PREFIX + "keeper" in self.store.items
@@ -176,7 +177,7 @@
             machines=self.platform,
             maintenance_schedule=self.platform,
             machine_records=self.machine_records,
-            standby=lambda: frozenset({"spare"}),
+            standby=lambda: frozenset({"spare"} if self.has_standby else ()),
             store=view,
             clock=clock,
             wall_clock=clock,
--- /dev/null
+++ b/tests/test_pool_returns.py
@@ -0,0 +1,102 @@
+"""Tests of `PoolRebalancer`: which idle machines go to the standby pool between turns."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from parameterized import parameterized
+
+from shallotworks.scheduling import PoolDemand, pool_demand_key
+from tests.test_machine_controller import MOVE_S, MachineHarness
+from tests.virtual_clock import run_scenario
+
+
+def publish_offer(machine_harness: MachineHarness, service: str, workers: list[str]) -> None:
+    """Publish a demand that offers some workers."""
+    demand = PoolDemand(free=tuple(workers))
+    machine_harness.store.put(pool_demand_key(service), demand.encode())
+
+
+def workers_of(machine_harness: MachineHarness, service: str) -> list[str]:
+    """Return the workers of a pool."""
+    machines = machine_harness.platform.machines.values()
+    return [one.worker_id for one in machines if one.pool == service and one.worker_id]
+
+
+class HomeMachinesTests(unittest.TestCase):
+    @parameterized.expand([("large", 40, 20), ("at_the_floor", 16, 16), ("small", 8, 8)])
+    def test_idle_machines_of_a_large_pool_go_to_standby(
+        self, _name: str, home_size: int, kept: int
+    ) -> None:
+        """Guards against paying for the whole pool of a queue between its turns."""
+
+        async def scenario() -> None:
+            machine_harness = MachineHarness(antenna=home_size, spare=2)
+            machine_harness.publish_demand("antenna", free=True)
+            await machine_harness.start()
+            await asyncio.sleep(12)
+            self.assertEqual(kept, machine_harness.size("antenna"))
+            self.assertEqual(home_size - kept, len(machine_harness.moves()))
+            machine_harness.stop()
+
+        run_scenario(scenario())
+
+    def test_idle_machines_stay_where_there_is_no_standby_pool(self) -> None:
+        """Machines stay in their pools where the configuration has no standby service."""
+
+        async def scenario() -> None:
+            machine_harness = MachineHarness(antenna=40, coverage=40)
+            machine_harness.has_standby = False
+            machine_harness.publish_demand("antenna", free=True)
+            machine_harness.publish_demand("coverage", free=True)
+            await machine_harness.start()
+            await asyncio.sleep(12)
+            self.assertEqual([], machine_harness.moves())
+            machine_harness.stop()
+
+        run_scenario(scenario())
+
+    def test_machines_that_are_not_offered_stay(self) -> None:
+        """Guards against lasting tasks that end because their machine went to standby.
+
+        30 of 40 workers run lasting tasks and are not offered.
+        """
+
+        async def scenario() -> None:
+            machine_harness = MachineHarness(antenna=40, spare=2)
+            offered = workers_of(machine_harness, "antenna")[:10]
+            publish_offer(machine_harness, "antenna", offered)
+            await machine_harness.start()
+            await asyncio.sleep(12)
+            self.assertEqual(30, machine_harness.size("antenna"))
+            self.assertEqual(set(), set(offered) & set(workers_of(machine_harness, "antenna")))
+            machine_harness.stop()
+
+        run_scenario(scenario())
+
+    def test_a_pool_below_its_home_size_is_refilled_by_its_demand_only(self) -> None:
+        """Guards against machines that go back and forth between a pool and the standby pool."""
+
+        async def scenario() -> None:
+            machine_harness = MachineHarness(antenna=40, coverage=20, spare=2)
+            machine_harness.publish_demand("antenna", free=True)
+            await machine_harness.start()
+            await asyncio.sleep(12)
+            self.assertEqual(20, machine_harness.size("antenna"))
+            machine_harness.publish_demand("coverage", lacking=12)
+            await asyncio.sleep(3)
+            machine_harness.publish_demand("coverage", free=True)
+            await asyncio.sleep(8)
+            self.assertEqual(20, machine_harness.size("antenna"))
+            self.assertEqual(16, machine_harness.size("coverage"))
+            machine_harness.publish_demand("antenna", lacking=15)
+            await asyncio.sleep(MOVE_S + 1)
+            self.assertEqual(35, machine_harness.size("antenna"))
+            machine_harness.stop()
+
+        run_scenario(scenario())
+
+
+if __name__ == "__main__":
+    unittest.main()
