--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -1,13 +1,16 @@
-"""The scheduler's model of workers, of runs on them, and of orders to them."""
+"""The scheduler's model of workers; the types of reports, runs and orders are named here too."""
 
 from __future__ import annotations
 
 import math
 from dataclasses import dataclass
-from enum import Enum, unique
 
 from shallotworks.jobs import Incarnation, Step, TaskName
 
+from ._orders import AdviceRequest, OrderOutcome, OrderStatus, PaceOrder, StartOrder, StopOrder
+from ._reports import EndedTask, EndKind, RunningTask, WorkerReport
+from ._runs import UNKNOWN_STEP, Run, RunPhase
+
 __all__ = [
     "AdviceRequest",
     "EndKind",
@@ -21,11 +24,19 @@
     "RunningTask",
     "StartOrder",
     "StopOrder",
+    "UNKNOWN_STEP",
     "Worker",
     "WorkerReport",
     "WorkerView",
 ]
 
+MAX_CLOCK_SKEW_RATIO = 0.02
+"""How slow a worker's clock may run. Source: the platform's page on running tasks."""
+CLOCK_TOLERANCE_RATIO = 1.5 * MAX_CLOCK_SKEW_RATIO
+"""Largest difference at which a clock is still taken for the same worker's."""
+CLOCK_TOLERANCE_MS = 1_000
+"""The report with which a clock is compared may have taken this long to arrive."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WorkerView:
@@ -64,259 +75,6 @@
         return Incarnation(worker_id=self.worker_id, born_ms=self.born_ms)
 
 
-@unique
-class EndKind(Enum):
-    """How a run ended."""
-
-    DONE = "done"
-    FAILED = "failed"
-    STOPPED = "stopped"
-    LAPSED = "lapsed"
-    """The worker's lease expired."""
-    BROKEN = "broken"
-    """Another member of its gang ended."""
-    ALONE = "alone"
-    """The other members of its gang did not start in time."""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RunningTask:
-    """A task that a worker reports as running.
-
-    Args:
-        name: The task.
-        run_id: The run of the task.
-        checkpoint: The latest checkpoint; empty for none.
-        percent: Progress of the task; a lasting task serves its users at 100.
-        measurement: Measured over the last half second: the tail of the response times in
-            milliseconds for a task with a target, otherwise the processor use in millicores.
-    """
-
-    name: TaskName
-    run_id: int
-    checkpoint: str = ""
-    percent: int = 0
-    measurement: int = 0
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class EndedTask:
-    """The end of a run, which a worker reports until it is acknowledged.
-
-    Args:
-        number: Increases with each end on the worker.
-        name: The task.
-        run_id: The run of the task.
-        kind: How the run ended.
-        checkpoint: The last checkpoint; empty for none.
-    """
-
-    number: int
-    name: TaskName
-    run_id: int
-    kind: EndKind
-    checkpoint: str = ""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class WorkerReport:
-    """A worker's answer to a poll.
-
-    Args:
-        clock_ms: The worker's own monotonic clock.
-        running: The tasks that run on the worker.
-        ended: The ends that are not acknowledged yet, ordered by number.
-    """
-
-    clock_ms: int
-    running: tuple[RunningTask, ...]
-    ended: tuple[EndedTask, ...]
-
-
-@unique
-class OrderStatus(Enum):
-    """Outcome of an order to a worker."""
-
-    OBEYED = "obeyed"
-    FENCED = "fenced"
-    """The worker has seen an order of a later scheduler."""
-    GONE = "gone"
-    """Another incarnation answered, so this one and all its runs have ended."""
-    NO_ROOM = "no-room"
-    STALE_RUN = "stale-run"
-    """The worker has seen this run or a later one stop or end."""
-    TOO_LATE = "too-late"
-    """The deadline of the order had passed on the worker's clock."""
-    NO_TICKET = "no-ticket"
-    UNHEALTHY = "unhealthy"
-    """The worker did not carry out the order."""
-    INVALID = "invalid"
-    UNSENT = "unsent"
-    """No connection to the intended incarnation was established, so no worker has received the
-    order."""
-    UNANSWERED = "unanswered"
-    """The order may have been carried out, or may still be until its deadline has passed."""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class OrderOutcome:
-    """Outcome of one order.
-
-    Args:
-        status: The status of the order.
-        clock_ms: The worker's clock if it answered, otherwise 0.
-        report: The answer to a poll.
-        detail: The message of the worker or of the connection.
-        born_ms: When the incarnation that answered had started, in milliseconds since 1970;
-            ``None`` if it did not say so.
-    """
-
-    status: OrderStatus
-    clock_ms: int = 0
-    report: WorkerReport | None = None
-    detail: str = ""
-    born_ms: int | None = None
-
-
-@unique
-class RunPhase(Enum):
-    """Phases of a run, as known to the scheduler."""
-
-    RESERVED = "reserved"
-    """Room is reserved for the run; its start has not been sent."""
-    STARTING = "starting"
-    RUNNING = "running"
-    UNANSWERED = "unanswered"
-    """The start was not answered: the run may be active, or may begin until the deadline of the
-    order."""
-    STOPPING = "stopping"
-    STOPPED = "stopped"
-    """The worker obeyed the stop. Its next report still has to show the end or the absence of the
-    run."""
-
-
-MAX_CLOCK_SKEW_RATIO = 0.02
-"""How slow a worker's clock may run. Source: the platform's page on running tasks."""
-CLOCK_TOLERANCE_RATIO = 1.5 * MAX_CLOCK_SKEW_RATIO
-"""Largest difference at which a clock is still taken for the same worker's."""
-CLOCK_TOLERANCE_MS = 1_000
-"""The report with which a clock is compared may have taken this long to arrive."""
-UNKNOWN_STEP = Step(count=1)
-"""Placeholder for the step of a run whose job, and therefore whose resource demand, is not
-known."""
-
-
-class Run:
-    """One run of a task on a worker; it occupies room there until its end is certain.
-
-    Args:
-        name: The task.
-        run_id: Increases with each run of the task.
-        step: The step of the task.
-        incarnation: The incarnation of the worker that the run is on.
-        phase: The phase of the run.
-        since_s: Time of the start on the scheduler's clock.
-        team: The team of the job; empty for none.
-    """
-
-    __slots__ = (
-        "checkpoint",
-        "confirmed_s",
-        "incarnation",
-        "is_stop_requested",
-        "measurement",
-        "missing_reports",
-        "name",
-        "pace_percent",
-        "paced_s",
-        "percent",
-        "phase",
-        "phase_s",
-        "possibly_lost_on",
-        "progressed_s",
-        "run_id",
-        "since_s",
-        "step",
-        "stop_reason",
-        "stop_sent_s",
-        "team",
-    )
-
-    def __init__(
-        self,
-        *,
-        name: TaskName,
-        run_id: int,
-        step: Step,
-        incarnation: Incarnation,
-        phase: RunPhase,
-        since_s: float,
-        team: str = "",
-    ) -> None:
-        self.team = team
-        self.name = name
-        self.run_id = run_id
-        self.step = step
-        self.incarnation = incarnation
-        self.possibly_lost_on: Incarnation | None = None
-        """An earlier incarnation that may have carried out the start order, and has ended;
-        ``None`` if it is certain which one did."""
-        self.phase = phase
-        self.phase_s = since_s
-        """Time at which the present phase began."""
-        self.since_s = since_s
-        self.confirmed_s = since_s if phase is RunPhase.RUNNING else math.inf
-        """Time at which its worker first confirmed that it runs; infinite until then."""
-        self.progressed_s = since_s
-        """Time at which the reported progress last changed."""
-        self.percent = 0
-        self.measurement = 0
-        self.checkpoint = ""
-        self.missing_reports = 0
-        """Number of consecutive reports that did not list the run."""
-        self.is_stop_requested = False
-        self.stop_reason = ""
-        self.stop_sent_s = -1e9
-        self.pace_percent = 100
-        self.paced_s = -1e9
-        """Time of the last change of pace."""
-
-    @property
-    def worker_id(self) -> str:
-        """The worker."""
-        return self.incarnation.worker_id
-
-    @property
-    def is_unconfirmed(self) -> bool:
-        """Whether a start was sent of which it is not known which incarnation received it.
-
-        `WorkerOrders` keeps the order from later incarnations, except where incarnations can't be
-        told apart.
-        """
-        return self.phase is not RunPhase.RESERVED and self.confirmed_s == math.inf
-
-    def move_to_restarted(self, incarnation: Incarnation, now_s: float) -> None:
-        """Look for the run on a later incarnation, which may have received the order."""
-        self.possibly_lost_on = self.possibly_lost_on or self.incarnation
-        self.incarnation = incarnation
-        self.stop_sent_s = -1e9
-        if self.phase is not RunPhase.STARTING:
-            self.enter(RunPhase.UNANSWERED, now_s)
-
-    def enter(self, phase: RunPhase, now_s: float) -> None:
-        """Change the phase."""
-        self.phase = phase
-        self.phase_s = now_s
-        self.missing_reports = 0
-        if phase is RunPhase.RUNNING:
-            self.confirmed_s = min(self.confirmed_s, now_s)
-
-    @property
-    def is_serving(self) -> bool:
-        """Whether the run is of a lasting task that serves its users."""
-        return self.phase is RunPhase.RUNNING and self.percent >= 100
-
-
 class Worker:
     """One incarnation of a worker, and the runs on it.
 
@@ -514,63 +272,3 @@
     def highest_settled(self) -> int:
         """The highest number up to which all ends may be acknowledged."""
         return min(self.unsettled_ends) - 1 if self.unsettled_ends else self.highest_seen_end
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StartOrder:
-    """Order to start a run.
-
-    Args:
-        run: The run, which may be looked for on a later incarnation while the order is under way.
-        incarnation: The only incarnation that may carry the order out.
-        spec: The job specification as the caller wrote it.
-        checkpoint: The checkpoint to resume from; empty to start from the beginning.
-        ticket: Permit of the advice service; empty if none is needed.
-    """
-
-    run: Run
-    incarnation: Incarnation
-    spec: str
-    checkpoint: str = ""
-    ticket: str = ""
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StopOrder:
-    """Order to stop a run.
-
-    Args:
-        run: The run.
-        incarnation: The only incarnation that may carry the order out.
-    """
-
-    run: Run
-    incarnation: Incarnation
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class AdviceRequest:
-    """Request to the advice service: which workers may run a step.
-
-    Args:
-        step: The step, identified by its job, occurrence and number.
-        worker_ids: The workers to ask about, the best first.
-    """
-
-    step: tuple[str, int, int]
-    worker_ids: tuple[str, ...]
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PaceOrder:
-    """Order to run a filler at a percentage of its full speed.
-
-    Args:
-        run: The run.
-        incarnation: The only incarnation that may carry the order out.
-        percent: The speed.
-    """
-
-    run: Run
-    incarnation: Incarnation
-    percent: int
