Hand a lease over to an instance that carries it better

A lease went to whoever bid first after a fault and stayed there: a weak instance kept a service through its queue's turn while six strong ones were there. The key of a lease now names its holder's strength (`LeaseHolder`). Tokens and fencing are as before.

Readers of the lease's value follow: the fault soak and two simulations in tests. `first-start` tells for how long no task of a service was started.

--- a/soak/_fault_scenarios.py
+++ b/soak/_fault_scenarios.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
+from shallotworks.scheduling import LeaseHolder
 from shallotworks.standins import OrderFaults, RecordFaults
 from soak._fault_log import ALL_INSTANCES
 from soak._testbed import Entry, Testbed
@@ -23,7 +24,7 @@
 def _draw_entry(testbed: Testbed) -> Entry:
     """Draw an entry process, with a preference for one that holds a lease."""
     holders = {
-        item.value.decode()
+        LeaseHolder.decode(item.value).instance
         for key, item in testbed.store.items.items()
         if key.startswith("shallotworks/duty/")
     }
--- a/src/shallotworks/platform/_daemon.py
+++ b/src/shallotworks/platform/_daemon.py
@@ -50,6 +50,9 @@
 second and sends new connections until two checks have failed."""
 MIN_SCHEDULER_CORES = 1.0
 """A scheduler with fewer cores lacks processor time while it decides on its queue."""
+MIN_CONTROLLER_STRENGTH_RATIO = 3.0
+"""A new machine controller leaves the machines alone that its predecessor has just ordered, so it
+takes over only from an instance that is weaker by this factor."""
 MIN_SCHEDULER_LINK_MBPS = 50.0
 """A scheduler reads up to 1 MB at its start, which should take a fraction of a second."""
 SHUTDOWN_SERVE_RATIO = 0.5
@@ -130,6 +133,8 @@
             timing=self._lease_timing,
             log=self._log,
             strength=_strength_of(settings),
+            min_strength_ratios={MACHINE_CONTROLLER_KEY: MIN_CONTROLLER_STRENGTH_RATIO},
+            prepare=self._prepare_epoch,
         )
         self._ingress = Ingress(
             job_handler=JobRequestHandler(
@@ -153,6 +158,7 @@
             held_leases=self._elector.held_services,
         )
         self._stop = asyncio.Event()
+        self._watchers: list[PrefixWatcher] = []
         self._watcher_tasks: list[asyncio.Task[None]] = []
 
     def _make_dependencies(self) -> SchedulerDependencies:
@@ -241,6 +247,12 @@
         service = lease_key.removeprefix(SCHEDULER_KEY_PREFIX)
         await ServiceScheduler(service=service, lease=lease, dependencies=self._dependencies).run()
 
+    async def _prepare_epoch(self) -> None:
+        """Read workers and machines, so that a successor has only its jobs left to read."""
+        self._start_watchers()
+        for watcher in self._watchers:
+            await watcher.synced.wait()
+
     def _start_watchers(self) -> None:
         """Watch workers and machines from the first lease on; serving callers needs neither."""
         if self._watcher_tasks:
@@ -260,6 +272,7 @@
             log=self._log,
             pause_s=MACHINES_WATCH_PAUSE_S,
         )
+        self._watchers = [workers, machines]
         self._watcher_tasks = [
             asyncio.create_task(awaitable)
             for awaitable in (workers.run(), machines.run(), self._mark_registry_synced(workers))
--- a/src/shallotworks/scheduling/__init__.py
+++ b/src/shallotworks/scheduling/__init__.py
@@ -43,7 +43,7 @@
 from ._tracked_jobs import TrackedStep
 from ._wait_reason import WaitReason
 from ._waiting import WaitMonitor, WaitSummary, waiting_reason
-from .duties import LeaderElector
+from .duties import LeaderElector, LeaseHolder
 from .machines import (
     MACHINES_PREFIX,
     MachineController,
@@ -63,6 +63,7 @@
     "AdviceRequest",
     "AdviceService",
     "LeaderElector",
+    "LeaseHolder",
     "DecisionEngine",
     "MachineOrderStatus",
     "EndKind",
--- a/src/shallotworks/scheduling/_service_scheduler.py
+++ b/src/shallotworks/scheduling/_service_scheduler.py
@@ -20,7 +20,7 @@
 
 from ._active_workers import ActiveWorkersRecord
 from ._decisions import DecisionEngine
-from ._model import AdviceRequest, Worker
+from ._model import AdviceRequest, StartOrder, Worker
 from ._order_dispatcher import OrderDispatcher
 from ._progress_writer import ProgressWriter
 from ._scheduler_dependencies import SchedulerDependencies
@@ -67,9 +67,11 @@
 
     __slots__ = (
         "_background_tasks",
+        "_begun_s",
         "_demand_publisher",
         "_dependencies",
         "_has_marker",
+        "_has_started",
         "_job_records",
         "_keys",
         "_lease",
@@ -173,6 +175,8 @@
         )
         self._job_records: dict[str, Item] = {}
         self._has_marker = False
+        self._has_started = False
+        self._begun_s = dependencies.clock()
         self._background_tasks: set[asyncio.Task[None]] = set()
         self.is_prepared = asyncio.Event()
 
@@ -328,6 +332,18 @@
                 self._spawn(self._request_advice(decision))
             else:
                 self._order_dispatcher.carry_out(decision)
+                if isinstance(decision, StartOrder) and not self._has_started:
+                    self._log_first_start(now_s)
+
+    def _log_first_start(self, now_s: float) -> None:
+        """Log for how long nobody has started a task of the service."""
+        self._has_started = True
+        freed_s = self._lease.free_since_s
+        self._log(
+            "first-start",
+            since_freed_s=None if freed_s is None else round(now_s - freed_s, 3),
+            since_begun_s=round(now_s - self._begun_s, 3),
+        )
 
     async def _prepare(self) -> None:
         """Recover the state of earlier epochs: jobs, and workers that may still run their tasks."""
--- a/src/shallotworks/store/_held_lease.py
+++ b/src/shallotworks/store/_held_lease.py
@@ -63,6 +63,7 @@
         "_sent_s",
         "_store",
         "_timing",
+        "free_since_s",
         "key",
         "lost_event",
         "token",
@@ -89,6 +90,8 @@
         self.key = key
         self.token = token
         self.lost_event = asyncio.Event()
+        self.free_since_s: float | None = None
+        """Time on ``clock`` at which the key was seen to be free; ``None`` if that is unknown."""
 
     @classmethod
     async def acquire(
--- a/tests/lasting_task_simulation.py
+++ b/tests/lasting_task_simulation.py
@@ -32,6 +32,7 @@
     MACHINES_PREFIX,
     EndedTask,
     EndKind,
+    LeaseHolder,
     MachineRecords,
     OrderStatus,
     OrderTimes,
@@ -426,9 +427,8 @@
     def scheduler(self) -> LastingInstance | None:
         """Return the instance that holds the service's lease."""
         item = self.store.items.get(f"shallotworks/duty/scheduler/{SERVICE}")
-        holders = [
-            instance for instance in self.instances if item and instance.name == item.value.decode()
-        ]
+        holder = LeaseHolder.decode(item.value).instance if item else ""
+        holders = [instance for instance in self.instances if instance.name == holder]
         return holders[0] if holders else None
 
     async def kill_scheduler(self) -> None:
--- a/tests/scheduling_simulation.py
+++ b/tests/scheduling_simulation.py
@@ -23,6 +23,7 @@
 from shallotworks.metrics import Metrics
 from shallotworks.scheduling import (
     LeaderElector,
+    LeaseHolder,
     MachineRecords,
     OrderTimes,
     Permits,
@@ -242,8 +243,9 @@
         item = self.store.items.get(f"shallotworks/duty/scheduler/{self.service}")
         if item is None:
             return None
+        holder = LeaseHolder.decode(item.value)
         lease_holders = [
-            instance for instance in self.instances if instance.name == item.value.decode()
+            instance for instance in self.instances if instance.name == holder.instance
         ]
         return lease_holders[0] if lease_holders else None
 
