--- a/src/shallotworks/scheduling/__init__.py
+++ b/src/shallotworks/scheduling/__init__.py
@@ -23,7 +23,8 @@
     WorkerReport,
     WorkerView,
 )
-from ._order_dispatcher import OrderDispatcher, OrderTimes
+from ._order_dispatcher import OrderDispatcher
+from ._order_times import OrderTimes
 from ._ordering import urgency
 from ._protocols import (
     AdviceService,
--- a/src/shallotworks/scheduling/_service_scheduler.py
+++ b/src/shallotworks/scheduling/_service_scheduler.py
@@ -25,7 +25,8 @@
 from ._active_workers import ActiveWorkersRecord
 from ._decisions import DecisionEngine
 from ._model import AdviceRequest
-from ._order_dispatcher import OrderDispatcher, OrderTimes
+from ._order_dispatcher import OrderDispatcher
+from ._order_times import OrderTimes
 from ._progress_writer import ProgressWriter
 from ._protocols import AdviceService, WorkerDirectory, WorkerOrders
 from ._scheduler_state import SchedulerState
