--- a/src/shallotworks/scheduling/_scheduler_dependencies.py
+++ b/src/shallotworks/scheduling/_scheduler_dependencies.py
@@ -10,7 +10,7 @@
 from shallotworks.metrics import Metrics
 from shallotworks.store import Store
 
-from ._order_dispatcher import OrderTimes
+from ._order_times import OrderTimes
 from ._protocols import AdviceService, WorkerDirectory, WorkerOrders
 from .machines import MachineRecords
 
