Hand a lease to a less busy instance only in a calm moment

A holder now agrees to that only while no task waits and none is being recovered, or while it is saturated, and such claims wait for 10 s without a change of any lease. Weak holders give way as before.

--- a/src/shallotworks/metrics/_load_monitor.py
+++ b/src/shallotworks/metrics/_load_monitor.py
@@ -77,6 +77,11 @@
         self._lateness_samples_s: list[float] = []
         self._use_samples: list[float] = []
 
+    @property
+    def is_saturated(self) -> bool:
+        """Whether the process is saturated."""
+        return self._is_saturated
+
     async def run(self) -> None:
         """Measure until cancelled."""
         clock = self._clock or asyncio.get_running_loop().time
--- a/src/shallotworks/platform/_daemon.py
+++ b/src/shallotworks/platform/_daemon.py
@@ -123,6 +123,7 @@
         self._machine_records = MachineRecords(log=self._log)
         self._lease_timing = LeaseTiming(ttl_s=max(LeaseTiming().ttl_s, settings.smallest_ttl_s))
         self._dependencies = self._make_dependencies()
+        self._schedulers: dict[str, ServiceScheduler] = {}
         self._elector = LeaderElector(
             store=self._store,
             key_prefix=LEASES_PREFIX,
@@ -135,6 +136,7 @@
             strength=_strength_of(settings),
             min_strength_ratios={MACHINE_CONTROLLER_KEY: MIN_CONTROLLER_STRENGTH_RATIO},
             prepare=self._prepare_epoch,
+            is_movable=self._is_movable,
         )
         self._ingress = Ingress(
             job_handler=JobRequestHandler(
@@ -245,7 +247,17 @@
             await self._run_machine_controller(lease)
             return
         service = lease_key.removeprefix(SCHEDULER_KEY_PREFIX)
-        await ServiceScheduler(service=service, lease=lease, dependencies=self._dependencies).run()
+        scheduler = ServiceScheduler(service=service, lease=lease, dependencies=self._dependencies)
+        self._schedulers[lease_key] = scheduler
+        try:
+            await scheduler.run()
+        finally:
+            del self._schedulers[lease_key]
+
+    def _is_movable(self, lease_key: str) -> bool:
+        """Whether an epoch here may end for an instance that is no stronger but less busy."""
+        scheduler = self._schedulers.get(lease_key)
+        return self._load.is_saturated or (scheduler is not None and scheduler.is_calm)
 
     async def _prepare_epoch(self) -> None:
         """Read workers and machines, so that a successor has only its jobs left to read."""
--- a/src/shallotworks/scheduling/_service_scheduler.py
+++ b/src/shallotworks/scheduling/_service_scheduler.py
@@ -180,6 +180,13 @@
         self._background_tasks: set[asyncio.Task[None]] = set()
         self.is_prepared = asyncio.Event()
 
+    @property
+    def is_calm(self) -> bool:
+        """Whether this epoch may end now without holding up a task."""
+        state = self.scheduler_state
+        is_waiting = bool(state.pending_recovery) or any(True for _ in state.open_steps())
+        return self.is_prepared.is_set() and not is_waiting
+
     async def run(self) -> None:
         """Schedule until the lease is lost."""
         self._log("epoch-begun")
--- a/src/shallotworks/scheduling/duties/_leader_elector.py
+++ b/src/shallotworks/scheduling/duties/_leader_elector.py
@@ -46,6 +46,10 @@
     """Return at once, for electors whose epochs need no preparation."""
 
 
+def _is_always_movable(_service: str) -> bool:
+    return True
+
+
 class LeaderElector:
     """Bids for the leases of all services and runs an epoch for each lease that is acquired.
 
@@ -62,6 +66,8 @@
         min_strength_ratios: By lease, the least ratio of a claimant's strength to the holder's.
         prepare: Reads what each epoch needs and an instance without one doesn't; awaited before
             this instance claims a lease.
+        is_movable: Whether a service's epoch here may end for an instance that is not stronger but
+            less busy: that holds up no task, or this instance is saturated.
     """
 
     __slots__ = (
@@ -74,6 +80,7 @@
         "_freed_s",
         "_holder_tokens",
         "_instance",
+        "_is_movable",
         "_is_stopping",
         "_key_freed",
         "_key_prefix",
@@ -105,12 +112,14 @@
         strength: float = 1.0,
         min_strength_ratios: dict[str, float] | None = None,
         prepare: Callable[[], Awaitable[None]] = _prepare_nothing,
+        is_movable: Callable[[str], bool] = _is_always_movable,
     ) -> None:
         self._store = store
         self._strength = strength
         self._key_prefix = key_prefix
         self._claims_prefix = key_prefix + CLAIMS_NAME
         self._prepare = prepare
+        self._is_movable = is_movable
         self._marker_key_of = marker_key_of
         self._instance = instance
         self._run_epoch = run_epoch
@@ -401,7 +410,11 @@
         """Hand a lease over to a claimant, or log why this instance keeps it."""
         lease_count = sum(not lease.lost_event.is_set() for lease in self._leases.values())
         reason = self._succession.refusal_reason(
-            service, claim, token=lease.token, lease_count=lease_count
+            service,
+            claim,
+            token=lease.token,
+            lease_count=lease_count,
+            is_movable=self._is_movable(service),
         )
         if reason is None and not lease.is_valid:
             reason = "the lease is suspended"
--- a/src/shallotworks/scheduling/duties/_succession.py
+++ b/src/shallotworks/scheduling/duties/_succession.py
@@ -16,9 +16,10 @@
 """Least age of an epoch that began with a claim."""
 MIN_UPTIME_S = 4.0
 """An instance that has just started may be one of several that restart in turn."""
-MIN_CALM_S = 4.0
+MIN_CALM_S = 10.0
 """A claim against a holder that is no weaker, but has more leases, waits until no lease has changed
-hands for this long: while instances restart in turn, a claimant may be the next to stop."""
+hands for this long: while instances restart in turn, a claimant may be the next to stop, and amid
+faults it may be out of touch with workers that the holder reaches."""
 REFUSAL_PAUSE_S = 20.0
 """Pause after a claim that the holder did not answer, within the same epoch."""
 
@@ -111,7 +112,7 @@
             return None
         min_epoch_s = MIN_CLAIMED_EPOCH_S if epoch.holder.is_successor else MIN_EPOCH_S
         due_s = max(epoch.seen_s + min_epoch_s, running_since_s + MIN_UPTIME_S)
-        if self._strength < MIN_GAIN_RATIO * epoch.holder.strength:
+        if not self._is_stronger(claim, epoch.holder.strength):
             due_s = max(due_s, self._last_change_s() + MIN_CALM_S)
         token, ended_s = self._unanswered.get(lease, (0, 0.0))
         return max(due_s, ended_s + REFUSAL_PAUSE_S) if token == epoch.token else due_s
@@ -143,7 +144,13 @@
     # ---- decisions of a holder
 
     def refusal_reason(
-        self, lease: str, claim: SuccessionClaim, *, token: int, lease_count: int
+        self,
+        lease: str,
+        claim: SuccessionClaim,
+        *,
+        token: int,
+        lease_count: int,
+        is_movable: bool,
     ) -> str | None:
         """Return why this instance, which holds a lease, keeps it; ``None`` if it hands it over.
 
@@ -152,13 +159,21 @@
             claim: The claim.
             token: Fencing token of the present epoch.
             lease_count: Number of leases that this instance holds and is not handing over.
+            is_movable: Whether a hand-over would hold up no task, or this instance is saturated.
         """
         if claim.token != token:
             return "the claim is for another epoch"
         if not self._is_gain(lease, claim, strength=self._strength, lease_count=lease_count):
             return "the claimant would carry it no better"
+        if not is_movable and not self._is_stronger(claim, self._strength):
+            return "tasks wait or are being recovered"
         return None
 
+    @staticmethod
+    def _is_stronger(claim: SuccessionClaim, strength: float) -> bool:
+        """Whether a claimant is stronger, rather than less busy, than a holder."""
+        return claim.strength >= MIN_GAIN_RATIO * strength
+
     def _is_gain(
         self, lease: str, claim: SuccessionClaim, *, strength: float, lease_count: int
     ) -> bool:
--- a/tests/duty_fleet.py
+++ b/tests/duty_fleet.py
@@ -98,6 +98,7 @@
         self.name = name
         self.log = _EventLog()
         self.store = CountingStore(store=fleet.store)
+        self.is_busy = False
         self._fleet = fleet
         self._prepare_s = prepare_s
         self.elector = LeaderElector(
@@ -112,6 +113,7 @@
             strength=strength,
             min_strength_ratios={"keeper": 3.0},
             prepare=self._prepare,
+            is_movable=lambda _service: not self.is_busy,
         )
         self._watching = asyncio.create_task(self.elector.run())
         self.elector.set_services(fleet.services)
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -139,6 +139,33 @@
 
         run_fleet(scenario, "a", "b")
 
+    def test_a_busy_holder_keeps_its_leases_from_an_instance_that_is_no_stronger(self) -> None:
+        """In a queue's turn 197 tasks waited for a new scheduler, though the old one kept up."""
+
+        async def scenario(fleet: DutyFleet) -> None:
+            crowded = fleet.start("n0")
+            await fleet.wait_for(lambda: fleet.holders()["n0"] == 2, 3.0)
+            crowded.is_busy = True
+            fleet.start("n1")
+            await asyncio.sleep(30.0)
+            self.assertEqual(2, fleet.holders()["n0"])
+            self.assertGreaterEqual(crowded.count("succession-refused"), 1)
+            crowded.is_busy = False
+            await asyncio.sleep(25.0)
+            self.assertEqual(1, fleet.holders()["n0"])
+
+        run_fleet(scenario, "a", "b")
+
+    def test_a_busy_weak_holder_gives_way_all_the_same(self) -> None:
+        """A weak instance kept a lease through its queue's turn, as tasks were waiting there."""
+
+        async def scenario(fleet: DutyFleet) -> None:
+            await start_with_weak_holder(fleet, "strong")
+            fleet.instances["weak"].is_busy = True
+            await fleet.wait_for(lambda: fleet.holder() == "strong", 8.0)
+
+        run_fleet(scenario)
+
     @parameterized.expand([("too little", 0.5, "first"), ("enough", 0.2, "strong")])
     def test_the_machine_controller_moves_only_from_a_far_weaker_instance(
         self, _: str, strength: float, expected: str
