--- a/tests/scheduling_simulation.py
+++ b/tests/scheduling_simulation.py
@@ -20,6 +20,7 @@
     Team,
     decode_progress,
 )
+from shallotworks.logs import StructuredLog
 from shallotworks.metrics import Metrics
 from shallotworks.scheduling import (
     LeaderElector,
@@ -65,8 +66,11 @@
         fleet: TaskWorkers,
         service: str = SERVICE,
         team_of: Callable[[str], Team | None] = lambda _name: None,
+        strength: float = 1.0,
+        log: StructuredLog | None = None,
     ) -> None:
         self.name = name
+        self._log = log or quiet_log()
         self._service = service
         self._team_of = team_of
         self.store = FaultInjectingStore(store=store)
@@ -87,7 +91,8 @@
             run_epoch=self._run_epoch,
             clock=self.now_s,
             timing=LeaseTiming(),
-            log=quiet_log(),
+            log=self._log,
+            strength=strength,
         )
 
     @staticmethod
@@ -119,7 +124,7 @@
             clock=self.now_s,
             wall_clock=self.now_s,
             times=OrderTimes(),
-            log=quiet_log(),
+            log=self._log,
             metrics=Metrics(),
             team_of=self._team_of,
         )
@@ -166,15 +171,27 @@
         self.refused: set[str] = set()
         self._instance_count = instances
 
-    def _make_instance(self, number: int) -> Instance:
+    def _make_instance(
+        self, number: int, *, strength: float = 1.0, log: StructuredLog | None = None
+    ) -> Instance:
         return Instance(
             name=f"n{number}",
             store=self.store,
             fleet=self.fleet,
             service=self.service,
             team_of=self._team_of,
+            strength=strength,
+            log=log,
         )
 
+    def add(self, *, strength: float, log: StructuredLog | None = None) -> Instance:
+        """Start one more instance, of a strength from 0 to 1."""
+        self._instance_count += 1
+        instance = self._make_instance(self._instance_count, strength=strength, log=log)
+        self.instances.append(instance)
+        instance.start()
+        return instance
+
     async def run_jobs(self, count: int, over_s: float) -> None:
         """Submit jobs at drawn moments within ``over_s`` seconds."""
         await asyncio.gather(*(self._submit_drawn_job(number, over_s) for number in range(count)))
