--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -81,6 +81,22 @@
 
         run_fleet(scenario)
 
+    def test_a_claimant_with_slow_calls_bids_before_all_others(self) -> None:
+        """A lease that was handed over went to another instance, or back to its weak holder."""
+
+        async def scenario(fleet: DutyFleet) -> None:
+            await start_with_weak_holder(fleet, "claimant", "s1", "s2")
+            for name in ("s1", "s2"):
+                await fleet.instances[name].kill()
+            fleet.instances["claimant"].store.faults.delay_s = 0.3
+            await fleet.wait_for(fleet.is_claimed, 8.0)
+            for name in ("s1", "s2"):
+                fleet.start(name)
+            await fleet.wait_for(lambda: fleet.holder() not in (None, "weak"), 3.0)
+            self.assertEqual("claimant", fleet.holder())
+
+        run_fleet(scenario)
+
     def test_equal_instances_pass_nothing_back_and_forth(self) -> None:
         """Leases changed hands again and again among instances of which none is better."""
 
