Rank the jobs of teams by their weights, apart from any scheduler

Cause: a team's weight is decoded and read by nothing, so that in a flood of one team all others wait behind it.

A token bucket per team judges each job once, by the times of acceptance, also of jobs that arrive out of order: those that are covered never exceed the rate in any span. Waiting jobs are ranked by the dominant share that their team will have when their turn comes, divided by its weight, in quarters of the share; running sums of what each team uses replace a walk over all runs.

--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -24,7 +24,7 @@
 )
 from ._tracked_jobs import Arrival, TrackedJob, TrackedStep
 from ._unstored_ends import UnstoredEnds
-from .teams import TeamRooms
+from .teams import TeamRooms, TeamUse
 from .workers import CrashBlame, Isolation
 
 __all__ = ["SchedulerState", "StoredProgress", "WaitingTasks"]
@@ -97,6 +97,8 @@
         "runs_to_stop",
         "service",
         "team_rooms",
+        "team_use",
+        "teams_at_share",
         "token",
         "tracked_jobs",
         "workers",
@@ -134,6 +136,11 @@
         )
         self.team_rooms = TeamRooms()
         """What each team could still start at the last decision."""
+        self.team_use = TeamUse()
+        """What the runs of each team use."""
+        self.teams_at_share: frozenset[str] = frozenset()
+        """Teams that used their share of the service or more at the last decision, if others have
+        work there too."""
         self._replaced_workers: dict[str, Incarnation] = {}
         """Workers of which another one has taken the address, by id, for as long as discovery lists
         them."""
@@ -143,9 +150,20 @@
     # ---- jobs
 
     def add_job(
-        self, job: Job, progress: JobProgress, *, revision: int, is_inherited: bool, wall_s: float
+        self,
+        job: Job,
+        progress: JobProgress,
+        *,
+        revision: int,
+        is_inherited: bool,
+        wall_s: float,
+        is_beyond_weight: bool = False,
     ) -> None:
-        """Add a job from the store with its progress, unless it is known already."""
+        """Add a job from the store with its progress, unless it is known already.
+
+        Jobs beyond their team's weight don't count as arrivals, so that no machines are requested
+        for them.
+        """
         if job.job_id in self.tracked_jobs or job.job_id in self.finished_jobs:
             return
         if progress.state.is_final:
@@ -154,8 +172,9 @@
         tracked_job = TrackedJob(
             job=job, progress=progress, revision=revision, is_inherited=is_inherited
         )
+        tracked_job.is_beyond_weight = is_beyond_weight
         self.tracked_jobs[job.job_id] = tracked_job
-        if not is_inherited and not job.is_lasting:
+        if not is_inherited and not job.is_lasting and not is_beyond_weight:
             self.arrivals.append((wall_s, tracked_job.work_core_s))
         self.jobs_with_future_occurrences.add(job.job_id)
         self.open_due_steps(tracked_job, wall_s)
@@ -556,6 +575,7 @@
             team=tracked_job.job.team if tracked_job is not None else "",
         )
         worker.add(run)
+        self.team_use.add(run.team, run.step)
         if tracked_job is not None:
             tracked_job.add_run(run)
         if tracked_job is None or step is None or not self._may_adopt(tracked_job, run):
@@ -626,6 +646,7 @@
             team=step.tracked_job.job.team,
         )
         worker.add(run)
+        self.team_use.add(run.team, run.step)
         step.waiting.remove(index)
         tracked_job = step.tracked_job
         tracked_job.runs[run.name] = run
@@ -737,6 +758,7 @@
     ) -> None:
         """Free a run's resources and queue its task again if the task is not done."""
         worker.remove(run)
+        self.team_use.remove(run.team, run.step)
         if run in worker.isolated_runs:
             worker.isolated_runs.remove(run)
         self.runs_to_stop.discard(run)
--- a/src/shallotworks/scheduling/_tracked_jobs.py
+++ b/src/shallotworks/scheduling/_tracked_jobs.py
@@ -110,6 +110,7 @@
         "changes",
         "checkpoints",
         "critical_paths_s",
+        "is_beyond_weight",
         "is_inherited",
         "job",
         "live_runs",
@@ -129,6 +130,8 @@
         self.progress = progress
         self.revision = revision
         self.is_inherited = is_inherited
+        self.is_beyond_weight = False
+        """Whether its team sent more jobs at the time than its weight covers."""
         self.changes = 0
         """Number of changes of the progress in this epoch."""
         self.stored_changes = 0
--- /dev/null
+++ b/src/shallotworks/scheduling/teams/_team_weights.py
@@ -0,0 +1,223 @@
+"""Ranks the waiting jobs of one service by their teams' weights; no network calls and no clock.
+
+A team's weight is both a rate and a share. The jobs that it sends beyond `weight` jobs a second
+come after all jobs that teams send within theirs, and while all is full each team's share of the
+service is in proportion to its weight. Ranks only order: no job is dropped, and no room stays idle
+while a task fits.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import TYPE_CHECKING
+
+from shallotworks.jobs import Job, Resources, Step, Team
+
+from .._ordering import urgency
+from ._token_bucket import TokenBucket
+
+if TYPE_CHECKING:
+    # The state itself holds what the teams use.
+    from .._scheduler_state import SchedulerState
+    from .._tracked_jobs import TrackedJob, TrackedStep
+
+__all__ = ["TeamWeights"]
+
+STEPS_PER_SHARE = 4
+"""Steps from no use to a team's share. Within a step short and begun jobs come first, whichever
+team they are of. A step ends exactly at the share, so that coarse steps still divide a full service
+exactly."""
+DEFAULT_WEIGHT = 1.0
+"""Weight of jobs without a team, and of each team that the configuration no longer has."""
+MIN_WEIGHT = 1e-3
+"""A team of weight 0 counts as one of this weight, which comes last among the jobs beyond."""
+ROUNDING = 1e-9
+_Rank = tuple[float, ...]
+
+
+class TeamWeights:
+    """Ranks of the teams on one service during one epoch of its scheduler.
+
+    A verdict on a job is given once, from the times at which the jobs were accepted. A successor
+    comes to the same verdicts from the records of the jobs, which are kept for minutes after their
+    ends.
+
+    Args:
+        scheduler_state: The known jobs, runs and workers.
+        team_of: Returns a team by its name as the configuration has it now; ``None`` if it has none
+            of the name.
+    """
+
+    __slots__ = (
+        "_buckets",
+        "_keys",
+        "_ranks",
+        "_scheduler_state",
+        "_shares",
+        "_team_of",
+        "_unjudged",
+    )
+
+    def __init__(
+        self, *, scheduler_state: SchedulerState, team_of: Callable[[str], Team | None]
+    ) -> None:
+        self._scheduler_state = scheduler_state
+        self._team_of = team_of
+        self._buckets: dict[str, TokenBucket] = {}
+        self._unjudged: list[Job] | None = []
+        """Jobs that were read before the first decision, which are judged together in the order of
+        acceptance; ``None`` from then on."""
+        self._shares: dict[str, float] = {}
+        """Each team's use as a multiple of its share; empty while no weights apply."""
+        self._ranks: dict[str, _Rank] = {}
+        """Ranks of the waiting jobs, by id."""
+        self._keys: dict[TrackedStep, tuple[float, ...]] = {}
+        """Sort keys of the waiting steps."""
+
+    def is_beyond_weight(self, job: Job) -> bool:
+        """Count a job that was read from the store; return whether it is beyond its team's weight.
+
+        Call it once for each job. Jobs that are read before the first decision are judged then.
+        """
+        if not job.team:
+            return False
+        if self._unjudged is not None:
+            self._unjudged.append(job)
+            return False
+        return self._judge(job)
+
+    def _judge(self, job: Job) -> bool:
+        team = self._team_of(job.team)
+        if team is None:
+            return False
+        bucket = self._buckets.get(job.team)
+        if bucket is None or bucket.rate != team.weight:
+            bucket = self._buckets[job.team] = TokenBucket(rate=team.weight)
+        return not bucket.cover(job.accepted_s)
+
+    def refresh(self, wall_s: float) -> None:
+        """Compute the shares and ranks for the next decision.
+
+        Args:
+            wall_s: Time of day in seconds since 1970.
+        """
+        if self._unjudged is not None:
+            self._judge_first()
+        state = self._scheduler_state
+        self._ranks, self._keys = {}, {}
+        if not self._buckets:
+            # No team of the configuration has sent a job.
+            return
+        steps = list(state.open_steps())
+        active = {step.tracked_job.job.team for step in steps}.union(state.team_use.teams())
+        weights = {name: self._team_of(name) for name in active}
+        if not any(weights.values()):
+            self._shares = {}
+            state.teams_at_share = frozenset()
+            return
+        by_team = {
+            name: max(MIN_WEIGHT, team.weight) if team is not None else DEFAULT_WEIGHT
+            for name, team in weights.items()
+        }
+        total, capacity = sum(by_team.values()), self._capacity()
+        projections = {
+            name: _Projection(
+                use=state.team_use.of(name), capacity=capacity, shares_of_all=total / weight
+            )
+            for name, weight in by_team.items()
+        }
+        self._shares = {name: one.share for name, one in projections.items()}
+        self._rank_waiting(steps, projections, wall_s)
+        state.teams_at_share = frozenset(
+            name for name, share in self._shares.items() if share >= 1 < len(by_team)
+        )
+
+    def _rank_waiting(
+        self, steps: list[TrackedStep], projections: dict[str, _Projection], wall_s: float
+    ) -> None:
+        """Rank each waiting job by the share that its team will have when the job's turn comes.
+
+        If all jobs of a team had the rank of its present share, a team just below its share would
+        be given all room that becomes free in one decision.
+        """
+        steps.sort(key=lambda one: urgency(one, wall_s))
+        ranks, keys = self._ranks, self._keys
+        beyond = [step for step in steps if step.tracked_job.is_beyond_weight]
+        within = [step for step in steps if not step.tracked_job.is_beyond_weight]
+        for number, step in enumerate([*within, *beyond]):
+            if step.step.is_lasting:
+                continue
+            job, is_beyond = step.tracked_job.job, number >= len(within)
+            projection = projections[job.team]
+            rank = ranks.get(job.job_id)
+            if rank is None:
+                rank = ranks[job.job_id] = (is_beyond, int(projection.share * STEPS_PER_SHARE))
+            # Among equal ranks the place in this order stands for all later keys.
+            keys[step] = (1, job.policy.priority, *rank, number)
+            if not (step.step.is_gang or job.policy.is_advised):
+                # Others may wait long for all their members, or for permits.
+                projection.add(step.step, len(step.waiting))
+
+    def order(self, tracked_step: TrackedStep, wall_s: float) -> tuple[float, ...]:
+        """Return the sort key of a waiting step, as `urgency` does with the ranks of the teams."""
+        return self._keys.get(tracked_step) or urgency(tracked_step, wall_s, team_ranks=self)
+
+    def _judge_first(self) -> None:
+        jobs, self._unjudged = self._unjudged or [], None
+        for job in sorted(jobs, key=lambda one: (one.accepted_s, one.job_id)):
+            tracked_job = self._scheduler_state.tracked_jobs.get(job.job_id)
+            is_beyond = self._judge(job)
+            if tracked_job is not None:
+                tracked_job.is_beyond_weight = is_beyond
+
+    def _capacity(self) -> Resources:
+        cpu = memory = gpus = 0
+        for worker in self._scheduler_state.workers.values():
+            if worker.is_listed:
+                view = worker.view
+                cpu += view.cpu_millicores
+                memory += view.memory_mb
+                gpus += view.gpus
+        return Resources(cpu, memory, gpus)
+
+    def rank(self, tracked_job: TrackedJob) -> tuple[float, ...]:
+        """Return where a job stands among those of its priority; the smallest comes first."""
+        if not self._shares:
+            return ()
+        return self._ranks.get(tracked_job.job.job_id) or (tracked_job.is_beyond_weight, 0)
+
+    def shares(self) -> Iterator[tuple[str, float]]:
+        """Yield each active team and its use as a multiple of its share."""
+        yield from self._shares.items()
+
+
+class _Projection:
+    """A team's use and its share while waiting tasks are added one after another.
+
+    Args:
+        use: What its runs use.
+        capacity: What the service has.
+        shares_of_all: The weights of all teams as a multiple of the team's.
+    """
+
+    __slots__ = ("_cpu", "_factors", "_gpus", "_memory", "share")
+
+    def __init__(self, *, use: Resources, capacity: Resources, shares_of_all: float) -> None:
+        self._factors = tuple(shares_of_all / of if of else 0.0 for of in capacity)
+        self._cpu, self._memory, self._gpus = use
+        self.share = ROUNDING + max(
+            has * factor for has, factor in zip(use, self._factors, strict=True)
+        )
+        """The dominant share as a multiple of the team's share by weight."""
+
+    def add(self, step: Step, tasks: int) -> None:
+        """Count tasks of a step as running."""
+        cpu, memory, gpus = self._factors
+        if not step.is_filler:
+            self._cpu += step.cpu_millicores * tasks
+            self.share = max(self.share, self._cpu * cpu)
+        self._memory += step.memory_mb * tasks
+        self.share = max(self.share, self._memory * memory)
+        if step.gpus:
+            self._gpus += step.gpus * tasks
+            self.share = max(self.share, self._gpus * gpus)
