Decide by the teams' weights where the configuration has teams

The order of a service's waiting steps is that of the teams' weights; where no team of the configuration has sent a job, it is as before. What is beyond its team's weight counts neither as waiting work nor as arrivals in the demand of the pool (`machines/_sizing.py`), so that a flood requests no machines that the turn of another queue needs; a pool without any worker still asks for one, so that accepted jobs don't wait for ever.

--- a/src/shallotworks/scheduling/_service_scheduler.py
+++ b/src/shallotworks/scheduling/_service_scheduler.py
@@ -32,7 +32,7 @@
 from ._waiting import WaitMonitor, first_names
 from ._worker_tracker import DIRECTORY_POLL_INTERVAL_S, WorkerTracker
 from .machines import MachineRecords, PoolDemand, PoolSizer, SizingLimits, pool_demand_key
-from .teams import TeamLimits, TeamShares
+from .teams import TeamLimits, TeamShares, TeamWeights
 
 __all__ = ["ServiceScheduler", "SchedulerDependencies"]
 
@@ -123,6 +123,7 @@
         "_sizer",
         "_team_limits",
         "_team_shares",
+        "_team_weights",
         "_wait_monitor",
         "_watcher",
         "_worker_tracker",
@@ -145,8 +146,13 @@
         self._team_limits = TeamLimits(
             service=service, scheduler_state=self.scheduler_state, team_of=dependencies.team_of
         )
+        self._team_weights = TeamWeights(
+            scheduler_state=self.scheduler_state, team_of=dependencies.team_of
+        )
         self.decision_engine = DecisionEngine(
-            scheduler_state=self.scheduler_state, team_rooms=self._team_limits.rooms
+            scheduler_state=self.scheduler_state,
+            order=self._team_weights.order,
+            team_rooms=self._team_limits.rooms,
         )
         self._sizer = PoolSizer(scheduler_state=self.scheduler_state, limits=SizingLimits())
         self._wait_monitor = WaitMonitor(
@@ -300,12 +306,14 @@
             # order, so that a job without a record has nothing to run.
             self._log("job-without-record", id=job_id)
             return
+        job = decode_job(record.value)
         self.scheduler_state.add_job(
-            decode_job(record.value),
+            job,
             progress,
             revision=item.revision,
             is_inherited=record.revision < self._lease.token,
             wall_s=self._dependencies.wall_clock(),
+            is_beyond_weight=self._team_weights.is_beyond_weight(job),
         )
 
     def on_delete(self, key: str, revision: int) -> None:
@@ -356,6 +364,7 @@
     def _decide_once(self) -> None:
         now_s, wall_s = self._dependencies.clock(), self._dependencies.wall_clock()
         may_start = self._dependencies.is_capacity_known(self.service)
+        self._team_weights.refresh(wall_s)
         for decision in self.decision_engine.decide(
             now_s=now_s, wall_s=wall_s, may_start=may_start
         ):
--- a/src/shallotworks/scheduling/machines/_sizing.py
+++ b/src/shallotworks/scheduling/machines/_sizing.py
@@ -178,9 +178,10 @@
         """Return the number of machines that the pool needs beyond those it has.
 
         The pool must have capacity for arriving work and finish waiting work in time; no machines
-        are borrowed for late work. A pool with enough capacity for arriving work lacks nothing
-        while no task waits. A pool without it lacks machines even while all its tasks run, which is
-        common at the start of a burst after the first machines have arrived.
+        are borrowed for late work, nor for jobs beyond their teams' weights. A pool with enough
+        capacity for arriving work lacks nothing while no task waits. A pool without it lacks
+        machines even while all its tasks run, which is common at the start of a burst after the
+        first machines have arrived.
         """
         waiting_millicore_s = self._waiting_millicore_s(wall_s)
         arrivals = self._scheduler_state.arrivals
@@ -195,12 +196,17 @@
         )
         isolation_lack = self._lacking_for_isolation(len(usable))
         if not waiting_millicore_s and arriving <= available_millicores and not isolation_lack:
-            return 0
+            return 0 if usable else self._lacking_for_jobs_beyond_weight()
         wanted = waiting_millicore_s / self._limits.backlog_s + arriving
         lack = max(isolation_lack, -(-(wanted - available_millicores) // size))
         lacking_limit = max(self._limits.max_lacking, self._limits.max_lacking_ratio * len(usable))
         return int(max(0 if available_millicores else 1, min(lack, lacking_limit)))
 
+    def _lacking_for_jobs_beyond_weight(self) -> int:
+        """Return the machines that an empty pool lacks for jobs beyond their teams' weights."""
+        steps = self._scheduler_state.open_steps()
+        return int(any(step.tracked_job.is_beyond_weight for step in steps))
+
     def _lacking_for_isolation(self, usable: int) -> int:
         """Return how many machines are lacking to isolate suspects, however late their jobs are."""
         jobs = self._scheduler_state.count_jobs_with_lost_runs()
@@ -210,7 +216,7 @@
         total = 0.0
         for entry in self._scheduler_state.open_steps():
             step = entry.step
-            if step.is_filler or entry.is_hopeless(wall_s):
+            if step.is_filler or entry.is_hopeless(wall_s) or entry.tracked_job.is_beyond_weight:
                 continue
             length_s = max(step.estimated_s, 0.1)
             if step.is_lasting:
