--- a/tests/scheduling_simulation.py
+++ b/tests/scheduling_simulation.py
@@ -190,10 +190,22 @@
             await self.cancel(job_id)
 
     async def submit(
-        self, job_id: str, *steps: Step, policy: QueuePolicy = DEFAULT_POLICY, team: str = ""
+        self,
+        job_id: str,
+        *steps: Step,
+        policy: QueuePolicy = DEFAULT_POLICY,
+        team: str = "",
+        accepted_s: float = 0.0,
     ) -> None:
         """Submit a job to drawn instances until one accepts it, at most 20 times."""
-        submitted_job = Job(job_id=job_id, policy=policy, spec="x", steps=steps, team=team)
+        submitted_job = Job(
+            job_id=job_id,
+            policy=policy,
+            spec="x",
+            steps=steps,
+            team=team,
+            accepted_s=accepted_s,
+        )
         for number, later in enumerate(steps):
             for index in range(later.count):
                 self.fleet.task_dependencies[TaskName(job_id, 0, number, index)] = tuple(
