Show operators who sends more than its weight, and whom a rank holds back

Cause: nothing shows by team what is used, what waits, and whose flood it is.

A task that waits on a full service because its job is beyond its team's weight, or its team has its share, says `team-share`. The line of an accepted job names the team, and `bench.bottlenecks` prints for each team what it sent, what was beyond its weight, and how long its jobs waited.

--- a/bench/bottlenecks.py
+++ b/bench/bottlenecks.py
@@ -3,7 +3,8 @@
 ``python -m bench.bottlenecks FILE`` reads the output of a simulated day, which contains these logs.
 For each service and second it prints the machines, the waiting work, and the machines that were
 requested, ordered and about to arrive; then for each service how long its jobs waited and which of
-their runs didn't succeed.
+their runs didn't succeed; then for each team what it sent, how much of it was beyond its weight,
+and how long its jobs waited.
 """
 
 from __future__ import annotations
@@ -94,16 +95,25 @@
 
     Args:
         service: Service whose scheduler started it; empty if unknown.
+        team: Team that sent it; empty for none.
         accepted_s: Time of its first acceptance.
         started_s: Time of the first start of a task.
         unsuccessful_ends: Number of runs that ended other than done, by the kind of end.
     """
 
     service: str = ""
+    team: str = ""
     accepted_s: float | None = None
     started_s: float | None = None
     unsuccessful_ends: Counter[str] = field(default_factory=Counter)
 
+    @property
+    def wait_s(self) -> float | None:
+        """Time from acceptance to the first start; ``None`` if there was none."""
+        if self.started_s is None or self.accepted_s is None:
+            return None
+        return self.started_s - self.accepted_s
+
 
 class DayLog:
     """Collects the events of a simulated day.
@@ -113,6 +123,8 @@
     """
 
     __slots__ = (
+        "_beyond",
+        "_floods",
         "_lease_suspensions",
         "_saturated",
         "_services",
@@ -132,6 +144,10 @@
         """Time, old pool and new pool of each move of a machine."""
         self.epochs: dict[str, list[tuple[float, str]]] = defaultdict(list)
         self.jobs: dict[str, JobTimes] = defaultdict(JobTimes)
+        self._beyond: Counter[str] = Counter()
+        """Jobs beyond its weight in floods that have ended, by team."""
+        self._floods: dict[tuple[str, str], int] = {}
+        """Jobs beyond the weight at the beginning of floods that go on, by service and team."""
         self._lease_suspensions: dict[str, list[tuple[float, bool]]] = defaultdict(list)
         """For each lease key the times at which it was suspended (true) or no longer so (false)."""
         self._saturated: dict[str, list[tuple[float, bool]]] = defaultdict(list)
@@ -144,6 +160,8 @@
             "job-submit": self._read_submit,
             "run-started": self._read_start,
             "run-ended": self._read_end,
+            "team-over-weight": self._read_over_weight,
+            "team-within-weight": self._read_within_weight,
             "duty-rests": self._read_lease_suspension,
             "duty-resumed": self._read_lease_suspension,
             "lease-lost": self._read_lease_suspension,
@@ -181,6 +199,7 @@
         job = self.jobs[event.fields["id"]]
         if event.fields["outcome"] == "accepted" and job.accepted_s is None:
             job.accepted_s = event.at_s
+            job.team = event.fields.get("team", "")
 
     def _read_start(self, event: Event) -> None:
         job = self.jobs[event.fields["id"]]
@@ -192,6 +211,19 @@
         if event.fields["how"] != "done":
             self.jobs[event.fields["id"]].unsuccessful_ends[event.fields["how"]] += 1
 
+    def _read_over_weight(self, event: Event) -> None:
+        key = (event.fields["service"], event.fields["team"])
+        self._floods[key] = event.fields["beyond"]
+
+    def _read_within_weight(self, event: Event) -> None:
+        self._floods.pop((event.fields["service"], event.fields["team"]), None)
+        self._beyond[event.fields["team"]] += event.fields["beyond"]
+
+    def beyond_weight(self, team: str) -> int:
+        """Return how many jobs of a team were beyond its weight, as far as it was logged."""
+        open_floods = (jobs for (_, name), jobs in self._floods.items() if name == team)
+        return self._beyond[team] + sum(open_floods)
+
     def _read_lease_suspension(self, event: Event) -> None:
         key = event.fields["key"]
         self._lease_suspensions[key].append((event.at_s, event.name == "duty-rests"))
@@ -264,10 +296,11 @@
 
 
 def print_day(log: DayLog, out: TextIO) -> None:
-    """Print the tables of a day: the seconds of each service, then its jobs."""
+    """Print the tables of a day: the seconds of each service, then its jobs, then the teams."""
     for service in log.services:
         _print_service(log, service, out)
     _print_jobs(log, out)
+    _print_teams(log, out)
 
 
 def _print_service(log: DayLog, service: str, out: TextIO) -> None:
@@ -286,11 +319,7 @@
         if job.accepted_s is not None:
             by_service[job.service].append(job)
     for service, jobs in sorted(by_service.items()):
-        waits_s = [
-            job.started_s - job.accepted_s
-            for job in jobs
-            if job.started_s is not None and job.accepted_s is not None
-        ]
+        waits_s = [job.wait_s for job in jobs if job.wait_s is not None]
         waited = [wait_s for wait_s in waits_s if wait_s > MIN_COUNTED_WAIT_S]
         ends: Counter[str] = Counter()
         for job in jobs:
@@ -302,6 +331,25 @@
         )
 
 
+def _print_teams(log: DayLog, out: TextIO) -> None:
+    by_team: dict[str, list[JobTimes]] = defaultdict(list)
+    for job in log.jobs.values():
+        if job.accepted_s is not None and job.team:
+            by_team[job.team].append(job)
+    if not by_team:
+        return
+    print("\nteams:", file=out)
+    for team, jobs in sorted(by_team.items(), key=lambda row: -len(row[1])):
+        waits_s = [job.wait_s for job in jobs if job.wait_s is not None]
+        waited = [wait_s for wait_s in waits_s if wait_s > MIN_COUNTED_WAIT_S]
+        print(
+            f"{team}: {len(jobs)} sent, {log.beyond_weight(team)} beyond weight, "
+            f"{len(waited)} waited {sum(waited):.0f} s, longest {max(waits_s, default=0):.1f} s, "
+            f"{len(jobs) - len(waits_s)} never started",
+            file=out,
+        )
+
+
 def main(paths: Sequence[str] = ()) -> None:
     """Print the tables of each file, or the usage if there is none."""
     if not paths:
--- a/src/shallotworks/jobs/_request_handler.py
+++ b/src/shallotworks/jobs/_request_handler.py
@@ -111,14 +111,22 @@
                 committed = outcome.unwrap()
                 if isinstance(committed, Conflicted):
                     return self._answer_conflict(job, committed)
-                return self._answer("submit", job.job_id, JobRequestStatus.ACCEPTED, repeated=False)
+                return self._answer(
+                    "submit",
+                    job.job_id,
+                    JobRequestStatus.ACCEPTED,
+                    repeated=False,
+                    **_team_field(job),
+                )
             failure = outcome.failure()
             is_outcome_unknown |= failure.kind is not ErrorKind.STORE_UNAVAILABLE
             if not await self._wait_before_retry(deadline_s):
                 status = (
                     JobRequestStatus.UNKNOWN if is_outcome_unknown else JobRequestStatus.REFUSED
                 )
-                return self._answer("submit", job.job_id, status, failure=failure)
+                return self._answer(
+                    "submit", job.job_id, status, failure=failure, **_team_field(job)
+                )
 
     def _answer_conflict(self, job: Job, conflict: Conflicted) -> JobResponse:
         """Answer a submission whose id is in use: by the same job, or by one of another team."""
@@ -126,7 +134,9 @@
         found = next((item for item in conflict.current if item.key == key), None)
         if found is not None and decode_progress(found.value).team != job.team:
             return self._answer("submit", job.job_id, JobRequestStatus.ID_TAKEN, team=job.team)
-        return self._answer("submit", job.job_id, JobRequestStatus.ACCEPTED, repeated=True)
+        return self._answer(
+            "submit", job.job_id, JobRequestStatus.ACCEPTED, repeated=True, **_team_field(job)
+        )
 
     async def state(
         self, policy: QueuePolicy, job_id: str, *, deadline_s: float, team: str | None = None
@@ -219,3 +229,8 @@
         self._metrics.count(f"desk.{call}.{status.value}")
         self._log.line(f"job-{call}", id=subject, outcome=status.value, **fields)
         return JobResponse(status=status)
+
+
+def _team_field(job: Job) -> dict[str, object]:
+    """Return the team of a job as a field of a log line; nothing for a job without one."""
+    return {"team": job.team} if job.team else {}
--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -88,6 +88,7 @@
         "_numbers",
         "_replaced_workers",
         "_unstored_ends",
+        "are_teams_competing",
         "arrivals",
         "crashes",
         "finished_jobs",
@@ -139,8 +140,9 @@
         self.team_use = TeamUse()
         """What the runs of each team use."""
         self.teams_at_share: frozenset[str] = frozenset()
-        """Teams that used their share of the service or more at the last decision, if others have
-        work there too."""
+        """Teams that used their share of the service or more at the last decision."""
+        self.are_teams_competing = False
+        """Whether several teams had work here at the last decision, and weights apply."""
         self._replaced_workers: dict[str, Incarnation] = {}
         """Workers of which another one has taken the address, by id, for as long as discovery lists
         them."""
--- a/src/shallotworks/scheduling/_service_scheduler.py
+++ b/src/shallotworks/scheduling/_service_scheduler.py
@@ -32,7 +32,7 @@
 from ._waiting import WaitMonitor, first_names
 from ._worker_tracker import DIRECTORY_POLL_INTERVAL_S, WorkerTracker
 from .machines import MachineRecords, PoolDemand, PoolSizer, SizingLimits, pool_demand_key
-from .teams import TeamLimits, TeamShares, TeamWeights
+from .teams import TeamLimits, TeamMonitor, TeamShares, TeamWeights
 
 __all__ = ["ServiceScheduler", "SchedulerDependencies"]
 
@@ -122,6 +122,7 @@
         "_progress_writer",
         "_sizer",
         "_team_limits",
+        "_team_monitor",
         "_team_shares",
         "_team_weights",
         "_wait_monitor",
@@ -158,6 +159,12 @@
         self._wait_monitor = WaitMonitor(
             scheduler_state=self.scheduler_state, metrics=dependencies.metrics, log=dependencies.log
         )
+        self._team_monitor = TeamMonitor(
+            scheduler_state=self.scheduler_state,
+            weights=self._team_weights,
+            metrics=dependencies.metrics,
+            log=dependencies.log,
+        )
         self._worker_tracker = WorkerTracker(
             scheduler_state=self.scheduler_state,
             record=ActiveWorkersRecord(
@@ -423,6 +430,7 @@
             now_s, wall_s = self._dependencies.clock(), self._dependencies.wall_clock()
             self._log("pool-state", **self._sizer.state(wall_s=wall_s))
             self._wait_monitor.report(now_s=now_s, wall_s=wall_s)
+            self._team_monitor.report(now_s=now_s, wall_s=wall_s)
             if self.scheduler_state.team_rooms.refused:
                 self._log("team-limits", teams=self._team_limits.fields())
             await self._worker_tracker.update_record()
--- a/src/shallotworks/scheduling/_wait_reason.py
+++ b/src/shallotworks/scheduling/_wait_reason.py
@@ -51,6 +51,9 @@
     refusal."""
     TEAM_LIMIT = "team-limit"
     """The team of the job has no room left in its share of its limit on this service."""
+    TEAM_SHARE = "team-share"
+    """All room is in use, and others come first: the job is beyond what its team's weight covers,
+    or the team has its share."""
     GANG = "gang"
     """A worker may run a member of the gang, but members start together: some are still being
     stopped, or there is not enough room for all."""
--- a/src/shallotworks/scheduling/_waiting.py
+++ b/src/shallotworks/scheduling/_waiting.py
@@ -161,9 +161,19 @@
             return _reason_beside_room(step)
         if rejection_reason is not closest and _RANKS[rejection_reason] > _RANKS[closest]:
             closest = rejection_reason
+    if closest is WaitReason.ROOM and _is_held_back_by_team(scheduler_state, step):
+        return WaitReason.TEAM_SHARE
     return closest
 
 
+def _is_held_back_by_team(scheduler_state: SchedulerState, step: TrackedStep) -> bool:
+    """Whether tasks of other teams come before those of a step because of its team."""
+    tracked_job = step.tracked_job
+    if not scheduler_state.are_teams_competing or step.step.is_lasting:
+        return False
+    return tracked_job.is_beyond_weight or tracked_job.job.team in scheduler_state.teams_at_share
+
+
 def _reason_beside_room(step: TrackedStep) -> WaitReason:
     """Return why tasks of a step wait although a worker may run one of them."""
     if step.step.is_gang:
@@ -326,6 +336,7 @@
     is_lasting: bool
     is_hopeless: bool
     team: str
+    is_beyond_weight: bool
 
 
 class _ReasonFinder:
@@ -373,6 +384,7 @@
             is_lasting=step.is_lasting,
             is_hopeless=entry.is_hopeless(self._wall_s),
             team=entry.tracked_job.job.team,
+            is_beyond_weight=entry.tracked_job.is_beyond_weight,
         )
 
 
--- a/src/shallotworks/scheduling/teams/_team_weights.py
+++ b/src/shallotworks/scheduling/teams/_team_weights.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING
 
@@ -56,6 +57,7 @@
         "_shares",
         "_team_of",
         "_unjudged",
+        "beyond_jobs",
     )
 
     def __init__(
@@ -67,6 +69,8 @@
         self._unjudged: list[Job] | None = []
         """Jobs that were read before the first decision, which are judged together in the order of
         acceptance; ``None`` from then on."""
+        self.beyond_jobs: Counter[str] = Counter()
+        """Jobs beyond its weight that each team has sent since the first decision."""
         self._shares: dict[str, float] = {}
         """Each team's use as a multiple of its share; empty while no weights apply."""
         self._ranks: dict[str, _Rank] = {}
@@ -84,7 +88,10 @@
         if self._unjudged is not None:
             self._unjudged.append(job)
             return False
-        return self._judge(job)
+        is_beyond = self._judge(job)
+        if is_beyond:
+            self.beyond_jobs[job.team] += 1
+        return is_beyond
 
     def _judge(self, job: Job) -> bool:
         team = self._team_of(job.team)
@@ -113,7 +120,7 @@
         weights = {name: self._team_of(name) for name in active}
         if not any(weights.values()):
             self._shares = {}
-            state.teams_at_share = frozenset()
+            state.teams_at_share, state.are_teams_competing = frozenset(), False
             return
         by_team = {
             name: max(MIN_WEIGHT, team.weight) if team is not None else DEFAULT_WEIGHT
@@ -128,9 +135,8 @@
         }
         self._shares = {name: one.share for name, one in projections.items()}
         self._rank_waiting(steps, projections, wall_s)
-        state.teams_at_share = frozenset(
-            name for name, share in self._shares.items() if share >= 1 < len(by_team)
-        )
+        state.teams_at_share = frozenset(name for name, share in self._shares.items() if share >= 1)
+        state.are_teams_competing = len(by_team) > 1
 
     def _rank_waiting(
         self, steps: list[TrackedStep], projections: dict[str, _Projection], wall_s: float
@@ -186,6 +192,16 @@
             return ()
         return self._ranks.get(tracked_job.job.job_id) or (tracked_job.is_beyond_weight, 0)
 
+    def weight_of(self, team: str) -> float:
+        """Return the weight by which a team's last job was judged; 0 if none was."""
+        bucket = self._buckets.get(team)
+        return bucket.rate if bucket is not None else 0.0
+
+    def largest_teams(self, most: int) -> frozenset[str]:
+        """Return the teams of the largest weights among those whose jobs were judged."""
+        names = sorted(self._buckets, key=lambda team: (-self._buckets[team].rate, team))
+        return frozenset(names[:most])
+
     def shares(self) -> Iterator[tuple[str, float]]:
         """Yield each active team and its use as a multiple of its share."""
         yield from self._shares.items()
--- a/tests/team_load.py
+++ b/tests/team_load.py
@@ -113,11 +113,11 @@
                 accepted_s=WALL_S + at_s,
                 policy=policy(stretch=2.0, target_latency_s=0.6),
             )
-            self.served[one.job_id] = Served(one, at_s)
             self.add(one)
 
     def add(self, one: Job) -> None:
         """Add a job as the scheduler does when it reads it."""
+        self.served[one.job_id] = Served(one, one.accepted_s - WALL_S)
         is_beyond = self.weights.is_beyond_weight(one)
         if is_beyond:
             self.beyond.add(one.job_id)
