--- a/src/shallotworks/scheduling/_job_entries.py
+++ b/src/shallotworks/scheduling/_job_entries.py
@@ -12,6 +12,7 @@
 from ._model import EndKind, Run, RunPhase, Worker
 from ._tracked_jobs import Arrival, TrackedJob, TrackedStep
 from ._unstored_ends import UnstoredEnds
+from .teams import TeamUse
 from .workers import CrashBlame, Isolation
 
 __all__ = ["JobEntries", "StoredProgress"]
@@ -54,6 +55,7 @@
         "jobs_with_future_occurrences",
         "runs_to_stop",
         "service",
+        "team_use",
         "token",
         "tracked_jobs",
         "workers",
@@ -76,6 +78,8 @@
         """Jobs with occurrences that are not due yet."""
         self.arrivals: deque[Arrival] = deque(maxlen=MAX_TRACKED_ARRIVALS)
         """Time of day in seconds and estimated work in core-seconds of the latest jobs."""
+        self.team_use = TeamUse()
+        """What the runs of each team use."""
         self._unstored_ends = UnstoredEnds()
         self.crashes = CrashBlame(
             tracked_jobs=self.tracked_jobs,
@@ -91,9 +95,20 @@
     # ---- jobs
 
     def add_job(
-        self, job: Job, progress: JobProgress, *, revision: int, is_inherited: bool, wall_s: float
+        self,
+        job: Job,
+        progress: JobProgress,
+        *,
+        revision: int,
+        is_inherited: bool,
+        wall_s: float,
+        is_beyond_weight: bool = False,
     ) -> None:
-        """Add a job from the store with its progress, unless it is known already."""
+        """Add a job from the store with its progress, unless it is known already.
+
+        Jobs beyond their team's weight don't count as arrivals, so that no machines are requested
+        for them.
+        """
         if job.job_id in self.tracked_jobs or job.job_id in self.finished_jobs:
             return
         if progress.state.is_final:
@@ -102,8 +117,9 @@
         tracked_job = TrackedJob(
             job=job, progress=progress, revision=revision, is_inherited=is_inherited
         )
+        tracked_job.is_beyond_weight = is_beyond_weight
         self.tracked_jobs[job.job_id] = tracked_job
-        if not is_inherited and not job.is_lasting:
+        if not is_inherited and not job.is_lasting and not is_beyond_weight:
             self.arrivals.append((wall_s, tracked_job.work_core_s))
         self.jobs_with_future_occurrences.add(job.job_id)
         self.open_due_steps(tracked_job, wall_s)
@@ -231,6 +247,7 @@
             team=step.tracked_job.job.team,
         )
         worker.add(run)
+        self.team_use.add(run.team, run.step)
         step.waiting.remove(index)
         tracked_job = step.tracked_job
         tracked_job.runs[run.name] = run
@@ -293,6 +310,7 @@
     ) -> None:
         """Free a run's resources and queue its task again if the task is not done."""
         worker.remove(run)
+        self.team_use.remove(run.team, run.step)
         if run in worker.isolated_runs:
             worker.isolated_runs.remove(run)
         self.runs_to_stop.discard(run)
--- a/src/shallotworks/scheduling/_report_reader.py
+++ b/src/shallotworks/scheduling/_report_reader.py
@@ -117,6 +117,7 @@
             team=tracked_job.job.team if tracked_job is not None else "",
         )
         worker.add(run)
+        self._jobs.team_use.add(run.team, run.step)
         if tracked_job is not None:
             tracked_job.add_run(run)
         if tracked_job is None or step is None or not self._may_adopt(tracked_job, run):
--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -49,8 +49,10 @@
         "_log",
         "_replaced_workers",
         "_report_reader",
+        "are_teams_competing",
         "pending_recovery",
         "team_rooms",
+        "teams_at_share",
     )
 
     def __init__(self, *, service: str, token: int, log: StructuredLog) -> None:
@@ -62,6 +64,10 @@
         the time on the scheduler's clock after which all these tasks have ended."""
         self.team_rooms = TeamRooms()
         """What each team could still start at the last decision."""
+        self.teams_at_share: frozenset[str] = frozenset()
+        """Teams that used their share of the service or more at the last decision."""
+        self.are_teams_competing = False
+        """Whether several teams had work here at the last decision, and weights apply."""
         self._replaced_workers: dict[str, Incarnation] = {}
         """Workers of which another one has taken the address, by id, for as long as discovery lists
         them."""
