Hold a pool's request until its machines can have come

Published demand swung with the order in which jobs started and machines came: 3, 1, 0, 25, 19, 22, 9, 38 in a turn. Each swing down hid machines that the next moment asked for again.

A request now names the machines that the pool wants in all and holds for 2.5 s, unless the load (arriving, waiting and running work) has halved. A step that fills more than a machine counts for what it can use at once; up to three jobs in a second show no rate; among more, one counts at most as eight times the median. A pool that lacks machines returns none to standby. The record's fields and the controller's count of moves in flight are as before: machines on their way are still part of what is lacking, and a test shows that they are ordered once.

--- a/src/shallotworks/scheduling/machines/_pool_rebalancer.py
+++ b/src/shallotworks/scheduling/machines/_pool_rebalancer.py
@@ -183,10 +183,15 @@
 
         Borrowed machines return to undersized pools at once, because there they are available even
         while no controller runs. Other machines go to the standby pool after some time. Only
-        demand brings machines from there.
+        demand brings machines from there. A pool that lacks machines returns none: a machine that
+        it needs again would be away for twice its travel time.
         """
         moves: list[tuple[Machine, str]] = []
+        demands = self._dependencies.machine_records.demands
+        lacking = {service for service, demand in demands.items() if demand.lacking}
         for machine in idle:
+            if machine.pool in lacking:
+                continue
             home_size = home_sizes.get(machine.pool, 0)
             if len(moves) >= max_moves or sizes[machine.pool] <= self._kept_machines(home_size):
                 continue
--- a/src/shallotworks/scheduling/machines/_sizing.py
+++ b/src/shallotworks/scheduling/machines/_sizing.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
@@ -16,8 +17,9 @@
 from .._placement import MIN_WORKERS_PER_LASTING_STEP
 from .._scheduler_state import SchedulerState
 from .._waiting import tasks_recovering
-from ._demand import DemandLimits, forecast_demand_cores
+from ._demand import DemandLimits, forecast_demand_cores, present_demand_cores, shows_rate
 from ._machine_records import PoolDemand
+from ._steady_demand import SteadyDemand, SteadyDemandLimits
 
 __all__ = ["PoolSizer", "SizingLimits"]
 
@@ -30,6 +32,7 @@
         backlog_s: Waiting work that the pool can finish within this time needs no more machines,
             because a machine takes longer to arrive.
         demand: Limits for measuring the demand of arriving jobs.
+        steady: Limits for holding a request until its machines have come.
         idle_s: A worker may be offered once nothing has run on it for this long.
         drain_grace_s: Time that tasks which end by themselves get on a worker that is drained.
         lasting_exclusion_s: Lasting tasks are kept off a worker for this long after its offer was
@@ -44,6 +47,7 @@
     backlog_s: float = 0.8
     idle_s: float = 0.3
     demand: DemandLimits = field(default_factory=DemandLimits)
+    steady: SteadyDemandLimits = field(default_factory=SteadyDemandLimits)
     drain_grace_s: float = 1.5
     lasting_exclusion_s: float = 3.0
     isolated_jobs_per_worker: int = 2
@@ -80,11 +84,12 @@
         limits: Limits for sizing.
     """
 
-    __slots__ = ("_cordoned", "_idle_since", "_limits", "_offered", "_scheduler_state")
+    __slots__ = ("_cordoned", "_idle_since", "_limits", "_offered", "_scheduler_state", "_steady")
 
     def __init__(self, *, scheduler_state: SchedulerState, limits: SizingLimits) -> None:
         self._scheduler_state = scheduler_state
         self._limits = limits
+        self._steady = SteadyDemand(limits=limits.steady)
         self._idle_since: dict[str, float] = {}
         self._cordoned: dict[str, float] = {}
         """Workers that are being drained, with the time since when."""
@@ -99,9 +104,15 @@
             wall_s: Time of day, in seconds since 1970.
         """
         self._track_idle(now_s)
-        lacking = self._lacking(wall_s)
+        lacking, available = self._lacking(wall_s), len(self._available())
         self._cordon_due(due, now_s)
         offered = self._surplus(now_s, wall_s)
+        lacking = self._steady.update(
+            lacking=lacking,
+            available=available,
+            load_cores=self._load_cores(wall_s),
+            now_s=now_s,
+        )
         for worker in self._scheduler_state.workers.values():
             self._set_offered(worker, worker.worker_id in offered, now_s)
         self._offered = offered
@@ -174,6 +185,9 @@
             if worker.is_listed and not worker.view.is_draining
         ]
 
+    def _available(self) -> list[Worker]:
+        return [worker for worker in self._usable() if worker.worker_id not in self._cordoned]
+
     def _lacking(self, wall_s: float) -> int:
         """Return the number of machines that the pool needs beyond those it has.
 
@@ -182,17 +196,12 @@
         while no task waits. A pool without it lacks machines even while all its tasks run, which is
         common at the start of a burst after the first machines have arrived.
         """
-        waiting_millicore_s = self._waiting_millicore_s(wall_s)
-        arrivals = self._scheduler_state.arrivals
-        arriving = 1000 * forecast_demand_cores(arrivals, wall_s=wall_s, limits=self._limits.demand)
         usable = self._usable()
         size = max((worker.view.cpu_millicores for worker in usable), default=0)
         size = size or DEFAULT_MACHINE_MILLICORES
-        available_millicores = sum(
-            worker.view.cpu_millicores
-            for worker in usable
-            if worker.worker_id not in self._cordoned
-        )
+        waiting_millicore_s = self._waiting_millicore_s(wall_s, machine_millicores=size)
+        arriving = self._arriving_millicores(wall_s)
+        available_millicores = sum(worker.view.cpu_millicores for worker in self._available())
         isolation_lack = self._lacking_for_isolation(len(usable))
         if not waiting_millicore_s and arriving <= available_millicores and not isolation_lack:
             return 0
@@ -206,7 +215,43 @@
         jobs = self._scheduler_state.count_jobs_with_lost_runs()
         return max(0, jobs // self._limits.isolated_jobs_per_worker - usable)
 
-    def _waiting_millicore_s(self, wall_s: float) -> float:
+    def _arriving_millicores(self, wall_s: float) -> float:
+        """Return the demand of arriving jobs; a few jobs show no rate and count by their tasks.
+
+        Their waiting tasks count as backlog, so that only the running ones are left.
+        """
+        arrivals, limits = self._scheduler_state.arrivals, self._limits.demand
+        forecast = 1000 * forecast_demand_cores(arrivals, wall_s=wall_s, limits=limits)
+        if shows_rate(arrivals, wall_s=wall_s, limits=limits):
+            return forecast
+        return min(forecast, self._running_millicores())
+
+    def _running_millicores(self) -> float:
+        return float(sum(worker.cpu_used for worker in self._usable()))
+
+    def _load_cores(self, wall_s: float) -> float:
+        """Return the cores that arriving, waiting and running tasks demand.
+
+        It does not depend on how many of the tasks have been started.
+        """
+        arriving = present_demand_cores(
+            self._scheduler_state.arrivals, wall_s=wall_s, limits=self._limits.demand
+        )
+        waiting = sum(
+            len(entry.waiting) * entry.step.cpu_millicores
+            for entry in self._scheduler_state.open_steps()
+            if not entry.step.is_filler and not entry.is_hopeless(wall_s)
+        )
+        return arriving + (self._running_millicores() + waiting) / 1000
+
+    def _waiting_millicore_s(self, wall_s: float, *, machine_millicores: float = math.inf) -> float:
+        """Return the work of waiting tasks that may be in time.
+
+        Args:
+            wall_s: Time of day, in seconds since 1970.
+            machine_millicores: Size of a machine. A step that fills more than one machine counts
+                at most for what its tasks can use at once, however long they take.
+        """
         total = 0.0
         for entry in self._scheduler_state.open_steps():
             step = entry.step
@@ -215,6 +260,8 @@
             length_s = max(step.estimated_s, 0.1)
             if step.is_lasting:
                 length_s = self._limits.backlog_s
+            elif len(entry.waiting) * step.cpu_millicores > machine_millicores:
+                length_s = min(length_s, self._limits.backlog_s)
             total += len(entry.waiting) * max(step.cpu_millicores, 1) * length_s
         return total
 
--- a/tests/test_pool_returns.py
+++ b/tests/test_pool_returns.py
@@ -97,6 +97,44 @@
 
         run_scenario(scenario())
 
+    def test_a_pool_that_lacks_machines_returns_none(self) -> None:
+        """Guards against a machine that goes to standby and comes back within its travel time."""
+
+        async def scenario() -> None:
+            machine_harness = MachineHarness(antenna=40, spare=0)
+            offered = tuple(workers_of(machine_harness, "antenna")[:10])
+            demand = PoolDemand(lacking=5, free=offered)
+            machine_harness.store.put(pool_demand_key("antenna"), demand.encode())
+            await machine_harness.start()
+            await asyncio.sleep(8)
+            self.assertEqual([], machine_harness.moves())
+            machine_harness.stop()
+
+        run_scenario(scenario())
+
+
+class HeldRequestTests(unittest.TestCase):
+    def test_a_request_that_holds_is_ordered_once(self) -> None:
+        """Guards against machines ordered twice: on their way, and arrived but not yet counted.
+
+        The scheduler wants 30 machines in all and counts each 0.4 s after its arrival.
+        """
+
+        async def scenario() -> None:
+            machine_harness = MachineHarness(antenna=10, spare=60)
+            machine_harness.store_predecessor_record()
+            await machine_harness.start()
+            counted = [10] * 5
+            for _ in range(60):
+                machine_harness.publish_demand("antenna", lacking=max(0, 30 - counted[-5]))
+                await asyncio.sleep(0.1)
+                counted.append(len(workers_of(machine_harness, "antenna")))
+            self.assertEqual(20, len(machine_harness.moves()))
+            self.assertEqual(30, machine_harness.size("antenna"))
+            machine_harness.stop()
+
+        run_scenario(scenario())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_pool_sizing.py
+++ b/tests/test_pool_sizing.py
@@ -111,6 +111,43 @@
         self.assertEqual(1, harness.assess(after_s=0.75).lacking)
 
 
+class LargeJobTests(unittest.TestCase):
+    def test_a_single_large_job_requests_what_it_can_use_at_once(self) -> None:
+        """Guards against other queues that lack the machines which one job can't use.
+
+        16 tasks of one core for 20 s use 16 cores at once, on a pool of 4 cores: 3 machines.
+        """
+        harness = SizingHarness("a")
+        harness.add_job(job("large", step(16, estimated_s=20.0)))
+        self.assertEqual(3, harness.assess().lacking)
+
+    def test_a_large_job_among_small_ones_is_no_rate(self) -> None:
+        """Guards against a turn that is seen where one job is large: 5 of 1 and one of 400 cores.
+
+        The large job may use 100 machines at once; its 8,000 core-seconds would ask for 2,000.
+        """
+        harness = SizingHarness(*(f"w{number}" for number in range(100)))
+        for number in range(5):
+            harness.add_arrival(f"j{number}", at_s=number * 0.1, count=1)
+        large = job("large", step(400, estimated_s=20.0), accepted_s=WALL_S + 0.5)
+        harness.add_job(large, wall_s=WALL_S + 0.5)
+        self.assertLessEqual(harness.assess(after_s=0.6).lacking, 10)
+
+
+class HeldRequestTests(unittest.TestCase):
+    def test_a_request_holds_while_its_tasks_start(self) -> None:
+        """Guards against a request that is taken back as soon as no task waits for a moment."""
+        harness = SizingHarness("a", "b")
+        for number in range(8):
+            harness.add_arrival(f"j{number}", at_s=number * 0.1, count=3)
+        lacking = harness.assess(after_s=0.75).lacking
+        harness.start_orders()
+        for worker_id in ("a", "b"):
+            harness.worker(worker_id).view = view(worker_id, cpu_millicores=12_000)
+        harness.start_orders()
+        self.assertEqual(lacking, harness.assess(after_s=0.75).lacking)
+
+
 class LateWorkTests(unittest.TestCase):
     def test_late_work_is_kept_off_recalled_workers(self) -> None:
         """Guards against a burst that fails while another queue's late jobs occupy lent machines.
