--- a/src/shallotworks/scheduling/machines/_pool_rebalancer.py
+++ b/src/shallotworks/scheduling/machines/_pool_rebalancer.py
@@ -68,6 +68,7 @@
     __slots__ = (
         "_cached_home_sizes",
         "_dependencies",
+        "_has_adopted_moves",
         "_idle_since",
         "_lease",
         "_misfits",
@@ -90,13 +91,15 @@
         self._cached_home_sizes: dict[str, int] | None = None
         self._moves_in_flight: dict[str, _Move] = {}
         """Moves in flight, by name of the machine."""
+        self._has_adopted_moves = False
         self._idle_since: dict[str, float] = {}
         """Offered workers, with the time at which this controller first saw the offer."""
         self._misfits: set[tuple[str, str]] = set()
         """Pairs of machine and pool for which the platform answered that they don't fit."""
 
     async def rebalance(self, machines: dict[str, Machine], in_waves: set[str]) -> None:
-        """Move machines to services that lack them, and return borrowed machines that are idle."""
+        """Move machines to services that lack them, and return machines that are idle."""
+        self._adopt_moves(machines)
         self._update_moves(machines)
         home_sizes = await self._home_sizes(machines)
         if home_sizes is None:
@@ -121,6 +124,20 @@
         offered = [machine for machine in machines if machine.pool not in standby]
         return in_standby + await self._orders.filter_free(offered)
 
+    def _adopt_moves(self, machines: dict[str, Machine]) -> None:
+        """Count the moves that a predecessor ordered and that are still in flight, once."""
+        if self._has_adopted_moves:
+            return
+        self._has_adopted_moves = True
+        now_s = self._dependencies.clock()
+        moving = [one for one in machines.values() if one.state is MachineState.MOVING]
+        self._moves_in_flight |= {
+            one.name: _Move(service=one.pool, ordered_s=now_s) for one in moving
+        }
+        if moving:
+            pools = Counter(one.pool for one in moving)
+            self._dependencies.log.line("moves-adopted", pools=dict(pools))
+
     def _update_moves(self, machines: dict[str, Machine]) -> None:
         """Note arrivals and drop finished moves."""
         now_s = self._dependencies.clock()
