Log returned machines and held-back orders, and count what pools keep idle

A line machines-returned for each pool and reason of a round, orders-held-back at most once a second (a new controller was silent while its predecessor's orders aged), counters of idle machine-milliseconds and of returned machines by reason and pool.

--- a/src/shallotworks/platform/_daemon.py
+++ b/src/shallotworks/platform/_daemon.py
@@ -284,6 +284,7 @@
             wall_clock=time.time,
             log=self._log,
             turns_apart_s=self._settings.bounds.turns_apart_s,
+            metrics=self._metrics,
         )
         await MachineController(lease=lease, dependencies=dependencies).run()
 
--- a/src/shallotworks/scheduling/machines/_machine_controller_dependencies.py
+++ b/src/shallotworks/scheduling/machines/_machine_controller_dependencies.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from shallotworks.logs import StructuredLog
+from shallotworks.metrics import Metrics
 from shallotworks.store import Store
 
 from .._protocols import Machines, MaintenanceSchedule
@@ -27,6 +28,7 @@
         clock: Seconds, including time during which the host is suspended.
         wall_clock: Time of day in seconds since 1970.
         log: Receives orders and failures.
+        metrics: Counts machines that pools keep idle or return.
         turns_apart_s: Minimum time between orders of two lease holders for one machine, so that
             their orders don't alternate. Source: the platform's settings.
     """
@@ -40,3 +42,4 @@
     wall_clock: Callable[[], float]
     log: StructuredLog
     turns_apart_s: float = 3.0
+    metrics: Metrics = field(default_factory=Metrics)
--- a/src/shallotworks/scheduling/machines/_machine_order_dispatcher.py
+++ b/src/shallotworks/scheduling/machines/_machine_order_dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from returns.result import Success
 
@@ -15,6 +16,9 @@
 
 __all__ = ["MachineOrderDispatcher"]
 
+HELD_BACK_LOG_INTERVAL_S = 1.0
+"""Minimum time between log lines about orders that are held back."""
+
 
 class MachineOrderDispatcher:
     """Gives the machine orders of one epoch of the controller.
@@ -25,7 +29,7 @@
         ledger: Names machines in the store before they are ordered.
     """
 
-    __slots__ = ("_dependencies", "_lease", "_ledger")
+    __slots__ = ("_dependencies", "_held_back_logged_s", "_lease", "_ledger")
 
     def __init__(
         self,
@@ -37,6 +41,7 @@
         self._lease = lease
         self._dependencies = dependencies
         self._ledger = ledger
+        self._held_back_logged_s = -math.inf
 
     async def prepare(self, machines: list[Machine]) -> list[Machine]:
         """Name the machines that may be ordered now in the store, and return them.
@@ -44,9 +49,19 @@
         The list is empty if the store did not confirm the names.
         """
         allowed = [one for one in machines if self._ledger.may_order(one)]
+        self._log_held_back(len(machines) - len(allowed), len(machines))
         is_named = await self._ledger.announce(one.name for one in allowed)
         return allowed if is_named else []
 
+    def _log_held_back(self, held_back: int, planned: int) -> None:
+        """Log that orders wait for the end of a predecessor's orders, or of a suspension."""
+        now_s = self._dependencies.clock()
+        if held_back and now_s - self._held_back_logged_s >= HELD_BACK_LOG_INTERVAL_S:
+            self._held_back_logged_s = now_s
+            self._dependencies.log.line(
+                "orders-held-back", machines=held_back, planned=planned, token=self._lease.token
+            )
+
     def is_demand_current(self, service: str) -> bool:
         """Whether a service's demand does not date from before a suspension of the controller."""
         return self._ledger.is_demand_current(service)
--- a/src/shallotworks/scheduling/machines/_pool_rebalancer.py
+++ b/src/shallotworks/scheduling/machines/_pool_rebalancer.py
@@ -14,6 +14,7 @@
 from .._protocols import Machine, MachineOrderStatus, MachineState
 from ._machine_controller_dependencies import MachineControllerDependencies
 from ._machine_order_dispatcher import MachineOrderDispatcher
+from ._pool_report import IdleReason, PoolReport
 from ._pool_reserve import PoolReserve, ReserveLimits
 
 __all__ = ["PoolRebalancer"]
@@ -74,6 +75,7 @@
         "_misfits",
         "_moves_in_flight",
         "_orders",
+        "_report",
         "_reserve",
     )
 
@@ -88,6 +90,7 @@
         self._dependencies = dependencies
         self._orders = orders
         self._reserve = PoolReserve(limits=ReserveLimits())
+        self._report = PoolReport(log=dependencies.log, metrics=dependencies.metrics)
         self._cached_home_sizes: dict[str, int] | None = None
         self._moves_in_flight: dict[str, _Move] = {}
         """Moves in flight, by name of the machine."""
@@ -110,11 +113,18 @@
         self._note_demands(home_sizes)
         max_moves = max(MIN_MOVE_LIMIT, int(len(machines) * MAX_MOVED_FRACTION))
         moves = self._plan_loans(idle, in_standby, home_sizes, sizes, max_moves)
-        moves += self._plan_returns(idle, home_sizes, sizes, max_moves)
+        returns = self._plan_returns(idle, home_sizes, sizes, max_moves)
+        moves += [(machine, target) for machine, target, _ in returns]
         targets = {machine.name: target for machine, target in moves}
         # All orders run concurrently: with a slow store, sequential orders would be too late.
         prepared = await self._orders.prepare([machine for machine, _ in moves])
         allowed = await self._filter_movable(prepared)
+        allowed_names = {machine.name for machine in allowed}
+        self._report.report_returns(
+            [(one.pool, to, why) for one, to, why in returns if one.name in allowed_names],
+            home_sizes,
+            sizes,
+        )
         await asyncio.gather(*(self._move(machine, targets[machine.name]) for machine in allowed))
 
     async def _filter_movable(self, machines: list[Machine]) -> list[Machine]:
@@ -195,32 +205,44 @@
 
     def _plan_returns(
         self, idle: list[Machine], home_sizes: dict[str, int], sizes: dict[str, int], max_moves: int
-    ) -> list[tuple[Machine, str]]:
-        """Choose idle machines beyond what their pool keeps, and where they return to.
+    ) -> list[tuple[Machine, str, IdleReason]]:
+        """Choose idle machines beyond what their pool keeps, and where they return to."""
+        moves: list[tuple[Machine, str, IdleReason]] = []
+        reasons: list[tuple[str, IdleReason]] = []
+        for machine in idle:
+            target, reason = self._return_target(machine, home_sizes, sizes)
+            reasons.append((machine.pool, reason))
+            if target is None or len(moves) >= max_moves or (machine.name, target) in self._misfits:
+                continue
+            moves.append((machine, target, reason))
+            _count_at_target(sizes, machine, target)
+        self._report.count_idle(reasons, self._dependencies.clock())
+        return moves
+
+    def _return_target(
+        self, machine: Machine, home_sizes: dict[str, int], sizes: dict[str, int]
+    ) -> tuple[str | None, IdleReason]:
+        """Return the pool that an idle machine returns to, if any, and why it goes or stays.
 
         Borrowed machines return to undersized pools at once, because there they are available even
         while no controller runs. Other machines go to the standby pool after some time. Only
         demand brings machines from there. A pool that lacks machines returns none: a machine that
         it needs again would be away for twice its travel time.
         """
-        moves: list[tuple[Machine, str]] = []
-        demands = self._dependencies.machine_records.demands
-        lacking = {service for service, demand in demands.items() if demand.lacking}
-        for machine in idle:
-            if machine.pool in lacking:
-                continue
-            home_size = home_sizes.get(machine.pool, 0)
-            if len(moves) >= max_moves or sizes[machine.pool] <= self._kept_machines(home_size):
-                continue
-            is_borrowed = sizes[machine.pool] > home_size
-            target = self._most_undersized(home_sizes, sizes) if is_borrowed else None
-            if target is None and self._is_idle_long_enough(machine):
-                target = min(self._dependencies.standby(), default=None)
-            if target is None or (machine.name, target) in self._misfits:
-                continue
-            moves.append((machine, target))
-            _count_at_target(sizes, machine, target)
-        return moves
+        demand = self._dependencies.machine_records.demands.get(machine.pool)
+        if demand is not None and demand.lacking:
+            return None, IdleReason.LACKING
+        home_size = home_sizes.get(machine.pool, 0)
+        if sizes[machine.pool] <= self._kept_machines(home_size):
+            return None, IdleReason.KEPT
+        is_borrowed = sizes[machine.pool] > home_size
+        undersized = self._most_undersized(home_sizes, sizes) if is_borrowed else None
+        if undersized is not None:
+            return undersized, IdleReason.UNDERSIZED_POOL
+        standby = min(self._dependencies.standby(), default=None)
+        if standby is None or not self._is_idle_long_enough(machine):
+            return None, IdleReason.RECENTLY_USED
+        return standby, IdleReason.BEYOND_HOME if is_borrowed else IdleReason.BETWEEN_TURNS
 
     def _most_undersized(self, home_sizes: dict[str, int], sizes: dict[str, int]) -> str | None:
         """Return the pool that is furthest below its home size among those that miss machines."""
--- a/tests/test_machine_controller.py
+++ b/tests/test_machine_controller.py
@@ -13,6 +13,7 @@
 
 from shallotworks.errors import Failure
 from shallotworks.jobs import Incarnation
+from shallotworks.metrics import Metrics
 from shallotworks.scheduling import (
     MACHINES_PREFIX,
     Machine,
@@ -147,6 +148,8 @@
         """Machines that were ordered before the controller had named them in the store."""
         self.platform.on_order = self._check_announced
         self.has_standby = True
+        self.log = quiet_log()
+        self.metrics = Metrics()
 
     def _check_announced(self, machine: str) -> None:
         is_stored = MACHINES_PREFIX + "keeper" in self.store.items
@@ -181,7 +184,8 @@
             store=view,
             clock=clock,
             wall_clock=clock,
-            log=quiet_log(),
+            log=self.log,
+            metrics=self.metrics,
         )
         self.controller = MachineController(lease=lease, dependencies=dependencies)
         self.tasks = [
--- a/tests/test_pool_returns.py
+++ b/tests/test_pool_returns.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import io
+import json
 import unittest
+from typing import Any
 
 from parameterized import parameterized
 
+from shallotworks.logs import StructuredLog
+from shallotworks.metrics import Metrics
 from shallotworks.scheduling import PoolDemand, pool_demand_key
 from tests.test_machine_controller import MOVE_S, MachineHarness
 from tests.virtual_clock import run_scenario
@@ -24,6 +29,18 @@
     return [one.worker_id for one in machines if one.pool == service and one.worker_id]
 
 
+def written_log() -> tuple[StructuredLog, io.BytesIO]:
+    """Return a log, and what it writes when it is flushed."""
+    written = io.BytesIO()
+    return StructuredLog(process="test", write=written.write), written
+
+
+def events(written: io.BytesIO, name: str) -> list[dict[str, Any]]:
+    """Return the lines of one event."""
+    lines = [json.loads(line) for line in written.getvalue().splitlines()]
+    return [line for line in lines if line["event"] == name]
+
+
 class HomeMachinesTests(unittest.TestCase):
     @parameterized.expand([("large", 40, 20), ("at_the_floor", 16, 16), ("small", 8, 8)])
     def test_idle_machines_of_a_large_pool_go_to_standby(
@@ -113,6 +130,49 @@
         run_scenario(scenario())
 
 
+class ReportTests(unittest.TestCase):
+    def test_returns_are_logged_once_and_idle_machines_are_counted(self) -> None:
+        """Operators see what went to standby and why, and what stands idle in the pools."""
+
+        async def scenario() -> None:
+            log, written = written_log()
+            metrics = Metrics()
+            machine_harness = MachineHarness(antenna=40, spare=2)
+            machine_harness.log, machine_harness.metrics = log, metrics
+            machine_harness.publish_demand("antenna", free=True)
+            await machine_harness.start()
+            await asyncio.sleep(12)
+            log.flush()
+            returned = events(written, "machines-returned")
+            self.assertEqual(20, sum(line["machines"] for line in returned))
+            self.assertEqual({"between-turns"}, {line["reason"] for line in returned})
+            self.assertEqual(20, returned[-1]["left"])
+            self.assertLessEqual(len(returned), 2)
+            counters = metrics.counters()
+            self.assertEqual(20, counters["pools.returned.between-turns.antenna"])
+            self.assertGreater(counters["pools.idle-ms.kept.antenna"], 20 * 5000)
+            machine_harness.stop()
+
+        run_scenario(scenario())
+
+    def test_orders_that_are_held_back_are_logged_once_a_second(self) -> None:
+        """Guards against seconds without orders that no line of the log explains."""
+
+        async def scenario() -> None:
+            machine_harness = MachineHarness(antenna=2, spare=3)
+            machine_harness.log, written = written_log()
+            machine_harness.publish_demand("antenna", lacking=3)
+            await machine_harness.start()
+            await asyncio.sleep(4.0)
+            machine_harness.log.flush()
+            held_back = events(written, "orders-held-back")
+            self.assertIn(len(held_back), (3, 4))
+            self.assertEqual(3, held_back[0]["machines"])
+            machine_harness.stop()
+
+        run_scenario(scenario())
+
+
 class HeldRequestTests(unittest.TestCase):
     def test_a_request_that_holds_is_ordered_once(self) -> None:
         """Guards against machines ordered twice: on their way, and arrived but not yet counted.
