Leave lasting tasks out of the load that holds a request

They run on after a turn, so that on a pool with many of them the load never halved, and the request was held until its time had passed. The new test fails without the change.

--- a/src/shallotworks/scheduling/machines/_sizing.py
+++ b/src/shallotworks/scheduling/machines/_sizing.py
@@ -227,7 +227,15 @@
         return min(forecast, self._running_millicores())
 
     def _running_millicores(self) -> float:
-        return float(sum(worker.cpu_used for worker in self._usable()))
+        """Return what the tasks use that end by themselves and were not started to fill a pool."""
+        return float(
+            sum(
+                run.step.cpu_millicores
+                for worker in self._usable()
+                for run in worker.runs.values()
+                if not run.step.is_lasting and not run.step.is_filler
+            )
+        )
 
     def _load_cores(self, wall_s: float) -> float:
         """Return the cores that arriving, waiting and running tasks demand.
@@ -240,7 +248,7 @@
         waiting = sum(
             len(entry.waiting) * entry.step.cpu_millicores
             for entry in self._scheduler_state.open_steps()
-            if not entry.step.is_filler and not entry.is_hopeless(wall_s)
+            if not (entry.step.is_lasting or entry.step.is_filler or entry.is_hopeless(wall_s))
         )
         return arriving + (self._running_millicores() + waiting) / 1000
 
--- a/tests/test_pool_sizing.py
+++ b/tests/test_pool_sizing.py
@@ -147,6 +147,19 @@
         harness.start_orders()
         self.assertEqual(lacking, harness.assess(after_s=0.75).lacking)
 
+    def test_lasting_tasks_do_not_hold_a_request_after_its_turn(self) -> None:
+        """Guards against idle machines ordered after a turn since lasting tasks count as load."""
+        harness = SizingHarness(*(f"w{number}" for number in range(10)))
+        harness.add_job(job("lasting", step(40, is_lasting=True)))
+        harness.start_orders()
+        for number in range(6):
+            harness.add_arrival(f"j{number}", at_s=number * 0.1, count=5)
+        self.assertGreater(harness.assess(after_s=0.6).lacking, 0)
+        for number in range(6):
+            del harness.scheduler_state.tracked_jobs[f"j{number}"]
+        harness.scheduler_state.arrivals.clear()
+        self.assertEqual(0, harness.assess(after_s=2.0).lacking)
+
 
 class LateWorkTests(unittest.TestCase):
     def test_late_work_is_kept_off_recalled_workers(self) -> None:
