Let a pool return idle machines sooner after its own turn than before its first

A pool that has not been in its turn since the controller began keeps its home size until its machines were idle for 30 s; one that has had its turn returns them after 1 s. Borrowed machines go after 2 s as before.

--- a/src/shallotworks/scheduling/machines/_pool_rebalancer.py
+++ b/src/shallotworks/scheduling/machines/_pool_rebalancer.py
@@ -191,12 +191,12 @@
     def _note_demands(self, home_sizes: dict[str, int]) -> None:
         demands = self._dependencies.machine_records.demands
         lacking = {service: demand.lacking for service, demand in demands.items()}
-        self._reserve.note_demands(lacking, home_sizes, self._dependencies.clock())
+        self._reserve.note_demands(lacking, home_sizes)
 
-    def _is_idle_long_enough(self, machine: Machine) -> bool:
+    def _is_idle_long_enough(self, machine: Machine, *, is_borrowed: bool) -> bool:
         now_s = self._dependencies.clock()
         idle_s = now_s - self._idle_since.get(machine.worker_id, now_s)
-        return idle_s >= self._reserve.idle_before_standby_s(machine.pool, now_s)
+        return idle_s >= self._reserve.idle_before_standby_s(machine.pool, is_borrowed=is_borrowed)
 
     def _kept_machines(self, home_size: int) -> int:
         return self._reserve.kept_machines(
@@ -240,7 +240,7 @@
         if undersized is not None:
             return undersized, IdleReason.UNDERSIZED_POOL
         standby = min(self._dependencies.standby(), default=None)
-        if standby is None or not self._is_idle_long_enough(machine):
+        if standby is None or not self._is_idle_long_enough(machine, is_borrowed=is_borrowed):
             return None, IdleReason.RECENTLY_USED
         return standby, IdleReason.BEYOND_HOME if is_borrowed else IdleReason.BETWEEN_TURNS
 
--- a/src/shallotworks/scheduling/machines/_pool_reserve.py
+++ b/src/shallotworks/scheduling/machines/_pool_reserve.py
@@ -22,22 +22,22 @@
             keep all: they would begin their next turn with a machine or two.
         kept_home_fraction: Fraction of its home size that a larger pool keeps. The next turn of its
             own callers starts with these machines.
-        idle_s: A machine that no pool lacks moves to the standby pool after being idle for this
-            long. If the next turn begins meanwhile, it uses the machine directly. A move costs
-            about as much as this much idle time, so waiting never costs more than twice the best
-            choice.
-        idle_after_turn_s: The same for a pool whose own turn has just ended.
+        borrowed_idle_s: A borrowed machine that no pool lacks moves to the standby pool after being
+            idle for this long. If the next turn begins meanwhile, it uses the machine directly. A
+            move costs about as much as this much idle time, so waiting never costs more than twice
+            the best choice.
+        idle_after_turn_s: The same for a machine of the home size of a pool that has had its turn.
+        idle_before_turn_s: The same for a pool that has not had its turn.
         turn_home_fraction: A pool is in its turn while it lacks at least this fraction of its home
             size.
-        after_turn_s: A turn counts as just ended for this long.
     """
 
     min_kept_machines: int = 16
     kept_home_fraction: float = 0.5
-    idle_s: float = 2.0
-    idle_after_turn_s: float = 2.0
+    borrowed_idle_s: float = 2.0
+    idle_after_turn_s: float = 1.0
+    idle_before_turn_s: float = 30.0
     turn_home_fraction: float = 0.25
-    after_turn_s: float = 10.0
 
 
 class PoolReserve:
@@ -47,26 +47,23 @@
         limits: Limits of what pools keep.
     """
 
-    __slots__ = ("_limits", "_turn_seen_s")
+    __slots__ = ("_had_turn", "_limits")
 
     def __init__(self, *, limits: ReserveLimits) -> None:
         self._limits = limits
-        self._turn_seen_s: dict[str, float] = {}
-        """When each pool was last seen in its turn."""
+        self._had_turn: set[str] = set()
+        """Pools that were seen in their turn. A new controller has seen none, and waits longer."""
 
-    def note_demands(
-        self, lacking: Mapping[str, int], home_sizes: Mapping[str, int], now_s: float
-    ) -> None:
+    def note_demands(self, lacking: Mapping[str, int], home_sizes: Mapping[str, int]) -> None:
         """Note which pools are in their turn.
 
         Args:
             lacking: Machines that each service lacks.
             home_sizes: Home size of each pool.
-            now_s: Time on the controller's clock, in seconds.
         """
         for service, count in lacking.items():
             if count and count >= home_sizes.get(service, 0) * self._limits.turn_home_fraction:
-                self._turn_seen_s[service] = now_s
+                self._had_turn.add(service)
 
     def kept_machines(self, home_size: int, *, has_standby: bool) -> int:
         """Return how many machines of its home size a pool keeps, idle or not."""
@@ -75,9 +72,10 @@
         fraction = math.ceil(home_size * self._limits.kept_home_fraction)
         return min(home_size, max(self._limits.min_kept_machines, fraction))
 
-    def idle_before_standby_s(self, service: str, now_s: float) -> float:
+    def idle_before_standby_s(self, service: str, *, is_borrowed: bool) -> float:
         """Return how long a machine of a pool is idle before it moves to the standby pool."""
-        seen_s = self._turn_seen_s.get(service)
-        if seen_s is not None and now_s - seen_s < self._limits.after_turn_s:
+        if is_borrowed:
+            return self._limits.borrowed_idle_s
+        if service in self._had_turn:
             return self._limits.idle_after_turn_s
-        return self._limits.idle_s
+        return self._limits.idle_before_turn_s
