--- a/src/shallotworks/scheduling/machines/_sizing.py
+++ b/src/shallotworks/scheduling/machines/_sizing.py
@@ -39,6 +39,8 @@
             withdrawn, because an order to remove it may still arrive.
         isolated_jobs_per_worker: A pool with more jobs that wait with lost runs requests machines.
             Their tasks are started one by one on a worker, which takes a second, and some crash it.
+        long_task_s: Tasks longer than this need no more machines than their step uses at once.
+            Shorter ones wait behind others in a turn, and count in full.
         max_lacking: Upper limit of the machines requested at once by a pool with few workers.
         max_lacking_ratio: Upper limit for a larger pool, as a multiple of its workers: in a burst a
             queue demands several times its mean, however large its pool is.
@@ -51,6 +53,7 @@
     drain_grace_s: float = 1.5
     lasting_exclusion_s: float = 3.0
     isolated_jobs_per_worker: int = 2
+    long_task_s: float = 4.0
     max_lacking: int = 64
     max_lacking_ratio: float = 4.0
 
@@ -258,17 +261,21 @@
         Args:
             wall_s: Time of day, in seconds since 1970.
             machine_millicores: Size of a machine. A step that fills more than one machine counts
-                at most for what its tasks can use at once, however long they take.
+                at most for what its tasks can use at once, if they are long or few steps wait.
         """
+        open_steps = list(self._scheduler_state.open_steps())
+        are_few = len(open_steps) <= self._limits.demand.min_onset_jobs
         total = 0.0
-        for entry in self._scheduler_state.open_steps():
+        for entry in open_steps:
             step = entry.step
             if step.is_filler or entry.is_hopeless(wall_s):
                 continue
             length_s = max(step.estimated_s, 0.1)
             if step.is_lasting:
                 length_s = self._limits.backlog_s
-            elif len(entry.waiting) * step.cpu_millicores > machine_millicores:
+            elif len(entry.waiting) * step.cpu_millicores > machine_millicores and (
+                length_s > self._limits.long_task_s or are_few
+            ):
                 length_s = min(length_s, self._limits.backlog_s)
             total += len(entry.waiting) * max(step.cpu_millicores, 1) * length_s
         return total
--- a/tests/test_pool_sizing.py
+++ b/tests/test_pool_sizing.py
@@ -121,6 +121,16 @@
         harness.add_job(job("large", step(16, estimated_s=20.0)))
         self.assertEqual(3, harness.assess().lacking)
 
+    def test_a_turn_of_large_jobs_requests_machines_for_its_whole_backlog(self) -> None:
+        """Guards against jobs that wait one behind another since each counts as a single one.
+
+        Eight jobs of 16 tasks of 2 s need 256 core-seconds within 0.8 s, on a pool of 4 cores.
+        """
+        harness = SizingHarness("a")
+        for number in range(8):
+            harness.add_job(job(f"large {number}", step(16, estimated_s=2.0)))
+        self.assertEqual(64, harness.assess().lacking)
+
     def test_a_large_job_among_small_ones_is_no_rate(self) -> None:
         """Guards against a turn that is seen where one job is large: 5 of 1 and one of 400 cores.
 
