--- a/src/shallotworks/scheduling/machines/_demand.py
+++ b/src/shallotworks/scheduling/machines/_demand.py
@@ -87,7 +87,7 @@
 
 def _capped(recent: list[Arrival], limits: DemandLimits) -> list[Arrival]:
     """Return arrivals whose core-seconds are capped near the median, if they show a rate."""
-    if len(recent) <= limits.min_onset_jobs:
+    if len(recent) <= limits.min_onset_jobs or limits.max_job_ratio == math.inf:
         return recent
     cap_core_s = limits.max_job_ratio * median(core_s for _, core_s in recent)
     return [(at_s, min(core_s, cap_core_s)) for at_s, core_s in recent]
--- a/src/shallotworks/scheduling/machines/_sizing.py
+++ b/src/shallotworks/scheduling/machines/_sizing.py
@@ -9,7 +9,7 @@
 
 import math
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from shallotworks.jobs import Step
 
@@ -33,6 +33,9 @@
             because a machine takes longer to arrive.
         demand: Limits for measuring the demand of arriving jobs.
         steady: Limits for holding a request until its machines have come.
+        min_steady_workers: A pool that has had fewer workers than this in the epoch holds no
+            request, and takes each job for what it states: among a few machines one more is a large
+            part, and a single job is all the load there is.
         idle_s: A worker may be offered once nothing has run on it for this long.
         drain_grace_s: Time that tasks which end by themselves get on a worker that is drained.
         lasting_exclusion_s: Lasting tasks are kept off a worker for this long after its offer was
@@ -50,6 +53,7 @@
     idle_s: float = 0.3
     demand: DemandLimits = field(default_factory=DemandLimits)
     steady: SteadyDemandLimits = field(default_factory=SteadyDemandLimits)
+    min_steady_workers: int = 0
     drain_grace_s: float = 1.5
     lasting_exclusion_s: float = 3.0
     isolated_jobs_per_worker: int = 2
@@ -87,12 +91,21 @@
         limits: Limits for sizing.
     """
 
-    __slots__ = ("_cordoned", "_idle_since", "_limits", "_offered", "_scheduler_state", "_steady")
+    __slots__ = (
+        "_cordoned",
+        "_has_been_large",
+        "_idle_since",
+        "_limits",
+        "_offered",
+        "_scheduler_state",
+        "_steady",
+    )
 
     def __init__(self, *, scheduler_state: SchedulerState, limits: SizingLimits) -> None:
         self._scheduler_state = scheduler_state
         self._limits = limits
         self._steady = SteadyDemand(limits=limits.steady)
+        self._has_been_large = False
         self._idle_since: dict[str, float] = {}
         self._cordoned: dict[str, float] = {}
         """Workers that are being drained, with the time since when."""
@@ -107,15 +120,17 @@
             wall_s: Time of day, in seconds since 1970.
         """
         self._track_idle(now_s)
+        self._has_been_large |= len(self._usable()) >= self._limits.min_steady_workers
         lacking, available = self._lacking(wall_s), len(self._available())
         self._cordon_due(due, now_s)
         offered = self._surplus(now_s, wall_s)
-        lacking = self._steady.update(
-            lacking=lacking,
-            available=available,
-            load_cores=self._load_cores(wall_s),
-            now_s=now_s,
-        )
+        if self._has_been_large:
+            lacking = self._steady.update(
+                lacking=lacking,
+                available=available,
+                load_cores=self._load_cores(wall_s),
+                now_s=now_s,
+            )
         for worker in self._scheduler_state.workers.values():
             self._set_offered(worker, worker.worker_id in offered, now_s)
         self._offered = offered
@@ -203,7 +218,9 @@
         usable = self._usable()
         size = max((worker.view.cpu_millicores for worker in usable), default=0)
         size = size or DEFAULT_MACHINE_MILLICORES
-        waiting_millicore_s = self._waiting_millicore_s(wall_s, machine_millicores=size)
+        waiting_millicore_s = self._waiting_millicore_s(
+            wall_s, machine_millicores=size if self._has_been_large else math.inf
+        )
         arriving = self._arriving_millicores(wall_s)
         available_millicores = sum(worker.view.cpu_millicores for worker in self._available())
         isolation_lack = self._lacking_for_isolation(len(usable))
@@ -230,8 +247,10 @@
         Their waiting tasks count as backlog, so that only the running ones are left.
         """
         arrivals, limits = self._scheduler_state.arrivals, self._limits.demand
+        if not self._has_been_large:
+            limits = replace(limits, max_job_ratio=math.inf)
         forecast = 1000 * forecast_demand_cores(arrivals, wall_s=wall_s, limits=limits)
-        if shows_rate(arrivals, wall_s=wall_s, limits=limits):
+        if not self._has_been_large or shows_rate(arrivals, wall_s=wall_s, limits=limits):
             return forecast
         return min(forecast, self._running_millicores())
 
--- a/tests/test_pool_sizing.py
+++ b/tests/test_pool_sizing.py
@@ -1,6 +1,7 @@
 """Tests of `shallotworks.scheduling.PoolSizer`: demand that comes in bursts."""
 
 import unittest
+from dataclasses import replace
 
 from parameterized import parameterized
 
@@ -171,6 +172,37 @@
         self.assertEqual(0, harness.assess(after_s=2.0).lacking)
 
 
+class SmallPoolTests(unittest.TestCase):
+    def test_a_small_pool_holds_no_request(self) -> None:
+        """Guards against machines that are requested although no task needs any more."""
+        for workers, is_held in ((2, False), (4, True)):
+            with self.subTest(workers=workers):
+                harness = SizingHarness(*(f"w{number}" for number in range(workers)))
+                harness.sizer = PoolSizer(
+                    scheduler_state=harness.scheduler_state,
+                    limits=replace(LIMITS, min_steady_workers=4),
+                )
+                harness.add_job(job("a", step(40)))
+                lacking = harness.assess().lacking
+                del harness.scheduler_state.tracked_jobs["a"]
+                harness.scheduler_state.arrivals.clear()
+                harness.add_job(job("b", step(24)))
+                held = harness.assess().lacking
+                self.assertGreater(lacking, 0)
+                self.assertEqual(is_held, held == lacking)
+
+    def test_a_small_pool_takes_a_large_job_for_what_it_states(self) -> None:
+        """Guards against small deployments that are served otherwise than before.
+
+        16 tasks of one core for 20 s, within 0.8 s, are 400 cores on a pool of 4.
+        """
+        harness = SizingHarness("a")
+        limits = replace(LIMITS, min_steady_workers=4)
+        harness.sizer = PoolSizer(scheduler_state=harness.scheduler_state, limits=limits)
+        harness.add_job(job("large", step(16, estimated_s=20.0)))
+        self.assertEqual(LIMITS.max_lacking, harness.assess().lacking)
+
+
 class LateWorkTests(unittest.TestCase):
     def test_late_work_is_kept_off_recalled_workers(self) -> None:
         """Guards against a burst that fails while another queue's late jobs occupy lent machines.
