Place tasks last on workers where work advances slowly

Cause: a worker seven times slower got as many tasks as any other until one of them stood still for long enough, and a stated length that is 2.5 times too short looks the same.

Change: PaceEvidence compares a run's progress with what its estimate expects, against runs of the same step on other workers, or else against the pool. The median over at least three runs, below what the spread of all runs explains and below a third of the pool's pace, makes a worker slow: it comes after others in Placement.cost and is never excluded. At most a third of a pool is slow at once; evidence belongs to an incarnation and fades after 8 s. Lines worker-slow and worker-recovered, metric scheduler.worker_ms by state.

--- a/src/shallotworks/scheduling/_job_entries.py
+++ b/src/shallotworks/scheduling/_job_entries.py
@@ -12,7 +12,7 @@
 from ._model import EndKind, Run, RunPhase, Worker
 from ._tracked_jobs import Arrival, TrackedJob, TrackedStep
 from ._unstored_ends import UnstoredEnds
-from .workers import CrashBlame, Isolation
+from .workers import CrashBlame, Isolation, PaceEvidence
 
 __all__ = ["JobEntries", "StoredProgress"]
 
@@ -41,7 +41,7 @@
         service: The service.
         token: The epoch's fencing token.
         numbers: The epoch's run ids and order tokens.
-        log: Receives the decisions on crashed workers.
+        log: Receives the decisions on crashed and slow workers.
     """
 
     __slots__ = (
@@ -49,6 +49,7 @@
         "_unstored_ends",
         "arrivals",
         "crashes",
+        "evidence",
         "finished_jobs",
         "isolation",
         "jobs_with_future_occurrences",
@@ -87,6 +88,7 @@
         self.isolation = Isolation(
             tracked_jobs=self.tracked_jobs, workers=self.workers, blame=self.crashes, log=log
         )
+        self.evidence = PaceEvidence(workers=self.workers, log=log)
 
     # ---- jobs
 
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -97,6 +97,7 @@
         "is_cordoned",
         "is_fenced",
         "is_listed",
+        "is_slow",
         "is_yielding",
         "isolated_runs",
         "lasting_allowed_from_s",
@@ -134,6 +135,9 @@
         """Nothing is started here before this time, because an order or a poll failed."""
         self.avoid_until_s = 0.0
         """The worker is used last before this time, because tasks failed or hung here."""
+        self.is_slow = False
+        """Whether the worker is used after others, because tasks advance slowly here. See
+        `PaceEvidence`."""
         self.lasting_allowed_from_s = 0.0
         """Lasting tasks are not placed here before this time, because an order to remove the worker
         may still arrive."""
--- a/src/shallotworks/scheduling/_placement.py
+++ b/src/shallotworks/scheduling/_placement.py
@@ -148,7 +148,12 @@
         is_other_rack = bool(wanted_rack) and view.rack != wanted_rack
         load = worker.cpu_used / max(1, view.cpu_millicores)
         memory = worker.memory_used / max(1, view.memory_mb)
-        before = (is_suspect, bool(avoid) and worker.incarnation in avoid, is_other_rack)
+        before = (
+            is_suspect,
+            worker.is_slow,
+            bool(avoid) and worker.incarnation in avoid,
+            is_other_rack,
+        )
         colocation = (
             self._colocation_cost(worker, siblings_by_rack)
             if self.depends_on_siblings
--- a/src/shallotworks/scheduling/_report_reader.py
+++ b/src/shallotworks/scheduling/_report_reader.py
@@ -93,13 +93,8 @@
         if run.possibly_lost_on is not None:
             run.possibly_lost_on = None
             self._jobs.crashes.clear_run(run)
-        if running_task.percent != run.percent:
-            run.progressed_s = now_s
-        run.percent, run.measurement, run.missing_reports = (
-            running_task.percent,
-            running_task.measurement,
-            0,
-        )
+        run.note_progress(running_task.percent, now_s)
+        run.measurement, run.missing_reports = running_task.measurement, 0
         if running_task.checkpoint:
             run.checkpoint = running_task.checkpoint
 
@@ -193,6 +188,9 @@
             self._jobs.hold_back_end(tracked_job, worker, end.number)
         if run is not None:
             if end.kind is EndKind.DONE:
+                if run.marks:
+                    run.note_progress(100, now_s)
+                self._jobs.evidence.note_done(worker, run, now_s)
                 self._jobs.isolation.note_done(worker, run)
             self._jobs.crashes.clear_run(run)
             self._jobs.finish_run(worker, run, end.kind, end.checkpoint, now_s)
--- a/src/shallotworks/scheduling/_runs.py
+++ b/src/shallotworks/scheduling/_runs.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from enum import Enum, unique
 
 from shallotworks.jobs import Incarnation, Step, TaskName
 
 __all__ = ["UNKNOWN_STEP", "Run", "RunPhase"]
 
+MARK_INTERVAL_S = 0.25
+"""Progress marks are at least this far apart, but for the last one."""
+MIN_MARKED_S = 3.0
+MARKED_ESTIMATE_RATIO = 0.2
+"""The marks reach back over at least `MIN_MARKED_S` and this ratio of the task's estimated time."""
 UNKNOWN_STEP = Step(count=1)
 """Placeholder for the step of a run whose job, and therefore whose resource demand, is not
 known."""
@@ -49,6 +55,7 @@
         "confirmed_s",
         "incarnation",
         "is_stop_requested",
+        "marks",
         "measurement",
         "missing_reports",
         "name",
@@ -95,6 +102,9 @@
         self.progressed_s = since_s
         """Time at which the reported progress last changed."""
         self.percent = 0
+        self.marks: deque[tuple[float, int]] = deque()
+        """Times on the scheduler's clock, and the progress in percent that was reported then, of
+        the last seconds."""
         self.measurement = 0
         self.checkpoint = ""
         self.missing_reports = 0
@@ -136,6 +146,21 @@
         if phase is RunPhase.RUNNING:
             self.confirmed_s = min(self.confirmed_s, now_s)
 
+    def note_progress(self, percent: int, now_s: float) -> None:
+        """Record the progress that a report gives, in percent."""
+        if percent != self.percent:
+            self.progressed_s = now_s
+        self.percent = percent
+        marks = self.marks
+        if not marks and self.confirmed_s < now_s and not self.step.is_checkpointed:
+            marks.append((self.confirmed_s, 0))
+        if len(marks) > 1 and now_s - marks[-2][0] < MARK_INTERVAL_S:
+            marks.pop()
+        marks.append((now_s, percent))
+        oldest_s = now_s - max(MIN_MARKED_S, self.step.estimated_s * MARKED_ESTIMATE_RATIO)
+        while len(marks) > 2 and marks[1][0] <= oldest_s:
+            marks.popleft()
+
     @property
     def is_serving(self) -> bool:
         """Whether the run is of a lasting task that serves its users."""
--- a/src/shallotworks/scheduling/_service_scheduler.py
+++ b/src/shallotworks/scheduling/_service_scheduler.py
@@ -33,6 +33,7 @@
 from ._worker_tracker import DIRECTORY_POLL_INTERVAL_S, WorkerTracker
 from .machines import MachineRecords, PoolDemand, PoolSizer, SizingLimits, pool_demand_key
 from .teams import TeamLimits, TeamShares
+from .workers import WorkerStates
 
 __all__ = ["ServiceScheduler", "SchedulerDependencies"]
 
@@ -125,6 +126,7 @@
         "_team_shares",
         "_wait_monitor",
         "_watcher",
+        "_worker_states",
         "_worker_tracker",
         "decision_engine",
         "is_prepared",
@@ -152,6 +154,9 @@
         self._wait_monitor = WaitMonitor(
             scheduler_state=self.scheduler_state, metrics=dependencies.metrics, log=dependencies.log
         )
+        self._worker_states = WorkerStates(
+            service=service, workers=self.scheduler_state.workers, metrics=dependencies.metrics
+        )
         self._worker_tracker = WorkerTracker(
             scheduler_state=self.scheduler_state,
             record=ActiveWorkersRecord(
@@ -414,6 +419,7 @@
             now_s, wall_s = self._dependencies.clock(), self._dependencies.wall_clock()
             self._log("pool-state", **self._sizer.state(wall_s=wall_s))
             self._wait_monitor.report(now_s=now_s, wall_s=wall_s)
+            self._worker_states.report(now_s)
             if self.scheduler_state.team_rooms.refused:
                 self._log("team-limits", teams=self._team_limits.fields())
             await self._worker_tracker.update_record()
--- a/src/shallotworks/scheduling/workers/__init__.py
+++ b/src/shallotworks/scheduling/workers/__init__.py
@@ -1,10 +1,13 @@
 """Workers: what is known of one worker from its reports, and what follows for its tasks.
 
 `CrashBlame` tells which tasks may have crashed a worker, and `Isolation` starts those apart from
-others. This package gives no orders and uses no network.
+others. `PaceEvidence` tells which workers are slow, and `WorkerStates` counts the workers by what
+is known of them. This package gives no orders and uses no network.
 """
 
 from ._crash_blame import CrashBlame
+from ._evidence import PaceEvidence
 from ._isolation import Isolation
+from ._states import WorkerState, WorkerStates
 
-__all__ = ["CrashBlame", "Isolation"]
+__all__ = ["CrashBlame", "Isolation", "PaceEvidence", "WorkerState", "WorkerStates"]
