--- a/src/shallotworks/scheduling/_service_scheduler.py
+++ b/src/shallotworks/scheduling/_service_scheduler.py
@@ -29,6 +29,7 @@
 from ._worker_tracker import DIRECTORY_POLL_INTERVAL_S, WorkerTracker
 from .machines import DemandPublisher, PoolDemand, PoolSizer, SizingLimits
 from .teams import TeamLimits, TeamMonitor, TeamShares, TeamWeights
+from .workers import WorkerStates
 
 __all__ = ["ServiceScheduler"]
 
@@ -87,6 +88,7 @@
         "_team_weights",
         "_wait_monitor",
         "_watcher",
+        "_worker_states",
         "_worker_tracker",
         "decision_engine",
         "is_prepared",
@@ -128,6 +130,9 @@
             metrics=dependencies.metrics,
             log=dependencies.log,
         )
+        self._worker_states = WorkerStates(
+            service=service, workers=self.scheduler_state.workers, metrics=dependencies.metrics
+        )
         self._worker_tracker = WorkerTracker(
             scheduler_state=self.scheduler_state,
             record=ActiveWorkersRecord(
@@ -426,6 +431,7 @@
             self._log("pool-state", **self._sizer.state(wall_s=wall_s))
             self._wait_monitor.report(now_s=now_s, wall_s=wall_s)
             self._team_monitor.report(now_s=now_s, wall_s=wall_s)
+            self._worker_states.report(now_s)
             if self.scheduler_state.team_rooms.refused:
                 self._log("team-limits", teams=self._team_limits.fields())
             await self._worker_tracker.update_record()
