Start second runs of tasks that allow them, on slow or silent workers

Cause: Step.is_speculative was decoded and read by nothing; a task on a worker seven times slower, or on one that is silent, held its job up until it ended there or the lease had expired.

Change: a run on a slow worker that needs more than twice a fresh run's time, or on a worker silent for 1.5 s, gets one copy on a sound worker, on another rack if possible; a twentieth of the pool's processor at most, and only while no task waits that could be in time. Never for lasting, filling, gang or suspect tasks, on a worker that is merely young, or with fewer than two attempts left. The first end done counts and stops all other live runs; a copy takes the place of a first run that ended otherwise; two runs are adopted after a takeover where the step allows it. A failed end of a task that is done is no attempt any more, for any task. Workers are judged twice a second, for the cost.

--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -6,6 +6,7 @@
 
 from shallotworks.jobs import Resources
 
+from ._copy_starts import start_copies
 from ._model import (
     AdviceRequest,
     PaceOrder,
@@ -110,6 +111,7 @@
         if may_start:
             yield from self._decide_isolated_starts(now_s)
             yield from self._decide_starts(now_s, wall_s)
+            yield from self._decide_copies(now_s, wall_s)
 
     @property
     def has_reached_start_limit(self) -> bool:
@@ -323,6 +325,12 @@
             candidates.note_placed(worker)
             yield self._start_order(step, run)
 
+    def _decide_copies(self, now_s: float, wall_s: float) -> Iterator[StartOrder]:
+        most = MAX_STARTS_PER_DECISION - self._started
+        for step, run in start_copies(self._scheduler_state, now_s=now_s, wall_s=wall_s, most=most):
+            self._started += 1
+            yield self._start_order(step, run)
+
     def _workers_for(self, step: TrackedStep) -> list[Worker]:
         if step.step.is_lasting:
             # Full workers are included, because the cost depends on where tasks of the step run.
--- a/src/shallotworks/scheduling/_job_entries.py
+++ b/src/shallotworks/scheduling/_job_entries.py
@@ -12,7 +12,7 @@
 from ._model import EndKind, Run, RunPhase, Worker
 from ._tracked_jobs import Arrival, TrackedJob, TrackedStep
 from ._unstored_ends import UnstoredEnds
-from .workers import CrashBlame, Isolation, PaceEvidence
+from .workers import Copies, CrashBlame, Isolation, PaceEvidence
 
 __all__ = ["JobEntries", "StoredProgress"]
 
@@ -48,6 +48,7 @@
         "_numbers",
         "_unstored_ends",
         "arrivals",
+        "copies",
         "crashes",
         "evidence",
         "finished_jobs",
@@ -89,6 +90,7 @@
             tracked_jobs=self.tracked_jobs, workers=self.workers, blame=self.crashes, log=log
         )
         self.evidence = PaceEvidence(workers=self.workers, log=log)
+        self.copies = Copies(tracked_jobs=self.tracked_jobs, workers=self.workers, log=log)
 
     # ---- jobs
 
@@ -223,6 +225,23 @@
         self, step: TrackedStep, index: int, worker: Worker, run_id: int, now_s: float
     ) -> Run:
         """Assign a waiting task to a worker as a new run."""
+        run = self._add_run(step, index, worker, run_id, now_s)
+        step.waiting.remove(index)
+        step.tracked_job.runs[run.name] = run
+        self.mark_job_running(step.tracked_job)
+        return run
+
+    def new_copy(
+        self, step: TrackedStep, index: int, worker: Worker, run_id: int, now_s: float
+    ) -> Run:
+        """Assign a running task to a second worker as a copy."""
+        run = self._add_run(step, index, worker, run_id, now_s)
+        step.tracked_job.add_copy(run)
+        return run
+
+    def _add_run(
+        self, step: TrackedStep, index: int, worker: Worker, run_id: int, now_s: float
+    ) -> Run:
         run = Run(
             name=step.name(index),
             run_id=run_id,
@@ -233,11 +252,7 @@
             team=step.tracked_job.job.team,
         )
         worker.add(run)
-        step.waiting.remove(index)
-        tracked_job = step.tracked_job
-        tracked_job.runs[run.name] = run
-        tracked_job.add_run(run)
-        self.mark_job_running(tracked_job)
+        step.tracked_job.add_run(run)
         return run
 
     def mark_job_running(self, tracked_job: TrackedJob) -> None:
@@ -274,9 +289,9 @@
         """Add a task's first end ``done`` to its job's progress, and open the steps after it."""
         if tracked_job.progress.is_done(name):
             return
-        current = tracked_job.runs.get(name)
-        if current is not None and current.run_id != run_id:
-            self.request_stop(current, "done-elsewhere")
+        for run in tracked_job.live_runs.get(name, ()):
+            if run.run_id != run_id:
+                self.request_stop(run, "done-elsewhere")
         tracked_job.progress.note_done(tracked_job.job, name, now_s=wall_s)
         tracked_job.changes += 1
         step = tracked_job.steps.get((name.occurrence, name.step))
@@ -304,6 +319,7 @@
         if run.step.is_checkpointed and (checkpoint or run.checkpoint):
             tracked_job.checkpoints[run.name] = checkpoint or run.checkpoint
         tracked_job.remove_run(run)
+        self.copies.note_ended(run, kind, now_s)
         self._drop_if_finished(tracked_job)
         step = tracked_job.steps.get((run.name.occurrence, run.name.step))
         is_waiting = step is not None and run.name.number in step.waiting
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -104,6 +104,7 @@
         "lease_ends_s",
         "memory_used",
         "order_token",
+        "pace",
         "pause_until_s",
         "reported_s",
         "runs",
@@ -138,6 +139,8 @@
         self.is_slow = False
         """Whether the worker is used after others, because tasks advance slowly here. See
         `PaceEvidence`."""
+        self.pace = 1.0
+        """The pace of tasks here against the pool's while the worker counts as slow."""
         self.lasting_allowed_from_s = 0.0
         """Lasting tasks are not placed here before this time, because an order to remove the worker
         may still arrive."""
--- a/src/shallotworks/scheduling/_report_reader.py
+++ b/src/shallotworks/scheduling/_report_reader.py
@@ -17,6 +17,7 @@
     WorkerReport,
 )
 from ._tracked_jobs import TrackedJob
+from .workers import may_have_copies
 
 __all__ = ["ReportReader"]
 
@@ -120,7 +121,10 @@
         tracked_step = tracked_job.steps.get((running_task.name.occurrence, running_task.name.step))
         if tracked_step is not None and running_task.name.number in tracked_step.waiting:
             tracked_step.waiting.remove(running_task.name.number)
-        tracked_job.runs[running_task.name] = run
+        if running_task.name in tracked_job.runs:
+            tracked_job.add_copy(run)
+        else:
+            tracked_job.runs[running_task.name] = run
         self._jobs.mark_job_running(tracked_job)
         self._log.line(
             "run-adopted",
@@ -128,6 +132,7 @@
             task=list(running_task.name[1:]),
             run=running_task.run_id,
             worker=worker.worker_id,
+            is_copy=run.is_copy,
             token=self._jobs.token,
         )
         return run
@@ -137,10 +142,15 @@
 
         A worker may report a run before other workers report the ends that open its step. If such
         a run were stopped as a stray, its task could start again before the stop took effect, and
-        would run twice at once.
+        would run twice at once. Of a task that may have copies two runs are adopted, since an
+        earlier scheduler may have started both.
         """
-        is_over = tracked_job.progress.state.is_final or tracked_job.progress.is_done(run.name)
-        return not is_over and run.name not in tracked_job.runs
+        if tracked_job.progress.state.is_final or tracked_job.progress.is_done(run.name):
+            return False
+        if run.name not in tracked_job.runs:
+            return True
+        others = [one for one in tracked_job.live_runs[run.name] if one is not run]
+        return may_have_copies(run.step) and len(others) == 1
 
     def _handle_missing_run(
         self, worker: Worker, run: Run, sent_s: float, now_s: float, wall_s: float
@@ -209,6 +219,9 @@
         if end.kind is not EndKind.FAILED:
             return
         self._note_failed_job(worker, tracked_job.job.job_id, now_s)
+        if tracked_job.progress.is_done(end.name):
+            # The other run of the task was done first, so that this one is no attempt any more.
+            return
         tracked_job.avoided_workers[end.name] = tracked_job.avoided_workers.get(
             end.name, frozenset()
         ) | {worker.incarnation}
--- a/src/shallotworks/scheduling/_runs.py
+++ b/src/shallotworks/scheduling/_runs.py
@@ -54,6 +54,8 @@
         "checkpoint",
         "confirmed_s",
         "incarnation",
+        "is_copy",
+        "is_paired",
         "is_stop_requested",
         "marks",
         "measurement",
@@ -107,6 +109,10 @@
         the last seconds."""
         self.measurement = 0
         self.checkpoint = ""
+        self.is_copy = False
+        """Whether the run is the second one of its task, beside the current one."""
+        self.is_paired = False
+        """Whether the task has had another run beside this one."""
         self.missing_reports = 0
         """Number of consecutive reports that did not list the run."""
         self.is_stop_requested = False
--- a/src/shallotworks/scheduling/_tracked_jobs.py
+++ b/src/shallotworks/scheduling/_tracked_jobs.py
@@ -152,12 +152,21 @@
         """Record that a run may be alive."""
         self.live_runs.setdefault(run.name, set()).add(run)
 
+    def add_copy(self, run: Run) -> None:
+        """Record that a run is the second one of its task."""
+        run.is_copy = run.is_paired = True
+        self.runs[run.name].is_paired = True
+
     def remove_run(self, run: Run) -> None:
-        """Record that a run has ended."""
-        if self.runs.get(run.name) is run:
-            del self.runs[run.name]
+        """Record that a run has ended; a copy takes the place of the current one."""
         alive = self.live_runs.get(run.name, set())
         alive.discard(run)
+        if self.runs.get(run.name) is run:
+            del self.runs[run.name]
+            other = next((one for one in alive if one.is_copy), None)
+            if other is not None:
+                other.is_copy = False
+                self.runs[run.name] = other
         if not alive:
             self.live_runs.pop(run.name, None)
 
--- a/src/shallotworks/scheduling/workers/_evidence.py
+++ b/src/shallotworks/scheduling/workers/_evidence.py
@@ -20,6 +20,7 @@
 from collections import defaultdict, deque
 from dataclasses import dataclass
 from statistics import median
+from typing import NamedTuple
 
 from shallotworks.jobs import Incarnation, Step
 from shallotworks.logs import StructuredLog
@@ -28,7 +29,7 @@
 
 __all__ = ["PaceEvidence"]
 
-REVIEW_INTERVAL_S = 0.25
+REVIEW_INTERVAL_S = 0.5
 FADE_S = 8.0
 """Runs that ended longer ago, and workers that have reported nothing since, say nothing."""
 MAX_SAMPLES = 12
@@ -59,8 +60,7 @@
 _StepKey = tuple[str, int, int]
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Sample:
+class _Sample(NamedTuple):
     """The natural logarithm of a run's progress made to progress expected, on one worker."""
 
     at_s: float
@@ -84,7 +84,7 @@
 
 
 class PaceEvidence:
-    """Keeps `Worker.is_slow` of all workers of a service.
+    """Keeps `Worker.is_slow` and `Worker.pace` of all workers of a service.
 
     Args:
         workers: The service's workers by id.
@@ -118,9 +118,11 @@
         verdicts = _verdicts({key: found for key, found in samples.items() if found})
         slow = self._slow_worker_ids(verdicts)
         for worker in self._workers.values():
+            verdict = verdicts.get(worker.worker_id)
             if worker.is_slow != (worker.worker_id in slow):
                 worker.is_slow = not worker.is_slow
-                self._log_change(worker, verdicts.get(worker.worker_id))
+                self._log_change(worker, verdict)
+            worker.pace = math.exp(-verdict.deficit) if verdict and worker.is_slow else 1.0
 
     def _forget(self, now_s: float) -> None:
         present = {worker.incarnation for worker in self._workers.values()}
@@ -179,7 +181,7 @@
     # The true progress is up to one percent more than reported.
     log_pace = math.log((last - first + 1) / expected)
     step = (run.name.job_id, run.name.occurrence, run.name.step)
-    return _Sample(at_s=now_s, step=step, log_pace=log_pace)
+    return _Sample(now_s, step, log_pace)
 
 
 def _is_comparable(step: Step, worker: Worker) -> bool:
@@ -226,7 +228,10 @@
     if not by_step:
         return {}
     medians = {
-        step: {worker_id: median(paces) for worker_id, paces in on_workers.items()}
+        step: {
+            worker_id: median(paces) if len(paces) > 1 else paces[0]
+            for worker_id, paces in on_workers.items()
+        }
         for step, on_workers in by_step.items()
     }
     of_pool = median(value for on_workers in medians.values() for value in on_workers.values())
--- a/tests/test_worker_evidence.py
+++ b/tests/test_worker_evidence.py
@@ -248,6 +248,15 @@
                 load.run(20.0)
                 self.assertEqual({"w00", "w01", "w02", "w03"}, load.found_slow)
 
+    @parameterized.expand([(1,), (2,), (3,)])
+    def test_copies_bound_the_slowest_jobs(self, seed: int) -> None:
+        """Guards against jobs that take as long as their one task on a slow worker."""
+        plain = UnevenLoad(seed=seed, is_speculative=True)
+        plain.run(60.0)
+        load = UnevenLoad(seed=seed, slow=4, is_speculative=True)
+        load.run(60.0)
+        self.assertLessEqual(load.quantile_s(0.99), 1.5 * plain.quantile_s(0.99))
+
 
 class StateTests(unittest.TestCase):
     def test_the_time_of_workers_is_counted_by_state(self) -> None:
