Place tasks last on racks that have just fallen silent

Cause: while a rack goes dark, starts on its other workers run into the same fault.

Demand for machines in place of the silent ones belongs to the sizing of pools and isn't part of this.

--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -156,6 +156,7 @@
         for worker in list(scheduler_state.workers.values()):
             self._apply_worker_timeouts(worker, now_s)
         scheduler_state.evidence.review(now_s)
+        scheduler_state.dark_racks.review(now_s)
 
     def _apply_worker_timeouts(self, worker: Worker, now_s: float) -> None:
         if now_s > worker.lease_ends_s and _may_lease_lapse(worker):
--- a/src/shallotworks/scheduling/_job_entries.py
+++ b/src/shallotworks/scheduling/_job_entries.py
@@ -12,7 +12,7 @@
 from ._model import EndKind, Run, RunPhase, Worker
 from ._tracked_jobs import Arrival, TrackedJob, TrackedStep
 from ._unstored_ends import UnstoredEnds
-from .workers import Copies, CrashBlame, Isolation, PaceEvidence
+from .workers import Copies, CrashBlame, DarkRacks, Isolation, PaceEvidence
 
 __all__ = ["JobEntries", "StoredProgress"]
 
@@ -50,6 +50,7 @@
         "arrivals",
         "copies",
         "crashes",
+        "dark_racks",
         "evidence",
         "finished_jobs",
         "isolation",
@@ -90,6 +91,7 @@
             tracked_jobs=self.tracked_jobs, workers=self.workers, blame=self.crashes, log=log
         )
         self.evidence = PaceEvidence(workers=self.workers, log=log)
+        self.dark_racks = DarkRacks(workers=self.workers, log=log)
         self.copies = Copies(tracked_jobs=self.tracked_jobs, workers=self.workers, log=log)
 
     # ---- jobs
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -106,6 +106,7 @@
         "order_token",
         "pace",
         "pause_until_s",
+        "rack_avoid_until_s",
         "reported_s",
         "runs",
         "unknown_runs",
@@ -139,6 +140,9 @@
         self.is_slow = False
         """Whether the worker is used after others, because tasks advance slowly here. See
         `PaceEvidence`."""
+        self.rack_avoid_until_s = 0.0
+        """The worker is used after others before this time, because its rack has fallen silent. See
+        `DarkRacks`."""
         self.pace = 1.0
         """The pace of tasks here against the pool's while the worker counts as slow."""
         self.lasting_allowed_from_s = 0.0
--- a/src/shallotworks/scheduling/_placement.py
+++ b/src/shallotworks/scheduling/_placement.py
@@ -148,9 +148,10 @@
         is_other_rack = bool(wanted_rack) and view.rack != wanted_rack
         load = worker.cpu_used / max(1, view.cpu_millicores)
         memory = worker.memory_used / max(1, view.memory_mb)
+        is_weak = worker.is_slow or worker.rack_avoid_until_s > self._now_s
         before = (
             is_suspect,
-            worker.is_slow,
+            is_weak,
             bool(avoid) and worker.incarnation in avoid,
             is_other_rack,
         )
--- a/src/shallotworks/scheduling/workers/__init__.py
+++ b/src/shallotworks/scheduling/workers/__init__.py
@@ -8,6 +8,7 @@
 
 from ._copies import Copies, CopyReason, may_have_copies
 from ._crash_blame import CrashBlame
+from ._dark_racks import DarkRacks
 from ._evidence import PaceEvidence
 from ._isolation import Isolation
 from ._states import WorkerState, WorkerStates
@@ -16,6 +17,7 @@
     "Copies",
     "CopyReason",
     "CrashBlame",
+    "DarkRacks",
     "Isolation",
     "PaceEvidence",
     "WorkerState",
--- a/src/shallotworks/scheduling/workers/_copies.py
+++ b/src/shallotworks/scheduling/workers/_copies.py
@@ -16,12 +16,10 @@
 
 from .._model import EndKind, Run, RunPhase, Worker
 from .._tracked_jobs import TrackedJob, TrackedStep
+from ._dark_racks import is_silent
 
 __all__ = ["Copies", "CopyReason", "may_have_copies"]
 
-SILENT_S = 1.5
-"""A worker with runs reports at least once a second; after this time without a report its runs may
-have copies."""
 MIN_GAIN_RATIO = 2.0
 """A task is copied if it needs longer than this multiple of the time of a fresh run."""
 MAX_COPY_RATIO = 1 / 20
@@ -125,7 +123,7 @@
             worker
             for worker in self._workers.values()
             if worker.worker_id != run.worker_id
-            and worker.avoid_until_s <= now_s
+            and max(worker.avoid_until_s, worker.rack_avoid_until_s) <= now_s
             and not _is_held_up(worker, now_s, wall_s)
             and not worker.is_slow
         ]
@@ -166,7 +164,7 @@
 
 def _is_held_up(worker: Worker, now_s: float, wall_s: float) -> bool:
     """Whether the work on a worker is slow or its worker silent, and not just young."""
-    return _is_silent(worker, now_s) or (worker.is_slow and not _is_young(worker, wall_s))
+    return is_silent(worker, now_s) or (worker.is_slow and not _is_young(worker, wall_s))
 
 
 def _is_young(worker: Worker, wall_s: float) -> bool:
@@ -175,17 +173,9 @@
     return born_ms is not None and 0 <= wall_s - born_ms / 1000 < YOUNG_S
 
 
-def _is_silent(worker: Worker, now_s: float) -> bool:
-    """Whether a worker with runs has reported nothing for too long since it has had them."""
-    if not worker.runs or now_s - worker.reported_s <= SILENT_S:
-        return False
-    since_s = min(run.since_s for run in worker.runs.values())
-    return now_s - max(worker.last_seen_s, since_s) > SILENT_S
-
-
 def _reason(worker: Worker, run: Run, now_s: float) -> CopyReason | None:
     """Return why a run on a slow or silent worker is worth a copy; ``None`` if it is not."""
-    if _is_silent(worker, now_s) and run.phase is not RunPhase.STARTING:
+    if is_silent(worker, now_s) and run.phase is not RunPhase.STARTING:
         return CopyReason(run, math.inf, run.step.estimated_s)
     if run.phase is not RunPhase.RUNNING or now_s - run.confirmed_s < MIN_RUN_S:
         return None
--- a/src/shallotworks/scheduling/workers/_evidence.py
+++ b/src/shallotworks/scheduling/workers/_evidence.py
@@ -2,9 +2,9 @@
 
 Each fact on a worker has one owner. `CrashBlame` says which tasks may have crashed it, `Isolation`
 says which suspects hold it, `Worker.avoid_until_s` says that tasks failed or stood still here, and
-`PaceEvidence` says whether work that goes on here goes on slowly (`Worker.is_slow`). None of them
-reads another's fact; they meet in `Placement` alone, where the first two exclude a worker and the
-last two only place it after others.
+`PaceEvidence` says whether work that goes on here goes on slowly (`Worker.is_slow`), and
+`DarkRacks` that its rack has just fallen silent. None of them reads another's fact; they meet in
+`Placement` alone, where the second excludes a worker and the others only place it after others.
 
 A stated length may be wrong by a factor, and it is wrong alike for all tasks of a step. A run is
 therefore compared with the runs of its step on other workers, and only without these with all other
--- a/src/shallotworks/scheduling/workers/_states.py
+++ b/src/shallotworks/scheduling/workers/_states.py
@@ -24,6 +24,8 @@
     """Tasks failed or stood still here: it is placed last."""
     SLOW = "slow"
     """Tasks advance slowly here: it is placed after the others."""
+    DARK_RACK = "dark-rack"
+    """Its rack has just fallen silent: it is placed after the others."""
     NORMAL = "normal"
 
     @classmethod
@@ -35,6 +37,8 @@
             return cls.SUSPECTED
         if worker.is_slow:
             return cls.SLOW
+        if worker.rack_avoid_until_s > now_s:
+            return cls.DARK_RACK
         return cls.NORMAL
 
 
