--- a/src/shallotworks/scheduling/workers/_evidence.py
+++ b/src/shallotworks/scheduling/workers/_evidence.py
@@ -10,8 +10,8 @@
 therefore compared with the runs of its step on other workers, and only without these with all other
 steps of the pool. A worker counts as slow once the median over its runs is below what the spread of
 all runs explains. With `MAX_SAMPLES` runs of different steps that have no like elsewhere, the test
-can't tell a worker of a seventh of the pace beyond a spread of stated lengths of 1.8 (natural
-logarithm), with five such runs beyond 1.2, with three beyond 0.9.
+can't tell a worker of a seventh of the pace beyond a spread of stated lengths of 1.5 (natural
+logarithm), with five such runs beyond 1.0, with three beyond 0.8.
 """
 
 from __future__ import annotations
