Put a team's late jobs behind jobs in time, before its share counts

Cause: with the share ahead of lateness, room went to late jobs of teams below their share, ahead of other teams' jobs that could still be in time.

Within a priority come jobs within their team's weight, those in time first, then those beyond it, those in time first, then jobs whose answer is of no use any more; in each group the share decides. `TeamRanks`, which knew the job only and not its lateness, goes: the weights are a `StepOrder`.

--- a/src/shallotworks/scheduling/_ordering.py
+++ b/src/shallotworks/scheduling/_ordering.py
@@ -4,9 +4,9 @@
 
 from typing import Protocol
 
-from ._tracked_jobs import TrackedJob, TrackedStep
+from ._tracked_jobs import TrackedStep
 
-__all__ = ["NO_TEAM_RANKS", "StepOrder", "TeamRanks", "urgency"]
+__all__ = ["StepOrder", "urgency"]
 
 
 class StepOrder(Protocol):
@@ -17,29 +17,7 @@
         ...
 
 
-class TeamRanks(Protocol):
-    """Where the jobs of teams stand among those of the same priority while room is short."""
-
-    def rank(self, tracked_job: TrackedJob) -> tuple[float, ...]:
-        """Return the part of a step's sort key that its team decides; the smallest comes first."""
-        ...
-
-
-class _NoTeamRanks:
-    """All teams, and jobs without a team, are alike."""
-
-    __slots__ = ()
-
-    def rank(self, tracked_job: TrackedJob) -> tuple[float, ...]:
-        return ()
-
-
-NO_TEAM_RANKS: TeamRanks = _NoTeamRanks()
-
-
-def urgency(
-    tracked_step: TrackedStep, wall_s: float, *, team_ranks: TeamRanks = NO_TEAM_RANKS
-) -> tuple[float, ...]:
+def urgency(tracked_step: TrackedStep, wall_s: float) -> tuple[float, ...]:
     """Return the sort key of a step; the smallest is served first.
 
     Lasting tasks serve users continuously, so they come before tasks that end. The next key is the
@@ -48,12 +26,11 @@
     outage hundreds of late jobs wait, and room that is given to jobs that are no longer useful
     makes others too late as well. Within each of these groups, jobs that have begun come first,
     since a half-finished job serves nobody. The next key is the least work, since the same room
-    then serves more callers. The rank of the job's team comes directly after the priority.
+    then serves more callers.
 
     Args:
         tracked_step: The step.
         wall_s: Time of day in seconds since 1970.
-        team_ranks: Ranks of the teams.
     """
     tracked_job = tracked_step.tracked_job
     step = tracked_step.step
@@ -63,5 +40,4 @@
     latest_s = tracked_step.objective_ends_s - tracked_step.critical_path_s
     lateness = tracked_step.is_hopeless(wall_s) + tracked_step.is_no_longer_useful(wall_s)
     has_begun = bool(tracked_job.runs or tracked_job.progress.done)
-    rank = team_ranks.rank(tracked_job)
-    return (1, priority, *rank, lateness, not has_begun, tracked_job.work_core_s, latest_s)
+    return (1, priority, lateness, not has_begun, tracked_job.work_core_s, latest_s)
--- a/src/shallotworks/scheduling/teams/_team_weights.py
+++ b/src/shallotworks/scheduling/teams/_team_weights.py
@@ -10,6 +10,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterator
+from operator import itemgetter
 from typing import TYPE_CHECKING
 
 from shallotworks.jobs import Job, Resources, Step, Team
@@ -20,7 +21,7 @@
 if TYPE_CHECKING:
     # The state itself holds what the teams use.
     from .._scheduler_state import SchedulerState
-    from .._tracked_jobs import TrackedJob, TrackedStep
+    from .._tracked_jobs import TrackedStep
 
 __all__ = ["TeamWeights"]
 
@@ -33,7 +34,6 @@
 MIN_WEIGHT = 1e-3
 """A team of weight 0 counts as one of this weight, which comes last among the jobs beyond."""
 ROUNDING = 1e-9
-_Rank = tuple[float, ...]
 
 
 class TeamWeights:
@@ -52,7 +52,7 @@
     __slots__ = (
         "_buckets",
         "_keys",
-        "_ranks",
+        "_levels",
         "_scheduler_state",
         "_shares",
         "_team_of",
@@ -73,8 +73,8 @@
         """Jobs beyond its weight that each team has sent since the first decision."""
         self._shares: dict[str, float] = {}
         """Each team's use as a multiple of its share; empty while no weights apply."""
-        self._ranks: dict[str, _Rank] = {}
-        """Ranks of the waiting jobs, by id."""
+        self._levels: dict[str, int] = {}
+        """Levels of the share of their teams at the turns of the waiting jobs, by id."""
         self._keys: dict[TrackedStep, tuple[float, ...]] = {}
         """Sort keys of the waiting steps."""
 
@@ -111,7 +111,7 @@
         if self._unjudged is not None:
             self._judge_first()
         state = self._scheduler_state
-        self._ranks, self._keys = {}, {}
+        self._levels, self._keys = {}, {}
         if not self._buckets:
             # No team of the configuration has sent a job.
             return
@@ -147,26 +147,36 @@
         be given all room that becomes free in one decision.
         """
         steps.sort(key=lambda one: urgency(one, wall_s))
-        ranks, keys = self._ranks, self._keys
-        beyond = [step for step in steps if step.tracked_job.is_beyond_weight]
-        within = [step for step in steps if not step.tracked_job.is_beyond_weight]
-        for number, step in enumerate([*within, *beyond]):
-            if step.step.is_lasting:
-                continue
-            job, is_beyond = step.tracked_job.job, number >= len(within)
+        rows = [(_group(one, wall_s), one) for one in steps if not one.step.is_lasting]
+        rows.sort(key=itemgetter(0))
+        levels, keys = self._levels, self._keys
+        for number, (group, step) in enumerate(rows):
+            job = step.tracked_job.job
             projection = projections[job.team]
-            rank = ranks.get(job.job_id)
-            if rank is None:
-                rank = ranks[job.job_id] = (is_beyond, int(projection.share * STEPS_PER_SHARE))
-            # Among equal ranks the place in this order stands for all later keys.
-            keys[step] = (1, job.policy.priority, *rank, number)
+            level = levels.get(job.job_id)
+            if level is None:
+                level = levels[job.job_id] = int(projection.share * STEPS_PER_SHARE)
+            # Among equal levels the place in this order stands for all later keys.
+            keys[step] = (1, job.policy.priority, group, level, number)
             if not (step.step.is_gang or job.policy.is_advised):
                 # Others may wait long for all their members, or for permits.
                 projection.add(step.step, len(step.waiting))
 
     def order(self, tracked_step: TrackedStep, wall_s: float) -> tuple[float, ...]:
-        """Return the sort key of a waiting step, as `urgency` does with the ranks of the teams."""
-        return self._keys.get(tracked_step) or urgency(tracked_step, wall_s, team_ranks=self)
+        """Return the sort key of a waiting step; without weights that of `urgency`.
+
+        Within a priority, jobs within their team's weight come before those beyond it, and in each
+        of these groups those that can still meet their objective come first. Jobs whose answer
+        would be too late to be useful are last. Then comes the team's share, and within a step of
+        it the order of `urgency`.
+        """
+        if tracked_step.step.is_lasting or not self._shares:
+            return urgency(tracked_step, wall_s)
+        return self._keys.get(tracked_step) or (
+            1,
+            tracked_step.tracked_job.job.policy.priority,
+            _group(tracked_step, wall_s),
+        )
 
     def _judge_first(self) -> None:
         jobs, self._unjudged = self._unjudged or [], None
@@ -186,12 +196,6 @@
                 gpus += view.gpus
         return Resources(cpu, memory, gpus)
 
-    def rank(self, tracked_job: TrackedJob) -> tuple[float, ...]:
-        """Return where a job stands among those of its priority; the smallest comes first."""
-        if not self._shares:
-            return ()
-        return self._ranks.get(tracked_job.job.job_id) or (tracked_job.is_beyond_weight, 0)
-
     def weight_of(self, team: str) -> float:
         """Return the weight by which a team's last job was judged; 0 if none was."""
         bucket = self._buckets.get(team)
@@ -207,6 +211,16 @@
         yield from self._shares.items()
 
 
+def _group(step: TrackedStep, wall_s: float) -> int:
+    """Return the group of a waiting step within its priority; the smallest comes first."""
+    if step.is_no_longer_useful(wall_s):
+        return USELESS_GROUP + step.tracked_job.is_beyond_weight
+    return 2 * step.tracked_job.is_beyond_weight + step.is_hopeless(wall_s)
+
+
+USELESS_GROUP = 4
+
+
 class _Projection:
     """A team's use and its share while waiting tasks are added one after another.
 
--- a/tests/test_team_weights.py
+++ b/tests/test_team_weights.py
@@ -10,7 +10,6 @@
 from shallotworks.jobs import Job, Team
 from shallotworks.scheduling import DecisionEngine, EndKind, StartOrder
 from shallotworks.scheduling import _decisions as decisions_module
-from shallotworks.scheduling._ordering import urgency
 from shallotworks.scheduling.machines import PoolSizer, SizingLimits
 from shallotworks.scheduling.teams import TeamWeights
 from tests.scheduling_fakes import WALL_S, SchedulingHarness, job, policy, step, view
@@ -148,7 +147,7 @@
         load.weights.refresh(WALL_S)
         steps = sorted(
             load.harness.scheduler_state.open_steps(),
-            key=lambda one: urgency(one, WALL_S, team_ranks=load.weights),
+            key=lambda one: load.weights.order(one, WALL_S),
         )
         self.assertEqual([0.5, 1.0, 2.0, 5.0], [one.step.estimated_s for one in steps])
 
