--- /dev/null
+++ b/src/shallotworks/scheduling/_job_cleanup.py
@@ -0,0 +1,52 @@
+"""Deletes the records of jobs that ended long ago."""
+
+from __future__ import annotations
+
+import asyncio
+
+from shallotworks.jobs import JobKeys
+from shallotworks.store import Commit, HeldLease
+
+from ._scheduler_dependencies import SchedulerDependencies
+from ._scheduler_state import SchedulerState
+
+__all__ = ["delete_old_jobs"]
+
+FINAL_STATE_RETENTION_RATIO = 2.0
+"""Records of finished jobs are kept for this multiple of the time for which callers may ask for a
+job's final state."""
+CLEANUP_INTERVAL_S = 30.0
+MAX_JOBS_PER_CLEANUP = 60
+
+
+async def delete_old_jobs(
+    *,
+    scheduler_state: SchedulerState,
+    keys: JobKeys,
+    lease: HeldLease,
+    dependencies: SchedulerDependencies,
+) -> None:
+    """Delete the records of jobs that ended long ago, until cancelled.
+
+    Args:
+        scheduler_state: Knows when each job ended.
+        keys: Keys of the service's records.
+        lease: The service's lease, which each deletion requires.
+        dependencies: The store, the time of day and how long final states are reported.
+    """
+    while True:
+        await asyncio.sleep(CLEANUP_INTERVAL_S)
+        retention_s = FINAL_STATE_RETENTION_RATIO * dependencies.final_state_told_s
+        retention_start_s = dependencies.wall_clock() - retention_s
+        old_job_ids = [
+            job_id
+            for job_id, ended_s in scheduler_state.finished_jobs.items()
+            if ended_s < retention_start_s
+        ]
+        for job_id in old_job_ids[:MAX_JOBS_PER_CLEANUP]:
+            await dependencies.store.commit(
+                Commit(
+                    conditions=(lease.condition,),
+                    deletes=(keys.job(job_id), keys.progress(job_id)),
+                )
+            )
--- a/src/shallotworks/scheduling/_service_scheduler.py
+++ b/src/shallotworks/scheduling/_service_scheduler.py
@@ -11,7 +11,6 @@
 
 from shallotworks.jobs import JobKeys, decode_job, decode_progress
 from shallotworks.store import (
-    Commit,
     FencedRecord,
     HeldLease,
     Item,
@@ -20,6 +19,8 @@
 
 from ._active_workers import ActiveWorkersRecord
 from ._decisions import DecisionEngine
+from ._first_start import FirstStart
+from ._job_cleanup import delete_old_jobs
 from ._model import AdviceRequest, StartOrder, Worker
 from ._order_dispatcher import OrderDispatcher
 from ._progress_writer import ProgressWriter
@@ -42,11 +43,6 @@
 """Pause between two batches of job changes; at peak load jobs change a hundred times a second."""
 PUBLISH_INTERVAL_S = 1.0
 """The published counts of waiting jobs may be up to 2 s old."""
-FINAL_STATE_RETENTION_RATIO = 2.0
-"""Records of finished jobs are kept for this multiple of the time for which callers may ask for a
-job's final state."""
-CLEANUP_INTERVAL_S = 30.0
-MAX_JOBS_PER_CLEANUP = 60
 MAX_PENDING_WORKERS_LOGGED = 10
 MAX_RENEWAL_AGE_AT_HANDOVER_S = 1.0
 """An epoch ends without a handover if the store has not confirmed a renewal for this long, which is
@@ -67,11 +63,10 @@
 
     __slots__ = (
         "_background_tasks",
-        "_begun_s",
         "_demand_publisher",
         "_dependencies",
+        "_first_start",
         "_has_marker",
-        "_has_started",
         "_job_records",
         "_keys",
         "_lease",
@@ -175,8 +170,9 @@
         )
         self._job_records: dict[str, Item] = {}
         self._has_marker = False
-        self._has_started = False
-        self._begun_s = dependencies.clock()
+        self._first_start = FirstStart(
+            service=service, lease=lease, begun_s=dependencies.clock(), log=dependencies.log
+        )
         self._background_tasks: set[asyncio.Task[None]] = set()
         self.is_prepared = asyncio.Event()
 
@@ -202,7 +198,12 @@
             self._schedule(),
             self._progress_writer.run(),
             self._publish(),
-            self._delete_old_jobs(),
+            delete_old_jobs(
+                scheduler_state=self.scheduler_state,
+                keys=self._keys,
+                lease=self._lease,
+                dependencies=self._dependencies,
+            ),
             self._size_pool(),
             self._team_shares.run(),
         )
@@ -345,18 +346,8 @@
                 self._spawn(self._request_advice(decision))
             else:
                 self._order_dispatcher.carry_out(decision)
-                if isinstance(decision, StartOrder) and not self._has_started:
-                    self._log_first_start(now_s)
-
-    def _log_first_start(self, now_s: float) -> None:
-        """Log for how long nobody has started a task of the service."""
-        self._has_started = True
-        freed_s = self._lease.free_since_s
-        self._log(
-            "first-start",
-            since_freed_s=None if freed_s is None else round(now_s - freed_s, 3),
-            since_begun_s=round(now_s - self._begun_s, 3),
-        )
+                if isinstance(decision, StartOrder):
+                    self._first_start.note(now_s)
 
     async def _prepare(self) -> None:
         """Recover the state of earlier epochs: jobs, and workers that may still run their tasks."""
@@ -422,22 +413,3 @@
     def _evacuate(self, worker: Worker) -> None:
         self.decision_engine.evacuate(worker)
         self._order_dispatcher.wake()
-
-    async def _delete_old_jobs(self) -> None:
-        """Delete the records of jobs that ended long ago."""
-        while True:
-            await asyncio.sleep(CLEANUP_INTERVAL_S)
-            retention_start_s = (
-                self._dependencies.wall_clock()
-                - FINAL_STATE_RETENTION_RATIO * self._dependencies.final_state_told_s
-            )
-            old_job_ids = [
-                job_id
-                for job_id, ended_s in self.scheduler_state.finished_jobs.items()
-                if ended_s < retention_start_s
-            ]
-            for job_id in old_job_ids[:MAX_JOBS_PER_CLEANUP]:
-                keys = (self._keys.job(job_id), self._keys.progress(job_id))
-                await self._dependencies.store.commit(
-                    Commit(conditions=(self._lease.condition,), deletes=keys)
-                )
