Find room for gangs in a module of its own

Change: the trial placement of gangs and their common checkpoint move to _gangs.py; behaviour is as before.

--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 
 from shallotworks.jobs import Resources
 
 from ._copy_starts import start_copies
+from ._gangs import gang_checkpoint, place_gang
 from ._model import (
     AdviceRequest,
     PaceOrder,
@@ -366,70 +368,16 @@
         """Start all members at once or none, since only some would occupy room and wait."""
         if len(step.waiting) < step.step.count:
             return
-        for rack in self._racks(step):
-            chosen = self._place_gang(step, rack, now_s)
-            if chosen is not None:
-                break
-        else:
+        racks = {worker.view.rack for worker in self._scheduler_state.workers.values()}
+        workers = self._workers_for(step)
+        chosen = place_gang(step, workers, racks, now_s=now_s, wall_s=self._wall_s)
+        if chosen is None:
             return
         run_id = self._scheduler_state.next_run_id()
-        checkpoint = self._gang_checkpoint(step)
+        checkpoint = gang_checkpoint(step)
         for index, worker in chosen:
             run = self._assign(step, index, worker, run_id, now_s)
-            spec = step.tracked_job.job.spec
-            ticket = step.permits.get(worker.worker_id, "")
-            yield StartOrder(
-                run=run,
-                incarnation=run.incarnation,
-                spec=spec,
-                checkpoint=checkpoint,
-                ticket=ticket,
-            )
-
-    def _place_gang(
-        self, step: TrackedStep, rack: str, now_s: float
-    ) -> list[tuple[int, Worker]] | None:
-        """Return a worker for each member, or ``None`` if there is no room for all.
-
-        If a rack is named, only workers of that rack are considered.
-        """
-        placement = Placement.of(step, now_s=now_s, wall_s=self._wall_s)
-        workers = [
-            worker for worker in self._workers_for(step) if not rack or worker.view.rack == rack
-        ]
-        trial: list[tuple[int, Worker, Run]] = []
-        try:
-            for index in sorted(step.waiting):
-                avoid = step.tracked_job.avoided_workers.get(step.name(index), frozenset())
-                worker = placement.choose(workers, avoid=avoid)
-                if worker is None:
-                    return None
-                run = Run(
-                    name=step.name(index),
-                    run_id=0,
-                    step=step.step,
-                    incarnation=worker.incarnation,
-                    phase=RunPhase.STARTING,
-                    since_s=now_s,
-                )
-                worker.add(run)
-                trial.append((index, worker, run))
-            return [(index, worker) for index, worker, _ in trial]
-        finally:
-            for _, worker, run in trial:
-                worker.remove(run)
-
-    def _racks(self, step: TrackedStep) -> list[str]:
-        if not step.step.is_one_rack:
-            return [""]
-        racks = sorted({worker.view.rack for worker in self._scheduler_state.workers.values()})
-        racks.sort(key=lambda rack: rack != step.step.near_rack)
-        return [*racks, ""]
-
-    def _gang_checkpoint(self, step: TrackedStep) -> str:
-        saved = step.tracked_job.checkpoints
-        names = (step.name(index) for index in range(step.step.count))
-        return next((saved[name] for name in names if name in saved), "")
+            yield replace(self._start_order(step, run), checkpoint=checkpoint)
 
     def _start_order(self, step: TrackedStep, run: Run) -> StartOrder:
         return StartOrder(
