Count a copy that is being stopped as a copy until it has ended

Cause: the end of the current run made a copy current that was being stopped, so that it no longer counted against the room of copies and its line copy-in-vain didn't say that it was one.

Change: only a copy that isn't being stopped becomes current.

--- a/src/shallotworks/scheduling/_tracked_jobs.py
+++ b/src/shallotworks/scheduling/_tracked_jobs.py
@@ -158,13 +158,13 @@
         self.runs[run.name].is_paired = True
 
     def remove_run(self, run: Run) -> None:
-        """Record that a run has ended; a copy takes the place of the current one."""
+        """Record that a run has ended; a copy that isn't being stopped becomes current."""
         alive = self.live_runs.get(run.name, set())
         alive.discard(run)
         if self.runs.get(run.name) is run:
             del self.runs[run.name]
             other = next((one for one in alive if one.is_copy), None)
-            if other is not None:
+            if other is not None and not other.is_stop_requested:
                 other.is_copy = False
                 self.runs[run.name] = other
         if not alive:
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -238,8 +238,8 @@
                 self.assertEqual([], harness.starts())
                 (waste,) = harness.events("copy-in-vain")
                 self.assertEqual(
-                    (other.run_id, "stopped", "done-elsewhere"),
-                    (waste["run"], waste["how"], waste["reason"]),
+                    (other.run_id, bool(1 - index), "stopped", "done-elsewhere"),
+                    (waste["run"], waste["is_copy"], waste["how"], waste["reason"]),
                 )
 
     def test_a_copy_that_is_being_started_is_stopped_once_the_task_is_done(self) -> None:
