Take the hold of requests back, and the cap on large jobs

Change: a pool asks for what each moment lacks, as before. What a pool returns, and its failures, stay.

Measured: tests of sizing, returns, the machine controller and weights pass.

--- a/src/shallotworks/scheduling/_service_scheduler.py
+++ b/src/shallotworks/scheduling/_service_scheduler.py
@@ -34,8 +34,6 @@
 
 __all__ = ["ServiceScheduler"]
 
-MIN_STEADY_WORKERS = 32
-"""Pools of fewer workers request machines for each moment; see `SizingLimits`."""
 DECISION_INTERVAL_S = 0.2
 """Decisions are taken at least this often, since some depend on time alone and on no event."""
 DECISION_PAUSE_RATIO = 2.0
@@ -112,10 +110,7 @@
             order=self._team_weights.order,
             team_rooms=self._team_limits.rooms,
         )
-        self._sizer = PoolSizer(
-            scheduler_state=self.scheduler_state,
-            limits=SizingLimits(min_steady_workers=MIN_STEADY_WORKERS),
-        )
+        self._sizer = PoolSizer(scheduler_state=self.scheduler_state, limits=SizingLimits())
         self._wait_monitor = WaitMonitor(
             scheduler_state=self.scheduler_state, metrics=dependencies.metrics, log=dependencies.log
         )
--- a/src/shallotworks/scheduling/machines/_demand.py
+++ b/src/shallotworks/scheduling/machines/_demand.py
@@ -11,17 +11,10 @@
 import math
 from collections.abc import Sequence
 from dataclasses import dataclass
-from statistics import median
 
 from .._tracked_jobs import Arrival
 
-__all__ = [
-    "Arrival",
-    "DemandLimits",
-    "forecast_demand_cores",
-    "present_demand_cores",
-    "shows_rate",
-]
+__all__ = ["Arrival", "DemandLimits", "forecast_demand_cores"]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -41,8 +34,6 @@
             seconds to arrive, and the middle of the window is half a second ago.
         max_growth_ratio: Upper bound of the extrapolated growth as a ratio of the present demand,
             since no growth continues without limit.
-        max_job_ratio: A job counts at most as this multiple of the median job of the window, so
-            that a single large job is not taken for a rate.
     """
 
     window_s: float = 1.0
@@ -51,7 +42,6 @@
     min_growth_jobs: int = 10
     forecast_s: float = 2.5
     max_growth_ratio: float = 1.0
-    max_job_ratio: float = 8.0
 
 
 def forecast_demand_cores(
@@ -65,42 +55,13 @@
         limits: Limits of the forecast.
     """
     recent = _arrivals_between(arrivals, wall_s - limits.window_s, wall_s)
-    recent = _capped(recent, limits)
     earlier = _arrivals_between(arrivals, wall_s - 2 * limits.window_s, wall_s - limits.window_s)
     now_cores = _arrival_cores(recent, wall_s, limits)
     return now_cores * (1 + _growth_ratio(len(recent), len(earlier), limits))
 
 
-def present_demand_cores(
-    arrivals: Sequence[Arrival], *, wall_s: float, limits: DemandLimits
-) -> float:
-    """Return the core-seconds that arrived per second in the last window."""
-    recent = _arrivals_between(arrivals, wall_s - limits.window_s, wall_s)
-    return sum(core_s for _, core_s in _capped(recent, limits)) / limits.window_s
-
-
-def shows_rate(arrivals: Sequence[Arrival], *, wall_s: float, limits: DemandLimits) -> bool:
-    """Whether enough jobs arrived in the last window to show a rate."""
-    recent = _arrivals_between(arrivals, wall_s - limits.window_s, wall_s)
-    return len(recent) > limits.min_onset_jobs
-
-
-def _capped(recent: list[Arrival], limits: DemandLimits) -> list[Arrival]:
-    """Return arrivals whose core-seconds are capped near the median, if they show a rate."""
-    if len(recent) <= limits.min_onset_jobs or limits.max_job_ratio == math.inf:
-        return recent
-    cap_core_s = limits.max_job_ratio * median(core_s for _, core_s in recent)
-    return [(at_s, min(core_s, cap_core_s)) for at_s, core_s in recent]
-
-
 def _arrivals_between(arrivals: Sequence[Arrival], after_s: float, until_s: float) -> list[Arrival]:
-    rows: list[Arrival] = []
-    for row in reversed(arrivals):
-        if row[0] <= after_s:
-            break
-        if row[0] <= until_s:
-            rows.append(row)
-    return rows[::-1]
+    return [row for row in arrivals if after_s < row[0] <= until_s]
 
 
 def _arrival_cores(recent: list[Arrival], wall_s: float, limits: DemandLimits) -> float:
--- a/src/shallotworks/scheduling/machines/_sizing.py
+++ b/src/shallotworks/scheduling/machines/_sizing.py
@@ -7,9 +7,8 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from shallotworks.jobs import Step
 
@@ -17,9 +16,8 @@
 from .._placement import MIN_WORKERS_PER_LASTING_STEP
 from .._scheduler_state import SchedulerState
 from .._waiting import tasks_recovering
-from ._demand import DemandLimits, forecast_demand_cores, present_demand_cores, shows_rate
+from ._demand import DemandLimits, forecast_demand_cores
 from ._machine_records import PoolDemand
-from ._steady_demand import SteadyDemand, SteadyDemandLimits
 
 __all__ = ["PoolSizer", "SizingLimits"]
 
@@ -32,18 +30,12 @@
         backlog_s: Waiting work that the pool can finish within this time needs no more machines,
             because a machine takes longer to arrive.
         demand: Limits for measuring the demand of arriving jobs.
-        steady: Limits for holding a request until its machines have come.
-        min_steady_workers: A pool that has had fewer workers than this in the epoch holds no
-            request, and takes each job for what it states: among a few machines one more is a large
-            part, and a single job is all the load there is.
         idle_s: A worker may be offered once nothing has run on it for this long.
         drain_grace_s: Time that tasks which end by themselves get on a worker that is drained.
         lasting_exclusion_s: Lasting tasks are kept off a worker for this long after its offer was
             withdrawn, because an order to remove it may still arrive.
         isolated_jobs_per_worker: A pool with more jobs that wait with lost runs requests machines.
             Their tasks are started one by one on a worker, which takes a second, and some crash it.
-        long_task_s: Tasks longer than this need no more machines than their step uses at once.
-            Shorter ones wait behind others in a turn, and count in full.
         max_lacking: Upper limit of the machines requested at once by a pool with few workers.
         max_lacking_ratio: Upper limit for a larger pool, as a multiple of its workers: in a burst a
             queue demands several times its mean, however large its pool is.
@@ -52,12 +44,9 @@
     backlog_s: float = 0.8
     idle_s: float = 0.3
     demand: DemandLimits = field(default_factory=DemandLimits)
-    steady: SteadyDemandLimits = field(default_factory=SteadyDemandLimits)
-    min_steady_workers: int = 0
     drain_grace_s: float = 1.5
     lasting_exclusion_s: float = 3.0
     isolated_jobs_per_worker: int = 2
-    long_task_s: float = 4.0
     max_lacking: int = 64
     max_lacking_ratio: float = 4.0
 
@@ -91,21 +80,11 @@
         limits: Limits for sizing.
     """
 
-    __slots__ = (
-        "_cordoned",
-        "_has_been_large",
-        "_idle_since",
-        "_limits",
-        "_offered",
-        "_scheduler_state",
-        "_steady",
-    )
+    __slots__ = ("_cordoned", "_idle_since", "_limits", "_offered", "_scheduler_state")
 
     def __init__(self, *, scheduler_state: SchedulerState, limits: SizingLimits) -> None:
         self._scheduler_state = scheduler_state
         self._limits = limits
-        self._steady = SteadyDemand(limits=limits.steady)
-        self._has_been_large = False
         self._idle_since: dict[str, float] = {}
         self._cordoned: dict[str, float] = {}
         """Workers that are being drained, with the time since when."""
@@ -120,17 +99,9 @@
             wall_s: Time of day, in seconds since 1970.
         """
         self._track_idle(now_s)
-        self._has_been_large |= len(self._usable()) >= self._limits.min_steady_workers
-        lacking, available = self._lacking(wall_s), len(self._available())
+        lacking = self._lacking(wall_s)
         self._cordon_due(due, now_s)
         offered = self._surplus(now_s, wall_s)
-        if self._has_been_large:
-            lacking = self._steady.update(
-                lacking=lacking,
-                available=available,
-                load_cores=self._load_cores(wall_s),
-                now_s=now_s,
-            )
         for worker in self._scheduler_state.workers.values():
             self._set_offered(worker, worker.worker_id in offered, now_s)
         self._offered = offered
@@ -203,9 +174,6 @@
             if worker.is_listed and not worker.view.is_draining
         ]
 
-    def _available(self) -> list[Worker]:
-        return [worker for worker in self._usable() if worker.worker_id not in self._cordoned]
-
     def _lacking(self, wall_s: float) -> int:
         """Return the number of machines that the pool needs beyond those it has.
 
@@ -215,14 +183,17 @@
         machines even while all its tasks run, which is common at the start of a burst after the
         first machines have arrived.
         """
+        waiting_millicore_s = self._waiting_millicore_s(wall_s)
+        arrivals = self._scheduler_state.arrivals
+        arriving = 1000 * forecast_demand_cores(arrivals, wall_s=wall_s, limits=self._limits.demand)
         usable = self._usable()
         size = max((worker.view.cpu_millicores for worker in usable), default=0)
         size = size or DEFAULT_MACHINE_MILLICORES
-        waiting_millicore_s = self._waiting_millicore_s(
-            wall_s, machine_millicores=size if self._has_been_large else math.inf
+        available_millicores = sum(
+            worker.view.cpu_millicores
+            for worker in usable
+            if worker.worker_id not in self._cordoned
         )
-        arriving = self._arriving_millicores(wall_s)
-        available_millicores = sum(worker.view.cpu_millicores for worker in self._available())
         isolation_lack = self._lacking_for_isolation(len(usable))
         if not waiting_millicore_s and arriving <= available_millicores and not isolation_lack:
             return 0 if usable else self._lacking_for_jobs_beyond_weight()
@@ -241,67 +212,15 @@
         jobs = self._scheduler_state.count_jobs_with_lost_runs()
         return max(0, jobs // self._limits.isolated_jobs_per_worker - usable)
 
-    def _arriving_millicores(self, wall_s: float) -> float:
-        """Return the demand of arriving jobs; a few jobs show no rate and count by their tasks.
-
-        Their waiting tasks count as backlog, so that only the running ones are left.
-        """
-        arrivals, limits = self._scheduler_state.arrivals, self._limits.demand
-        if not self._has_been_large:
-            limits = replace(limits, max_job_ratio=math.inf)
-        forecast = 1000 * forecast_demand_cores(arrivals, wall_s=wall_s, limits=limits)
-        if not self._has_been_large or shows_rate(arrivals, wall_s=wall_s, limits=limits):
-            return forecast
-        return min(forecast, self._running_millicores())
-
-    def _running_millicores(self) -> float:
-        """Return what the tasks use that end by themselves and were not started to fill a pool."""
-        return float(
-            sum(
-                run.step.cpu_millicores
-                for worker in self._usable()
-                for run in worker.runs.values()
-                if not run.step.is_lasting and not run.step.is_filler
-            )
-        )
-
-    def _load_cores(self, wall_s: float) -> float:
-        """Return the cores that arriving, waiting and running tasks demand.
-
-        It does not depend on how many of the tasks have been started.
-        """
-        arriving = present_demand_cores(
-            self._scheduler_state.arrivals, wall_s=wall_s, limits=self._limits.demand
-        )
-        waiting = sum(
-            len(entry.waiting) * entry.step.cpu_millicores
-            for entry in self._scheduler_state.open_steps()
-            if not (entry.step.is_lasting or entry.step.is_filler or entry.is_hopeless(wall_s))
-        )
-        return arriving + (self._running_millicores() + waiting) / 1000
-
-    def _waiting_millicore_s(self, wall_s: float, *, machine_millicores: float = math.inf) -> float:
-        """Return the work of waiting tasks that may be in time.
-
-        Args:
-            wall_s: Time of day, in seconds since 1970.
-            machine_millicores: Size of a machine. A step that fills more than one machine counts
-                at most for what its tasks can use at once, if they are long or few steps wait.
-        """
-        open_steps = list(self._scheduler_state.open_steps())
-        are_few = len(open_steps) <= self._limits.demand.min_onset_jobs
+    def _waiting_millicore_s(self, wall_s: float) -> float:
         total = 0.0
-        for entry in open_steps:
+        for entry in self._scheduler_state.open_steps():
             step = entry.step
             if step.is_filler or entry.is_hopeless(wall_s) or entry.tracked_job.is_beyond_weight:
                 continue
             length_s = max(step.estimated_s, 0.1)
             if step.is_lasting:
                 length_s = self._limits.backlog_s
-            elif len(entry.waiting) * step.cpu_millicores > machine_millicores and (
-                length_s > self._limits.long_task_s or are_few
-            ):
-                length_s = min(length_s, self._limits.backlog_s)
             total += len(entry.waiting) * max(step.cpu_millicores, 1) * length_s
         return total
 
