Count the processor of copies once a decision, and say rules in one place

Cause: each copy that was wanted walked all workers and runs again for the bound on copies' processor, also where no worker could take one. The contract of a worker's report stood on two methods.

Change: a decision counts the processor of copies once and adds what it starts; the bound is the same. ReportReader.apply refers to the state's method. The docstrings keep the line that names the failure. No assertion changes.

--- a/src/shallotworks/scheduling/_copy_starts.py
+++ b/src/shallotworks/scheduling/_copy_starts.py
@@ -28,8 +28,10 @@
     wanted = state.copies.wanted(now_s, wall_s)
     if not wanted or state.pending_recovery or _has_waiting_task_in_time(state, wall_s):
         return
+    used_millicores, most_millicores = state.copies.processor_millicores()
     for step, reason in wanted:
-        if most <= 0 or not state.copies.may_use(step.step.cpu_millicores):
+        cpu_millicores = step.step.cpu_millicores
+        if most <= 0 or used_millicores + cpu_millicores > most_millicores:
             return
         team = step.tracked_job.job.team
         if team and not state.team_rooms.has_room(team, Resources.of(step.step)):
@@ -38,6 +40,7 @@
         if worker is None:
             continue
         most -= 1
+        used_millicores += cpu_millicores
         state.team_rooms.take(team, Resources.of(step.step))
         run_id = state.next_run_id()
         copy = state.new_copy(step, reason.run.name.number, worker, run_id, now_s)
--- a/src/shallotworks/scheduling/_report_reader.py
+++ b/src/shallotworks/scheduling/_report_reader.py
@@ -57,17 +57,7 @@
         now_s: float,
         wall_s: float,
     ) -> None:
-        """Record a worker's answer to a poll.
-
-        Args:
-            worker: The worker.
-            report: Its answer.
-            order_token: Fencing token of the poll, which may have been sent to an earlier
-                incarnation.
-            sent_s: When the poll was sent, on the scheduler's clock in seconds.
-            now_s: Time on the scheduler's clock in seconds.
-            wall_s: Time of day in seconds.
-        """
+        """Record a worker's answer to a poll; see `SchedulerState.apply_report`."""
         worker.is_fenced = worker.is_fenced or order_token >= worker.order_token
         worker.clock_ms, worker.clock_at_s = report.clock_ms, now_s
         for end in report.ended:
--- a/src/shallotworks/scheduling/duties/_succession.py
+++ b/src/shallotworks/scheduling/duties/_succession.py
@@ -46,7 +46,7 @@
         instance: Name of this instance.
         strength: Its strength, 0 to 1.
         min_strength_ratios: By lease, the least ratio of a claimant's strength to the holder's;
-            1.0 or less for a lease that is not named means none.
+            none is required for a lease that is not named.
     """
 
     __slots__ = (
--- a/src/shallotworks/scheduling/workers/_copies.py
+++ b/src/shallotworks/scheduling/workers/_copies.py
@@ -106,14 +106,14 @@
             if not is_suspect and _attempts_left(tracked_job, run) >= MIN_ATTEMPTS_LEFT:
                 yield step, run
 
-    def may_use(self, cpu_millicores: int) -> bool:
-        """Whether copies may use this much more processor."""
+    def processor_millicores(self) -> tuple[int, float]:
+        """Return how much processor copies use, and how much they may use at most."""
         used = total = 0
         for worker in self._workers.values():
             if worker.is_listed and not worker.view.is_draining:
                 total += worker.view.cpu_millicores
             used += sum(run.step.cpu_millicores for run in worker.runs.values() if run.is_copy)
-        return used + cpu_millicores <= total * MAX_COPY_RATIO
+        return used, total * MAX_COPY_RATIO
 
     def workers_for(self, run: Run, now_s: float, wall_s: float) -> tuple[list[Worker], ...]:
         """Return the workers that may take a copy: first those of other racks, then the rest."""
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -238,10 +238,7 @@
         run_fleet(scenario)
 
     def test_the_holder_dies_after_the_claim(self) -> None:
-        """After the holder's death another weak instance was first, although a strong one waited.
-
-        The key ends with its lease, and only then the claimant can bid.
-        """
+        """After the holder's death a weak instance was first, although a strong one waited."""
 
         async def scenario(fleet: DutyFleet) -> None:
             await start_with_weak_holder(fleet, "strong")
@@ -456,10 +453,7 @@
     def test_all_instances_restart_in_turn(
         self, _: str, services: int, weak: int, has_claims: bool
     ) -> None:
-        """A claimed lease changed hands twice, since its claimant was the next to be stopped.
-
-        Bound: no lease goes by a claim to an instance that stops within 2 s after that.
-        """
+        """A claimed lease changed hands twice, since its claimant was the next to be stopped."""
 
         async def scenario(fleet: DutyFleet) -> None:
             names = [f"n{number}" for number in range(5)]
--- a/tests/test_load_monitor.py
+++ b/tests/test_load_monitor.py
@@ -70,11 +70,7 @@
     def test_a_turn_on_half_a_core_is_seen_although_the_processor_clock_follows_the_time(
         self, _: str, lateness_periods: list[tuple[float, int]], expected: list[str]
     ) -> None:
-        """A scheduler on 0.516 of a core fell behind in its queue's turn, and no line said so.
-
-        The load: the event loop runs late by 0.15 s for each 0.1 s of waiting. The processor clock
-        reads 1.94 times what the process may use, with and without load.
-        """
+        """A scheduler on 0.516 of a core fell behind in its queue's turn, and no line said so."""
         lines: list[str] = []
 
         def write(data: bytes) -> int:
--- a/tests/test_pool_failures.py
+++ b/tests/test_pool_failures.py
@@ -20,10 +20,7 @@
 
 class ControllerReplacedTests(unittest.TestCase):
     def test_moves_of_a_dead_controller_count_for_its_successor(self) -> None:
-        """Guards against a turn that gets its machines twice, which other queues then lack.
-
-        The controller dies 0.8 s after its orders; its successor's lease begins 0.4 s later.
-        """
+        """Guards against a turn that gets its machines twice, which other queues then lack."""
 
         async def scenario() -> None:
             machine_harness = MachineHarness(antenna=10, spare=60)
@@ -91,11 +88,7 @@
     def test_an_order_that_failed_is_given_again(
         self, _name: str, status: MachineOrderStatus, after_s: float, before_s: float
     ) -> None:
-        """Guards against a turn without machines, and against two machines for one request.
-
-        A refused order is given again in the next round. An unanswered one may be under way, and
-        counts as such for 4 s.
-        """
+        """Guards against a turn without machines, and against two machines for one request."""
 
         async def scenario() -> None:
             machine_harness = MachineHarness(antenna=10, spare=8)
@@ -156,10 +149,7 @@
 
 class DataCentreTests(unittest.TestCase):
     def test_a_pool_requests_machines_for_those_that_are_cut_off(self) -> None:
-        """Guards against a turn that fails while half of its pool is in a data centre that is away.
-
-        Six workers of 4 cores already lack machines; three of them leave discovery.
-        """
+        """Guards against a turn that fails while half of its pool is in a cut-off data centre."""
         harness = SizingHarness(*(f"w{number}" for number in range(6)))
         for number in range(8):
             harness.add_arrival(f"j{number}", at_s=number * 0.1, count=6)
@@ -171,10 +161,7 @@
 
 class SchedulerReplacedTests(unittest.TestCase):
     def test_a_new_scheduler_requests_machines_for_the_jobs_that_it_reads(self) -> None:
-        """Guards against a turn without machines after its scheduler was replaced.
-
-        32 tasks of one core wait on a pool of two workers of 4 cores.
-        """
+        """Guards against a turn without machines after its scheduler was replaced."""
         harness = SizingHarness("a", "b")
         for number in range(8):
             inherited = job(f"j{number}", step(4), accepted_s=WALL_S)
