Keep the workers that a step which needs advice may run on

Cause: a pool offers its idle workers to other pools and keeps as many as its waiting tasks need. Which ones are kept was left to their order. Where advice allows only offered workers, they stayed cordoned for good.

Change: a waiting step that needs advice keeps all idle workers, as steps with a label and gangs do, but those that late work is to return.

Measured: test_a_step_that_needs_advice_keeps_all_workers failed before and passes now. The test beside it, of recalled workers, passes on both: it keeps the change from idling them.

--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -102,15 +102,30 @@
             }
         )
 
+    def advised_steps(self) -> list[TrackedStep]:
+        """Return the steps with waiting tasks that only workers which advice allows may run."""
+        return [
+            step
+            for tracked_job in self.tracked_jobs.values()
+            if tracked_job.job.policy.is_advised
+            for step in tracked_job.steps.values()
+            if step.waiting
+        ]
+
     def tasks_to_place(self, now_s: float, wall_s: float) -> Iterator[WaitingTasks]:
         """Yield the waiting tasks by step, and lasting tasks that may soon have to be moved.
 
+        Tasks that need advice are omitted: no number of workers is sure to hold one that may run
+        them; see `advised_steps`.
+
         Both count as demand for workers. Otherwise a pool that waits for answers of all workers
         before it starts earlier jobs, or for the leases of a silent worker to expire, would offer
         its idle workers to other pools. Lasting tasks are not placed on an offered worker until 3 s
         after the offer was withdrawn.
         """
         for tracked_job in self.tracked_jobs.values():
+            if tracked_job.job.policy.is_advised:
+                continue
             for step in tracked_job.steps.values():
                 if step.waiting:
                     yield WaitingTasks(step.step, len(step.waiting), step.is_hopeless(wall_s))
--- a/src/shallotworks/scheduling/machines/_sizing.py
+++ b/src/shallotworks/scheduling/machines/_sizing.py
@@ -15,6 +15,7 @@
 from .._model import Worker
 from .._placement import MIN_WORKERS_PER_LASTING_STEP
 from .._scheduler_state import SchedulerState
+from .._tracked_jobs import TrackedStep
 from .._waiting import tasks_recovering
 from ._demand import DemandLimits, forecast_demand_cores
 from ._machine_records import PoolDemand
@@ -72,6 +73,15 @@
     )
 
 
+def _may_run_any(worker: Worker, advised: list[TrackedStep], wall_s: float) -> bool:
+    """Whether a worker may run one of some steps that need advice.
+
+    If it was lent, none of those that stay might be allowed, and the step would wait for as long as
+    the pool lends that worker.
+    """
+    return any(not (worker.is_yielding and step.is_hopeless(wall_s)) for step in advised)
+
+
 class PoolSizer:
     """Sizes the pool of one service.
 
@@ -242,10 +252,13 @@
 
         Only as many are reserved as are needed by tasks that wait or may be lost. On a large pool
         there is nearly always a job that has just arrived, or a silent worker with lasting tasks. A
-        pool that lent nothing in such moments would never lend. Workers that late work is kept off
-        are not reserved for late work either, because they would stay idle.
+        pool that lent nothing in such moments would never lend. A step that needs advice reserves
+        all workers. Workers that late work is kept off are not reserved for late work either,
+        because they would stay idle.
         """
         in_time, late = self._reserved_for_tasks(now_s, wall_s)
+        advised = self._scheduler_state.advised_steps()
+        free = [one for one in free if not _may_run_any(one, advised, wall_s)]
         # Prefer to reserve workers that are not offered: after a withdrawn offer, lasting tasks are
         # kept off the worker for a while.
         free = sorted(free, key=lambda worker: worker.worker_id in self._offered)
--- a/tests/test_pool_sizing.py
+++ b/tests/test_pool_sizing.py
@@ -6,7 +6,7 @@
 
 from shallotworks.jobs import Blame, Incarnation, JobProgress, LostRun
 from shallotworks.scheduling import EndKind, PoolDemand, PoolSizer, RunningTask, SizingLimits
-from tests.scheduling_fakes import WALL_S, SchedulingHarness, job, step, view
+from tests.scheduling_fakes import WALL_S, SchedulingHarness, job, policy, step, view
 
 LIMITS = SizingLimits(backlog_s=0.8, idle_s=0.3, drain_grace_s=1.5)
 
@@ -230,6 +230,25 @@
         harness.add_job(job("j", step(1, label="big")))
         self.assertEqual((), harness.assess().free)
 
+    def test_a_step_that_needs_advice_keeps_all_workers(self) -> None:
+        """Guards against lending the only workers that may run a waiting step."""
+        harness = SizingHarness(*(f"w{number}" for number in range(8)))
+        harness.assess()
+        harness.now_s += 1.0
+        self.assertEqual(8, len(harness.assess().free))
+        harness.add_job(job("j", step(1), policy=policy(is_advised=True)))
+        self.assertEqual((), harness.assess().free)
+
+    def test_late_work_that_needs_advice_does_not_keep_recalled_workers(self) -> None:
+        """Guards against idle workers that are neither used for late work nor returned."""
+        harness = SizingHarness("a", "b")
+        harness.add_job(job("j", step(1), policy=policy(is_advised=True)))
+        harness.sizer.restrict_late_work(1)
+        harness.assess()
+        harness.now_s += 1.0
+        yielding = [name for name in "ab" if harness.worker(name).is_yielding]
+        self.assertEqual(tuple(yielding), harness.assess(after_s=100.0).free)
+
     def test_busy_workers_are_not_offered(self) -> None:
         """A worker with a running task is not offered."""
         harness = SizingHarness("a", "b")
