Ask for advice on all workers in turn, and keep the answers

Cause: each request for advice named the twelve least loaded workers, and nothing noted what earlier answers had said, so that on an idle service the same twelve were asked about for good. An answer also replaced the one before, and a step with a permit for a full worker asked for no other.

Change: StepAdvice keeps the answers by incarnation and names the workers to ask about next; requests grow while answers are quick and shrink after one that is missing; four are under way at once, those of steps that were refused everywhere last. Tickets hold for the incarnation that was asked about. The line `advice` says how many workers were asked about, allowed and refused. The test of the engine that set the permits of a step by hand records an answer instead; what it asserts is unchanged.

--- a/src/shallotworks/platform/_machines.py
+++ b/src/shallotworks/platform/_machines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
@@ -24,6 +25,9 @@
 """Timeout of a request for advice: the service takes time for each worker in it and handles one
 request at a time of each instance."""
 DEFAULT_ADVICE_VALID_MS = 1000
+MAX_ADVICE_CALLS = 4
+"""Calls to the advice service at the same time, over all services that this instance schedules.
+The service handles them in turn, so that the timeout of a call would pass while it waits there."""
 
 _STATUS_BY_HTTP_STATUS = {
     200: MachineOrderStatus.OBEYED,
@@ -118,10 +122,11 @@
         client: HTTP client of the advice service; ``None`` if no such service is configured.
     """
 
-    __slots__ = ("_client",)
+    __slots__ = ("_calls", "_client")
 
     def __init__(self, *, client: HttpClient | None) -> None:
         self._client = client
+        self._calls = asyncio.Semaphore(MAX_ADVICE_CALLS)
 
     async def request_permits(
         self, step: tuple[str, int, int], worker_ids: tuple[str, ...]
@@ -132,9 +137,10 @@
                 Failure(kind=ErrorKind.UNREACHABLE, reason="no advice service is configured")
             )
         body = {"step": ".".join(str(part) for part in step), "workers": list(worker_ids)}
-        answer = await self._client.call(
-            "POST", "/v1/advise", body=body, timeout_s=ADVICE_TIMEOUT_S
-        )
+        async with self._calls:
+            answer = await self._client.call(
+                "POST", "/v1/advise", body=body, timeout_s=ADVICE_TIMEOUT_S
+            )
         if not isinstance(answer, HttpAnswer) or answer.status != 200:
             return Err(Failure(kind=ErrorKind.UNREACHABLE, reason=f"advice: {answer}"))
         try:
--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -23,6 +23,7 @@
 from ._placement import Candidates, Placement
 from ._room import Room
 from ._scheduler_state import SchedulerState
+from ._step_advice import StepAdvice
 from ._tracked_jobs import TrackedStep
 from ._wait_reason import WaitReason
 from .teams import TeamRooms
@@ -39,10 +40,9 @@
 STALL_TIMEOUT_ESTIMATE_RATIO = 0.3
 """The stall timeout is at least this ratio of the task's estimated time, because the percentage of
 the longest tasks seldom changes."""
-MAX_WORKERS_PER_ADVICE_REQUEST = 12
-"""Workers named in one advice request. The advice service takes some time for each of them."""
-ADVICE_RETRY_INTERVAL_S = 1.0
-"""Minimum time between two advice requests for a step."""
+MAX_ADVICE_REQUESTS = 4
+"""Requests for advice under way at the same time. The advice service handles one at a time of each
+instance, so more would only wait there, and name workers whose load has changed meanwhile."""
 MIN_DRAIN_REMAINING_S = 2.0
 """A draining worker keeps serving for at least this long. A checkpointed task that needs longer is
 moved at once."""
@@ -51,6 +51,11 @@
 decision, so that the process can first renew leases, poll workers and publish the demand of its
 pool."""
 
+_REASONS_BEFORE_PERMIT = frozenset(
+    {WaitReason.UNLISTED, WaitReason.UNREACHED, WaitReason.DRAINING, WaitReason.LABEL}
+)
+"""Reasons to reject a worker that a permit doesn't overcome."""
+
 Decision = StartOrder | StopOrder | PaceOrder | AdviceRequest
 """One order or advice request that a decision yields."""
 
@@ -66,6 +71,7 @@
     """
 
     __slots__ = (
+        "_asking",
         "_held_worker_ids",
         "_jobs_with_lost_runs",
         "_now_s",
@@ -87,6 +93,8 @@
         self._team_rooms = team_rooms
         self._scheduler_state = scheduler_state
         self._order = order
+        self._asking: list[StepAdvice] = []
+        """Steps with a request for advice under way."""
         self._held_worker_ids: set[str] = set()
         """Workers whose room is held for lasting tasks in this decision."""
         self._jobs_with_lost_runs = 0
@@ -208,36 +216,41 @@
             self._scheduler_state.open_steps(), key=lambda step: self._order(step, wall_s)
         )
         unplaced_sizes: list[tuple[int, int, int]] = []
+        without_permits: list[TrackedStep] = []
         self._room = Room(self._scheduler_state.workers.values(), steps)
         self._held_worker_ids.clear()
         self._scheduler_state.team_rooms = self._team_rooms()
         self._jobs_with_lost_runs = self._scheduler_state.count_jobs_with_lost_runs()
         for step in steps:
             if self.has_reached_start_limit:
-                return
+                break
             if not self._may_start_some(step, unplaced_sizes, now_s):
                 continue
-            if step.tracked_job.job.policy.is_advised and not step.permits:
-                yield from self._request_advice(step, now_s)
-                continue
-            if step.step.is_gang:
-                yield from self._start_gang(step, now_s)
-                continue
-            if step.tracked_job.progress.lost:
-                yield from self._start_beside_suspects(step, now_s)
+            yield from self._start_waiting(step, now_s)
+            if not step.waiting:
                 continue
-            yield from self._start_tasks(step, step.waiting, now_s)
-            if step.waiting and step.step.is_lasting:
-                self._hold_worker_for_lasting(step, now_s)
-            if (
-                step.waiting
-                and _waits_only_for_capacity(step)
+            if step.tracked_job.job.policy.is_advised:
+                without_permits.append(step)
+            elif (
+                _waits_only_for_capacity(step)
                 and not step.is_hopeless(wall_s)
                 and self._has_team_room(step)
             ):
                 unplaced_sizes.append(
                     (step.step.cpu_millicores, step.step.memory_mb, step.step.gpus)
                 )
+        yield from self._request_advice(without_permits, now_s, wall_s)
+
+    def _start_waiting(self, step: TrackedStep, now_s: float) -> Iterator[StartOrder]:
+        """Start the tasks of a step for which there is room."""
+        if step.step.is_gang:
+            yield from self._start_gang(step, now_s)
+        elif step.tracked_job.progress.lost:
+            yield from self._start_beside_suspects(step, now_s)
+        else:
+            yield from self._start_tasks(step, step.waiting, now_s)
+            if step.waiting and step.step.is_lasting:
+                self._hold_worker_for_lasting(step, now_s)
 
     def _may_start_some(
         self, step: TrackedStep, unplaced_sizes: list[tuple[int, int, int]], now_s: float
@@ -351,11 +364,13 @@
         The worker with the most room is held. Since nothing is started there, it has the most room
         in the next decision too. Tasks of a burst take a second or two.
         """
-        placement = Placement.of(step, now_s=now_s, wall_s=self._wall_s)
+        placement = Placement.of(step, now_s=now_s, wall_s=self._wall_s, needs_permits=False)
+        is_advised = step.tracked_job.job.policy.is_advised
         fitting = [
             worker
             for worker in self._scheduler_state.workers.values()
             if placement.rejection_reason(worker) is WaitReason.ROOM
+            and (not is_advised or step.advice.ticket(worker.incarnation))
             and not worker.is_cordoned
             and worker.lasting_allowed_from_s <= now_s
             and worker.fits_beside_lasting(step.step)
@@ -385,22 +400,41 @@
             incarnation=run.incarnation,
             spec=step.tracked_job.job.spec,
             checkpoint=step.tracked_job.checkpoints.get(run.name, ""),
-            ticket=step.permits.get(run.worker_id, ""),
+            ticket=step.advice.ticket(run.incarnation),
         )
 
-    def _request_advice(self, step: TrackedStep, now_s: float) -> Iterator[AdviceRequest]:
-        if step.is_asking or now_s - step.advised_s < ADVICE_RETRY_INTERVAL_S:
-            return
-        usable = [
-            worker
-            for worker in self._scheduler_state.workers.values()
-            if worker.is_fenced and worker.is_listed and not worker.view.is_draining
-        ]
-        usable.sort(key=lambda worker: worker.cpu_used / max(1, worker.view.cpu_millicores))
-        if usable:
-            step.is_asking = True
-            ids = tuple(worker.worker_id for worker in usable[:MAX_WORKERS_PER_ADVICE_REQUEST])
-            yield AdviceRequest(step=step.key, worker_ids=ids)
+    def _request_advice(
+        self, steps: list[TrackedStep], now_s: float, wall_s: float
+    ) -> Iterator[AdviceRequest]:
+        """Ask for advice on steps that wait although they were offered all permitted workers.
+
+        Steps of which all workers were refused come last, and otherwise the step whose last request
+        is the oldest comes first. Steps for which no worker is allowed thus don't keep others from
+        asking.
+        """
+        self._asking = [advice for advice in self._asking if advice.is_asking]
+        for step in sorted(steps, key=lambda one: (one.advice.is_in_vain, one.advice.asked_s)):
+            if len(self._asking) >= MAX_ADVICE_REQUESTS:
+                return
+            workers = step.advice.due_request(
+                self._workers_to_permit(step, now_s, wall_s),
+                most=self._scheduler_state.advice_request_size.most,
+                now_s=now_s,
+            )
+            if workers:
+                step.advice.note_asked(now_s)
+                self._asking.append(step.advice)
+                yield AdviceRequest(step=step.key, workers=workers)
+
+    def _workers_to_permit(
+        self, step: TrackedStep, now_s: float, wall_s: float
+    ) -> Iterator[tuple[Worker, WaitReason | None]]:
+        """Yield the workers for which a permit could be of use, each with what else rejects it."""
+        placement = Placement.of(step, now_s=now_s, wall_s=wall_s, needs_permits=False)
+        for worker in self._scheduler_state.workers.values():
+            reason = placement.rejection_reason(worker)
+            if reason not in _REASONS_BEFORE_PERMIT:
+                yield worker, reason
 
 
 def _may_lease_lapse(worker: Worker) -> bool:
@@ -420,11 +454,7 @@
     """
     job_step = step.step
     return not (
-        job_step.is_lasting
-        or job_step.label
-        or job_step.most_per_worker
-        or job_step.is_filler
-        or step.permits
+        job_step.is_lasting or job_step.label or job_step.most_per_worker or job_step.is_filler
     )
 
 
--- a/src/shallotworks/scheduling/_order_dispatcher.py
+++ b/src/shallotworks/scheduling/_order_dispatcher.py
@@ -258,7 +258,7 @@
             worker.is_fenced = False
         elif status is OrderStatus.NO_TICKET:
             if step is not None:
-                step.permits.pop(worker.worker_id, None)
+                step.advice.note_ticket_refused(worker.incarnation)
         elif status is OrderStatus.INVALID:
             if step is not None:
                 step.note_refusal(now_s)
--- a/src/shallotworks/scheduling/_orders.py
+++ b/src/shallotworks/scheduling/_orders.py
@@ -103,11 +103,11 @@
 
     Args:
         step: The step, identified by its job, occurrence and number.
-        worker_ids: The workers to ask about, the best first.
+        workers: The incarnations to ask about, the best first. The answer holds for them alone.
     """
 
     step: tuple[str, int, int]
-    worker_ids: tuple[str, ...]
+    workers: tuple[Incarnation, ...]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/shallotworks/scheduling/_placement.py
+++ b/src/shallotworks/scheduling/_placement.py
@@ -34,7 +34,7 @@
         occurrence: The occurrence of the job.
         number: The number of the step in the job.
         now_s: The scheduler's clock in seconds.
-        permits: Ids of the workers that the advice service allows; ``None`` allows all.
+        permits: The workers that the advice service allows; ``None`` allows all.
         is_hopeless: Whether the job can't meet its objective any more. Its tasks then stay off
             workers that are to return to their lenders.
         is_spread: Whether tasks are placed on the least used workers instead of the fullest.
@@ -50,7 +50,7 @@
         occurrence: int,
         number: int,
         now_s: float,
-        permits: frozenset[str] | None = None,
+        permits: frozenset[Incarnation] | None = None,
         is_hopeless: bool = False,
         is_spread: bool = False,
     ) -> None:
@@ -63,7 +63,13 @@
 
     @classmethod
     def of(
-        cls, tracked_step: TrackedStep, *, now_s: float, wall_s: float, is_spread: bool = False
+        cls,
+        tracked_step: TrackedStep,
+        *,
+        now_s: float,
+        wall_s: float,
+        is_spread: bool = False,
+        needs_permits: bool = True,
     ) -> Placement:
         """Return the placement for the tasks of an open step.
 
@@ -72,15 +78,17 @@
             now_s: The scheduler's clock in seconds.
             wall_s: Time of day in seconds since 1970.
             is_spread: Whether tasks are placed on the least used workers.
+            needs_permits: Whether workers are rejected that the advice service has not allowed.
         """
         job = tracked_step.tracked_job.job
+        is_advised = needs_permits and job.policy.is_advised
         return cls(
             step=tracked_step.step,
             job_id=job.job_id,
             occurrence=tracked_step.occurrence,
             number=tracked_step.number,
             now_s=now_s,
-            permits=frozenset(tracked_step.permits) if job.policy.is_advised else None,
+            permits=tracked_step.advice.permitted(now_s) if is_advised else None,
             is_hopeless=tracked_step.is_hopeless(wall_s),
             is_spread=is_spread,
         )
@@ -112,7 +120,7 @@
             return WaitReason.DRAINING
         if self._step.label and self._step.label not in view.labels:
             return WaitReason.LABEL
-        if self._permits is not None and worker.worker_id not in self._permits:
+        if self._permits is not None and worker.incarnation not in self._permits:
             return WaitReason.PERMIT
         if not worker.fits(self._step):
             return _ROOM
--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -12,6 +12,7 @@
 from ._job_entries import JobEntries, StoredProgress
 from ._model import EndKind, Run, Worker, WorkerReport, WorkerView
 from ._report_reader import ReportReader
+from ._step_advice import AdviceRequestSize
 from ._tracked_jobs import TrackedStep
 from .teams import TeamRooms
 
@@ -49,6 +50,7 @@
         "_log",
         "_replaced_workers",
         "_report_reader",
+        "advice_request_size",
         "are_teams_competing",
         "pending_recovery",
         "team_rooms",
@@ -62,6 +64,7 @@
         self.pending_recovery: dict[str, float] = {}
         """Workers that may run tasks of earlier epochs and have not answered this scheduler, with
         the time on the scheduler's clock after which all these tasks have ended."""
+        self.advice_request_size = AdviceRequestSize()
         self.team_rooms = TeamRooms()
         """What each team could still start at the last decision."""
         self.teams_at_share: frozenset[str] = frozenset()
@@ -205,16 +208,8 @@
             # An earlier scheduler may have given orders to either start.
             self.crashes.note_earlier_runs_lost()
             self.pending_recovery[worker_id] = max(self.pending_recovery[worker_id], runs_end_s)
-        self._drop_permits(worker_id)
         return restarted
 
-    def _drop_permits(self, worker_id: str) -> None:
-        """Drop the tickets for a worker, which were valid for its earlier incarnation only."""
-        for tracked_job in self.tracked_jobs.values():
-            if tracked_job.job.policy.is_advised:
-                for step in tracked_job.steps.values():
-                    step.permits.pop(worker_id, None)
-
     def note_replaced(self, worker_id: str, now_s: float, wall_s: float) -> None:
         """Record that a worker has ended, since another one answered at its address."""
         worker = self.workers.get(worker_id)
--- a/src/shallotworks/scheduling/_service_scheduler.py
+++ b/src/shallotworks/scheduling/_service_scheduler.py
@@ -45,6 +45,8 @@
 PUBLISH_INTERVAL_S = 1.0
 """The published counts of waiting jobs may be up to 2 s old."""
 MAX_PENDING_WORKERS_LOGGED = 10
+MAX_ADVISED_WORKERS_LOGGED = 10
+MAX_LOGGED_REASON_CHARACTERS = 200
 MAX_RENEWAL_AGE_AT_HANDOVER_S = 1.0
 """An epoch ends without a handover if the store has not confirmed a renewal for this long, which is
 two renewal intervals."""
@@ -281,7 +283,9 @@
         try:
             self._apply_progress(job_id, item)
         except ValueError as error:
-            self._log("record-unreadable", id=job_id, reason=str(error)[:200])
+            self._log(
+                "record-unreadable", id=job_id, reason=str(error)[:MAX_LOGGED_REASON_CHARACTERS]
+            )
         self._order_dispatcher.wake()
 
     def _apply_progress(self, job_id: str, item: Item) -> None:
@@ -388,19 +392,39 @@
         self.is_prepared.set()
 
     async def _request_advice(self, request: AdviceRequest) -> None:
-        outcome = await self._dependencies.advice.request_permits(request.step, request.worker_ids)
+        worker_ids = tuple(worker.worker_id for worker in request.workers)
+        asked_s = self._dependencies.clock()
+        outcome = await self._dependencies.advice.request_permits(request.step, worker_ids)
+        now_s = self._dependencies.clock()
+        size = self.scheduler_state.advice_request_size
+        allowed, failure = None, None
+        if isinstance(outcome, Success):
+            permits = outcome.unwrap()
+            allowed = sum(1 for worker_id in worker_ids if worker_id in permits.tickets)
+            size.note_answered(now_s - asked_s)
+        else:
+            failure = outcome.failure().reason[:MAX_LOGGED_REASON_CHARACTERS]
+            size.note_unanswered(len(worker_ids))
         tracked_job = self.scheduler_state.tracked_jobs.get(request.step[0])
         step = tracked_job.steps.get(request.step[1:]) if tracked_job is not None else None
         if step is None:
             return
-        step.is_asking = False
-        step.advised_s = self._dependencies.clock()
         if isinstance(outcome, Success):
-            permits = outcome.unwrap()
-            step.permits = dict(permits.tickets)
-            loop = asyncio.get_running_loop()
-            loop.call_later(permits.valid_s, step.permits.clear)
-        self._log("advice", id=request.step[0], step=list(request.step[1:]), outcome=str(outcome))
+            step.advice.note_answered(request.workers, permits.tickets, permits.valid_s, now_s)
+        else:
+            step.advice.note_unanswered(now_s)
+        self._log(
+            "advice",
+            id=request.step[0],
+            step=list(request.step[1:]),
+            asked=len(worker_ids),
+            asked_named=worker_ids[:MAX_ADVISED_WORKERS_LOGGED],
+            workers=len(self.scheduler_state.workers),
+            took_s=round(now_s - asked_s, 3),
+            allowed=allowed,
+            failure=failure,
+            **step.advice.counts(),
+        )
         self._order_dispatcher.wake()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
--- a/src/shallotworks/scheduling/_tracked_jobs.py
+++ b/src/shallotworks/scheduling/_tracked_jobs.py
@@ -5,6 +5,7 @@
 from shallotworks.jobs import Incarnation, Job, JobProgress, Step, TaskName
 
 from ._model import Run
+from ._step_advice import StepAdvice
 
 __all__ = ["Arrival", "TrackedJob", "TrackedStep"]
 
@@ -31,14 +32,12 @@
     """
 
     __slots__ = (
-        "advised_s",
+        "advice",
         "critical_path_s",
-        "is_asking",
         "not_before_s",
         "number",
         "objective_ends_s",
         "occurrence",
-        "permits",
         "rack",
         "refusals",
         "step",
@@ -61,10 +60,8 @@
         """Estimated time from the start of the step to the end of its occurrence."""
         self.objective_ends_s = job.due_s(occurrence) + job.objective_s()
         self.useful_until_s = job.due_s(occurrence) + job.objective_s() * MAX_USEFUL_OBJECTIVES
-        self.permits: dict[str, str] = {}
-        """Tickets by worker id for the workers that the advice service allows."""
-        self.advised_s = -1e9
-        self.is_asking = False
+        self.advice = StepAdvice()
+        """Which workers may run the step, if the policy of its queue asks for advice."""
         self.refusals = 0
         """Number of starts that workers refused as invalid."""
         self.not_before_s = 0.0
--- a/src/shallotworks/scheduling/machines/_sizing.py
+++ b/src/shallotworks/scheduling/machines/_sizing.py
@@ -76,10 +76,14 @@
 def _may_run_any(worker: Worker, advised: list[TrackedStep], wall_s: float) -> bool:
     """Whether a worker may run one of some steps that need advice.
 
-    If it was lent, none of those that stay might be allowed, and the step would wait for as long as
-    the pool lends that worker.
+    One of which the answer is not known counts as allowed. If it was lent, none of those that stay
+    might be allowed, and the step would wait for as long as the pool lends that worker.
     """
-    return any(not (worker.is_yielding and step.is_hopeless(wall_s)) for step in advised)
+    return any(
+        not step.advice.is_refused(worker.incarnation)
+        and not (worker.is_yielding and step.is_hopeless(wall_s))
+        for step in advised
+    )
 
 
 class PoolSizer:
@@ -253,8 +257,8 @@
         Only as many are reserved as are needed by tasks that wait or may be lost. On a large pool
         there is nearly always a job that has just arrived, or a silent worker with lasting tasks. A
         pool that lent nothing in such moments would never lend. A step that needs advice reserves
-        all workers. Workers that late work is kept off are not reserved for late work either,
-        because they would stay idle.
+        all workers that it was not refused. Workers that late work is kept off are not reserved for
+        late work either, because they would stay idle.
         """
         in_time, late = self._reserved_for_tasks(now_s, wall_s)
         advised = self._scheduler_state.advised_steps()
--- a/src/shallotworks/standins/_task_workers.py
+++ b/src/shallotworks/standins/_task_workers.py
@@ -221,6 +221,8 @@
         self._extend_lease(lease_until_ms)
         if run.run_id <= self._highest_run_ids.get(run.name, 0):
             return self._refuse(OrderStatus.STALE_RUN)
+        if not self._fleet.is_permitted(self, order):
+            return self._refuse(OrderStatus.NO_TICKET)
         used_millicores = sum(self._fleet.cpu_millicores_of(name) for name, _ in self._runs)
         if self._is_over_capacity(used_millicores + self._fleet.cpu_millicores_of(run.name)):
             if self.refuses_overload:
@@ -357,6 +359,10 @@
         """Return the CPU demand of a task in millicores; 1000 if none is set."""
         return self.cpu_millicores.get(name, self.cpu_millicores.get(name.job_id, 1000))
 
+    def is_permitted(self, worker: TaskWorker, order: StartOrder) -> bool:
+        """Whether a start carries a valid ticket; subclasses that know of advice override it."""
+        return True
+
     def make_run(self, name: TaskName, run_id: int) -> _Run:
         """Return a new run of a task, with a random duration."""
         return _Run(
--- a/tests/scheduling_simulation.py
+++ b/tests/scheduling_simulation.py
@@ -23,6 +23,7 @@
 from shallotworks.logs import StructuredLog
 from shallotworks.metrics import Metrics
 from shallotworks.scheduling import (
+    AdviceService,
     LeaderElector,
     LeaseHolder,
     MachineRecords,
@@ -68,8 +69,10 @@
         team_of: Callable[[str], Team | None] = lambda _name: None,
         strength: float = 1.0,
         log: StructuredLog | None = None,
+        advice: AdviceService | None = None,
     ) -> None:
         self.name = name
+        self.advice = advice or AllowAllAdvice()
         self._log = log or quiet_log()
         self._service = service
         self._team_of = team_of
@@ -119,7 +122,7 @@
             store=self.store,
             orders=self.orders,
             directory=self.directory,
-            advice=AllowAllAdvice(),
+            advice=self.advice,
             machine_records=MachineRecords(log=quiet_log()),
             clock=self.now_s,
             wall_clock=self.now_s,
@@ -146,6 +149,7 @@
         service: The service.
         store: The store; by default one of its own.
         team_of: Returns a team by its name; by default there are none.
+        advice: The advice service; by default it allows all workers.
     """
 
     def __init__(
@@ -158,9 +162,11 @@
         service: str = SERVICE,
         store: RecordStore | None = None,
         team_of: Callable[[str], Team | None] = lambda _name: None,
+        advice: AdviceService | None = None,
     ) -> None:
         self.rng = random.Random(seed)
         self.service = service
+        self._advice = advice
         self._team_of = team_of
         self.store = store or RecordStore(rng=self.rng)
         self.fleet = fleet(rng=self.rng)
@@ -182,6 +188,7 @@
             team_of=self._team_of,
             strength=strength,
             log=log,
+            advice=self._advice,
         )
 
     def add(self, *, strength: float, log: StructuredLog | None = None) -> Instance:
--- a/tests/test_pool_sizing.py
+++ b/tests/test_pool_sizing.py
@@ -230,7 +230,7 @@
         harness.add_job(job("j", step(1, label="big")))
         self.assertEqual((), harness.assess().free)
 
-    def test_a_step_that_needs_advice_keeps_all_workers(self) -> None:
+    def test_a_step_that_needs_advice_keeps_the_workers_that_were_not_refused(self) -> None:
         """Guards against lending the only workers that may run a waiting step."""
         harness = SizingHarness(*(f"w{number}" for number in range(8)))
         harness.assess()
@@ -238,6 +238,10 @@
         self.assertEqual(8, len(harness.assess().free))
         harness.add_job(job("j", step(1), policy=policy(is_advised=True)))
         self.assertEqual((), harness.assess().free)
+        advice = harness.scheduler_state.tracked_jobs["j"].steps[(0, 0)].advice
+        asked = [harness.worker(f"w{number}").incarnation for number in range(6)]
+        advice.note_answered(asked, {"w2": "t"}, valid_s=1.0, now_s=harness.now_s)
+        self.assertEqual(("w0", "w1", "w3", "w4", "w5"), harness.assess().free)
 
     def test_late_work_that_needs_advice_does_not_keep_recalled_workers(self) -> None:
         """Guards against idle workers that are neither used for late work nor returned."""
--- a/tests/test_scheduling_decisions.py
+++ b/tests/test_scheduling_decisions.py
@@ -448,7 +448,8 @@
         self.assertEqual([AdviceRequest], [type(one) for one in asked])
         self.assertEqual([], harness.decide())
         entry = harness.scheduler_state.tracked_jobs["j"].steps[(0, 0)]
-        entry.is_asking, entry.permits = False, {"b": "t-b"}
+        incarnations = [harness.worker(one).incarnation for one in "ab"]
+        entry.advice.note_answered(incarnations, {"b": "t-b"}, valid_s=1.0, now_s=harness.now_s)
         starts = harness.start_orders()
         self.assertEqual([("b", "t-b")] * 2, [(one.run.worker_id, one.ticket) for one in starts])
 
