Read all ends of a worker before it counts as recovered

Cause: an answer to a poll lists 500 ends at most. The first answer was taken for the whole list, so that the worker counted as recovered and tasks whose ends followed counted as waiting. Within an epoch, a run whose end was on a later page was stopped as lost, or as standing still. Evidence: in the simulation with pages of 500, the successor's first poll reads 500 ends of 900, and 400 tasks start again before the second poll.

Change: a full page is marked as one that may leave out ends. Runs in neither list stay as they are, and the worker is recovered only once an answer holds all of its ends. A lease that this epoch extends meanwhile extends the recovery too, since the ends then still count. The workers of the simulation answer in pages, and the line `ends-cut-off` shows each.

--- a/src/shallotworks/platform/_workers.py
+++ b/src/shallotworks/platform/_workers.py
@@ -40,6 +40,9 @@
 """Number of workers of which the latest known incarnation is remembered."""
 WORKER_ID_HEADER = "Shallotworks-Expect-Instance"
 POLL_PATH = "/v1/hold"
+ENDS_PER_ANSWER = 500
+"""An answer to a poll lists this many ends at most, the first ones that are not acknowledged.
+Source: the platform's protocol."""
 ORDER_TIMEOUT_S = 0.7
 """Timeout of an order: healthy workers answer in a few milliseconds."""
 
@@ -271,10 +274,12 @@
 
 
 def _decode_report(body: dict[str, Any]) -> WorkerReport:
+    ended = tuple(_decode_ended(row) for row in json_array(body.get("ended", [])))
     return WorkerReport(
         clock_ms=int(json_number(body.get("clockMs", 0))),
         running=tuple(_decode_running(row) for row in json_array(body.get("running", []))),
-        ended=tuple(_decode_ended(row) for row in json_array(body.get("ended", []))),
+        ended=ended,
+        has_more_ends=len(ended) >= ENDS_PER_ANSWER,
     )
 
 
--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -159,8 +159,9 @@
         scheduler_state = self._scheduler_state
         for job_id in list(scheduler_state.jobs_with_future_occurrences):
             scheduler_state.open_due_steps(scheduler_state.tracked_jobs[job_id], wall_s)
-        for worker_id, until_s in list(scheduler_state.pending_recovery.items()):
-            if now_s > until_s:
+        for worker_id in list(scheduler_state.pending_recovery):
+            ends_s = scheduler_state.recovery_ends_s(worker_id)
+            if ends_s is not None and now_s > ends_s:
                 scheduler_state.crashes.note_earlier_runs_lost()
                 scheduler_state.note_recovered(worker_id, "leases out")
         for worker in list(scheduler_state.workers.values()):
--- a/src/shallotworks/scheduling/_report_reader.py
+++ b/src/shallotworks/scheduling/_report_reader.py
@@ -68,8 +68,12 @@
         for running_task in report.running:
             listed.add((running_task.name, running_task.run_id))
             self._handle_running_task(worker, running_task, now_s)
-        for run in [run for key, run in worker.runs.items() if key not in listed]:
-            self._handle_missing_run(worker, run, sent_s, now_s, wall_s)
+        missing = [run for key, run in worker.runs.items() if key not in listed]
+        if report.has_more_ends:
+            self._note_cut_off(worker, report, missing, now_s)
+        else:
+            for run in missing:
+                self._handle_missing_run(worker, run, sent_s, now_s, wall_s)
         worker.reported_s = now_s
         worker.has_answered_last_poll = True
         worker.connection_closed_s = None
@@ -167,6 +171,29 @@
             if run.missing_reports >= MISSING_REPORTS_BEFORE_STOP:
                 self._jobs.request_stop(run, "not-listed")
 
+    def _note_cut_off(
+        self, worker: Worker, report: WorkerReport, missing: list[Run], now_s: float
+    ) -> None:
+        """Leave the runs that a report does not list as they are, since it leaves out ends.
+
+        Their ends may be among those. They follow once the reported ones are acknowledged, and must
+        not be mistaken for tasks that stand still meanwhile.
+        """
+        for run in missing:
+            run.progressed_s = now_s
+        self._log.line(
+            "ends-cut-off",
+            worker=worker.worker_id,
+            born_ms=worker.view.born_ms,
+            ends=len(report.ended),
+            last_end=worker.highest_seen_end,
+            acknowledged=worker.acknowledged,
+            unsettled=len(worker.unsettled_ends),
+            running=len(report.running),
+            runs_in_neither=len(missing),
+            token=self._jobs.token,
+        )
+
     def _handle_end(self, worker: Worker, end: EndedTask, now_s: float, wall_s: float) -> None:
         run = worker.runs.get((end.name, end.run_id))
         tracked_job = self._jobs.tracked_jobs.get(end.name.job_id)
--- a/src/shallotworks/scheduling/_reports.py
+++ b/src/shallotworks/scheduling/_reports.py
@@ -71,9 +71,13 @@
     Args:
         clock_ms: The worker's own monotonic clock.
         running: The tasks that run on the worker.
-        ended: The ends that are not acknowledged yet, ordered by number.
+        ended: The ends that are not acknowledged yet, ordered by number; the first of them if
+            ``has_more_ends``.
+        has_more_ends: Whether the answer may leave out ends. They are reported once those before
+            them are acknowledged. A run that is in neither list may be active or have ended.
     """
 
     clock_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    has_more_ends: bool = False
--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -240,6 +240,18 @@
         if worker is not None:
             worker.is_listed = False
 
+    def recovery_ends_s(self, worker_id: str) -> float | None:
+        """Return when all runs of earlier epochs have ended on a worker; ``None`` if it recovered.
+
+        A worker that answers, but leaves out ends, may have its lease extended by this epoch. Its
+        ends then count for as long as that lease, and so do the runs that they are of.
+        """
+        ends_s = self.pending_recovery.get(worker_id)
+        worker = self.workers.get(worker_id)
+        if ends_s is None or worker is None:
+            return ends_s
+        return max(ends_s, worker.lease_ends_s)
+
     def note_recovered(self, worker_id: str, how: str) -> None:
         """Record that a worker's runs of earlier epochs are known, or have certainly ended."""
         if self.pending_recovery.pop(worker_id, None) is not None and not self.pending_recovery:
@@ -337,7 +349,8 @@
             now_s=now_s,
             wall_s=wall_s,
         )
-        self.note_recovered(worker.worker_id, "seen")
+        if not report.has_more_ends:
+            self.note_recovered(worker.worker_id, "seen")
 
     # ---- counts
 
--- a/src/shallotworks/scheduling/_waiting.py
+++ b/src/shallotworks/scheduling/_waiting.py
@@ -302,10 +302,10 @@
         )
 
     def _recovery(self, now_s: float) -> RecoveryWait:
-        pending = self._scheduler_state.pending_recovery
-        return RecoveryWait(
-            unseen=tuple(sorted(pending)), left_s=max(0.0, max(pending.values()) - now_s)
-        )
+        state = self._scheduler_state
+        pending = sorted(state.pending_recovery)
+        ends_s = max(state.recovery_ends_s(worker_id) or now_s for worker_id in pending)
+        return RecoveryWait(unseen=tuple(pending), left_s=max(0.0, ends_s - now_s))
 
     def _count(self, summary: WaitSummary, now_s: float) -> None:
         last_s, self._last_report_s = self._last_report_s, now_s
--- a/src/shallotworks/scheduling/_worker_tracker.py
+++ b/src/shallotworks/scheduling/_worker_tracker.py
@@ -204,7 +204,7 @@
         active_workers: dict[str, ActiveWorker] = {}
         for worker_id, worker in self._scheduler_state.workers.items():
             address, born_ms = worker.view.address, worker.view.born_ms
-            runs_ended_s = self._scheduler_state.pending_recovery.get(worker_id)
+            runs_ended_s = self._scheduler_state.recovery_ends_s(worker_id)
             if runs_ended_s is not None:
                 active_workers[worker_id] = ActiveWorker(
                     address=address, left_s=max(0.0, runs_ended_s - now_s), born_ms=born_ms
--- a/src/shallotworks/standins/_task_workers.py
+++ b/src/shallotworks/standins/_task_workers.py
@@ -26,6 +26,7 @@
 
 MAX_LEASE_S = 6.0
 STOP_DURATION_S = 0.2
+ENDS_PER_ANSWER = 500
 FIRST_BORN_MS = 1_700_000_000_000
 """Start of the first worker in milliseconds since 1970; each later start is a millisecond later."""
 CAPACITY_REDUCTION_GRACE_S = 4.5
@@ -83,6 +84,11 @@
         """The worker's own monotonic clock, which has a random offset from the loop's clock."""
         return int((self._now_s() + self._clock_offset_s) * 1000)
 
+    @property
+    def holds_lease(self) -> bool:
+        """Whether the worker's lease has not expired."""
+        return self._now_s() < self._lease_ends_at_s
+
     def resize(self, cpu_millicores: int) -> None:
         """Change the capacity that the worker has and that discovery lists."""
         self._former_capacities.append((self._now_s(), self.view.cpu_millicores))
@@ -180,13 +186,15 @@
         if lease_until_ms is not None:
             self._extend_lease(lease_until_ms)
         now_s = self._now_s()
+        ended = tuple(self._ended[: self._fleet.ends_per_answer])
         report = WorkerReport(
             clock_ms=self.clock_ms,
             running=tuple(
                 RunningTask(name=run.name, run_id=run.run_id, percent=run.percent(now_s))
                 for run in self._runs.values()
             ),
-            ended=tuple(self._ended),
+            ended=ended,
+            has_more_ends=len(ended) >= self._fleet.ends_per_answer,
         )
         return OrderOutcome(
             status=OrderStatus.OBEYED,
@@ -290,6 +298,9 @@
         self.unlisted: set[str] = set()
         self.view_change_count = 0
         """Tests increment it when they change a worker's view, so that `version` differs."""
+        self.ends_per_answer = ENDS_PER_ANSWER
+        """Number of ends that an answer to a poll lists; the next ones follow when the listed ones
+        are acknowledged."""
         self.violations: list[str] = []
         self.started = 0
         self.work_s: dict[str, float] = {}
