Keep an inherited share until the running tasks are known

Cause: a successor counts its inherited share as used while workers of earlier epochs have not answered. The list of these workers and the teams' records are read side by side at the start of an epoch. If the records came first, the list was empty and nothing counted as used, so that the share was given up and another service used it beside the tasks that still ran. Evidence: in a drawn history, `team-share` with 0 at 3.696 s, 8 ms before `epoch-prepared`, and 12 of 8 cores running at 3.704 s.

Change: shares are reviewed only once the epoch is prepared.

--- a/src/shallotworks/scheduling/_service_scheduler.py
+++ b/src/shallotworks/scheduling/_service_scheduler.py
@@ -97,6 +97,7 @@
         self.service = service
         self._lease = lease
         self._dependencies = dependencies
+        self.is_prepared = asyncio.Event()
         self._keys = JobKeys(service=service)
         self.scheduler_state = SchedulerState(
             service=service, token=lease.token, log=dependencies.log
@@ -163,6 +164,7 @@
             clock=dependencies.clock,
             log=dependencies.log,
             on_change=self._order_dispatcher.request_decision,
+            is_prepared=self.is_prepared,
         )
         self._watcher = PrefixWatcher(
             store=dependencies.store,
@@ -194,7 +196,6 @@
             service=service, lease=lease, begun_s=dependencies.clock(), log=dependencies.log
         )
         self._background_tasks: set[asyncio.Task[None]] = set()
-        self.is_prepared = asyncio.Event()
 
     @property
     def is_calm(self) -> bool:
--- a/src/shallotworks/scheduling/teams/_team_shares.py
+++ b/src/shallotworks/scheduling/teams/_team_shares.py
@@ -39,9 +39,21 @@
         clock: Seconds, counting suspended time.
         log: Receives a line for each change and each record that can't be read.
         on_change: Called after the shares have changed.
+        is_prepared: Set once the workers are known on which tasks of earlier epochs may run. A share
+            that was given up before would be used by another service beside these tasks.
     """
 
-    __slots__ = ("_clock", "_lease", "_limits", "_log", "_on_change", "_store", "_wake", "_watcher")
+    __slots__ = (
+        "_clock",
+        "_is_prepared",
+        "_lease",
+        "_limits",
+        "_log",
+        "_on_change",
+        "_store",
+        "_wake",
+        "_watcher",
+    )
 
     def __init__(
         self,
@@ -52,8 +64,10 @@
         clock: Callable[[], float],
         log: StructuredLog,
         on_change: Callable[[], None],
+        is_prepared: asyncio.Event,
     ) -> None:
         self._limits = limits
+        self._is_prepared = is_prepared
         self._lease = lease
         self._store = store
         self._clock = clock
@@ -76,7 +90,9 @@
 
     async def _review_repeatedly(self) -> None:
         await self._watcher.synced.wait()
+        await self._is_prepared.wait()
         self._limits.is_synced = True
+        self._on_change()
         while True:
             writes = self._limits.due_writes(self._clock())
             if writes:
--- a/tests/test_team_limits.py
+++ b/tests/test_team_limits.py
@@ -161,7 +161,28 @@
 
         run_scenario(scenario())
 
-    @parameterized.expand([(seed,) for seed in range(8)])
+    def test_a_successor_keeps_the_share_of_tasks_that_still_run(self) -> None:
+        """Guards against a share that is given up before the tasks of earlier epochs are known."""
+
+        async def scenario() -> None:
+            simulation = TeamSimulation(seed=3, limit_millicores=8_000)
+            first, second, _ = simulation.services
+            await asyncio.sleep(1.0)
+            first.fleet.work_s["long"] = 20.0
+            await simulation.submit(first, "long", 8)
+            await asyncio.sleep(1.0)
+            await simulation.submit(second, "waiting", 20)
+            for _ in range(3):
+                scheduler = first.scheduler()
+                assert scheduler is not None
+                await first.replace(scheduler)
+                await asyncio.sleep(4.0)
+                self.assertEqual([], simulation.over_limit)
+            await simulation.kill()
+
+        run_scenario(scenario())
+
+    @parameterized.expand([(seed,) for seed in (*range(8), 11, 56)])
     def test_drawn_histories(self, seed: int) -> None:
         """Guards against a team over its limit beside kills, cuts, late orders and new limits."""
 
