Grant one wide task at a time what it needs of a team's limit

Cause: while the services of a team want more than its limit, it is divided in proportion to the wants, whether a part can hold a task or not. The same holds for gangs, memory and GPUs, and for a single task beside a flood.

Change: tasks that a service's part can't hold are no want of it. It claims what the smallest of them needs; the oldest claim is granted in full, and the others divide the rest as their tasks end. What the record grants still bounds each start, and a record without claims is written as before. In a commit, the teams whose share was changed longest ago come first. The test of the target passes the part that it computed itself before; its figures are unchanged.

--- a/src/shallotworks/scheduling/teams/_team_limits.py
+++ b/src/shallotworks/scheduling/teams/_team_limits.py
@@ -10,12 +10,13 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from shallotworks.jobs import Resources, Team
 
+from ._share_claims import ShareClaim, ShareClaims
 from ._team_rooms import UNLIMITED, TeamRooms
 
 if TYPE_CHECKING:
@@ -45,11 +46,39 @@
 
     Args:
         granted: What the team's tasks may use on the service.
-        wanted: What they would use there now.
+        wanted: What they would use there now, without tasks that the service's part can't hold.
+        claim: What one of those tasks needs.
     """
 
     granted: Resources = NOTHING
     wanted: Resources = NOTHING
+    claim: ShareClaim | None = None
+
+
+class _Usage(NamedTuple):
+    """What may run for a team on this service, and how much of that doesn't end by itself."""
+
+    used: Resources = NOTHING
+    lasting: Resources = NOTHING
+
+
+class _Demand(NamedTuple):
+    """Waiting tasks that start alike.
+
+    Args:
+        start: What the fewest of them that may start request.
+        total: What all of them request.
+    """
+
+    start: Resources
+    total: Resources
+
+
+class _Want(NamedTuple):
+    """What a team would use on this service now, and the share with which a wide task fits."""
+
+    wanted: Resources
+    needed: Resources | None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -72,7 +101,7 @@
 class _TeamRecord:
     """A team's record as last read, and the writes of which the outcome is open."""
 
-    __slots__ = ("inherited", "pending", "revision", "shares", "written_s")
+    __slots__ = ("claims", "first", "inherited", "pending", "revision", "shares", "written_s")
 
     def __init__(self) -> None:
         self.shares: dict[str, TeamShare] = {}
@@ -82,6 +111,9 @@
         self.inherited: Resources | None = None
         """The service's share when this epoch first read the record."""
         self.written_s = -1e9
+        self.claims = ShareClaims()
+        self.first: tuple[str, ShareClaim] | None = None
+        """The claim that was to be granted at the last review, and its service."""
 
 
 class TeamLimits:
@@ -145,8 +177,8 @@
     def _own(self, record: _TeamRecord) -> TeamShare:
         return record.shares.get(self._service, TeamShare())
 
-    def _others(self, record: _TeamRecord) -> list[TeamShare]:
-        return [share for service, share in record.shares.items() if service != self._service]
+    def _others(self, record: _TeamRecord) -> dict[str, TeamShare]:
+        return {name: share for name, share in record.shares.items() if name != self._service}
 
     # ---- starts
 
@@ -155,8 +187,8 @@
         teams = self._limited_teams()
         if not teams:
             return TeamRooms()
-        used = self._used(teams)
-        return TeamRooms({name: self._room(team, used[name]) for name, team in teams.items()})
+        usage = self._usage(teams)
+        return TeamRooms({name: self._room(team, usage[name].used) for name, team in teams.items()})
 
     def _room(self, team: Team, used: Resources) -> Resources:
         granted = self._granted(team)
@@ -179,19 +211,40 @@
         granted = self._own(record).granted
         for _, pending in record.pending:
             granted = granted.at_most(pending)
-        others = self._others(record)
-        if _are_short(team, others):
+        if self._are_others_short(team, record):
             # The part that is to be given up becomes free as tasks end.
-            granted = granted.at_most(_fair_share(team.limit, self._own(record).wanted, others))
+            granted = granted.at_most(self._part(team, record, self._own(record).wanted))
+        others = self._others(record).values()
         return granted.at_most(team.limit.minus(_total(share.granted for share in others)))
 
+    def _are_others_short(self, team: Team, record: _TeamRecord) -> bool:
+        """Whether another service wants more than it has, or has a claim that isn't met."""
+        if any(_exceeds(team, one.wanted, one.granted) for one in self._others(record).values()):
+            return True
+        if record.first is None or record.first[0] == self._service:
+            return False
+        name, claim = record.first
+        return _exceeds(team, claim.needed, record.shares.get(name, TeamShare()).granted)
+
+    def _part(self, team: Team, record: _TeamRecord, wanted: Resources) -> Resources:
+        """Return this service's part of the limit, beside the claim that is to be granted."""
+        others = self._others(record)
+        if record.first is None:
+            return _fair_share(team.limit, wanted, others.values())
+        name, claim = record.first
+        if name == self._service:
+            return claim.needed.at_least(_fair_share(team.limit, wanted, others.values()))
+        others.pop(name, None)
+        left = team.limit.minus(claim.needed).at_least(NOTHING)
+        return _fair_share(left, wanted, others.values())
+
     def _limited_teams(self) -> dict[str, Team]:
         names = {tracked.job.team for tracked in self._scheduler_state.tracked_jobs.values()}
         names.update(self._records)
         teams = (self._team_of(name) for name in names if name)
         return {team.name: team for team in teams if team is not None and any(team.limit)}
 
-    def _used(self, teams: Iterable[str]) -> dict[str, Resources]:
+    def _usage(self, teams: Iterable[str]) -> dict[str, _Usage]:
         """Return what may run for each team on this service.
 
         Until all workers of earlier epochs have answered, all that an earlier scheduler may have
@@ -200,46 +253,54 @@
         state = self._scheduler_state
         adopted = dict.fromkeys(teams, NOTHING)
         started = dict.fromkeys(teams, NOTHING)
+        lasting = dict.fromkeys(teams, NOTHING)
         for worker in state.workers.values():
             for run in worker.runs.values():
                 if run.team in started:
                     sums = started if state.has_started(run) else adopted
                     sums[run.team] = sums[run.team].plus(Resources.of(run.step))
+                    if run.step.is_lasting:
+                        lasting[run.team] = lasting[run.team].plus(Resources.of(run.step))
         if state.pending_recovery:
             for name in adopted:
                 record = self._records.get(name)
                 if record is not None and record.inherited is not None:
                     adopted[name] = adopted[name].at_least(record.inherited)
-        return {name: adopted[name].plus(started[name]) for name in adopted}
+        return {name: _Usage(adopted[name].plus(started[name]), lasting[name]) for name in adopted}
 
     # ---- shares
 
     def due_writes(self, now_s: float) -> list[ShareWrite]:
-        """Return the changes of shares that are due, at most one a team."""
+        """Return the changes of shares that are due, at most one a team, the oldest share first."""
         teams = self._limited_teams() if self.is_synced else {}
         if not teams:
             return []
-        used = self._used(teams)
-        wanted = self._wanted(teams, used)
+        usage = self._usage(teams)
+        wants = self._wants(teams, usage)
         writes = []
-        for name, team in teams.items():
-            record = self._records.setdefault(name, _TeamRecord())
-            write = self._due_write(team, record, used[name], wanted[name], now_s)
+        for name, team in sorted(teams.items(), key=lambda row: self._record(row[0]).written_s):
+            write = self._due_write(team, self._record(name), usage[name].used, wants[name], now_s)
             if write is not None:
                 writes.append(write)
         return writes
 
-    def _wanted(self, teams: Iterable[str], used: dict[str, Resources]) -> dict[str, Resources]:
+    def _record(self, team: str) -> _TeamRecord:
+        return self._records.setdefault(team, _TeamRecord())
+
+    def _wants(self, teams: dict[str, Team], usage: dict[str, _Usage]) -> dict[str, _Want]:
         """Return what each team would use here: what runs, and what waits and finds room soon."""
         state = self._scheduler_state
-        waiting = dict.fromkeys(teams, NOTHING)
+        demands: dict[str, dict[Resources, _Demand]] = {name: {} for name in teams}
         for tracked in state.tracked_jobs.values():
-            if tracked.job.team in waiting:
-                demand = _total(
-                    Resources.of(step.step, len(step.waiting)) for step in tracked.steps.values()
-                )
-                waiting[tracked.job.team] = waiting[tracked.job.team].plus(demand)
-        free = _total(
+            if tracked.job.team in demands:
+                by_start = demands[tracked.job.team]
+                for step in tracked.steps.values():
+                    if step.waiting:
+                        start = Resources.of_smallest_start(step.step)
+                        total = Resources.of(step.step, len(step.waiting))
+                        before = by_start.get(start, _Demand(start, NOTHING))
+                        by_start[start] = _Demand(start, before.total.plus(total))
+        free = [
             Resources(
                 worker.view.cpu_millicores - worker.cpu_used,
                 worker.view.memory_mb - worker.memory_used,
@@ -247,25 +308,59 @@
             ).at_least(NOTHING)
             for worker in state.workers.values()
             if worker.is_listed and not worker.view.is_draining
-        )
+        ]
+        total_free = _total(free)
         return {
-            name: used[name].plus(
-                demand.at_most(free.plus(Resources(*(int(n * CHURN_RATIO) for n in used[name]))))
-            )
-            for name, demand in waiting.items()
+            name: self._want(team, usage[name], list(demands[name].values()), total_free)
+            for name, team in teams.items()
         }
 
+    def _want(self, team: Team, usage: _Usage, demands: list[_Demand], free: Resources) -> _Want:
+        """Return a team's want, in which tasks that the resulting part can't hold don't count.
+
+        What they would use can't be used, so that other services would be held back in vain.
+        """
+        others = self._others(self._record(team.name)).values()
+        used = usage.used
+        soon = free.plus(Resources(*(int(n * CHURN_RATIO) for n in used)))
+        fitting, wide = demands, []
+        while True:
+            demand = _total(one.total for one in fitting)
+            wanted = used.plus(demand.at_most(soon)).at_most(team.limit.at_least(used))
+            part = _fair_share(team.limit, wanted, others)
+            too_wide = [
+                one for one in fitting if _exceeds(team, usage.lasting.plus(one.start), part)
+            ]
+            if not too_wide:
+                break
+            wide += too_wide
+            fitting = [one for one in fitting if one not in too_wide]
+        needed = [
+            used.plus(one.start)
+            for one in wide
+            if one.start.is_within(free) and not _exceeds(team, used.plus(one.start), team.limit)
+        ]
+        return _Want(wanted, min(needed, key=lambda one: _ratio(team, one), default=None))
+
     def _due_write(
-        self, team: Team, record: _TeamRecord, used: Resources, wanted: Resources, now_s: float
+        self, team: Team, record: _TeamRecord, used: Resources, want: _Want, now_s: float
     ) -> ShareWrite | None:
         own, others = self._own(record), self._others(record)
-        wanted = wanted.at_most(team.limit.at_least(used))
-        target = _target(team.limit, used=used, wanted=wanted, others=others)
-        is_short = _exceeds(team, wanted, own.granted)
+        wanted = want.wanted
+        claim = record.claims.renew(want.needed, revision=record.revision, now_s=now_s)
+        claims = {name: share.claim for name, share in others.items() if share.claim is not None}
+        if claim is not None:
+            claims[self._service] = claim
+        record.first = record.claims.first(claims, service=self._service, now_s=now_s)
+        part = self._part(team, record, wanted)
+        target = _target(team.limit, part, used=used, others=others.values())
+        is_first = record.first is not None and record.first[0] == self._service
+        is_short = _exceeds(team, wanted, own.granted) or is_first
         may_grow = is_short and _exceeds(team, target, own.granted)
         must_signal = is_short and _exceeds(team, wanted, own.wanted, SIGNAL_RATIO)
+        must_signal = must_signal or _is_news(team, claim, own.claim)
         is_over = _exceeds(team, own.granted, target)
-        must_yield = is_over and _are_short(team, others)
+        must_yield = is_over and self._are_others_short(team, record)
         must_tidy = _exceeds(team, own.wanted, wanted, TIDY_RATIO)
         age_s = now_s - record.written_s
         if not (
@@ -276,7 +371,7 @@
             return None
         # A share that its service no longer wants is kept until another service is short.
         granted = target if may_grow or must_yield else own.granted
-        share = TeamShare(granted=granted, wanted=wanted)
+        share = TeamShare(granted=granted, wanted=wanted, claim=claim)
         if share == own:
             return None
         return ShareWrite(
@@ -289,30 +384,36 @@
     def fields(self) -> list[dict[str, object]]:
         """Return the teams that use or want something here, as fields of a log line."""
         teams = self._limited_teams()
-        used = self._used(teams)
-        wanted = self._wanted(teams, used)
+        usage = self._usage(teams)
+        wants = self._wants(teams, usage)
         return [
             {
                 "team": name,
                 "limit": list(team.limit),
                 "granted": list(self._granted(team)),
-                "used": list(used[name]),
-                "wanted": list(wanted[name]),
+                "used": list(usage[name].used),
+                "wanted": list(wants[name].wanted),
+                "needed": wants[name].needed,
+                "first_claim": self._record(name).first,
             }
             for name, team in teams.items()
-            if any(wanted[name])
+            if any(wants[name].wanted) or wants[name].needed is not None
         ]
 
 
 def _target(
-    limit: Resources, *, used: Resources, wanted: Resources, others: list[TeamShare]
+    limit: Resources,
+    part: Resources,
+    *,
+    used: Resources,
+    others: Collection[TeamShare],
 ) -> Resources:
     """Return the share that a service should have: at most what the others leave, or what runs."""
     left = limit.minus(_total(share.granted for share in others))
-    return _fair_share(limit, wanted, others).at_most(left).at_least(used)
+    return part.at_most(left).at_least(used)
 
 
-def _fair_share(limit: Resources, wanted: Resources, others: list[TeamShare]) -> Resources:
+def _fair_share(limit: Resources, wanted: Resources, others: Collection[TeamShare]) -> Resources:
     """Return a service's part of the limit.
 
     If all wants fit into the limit, each service has what it wants and a part of the rest.
@@ -337,8 +438,16 @@
     )
 
 
-def _are_short(team: Team, shares: list[TeamShare]) -> bool:
-    return any(_exceeds(team, share.wanted, share.granted) for share in shares)
+def _ratio(team: Team, amount: Resources) -> float:
+    """Return the largest part of a limit that an amount takes."""
+    return max(mine / most for mine, most in zip(amount, team.limit, strict=True) if most)
+
+
+def _is_news(team: Team, claim: ShareClaim | None, published: ShareClaim | None) -> bool:
+    """Whether other services have to know of a claim, or of its end."""
+    if claim is None or published is None:
+        return claim is not published
+    return claim.since != published.since or _exceeds(team, claim.needed, published.needed)
 
 
 def _total(amounts: Iterable[Resources]) -> Resources:
@@ -349,15 +458,23 @@
 
 
 def _encode(shares: dict[str, TeamShare]) -> bytes:
-    rows = {service: [share.granted, share.wanted] for service, share in sorted(shares.items())}
+    rows = {
+        service: [share.granted, share.wanted, *(share.claim or ())]
+        for service, share in sorted(shares.items())
+    }
     return json.dumps(rows, separators=(",", ":")).encode()
 
 
 def _decode(value: bytes) -> dict[str, TeamShare]:
     try:
         return {
-            str(service): TeamShare(Resources(*row[0]), Resources(*row[1]))
+            str(service): TeamShare(Resources(*row[0]), Resources(*row[1]), _decode_claim(row))
             for service, row in json.loads(value).items()
         }
     except (AttributeError, LookupError, TypeError) as error:
         raise ValueError(f"team record can't be decoded: {error!r}") from error
+
+
+def _decode_claim(row: list[Any]) -> ShareClaim | None:
+    """Return the claim of a row, which earlier releases write without one."""
+    return ShareClaim(Resources(*row[2]), int(row[3])) if len(row) > 3 else None
--- a/src/shallotworks/scheduling/teams/_team_shares.py
+++ b/src/shallotworks/scheduling/teams/_team_shares.py
@@ -134,6 +134,7 @@
                 team=write.team,
                 granted=list(write.share.granted),
                 wanted=list(write.share.wanted),
+                claim=write.share.claim,
                 revision=committed.revision,
                 token=self._lease.token,
             )
--- a/tests/test_team_limits.py
+++ b/tests/test_team_limits.py
@@ -9,7 +9,13 @@
 
 from shallotworks.jobs import Resources, Team
 from shallotworks.scheduling import WaitReason, waiting_reason
-from shallotworks.scheduling.teams._team_limits import TeamLimits, TeamShare, _encode, _target
+from shallotworks.scheduling.teams._team_limits import (
+    TeamLimits,
+    TeamShare,
+    _encode,
+    _fair_share,
+    _target,
+)
 from tests.scheduling_fakes import SchedulingHarness, job, step, view
 from tests.team_simulation import TEAM, TeamSimulation
 from tests.virtual_clock import run_scenario
@@ -46,7 +52,8 @@
     ) -> None:
         """Guards against shares that add up to more than the limit, and against hoarded ones."""
         shares = [TeamShare(cores(granted), cores(want)) for granted, want in others]
-        target = _target(cores(limit), used=cores(used), wanted=cores(wanted), others=shares)
+        part = _fair_share(cores(limit), cores(wanted), shares)
+        target = _target(cores(limit), part, used=cores(used), others=shares)
         self.assertEqual(cores(expected), target)
 
 
