--- a/src/shallotworks/scheduling/teams/_team_shares.py
+++ b/src/shallotworks/scheduling/teams/_team_shares.py
@@ -39,8 +39,8 @@
         clock: Seconds, counting suspended time.
         log: Receives a line for each change and each record that can't be read.
         on_change: Called after the shares have changed.
-        is_prepared: Set once the workers are known on which tasks of earlier epochs may run. A share
-            that was given up before would be used by another service beside these tasks.
+        is_prepared: Set once the workers are known on which tasks of earlier epochs may run. If a
+            share was given up before, another service would use it beside these tasks.
     """
 
     __slots__ = (
