Store the progress first that was stored longest ago

Callers saw: nothing yet. With more than 60 jobs of a service that change within each commit, the ends of later jobs would not be acknowledged.

Cause: a round of commits takes the first 60 changed jobs in the order of their arrival. Found among the lists that are cut at a number. Evidence: with 81 changed jobs, a commit of 0.3 s and 80 jobs that change every 50 ms, the last one is not stored after 3 s.

Change: changed jobs are ordered by the revision of their stored progress.

Measured: test_the_progress_that_has_waited_longest_is_stored_first failed before and passes now, with the other tests of the writer.

--- a/src/shallotworks/scheduling/_job_entries.py
+++ b/src/shallotworks/scheduling/_job_entries.py
@@ -205,8 +205,9 @@
     # ---- stored progress
 
     def unstored_jobs(self) -> list[TrackedJob]:
-        """Return the jobs whose latest progress is not stored."""
-        return [tracked_job for tracked_job in self.tracked_jobs.values() if tracked_job.is_dirty]
+        """Return the jobs whose latest progress is not stored, the one stored longest ago first."""
+        dirty = [tracked_job for tracked_job in self.tracked_jobs.values() if tracked_job.is_dirty]
+        return sorted(dirty, key=lambda tracked_job: tracked_job.revision)
 
     def note_stored(self, stored: StoredProgress) -> None:
         """Record that progress was stored, so that the ends in it may be acknowledged."""
--- a/tests/test_finished_jobs.py
+++ b/tests/test_finished_jobs.py
@@ -136,6 +136,42 @@
 
         run_scenario(scenario())
 
+    def test_the_progress_that_has_waited_longest_is_stored_first(self) -> None:
+        """Guards against ends that are never acknowledged, since others change all the time."""
+
+        async def scenario() -> None:
+            store = FaultInjectingStore(store=RecordStore(rng=random.Random(1)))
+            harness = SchedulingHarness(view("a", cpu_millicores=90_000, memory_mb=90_000))
+            lease = await acquire(store)
+            names = [f"{number:04}" for number in range(81)]
+            jobs = harness.scheduler_state.tracked_jobs
+            for name in names:
+                harness.add_job(job(name, step(2)))
+                harness.report("a", ended=((TaskName(name, 0, 0, 0), 5, EndKind.DONE),))
+                store.store.apply_commit(
+                    Commit(writes=(Write(key=KEYS.progress(name), value=b""),))
+                )
+                jobs[name].revision = store.store.revision
+            store.faults.delay_s = 0.3
+            writer = ProgressWriter(
+                scheduler_state=harness.scheduler_state,
+                lease=lease,
+                store=store,
+                log=quiet_log(),
+                metrics=Metrics(),
+                on_stored=lambda: None,
+            )
+            writer.wake.set()
+            running = asyncio.create_task(writer.run())
+            for _ in range(60):
+                await asyncio.sleep(0.05)
+                for name in names[:-1]:
+                    jobs[name].changes += 1
+            self.assertFalse(jobs[names[-1]].is_dirty)
+            running.cancel()
+
+        run_scenario(scenario())
+
 
 class HandOverTests(unittest.TestCase):
     def test_a_stopped_scheduler_records_only_workers_with_runs(self) -> None:
