Count requests for advice until they are answered

Callers would see: after four jobs have ended or were cancelled while their steps asked for advice, no step of the service asks any more (LOST).

Cause: the answer was recorded by looking the step up. If it had ended, its request counted as under way for good, and four may be at a time.

Change: a request holds the advice that it is for, and each answer ends it. The steps of a team are also divided in one pass where many differ in size.

Measured: test_steps_that_end_while_they_ask_do_not_keep_others_from_asking failed before and passes now, with the other tests of advice and of limits.

--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -425,7 +425,7 @@
             if workers:
                 step.advice.note_asked(now_s)
                 self._asking.append(step.advice)
-                yield AdviceRequest(step=step.key, workers=workers)
+                yield AdviceRequest(step=step.key, workers=workers, advice=step.advice)
 
     def _workers_to_permit(
         self, step: TrackedStep, now_s: float, wall_s: float
--- a/src/shallotworks/scheduling/_orders.py
+++ b/src/shallotworks/scheduling/_orders.py
@@ -9,6 +9,7 @@
 
 from ._reports import WorkerReport
 from ._runs import Run
+from ._step_advice import StepAdvice
 
 __all__ = [
     "AdviceRequest",
@@ -104,10 +105,12 @@
     Args:
         step: The step, identified by its job, occurrence and number.
         workers: The incarnations to ask about, the best first. The answer holds for them alone.
+        advice: Receives the answer, also if the step has ended meanwhile.
     """
 
     step: tuple[str, int, int]
     workers: tuple[Incarnation, ...]
+    advice: StepAdvice
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/shallotworks/scheduling/_service_scheduler.py
+++ b/src/shallotworks/scheduling/_service_scheduler.py
@@ -403,17 +403,11 @@
             permits = outcome.unwrap()
             allowed = sum(1 for worker_id in worker_ids if worker_id in permits.tickets)
             size.note_answered(now_s - asked_s)
+            request.advice.note_answered(request.workers, permits.tickets, permits.valid_s, now_s)
         else:
             failure = outcome.failure().reason[:MAX_LOGGED_REASON_CHARACTERS]
             size.note_unanswered(len(worker_ids))
-        tracked_job = self.scheduler_state.tracked_jobs.get(request.step[0])
-        step = tracked_job.steps.get(request.step[1:]) if tracked_job is not None else None
-        if step is None:
-            return
-        if isinstance(outcome, Success):
-            step.advice.note_answered(request.workers, permits.tickets, permits.valid_s, now_s)
-        else:
-            step.advice.note_unanswered(now_s)
+            request.advice.note_unanswered(now_s)
         self._log(
             "advice",
             id=request.step[0],
@@ -424,7 +418,7 @@
             took_s=round(now_s - asked_s, 3),
             allowed=allowed,
             failure=failure,
-            **step.advice.counts(),
+            **request.advice.counts(),
         )
         self._order_dispatcher.wake()
 
--- a/src/shallotworks/scheduling/_step_advice.py
+++ b/src/shallotworks/scheduling/_step_advice.py
@@ -4,12 +4,16 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from shallotworks.jobs import Incarnation
 
-from ._model import Worker
 from ._wait_reason import WaitReason
 
+if TYPE_CHECKING:
+    # A request for advice names the advice that it is for, and workers hold orders.
+    from ._model import Worker
+
 __all__ = ["AdviceRequestSize", "StepAdvice"]
 
 FIRST_REQUEST_WORKERS = 12
--- a/src/shallotworks/scheduling/teams/_team_limits.py
+++ b/src/shallotworks/scheduling/teams/_team_limits.py
@@ -323,18 +323,17 @@
         others = self._others(self._record(team.name)).values()
         used = usage.used
         soon = free.plus(Resources(*(int(n * CHURN_RATIO) for n in used)))
-        fitting, wide = demands, []
+        fitting, wide = demands, list[_Demand]()
         while True:
             demand = _total(one.total for one in fitting)
             wanted = used.plus(demand.at_most(soon)).at_most(team.limit.at_least(used))
             part = _fair_share(team.limit, wanted, others)
-            too_wide = [
-                one for one in fitting if _exceeds(team, usage.lasting.plus(one.start), part)
-            ]
-            if not too_wide:
+            tried, fitting = fitting, []
+            for one in tried:
+                is_wide = _exceeds(team, usage.lasting.plus(one.start), part)
+                (wide if is_wide else fitting).append(one)
+            if len(fitting) == len(tried):
                 break
-            wide += too_wide
-            fitting = [one for one in fitting if one not in too_wide]
         needed = [
             used.plus(one.start)
             for one in wide
--- a/tests/test_advice.py
+++ b/tests/test_advice.py
@@ -146,6 +146,23 @@
 
         run_scenario(scenario())
 
+    def test_steps_that_end_while_they_ask_do_not_keep_others_from_asking(self) -> None:
+        """Guards against jobs that never ask, since requests of cancelled ones count for good."""
+
+        async def scenario() -> None:
+            simulation = AdvisedSimulation(workers=20, allowed=1, period_s=0.05)
+            await asyncio.sleep(3.0)
+            for number in range(8):
+                await simulation.hand_in(f"cancelled-{number}", step(1))
+                await asyncio.sleep(0.3)
+                await simulation.cancel(f"cancelled-{number}")
+            await simulation.hand_in("j", step(1))
+            await asyncio.sleep(FINISH_S)
+            self.assertIs(JobState.COMPLETED, simulation.state("j"))
+            await simulation.kill()
+
+        run_scenario(scenario())
+
     def test_a_gang_needs_more_workers_than_a_request_names(self) -> None:
         """Guards against a gang that never starts since each answer replaces the one before."""
 
