Skip no step for the sake of a gang or a suspect that waits

Callers would see: tasks beside a waiting gang, or beside a job whose tasks are isolated, wait although there is room for them.

Change: only steps that nothing but room holds back count, which one function says for gangs, suspects and advised steps too. The decision that was requested when teams' records had been read is not; the next one is 0.2 s away at most.

Measured: tests.test_team_weights passes.

--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -232,7 +232,7 @@
                 continue
             if step.tracked_job.job.policy.is_advised:
                 without_permits.append(step)
-            elif (
+            if (
                 _waits_only_for_capacity(step)
                 and not step.is_hopeless(wall_s)
                 and self._has_team_room(step)
@@ -451,11 +451,17 @@
     """Whether tasks of a step can only wait because they are too large for the free room.
 
     Other tasks may be kept off workers for further reasons, lasting ones for example after a
-    withdrawn offer.
+    withdrawn offer, members of a gang until all fit, and suspects until they are isolated.
     """
-    job_step = step.step
+    job_step, tracked_job = step.step, step.tracked_job
     return not (
-        job_step.is_lasting or job_step.label or job_step.most_per_worker or job_step.is_filler
+        job_step.is_gang
+        or job_step.is_lasting
+        or job_step.label
+        or job_step.most_per_worker
+        or job_step.is_filler
+        or tracked_job.job.policy.is_advised
+        or tracked_job.progress.lost
     )
 
 
--- a/src/shallotworks/scheduling/teams/_team_shares.py
+++ b/src/shallotworks/scheduling/teams/_team_shares.py
@@ -92,7 +92,6 @@
         await self._watcher.synced.wait()
         await self._is_prepared.wait()
         self._limits.is_synced = True
-        self._on_change()
         while True:
             writes = self._limits.due_writes(self._clock())
             if writes:
