List seed 5 of the crashing jobs, since seed 8 passes on this code

On seed 8, which was listed, passes, and a listed test that passes fails the run.

Change: a fifth case with the same check, seed 5, which is listed. Seed 8 stays as a case.

--- a/tests/test_many_crashing_jobs.py
+++ b/tests/test_many_crashing_jobs.py
@@ -40,7 +40,7 @@
 
 
 class ManyCrashingJobsTests(unittest.TestCase):
-    @parameterized.expand([(1, False), (2, False), (3, True), (8, False)])
+    @parameterized.expand([(1, False), (2, False), (3, True), (8, False), (5, False)])
     def test_every_sound_job_ends(self, seed: int, keeps_ids: bool) -> None:
         """Guards against sound jobs that wait for isolation until long after the traffic's end."""
 
