List a lasting task that waits longer for a lost worker with each order

Cause: each poll or start that is sent to a worker extends the lease that the scheduler remembers, also where no connection is found. So the wait for a worker that is lost starts anew as long as orders are sent to it. Change: a failing test on the stand-ins, listed: a worker with a lasting task is lost while short jobs arrive and its entry stays in discovery.

--- /dev/null
+++ b/tests/test_lost_workers.py
@@ -0,0 +1,89 @@
+"""Lasting tasks run again soon after their worker was lost, whatever is remembered of the worker."""
+
+import asyncio
+import unittest
+
+from parameterized import parameterized
+
+from shallotworks.jobs import Job
+from shallotworks.scheduling import OrderStatus
+from shallotworks.standins import TaskWorker
+from tests.lasting_task_simulation import LastingTaskSimulation, lasting_step
+from tests.scheduling_fakes import policy, step
+from tests.scheduling_simulation import SERVICE
+from tests.virtual_clock import run_scenario
+
+BACK_WITHIN_S = 6.0
+"""A lasting task runs again within this time after its last run. Source: the users' rules."""
+SETTLE_S = 4.0
+JOB = "00000000000000a1"
+SHORT_TASKS = 6
+SHORT_JOB_INTERVAL_S = 0.25
+
+
+class LostWorkerTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("refused", OrderStatus.UNSENT),
+            ("unanswered", OrderStatus.UNANSWERED),
+        ]
+    )
+    def test_orders_after_its_loss_do_not_extend_the_wait_for_a_worker(
+        self, _name: str, absence: OrderStatus
+    ) -> None:
+        """A lasting task is not restarted while starts are sent to its worker, which is lost.
+
+        Each start extended the lease that was remembered, though the worker never received it.
+        """
+        self.assertLessEqual(run_scenario(_time_without_a_task(absence)), BACK_WITHIN_S)
+
+
+async def _time_without_a_task(absence: OrderStatus) -> float:
+    """Return how long a lasting task is away whose worker is lost while short jobs arrive."""
+    simulation = LastingTaskSimulation(seed=1, workers=4)
+    simulation.start()
+    await simulation.submit(JOB, lasting_step(2))
+    await asyncio.sleep(SETTLE_S)
+    short_jobs = asyncio.create_task(_submit_short_jobs(simulation))
+    await asyncio.sleep(1.0)
+    lost = next(one for one in simulation.fleet.workers.values() if _lasting_tasks(one))
+    names = _lasting_tasks(lost)
+    simulation.fleet.outcomes_when_absent[lost.view.worker_id] = absence
+    # The entry of the worker stays in discovery.
+    lost.crash()
+    lost_s = asyncio.get_running_loop().time()
+    away_s = 0.0
+    while away_s < 4 * BACK_WITHIN_S and not names <= _running(simulation):
+        await asyncio.sleep(0.05)
+        away_s = asyncio.get_running_loop().time() - lost_s
+    short_jobs.cancel()
+    await simulation.close()
+    return away_s
+
+
+async def _submit_short_jobs(simulation: LastingTaskSimulation) -> None:
+    number = 0
+    while True:
+        number += 1
+        instance = simulation.rng.choice(simulation.instances)
+        job = Job(
+            job_id=f"{number:016x}",
+            policy=policy(service=SERVICE),
+            spec="x",
+            steps=(step(SHORT_TASKS, estimated_s=0.8),),
+        )
+        await instance.job_handler.submit(job, deadline_s=instance.now_s() + 1.5)
+        await asyncio.sleep(SHORT_JOB_INTERVAL_S)
+
+
+def _lasting_tasks(worker: TaskWorker) -> set[object]:
+    return {name for name in worker.names() if name.job_id == JOB}
+
+
+def _running(simulation: LastingTaskSimulation) -> set[object]:
+    alive = [worker for worker in simulation.fleet.workers.values() if worker.is_alive]
+    return {name for worker in alive for name in _lasting_tasks(worker)}
+
+
+if __name__ == "__main__":
+    unittest.main()
