Wait no longer for a lost worker because of calls that it never got

Callers saw: a task that is to last stayed away for over 10 s after its worker was lost, with room for it (LOST). Cause: each poll and start extended the lease that the scheduler remembers, also where no connection was found, so that the wait for a lost worker began anew; on a worker that is cut off and stays listed it never ended while starts were tried. Where workers grant 10 s, a task was leased for 8.3 s, longer than a lasting task may be away. Change: until a worker answers, later calls extend its lease no further than the first one. After a poll without an answer nothing is started there until a poll is answered, and it is polled again at once. A task is leased for 5 s at most.

--- a/src/shallotworks/platform/_daemon.py
+++ b/src/shallotworks/platform/_daemon.py
@@ -64,8 +64,6 @@
 REGISTRY_WATCH_PAUSE_S = 0.4
 """40 workers together write their entries 30 times a second. The pause saves calls and loses no
 state: a draining worker still serves for 2 s."""
-TASK_LEASE_RATIO = 5 / 6
-"""Part of the longest lease that workers grant for which a task is leased; see `OrderTimes`."""
 
 
 def serve(path: str | None = None) -> int:
@@ -174,7 +172,7 @@
             machine_records=self._machine_records,
             clock=boot_time_s,
             wall_clock=time.time,
-            times=OrderTimes(lease_s=settings.bounds.longest_lease_s * TASK_LEASE_RATIO),
+            times=OrderTimes.within(settings.bounds.longest_lease_s),
             log=self._log,
             metrics=self._metrics,
             final_state_told_s=settings.bounds.final_state_told_s,
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -109,6 +109,7 @@
         "rack_avoid_until_s",
         "reported_s",
         "runs",
+        "unanswered_grant_s",
         "unknown_runs",
         "unsettled_ends",
         "view",
@@ -133,6 +134,9 @@
         """Time on the scheduler's clock of that report."""
         self.lease_ends_s = 0.0
         """Time on the scheduler's clock until which the worker may hold a lease."""
+        self.unanswered_grant_s: float | None = None
+        """Time at which the first lease was sent since the worker answered last; ``None`` if none
+        was."""
         self.pause_until_s = 0.0
         """Nothing is started here before this time, because an order or a poll failed."""
         self.avoid_until_s = 0.0
--- a/src/shallotworks/scheduling/_order_times.py
+++ b/src/shallotworks/scheduling/_order_times.py
@@ -9,6 +9,11 @@
 __all__ = ["LEASE_END_MARGIN_S", "OrderTimes"]
 
 LEASE_END_MARGIN_S = 0.2
+LEASE_S = 5.0
+"""A lasting task runs again within 6 s of its last run, also if nothing but the end of its lease
+shows that its worker is lost. Source: the users' rules."""
+GRANTED_LEASE_RATIO = 5 / 6
+"""Part of the longest lease that workers grant for which a task is leased at most."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -29,12 +34,17 @@
             can't reach.
     """
 
-    lease_s: float = 5.0
+    lease_s: float = LEASE_S
     poll_wait_s: float = 1.0
     answer_s: float = 0.8
     idle_poll_s: float = 10.0
     full_lease_s: float = 1.5
 
+    @classmethod
+    def within(cls, longest_lease_s: float) -> OrderTimes:
+        """Return the times where workers grant leases of at most ``longest_lease_s`` seconds."""
+        return cls(lease_s=min(LEASE_S, longest_lease_s * GRANTED_LEASE_RATIO))
+
     @property
     def answer_overdue_s(self) -> float:
         """A worker that has not answered a poll for this long gets no extension of its lease."""
--- a/src/shallotworks/scheduling/_placement.py
+++ b/src/shallotworks/scheduling/_placement.py
@@ -134,7 +134,7 @@
             return WaitReason.YIELDING
         if worker.isolated_runs:
             return WaitReason.QUARANTINED
-        if worker.pause_until_s > self._now_s:
+        if worker.pause_until_s > self._now_s or not worker.has_answered_last_poll:
             return WaitReason.PAUSED
         if self._step.is_lasting and worker.lasting_allowed_from_s > self._now_s:
             return WaitReason.CLOSED_TO_LASTING
--- a/src/shallotworks/scheduling/_worker_poller.py
+++ b/src/shallotworks/scheduling/_worker_poller.py
@@ -18,7 +18,8 @@
 __all__ = ["PAUSE_AFTER_NO_ANSWER_S", "WorkerPoller"]
 
 PAUSE_AFTER_NO_ANSWER_S = 0.5
-"""No task is placed on a worker for this long after it has not answered an order or poll."""
+"""No task is placed on a worker for this long after it has not answered an order; after a poll
+without an answer, none until a poll is answered."""
 MAX_ACKNOWLEDGING_POLL_WAIT_S = 0.1
 """Longest wait of a poll that acknowledges ends. Where incarnations can't be told apart, a later
 one that receives the poll forgets its own ends with these numbers for as long as it waits; a task
@@ -154,6 +155,7 @@
         return bool(
             worker.runs
             or not worker.is_fenced
+            or not worker.has_answered_last_poll
             or worker.acknowledged < worker.highest_settled
             or worker.worker_id in self._scheduler_state.pending_recovery
         )
@@ -161,11 +163,7 @@
     async def _poll(self, worker: Worker) -> None:
         sent_s = self._clock()
         acknowledged = worker.end_to_acknowledge
-        lease_ms = (
-            self._contact.extend_lease(worker, sent_s)
-            if self._may_extend_lease(worker, sent_s)
-            else None
-        )
+        lease_ms = self._contact.extend_lease(worker, sent_s) if worker.runs else None
         wait_s = self._poll_wait_s(worker)
         outcome = await self._orders.poll(
             worker.view,
@@ -206,16 +204,6 @@
         self._on_progress()
         self._request_decision()
 
-    def _may_extend_lease(self, worker: Worker, now_s: float) -> bool:
-        """Return whether a poll may extend the worker's lease.
-
-        A poll without an answer may have extended the lease. If all polls of a worker that died
-        silently could extend it, its tasks would never be started again. A worker answers a poll
-        within the poll's wait, so after a poll without an answer the lease is not extended until
-        the worker answers again.
-        """
-        return bool(worker.runs) and now_s - worker.reported_s < self._times.answer_overdue_s
-
     def _poll_wait_s(self, worker: Worker) -> float:
         if self._needs_immediate_answer(worker):
             return 0.0
@@ -231,7 +219,7 @@
         if not worker.is_fenced or worker.unsettled_ends or not worker.clock_ms:
             return True
         if self._clock() - worker.reported_s >= self._times.answer_overdue_s:
-            # The worker's lease is not extended until it has answered.
+            # The worker's lease is extended no further until it has answered.
             return True
         awaited_phases = (RunPhase.UNANSWERED, RunPhase.STOPPED)
         return not worker.runs or any(run.phase in awaited_phases for run in worker.runs.values())
--- a/tests/test_lost_workers.py
+++ b/tests/test_lost_workers.py
@@ -1,4 +1,4 @@
-"""Lasting tasks run again soon after their worker was lost, whatever is remembered of the worker."""
+"""Lasting tasks run again soon after their worker was lost, whatever is remembered of it."""
 
 import asyncio
 import unittest
