--- a/tests/lasting_task_simulation.py
+++ b/tests/lasting_task_simulation.py
@@ -512,6 +512,10 @@
                 self._is_store_up.set()
             self._record_event("up", "the store")
 
+    async def wait_store_up(self) -> None:
+        """Wait until the store is available."""
+        await self._is_store_up.wait()
+
     def _lose_entries(self) -> None:
         for key in [key for key in self.store.items if key.startswith(REGISTRY_PREFIX)]:
             self.store.delete(key)
