Log what each version of the configuration changes

Cause: the line of a new configuration named only counts of queues and teams. A queue that went to another service, a service that was dropped or a pool that was switched off could not be told from a changed time limit. Change: the line names up to five queues and services that were added, removed, sent to another service or switched, and counts the queues that changed otherwise.

--- a/src/shallotworks/platform/_configuration.py
+++ b/src/shallotworks/platform/_configuration.py
@@ -22,6 +22,7 @@
 CONFIGURATION_KEY = "op/config"
 WAVES_PREFIX = "op/wave/"
 DEFAULT_MAX_BODY_BYTES = 262_144
+MAX_NAMES_LOGGED = 5
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -158,10 +159,42 @@
             revision=revision,
             queues=sum(len(queues) for queues in configuration.queues.values()),
             teams=len(configuration.teams),
+            **_describe_changes(earlier, configuration),
         )
         self._on_configuration(configuration)
 
 
+def _describe_changes(earlier: Configuration | None, later: Configuration) -> dict[str, object]:
+    """Return what a version changes of queues and services, as fields of a log line.
+
+    Queues that go to another service and services that come or go end epochs and hide jobs, so that
+    they are told apart from changed time limits.
+    """
+    if earlier is None:
+        return {}
+    before, after = _queues_by_name(earlier), _queues_by_name(later)
+    kept = [(before[name], after[name]) for name in sorted(before.keys() & after.keys())]
+    return {
+        "queues_added": sorted(after.keys() - before.keys())[:MAX_NAMES_LOGGED],
+        "queues_removed": sorted(before.keys() - after.keys())[:MAX_NAMES_LOGGED],
+        "queues_rerouted": [
+            [new.policy.queue, old.policy.service, new.policy.service]
+            for old, new in kept
+            if old.policy.service != new.policy.service
+        ][:MAX_NAMES_LOGGED],
+        "queues_changed": sum(old != new for old, new in kept),
+        "services_added": sorted(later.services - earlier.services)[:MAX_NAMES_LOGGED],
+        "services_removed": sorted(earlier.services - later.services)[:MAX_NAMES_LOGGED],
+        "standby_changed": sorted(later.standby ^ earlier.standby)[:MAX_NAMES_LOGGED],
+    }
+
+
+def _queues_by_name(configuration: Configuration) -> dict[str, Queue]:
+    return {
+        queue.policy.queue: queue for queues in configuration.queues.values() for queue in queues
+    }
+
+
 def decode_configuration(body: dict[str, Any]) -> Configuration:
     """Decode a configuration.
 
