Stop lasting tasks of a leaving worker when they can start elsewhere

Callers saw: a task that is to last was stopped for an evacuation and waited 3 s for a worker that takes it; the second task of its step could not be moved meanwhile, stayed until the worker had left, and waited for its lease (LOST). Cause: the stop didn't ask for a place. All idle workers were offered to other pools, and are closed to lasting tasks for 3 s once their offer is withdrawn; for a machine that is due for maintenance, offers were withdrawn only once a task had been stopped. What was away by then kept the next stop back. Change: a lasting task is stopped once another worker would take it, 3.5 s after its worker is to leave at the latest. Budgets hold as before for workers that are due for maintenance. Tasks on such workers reserve workers as those on draining ones do. Measured: tests.test_evacuation, 13 cases, failed before: of a draining worker, the longest absence was 4.55 to 5.35 s in 8 cases and is 1.8 to 1.85 s; of one that is due, 3.15 s in 4 cases, 1.5 s are allowed; without any place a task was stopped at once. All 13 pass now.

--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -46,6 +46,12 @@
 MIN_DRAIN_REMAINING_S = 2.0
 """A draining worker keeps serving for at least this long. A checkpointed task that needs longer is
 moved at once."""
+EVACUATION_WAIT_S = 3.5
+"""A lasting task waits this long for a place before it is stopped to be moved. Workers whose offer
+was withdrawn take lasting tasks within this time."""
+DRAIN_WAIT_S = 1.1
+"""On a draining worker it waits no longer than this, so that the stop ends before the worker, which
+serves for 2 s at least, has left. A stop takes up to 0.9 s."""
 MAX_STARTS_PER_DECISION = 64
 """Tasks started in one decision; a gang is never split. The remaining tasks wait for the next
 decision, so that the process can first renew leases, poll workers and publish the demand of its
@@ -129,11 +135,44 @@
         return self._started >= MAX_STARTS_PER_DECISION
 
     def evacuate(self, worker: Worker) -> None:
-        """Request the stop of lasting tasks on a worker that is to leave, within their budgets."""
+        """Request the stop of lasting tasks on a worker that is to leave, within their budgets.
+
+        A task is stopped once another worker would take it. A task on a worker that is about to
+        leave is stopped in any case: the stop lets it run again at once, while the worker's absence
+        may be known only when its lease is out.
+        """
+        if worker.evacuated_from_s is None:
+            worker.evacuated_from_s = self._now_s
+        waited_s = self._now_s - worker.evacuated_from_s
+        is_leaving = worker.view.is_draining and waited_s >= DRAIN_WAIT_S
         for run in list(worker.runs.values()):
-            if run.step.is_lasting and self.may_disrupt(run):
+            if not run.step.is_lasting or run.is_stop_requested:
+                continue
+            if is_leaving or (
+                self.may_disrupt(run)
+                and (waited_s >= EVACUATION_WAIT_S or self._has_place(run, worker))
+            ):
                 self._scheduler_state.request_stop(run, "evacuation")
 
+    def _has_place(self, run: Run, worker: Worker) -> bool:
+        """Whether a worker other than the given one would take a task now."""
+        step = self._tracked_step(run)
+        if step is None:
+            return True
+        placement = Placement.of(step, now_s=self._now_s, wall_s=self._wall_s, needs_permits=False)
+        return any(
+            placement.rejection_reason(other) is None
+            for other in self._scheduler_state.workers.values()
+            if other is not worker
+        )
+
+    def _tracked_step(self, run: Run) -> TrackedStep | None:
+        """Return the step of a run, or ``None`` if its job is not known or is over."""
+        tracked_job = self._scheduler_state.tracked_jobs.get(run.name.job_id)
+        if tracked_job is None or tracked_job.progress.state.is_final:
+            return None
+        return tracked_job.steps.get((run.name.occurrence, run.name.step))
+
     def may_disrupt(self, run: Run) -> bool:
         """Whether a lasting task may be stopped now.
 
@@ -144,10 +183,7 @@
         """
         if run.is_stop_requested:
             return False
-        tracked_job = self._scheduler_state.tracked_jobs.get(run.name.job_id)
-        if tracked_job is None or tracked_job.progress.state.is_final:
-            return True
-        step = tracked_job.steps.get((run.name.occurrence, run.name.step))
+        step = self._tracked_step(run)
         if step is None:
             return True
         away = self._scheduler_state.count_not_serving(step, excluding=run, now_s=self._now_s)
@@ -178,6 +214,8 @@
             return
         if worker.view.is_draining:
             self.evacuate(worker)
+        elif not worker.is_cordoned:
+            worker.evacuated_from_s = None
         for run in worker.runs.values():
             if run.phase is RunPhase.RUNNING and not run.is_stop_requested:
                 self._check_run(worker, run, now_s)
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -90,6 +90,7 @@
         "clock_ms",
         "connection_closed_s",
         "cpu_used",
+        "evacuated_from_s",
         "failed_jobs",
         "gpus_used",
         "has_answered_last_poll",
@@ -126,6 +127,9 @@
         self.is_cordoned = False
         """Whether nothing is started here, because the worker is offered for removal or is being
         evacuated."""
+        self.evacuated_from_s: float | None = None
+        """Time on the scheduler's clock since which lasting tasks are moved away; ``None`` if they
+        may stay."""
         self.is_yielding = False
         """Whether late jobs are kept off the worker, because it is to return to its lender."""
         self.clock_ms = 0
--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -140,7 +140,8 @@
 
     def _may_lose_lasting_tasks(self, worker: Worker, now_s: float) -> bool:
         is_reporting = worker.is_listed and now_s - worker.reported_s < FRESH_REPORT_AGE_S
-        return not is_reporting or worker.view.is_draining
+        # An offered worker runs nothing, so one that is cordoned and runs tasks is evacuated.
+        return not is_reporting or worker.view.is_draining or worker.is_cordoned
 
     # ---- workers
 
