Hand the rest of a worker's lease over to the next scheduler

Callers saw: a task that is to last stayed away for longer than its worker's lease, because its scheduler was stopped, as planned, when the worker was lost. Cause: a scheduler that stops recorded a worker with runs without an end, so that its successor waited for the longest lease that any scheduler could have granted, 7.1 s from its own begin, though the stopped one knew when that lease ends. Change: a worker with runs is handed over with the rest of its lease, which is what `expire_lease` goes by. One with ends that are not stored is handed over as before. The record's form stays; a successor grants leases there only once the record has no end for the worker, as before.

--- a/src/shallotworks/scheduling/_active_workers.py
+++ b/src/shallotworks/scheduling/_active_workers.py
@@ -30,9 +30,8 @@
     Args:
         address: ``ip:port``.
         left_s: Time after the record was written at which whatever runs on the worker has ended. It
-            is set if the epoch that wrote the record never reached the worker, and so started
-            nothing there, and if that epoch sends no more orders. It is ``None`` if that epoch may
-            have started tasks.
+            is set only if the epoch that wrote the record sends no more orders; else it is
+            ``None``, as for a worker with ends that are not stored.
         born_ms: When the worker had started, in milliseconds since 1970; ``None`` if unknown. A
             record of an earlier release has none.
     """
--- a/src/shallotworks/scheduling/_worker_tracker.py
+++ b/src/shallotworks/scheduling/_worker_tracker.py
@@ -194,7 +194,8 @@
 
         A worker of an earlier epoch that was never reached keeps the time at which its tasks have
         ended. Otherwise, while instances are stopped one after another, each successor would wait
-        the full recovery time for it.
+        the full recovery time for it. A worker with runs of this epoch is recorded with the rest of
+        its lease, since it may be lost before the successor reaches it.
 
         A worker on which nothing runs is included as long as an end that it reported is not stored.
         Without it the successor would run the ended task again on another worker; if it polls the
@@ -209,6 +210,12 @@
                 active_workers[worker_id] = ActiveWorker(
                     address=address, left_s=max(0.0, runs_ended_s - now_s), born_ms=born_ms
                 )
-            elif worker.runs or worker.unsettled_ends:
+            elif worker.unsettled_ends:
                 active_workers[worker_id] = ActiveWorker(address=address, born_ms=born_ms)
+            elif worker.runs:
+                active_workers[worker_id] = ActiveWorker(
+                    address=address,
+                    left_s=max(0.0, worker.lease_ends_s - now_s),
+                    born_ms=born_ms,
+                )
         return active_workers
