--- a/tests/test_lost_worker_at_planned_end.py
+++ b/tests/test_lost_worker_at_planned_end.py
@@ -21,6 +21,8 @@
 """Longest time for which a lasting task does not run. Source: the users' rules."""
 DELAYS_S = (0.0, 1.0, 2.0, 3.0, 4.0)
 """Times from the loss of the worker until the epoch ends; its leases have run out after 4.5 s."""
+LOSSES_AFTER_S = (0.1, 0.5, 0.9)
+"""Times from the end of the epoch until the worker is lost. Its successor has heard from it."""
 SERVICE_AWAY_S = 0.3
 OBSERVATION_S = 15.0
 SAMPLE_S = 0.05
@@ -90,6 +92,20 @@
     return missed_s, simulation.all_violations()
 
 
+async def measure_later_loss(loss_after_s: float) -> tuple[float, list[str]]:
+    """Return how long tasks were missed, and violations, when a worker is lost after a stop."""
+    simulation = LastingTaskSimulation(workers=7)
+    simulation.start()
+    await simulation.submit(JOB, lasting_step(TASKS))
+    await asyncio.sleep(SETTLE_S)
+    await simulation.stop_scheduler()
+    await asyncio.sleep(loss_after_s)
+    simulation.crash_worker(lose_used_worker(simulation))
+    missed_s = await measure_missed_s(simulation)
+    await simulation.close()
+    return missed_s, simulation.all_violations()
+
+
 async def measure_succession(loss_after_s: float) -> tuple[float, list[str], int]:
     """Return how long tasks were missed, violations, and the epochs, in a hand-over to a claimant.
 
@@ -128,6 +144,14 @@
         """A scheduler that stops hands a lost worker over as one whose leases it does not know."""
         self.assert_back_in_time(scheduler_stops)
 
+    def test_tasks_run_again_if_the_worker_is_lost_just_after_a_stop(self) -> None:
+        """A successor waits for the leases that an earlier epoch may have granted on a worker."""
+        for loss_after_s in LOSSES_AFTER_S:
+            with self.subTest(loss_after_s=loss_after_s):
+                missed_s, violations = run_scenario(measure_later_loss(loss_after_s))
+                self.assertEqual([], violations)
+                self.assertLessEqual(missed_s, MAX_MISSED_S)
+
     def test_tasks_run_again_after_a_service_was_removed_and_back(self) -> None:
         """An epoch that a configuration ends hands nothing over."""
         self.assert_back_in_time(service_is_removed_and_back)
