Count a worker as ended that has no entry and refuses connections

Callers saw: lasting tasks of a worker that had left stayed away until its lease was out, 5.3 s after its last answer, with room for them. Cause: that its entry was removed only marked it as not listed, and a refused connection only paused it. Change: a refused connect is told apart from other failures (`OrderStatus.REFUSED`). `worker-ended` states how long ago either was seen and what was left of the lease.

--- a/src/shallotworks/platform/_http.py
+++ b/src/shallotworks/platform/_http.py
@@ -51,12 +51,14 @@
 
     Args:
         is_unsent: Whether it is certain that no byte of the request reached the server.
+        is_refused: Whether nobody listened at the address when a connection was to be opened.
         detail: Description of the error.
         handshake_answer: The answer to the handshake, if it did not identify the recipient, so that
             the request was not sent.
     """
 
     is_unsent: bool
+    is_refused: bool = False
     detail: str
     handshake_answer: HttpAnswer | None = None
 
@@ -149,6 +151,8 @@
             connection = await self._acquire(deadline_s, recipient)
         except TimeoutError:
             return HttpNoAnswer(is_unsent=True, detail="no connection before the deadline")
+        except ConnectionRefusedError as error:
+            return _no_answer(error, is_unsent=True, is_refused=True)
         except (OSError, ValueError) as error:
             return _no_answer(error, is_unsent=True)
         is_unsent = True
@@ -306,8 +310,9 @@
     return answer
 
 
-def _no_answer(error: Exception, *, is_unsent: bool) -> HttpNoAnswer:
-    return HttpNoAnswer(is_unsent=is_unsent, detail=repr(error)[:MAX_DETAIL_CHARACTERS])
+def _no_answer(error: Exception, *, is_unsent: bool, is_refused: bool = False) -> HttpNoAnswer:
+    detail = repr(error)[:MAX_DETAIL_CHARACTERS]
+    return HttpNoAnswer(is_unsent=is_unsent, is_refused=is_refused, detail=detail)
 
 
 def _decode(raw: bytes) -> dict[str, Any]:
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -107,10 +107,12 @@
         "pace",
         "pause_until_s",
         "rack_avoid_until_s",
+        "refused_s",
         "reported_s",
         "runs",
         "unanswered_grant_s",
         "unknown_runs",
+        "unlisted_s",
         "unsettled_ends",
         "view",
     )
@@ -120,6 +122,12 @@
         self.order_token = order_token
         self.is_listed = True
         """Whether discovery lists the worker."""
+        self.unlisted_s: float | None = None
+        """Time on the scheduler's clock from which discovery is known to have no entry of the
+        worker, readable or not; ``None`` if it may have one."""
+        self.refused_s: float | None = None
+        """Time at which nobody listened at the worker's address; ``None`` if it has answered
+        since."""
         self.is_fenced = False
         """Whether this incarnation has seen its token, so that it refuses orders of earlier
         schedulers and orders that were sent to its earlier incarnations."""
@@ -186,6 +194,20 @@
         """Identifies this incarnation."""
         return self.view.incarnation
 
+    @property
+    def has_departed(self) -> bool:
+        """Whether the worker has certainly ended, with all its runs.
+
+        A live worker that is cut off from the store loses its entry, but its address refuses no
+        connection.
+        """
+        return self.unlisted_s is not None and self.refused_s is not None
+
+    def note_listed(self) -> None:
+        """Record that discovery lists the worker."""
+        self.is_listed = True
+        self.unlisted_s = None
+
     def restart(self, view: WorkerView, *, order_token: int) -> Worker:
         """Return a later incarnation of this worker.
 
--- a/src/shallotworks/scheduling/_order_dispatcher.py
+++ b/src/shallotworks/scheduling/_order_dispatcher.py
@@ -196,6 +196,7 @@
         outcome = await self._orders.start(
             worker.view, order, token=worker.order_token, lease_until_ms=lease_ms
         )
+        self._contact.note_contact(worker, outcome)
         now_s = self._clock()
         self._metrics.count(f"scheduler.start.{outcome.status.value}")
         self._metrics.observe_s("scheduler.start", now_s - sent_s)
@@ -276,6 +277,7 @@
             return
         sent_s = self._clock()
         outcome = await self._orders.stop(worker.view, order, token=worker.order_token)
+        self._contact.note_contact(worker, outcome)
         self._metrics.count(f"scheduler.stop.{outcome.status.value}")
         self._log.line(
             "run-stopped",
@@ -300,6 +302,7 @@
         if worker is None or not self._lease.is_valid:
             return
         outcome = await self._orders.pace(worker.view, order, token=worker.order_token)
+        self._contact.note_contact(worker, outcome)
         self._metrics.count(f"scheduler.pace.{outcome.status.value}")
         self._log.line(
             "run-paced",
--- a/src/shallotworks/scheduling/_orders.py
+++ b/src/shallotworks/scheduling/_orders.py
@@ -42,6 +42,8 @@
     UNSENT = "unsent"
     """No connection to the intended incarnation was established, so no worker has received the
     order."""
+    REFUSED = "refused"
+    """Nobody listens at the worker's address, so no worker has received the order."""
     UNANSWERED = "unanswered"
     """The order may have been carried out, or may still be until its deadline has passed."""
 
--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -152,7 +152,7 @@
             self.workers[view.worker_id] = worker
             worker.lasting_allowed_from_s = self._lasting_allowed_from_s.pop(view.worker_id, 0.0)
             return
-        worker.is_listed = True
+        worker.note_listed()
         if worker.incarnation.may_be(view.incarnation):
             worker.view = view
 
@@ -266,6 +266,7 @@
         *,
         is_planned: bool = False,
         is_replaced: bool = False,
+        may_have_left: bool = False,
     ) -> None:
         """Record that a worker has certainly ended, with all its runs.
 
@@ -276,6 +277,8 @@
             wall_s: Time of day in seconds.
             is_planned: Whether the machine controller removed the worker, which has not crashed.
             is_replaced: Whether another worker has taken its place, so that it has crashed.
+            may_have_left: Whether it may have left as planned, though discovery did not list it as
+                draining; its runs are then blamed as after a lease that has expired.
         """
         if worker_id in self.pending_recovery and not is_planned:
             self.crashes.note_earlier_runs_lost()
@@ -284,11 +287,23 @@
         if worker is None:
             return
         self._log.line(
-            "worker-ended", worker=worker_id, reason=reason, runs=len(worker.runs), token=self.token
+            "worker-ended",
+            worker=worker_id,
+            reason=reason,
+            runs=len(worker.runs),
+            is_draining=worker.view.is_draining,
+            unlisted_for_s=_age_s(worker.unlisted_s, now_s),
+            refused_for_s=_age_s(worker.refused_s, now_s),
+            silent_s=round(now_s - worker.reported_s, 2),
+            lease_left_s=round(worker.lease_ends_s - now_s, 2),
+            token=self.token,
         )
         if is_planned or worker.view.is_draining:
             self.crashes.note_worker_left(worker)
         else:
+            if may_have_left:
+                self.crashes.note_worker_silent(worker, wall_s)
+                self._lapse_runs(worker, reason, now_s)
             self.crashes.note_worker_ended(worker, wall_s, is_replaced=is_replaced)
         self._lapse_runs(worker, reason, now_s)
 
@@ -384,3 +399,7 @@
         if worker is None or now_s - worker.reported_s >= FRESH_REPORT_AGE_S:
             return False
         return self.has_started(run) or worker.reported_s - run.since_s >= ADOPTED_RUN_CONFIRM_S
+
+
+def _age_s(since_s: float | None, now_s: float) -> float | None:
+    return None if since_s is None else round(now_s - since_s, 2)
--- a/src/shallotworks/scheduling/_worker_contact.py
+++ b/src/shallotworks/scheduling/_worker_contact.py
@@ -12,7 +12,9 @@
 from ._order_times import LEASE_END_MARGIN_S, OrderTimes
 from ._scheduler_state import SchedulerState
 
-__all__ = ["WorkerContact"]
+__all__ = ["NO_ANSWER_STATUSES", "WorkerContact"]
+
+NO_ANSWER_STATUSES = (OrderStatus.UNANSWERED, OrderStatus.UNSENT, OrderStatus.REFUSED)
 
 
 class WorkerContact:
@@ -150,6 +152,13 @@
         worker.lease_ends_s = max(worker.lease_ends_s, ends_s)
         return worker.clock_ms + int((age_s + lease_s) * 1000)
 
+    def note_contact(self, worker: Worker, outcome: OrderOutcome) -> None:
+        """Record whether anybody listens at a worker's address, as far as an outcome shows it."""
+        if outcome.status is OrderStatus.REFUSED:
+            worker.refused_s = self._clock()
+        elif outcome.status not in NO_ANSWER_STATUSES:
+            worker.refused_s = None
+
     def handle_fenced_or_gone(self, worker: Worker, outcome: OrderOutcome) -> bool:
         """Handle an outcome that ends this epoch or the worker; return whether it was one.
 
--- a/src/shallotworks/scheduling/_worker_tracker.py
+++ b/src/shallotworks/scheduling/_worker_tracker.py
@@ -95,12 +95,19 @@
         """
         synced_version: tuple[int, MachineControllerRecord] | None = None
         while True:
+            self._note_new_entries()
             version = (self._directory.version, self._machine_records.controller)
             if version != synced_version:
                 synced_version = version if await self._sync_directory() else None
                 on_change()
             await asyncio.sleep(DIRECTORY_POLL_INTERVAL_S)
 
+    def _note_new_entries(self) -> None:
+        """Note which workers have an entry again, also one that can't be read."""
+        for worker in self._scheduler_state.workers.values():
+            if worker.unlisted_s is not None and self._directory.has_entry(worker.worker_id):
+                worker.unlisted_s = None
+
     async def _sync_directory(self) -> bool:
         """Update the scheduler state from the directory; return whether the record was stored."""
         listed = self._listed_workers()
@@ -108,6 +115,8 @@
             view = listed.get(worker_id)
             if view is None:
                 worker.is_listed = False
+                if worker.unlisted_s is None and not self._directory.has_entry(worker_id):
+                    worker.unlisted_s = self._clock()
             elif view.is_draining or view.incarnation.is_later_than(worker.incarnation):
                 # Set before the record omits the worker, since nothing may start there afterwards.
                 self._update_worker(view)
@@ -131,7 +140,7 @@
             wall_s=self._wall_clock(),
             runs_end_s=now_s + self._recovery_s,
         )
-        restarted.is_listed = True
+        restarted.note_listed()
 
     def _listed_workers(self) -> dict[str, WorkerView]:
         """Return the listed workers without those that were replaced or removed.
--- a/tests/lasting_task_simulation.py
+++ b/tests/lasting_task_simulation.py
@@ -524,7 +524,7 @@
         await asyncio.sleep(after_s)
         await self._is_store_up.wait()
         if worker.is_alive:
-            self._register(worker)
+            self.register(worker)
 
     def revoke_keys(self) -> None:
         """Revoke all leased keys."""
@@ -539,7 +539,7 @@
         worker_id = f"w{len(self.fleet.workers)}"
         address = address or f"127.0.0.1:{len(self.fleet.workers) + 1}"
         worker = self.fleet.add(view(worker_id, service=SERVICE, address=address))
-        self._register(worker)
+        self.register(worker)
         return worker
 
     def count_available_workers(self) -> int:
@@ -570,7 +570,7 @@
                 return
             self._record_event("drains", worker_id)
             worker.view = replace(worker.view, is_draining=True)
-            self._register(worker)
+            self.register(worker)
             await asyncio.sleep(DRAIN_S + self.rng.uniform(0, 0.5))
             self._record_event("leaves", worker_id)
             worker.crash()
@@ -670,7 +670,7 @@
         record = MachineControllerRecord(due=self._due, over=tuple(over))
         self.store.put(machine_controller_key(), record.encode())
 
-    def _register(self, worker: TaskWorker) -> None:
+    def register(self, worker: TaskWorker) -> None:
         """Write a worker's registration as the platform's workers do."""
         worker_view = worker.view
         entry = {
@@ -696,6 +696,12 @@
         if REGISTRY_PREFIX + worker_id in self.store.items:
             self.store.delete(REGISTRY_PREFIX + worker_id)
 
+    def lose_entry(self, worker_id: str) -> None:
+        """Remove a worker's registration, as when the worker is cut off from the store."""
+        with self.fault_period():
+            self._record_event("loses its entry", worker_id)
+            self._unregister(worker_id)
+
     async def _unregister_later(self, worker_id: str, after_s: float) -> None:
         await asyncio.sleep(after_s)
         self._unregister(worker_id)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 import unittest
 from collections.abc import Awaitable, Callable
 
@@ -139,6 +141,67 @@
         run_with_server(serve, scenario)
 
 
+class LostServerTests(unittest.TestCase):
+    """A server at whose address nobody listens is told apart from one that may be alive."""
+
+    def test_refused_connection(self) -> None:
+        """Guards against waiting for the process at an address where nobody listens."""
+
+        async def scenario(server: Server, client: HttpClient) -> None:
+            await server.stop()
+            answer = await client.call("GET", "/", timeout_s=2.0)
+            assert isinstance(answer, HttpNoAnswer), answer
+            self.assertEqual((True, True), (answer.is_unsent, answer.is_refused))
+
+        run_with_server(answer_all, scenario)
+
+    @parameterized.expand([("closed", False), ("reset", True)])
+    def test_connection_that_ends_is_not_refused(self, _: str, is_reset: bool) -> None:
+        """Guards against taking a live process, whose open connection was reset, for ended."""
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            if is_reset:
+                no_linger = struct.pack("ii", 1, 0)
+                writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, no_linger
+                )
+
+        async def scenario(_server: Server, client: HttpClient) -> None:
+            answer = await client.call("GET", "/", timeout_s=2.0)
+            assert isinstance(answer, HttpNoAnswer), answer
+            self.assertEqual((False, False), (answer.is_unsent, answer.is_refused))
+            self.assertEqual(is_reset, "ConnectionResetError" in answer.detail, answer)
+
+        run_with_server(serve, scenario)
+
+    def test_hanging_connection_is_not_refused(self) -> None:
+        """Guards against taking a live process, to which connections hang, for ended."""
+
+        async def scenario() -> None:
+            loop = asyncio.get_running_loop()
+            with socket.socket() as listener, contextlib.ExitStack() as waiting:
+                listener.bind(("127.0.0.1", 0))
+                listener.listen(0)
+                # Once the queue of connections is full, opening packets are dropped.
+                for _ in range(4):
+                    one = waiting.enter_context(socket.socket())
+                    one.setblocking(False)
+                    with contextlib.suppress(BlockingIOError):
+                        one.connect(listener.getsockname())
+                await asyncio.sleep(0.05)
+                host, port = listener.getsockname()
+                client = HttpClient(address=f"{host}:{port}")
+                began_s = loop.time()
+                answer = await client.call("GET", "/", timeout_s=0.2)
+                self.assertGreaterEqual(loop.time() - began_s, 0.15)
+                await client.close()
+            assert isinstance(answer, HttpNoAnswer), answer
+            self.assertEqual((True, False), (answer.is_unsent, answer.is_refused))
+
+        asyncio.run(scenario())
+
+
 class ConnectionTests(unittest.TestCase):
     def test_connection_is_reused(self) -> None:
         """Guards against the cost of a new connection for each call."""
--- a/tests/test_order_connections.py
+++ b/tests/test_order_connections.py
@@ -297,6 +297,47 @@
     asyncio.run(run())
 
 
+class LostWorkerTests(unittest.TestCase):
+    """A worker for which nobody listens is told apart from one that may be alive."""
+
+    @parameterized.expand(ORDERS)
+    def test_order_to_an_address_where_nobody_listens(self, _name: str, send: Send) -> None:
+        """Guards against waiting for the lease of a worker at whose address nobody listens."""
+
+        async def scenario(machine: Machine, orders: PlatformOrders, worker: WorkerView) -> None:
+            await poll(orders, worker)
+            await machine.network.stop()
+            await asyncio.sleep(0.05)
+            outcome = await send(orders, worker, machine.run(9, of=worker))
+            self.assertIs(OrderStatus.REFUSED, outcome.status, outcome)
+
+        run_on_machine(scenario)
+
+    @parameterized.expand(ORDERS)
+    def test_order_on_a_connection_that_hangs(self, _name: str, send: Send) -> None:
+        """Guards against ending a live worker to which connections hang."""
+
+        async def scenario(machine: Machine, orders: PlatformOrders, worker: WorkerView) -> None:
+            machine.network.hold()
+            outcome = await send(orders, worker, machine.run(9, of=worker))
+            self.assertIs(OrderStatus.UNSENT, outcome.status, outcome)
+
+        run_on_machine(scenario)
+
+    def test_poll_whose_connection_ends(self) -> None:
+        """Guards against ending a live worker whose open connections are reset."""
+
+        async def scenario(machine: Machine, orders: PlatformOrders, worker: WorkerView) -> None:
+            await poll(orders, worker)
+            waiting = asyncio.create_task(poll(orders, worker, wait_s=1.0))
+            await asyncio.sleep(0.05)
+            await machine.network.end_connections()
+            self.assertIs(OrderStatus.UNANSWERED, (await waiting).status)
+            self.assertIs(OrderStatus.OBEYED, (await poll(orders, worker)).status)
+
+        run_on_machine(scenario)
+
+
 class LaterIncarnationTests(unittest.TestCase):
     """An order for one incarnation must have no effect on a later one at the same address."""
 
