Let an epoch hand over whose service a configuration removes

Callers saw: a task that is to last stayed away for 7.6 to 11.6 s after its worker was lost, where a version of the configuration had left out its service for a moment. Cause: the elector cancelled the epoch of a service that was removed, so that it handed nothing over and the next epoch waited for the longest lease that any could have granted. Change: such an epoch ends as it does when its instance stops: it hands over, and the instance bids no more unless the service is configured again.

--- a/src/shallotworks/scheduling/duties/_leader_elector.py
+++ b/src/shallotworks/scheduling/duties/_leader_elector.py
@@ -77,6 +77,7 @@
         "_claimed_service",
         "_claims_prefix",
         "_clock",
+        "_ending_bid_tasks",
         "_freed_s",
         "_holder_tokens",
         "_instance",
@@ -130,6 +131,9 @@
         """Fencing tokens of the leaseholders by service, as far as the watcher has reported."""
         self._leases: dict[str, HeldLease] = {}
         self._bid_tasks: dict[str, asyncio.Task[None]] = {}
+        self._ending_bid_tasks: set[asyncio.Task[None]] = set()
+        """Tasks that bid for services which were removed from the configuration, and whose epochs
+        are handing over."""
         self._key_freed = asyncio.Event()
         self._pending_acquisitions = 0
         self._is_stopping = False
@@ -161,10 +165,15 @@
         for service in services - set(self._bid_tasks):
             self._bid_tasks[service] = asyncio.create_task(self._bid(service))
         for service in set(self._bid_tasks) - services:
-            self._bid_tasks.pop(service).cancel()
+            bid_task = self._bid_tasks.pop(service)
             lease = self._leases.get(service)
-            if lease is not None:
-                lease.mark_lost("the service was removed from the configuration")
+            if lease is None or lease.lost_event.is_set():
+                bid_task.cancel()
+                continue
+            # The epoch hands over before it ends: the service may be configured again at any time.
+            lease.mark_lost("the service was removed from the configuration")
+            self._ending_bid_tasks.add(bid_task)
+            bid_task.add_done_callback(self._ending_bid_tasks.discard)
 
     def held_services(self) -> list[str]:
         """Return the services whose leases this instance holds."""
@@ -178,7 +187,10 @@
         for lease in leases:
             lease.mark_lost("stopping")
         await asyncio.wait_for(
-            asyncio.gather(*self._bid_tasks.values(), return_exceptions=True), timeout=2.0
+            asyncio.gather(
+                *self._bid_tasks.values(), *self._ending_bid_tasks, return_exceptions=True
+            ),
+            timeout=2.0,
         )
 
     # ---- events from the watcher of the keys
@@ -228,7 +240,7 @@
 
     async def _bid(self, service: str) -> None:
         await self._watcher.synced.wait()
-        while not self._is_stopping:
+        while not self._is_stopping and asyncio.current_task() not in self._ending_bid_tasks:
             if service in self._holder_tokens:
                 await self._claim_or_wait(service)
                 continue
