Forget leases of earlier epochs once their worker refuses their orders

Callers saw: a lasting task that lost its worker soon after a takeover stayed away for over 7 s. Cause: a successor reckons with all leases that epochs before it may have granted, as long as that takes at the longest, also after the worker has answered it. Change: a worker's first answer bounds its lease by the longest single one, since the worker refuses the orders of earlier epochs from then on. A worker that has started again is left out: it may hold a lease that was meant for its earlier clock.

--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -98,6 +98,7 @@
         "is_cordoned",
         "is_fenced",
         "is_listed",
+        "is_restarted",
         "is_slow",
         "is_yielding",
         "isolated_runs",
@@ -129,6 +130,9 @@
         self.refused_s: float | None = None
         """Time at which nobody listened at the worker's address; ``None`` if it has answered
         since."""
+        self.is_restarted = False
+        """Whether this scheduler has known an earlier incarnation, whose orders this one may have
+        received."""
         self.is_fenced = False
         """Whether this incarnation has seen its token, so that it refuses orders of earlier
         schedulers and orders that were sent to its earlier incarnations."""
@@ -219,6 +223,7 @@
         worker itself has reported.
         """
         restarted = Worker(view=view, order_token=order_token)
+        restarted.is_restarted = True
         restarted.is_listed = self.is_listed
         restarted.is_cordoned = self.is_cordoned
         restarted.is_yielding = self.is_yielding
--- a/src/shallotworks/scheduling/_order_times.py
+++ b/src/shallotworks/scheduling/_order_times.py
@@ -55,6 +55,11 @@
         """All runs end this long after the last confirmed renewal of the scheduler's own lease."""
         return self.lease_s + self.full_lease_s
 
+    @property
+    def longest_lease_s(self) -> float:
+        """Time after which any one lease that was granted has certainly expired."""
+        return self.lease_s + self._skew_s(self.lease_s) + LEASE_END_MARGIN_S
+
     @property
     def recovery_s(self) -> float:
         """Time after which all runs of earlier epochs have ended on a worker that has not answered.
@@ -63,7 +68,8 @@
         acquired. The margin allows for slow clocks of workers, which are extrapolated from answers
         that may be as old as the interval between polls.
         """
-        skew_s = MAX_CLOCK_SKEW_RATIO * (
-            self.lease_horizon_s + self.idle_poll_s + self.answer_overdue_s
-        )
-        return self.lease_horizon_s + skew_s + LEASE_END_MARGIN_S
+        horizon_s = self.lease_horizon_s
+        return horizon_s + self._skew_s(horizon_s) + LEASE_END_MARGIN_S
+
+    def _skew_s(self, lease_s: float) -> float:
+        return MAX_CLOCK_SKEW_RATIO * (lease_s + self.idle_poll_s + self.answer_overdue_s)
--- a/src/shallotworks/scheduling/_worker_contact.py
+++ b/src/shallotworks/scheduling/_worker_contact.py
@@ -152,6 +152,16 @@
         worker.lease_ends_s = max(worker.lease_ends_s, ends_s)
         return worker.clock_ms + int((age_s + lease_s) * 1000)
 
+    def bound_earlier_leases(self, worker: Worker) -> None:
+        """Bound the leases of earlier epochs on a worker that is about to be recovered.
+
+        From its answer on it refuses the orders of those epochs. A worker that has started again is
+        left out: it may hold a lease whose end was meant for the clock of its earlier incarnation.
+        """
+        if worker.worker_id in self._scheduler_state.pending_recovery and not worker.is_restarted:
+            longest_ends_s = self._clock() + self._times.longest_lease_s
+            worker.lease_ends_s = min(worker.lease_ends_s, longest_ends_s)
+
     def note_contact(self, worker: Worker, outcome: OrderOutcome) -> None:
         """Record whether anybody listens at a worker's address, as far as an outcome shows it."""
         if outcome.status is OrderStatus.REFUSED:
--- a/src/shallotworks/scheduling/_worker_poller.py
+++ b/src/shallotworks/scheduling/_worker_poller.py
@@ -201,6 +201,7 @@
         reporter = self._contact.identify(worker, outcome)
         if reporter is worker:
             worker.acknowledged = max(worker.acknowledged, acknowledged)
+        self._contact.bound_earlier_leases(reporter)
         self._scheduler_state.apply_report(
             reporter,
             outcome.report,
--- a/tests/test_lost_workers.py
+++ b/tests/test_lost_workers.py
@@ -45,6 +45,29 @@
         self.assertAlmostEqual(lease_s, OrderTimes.within(longest_lease_s).lease_s)
 
 
+class EarlierLeaseTests(unittest.TestCase):
+    def test_a_worker_that_answered_a_successor_is_waited_for_no_longer_than_one_lease(
+        self,
+    ) -> None:
+        """A successor goes on to reckon with all leases that an epoch before it could have granted.
+
+        The worker has answered it, and so refuses the orders of that epoch.
+        """
+
+        async def scenario() -> float:
+            simulation = LastingTaskSimulation(seed=1, workers=4)
+            simulation.start()
+            await simulation.submit(JOB, lasting_step(2))
+            await asyncio.sleep(SETTLE_S)
+            lost = next(one for one in simulation.fleet.workers.values() if _lasting_tasks(one))
+            await simulation.kill_scheduler()
+            while not any(" recovery-over " in line for line in simulation.lines):
+                await asyncio.sleep(0.05)
+            return await _lose(simulation, lost, OrderStatus.UNANSWERED)
+
+        self.assertLessEqual(run_scenario(scenario()), BACK_WITHIN_S)
+
+
 class UnansweredPollTests(unittest.TestCase):
     def test_nothing_starts_at_a_worker_until_it_answers_a_poll(self) -> None:
         """Starts are sent every half second to a worker that answers nothing."""
@@ -88,16 +111,21 @@
     short_jobs = asyncio.create_task(_submit_short_jobs(simulation))
     await asyncio.sleep(1.0)
     lost = next(one for one in simulation.fleet.workers.values() if _lasting_tasks(one))
+    away_s = await _lose(simulation, lost, absence)
+    short_jobs.cancel()
+    return away_s
+
+
+async def _lose(simulation: LastingTaskSimulation, lost: TaskWorker, absence: OrderStatus) -> float:
+    """Lose a worker, whose entry stays in discovery; return how long its tasks are away."""
     names = _lasting_tasks(lost)
     simulation.fleet.outcomes_when_absent[lost.view.worker_id] = absence
-    # The entry of the worker stays in discovery.
     lost.crash()
     lost_s = asyncio.get_running_loop().time()
     away_s = 0.0
     while away_s < 4 * BACK_WITHIN_S and not names <= _running(simulation):
         await asyncio.sleep(0.05)
         away_s = asyncio.get_running_loop().time() - lost_s
-    short_jobs.cancel()
     await simulation.close()
     return away_s
 
