Wait no longer for an unreachable worker because it starts again

Callers saw: after a change of scheduler, all tasks of earlier jobs waited for as long as a worker that can't be reached kept starting again, with room elsewhere. Cause: each start that discovery listed began the successor's wait for the worker anew, 7.1 s, though whatever earlier epochs ordered has ended by the first bound. Change: where incarnations can be told apart and no order of this epoch is unconfirmed there, a later start leaves the wait as it is. The later incarnation refuses orders to the earlier one; where incarnations can't be told apart, or an order is under way, the wait is extended as before. Measured: tests.test_lost_at_takeover, RestartedWorkerTests, failed before.

--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -197,6 +197,11 @@
                 worker, wall_s, is_replaced=True, unconfirmed=unconfirmed
             )
         restarted = worker.restart(view, order_token=self._numbers.next_order_token())
+        is_told_apart = view.born_ms is not None and worker.view.born_ms is not None
+        if is_told_apart and not unconfirmed:
+            # No order of this epoch is under way, and the later incarnation refuses those that
+            # earlier epochs sent to the earlier one.
+            runs_end_s = min(runs_end_s, worker.lease_ends_s)
         restarted.lease_ends_s = runs_end_s
         restarted.isolated_runs = [run for run in worker.isolated_runs if run in unconfirmed]
         for run in unconfirmed:
