Keep workers that answer, not silent ones, for lasting tasks

Callers saw: a task that is to last stayed away for as long as idle workers were cut off and stayed listed, beside idle workers that answered (30 s in a test). Cause: the pool reserves idle workers for the task, at first those that it hasn't offered. Silent ones filled the reserve, the ones that answer stayed offered to other pools, and nothing is started on an offered worker. Change: workers that have answered their last poll are reserved first. Measured: tests.test_silent_idle_workers, six cases, three failed before (four and five of six idle workers silent: not back within 20 s); all pass, with 6.15 s where five are silent.

--- a/src/shallotworks/scheduling/machines/_sizing.py
+++ b/src/shallotworks/scheduling/machines/_sizing.py
@@ -263,9 +263,16 @@
         in_time, late = self._reserved_for_tasks(now_s, wall_s)
         advised = self._scheduler_state.advised_steps()
         free = [one for one in free if not _may_run_any(one, advised, wall_s)]
-        # Prefer to reserve workers that are not offered: after a withdrawn offer, lasting tasks are
-        # kept off the worker for a while.
-        free = sorted(free, key=lambda worker: worker.worker_id in self._offered)
+        # Prefer to reserve workers that answer, since nothing starts on the others, and then those
+        # that are not offered: after a withdrawn offer, lasting tasks are kept off the worker for a
+        # while.
+        free = sorted(
+            free,
+            key=lambda worker: (
+                not worker.has_answered_last_poll,
+                worker.worker_id in self._offered,
+            ),
+        )
         yielding = [worker for worker in free if worker.is_yielding]
         others = [worker for worker in free if not worker.is_yielding]
         lendable = others[in_time + late :] + yielding[max(0, in_time - len(others)) :]
