List two waits of lasting tasks for what is remembered of a worker

Cause: a successor of a scheduler that was killed waits for the longest lease it could have granted; and a start on an idle worker that fell silent since its last poll, up to 10 s ago, holds its task for a whole lease. Change: a failing test of each, listed.

--- a/tests/test_lost_at_takeover.py
+++ b/tests/test_lost_at_takeover.py
@@ -76,8 +76,21 @@
         self.assertLessEqual(away_s, BACK_WITHIN_S)
 
 
-async def _time_without_a_task(absence: OrderStatus, stops: int) -> tuple[float, list[str]]:
-    """Return how long tasks are away whose worker and schedulers end, and violations."""
+class KilledSchedulerTests(unittest.TestCase):
+    def test_a_task_is_back_after_its_worker_and_scheduler_are_lost_at_once(self) -> None:
+        """A lasting task is away until no lease can be left of a scheduler that was killed."""
+        away_s, violations = run_scenario(_time_without_a_task(OrderStatus.UNANSWERED, None))
+        self.assertEqual([], violations)
+        self.assertLessEqual(away_s, BACK_WITHIN_S)
+
+
+async def _time_without_a_task(absence: OrderStatus, stops: int | None) -> tuple[float, list[str]]:
+    """Return how long tasks are away whose worker and schedulers end, and violations.
+
+    Args:
+        absence: Outcome of calls to the lost worker.
+        stops: Number of schedulers that are stopped in turn; ``None`` to kill one.
+    """
     simulation = LastingTaskSimulation(seed=1)
     simulation.start()
     await simulation.submit(JOB, lasting_step(3))
@@ -86,7 +99,9 @@
     names = lost.names()
     simulation.fleet.outcomes_when_absent[lost.view.worker_id] = absence
     simulation.crash_worker(lost.view.worker_id)
-    stopping = asyncio.create_task(_stop_schedulers(simulation, stops))
+    stopping = asyncio.create_task(
+        simulation.kill_scheduler() if stops is None else _stop_schedulers(simulation, stops)
+    )
     away_s = await _time_until_back(simulation, names)
     await stopping
     await simulation.close()
--- a/tests/test_silent_idle_workers.py
+++ b/tests/test_silent_idle_workers.py
@@ -29,6 +29,12 @@
         self.assertEqual([], violations)
         self.assertLessEqual(away_s, BACK_WITHIN_S)
 
+    def test_a_start_on_an_idle_worker_that_fell_silent_does_not_hold_a_task_up(self) -> None:
+        """A lasting task waits for the lease of a start on a worker whose last report is old."""
+        away_s, violations = run_scenario(_time_without_a_task(1, after_s=3.0))
+        self.assertEqual([], violations)
+        self.assertLessEqual(away_s, BACK_WITHIN_S)
+
     def test_silent_workers_are_not_kept_in_place_of_those_that_answer(self) -> None:
         """All workers that answer are offered while a task waits, since silent ones are kept."""
         harness = SizingHarness(*"abcdefgh")
@@ -41,8 +47,13 @@
         self.assertTrue({"g", "h"}.isdisjoint(harness.assess().free))
 
 
-async def _time_without_a_task(silent: int) -> tuple[float, list[str]]:
-    """Return how long a task is away that loses its worker while idle ones are cut off."""
+async def _time_without_a_task(silent: int, *, after_s: float = 0.0) -> tuple[float, list[str]]:
+    """Return how long a task is away that loses its worker, and violations.
+
+    Args:
+        silent: Number of idle workers that are cut off.
+        after_s: Time from the loss of the task's worker until then.
+    """
     simulation = LastingTaskSimulation(seed=1, workers=7)
     simulation.start()
     await simulation.submit(JOB, lasting_step(1))
@@ -50,11 +61,12 @@
     workers = simulation.fleet.workers
     lost = next(one for one in workers.values() if one.names())
     idle = [worker_id for worker_id, one in workers.items() if one is not lost]
-    simulation.fleet.isolated.update(idle[:silent])
     simulation.fleet.outcomes_when_absent[lost.view.worker_id] = OrderStatus.UNANSWERED
     simulation.crash_worker(lost.view.worker_id)
     loop = asyncio.get_running_loop()
     lost_s = loop.time()
+    await asyncio.sleep(after_s)
+    simulation.fleet.isolated.update(idle[:silent])
     while loop.time() - lost_s < OBSERVATION_S:
         await asyncio.sleep(0.05)
         if any(one.names() for one in workers.values() if one.is_alive):
