Stop no lasting task that may not be started again yet

Callers saw: a lasting task on a sound worker that is due for maintenance was away for 6.4 s, since it was stopped to be moved while its scheduler awaited a lost worker of an earlier epoch. Cause: a scheduler that recovers holds all earlier jobs back, but went on to stop their tasks. Change: a task of such a job is moved once the scheduler has recovered.

--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -137,7 +137,8 @@
     def evacuate(self, worker: Worker) -> None:
         """Request the stop of lasting tasks on a worker that is to leave, within their budgets.
 
-        A task is stopped once another worker would take it. A task on a worker that is about to
+        A task is stopped once another worker would take it, and no task that may not be started
+        again before this scheduler has recovered. A task on a worker that is about to
         leave is stopped in any case: the stop lets it run again at once, while the worker's absence
         may be known only when its lease is out.
         """
@@ -146,7 +147,7 @@
         waited_s = self._now_s - worker.evacuated_from_s
         is_leaving = worker.view.is_draining and waited_s >= DRAIN_WAIT_S
         for run in list(worker.runs.values()):
-            if not run.step.is_lasting or run.is_stop_requested:
+            if not run.step.is_lasting or run.is_stop_requested or self._is_held_back(run):
                 continue
             if is_leaving or (
                 self.may_disrupt(run)
@@ -166,6 +167,10 @@
             if other is not worker
         )
 
+    def _is_held_back(self, run: Run) -> bool:
+        tracked_job = self._scheduler_state.tracked_jobs.get(run.name.job_id)
+        return tracked_job is not None and self._scheduler_state.is_held_back(tracked_job)
+
     def _tracked_step(self, run: Run) -> TrackedStep | None:
         """Return the step of a run, or ``None`` if its job is not known or is over."""
         tracked_job = self._scheduler_state.tracked_jobs.get(run.name.job_id)
--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -13,7 +13,7 @@
 from ._model import EndKind, Run, Worker, WorkerReport, WorkerView
 from ._report_reader import ReportReader
 from ._step_advice import AdviceRequestSize
-from ._tracked_jobs import TrackedStep
+from ._tracked_jobs import TrackedJob, TrackedStep
 from .teams import TeamRooms
 
 __all__ = ["SchedulerState", "StoredProgress", "WaitingTasks"]
@@ -79,14 +79,17 @@
 
     # ---- waiting tasks
 
+    def is_held_back(self, tracked_job: TrackedJob) -> bool:
+        """Whether no task of a job may be started until this scheduler has recovered."""
+        return tracked_job.is_inherited and bool(self.pending_recovery)
+
     def open_steps(self) -> Iterator[TrackedStep]:
         """Yield the steps with waiting tasks that may be started.
 
         Jobs of earlier epochs are omitted until all workers of earlier epochs have been recovered.
         """
-        is_recovered = not self.pending_recovery
         for tracked_job in self.tracked_jobs.values():
-            if tracked_job.is_inherited and not is_recovered:
+            if self.is_held_back(tracked_job):
                 continue
             for step in tracked_job.steps.values():
                 if step.waiting:
