--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -203,11 +203,6 @@
         """
         return self.unlisted_s is not None and self.refused_s is not None
 
-    def note_listed(self) -> None:
-        """Record that discovery lists the worker."""
-        self.is_listed = True
-        self.unlisted_s = None
-
     def restart(self, view: WorkerView, *, order_token: int) -> Worker:
         """Return a later incarnation of this worker.
 
--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -152,7 +152,7 @@
             self.workers[view.worker_id] = worker
             worker.lasting_allowed_from_s = self._lasting_allowed_from_s.pop(view.worker_id, 0.0)
             return
-        worker.note_listed()
+        worker.is_listed = True
         if worker.incarnation.may_be(view.incarnation):
             worker.view = view
 
--- a/src/shallotworks/scheduling/_worker_tracker.py
+++ b/src/shallotworks/scheduling/_worker_tracker.py
@@ -140,7 +140,7 @@
             wall_s=self._wall_clock(),
             runs_end_s=now_s + self._recovery_s,
         )
-        restarted.note_listed()
+        restarted.is_listed = True
 
     def _listed_workers(self) -> dict[str, WorkerView]:
         """Return the listed workers without those that were replaced or removed.
--- a/tests/test_departed_workers.py
+++ b/tests/test_departed_workers.py
@@ -112,6 +112,12 @@
     simulation.fleet.outcomes_when_absent[worker.view.worker_id] = OrderStatus.REFUSED
 
 
+async def _refused_then_unreadable(simulation: LastingTaskSimulation, worker: TaskWorker) -> None:
+    simulation.fleet.outcomes_when_absent[worker.view.worker_id] = OrderStatus.REFUSED
+    await asyncio.sleep(2.0)
+    simulation.store.put(REGISTRY_PREFIX + worker.view.worker_id, b"{}")
+
+
 async def _unlisted_then_unreadable_and_refused(
     simulation: LastingTaskSimulation, worker: TaskWorker
 ) -> None:
@@ -184,6 +190,7 @@
             ("unlisted_and_reset", _unlisted_and_reset, False),
             ("unlisted_without_connection", _unlisted_without_connection, False),
             ("unreadable_and_refused", _unreadable_and_refused, False),
+            ("refused_then_unreadable", _refused_then_unreadable, False),
             (
                 "unlisted_then_unreadable_and_refused",
                 _unlisted_then_unreadable_and_refused,
