Count a worker's lease from its last answer

Callers saw: a lasting task stayed away for 6.55 s after its worker was lost just after it had obeyed a start. Cause: the answer to a start hid that a poll was under way since before it. The next poll, which nobody answered either, counted as the first unanswered call and extended the remembered lease once more. And a start that an idle worker never got left a time behind from which later leases counted. Change: leases count from the worker's last answer while it runs anything, and from the call that grants them otherwise.

--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -104,6 +104,7 @@
         "isolated_runs",
         "lasting_allowed_from_s",
         "lease_ends_s",
+        "leased_from_s",
         "memory_used",
         "order_token",
         "pace",
@@ -112,7 +113,6 @@
         "refused_s",
         "reported_s",
         "runs",
-        "unanswered_grant_s",
         "unknown_runs",
         "unlisted_s",
         "unsettled_ends",
@@ -150,9 +150,9 @@
         """Time on the scheduler's clock of that report."""
         self.lease_ends_s = 0.0
         """Time on the scheduler's clock until which the worker may hold a lease."""
-        self.unanswered_grant_s: float | None = None
-        """Time at which the first lease was sent since the worker answered last; ``None`` if none
-        was."""
+        self.leased_from_s: float | None = None
+        """Time at which the worker answered last, or at which the first lease was sent to it if it
+        ran nothing then; leases end a lease's length after it. ``None`` if it runs nothing."""
         self.pause_until_s = 0.0
         """Nothing is started here before this time, because an order or a poll failed."""
         self.avoid_until_s = 0.0
@@ -211,6 +211,10 @@
         """
         return self.unlisted_s is not None and self.refused_s is not None
 
+    def note_answered(self, now_s: float) -> None:
+        """Record an answer of this incarnation, which is the last one if it is lost now."""
+        self.leased_from_s = now_s if self.runs else None
+
     def restart(self, view: WorkerView, *, order_token: int) -> Worker:
         """Return a later incarnation of this worker.
 
@@ -288,6 +292,8 @@
         """Count the room of a run as free."""
         del self.runs[(run.name, run.run_id)]
         self._use(run.step, -1)
+        if not self.runs:
+            self.leased_from_s = None
 
     def _use(self, step: Step, sign: int) -> None:
         if step is UNKNOWN_STEP:
--- a/src/shallotworks/scheduling/_order_dispatcher.py
+++ b/src/shallotworks/scheduling/_order_dispatcher.py
@@ -215,7 +215,7 @@
         )
         is_certain = self._contact.is_from_known_incarnation(worker, outcome, sent_s)
         if is_certain and outcome.status is OrderStatus.OBEYED:
-            worker.unanswered_grant_s = None
+            worker.note_answered(now_s)
         self._handle_start_outcome(worker, run, outcome, now_s, is_certain=is_certain)
         self._wake_for_worker(worker)
 
--- a/src/shallotworks/scheduling/_report_reader.py
+++ b/src/shallotworks/scheduling/_report_reader.py
@@ -76,7 +76,7 @@
                 self._handle_missing_run(worker, run, sent_s, now_s, wall_s)
         worker.reported_s = now_s
         worker.has_answered_last_poll = True
-        worker.unanswered_grant_s = None
+        worker.note_answered(now_s)
         worker.connection_closed_s = None
         self._jobs.isolation.note_answered(worker, now_s)
 
--- a/src/shallotworks/scheduling/_worker_contact.py
+++ b/src/shallotworks/scheduling/_worker_contact.py
@@ -127,7 +127,7 @@
         from the store. If it continued to grant full leases, its successor would have to wait that
         much longer for each worker that it can't reach.
 
-        Until the worker answers, later calls extend the lease no further than the first one did.
+        A lease counts from the worker's last answer, however many calls are sent after it.
         Otherwise the wait for a worker that was lost would begin anew with each call.
 
         The worker's clock is extrapolated from its last answer. The estimate is early by the delay
@@ -140,14 +140,14 @@
         if not worker.clock_ms or not self._is_recorded(worker.worker_id):
             return None
         age_s = sent_s - worker.clock_at_s
-        first_s = sent_s if worker.unanswered_grant_s is None else worker.unanswered_grant_s
+        from_s = sent_s if worker.leased_from_s is None else worker.leased_from_s
         lease_s = min(
-            first_s + self._times.lease_s - sent_s,
+            from_s + self._times.lease_s - sent_s,
             self._times.lease_horizon_s - self._lease.since_renewal_s,
         )
         if lease_s <= 0:
             return None
-        worker.unanswered_grant_s = first_s
+        worker.leased_from_s = from_s
         ends_s = sent_s + lease_s + MAX_CLOCK_SKEW_RATIO * (lease_s + age_s) + LEASE_END_MARGIN_S
         worker.lease_ends_s = max(worker.lease_ends_s, ends_s)
         return worker.clock_ms + int((age_s + lease_s) * 1000)
--- a/tests/test_lost_workers.py
+++ b/tests/test_lost_workers.py
@@ -78,6 +78,16 @@
         harness.report("a")
         self.assertEqual(1, len(_starts(harness)))
 
+    def test_a_start_that_was_not_sent_leaves_no_lease_behind(self) -> None:
+        """An idle worker is leased nothing more after a start that it never got, until its poll."""
+        harness = SchedulingHarness(view("a"))
+        harness.add_job(job(JOB, step(1)))
+        (start,) = _starts(harness)
+        worker = harness.worker("a")
+        worker.leased_from_s = harness.now_s
+        harness.scheduler_state.note_start_failed(start.run, harness.now_s)
+        self.assertIsNone(worker.leased_from_s)
+
     def test_an_idle_worker_is_used_again_as_soon_as_it_answers(self) -> None:
         """A worker that was unreachable for a moment stays unused until its next idle poll."""
 
