--- a/src/shallotworks/standins/_record_store.py
+++ b/src/shallotworks/standins/_record_store.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import random
+from bisect import bisect_right
 from dataclasses import dataclass
 
 from returns.result import Failure as Err
@@ -184,11 +185,9 @@
             self.expire()
             if after_revision < self._compacted_revision:
                 return Changes(events=(), revision=after_revision, is_history_lost=True)
-            events = tuple(
-                event
-                for event in self._history
-                if event.revision > after_revision and event.key.startswith(prefix)
-            )
+            # The history is in order of revision.
+            first = bisect_right(self._history, after_revision, key=lambda event: event.revision)
+            events = tuple(event for event in self._history[first:] if event.key.startswith(prefix))
             if events or loop.time() >= ends_at_s:
                 return Changes(events=events, revision=self.revision)
             await self._wait_for_change(min(ends_at_s, self._next_expiry_at_s()) - loop.time())
--- a/tests/lasting_task_simulation.py
+++ b/tests/lasting_task_simulation.py
@@ -173,7 +173,14 @@
     async def _run_epoch(self, service: str, lease: HeldLease) -> None:
         self.epoch_starts_s.append(self.now_s())
         self._start_watchers()
-        dependencies = SchedulerDependencies(
+        service_scheduler = ServiceScheduler(
+            service=service, lease=lease, dependencies=self._dependencies()
+        )
+        self.service_schedulers.append(service_scheduler)
+        await service_scheduler.run()
+
+    def _dependencies(self) -> SchedulerDependencies:
+        return SchedulerDependencies(
             store=self.store,
             orders=self.orders,
             directory=self._registry,
@@ -185,11 +192,6 @@
             log=self._log,
             metrics=Metrics(),
         )
-        service_scheduler = ServiceScheduler(
-            service=service, lease=lease, dependencies=dependencies
-        )
-        self.service_schedulers.append(service_scheduler)
-        await service_scheduler.run()
 
     def _start_watchers(self) -> None:
         """Start the watchers of the workers and the machine controller at the first epoch."""
@@ -197,15 +199,25 @@
             return
         self._are_watchers_started = True
         workers, machines = (
-            PrefixWatcher(store=self.store, prefix=prefix, listener=listener, log=quiet_log())
-            for prefix, listener in (
-                (REGISTRY_PREFIX, self._registry),
-                (MACHINES_PREFIX, self._machine_records),
+            PrefixWatcher(
+                store=self.store,
+                prefix=prefix,
+                listener=listener,
+                log=quiet_log(),
+                on_answer=on_answer,
+                clock=self.now_s,
+            )
+            for prefix, listener, on_answer in (
+                (REGISTRY_PREFIX, self._registry, self._note_workers_answer),
+                (MACHINES_PREFIX, self._machine_records, None),
             )
         )
         for work in (workers.run(), machines.run(), self._note_synced(workers)):
             self._tasks.add(asyncio.create_task(work))
 
+    def _note_workers_answer(self, sent_s: float) -> None:
+        """Handle an answer to the watcher of the workers."""
+
     async def _note_synced(self, workers: PrefixWatcher) -> None:
         await workers.synced.wait()
         self._registry.is_synced = True
@@ -292,6 +304,8 @@
         instances: Number of instances.
     """
 
+    instance_type: type[LastingInstance] = LastingInstance
+
     def __init__(self, *, seed: int = 1, workers: int = 6, instances: int = 3) -> None:
         self.rng = random.Random(seed)
         self.store = RecordStore(rng=self.rng)
@@ -371,7 +385,7 @@
 
     async def submit(self, job_id: str, *steps: Step) -> None:
         """Submit a lasting job to random instances until it is accepted."""
-        job = Job(job_id=job_id, policy=policy(service=SERVICE), spec="x", steps=steps)
+        job = self._make_job(job_id, steps)
         self.fleet.lasting.add(job_id)
         for _ in range(MAX_SUBMIT_ATTEMPTS):
             job_handler = await self._any_job_handler()
@@ -385,6 +399,9 @@
                 return
             await asyncio.sleep(0.3)
 
+    def _make_job(self, job_id: str, steps: tuple[Step, ...]) -> Job:
+        return Job(job_id=job_id, policy=policy(service=SERVICE), spec="x", steps=steps)
+
     async def cancel(self, job_id: str) -> None:
         """Cancel a job at random instances until that is acknowledged."""
         if job_id not in self._accepted or job_id in self._cancelled_s:
@@ -412,7 +429,7 @@
         """Start another instance."""
         self._instances_made += 1
         name = f"n{self._instances_made}"
-        instance = LastingInstance(
+        instance = self.instance_type(
             name=name,
             store=self.store,
             faults=self._faults,
