Refuse connections of lost workers in the drawn histories

Cause: the histories' lost workers gave the outcome of a call without a connection, which the product now tells apart from a refused one. Change: a lost worker refuses connections or leaves them hanging.

--- a/tests/lasting_history.py
+++ b/tests/lasting_history.py
@@ -272,7 +272,7 @@
             return
         self._record_event("drains", worker_id)
         worker.view = replace(worker.view, is_draining=True)
-        self._register(worker)
+        self.register(worker)
         await asyncio.sleep(DRAIN_S + self._draws.uniform(*lingers_s))
         if not worker.is_alive:
             return
@@ -322,7 +322,7 @@
         """End a worker; later connections to it are refused, or nothing answers."""
         worker.crash()
         if is_refusing:
-            self.fleet.outcomes_when_absent[worker.view.worker_id] = OrderStatus.UNSENT
+            self.fleet.outcomes_when_absent[worker.view.worker_id] = OrderStatus.REFUSED
 
     def _expire_entry(self, worker_id: str) -> None:
         self._in_background(self._unregister_later(worker_id, self._draws.uniform(*ENTRY_EXPIRY_S)))
@@ -343,7 +343,7 @@
         await asyncio.sleep(after_s)
         await self._until_registrable(worker.view.worker_id)
         if worker.is_alive:
-            self._register(worker)
+            self.register(worker)
 
     # ---- disruptions
 
