Keep the next lease of a service when the hand-over of the last one ends

Cause: an epoch whose service a configuration removes hands over before it ends. If that outlasts its key, and the service is back, the next epoch has begun in the same instance; the end of the last one then removed the next one's lease from the held ones. The instance failed with KeyError at the end of that epoch and never bid again. Change: an epoch that ends forgets its own lease only.

--- a/src/shallotworks/scheduling/duties/_leader_elector.py
+++ b/src/shallotworks/scheduling/duties/_leader_elector.py
@@ -300,7 +300,8 @@
             self._log.line("epoch-fault", service=service, reason=repr(error))
         finally:
             lease.mark_lost("the epoch has ended")
-            del self._leases[service]
+            if self._leases.get(service) is lease:
+                del self._leases[service]
             await lease.release()
             if self._holder_tokens.get(service) == lease.token:
                 del self._holder_tokens[service]
