Count a refused connection only at the address that reached the worker

Cause: the entry of a live worker may name another address for a while, written by another program, and nobody listens there. The refusal was kept, and when the worker was cut off and its entry expired, it counted as ended while it ran: TWICE. Change: a refusal counts only at the address at which this scheduler, or the one before it, has reached the worker.

--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -110,6 +110,7 @@
         "pace",
         "pause_until_s",
         "rack_avoid_until_s",
+        "reached_address",
         "refused_s",
         "reported_s",
         "runs",
@@ -127,6 +128,9 @@
         self.unlisted_s: float | None = None
         """Time on the scheduler's clock from which discovery is known to have no entry of the
         worker, readable or not; ``None`` if it may have one."""
+        self.reached_address = ""
+        """Address at which this scheduler, or one before it, has reached the worker; empty if none
+        has."""
         self.refused_s: float | None = None
         """Time at which nobody listened at the worker's address; ``None`` if it has answered
         since."""
--- a/src/shallotworks/scheduling/_worker_poller.py
+++ b/src/shallotworks/scheduling/_worker_poller.py
@@ -170,8 +170,9 @@
         acknowledged = worker.end_to_acknowledge
         lease_ms = self._contact.extend_lease(worker, sent_s) if worker.runs else None
         wait_s = self._poll_wait_s(worker)
+        view = worker.view
         outcome = await self._orders.poll(
-            worker.view,
+            view,
             token=worker.order_token,
             acknowledged=acknowledged,
             lease_until_ms=lease_ms,
@@ -183,7 +184,7 @@
             # It has ended or started again, so that nothing it reports holds any more.
             self._contact.handle_fenced_or_gone(worker, outcome)
             return False
-        self._contact.note_contact(worker, outcome)
+        self._contact.note_contact(worker, view.address, outcome)
         if outcome.report is None:
             had_answered_last_poll = worker.has_answered_last_poll
             worker.has_answered_last_poll = False
--- a/src/shallotworks/scheduling/_worker_tracker.py
+++ b/src/shallotworks/scheduling/_worker_tracker.py
@@ -85,7 +85,9 @@
         )
         self._scheduler_state.update_worker(view)
         self._scheduler_state.mark_unlisted(worker_id)
-        self._scheduler_state.workers[worker_id].lease_ends_s = runs_ended_s
+        worker = self._scheduler_state.workers[worker_id]
+        worker.lease_ends_s = runs_ended_s
+        worker.reached_address = active_worker.address
 
     async def follow(self, on_change: Callable[[], None]) -> None:
         """Follow the directory and the machine controller's record, until cancelled.
--- a/tests/test_departed_workers.py
+++ b/tests/test_departed_workers.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import json
 import unittest
 from collections.abc import Awaitable, Callable
 
@@ -51,6 +52,35 @@
         return OrderStatus.REFUSED if _now_s() < self._closed_s + self._refuses_s else None
 
 
+async def _refused_at_an_address_of_another_program(
+    simulation: LastingTaskSimulation, worker: TaskWorker
+) -> None:
+    worker_id = worker.view.worker_id
+    key = REGISTRY_PREFIX + worker_id
+    entry = json.loads(simulation.store.items[key].value)
+    simulation.store.put(key, json.dumps(entry | {"address": "127.0.0.1:9"}).encode())
+    simulation.fleet.outcomes_when_absent[worker_id] = OrderStatus.REFUSED
+    await asyncio.sleep(1.5)
+
+
+async def _refused_elsewhere_then_unlisted(
+    simulation: LastingTaskSimulation, worker: TaskWorker
+) -> None:
+    await _refused_at_an_address_of_another_program(simulation, worker)
+    simulation.lose_entry(worker.view.worker_id)
+
+
+async def _refused_elsewhere_then_cut_off(
+    simulation: LastingTaskSimulation, worker: TaskWorker
+) -> None:
+    await _refused_at_an_address_of_another_program(simulation, worker)
+    simulation.fleet.isolated.add(worker.view.worker_id)
+    del simulation.fleet.outcomes_when_absent[worker.view.worker_id]
+    simulation.register(worker)
+    await asyncio.sleep(1.0)
+    simulation.lose_entry(worker.view.worker_id)
+
+
 async def _refused_then_unlisted(simulation: LastingTaskSimulation, worker: TaskWorker) -> None:
     _end(simulation, worker, OrderStatus.REFUSED)
     await asyncio.sleep(0.3)
@@ -197,6 +227,8 @@
                 False,
             ),
             ("listed_again_and_refused", _listed_again_and_refused, False),
+            ("refused_elsewhere_then_unlisted", _refused_elsewhere_then_unlisted, False),
+            ("refused_elsewhere_then_cut_off", _refused_elsewhere_then_cut_off, False),
         ]
     )
     def test_a_worker_that_may_run_is_waited_for(
