Reckon with the longer leases of an earlier release

Cause: where workers grant over 6 s, tasks are leased for 5 s now and were for five sixths of that before. A successor on this release took its own leases for those of an earlier one; beside a worker that is cut off, a task ran twice after an upgrade. Change: the record of active workers states the leases of the epoch that wrote it; a record without them counts as one of the longest leases. Both the wait for a worker that isn't reached and the bound at its first answer follow it.

--- a/src/shallotworks/scheduling/_active_workers.py
+++ b/src/shallotworks/scheduling/_active_workers.py
@@ -34,11 +34,14 @@
             ``None``, as for a worker with ends that are not stored.
         born_ms: When the worker had started, in milliseconds since 1970; ``None`` if unknown. A
             record of an earlier release has none.
+        lease_s: Longest lease that may have been granted on the worker; ``None`` in a record of an
+            earlier release.
     """
 
     address: str
     left_s: float | None = None
     born_ms: int | None = None
+    lease_s: float | None = None
 
 
 class ActiveWorkersRecord:
@@ -72,7 +75,10 @@
         """Return the active workers of a stored record, by worker id."""
         return {
             worker_id: ActiveWorker(
-                address=row["address"], left_s=row["left_s"], born_ms=row.get("born_ms")
+                address=row["address"],
+                left_s=row["left_s"],
+                born_ms=row.get("born_ms"),
+                lease_s=row.get("lease_s"),
             )
             for worker_id, row in json.loads(value).items()
         }
@@ -126,6 +132,7 @@
             "address": active_worker.address,
             "left_s": active_worker.left_s,
             "born_ms": active_worker.born_ms,
+            "lease_s": active_worker.lease_s,
         }
         for worker_id, active_worker in sorted(active_workers.items())
     }
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -90,6 +90,7 @@
         "clock_ms",
         "connection_closed_s",
         "cpu_used",
+        "earlier_lease_s",
         "evacuated_from_s",
         "failed_jobs",
         "gpus_used",
@@ -98,7 +99,6 @@
         "is_cordoned",
         "is_fenced",
         "is_listed",
-        "is_restarted",
         "is_slow",
         "is_yielding",
         "isolated_runs",
@@ -132,11 +132,10 @@
         """Address at which this scheduler, or one before it, has reached the worker; empty if none
         has."""
         self.refused_s: float | None = None
-        """Time at which nobody listened at the worker's address; ``None`` if it has answered
-        since."""
-        self.is_restarted = False
-        """Whether this scheduler has known an earlier incarnation, whose orders this one may have
-        received."""
+        """Time at which nobody listened at that address; ``None`` if it has answered since."""
+        self.earlier_lease_s: float | None = None
+        """Longest lease that an earlier epoch may have granted to this incarnation; ``None`` if it
+        is not known."""
         self.is_fenced = False
         """Whether this incarnation has seen its token, so that it refuses orders of earlier
         schedulers and orders that were sent to its earlier incarnations."""
@@ -226,7 +225,6 @@
         worker itself has reported.
         """
         restarted = Worker(view=view, order_token=order_token)
-        restarted.is_restarted = True
         restarted.is_listed = self.is_listed
         restarted.is_cordoned = self.is_cordoned
         restarted.is_yielding = self.is_yielding
--- a/src/shallotworks/scheduling/_order_times.py
+++ b/src/shallotworks/scheduling/_order_times.py
@@ -28,6 +28,8 @@
         answer_s: Time for the answer to an order or poll, beyond the poll's own wait. Workers
             answer in milliseconds.
         idle_poll_s: Interval between polls of a worker without runs, which read its clock.
+        earlier_lease_s: Longest lease that a scheduler of an earlier release may have granted,
+            which did not record it.
         full_lease_s: Leases are granted in full for this long after the last confirmed renewal of
             the scheduler's own lease; later ones are cut so that none ends after the last full one.
             It spans three renewals, and bounds how long a successor waits for a worker that it
@@ -35,6 +37,7 @@
     """
 
     lease_s: float = LEASE_S
+    earlier_lease_s: float = LEASE_S
     poll_wait_s: float = 1.0
     answer_s: float = 0.8
     idle_poll_s: float = 10.0
@@ -43,7 +46,8 @@
     @classmethod
     def within(cls, longest_lease_s: float) -> OrderTimes:
         """Return the times where workers grant leases of at most ``longest_lease_s`` seconds."""
-        return cls(lease_s=min(LEASE_S, longest_lease_s * GRANTED_LEASE_RATIO))
+        earlier_lease_s = longest_lease_s * GRANTED_LEASE_RATIO
+        return cls(lease_s=min(LEASE_S, earlier_lease_s), earlier_lease_s=earlier_lease_s)
 
     @property
     def answer_overdue_s(self) -> float:
@@ -55,11 +59,6 @@
         """All runs end this long after the last confirmed renewal of the scheduler's own lease."""
         return self.lease_s + self.full_lease_s
 
-    @property
-    def longest_lease_s(self) -> float:
-        """Time after which any one lease that was granted has certainly expired."""
-        return self.lease_s + self._skew_s(self.lease_s) + LEASE_END_MARGIN_S
-
     @property
     def recovery_s(self) -> float:
         """Time after which all runs of earlier epochs have ended on a worker that has not answered.
@@ -68,8 +67,15 @@
         acquired. The margin allows for slow clocks of workers, which are extrapolated from answers
         that may be as old as the interval between polls.
         """
-        horizon_s = self.lease_horizon_s
-        return horizon_s + self._skew_s(horizon_s) + LEASE_END_MARGIN_S
+        return self.recovery_after_s(self.lease_s)
+
+    def recovery_after_s(self, lease_s: float) -> float:
+        """Return the same time where earlier epochs have granted leases of ``lease_s`` seconds."""
+        return self.lease_out_s(lease_s + self.full_lease_s)
+
+    def lease_out_s(self, lease_s: float) -> float:
+        """Return the time after which a lease of ``lease_s`` seconds has certainly expired."""
+        return lease_s + self._skew_s(lease_s) + LEASE_END_MARGIN_S
 
     def _skew_s(self, lease_s: float) -> float:
         return MAX_CLOCK_SKEW_RATIO * (lease_s + self.idle_poll_s + self.answer_overdue_s)
--- a/src/shallotworks/scheduling/_service_scheduler.py
+++ b/src/shallotworks/scheduling/_service_scheduler.py
@@ -135,7 +135,7 @@
             machine_records=dependencies.machine_records,
             clock=dependencies.clock,
             wall_clock=dependencies.wall_clock,
-            recovery_s=dependencies.times.recovery_s,
+            times=dependencies.times,
         )
         self._order_dispatcher = OrderDispatcher(
             scheduler_state=self.scheduler_state,
--- a/src/shallotworks/scheduling/_worker_contact.py
+++ b/src/shallotworks/scheduling/_worker_contact.py
@@ -158,8 +158,9 @@
         From its answer on it refuses the orders of those epochs. A worker that has started again is
         left out: it may hold a lease whose end was meant for the clock of its earlier incarnation.
         """
-        if worker.worker_id in self._scheduler_state.pending_recovery and not worker.is_restarted:
-            longest_ends_s = self._clock() + self._times.longest_lease_s
+        lease_s = worker.earlier_lease_s
+        if lease_s is not None and worker.worker_id in self._scheduler_state.pending_recovery:
+            longest_ends_s = self._clock() + self._times.lease_out_s(lease_s)
             worker.lease_ends_s = min(worker.lease_ends_s, longest_ends_s)
 
     def note_contact(self, worker: Worker, address: str, outcome: OrderOutcome) -> None:
@@ -175,10 +176,10 @@
         """
         if outcome.status not in NO_ANSWER_STATUSES:
             worker.refused_s = None
-
             worker.reached_address = address
         elif outcome.status is OrderStatus.REFUSED and address == worker.reached_address:
             worker.refused_s = self._clock()
+
     def handle_fenced_or_gone(self, worker: Worker, outcome: OrderOutcome) -> bool:
         """Handle an outcome that ends this epoch or the worker; return whether it was one.
 
--- a/src/shallotworks/scheduling/_worker_poller.py
+++ b/src/shallotworks/scheduling/_worker_poller.py
@@ -229,9 +229,9 @@
     def _needs_immediate_answer(self, worker: Worker) -> bool:
         if not worker.is_fenced or worker.unsettled_ends or not worker.clock_ms:
             return True
-        if self._clock() - worker.reported_s >= self._times.answer_overdue_s:
         if not worker.has_answered_last_poll:
             return True
+        if self._clock() - worker.reported_s >= self._times.answer_overdue_s:
             # The worker's lease is extended no further until it has answered.
             return True
         awaited_phases = (RunPhase.UNANSWERED, RunPhase.STOPPED)
--- a/src/shallotworks/scheduling/_worker_tracker.py
+++ b/src/shallotworks/scheduling/_worker_tracker.py
@@ -7,6 +7,7 @@
 
 from ._active_workers import ActiveWorker, ActiveWorkersRecord
 from ._model import WorkerView
+from ._order_times import OrderTimes
 from ._protocols import WorkerDirectory
 from ._scheduler_state import SchedulerState
 from .machines import MachineControllerRecord, MachineRecords
@@ -26,8 +27,7 @@
         machine_records: Says which workers the machine controller has removed.
         clock: Seconds, counting suspended time.
         wall_clock: Time of day in seconds since 1970.
-        recovery_s: Time after which all runs of earlier epochs have ended on a worker that this
-            epoch has not reached.
+        times: Times of leases.
     """
 
     __slots__ = (
@@ -35,8 +35,8 @@
         "_directory",
         "_machine_records",
         "_record",
-        "_recovery_s",
         "_scheduler_state",
+        "_times",
         "_wall_clock",
     )
 
@@ -49,7 +49,7 @@
         machine_records: MachineRecords,
         clock: Callable[[], float],
         wall_clock: Callable[[], float],
-        recovery_s: float,
+        times: OrderTimes,
     ) -> None:
         self._scheduler_state = scheduler_state
         self._record = record
@@ -57,7 +57,7 @@
         self._machine_records = machine_records
         self._clock = clock
         self._wall_clock = wall_clock
-        self._recovery_s = recovery_s
+        self._times = times
 
     def is_recorded(self, worker_id: str) -> bool:
         """Whether the active workers record allows tasks to be started on a worker."""
@@ -72,7 +72,10 @@
 
     def _await_active_worker(self, worker_id: str, active_worker: ActiveWorker) -> None:
         """Hold earlier jobs back until a worker answers, or until what runs there has ended."""
-        longest_run_s = self._recovery_s
+        lease_s = active_worker.lease_s
+        if lease_s is None:
+            lease_s = self._times.earlier_lease_s
+        longest_run_s = self._times.recovery_after_s(lease_s)
         if active_worker.left_s is not None:
             longest_run_s = min(longest_run_s, active_worker.left_s)
         runs_ended_s = self._clock() + longest_run_s
@@ -87,6 +90,7 @@
         self._scheduler_state.mark_unlisted(worker_id)
         worker = self._scheduler_state.workers[worker_id]
         worker.lease_ends_s = runs_ended_s
+        worker.earlier_lease_s = lease_s
         worker.reached_address = active_worker.address
 
     async def follow(self, on_change: Callable[[], None]) -> None:
@@ -140,7 +144,7 @@
             view,
             now_s=now_s,
             wall_s=self._wall_clock(),
-            runs_end_s=now_s + self._recovery_s,
+            runs_end_s=now_s + self._times.recovery_s,
         )
         restarted.is_listed = True
 
@@ -184,11 +188,19 @@
         }
         views |= listed
         return {
-            worker_id: ActiveWorker(address=view.address, born_ms=view.born_ms)
+            worker_id: ActiveWorker(
+                address=view.address, born_ms=view.born_ms, lease_s=self._longest_lease_s(worker_id)
+            )
             for worker_id, view in views.items()
             if not view.is_draining or self._may_have_runs(worker_id)
         }
 
+    def _longest_lease_s(self, worker_id: str) -> float:
+        """Return the longest lease that may have been granted on a worker."""
+        worker = self._scheduler_state.workers.get(worker_id)
+        earlier_lease_s = worker.earlier_lease_s if worker is not None else None
+        return max(self._times.lease_s, earlier_lease_s or 0.0)
+
     def _may_have_runs(self, worker_id: str) -> bool:
         worker = self._scheduler_state.workers.get(worker_id)
         is_pending_recovery = worker_id in self._scheduler_state.pending_recovery
@@ -215,18 +227,15 @@
         now_s = self._clock()
         active_workers: dict[str, ActiveWorker] = {}
         for worker_id, worker in self._scheduler_state.workers.items():
-            address, born_ms = worker.view.address, worker.view.born_ms
             runs_ended_s = self._scheduler_state.recovery_ends_s(worker_id)
-            if runs_ended_s is not None:
-                active_workers[worker_id] = ActiveWorker(
-                    address=address, left_s=max(0.0, runs_ended_s - now_s), born_ms=born_ms
-                )
-            elif worker.unsettled_ends:
-                active_workers[worker_id] = ActiveWorker(address=address, born_ms=born_ms)
-            elif worker.runs:
-                active_workers[worker_id] = ActiveWorker(
-                    address=address,
-                    left_s=max(0.0, worker.lease_ends_s - now_s),
-                    born_ms=born_ms,
-                )
+            if runs_ended_s is None and worker.runs and not worker.unsettled_ends:
+                runs_ended_s = worker.lease_ends_s
+            if runs_ended_s is None and not worker.unsettled_ends:
+                continue
+            active_workers[worker_id] = ActiveWorker(
+                address=worker.view.address,
+                left_s=None if runs_ended_s is None else max(0.0, runs_ended_s - now_s),
+                born_ms=worker.view.born_ms,
+                lease_s=self._longest_lease_s(worker_id),
+            )
         return active_workers
--- a/tests/test_active_workers_record.py
+++ b/tests/test_active_workers_record.py
@@ -199,7 +199,7 @@
                 machine_records=MachineRecords(log=quiet_log()),
                 clock=loop.time,
                 wall_clock=loop.time,
-                recovery_s=OrderTimes().recovery_s,
+                times=OrderTimes(),
             )
             harness.add_job(job(JOB_ID, step(1)))
             (order,) = harness.start_orders()
