Wait for the lease of a worker that refuses connections and has no entry

Cause: a worker without an entry at whose address nobody listens counted as ended. Behind a partition of a zone, live workers lose their entries and connections to them are refused as well, so that the two signs have one cause. Change: the decision, and what only it needed, are taken out; only its lease, another incarnation or an obeyed order for its machine ends a worker, as before. The outcome of a refused call stays told apart in the log.

--- a/src/shallotworks/platform/_workers.py
+++ b/src/shallotworks/platform/_workers.py
@@ -364,10 +364,6 @@
         view = self._workers.get(worker_id)
         return view.born_ms if view is not None and view.service == service else None
 
-    def has_entry(self, worker_id: str) -> bool:
-        """Whether a worker has an entry, readable or not."""
-        return worker_id in self._workers or worker_id in self._problems
-
     def on_write(self, item: Item) -> None:
         """List a worker whose entry was written; remove it if the entry can't be decoded."""
         worker_id = item.key.removeprefix(REGISTRY_PREFIX)
--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -211,11 +211,6 @@
         scheduler_state.dark_racks.review(now_s)
 
     def _apply_worker_timeouts(self, worker: Worker, now_s: float) -> None:
-        if worker.has_departed and not _is_start_under_way(worker):
-            self._scheduler_state.note_worker_ended(
-                worker.worker_id, "nobody listens", now_s, self._wall_s, may_have_left=True
-            )
-            return
         if now_s > worker.lease_ends_s and _may_lease_lapse(worker):
             self._scheduler_state.expire_lease(worker, now_s, self._wall_s)
         if not worker.is_listed and not worker.runs and now_s > worker.lease_ends_s:
--- a/src/shallotworks/scheduling/_order_dispatcher.py
+++ b/src/shallotworks/scheduling/_order_dispatcher.py
@@ -193,11 +193,9 @@
         if lease_ms is None or not self._lease.is_valid:
             self._scheduler_state.note_start_failed(run, sent_s)
             return
-        view = worker.view
         outcome = await self._orders.start(
-            view, order, token=worker.order_token, lease_until_ms=lease_ms
+            worker.view, order, token=worker.order_token, lease_until_ms=lease_ms
         )
-        self._contact.note_contact(worker, view.address, outcome)
         now_s = self._clock()
         self._metrics.count(f"scheduler.start.{outcome.status.value}")
         self._metrics.observe_s("scheduler.start", now_s - sent_s)
@@ -277,9 +275,7 @@
         if worker is None or not self._lease.is_valid:
             return
         sent_s = self._clock()
-        view = worker.view
-        outcome = await self._orders.stop(view, order, token=worker.order_token)
-        self._contact.note_contact(worker, view.address, outcome)
+        outcome = await self._orders.stop(worker.view, order, token=worker.order_token)
         self._metrics.count(f"scheduler.stop.{outcome.status.value}")
         self._log.line(
             "run-stopped",
@@ -303,9 +299,7 @@
         worker = self._scheduler_state.workers.get(order.run.worker_id)
         if worker is None or not self._lease.is_valid:
             return
-        view = worker.view
-        outcome = await self._orders.pace(view, order, token=worker.order_token)
-        self._contact.note_contact(worker, view.address, outcome)
+        outcome = await self._orders.pace(worker.view, order, token=worker.order_token)
         self._metrics.count(f"scheduler.pace.{outcome.status.value}")
         self._log.line(
             "run-paced",
--- a/src/shallotworks/scheduling/_protocols.py
+++ b/src/shallotworks/scheduling/_protocols.py
@@ -85,10 +85,6 @@
         """Return the listed workers of a service by id."""
         ...
 
-    def has_entry(self, worker_id: str) -> bool:
-        """Whether a worker has an entry, also one that can't be read or is of another service."""
-        ...
-
     @property
     def is_synced(self) -> bool:
         """Whether the list has been read completely."""
--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -275,7 +275,6 @@
         *,
         is_planned: bool = False,
         is_replaced: bool = False,
-        may_have_left: bool = False,
     ) -> None:
         """Record that a worker has certainly ended, with all its runs.
 
@@ -286,8 +285,6 @@
             wall_s: Time of day in seconds.
             is_planned: Whether the machine controller removed the worker, which has not crashed.
             is_replaced: Whether another worker has taken its place, so that it has crashed.
-            may_have_left: Whether it may have left as planned, though discovery did not list it as
-                draining; its runs are then blamed as after a lease that has expired.
         """
         if worker_id in self.pending_recovery and not is_planned:
             self.crashes.note_earlier_runs_lost()
@@ -301,8 +298,6 @@
             reason=reason,
             runs=len(worker.runs),
             is_draining=worker.view.is_draining,
-            unlisted_for_s=_age_s(worker.unlisted_s, now_s),
-            refused_for_s=_age_s(worker.refused_s, now_s),
             silent_s=round(now_s - worker.reported_s, 2),
             lease_left_s=round(worker.lease_ends_s - now_s, 2),
             token=self.token,
@@ -310,9 +305,6 @@
         if is_planned or worker.view.is_draining:
             self.crashes.note_worker_left(worker)
         else:
-            if may_have_left:
-                self.crashes.note_worker_silent(worker, wall_s)
-                self._lapse_runs(worker, reason, now_s)
             self.crashes.note_worker_ended(worker, wall_s, is_replaced=is_replaced)
         self._lapse_runs(worker, reason, now_s)
 
@@ -408,7 +400,3 @@
         if worker is None or now_s - worker.reported_s >= FRESH_REPORT_AGE_S:
             return False
         return self.has_started(run) or worker.reported_s - run.since_s >= ADOPTED_RUN_CONFIRM_S
-
-
-def _age_s(since_s: float | None, now_s: float) -> float | None:
-    return None if since_s is None else round(now_s - since_s, 2)
--- a/src/shallotworks/scheduling/_worker_contact.py
+++ b/src/shallotworks/scheduling/_worker_contact.py
@@ -12,9 +12,7 @@
 from ._order_times import LEASE_END_MARGIN_S, OrderTimes
 from ._scheduler_state import SchedulerState
 
-__all__ = ["NO_ANSWER_STATUSES", "WorkerContact"]
-
-NO_ANSWER_STATUSES = (OrderStatus.UNANSWERED, OrderStatus.UNSENT, OrderStatus.REFUSED)
+__all__ = ["WorkerContact"]
 
 
 class WorkerContact:
@@ -163,23 +161,6 @@
             longest_ends_s = self._clock() + self._times.lease_out_s(lease_s)
             worker.lease_ends_s = min(worker.lease_ends_s, longest_ends_s)
 
-    def note_contact(self, worker: Worker, address: str, outcome: OrderOutcome) -> None:
-        """Record whether anybody listens at a worker's address, as far as an outcome shows it.
-
-        A refusal counts only at the address at which the worker was reached: its entry may name
-        another one, written by another program.
-
-        Args:
-            worker: The worker that was called.
-            address: The address that was called.
-            outcome: The outcome.
-        """
-        if outcome.status not in NO_ANSWER_STATUSES:
-            worker.refused_s = None
-            worker.reached_address = address
-        elif outcome.status is OrderStatus.REFUSED and address == worker.reached_address:
-            worker.refused_s = self._clock()
-
     def handle_fenced_or_gone(self, worker: Worker, outcome: OrderOutcome) -> bool:
         """Handle an outcome that ends this epoch or the worker; return whether it was one.
 
--- a/src/shallotworks/scheduling/_worker_poller.py
+++ b/src/shallotworks/scheduling/_worker_poller.py
@@ -13,7 +13,7 @@
 from ._order_times import OrderTimes
 from ._protocols import WorkerOrders
 from ._scheduler_state import SchedulerState
-from ._worker_contact import NO_ANSWER_STATUSES, WorkerContact
+from ._worker_contact import WorkerContact
 
 __all__ = ["PAUSE_AFTER_NO_ANSWER_S", "WorkerPoller"]
 
@@ -29,6 +29,7 @@
 CLOSED_CONNECTION_WITHIN_S = 0.5
 """A poll that fails within this time after its wait has not timed out: its connection was closed or
 refused."""
+_NO_ANSWER_STATUSES = (OrderStatus.UNANSWERED, OrderStatus.UNSENT, OrderStatus.REFUSED)
 POLL_PAUSE_S = 0.3
 """Pause before the next poll of a worker after a failed poll, while the scheduler may give no
 orders, or until reported ends are stored. Before they are stored, the worker would answer at once
@@ -134,14 +135,12 @@
     async def _poll_repeatedly(self, worker: Worker) -> None:
         try:
             event = self._poll_events[worker.worker_id]
-            is_closed = False
             while self._contact.is_present(worker):
-                if not is_closed:
-                    await self._await_poll_reason(worker, event)
+                await self._await_poll_reason(worker, event)
                 if not self._lease.is_valid:
                     await asyncio.sleep(POLL_PAUSE_S)
                 elif self._contact.is_present(worker):
-                    is_closed = await self._poll(worker)
+                    await self._poll(worker)
         except Exception as error:
             self._lease.mark_lost(f"unexpected error: {error!r}")
             raise
@@ -161,18 +160,13 @@
             or worker.worker_id in self._scheduler_state.pending_recovery
         )
 
-    async def _poll(self, worker: Worker) -> bool:
-        """Poll a worker; return whether to poll it again at once, as its connection was closed.
-
-        The address of a worker that has ended refuses connections, but for a short time only.
-        """
+    async def _poll(self, worker: Worker) -> None:
         sent_s = self._clock()
         acknowledged = worker.end_to_acknowledge
         lease_ms = self._contact.extend_lease(worker, sent_s) if worker.runs else None
         wait_s = self._poll_wait_s(worker)
-        view = worker.view
         outcome = await self._orders.poll(
-            view,
+            worker.view,
             token=worker.order_token,
             acknowledged=acknowledged,
             lease_until_ms=lease_ms,
@@ -183,22 +177,19 @@
         if not self._contact.is_present(worker):
             # It has ended or started again, so that nothing it reports holds any more.
             self._contact.handle_fenced_or_gone(worker, outcome)
-            return False
-        self._contact.note_contact(worker, view.address, outcome)
+            return
         if outcome.report is None:
-            had_answered_last_poll = worker.has_answered_last_poll
             worker.has_answered_last_poll = False
-            has_timed_out = self._clock() - sent_s >= wait_s + CLOSED_CONNECTION_WITHIN_S
-            if outcome.status in NO_ANSWER_STATUSES and not has_timed_out:
+            if (
+                outcome.status in _NO_ANSWER_STATUSES
+                and self._clock() - sent_s < wait_s + CLOSED_CONNECTION_WITHIN_S
+            ):
                 self._scheduler_state.crashes.note_connection_closed(
                     worker, self._clock(), self._wall_clock()
                 )
             self._handle_poll_failure(worker, outcome)
-            is_closed = outcome.status is OrderStatus.UNANSWERED and not has_timed_out
-            if is_closed and had_answered_last_poll:
-                return True
             await asyncio.sleep(POLL_PAUSE_S)
-            return False
+            return
         reporter = self._contact.identify(worker, outcome)
         if reporter is worker:
             worker.acknowledged = max(worker.acknowledged, acknowledged)
@@ -213,7 +204,6 @@
         )
         self._on_progress()
         self._request_decision()
-        return False
 
     def _poll_wait_s(self, worker: Worker) -> float:
         if self._needs_immediate_answer(worker):
--- a/src/shallotworks/scheduling/_worker_tracker.py
+++ b/src/shallotworks/scheduling/_worker_tracker.py
@@ -91,7 +91,6 @@
         worker = self._scheduler_state.workers[worker_id]
         worker.lease_ends_s = runs_ended_s
         worker.earlier_lease_s = lease_s
-        worker.reached_address = active_worker.address
 
     async def follow(self, on_change: Callable[[], None]) -> None:
         """Follow the directory and the machine controller's record, until cancelled.
@@ -101,19 +100,12 @@
         """
         synced_version: tuple[int, MachineControllerRecord] | None = None
         while True:
-            self._note_new_entries()
             version = (self._directory.version, self._machine_records.controller)
             if version != synced_version:
                 synced_version = version if await self._sync_directory() else None
                 on_change()
             await asyncio.sleep(DIRECTORY_POLL_INTERVAL_S)
 
-    def _note_new_entries(self) -> None:
-        """Note which workers have an entry again, also one that can't be read."""
-        for worker in self._scheduler_state.workers.values():
-            if worker.unlisted_s is not None and self._directory.has_entry(worker.worker_id):
-                worker.unlisted_s = None
-
     async def _sync_directory(self) -> bool:
         """Update the scheduler state from the directory; return whether the record was stored."""
         listed = self._listed_workers()
@@ -121,8 +113,6 @@
             view = listed.get(worker_id)
             if view is None:
                 worker.is_listed = False
-                if worker.unlisted_s is None and not self._directory.has_entry(worker_id):
-                    worker.unlisted_s = self._clock()
             elif view.is_draining or view.incarnation.is_later_than(worker.incarnation):
                 # Set before the record omits the worker, since nothing may start there afterwards.
                 self._update_worker(view)
