--- a/src/shallotworks/platform/_workers.py
+++ b/src/shallotworks/platform/_workers.py
@@ -385,7 +385,7 @@
     def on_delete(self, key: str, revision: int) -> None:
         """Remove a worker whose entry was deleted."""
         worker_id = key.removeprefix(REGISTRY_PREFIX)
-        self.version += self._problems.pop(worker_id, None) is not None
+        self._problems.pop(worker_id, None)
         if self._workers.pop(worker_id, None) is not None:
             self.version += 1
             self._log.line("worker-unlisted", worker=worker_id)
