Review: a job runs twice when its route is replaced by one of another service

A version removes a route and adds one with the same prefix for another service; the same request, seconds after the 2xx response, starts the tasks a second time (rule TWICE).

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""A lasting job is failed after crashes of two of its workers."""
+"""A queue whose route is replaced by one of another service runs an accepted job twice."""
 
 from __future__ import annotations
 
@@ -10,72 +10,54 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "bed2"))
 
-from bed import Bed, Worker, run_case  # noqa: E402
+from bed import Bed, run_case  # noqa: E402
 
-QUEUES = [("log-archive", "/archive/", "mastlogg")]
-JOB_ID = "5c0e7a21d94b36f8"
+QUEUES = [("fault-trace", "/trace/", "mastlogg"), ("sweep", "/sweep/", "antennelab")]
+REPLACED = [("fault-trace-2", "/trace/", "antennelab"), ("sweep", "/sweep/", "antennelab")]
+JOB_ID = "00000000000000d1"
+WORK_MS = 12000
 JOB = {
-    "spec": "lasts",
-    "steps": [
-        {
-            "count": 5,
-            "cpu": 5200,
-            "memMb": 19000,
-            "estimatedMs": 500,
-            "longRunning": True,
-            "mayMiss": 1,
-        }
-    ],
+    "spec": str(WORK_MS),
+    "steps": [{"count": 2, "cpu": 3500, "memMb": 7200, "estimatedMs": WORK_MS}],
 }
-CRASHES = 2
-CRASH_AFTER_START_S = 0.1
-DOWN_S = 4.5
-WATCH_S = 30.0
+REPEAT_AFTER_S = 3.0
+WATCH_S = 6.0
 
 
 async def play(bed: Bed, is_disrupted: bool) -> list[str]:
-    crashes: list[asyncio.Task] = []
-    lost_tasks: set[str] = set()
-
-    async def crash(worker: Worker) -> None:
-        await asyncio.sleep(CRASH_AFTER_START_S)
-        lost_tasks.update(worker.runs)
-        bed.record.line(f"case: worker {worker.id} crashes for {DOWN_S} s")
-        await bed.fleet.crash_for(worker, DOWN_S)
-
-    def on_start(worker: Worker, task: str) -> None:
-        is_next = not crashes or (crashes[-1].done() or lost_tasks) and task in lost_tasks
-        if is_disrupted and len(crashes) < CRASHES and is_next:
-            crashes.append(asyncio.create_task(crash(worker)))
-
-    await bed.until_held("scheduler/mastlogg")
-    await asyncio.sleep(2.0)
-    bed.fleet.on_start = on_start
-    entry = bed.entries[0]
-    status, _ = await bed.call(entry, "POST", f"/archive/{JOB_ID}", JOB)
+    for lease in ("scheduler/mastlogg", "scheduler/antennelab"):
+        await bed.until_held(lease)
+    await asyncio.sleep(6.0)
+    path = f"/trace/{JOB_ID}"
+    status, _ = await bed.call(bed.entries[0], "POST", path, JOB)
+    accepted_s = time.monotonic()
     if status != 200:
         raise RuntimeError(f"the job was not accepted: {status}")
-    bed.record.line("case: the lasting job was accepted")
+    await asyncio.sleep(0.5)
+    if is_disrupted:
+        bed.queues = REPLACED
+    bed.write_configuration(4)
+    bed.record.line(f"case: the operator writes version 4 with the routes {bed.queues}")
+    await asyncio.sleep(max(0.0, accepted_s + REPEAT_AFTER_S - time.monotonic()))
+    await bed.call(bed.entries[1], "POST", path, JOB)
     breaks: list[str] = []
-    shown = ""
     ends_s = time.monotonic() + WATCH_S
     while time.monotonic() < ends_s and not breaks:
-        status, body = await bed.call(entry, "GET", f"/archive/{JOB_ID}", quiet=True)
-        if status and body.get("state", status) != shown:
-            shown = body.get("state", status)
-            bed.record.line(f"case: the job is shown as {shown}")
-        failed_ends = [end for end in bed.fleet.ends if end[3] == "failed"]
-        if shown == "failed" and not failed_ends:
-            breaks.append(
-                f"LOST: the lasting job, which nobody cancelled, is shown as failed after "
-                f"{len(crashes)} crashes of workers, and no worker has listed an end 'failed'"
-            )
-        await asyncio.sleep(0.1)
-    await asyncio.sleep(3.0)
-    at_work = sorted({task for worker in bed.fleet.workers for task in worker.runs})
-    bed.record.line(f"case: tasks at work at the end: {at_work}")
-    for task in crashes:
-        task.cancel()
+        runs: dict[str, list[str]] = {}
+        for worker in bed.fleet.workers:
+            for run in worker.runs.values():
+                runs.setdefault(run.task, []).append(
+                    f"run {run.run_id} on {worker.id} of {worker.service}"
+                )
+        breaks = [
+            f"TWICE: two runs of task {task} at the same time: {', '.join(those)}"
+            for task, those in runs.items()
+            if len(those) > 1
+        ]
+        await asyncio.sleep(0.05)
+    await bed.call(bed.entries[2], "GET", path)
+    for one in breaks:
+        bed.record.line(f"case: {one}")
     return breaks
 
 
