Review: a lasting task stays away for over 10 s after two lost workers

A start of a lasting task goes to an idle worker that fell silent 2 s after the loss of the task's own, and stays there until its lease is out (rule LOST). The stand-ins learn to fall silent: open connections hear nothing, new ones hang.

--- a/review/bed2/bed.py
+++ b/review/bed2/bed.py
@@ -141,6 +141,8 @@
         self.host = host
         self.port = 0
         self._runner: web.ServerRunner | None = None
+        self._site: web.TCPSite | None = None
+        self._full: list[socket.socket] = []
 
     @property
     def address(self) -> str:
@@ -158,9 +160,27 @@
         await self._runner.setup()
         site = web.TCPSite(self._runner, self.host, self.port, reuse_address=True, backlog=512)
         await site.start()
+        self._site = site
         self.port = site._server.sockets[0].getsockname()[1]
 
+    async def hang(self) -> None:
+        """Leave new connections hanging: nobody accepts, and the queue of new ones is full."""
+        await self._site.stop()
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((self.host, self.port))
+        listener.listen(0)
+        self._full.append(listener)
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((self.host, self.port))
+            self._full.append(filler)
+
     async def close(self) -> None:
+        for one in self._full:
+            one.close()
+        self._full.clear()
         if self._runner is not None:
             runner, self._runner = self._runner, None
             await runner.cleanup()
@@ -372,6 +392,8 @@
         self.capacity = {"cpu": 64000, "memMb": 262144, "gpu": 0}
         self.id = ""
         self.is_up = False
+        self.is_dark = False
+        self.polled_s = 0.0
         self._clock_from_s = 0.0
         self._task: asyncio.Task | None = None
         self._seq_no = 0
@@ -406,6 +428,19 @@
         self.fleet.note_silent(self.id)
         await self.server.close()
 
+    async def fall_silent(self) -> set[str]:
+        """Lose power for good: open connections fall silent, new ones hang; return what ran."""
+        self.is_up = False
+        self.is_dark = True
+        lost = set(self.runs)
+        self.record.line(f"worker {self.id} falls silent; it ran {sorted(lost)}")
+        self.runs.clear()
+        if self._task is not None:
+            self._task.cancel()
+        self.fleet.note_silent(self.id)
+        await self.server.hang()
+        return lost
+
     async def leave(self) -> None:
         """End at the platform's order, with the entry removed."""
         await self.crash()
@@ -469,7 +504,15 @@
     # ---- calls
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        answer = await self._answer(request)
+        if self.is_dark:
+            await asyncio.sleep(3600)
+        return answer
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         body = await request.json()
+        if self.is_dark:
+            await asyncio.sleep(3600)
         expected = request.headers.get("Shallotworks-Expect-Instance", self.id)
         if expected != self.id:
             return reply(421, {"clockMs": self.clock_ms})
@@ -494,6 +537,7 @@
             self.lease_ends_ms = max(self.lease_ends_ms, ends_ms)
 
     async def _hold(self, body: dict) -> web.Response:
+        self.polled_s = time.monotonic()
         self._extend(body)
         self.ended = [row for row in self.ended if row[0] > body.get("lastSeen", 0)]
         if not self.ended and body.get("waitMs", 0) > 0:
@@ -545,12 +589,13 @@
         self.starts: list[tuple] = []
         self.ends: list[tuple] = []
         self.on_start = None
+        self.rack_size = 4
         self._silent: set[asyncio.Task] = set()
 
     async def add(self, count: int, service: str) -> None:
         for _ in range(count):
             number = len(self.workers)
-            worker = Worker(self, f"m-{number:02d}", service, f"r-{number // 4}")
+            worker = Worker(self, f"m-{number:02d}", service, f"r-{number // self.rack_size}")
             self.workers.append(worker)
             await worker.start()
 
@@ -866,7 +911,9 @@
         self._temporary.cleanup()
 
 
-def run_case(case, folder: pathlib.Path, *, entries: int, queues, workers: int) -> None:
+def run_case(
+    case, folder: pathlib.Path, *, entries: int, queues, workers: int, rack_size: int = 4
+) -> None:
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 
     Args:
@@ -875,10 +922,12 @@
         entries: Number of entry processes.
         queues: Rows of (queue, prefix, service).
         workers: Workers of each service.
+        rack_size: Workers of each rack.
     """
 
     async def play() -> list[str]:
         bed = Bed(folder, entries=entries, queues=queues)
+        bed.fleet.rack_size = rack_size
         try:
             async with asyncio.timeout(110):
                 await bed.start(workers)
