--- a/review/4/case.py
+++ b/review/4/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import pathlib
 import sys
 import time
@@ -95,4 +96,6 @@
 
 
 if __name__ == "__main__":
-    run_case(play, FOLDER, entries=3, queues=QUEUES, workers=8)
+    run_case(
+        play, os.environ.get("TROUBLE", "1") != "0", FOLDER, entries=3, queues=QUEUES, workers=8
+    )
--- a/review/bed2/bed.py
+++ b/review/bed2/bed.py
@@ -912,12 +912,20 @@
 
 
 def run_case(
-    case, folder: pathlib.Path, *, entries: int, queues, workers: int, rack_size: int = 4
+    case,
+    is_disrupted: bool,
+    folder: pathlib.Path,
+    *,
+    entries: int,
+    queues,
+    workers: int,
+    rack_size: int = 4,
 ) -> None:
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 
     Args:
         case: Coroutine function of the bed and whether to disrupt; returns what broke the rule.
+        is_disrupted: Whether the case brings its disruption about.
         folder: The folder of the case.
         entries: Number of entry processes.
         queues: Rows of (queue, prefix, service).
@@ -931,7 +939,7 @@
         try:
             async with asyncio.timeout(110):
                 await bed.start(workers)
-                return await case(bed, os.environ.get("TROUBLE", "1") != "0")
+                return await case(bed, is_disrupted)
         finally:
             await bed.stop()
 
