Log each run that counted when a job becomes failed

Cause: three jobs were shown as failed without a failed task, and no line of any process says which runs counted, how their workers were lost, or which scheduler noted that.

Change: one line job-failed, where a worker's listed end or a lost worker makes a job failed. A lost run keeps how its worker was lost and who recorded it; earlier releases ignore these two fields, and records without them are read as unknown. No decision depends on either yet.

--- a/src/shallotworks/jobs/__init__.py
+++ b/src/shallotworks/jobs/__init__.py
@@ -4,7 +4,7 @@
 tasks and writes progress. This package never communicates with workers.
 """
 
-from ._crashes import Blame, LostRun, is_crash_looping, is_suspect
+from ._crashes import Blame, LossCause, LostRun, is_crash_looping, is_suspect
 from ._incarnation import Incarnation
 from ._progress import JobProgress, JobState
 from ._records import (
@@ -29,6 +29,7 @@
     "JobKeys",
     "JobProgress",
     "JobState",
+    "LossCause",
     "LostRun",
     "QueuePolicy",
     "Repeats",
--- a/src/shallotworks/jobs/_crashes.py
+++ b/src/shallotworks/jobs/_crashes.py
@@ -8,7 +8,7 @@
 
 from ._incarnation import Incarnation
 
-__all__ = ["Blame", "LostRun", "is_crash_looping", "is_suspect"]
+__all__ = ["Blame", "LossCause", "LostRun", "is_crash_looping", "is_suspect"]
 
 MAX_EARLY_CRASHES = 2
 """A task is crash looping after this many crashes shortly after its starts, if it is the sole
@@ -36,6 +36,22 @@
     """The run had passed its probation, or many workers were lost at the same moment."""
 
 
+@unique
+class LossCause(Enum):
+    """What is known of how the worker of a run was lost."""
+
+    UNKNOWN = "unknown"
+    """Nothing: the start was recorded before it was sent, or an earlier release recorded it."""
+    CONNECTIONS_CLOSED = "connections-closed"
+    """The worker closed or refused connections."""
+    SILENT = "silent"
+    """The worker has not answered."""
+    UNLISTED = "unlisted"
+    """Discovery does not list the worker, which may only be unreachable."""
+    REPLACED = "replaced"
+    """Another incarnation answered in the worker's place."""
+
+
 class LostRun(NamedTuple):
     """A run that was or may have been lost in a crash of its worker.
 
@@ -47,6 +63,8 @@
             so.
         is_received: Whether the worker is known to have received the start. Otherwise it may have
             been dead before.
+        cause: How the worker was lost.
+        noted_by: Fencing token of the scheduler that recorded this last; 0 if it is not known.
     """
 
     run_id: int
@@ -54,6 +72,8 @@
     blame: Blame
     is_certain: bool
     is_received: bool = True
+    cause: LossCause = LossCause.UNKNOWN
+    noted_by: int = 0
 
 
 def is_crash_looping(lost: Sequence[LostRun]) -> bool:
--- a/src/shallotworks/jobs/_progress.py
+++ b/src/shallotworks/jobs/_progress.py
@@ -104,6 +104,10 @@
             self.finish(JobState.FAILED, now_s=now_s)
         return True
 
+    def failed_runs(self, job: Job, name: TaskName) -> tuple[int, ...]:
+        """Return the ids of a task's failed runs; the members of a gang share them."""
+        return self.failures.get(_attempts_key(job, name), ())
+
     def lost_runs(self, job: Job, name: TaskName) -> tuple[LostRun, ...]:
         """Return the runs of a task that were lost; the members of a gang share them."""
         return self.lost.get(_attempts_key(job, name), ())
--- a/src/shallotworks/jobs/_records.py
+++ b/src/shallotworks/jobs/_records.py
@@ -8,7 +8,7 @@
 
 from pydantic import TypeAdapter
 
-from ._crashes import Blame, LostRun
+from ._crashes import Blame, LossCause, LostRun
 from ._incarnation import Incarnation
 from ._progress import JobProgress, JobState
 from ._spec import Job
@@ -97,6 +97,8 @@
                         lost_run.is_certain,
                         lost_run.incarnation.born_ms,
                         lost_run.is_received,
+                        lost_run.cause.value,
+                        lost_run.noted_by,
                     ]
                     for lost_run in runs
                 ],
@@ -124,20 +126,7 @@
                 (row[0], row[1], row[2]): tuple(row[3]) for row in fields.get("failures", ())
             },
             lost={
-                (row[0], row[1], row[2]): tuple(
-                    LostRun(
-                        run_id=run[0],
-                        # Earlier releases wrote neither the incarnation of the worker nor
-                        # whether it received the run.
-                        incarnation=Incarnation(
-                            worker_id=run[1], born_ms=run[4] if len(run) > 4 else None
-                        ),
-                        blame=Blame(run[2]),
-                        is_certain=run[3],
-                        is_received=run[5] if len(run) > 5 else True,
-                    )
-                    for run in row[3]
-                )
+                (row[0], row[1], row[2]): tuple(_decode_lost_run(run) for run in row[3])
                 for row in fields.get("lost", ())
             },
             ended_s=fields.get("ended_s", 0.0),
@@ -145,3 +134,18 @@
         )
     except (KeyError, IndexError, TypeError) as error:
         raise ValueError(f"progress record can't be decoded: {error!r}") from error
+
+
+def _decode_lost_run(fields: list[Any]) -> LostRun:
+    """Decode a lost run, of which earlier releases wrote the first four or six fields."""
+    return LostRun(
+        run_id=fields[0],
+        incarnation=Incarnation(
+            worker_id=fields[1], born_ms=fields[4] if len(fields) > 4 else None
+        ),
+        blame=Blame(fields[2]),
+        is_certain=fields[3],
+        is_received=fields[5] if len(fields) > 5 else True,
+        cause=LossCause(fields[6]) if len(fields) > 6 else LossCause.UNKNOWN,
+        noted_by=fields[7] if len(fields) > 7 else 0,
+    )
--- a/src/shallotworks/scheduling/_job_entries.py
+++ b/src/shallotworks/scheduling/_job_entries.py
@@ -88,6 +88,7 @@
             tracked_jobs=self.tracked_jobs,
             workers=self.workers,
             first_run_id=self._numbers.before_first,
+            token=token,
             log=log,
             close=self.close_job,
         )
--- a/src/shallotworks/scheduling/_report_reader.py
+++ b/src/shallotworks/scheduling/_report_reader.py
@@ -5,6 +5,7 @@
 from shallotworks.jobs import Step, TaskName
 from shallotworks.logs import StructuredLog
 
+from ._failed_jobs import log_failed_by_ends
 from ._job_entries import JobEntries
 from ._model import (
     UNKNOWN_STEP,
@@ -16,7 +17,7 @@
     Worker,
     WorkerReport,
 )
-from ._tracked_jobs import TrackedJob
+from ._tracked_jobs import FailedEnd, TrackedJob
 from .workers import may_have_copies
 
 __all__ = ["ReportReader"]
@@ -249,7 +250,9 @@
         ):
             return
         tracked_job.changes += 1
+        tracked_job.failed_ends[end.run_id] = FailedEnd(end.name, worker.incarnation, end.number)
         if tracked_job.progress.state.is_final:
+            log_failed_by_ends(self._log, tracked_job, end.name, token=self._jobs.token)
             self._jobs.close_job(tracked_job, "job-failed")
 
     def _note_failed_job(self, worker: Worker, job_id: str, now_s: float) -> None:
--- a/src/shallotworks/scheduling/_tracked_jobs.py
+++ b/src/shallotworks/scheduling/_tracked_jobs.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from shallotworks.jobs import Incarnation, Job, JobProgress, Step, TaskName
 
 from ._model import Run
 from ._step_advice import StepAdvice
 
-__all__ = ["Arrival", "TrackedJob", "TrackedStep"]
+__all__ = ["Arrival", "FailedEnd", "TrackedJob", "TrackedStep"]
 
 Arrival = tuple[float, float]
 """The arrival of a job: its time of day in seconds since 1970 and its estimated core-seconds."""
@@ -22,6 +24,20 @@
 platform's rules."""
 
 
+class FailedEnd(NamedTuple):
+    """Where a run failed.
+
+    Args:
+        name: The task; a gang's runs count for its first one.
+        incarnation: The incarnation of the worker that listed the end.
+        number: The number of the end there.
+    """
+
+    name: TaskName
+    incarnation: Incarnation
+    number: int
+
+
 class TrackedStep:
     """A step of one occurrence whose predecessors are done, until all its tasks are done.
 
@@ -107,6 +123,7 @@
         "changes",
         "checkpoints",
         "critical_paths_s",
+        "failed_ends",
         "is_beyond_weight",
         "is_inherited",
         "job",
@@ -141,6 +158,8 @@
         """All runs of each task that may be alive, including runs that are being stopped."""
         self.avoided_workers: dict[TaskName, frozenset[Incarnation]] = {}
         """The workers on which a task failed or hung, by task."""
+        self.failed_ends: dict[int, FailedEnd] = {}
+        """Where the runs failed whose ends this scheduler has counted, by run id."""
         self.checkpoints: dict[TaskName, str] = {}
         """The latest checkpoint of each task that has one."""
         self.critical_paths_s = _critical_paths_s(job)
--- a/src/shallotworks/scheduling/workers/_crash_blame.py
+++ b/src/shallotworks/scheduling/workers/_crash_blame.py
@@ -11,9 +11,10 @@
 from collections import deque
 from collections.abc import Callable, Collection, Iterable
 
-from shallotworks.jobs import Blame, Incarnation, LostRun, TaskName
+from shallotworks.jobs import Blame, Incarnation, LossCause, LostRun, TaskName
 from shallotworks.logs import StructuredLog
 
+from .._failed_jobs import log_failed_by_crashes
 from .._model import Run, RunPhase, Worker
 from .._tracked_jobs import TrackedJob
 
@@ -44,6 +45,7 @@
         tracked_jobs: The service's jobs by id.
         workers: The service's workers by id.
         first_run_id: Runs with lower ids belong to earlier epochs.
+        token: Fencing token of this epoch.
         log: Receives a line for each blame, which also says whether the job is failed.
         close: Called with a job that has failed, and the reason.
     """
@@ -55,6 +57,7 @@
         "_first_run_id",
         "_log",
         "_may_miss_crashes",
+        "_token",
         "_tracked_jobs",
         "_unanswered_starts",
         "_workers",
@@ -66,12 +69,14 @@
         tracked_jobs: dict[str, TrackedJob],
         workers: dict[str, Worker],
         first_run_id: int,
+        token: int,
         log: StructuredLog,
         close: Callable[[TrackedJob, str], None],
     ) -> None:
         self._tracked_jobs = tracked_jobs
         self._workers = workers
         self._first_run_id = first_run_id
+        self._token = token
         self._log = log
         self._close = close
         self._crashes: deque[float] = deque(maxlen=FREQUENT_CRASH_COUNT)
@@ -80,8 +85,9 @@
         self._connection_losses: deque[tuple[float, str]] = deque(maxlen=MAX_CONNECTION_LOSSES_KEPT)
         """Time on the scheduler's clock at which workers closed their connections, and their
         ids."""
-        self._unanswered_starts: dict[int, Blame] = {}
-        """Blame by run id for runs whose start was unanswered when their worker ended."""
+        self._unanswered_starts: dict[int, tuple[Blame, LossCause]] = {}
+        """Blame and cause by run id for runs whose start was unanswered when their worker
+        ended."""
         self._may_miss_crashes = False
         """Whether a worker was lost that may have run tasks of an earlier epoch."""
 
@@ -97,15 +103,17 @@
             return
         worker.connection_closed_s = now_s
         self._connection_losses.append((now_s, worker.worker_id))
-        self.note_worker_silent(worker, wall_s)
+        self.note_worker_silent(worker, wall_s, cause=LossCause.CONNECTIONS_CLOSED)
 
-    def note_worker_silent(self, worker: Worker, wall_s: float) -> None:
+    def note_worker_silent(
+        self, worker: Worker, wall_s: float, *, cause: LossCause = LossCause.SILENT
+    ) -> None:
         """Blame the runs on probation of a worker that may have crashed."""
         on_probation = [one for one in self._assign_blame(worker) if one[1] is not Blame.LATE]
         if on_probation:
             self._crashes.append(wall_s)
         for run, blame in on_probation:
-            self._note(run, blame, is_certain=False, wall_s=wall_s)
+            self._note(run, blame, is_certain=False, cause=cause, wall_s=wall_s)
 
     def note_worker_ended(
         self,
@@ -125,14 +133,16 @@
             unconfirmed: Its runs that a later incarnation may have received instead. Their blame
                 stays uncertain until a report of the later one shows whether it has them.
         """
+        cause = LossCause.REPLACED if is_replaced else LossCause.UNLISTED
         for run in worker.runs.values():
             if run.phase is RunPhase.RESERVED:
                 self.clear_run(run)
         for run, blame in self._assign_blame(worker):
             if run.phase is RunPhase.STARTING and run not in unconfirmed:
-                self._unanswered_starts[run.run_id] = blame
+                self._unanswered_starts[run.run_id] = (blame, cause)
             else:
-                self._note(run, blame, is_certain=run not in unconfirmed, wall_s=wall_s)
+                is_certain = run not in unconfirmed
+                self._note(run, blame, is_certain=is_certain, cause=cause, wall_s=wall_s)
         pending = self._unanswered_starts.keys() | {run.run_id for run in unconfirmed}
         for tracked_job, name, lost in self._uncertain_losses_on(worker.incarnation):
             if lost.run_id not in pending:
@@ -158,11 +168,14 @@
             may_have_run: Whether the worker may have received the start.
             is_received: Whether it certainly has.
         """
-        blame = self._unanswered_starts.pop(run.run_id, None)
-        if blame is not None and may_have_run:
-            self._note(run, blame, is_certain=True, wall_s=wall_s, is_received=is_received)
-        elif blame is not None:
+        unanswered = self._unanswered_starts.pop(run.run_id, None)
+        if unanswered is None:
+            return
+        if not may_have_run:
             self.clear_run(run)
+            return
+        blame, cause = unanswered
+        self._note(run, blame, is_certain=True, cause=cause, wall_s=wall_s, is_received=is_received)
 
     def _confirm(
         self,
@@ -181,7 +194,9 @@
         blame = lost.blame
         if blame is Blame.SOLE and not (is_replaced and lost.run_id > self._first_run_id):
             blame = Blame.SHARED
-        self.note_lost(tracked_job, name, lost._replace(blame=blame, is_certain=True), wall_s)
+        cause = LossCause.REPLACED if is_replaced else LossCause.UNLISTED
+        confirmed = lost._replace(blame=blame, is_certain=True, cause=cause)
+        self.note_lost(tracked_job, name, confirmed, wall_s)
 
     def note_earlier_runs_lost(self) -> None:
         """Record that a worker was lost whose runs of an earlier epoch are unknown."""
@@ -195,7 +210,7 @@
         """
         tracked_job = self._tracked_jobs[run.name.job_id]
         if self._may_miss_crashes and tracked_job.is_inherited and not run.step.is_lasting:
-            self._note(run, Blame.SHARED, is_certain=False, wall_s=wall_s)
+            self._note(run, Blame.SHARED, is_certain=False, cause=LossCause.UNKNOWN, wall_s=wall_s)
 
     def _assign_blame(self, worker: Worker) -> list[tuple[Run, Blame]]:
         """Return the runs on a worker that are to blame for its crash, each with its blame."""
@@ -237,6 +252,7 @@
         blame: Blame,
         *,
         is_certain: bool,
+        cause: LossCause,
         wall_s: float,
         is_received: bool = False,
     ) -> None:
@@ -253,6 +269,7 @@
             blame=blame,
             is_certain=is_certain,
             is_received=is_received or run.confirmed_s < math.inf,
+            cause=cause,
         )
         self.note_lost(tracked_job, run.name, lost, wall_s)
 
@@ -260,6 +277,7 @@
         self, tracked_job: TrackedJob, name: TaskName, lost: LostRun, wall_s: float
     ) -> None:
         """Add a lost run to the progress of its job, and close the job if that has failed."""
+        lost = lost._replace(noted_by=self._token)
         if not tracked_job.progress.note_lost(tracked_job.job, name, lost, now_s=wall_s):
             return
         tracked_job.changes += 1
@@ -274,10 +292,12 @@
             blame=lost.blame.value,
             is_certain=lost.is_certain,
             is_received=lost.is_received,
+            cause=lost.cause.value,
             runs_lost=len(tracked_job.progress.lost_runs(tracked_job.job, name)),
             is_given_up=is_given_up,
         )
         if is_given_up:
+            log_failed_by_crashes(self._log, tracked_job, name, token=self._token)
             self._close(tracked_job, "crash-loop")
 
     def _uncertain_losses_on(
