End the poll of a simulated worker when it crashes

Cause: the stand-in of the workers kept the poll of a crashed worker open until the end of its wait, up to a second, though its docstring says that a crash closes its connections. A scheduler learned of such a crash up to a second later than one that reads from a socket.

Change: a crash ends the poll, which is answered as that of an absent worker. No check changes; workers that are silent stay silent until the poll's time-out.

--- a/src/shallotworks/standins/_fault_injecting_orders.py
+++ b/src/shallotworks/standins/_fault_injecting_orders.py
@@ -79,7 +79,10 @@
             return reached.poll(token, 0, None)
         outcome = reached.poll(token, acknowledged, lease_until_ms)
         while (
-            outcome.report is not None and not outcome.report.ended and loop.time() < wait_ends_at_s
+            reached.is_alive
+            and outcome.report is not None
+            and not outcome.report.ended
+            and loop.time() < wait_ends_at_s
         ):
             await reached.wait_for_end(wait_ends_at_s - loop.time())
             outcome = reached.poll(token, acknowledged, None)
