Let a job fail for a crash loop only on proven crashes

Callers saw jobs as failed though no run of their tasks had ended failed. A verdict on a crash loop rested on two losses shortly after starts, and a loss counted as a crash also where a worker was only silent or not listed. Workers that crash by themselves, lose power, leave or are cut off give the same picture.

A crash is proven now if the task was the only suspect, its worker was heard of at the start and went within the probation, another worker answered after that, and another incarnation took the worker's place. Three proven crashes of four, or two of five, make a job failed, within the five starts that the retry budget allows. Whatever is silent, not listed, unseen or of an earlier scheduler that saw nothing counts as a lost run, after which the task is started in isolation, but never as proof. A run that its worker outlives refutes the blame of the task's earlier ones. A worker that answers after a reset, and a run that a successor finds alive, are cleared. Gangs are isolated too, all members at once. While other jobs wait, steps with a proven crash come last, on few workers.

--- a/src/shallotworks/jobs/_crashes.py
+++ b/src/shallotworks/jobs/_crashes.py
@@ -10,16 +10,9 @@
 
 __all__ = ["Blame", "LossCause", "LostRun", "is_crash_looping", "is_suspect"]
 
-MAX_EARLY_CRASHES = 2
-"""A task is crash looping after this many crashes shortly after its starts, if it is the sole
-suspect of its last crash. Here and below, crashes count after starts that workers received."""
-MAX_CRASHES = 3
-"""A task is crash looping after this many early crashes, whatever other runs may have caused them.
-It is also crash looping after this many crashes of any kind, if it is the sole suspect of the
-last."""
-MAX_UNRECEIVED_CRASHES = 4
-"""A task is crash looping after this many early crashes, even if workers confirmed none of its
-starts. Such a start may have been sent to a worker that was already dead, so it counts for less."""
+MIN_PROOFS_BY_CRASHES = {4: 3, 5: 2}
+"""Proven crashes that show a crash loop, by the least number of all crashes of the task's runs. Two
+proofs suffice where the retry budget leaves no start for a third one. Source: the users' rules."""
 MIN_SUSPECT_CRASHES = 2
 """A task is a suspect after this many lost runs, even if each of them gets late blame."""
 
@@ -33,7 +26,8 @@
     SHARED = "shared"
     """Other runs on the worker were on probation too."""
     LATE = "late"
-    """The run had passed its probation, or many workers were lost at the same moment."""
+    """The run had passed its probation, many workers were lost at the same moment, or a worker
+    outlived a later run of the task."""
 
 
 @unique
@@ -65,6 +59,8 @@
             been dead before.
         cause: How the worker was lost.
         noted_by: Fencing token of the scheduler that recorded this last; 0 if it is not known.
+        is_witnessed: Whether the scheduler that started the run had heard of the worker just
+            before, and saw it go within the probation of the run, and no other worker with it.
     """
 
     run_id: int
@@ -74,18 +70,34 @@
     is_received: bool = True
     cause: LossCause = LossCause.UNKNOWN
     noted_by: int = 0
+    is_witnessed: bool = False
+
+    @property
+    def is_proof(self) -> bool:
+        """Whether the run is proven to have been the only suspect of a certain crash.
+
+        That a worker is silent or not listed is no proof of a crash: it may be cut off.
+        """
+        return (
+            self.is_certain
+            and self.is_witnessed
+            and self.blame is Blame.SOLE
+            and self.cause is LossCause.REPLACED
+        )
 
 
 def is_crash_looping(lost: Sequence[LostRun]) -> bool:
-    """Whether a task is in a crash loop, which fails its job: its runs keep crashing workers."""
-    crashes = [one for one in lost if one.is_certain]
-    received = [one.blame for one in crashes if one.is_received]
-    early = [blame for blame in received if blame is not Blame.LATE]
-    if received and received[-1] is Blame.SOLE and len(early) >= MAX_EARLY_CRASHES:
-        return True
-    if len(early) >= MAX_CRASHES or (len(received) >= MAX_CRASHES and received[-1] is Blame.SOLE):
-        return True
-    return sum(one.blame is not Blame.LATE for one in crashes) >= MAX_UNRECEIVED_CRASHES
+    """Whether a task is in a crash loop, which fails its job for good: its runs crash workers.
+
+    Only proven crashes show that. Workers that crash by themselves, leave or are cut off lose the
+    runs of sound tasks as well.
+    """
+    crashes = sum(one.is_certain for one in lost)
+    proofs = sum(one.is_proof for one in lost)
+    return any(
+        crashes >= least_crashes and proofs >= least_proofs
+        for least_crashes, least_proofs in MIN_PROOFS_BY_CRASHES.items()
+    )
 
 
 def is_suspect(lost: Sequence[LostRun]) -> bool:
--- a/src/shallotworks/jobs/_progress.py
+++ b/src/shallotworks/jobs/_progress.py
@@ -4,7 +4,7 @@
 
 from enum import Enum, unique
 
-from ._crashes import LostRun, is_crash_looping
+from ._crashes import Blame, LostRun, is_crash_looping
 from ._spec import Job, TaskName
 
 __all__ = ["JobProgress", "JobState"]
@@ -139,6 +139,21 @@
             del self.lost[_attempts_key(job, name)]
         return True
 
+    def note_outlived(self, job: Job, name: TaskName) -> bool:
+        """Record that a worker outlived a run of a task; return whether something changed.
+
+        A task that crashes its workers crashes each of them, so that something else is to blame for
+        its earlier crashes.
+        """
+        earlier = self.lost_runs(job, name)
+        refuted = tuple(
+            run._replace(blame=Blame.LATE) if run.is_certain else run for run in earlier
+        )
+        if refuted == earlier:
+            return False
+        self.lost[_attempts_key(job, name)] = refuted
+        return True
+
     def finish(self, state: JobState, *, now_s: float) -> None:
         """Set the final state, unless one is set already."""
         if not self.state.is_final:
--- a/src/shallotworks/jobs/_records.py
+++ b/src/shallotworks/jobs/_records.py
@@ -99,6 +99,7 @@
                         lost_run.is_received,
                         lost_run.cause.value,
                         lost_run.noted_by,
+                        lost_run.is_witnessed,
                     ]
                     for lost_run in runs
                 ],
@@ -148,4 +149,5 @@
         is_received=fields[5] if len(fields) > 5 else True,
         cause=LossCause(fields[6]) if len(fields) > 6 else LossCause.UNKNOWN,
         noted_by=fields[7] if len(fields) > 7 else 0,
+        is_witnessed=fields[8] if len(fields) > 8 else False,
     )
--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -257,7 +257,8 @@
 
     def _decide_starts(self, now_s: float, wall_s: float) -> Iterator[StartOrder | AdviceRequest]:
         steps = sorted(
-            self._scheduler_state.open_steps(), key=lambda step: self._order(step, wall_s)
+            self._scheduler_state.open_steps(),
+            key=lambda step: (step.has_proven_crash, self._order(step, wall_s)),
         )
         unplaced_sizes: list[tuple[int, int, int]] = []
         without_permits: list[TrackedStep] = []
@@ -325,7 +326,9 @@
         """Yield the starts of suspects whose workers are ready for them."""
         for run, may_be_sent in self._scheduler_state.isolation.release_reservations(now_s):
             step = self._scheduler_state.open_step(run.name)
-            if may_be_sent and step is not None:
+            if may_be_sent and step is not None and run.step.is_gang:
+                yield replace(self._start_order(step, run), checkpoint=gang_checkpoint(step))
+            elif may_be_sent and step is not None:
                 yield self._start_order(step, run)
             else:
                 self._scheduler_state.note_start_failed(run, now_s)
@@ -337,12 +340,21 @@
         suspects = isolation.suspects(tracked_job, indices, self._wall_s)
         if tracked_job.progress.state.is_final:
             return
-        if suspects and isolation.may_isolate(step):
+        if suspects and self._may_isolate(step, now_s):
             self._isolate(step, [indices[name] for name in suspects], now_s)
         if not isolation.holds_other_tasks(step, suspects):
             others = [index for name, index in indices.items() if name not in suspects]
             yield from self._start_tasks(step, others, now_s)
 
+    def _may_isolate(self, step: TrackedStep, now_s: float) -> bool:
+        own = step.tracked_job
+        do_others_wait = step.has_proven_crash and any(
+            other.tracked_job is not own for other in self._scheduler_state.open_steps()
+        )
+        return self._scheduler_state.isolation.may_isolate(
+            step, now_s, do_others_wait=do_others_wait
+        )
+
     def _isolate(self, step: TrackedStep, indices: list[int], now_s: float) -> None:
         """Reserve a worker for as many suspects of a step as fit on it.
 
@@ -351,7 +363,7 @@
         """
         placement = Placement.of(step, now_s=now_s, wall_s=self._wall_s)
         isolation = self._scheduler_state.isolation
-        candidates = isolation.candidate_workers(self._jobs_with_lost_runs)
+        candidates = isolation.candidate_workers(step, self._jobs_with_lost_runs, now_s)
         worker = next((one for one in candidates if placement.rejection_reason(one) is None), None)
         if worker is None:
             return
@@ -427,6 +439,12 @@
         """Start all members at once or none, since only some would occupy room and wait."""
         if len(step.waiting) < step.step.count:
             return
+        isolation, tracked_job = self._scheduler_state.isolation, step.tracked_job
+        is_suspect = bool(isolation.suspects(tracked_job, [step.name(0)], self._wall_s))
+        if tracked_job.progress.state.is_final:
+            return
+        if is_suspect and not self._may_isolate(step, now_s):
+            return
         racks = {worker.view.rack for worker in self._scheduler_state.workers.values()}
         workers = self._workers_for(step)
         chosen = place_gang(step, workers, racks, now_s=now_s, wall_s=self._wall_s)
@@ -434,10 +452,26 @@
             return
         run_id = self._scheduler_state.next_run_id()
         checkpoint = gang_checkpoint(step)
+        if is_suspect:
+            self._isolate_gang(step, chosen, run_id, now_s)
+            return
         for index, worker in chosen:
             run = self._assign(step, index, worker, run_id, now_s)
             yield replace(self._start_order(step, run), checkpoint=checkpoint)
 
+    def _isolate_gang(
+        self, step: TrackedStep, chosen: list[tuple[int, Worker]], run_id: int, now_s: float
+    ) -> None:
+        """Reserve the workers of a gang that may crash one of them."""
+        runs: dict[str, list[Run]] = {}
+        for index, worker in chosen:
+            run = self._assign(step, index, worker, run_id, now_s)
+            runs.setdefault(worker.worker_id, []).append(run)
+        for worker_id, members in runs.items():
+            self._scheduler_state.isolation.isolate(
+                members, self._scheduler_state.workers[worker_id], now_s=now_s, wall_s=self._wall_s
+            )
+
     def _start_order(self, step: TrackedStep, run: Run) -> StartOrder:
         return StartOrder(
             run=run,
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -93,6 +93,7 @@
         "earlier_lease_s",
         "evacuated_from_s",
         "failed_jobs",
+        "first_reported_s",
         "gpus_used",
         "has_answered_last_poll",
         "highest_seen_end",
@@ -179,6 +180,8 @@
         """Highest number of an end that the worker reported."""
         self.reported_s = -1e9
         """Time of the worker's last report on the scheduler's clock."""
+        self.first_reported_s = math.inf
+        """Time of its first report on the scheduler's clock; infinite before."""
         self.has_answered_last_poll = False
         self.unsettled_ends: set[int] = set()
         """Numbers of the ends that must not be acknowledged yet: the store lacks a change of their
--- a/src/shallotworks/scheduling/_report_reader.py
+++ b/src/shallotworks/scheduling/_report_reader.py
@@ -76,9 +76,11 @@
             for run in missing:
                 self._handle_missing_run(worker, run, sent_s, now_s, wall_s)
         worker.reported_s = now_s
+        worker.first_reported_s = min(worker.first_reported_s, now_s)
         worker.has_answered_last_poll = True
         worker.note_answered(now_s)
         worker.connection_closed_s = None
+        self._jobs.crashes.note_worker_answered(worker, sent_s, wall_s)
         self._jobs.isolation.note_answered(worker, now_s)
 
     def _handle_running_task(self, worker: Worker, running_task: RunningTask, now_s: float) -> None:
@@ -110,6 +112,8 @@
         )
         worker.add(run)
         self._jobs.team_use.add(run.team, run.step)
+        # An earlier scheduler may have taken the worker for lost, and ended before it answered.
+        self._jobs.crashes.clear_run(run)
         if tracked_job is not None:
             tracked_job.add_run(run)
         if tracked_job is None or step is None or not self._may_adopt(tracked_job, run):
--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -98,13 +98,14 @@
     def count_jobs_with_lost_runs(self) -> int:
         """Return how many jobs wait that lost runs in crashes of workers.
 
-        Their suspects have to be started in isolation.
+        Their suspects have to be started in isolation. Steps with a proven crash are omitted, which
+        come after all others.
         """
         return len(
             {
                 step.tracked_job.job.job_id
                 for step in self.open_steps()
-                if step.tracked_job.progress.lost
+                if step.tracked_job.progress.lost and not step.has_proven_crash
             }
         )
 
@@ -318,7 +319,7 @@
             token=self.token,
         )
         worker.is_fenced = False
-        self.crashes.note_worker_silent(worker, wall_s)
+        self.crashes.note_worker_silent(worker, now_s, wall_s)
         self._lapse_runs(worker, "lease out", now_s)
 
     def _lapse_runs(self, worker: Worker, reason: str, now_s: float) -> None:
--- a/src/shallotworks/scheduling/_tracked_jobs.py
+++ b/src/shallotworks/scheduling/_tracked_jobs.py
@@ -88,6 +88,20 @@
         """Identifies the step by its job, occurrence and number."""
         return (self.tracked_job.job.job_id, self.occurrence, self.number)
 
+    @property
+    def has_proven_crash(self) -> bool:
+        """Whether a task of the step was proven to be the only suspect of a crash.
+
+        It is probably in a crash loop, so that its next starts come after those of other jobs.
+        Lasting tasks are left out, since they have to be back within seconds.
+        """
+        return not self.step.is_lasting and any(
+            run.is_proof
+            for (occurrence, number, _), runs in self.tracked_job.progress.lost.items()
+            if (occurrence, number) == (self.occurrence, self.number)
+            for run in runs
+        )
+
     def note_refusal(self, now_s: float) -> None:
         """Back off after a start was refused as invalid; any worker would refuse the next one."""
         backoff_s = min(MAX_REFUSAL_BACKOFF_S, MIN_REFUSAL_BACKOFF_S * 2**self.refusals)
--- a/src/shallotworks/scheduling/_worker_poller.py
+++ b/src/shallotworks/scheduling/_worker_poller.py
@@ -26,6 +26,9 @@
 takes longer."""
 MIN_ISOLATED_POLL_WAIT_S = 0.02
 """Shortest wait of a poll at a worker that has to survive the start of an isolated run."""
+ISOLATED_ANSWER_S = 0.35
+"""A worker with isolated runs that leaves a poll unanswered for this long beyond its wait may have
+crashed. That is recorded at once, since the scheduler may end before it is certain."""
 CLOSED_CONNECTION_WITHIN_S = 0.5
 """A poll that fails within this time after its wait has not timed out: its connection was closed or
 refused."""
@@ -158,6 +161,7 @@
             or not worker.has_answered_last_poll
             or worker.acknowledged < worker.highest_settled
             or worker.worker_id in self._scheduler_state.pending_recovery
+            or self._scheduler_state.crashes.awaits_answer(worker)
         )
 
     async def _poll(self, worker: Worker) -> None:
@@ -165,14 +169,20 @@
         acknowledged = worker.end_to_acknowledge
         lease_ms = self._contact.extend_lease(worker, sent_s) if worker.runs else None
         wait_s = self._poll_wait_s(worker)
-        outcome = await self._orders.poll(
-            worker.view,
-            token=worker.order_token,
-            acknowledged=acknowledged,
-            lease_until_ms=lease_ms,
-            wait_s=wait_s,
-            timeout_s=wait_s + self._times.answer_s,
+        doubt = asyncio.get_running_loop().call_later(
+            wait_s + ISOLATED_ANSWER_S, self._doubt_isolated, worker
         )
+        try:
+            outcome = await self._orders.poll(
+                worker.view,
+                token=worker.order_token,
+                acknowledged=acknowledged,
+                lease_until_ms=lease_ms,
+                wait_s=wait_s,
+                timeout_s=wait_s + self._times.answer_s,
+            )
+        finally:
+            doubt.cancel()
         self._metrics.count(f"scheduler.poll.{outcome.status.value}")
         if not self._contact.is_present(worker):
             # It has ended or started again, so that nothing it reports holds any more.
@@ -187,6 +197,7 @@
                 self._scheduler_state.crashes.note_connection_closed(
                     worker, self._clock(), self._wall_clock()
                 )
+                self._poll_awaited()
             self._handle_poll_failure(worker, outcome)
             await asyncio.sleep(POLL_PAUSE_S)
             return
@@ -205,6 +216,21 @@
         self._on_progress()
         self._request_decision()
 
+    def _doubt_isolated(self, worker: Worker) -> None:
+        """Record that a worker which has to outlive isolated runs leaves a poll unanswered."""
+        if worker.isolated_runs and self._contact.is_present(worker):
+            self._scheduler_state.crashes.note_worker_silent(
+                worker, self._clock(), self._wall_clock()
+            )
+            self._on_progress()
+            self._poll_awaited()
+
+    def _poll_awaited(self) -> None:
+        """Poll the workers whose answers show that another one was lost alone."""
+        for worker in self._scheduler_state.workers.values():
+            if self._scheduler_state.crashes.awaits_answer(worker):
+                self.request_poll(worker)
+
     def _poll_wait_s(self, worker: Worker) -> float:
         if self._needs_immediate_answer(worker):
             return 0.0
--- a/src/shallotworks/scheduling/workers/_crash_blame.py
+++ b/src/shallotworks/scheduling/workers/_crash_blame.py
@@ -17,6 +17,7 @@
 from .._failed_jobs import log_failed_by_crashes
 from .._model import Run, RunPhase, Worker
 from .._tracked_jobs import TrackedJob
+from ._loss_witness import LossWitness
 
 __all__ = ["MIN_PROBATION_S", "CrashBlame"]
 
@@ -54,12 +55,14 @@
         "_close",
         "_connection_losses",
         "_crashes",
+        "_doubted",
         "_first_run_id",
         "_log",
         "_may_miss_crashes",
         "_token",
         "_tracked_jobs",
         "_unanswered_starts",
+        "_witness",
         "_workers",
     )
 
@@ -82,12 +85,16 @@
         self._crashes: deque[float] = deque(maxlen=FREQUENT_CRASH_COUNT)
         """Time of day, in seconds since 1970, of the latest losses of workers with runs on
         probation."""
-        self._connection_losses: deque[tuple[float, str]] = deque(maxlen=MAX_CONNECTION_LOSSES_KEPT)
-        """Time on the scheduler's clock at which workers closed their connections, and their
-        ids."""
+        self._connection_losses: deque[tuple[float, str, bool]] = deque(
+            maxlen=MAX_CONNECTION_LOSSES_KEPT
+        )
+        """Time on the scheduler's clock at which workers closed their connections, their ids, and
+        whether they had isolated runs, which may explain the loss."""
         self._unanswered_starts: dict[int, tuple[Blame, LossCause]] = {}
-        """Blame and cause by run id for runs whose start was unanswered when their worker
-        ended."""
+        """Blame and cause by run id for runs whose start was unanswered when their worker ended."""
+        self._witness = LossWitness(workers=workers)
+        self._doubted: set[Incarnation] = set()
+        """Workers that may have crashed, whose runs on probation are recorded as lost with them."""
         self._may_miss_crashes = False
         """Whether a worker was lost that may have run tasks of an earlier epoch."""
 
@@ -102,18 +109,64 @@
         if worker.connection_closed_s is not None:
             return
         worker.connection_closed_s = now_s
-        self._connection_losses.append((now_s, worker.worker_id))
-        self.note_worker_silent(worker, wall_s, cause=LossCause.CONNECTIONS_CLOSED)
+        self._connection_losses.append((now_s, worker.worker_id, bool(worker.isolated_runs)))
+        self._doubted.discard(worker.incarnation)
+        self._note_doubt(worker, now_s, wall_s, LossCause.CONNECTIONS_CLOSED)
 
-    def note_worker_silent(
-        self, worker: Worker, wall_s: float, *, cause: LossCause = LossCause.SILENT
-    ) -> None:
-        """Blame the runs on probation of a worker that may have crashed."""
+    def note_worker_silent(self, worker: Worker, now_s: float, wall_s: float) -> None:
+        """Blame the runs on probation of a worker that has not answered, and may have crashed."""
+        self._note_doubt(worker, now_s, wall_s, LossCause.SILENT)
+
+    def _note_doubt(self, worker: Worker, now_s: float, wall_s: float, cause: LossCause) -> None:
+        """Blame the runs on probation of a worker that may have crashed, once until it answers."""
+        if worker.incarnation in self._doubted:
+            return
+        self._doubted.add(worker.incarnation)
         on_probation = [one for one in self._assign_blame(worker) if one[1] is not Blame.LATE]
         if on_probation:
             self._crashes.append(wall_s)
         for run, blame in on_probation:
             self._note(run, blame, is_certain=False, cause=cause, wall_s=wall_s)
+        suspects = [
+            run
+            for run, blame in on_probation
+            if blame is Blame.SOLE and self._has_gone_on_probation(worker, run)
+        ]
+        if suspects:
+            self._note_witnessed(self._witness.note_loss(worker, suspects, now_s), wall_s)
+
+    def _note_witnessed(self, runs: list[Run], wall_s: float) -> None:
+        """Record that runs were lost with a worker that went alone."""
+        for run in runs:
+            tracked_job = self._tracked_jobs.get(run.name.job_id)
+            if tracked_job is None or tracked_job.progress.state.is_final:
+                continue
+            for lost in tracked_job.progress.lost_runs(tracked_job.job, run.name):
+                if lost.run_id == run.run_id and not lost.is_certain:
+                    witnessed = lost._replace(is_witnessed=True)
+                    self.note_lost(tracked_job, run.name, witnessed, wall_s)
+
+    def awaits_answer(self, worker: Worker) -> bool:
+        """Whether an answer of a worker would show that another one was lost alone."""
+        return self._witness.is_awaited(worker)
+
+    def note_worker_answered(self, worker: Worker, sent_s: float, wall_s: float) -> None:
+        """Withdraw what was recorded of a worker that may have crashed, and has answered a poll."""
+        self._note_witnessed(self._witness.note_report(worker, sent_s), wall_s)
+        self._witness.forget(worker)
+        if worker.incarnation not in self._doubted:
+            return
+        self._doubted.discard(worker.incarnation)
+        for run in list(worker.runs.values()):
+            if run in worker.isolated_runs:
+                # Its worker has to outlive its probation yet.
+                self.note_isolated(run, wall_s)
+            else:
+                self.clear_run(run)
+
+    def note_isolated(self, run: Run, wall_s: float) -> None:
+        """Record the start of a suspect, of which a successor would learn nothing else."""
+        self._note(run, Blame.SOLE, is_certain=False, cause=LossCause.UNKNOWN, wall_s=wall_s)
 
     def note_worker_ended(
         self,
@@ -147,6 +200,8 @@
         for tracked_job, name, lost in self._uncertain_losses_on(worker.incarnation):
             if lost.run_id not in pending:
                 self._confirm(tracked_job, name, lost, wall_s, is_replaced=is_replaced)
+        self._doubted.discard(worker.incarnation)
+        self._witness.forget(worker)
 
     def confirm_run(self, run: Run, wall_s: float) -> None:
         """Record that a run was lost with an earlier incarnation, if that received it."""
@@ -189,10 +244,12 @@
         """Make a blame certain; sole blame becomes shared where the cause is in doubt.
 
         A worker that was not replaced may have survived the run for long. A run of an earlier epoch
-        may have been cleared by a scheduler that ended before it stored that.
+        whose loss nobody witnessed may have been cleared by a scheduler that ended before it stored
+        that.
         """
         blame = lost.blame
-        if blame is Blame.SOLE and not (is_replaced and lost.run_id > self._first_run_id):
+        is_known = lost.run_id > self._first_run_id or lost.is_witnessed
+        if blame is Blame.SOLE and not (is_replaced and is_known):
             blame = Blame.SHARED
         cause = LossCause.REPLACED if is_replaced else LossCause.UNLISTED
         confirmed = lost._replace(blame=blame, is_certain=True, cause=cause)
@@ -216,10 +273,13 @@
         """Return the runs on a worker that are to blame for its crash, each with its blame."""
         started = [run for run in worker.runs.values() if run.phase is not RunPhase.RESERVED]
         isolated = [run for run in started if run in worker.isolated_runs]
+        lost_with = self._count_lost_with(worker, is_explained_too=not isolated)
+        is_mass_crash = lost_with >= MIN_MASS_CRASH_WORKERS - 1
         if isolated:
+            blame = Blame.LATE if is_mass_crash else Blame.SOLE
             others = [run for run in started if run not in isolated]
-            return [*((run, Blame.SOLE) for run in isolated), *_late_blames(others)]
-        if self._is_mass_crash(worker):
+            return [*((run, blame) for run in isolated), *_late_blames(others)]
+        if is_mass_crash:
             return _late_blames(started)
         # The age of a run counts up to the last report, not to the close of the connections,
         # because a worker that lost power closes none.
@@ -234,17 +294,39 @@
             run for run in started if run not in on_probation
         )
 
-    def _is_mass_crash(self, worker: Worker) -> bool:
-        """Whether many other workers closed their connections at the same moment as this one."""
-        if worker.connection_closed_s is None:
+    def _has_gone_on_probation(self, worker: Worker, run: Run) -> bool:
+        """Whether a worker was heard of when this epoch started a run, and then went.
+
+        A silent worker may have gone before the start arrived, unless it confirmed that.
+        """
+        if run.phase is RunPhase.RESERVED or run.run_id <= self._first_run_id:
             return False
+        if worker.connection_closed_s is not None:
+            gone_s = worker.connection_closed_s
+            was_alive = worker.last_seen_s >= run.since_s - MIN_PROBATION_S
+        else:
+            gone_s = worker.last_seen_s
+            was_alive = run.confirmed_s < math.inf
+        is_alone = not self._count_lost_with(worker, is_explained_too=False)
+        return was_alive and is_alone and gone_s - run.since_s <= self.probation_s(run)
+
+    def _count_lost_with(self, worker: Worker, *, is_explained_too: bool) -> int:
+        """Return how many other workers closed their connections at the same moment as this one.
+
+        Args:
+            worker: The worker.
+            is_explained_too: Whether workers with isolated runs count.
+        """
+        if worker.connection_closed_s is None:
+            return 0
         near = {
             other
-            for at_s, other in self._connection_losses
+            for at_s, other, is_explained in self._connection_losses
             if abs(at_s - worker.connection_closed_s) <= MASS_CRASH_WINDOW_S
             and other != worker.worker_id
+            and (is_explained_too or not is_explained)
         }
-        return len(near) >= MIN_MASS_CRASH_WORKERS - 1
+        return len(near)
 
     def _note(
         self,
@@ -263,6 +345,10 @@
             or tracked_job.progress.is_done(run.name)
         ):
             return
+        was_witnessed = any(
+            lost.run_id == run.run_id and lost.is_witnessed
+            for lost in tracked_job.progress.lost_runs(tracked_job.job, run.name)
+        )
         lost = LostRun(
             run_id=run.run_id,
             incarnation=run.incarnation,
@@ -270,6 +356,7 @@
             is_certain=is_certain,
             is_received=is_received or run.confirmed_s < math.inf,
             cause=cause,
+            is_witnessed=was_witnessed and cause is not LossCause.UNKNOWN,
         )
         self.note_lost(tracked_job, run.name, lost, wall_s)
 
@@ -292,6 +379,7 @@
             blame=lost.blame.value,
             is_certain=lost.is_certain,
             is_received=lost.is_received,
+            is_witnessed=lost.is_witnessed,
             cause=lost.cause.value,
             runs_lost=len(tracked_job.progress.lost_runs(tracked_job.job, name)),
             is_given_up=is_given_up,
@@ -339,8 +427,22 @@
 
     # ---- no blame
 
+    def note_outlived(self, run: Run) -> None:
+        """Clear a run that its worker has outlived, which refutes earlier blame of its task.
+
+        That of a gang isn't refuted, since another member may be the cause.
+        """
+        self.clear_run(run)
+        tracked_job = self._tracked_jobs.get(run.name.job_id)
+        if tracked_job is None or run.step.is_gang:
+            return
+        if tracked_job.progress.note_outlived(tracked_job.job, run.name):
+            tracked_job.changes += 1
+
     def note_worker_left(self, worker: Worker) -> None:
         """Clear the runs of a worker that left as planned."""
+        self._doubted.discard(worker.incarnation)
+        self._witness.forget(worker)
         for run in worker.runs.values():
             self.clear_run(run)
         for tracked_job, name, lost in self._uncertain_losses_on(worker.incarnation):
@@ -352,8 +454,19 @@
         if worker is not None and run in worker.isolated_runs:
             worker.isolated_runs.remove(run)
         tracked_job = self._tracked_jobs.get(run.name.job_id)
-        if tracked_job is not None and tracked_job.progress.lost:
-            self._clear(tracked_job, run.name, run.run_id)
+        if tracked_job is None or not tracked_job.progress.lost:
+            return
+        if run.step.is_gang and self._is_lost_elsewhere(tracked_job, run):
+            return
+        self._clear(tracked_job, run.name, run.run_id)
+
+    @staticmethod
+    def _is_lost_elsewhere(tracked_job: TrackedJob, run: Run) -> bool:
+        """Whether a gang's run is recorded as lost with the worker of another member."""
+        return any(
+            lost.run_id == run.run_id and lost.incarnation.worker_id != run.worker_id
+            for lost in tracked_job.progress.lost_runs(tracked_job.job, run.name)
+        )
 
     @staticmethod
     def _clear(tracked_job: TrackedJob, name: TaskName, run_id: int) -> None:
--- a/src/shallotworks/scheduling/workers/_isolation.py
+++ b/src/shallotworks/scheduling/workers/_isolation.py
@@ -9,9 +9,11 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Iterator
+from enum import Enum, unique
 
-from shallotworks.jobs import Blame, LostRun, TaskName, is_suspect
+from shallotworks.jobs import TaskName, is_suspect
 from shallotworks.logs import StructuredLog
 
 from .._model import Run, RunPhase, Worker
@@ -28,6 +30,24 @@
 have other runs. It grows up to `MAX_BUSY_WORKER_RATIO` with the number of jobs that wait for
 isolation."""
 MAX_BUSY_WORKER_RATIO = 1 / 2
+RETRY_INTERVAL_S = 8.0
+MAX_RETRIED_WORKER_RATIO = 1 / 8
+"""While other jobs wait, at most this ratio of all workers, but at least one, is given within
+`RETRY_INTERVAL_S` to steps with a proven crash. Otherwise a few crash loops would take the workers
+from all other jobs."""
+MAX_IDLE_WAIT_S = 16.0
+"""A step with a proven crash gets a worker with other runs only after this time."""
+
+
+@unique
+class _Reservation(Enum):
+    """States of a reserved start."""
+
+    WAITING = "waiting"
+    READY = "ready"
+    """The start is stored, and its worker is ready for it."""
+    OVER = "over"
+    """The start is not sent any more."""
 
 
 class Isolation:
@@ -40,7 +60,16 @@
         log: Receives a line for each suspect that its worker has survived.
     """
 
-    __slots__ = ("_blame", "_cleared_steps", "_log", "_reserved", "_tracked_jobs", "_workers")
+    __slots__ = (
+        "_blame",
+        "_cleared_steps",
+        "_isolated_s",
+        "_log",
+        "_reserved",
+        "_retried",
+        "_tracked_jobs",
+        "_workers",
+    )
 
     def __init__(
         self,
@@ -57,6 +86,10 @@
         self._reserved: dict[Run, tuple[int, float]] = {}
         """Starts that wait until they are stored and their workers are ready. Each has the number
         of the job's change that has to be stored, and the time at which it was reserved."""
+        self._retried: dict[str, float] = {}
+        """Time at which tasks of a job were last isolated after a proven crash, by job id."""
+        self._isolated_s: dict[str, float] = {}
+        """Time at which tasks of a job were last isolated, by job id."""
         self._cleared_steps: dict[str, set[tuple[int, int]]] = {}
         """Steps, by occurrence and number, of which suspects were started in isolation and did not
         crash their worker; by job id."""
@@ -84,7 +117,8 @@
             run=run.run_id,
             worker=worker.worker_id,
         )
-        self._blame.clear_run(run)
+        self._blame.note_outlived(run)
+        self._retried.pop(run.name.job_id, None)
         if not worker.isolated_runs:
             self._cleared_steps.setdefault(run.name.job_id, set()).add(_step_key(run.name))
 
@@ -112,13 +146,23 @@
         job, progress = tracked_job.job, tracked_job.progress
         return [name for name in names if is_suspect(progress.lost_runs(job, name))]
 
-    def may_isolate(self, step: TrackedStep) -> bool:
+    def may_isolate(self, step: TrackedStep, now_s: float, *, do_others_wait: bool) -> bool:
         """Whether suspects of a step may be started now, on one more worker.
 
         Until a worker has survived some of them, they are started on one worker at a time, so that
         a job that crashes its workers takes one with each attempt.
+
+        Args:
+            step: The step.
+            now_s: Time on the scheduler's clock in seconds.
+            do_others_wait: Whether other jobs wait for workers.
         """
-        return self._is_cleared(step) or not self._has_isolated_run(step)
+        if not self._is_cleared(step) and self._has_isolated_run(step):
+            return False
+        if not do_others_wait or not step.has_proven_crash:
+            return True
+        recent = sum(1 for at_s in self._retried.values() if now_s - at_s < RETRY_INTERVAL_S)
+        return recent < max(1, int(len(self._workers) * MAX_RETRIED_WORKER_RATIO))
 
     def holds_other_tasks(self, step: TrackedStep, suspects: list[TaskName]) -> bool:
         """Whether the other tasks of a step wait, because they may crash workers too."""
@@ -139,15 +183,19 @@
         worker = self._workers.get(run.worker_id)
         return worker is not None and run in worker.isolated_runs
 
-    def candidate_workers(self, waiting_jobs: int) -> list[Worker]:
+    def candidate_workers(self, step: TrackedStep, waiting_jobs: int, now_s: float) -> list[Worker]:
         """Return the workers that may be reserved for suspects, in order of `_crash_cost`.
 
         Args:
+            step: The step of the suspects.
             waiting_jobs: Number of jobs that wait with lost runs.
+            now_s: Time on the scheduler's clock in seconds.
         """
         workers = list(self._workers.values())
+        since_s = self._isolated_s.get(step.tracked_job.job.job_id, -math.inf)
+        needs_idle = step.has_proven_crash and now_s - since_s < MAX_IDLE_WAIT_S
         busy = sum(1 for worker in workers if worker.isolated_runs and _has_other_runs(worker))
-        may_use_busy = busy < _max_busy_workers(len(workers), waiting_jobs)
+        may_use_busy = not needs_idle and busy < _max_busy_workers(len(workers), waiting_jobs)
         free = [
             worker
             for worker in workers
@@ -160,41 +208,63 @@
         """Reserve a worker for the starts of suspects, and record the starts for storing."""
         tracked_job = self._tracked_jobs[runs[0].name.job_id]
         worker.isolated_runs.extend(runs)
+        self._isolated_s[tracked_job.job.job_id] = now_s
+        if tracked_job.steps[_step_key(runs[0].name)].has_proven_crash:
+            self._retried[tracked_job.job.job_id] = now_s
         for run in runs:
             run.enter(RunPhase.RESERVED, now_s)
-            lost = LostRun(
-                run_id=run.run_id,
-                incarnation=worker.incarnation,
-                blame=Blame.SOLE,
-                is_certain=False,
-                is_received=False,
-            )
-            self._blame.note_lost(tracked_job, run.name, lost, wall_s)
+            self._blame.note_isolated(run, wall_s)
         for run in runs:
             self._reserved[run] = (tracked_job.changes, now_s)
 
     def release_reservations(self, now_s: float) -> Iterator[tuple[Run, bool]]:
-        """End reservations that are ready or cancelled; yield each start and whether to send it."""
-        for run, (change, since_s) in list(self._reserved.items()):
-            worker = self._workers.get(run.worker_id)
-            tracked_job = self._tracked_jobs.get(run.name.job_id)
-            if worker is None or (run.name, run.run_id) not in worker.runs:
-                del self._reserved[run]
-            elif tracked_job is None or run.is_stop_requested:
-                del self._reserved[run]
-                yield run, False
-            elif tracked_job.stored_changes >= change and _is_ready_for_isolation(worker, since_s):
-                del self._reserved[run]
-                run.since_s = now_s
-                run.enter(RunPhase.STARTING, now_s)
-                yield run, _may_start_on(worker)
-            elif now_s - since_s > MAX_RESERVATION_S or worker.pause_until_s > now_s:
+        """End reservations that are ready or cancelled; yield each start and whether to send it.
+
+        The members of a gang are released together or not at all.
+        """
+        for runs in self._reserved_together():
+            states = [self._reservation_state(run, now_s) for run in runs]
+            if _Reservation.OVER in states:
+                is_sent = False
+            elif all(state is _Reservation.READY for state in states):
+                is_sent = all(_may_start_on(self._workers[run.worker_id]) for run in runs)
+            else:
+                continue
+            for run in runs:
                 del self._reserved[run]
-                yield run, False
+                worker = self._workers.get(run.worker_id)
+                if worker is None or (run.name, run.run_id) not in worker.runs:
+                    continue
+                if is_sent:
+                    run.since_s = now_s
+                    run.enter(RunPhase.STARTING, now_s)
+                yield run, is_sent
+
+    def _reserved_together(self) -> list[list[Run]]:
+        """Return the reserved starts, those of a gang in one list."""
+        groups: dict[tuple[str, int], list[Run]] = {}
+        for run in self._reserved:
+            groups.setdefault((run.name.job_id, run.run_id), []).append(run)
+        return list(groups.values())
+
+    def _reservation_state(self, run: Run, now_s: float) -> _Reservation:
+        change, since_s = self._reserved[run]
+        worker = self._workers.get(run.worker_id)
+        tracked_job = self._tracked_jobs.get(run.name.job_id)
+        if worker is None or tracked_job is None:
+            return _Reservation.OVER
+        if (run.name, run.run_id) not in worker.runs or run.is_stop_requested:
+            return _Reservation.OVER
+        if tracked_job.stored_changes >= change and _is_ready_for_isolation(worker, since_s):
+            return _Reservation.READY
+        is_late = now_s - since_s > MAX_RESERVATION_S or worker.pause_until_s > now_s
+        return _Reservation.OVER if is_late else _Reservation.WAITING
 
     def remove_job(self, job_id: str) -> None:
         """Remove a job that has ended."""
         self._cleared_steps.pop(job_id, None)
+        self._retried.pop(job_id, None)
+        self._isolated_s.pop(job_id, None)
 
 
 def _step_key(name: TaskName) -> tuple[int, int]:
