Simulate sound jobs that lose workers without proof

Cause: the tests at the level of the scheduler state show that losses without proof fail a job, not that whole schedulers come to such losses.

--- a/tests/unproven_losses.py
+++ b/tests/unproven_losses.py
@@ -104,6 +104,11 @@
         row = RunningTask(name=run.name, run_id=run.run_id, percent=100)
         self.report(run.worker_id, running=(row,))
 
+    def resolve(self) -> None:
+        """Resolve the job's uncertain losses, as before its next start."""
+        tracked_job = self.scheduler_state.tracked_jobs[JOB_ID]
+        self.scheduler_state.crashes.resolve(tracked_job, WALL_S)
+
     def close_connections(self, run: Run) -> None:
         """Let the worker of a run close its connections."""
         self.scheduler_state.crashes.note_connection_closed(
@@ -148,6 +153,61 @@
     return job(JOB_ID, step(1, is_speculative=True))
 
 
+def gang_job() -> Job:
+    """Return a job of a gang of two, each of which fills a worker."""
+    return job(JOB_ID, step(2, is_gang=True, cpu_millicores=4000))
+
+
+def closed_silent_and_replaced(epoch: Epoch) -> Epoch:
+    """Close a worker's connections, let its lease expire, and find it replaced."""
+    run = epoch.start()
+    epoch.now_s += ON_PROBATION_S
+    epoch.close_connections(run)
+    epoch.cut_off(run, is_listed=True)
+    epoch.restart_worker(run.worker_id)
+    return epoch
+
+
+def started_again_twice(epoch: Epoch) -> Epoch:
+    """Start a worker again twice before it has reported whether it received a start."""
+    run = epoch.start(is_received=False)
+    run.enter(RunPhase.UNANSWERED, epoch.now_s)
+    worker_id = run.worker_id
+    for _ in range(2):
+        epoch.restart(worker_id, view(worker_id, born_ms=epoch.next_incarnation(worker_id)))
+    run.enter(RunPhase.STOPPED, epoch.now_s)
+    epoch.now_s += 1.0
+    epoch.report(worker_id)
+    return epoch
+
+
+def resolved_by_two_schedulers(epoch: Epoch) -> Epoch:
+    """Let two schedulers in turn find that the worker of an uncertain loss was replaced."""
+    run = epoch.start()
+    epoch.now_s += ON_PROBATION_S
+    epoch.close_connections(run)
+    epoch.next_incarnation(run.worker_id)
+    first = Epoch(epoch.job, earlier=epoch)
+    first.resolve()
+    second = Epoch(epoch.job, earlier=first)
+    second.resolve()
+    return second
+
+
+def gang_on_two_workers(epoch: Epoch) -> Epoch:
+    """Cut the power of the two workers of a gang."""
+    epoch.start_orders()
+    runs = list(epoch.scheduler_state.tracked_jobs[JOB_ID].runs.values())
+    for run in runs:
+        epoch.report_running(run)
+    epoch.now_s += ON_PROBATION_S
+    for run in runs:
+        epoch.close_connections(run)
+    for run in runs:
+        epoch.restart_worker(run.worker_id)
+    return epoch
+
+
 def cut_off_and_unlisted(epoch: Epoch) -> Epoch:
     """Cut a worker off right after a start; its entry is missing for the while."""
     run = epoch.start()
