Take no loss for proof while no other worker is known

Cause: after a power cut the scheduler knows only one worker for a moment, which runs the task. Its next loss counted as that of the pool's only worker, which no other has to outlive, and three cuts in a row made a sound job failed.

Change: only in a pool in which several workers have never answered at the same time is a loss proven without an answer of another.

--- a/src/shallotworks/scheduling/workers/_loss_witness.py
+++ b/src/shallotworks/scheduling/workers/_loss_witness.py
@@ -36,11 +36,14 @@
         workers: The service's workers by id.
     """
 
-    __slots__ = ("_losses", "_workers")
+    __slots__ = ("_has_known_others", "_losses", "_workers")
 
     def __init__(self, *, workers: dict[str, Worker]) -> None:
         self._workers = workers
         self._losses: dict[Incarnation, _Loss] = {}
+        self._has_known_others = False
+        """Whether several workers have answered at the same time. In a pool of one worker no other
+        can show that it lives."""
 
     def note_loss(self, worker: Worker, runs: list[Run], now_s: float) -> list[Run]:
         """Record that a worker may have crashed under runs; return these if there is no other."""
@@ -49,9 +52,10 @@
             for other in self._workers.values()
             if other is not worker and other.first_reported_s <= worker.last_seen_s
         )
-        if not others:
+        if not self._has_known_others:
             return runs
-        self._losses[worker.incarnation] = _Loss(now_s, runs, others)
+        if others:
+            self._losses[worker.incarnation] = _Loss(now_s, runs, others)
         return []
 
     def note_report(self, worker: Worker, sent_s: float) -> list[Run]:
@@ -61,6 +65,9 @@
             worker: The worker.
             sent_s: When the poll was sent, on the scheduler's clock in seconds.
         """
+        if not self._has_known_others:
+            answering = [one for one in self._workers.values() if one.has_answered_last_poll]
+            self._has_known_others = len(answering) > 1
         witnessed: list[Run] = []
         for incarnation, loss in list(self._losses.items()):
             if worker.incarnation in loss.others and sent_s > loss.at_s:
