Show that a wave is completed after the maintenance of another wave

Two waves name one machine.

The stand-in in this test now records maintenance by wave and refuses an order for a machine that is not up, as the platform does; before, an order of a second wave counted as a repetition of the first.

--- a/tests/test_machine_controller.py
+++ b/tests/test_machine_controller.py
@@ -43,6 +43,8 @@
     def __init__(self, **pools: int) -> None:
         self.machines: dict[str, Machine] = {}
         self.orders: list[tuple[str, str, float]] = []
+        self.maintained: list[tuple[int, str]] = []
+        """Wave and machine of each maintenance that has begun."""
         self.down = 0
         self.max_down = 0
         self.requested_waves: tuple[MaintenanceWave, ...] = ()
@@ -75,14 +77,16 @@
         self.on_order(machine)
         if machine in self.busy:
             return MachineOrderStatus.BUSY
-        known = ("upkeep", machine) in {order[:2] for order in self.orders}
-        self.orders.append(("upkeep", machine, now_s))
-        if not known:
+        if (wave, machine) not in self.maintained:
+            if self.machines[machine].state is not MachineState.UP:
+                return MachineOrderStatus.BUSY
+            self.maintained.append((wave, machine))
             self.down += 1
             self.max_down = max(self.max_down, self.down)
             self._take_away(
                 machine, self.machines[machine].pool, MachineState.MAINTENANCE, MAINTENANCE_S
             )
+        self.orders.append(("upkeep", machine, now_s))
         return MachineOrderStatus.UNANSWERED if self.drop_answers else MachineOrderStatus.OBEYED
 
     async def move(self, machine: str, *, pool: str, token: int) -> MachineOrderStatus:
@@ -383,6 +387,7 @@
             # The order was carried out without an answer, and ended before a list showed it.
             machine_harness.platform.crash("m0")
             machine_harness.platform.orders.append(("upkeep", "m0", 0.0))
+            machine_harness.platform.maintained.append((1, "m0"))
             machine_harness.platform.busy = set()
             for _ in range(10):
                 machine_harness.publish_demand("antenna", free=True)
@@ -450,6 +455,49 @@
 
         run_scenario(scenario())
 
+    @parameterized.expand(
+        [
+            ("each_order_answered", False, False),
+            ("answers_lost", True, False),
+            ("controller_replaced", False, True),
+            ("answers_lost_and_controller_replaced", True, True),
+        ]
+    )
+    def test_waves_that_share_a_machine_each_maintain_it(
+        self, _name: str, drop_answers: bool, is_replaced: bool
+    ) -> None:
+        """Guards against a wave reported as completed after another wave's maintenance."""
+
+        async def scenario() -> None:
+            machine_harness = MachineHarness(antenna=5)
+            platform = machine_harness.platform
+            platform.drop_answers = drop_answers
+            named = {1: ("m0", "m1", "m2"), 2: ("m0", "m3", "m4")}
+            platform.requested_waves = tuple(
+                MaintenanceWave(wave=wave, machines=machines, duration_s=60, max_at_once=1)
+                for wave, machines in named.items()
+            )
+            lease = await machine_harness.start()
+            may_replace = is_replaced
+            unmaintained: dict[int, set[str]] = {}
+            for _ in range(300):
+                machine_harness.publish_demand("antenna", free=True)
+                await asyncio.sleep(0.2)
+                if may_replace and platform.maintained:
+                    may_replace = False
+                    lease.mark_lost("killed")
+                    machine_harness.stop()
+                    await lease.release()
+                    lease = await machine_harness.start()
+                for wave in named.keys() - unmaintained.keys():
+                    if machine_harness.store.items[f"status/{wave}"].value == b"completed":
+                        begun = {one for of, one in platform.maintained if of == wave}
+                        unmaintained[wave] = set(named[wave]) - begun
+            self.assertEqual({1: set(), 2: set()}, unmaintained)
+            machine_harness.stop()
+
+        run_scenario(scenario())
+
     def test_a_refused_order_is_repeated_only_while_the_worker_is_offered(self) -> None:
         """Guards against lasting tasks that end with a machine whose offer was withdrawn.
 
