Count a machine's maintenance for the wave it was ordered for

Cause: the executor kept one start of maintenance for each machine, whichever wave it was for. Two waves that name a machine go by the same list in one round, so both took a slot for it. When the machine was seen in maintenance, each took it for its own, and the second wave was reported as completed although its order had been refused as busy and never repeated. Operators see a wave as completed, and a machine of it has not begun its maintenance.

Change: starts are kept by wave and machine, and a machine has a slot in one open wave at a time. A sighting in maintenance counts only for a wave that alone has a slot; an open wave whose record was not read yet in this epoch may have one. So what is not known of another wave is no evidence for this one.

--- a/src/shallotworks/scheduling/machines/_wave_executor.py
+++ b/src/shallotworks/scheduling/machines/_wave_executor.py
@@ -42,6 +42,7 @@
 
     A machine counts against its wave's limit from before its order until a new worker is seen on
     it. The slot is stored before the order is given, so that a predecessor's late order counts too.
+    A machine has a slot in one wave at a time, so that each wave knows its own maintenance.
 
     Args:
         lease: The controller's lease.
@@ -57,6 +58,7 @@
         "_lease",
         "_ordered_at_s",
         "_orders",
+        "_slots",
     )
 
     def __init__(
@@ -72,9 +74,12 @@
         self._completed: set[int] = set()
         self._absent_since_s: dict[str, float] = {}
         """Machines that are not listed, with the time since when."""
-        self._begun_at_s: dict[str, float] = {}
-        """Machines whose maintenance is known to have begun, with the time: an order was obeyed, or
-        the machine was seen in maintenance while it had a slot."""
+        self._begun_at_s: dict[tuple[int, str], float] = {}
+        """Wave and machine of each maintenance that is known to have begun, with the time: an order
+        was obeyed, or the machine was seen in maintenance while only this wave had a slot for it.
+        """
+        self._slots: dict[int, frozenset[str]] = {}
+        """Machines that may have a slot, by wave, for each wave whose record was read."""
         self._ordered_at_s: dict[str, float] = {}
         """Time of the latest order for each machine."""
 
@@ -106,8 +111,9 @@
         if record.is_completed:
             self._completed.add(wave.wave)
             return None
+        self._slots[wave.wave] = frozenset(record.down)
         for name in record.begun:
-            self._begun_at_s.setdefault(name, self._dependencies.clock())
+            self._note_begun(wave, name)
         is_changed = self._release_slots(wave, record, machines)
         is_finished = self._is_finished(wave, record, machines)
         if is_changed or is_finished:
@@ -123,7 +129,7 @@
 
     async def _store_begun(self, wave: MaintenanceWave, record: WaveRecord, revision: int) -> None:
         """Store which machines have begun, so that a successor does not drain them again."""
-        begun = [name for name in record.down if name in self._begun_at_s]
+        begun = [name for name in record.down if (wave.wave, name) in self._begun_at_s]
         if begun != record.begun:
             record.begun = begun
             await self._save(wave, record, revision)
@@ -135,10 +141,13 @@
         is_changed = False
         for name, old_worker in list(record.down.items()):
             machine = machines.get(name)
-            if machine is not None and machine.state is MachineState.MAINTENANCE:
-                self._begun_at_s.setdefault(name, self._dependencies.clock())
+            is_down = machine is not None and machine.state is MachineState.MAINTENANCE
+            if is_down and not self._may_be_down_for_another(wave, name):
+                self._note_begun(wave, name)
             is_gone = machine is None and self._has_left(wave, record, name)
-            if is_gone or (machine is not None and self._has_had_maintenance(machine, old_worker)):
+            if is_gone or (
+                machine is not None and self._has_had_maintenance(wave, machine, old_worker)
+            ):
                 del record.down[name]
                 record.begun = [one for one in record.begun if one != name]
                 record.done.append(name)
@@ -148,8 +157,21 @@
                 )
         return is_changed
 
-    def _has_had_maintenance(self, machine: Machine, old_worker: str) -> bool:
-        """Whether a machine's maintenance is known to have begun, and its worker has started since.
+    def _note_begun(self, wave: MaintenanceWave, name: str) -> None:
+        self._begun_at_s.setdefault((wave.wave, name), self._dependencies.clock())
+
+    def _may_be_down_for_another(self, wave: MaintenanceWave, name: str) -> bool:
+        """Whether another open wave has a slot for a machine, or its record was not read yet."""
+        return any(
+            name in self._slots.get(other.wave, other.machines)
+            for other in self.open_waves()
+            if other.wave != wave.wave
+        )
+
+    def _has_had_maintenance(
+        self, wave: MaintenanceWave, machine: Machine, old_worker: str
+    ) -> bool:
+        """Whether the wave's maintenance of a machine has begun, and its worker started since.
 
         The worker may have a new id or start again under the old one. That alone does not prove
         maintenance. If an order was refused and the machine's worker crashed and was replaced, the
@@ -157,7 +179,7 @@
         is off has no worker before or after its maintenance. Maintenance takes it down at once, so
         if a list that was read `LIST_STALENESS_S` later shows it up, its maintenance is over.
         """
-        begun_s = self._begun_at_s.get(machine.name)
+        begun_s = self._begun_at_s.get((wave.wave, machine.name))
         if begun_s is None or machine.state is not MachineState.UP:
             return False
         if self._dependencies.clock() - begun_s < LIST_STALENESS_S:
@@ -186,7 +208,7 @@
     def _remaining(
         self, wave: MaintenanceWave, record: WaveRecord, machines: dict[str, Machine]
     ) -> list[Machine]:
-        """Return the machines that may start next: up, and neither done nor down for the wave.
+        """Return the machines that may start next: up, not done, and without a slot in any wave.
 
         The list is empty while the wave yields to demand, so that no worker is drained and no
         machine is taken down for it.
@@ -200,6 +222,7 @@
             and name not in record.done
             and name not in record.down
             and machines[name].state is MachineState.UP
+            and not self._may_be_down_for_another(wave, name)
         ]
 
     def _must_yield(self, wave: MaintenanceWave, record: WaveRecord) -> bool:
@@ -256,11 +279,13 @@
         remaining.sort(key=lambda one: (one.worker_id not in draining, one.worker_id not in free))
         chosen = [
             *remaining[: wave.max_at_once * DRAINED_AHEAD_PER_SLOT],
-            *self._unconfirmed(record, machines),
+            *self._unconfirmed(wave, record, machines),
         ]
         return {one.worker_id for one in chosen if one.worker_id}
 
-    def _unconfirmed(self, record: WaveRecord, machines: dict[str, Machine]) -> list[Machine]:
+    def _unconfirmed(
+        self, wave: MaintenanceWave, record: WaveRecord, machines: dict[str, Machine]
+    ) -> list[Machine]:
         """Return the machines with a slot that are up and whose maintenance may not have begun."""
         now_s = self._dependencies.clock()
         up = [
@@ -271,10 +296,10 @@
         return [
             machine
             for machine, old_worker in up
-            if machine.name not in self._begun_at_s
+            if (wave.wave, machine.name) not in self._begun_at_s
             or (
                 _may_be_on(machine, old_worker)
-                and now_s - self._begun_at_s[machine.name] >= REPEAT_ORDER_AFTER_S
+                and now_s - self._begun_at_s[wave.wave, machine.name] >= REPEAT_ORDER_AFTER_S
             )
         ]
 
@@ -289,8 +314,6 @@
             if not await self._orders.confirm_free(machine):
                 continue
             record.down[machine.name] = machine.incarnation.encode()
-            # A start that is known so far belongs to an earlier wave.
-            self._begun_at_s.pop(machine.name, None)
             saved = await self._save(wave, record, revision)
             if saved is None:
                 break
@@ -305,7 +328,7 @@
         now_s = self._dependencies.clock()
         to_repeat = [
             machine
-            for machine in self._unconfirmed(record, machines)
+            for machine in self._unconfirmed(wave, record, machines)
             if now_s - self._ordered_at_s.get(machine.name, -ORDER_RETRY_S) >= ORDER_RETRY_S
             and self._orders.is_reported_free(machine)
         ]
@@ -317,7 +340,7 @@
         self._ordered_at_s[machine.name] = self._dependencies.clock()
         status = await self._orders.start_maintenance(machine, wave.wave, is_first=is_first)
         if status is MachineOrderStatus.OBEYED:
-            self._begun_at_s[machine.name] = self._dependencies.clock()
+            self._begun_at_s[wave.wave, machine.name] = self._dependencies.clock()
 
     async def _load(self, wave: MaintenanceWave) -> tuple[WaveRecord, int] | None:
         outcome = await self._dependencies.store.get(wave_key(wave.wave))
@@ -333,6 +356,7 @@
     async def _save(self, wave: MaintenanceWave, record: WaveRecord, revision: int) -> int | None:
         """Store a wave's record and its status; return the new revision, or ``None`` on failure."""
         key = wave_key(wave.wave)
+        self._slots[wave.wave] = frozenset(record.down)
         outcome = await self._dependencies.store.commit(
             Commit(
                 conditions=(self._lease.condition, Condition(key=key, revision=revision)),
