Keep a final state until it was held for its time by a steady clock

A clock that is wrong by minutes deletes all finished jobs' records, and callers are answered 410 for jobs that were accepted.

Change: a record is also kept until this scheduler has known the job as finished for the time for which final states are reported, on its steady clock. A record found at a takeover is deleted that much later.

--- a/src/shallotworks/scheduling/_job_cleanup.py
+++ b/src/shallotworks/scheduling/_job_cleanup.py
@@ -32,16 +32,21 @@
         scheduler_state: Knows when each job ended.
         keys: Keys of the service's records.
         lease: The service's lease, which each deletion requires.
-        dependencies: The store, the time of day and how long final states are reported.
+        dependencies: The store, the clocks and how long final states are reported.
     """
+    seen_s: dict[str, float] = {}
     while True:
         await asyncio.sleep(CLEANUP_INTERVAL_S)
+        now_s = dependencies.clock()
+        seen_s = {job_id: seen_s.get(job_id, now_s) for job_id in scheduler_state.finished_jobs}
         retention_s = FINAL_STATE_RETENTION_RATIO * dependencies.final_state_told_s
         retention_start_s = dependencies.wall_clock() - retention_s
+        # The time of day may be wrong here, or where the end was noted.
         old_job_ids = [
             job_id
             for job_id, ended_s in scheduler_state.finished_jobs.items()
             if ended_s < retention_start_s
+            and now_s - seen_s[job_id] >= dependencies.final_state_told_s
         ]
         for job_id in old_job_ids[:MAX_JOBS_PER_CLEANUP]:
             await dependencies.store.commit(
