Show that a job submitted again is deleted or never runs

A scheduler keeps for a finished job only the time of its end, not the revision of the record that says so. On two cases fail: - a record that was deleted and submitted again meanwhile is deleted by the next cleanup, which has no condition on what it deletes; - where a watch has lost history, so that the deletion in between is not reported, the new submission counts as a stale event and stays queued (seen after 8 s).

--- a/tests/test_job_cleanup.py
+++ b/tests/test_job_cleanup.py
@@ -6,7 +6,7 @@
 
 from parameterized import parameterized
 
-from shallotworks.jobs import JobKeys, JobProgress, JobState, encode_progress
+from shallotworks.jobs import JobKeys, JobProgress, JobState, encode_job, encode_progress
 from shallotworks.metrics import Metrics
 from shallotworks.scheduling import MachineRecords
 from shallotworks.scheduling._job_cleanup import delete_old_jobs
@@ -14,9 +14,10 @@
 from shallotworks.scheduling._scheduler_dependencies import SchedulerDependencies
 from shallotworks.scheduling._scheduler_state import SchedulerState
 from shallotworks.standins import FaultInjectingStore, RecordStore
-from shallotworks.store import Item
+from shallotworks.store import Commit, Item, Write
 from tests.held_leases import SERVICE, acquire
-from tests.scheduling_fakes import SchedulingHarness, quiet_log
+from tests.scheduling_fakes import SchedulingHarness, quiet_log, step
+from tests.scheduling_simulation import DEFAULT_POLICY, SchedulingSimulation
 from tests.virtual_clock import run_scenario
 
 KEYS = JobKeys(service=SERVICE)
@@ -118,6 +119,48 @@
 
         run_scenario(scenario())
 
+    def test_a_job_that_was_submitted_again_is_kept(self) -> None:
+        """Guards against an accepted job that is deleted for an earlier one of the same id."""
+
+        async def scenario() -> None:
+            harness = CleanupHarness()
+            await harness.start(ended_s=START_S)
+            await asyncio.sleep(2 * TOLD_S)
+            # The first deletion was carried out without an answer, and no watch has shown it yet.
+            harness.records.delete(KEYS.progress("j"))
+            harness.records.put(KEYS.progress("j"), encode_progress(JobProgress(queue="sweeps")))
+            await asyncio.sleep(60)
+            self.assertIsNotNone(harness.stored())
+            harness.stop()
+
+        run_scenario(scenario())
+
+    def test_a_job_that_was_submitted_again_runs(self) -> None:
+        """Guards against an accepted job that never runs, since one of its id ended earlier.
+
+        The history of the store was lost, so that no watch reports the deletion in between.
+        """
+
+        async def scenario() -> None:
+            simulation = SchedulingSimulation(seed=1, instances=1)
+            simulation.instances[0].start()
+            await simulation.submit("j", step(1))
+            await asyncio.sleep(8.0)
+            self.assertIs(JobState.COMPLETED, simulation.state("j"))
+            simulation.store.delete(KEYS.progress("j"))
+            progress = encode_progress(JobProgress(queue=DEFAULT_POLICY.queue))
+            submission = (
+                Write(key=KEYS.job("j"), value=encode_job(simulation.accepted["j"])),
+                Write(key=KEYS.progress("j"), value=progress),
+            )
+            simulation.store.apply_commit(Commit(writes=submission))
+            simulation.store.compact_history()
+            await asyncio.sleep(8.0)
+            self.assertIs(JobState.COMPLETED, simulation.state("j"))
+            await simulation.kill()
+
+        run_scenario(scenario())
+
 
 if __name__ == "__main__":
     unittest.main()
