Decide on a finished job by the revision of its final state

Cause: a scheduler knew of a finished job the time of its end alone. The deletion of its record had no condition on what it deletes, and an event for it counted as stale whatever its revision. Where an id is submitted again after its record was deleted, while the watch lags or has lost history, the new job is deleted (callers: 200, then 410) or is not scheduled in this epoch (callers: queued for good).

Change: a finished job is kept with the revision of its final progress. The deletion requires that revision, also when it is carried out late. An event counts as stale up to that revision; a later one says that the id was submitted again.

--- a/src/shallotworks/scheduling/_job_cleanup.py
+++ b/src/shallotworks/scheduling/_job_cleanup.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from shallotworks.jobs import JobKeys
-from shallotworks.store import Commit, HeldLease
+from shallotworks.store import Commit, Condition, HeldLease
 
 from ._scheduler_dependencies import SchedulerDependencies
 from ._scheduler_state import SchedulerState
@@ -42,16 +42,20 @@
         retention_s = FINAL_STATE_RETENTION_RATIO * dependencies.final_state_told_s
         retention_start_s = dependencies.wall_clock() - retention_s
         # The time of day may be wrong here, or where the end was noted.
-        old_job_ids = [
-            job_id
-            for job_id, ended_s in scheduler_state.finished_jobs.items()
-            if ended_s < retention_start_s
+        old_jobs = [
+            (job_id, finished.revision)
+            for job_id, finished in scheduler_state.finished_jobs.items()
+            if finished.ended_s < retention_start_s
             and now_s - seen_s[job_id] >= dependencies.final_state_told_s
         ]
-        for job_id in old_job_ids[:MAX_JOBS_PER_CLEANUP]:
+        for job_id, revision in old_jobs[:MAX_JOBS_PER_CLEANUP]:
+            progress_key = keys.progress(job_id)
             await dependencies.store.commit(
                 Commit(
-                    conditions=(lease.condition,),
-                    deletes=(keys.job(job_id), keys.progress(job_id)),
+                    conditions=(
+                        lease.condition,
+                        Condition(key=progress_key, revision=revision),
+                    ),
+                    deletes=(keys.job(job_id), progress_key),
                 )
             )
--- a/src/shallotworks/scheduling/_job_entries.py
+++ b/src/shallotworks/scheduling/_job_entries.py
@@ -10,7 +10,7 @@
 
 from ._epoch_numbers import EpochNumbers
 from ._model import EndKind, Run, RunPhase, Worker
-from ._tracked_jobs import Arrival, TrackedJob, TrackedStep
+from ._tracked_jobs import Arrival, FinishedJob, TrackedJob, TrackedStep
 from ._unstored_ends import UnstoredEnds
 from .teams import TeamUse
 from .workers import Copies, CrashBlame, DarkRacks, Isolation, PaceEvidence
@@ -72,8 +72,8 @@
         self._numbers = numbers
         self.tracked_jobs: dict[str, TrackedJob] = {}
         """Jobs that have not ended, whose end is not stored, or with a run that may be alive."""
-        self.finished_jobs: dict[str, float] = {}
-        """Jobs whose final state is stored, with the time of day in seconds at which they ended."""
+        self.finished_jobs: dict[str, FinishedJob] = {}
+        """Jobs whose final state is stored."""
         self.workers: dict[str, Worker] = {}
         self.runs_to_stop: set[Run] = set()
         """Runs that must be stopped, each until its end is certain."""
@@ -119,7 +119,7 @@
         if job.job_id in self.tracked_jobs or job.job_id in self.finished_jobs:
             return
         if progress.state.is_final:
-            self.add_finished_job(job.job_id, progress)
+            self.add_finished_job(job.job_id, progress, revision=revision)
             return
         tracked_job = TrackedJob(
             job=job, progress=progress, revision=revision, is_inherited=is_inherited
@@ -146,9 +146,9 @@
         self._release_stored_ends(tracked_job, tracked_job.changes)
         self._drop_if_finished(tracked_job)
 
-    def add_finished_job(self, job_id: str, progress: JobProgress) -> None:
-        """Add a job that had ended before this scheduler's epoch began."""
-        self.finished_jobs[job_id] = progress.ended_s
+    def add_finished_job(self, job_id: str, progress: JobProgress, *, revision: int) -> None:
+        """Add a job that has ended, with the revision of its final progress."""
+        self.finished_jobs[job_id] = FinishedJob(progress.ended_s, revision)
 
     def delete_job(self, job_id: str) -> None:
         """Remove a job that the store no longer has."""
@@ -229,7 +229,7 @@
         ):
             self.tracked_jobs.pop(job_id, None)
             self.isolation.remove_job(job_id)
-            self.finished_jobs[job_id] = tracked_job.progress.ended_s
+            self.add_finished_job(job_id, tracked_job.progress, revision=tracked_job.revision)
 
     def _release_stored_ends(self, tracked_job: TrackedJob, changes: int) -> None:
         tracked_job.stored_changes = max(tracked_job.stored_changes, changes)
--- a/src/shallotworks/scheduling/_service_scheduler.py
+++ b/src/shallotworks/scheduling/_service_scheduler.py
@@ -294,12 +294,16 @@
         if job_id in self.scheduler_state.tracked_jobs:
             self.scheduler_state.update_progress(job_id, progress, item.revision)
             return
-        if job_id in self.scheduler_state.finished_jobs:
+        finished = self.scheduler_state.finished_jobs.get(job_id)
+        if finished is not None and item.revision <= finished.revision:
             # The event is stale: this scheduler has stored the job's final state meanwhile.
             return
+        if finished is not None:
+            # A final state never changes, so the record was deleted and the id submitted again.
+            self.scheduler_state.delete_job(job_id)
         record = self._job_records.pop(job_id, None)
         if record is None and progress.state.is_final:
-            self.scheduler_state.add_finished_job(job_id, progress)
+            self.scheduler_state.add_finished_job(job_id, progress, revision=item.revision)
             return
         if record is None:
             # A job's record is created in one commit with its progress and precedes it in key
--- a/src/shallotworks/scheduling/_tracked_jobs.py
+++ b/src/shallotworks/scheduling/_tracked_jobs.py
@@ -9,7 +9,7 @@
 from ._model import Run
 from ._step_advice import StepAdvice
 
-__all__ = ["Arrival", "FailedEnd", "TrackedJob", "TrackedStep"]
+__all__ = ["Arrival", "FailedEnd", "FinishedJob", "TrackedJob", "TrackedStep"]
 
 Arrival = tuple[float, float]
 """The arrival of a job: its time of day in seconds since 1970 and its estimated core-seconds."""
@@ -38,6 +38,18 @@
     number: int
 
 
+class FinishedJob(NamedTuple):
+    """A job whose final state is stored.
+
+    Args:
+        ended_s: Time of day in seconds at which it ended.
+        revision: The revision of the progress that says so.
+    """
+
+    ended_s: float
+    revision: int
+
+
 class TrackedStep:
     """A step of one occurrence whose predecessors are done, until all its tasks are done.
 
--- a/tests/test_job_cleanup.py
+++ b/tests/test_job_cleanup.py
@@ -68,7 +68,9 @@
 
     def add_finished_job(self, progress: JobProgress) -> None:
         """Report the stored job to the scheduler."""
-        self.scheduler_state.add_finished_job("j", progress)
+        stored = self.stored()
+        assert stored is not None
+        self.scheduler_state.add_finished_job("j", progress, revision=stored.revision)
 
     def stored(self) -> Item | None:
         """Return the stored progress of the job."""
