Show that a late create blocks its key for the whole window

A claim whose create gets no answer by the deadline is refused as not run, and the deletion of its record stays pending until the record is found or is absent.

--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -18,6 +18,26 @@
 ORDER_RESPONSE = Response(status=201, headers=(("x", "1"),), body=b"two tubes")
 
 
+class LateCreateStore(MemoryStore):
+    """A store in which a create gets no answer and takes effect later.
+
+    Attributes:
+        late_s: Time after which a create takes effect; 0 for at once, with an answer.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.late_s = 0.0
+
+    async def create(self, key: str, value: bytes, *, lease_id: str = "") -> Result[int, Failure]:
+        if not self.late_s:
+            return await super().create(key, value, lease_id=lease_id)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.late_s, self._create, key, value, lease_id)
+        await asyncio.Event().wait()
+        raise AssertionError("the caller waits for ever")
+
+
 @dataclass(slots=True, kw_only=True)
 class SharedStore:
     """A store and the processes that use it."""
@@ -256,6 +276,31 @@
 
         run_on_virtual_clock(scenario)
 
+    @parameterized.expand([("soon", 1.0), ("seconds later", 8.0)])
+    def test_a_create_that_takes_effect_late_does_not_block_its_key(
+        self, _name: str, late_s: float
+    ) -> None:
+        """Guards against a key that stays claimed for its whole window, though nothing ran.
+
+        The record appears after its process has looked for it and found none.
+        """
+
+        async def scenario() -> None:
+            shared = SharedStore(store=LateCreateStore())
+            first, second = shared.process("e1"), shared.process("e2")
+            await claim_other_key(first)
+            shared.store.late_s = 10.0 + late_s
+            self.assertIs(kind_of(await first.claim(make_order())), ErrorKind.STORE_UNAVAILABLE)
+            shared.store.late_s = 0.0
+            running = asyncio.create_task(first.run())
+            await asyncio.sleep(0.5)
+            await first.reconcile()
+            await asyncio.sleep(120.0)
+            self.assertTrue(may_run(await second.claim(make_order())))
+            running.cancel()
+
+        run_on_virtual_clock(scenario)
+
     def test_late_deletion_spares_the_next_claim(self) -> None:
         """The pending deletion of a create without effect must not delete the next claim.
 
