Look again for a record whose create was given up

Cause: the deletion of a record that a given-up create may have left was dropped as soon as one read found no record. The store may carry a call out seconds after it gave no answer, so that the record appeared later, under a process that lives and runs nothing.

Change: while the create may still take effect, an absent record does not end its pending deletion; it is looked for once more after that time (LATE_CREATE_S). A write that finishes a claim that was held is as before.

--- a/src/shallotworks/requests/_claim_ledger.py
+++ b/src/shallotworks/requests/_claim_ledger.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import asyncio
+from dataclasses import dataclass, replace
 from typing import Any
 
 from pydantic import ValidationError
@@ -16,6 +17,9 @@
 
 __all__ = ["ClaimLedger", "PendingWrite", "HeldClaim"]
 
+LATE_CREATE_S = 30.0
+"""A create without an answer may take effect up to this long after it was given up."""
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HeldClaim:
@@ -39,10 +43,14 @@
     Args:
         claim_ids: Ids of the claims that it finishes; more than one only if none of them ran.
         record: The record to write; ``None`` to delete the record, because nothing ran.
+        may_appear_until_s: Event loop time until which a record that is absent may still appear.
+        not_before_s: Event loop time before which the write is not retried.
     """
 
     claim_ids: frozenset[str]
     record: IdempotencyRecord | None
+    may_appear_until_s: float = 0.0
+    not_before_s: float = 0.0
 
 
 class ClaimLedger:
@@ -102,11 +110,16 @@
             return
         if previous is not None:
             claim_ids |= previous.claim_ids
-        self._add_pending_write(key, PendingWrite(claim_ids=claim_ids, record=None))
+        pending_write = PendingWrite(
+            claim_ids=claim_ids, record=None, may_appear_until_s=_loop_time_s() + LATE_CREATE_S
+        )
+        self._add_pending_write(key, pending_write)
 
     async def retry_pending_writes(self) -> None:
         """Retry every pending write once; stop at the first that can't be written."""
-        for key in list(self._pending_writes):
+        now_s = _loop_time_s()
+        due = [key for key, one in self._pending_writes.items() if one.not_before_s <= now_s]
+        for key in due:
             if not await self._retry_one(key):
                 return
 
@@ -126,8 +139,8 @@
         if pending_write is None:
             return True
         if present is None or _claim_id_of(present) not in pending_write.claim_ids:
-            # The create never took effect, or an earlier attempt at this write did.
-            self._discard(key, pending_write)
+            # The create has not taken effect, or an earlier attempt at this write did.
+            self._discard_or_postpone(key, pending_write)
             return True
         if pending_write.record is not None and present.value == pending_write.record.encode():
             self._discard(key, pending_write)
@@ -153,11 +166,23 @@
         self._metrics.count("once.endings-failed")
         return kind is ErrorKind.CONFLICT
 
+    def _discard_or_postpone(self, key: str, pending_write: PendingWrite) -> None:
+        """Discard a write whose record is absent, unless the record may still appear."""
+        until_s = pending_write.may_appear_until_s
+        if _loop_time_s() >= until_s:
+            self._discard(key, pending_write)
+        else:
+            self._pending_writes[key] = replace(pending_write, not_before_s=until_s)
+
     def _discard(self, key: str, pending_write: PendingWrite) -> None:
         if self._pending_writes.get(key) is pending_write:
             del self._pending_writes[key]
 
 
+def _loop_time_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def _claim_id_of(present: Versioned) -> str:
     try:
         return IdempotencyRecord.decode(present.value).claim_id
