--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -410,6 +410,27 @@
 
         run_on_virtual_clock(scenario)
 
+    @parameterized.expand([("no other write", 0), ("as many writes as lost", 40)])
+    def test_regressed_store_is_not_trusted_once_its_version_has_caught_up(
+        self, _name: str, others: int
+    ) -> None:
+        """Guards against a request that runs twice, since a later write hid the lost record."""
+
+        async def scenario() -> None:
+            shared = SharedStore()
+            guard, other = shared.process("e1"), shared.process("e2")
+            await guard.complete_claim((await guard.claim(make_order())).unwrap(), ORDER_RESPONSE)
+            shared.store.wipe()
+            self.assertIs(kind_of(await guard.claim(make_order())), ErrorKind.STORE_REGRESSED)
+            await guard.reconcile()
+            for number in range(others):
+                await other.claim(make_request("r", "parts", key=f"o{number}", idempotent=False))
+            self.assertIs(kind_of(await guard.claim(make_order())), ErrorKind.STORE_REGRESSED)
+            await asyncio.sleep(DAY_S + 1)
+            self.assertTrue(may_run(await guard.claim(make_order())))
+
+        run_on_virtual_clock(scenario)
+
     def test_overdue_claim_is_marked_unknown(self) -> None:
         """A claim that is never finished is marked unknown some time after its deadline."""
 
