Distrust a regressed store for a whole window, whatever its version

Cause: that a store has gone back to an older state showed only while its version was not above the newest one seen. The writes of the refused claim and its deletion alone raise it, so that the next claim was granted: the absence of a record that the store had lost was taken as proof that the request never ran. A caller that repeats a request which was answered before the store was restored has it run twice.

Change: once a process has seen the store regress, it refuses claims until the window of the keys is over, as the refusal's description already said. Callers are refused as not run for that long by processes that saw it.

Open: a process that started after the regression has seen no version and cannot notice it.

--- a/src/shallotworks/requests/_idempotency.py
+++ b/src/shallotworks/requests/_idempotency.py
@@ -321,7 +321,8 @@
         self, request: Request, record: IdempotencyRecord, version: int, last_seen_version: int
     ) -> Result[Claim, Failure]:
         key = key_of(request)
-        if version <= last_seen_version and not self._is_regression_over(version):
+        has_regressed = version <= last_seen_version or self._regressed_at_s is not None
+        if has_regressed and not self._is_regression_over(version):
             self._ledger.delete_unheld(key, record.claim_id)
             reason = "the store has gone back; it may have forgotten that this key ran"
             return _refuse(ErrorKind.STORE_REGRESSED, reason)
@@ -335,8 +336,9 @@
 
         A store that is restored empty or from an older copy has lost the records of keys that ran,
         so a successful create no longer proves that nothing did. This shows as a version not above
-        one seen before. Every lost key was claimed before the regression was noticed, so after one
-        window none of them has to be kept any longer and claims are safe again.
+        one seen before, until later writes have raised the version past it. Every lost key was
+        claimed before the regression was noticed, so after one window none of them has to be kept
+        any longer and claims are safe again.
         """
         now_s = asyncio.get_running_loop().time()
         if self._regressed_at_s is None:
