Show that a machine that was unlisted is left out of an open wave

A machine with a slot is not listed for 30 s, beyond the end of the wave's time, and is listed again while the wave still waits for another machine.

--- a/tests/test_machine_controller.py
+++ b/tests/test_machine_controller.py
@@ -335,6 +335,38 @@
 
         run_scenario(scenario())
 
+    def test_a_machine_that_returns_to_an_open_wave_is_maintained(self) -> None:
+        """Guards against a wave reported as completed without a machine that was unlisted for long.
+
+        The machine had a slot, and was listed again before the wave was over.
+        """
+
+        async def scenario() -> None:
+            machine_harness = MachineHarness(antenna=2)
+            platform = machine_harness.platform
+            platform.busy = {"m0", "m1"}
+            platform.requested_waves = (
+                MaintenanceWave(wave=1, machines=("m0", "m1"), duration_s=5, max_at_once=2),
+            )
+            await machine_harness.start()
+            for _ in range(20):
+                machine_harness.publish_demand("antenna", free=True)
+                await asyncio.sleep(0.2)
+            away = platform.machines.pop("m0")
+            for _ in range(150):
+                machine_harness.publish_demand("antenna", free=True)
+                await asyncio.sleep(0.2)
+            platform.machines["m0"] = away
+            platform.busy = set()
+            for _ in range(60):
+                machine_harness.publish_demand("antenna", free=True)
+                await asyncio.sleep(0.2)
+            self.assertEqual(b"completed", machine_harness.store.items["status/1"].value)
+            self.assertEqual({(1, "m0"), (1, "m1")}, set(platform.maintained))
+            machine_harness.stop()
+
+        run_scenario(scenario())
+
     @parameterized.expand([("new_ids", False), ("the_same_ids", True)])
     def test_a_worker_crash_does_not_count_as_maintenance(
         self, _name: str, keeps_ids: bool
