Do not count an unlisted machine's maintenance as done

Cause: a machine with a slot that was not listed for 20 s, after the end of the wave's time, was stored as done. That could not be taken back: if it was listed again while the wave was open, the wave was reported as completed without its maintenance. A machine without a slot was judged anew in each round.

Change: an unlisted machine keeps its slot, which neither counts against the limit nor keeps the wave open while the machine is away. If it returns, its order is repeated as for any other. What completes the wave is judged in the round in which it is completed, for all machines alike.

Open: that a machine is gone for good still rests on 20 s of absence after the end of the wave's time; the platform gives no other sign.

--- a/src/shallotworks/scheduling/machines/_wave.py
+++ b/src/shallotworks/scheduling/machines/_wave.py
@@ -21,7 +21,7 @@
         down: Machines that may be down for the wave, each with the incarnation that was on
             it, encoded by `Incarnation.encode`; earlier releases wrote only the id.
         begun: Machines of ``down`` whose maintenance is known to have begun.
-        done: Machines whose maintenance is finished, or that were removed.
+        done: Machines whose maintenance is finished; earlier releases added removed ones.
         first_s: Time of day at which a controller first saw the wave, in seconds since 1970.
         is_completed: Whether the wave was reported as completed.
     """
--- a/src/shallotworks/scheduling/machines/_wave_executor.py
+++ b/src/shallotworks/scheduling/machines/_wave_executor.py
@@ -137,24 +137,19 @@
     def _release_slots(
         self, wave: MaintenanceWave, record: WaveRecord, machines: dict[str, Machine]
     ) -> bool:
-        """Release the slots of finished and removed machines; return whether the record changed."""
+        """Release the slots of finished machines; return whether the record changed."""
         is_changed = False
         for name, old_worker in list(record.down.items()):
             machine = machines.get(name)
             is_down = machine is not None and machine.state is MachineState.MAINTENANCE
             if is_down and not self._may_be_down_for_another(wave, name):
                 self._note_begun(wave, name)
-            is_gone = machine is None and self._has_left(wave, record, name)
-            if is_gone or (
-                machine is not None and self._has_had_maintenance(wave, machine, old_worker)
-            ):
+            if machine is not None and self._has_had_maintenance(wave, machine, old_worker):
                 del record.down[name]
                 record.begun = [one for one in record.begun if one != name]
                 record.done.append(name)
                 is_changed = True
-                self._dependencies.log.line(
-                    "upkeep-done", machine=name, wave=wave.wave, is_gone=is_gone
-                )
+                self._dependencies.log.line("upkeep-done", machine=name, wave=wave.wave)
         return is_changed
 
     def _note_begun(self, wave: MaintenanceWave, name: str) -> None:
@@ -191,14 +186,13 @@
     def _is_finished(
         self, wave: MaintenanceWave, record: WaveRecord, machines: dict[str, Machine]
     ) -> bool:
-        for name in wave.machines:
+        names = {*wave.machines, *record.down}
+        for name in names:
             if name in machines:
                 self._absent_since_s.pop(name, None)
             else:
                 self._absent_since_s.setdefault(name, self._dependencies.clock())
-        return not record.down and all(
-            name in record.done or self._has_left(wave, record, name) for name in wave.machines
-        )
+        return all(name in record.done or self._has_left(wave, record, name) for name in names)
 
     def _has_left(self, wave: MaintenanceWave, record: WaveRecord, name: str) -> bool:
         absent_s = self._dependencies.clock() - self._absent_since_s.get(name, math.inf)
@@ -307,7 +301,8 @@
         self, wave: MaintenanceWave, record: WaveRecord, revision: int, machines: dict[str, Machine]
     ) -> int:
         """Take slots and order maintenance; return the revision of the record."""
-        slots = max(0, wave.max_at_once - len(record.down))
+        taken = sum(not self._has_left(wave, record, name) for name in record.down)
+        slots = max(0, wave.max_at_once - taken)
         remaining = self._remaining(wave, record, machines)
         free = [machine for machine in remaining if self._orders.is_reported_free(machine)]
         for machine in await self._orders.prepare(free[:slots]):
