--- a/tests/test_job_request_handler.py
+++ b/tests/test_job_request_handler.py
@@ -3,9 +3,12 @@
 import asyncio
 import random
 import unittest
+from unittest import mock
 
 from parameterized import parameterized
+from returns.result import Result, Success
 
+from shallotworks.errors import Failure
 from shallotworks.jobs import (
     JobKeys,
     JobProgress,
@@ -16,6 +19,7 @@
 )
 from shallotworks.metrics import Metrics
 from shallotworks.standins import FaultInjectingStore, RecordFaults, RecordStore
+from shallotworks.store import Commit, Committed, Conflicted
 from tests.scheduling_fakes import job, policy, quiet_log, step
 from tests.virtual_clock import run_scenario
 
@@ -52,6 +56,31 @@
 
 
 class SubmitTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("once", 1, JobRequestStatus.ACCEPTED, True),
+            ("each time", 1_000, JobRequestStatus.REFUSED, False),
+        ]
+    )
+    def test_a_conflict_that_shows_no_job_does_not_accept_one(
+        self, _name: str, conflicts: int, expected: JobRequestStatus, is_stored: bool
+    ) -> None:
+        """Guards against a job that is answered as accepted and is not stored."""
+
+        async def scenario() -> None:
+            harness = SubmissionHarness()
+            answers = [Success(Conflicted(current=()))] * conflicts
+            commit = harness.view.commit
+
+            async def conflict_or_commit(one: Commit) -> Result[Committed | Conflicted, Failure]:
+                return answers.pop() if answers else await commit(one)
+
+            with mock.patch.object(FaultInjectingStore, "commit", side_effect=conflict_or_commit):
+                self.assertIs(expected, await harness.submit())
+            self.assertEqual(is_stored, KEYS.progress(JOB.job_id) in harness.store.items)
+
+        run_scenario(scenario())
+
     @parameterized.expand(
         [
             ("well", {}, JobRequestStatus.ACCEPTED, True),
