Accept a repeated submission only where the store shows its job

Cause: a conflict counted as "submitted before" unless it showed the job of another team, so that a list without any record was taken for the caller's own job. A caller is then answered 200 for a job that is not stored, and later 410.

Change: only the progress record in the conflict says whose job it is. A conflict without it is neither an acceptance nor a refusal: the commit is tried again until the request's deadline, and then refused, or unknown if an attempt may have counted.

--- a/src/shallotworks/jobs/_request_handler.py
+++ b/src/shallotworks/jobs/_request_handler.py
@@ -93,15 +93,16 @@
             deadline_s: Time on the loop's clock by which the answer must be given.
         """
         keys = JobKeys(service=job.policy.service)
+        progress_key = keys.progress(job.job_id)
         progress = JobProgress(queue=job.policy.queue, team=job.team)
         commit = Commit(
             conditions=(
                 Condition(key=keys.job(job.job_id), revision=0),
-                Condition(key=keys.progress(job.job_id), revision=0),
+                Condition(key=progress_key, revision=0),
             ),
             writes=(
                 Write(key=keys.job(job.job_id), value=encode_job(job)),
-                Write(key=keys.progress(job.job_id), value=encode_progress(progress)),
+                Write(key=progress_key, value=encode_progress(progress)),
             ),
         )
         is_outcome_unknown = False
@@ -109,17 +110,21 @@
             outcome = await self._store.commit(commit)
             if isinstance(outcome, Success):
                 committed = outcome.unwrap()
-                if isinstance(committed, Conflicted):
-                    return self._answer_conflict(job, committed)
-                return self._answer(
-                    "submit",
-                    job.job_id,
-                    JobRequestStatus.ACCEPTED,
-                    repeated=False,
-                    **_team_field(job),
-                )
-            failure = outcome.failure()
-            is_outcome_unknown |= failure.kind is not ErrorKind.STORE_UNAVAILABLE
+                if not isinstance(committed, Conflicted):
+                    return self._answer(
+                        "submit",
+                        job.job_id,
+                        JobRequestStatus.ACCEPTED,
+                        repeated=False,
+                        **_team_field(job),
+                    )
+                found = next((i for i in committed.current if i.key == progress_key), None)
+                if found is not None:
+                    return self._answer_conflict(job, found)
+                failure = _UNEXPLAINED_CONFLICT
+            else:
+                failure = outcome.failure()
+                is_outcome_unknown |= failure.kind is not ErrorKind.STORE_UNAVAILABLE
             if not await self._wait_before_retry(deadline_s):
                 status = (
                     JobRequestStatus.UNKNOWN if is_outcome_unknown else JobRequestStatus.REFUSED
@@ -128,11 +133,9 @@
                     "submit", job.job_id, status, failure=failure, **_team_field(job)
                 )
 
-    def _answer_conflict(self, job: Job, conflict: Conflicted) -> JobResponse:
+    def _answer_conflict(self, job: Job, found: Item) -> JobResponse:
         """Answer a submission whose id is in use: by the same job, or by one of another team."""
-        key = JobKeys(service=job.policy.service).progress(job.job_id)
-        found = next((item for item in conflict.current if item.key == key), None)
-        if found is not None and decode_progress(found.value).team != job.team:
+        if decode_progress(found.value).team != job.team:
             return self._answer("submit", job.job_id, JobRequestStatus.ID_TAKEN, team=job.team)
         return self._answer(
             "submit", job.job_id, JobRequestStatus.ACCEPTED, repeated=True, **_team_field(job)
@@ -231,6 +234,11 @@
         return JobResponse(status=status)
 
 
+_UNEXPLAINED_CONFLICT = Failure(
+    kind=ErrorKind.STORE_UNAVAILABLE, reason="the conflict shows no progress of the job"
+)
+
+
 def _team_field(job: Job) -> dict[str, object]:
     """Return the team of a job as a field of a log line; nothing for a job without one."""
     return {"team": job.team} if job.team else {}
