--- a/tests/test_machine_controller.py
+++ b/tests/test_machine_controller.py
@@ -530,6 +530,40 @@
 
         run_scenario(scenario())
 
+    @parameterized.expand([("the_same_controller", False), ("a_new_controller", True)])
+    def test_a_wave_that_is_requested_anew_maintains_its_other_machines(
+        self, _name: str, is_replaced: bool
+    ) -> None:
+        """Guards against a wave that stays completed when its number is used for other machines."""
+
+        async def scenario() -> None:
+            machine_harness = MachineHarness(antenna=3)
+            platform = machine_harness.platform
+            status = machine_harness.store.items
+
+            async def request(*machines: str) -> None:
+                platform.requested_waves = (
+                    MaintenanceWave(wave=1, machines=machines, duration_s=30, max_at_once=1),
+                )
+                for _ in range(60):
+                    machine_harness.publish_demand("antenna", free=True)
+                    await asyncio.sleep(0.2)
+
+            lease = await machine_harness.start()
+            await request("m0", "m1")
+            self.assertEqual(b"completed", status["status/1"].value)
+            if is_replaced:
+                lease.mark_lost("killed")
+                machine_harness.stop()
+                await lease.release()
+                await machine_harness.start()
+            await request("m1", "m2")
+            self.assertEqual(b"completed", status["status/1"].value)
+            self.assertEqual([(1, "m0"), (1, "m1"), (1, "m2")], platform.maintained)
+            machine_harness.stop()
+
+        run_scenario(scenario())
+
     def test_a_refused_order_is_repeated_only_while_the_worker_is_offered(self) -> None:
         """Guards against lasting tasks that end with a machine whose offer was withdrawn.
 
