Complete a wave for the machines that it names now

Cause: that a wave is completed was kept by its number alone. When an operator writes the number again with another machine, the wave stays completed: nobody maintains the machine, and the operator reads the state of the earlier request as that of the new one.

Change: a stored completion holds only while each listed machine of the wave is done; otherwise the wave is running again, with its time from then on. A controller keeps for which machines it knows a wave to be completed, so that it reads no record of a completed wave again. A machine that was away when its wave was completed, and has returned, is maintained by the next controller.

--- a/src/shallotworks/scheduling/machines/_wave.py
+++ b/src/shallotworks/scheduling/machines/_wave.py
@@ -22,7 +22,8 @@
             it, encoded by `Incarnation.encode`; earlier releases wrote only the id.
         begun: Machines of ``down`` whose maintenance is known to have begun.
         done: Machines whose maintenance is finished; earlier releases added removed ones.
-        first_s: Time of day at which a controller first saw the wave, in seconds since 1970.
+        first_s: Time of day at which a controller first saw the wave, or reopened it, in seconds
+            since 1970.
         is_completed: Whether the wave was reported as completed.
     """
 
--- a/src/shallotworks/scheduling/machines/_wave_executor.py
+++ b/src/shallotworks/scheduling/machines/_wave_executor.py
@@ -71,7 +71,8 @@
         self._lease = lease
         self._dependencies = dependencies
         self._orders = orders
-        self._completed: set[int] = set()
+        self._completed: dict[int, frozenset[str]] = {}
+        """Completed waves, each with the machines that it was completed for."""
         self._absent_since_s: dict[str, float] = {}
         """Machines that are not listed, with the time since when."""
         self._begun_at_s: dict[tuple[int, str], float] = {}
@@ -88,9 +89,13 @@
         return [
             one
             for one in self._dependencies.maintenance_schedule.waves()
-            if one.wave not in self._completed
+            if not self._is_completed(one)
         ]
 
+    def _is_completed(self, wave: MaintenanceWave) -> bool:
+        completed_for = self._completed.get(wave.wave)
+        return completed_for is not None and completed_for.issuperset(wave.machines)
+
     async def advance(
         self, wave: MaintenanceWave, machines: dict[str, Machine]
     ) -> WaveRecord | None:
@@ -108,15 +113,18 @@
         if loaded is None:
             return None
         record, revision = loaded
-        if record.is_completed:
-            self._completed.add(wave.wave)
+        is_reopened = record.is_completed and _has_unmaintained(wave, record, machines)
+        if is_reopened:
+            record.first_s = self._dependencies.wall_clock()
+        elif record.is_completed:
+            self._completed[wave.wave] = frozenset(wave.machines)
             return None
         self._slots[wave.wave] = frozenset(record.down)
         for name in record.begun:
             self._note_begun(wave, name)
         is_changed = self._release_slots(wave, record, machines)
         is_finished = self._is_finished(wave, record, machines)
-        if is_changed or is_finished:
+        if is_changed or is_finished or is_reopened:
             record.is_completed = is_finished
             saved = await self._save(wave, record, revision)
             if saved is None:
@@ -231,7 +239,7 @@
             demand.lacking for demand in self._dependencies.machine_records.demands.values()
         ):
             return False
-        remaining = len(wave.machines) - len(record.done)
+        remaining = sum(name not in record.done for name in wave.machines)
         rounds = math.ceil(remaining / max(1, wave.max_at_once))
         ends_s = record.first_s + wave.duration_s
         return (
@@ -381,6 +389,13 @@
         return committed.revision
 
 
+def _has_unmaintained(
+    wave: MaintenanceWave, record: WaveRecord, machines: dict[str, Machine]
+) -> bool:
+    """Whether a listed machine lacks its maintenance, as if the wave was requested for others."""
+    return any(name in machines and name not in record.done for name in wave.machines)
+
+
 def _may_be_on(machine: Machine, old_worker: str) -> bool:
     """Whether the worker that a wave's record names may still be on its machine.
 
