--- a/tests/test_machine_controller.py
+++ b/tests/test_machine_controller.py
@@ -52,6 +52,8 @@
         self.on_order: Callable[[str], None] = lambda _machine: None
         self.busy: set[str] = set()
         """Machines that refuse orders for now."""
+        self.unknown: set[str] = set()
+        """Machines that the platform does not know for now."""
         self.keeps_ids = False
         """Whether a worker starts again under its id after maintenance, a move or a crash."""
         self._born_ms = 1_700_000_000_000
@@ -92,6 +94,8 @@
     async def move(self, machine: str, *, pool: str, token: int) -> MachineOrderStatus:
         now_s = asyncio.get_running_loop().time()
         self.on_order(machine)
+        if machine in self.unknown:
+            return MachineOrderStatus.MISFIT
         self.orders.append((f"move {pool}", machine, now_s))
         self._take_away(machine, pool, MachineState.MOVING, MOVE_S)
         return MachineOrderStatus.OBEYED
@@ -779,6 +783,28 @@
 
         run_scenario(scenario())
 
+    def test_a_machine_that_was_unknown_is_lent_once_it_is_back(self) -> None:
+        """Guards against machines that are never lent again, since they were away for a while."""
+
+        async def scenario() -> None:
+            machine_harness = MachineHarness(antenna=2, coverage=1)
+            platform = machine_harness.platform
+            machine_harness.store_predecessor_record()
+            platform.unknown = {"m0", "m1"}
+            machine_harness.publish_demand("antenna", free=True)
+            machine_harness.publish_demand("coverage", lacking=1)
+            await machine_harness.start()
+            await asyncio.sleep(2.0)
+            away = {name: platform.machines.pop(name) for name in ("m0", "m1")}
+            await asyncio.sleep(8.0)
+            platform.machines |= away
+            platform.unknown = set()
+            await asyncio.sleep(2.0)
+            self.assertEqual(1, len(machine_harness.moves()))
+            machine_harness.stop()
+
+        run_scenario(scenario())
+
     def test_machines_in_flight_count_towards_demand(self) -> None:
         """A demand that is published repeatedly is satisfied once."""
 
