Forget that a machine does not fit a pool once it is not listed

Cause: the platform answers 400 both where a pool is one of other machines and where there is no such machine. Either way the pair was kept for the whole epoch of the controller, so that a machine that was away for seconds was never lent to that service again: callers of a service that lacks machines wait longer.

Change: such a pair is kept as long as the machine is listed.

Measured: the new test passes (failed before), with the tests of test_machine_controller, test_pool_reserve, test_pool_returns, test_pool_failures, test_pool_sizing, test_machine_shares and test_moves_during_recovery.

--- a/src/shallotworks/scheduling/machines/_pool_rebalancer.py
+++ b/src/shallotworks/scheduling/machines/_pool_rebalancer.py
@@ -98,12 +98,14 @@
         self._idle_since: dict[str, float] = {}
         """Offered workers, with the time at which this controller first saw the offer."""
         self._misfits: set[tuple[str, str]] = set()
-        """Pairs of machine and pool for which the platform answered that they don't fit."""
+        """Pairs of a listed machine and a pool for which the platform answered that they don't fit,
+        or that it does not know the machine."""
 
     async def rebalance(self, machines: dict[str, Machine], in_waves: set[str]) -> None:
         """Move machines to services that lack them, and return machines that are idle."""
         self._adopt_moves(machines)
         self._update_moves(machines)
+        self._misfits = {pair for pair in self._misfits if pair[0] in machines}
         home_sizes = await self._home_sizes(machines)
         if home_sizes is None:
             return
