--- a/tests/test_machine_controller.py
+++ b/tests/test_machine_controller.py
@@ -568,6 +568,36 @@
 
         run_scenario(scenario())
 
+    def test_a_machine_that_a_wave_no_longer_names_has_no_slot(self) -> None:
+        """Guards against waves that never end, for a machine that one of them no longer names."""
+
+        async def scenario() -> None:
+            machine_harness = MachineHarness(antenna=2)
+            platform = machine_harness.platform
+            platform.busy = {"m0"}
+
+            async def request(**waves: tuple[str, ...]) -> None:
+                platform.requested_waves = tuple(
+                    MaintenanceWave(wave=wave, machines=machines, duration_s=30, max_at_once=1)
+                    for wave, machines in enumerate(waves.values(), start=1)
+                )
+                for _ in range(30):
+                    machine_harness.publish_demand("antenna", free=True)
+                    await asyncio.sleep(0.2)
+
+            await machine_harness.start()
+            await request(first=("m0", "m1"))
+            self.assertEqual([], platform.maintained)
+            await request(first=("m1",), second=("m0",))
+            self.assertEqual(b"completed", machine_harness.store.items["status/1"].value)
+            platform.busy = set()
+            await request(first=("m1",), second=("m0",))
+            self.assertEqual(b"completed", machine_harness.store.items["status/2"].value)
+            self.assertEqual([(1, "m1"), (2, "m0")], platform.maintained)
+            machine_harness.stop()
+
+        run_scenario(scenario())
+
     def test_a_refused_order_is_repeated_only_while_the_worker_is_offered(self) -> None:
         """Guards against lasting tasks that end with a machine whose offer was withdrawn.
 
