Release the slot of a machine that a wave no longer names

Cause: a slot ended only with the machine's maintenance, also where the operator has taken the machine out of the wave, so that the platform refuses each order for it. The wave stays running for good, with one slot less.

Change: a machine that is up and that the wave does not name any more has no slot.

--- a/src/shallotworks/scheduling/machines/_wave_executor.py
+++ b/src/shallotworks/scheduling/machines/_wave_executor.py
@@ -145,18 +145,27 @@
     def _release_slots(
         self, wave: MaintenanceWave, record: WaveRecord, machines: dict[str, Machine]
     ) -> bool:
-        """Release the slots of finished machines; return whether the record changed."""
+        """Release the slots of machines that are done or that the wave no longer names.
+
+        Returns:
+            Whether the record changed.
+        """
         is_changed = False
         for name, old_worker in list(record.down.items()):
             machine = machines.get(name)
             is_down = machine is not None and machine.state is MachineState.MAINTENANCE
             if is_down and not self._may_be_down_for_another(wave, name):
                 self._note_begun(wave, name)
-            if machine is not None and self._has_had_maintenance(wave, machine, old_worker):
-                del record.down[name]
-                record.begun = [one for one in record.begun if one != name]
+            if machine is None or machine.state is not MachineState.UP:
+                continue
+            is_done = self._has_had_maintenance(wave, machine, old_worker)
+            if not is_done and name in wave.machines:
+                continue
+            del record.down[name]
+            record.begun = [one for one in record.begun if one != name]
+            is_changed = True
+            if is_done:
                 record.done.append(name)
-                is_changed = True
                 self._dependencies.log.line("upkeep-done", machine=name, wave=wave.wave)
         return is_changed
 
@@ -174,7 +183,7 @@
     def _has_had_maintenance(
         self, wave: MaintenanceWave, machine: Machine, old_worker: str
     ) -> bool:
-        """Whether the wave's maintenance of a machine has begun, and its worker started since.
+        """Whether the wave's maintenance of a machine that is up is over.
 
         The worker may have a new id or start again under the old one. That alone does not prove
         maintenance. If an order was refused and the machine's worker crashed and was replaced, the
@@ -183,7 +192,7 @@
         if a list that was read `LIST_STALENESS_S` later shows it up, its maintenance is over.
         """
         begun_s = self._begun_at_s.get((wave.wave, machine.name))
-        if begun_s is None or machine.state is not MachineState.UP:
+        if begun_s is None:
             return False
         if self._dependencies.clock() - begun_s < LIST_STALENESS_S:
             return False
