Collect the slots of other waves once for each review of a wave

Cause: each machine of a wave looked through all open waves, and so through the machines of all completed ones. A review of a wave of 120 machines beside nine completed ones of 120 took 1,470 us (one measurement of 100 calls of _remaining).

Change: the machines with a slot in another open wave are collected once a review.

Measured: 34 us in the same measurement; 321 tests of test_machine_controller, test_foreign_entries, test_budget_at_takeover, test_machine_shares and test_moves_during_recovery pass.

--- a/src/shallotworks/scheduling/machines/_wave_executor.py
+++ b/src/shallotworks/scheduling/machines/_wave_executor.py
@@ -151,10 +151,11 @@
             Whether the record changed.
         """
         is_changed = False
+        slots_of_others = self._slots_of_others(wave) if record.down else set()
         for name, old_worker in list(record.down.items()):
             machine = machines.get(name)
             is_down = machine is not None and machine.state is MachineState.MAINTENANCE
-            if is_down and not self._may_be_down_for_another(wave, name):
+            if is_down and name not in slots_of_others:
                 self._note_begun(wave, name)
             if machine is None or machine.state is not MachineState.UP:
                 continue
@@ -172,13 +173,17 @@
     def _note_begun(self, wave: MaintenanceWave, name: str) -> None:
         self._begun_at_s.setdefault((wave.wave, name), self._dependencies.clock())
 
-    def _may_be_down_for_another(self, wave: MaintenanceWave, name: str) -> bool:
-        """Whether another open wave has a slot for a machine, or its record was not read yet."""
-        return any(
-            name in self._slots.get(other.wave, other.machines)
+    def _slots_of_others(self, wave: MaintenanceWave) -> set[str]:
+        """Return the machines that may have a slot in another open wave.
+
+        These are all machines of a wave whose record was not read yet.
+        """
+        return {
+            name
             for other in self.open_waves()
             if other.wave != wave.wave
-        )
+            for name in self._slots.get(other.wave, other.machines)
+        }
 
     def _has_had_maintenance(
         self, wave: MaintenanceWave, machine: Machine, old_worker: str
@@ -226,6 +231,7 @@
         """
         if self._must_yield(wave, record):
             return []
+        slots_of_others = self._slots_of_others(wave)
         return [
             machines[name]
             for name in wave.machines
@@ -233,7 +239,7 @@
             and name not in record.done
             and name not in record.down
             and machines[name].state is MachineState.UP
-            and not self._may_be_down_for_another(wave, name)
+            and name not in slots_of_others
         ]
 
     def _must_yield(self, wave: MaintenanceWave, record: WaveRecord) -> bool:
