Find tasks that crash their workers after some seconds in five starts

Cause: a verdict that needs two proven crashes of five came too late for tasks that crash their workers 2 to 4 s after the start: the probation of the first isolated starts was shorter than that, so that these gave no proof.

Change: a lost run keeps how long it ran. From three lost runs on, the probation lasts at least twice as long as the longest of them.

Measured: new rows of test_crashing_tasks for 0.3, 1, 2 and 4 s, closed and silent, under new ids and the same: each job is failed in at most five starts. Gangs with such a member, too.

--- a/src/shallotworks/jobs/_crashes.py
+++ b/src/shallotworks/jobs/_crashes.py
@@ -60,7 +60,8 @@
         cause: How the worker was lost.
         noted_by: Fencing token of the scheduler that recorded this last; 0 if it is not known.
         is_witnessed: Whether the scheduler that started the run had heard of the worker just
-            before, and saw it go within the probation of the run, and no other worker with it.
+            before, and saw it go within the probation of the run, but not all workers with it.
+        ran_s: Seconds from the start until the worker was last heard of; 0 if that is not known.
     """
 
     run_id: int
@@ -71,6 +72,7 @@
     cause: LossCause = LossCause.UNKNOWN
     noted_by: int = 0
     is_witnessed: bool = False
+    ran_s: float = 0.0
 
     @property
     def is_proof(self) -> bool:
--- a/src/shallotworks/jobs/_records.py
+++ b/src/shallotworks/jobs/_records.py
@@ -100,6 +100,7 @@
                         lost_run.cause.value,
                         lost_run.noted_by,
                         lost_run.is_witnessed,
+                        lost_run.ran_s,
                     ]
                     for lost_run in runs
                 ],
@@ -150,4 +151,5 @@
         cause=LossCause(fields[6]) if len(fields) > 6 else LossCause.UNKNOWN,
         noted_by=fields[7] if len(fields) > 7 else 0,
         is_witnessed=fields[8] if len(fields) > 8 else False,
+        ran_s=fields[9] if len(fields) > 9 else 0.0,
     )
--- a/src/shallotworks/scheduling/_failed_jobs.py
+++ b/src/shallotworks/scheduling/_failed_jobs.py
@@ -34,6 +34,7 @@
             "is_certain": lost.is_certain,
             "is_received": lost.is_received,
             "is_witnessed": lost.is_witnessed,
+            "ran_s": lost.ran_s,
             "noted_by": lost.noted_by,
         }
         for lost in tracked_job.progress.lost_runs(tracked_job.job, name)
--- a/src/shallotworks/scheduling/workers/_crash_blame.py
+++ b/src/shallotworks/scheduling/workers/_crash_blame.py
@@ -28,6 +28,10 @@
 """The probation time is multiplied by this for each lost run of the same task."""
 MAX_PROBATION_S = 8.0
 """Upper bound of the probation time."""
+MIN_LATE_CRASHES = 3
+"""From this many lost runs on, the probation lasts `LATE_PROBATION_FACTOR` times as long as the
+longest of them, so that a task that crashes its workers after some seconds is found in time."""
+LATE_PROBATION_FACTOR = 2.0
 MASS_CRASH_WINDOW_S = 0.05
 """Workers lost within this time of each other count as lost at the same moment."""
 MIN_MASS_CRASH_WORKERS = 4
@@ -126,7 +130,7 @@
         if on_probation:
             self._crashes.append(wall_s)
         for run, blame in on_probation:
-            self._note(run, blame, is_certain=False, cause=cause, wall_s=wall_s)
+            self._note(run, blame, is_certain=False, cause=cause, wall_s=wall_s, worker=worker)
         suspects = [
             run
             for run, blame in on_probation
@@ -195,7 +199,9 @@
                 self._unanswered_starts[run.run_id] = (blame, cause)
             else:
                 is_certain = run not in unconfirmed
-                self._note(run, blame, is_certain=is_certain, cause=cause, wall_s=wall_s)
+                self._note(
+                    run, blame, is_certain=is_certain, cause=cause, wall_s=wall_s, worker=worker
+                )
         pending = self._unanswered_starts.keys() | {run.run_id for run in unconfirmed}
         for tracked_job, name, lost in self._uncertain_losses_on(worker.incarnation):
             if lost.run_id not in pending:
@@ -302,13 +308,12 @@
         if run.phase is RunPhase.RESERVED or run.run_id <= self._first_run_id:
             return False
         if worker.connection_closed_s is not None:
-            gone_s = worker.connection_closed_s
             was_alive = worker.last_seen_s >= run.since_s - MIN_PROBATION_S
         else:
-            gone_s = worker.last_seen_s
             was_alive = run.confirmed_s < math.inf
         is_alone = not self._count_lost_with(worker, is_explained_too=False)
-        return was_alive and is_alone and gone_s - run.since_s <= self.probation_s(run)
+        lived_s = _gone_s(worker) - run.since_s
+        return was_alive and is_alone and lived_s <= self.probation_s(run)
 
     def _count_lost_with(self, worker: Worker, *, is_explained_too: bool) -> int:
         """Return how many other workers closed their connections at the same moment as this one.
@@ -337,6 +342,7 @@
         cause: LossCause,
         wall_s: float,
         is_received: bool = False,
+        worker: Worker | None = None,
     ) -> None:
         tracked_job = self._tracked_jobs.get(run.name.job_id)
         if (
@@ -357,6 +363,7 @@
             is_received=is_received or run.confirmed_s < math.inf,
             cause=cause,
             is_witnessed=was_witnessed and cause is not LossCause.UNKNOWN,
+            ran_s=round(max(0.0, _gone_s(worker) - run.since_s), 3) if worker else 0.0,
         )
         self.note_lost(tracked_job, run.name, lost, wall_s)
 
@@ -485,9 +492,19 @@
         tracked_job = self._tracked_jobs.get(run.name.job_id)
         if tracked_job is None or not tracked_job.progress.lost:
             return MIN_PROBATION_S
-        earlier = tracked_job.progress.lost_runs(tracked_job.job, run.name)
-        count = sum(1 for one in earlier if one.run_id != run.run_id)
-        return float(min(MAX_PROBATION_S, MIN_PROBATION_S * PROBATION_GROWTH_FACTOR**count))
+        lost_runs = tracked_job.progress.lost_runs(tracked_job.job, run.name)
+        earlier = [one for one in lost_runs if one.run_id != run.run_id]
+        probation_s = MIN_PROBATION_S * PROBATION_GROWTH_FACTOR ** len(earlier)
+        if len(earlier) >= MIN_LATE_CRASHES:
+            longest_s = max(one.ran_s for one in earlier)
+            probation_s = max(probation_s, LATE_PROBATION_FACTOR * longest_s)
+        return min(MAX_PROBATION_S, probation_s)
+
+
+def _gone_s(worker: Worker) -> float:
+    """Return when a worker closed its connections or, if it has not, was last heard of."""
+    closed_s = worker.connection_closed_s
+    return closed_s if closed_s is not None else worker.last_seen_s
 
 
 def _late_blames(runs: Iterable[Run]) -> list[tuple[Run, Blame]]:
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -4,12 +4,14 @@
 import json
 import unittest
 from dataclasses import replace
+from unittest.mock import patch
 
 from parameterized import parameterized
 
 from shallotworks.jobs import JobState, TaskName
 from shallotworks.logs import StructuredLog
-from shallotworks.scheduling import OrderOutcome, OrderStatus, StartOrder, WorkerView
+from shallotworks.scheduling import EndKind, OrderOutcome, OrderStatus, StartOrder, WorkerView
+from shallotworks.standins import TaskWorker
 from tests.returning_workers import ReturningWorkers
 from tests.scheduling_fakes import WALL_S, SchedulingHarness, job, step, view
 from tests.scheduling_simulation import SchedulingSimulation
@@ -25,15 +27,37 @@
 JOB_ID = "00000000000000aa"
 CRASHING_TASK = TaskName(JOB_ID, 0, 0, 0)
 REFUSED_STARTS = 3
+LONG_TASK_S = 60.0
+LATE_CRASH_LOOP_TIMEOUT_S = 55.0
+"""Time for five crashes, each up to 4 s after the start and detected within 5.5 s."""
 CRASH_LOOP_TIMEOUT_S = 16.0
 """Time for three crashes, each detected within 3.6 s, and a takeover."""
 
 
+class GangWorkers(ReturningWorkers):
+    """Workers on which the runs of a gang end with the worker of one of its members."""
+
+    def crash(self, worker: TaskWorker) -> None:
+        """Crash a worker, and end the other members of the gangs that it ran."""
+        names = worker.names()
+        super().crash(worker)
+        for other in self.workers.values():
+            for run in list(other._runs.values()):
+                if any(run.name[:3] == name[:3] for name in names):
+                    other._end_run(run, EndKind.BROKEN)
+            other.wake_polls()
+
+
 def simulation(
-    seed: int, *, workers: int = 6, is_silent: bool = False, keeps_ids: bool = False
+    seed: int,
+    *,
+    workers: int = 6,
+    is_silent: bool = False,
+    keeps_ids: bool = False,
+    fleet: type[ReturningWorkers] = ReturningWorkers,
 ) -> SchedulingSimulation:
     """Return a running simulation in which the first task of one job crashes its workers."""
-    one = SchedulingSimulation(seed=seed, workers=workers, fleet=ReturningWorkers)
+    one = SchedulingSimulation(seed=seed, workers=workers, fleet=fleet)
     one.fleet.is_silent = is_silent
     one.fleet.keeps_ids = keeps_ids
     one.fleet.crashing.add(CRASHING_TASK)
@@ -87,6 +111,53 @@
 
         run_scenario(scenario())
 
+    @parameterized.expand(
+        [
+            (f"{crash_delay_s}_s_{how}".replace(".", "_"), crash_delay_s, is_silent, keeps_ids)
+            for crash_delay_s in (0.3, 1.0, 2.0, 4.0)
+            for how, is_silent, keeps_ids in CRASH_MODES
+        ]
+    )
+    def test_a_task_that_crashes_its_workers_late_fails_its_job(
+        self, _how: str, crash_delay_s: float, is_silent: bool, keeps_ids: bool
+    ) -> None:
+        """Guards against a sixth start of a task that crashes its workers after some seconds."""
+
+        async def scenario() -> None:
+            one = simulation(seed=1, is_silent=is_silent, keeps_ids=keeps_ids)
+            one.fleet.work_s[JOB_ID] = LONG_TASK_S
+            await asyncio.sleep(1.0)
+            await one.submit(JOB_ID, step(2, estimated_s=LONG_TASK_S))
+            await asyncio.sleep(LATE_CRASH_LOOP_TIMEOUT_S)
+            self.assertEqual([], one.fleet.violations)
+            self.assertIs(JobState.FAILED, one.state(JOB_ID))
+            for instance in one.instances:
+                await instance.kill()
+
+        with patch("shallotworks.standins._crashing_workers.CRASH_DELAY_S", crash_delay_s):
+            run_scenario(scenario())
+
+    @parameterized.expand([(how, is_silent) for how, is_silent, keeps_ids in CRASH_MODES[:2]])
+    def test_a_gang_that_crashes_its_workers_fails_its_job(
+        self, _how: str, is_silent: bool
+    ) -> None:
+        """Guards against restarting a gang without limit, since its members are on many workers."""
+
+        async def scenario() -> None:
+            one = simulation(seed=1, is_silent=is_silent, fleet=GangWorkers)
+            one.fleet.work_s[JOB_ID] = LONG_TASK_S
+            await asyncio.sleep(1.0)
+            await one.submit(
+                JOB_ID, step(4, estimated_s=LONG_TASK_S, is_gang=True, cpu_millicores=2000)
+            )
+            await asyncio.sleep(LATE_CRASH_LOOP_TIMEOUT_S)
+            self.assertEqual([], one.fleet.violations)
+            self.assertIs(JobState.FAILED, one.state(JOB_ID))
+            for instance in one.instances:
+                await instance.kill()
+
+        run_scenario(scenario())
+
     @parameterized.expand(CRASH_MODES)
     def test_the_count_of_crashes_survives_scheduler_failures(
         self, _how: str, is_silent: bool, keeps_ids: bool
