--- a/tests/test_machine_controller.py
+++ b/tests/test_machine_controller.py
@@ -43,6 +43,8 @@
     def __init__(self, **pools: int) -> None:
         self.machines: dict[str, Machine] = {}
         self.orders: list[tuple[str, str, float]] = []
+        self.maintained: list[tuple[int, str]] = []
+        """Wave and machine of each maintenance that has begun."""
         self.down = 0
         self.max_down = 0
         self.requested_waves: tuple[MaintenanceWave, ...] = ()
@@ -50,6 +52,8 @@
         self.on_order: Callable[[str], None] = lambda _machine: None
         self.busy: set[str] = set()
         """Machines that refuse orders for now."""
+        self.unknown: set[str] = set()
+        """Machines that the platform does not know for now."""
         self.keeps_ids = False
         """Whether a worker starts again under its id after maintenance, a move or a crash."""
         self._born_ms = 1_700_000_000_000
@@ -75,19 +79,23 @@
         self.on_order(machine)
         if machine in self.busy:
             return MachineOrderStatus.BUSY
-        known = ("upkeep", machine) in {order[:2] for order in self.orders}
-        self.orders.append(("upkeep", machine, now_s))
-        if not known:
+        if (wave, machine) not in self.maintained:
+            if self.machines[machine].state is not MachineState.UP:
+                return MachineOrderStatus.BUSY
+            self.maintained.append((wave, machine))
             self.down += 1
             self.max_down = max(self.max_down, self.down)
             self._take_away(
                 machine, self.machines[machine].pool, MachineState.MAINTENANCE, MAINTENANCE_S
             )
+        self.orders.append(("upkeep", machine, now_s))
         return MachineOrderStatus.UNANSWERED if self.drop_answers else MachineOrderStatus.OBEYED
 
     async def move(self, machine: str, *, pool: str, token: int) -> MachineOrderStatus:
         now_s = asyncio.get_running_loop().time()
         self.on_order(machine)
+        if machine in self.unknown:
+            return MachineOrderStatus.MISFIT
         self.orders.append((f"move {pool}", machine, now_s))
         self._take_away(machine, pool, MachineState.MOVING, MOVE_S)
         return MachineOrderStatus.OBEYED
@@ -331,6 +339,38 @@
 
         run_scenario(scenario())
 
+    def test_a_machine_that_returns_to_an_open_wave_is_maintained(self) -> None:
+        """Guards against a wave reported as completed without a machine that was unlisted for long.
+
+        The machine had a slot, and was listed again before the wave was over.
+        """
+
+        async def scenario() -> None:
+            machine_harness = MachineHarness(antenna=2)
+            platform = machine_harness.platform
+            platform.busy = {"m0", "m1"}
+            platform.requested_waves = (
+                MaintenanceWave(wave=1, machines=("m0", "m1"), duration_s=5, max_at_once=2),
+            )
+            await machine_harness.start()
+            for _ in range(20):
+                machine_harness.publish_demand("antenna", free=True)
+                await asyncio.sleep(0.2)
+            away = platform.machines.pop("m0")
+            for _ in range(150):
+                machine_harness.publish_demand("antenna", free=True)
+                await asyncio.sleep(0.2)
+            platform.machines["m0"] = away
+            platform.busy = set()
+            for _ in range(60):
+                machine_harness.publish_demand("antenna", free=True)
+                await asyncio.sleep(0.2)
+            self.assertEqual(b"completed", machine_harness.store.items["status/1"].value)
+            self.assertEqual({(1, "m0"), (1, "m1")}, set(platform.maintained))
+            machine_harness.stop()
+
+        run_scenario(scenario())
+
     @parameterized.expand([("new_ids", False), ("the_same_ids", True)])
     def test_a_worker_crash_does_not_count_as_maintenance(
         self, _name: str, keeps_ids: bool
@@ -383,6 +423,7 @@
             # The order was carried out without an answer, and ended before a list showed it.
             machine_harness.platform.crash("m0")
             machine_harness.platform.orders.append(("upkeep", "m0", 0.0))
+            machine_harness.platform.maintained.append((1, "m0"))
             machine_harness.platform.busy = set()
             for _ in range(10):
                 machine_harness.publish_demand("antenna", free=True)
@@ -450,6 +491,113 @@
 
         run_scenario(scenario())
 
+    @parameterized.expand(
+        [
+            ("each_order_answered", False, False),
+            ("answers_lost", True, False),
+            ("controller_replaced", False, True),
+            ("answers_lost_and_controller_replaced", True, True),
+        ]
+    )
+    def test_waves_that_share_a_machine_each_maintain_it(
+        self, _name: str, drop_answers: bool, is_replaced: bool
+    ) -> None:
+        """Guards against a wave reported as completed after another wave's maintenance."""
+
+        async def scenario() -> None:
+            machine_harness = MachineHarness(antenna=5)
+            platform = machine_harness.platform
+            platform.drop_answers = drop_answers
+            named = {1: ("m0", "m1", "m2"), 2: ("m0", "m3", "m4")}
+            platform.requested_waves = tuple(
+                MaintenanceWave(wave=wave, machines=machines, duration_s=60, max_at_once=1)
+                for wave, machines in named.items()
+            )
+            lease = await machine_harness.start()
+            may_replace = is_replaced
+            unmaintained: dict[int, set[str]] = {}
+            for _ in range(300):
+                machine_harness.publish_demand("antenna", free=True)
+                await asyncio.sleep(0.2)
+                if may_replace and platform.maintained:
+                    may_replace = False
+                    lease.mark_lost("killed")
+                    machine_harness.stop()
+                    await lease.release()
+                    lease = await machine_harness.start()
+                for wave in named.keys() - unmaintained.keys():
+                    if machine_harness.store.items[f"status/{wave}"].value == b"completed":
+                        begun = {one for of, one in platform.maintained if of == wave}
+                        unmaintained[wave] = set(named[wave]) - begun
+            self.assertEqual({1: set(), 2: set()}, unmaintained)
+            machine_harness.stop()
+
+        run_scenario(scenario())
+
+    @parameterized.expand([("the_same_controller", False), ("a_new_controller", True)])
+    def test_a_wave_that_is_requested_anew_maintains_its_other_machines(
+        self, _name: str, is_replaced: bool
+    ) -> None:
+        """Guards against a wave that stays completed when its number is used for other machines."""
+
+        async def scenario() -> None:
+            machine_harness = MachineHarness(antenna=3)
+            platform = machine_harness.platform
+            status = machine_harness.store.items
+
+            async def request(*machines: str) -> None:
+                platform.requested_waves = (
+                    MaintenanceWave(wave=1, machines=machines, duration_s=30, max_at_once=1),
+                )
+                for _ in range(60):
+                    machine_harness.publish_demand("antenna", free=True)
+                    await asyncio.sleep(0.2)
+
+            lease = await machine_harness.start()
+            await request("m0", "m1")
+            self.assertEqual(b"completed", status["status/1"].value)
+            if is_replaced:
+                lease.mark_lost("killed")
+                machine_harness.stop()
+                await lease.release()
+                await machine_harness.start()
+            await request("m1", "m2")
+            self.assertEqual(b"completed", status["status/1"].value)
+            self.assertEqual([(1, "m0"), (1, "m1"), (1, "m2")], platform.maintained)
+            machine_harness.stop()
+
+        run_scenario(scenario())
+
+    def test_a_machine_that_a_wave_no_longer_names_has_no_slot(self) -> None:
+        """Guards against waves that never end, for a machine that one of them no longer names."""
+
+        async def scenario() -> None:
+            machine_harness = MachineHarness(antenna=2)
+            platform = machine_harness.platform
+            platform.busy = {"m0"}
+
+            async def request(**waves: tuple[str, ...]) -> None:
+                platform.requested_waves = tuple(
+                    MaintenanceWave(wave=wave, machines=machines, duration_s=30, max_at_once=1)
+                    for wave, machines in enumerate(waves.values(), start=1)
+                )
+                for _ in range(30):
+                    machine_harness.publish_demand("antenna", free=True)
+                    await asyncio.sleep(0.2)
+
+            await machine_harness.start()
+            await request(first=("m0", "m1"))
+            self.assertEqual([], platform.maintained)
+            await request(first=("m1",), second=("m0",))
+            self.assertEqual(b"completed", machine_harness.store.items["status/1"].value)
+            platform.busy = set()
+            await request(first=("m1",), second=("m0",))
+            self.assertEqual(b"completed", machine_harness.store.items["status/2"].value)
+            self.assertEqual([(1, "m1"), (2, "m0")], platform.maintained)
+            machine_harness.stop()
+
+        run_scenario(scenario())
+
     def test_a_refused_order_is_repeated_only_while_the_worker_is_offered(self) -> None:
         """Guards against lasting tasks that end with a machine whose offer was withdrawn.
 
@@ -665,6 +813,28 @@
 
         run_scenario(scenario())
 
+    def test_a_machine_that_was_unknown_is_lent_once_it_is_back(self) -> None:
+        """Guards against machines that are never lent again, since they were away for a while."""
+
+        async def scenario() -> None:
+            machine_harness = MachineHarness(antenna=2, coverage=1)
+            platform = machine_harness.platform
+            machine_harness.store_predecessor_record()
+            platform.unknown = {"m0", "m1"}
+            machine_harness.publish_demand("antenna", free=True)
+            machine_harness.publish_demand("coverage", lacking=1)
+            await machine_harness.start()
+            await asyncio.sleep(2.0)
+            away = {name: platform.machines.pop(name) for name in ("m0", "m1")}
+            await asyncio.sleep(8.0)
+            platform.machines |= away
+            platform.unknown = set()
+            await asyncio.sleep(2.0)
+            self.assertEqual(1, len(machine_harness.moves()))
+            machine_harness.stop()
+
+        run_scenario(scenario())
+
     def test_machines_in_flight_count_towards_demand(self) -> None:
         """A demand that is published repeatedly is satisfied once."""
 
