Show that the last worker of a pool proves no crash

Cause: since a loss is proven without an answer of another worker only if several have never answered at the same time. In a pool that has shrunk to one worker no other can answer any more, so that a crash loop there is never proven.

Change: one more case of test_review_of_crash_proof.

--- a/tests/test_review_of_crash_proof.py
+++ b/tests/test_review_of_crash_proof.py
@@ -235,6 +235,15 @@
     return epoch
 
 
+def crash_as_the_last_one_of_a_pool(epoch: Epoch, run: Run) -> Epoch:
+    """Crash a worker after all others have left as planned."""
+    for worker_id in set(epoch.scheduler_state.workers) - {run.worker_id}:
+        epoch.scheduler_state.note_worker_ended(
+            worker_id, "taken away", epoch.now_s, WALL_S, is_planned=True
+        )
+    return crash_after(0.1)(epoch, run)
+
+
 def crash_and_be_back_first(epoch: Epoch, run: Run) -> Epoch:
     """Crash a worker that is back before another one has answered a later poll."""
     epoch.now_s += ON_PROBATION_S
@@ -313,6 +322,7 @@
             ("after_3_s", crash_after(3.0)),
             ("silent_unanswered", crash_silently_before_the_start_is_answered),
             ("back_first", crash_and_be_back_first),
+            ("last_of_a_pool", crash_as_the_last_one_of_a_pool),
         ]
     )
     def test_a_task_that_crashes_its_workers_is_given_up(
