Prove crashes by what other workers answer, and by their time after the start

Sound jobs were failed by silent losses up to seconds after a start, by losses of whole groups of workers, and by losses that earlier runs had refuted. Tasks that crash their workers were started without limit where workers came back after their leases, where all others were down too, and in pools that had shrunk to one worker; a job with one proven crash waited behind all others.

Change: a loss is proven within 0.7 s of the start, or where it comes as long after it as two earlier crashes of the task. The workers of the same rack and some others are asked after it; losses at the same moment spoil the proof. A worker that comes back at the same address later completes it. Closed connections after five starts suffice where workers never come back. Five early losses without proof make a task wait for 10 s between its starts. Refuted losses count no more, gangs are refuted by all their members, and a step with a proven crash comes last for 16 s at most.

--- a/src/shallotworks/jobs/_crashes.py
+++ b/src/shallotworks/jobs/_crashes.py
@@ -11,8 +11,15 @@
 __all__ = ["Blame", "LossCause", "LostRun", "is_crash_looping", "is_suspect"]
 
 MIN_PROOFS_BY_CRASHES = {4: 3, 5: 2}
-"""Proven crashes that show a crash loop, by the least number of all crashes of the task's runs. Two
-proofs suffice where the retry budget leaves no start for a third one. Source: the users' rules."""
+"""Proven crashes that show a crash loop, by the least number of all crashes of the task's runs. The
+retry budget of such a task allows five starts, so that two proofs have to suffice after the fifth.
+Source: the users' rules."""
+MIN_CLOSED_CRASHES = 4
+"""If crashed workers don't come back, so that nothing proves their crashes, this many of
+`MAX_STARTS` runs show a crash loop whose workers closed their connections at once."""
+MAX_STARTS = 5
+MAX_COUNTED_RUN_S = 8.0
+"""A run that was lost after a longer time doesn't count as a crash."""
 MIN_SUSPECT_CRASHES = 2
 """A task is a suspect after this many lost runs, even if each of them gets late blame."""
 
@@ -61,7 +68,8 @@
         noted_by: Fencing token of the scheduler that recorded this last; 0 if it is not known.
         is_witnessed: Whether the scheduler that started the run had heard of the worker just
             before, and saw it go within the probation of the run, but not all workers with it.
-        ran_s: Seconds from the start until the worker was last heard of; 0 if that is not known.
+        ran_s: Longest time from the start until the worker may have gone, in seconds; 0 if that is
+            not known.
     """
 
     run_id: int
@@ -74,18 +82,46 @@
     is_witnessed: bool = False
     ran_s: float = 0.0
 
+    def completed_by(self, later: LostRun) -> LostRun:
+        """Return this certain loss with what is known later: that it was witnessed, and a crash."""
+        is_replaced = later.cause is LossCause.REPLACED
+        return self._replace(
+            cause=later.cause if is_replaced else self.cause,
+            is_witnessed=self.is_witnessed or later.is_witnessed,
+        )
+
+    @property
+    def refuted(self) -> LostRun:
+        """The same loss, which is no crash caused by the task."""
+        return self._replace(blame=Blame.LATE, cause=LossCause.UNKNOWN, is_witnessed=False)
+
+    @property
+    def is_early(self) -> bool:
+        """Whether the run was certainly lost, shortly after its start."""
+        return self.is_certain and self.blame is not Blame.LATE
+
+    @property
+    def is_crash(self) -> bool:
+        """Whether the run's worker has crashed, within seconds of the start."""
+        is_known = self.cause is LossCause.REPLACED or self.is_witnessed
+        return self.is_certain and is_known and self.ran_s <= MAX_COUNTED_RUN_S
+
     @property
     def is_proof(self) -> bool:
         """Whether the run is proven to have been the only suspect of a certain crash.
 
         That a worker is silent or not listed is no proof of a crash: it may be cut off.
         """
-        return (
-            self.is_certain
-            and self.is_witnessed
-            and self.blame is Blame.SOLE
-            and self.cause is LossCause.REPLACED
-        )
+        return self._is_sole_and_witnessed and self.cause is LossCause.REPLACED
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the same holds, but no other incarnation has shown that the worker crashed."""
+        return self._is_sole_and_witnessed and self.cause is LossCause.CONNECTIONS_CLOSED
+
+    @property
+    def _is_sole_and_witnessed(self) -> bool:
+        return self.is_certain and self.is_witnessed and self.blame is Blame.SOLE
 
 
 def is_crash_looping(lost: Sequence[LostRun]) -> bool:
@@ -94,12 +130,15 @@
     Only proven crashes show that. Workers that crash by themselves, leave or are cut off lose the
     runs of sound tasks as well.
     """
-    crashes = sum(one.is_certain for one in lost)
+    crashes = sum(one.is_crash for one in lost)
     proofs = sum(one.is_proof for one in lost)
-    return any(
+    if any(
         crashes >= least_crashes and proofs >= least_proofs
         for least_crashes, least_proofs in MIN_PROOFS_BY_CRASHES.items()
-    )
+    ):
+        return True
+    closed = sum(one.is_closed for one in lost)
+    return crashes >= MAX_STARTS and proofs + closed >= MIN_CLOSED_CRASHES
 
 
 def is_suspect(lost: Sequence[LostRun]) -> bool:
--- a/src/shallotworks/jobs/_progress.py
+++ b/src/shallotworks/jobs/_progress.py
@@ -4,7 +4,7 @@
 
 from enum import Enum, unique
 
-from ._crashes import Blame, LostRun, is_crash_looping
+from ._crashes import LostRun, is_crash_looping
 from ._spec import Job, TaskName
 
 __all__ = ["JobProgress", "JobState"]
@@ -13,6 +13,11 @@
 """Lost runs of one task that its record holds; the latest ones are kept."""
 
 
+REFUTED_RATIO = 1 / 2
+"""A run that its worker outlives refutes the blame of those that were lost within this ratio of its
+time."""
+
+
 @unique
 class JobState(Enum):
     """States of a job."""
@@ -115,13 +120,17 @@
     def note_lost(self, job: Job, name: TaskName, lost: LostRun, *, now_s: float) -> bool:
         """Record a lost run, or newer knowledge of one; return whether something changed.
 
-        Once a loss is certain, its record no longer changes. A job with a task in a crash loop,
-        whose runs crash their workers again and again, fails.
+        Once a loss is certain, its record only gains what proves it. A job with a task in a crash
+        loop, whose runs crash their workers again and again, fails.
         """
         earlier = self.lost_runs(job, name)
         recorded = next((run for run in earlier if run.run_id == lost.run_id), None)
-        if recorded == lost or (recorded is not None and recorded.is_certain):
+        if recorded == lost:
             return False
+        if recorded is not None and recorded.is_certain:
+            lost = recorded.completed_by(lost)
+            if lost == recorded:
+                return False
         others = tuple(run for run in earlier if run.run_id != lost.run_id)
         runs = self.lost[_attempts_key(job, name)] = (*others, lost)[-MAX_LOST_RUNS:]
         if is_crash_looping(runs):
@@ -132,26 +141,30 @@
         """Record that a run's worker has not crashed under it; return whether something changed."""
         earlier = self.lost_runs(job, name)
         remaining = tuple(run for run in earlier if run.is_certain or run.run_id != run_id)
-        if remaining == earlier:
-            return False
-        self.lost[_attempts_key(job, name)] = remaining
-        if not remaining:
-            del self.lost[_attempts_key(job, name)]
-        return True
+        return self._set_lost_runs(job, name, remaining)
 
-    def note_outlived(self, job: Job, name: TaskName) -> bool:
+    def note_outlived(self, job: Job, name: TaskName, lived_s: float) -> bool:
         """Record that a worker outlived a run of a task; return whether something changed.
 
         A task that crashes its workers crashes each of them, so that something else is to blame for
-        its earlier crashes.
+        crashes that came much sooner after the start.
         """
+        refuted_s = lived_s * REFUTED_RATIO
         earlier = self.lost_runs(job, name)
-        refuted = tuple(
-            run._replace(blame=Blame.LATE) if run.is_certain else run for run in earlier
+        runs = tuple(
+            run.refuted if run.is_certain and run.ran_s <= refuted_s else run for run in earlier
         )
-        if refuted == earlier:
+        return self._set_lost_runs(job, name, runs)
+
+    def _set_lost_runs(self, job: Job, name: TaskName, runs: tuple[LostRun, ...]) -> bool:
+        """Replace the lost runs of a task; return whether something changed."""
+        key = _attempts_key(job, name)
+        if runs == self.lost.get(key, ()):
             return False
-        self.lost[_attempts_key(job, name)] = refuted
+        if runs:
+            self.lost[key] = runs
+        else:
+            del self.lost[key]
         return True
 
     def finish(self, state: JobState, *, now_s: float) -> None:
--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -258,7 +258,10 @@
     def _decide_starts(self, now_s: float, wall_s: float) -> Iterator[StartOrder | AdviceRequest]:
         steps = sorted(
             self._scheduler_state.open_steps(),
-            key=lambda step: (step.has_proven_crash, self._order(step, wall_s)),
+            key=lambda step: (
+                self._scheduler_state.isolation.comes_last(step, now_s),
+                self._order(step, wall_s),
+            ),
         )
         unplaced_sizes: list[tuple[int, int, int]] = []
         without_permits: list[TrackedStep] = []
--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -198,7 +198,7 @@
             self.crashes.note_worker_left(worker)
         else:
             self.crashes.note_worker_ended(
-                worker, wall_s, is_replaced=True, unconfirmed=unconfirmed
+                worker, now_s, wall_s, is_replaced=True, unconfirmed=unconfirmed
             )
         restarted = worker.restart(view, order_token=self._numbers.next_order_token())
         is_told_apart = view.born_ms is not None and worker.view.born_ms is not None
@@ -306,7 +306,7 @@
         if is_planned or worker.view.is_draining:
             self.crashes.note_worker_left(worker)
         else:
-            self.crashes.note_worker_ended(worker, wall_s, is_replaced=is_replaced)
+            self.crashes.note_worker_ended(worker, now_s, wall_s, is_replaced=is_replaced)
         self._lapse_runs(worker, reason, now_s)
 
     def expire_lease(self, worker: Worker, now_s: float, wall_s: float) -> None:
--- a/src/shallotworks/scheduling/_tracked_jobs.py
+++ b/src/shallotworks/scheduling/_tracked_jobs.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from shallotworks.jobs import Incarnation, Job, JobProgress, Step, TaskName
+from shallotworks.jobs import Incarnation, Job, JobProgress, LostRun, Step, TaskName
 
 from ._model import Run
 from ._step_advice import StepAdvice
@@ -108,12 +108,18 @@
         Lasting tasks are left out, since they have to be back within seconds.
         """
         return not self.step.is_lasting and any(
-            run.is_proof
-            for (occurrence, number, _), runs in self.tracked_job.progress.lost.items()
-            if (occurrence, number) == (self.occurrence, self.number)
-            for run in runs
+            run.is_proof for runs in self._lost_runs() for run in runs
         )
 
+    @property
+    def most_early_losses(self) -> int:
+        """The largest number of runs of one task that were lost shortly after their starts."""
+        return max((sum(run.is_early for run in runs) for runs in self._lost_runs()), default=0)
+
+    def _lost_runs(self) -> list[tuple[LostRun, ...]]:
+        lost = self.tracked_job.progress.lost
+        return [runs for key, runs in lost.items() if key[:2] == (self.occurrence, self.number)]
+
     def note_refusal(self, now_s: float) -> None:
         """Back off after a start was refused as invalid; any worker would refuse the next one."""
         backoff_s = min(MAX_REFUSAL_BACKOFF_S, MIN_REFUSAL_BACKOFF_S * 2**self.refusals)
--- a/src/shallotworks/scheduling/_worker_poller.py
+++ b/src/shallotworks/scheduling/_worker_poller.py
@@ -24,6 +24,8 @@
 """Longest wait of a poll that acknowledges ends. Where incarnations can't be told apart, a later
 one that receives the poll forgets its own ends with these numbers for as long as it waits; a task
 takes longer."""
+MAX_ISOLATED_POLL_WAIT_S = 0.25
+"""Longest such wait, so that it is known within a second when a silent worker has gone."""
 MIN_ISOLATED_POLL_WAIT_S = 0.02
 """Shortest wait of a poll at a worker that has to survive the start of an isolated run."""
 ISOLATED_ANSWER_S = 0.35
@@ -161,7 +163,7 @@
             or not worker.has_answered_last_poll
             or worker.acknowledged < worker.highest_settled
             or worker.worker_id in self._scheduler_state.pending_recovery
-            or self._scheduler_state.crashes.awaits_answer(worker)
+            or self._scheduler_state.crashes.is_asked(worker)
         )
 
     async def _poll(self, worker: Worker) -> None:
@@ -197,7 +199,11 @@
                 self._scheduler_state.crashes.note_connection_closed(
                     worker, self._clock(), self._wall_clock()
                 )
-                self._poll_awaited()
+                self._poll_asked()
+            else:
+                self._scheduler_state.crashes.note_asked_worker_silent(
+                    worker, self._clock(), self._wall_clock()
+                )
             self._handle_poll_failure(worker, outcome)
             await asyncio.sleep(POLL_PAUSE_S)
             return
@@ -223,12 +229,12 @@
                 worker, self._clock(), self._wall_clock()
             )
             self._on_progress()
-            self._poll_awaited()
+            self._poll_asked()
 
-    def _poll_awaited(self) -> None:
+    def _poll_asked(self) -> None:
         """Poll the workers whose answers show that another one was lost alone."""
         for worker in self._scheduler_state.workers.values():
-            if self._scheduler_state.crashes.awaits_answer(worker):
+            if self._scheduler_state.crashes.is_asked(worker):
                 self.request_poll(worker)
 
     def _poll_wait_s(self, worker: Worker) -> float:
@@ -240,7 +246,8 @@
         left_s = self._scheduler_state.isolation.remaining_probation_s(worker, self._clock())
         if left_s is None:
             return wait_s
-        return min(wait_s, max(left_s, MIN_ISOLATED_POLL_WAIT_S))
+        longest_s = min(left_s, MAX_ISOLATED_POLL_WAIT_S)
+        return min(wait_s, max(longest_s, MIN_ISOLATED_POLL_WAIT_S))
 
     def _needs_immediate_answer(self, worker: Worker) -> bool:
         if not worker.is_fenced or worker.unsettled_ends or not worker.clock_ms:
--- a/src/shallotworks/scheduling/_worker_tracker.py
+++ b/src/shallotworks/scheduling/_worker_tracker.py
@@ -125,6 +125,8 @@
     def _update_worker(self, view: WorkerView) -> None:
         """Add or update a worker, or replace it by the later incarnation that discovery lists."""
         worker = self._scheduler_state.workers.get(view.worker_id)
+        if worker is None:
+            self._scheduler_state.crashes.note_worker_added(view, self._wall_clock())
         if worker is None or not view.incarnation.is_later_than(worker.incarnation):
             self._scheduler_state.update_worker(view)
             return
--- a/src/shallotworks/scheduling/workers/_crash_blame.py
+++ b/src/shallotworks/scheduling/workers/_crash_blame.py
@@ -15,7 +15,7 @@
 from shallotworks.logs import StructuredLog
 
 from .._failed_jobs import log_failed_by_crashes
-from .._model import Run, RunPhase, Worker
+from .._model import Run, RunPhase, Worker, WorkerView
 from .._tracked_jobs import TrackedJob
 from ._loss_witness import LossWitness
 
@@ -26,6 +26,12 @@
 probation are the first suspects."""
 PROBATION_GROWTH_FACTOR = 2.0
 """The probation time is multiplied by this for each lost run of the same task."""
+PROMPT_CRASH_S = 0.7
+"""A worker that goes within this time of a start is taken for crashed by it. A later crash counts
+only if it comes as long after the start as `MIN_ALIKE_CRASHES` earlier ones of the task."""
+MIN_ALIKE_CRASHES = 2
+MAX_APART_S = 0.3
+MAX_APART_RATIO = 0.15
 MAX_PROBATION_S = 8.0
 """Upper bound of the probation time."""
 MIN_LATE_CRASHES = 3
@@ -39,6 +45,10 @@
 FREQUENT_CRASH_WINDOW_S = 10.0
 """Crashes are frequent if `FREQUENT_CRASH_COUNT` of them fall within this time."""
 FREQUENT_CRASH_COUNT = 3
+MAX_GANG_PROBATION_S = 1.0
+"""Upper bound for a gang, which holds several workers meanwhile."""
+MAX_UNLISTED_KEPT = 256
+"""Number of ended workers of which the address is remembered."""
 MAX_CONNECTION_LOSSES_KEPT = 256
 """Number of closed connections remembered to detect mass crashes."""
 
@@ -66,6 +76,7 @@
         "_token",
         "_tracked_jobs",
         "_unanswered_starts",
+        "_unlisted",
         "_witness",
         "_workers",
     )
@@ -97,6 +108,8 @@
         self._unanswered_starts: dict[int, tuple[Blame, LossCause]] = {}
         """Blame and cause by run id for runs whose start was unanswered when their worker ended."""
         self._witness = LossWitness(workers=workers)
+        self._unlisted: dict[str, Incarnation] = {}
+        """Workers that ended since they were not listed any more, by address."""
         self._doubted: set[Incarnation] = set()
         """Workers that may have crashed, whose runs on probation are recorded as lost with them."""
         self._may_miss_crashes = False
@@ -115,12 +128,29 @@
         worker.connection_closed_s = now_s
         self._connection_losses.append((now_s, worker.worker_id, bool(worker.isolated_runs)))
         self._doubted.discard(worker.incarnation)
+        self._note_other_loss(worker, now_s, wall_s, is_silent=False)
         self._note_doubt(worker, now_s, wall_s, LossCause.CONNECTIONS_CLOSED)
 
     def note_worker_silent(self, worker: Worker, now_s: float, wall_s: float) -> None:
         """Blame the runs on probation of a worker that has not answered, and may have crashed."""
+        self._note_other_loss(worker, now_s, wall_s, is_silent=True)
         self._note_doubt(worker, now_s, wall_s, LossCause.SILENT)
 
+    def note_asked_worker_silent(self, worker: Worker, now_s: float, wall_s: float) -> None:
+        """Record that a worker has not answered which was asked after the loss of another one."""
+        if self.is_asked(worker):
+            self._note_other_loss(worker, now_s, wall_s, is_silent=True)
+
+    def _note_other_loss(
+        self, worker: Worker, now_s: float, wall_s: float, *, is_silent: bool
+    ) -> None:
+        if worker.isolated_runs:
+            witnessed = self._witness.note_explained_loss(worker)
+            self._set_witnessed(witnessed, wall_s, is_witnessed=True)
+            return
+        spoiled = self._witness.note_other_loss(worker, now_s, is_silent=is_silent)
+        self._set_witnessed(spoiled, wall_s, is_witnessed=False)
+
     def _note_doubt(self, worker: Worker, now_s: float, wall_s: float, cause: LossCause) -> None:
         """Blame the runs on probation of a worker that may have crashed, once until it answers."""
         if worker.incarnation in self._doubted:
@@ -130,33 +160,37 @@
         if on_probation:
             self._crashes.append(wall_s)
         for run, blame in on_probation:
-            self._note(run, blame, is_certain=False, cause=cause, wall_s=wall_s, worker=worker)
+            ran_s = max(0.0, now_s - run.since_s)
+            self._note(run, blame, is_certain=False, cause=cause, wall_s=wall_s, ran_s=ran_s)
         suspects = [
             run
             for run, blame in on_probation
-            if blame is Blame.SOLE and self._has_gone_on_probation(worker, run)
+            if blame is Blame.SOLE and self._has_gone_as_expected(worker, run, now_s)
         ]
         if suspects:
-            self._note_witnessed(self._witness.note_loss(worker, suspects, now_s), wall_s)
+            is_silent = cause is LossCause.SILENT
+            witnessed = self._witness.note_loss(worker, suspects, now_s, is_silent=is_silent)
+            self._set_witnessed(witnessed, wall_s, is_witnessed=True)
 
-    def _note_witnessed(self, runs: list[Run], wall_s: float) -> None:
-        """Record that runs were lost with a worker that went alone."""
+    def _set_witnessed(self, runs: list[Run], wall_s: float, *, is_witnessed: bool) -> None:
+        """Record whether runs were lost with a worker that went alone."""
         for run in runs:
             tracked_job = self._tracked_jobs.get(run.name.job_id)
             if tracked_job is None or tracked_job.progress.state.is_final:
                 continue
             for lost in tracked_job.progress.lost_runs(tracked_job.job, run.name):
-                if lost.run_id == run.run_id and not lost.is_certain:
-                    witnessed = lost._replace(is_witnessed=True)
-                    self.note_lost(tracked_job, run.name, witnessed, wall_s)
+                if lost.run_id == run.run_id and (is_witnessed or not lost.is_certain):
+                    changed = lost._replace(is_witnessed=is_witnessed)
+                    self.note_lost(tracked_job, run.name, changed, wall_s)
 
-    def awaits_answer(self, worker: Worker) -> bool:
-        """Whether an answer of a worker would show that another one was lost alone."""
-        return self._witness.is_awaited(worker)
+    def is_asked(self, worker: Worker) -> bool:
+        """Whether a worker is to be polled because of the loss of another one."""
+        return self._witness.is_asked(worker)
 
     def note_worker_answered(self, worker: Worker, sent_s: float, wall_s: float) -> None:
         """Withdraw what was recorded of a worker that may have crashed, and has answered a poll."""
-        self._note_witnessed(self._witness.note_report(worker, sent_s), wall_s)
+        witnessed = self._witness.note_report(worker, sent_s)
+        self._set_witnessed(witnessed, wall_s, is_witnessed=True)
         self._witness.forget(worker)
         if worker.incarnation not in self._doubted:
             return
@@ -170,11 +204,14 @@
 
     def note_isolated(self, run: Run, wall_s: float) -> None:
         """Record the start of a suspect, of which a successor would learn nothing else."""
+        if run.step.is_gang and self._is_lost_elsewhere(run):
+            return
         self._note(run, Blame.SOLE, is_certain=False, cause=LossCause.UNKNOWN, wall_s=wall_s)
 
     def note_worker_ended(
         self,
         worker: Worker,
+        now_s: float,
         wall_s: float,
         *,
         is_replaced: bool,
@@ -184,6 +221,7 @@
 
         Args:
             worker: The worker.
+            now_s: Time on the scheduler's clock in seconds.
             wall_s: Time of day in seconds since 1970.
             is_replaced: Whether another incarnation has taken the worker's place, so that it has
                 crashed. Otherwise it may only be unreachable.
@@ -191,6 +229,12 @@
                 stays uncertain until a report of the later one shows whether it has them.
         """
         cause = LossCause.REPLACED if is_replaced else LossCause.UNLISTED
+        if not worker.isolated_runs:
+            self._witness.note_other_end(worker, now_s)
+        if not is_replaced:
+            self._unlisted[worker.view.address] = worker.incarnation
+            while len(self._unlisted) > MAX_UNLISTED_KEPT:
+                del self._unlisted[next(iter(self._unlisted))]
         for run in worker.runs.values():
             if run.phase is RunPhase.RESERVED:
                 self.clear_run(run)
@@ -199,15 +243,31 @@
                 self._unanswered_starts[run.run_id] = (blame, cause)
             else:
                 is_certain = run not in unconfirmed
+                ran_s = max(0.0, _gone_s(worker) - run.since_s)
                 self._note(
-                    run, blame, is_certain=is_certain, cause=cause, wall_s=wall_s, worker=worker
+                    run, blame, is_certain=is_certain, cause=cause, wall_s=wall_s, ran_s=ran_s
                 )
         pending = self._unanswered_starts.keys() | {run.run_id for run in unconfirmed}
         for tracked_job, name, lost in self._uncertain_losses_on(worker.incarnation):
             if lost.run_id not in pending:
                 self._confirm(tracked_job, name, lost, wall_s, is_replaced=is_replaced)
         self._doubted.discard(worker.incarnation)
-        self._witness.forget(worker)
+
+    def note_worker_added(self, view: WorkerView, wall_s: float) -> None:
+        """Record that a worker has come in the place of one that was not listed any more."""
+        earlier = self._unlisted.get(view.address)
+        if earlier is None or earlier == view.incarnation:
+            return
+        del self._unlisted[view.address]
+        for tracked_job in list(self._tracked_jobs.values()):
+            if tracked_job.progress.state.is_final:
+                continue
+            for key, runs in list(tracked_job.progress.lost.items()):
+                name = TaskName(tracked_job.job.job_id, *key)
+                for lost in runs:
+                    if lost.incarnation == earlier and lost.cause is not LossCause.REPLACED:
+                        replaced = lost._replace(cause=LossCause.REPLACED)
+                        self.note_lost(tracked_job, name, replaced, wall_s)
 
     def confirm_run(self, run: Run, wall_s: float) -> None:
         """Record that a run was lost with an earlier incarnation, if that received it."""
@@ -253,11 +313,13 @@
         whose loss nobody witnessed may have been cleared by a scheduler that ended before it stored
         that.
         """
-        blame = lost.blame
-        is_known = lost.run_id > self._first_run_id or lost.is_witnessed
-        if blame is Blame.SOLE and not (is_replaced and is_known):
+        blame, cause = lost.blame, LossCause.REPLACED
+        is_known = is_replaced and lost.run_id > self._first_run_id
+        if blame is Blame.SOLE and not (is_known or lost.is_witnessed):
             blame = Blame.SHARED
-        cause = LossCause.REPLACED if is_replaced else LossCause.UNLISTED
+        if not is_replaced:
+            is_closed = lost.cause is LossCause.CONNECTIONS_CLOSED
+            cause = LossCause.CONNECTIONS_CLOSED if is_closed else LossCause.UNLISTED
         confirmed = lost._replace(blame=blame, is_certain=True, cause=cause)
         self.note_lost(tracked_job, name, confirmed, wall_s)
 
@@ -290,7 +352,7 @@
         # The age of a run counts up to the last report, not to the close of the connections,
         # because a worker that lost power closes none.
         lived_s = worker.last_seen_s
-        on_probation = {run for run in started if lived_s - run.confirmed_s < self.probation_s(run)}
+        on_probation = [run for run in started if lived_s - run.confirmed_s < self.probation_s(run)]
         tasks = {
             (run.name if not run.step.is_gang else run.name._replace(number=0))
             for run in on_probation
@@ -300,20 +362,35 @@
             run for run in started if run not in on_probation
         )
 
-    def _has_gone_on_probation(self, worker: Worker, run: Run) -> bool:
-        """Whether a worker was heard of when this epoch started a run, and then went.
+    def _has_gone_as_expected(self, worker: Worker, run: Run, now_s: float) -> bool:
+        """Whether a worker was heard of when this epoch started a run, and went as if by it.
 
         A silent worker may have gone before the start arrived, unless it confirmed that.
         """
         if run.phase is RunPhase.RESERVED or run.run_id <= self._first_run_id:
             return False
-        if worker.connection_closed_s is not None:
+        if worker.connection_closed_s is not None or run in worker.isolated_runs:
             was_alive = worker.last_seen_s >= run.since_s - MIN_PROBATION_S
         else:
             was_alive = run.confirmed_s < math.inf
-        is_alone = not self._count_lost_with(worker, is_explained_too=False)
-        lived_s = _gone_s(worker) - run.since_s
-        return was_alive and is_alone and lived_s <= self.probation_s(run)
+        if not was_alive or _gone_s(worker) - run.since_s > self.probation_s(run):
+            return False
+        ran_s = now_s - run.since_s
+        return ran_s <= PROMPT_CRASH_S or self._has_crashed_alike(run, ran_s)
+
+    def _has_crashed_alike(self, run: Run, ran_s: float) -> bool:
+        """Whether earlier runs of a task crashed their workers after about the same time."""
+        tracked_job = self._tracked_jobs.get(run.name.job_id)
+        if tracked_job is None:
+            return False
+        alike = [
+            lost
+            for lost in tracked_job.progress.lost_runs(tracked_job.job, run.name)
+            if lost.run_id != run.run_id
+            and lost.is_crash
+            and abs(lost.ran_s - ran_s) <= MAX_APART_S + MAX_APART_RATIO * ran_s
+        ]
+        return len(alike) >= MIN_ALIKE_CRASHES
 
     def _count_lost_with(self, worker: Worker, *, is_explained_too: bool) -> int:
         """Return how many other workers closed their connections at the same moment as this one.
@@ -342,7 +419,7 @@
         cause: LossCause,
         wall_s: float,
         is_received: bool = False,
-        worker: Worker | None = None,
+        ran_s: float = 0.0,
     ) -> None:
         tracked_job = self._tracked_jobs.get(run.name.job_id)
         if (
@@ -351,10 +428,11 @@
             or tracked_job.progress.is_done(run.name)
         ):
             return
-        was_witnessed = any(
-            lost.run_id == run.run_id and lost.is_witnessed
-            for lost in tracked_job.progress.lost_runs(tracked_job.job, run.name)
-        )
+        lost_runs = tracked_job.progress.lost_runs(tracked_job.job, run.name)
+        earlier = next((lost for lost in lost_runs if lost.run_id == run.run_id), None)
+        if earlier is not None and cause is not LossCause.UNKNOWN:
+            ran_s = max(ran_s, earlier.ran_s)
+        was_witnessed = earlier is not None and earlier.is_witnessed
         lost = LostRun(
             run_id=run.run_id,
             incarnation=run.incarnation,
@@ -363,7 +441,7 @@
             is_received=is_received or run.confirmed_s < math.inf,
             cause=cause,
             is_witnessed=was_witnessed and cause is not LossCause.UNKNOWN,
-            ran_s=round(max(0.0, _gone_s(worker) - run.since_s), 3) if worker else 0.0,
+            ran_s=round(ran_s, 3),
         )
         self.note_lost(tracked_job, run.name, lost, wall_s)
 
@@ -434,18 +512,40 @@
 
     # ---- no blame
 
-    def note_outlived(self, run: Run) -> None:
+    def note_outlived(self, worker: Worker, run: Run) -> None:
         """Clear a run that its worker has outlived, which refutes earlier blame of its task.
 
-        That of a gang isn't refuted, since another member may be the cause.
+        That of a gang is refuted once the workers of all its members have outlived them.
         """
         self.clear_run(run)
         tracked_job = self._tracked_jobs.get(run.name.job_id)
-        if tracked_job is None or run.step.is_gang:
+        if tracked_job is None or (run.step.is_gang and self._is_gang_in_doubt(run)):
             return
-        if tracked_job.progress.note_outlived(tracked_job.job, run.name):
+        lived_s = worker.last_seen_s - run.since_s
+        if tracked_job.progress.note_outlived(tracked_job.job, run.name, lived_s):
             tracked_job.changes += 1
 
+    def _is_gang_in_doubt(self, run: Run) -> bool:
+        """Whether a member of a gang is isolated yet, or was lost with its worker."""
+        tracked_job = self._tracked_jobs[run.name.job_id]
+        members = [
+            other
+            for runs in tracked_job.live_runs.values()
+            for other in runs
+            if other.run_id == run.run_id
+        ]
+        isolated = (
+            other in self._workers[other.worker_id].isolated_runs
+            for other in members
+            if other.worker_id in self._workers
+        )
+        return len(members) < run.step.count or any(isolated) or self._is_recorded(tracked_job, run)
+
+    @staticmethod
+    def _is_recorded(tracked_job: TrackedJob, run: Run) -> bool:
+        lost_runs = tracked_job.progress.lost_runs(tracked_job.job, run.name)
+        return any(lost.run_id == run.run_id for lost in lost_runs)
+
     def note_worker_left(self, worker: Worker) -> None:
         """Clear the runs of a worker that left as planned."""
         self._doubted.discard(worker.incarnation)
@@ -463,15 +563,17 @@
         tracked_job = self._tracked_jobs.get(run.name.job_id)
         if tracked_job is None or not tracked_job.progress.lost:
             return
-        if run.step.is_gang and self._is_lost_elsewhere(tracked_job, run):
+        if run.step.is_gang and self._is_lost_elsewhere(run):
             return
         self._clear(tracked_job, run.name, run.run_id)
 
-    @staticmethod
-    def _is_lost_elsewhere(tracked_job: TrackedJob, run: Run) -> bool:
+    def _is_lost_elsewhere(self, run: Run) -> bool:
         """Whether a gang's run is recorded as lost with the worker of another member."""
-        return any(
-            lost.run_id == run.run_id and lost.incarnation.worker_id != run.worker_id
+        tracked_job = self._tracked_jobs.get(run.name.job_id)
+        return tracked_job is not None and any(
+            lost.run_id == run.run_id
+            and lost.incarnation.worker_id != run.worker_id
+            and lost.cause is not LossCause.UNKNOWN
             for lost in tracked_job.progress.lost_runs(tracked_job.job, run.name)
         )
 
@@ -498,7 +600,7 @@
         if len(earlier) >= MIN_LATE_CRASHES:
             longest_s = max(one.ran_s for one in earlier)
             probation_s = max(probation_s, LATE_PROBATION_FACTOR * longest_s)
-        return min(MAX_PROBATION_S, probation_s)
+        return min(MAX_GANG_PROBATION_S if run.step.is_gang else MAX_PROBATION_S, probation_s)
 
 
 def _gone_s(worker: Worker) -> float:
--- a/src/shallotworks/scheduling/workers/_isolation.py
+++ b/src/shallotworks/scheduling/workers/_isolation.py
@@ -30,13 +30,17 @@
 have other runs. It grows up to `MAX_BUSY_WORKER_RATIO` with the number of jobs that wait for
 isolation."""
 MAX_BUSY_WORKER_RATIO = 1 / 2
-RETRY_INTERVAL_S = 8.0
+RETRY_INTERVAL_S = 10.0
 MAX_RETRIED_WORKER_RATIO = 1 / 8
 """While other jobs wait, at most this ratio of all workers, but at least one, is given within
 `RETRY_INTERVAL_S` to steps with a proven crash. Otherwise a few crash loops would take the workers
 from all other jobs."""
 MAX_IDLE_WAIT_S = 16.0
-"""A step with a proven crash gets a worker with other runs only after this time."""
+"""A step with a proven crash comes after all others, and gets only workers without other runs, for
+this long after its last start."""
+MAX_UNPROVEN_LOSSES = 5
+UNPROVEN_RETRY_S = 10.0
+"""From `MAX_UNPROVEN_LOSSES` early losses of a task on, it is started at most once in this time."""
 
 
 @unique
@@ -117,7 +121,7 @@
             run=run.run_id,
             worker=worker.worker_id,
         )
-        self._blame.note_outlived(run)
+        self._blame.note_outlived(worker, run)
         self._retried.pop(run.name.job_id, None)
         if not worker.isolated_runs:
             self._cleared_steps.setdefault(run.name.job_id, set()).add(_step_key(run.name))
@@ -159,11 +163,19 @@
         """
         if not self._is_cleared(step) and self._has_isolated_run(step):
             return False
+        waited_s = now_s - self._isolated_s.get(step.tracked_job.job.job_id, -math.inf)
+        if waited_s < UNPROVEN_RETRY_S and step.most_early_losses >= MAX_UNPROVEN_LOSSES:
+            return False
         if not do_others_wait or not step.has_proven_crash:
             return True
         recent = sum(1 for at_s in self._retried.values() if now_s - at_s < RETRY_INTERVAL_S)
         return recent < max(1, int(len(self._workers) * MAX_RETRIED_WORKER_RATIO))
 
+    def comes_last(self, step: TrackedStep, now_s: float) -> bool:
+        """Whether the suspects of a step wait for a worker that no other job needs."""
+        waited_s = now_s - self._isolated_s.get(step.tracked_job.job.job_id, -math.inf)
+        return step.has_proven_crash and waited_s < MAX_IDLE_WAIT_S
+
     def holds_other_tasks(self, step: TrackedStep, suspects: list[TaskName]) -> bool:
         """Whether the other tasks of a step wait, because they may crash workers too."""
         has_open_suspect = bool(suspects) or self._has_isolated_run(step)
@@ -192,8 +204,7 @@
             now_s: Time on the scheduler's clock in seconds.
         """
         workers = list(self._workers.values())
-        since_s = self._isolated_s.get(step.tracked_job.job.job_id, -math.inf)
-        needs_idle = step.has_proven_crash and now_s - since_s < MAX_IDLE_WAIT_S
+        needs_idle = self.comes_last(step, now_s)
         busy = sum(1 for worker in workers if worker.isolated_runs and _has_other_runs(worker))
         may_use_busy = not needs_idle and busy < _max_busy_workers(len(workers), waiting_jobs)
         free = [
