--- a/tests/lasting_task_simulation.py
+++ b/tests/lasting_task_simulation.py
@@ -305,11 +305,13 @@
     """
 
     instance_type: type[LastingInstance] = LastingInstance
+    store_type: type[RecordStore] = RecordStore
+    fleet_type: type[LastingWorkers] = LastingWorkers
 
     def __init__(self, *, seed: int = 1, workers: int = 6, instances: int = 3) -> None:
         self.rng = random.Random(seed)
-        self.store = RecordStore(rng=self.rng)
-        self.fleet = LastingWorkers(rng=self.rng)
+        self.store = self.store_type(rng=self.rng)
+        self.fleet = self.fleet_type(rng=self.rng)
         self.instances: list[LastingInstance] = []
         self._all_instances: list[LastingInstance] = []
         self.lines: list[str] = []
