Judge sound jobs after the last drawn fault, beside deadly tasks

Cause: the histories waited for a time without any crash before they judged sound jobs, so that jobs that wait behind tasks that crash their workers were not seen; the users' rules ask for jobs 14 s after the end of the traffic, whatever else crashes.

Change: from 14 s after the last drawn fault on, a sound job whose tasks end must not have nothing running for 3 s while less than half of the capacity is in use, and it has to end within 60 s more; lasting tasks are judged as LastingHistory does, and once more at the end.

--- a/tests/sound_job_history.py
+++ b/tests/sound_job_history.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import random
 import sys
@@ -33,7 +34,9 @@
 )
 from shallotworks.store import Write
 from tests.lasting_history import (
+    BACK_WITHIN_S,
     CONTACT_S,
+    GRANTED_S,
     HOST,
     LATE_S,
     QUEUE,
@@ -50,14 +53,15 @@
 __all__ = ["SoundJobHistory", "run_history"]
 
 FINISH_S = 14.0
-"""Time from the end of the last fault until every sound job has ended or, if it lasts, runs.
-Source: the users' rules, which ask for jobs this long after the end of the traffic (LOST)."""
+"""From this time after the end of the last drawn fault on, a sound job must not have nothing
+running for `GRANTED_S`, whatever deadly tasks crash. Source: the users' rules, which ask for jobs
+this long after the end of the traffic (LOST)."""
+LAST_END_S = 60.0
+"""Time after that within which each sound job ends: many times the length of any of them."""
+SAMPLE_S = 0.1
 LOST_ANSWERS = 0.1
 """Part of the orders and of the writes to the store whose answers are lost in histories
 with lost answers."""
-GIVE_UP_S = 60.0
-"""Longest wait for a time of `FINISH_S` without a fault. Tasks that crash their workers without end
-would prolong it for ever."""
 JOBS = 40
 LAST_JOBS = 10
 """Jobs that are submitted beside the last faults, so that a power cut meets young runs."""
@@ -254,11 +258,13 @@
         self.store.on_progress = self._check_progress
         self.fleet.is_calm = self._is_core_calm
         self.fleet.on_start = self._note_start
-        self.fleet.lose = self._crash
+        self.fleet.lose = self._crash_by_task
         self.jobs: dict[str, Job] = {}
         self.states: dict[str, JobState] = {}
         self._next_workers: deque[TaskWorker] = deque()
         """Workers that the next disruptions meet; for others a worker is drawn."""
+        self._open_drawn_faults = 0
+        self._last_drawn_fault_ended_s = 0.0
         self._unlucky: dict[TaskName, list[tuple[float, Disruption]]] = {}
         """When and how each of the next starts of a task loses its worker."""
         self.traits = [trait for trait, chance in TRAITS if self._draws.random() < chance]
@@ -268,7 +274,7 @@
         )
 
     async def run(self, duration_s: float) -> None:
-        """Run the history, and wait until no fault was seen for `FINISH_S`."""
+        """Run the history, and check the jobs from `FINISH_S` after the last drawn fault on."""
         self._faults.lost_ratio = self._lost_answers
         self.start()
         self._in_background(self._replace_workers())
@@ -285,21 +291,11 @@
         self._faults.lost_ratio = self._lost_answers = 0.0
         for instance in self.instances:
             instance.orders.faults.lost_ratio = 0.0
-        if await self._wait_calm():
-            self._check_end()
-        else:
-            self._violate(f"BUDGET workers crash for {GIVE_UP_S} s after the last drawn disruption")
+        while self._open_drawn_faults or _now_s() - self._last_drawn_fault_ended_s < FINISH_S:
+            await asyncio.sleep(SAMPLE_S)
+        await self._check_end()
         await self.close()
 
-    async def _wait_calm(self) -> bool:
-        """Wait until no fault was seen for `FINISH_S`; return whether that was so in time."""
-        gives_up_s = _now_s() + GIVE_UP_S
-        while self._open_faults or _now_s() - self._last_fault_ended_s < FINISH_S:
-            if _now_s() >= gives_up_s:
-                return False
-            await asyncio.sleep(0.1)
-        return True
-
     def _publish_configuration(self) -> None:
         """Write a configuration with one service."""
         body = {
@@ -410,12 +406,35 @@
 
     def _crash(self, worker: TaskWorker) -> None:
         self._lose(worker)
-        self._in_background(self._return(worker))
+        self._in_background(self._return(worker, self._worker_fault()))
+
+    def _crash_by_task(self, worker: TaskWorker) -> None:
+        self._lose(worker)
+        self._in_background(self._return(worker, super()._worker_fault()))
+
+    @contextlib.contextmanager
+    def _drawn_fault(self, fault: contextlib.AbstractContextManager[None]) -> Iterator[None]:
+        self._open_drawn_faults += 1
+        try:
+            with fault:
+                yield
+        finally:
+            self._open_drawn_faults -= 1
+            self._last_drawn_fault_ended_s = _now_s()
+
+    def fault_period(self) -> contextlib.AbstractContextManager[None]:
+        """Mark a drawn fault of the store or of an instance."""
+        return self._drawn_fault(super().fault_period())
+
+    def _worker_fault(self) -> contextlib.AbstractContextManager[None]:
+        return self._drawn_fault(super()._worker_fault())
 
-    async def _return(self, worker: TaskWorker) -> None:
+    async def _return(
+        self, worker: TaskWorker, fault: contextlib.AbstractContextManager[None]
+    ) -> None:
         """Start a worker again under its id or another one, or not at all."""
         worker_id = worker.view.worker_id
-        with self._worker_fault():
+        with fault:
             is_back, keeps_id = self._draws.random() < 0.8, self._draws.random() < 0.4
             await asyncio.sleep(self._draws.uniform(0.2, 6.0))
             await self._until_registrable(worker_id)
@@ -543,24 +562,55 @@
         if is_open and task_step.is_lasting and not self.is_deadly(name.job_id):
             super()._check_task(name, task_step, is_running=is_running)
 
-    def _check_end(self) -> None:
-        """Check that the sound jobs have ended, or run if they last."""
-        running = Counter(
-            name.job_id
-            for worker in self.fleet.workers.values()
-            if worker.is_alive
-            for name in worker.names()
+    async def _check_end(self) -> None:
+        """Check that sound jobs have ended or are worked on, and that all end in time."""
+        idle, since_s = self._idle_jobs(), _now_s()
+        while idle and _now_s() - since_s < GRANTED_S:
+            await asyncio.sleep(SAMPLE_S)
+            idle &= self._idle_jobs()
+        for job_id in sorted(idle):
+            self._violate(
+                f"LOST job {job_id} has nothing running {FINISH_S} s after the last fault"
+            )
+        while self._is_any_open() and _now_s() - since_s < LAST_END_S:
+            await asyncio.sleep(SAMPLE_S)
+        for job_id in sorted(self._open_jobs()):
+            self._violate(f"LOST job {job_id} is {self.states[job_id].value} at the end")
+        for name, missing_since_s in self._missing_since_s.items():
+            if (
+                _now_s() - missing_since_s > BACK_WITHIN_S + GRANTED_S
+                and not self.states[name.job_id].is_final
+            ):
+                self._violate(f"LOST {name} has no run at the end since {missing_since_s:.3f}")
+
+    def _is_any_open(self) -> bool:
+        """Whether a sound job or one with a deadly task has not ended."""
+        return bool(self._open_jobs()) or any(
+            self.is_deadly(job_id) and not self.states[job_id].is_final for job_id in self._accepted
         )
-        for job_id, job in self._accepted.items():
-            state = self.states[job_id]
-            if self.is_deadly(job_id):
-                continue
-            if job_id not in self.fleet.lasting:
-                is_owed = not state.is_final
-            else:
-                is_owed = running[job_id] < job.steps[0].count
-            if is_owed and state is not JobState.FAILED:
-                self._violate(f"LOST job {job_id} is {state.value}, {running[job_id]} tasks run")
+
+    def _idle_jobs(self) -> set[str]:
+        """Return the sound jobs that are owed work and have nothing running.
+
+        They are owed it while less than half of the capacity is in use.
+        """
+        running = self._running_tasks()
+        workers = [worker for worker in self.fleet.workers.values() if worker.is_alive]
+        used = sum(self.fleet.cpu_millicores_of(name) for name in running)
+        is_full = 2 * used >= sum(worker.view.cpu_millicores for worker in workers)
+        return set() if is_full else self._open_jobs() - {name.job_id for name in running}
+
+    def _open_jobs(self) -> set[str]:
+        """Return the sound jobs whose tasks end and that have not ended."""
+        return {
+            job_id
+            for job_id in self._accepted.keys() - self.fleet.lasting
+            if not self.is_deadly(job_id) and not self.states[job_id].is_final
+        }
+
+    def _running_tasks(self) -> set[TaskName]:
+        workers = [worker for worker in self.fleet.workers.values() if worker.is_alive]
+        return set[TaskName]().union(*(worker.names() for worker in workers))
 
     def all_violations(self) -> list[str]:
         """Return all violations."""
