--- a/src/shallotworks/scheduling/machines/_wave_executor.py
+++ b/src/shallotworks/scheduling/machines/_wave_executor.py
@@ -42,6 +42,7 @@
 
     A machine counts against its wave's limit from before its order until a new worker is seen on
     it. The slot is stored before the order is given, so that a predecessor's late order counts too.
+    A machine has a slot in one wave at a time, so that each wave knows its own maintenance.
 
     Args:
         lease: The controller's lease.
@@ -57,6 +58,7 @@
         "_lease",
         "_ordered_at_s",
         "_orders",
+        "_slots",
     )
 
     def __init__(
@@ -69,12 +71,16 @@
         self._lease = lease
         self._dependencies = dependencies
         self._orders = orders
-        self._completed: set[int] = set()
+        self._completed: dict[int, frozenset[str]] = {}
+        """Completed waves, each with the machines that it was completed for."""
         self._absent_since_s: dict[str, float] = {}
         """Machines that are not listed, with the time since when."""
-        self._begun_at_s: dict[str, float] = {}
-        """Machines whose maintenance is known to have begun, with the time: an order was obeyed, or
-        the machine was seen in maintenance while it had a slot."""
+        self._begun_at_s: dict[tuple[int, str], float] = {}
+        """Wave and machine of each maintenance that is known to have begun, with the time: an order
+        was obeyed, or the machine was seen in maintenance while only this wave had a slot for it.
+        """
+        self._slots: dict[int, frozenset[str]] = {}
+        """Machines that may have a slot, by wave, for each wave whose record was read."""
         self._ordered_at_s: dict[str, float] = {}
         """Time of the latest order for each machine."""
 
@@ -83,9 +89,13 @@
         return [
             one
             for one in self._dependencies.maintenance_schedule.waves()
-            if one.wave not in self._completed
+            if not self._is_completed(one)
         ]
 
+    def _is_completed(self, wave: MaintenanceWave) -> bool:
+        completed_for = self._completed.get(wave.wave)
+        return completed_for is not None and completed_for.issuperset(wave.machines)
+
     async def advance(
         self, wave: MaintenanceWave, machines: dict[str, Machine]
     ) -> WaveRecord | None:
@@ -103,14 +113,18 @@
         if loaded is None:
             return None
         record, revision = loaded
-        if record.is_completed:
-            self._completed.add(wave.wave)
+        is_reopened = record.is_completed and _has_unmaintained(wave, record, machines)
+        if is_reopened:
+            record.first_s = self._dependencies.wall_clock()
+        elif record.is_completed:
+            self._completed[wave.wave] = frozenset(wave.machines)
             return None
+        self._slots[wave.wave] = frozenset(record.down)
         for name in record.begun:
-            self._begun_at_s.setdefault(name, self._dependencies.clock())
+            self._note_begun(wave, name)
         is_changed = self._release_slots(wave, record, machines)
         is_finished = self._is_finished(wave, record, machines)
-        if is_changed or is_finished:
+        if is_changed or is_finished or is_reopened:
             record.is_completed = is_finished
             saved = await self._save(wave, record, revision)
             if saved is None:
@@ -123,7 +137,7 @@
 
     async def _store_begun(self, wave: MaintenanceWave, record: WaveRecord, revision: int) -> None:
         """Store which machines have begun, so that a successor does not drain them again."""
-        begun = [name for name in record.down if name in self._begun_at_s]
+        begun = [name for name in record.down if (wave.wave, name) in self._begun_at_s]
         if begun != record.begun:
             record.begun = begun
             await self._save(wave, record, revision)
@@ -131,25 +145,50 @@
     def _release_slots(
         self, wave: MaintenanceWave, record: WaveRecord, machines: dict[str, Machine]
     ) -> bool:
-        """Release the slots of finished and removed machines; return whether the record changed."""
+        """Release the slots of machines that are done or that the wave no longer names.
+
+        Returns:
+            Whether the record changed.
+        """
         is_changed = False
+        slots_of_others = self._slots_of_others(wave) if record.down else set()
         for name, old_worker in list(record.down.items()):
             machine = machines.get(name)
-            if machine is not None and machine.state is MachineState.MAINTENANCE:
-                self._begun_at_s.setdefault(name, self._dependencies.clock())
-            is_gone = machine is None and self._has_left(wave, record, name)
-            if is_gone or (machine is not None and self._has_had_maintenance(machine, old_worker)):
-                del record.down[name]
-                record.begun = [one for one in record.begun if one != name]
+            is_down = machine is not None and machine.state is MachineState.MAINTENANCE
+            if is_down and name not in slots_of_others:
+                self._note_begun(wave, name)
+            if machine is None or machine.state is not MachineState.UP:
+                continue
+            is_done = self._has_had_maintenance(wave, machine, old_worker)
+            if not is_done and name in wave.machines:
+                continue
+            del record.down[name]
+            record.begun = [one for one in record.begun if one != name]
+            is_changed = True
+            if is_done:
                 record.done.append(name)
-                is_changed = True
-                self._dependencies.log.line(
-                    "upkeep-done", machine=name, wave=wave.wave, is_gone=is_gone
-                )
+                self._dependencies.log.line("upkeep-done", machine=name, wave=wave.wave)
         return is_changed
 
-    def _has_had_maintenance(self, machine: Machine, old_worker: str) -> bool:
-        """Whether a machine's maintenance is known to have begun, and its worker has started since.
+    def _note_begun(self, wave: MaintenanceWave, name: str) -> None:
+        self._begun_at_s.setdefault((wave.wave, name), self._dependencies.clock())
+
+    def _slots_of_others(self, wave: MaintenanceWave) -> set[str]:
+        """Return the machines that may have a slot in another open wave.
+
+        These are all machines of a wave whose record was not read yet.
+        """
+        return {
+            name
+            for other in self.open_waves()
+            if other.wave != wave.wave
+            for name in self._slots.get(other.wave, other.machines)
+        }
+
+    def _has_had_maintenance(
+        self, wave: MaintenanceWave, machine: Machine, old_worker: str
+    ) -> bool:
+        """Whether the wave's maintenance of a machine that is up is over.
 
         The worker may have a new id or start again under the old one. That alone does not prove
         maintenance. If an order was refused and the machine's worker crashed and was replaced, the
@@ -157,8 +196,8 @@
         is off has no worker before or after its maintenance. Maintenance takes it down at once, so
         if a list that was read `LIST_STALENESS_S` later shows it up, its maintenance is over.
         """
-        begun_s = self._begun_at_s.get(machine.name)
-        if begun_s is None or machine.state is not MachineState.UP:
+        begun_s = self._begun_at_s.get((wave.wave, machine.name))
+        if begun_s is None:
             return False
         if self._dependencies.clock() - begun_s < LIST_STALENESS_S:
             return False
@@ -169,14 +208,13 @@
     def _is_finished(
         self, wave: MaintenanceWave, record: WaveRecord, machines: dict[str, Machine]
     ) -> bool:
-        for name in wave.machines:
+        names = {*wave.machines, *record.down}
+        for name in names:
             if name in machines:
                 self._absent_since_s.pop(name, None)
             else:
                 self._absent_since_s.setdefault(name, self._dependencies.clock())
-        return not record.down and all(
-            name in record.done or self._has_left(wave, record, name) for name in wave.machines
-        )
+        return all(name in record.done or self._has_left(wave, record, name) for name in names)
 
     def _has_left(self, wave: MaintenanceWave, record: WaveRecord, name: str) -> bool:
         absent_s = self._dependencies.clock() - self._absent_since_s.get(name, math.inf)
@@ -186,13 +224,14 @@
     def _remaining(
         self, wave: MaintenanceWave, record: WaveRecord, machines: dict[str, Machine]
     ) -> list[Machine]:
-        """Return the machines that may start next: up, and neither done nor down for the wave.
+        """Return the machines that may start next: up, not done, and without a slot in any wave.
 
         The list is empty while the wave yields to demand, so that no worker is drained and no
         machine is taken down for it.
         """
         if self._must_yield(wave, record):
             return []
+        slots_of_others = self._slots_of_others(wave)
         return [
             machines[name]
             for name in wave.machines
@@ -200,6 +239,7 @@
             and name not in record.done
             and name not in record.down
             and machines[name].state is MachineState.UP
+            and name not in slots_of_others
         ]
 
     def _must_yield(self, wave: MaintenanceWave, record: WaveRecord) -> bool:
@@ -214,7 +254,7 @@
             demand.lacking for demand in self._dependencies.machine_records.demands.values()
         ):
             return False
-        remaining = len(wave.machines) - len(record.done)
+        remaining = sum(name not in record.done for name in wave.machines)
         rounds = math.ceil(remaining / max(1, wave.max_at_once))
         ends_s = record.first_s + wave.duration_s
         return (
@@ -256,11 +296,13 @@
         remaining.sort(key=lambda one: (one.worker_id not in draining, one.worker_id not in free))
         chosen = [
             *remaining[: wave.max_at_once * DRAINED_AHEAD_PER_SLOT],
-            *self._unconfirmed(record, machines),
+            *self._unconfirmed(wave, record, machines),
         ]
         return {one.worker_id for one in chosen if one.worker_id}
 
-    def _unconfirmed(self, record: WaveRecord, machines: dict[str, Machine]) -> list[Machine]:
+    def _unconfirmed(
+        self, wave: MaintenanceWave, record: WaveRecord, machines: dict[str, Machine]
+    ) -> list[Machine]:
         """Return the machines with a slot that are up and whose maintenance may not have begun."""
         now_s = self._dependencies.clock()
         up = [
@@ -271,10 +313,10 @@
         return [
             machine
             for machine, old_worker in up
-            if machine.name not in self._begun_at_s
+            if (wave.wave, machine.name) not in self._begun_at_s
             or (
                 _may_be_on(machine, old_worker)
-                and now_s - self._begun_at_s[machine.name] >= REPEAT_ORDER_AFTER_S
+                and now_s - self._begun_at_s[wave.wave, machine.name] >= REPEAT_ORDER_AFTER_S
             )
         ]
 
@@ -282,15 +324,14 @@
         self, wave: MaintenanceWave, record: WaveRecord, revision: int, machines: dict[str, Machine]
     ) -> int:
         """Take slots and order maintenance; return the revision of the record."""
-        slots = max(0, wave.max_at_once - len(record.down))
+        taken = sum(not self._has_left(wave, record, name) for name in record.down)
+        slots = max(0, wave.max_at_once - taken)
         remaining = self._remaining(wave, record, machines)
         free = [machine for machine in remaining if self._orders.is_reported_free(machine)]
         for machine in await self._orders.prepare(free[:slots]):
             if not await self._orders.confirm_free(machine):
                 continue
             record.down[machine.name] = machine.incarnation.encode()
-            # A start that is known so far belongs to an earlier wave.
-            self._begun_at_s.pop(machine.name, None)
             saved = await self._save(wave, record, revision)
             if saved is None:
                 break
@@ -305,7 +346,7 @@
         now_s = self._dependencies.clock()
         to_repeat = [
             machine
-            for machine in self._unconfirmed(record, machines)
+            for machine in self._unconfirmed(wave, record, machines)
             if now_s - self._ordered_at_s.get(machine.name, -ORDER_RETRY_S) >= ORDER_RETRY_S
             and self._orders.is_reported_free(machine)
         ]
@@ -317,7 +358,7 @@
         self._ordered_at_s[machine.name] = self._dependencies.clock()
         status = await self._orders.start_maintenance(machine, wave.wave, is_first=is_first)
         if status is MachineOrderStatus.OBEYED:
-            self._begun_at_s[machine.name] = self._dependencies.clock()
+            self._begun_at_s[wave.wave, machine.name] = self._dependencies.clock()
 
     async def _load(self, wave: MaintenanceWave) -> tuple[WaveRecord, int] | None:
         outcome = await self._dependencies.store.get(wave_key(wave.wave))
@@ -333,6 +374,7 @@
     async def _save(self, wave: MaintenanceWave, record: WaveRecord, revision: int) -> int | None:
         """Store a wave's record and its status; return the new revision, or ``None`` on failure."""
         key = wave_key(wave.wave)
+        self._slots[wave.wave] = frozenset(record.down)
         outcome = await self._dependencies.store.commit(
             Commit(
                 conditions=(self._lease.condition, Condition(key=key, revision=revision)),
@@ -362,6 +404,13 @@
         return committed.revision
 
 
+def _has_unmaintained(
+    wave: MaintenanceWave, record: WaveRecord, machines: dict[str, Machine]
+) -> bool:
+    """Whether a listed machine lacks its maintenance, as if the wave was requested for others."""
+    return any(name in machines and name not in record.done for name in wave.machines)
+
+
 def _may_be_on(machine: Machine, old_worker: str) -> bool:
     """Whether the worker that a wave's record names may still be on its machine.
 
