--- a/src/shallotworks/scheduling/_tracked_jobs.py
+++ b/src/shallotworks/scheduling/_tracked_jobs.py
@@ -112,9 +112,17 @@
         )
 
     @property
-    def most_early_losses(self) -> int:
-        """The largest number of runs of one task that were lost shortly after their starts."""
-        return max((sum(run.is_early for run in runs) for runs in self._lost_runs()), default=0)
+    def has_witnessed_crash(self) -> bool:
+        """Whether a task of the step was the only suspect when a worker went, unlike others."""
+        return any(run.is_proof or run.is_closed for runs in self._lost_runs() for run in runs)
+
+    @property
+    def most_losses(self) -> int:
+        """The largest number of runs of one task that may have crashed their workers."""
+        return max(
+            (sum(run.is_early or run.is_crash for run in runs) for runs in self._lost_runs()),
+            default=0,
+        )
 
     def _lost_runs(self) -> list[tuple[LostRun, ...]]:
         lost = self.tracked_job.progress.lost
--- a/src/shallotworks/scheduling/workers/_isolation.py
+++ b/src/shallotworks/scheduling/workers/_isolation.py
@@ -40,7 +40,10 @@
 this long after its last start."""
 MAX_UNPROVEN_LOSSES = 5
 UNPROVEN_RETRY_S = 10.0
-"""From `MAX_UNPROVEN_LOSSES` early losses of a task on, it is started at most once in this time."""
+PROVEN_RETRY_S = 120.0
+"""From `MAX_UNPROVEN_LOSSES` losses of a task on that may be its crashes, which exhaust the retry
+budget of one that crashes its workers, it is started at most once in this time: the longer one if
+one of the crashes is proven."""
 
 
 @unique
@@ -163,9 +166,12 @@
         """
         if not self._is_cleared(step) and self._has_isolated_run(step):
             return False
-        waited_s = now_s - self._isolated_s.get(step.tracked_job.job.job_id, -math.inf)
-        if waited_s < UNPROVEN_RETRY_S and step.most_early_losses >= MAX_UNPROVEN_LOSSES:
-            return False
+        if step.most_losses >= MAX_UNPROVEN_LOSSES:
+            # A successor doesn't know when the latest start was.
+            since_s = self._isolated_s.setdefault(step.tracked_job.job.job_id, now_s)
+            retry_s = PROVEN_RETRY_S if step.has_witnessed_crash else UNPROVEN_RETRY_S
+            if now_s - since_s < retry_s:
+                return False
         if not do_others_wait or not step.has_proven_crash:
             return True
         recent = sum(1 for at_s in self._retried.values() if now_s - at_s < RETRY_INTERVAL_S)
