Take only crashes at like times after the start for a crash loop

Change: crashes count together only if they came about as long after the start as the last one. The time of a silent loss outside isolation isn't known and fits any.

--- a/src/shallotworks/jobs/_crashes.py
+++ b/src/shallotworks/jobs/_crashes.py
@@ -20,6 +20,10 @@
 MAX_STARTS = 5
 MAX_COUNTED_RUN_S = 8.0
 """A run that was lost after a longer time doesn't count as a crash."""
+MAX_APART_S = 0.2
+MAX_APART_RATIO = 0.15
+"""A task crashes its workers after about the same time: two crashes are alike if their times after
+the starts differ by `MAX_APART_S` and this ratio of the time at most."""
 MIN_SUSPECT_CRASHES = 2
 """A task is a suspect after this many lost runs, even if each of them gets late blame."""
 
@@ -106,6 +110,11 @@
         is_known = self.cause is LossCause.REPLACED or self.is_witnessed
         return self.is_certain and is_known and self.ran_s <= MAX_COUNTED_RUN_S
 
+    def is_alike(self, ran_s: float) -> bool:
+        """Whether the run was lost after about the given time, or after an unknown one."""
+        apart_s = abs(self.ran_s - ran_s)
+        return not self.ran_s or apart_s <= MAX_APART_S + MAX_APART_RATIO * ran_s
+
     @property
     def is_proof(self) -> bool:
         """Whether the run is proven to have been the only suspect of a certain crash.
@@ -130,14 +139,15 @@
     Only proven crashes show that. Workers that crash by themselves, leave or are cut off lose the
     runs of sound tasks as well.
     """
-    crashes = sum(one.is_crash for one in lost)
-    proofs = sum(one.is_proof for one in lost)
+    crashed = [one for one in lost if one.is_crash]
+    alike = [one for one in crashed if one.is_alike(crashed[-1].ran_s)]
+    crashes, proofs = len(alike), sum(one.is_proof for one in alike)
     if any(
         crashes >= least_crashes and proofs >= least_proofs
         for least_crashes, least_proofs in MIN_PROOFS_BY_CRASHES.items()
     ):
         return True
-    closed = sum(one.is_closed for one in lost)
+    closed = sum(one.is_closed for one in alike)
     return crashes >= MAX_STARTS and proofs + closed >= MIN_CLOSED_CRASHES
 
 
--- a/src/shallotworks/scheduling/workers/_crash_blame.py
+++ b/src/shallotworks/scheduling/workers/_crash_blame.py
@@ -30,8 +30,6 @@
 """A worker that goes within this time of a start is taken for crashed by it. A later crash counts
 only if it comes as long after the start as `MIN_ALIKE_CRASHES` earlier ones of the task."""
 MIN_ALIKE_CRASHES = 2
-MAX_APART_S = 0.3
-MAX_APART_RATIO = 0.15
 MAX_PROBATION_S = 8.0
 """Upper bound of the probation time."""
 MIN_LATE_CRASHES = 3
@@ -160,7 +158,8 @@
         if on_probation:
             self._crashes.append(wall_s)
         for run, blame in on_probation:
-            ran_s = max(0.0, now_s - run.since_s)
+            is_known = cause is LossCause.CONNECTIONS_CLOSED or run in worker.isolated_runs
+            ran_s = max(0.0, now_s - run.since_s) if is_known else 0.0
             self._note(run, blame, is_certain=False, cause=cause, wall_s=wall_s, ran_s=ran_s)
         suspects = [
             run
@@ -243,7 +242,8 @@
                 self._unanswered_starts[run.run_id] = (blame, cause)
             else:
                 is_certain = run not in unconfirmed
-                ran_s = max(0.0, _gone_s(worker) - run.since_s)
+                closed_s = worker.connection_closed_s
+                ran_s = max(0.0, closed_s - run.since_s) if closed_s is not None else 0.0
                 self._note(
                     run, blame, is_certain=is_certain, cause=cause, wall_s=wall_s, ran_s=ran_s
                 )
@@ -386,9 +386,7 @@
         alike = [
             lost
             for lost in tracked_job.progress.lost_runs(tracked_job.job, run.name)
-            if lost.run_id != run.run_id
-            and lost.is_crash
-            and abs(lost.ran_s - ran_s) <= MAX_APART_S + MAX_APART_RATIO * ran_s
+            if lost.run_id != run.run_id and lost.is_crash and lost.is_alike(ran_s)
         ]
         return len(alike) >= MIN_ALIKE_CRASHES
 
--- a/tests/test_crash_blame.py
+++ b/tests/test_crash_blame.py
@@ -130,6 +130,17 @@
                 False,
                 True,
             ),
+            (
+                "five proven at different times after the starts",
+                tuple(
+                    run._replace(ran_s=ran_s)
+                    for run, ran_s in zip(
+                        with_proofs(5), (0.71, 3.9, 0.48, 0.41, 0.22), strict=True
+                    )
+                ),
+                False,
+                True,
+            ),
             ("four closed", repeated(CLOSED, 4), False, True),
             ("five closed", repeated(CLOSED, 5), True, True),
             ("one late", lost(LATE), False, False),
