Pass the clock to a test's call of note_worker_silent

Cause: the call has taken the time on the scheduler's clock since losses are compared with one another; test_copies still called it with the time of day alone and ended in an error.

Change: the test passes both; what it asserts is as before.

Measured: test_copies (31) passes.

--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -169,7 +169,9 @@
         harness = CopyHarness()
         first = harness.start_first()
         harness.now_s += 0.1
-        harness.scheduler_state.crashes.note_worker_silent(harness.worker(first.worker_id), 1e6)
+        harness.scheduler_state.crashes.note_worker_silent(
+            harness.worker(first.worker_id), harness.now_s, 1e6
+        )
         harness.slow_down(first)
         self.assertTrue(harness.scheduler_state.tracked_jobs[JOB_ID].progress.lost)
         self.assertEqual([], harness.starts())
