Open a bounded number of overdue occurrences of a job

What callers saw: after a repeated job with 432,000 overdue occurrences was accepted, no process did any work for its service any more. Jobs accepted later never began, and callers of the process whose turn it was got no answer.

Cause: JobEntries opened all overdue occurrences in one step of the event loop, 6.1 s for these, while the lease lasts 2 s. Each successor did the same. The progress record had a row for each ended step of each occurrence, so that the store would have refused it after about 75,000.

Change: a job opens further overdue occurrences while fewer than 128 of its tasks wait, all jobs together about 1,024 tasks; a decision starts 64. Ended occurrences are stored as ranges beyond 8 KiB of rows, a too long record leaves out the earliest lost runs, and ended occurrences leave nothing in memory. Occurrences past any use come after all other jobs. The watcher of the store yields after 20 ms. occurrences-overdue names the job.

--- a/src/shallotworks/jobs/__init__.py
+++ b/src/shallotworks/jobs/__init__.py
@@ -16,7 +16,7 @@
 )
 from ._request_handler import JobRequestHandler, JobRequestStatus, JobResponse
 from ._retry_after import retry_after_s
-from ._spec import Job, QueuePolicy, Repeats, Step, TaskName, job_problems
+from ._spec import MAX_TASKS, Job, QueuePolicy, Repeats, Step, TaskName, job_problems
 from ._team import Resources, Team
 
 __all__ = [
@@ -31,6 +31,7 @@
     "JobState",
     "LossCause",
     "LostRun",
+    "MAX_TASKS",
     "QueuePolicy",
     "Repeats",
     "Resources",
--- a/src/shallotworks/jobs/_progress.py
+++ b/src/shallotworks/jobs/_progress.py
@@ -5,6 +5,7 @@
 from enum import Enum, unique
 
 from ._crashes import LostRun, is_crash_looping
+from ._occurrences import OccurrenceRanges
 from ._spec import Job, TaskName
 
 __all__ = ["JobProgress", "JobState"]
@@ -43,7 +44,9 @@
     Args:
         queue: Name of the job's queue, so that its state can be reported without reading the job.
         state: Its state.
-        done: Bitmask of the numbers of the tasks that are done, by occurrence and step.
+        done: Bitmask of the numbers of the tasks that are done, by occurrence and step; empty for
+            the occurrences in ``ended``.
+        ended: Occurrences of a repeated job of which all tasks are done.
         failures: Ids of the failed runs of each task. They are a set, since an end that was stored
             but not acknowledged is reported again to the next scheduler and must count once.
         lost: Runs of each task that were lost with their workers, until the task is done.
@@ -51,7 +54,7 @@
         team: The team whose job it is; empty for a job of a public queue.
     """
 
-    __slots__ = ("done", "ended_s", "failures", "lost", "queue", "state", "team")
+    __slots__ = ("done", "ended", "ended_s", "failures", "lost", "queue", "state", "team")
 
     def __init__(
         self,
@@ -63,11 +66,13 @@
         lost: dict[tuple[int, int, int], tuple[LostRun, ...]] | None = None,
         ended_s: float = 0.0,
         team: str = "",
+        ended: OccurrenceRanges | None = None,
     ) -> None:
         self.queue = queue
         self.team = team
         self.state = state
         self.done = done if done is not None else {}
+        self.ended = ended if ended is not None else OccurrenceRanges()
         self.failures = failures if failures is not None else {}
         self.lost = lost if lost is not None else {}
         self.ended_s = ended_s
@@ -78,22 +83,58 @@
 
     def is_done(self, name: TaskName) -> bool:
         """Whether a task has succeeded."""
+        if name.occurrence in self.ended:
+            return True
         return bool(self.done.get((name.occurrence, name.step), 0) >> name.number & 1)
 
     def is_step_done(self, job: Job, occurrence: int, step: int) -> bool:
         """Whether all tasks of a step have succeeded."""
+        if occurrence in self.ended:
+            return True
         return self.done.get((occurrence, step), 0) == (1 << job.steps[step].count) - 1
 
+    def has_begun(self, job: Job, occurrence: int) -> bool:
+        """Whether a task of an occurrence has succeeded."""
+        return occurrence in self.ended or any(
+            (occurrence, step) in self.done for step in range(len(job.steps))
+        )
+
     def note_done(self, job: Job, name: TaskName, *, now_s: float) -> None:
         """Record that a task succeeded; the one end of a gang counts for all its tasks."""
+        if name.occurrence in self.ended:
+            return
         key = (name.occurrence, name.step)
         step = job.steps[name.step]
         bits = (1 << step.count) - 1 if step.is_gang else 1 << name.number
         self.done[key] = self.done.get(key, 0) | bits
         self.lost.pop(_attempts_key(job, name), None)
-        if self._are_all_steps_done(job):
+        if not self._are_all_steps_done(job, name.occurrence):
+            return
+        if job.repeats is not None:
+            self._note_ended(job, {name.occurrence})
+        if job.repeats is None or self.ended.count == job.occurrences:
             self.finish(JobState.COMPLETED, now_s=now_s)
 
+    def compact(self, job: Job) -> None:
+        """Move the ended occurrences of a repeated job from ``done`` to ``ended``.
+
+        Earlier releases stored the tasks of each of them.
+        """
+        if job.repeats is None:
+            return
+        started = {occurrence for occurrence, _ in self.done}
+        self._note_ended(job, {one for one in started if self._are_all_steps_done(job, one)})
+
+    def _note_ended(self, job: Job, occurrences: set[int]) -> None:
+        for occurrence in sorted(occurrences):
+            self.ended.add(occurrence)
+            for step in range(len(job.steps)):
+                self.done.pop((occurrence, step), None)
+        for failed in [key for key in self.failures if key[0] in occurrences]:
+            del self.failures[failed]
+        for lost in [key for key in self.lost if key[0] in occurrences]:
+            del self.lost[lost]
+
     def note_failed(self, job: Job, name: TaskName, run_id: int, *, now_s: float) -> bool:
         """Count a failed run, once; the members of a gang share one count.
 
@@ -102,7 +143,7 @@
         """
         key = _attempts_key(job, name)
         earlier = self.failures.get(key, ())
-        if job.steps[name.step].is_lasting or run_id in earlier:
+        if job.steps[name.step].is_lasting or run_id in earlier or name.occurrence in self.ended:
             return False
         self.failures[key] = (*earlier, run_id)
         if len(self.failures[key]) >= job.policy.most_attempts:
@@ -123,6 +164,8 @@
         Once a loss is certain, its record only gains what proves it. A job with a task in a crash
         loop, whose runs crash their workers again and again, fails.
         """
+        if name.occurrence in self.ended:
+            return False
         earlier = self.lost_runs(job, name)
         recorded = next((run for run in earlier if run.run_id == lost.run_id), None)
         if recorded == lost:
@@ -173,12 +216,8 @@
             self.state = state
             self.ended_s = now_s
 
-    def _are_all_steps_done(self, job: Job) -> bool:
-        return all(
-            self.is_step_done(job, occurrence, step)
-            for occurrence in range(job.occurrences)
-            for step in range(len(job.steps))
-        )
+    def _are_all_steps_done(self, job: Job, occurrence: int) -> bool:
+        return all(self.is_step_done(job, occurrence, step) for step in range(len(job.steps)))
 
 
 def _attempts_key(job: Job, name: TaskName) -> tuple[int, int, int]:
--- a/src/shallotworks/jobs/_records.py
+++ b/src/shallotworks/jobs/_records.py
@@ -10,7 +10,8 @@
 
 from ._crashes import Blame, LossCause, LostRun
 from ._incarnation import Incarnation
-from ._progress import JobProgress, JobState
+from ._occurrences import OccurrenceRanges
+from ._progress import MAX_LOST_RUNS, JobProgress, JobState
 from ._spec import Job
 
 __all__ = ["JobKeys", "decode_job", "decode_progress", "encode_job", "encode_progress"]
@@ -18,6 +19,12 @@
 JOBS_PREFIX = "shallotworks/work/"
 JOB_SUFFIX = ".job"
 PROGRESS_SUFFIX = ".progress"
+MAX_PROGRESS_BYTES = 524_288
+"""Half of the longest value that the store takes. Source: the platform's settings."""
+MAX_LISTED_ENDED_BYTES = 8_192
+"""Ended occurrences are listed with their tasks up to this size, as earlier releases read them, and
+as ranges beyond it."""
+ENDED_ROW = "ended"
 
 _JOB_ADAPTER = TypeAdapter(Job)
 
@@ -76,40 +83,78 @@
     return _JOB_ADAPTER.validate_json(record)
 
 
-def encode_progress(progress: JobProgress) -> bytes:
-    """Encode a job's progress; equal progress gives equal bytes."""
+def encode_progress(progress: JobProgress, job: Job | None = None) -> bytes:
+    """Encode a job's progress; equal progress gives equal bytes.
+
+    A record that would be too long for the store leaves out the earliest lost runs of each task.
+
+    Args:
+        progress: The progress.
+        job: The job, if it is known. Few ended occurrences are then stored as earlier releases read
+            them.
+    """
+    for most_lost_runs in (MAX_LOST_RUNS, MAX_LOST_RUNS // 2, 1, 0):
+        record = json.dumps(
+            _progress_fields(progress, job, most_lost_runs), separators=(",", ":")
+        ).encode()
+        if len(record) <= MAX_PROGRESS_BYTES:
+            break
+    return record
+
+
+def _progress_fields(progress: JobProgress, job: Job | None, most_lost_runs: int) -> dict[str, Any]:
     record: dict[str, Any] = {"queue": progress.queue, "state": progress.state.value}
     if progress.team:
         record["team"] = progress.team
-    if progress.done:
-        record["done"] = [[*key, f"{bits:x}"] for key, bits in sorted(progress.done.items())]
+    done = [[*key, f"{bits:x}"] for key, bits in sorted(progress.done.items())]
+    if progress.ended:
+        done = _ended_rows(progress.ended, job) + done
+    if done:
+        record["done"] = done
     if progress.failures:
         record["failures"] = [[*key, runs] for key, runs in sorted(progress.failures.items())]
-    if progress.lost:
+    if progress.lost and most_lost_runs:
         record["lost"] = [
-            [
-                *key,
-                [
-                    [
-                        lost_run.run_id,
-                        lost_run.incarnation.worker_id,
-                        lost_run.blame.value,
-                        lost_run.is_certain,
-                        lost_run.incarnation.born_ms,
-                        lost_run.is_received,
-                        lost_run.cause.value,
-                        lost_run.noted_by,
-                        lost_run.is_witnessed,
-                        lost_run.ran_s,
-                    ]
-                    for lost_run in runs
-                ],
-            ]
+            [*key, [_encode_lost_run(run) for run in runs[-most_lost_runs:]]]
             for key, runs in sorted(progress.lost.items())
         ]
     if progress.ended_s:
         record["ended_s"] = round(progress.ended_s, 3)
-    return json.dumps(record, separators=(",", ":")).encode()
+    return record
+
+
+def _ended_rows(ended: OccurrenceRanges, job: Job | None) -> list[list[Any]]:
+    """Return the rows for ended occurrences: one for each step of each, or one with all ranges.
+
+    A release that does not know the ranges finds the latter row unreadable. If it skipped the row,
+    it would run these occurrences again.
+    """
+    if job is not None:
+        masks = [f"{(1 << step.count) - 1:x}" for step in job.steps]
+        row_bytes = sum(len(mask) + len(str(job.occurrences)) for mask in masks)
+        if ended.count * row_bytes <= MAX_LISTED_ENDED_BYTES:
+            return [
+                [occurrence, step, mask]
+                for first, last in ended.ranges()
+                for occurrence in range(first, last + 1)
+                for step, mask in enumerate(masks)
+            ]
+    return [[ENDED_ROW, ended.ranges()]]
+
+
+def _encode_lost_run(run: LostRun) -> list[Any]:
+    return [
+        run.run_id,
+        run.incarnation.worker_id,
+        run.blame.value,
+        run.is_certain,
+        run.incarnation.born_ms,
+        run.is_received,
+        run.cause.value,
+        run.noted_by,
+        run.is_witnessed,
+        run.ran_s,
+    ]
 
 
 def decode_progress(record: bytes) -> JobProgress:
@@ -123,7 +168,17 @@
         return JobProgress(
             queue=fields["queue"],
             state=JobState(fields["state"]),
-            done={(row[0], row[1]): int(row[2], 16) for row in fields.get("done", ())},
+            done={
+                (row[0], row[1]): int(row[2], 16)
+                for row in fields.get("done", ())
+                if row[0] != ENDED_ROW
+            },
+            ended=OccurrenceRanges(
+                (first, last)
+                for row in fields.get("done", ())
+                if row[0] == ENDED_ROW
+                for first, last in row[1]
+            ),
             failures={
                 (row[0], row[1], row[2]): tuple(row[3]) for row in fields.get("failures", ())
             },
--- a/src/shallotworks/jobs/_spec.py
+++ b/src/shallotworks/jobs/_spec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import NamedTuple
@@ -151,6 +152,13 @@
             return self.accepted_s
         return self.repeats.first_s + occurrence * self.repeats.interval_s
 
+    def count_due(self, wall_s: float) -> int:
+        """Return the number of occurrences that are due at a time of day."""
+        if self.repeats is None or not self.repeats.interval_s:
+            return self.occurrences if self.due_s(0) <= wall_s else 0
+        passed = math.floor((wall_s - self.repeats.first_s) / self.repeats.interval_s)
+        return max(0, min(self.occurrences, passed + 1))
+
     def critical_path_s(self) -> float:
         """Estimated duration of the longest chain of dependent steps."""
         ends_s: list[float] = []
--- a/src/shallotworks/scheduling/_decisions.py
+++ b/src/shallotworks/scheduling/_decisions.py
@@ -198,8 +198,7 @@
 
     def _apply_timeouts(self, now_s: float, wall_s: float) -> None:
         scheduler_state = self._scheduler_state
-        for job_id in list(scheduler_state.jobs_with_future_occurrences):
-            scheduler_state.open_due_steps(scheduler_state.tracked_jobs[job_id], wall_s)
+        scheduler_state.open_due_steps(wall_s)
         for worker_id in list(scheduler_state.pending_recovery):
             ends_s = scheduler_state.recovery_ends_s(worker_id)
             if ends_s is not None and now_s > ends_s:
--- a/src/shallotworks/scheduling/_job_entries.py
+++ b/src/shallotworks/scheduling/_job_entries.py
@@ -5,7 +5,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-from shallotworks.jobs import Job, JobProgress, JobState, TaskName
+from shallotworks.jobs import MAX_TASKS, Job, JobProgress, JobState, TaskName
 from shallotworks.logs import StructuredLog
 
 from ._epoch_numbers import EpochNumbers
@@ -18,6 +18,14 @@
 __all__ = ["JobEntries", "StoredProgress"]
 
 MAX_TRACKED_ARRIVALS = 1_000
+MAX_WAITING_TASKS = 128
+"""A repeated job opens no further overdue occurrence while this many of its tasks wait. A decision
+starts 64 tasks at most, and the next one opens as many again."""
+MAX_OVERDUE_TASKS = 1_024
+"""All jobs with overdue occurrences together open about this many of their tasks, and each job at
+least one."""
+TASK_NUMBERS = tuple(range(MAX_TASKS))
+"""Shared by the lists of waiting tasks, so that these hold only references."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -56,6 +64,7 @@
         "finished_jobs",
         "isolation",
         "jobs_with_future_occurrences",
+        "jobs_with_overdue_occurrences",
         "runs_to_stop",
         "service",
         "team_use",
@@ -78,7 +87,9 @@
         self.runs_to_stop: set[Run] = set()
         """Runs that must be stopped, each until its end is certain."""
         self.jobs_with_future_occurrences: set[str] = set()
-        """Jobs with occurrences that are not due yet."""
+        """Jobs with occurrences that are not open yet."""
+        self.jobs_with_overdue_occurrences: set[str] = set()
+        """Jobs with occurrences that are due and not open yet."""
         self.arrivals: deque[Arrival] = deque(maxlen=MAX_TRACKED_ARRIVALS)
         """Time of day in seconds and estimated work in core-seconds of the latest jobs."""
         self.team_use = TeamUse()
@@ -125,11 +136,12 @@
             job=job, progress=progress, revision=revision, is_inherited=is_inherited
         )
         tracked_job.is_beyond_weight = is_beyond_weight
+        progress.compact(job)
         self.tracked_jobs[job.job_id] = tracked_job
         if not is_inherited and not job.is_lasting and not is_beyond_weight:
             self.arrivals.append((wall_s, tracked_job.work_core_s))
         self.jobs_with_future_occurrences.add(job.job_id)
-        self.open_due_steps(tracked_job, wall_s)
+        self._open_occurrences(tracked_job, wall_s)
 
     def update_progress(self, job_id: str, progress: JobProgress, revision: int) -> None:
         """Record that a job's progress was written, by this scheduler or by a caller's cancel."""
@@ -159,34 +171,64 @@
             # No later commit will include this job, so its ends can't wait for one.
             self._release_stored_ends(tracked_job, tracked_job.changes)
 
-    def open_due_steps(self, tracked_job: TrackedJob, wall_s: float) -> None:
-        """Open the steps of all occurrences that are due."""
-        job = tracked_job.job
-        while tracked_job.next_occurrence < job.occurrences:
-            occurrence = tracked_job.next_occurrence
+    def open_due_steps(self, wall_s: float) -> None:
+        """Open the steps of occurrences that are due, as many as a decision can start tasks of.
+
+        The failure: a job with hundreds of thousands of overdue occurrences, all opened at once,
+        stopped the event loop for longer than a lease.
+        """
+        for job_id in list(self.jobs_with_future_occurrences):
+            overdue_jobs = max(1, len(self.jobs_with_overdue_occurrences))
+            most_waiting = min(MAX_WAITING_TASKS, max(1, MAX_OVERDUE_TASKS // overdue_jobs))
+            self._open_occurrences(self.tracked_jobs[job_id], wall_s, most_waiting)
+
+    def _open_occurrences(
+        self, tracked_job: TrackedJob, wall_s: float, most_waiting: int = 1
+    ) -> None:
+        """Open due occurrences of a job until ``most_waiting`` of its tasks wait."""
+        job, ended = tracked_job.job, tracked_job.progress.ended
+        overdue = self.jobs_with_overdue_occurrences
+        overdue.discard(job.job_id)
+        waiting: int | None = None
+        while True:
+            occurrence = ended.first_missing(tracked_job.next_occurrence)
+            tracked_job.next_occurrence = occurrence
+            if occurrence >= job.occurrences:
+                self.jobs_with_future_occurrences.discard(job.job_id)
+                return
             if job.repeats is not None and job.due_s(occurrence) > wall_s:
                 return
+            if waiting is None:
+                steps_with_lost_runs = tracked_job.steps_with_lost_runs()
+                waiting = tracked_job.count_waiting_tasks()
+            if waiting >= most_waiting:
+                overdue.add(job.job_id)
+                return
             tracked_job.next_occurrence += 1
             for number in range(len(job.steps)):
-                self._open_step(tracked_job, occurrence, number)
-        self.jobs_with_future_occurrences.discard(job.job_id)
+                opened = self._open_step(tracked_job, occurrence, number)
+                waiting += opened * ((occurrence, number) not in steps_with_lost_runs)
 
-    def _open_step(self, tracked_job: TrackedJob, occurrence: int, number: int) -> None:
+    def _open_step(self, tracked_job: TrackedJob, occurrence: int, number: int) -> int:
+        """Open a step, unless it is open or done or comes later; return its waiting tasks."""
         job, progress = tracked_job.job, tracked_job.progress
         key = (occurrence, number)
         if key in tracked_job.steps or progress.is_step_done(job, occurrence, number):
-            return
+            return 0
         earlier = job.steps[number].after
-        if not all(progress.is_step_done(job, occurrence, before) for before in earlier):
-            return
+        if not all(progress.is_step_done(job, occurrence, one) for one in earlier):
+            return 0
         step = TrackedStep(tracked_job=tracked_job, occurrence=occurrence, number=number)
-        step.waiting = [
-            index
-            for index in range(step.step.count)
-            if not progress.is_done(step.name(index))
-            and step.name(index) not in tracked_job.live_runs
-        ]
+        step.waiting = list(TASK_NUMBERS[: step.step.count])
+        if progress.done.get(key) or tracked_job.live_runs:
+            step.waiting = [
+                index
+                for index in step.waiting
+                if not progress.is_done(step.name(index))
+                and step.name(index) not in tracked_job.live_runs
+            ]
         tracked_job.steps[key] = step
+        return len(step.waiting)
 
     def open_step(self, name: TaskName) -> TrackedStep | None:
         """Return a task's step, or ``None`` if the step is not open or is done."""
@@ -199,6 +241,7 @@
         """Close the steps of a job that has ended, and stop its runs."""
         tracked_job.steps.clear()
         self.jobs_with_future_occurrences.discard(tracked_job.job.job_id)
+        self.jobs_with_overdue_occurrences.discard(tracked_job.job.job_id)
         for runs in tracked_job.live_runs.values():
             for run in runs:
                 self.request_stop(run, reason)
@@ -323,6 +366,8 @@
             for number, later in enumerate(tracked_job.job.steps):
                 if name.step in later.after:
                     self._open_step(tracked_job, name.occurrence, number)
+        if name.occurrence in tracked_job.progress.ended:
+            tracked_job.forget_occurrence(name.occurrence)
         if tracked_job.progress.state.is_final:
             self.close_job(tracked_job, "completed")
 
--- a/src/shallotworks/scheduling/_progress_writer.py
+++ b/src/shallotworks/scheduling/_progress_writer.py
@@ -123,7 +123,7 @@
                     ),
                 ),
                 writes=tuple(
-                    Write(key=key, value=encode_progress(tracked_job.progress))
+                    Write(key=key, value=encode_progress(tracked_job.progress, tracked_job.job))
                     for key, tracked_job in keys.items()
                 ),
                 deletes=tuple(
--- a/src/shallotworks/scheduling/_service_scheduler.py
+++ b/src/shallotworks/scheduling/_service_scheduler.py
@@ -171,6 +171,7 @@
             prefix=self._keys.prefix,
             listener=self,
             log=dependencies.log,
+            clock=dependencies.clock,
             pause_s=JOB_WATCH_PAUSE_S,
         )
         self._demand_publisher = DemandPublisher(
@@ -319,6 +320,14 @@
             wall_s=self._dependencies.wall_clock(),
             is_beyond_weight=self._team_weights.is_beyond_weight(job),
         )
+        if job_id in self.scheduler_state.jobs_with_overdue_occurrences:
+            tracked_job = self.scheduler_state.tracked_jobs[job_id]
+            self._log(
+                "occurrences-overdue",
+                id=job_id,
+                overdue=job.count_due(self._dependencies.wall_clock()) - progress.ended.count,
+                tasks_open=tracked_job.count_waiting_tasks(),
+            )
 
     def on_delete(self, key: str, revision: int) -> None:
         """Process the deletion of a record.
--- a/src/shallotworks/scheduling/_tracked_jobs.py
+++ b/src/shallotworks/scheduling/_tracked_jobs.py
@@ -128,6 +128,15 @@
         lost = self.tracked_job.progress.lost
         return [runs for key, runs in lost.items() if key[:2] == (self.occurrence, self.number)]
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a task of the job, or of the step's occurrence if the job repeats, has begun."""
+        tracked_job = self.tracked_job
+        job, progress = tracked_job.job, tracked_job.progress
+        if job.repeats is None:
+            return bool(tracked_job.runs or progress.done)
+        return len(self.waiting) < self.step.count or progress.has_begun(job, self.occurrence)
+
     def note_refusal(self, now_s: float) -> None:
         """Back off after a start was refused as invalid; any worker would refuse the next one."""
         backoff_s = min(MAX_REFUSAL_BACKOFF_S, MIN_REFUSAL_BACKOFF_S * 2**self.refusals)
@@ -229,6 +238,29 @@
         if not alive:
             self.live_runs.pop(run.name, None)
 
+    def steps_with_lost_runs(self) -> set[tuple[int, int]]:
+        """Return the steps with lost runs, by occurrence and number."""
+        return {(occurrence, number) for occurrence, number, _ in self.progress.lost}
+
+    def count_waiting_tasks(self) -> int:
+        """Return how many tasks wait, without those of steps with lost runs.
+
+        The latter may have to be started in isolation, one after the other.
+        """
+        omitted = self.steps_with_lost_runs()
+        return sum(len(step.waiting) for key, step in self.steps.items() if key not in omitted)
+
+    def forget_occurrence(self, occurrence: int) -> None:
+        """Drop what is known of the tasks of an occurrence that has ended."""
+        for name in [name for name in self.avoided_workers if name.occurrence == occurrence]:
+            del self.avoided_workers[name]
+        for name in [name for name in self.checkpoints if name.occurrence == occurrence]:
+            del self.checkpoints[name]
+        for run_id in [
+            run_id for run_id, end in self.failed_ends.items() if end.name.occurrence == occurrence
+        ]:
+            del self.failed_ends[run_id]
+
     @property
     def is_dirty(self) -> bool:
         """Whether the latest progress is not stored yet."""
--- a/src/shallotworks/scheduling/machines/_sizing.py
+++ b/src/shallotworks/scheduling/machines/_sizing.py
@@ -140,6 +140,7 @@
             "tasks_recovering": tasks_recovering(self._scheduler_state),
             "tasks_hopeless": sum(len(step.waiting) for step in hopeless),
             "jobs": len(self._scheduler_state.tracked_jobs),
+            "jobs_overdue": len(self._scheduler_state.jobs_with_overdue_occurrences),
             "unseen_workers": len(self._scheduler_state.pending_recovery),
         }
 
--- a/src/shallotworks/scheduling/teams/_team_weights.py
+++ b/src/shallotworks/scheduling/teams/_team_weights.py
@@ -15,7 +15,7 @@
 
 from shallotworks.jobs import Job, Resources, Step, Team
 
-from .._ordering import urgency
+from .._ordering import rank, urgency
 from ._token_bucket import TokenBucket
 
 if TYPE_CHECKING:
@@ -157,7 +157,7 @@
             if level is None:
                 level = levels[job.job_id] = int(projection.share * STEPS_PER_SHARE)
             # Among equal levels the place in this order stands for all later keys.
-            keys[step] = (1, job.policy.priority, group, level, number)
+            keys[step] = (rank(step, wall_s), job.policy.priority, group, level, number)
             if not (step.step.is_gang or job.policy.is_advised):
                 # Others may wait long for all their members, or for permits.
                 projection.add(step.step, len(step.waiting))
@@ -173,7 +173,7 @@
         if tracked_step.step.is_lasting or not self._shares:
             return urgency(tracked_step, wall_s)
         return self._keys.get(tracked_step) or (
-            1,
+            rank(tracked_step, wall_s),
             tracked_step.tracked_job.job.policy.priority,
             _group(tracked_step, wall_s),
         )
--- a/src/shallotworks/store/_prefix_watcher.py
+++ b/src/shallotworks/store/_prefix_watcher.py
@@ -24,6 +24,8 @@
 PROBE_WAIT_S = 0.05
 """Wait of one watch call while the store fails. A watch sent just before the store recovers has to
 time out before lease holders are known again; with the full wait that took up to 2 s."""
+MAX_HOLD_S = 0.02
+"""A listener may take tens of milliseconds for one large record, and an answer holds hundreds."""
 LARGE_ANSWER_EVENTS = 250
 """An answer with at least this many events is followed by the next watch at once, because more
 events may be waiting."""
@@ -62,7 +64,7 @@
             received their changes; not after a failure or an answer that reports lost history. Its
             argument is the time at which the read or watch was sent: the listener knows all that
             the store had acknowledged by then.
-        clock: Seconds; the clock of that time.
+        clock: Seconds; the clock of that time, and of how long the listener holds the event loop.
         pause_s: Pause between a change and the next watch, so that changes in quick succession
             arrive in one answer; each call is paid for.
     """
@@ -130,10 +132,12 @@
             if not isinstance(outcome, Success):
                 return Err(outcome.failure())
             page = outcome.unwrap()
+            held_since_s = self._clock()
             lowest = page.revision if lowest is None else min(lowest, page.revision)
             for item in page.items:
                 seen.add(item.key)
                 self._write(item)
+                held_since_s = await self._yield_if_held(held_since_s)
             if not page.has_more or not page.items:
                 break
             after = page.items[-1].key
@@ -151,17 +155,26 @@
         if changes.is_history_lost:
             self._log.line("store-history-lost", prefix=self._prefix, after_revision=revision)
             return Success(None)
+        held_since_s = self._clock()
         for event in changes.events:
             if isinstance(event, Deletion):
                 self._delete(event.key, event.revision)
             else:
                 self._write(event)
+            held_since_s = await self._yield_if_held(held_since_s)
         # If changes arrive faster than answers can carry them, a watcher that pauses after a full
         # answer never catches up. A leaving worker then appears ready for many seconds more.
         if self._pause_s and 0 < len(changes.events) < LARGE_ANSWER_EVENTS:
             await asyncio.sleep(self._pause_s)
         return Success(max(changes.revision, revision))
 
+    async def _yield_if_held(self, held_since_s: float) -> float:
+        """Let other tasks run if the loop has been held for long; return since when it is held."""
+        if self._clock() - held_since_s < MAX_HOLD_S:
+            return held_since_s
+        await asyncio.sleep(0)
+        return self._clock()
+
     def _write(self, item: Item) -> None:
         if self._known_revisions.get(item.key, 0) >= item.revision:
             return
