Compute the objective of a job once for all its steps

What callers would see: a job of 10,000 steps, which is accepted, stops its service as overdue occurrences do.

Cause: each open step computed the job's objective over all steps, and each end of a task looked through all steps for those that come after it.

Change: a job's objective and later steps are computed when it is read.

--- a/src/shallotworks/jobs/_progress.py
+++ b/src/shallotworks/jobs/_progress.py
@@ -217,6 +217,8 @@
             self.ended_s = now_s
 
     def _are_all_steps_done(self, job: Job, occurrence: int) -> bool:
+        if len(self.done) < len(job.steps):
+            return False
         return all(self.is_step_done(job, occurrence, step) for step in range(len(job.steps)))
 
 
--- a/src/shallotworks/scheduling/_job_entries.py
+++ b/src/shallotworks/scheduling/_job_entries.py
@@ -216,7 +216,8 @@
         if key in tracked_job.steps or progress.is_step_done(job, occurrence, number):
             return 0
         earlier = job.steps[number].after
-        if not all(progress.is_step_done(job, occurrence, one) for one in earlier):
+        # Steps mostly end in order, so that the last one settles it.
+        if not all(progress.is_step_done(job, occurrence, one) for one in reversed(earlier)):
             return 0
         step = TrackedStep(tracked_job=tracked_job, occurrence=occurrence, number=number)
         step.waiting = list(TASK_NUMBERS[: step.step.count])
@@ -363,9 +364,8 @@
             step.waiting.remove(name.number)
         if tracked_job.progress.is_step_done(tracked_job.job, name.occurrence, name.step):
             tracked_job.steps.pop((name.occurrence, name.step), None)
-            for number, later in enumerate(tracked_job.job.steps):
-                if name.step in later.after:
-                    self._open_step(tracked_job, name.occurrence, number)
+            for number in tracked_job.later_steps[name.step]:
+                self._open_step(tracked_job, name.occurrence, number)
         if name.occurrence in tracked_job.progress.ended:
             tracked_job.forget_occurrence(name.occurrence)
         if tracked_job.progress.state.is_final:
--- a/src/shallotworks/scheduling/_tracked_jobs.py
+++ b/src/shallotworks/scheduling/_tracked_jobs.py
@@ -86,8 +86,10 @@
         """The rack of the first task that was placed, if the step prefers one rack."""
         self.critical_path_s = tracked_job.critical_paths_s[number]
         """Estimated time from the start of the step to the end of its occurrence."""
-        self.objective_ends_s = job.due_s(occurrence) + job.objective_s()
-        self.useful_until_s = job.due_s(occurrence) + job.objective_s() * MAX_USEFUL_OBJECTIVES
+        self.objective_ends_s = job.due_s(occurrence) + tracked_job.objective_s
+        self.useful_until_s = (
+            job.due_s(occurrence) + tracked_job.objective_s * MAX_USEFUL_OBJECTIVES
+        )
         self.advice = StepAdvice()
         """Which workers may run the step, if the policy of its queue asks for advice."""
         self.refusals = 0
@@ -176,8 +178,10 @@
         "is_beyond_weight",
         "is_inherited",
         "job",
+        "later_steps",
         "live_runs",
         "next_occurrence",
+        "objective_s",
         "progress",
         "revision",
         "runs",
@@ -212,6 +216,9 @@
         self.checkpoints: dict[TaskName, str] = {}
         """The latest checkpoint of each task that has one."""
         self.critical_paths_s = _critical_paths_s(job)
+        self.objective_s = job.objective_s()
+        self.later_steps = _later_steps(job)
+        """Numbers of the steps that come directly after each step."""
         self.work_core_s = sum(
             step.count * step.estimated_s * max(step.cpu_millicores, 1) / 1000 for step in job.steps
         )
@@ -275,3 +282,12 @@
             longest = job.steps[earlier].estimated_s + critical_paths[number]
             critical_paths[earlier] = max(critical_paths[earlier], longest)
     return critical_paths
+
+
+def _later_steps(job: Job) -> list[list[int]]:
+    """Return for each step the numbers of the steps that come directly after it."""
+    later: list[list[int]] = [[] for _ in job.steps]
+    for number, step in enumerate(job.steps):
+        for earlier in set(step.after):
+            later[earlier].append(number)
+    return later
--- a/tests/test_overdue_occurrences.py
+++ b/tests/test_overdue_occurrences.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+import time
 import unittest
 from unittest import mock
 
@@ -104,6 +105,14 @@
         opened = [entry.occurrence for entry in harness.scheduler_state.open_steps()]
         self.assertGreater(max(opened), 500)
 
+    def test_a_job_of_many_steps_is_added_within_a_lease(self) -> None:
+        """Guards against a job whose steps are each compared with all others when it is read."""
+        harness = SchedulingHarness(view("w"))
+        started_s = time.perf_counter()
+        harness.add_job(job("j", *[step(1)] * 10_000))
+        harness.decide()
+        self.assertLess(time.perf_counter() - started_s, LEASE_S)
+
 
 class RunTests(unittest.TestCase):
     @parameterized.expand([(seed,) for seed in range(5)])
