Try the members of a gang only if all may fit

What callers would see: large gangs that wait hold each decision up for seconds, and with it all work of the service.

Cause: each decision placed the members one by one until one found no room, and evaluated all workers anew for each.

Change: a gang is passed over if the free capacity has no room for all its members, and workers are evaluated once, then again only after a placement.

--- a/src/shallotworks/scheduling/_gangs.py
+++ b/src/shallotworks/scheduling/_gangs.py
@@ -5,7 +5,7 @@
 from collections.abc import Collection, Iterable
 
 from ._model import Run, RunPhase, Worker
-from ._placement import Placement
+from ._placement import Candidates, Placement
 from ._tracked_jobs import TrackedStep
 
 __all__ = ["gang_checkpoint", "place_gang"]
@@ -53,12 +53,17 @@
 def _place_on_rack(
     step: TrackedStep, placement: Placement, workers: Iterable[Worker], rack: str, now_s: float
 ) -> list[tuple[int, Worker]] | None:
-    candidates = [worker for worker in workers if not rack or worker.view.rack == rack]
+    on_rack = [worker for worker in workers if not rack or worker.view.rack == rack]
+    members = len(step.waiting)
+    # Spares a large gang that can't fit the attempt to place its members one by one.
+    if sum(worker.count_fitting(step.step, most=members) for worker in on_rack) < members:
+        return None
+    candidates = Candidates(placement=placement, workers=on_rack)
     trial: list[tuple[int, Worker, Run]] = []
     try:
         for index in sorted(step.waiting):
             avoid = step.tracked_job.avoided_workers.get(step.name(index), frozenset())
-            worker = placement.choose(candidates, avoid=avoid)
+            worker = candidates.best(avoid=avoid)
             if worker is None:
                 return None
             run = Run(
@@ -70,6 +75,7 @@
                 since_s=now_s,
             )
             worker.add(run)
+            candidates.note_placed(worker)
             trial.append((index, worker, run))
         return [(index, worker) for index, worker, _ in trial]
     finally:
--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -237,6 +237,18 @@
             and self.gpus_used + step.gpus <= self.view.gpus
         )
 
+    def count_fitting(self, step: Step, *, most: int) -> int:
+        """Return how many tasks of the step fit beside the present runs, up to ``most``."""
+        if not self.fits(step):
+            return 0
+        view = self.view
+        rows = (
+            (0 if step.is_filler else step.cpu_millicores, view.cpu_millicores - self.cpu_used),
+            (step.memory_mb, view.memory_mb - self.memory_used),
+            (step.gpus, view.gpus - self.gpus_used),
+        )
+        return min((free // demand for demand, free in rows if demand), default=most)
+
     @property
     def last_seen_s(self) -> float:
         """Time of the worker's last report or last confirmation of a start."""
--- a/tests/test_overdue_occurrences.py
+++ b/tests/test_overdue_occurrences.py
@@ -113,6 +113,16 @@
         harness.decide()
         self.assertLess(time.perf_counter() - started_s, LEASE_S)
 
+    def test_large_gangs_without_room_are_passed_over_within_a_lease(self) -> None:
+        """Guards against decisions that try the members of each large gang one by one."""
+        pool = [view(f"w{n}", cpu_millicores=64_000, memory_mb=131_072) for n in range(20)]
+        harness = SchedulingHarness(*pool)
+        for number in range(100):
+            harness.add_job(job(f"{number:016x}", step(10_000, is_gang=True)))
+        started_s = time.perf_counter()
+        self.assertEqual([], harness.start_orders())
+        self.assertLess(time.perf_counter() - started_s, LEASE_S)
+
 
 class RunTests(unittest.TestCase):
     @parameterized.expand([(seed,) for seed in range(5)])
