Measure the waits of a bounded number of tasks of a step

Cause: the report of waiting tasks, once a second, held and copied a time for each waiting task.

Change: it times the first 256 waiting tasks of a step, which have waited the longest, and counts all.

The test failed before: 100,000 timed tasks.

--- a/src/shallotworks/scheduling/_waiting.py
+++ b/src/shallotworks/scheduling/_waiting.py
@@ -38,6 +38,9 @@
 MAX_EXAMINED_KINDS = 64
 """Kinds of steps examined for one report. To find that none of 100 full workers has room for 64
 kinds takes 2.5 ms of the event loop."""
+MAX_TIMED_TASKS = 256
+"""Waiting tasks of a step whose waits are measured: the first ones, of which a task that has run
+before is the last."""
 MS_PER_S = 1000
 _RANKS = {reason: rank for rank, reason in enumerate(WaitReason)}
 
@@ -284,7 +287,8 @@
         earlier, self._waiting_since_s = self._waiting_since_s, {}
         for step in steps:
             known = earlier.get(step, {})
-            self._waiting_since_s[step] = {index: known.get(index, now_s) for index in step.waiting}
+            timed = step.waiting[:MAX_TIMED_TASKS]
+            self._waiting_since_s[step] = {index: known.get(index, now_s) for index in timed}
 
     def _oldest_s(self, step: TrackedStep) -> float:
         return min(self._waiting_since_s[step].values())
--- a/tests/test_overdue_occurrences.py
+++ b/tests/test_overdue_occurrences.py
@@ -22,10 +22,12 @@
     encode_progress,
 )
 from shallotworks.jobs._occurrences import OccurrenceRanges
+from shallotworks.metrics import Metrics
 from shallotworks.scheduling import EndKind, StartOrder
 from shallotworks.scheduling import _job_entries as job_entries
+from shallotworks.scheduling._waiting import WaitMonitor
 from shallotworks.store import LeaseTiming
-from tests.scheduling_fakes import WALL_S, SchedulingHarness, job, policy, step, view
+from tests.scheduling_fakes import WALL_S, SchedulingHarness, job, policy, quiet_log, step, view
 from tests.test_pool_sizing import SizingHarness
 
 MILLION = 1_000_000
@@ -123,6 +125,19 @@
         self.assertEqual([], harness.start_orders())
         self.assertLess(time.perf_counter() - started_s, LEASE_S)
 
+    def test_the_report_of_waiting_tasks_times_a_bounded_number(self) -> None:
+        """Guards against a report that holds a time for each of a million waiting tasks."""
+        harness = SchedulingHarness(view("w"))
+        monitor = WaitMonitor(
+            scheduler_state=harness.scheduler_state, metrics=Metrics(), log=quiet_log()
+        )
+        for number in range(10):
+            harness.add_job(job(f"{number:016x}", step(10_000)))
+        summary = monitor.summarise(now_s=harness.now_s, wall_s=WALL_S)
+        self.assertEqual(100_000, sum(count for _, count in summary.counts))
+        timed = sum(len(since) for since in monitor._waiting_since_s.values())
+        self.assertLess(timed, 10_000)
+
 
 class RunTests(unittest.TestCase):
     @parameterized.expand([(seed,) for seed in range(5)])
