Keep an accepted job one job over new configurations

What callers saw: a version sent the path of a running job to another service; the request arrived again, was answered with 200, and both tasks ran a second time beside the first runs. GET was answered with 410 where the route's name had changed. Jobs of a service that left the configuration never ended once its scheduler was gone.

Cause: the keys of a job's records hold the service, which was taken from the route in force; its state compared the queue's name; instances bid only for services of the configuration in force.

Change: an acceptance record, created and deleted in one commit with the job, names its service, and a submission requires that no service has a job of the id. Requests find a job by host, prefix and id. ServiceRoster keeps a service that left the configuration until its scheduler has no jobs left. An id that another queue uses is answered with 409 in place of a 200 without a job.

--- a/src/shallotworks/jobs/__init__.py
+++ b/src/shallotworks/jobs/__init__.py
@@ -8,11 +8,14 @@
 from ._incarnation import Incarnation
 from ._progress import JobProgress, JobState
 from ._records import (
+    PENDING_PREFIX,
     JobKeys,
+    acceptance_key,
     decode_job,
     decode_progress,
     encode_job,
     encode_progress,
+    pending_count_key,
 )
 from ._request_handler import JobRequestHandler, JobRequestStatus, JobResponse
 from ._retry_after import retry_after_s
@@ -32,12 +35,14 @@
     "LossCause",
     "LostRun",
     "MAX_TASKS",
+    "PENDING_PREFIX",
     "QueuePolicy",
     "Repeats",
     "Resources",
     "Step",
     "TaskName",
     "Team",
+    "acceptance_key",
     "decode_job",
     "decode_progress",
     "encode_job",
@@ -45,5 +50,6 @@
     "job_problems",
     "is_crash_looping",
     "is_suspect",
+    "pending_count_key",
     "retry_after_s",
 ]
--- a/src/shallotworks/jobs/_progress.py
+++ b/src/shallotworks/jobs/_progress.py
@@ -6,7 +6,7 @@
 
 from ._crashes import LostRun, is_crash_looping
 from ._occurrences import OccurrenceRanges
-from ._spec import Job, TaskName
+from ._spec import Job, QueuePolicy, TaskName
 
 __all__ = ["JobProgress", "JobState"]
 
@@ -52,9 +52,21 @@
         lost: Runs of each task that were lost with their workers, until the task is done.
         ended_s: Time of day at which it reached its final state; 0 before.
         team: The team whose job it is; empty for a job of a public queue.
+        address: Host and prefix under which the job was submitted; empty in records of earlier
+            releases.
     """
 
-    __slots__ = ("done", "ended", "ended_s", "failures", "lost", "queue", "state", "team")
+    __slots__ = (
+        "address",
+        "done",
+        "ended",
+        "ended_s",
+        "failures",
+        "lost",
+        "queue",
+        "state",
+        "team",
+    )
 
     def __init__(
         self,
@@ -67,7 +79,9 @@
         ended_s: float = 0.0,
         team: str = "",
         ended: OccurrenceRanges | None = None,
+        address: str = "",
     ) -> None:
+        self.address = address
         self.queue = queue
         self.team = team
         self.state = state
@@ -81,6 +95,16 @@
         """Whether a team may see and cancel the job; ``None`` for a call on a public queue."""
         return team is None or not self.team or self.team == team
 
+    def is_reached_by(self, policy: QueuePolicy) -> bool:
+        """Whether requests on a queue are about this job, under whatever name it was accepted.
+
+        A caller knows a job by host, path and id. A later configuration may have another queue
+        under that path.
+        """
+        if self.queue == policy.queue:
+            return True
+        return bool(policy.address) and self.address in ("", policy.address)
+
     def is_done(self, name: TaskName) -> bool:
         """Whether a task has succeeded."""
         if name.occurrence in self.ended:
--- a/src/shallotworks/jobs/_records.py
+++ b/src/shallotworks/jobs/_records.py
@@ -14,9 +14,24 @@
 from ._progress import MAX_LOST_RUNS, JobProgress, JobState
 from ._spec import Job
 
-__all__ = ["JobKeys", "decode_job", "decode_progress", "encode_job", "encode_progress"]
+__all__ = [
+    "PENDING_PREFIX",
+    "Acceptance",
+    "JobKeys",
+    "acceptance_key",
+    "decode_job",
+    "decode_progress",
+    "encode_job",
+    "encode_progress",
+    "pending_count_key",
+]
 
 JOBS_PREFIX = "shallotworks/work/"
+ACCEPTANCES_PREFIX = "shallotworks/ids/"
+PENDING_PREFIX = "shallotworks/pending/"
+"""Prefix of the records that count the jobs which have not begun; the service follows it. A service
+with such a record may have accepted jobs, whether the configuration has it or not."""
+ACCEPTANCE_SUFFIX = ".acceptance"
 JOB_SUFFIX = ".job"
 PROGRESS_SUFFIX = ".progress"
 MAX_PROGRESS_BYTES = 524_288
@@ -59,7 +74,7 @@
 
     def pending_counts(self) -> str:
         """Key of the record that counts, for each queue, the jobs that have not begun."""
-        return f"shallotworks/pending/{self.service}"
+        return PENDING_PREFIX + self.service
 
     def parse(self, key: str) -> tuple[str, bool]:
         """Return the job id of a key, and whether the key is that of the job's progress."""
@@ -69,6 +84,47 @@
         return name.removesuffix(JOB_SUFFIX), False
 
 
+def acceptance_key(job_id: str) -> str:
+    """Key of the record that names the service under which a job was accepted."""
+    return f"{ACCEPTANCES_PREFIX}{job_id}{ACCEPTANCE_SUFFIX}"
+
+
+def pending_count_key(address: str) -> str:
+    """Key in the record of pending counts for the jobs that were submitted under an address."""
+    return f"@{address}"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Acceptance:
+    """Where a job was accepted, which never changes.
+
+    The record is created and deleted in one commit with the job's progress. The failure: a version
+    of the configuration sent a path to another service, whose keys held nothing of a job that was
+    accepted under that path, and the job ran a second time.
+
+    Args:
+        service: The service whose workers run the job.
+    """
+
+    service: str
+
+    def encode(self) -> bytes:
+        """Encode the record."""
+        return json.dumps({"service": self.service}).encode()
+
+    @classmethod
+    def decode(cls, record: bytes) -> Acceptance:
+        """Decode the record.
+
+        Raises:
+            ValueError: The record can't be read.
+        """
+        try:
+            return cls(service=str(json.loads(record)["service"]))
+        except (KeyError, TypeError) as error:
+            raise ValueError(f"acceptance record can't be decoded: {error!r}") from error
+
+
 def encode_job(job: Job) -> bytes:
     """Encode a job as its immutable record."""
     return _JOB_ADAPTER.dump_json(job, exclude_defaults=True)
@@ -106,6 +162,8 @@
     record: dict[str, Any] = {"queue": progress.queue, "state": progress.state.value}
     if progress.team:
         record["team"] = progress.team
+    if progress.address:
+        record["address"] = progress.address
     done = [[*key, f"{bits:x}"] for key, bits in sorted(progress.done.items())]
     if progress.ended:
         done = _ended_rows(progress.ended, job) + done
@@ -188,6 +246,7 @@
             },
             ended_s=fields.get("ended_s", 0.0),
             team=fields.get("team", ""),
+            address=fields.get("address", ""),
         )
     except (KeyError, IndexError, TypeError) as error:
         raise ValueError(f"progress record can't be decoded: {error!r}") from error
--- a/src/shallotworks/jobs/_spec.py
+++ b/src/shallotworks/jobs/_spec.py
@@ -103,6 +103,7 @@
             (`Job.critical_path_s`), plus ``target_latency_s``.
         target_latency_s: Constant part of the objective, in seconds.
         is_advised: Only workers that the advice service allows may run a step.
+        address: Host and prefix of the requests that reach the queue; empty if they are not known.
     """
 
     queue: str
@@ -112,6 +113,7 @@
     stretch: float = 1.0
     target_latency_s: float = 0.0
     is_advised: bool = False
+    address: str = ""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/shallotworks/platform/_configuration.py
+++ b/src/shallotworks/platform/_configuration.py
@@ -243,9 +243,10 @@
 
 
 def _decode_queue(row: dict[str, Any]) -> Queue:
+    host, prefix = str(row["host"]).lower(), str(row["prefix"])
     return Queue(
-        host=str(row["host"]).lower(),
-        prefix=str(row["prefix"]),
+        host=host,
+        prefix=prefix,
         timeout_s=float(row.get("timeoutMs", 3000)) / 1000,
         policy=QueuePolicy(
             queue=str(row["name"]),
@@ -255,6 +256,7 @@
             stretch=float(row.get("stretch", 1.0)),
             target_latency_s=float(row.get("targetLatencyMs", 0)) / 1000,
             is_advised=bool(row.get("advice")),
+            address=host + prefix,
         ),
         is_public=bool(row.get("public", False)),
     )
--- a/src/shallotworks/platform/_daemon.py
+++ b/src/shallotworks/platform/_daemon.py
@@ -23,6 +23,7 @@
     MachineRecords,
     OrderTimes,
     SchedulerDependencies,
+    ServiceRoster,
     ServiceScheduler,
 )
 from shallotworks.store import HeldLease, LeaseTiming, PrefixWatcher
@@ -118,6 +119,9 @@
         self._operator_records = OperatorRecords(
             on_configuration=self._on_configuration, log=self._log, metrics=self._metrics
         )
+        self._roster = ServiceRoster(
+            store=self._store, clock=boot_time_s, log=self._log, on_change=self._bid_for_services
+        )
         self._machine_records = MachineRecords(log=self._log)
         self._lease_timing = LeaseTiming(ttl_s=max(LeaseTiming().ttl_s, settings.smallest_ttl_s))
         self._dependencies = self._make_dependencies()
@@ -138,7 +142,11 @@
         )
         self._ingress = Ingress(
             job_handler=JobRequestHandler(
-                store=self._store, metrics=self._metrics, log=self._log, wall_clock=time.time
+                store=self._store,
+                metrics=self._metrics,
+                log=self._log,
+                wall_clock=time.time,
+                services=lambda: self._roster.services,
             ),
             configuration=lambda: self._operator_records.configuration,
             is_store_unavailable=lambda: self._store.is_unavailable,
@@ -178,6 +186,7 @@
             final_state_told_s=settings.bounds.final_state_told_s,
             team_of=self._team_of,
             is_capacity_known=self._is_capacity_known,
+            is_configured=self._roster.is_configured,
         )
 
     async def run(self) -> None:
@@ -204,6 +213,7 @@
                 self._log.run(),
                 operators.run(),
                 self._elector.run(),
+                self._roster.run(),
                 self._load.run(),
             )
         ]
@@ -334,7 +344,10 @@
         return configuration.standby if configuration is not None else frozenset()
 
     def _on_configuration(self, configuration: Configuration) -> None:
-        schedulers = {SCHEDULER_KEY_PREFIX + service for service in configuration.services}
+        self._roster.configure(configuration.services)
+
+    def _bid_for_services(self) -> None:
+        schedulers = {SCHEDULER_KEY_PREFIX + service for service in self._roster.services}
         self._elector.set_services(schedulers | {MACHINE_CONTROLLER_KEY})
 
     def _metrics_text(self) -> str:
--- a/src/shallotworks/scheduling/__init__.py
+++ b/src/shallotworks/scheduling/__init__.py
@@ -44,7 +44,7 @@
 from ._tracked_jobs import TrackedStep
 from ._wait_reason import WaitReason
 from ._waiting import WaitMonitor, WaitSummary, waiting_reason
-from .duties import LeaderElector, LeaseHolder
+from .duties import LeaderElector, LeaseHolder, ServiceRoster
 from .machines import (
     MACHINES_PREFIX,
     MachineController,
@@ -91,6 +91,7 @@
     "ActiveWorker",
     "ActiveWorkersRecord",
     "SchedulerState",
+    "ServiceRoster",
     "ServiceScheduler",
     "SizingLimits",
     "StartOrder",
--- a/src/shallotworks/scheduling/_job_cleanup.py
+++ b/src/shallotworks/scheduling/_job_cleanup.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from shallotworks.jobs import JobKeys
+from shallotworks.jobs import JobKeys, acceptance_key
 from shallotworks.store import Commit, Condition, HeldLease
 
 from ._scheduler_dependencies import SchedulerDependencies
@@ -56,6 +56,6 @@
                         lease.condition,
                         Condition(key=progress_key, revision=revision),
                     ),
-                    deletes=(keys.job(job_id), progress_key),
+                    deletes=(keys.job(job_id), progress_key, acceptance_key(job_id)),
                 )
             )
--- a/src/shallotworks/scheduling/_scheduler_dependencies.py
+++ b/src/shallotworks/scheduling/_scheduler_dependencies.py
@@ -38,6 +38,7 @@
             of the name.
         is_capacity_known: Whether the capacities of a service's workers are known well enough to
             start tasks there.
+        is_configured: Whether the configuration in force has a service.
     """
 
     store: Store
@@ -53,3 +54,4 @@
     final_state_told_s: float = 120.0
     team_of: Callable[[str], Team | None] = lambda _name: None
     is_capacity_known: Callable[[str], bool] = lambda _service: True
+    is_configured: Callable[[str], bool] = lambda _service: True
--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from shallotworks.jobs import Incarnation, JobState, Step
+from shallotworks.jobs import Incarnation, JobState, Step, pending_count_key
 from shallotworks.logs import StructuredLog
 
 from ._epoch_numbers import EpochNumbers
@@ -372,12 +372,15 @@
     # ---- counts
 
     def count_waiting_jobs(self) -> dict[str, int]:
-        """Return by queue the number of jobs of which no task has started."""
+        """Return the number of jobs of which no task has started, by queue and by address."""
         counts: dict[str, int] = {}
         for tracked_job in self.tracked_jobs.values():
             if tracked_job.progress.state is JobState.QUEUED:
-                queue = tracked_job.job.policy.queue
-                counts[queue] = counts.get(queue, 0) + 1
+                policy = tracked_job.job.policy
+                counts[policy.queue] = counts.get(policy.queue, 0) + 1
+                if policy.address:
+                    key = pending_count_key(policy.address)
+                    counts[key] = counts.get(key, 0) + 1
         return counts
 
     def count_not_serving(self, step: TrackedStep, *, excluding: Run, now_s: float) -> int:
--- a/src/shallotworks/store/_fenced_record.py
+++ b/src/shallotworks/store/_fenced_record.py
@@ -84,6 +84,32 @@
                 return False
         return False
 
+    async def delete(self) -> bool:
+        """Delete the record; return whether it is known not to be stored."""
+        if self.value is None and not self.unconfirmed_values and not await self.read():
+            return False
+        if self.value is None and not self.unconfirmed_values:
+            return True
+        outcome = await self._store.commit(
+            Commit(
+                conditions=(
+                    self._lease.condition,
+                    Condition(key=self._key, revision=self._revision),
+                ),
+                deletes=(self._key,),
+            )
+        )
+        if not isinstance(outcome, Success):
+            return False
+        committed = outcome.unwrap()
+        if isinstance(committed, Conflicted) and (
+            self._handle_conflict(committed) or self._lease.lost_event.is_set()
+        ):
+            return False
+        self.value, self._revision = None, 0
+        self.unconfirmed_values.clear()
+        return True
+
     def _set_known(self, item: Item) -> None:
         self.value, self._revision = item.value, item.revision
         self.unconfirmed_values.clear()
--- a/tests/scheduling_simulation.py
+++ b/tests/scheduling_simulation.py
@@ -81,6 +81,7 @@
         self.service_schedulers: list[ServiceScheduler] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._fleet = fleet
+        self.is_configured: Callable[[str], bool] = lambda _service: True
         self.directory: WorkerDirectory = fleet
         """Lists workers; a scenario may replace it before the instance starts."""
         self.job_handler = JobRequestHandler(
@@ -130,6 +131,7 @@
             log=self._log,
             metrics=Metrics(),
             team_of=self._team_of,
+            is_configured=self.is_configured,
         )
         service_scheduler = ServiceScheduler(
             service=service, lease=lease, dependencies=dependencies
