--- a/src/shallotworks/scheduling/_job_entries.py
+++ b/src/shallotworks/scheduling/_job_entries.py
@@ -201,7 +201,8 @@
             if waiting is None:
                 steps_with_lost_runs = tracked_job.steps_with_lost_runs()
                 waiting = tracked_job.count_waiting_tasks()
-            if waiting >= most_waiting:
+            # Tasks that request nothing never fill the workers.
+            if waiting >= most_waiting or len(tracked_job.live_runs) >= MAX_TASKS:
                 overdue.add(job.job_id)
                 return
             tracked_job.next_occurrence += 1
--- a/tests/test_overdue_occurrences.py
+++ b/tests/test_overdue_occurrences.py
@@ -95,6 +95,16 @@
         harness.add_job(overdue_job("j", step(1)))
         self.assertEqual([64, 64, 64, 64, 64, 0], [len(harness.start_orders()) for _ in range(6)])
 
+    def test_occurrences_that_request_nothing_have_a_bounded_number_of_runs(self) -> None:
+        """Guards against a job whose tasks all fit at once, until reports of them take too long."""
+        harness = SchedulingHarness(view("w"))
+        one = overdue_job("j", step(1, cpu_millicores=0, memory_mb=0, is_lasting=True))
+        with mock.patch.object(job_entries, "MAX_TASKS", 200):
+            harness.add_job(one)
+            for _ in range(20):
+                harness.start_orders()
+        self.assertLess(len(harness.worker("w").runs), 200 + 2 * STARTS_PER_DECISION)
+
     def test_tasks_that_wait_for_isolation_hold_no_other_occurrence_up(self) -> None:
         """Guards against a backlog that stands still behind tasks which lost their workers."""
         lost = LostRun(
