Request machines for lasting tasks that no worker may run

What users saw: a lasting task waited for good beside idle cores; its pool's only worker might run no more tasks of its step, or had no memory left, and the pool said that it lacked nothing.

Cause: the lack of machines was computed from processor time alone.

Change: for each waiting lasting step, the places on the workers are counted by all resources and by tasks per worker, and machines are requested for what is left.

--- a/src/shallotworks/scheduling/_model.py
+++ b/src/shallotworks/scheduling/_model.py
@@ -268,11 +268,15 @@
 
     def fits_beside_lasting(self, step: Step) -> bool:
         """Whether a task of the step would fit after all tasks that end have ended."""
+        return self.with_lasting_runs().fits(step)
+
+    def with_lasting_runs(self) -> Worker:
+        """Return the worker as it will be after all tasks that end have ended."""
         lasting_only = Worker(view=self.view)
         for run in self.runs.values():
             if run.step.is_lasting:
                 lasting_only.add(run)
-        return lasting_only.fits(step)
+        return lasting_only
 
     def shortfall_for(self, step: Step) -> float:
         """Return the larger of the missing processor and memory, as a ratio of the capacity."""
--- a/src/shallotworks/scheduling/machines/_sizing.py
+++ b/src/shallotworks/scheduling/machines/_sizing.py
@@ -73,6 +73,15 @@
     )
 
 
+def _places_on(worker: Worker, step: TrackedStep) -> int:
+    """Return how many waiting tasks of a step a worker may run beside its present runs."""
+    places = worker.count_fitting(step.step, most=len(step.waiting))
+    if step.step.most_per_worker:
+        siblings = sum(run.name[:3] == step.key for run in worker.runs.values())
+        places = min(places, max(0, step.step.most_per_worker - siblings))
+    return places
+
+
 def _may_run_any(worker: Worker, advised: list[TrackedStep], wall_s: float) -> bool:
     """Whether a worker may run one of some steps that need advice.
 
@@ -209,11 +218,11 @@
             for worker in usable
             if worker.worker_id not in self._cordoned
         )
-        isolation_lack = self._lacking_for_isolation(len(usable))
-        if not waiting_millicore_s and arriving <= available_millicores and not isolation_lack:
+        least = max(self._lacking_for_isolation(len(usable)), self._lacking_for_lasting(usable))
+        if not waiting_millicore_s and arriving <= available_millicores and not least:
             return 0 if usable else self._lacking_for_jobs_beyond_weight()
         wanted = waiting_millicore_s / self._limits.backlog_s + arriving
-        lack = max(isolation_lack, -(-(wanted - available_millicores) // size))
+        lack = max(least, -(-(wanted - available_millicores) // size))
         lacking_limit = max(self._limits.max_lacking, self._limits.max_lacking_ratio * len(usable))
         return int(max(0 if available_millicores else 1, min(lack, lacking_limit)))
 
@@ -227,6 +236,34 @@
         jobs = self._scheduler_state.count_jobs_with_lost_runs()
         return max(0, jobs // self._limits.isolated_jobs_per_worker - usable)
 
+    def _lacking_for_lasting(self, usable: list[Worker]) -> int:
+        """Return how many machines are lacking for lasting tasks that no worker may run.
+
+        The failure: a lasting task waited for good beside idle cores, on a pool whose workers had
+        no memory left or might run no more tasks of its step. Tasks that end are left out of the
+        account, since they make room.
+        """
+        steps = [
+            step
+            for step in self._scheduler_state.open_steps()
+            if step.step.is_lasting and not step.tracked_job.job.policy.is_advised
+        ]
+        if not steps or not usable:
+            return 0
+        largest = max(usable, key=lambda worker: worker.view.cpu_millicores)
+        staying = [
+            worker.with_lasting_runs()
+            for worker in usable
+            if worker.worker_id not in self._cordoned
+        ]
+        lacking = 0
+        for step in steps:
+            per_machine = _tasks_per_worker(step.step, largest)
+            if per_machine:
+                unplaced = len(step.waiting) - sum(_places_on(worker, step) for worker in staying)
+                lacking += max(0, -(-unplaced // per_machine))
+        return lacking
+
     def _waiting_millicore_s(self, wall_s: float) -> float:
         total = 0.0
         for entry in self._scheduler_state.open_steps():
