Answer requests that are being received when a process stops

What callers saw: a job was sent over an open connection while its process stopped; the process read all of it, and closed the connection without an answer up to 1.9 s later.

Cause: the callers' server was closed 2.6 s after SIGTERM, whatever was being received. A closed aiohttp server drops what arrives, while the handlers wait for the bodies until they are cancelled.

Change: a stopping process serves on until no request is in flight, at most for 0.65 of its grace period, and rejects with 503 what has not arrived by then.

Both tests ended without an answer before and pass.

--- a/src/shallotworks/platform/_daemon.py
+++ b/src/shallotworks/platform/_daemon.py
@@ -59,6 +59,9 @@
 SHUTDOWN_SERVE_RATIO = 0.5
 """Largest part of the stop grace period in which new requests are served; requests in flight need
 the rest."""
+SHUTDOWN_DRAIN_RATIO = 0.65
+"""Largest part of the stop grace period in which requests are received; those that have arrived by
+then need up to 1.6 s more."""
 MACHINES_WATCH_PAUSE_S = 0.1
 """Schedulers publish their demand ten times a second; the machine controller acts five times a
 second."""
@@ -239,6 +242,9 @@
         await self._log_timeout(self._elector.stop())
         elapsed_s = asyncio.get_running_loop().time() - started_s
         await asyncio.sleep(max(0.0, serve_for_s - elapsed_s))
+        elapsed_s = asyncio.get_running_loop().time() - started_s
+        drain_until_s = self._settings.bounds.stop_grace_s * SHUTDOWN_DRAIN_RATIO
+        await self._ingress.drain(max(0.0, drain_until_s - elapsed_s))
         await self._log_timeout(self._ingress.close())
         await self._orders.close()
         await close_all([self._store_client, self._machines_client, self._advice_client])
--- a/src/shallotworks/platform/_ingress.py
+++ b/src/shallotworks/platform/_ingress.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import time
 from collections.abc import Awaitable, Callable
@@ -39,6 +40,9 @@
 """Longest processing of one request: two attempts at a store that does not answer. After that, the
 caller's next attempt, at another instance, has better chances."""
 NO_CONFIGURATION_RETRY_AFTER_S = 1
+STOPPING_RETRY_AFTER_S = 1
+REJECTION_S = 0.1
+"""Time in which rejected requests are answered before their connections are closed."""
 KEEPALIVE_TIMEOUT_S = 15.0
 MAX_REASON_CHARACTERS = 400
 
@@ -72,7 +76,11 @@
 
     __slots__ = (
         "_admission",
+        "_all_answered",
+        "_body_timeouts",
         "_configuration",
+        "_in_flight",
+        "_is_drained",
         "_is_store_unavailable",
         "_job_handler",
         "_log",
@@ -102,6 +110,11 @@
         self._metrics = metrics
         self._runners: list[web.ServerRunner] = []
         self.is_stopping = False
+        self._is_drained = False
+        self._in_flight = 0
+        self._all_answered = asyncio.Event()
+        self._body_timeouts: set[asyncio.Timeout] = set()
+        """Timeouts of the requests whose bodies are being received."""
 
     async def listen(self, address: str) -> None:
         """Listen for callers' requests."""
@@ -119,6 +132,30 @@
 
         await self._serve(address, handle)
 
+    async def drain(self, longest_s: float) -> None:
+        """Serve until no request is in flight, or reject those whose bodies arrive too slowly.
+
+        The failure: the HTTP server was closed while a request was being received. It dropped the
+        rest of the request, and its caller got no answer.
+
+        Args:
+            longest_s: Time after which a request that is still being received is rejected.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(longest_s):
+                while self._in_flight:
+                    self._all_answered.clear()
+                    await self._all_answered.wait()
+        self._is_drained = True
+        now_s = asyncio.get_running_loop().time()
+        self._log.line(
+            "drained", in_flight=self._in_flight, being_received=len(self._body_timeouts)
+        )
+        for body_timeout in self._body_timeouts:
+            body_timeout.reschedule(now_s)
+        # Lets the rejected requests be answered before their connections are closed.
+        await asyncio.sleep(REJECTION_S if self._body_timeouts else 0.0)
+
     async def close(self) -> None:
         """Stop listening and close idle connections; requests in flight are answered first."""
         for runner in self._runners:
@@ -152,7 +189,13 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         started_s = time.monotonic()
-        response = await self._answer(request)
+        self._in_flight += 1
+        try:
+            response = await self._answer(request)
+        finally:
+            self._in_flight -= 1
+            if not self._in_flight:
+                self._all_answered.set()
         self._metrics.count(f"callers.{request.method}.{response.status}")
         self._metrics.observe_s(f"callers.{request.method}", time.monotonic() - started_s)
         if self.is_stopping:
@@ -255,7 +298,10 @@
         team: str | None,
     ) -> web.Response:
         try:
-            body = await request.read()
+            body = await self._read_body(request)
+        except TimeoutError:
+            self._log.line("job-submit", id=job_id, outcome="refused", reason="stopping")
+            return _unavailable_response("this instance is stopping", STOPPING_RETRY_AFTER_S)
         except web.HTTPRequestEntityTooLarge:
             return _error_response(413, "the body is too long")
         if len(body) > configuration.max_body_bytes:
@@ -279,6 +325,19 @@
         answer = await self._job_handler.submit(job, deadline_s=deadline_s)
         return self._job_response(answer)
 
+    async def _read_body(self, request: web.BaseRequest) -> bytes:
+        """Return the body of a request.
+
+        Raises:
+            TimeoutError: This instance stops before the body has arrived.
+        """
+        async with asyncio.timeout(0.0 if self._is_drained else None) as body_timeout:
+            self._body_timeouts.add(body_timeout)
+            try:
+                return await request.read()
+            finally:
+                self._body_timeouts.discard(body_timeout)
+
     def _state_response(self, answer: JobResponse) -> web.Response:
         if answer.status is JobRequestStatus.FOUND and answer.state is not None:
             return _json_response(200, {"state": _STATE_NAMES[answer.state]})
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -96,6 +96,64 @@
     asyncio.run(run_with_server())
 
 
+async def _post_in_pieces(harness: IngressHarness, pieces: int, gap_s: float) -> int:
+    """Submit a job whose body is sent in pieces; return the status of the answer."""
+    host, port = harness.address.rsplit(":", 1)
+    reader, writer = await asyncio.open_connection(host, int(port))
+    body = json.dumps(JOB).encode()
+    head = f"POST /stock/{JOB_ID} HTTP/1.1\r\nHost: depot.example\r\nContent-Length: {len(body)}"
+    writer.write(f"{head}\r\n\r\n".encode())
+    size = -(-len(body) // pieces)
+    reading = asyncio.create_task(reader.readuntil(b"\r\n\r\n"))
+    try:
+        for start in range(0, len(body), size):
+            if reading.done():
+                break
+            writer.write(body[start : start + size])
+            await asyncio.sleep(gap_s)
+        answer = await reading
+    finally:
+        writer.close()
+        await writer.wait_closed()
+    return int(answer.split()[1])
+
+
+class StopTests(unittest.TestCase):
+    @parameterized.expand(
+        [
+            ("received before the server closes", 8, 0.1, 5.0, 200),
+            ("received too slowly", 40, 0.1, 0.7, 503),
+        ]
+    )
+    def test_a_request_that_is_being_received_is_answered(
+        self, _name: str, pieces: int, gap_s: float, longest_s: float, expected: int
+    ) -> None:
+        """Guards against a request that was read while the process stopped and gets no answer."""
+
+        async def scenario(harness: IngressHarness) -> None:
+            posting = asyncio.create_task(_post_in_pieces(harness, pieces, gap_s))
+            await asyncio.sleep(0.45)
+            harness.ingress.is_stopping = True
+            await harness.ingress.drain(longest_s)
+            await harness.ingress.close()
+            self.assertEqual(expected, await posting)
+            is_stored = any(key.endswith(".job") for key in harness.store.items)
+            self.assertEqual(expected == 200, is_stored)
+
+        run(scenario)
+
+    def test_nothing_is_waited_for_without_a_request(self) -> None:
+        """Guards against stops that take longer than the requests in flight need."""
+
+        async def scenario(harness: IngressHarness) -> None:
+            await harness.call("GET", "/stock/")
+            started_s = time.monotonic()
+            await harness.ingress.drain(5.0)
+            self.assertLess(time.monotonic() - started_s, MAX_LATENCY_S)
+
+        run(scenario)
+
+
 class JobTests(unittest.TestCase):
     def test_submit_read_and_cancel_a_job(self) -> None:
         """Guards against a job whose stored state differs from what its caller was answered."""
