Poll idle workers while a lasting task may have lost its worker

What users saw: a lasting task was away for 10.3 to 10.8 s: it lost its worker and was started on an idle one that had fallen silent 2 s later.

Cause: idle workers are polled every 10 s, and a start without an answer holds its task until the lease of that start is out.

Change: while a worker with lasting tasks has not reported for 2 s, idle workers are polled every 0.7 s, so that a silent one gets no start.

--- a/src/shallotworks/scheduling/_scheduler_state.py
+++ b/src/shallotworks/scheduling/_scheduler_state.py
@@ -142,6 +142,17 @@
                     if run.step.is_lasting:
                         yield WaitingTasks(run.step, 1, False)
 
+    def is_lasting_task_in_doubt(self, now_s: float) -> bool:
+        """Whether a worker with lasting tasks has not reported for longer than workers that live.
+
+        Its tasks are started elsewhere once its lease is out.
+        """
+        return any(
+            now_s - worker.reported_s >= FRESH_REPORT_AGE_S
+            and any(run.step.is_lasting for run in worker.runs.values())
+            for worker in self.workers.values()
+        )
+
     def _may_lose_lasting_tasks(self, worker: Worker, now_s: float) -> bool:
         is_reporting = worker.is_listed and now_s - worker.reported_s < FRESH_REPORT_AGE_S
         # An offered worker runs nothing, so one that is cordoned and runs tasks is evacuated.
--- a/src/shallotworks/scheduling/_worker_poller.py
+++ b/src/shallotworks/scheduling/_worker_poller.py
@@ -35,6 +35,8 @@
 """A poll that fails within this time after its wait has not timed out: its connection was closed or
 refused."""
 _NO_ANSWER_STATUSES = (OrderStatus.UNANSWERED, OrderStatus.UNSENT, OrderStatus.REFUSED)
+WANTED_ANSWER_AGE_S = 0.7
+"""Workers that run nothing are polled this often while a lasting task may have lost its worker."""
 POLL_PAUSE_S = 0.3
 """Pause before the next poll of a worker after a failed poll, while the scheduler may give no
 orders, or until reported ends are stored. Before they are stored, the worker would answer at once
@@ -59,6 +61,7 @@
     """
 
     __slots__ = (
+        "_are_answers_wanted",
         "_clock",
         "_contact",
         "_lease",
@@ -100,6 +103,8 @@
         self._metrics = metrics
         self._on_progress = on_progress
         self._request_decision = request_decision
+        self._are_answers_wanted = False
+        """Whether lasting tasks may soon be started again on workers that run nothing."""
         self._poll_events: dict[str, asyncio.Event] = {}
         self._poll_tasks: dict[str, tuple[Worker, asyncio.Task[None]]] = {}
         """Polling tasks by worker id, each with the incarnation that it polls."""
@@ -124,6 +129,10 @@
                 self._poll_events[worker_id] = asyncio.Event()
                 task = asyncio.create_task(self._poll_repeatedly(worker))
                 self._poll_tasks[worker_id] = (worker, task)
+        self._are_answers_wanted = self._scheduler_state.is_lasting_task_in_doubt(self._clock())
+        if self._are_answers_wanted:
+            for worker in self._scheduler_state.workers.values():
+                self.request_poll(worker)
 
     def stop_polling(self) -> None:
         """Stop polling workers, so that no further ends are recorded.
@@ -164,8 +173,18 @@
             or worker.acknowledged < worker.highest_settled
             or worker.worker_id in self._scheduler_state.pending_recovery
             or self._scheduler_state.crashes.is_asked(worker)
+            or self._is_answer_too_old(worker)
         )
 
+    def _is_answer_too_old(self, worker: Worker) -> bool:
+        """Whether a worker may have fallen silent that a lasting task may soon be started on.
+
+        The failure: a worker that ran nothing fell silent, its next poll was seconds away, and a
+        lasting task that was started there waited for the lease of that start.
+        """
+        age_s = self._clock() - worker.reported_s
+        return self._are_answers_wanted and age_s >= WANTED_ANSWER_AGE_S
+
     async def _poll(self, worker: Worker) -> None:
         sent_s = self._clock()
         acknowledged = worker.end_to_acknowledge
