--- a/src/shallotworks/jobs/_records.py
+++ b/src/shallotworks/jobs/_records.py
@@ -98,9 +98,9 @@
 class Acceptance:
     """Where a job was accepted, which never changes.
 
-    The record is created and deleted in one commit with the job's progress. The failure: a version
-    of the configuration sent a path to another service, whose keys held nothing of a job that was
-    accepted under that path, and the job ran a second time.
+    The record is created and deleted in one commit with the job's progress. Without it a job could
+    not be found once a version of the configuration sends its path to another service, and a
+    repeated submission would run it a second time.
 
     Args:
         service: The service whose workers run the job.
--- a/src/shallotworks/platform/_ingress.py
+++ b/src/shallotworks/platform/_ingress.py
@@ -135,8 +135,8 @@
     async def drain(self, longest_s: float) -> None:
         """Serve until no request is in flight, or reject those whose bodies arrive too slowly.
 
-        The failure: the HTTP server was closed while a request was being received. It dropped the
-        rest of the request, and its caller got no answer.
+        A closed HTTP server drops the rest of what is being received, and its caller gets no
+        answer.
 
         Args:
             longest_s: Time after which a request that is still being received is rejected.
--- a/src/shallotworks/scheduling/_job_entries.py
+++ b/src/shallotworks/scheduling/_job_entries.py
@@ -174,8 +174,8 @@
     def open_due_steps(self, wall_s: float) -> None:
         """Open the steps of occurrences that are due, as many as a decision can start tasks of.
 
-        The failure: a job with hundreds of thousands of overdue occurrences, all opened at once,
-        stopped the event loop for longer than a lease.
+        To open hundreds of thousands of overdue occurrences at once would hold the event loop for
+        longer than a lease.
         """
         for job_id in list(self.jobs_with_future_occurrences):
             overdue_jobs = max(1, len(self.jobs_with_overdue_occurrences))
@@ -334,8 +334,8 @@
             tracked_job.progress.state = JobState.RUNNING
             tracked_job.changes += 1
 
-    def mark_run_job_running(self, run: Run) -> None:
-        """Record that a worker has confirmed a run."""
+    def note_run_confirmed(self, run: Run) -> None:
+        """Record that a worker has confirmed a run, so that its job has begun."""
         tracked_job = self.tracked_jobs.get(run.name.job_id)
         if tracked_job is not None:
             self.mark_job_running(tracked_job)
--- a/src/shallotworks/scheduling/_worker_poller.py
+++ b/src/shallotworks/scheduling/_worker_poller.py
@@ -179,8 +179,7 @@
     def _is_answer_too_old(self, worker: Worker) -> bool:
         """Whether a worker may have fallen silent that a lasting task may soon be started on.
 
-        The failure: a worker that ran nothing fell silent, its next poll was seconds away, and a
-        lasting task that was started there waited for the lease of that start.
+        A lasting task that is started on a silent worker waits for the lease of that start.
         """
         age_s = self._clock() - worker.reported_s
         return self._are_answers_wanted and age_s >= WANTED_ANSWER_AGE_S
--- a/src/shallotworks/scheduling/duties/_service_roster.py
+++ b/src/shallotworks/scheduling/duties/_service_roster.py
@@ -23,9 +23,9 @@
 class ServiceRoster:
     """Keeps services that left the configuration until their schedulers have no job left.
 
-    The failure: a version took out a service with accepted jobs, no instance bid for its lease any
-    more, and the jobs never ended. A scheduler deletes its record of pending counts once its
-    service is not configured and has no jobs, which shows all instances that it is over.
+    If no instance bid for the lease of such a service, its accepted jobs would never end. A
+    scheduler deletes its record of pending counts once its service is not configured and has no
+    jobs, which shows all instances that it is over.
 
     Args:
         store: The store.
--- a/src/shallotworks/scheduling/machines/_sizing.py
+++ b/src/shallotworks/scheduling/machines/_sizing.py
@@ -239,9 +239,8 @@
     def _lacking_for_lasting(self, usable: list[Worker]) -> int:
         """Return how many machines are lacking for lasting tasks that no worker may run.
 
-        The failure: a lasting task waited for good beside idle cores, on a pool whose workers had
-        no memory left or might run no more tasks of its step. Tasks that end are left out of the
-        account, since they make room.
+        Workers with idle cores may have no memory left, or may run no more tasks of a step. Tasks
+        that end are left out of the account, since they make room.
         """
         steps = [
             step
