--- a/src/shallotworks/scheduling/_job_entries.py
+++ b/src/shallotworks/scheduling/_job_entries.py
@@ -298,6 +298,7 @@
         run = self._add_run(step, index, worker, run_id, now_s)
         step.waiting.remove(index)
         step.tracked_job.runs[run.name] = run
+        self.mark_job_running(step.tracked_job)
         return run
 
     def new_copy(
@@ -326,20 +327,11 @@
         return run
 
     def mark_job_running(self, tracked_job: TrackedJob) -> None:
-        """Record that a worker has confirmed the start of a task of a job.
-
-        A start that was only sent may be refused, and the job then still waits.
-        """
+        """Record that a task of a job has started."""
         if tracked_job.progress.state is JobState.QUEUED:
             tracked_job.progress.state = JobState.RUNNING
             tracked_job.changes += 1
 
-    def note_run_confirmed(self, run: Run) -> None:
-        """Record that a worker has confirmed a run, so that its job has begun."""
-        tracked_job = self.tracked_jobs.get(run.name.job_id)
-        if tracked_job is not None:
-            self.mark_job_running(tracked_job)
-
     def has_started(self, run: Run) -> bool:
         """Whether this epoch started a run, and no earlier one."""
         return run.run_id > self._numbers.before_first
--- a/src/shallotworks/scheduling/_order_dispatcher.py
+++ b/src/shallotworks/scheduling/_order_dispatcher.py
@@ -245,8 +245,6 @@
             if run.phase is RunPhase.STARTING:
                 is_running = outcome.status is OrderStatus.OBEYED and is_certain
                 run.enter(RunPhase.RUNNING if is_running else RunPhase.UNANSWERED, now_s)
-                if is_running:
-                    self._scheduler_state.note_run_confirmed(run)
             if outcome.status is OrderStatus.UNANSWERED:
                 worker.pause_until_s = now_s + PAUSE_AFTER_NO_ANSWER_S
             return
--- a/src/shallotworks/scheduling/_report_reader.py
+++ b/src/shallotworks/scheduling/_report_reader.py
@@ -89,7 +89,6 @@
             run = self._adopt(worker, running_task, now_s)
         if run.phase in (RunPhase.STARTING, RunPhase.UNANSWERED):
             run.enter(RunPhase.RUNNING, now_s)
-            self._jobs.note_run_confirmed(run)
         if run.possibly_lost_on is not None:
             run.possibly_lost_on = None
             self._jobs.crashes.clear_run(run)
@@ -216,8 +215,6 @@
             ran_s=round(now_s - run.since_s, 3) if run is not None else None,
             token=self._jobs.token,
         )
-        if run is not None:
-            self._jobs.note_run_confirmed(run)
         if tracked_job is not None and _step_of(tracked_job, end.name) is not None:
             self._record_end(tracked_job, worker, end, now_s, wall_s)
         if tracked_job is not None and tracked_job.is_dirty:
